--- /dev/null
+++ b/base/clock.c
@@ -0,0 +1,96 @@
+#include "base/clock.h"
+
+#include <time.h>
+
+static seam_time read_clock(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (seam_time)ts.tv_sec * SEAM_SEC + ts.tv_nsec / 1000;
+}
+
+static seam_time real_now(struct seam_clock *k)
+{
+	(void)k;
+	return read_clock(CLOCK_REALTIME);
+}
+
+static bool real_wait(struct seam_clock *k, pthread_cond_t *c,
+		      pthread_mutex_t *m, seam_time deadline)
+{
+	struct timespec ts;
+	seam_time mono;
+
+	if (deadline == SEAM_NEVER) {
+		pthread_cond_wait(c, m);
+		return true;
+	}
+	mono = read_clock(CLOCK_MONOTONIC) + deadline - real_now(k);
+	if (mono < 0)
+		mono = 0;
+	ts.tv_sec = mono / SEAM_SEC;
+	ts.tv_nsec = mono % SEAM_SEC * 1000;
+	return pthread_cond_timedwait(c, m, &ts) == 0;
+}
+
+static const struct seam_clock_ops real_ops = {
+	.now = real_now,
+	.wait = real_wait,
+};
+
+struct seam_clock *seam_clock_real(void)
+{
+	static struct seam_clock real = {&real_ops};
+
+	return &real;
+}
+
+void seam_cond_init(pthread_cond_t *c)
+{
+	pthread_condattr_t a;
+
+	pthread_condattr_init(&a);
+	pthread_condattr_setclock(&a, CLOCK_MONOTONIC);
+	pthread_cond_init(c, &a);
+	pthread_condattr_destroy(&a);
+}
+
+static seam_time fake_now(struct seam_clock *k)
+{
+	struct seam_fake_clock *f = (struct seam_fake_clock *)k;
+
+	return __atomic_load_n(&f->time, __ATOMIC_ACQUIRE);
+}
+
+/*
+ * A waiter under a fake clock advances the clock to its deadline: the runs
+ * that use it have one thread, so nobody else could signal the condition.
+ */
+static bool fake_wait(struct seam_clock *k, pthread_cond_t *c,
+		      pthread_mutex_t *m, seam_time deadline)
+{
+	struct seam_fake_clock *f = (struct seam_fake_clock *)k;
+
+	(void)c;
+	(void)m;
+	if (deadline != SEAM_NEVER && deadline > f->time)
+		seam_fake_set(f, deadline);
+	return false;
+}
+
+static const struct seam_clock_ops fake_ops = {
+	.now = fake_now,
+	.wait = fake_wait,
+};
+
+void seam_fake_init(struct seam_fake_clock *f, seam_time start)
+{
+	f->clock.ops = &fake_ops;
+	f->time = start;
+}
+
+void seam_fake_set(struct seam_fake_clock *f, seam_time t)
+{
+	__atomic_store_n(&f->time, t, __ATOMIC_RELEASE);
+}
--- /dev/null
+++ b/base/err.h
@@ -0,0 +1,109 @@
+#ifndef SEAM_ERR_H
+#define SEAM_ERR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * enum seam_kind - the closed list of error kinds
+ *
+ * Each kind has one row in the table behind seam_kind_info(), which gives the
+ * answer that a caller sees. Add a kind there and here, nowhere else.
+ */
+enum seam_kind {
+	SEAM_OK,
+	SEAM_BAD_REQUEST,
+	SEAM_BAD_CONFIG,
+	SEAM_UNAUTHENTICATED,
+	SEAM_FORBIDDEN,
+	SEAM_NOT_FOUND,
+	SEAM_CONFLICT,
+	SEAM_IN_PROGRESS,
+	SEAM_TOO_LARGE,
+	SEAM_OVER_LIMIT,
+	SEAM_BUSY,
+	SEAM_STALE,
+	SEAM_DC_OUT,
+	SEAM_DRAINING,
+	SEAM_DEADLINE,
+	SEAM_UNAVAILABLE,
+	SEAM_COMMIT_UNKNOWN,
+	SEAM_TARGET_REFUSED,
+	SEAM_TARGET_FAILED,
+	SEAM_OUTCOME_UNKNOWN,
+	SEAM_NOT_OWNER,
+	SEAM_FENCED,
+	SEAM_OVER_BUDGET,
+	SEAM_NEVER_RUNS,
+	SEAM_NO_MEMORY,
+	SEAM_INTERNAL,
+	SEAM_KINDS
+};
+
+/**
+ * enum seam_run - whether the work behind a failed request ran
+ * @SEAM_NOT_RUN: it provably did not start
+ * @SEAM_RAN: it ran to its end
+ * @SEAM_RUN_UNKNOWN: it may have run, in full or in part
+ */
+enum seam_run { SEAM_NOT_RUN, SEAM_RAN, SEAM_RUN_UNKNOWN };
+
+/**
+ * struct seam_kind_info - one row of the table from kind to answer
+ * @name: value of the JSON field "kind"
+ * @text: default message
+ * @status: HTTP status code
+ * @run: whether the work ran
+ * @retry: a later attempt of the same request can succeed
+ */
+struct seam_kind_info {
+	const char *name;
+	const char *text;
+	int status;
+	enum seam_run run;
+	bool retry;
+};
+
+/**
+ * struct seam_err - an error on its way up
+ * @kind: SEAM_OK while nothing failed
+ * @text: one line that names the place and the rule
+ */
+struct seam_err {
+	enum seam_kind kind;
+	char text[240];
+};
+
+#define SEAM_ERR_INIT       \
+	{                   \
+		SEAM_OK, "" \
+	}
+
+/**
+ * seam_fail() - record a failure
+ * @e: error to fill; NULL drops the text
+ * @kind: kind of the failure
+ * @fmt: printf format of the text; NULL takes the kind's default text
+ *
+ * Return: always -1, so that callers can write "return seam_fail(...)".
+ */
+int seam_fail(struct seam_err *e, enum seam_kind kind, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/** seam_err_clear() - reset @e to SEAM_OK */
+void seam_err_clear(struct seam_err *e);
+
+/** seam_kind_info() - the table's row for @kind; never NULL */
+const struct seam_kind_info *seam_kind_info(enum seam_kind kind);
+
+/** seam_run_name() - "not_run", "ran" or "unknown" */
+const char *seam_run_name(enum seam_run run);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/base/json.c
@@ -0,0 +1,326 @@
+#include "base/json.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FILE_MAX_BYTES (64u << 20)
+
+int seam_problem(struct seam_problems *p, const char *path, const char *fmt,
+		 ...)
+{
+	char line[512];
+	int n;
+	va_list ap;
+	char **t = realloc(p->text, (p->n + 1) * sizeof(*t));
+
+	if (!t)
+		return -1;
+	p->text = t;
+	n = snprintf(line, sizeof(line), "%s: %s%s", p->file ? p->file : "-",
+		     path, *path ? ": " : "");
+	if (n < 0 || (size_t)n >= sizeof(line))
+		n = sizeof(line) - 1;
+	va_start(ap, fmt);
+	vsnprintf(line + n, sizeof(line) - (size_t)n, fmt, ap);
+	va_end(ap);
+	p->text[p->n] = strdup(line);
+	if (p->text[p->n])
+		p->n++;
+	return -1;
+}
+
+void seam_problems_free(struct seam_problems *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->n; i++)
+		free(p->text[i]);
+	free(p->text);
+	p->text = NULL;
+	p->n = 0;
+}
+
+int seam_problems_err(const struct seam_problems *p, enum seam_kind kind,
+		      struct seam_err *e)
+{
+	if (!p->n)
+		return seam_fail(e, kind, NULL);
+	if (p->n == 1)
+		return seam_fail(e, kind, "%s", p->text[0]);
+	return seam_fail(e, kind, "%s (and %zu more)", p->text[0], p->n - 1);
+}
+
+static int line_of(const char *text, size_t off)
+{
+	int line = 1;
+	size_t i;
+
+	for (i = 0; i < off && text[i]; i++)
+		if (text[i] == '\n')
+			line++;
+	return line;
+}
+
+struct json_object *seam_json_parse(const char *text, struct seam_problems *p)
+{
+	struct json_tokener *tok = json_tokener_new();
+	struct json_object *o;
+	size_t before = p->n;
+	size_t end;
+
+	if (!tok)
+		return NULL;
+	o = json_tokener_parse_ex(tok, text, -1);
+	end = json_tokener_get_parse_end(tok);
+	if (!o) {
+		enum json_tokener_error err = json_tokener_get_error(tok);
+		char where[32];
+
+		snprintf(where, sizeof(where), "line %d", line_of(text, end));
+		seam_problem(p, where, "%s",
+			     err == json_tokener_continue ?
+				     "unexpected end of input" :
+				     json_tokener_error_desc(err));
+	}
+	json_tokener_free(tok);
+	if (o && text[end + strspn(text + end, " \t\r\n")]) {
+		char where[32];
+
+		snprintf(where, sizeof(where), "line %d", line_of(text, end));
+		seam_problem(p, where, "text after the end of the document");
+	}
+	if (o)
+		seam_json_doubled(text, p);
+	if (p->n != before) {
+		json_object_put(o);
+		return NULL;
+	}
+	return o;
+}
+
+static char *read_all(FILE *f)
+{
+	size_t cap = 4096;
+	size_t n = 0;
+	char *buf = malloc(cap);
+
+	while (buf) {
+		size_t got = fread(buf + n, 1, cap - n - 1, f);
+		char *more;
+
+		n += got;
+		if (!got)
+			break;
+		if (n + 1 < cap)
+			continue;
+		more = cap < FILE_MAX_BYTES ? realloc(buf, cap * 2) : NULL;
+		if (!more) {
+			free(buf);
+			return NULL;
+		}
+		buf = more;
+		cap *= 2;
+	}
+	if (buf)
+		buf[n] = '\0';
+	return buf;
+}
+
+struct json_object *seam_json_file(const char *name, struct seam_problems *p)
+{
+	FILE *f = strcmp(name, "-") ? fopen(name, "r") : stdin;
+	struct json_object *o = NULL;
+	char *text;
+
+	p->file = name;
+	if (!f) {
+		seam_problem(p, "", "%s", strerror(errno));
+		return NULL;
+	}
+	text = read_all(f);
+	if (f != stdin)
+		fclose(f);
+	if (text)
+		o = seam_json_parse(text, p);
+	else
+		seam_problem(p, "", "file is larger than 64 MB");
+	free(text);
+	return o;
+}
+
+static bool name_char(char c)
+{
+	return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+	       (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+static bool name_ok(const char *s)
+{
+	if (!*s)
+		return false;
+	for (; *s; s++)
+		if (!name_char(*s))
+			return false;
+	return true;
+}
+
+static int read_text(struct json_object *v, const struct seam_json_field *f,
+		     char *out, const char *path, struct seam_problems *p)
+{
+	const char *s;
+
+	if (!json_object_is_type(v, json_type_string))
+		return seam_problem(p, path, "must be a string");
+	s = json_object_get_string(v);
+	if (strlen(s) >= f->size)
+		return seam_problem(p, path, "must be shorter than %zu bytes",
+				    f->size);
+	if (f->type == SEAM_JSON_NAME && !name_ok(s))
+		return seam_problem(p, path,
+				    "must be letters, digits, '-', '_', '.'");
+	memcpy(out, s, strlen(s) + 1);
+	return 0;
+}
+
+static int read_int(struct json_object *v, const struct seam_json_field *f,
+		    int64_t *out, const char *path, struct seam_problems *p)
+{
+	int64_t i;
+
+	if (!json_object_is_type(v, json_type_int))
+		return seam_problem(p, path, "must be a whole number");
+	i = json_object_get_int64(v);
+	if (i < f->min || i > f->max)
+		return seam_problem(p, path, "must be from %lld to %lld",
+				    (long long)f->min, (long long)f->max);
+	*out = i;
+	return 0;
+}
+
+static int read_choice(struct json_object *v, const struct seam_json_field *f,
+		       int *out, const char *path, struct seam_problems *p)
+{
+	char list[160] = "";
+	const char *s;
+	int i;
+
+	s = json_object_is_type(v, json_type_string) ?
+		    json_object_get_string(v) :
+		    "";
+	for (i = 0; f->choices[i]; i++) {
+		size_t n = strlen(list);
+
+		if (!strcmp(f->choices[i], s)) {
+			*out = i;
+			return 0;
+		}
+		snprintf(list + n, sizeof(list) - n, "%s\"%s\"", i ? ", " : "",
+			 f->choices[i]);
+	}
+	return seam_problem(p, path, "must be one of %s", list);
+}
+
+static int read_names(struct json_object *v, char ***out, const char *path,
+		      struct seam_problems *p)
+{
+	size_t n;
+	size_t i;
+	char **list;
+
+	if (!json_object_is_type(v, json_type_array))
+		return seam_problem(p, path, "must be an array of names");
+	n = json_object_array_length(v);
+	for (i = 0; i < n; i++) {
+		struct json_object *s = json_object_array_get_idx(v, i);
+
+		if (!json_object_is_type(s, json_type_string) ||
+		    !name_ok(json_object_get_string(s)))
+			return seam_problem(p, path, "entry %zu is not a name",
+					    i);
+	}
+	list = g_new0(char *, n + 1);
+	for (i = 0; i < n; i++)
+		list[i] = g_strdup(json_object_get_string(
+			json_object_array_get_idx(v, i)));
+	g_strfreev(*out);
+	*out = list;
+	return 0;
+}
+
+static int read_field(struct json_object *v, const struct seam_json_field *f,
+		      void *out, const char *path, struct seam_problems *p)
+{
+	char *at = (char *)out + f->off;
+
+	switch (f->type) {
+	case SEAM_JSON_INT:
+		return read_int(v, f, (int64_t *)at, path, p);
+	case SEAM_JSON_BOOL:
+		if (!json_object_is_type(v, json_type_boolean))
+			return seam_problem(p, path, "must be true or false");
+		*(bool *)at = json_object_get_boolean(v);
+		return 0;
+	case SEAM_JSON_TEXT:
+	case SEAM_JSON_NAME:
+		return read_text(v, f, at, path, p);
+	case SEAM_JSON_CHOICE:
+		return read_choice(v, f, (int *)at, path, p);
+	case SEAM_JSON_NAMES:
+		return read_names(v, (char ***)at, path, p);
+	default:
+		return 0;
+	}
+}
+
+int seam_json_read(struct json_object *o, const struct seam_json_field *f,
+		   size_t n, void *out, const char *path,
+		   struct seam_problems *p)
+{
+	size_t before = p->n;
+	char where[200];
+	size_t i;
+
+	if (!json_object_is_type(o, json_type_object))
+		return seam_problem(p, path, "must be an object");
+	json_object_object_foreach(o, name, value)
+	{
+		snprintf(where, sizeof(where), "%s%s%s", path, *path ? "." : "",
+			 name);
+		for (i = 0; i < n && strcmp(f[i].name, name); i++)
+			continue;
+		if (i == n)
+			seam_problem(p, where, "unknown name");
+		else
+			read_field(value, &f[i], out, where, p);
+	}
+	for (i = 0; i < n; i++)
+		if (f[i].required &&
+		    !json_object_object_get_ex(o, f[i].name, NULL))
+			seam_problem(p, path, "\"%s\" is missing", f[i].name);
+	return p->n == before ? 0 : -1;
+}
+
+const char *seam_json_str(struct json_object *o, const char *name,
+			  const char *def)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, name, &v) ||
+	    !json_object_is_type(v, json_type_string))
+		return def;
+	return json_object_get_string(v);
+}
+
+int64_t seam_json_int(struct json_object *o, const char *name, int64_t def)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, name, &v) ||
+	    !json_object_is_type(v, json_type_int))
+		return def;
+	return json_object_get_int64(v);
+}
--- /dev/null
+++ b/base/json.h
@@ -0,0 +1,113 @@
+#ifndef SEAM_JSON_H
+#define SEAM_JSON_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <json-c/json.h>
+
+#include "base/err.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct seam_problems - all that is wrong with an input
+ * @file: name of the input, put before each text
+ * @text: one line for each problem: "FILE: PATH: RULE"
+ * @n: number of lines
+ */
+struct seam_problems {
+	const char *file;
+	char **text;
+	size_t n;
+};
+
+/** seam_problem() - add a problem at @path; always returns -1 */
+int seam_problem(struct seam_problems *p, const char *path, const char *fmt,
+		 ...) __attribute__((format(printf, 3, 4)));
+
+/** seam_problems_free() - free the lines */
+void seam_problems_free(struct seam_problems *p);
+
+/** seam_problems_err() - put the first line and the count into @e */
+int seam_problems_err(const struct seam_problems *p, enum seam_kind kind,
+		      struct seam_err *e);
+
+/**
+ * seam_json_parse() - parse JSON with comments
+ * @text: NUL-terminated text
+ * @p: receives syntax errors with their line, and doubled names
+ *
+ * json-c keeps the last of two equal names without a word, so the text is
+ * scanned for doubled names first.
+ *
+ * Return: an object with one reference, or NULL.
+ */
+struct json_object *seam_json_parse(const char *text, struct seam_problems *p);
+
+/** seam_json_file() - read and parse a file; at most 64 MB */
+struct json_object *seam_json_file(const char *name, struct seam_problems *p);
+
+/** seam_json_doubled() - report names that occur twice in one object */
+void seam_json_doubled(const char *text, struct seam_problems *p);
+
+enum seam_json_type {
+	SEAM_JSON_INT, /* int64_t */
+	SEAM_JSON_BOOL, /* bool */
+	SEAM_JSON_TEXT, /* char[size] */
+	SEAM_JSON_NAME, /* char[size], letters, digits, "-", "_", "." */
+	SEAM_JSON_CHOICE, /* int, index into choices */
+	SEAM_JSON_NAMES, /* char **, NULL-terminated; free with g_strfreev() */
+	SEAM_JSON_ANY, /* not read; only accepted */
+};
+
+/**
+ * struct seam_json_field - one member of an object and where it goes
+ * @name: name in JSON
+ * @type: its type, which fixes the C type at @off
+ * @off: offset in the destination structure
+ * @size: size of a text
+ * @min: least value of an integer
+ * @max: greatest value of an integer
+ * @choices: NULL-terminated names of a choice
+ * @required: absent is a problem
+ */
+struct seam_json_field {
+	const char *name;
+	enum seam_json_type type;
+	size_t off;
+	size_t size;
+	int64_t min;
+	int64_t max;
+	const char *const *choices;
+	bool required;
+};
+
+/**
+ * seam_json_read() - read an object into a structure
+ * @o: object
+ * @f: fields
+ * @n: number of fields
+ * @out: structure, already filled with defaults
+ * @path: path of @o for problems
+ * @p: receives unknown names, wrong types, values out of range
+ *
+ * Return: 0, or -1 if a problem was added.
+ */
+int seam_json_read(struct json_object *o, const struct seam_json_field *f,
+		   size_t n, void *out, const char *path,
+		   struct seam_problems *p);
+
+/** seam_json_str() - text member @name of @o, or @def */
+const char *seam_json_str(struct json_object *o, const char *name,
+			  const char *def);
+
+/** seam_json_int() - integer member @name of @o, or @def */
+int64_t seam_json_int(struct json_object *o, const char *name, int64_t def);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/tests/err_test.cc
@@ -0,0 +1,43 @@
+// The error table gives every kind an answer and a true "not run".
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <set>
+#include <string>
+
+#include "base/err.h"
+
+// Guards against a kind that was added to the enum but not to the table.
+TEST(Err, EveryKindHasARow)
+{
+	std::set<std::string> names;
+
+	for (int k = 0; k < SEAM_KINDS; k++) {
+		const struct seam_kind_info *i = seam_kind_info((seam_kind)k);
+
+		ASSERT_NE(i->name, nullptr) << k;
+		EXPECT_TRUE(names.insert(i->name).second) << i->name;
+		EXPECT_GE(i->status, 200);
+	}
+}
+
+// Guards P7: a kind raised after the work may have started must not say
+// "not run".
+TEST(Err, KindsAfterTheStartAreNotNotRun)
+{
+	for (seam_kind k :
+	     {SEAM_TARGET_FAILED, SEAM_OUTCOME_UNKNOWN, SEAM_COMMIT_UNKNOWN,
+	      SEAM_INTERNAL, SEAM_IN_PROGRESS})
+		EXPECT_NE(seam_kind_info(k)->run, SEAM_NOT_RUN);
+}
+
+// Guards against an unbounded text.
+TEST(Err, TextIsCut)
+{
+	seam_err e = SEAM_ERR_INIT;
+	std::string text(1000, 'x');
+
+	EXPECT_EQ(seam_fail(&e, SEAM_BUSY, "%s", text.c_str()), -1);
+	EXPECT_EQ(strlen(e.text), sizeof(e.text) - 1);
+	EXPECT_EQ(seam_fail(nullptr, SEAM_BUSY, nullptr), -1);
+}
--- /dev/null
+++ b/tests/json_test.cc
@@ -0,0 +1,68 @@
+// Checked JSON: comments, duplicate names, problems with their place.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "base/json.h"
+
+static std::string problems(const char *text)
+{
+	seam_problems p = {"f", nullptr, 0};
+	json_object *o = seam_json_parse(text, &p);
+	std::string all;
+
+	for (size_t i = 0; i < p.n; i++)
+		all += std::string(p.text[i]) + "\n";
+	seam_problems_free(&p);
+	json_object_put(o);
+	return all;
+}
+
+TEST(Json, AcceptsBothCommentForms)
+{
+	EXPECT_EQ(problems("// a \"b\": {\n{ /* \"x\": */ \"x\": 1 }\n"), "");
+}
+
+// json-c keeps the last of two equal names without a word.
+TEST(Json, ReportsDuplicateNamesWithLine)
+{
+	EXPECT_EQ(problems("{ \"a\": 1,\n \"b\": { \"a\": 2 },\n \"a\": 3 }"),
+		  "f: line 3: name \"a\" occurs twice\n");
+	EXPECT_EQ(problems("[{\"a\":\"a\"},{\"a\":\"\\\"a\"}]"), "");
+}
+
+TEST(Json, ReportsSyntaxWithLine)
+{
+	EXPECT_EQ(problems("{\n\"a\": }").substr(0, 10), "f: line 2:");
+	EXPECT_NE(problems("{\"a\": 1").find("unexpected end"),
+		  std::string::npos);
+	EXPECT_NE(problems("{} x").find("after the end"), std::string::npos);
+}
+
+struct sample {
+	int64_t n;
+	char name[8];
+};
+
+// Guards against reporting only the first of several problems.
+TEST(Json, ReadReportsEveryProblem)
+{
+	static const seam_json_field f[] = {
+		{"n", SEAM_JSON_INT, offsetof(sample, n), 0, 1, 5, nullptr,
+		 true},
+		{"name", SEAM_JSON_NAME, offsetof(sample, name), 8, 0, 0,
+		 nullptr, true},
+	};
+	seam_problems p = {"f", nullptr, 0};
+	json_object *o = seam_json_parse("{\"n\":9,\"nam\":\"x\"}", &p);
+	sample s = {};
+
+	ASSERT_NE(o, nullptr);
+	EXPECT_EQ(seam_json_read(o, f, 2, &s, "top", &p), -1);
+	ASSERT_EQ(p.n, 3u);
+	EXPECT_STREQ(p.text[0], "f: top.n: must be from 1 to 5");
+	EXPECT_STREQ(p.text[1], "f: top.nam: unknown name");
+	EXPECT_STREQ(p.text[2], "f: top: \"name\" is missing");
+	json_object_put(o);
+	seam_problems_free(&p);
+}
