--- /dev/null
+++ b/version/conf.h
@@ -0,0 +1,316 @@
+#ifndef SEAM_CONF_H
+#define SEAM_CONF_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <json-c/json.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/json.h"
+#include "base/table.h"
+#include "process/store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SEAM_NAME_MAX 64
+#define SEAM_SHA256_HEX 65
+
+/** enum seam_conf_kind - kinds of configuration objects */
+enum seam_conf_kind {
+	SEAM_CONF_DC,
+	SEAM_CONF_POOL,
+	SEAM_CONF_SERVICE,
+	SEAM_CONF_TEAM,
+	SEAM_CONF_WORKSPACE,
+	SEAM_CONF_QUEUE,
+	SEAM_CONF_KEY,
+	SEAM_CONF_KINDS
+};
+
+enum seam_dc_state { SEAM_DC_STATE_IN, SEAM_DC_STATE_OUT };
+enum seam_pool_kind { SEAM_POOL_SERVICE, SEAM_POOL_TASKS, SEAM_POOL_SPARE };
+enum seam_priority { SEAM_PRIORITY_NORMAL, SEAM_PRIORITY_URGENT };
+enum seam_key_state { SEAM_KEY_GRANTED, SEAM_KEY_WITHDRAWN };
+
+/** struct seam_dc - a data centre */
+struct seam_dc {
+	char name[SEAM_NAME_MAX];
+	char region[SEAM_NAME_MAX];
+	int state; /* enum seam_dc_state */
+};
+
+/**
+ * struct seam_pool_conf - a pool of VMs
+ * @name: name
+ * @kind: enum seam_pool_kind
+ * @min: least number of VMs
+ * @max: greatest number of VMs
+ * @budget: availability budget: VMs that may be unavailable at once
+ * @data_centres: where it may have VMs; NULL is everywhere
+ */
+struct seam_pool_conf {
+	char name[SEAM_NAME_MAX];
+	int kind;
+	int64_t min;
+	int64_t max;
+	int64_t budget;
+	char **data_centres;
+};
+
+/**
+ * struct seam_service - a service whose instances run on a pool
+ * @name: name
+ * @pool: name of the pool
+ * @pool_handle: the pool in the same version
+ * @timeout_ms: longest time for a request
+ * @slots: requests that one instance runs at once
+ * @connections: connections to one instance
+ * @idempotent: every method is idempotent, POST, PATCH and DELETE too
+ * @teams: teams that may call it; NULL is every team
+ */
+struct seam_service {
+	char name[SEAM_NAME_MAX];
+	char pool[SEAM_NAME_MAX];
+	struct seam_handle pool_handle;
+	int64_t timeout_ms;
+	int64_t slots;
+	int64_t connections;
+	bool idempotent;
+	char **teams;
+};
+
+/**
+ * struct seam_team - a customer's team
+ * @name: name
+ * @share: weight when all is full
+ * @limit: upper limit of units running across the fleet
+ */
+struct seam_team {
+	char name[SEAM_NAME_MAX];
+	int64_t share;
+	int64_t limit;
+};
+
+/** struct seam_workspace - a part of a team with a weight within it */
+struct seam_workspace {
+	char name[SEAM_NAME_MAX];
+	char team[SEAM_NAME_MAX];
+	int64_t share;
+};
+
+/**
+ * struct seam_queue - a queue of tasks
+ * @name: name
+ * @team: the team whose key opens it
+ * @pool: pool of kind tasks that runs it
+ * @priority: enum seam_priority
+ * @open: takes tasks of every team; they count for the team of the key
+ * @idempotent: its tasks may run more than once
+ * @finish_at: minute of the day, UTC, when the day's tasks must have ended;
+ *             -1 for none
+ * @data_centres: where its tasks may run; NULL is everywhere
+ */
+struct seam_queue {
+	char name[SEAM_NAME_MAX];
+	char team[SEAM_NAME_MAX];
+	char pool[SEAM_NAME_MAX];
+	int priority;
+	bool open;
+	bool idempotent;
+	int64_t finish_at;
+	char **data_centres;
+};
+
+/** struct seam_key - a caller's key, stored as the hash of its text */
+struct seam_key {
+	char name[SEAM_NAME_MAX];
+	char team[SEAM_NAME_MAX];
+	char sha256[SEAM_SHA256_HEX];
+	int state; /* enum seam_key_state */
+};
+
+/**
+ * struct seam_conf - one immutable version of the configuration
+ *
+ * Reference counted: seam_conf_drop() ends the use that a function returned.
+ */
+struct seam_conf;
+
+/** seam_conf_empty() - version 0, without objects */
+struct seam_conf *seam_conf_empty(void);
+
+/** seam_conf_hold() - another reference to @c */
+struct seam_conf *seam_conf_hold(struct seam_conf *c);
+
+/** seam_conf_drop() - release a reference; NULL is accepted */
+void seam_conf_drop(struct seam_conf *c);
+
+/** seam_conf_version() - version number; grows by one with each change */
+uint64_t seam_conf_version(const struct seam_conf *c);
+
+/**
+ * seam_conf_parse() - version from a whole document
+ * @doc: object with the arrays data_centres, pools, services, teams,
+ *       workspaces, queues, keys
+ * @version: version number to give it
+ * @p: receives every problem, with its path
+ *
+ * Return: the version, or NULL if there was a problem.
+ */
+struct seam_conf *seam_conf_parse(struct json_object *doc, uint64_t version,
+				  struct seam_problems *p);
+
+/**
+ * seam_conf_apply() - next version: @old with a change applied
+ * @old: base
+ * @change: {"put":[{"kind":K,"object":{...}}],"delete":[{"kind":K,"name":N}]}
+ * @version: version number of the result
+ * @p: receives every problem
+ */
+struct seam_conf *seam_conf_apply(const struct seam_conf *old,
+				  struct json_object *change, uint64_t version,
+				  struct seam_problems *p);
+
+/** seam_conf_diff() - change that leads from @a to @b; caller puts it */
+struct json_object *seam_conf_diff(const struct seam_conf *a,
+				   const struct seam_conf *b);
+
+/** seam_conf_doc() - whole document of @c; caller puts it */
+struct json_object *seam_conf_doc(const struct seam_conf *c);
+
+/** seam_conf_find() - handle of an object by name, SEAM_NONE if absent */
+struct seam_handle seam_conf_find(const struct seam_conf *c,
+				  enum seam_conf_kind kind, const char *name);
+
+/** seam_conf_get() - object of @kind behind @h, or NULL */
+const void *seam_conf_get(const struct seam_conf *c, enum seam_conf_kind kind,
+			  struct seam_handle h);
+
+/** seam_conf_named() - seam_conf_get() of seam_conf_find() */
+const void *seam_conf_named(const struct seam_conf *c, enum seam_conf_kind kind,
+			    const char *name);
+
+/** seam_conf_next() - iterate over the objects of a kind; see table.h */
+const void *seam_conf_next(const struct seam_conf *c, enum seam_conf_kind kind,
+			   struct seam_handle *h);
+
+/** seam_conf_count() - number of objects of a kind */
+size_t seam_conf_count(const struct seam_conf *c, enum seam_conf_kind kind);
+
+/**
+ * seam_conf_key() - the granted key with this text
+ * @c: version
+ * @text: the key as the caller sent it
+ * @e: SEAM_UNAUTHENTICATED if it is unknown or withdrawn
+ */
+const struct seam_key *seam_conf_key(const struct seam_conf *c,
+				     const char *text, struct seam_err *e);
+
+/** seam_conf_dc_out() - true if @dc is unknown or out */
+bool seam_conf_dc_out(const struct seam_conf *c, const char *dc);
+
+/** seam_sha256_hex() - SHA-256 of @text in lower-case hexadecimal */
+void seam_sha256_hex(const char *text, char out[SEAM_SHA256_HEX]);
+
+/** seam_conf_kind_name() - "data_centre", "pool", ... as used in changes */
+const char *seam_conf_kind_name(enum seam_conf_kind kind);
+
+/** seam_conf_kind_of() - kind by name, -1 if unknown */
+int seam_conf_kind_of(const char *name);
+
+/**
+ * struct seam_conf_cell - the current version of a process, published by RCU
+ * @current: current version, never NULL
+ * @lock: serialises writers
+ */
+struct seam_conf_cell {
+	struct seam_conf *current;
+	pthread_mutex_t lock;
+};
+
+/** seam_conf_cell_init() - cell with version 0 */
+void seam_conf_cell_init(struct seam_conf_cell *cell);
+
+/** seam_conf_cell_free() - drop the current version */
+void seam_conf_cell_free(struct seam_conf_cell *cell);
+
+/** seam_conf_current() - reference to the current version */
+struct seam_conf *seam_conf_current(struct seam_conf_cell *cell);
+
+/**
+ * seam_conf_publish() - make @c current if its version is higher
+ *
+ * Takes over the caller's reference in any case. A version never reverts: an
+ * equal or lower one is dropped.
+ *
+ * Return: true if it became current.
+ */
+bool seam_conf_publish(struct seam_conf_cell *cell, struct seam_conf *c);
+
+/**
+ * seam_conf_load() - read the newest version from the store
+ * @s: store
+ * @deadline: end of the reads
+ * @e: SEAM_UNAVAILABLE, or SEAM_CONFLICT if it changed during the scan too
+ *     often
+ *
+ * Return: version 0 if the store has none; NULL on error.
+ */
+struct seam_conf *seam_conf_load(struct seam_store *s, seam_time deadline,
+				 struct seam_err *e);
+
+/** seam_conf_head() - version of the newest configuration in the store */
+int seam_conf_head(struct seam_store *s, uint64_t *version, seam_time deadline,
+		   struct seam_err *e);
+
+/**
+ * seam_conf_catch_up() - apply the log rows after @old
+ * @s: store
+ * @old: version of the process
+ * @head: version to reach
+ * @deadline: end of the reads
+ * @e: SEAM_NOT_FOUND if a log row is gone; load the whole then
+ */
+struct seam_conf *seam_conf_catch_up(struct seam_store *s,
+				     const struct seam_conf *old, uint64_t head,
+				     seam_time deadline, struct seam_err *e);
+
+/**
+ * struct seam_change - an operator's change
+ * @change: put and delete, as for seam_conf_apply()
+ * @reason: why; not empty
+ * @operator_name: who
+ * @expected: version that the operator saw
+ */
+struct seam_change {
+	struct json_object *change;
+	const char *reason;
+	const char *operator_name;
+	uint64_t expected;
+};
+
+/**
+ * seam_conf_commit() - check a change and write it to the store
+ * @s: store
+ * @k: clock
+ * @ch: the change
+ * @deadline: end of all attempts
+ * @e: SEAM_BAD_CONFIG with the first problem, SEAM_CONFLICT if the version is
+ *     not the expected one, SEAM_UNAVAILABLE, SEAM_COMMIT_UNKNOWN
+ *
+ * Return: the new version, or NULL.
+ */
+struct seam_conf *seam_conf_commit(struct seam_store *s, struct seam_clock *k,
+				   const struct seam_change *ch,
+				   seam_time deadline, struct seam_err *e);
+
+/** seam_conf_dc_key() - row key of a data centre, for checks in commits */
+void seam_conf_dc_key(const char *dc, char key[SEAM_KEY_MAX]);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/version/conf_rows.c
@@ -0,0 +1,332 @@
+#include "version/conf_impl.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SCAN_ROWS 500
+#define LOAD_TRIES 5
+
+static void object_key(int kind, const char *name, char key[SEAM_KEY_MAX])
+{
+	snprintf(key, SEAM_KEY_MAX, "config/obj/%s/%s",
+		 seam_conf_kind_name(kind), name);
+}
+
+void seam_conf_dc_key(const char *dc, char key[SEAM_KEY_MAX])
+{
+	object_key(SEAM_CONF_DC, dc, key);
+}
+
+static void log_key(uint64_t version, char key[SEAM_KEY_MAX])
+{
+	/* Fixed width, so that a scan returns log rows in order of version. */
+	snprintf(key, SEAM_KEY_MAX, "config/log/%012" PRIu64, version);
+}
+
+static int read_head(struct seam_store *s, uint64_t *version, uint64_t *row,
+		     seam_time deadline, struct seam_err *e)
+{
+	struct seam_row head = {.data = NULL};
+
+	*version = 0;
+	*row = SEAM_ABSENT;
+	if (seam_store_get(s, "config/head", &head, deadline, e)) {
+		if (e->kind != SEAM_NOT_FOUND)
+			return -1;
+		seam_err_clear(e);
+		return 0;
+	}
+	*version = strtoull(head.data, NULL, 10);
+	*row = head.version;
+	seam_row_free(&head);
+	return 0;
+}
+
+int seam_conf_head(struct seam_store *s, uint64_t *version, seam_time deadline,
+		   struct seam_err *e)
+{
+	uint64_t row;
+
+	return read_head(s, version, &row, deadline, e);
+}
+
+static int add_object(struct seam_conf *c, const struct seam_row *row,
+		      struct seam_err *e)
+{
+	struct seam_problems p = {.file = row->key};
+	const char *at = row->key + strlen("config/obj/");
+	const char *slash = strchr(at, '/');
+	char kind[32];
+	struct json_object *o;
+	int k = -1;
+
+	if (slash) {
+		snprintf(kind, sizeof(kind), "%.*s", (int)(slash - at), at);
+		k = seam_conf_kind_of(kind);
+	}
+	if (k < 0)
+		return seam_fail(e, SEAM_BAD_CONFIG, "row %s: unknown kind",
+				 row->key);
+	o = seam_json_parse(row->data, &p);
+	if (!o) {
+		seam_problems_err(&p, SEAM_BAD_CONFIG, e);
+		seam_problems_free(&p);
+		return -1;
+	}
+	g_hash_table_replace(c->json[k], g_strdup(slash + 1), o);
+	return 0;
+}
+
+static int scan_objects(struct seam_store *s, struct seam_conf *c,
+			seam_time deadline, struct seam_err *e)
+{
+	char after[SEAM_KEY_MAX] = "";
+	struct seam_rows rows;
+	size_t n;
+	int rc = 0;
+
+	do {
+		size_t i;
+
+		if (seam_store_scan(s, "config/obj/", after, SCAN_ROWS, &rows,
+				    deadline, e))
+			return -1;
+		n = rows.n;
+		for (i = 0; i < n && !rc; i++)
+			rc = add_object(c, &rows.row[i], e);
+		if (n)
+			memcpy(after, rows.row[n - 1].key, sizeof(after));
+		seam_rows_free(&rows);
+	} while (n == SCAN_ROWS && !rc);
+	return rc;
+}
+
+static struct seam_conf *built(struct seam_conf *c, struct seam_err *e)
+{
+	struct seam_problems p = {.file = "store"};
+
+	if (!seam_conf_build(c, &p))
+		return c;
+	seam_problems_err(&p, SEAM_BAD_CONFIG, e);
+	seam_problems_free(&p);
+	seam_conf_drop(c);
+	return NULL;
+}
+
+/* The scan is not a snapshot: it counts only if the head did not move. */
+struct seam_conf *seam_conf_load(struct seam_store *s, seam_time deadline,
+				 struct seam_err *e)
+{
+	int tries;
+
+	for (tries = 0; tries < LOAD_TRIES; tries++) {
+		uint64_t before;
+		uint64_t after;
+		struct seam_conf *c;
+
+		if (seam_conf_head(s, &before, deadline, e))
+			return NULL;
+		c = seam_conf_new(before);
+		if (scan_objects(s, c, deadline, e) ||
+		    seam_conf_head(s, &after, deadline, e)) {
+			seam_conf_drop(c);
+			return NULL;
+		}
+		if (before == after)
+			return built(c, e);
+		seam_conf_drop(c);
+	}
+	seam_fail(e, SEAM_CONFLICT, "configuration changed during %d loads",
+		  LOAD_TRIES);
+	return NULL;
+}
+
+static struct seam_conf *apply_row(const struct seam_conf *old,
+				   const struct seam_row *row,
+				   struct seam_err *e)
+{
+	struct seam_problems p = {.file = row->key};
+	struct json_object *o = seam_json_parse(row->data, &p);
+	struct json_object *change = NULL;
+	struct seam_conf *c = NULL;
+
+	if (o && json_object_object_get_ex(o, "change", &change))
+		c = seam_conf_apply(old, change, old->version + 1, &p);
+	if (!c)
+		seam_problems_err(&p, SEAM_BAD_CONFIG, e);
+	seam_problems_free(&p);
+	json_object_put(o);
+	return c;
+}
+
+struct seam_conf *seam_conf_catch_up(struct seam_store *s,
+				     const struct seam_conf *old, uint64_t head,
+				     seam_time deadline, struct seam_err *e)
+{
+	struct seam_conf *c = seam_conf_hold((struct seam_conf *)old);
+
+	while (c->version < head) {
+		struct seam_row row = {.data = NULL};
+		struct seam_conf *next = NULL;
+		char key[SEAM_KEY_MAX];
+
+		log_key(c->version + 1, key);
+		if (!seam_store_get(s, key, &row, deadline, e)) {
+			next = apply_row(c, &row, e);
+			seam_row_free(&row);
+		}
+		seam_conf_drop(c);
+		if (!next)
+			return NULL;
+		c = next;
+	}
+	return c;
+}
+
+/* One commit: head, log row and one row for each object of the change. */
+struct batch {
+	struct seam_write write[SEAM_COMMIT_MAX];
+	char key[SEAM_COMMIT_MAX][SEAM_KEY_MAX];
+	size_t n;
+	bool full;
+};
+
+static void add_write(struct batch *b, enum seam_op op, const char *key,
+		      uint64_t version, const char *data)
+{
+	struct seam_write *w;
+
+	if (b->n == SEAM_COMMIT_MAX) {
+		b->full = true;
+		return;
+	}
+	g_strlcpy(b->key[b->n], key, SEAM_KEY_MAX);
+	w = &b->write[b->n];
+	w->op = op;
+	w->key = b->key[b->n];
+	w->version = version;
+	w->data = data;
+	w->len = data ? strlen(data) : 0;
+	b->n++;
+}
+
+static void add_entries(struct batch *b, struct json_object *change,
+			const char *list, enum seam_op op)
+{
+	struct json_object *a;
+	size_t i;
+
+	if (!json_object_object_get_ex(change, list, &a))
+		return;
+	for (i = 0; i < json_object_array_length(a); i++) {
+		struct json_object *entry = json_object_array_get_idx(a, i);
+		struct json_object *o = entry;
+		char key[SEAM_KEY_MAX];
+		int kind = seam_conf_kind_of(seam_json_str(entry, "kind", ""));
+
+		if (op == SEAM_PUT)
+			json_object_object_get_ex(entry, "object", &o);
+		object_key(kind, seam_json_str(o, "name", ""), key);
+		add_write(b, op, key, SEAM_ANY_VERSION,
+			  op == SEAM_PUT ? json_object_to_json_string_ext(
+						   o, JSON_C_TO_STRING_PLAIN) :
+					   NULL);
+	}
+}
+
+static struct json_object *log_object(const struct seam_change *ch,
+				      uint64_t version, seam_time now)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "version",
+			       json_object_new_int64((int64_t)version));
+	json_object_object_add(o, "time_us", json_object_new_int64(now));
+	json_object_object_add(o, "operator",
+			       json_object_new_string(ch->operator_name));
+	json_object_object_add(o, "reason", json_object_new_string(ch->reason));
+	json_object_object_add(o, "change", json_object_get(ch->change));
+	return o;
+}
+
+static int write_change(struct seam_store *s, struct seam_clock *k,
+			const struct seam_change *ch, uint64_t head_row,
+			seam_time deadline, struct seam_err *e)
+{
+	uint64_t version = ch->expected + 1;
+	struct json_object *log = log_object(ch, version, seam_now(k));
+	struct batch *b = g_new0(struct batch, 1);
+	struct seam_commit c = {.write = b->write};
+	char key[SEAM_KEY_MAX];
+	char head[32];
+	int rc;
+
+	log_key(version, key);
+	snprintf(head, sizeof(head), "%" PRIu64, version);
+	/*
+	 * The log row comes first: nobody writes it again, so reading it back
+	 * tells for certain whether this commit applied.
+	 */
+	add_write(b, SEAM_PUT, key, SEAM_ABSENT,
+		  json_object_to_json_string_ext(log, JSON_C_TO_STRING_PLAIN));
+	add_write(b, SEAM_PUT, "config/head", head_row, head);
+	add_entries(b, ch->change, "delete", SEAM_DELETE);
+	add_entries(b, ch->change, "put", SEAM_PUT);
+	c.n = b->n;
+	if (b->full)
+		rc = seam_fail(e, SEAM_TOO_LARGE,
+			       "change: more than %d objects",
+			       SEAM_COMMIT_MAX - 2);
+	else
+		rc = seam_store_commit_sure(s, k, &c, deadline, e);
+	g_free(b);
+	json_object_put(log);
+	return rc;
+}
+
+struct seam_conf *seam_conf_commit(struct seam_store *s, struct seam_clock *k,
+				   const struct seam_change *ch,
+				   seam_time deadline, struct seam_err *e)
+{
+	struct seam_problems p = {.file = "change"};
+	struct seam_conf *old;
+	struct seam_conf *next;
+	uint64_t head;
+	uint64_t row;
+
+	if (!ch->reason || !*ch->reason) {
+		seam_fail(e, SEAM_BAD_CONFIG, "change: a reason is required");
+		return NULL;
+	}
+	if (read_head(s, &head, &row, deadline, e))
+		return NULL;
+	if (head != ch->expected) {
+		seam_fail(e, SEAM_CONFLICT,
+			  "change: configuration is at version %" PRIu64
+			  ", not %" PRIu64,
+			  head, ch->expected);
+		return NULL;
+	}
+	old = seam_conf_load(s, deadline, e);
+	if (!old)
+		return NULL;
+	if (old->version != ch->expected) {
+		seam_fail(e, SEAM_CONFLICT, "change: another one came first");
+		seam_conf_drop(old);
+		return NULL;
+	}
+	next = seam_conf_apply(old, ch->change, head + 1, &p);
+	seam_conf_drop(old);
+	if (!next) {
+		seam_problems_err(&p, SEAM_BAD_CONFIG, e);
+		seam_problems_free(&p);
+		return NULL;
+	}
+	if (write_change(s, k, ch, row, deadline, e)) {
+		seam_conf_drop(next);
+		return NULL;
+	}
+	return next;
+}
