seamd, seamctl: serve a request from end to end

The daemon checks keys, routes to the least loaded target and returns the answer whole; it drains on SIGTERM. seamctl checks, shows, diffs and applies configurations and lists changes. Non-idempotent requests use a connection of their own because curl repeats a request whose reused connection was closed.

--- /dev/null
+++ b/cmd/client.c
@@ -0,0 +1,96 @@
+#include "cmd/client.h"
+#include "base/json.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_MS 12000L
+
+struct text {
+	char *data;
+	size_t len;
+};
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct text *t = arg;
+	char *more = realloc(t->data, t->len + size * n + 1);
+
+	if (!more)
+		return 0;
+	t->data = more;
+	memcpy(t->data + t->len, data, size * n);
+	t->len += size * n;
+	t->data[t->len] = '\0';
+	return size * n;
+}
+
+static enum seam_kind kind_of(const char *name)
+{
+	int k;
+
+	for (k = 0; k < SEAM_KINDS; k++)
+		if (!strcmp(seam_kind_info(k)->name, name))
+			return (enum seam_kind)k;
+	return SEAM_INTERNAL;
+}
+
+static struct json_object *read_answer(struct text *t, long status,
+				       struct seam_err *e)
+{
+	struct json_object *o = t->data ? json_tokener_parse(t->data) : NULL;
+	struct json_object *err;
+
+	if (status < 400 && o)
+		return o;
+	if (o && json_object_object_get_ex(o, "error", &err))
+		seam_fail(e, kind_of(seam_json_str(err, "kind", "")), "%s",
+			  seam_json_str(err, "message", ""));
+	else
+		seam_fail(e, SEAM_UNAVAILABLE, "answer %ld without JSON",
+			  status);
+	json_object_put(o);
+	return NULL;
+}
+
+struct json_object *seam_client_call(const struct seam_client *c,
+				     const char *method, const char *path,
+				     const char *body, struct seam_err *e)
+{
+	CURL *curl = curl_easy_init();
+	struct curl_slist *list = NULL;
+	struct text t = {NULL, 0};
+	struct json_object *o = NULL;
+	char url[1024];
+	char auth[512];
+	long status = 0;
+	CURLcode rc;
+
+	snprintf(url, sizeof(url), "%s%s", c->url, path);
+	snprintf(auth, sizeof(auth), "Authorization: Bearer %s", c->key);
+	list = curl_slist_append(list, auth);
+	list = curl_slist_append(list, "Content-Type: application/json");
+	list = curl_slist_append(list, "Expect:");
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &t);
+	if (body)
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+	rc = curl_easy_perform(curl);
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	if (rc != CURLE_OK)
+		seam_fail(e, SEAM_UNAVAILABLE, "%s: %s", c->url,
+			  curl_easy_strerror(rc));
+	else
+		o = read_answer(&t, status, e);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(curl);
+	free(t.data);
+	return o;
+}
--- /dev/null
+++ b/cmd/embedded.c
@@ -0,0 +1,104 @@
+#include "cmd/embedded.h"
+#include "fake/fake.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define TARGETS 3
+#define TARGET_PORT 18100
+#define TARGET_THREADS 16
+
+struct seam_embedded {
+	struct seam_store *store;
+	struct seam_fake_platform *platform;
+	struct seam_fake_target *target[TARGETS];
+};
+
+static int add_target(struct seam_embedded *m, int i, const char *dc,
+		      struct seam_err *e)
+{
+	struct seam_vm vm = {.cpu_milli = 4000, .memory_mb = 16384};
+
+	snprintf(vm.id, sizeof(vm.id), "vm-%d", i + 1);
+	snprintf(vm.dc, sizeof(vm.dc), "%s", dc);
+	snprintf(vm.rack, sizeof(vm.rack), "rack-%d", i + 1);
+	snprintf(vm.addr, sizeof(vm.addr), "127.0.0.1:%d", TARGET_PORT + i);
+	snprintf(vm.pool, sizeof(vm.pool), "web");
+	m->target[i] = seam_fake_target_new(vm.id, vm.addr, TARGET_THREADS);
+	if (!m->target[i])
+		return seam_fail(e, SEAM_UNAVAILABLE,
+				 "embedded: cannot use address %s", vm.addr);
+	seam_fake_platform_put(m->platform, &vm);
+	return 0;
+}
+
+struct seam_embedded *seam_embedded_new(struct seam_clock *k, const char *dc,
+					struct seam_err *e)
+{
+	struct seam_embedded *m = calloc(1, sizeof(*m));
+	int i;
+
+	if (!m) {
+		seam_fail(e, SEAM_NO_MEMORY, NULL);
+		return NULL;
+	}
+	m->store = seam_store_mem_new(k);
+	m->platform = seam_fake_platform_new(k);
+	for (i = 0; i < TARGETS; i++) {
+		if (!add_target(m, i, dc, e))
+			continue;
+		seam_embedded_free(m);
+		return NULL;
+	}
+	return m;
+}
+
+struct seam_store *seam_embedded_store(struct seam_embedded *m)
+{
+	return m->store;
+}
+
+struct seam_platform *seam_embedded_platform(struct seam_embedded *m)
+{
+	return seam_fake_platform_base(m->platform);
+}
+
+int seam_embedded_config(struct seam_embedded *m, struct seam_clock *k,
+			 const char *file, struct seam_err *e)
+{
+	struct seam_problems p = {.file = file};
+	struct json_object *doc = seam_json_file(file, &p);
+	struct seam_conf *first = doc ? seam_conf_parse(doc, 1, &p) : NULL;
+	struct seam_conf *empty = seam_conf_empty();
+	struct seam_conf *done = NULL;
+	struct seam_change ch = {.reason = "first configuration",
+				 .operator_name = "embedded"};
+
+	if (first) {
+		ch.change = seam_conf_diff(empty, first);
+		done = seam_conf_commit(m->store, k, &ch,
+					seam_now(k) + 5 * SEAM_SEC, e);
+		json_object_put(ch.change);
+	} else {
+		seam_problems_err(&p, SEAM_BAD_CONFIG, e);
+	}
+	seam_problems_free(&p);
+	json_object_put(doc);
+	seam_conf_drop(first);
+	seam_conf_drop(empty);
+	seam_conf_drop(done);
+	return done ? 0 : -1;
+}
+
+void seam_embedded_free(struct seam_embedded *m)
+{
+	int i;
+
+	if (!m)
+		return;
+	for (i = 0; i < TARGETS; i++)
+		seam_fake_target_free(m->target[i]);
+	seam_fake_platform_free(m->platform);
+	seam_store_close(m->store);
+	free(m);
+}
--- /dev/null
+++ b/cmd/embedded.h
@@ -0,0 +1,30 @@
+#ifndef SEAM_EMBEDDED_H
+#define SEAM_EMBEDDED_H
+
+#include "process/node.h"
+
+/**
+ * struct seam_embedded - platform and targets in the daemon's own process
+ *
+ * For trying the daemon without any other process; nothing outlives it.
+ */
+struct seam_embedded;
+
+/** seam_embedded_new() - store, VM list and targets for the data centre */
+struct seam_embedded *seam_embedded_new(struct seam_clock *k, const char *dc,
+					struct seam_err *e);
+
+/** seam_embedded_store() - its table service */
+struct seam_store *seam_embedded_store(struct seam_embedded *m);
+
+/** seam_embedded_platform() - its VM list */
+struct seam_platform *seam_embedded_platform(struct seam_embedded *m);
+
+/** seam_embedded_config() - write a first configuration from a file */
+int seam_embedded_config(struct seam_embedded *m, struct seam_clock *k,
+			 const char *file, struct seam_err *e);
+
+/** seam_embedded_free() - stop the targets and free */
+void seam_embedded_free(struct seam_embedded *m);
+
+#endif
--- /dev/null
+++ b/cmd/seamd.c
@@ -0,0 +1,149 @@
+/*
+ * seamd - the daemon, the same on every entry VM
+ *
+ * Exit codes: 0 after a complete drain, 1 if requests were still running at
+ * its deadline, 2 for a wrong command line, 3 for wrong settings, 4 if it
+ * cannot start.
+ */
+#include <argp.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "cmd/embedded.h"
+#include "process/node.h"
+
+enum { EXIT_DRAIN = 1, EXIT_USAGE, EXIT_SETTINGS, EXIT_START };
+
+const char *argp_program_version = "seamd 0.1";
+
+static const struct argp_option options[] = {
+	{"settings", 's', "FILE", 0, "settings, JSON with comments", 0},
+	{"check", 'c', NULL, 0, "check the settings and exit", 0},
+	{"embedded", 'e', "FILE", 0,
+	 "run platform and targets in this process, with FILE as the first "
+	 "configuration",
+	 0},
+	{0},
+};
+
+struct args {
+	const char *settings;
+	const char *embedded;
+	bool check;
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct args *a = state->input;
+
+	switch (key) {
+	case 's':
+		a->settings = arg;
+		return 0;
+	case 'e':
+		a->embedded = arg;
+		return 0;
+	case 'c':
+		a->check = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->settings)
+			argp_error(state, "--settings is required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse,
+	.doc = "Runs one node of monsoonseam until SIGTERM or SIGINT, then "
+	       "drains.",
+};
+
+static int read_settings(const char *file, struct seam_settings *s)
+{
+	struct seam_problems p = {.file = file};
+	int rc = seam_settings_file(file, s, &p);
+	size_t i;
+
+	for (i = 0; i < p.n; i++)
+		fprintf(stderr, "seamd: %s\n", p.text[i]);
+	seam_problems_free(&p);
+	return rc;
+}
+
+static void wait_for_signal(const sigset_t *set)
+{
+	int sig;
+
+	sigwait(set, &sig);
+	seam_log(SEAM_INFO, "node", "Signal %d received, draining.", sig);
+}
+
+static int run(struct seam_node *n, const sigset_t *set, struct seam_err *e)
+{
+	struct seam_clock *k = n->clock;
+
+	if (seam_node_start(n, e)) {
+		fprintf(stderr, "seamd: %s\n", e->text);
+		return EXIT_START;
+	}
+	wait_for_signal(set);
+	if (seam_node_drain(n, seam_now(k) + n->settings.drain_ms * SEAM_MSEC))
+		return 0;
+	fprintf(stderr, "seamd: requests still running at the deadline\n");
+	return EXIT_DRAIN;
+}
+
+static int run_embedded(const struct seam_settings *s, const char *config,
+			const sigset_t *set)
+{
+	struct seam_clock *k = seam_clock_real();
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_embedded *m = seam_embedded_new(k, s->data_centre, &e);
+	struct seam_node *n = NULL;
+	int rc = EXIT_START;
+
+	if (m && !seam_embedded_config(m, k, config, &e))
+		n = seam_node_new(s, k, seam_embedded_store(m),
+				  seam_embedded_platform(m), &e);
+	if (n)
+		rc = run(n, set, &e);
+	else
+		fprintf(stderr, "seamd: %s\n", e.text);
+	seam_node_free(n);
+	seam_embedded_free(m);
+	return rc;
+}
+
+int main(int argc, char **argv)
+{
+	struct args a = {NULL, NULL, false};
+	struct seam_settings s;
+	sigset_t set;
+
+	argp_err_exit_status = EXIT_USAGE;
+	argp_parse(&argp, argc, argv, 0, NULL, &a);
+	if (read_settings(a.settings, &s))
+		return EXIT_SETTINGS;
+	if (a.check)
+		return 0;
+	seam_log_level((enum seam_level)s.log_level);
+	/* Blocked before any thread starts, so that only sigwait() sees them.
+	 */
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (a.embedded)
+		return run_embedded(&s, a.embedded, &set);
+	fprintf(stderr, "seamd: store %s: not built yet, use --embedded\n",
+		s.store);
+	return EXIT_START;
+}
--- /dev/null
+++ b/connection/target.c
@@ -0,0 +1,376 @@
+#include "connection/target.h"
+#include "base/count.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define ANSWER_BYTES_MAX (8u << 20)
+
+SEAM_COUNT(conns_opened, "seam_target_connections_opened_total",
+	   "Connections opened to targets.");
+SEAM_COUNT(conns_closed, "seam_target_connections_closed_total",
+	   "Connections to targets closed after an error.");
+
+/* One connection to one target: a curl handle that is used by one request. */
+struct seam_conn {
+	CURL *curl;
+	struct seam_conn *next;
+};
+
+struct seam_targets {
+	struct seam_clock *clock;
+	pthread_mutex_t lock;
+	struct seam_table *table;
+};
+
+struct reading {
+	struct seam_answer *answer;
+	size_t cap;
+	bool too_large;
+	bool not_run;
+};
+
+struct seam_targets *seam_targets_new(struct seam_clock *k)
+{
+	struct seam_targets *ts = calloc(1, sizeof(*ts));
+
+	if (!ts)
+		return NULL;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	ts->clock = k;
+	ts->table = seam_table_new(sizeof(struct seam_target));
+	pthread_mutex_init(&ts->lock, NULL);
+	return ts;
+}
+
+static void close_idle(struct seam_target *t)
+{
+	while (t->idle) {
+		struct seam_conn *c = t->idle;
+
+		t->idle = c->next;
+		curl_easy_cleanup(c->curl);
+		free(c);
+	}
+	t->idle_count = 0;
+}
+
+void seam_targets_free(struct seam_targets *ts)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_target *t;
+
+	if (!ts)
+		return;
+	while ((t = seam_table_next(ts->table, &h)))
+		close_idle(t);
+	seam_table_free(ts->table);
+	pthread_mutex_destroy(&ts->lock);
+	free(ts);
+	curl_global_cleanup();
+}
+
+struct seam_table *seam_targets_lock(struct seam_targets *ts)
+{
+	pthread_mutex_lock(&ts->lock);
+	return ts->table;
+}
+
+void seam_targets_unlock(struct seam_targets *ts)
+{
+	pthread_mutex_unlock(&ts->lock);
+}
+
+static const struct seam_target_info *
+find_info(const struct seam_target_info *info, size_t n, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(info[i].id, id))
+			return &info[i];
+	return NULL;
+}
+
+static struct seam_target *find_target(struct seam_table *t, const char *id)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_target *g;
+
+	while ((g = seam_table_next(t, &h)))
+		if (!strcmp(g->info.id, id))
+			return g;
+	return NULL;
+}
+
+void seam_targets_set(struct seam_targets *ts,
+		      const struct seam_target_info *info, size_t n)
+{
+	struct seam_table *t = seam_targets_lock(ts);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_target *g;
+	size_t i;
+
+	while ((g = seam_table_next(t, &h))) {
+		if (find_info(info, n, g->info.id))
+			continue;
+		g->info.leaving = true;
+		if (g->outstanding)
+			continue;
+		close_idle(g);
+		seam_table_del(t, h);
+	}
+	for (i = 0; i < n; i++) {
+		g = find_target(t, info[i].id);
+		if (!g)
+			g = seam_table_add(t, &h);
+		if (!g)
+			break;
+		if (*g->info.addr && strcmp(g->info.addr, info[i].addr))
+			close_idle(g);
+		g->info = info[i];
+	}
+	seam_targets_unlock(ts);
+}
+
+static struct seam_conn *take_conn(struct seam_targets *ts,
+				   struct seam_handle h, char *addr,
+				   size_t size, char *id, size_t id_size)
+{
+	struct seam_table *t = seam_targets_lock(ts);
+	struct seam_target *g = seam_table_get(t, h);
+	struct seam_conn *c = NULL;
+
+	if (g) {
+		snprintf(addr, size, "%s", g->info.addr);
+		snprintf(id, id_size, "%s", g->info.id);
+		c = g->idle;
+		if (c) {
+			g->idle = c->next;
+			g->idle_count--;
+		}
+	}
+	seam_targets_unlock(ts);
+	if (!g)
+		return NULL;
+	if (c)
+		return c;
+	c = calloc(1, sizeof(*c));
+	if (c)
+		c->curl = curl_easy_init();
+	if (c && !c->curl) {
+		free(c);
+		return NULL;
+	}
+	seam_count_add(&conns_opened, 1);
+	return c;
+}
+
+static void close_conn(struct seam_conn *c)
+{
+	curl_easy_cleanup(c->curl);
+	free(c);
+	seam_count_add(&conns_closed, 1);
+}
+
+static void return_conn(struct seam_targets *ts, struct seam_handle h,
+			struct seam_conn *c)
+{
+	struct seam_table *t = seam_targets_lock(ts);
+	struct seam_target *g = seam_table_get(t, h);
+
+	if (g && g->idle_count < g->info.connections) {
+		c->next = g->idle;
+		g->idle = c;
+		g->idle_count++;
+		c = NULL;
+	}
+	seam_targets_unlock(ts);
+	if (c)
+		close_conn(c);
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct reading *r = arg;
+	size_t more = size * n;
+	size_t need = r->answer->len + more + 1;
+
+	if (need > ANSWER_BYTES_MAX) {
+		r->too_large = true;
+		return 0;
+	}
+	if (need > r->cap) {
+		size_t cap = r->cap ? r->cap * 2 : 4096;
+		char *body;
+
+		while (cap < need)
+			cap *= 2;
+		body = realloc(r->answer->body, cap);
+		if (!body)
+			return 0;
+		r->answer->body = body;
+		r->cap = cap;
+	}
+	memcpy(r->answer->body + r->answer->len, data, more);
+	r->answer->len += more;
+	r->answer->body[r->answer->len] = '\0';
+	return more;
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *arg)
+{
+	static const char mark[] = "X-Seam-Run: not_run";
+	struct reading *r = arg;
+	size_t len = size * n;
+
+	if (len >= sizeof(mark) - 1 &&
+	    !strncasecmp(data, mark, sizeof(mark) - 1))
+		r->not_run = true;
+	return len;
+}
+
+static struct curl_slist *copy_header(struct curl_slist *list,
+				      struct seam_call *c, const char *name)
+{
+	const char *v = seam_call_header(c, name);
+	char line[1200];
+
+	if (!v)
+		return list;
+	snprintf(line, sizeof(line), "%s: %s", name, v);
+	return curl_slist_append(list, line);
+}
+
+static struct curl_slist *headers(const struct seam_send *s)
+{
+	struct curl_slist *list = NULL;
+	char trace[SEAM_TRACEPARENT_LEN];
+	char line[96];
+
+	seam_trace_header(&s->trace, trace);
+	snprintf(line, sizeof(line), "traceparent: %s", trace);
+	list = curl_slist_append(list, line);
+	snprintf(line, sizeof(line), "X-Request-Deadline: %lld",
+		 (long long)s->deadline);
+	list = curl_slist_append(list, line);
+	/* curl's own "Expect: 100-continue" would cost a round trip. */
+	list = curl_slist_append(list, "Expect:");
+	list = copy_header(list, s->call, "Content-Type");
+	list = copy_header(list, s->call, "Accept");
+	list = copy_header(list, s->call, "Idempotency-Key");
+	return list;
+}
+
+static void set_options(CURL *curl, const struct seam_send *s, const char *url,
+			struct curl_slist *list, struct reading *r,
+			seam_time now)
+{
+	long left = (long)((s->deadline - now) / SEAM_MSEC);
+
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, left > 0 ? left : 1L);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, r);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, r);
+	/*
+	 * curl sends a request again when a reused connection was closed by
+	 * the other side. That could run a non-idempotent request twice, so
+	 * such a request gets a connection of its own.
+	 */
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, s->idempotent ? 0L : 1L);
+	if (s->call->len) {
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, s->call->body);
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)s->call->len);
+	} else if (!strcmp(s->call->method, "POST")) {
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, "");
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, 0L);
+	} else if (!strcmp(s->call->method, "HEAD")) {
+		curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+	}
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, s->call->method);
+}
+
+static int failed(CURLcode rc, CURL *curl, const struct reading *r,
+		  const char *id, struct seam_err *e)
+{
+	long sent = 0;
+
+	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
+	if (rc == CURLE_COULDNT_CONNECT || !sent)
+		return seam_fail(e, SEAM_TARGET_REFUSED,
+				 "target %s: cannot connect", id);
+	if (r->too_large)
+		return seam_fail(e, SEAM_TARGET_FAILED,
+				 "target %s: answer over %u bytes", id,
+				 ANSWER_BYTES_MAX);
+	if (rc == CURLE_OPERATION_TIMEDOUT)
+		return seam_fail(e, SEAM_OUTCOME_UNKNOWN,
+				 "target %s: no whole answer in time", id);
+	return seam_fail(e, SEAM_TARGET_FAILED, "target %s: %s", id,
+			 curl_easy_strerror(rc));
+}
+
+static int perform(struct seam_targets *ts, struct seam_conn *c,
+		   const struct seam_send *s, const char *addr, const char *id,
+		   struct seam_answer *a, struct seam_err *e)
+{
+	struct reading r = {.answer = a};
+	struct curl_slist *list = headers(s);
+	char url[2300];
+	const char *type = NULL;
+	long status = 0;
+	CURLcode rc;
+
+	snprintf(url, sizeof(url), "http://%s%s", addr, s->path);
+	curl_easy_reset(c->curl);
+	set_options(c->curl, s, url, list, &r, seam_now(ts->clock));
+	rc = curl_easy_perform(c->curl);
+	curl_slist_free_all(list);
+	if (rc != CURLE_OK) {
+		seam_answer_free(a);
+		return failed(rc, c->curl, &r, id, e);
+	}
+	curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(c->curl, CURLINFO_CONTENT_TYPE, &type);
+	if (status == 503 && r.not_run) {
+		seam_answer_free(a);
+		return seam_fail(e, SEAM_TARGET_REFUSED,
+				 "target %s: refused, not run", id);
+	}
+	a->status = (int)status;
+	snprintf(a->type, sizeof(a->type), "%s", type ? type : "");
+	snprintf(a->target, sizeof(a->target), "%s", id);
+	return 0;
+}
+
+int seam_target_send(struct seam_targets *ts, struct seam_handle h,
+		     const struct seam_send *s, struct seam_answer *a,
+		     struct seam_err *e)
+{
+	char addr[64];
+	char id[64];
+	struct seam_conn *c =
+		take_conn(ts, h, addr, sizeof(addr), id, sizeof(id));
+	int rc;
+
+	memset(a, 0, sizeof(*a));
+	if (!c)
+		return seam_fail(e, SEAM_NOT_FOUND, "target is gone");
+	rc = perform(ts, c, s, addr, id, a, e);
+	if (rc)
+		close_conn(c);
+	else
+		return_conn(ts, h, c);
+	return rc;
+}
--- /dev/null
+++ b/fake/fake.h
@@ -0,0 +1,83 @@
+#ifndef SEAM_FAKE_H
+#define SEAM_FAKE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "process/platform.h"
+#include "process/store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct seam_fake_target_faults - behaviour of a fake target
+ * @delay_ms: time that each request takes
+ * @refuse: refuse everything, marked as not run
+ * @fail: run, then answer 500
+ * @drop: run, then close the connection without an answer
+ * @slots: requests at once; more are refused, marked as not run; 0 is 8
+ */
+struct seam_fake_target_faults {
+	int delay_ms;
+	bool refuse;
+	bool fail;
+	bool drop;
+	int slots;
+};
+
+struct seam_fake_target;
+
+/**
+ * seam_fake_target_new() - target that answers with what it received
+ * @id: id, part of each answer
+ * @addr: IP:PORT, on a loopback address
+ * @threads: connections served at once
+ *
+ * The answer is JSON: target, method, path, body, runs (requests run so far).
+ */
+struct seam_fake_target *seam_fake_target_new(const char *id, const char *addr,
+					      int threads);
+
+/** seam_fake_target_set() - change its faults */
+void seam_fake_target_set(struct seam_fake_target *t,
+			  const struct seam_fake_target_faults *f);
+
+/** seam_fake_target_runs() - requests that it ran, answered or not */
+int seam_fake_target_runs(struct seam_fake_target *t);
+
+/** seam_fake_target_free() - stop it */
+void seam_fake_target_free(struct seam_fake_target *t);
+
+/**
+ * struct seam_fake_platform - VM list and reboots in memory
+ */
+struct seam_fake_platform;
+
+/** seam_fake_platform_new() - platform without VMs */
+struct seam_fake_platform *seam_fake_platform_new(struct seam_clock *k);
+
+/** seam_fake_platform_base() - its vtable, for seam_node_new() */
+struct seam_platform *seam_fake_platform_base(struct seam_fake_platform *p);
+
+/** seam_fake_platform_put() - add or replace a VM */
+void seam_fake_platform_put(struct seam_fake_platform *p,
+			    const struct seam_vm *vm);
+
+/** seam_fake_platform_del() - remove a VM */
+void seam_fake_platform_del(struct seam_fake_platform *p, const char *id);
+
+/** seam_fake_platform_down() - let every call fail, or work again */
+void seam_fake_platform_down(struct seam_fake_platform *p, bool down);
+
+/** seam_fake_platform_reboots() - reboots done so far */
+int seam_fake_platform_reboots(struct seam_fake_platform *p);
+
+/** seam_fake_platform_free() - free it */
+void seam_fake_platform_free(struct seam_fake_platform *p);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/fake/target.c
@@ -0,0 +1,183 @@
+#include "fake/fake.h"
+
+#include <civetweb.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define DEFAULT_SLOTS 8
+
+struct seam_fake_target {
+	char id[64];
+	struct mg_context *ctx;
+	pthread_mutex_t lock;
+	struct seam_fake_target_faults faults;
+	int running;
+	int runs;
+};
+
+static void sleep_ms(int ms)
+{
+	struct timespec ts = {ms / 1000, ms % 1000 * 1000000L};
+
+	while (nanosleep(&ts, &ts))
+		continue;
+}
+
+static bool admit(struct seam_fake_target *t, struct seam_fake_target_faults *f)
+{
+	int slots;
+	bool ok;
+
+	pthread_mutex_lock(&t->lock);
+	*f = t->faults;
+	slots = f->slots ? f->slots : DEFAULT_SLOTS;
+	ok = !f->refuse && t->running < slots;
+	if (ok) {
+		t->running++;
+		t->runs++;
+	}
+	pthread_mutex_unlock(&t->lock);
+	return ok;
+}
+
+static void leave(struct seam_fake_target *t)
+{
+	pthread_mutex_lock(&t->lock);
+	t->running--;
+	pthread_mutex_unlock(&t->lock);
+}
+
+static char *read_body(struct mg_connection *conn)
+{
+	size_t cap = 1u << 16;
+	size_t n = 0;
+	char *body = malloc(cap + 1);
+	int got;
+
+	while (body && (got = mg_read(conn, body + n, cap - n)) > 0) {
+		n += (size_t)got;
+		if (n == cap) {
+			cap *= 2;
+			body = realloc(body, cap + 1);
+		}
+	}
+	if (body)
+		body[n] = '\0';
+	return body;
+}
+
+static void answer(struct mg_connection *conn, int status, const char *extra,
+		   const char *body)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		  "Content-Length: %zu\r\n%s\r\n%s",
+		  status, mg_get_response_code_text(conn, status), strlen(body),
+		  extra, body);
+}
+
+static void answer_run(struct seam_fake_target *t, struct mg_connection *conn,
+		       int status, const char *body)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "target", json_object_new_string(t->id));
+	json_object_object_add(o, "method",
+			       json_object_new_string(ri->request_method));
+	json_object_object_add(o, "path",
+			       json_object_new_string(ri->local_uri));
+	json_object_object_add(o, "body", json_object_new_string(body));
+	json_object_object_add(o, "runs",
+			       json_object_new_int(seam_fake_target_runs(t)));
+	answer(conn, status, "", json_object_to_json_string(o));
+	json_object_put(o);
+}
+
+static int on_request(struct mg_connection *conn, void *arg)
+{
+	struct seam_fake_target *t = arg;
+	struct seam_fake_target_faults f;
+	char *body = read_body(conn);
+
+	if (!admit(t, &f)) {
+		answer(conn, 503, "X-Seam-Run: not_run\r\n",
+		       "{\"error\":\"no free slot\"}");
+		free(body);
+		return 503;
+	}
+	if (f.delay_ms)
+		sleep_ms(f.delay_ms);
+	leave(t);
+	if (f.drop)
+		mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+				"Connection: close\r\n\r\npart");
+	else
+		answer_run(t, conn, f.fail ? 500 : 200, body ? body : "");
+	free(body);
+	return 200;
+}
+
+struct seam_fake_target *seam_fake_target_new(const char *id, const char *addr,
+					      int threads)
+{
+	char n[16];
+	const char *options[] = {"listening_ports",
+				 addr,
+				 "num_threads",
+				 n,
+				 "enable_keep_alive",
+				 "yes",
+				 "keep_alive_timeout_ms",
+				 "20000",
+				 "tcp_nodelay",
+				 "1",
+				 NULL};
+	struct seam_fake_target *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	snprintf(t->id, sizeof(t->id), "%s", id);
+	snprintf(n, sizeof(n), "%d", threads);
+	pthread_mutex_init(&t->lock, NULL);
+	mg_init_library(0);
+	t->ctx = mg_start(NULL, t, options);
+	if (!t->ctx) {
+		mg_exit_library();
+		free(t);
+		return NULL;
+	}
+	mg_set_request_handler(t->ctx, "/", on_request, t);
+	return t;
+}
+
+void seam_fake_target_set(struct seam_fake_target *t,
+			  const struct seam_fake_target_faults *f)
+{
+	pthread_mutex_lock(&t->lock);
+	t->faults = *f;
+	pthread_mutex_unlock(&t->lock);
+}
+
+int seam_fake_target_runs(struct seam_fake_target *t)
+{
+	int runs;
+
+	pthread_mutex_lock(&t->lock);
+	runs = t->runs;
+	pthread_mutex_unlock(&t->lock);
+	return runs;
+}
+
+void seam_fake_target_free(struct seam_fake_target *t)
+{
+	if (!t)
+		return;
+	mg_stop(t->ctx);
+	mg_exit_library();
+	pthread_mutex_destroy(&t->lock);
+	free(t);
+}
--- /dev/null
+++ b/process/node.c
@@ -0,0 +1,132 @@
+#include "process/node.h"
+#include "base/log.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct seam_part *(*part_new)(struct seam_node *n);
+
+static const part_new all_parts[] = {
+	seam_part_versions,
+	seam_part_inventory,
+	seam_part_requests,
+	seam_part_admin,
+};
+
+struct seam_node *seam_node_new(const struct seam_settings *s,
+				struct seam_clock *k, struct seam_store *store,
+				struct seam_platform *platform,
+				struct seam_err *e)
+{
+	struct seam_node *n = calloc(1, sizeof(*n));
+
+	if (!n || sodium_init() < 0) {
+		free(n);
+		seam_fail(e, SEAM_NO_MEMORY, NULL);
+		return NULL;
+	}
+	n->clock = k;
+	n->settings = *s;
+	n->store = store;
+	n->platform = platform;
+	seam_conf_cell_init(&n->conf);
+	n->targets = seam_targets_new(k);
+	n->http = seam_http_new(k);
+	if (!n->targets || !n->http) {
+		seam_node_free(n);
+		seam_fail(e, SEAM_NO_MEMORY, NULL);
+		return NULL;
+	}
+	return n;
+}
+
+static int start_part(struct seam_node *n, part_new make, struct seam_err *e)
+{
+	struct seam_part *p = make(n);
+
+	if (!p)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	n->part[n->parts++] = p;
+	return p->ops->start(p, e);
+}
+
+int seam_node_start(struct seam_node *n, struct seam_err *e)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(all_parts) / sizeof(*all_parts); i++)
+		if (start_part(n, all_parts[i], e))
+			return -1;
+	if (seam_http_start(n->http, n->settings.listen,
+			    (int)n->settings.threads, e))
+		return -1;
+	seam_log(SEAM_INFO, "node", "Node %s listens on %s.", n->settings.node,
+		 n->settings.listen);
+	return 0;
+}
+
+bool seam_node_drain(struct seam_node *n, seam_time deadline)
+{
+	bool idle = seam_http_drain(n->http, deadline);
+	int i;
+
+	for (i = n->parts - 1; i >= 0; i--)
+		if (n->part[i]->ops->drain)
+			n->part[i]->ops->drain(n->part[i], deadline);
+	return idle;
+}
+
+void seam_node_free(struct seam_node *n)
+{
+	if (!n)
+		return;
+	/* The front end calls into the parts, so it stops first. */
+	seam_http_free(n->http);
+	while (n->parts) {
+		n->parts--;
+		n->part[n->parts]->ops->stop(n->part[n->parts]);
+	}
+	seam_targets_free(n->targets);
+	seam_conf_cell_free(&n->conf);
+	free(n);
+}
+
+void seam_node_confirm(struct seam_node *n, seam_time t)
+{
+	seam_time old = __atomic_load_n(&n->confirmed_at, __ATOMIC_ACQUIRE);
+
+	while (old < t &&
+	       !__atomic_compare_exchange_n(&n->confirmed_at, &old, t, 0,
+					    __ATOMIC_ACQ_REL, __ATOMIC_ACQUIRE))
+		continue;
+}
+
+int seam_node_fresh(struct seam_node *n, int64_t max_ms, struct seam_err *e)
+{
+	seam_time at = __atomic_load_n(&n->confirmed_at, __ATOMIC_ACQUIRE);
+	seam_time age = seam_now(n->clock) - at;
+
+	if (at && age <= max_ms * SEAM_MSEC)
+		return 0;
+	if (!at)
+		return seam_fail(e, SEAM_STALE, "no configuration yet");
+	return seam_fail(e, SEAM_STALE,
+			 "configuration was confirmed %lld ms ago, limit %lld",
+			 (long long)(age / SEAM_MSEC), (long long)max_ms);
+}
+
+bool seam_node_operator(struct seam_node *n, struct seam_call *c,
+			struct seam_err *e)
+{
+	const char *key = seam_call_key(c);
+	char hex[SEAM_SHA256_HEX];
+
+	if (key) {
+		seam_sha256_hex(key, hex);
+		if (!sodium_memcmp(hex, n->settings.operator_sha256, 64))
+			return true;
+	}
+	seam_fail(e, SEAM_UNAUTHENTICATED, "operators' key required");
+	return false;
+}
--- /dev/null
+++ b/request/call.h
@@ -0,0 +1,108 @@
+#ifndef SEAM_CALL_H
+#define SEAM_CALL_H
+
+#include <stddef.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "request/trace.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SEAM_BODY_MAX (1u << 20)
+#define SEAM_TIMEOUT_MS_MAX 30000
+
+struct seam_call;
+
+/**
+ * struct seam_answer - an answer, whole
+ * @status: HTTP status
+ * @type: content type
+ * @body: content, owned by the answer; free with seam_answer_free()
+ * @len: length in bytes
+ * @target: id of the VM that gave it, or ""
+ */
+struct seam_answer {
+	int status;
+	char type[96];
+	char *body;
+	size_t len;
+	char target[64];
+};
+
+/**
+ * struct seam_call_ops - what a front end offers to a request
+ * @header: value of a request header, or NULL
+ * @reply: send the whole answer
+ */
+struct seam_call_ops {
+	const char *(*header)(struct seam_call *c, const char *name);
+	int (*reply)(struct seam_call *c, const struct seam_answer *a);
+};
+
+/**
+ * struct seam_call - one caller's request, for its whole life
+ * @ops: front end; first member
+ * @method: "GET", ...
+ * @path: path without the query
+ * @query: query without "?", or ""
+ * @body: body, @len bytes and a NUL
+ * @len: length in bytes
+ * @arrived: when it was read
+ * @deadline: when its caller stops waiting
+ * @trace: trace context of this hop
+ * @status: status of the answer once it was sent
+ */
+struct seam_call {
+	const struct seam_call_ops *ops;
+	const char *method;
+	const char *path;
+	const char *query;
+	char *body;
+	size_t len;
+	seam_time arrived;
+	seam_time deadline;
+	struct seam_trace trace;
+	int status;
+};
+
+static inline const char *seam_call_header(struct seam_call *c,
+					   const char *name)
+{
+	return c->ops->header(c, name);
+}
+
+/** seam_call_key() - text of the bearer key, or NULL */
+const char *seam_call_key(struct seam_call *c);
+
+/**
+ * seam_call_param() - value of a query parameter
+ * @c: request
+ * @name: name
+ * @out: receives the value, not decoded
+ * @size: size of @out
+ *
+ * Return: 0, or -1 if it is absent or too long.
+ */
+int seam_call_param(struct seam_call *c, const char *name, char *out,
+		    size_t size);
+
+/** seam_reply() - send an answer */
+int seam_reply(struct seam_call *c, const struct seam_answer *a);
+
+/** seam_reply_text() - send @text with a status and content type */
+int seam_reply_text(struct seam_call *c, int status, const char *type,
+		    const char *text);
+
+/** seam_reply_err() - send the JSON error form of @e */
+int seam_reply_err(struct seam_call *c, const struct seam_err *e);
+
+/** seam_answer_free() - free the body */
+void seam_answer_free(struct seam_answer *a);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,66 @@
+// Settings: every problem is reported with its place and rule.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "process/settings.h"
+
+static const char good[] =
+	"\"node\":\"n\",\"data_centre\":\"a\",\"listen\":\"127.0.0.1:1\","
+	"\"peer\":\"127.0.0.1:2\",\"store\":\"memory\",\"cluster_key\":\"c\","
+	"\"operator_sha256\":"
+	"\"0000000000000000000000000000000000000000000000000000000000000000\"";
+
+static std::string read(const std::string &text, seam_settings *s)
+{
+	seam_problems p = {"f", nullptr, 0};
+	json_object *o = seam_json_parse(text.c_str(), &p);
+	std::string all;
+
+	if (o)
+		seam_settings_read(o, s, &p);
+	for (size_t i = 0; i < p.n; i++)
+		all += std::string(p.text[i]) + "\n";
+	seam_problems_free(&p);
+	json_object_put(o);
+	return all;
+}
+
+TEST(Settings, DefaultsAndNode)
+{
+	seam_settings s;
+
+	EXPECT_EQ(read(std::string("{") + good + "}", &s), "");
+	EXPECT_EQ(s.stale_key_ms, 10000);
+	EXPECT_STREQ(s.vm, "n");
+}
+
+TEST(Settings, EveryProblemAtOnce)
+{
+	seam_settings s;
+	std::string out = read(std::string("{") + good +
+				       ",\"threads\":0,\"colour\":1,"
+				       "\"drain_ms\":\"x\"}",
+			       &s);
+
+	EXPECT_NE(out.find("f: threads: must be from 2 to 4096"),
+		  std::string::npos);
+	EXPECT_NE(out.find("f: colour: unknown name"), std::string::npos);
+	EXPECT_NE(out.find("f: drain_ms: must be a whole number"),
+		  std::string::npos);
+}
+
+// Guards against two sockets on one address, found only at start.
+TEST(Settings, DuplicateAddressAndBadAddress)
+{
+	seam_settings s;
+	std::string text = std::string("{") + good + "}";
+	std::string same = text;
+
+	same.replace(same.find("127.0.0.1:2"), 11, "127.0.0.1:1");
+	EXPECT_NE(read(same, &s).find("f: peer: is the same address"),
+		  std::string::npos);
+	text.replace(text.find("127.0.0.1:2"), 11, "localhost:2");
+	EXPECT_NE(read(text, &s).find("is not an IPv4 number"),
+		  std::string::npos);
+}
