--- /dev/null
+++ b/process/fleet.h
@@ -0,0 +1,57 @@
+#ifndef SEAM_FLEET_H
+#define SEAM_FLEET_H
+
+#include "process/platform.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** enum seam_member_state - state of a VM in its pool */
+enum seam_member_state {
+	SEAM_MEMBER_ACTIVE,
+	SEAM_MEMBER_DRAINING,
+	SEAM_MEMBER_REBOOTING,
+	SEAM_MEMBER_JOINING,
+	SEAM_MEMBER_FAILED
+};
+
+/**
+ * struct seam_fleet_vm - a VM with its pool
+ * @vm: from the platform's list; @vm.pool is the pool that it is in
+ * @member: enum seam_member_state
+ */
+struct seam_fleet_vm {
+	struct seam_vm vm;
+	int member;
+};
+
+/** struct seam_fleet - the VMs that this process knows; locked inside */
+struct seam_fleet;
+
+/** seam_fleet_new() - empty fleet */
+struct seam_fleet *seam_fleet_new(void);
+
+/** seam_fleet_free() - free it */
+void seam_fleet_free(struct seam_fleet *f);
+
+/** seam_fleet_set() - replace the content; @vm is copied */
+void seam_fleet_set(struct seam_fleet *f, const struct seam_fleet_vm *vm,
+		    size_t n, seam_time as_of);
+
+/**
+ * seam_fleet_copy() - VMs of a pool
+ * @f: fleet
+ * @pool: pool, or NULL for all
+ * @n: receives their number
+ * @as_of: receives the time of the list; may be NULL
+ *
+ * Return: an array to be freed with free(); NULL if it is empty.
+ */
+struct seam_fleet_vm *seam_fleet_copy(struct seam_fleet *f, const char *pool,
+				      size_t *n, seam_time *as_of);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/process/node.c
+++ b/process/node.c
@@ -31,9 +31,11 @@
 	n->store = store;
 	n->platform = platform;
 	seam_conf_cell_init(&n->conf);
+	n->fleet = seam_fleet_new();
+	n->owner = seam_owner_all();
 	n->targets = seam_targets_new(k);
 	n->http = seam_http_new(k);
-	if (!n->targets || !n->http) {
+	if (!n->fleet || !n->targets || !n->http) {
 		seam_node_free(n);
 		seam_fail(e, SEAM_NO_MEMORY, NULL);
 		return NULL;
@@ -88,6 +90,7 @@
 		n->part[n->parts]->ops->stop(n->part[n->parts]);
 	}
 	seam_targets_free(n->targets);
+	seam_fleet_free(n->fleet);
 	seam_conf_cell_free(&n->conf);
 	free(n);
 }
--- a/process/node.h
+++ b/process/node.h
@@ -4,7 +4,10 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "connection/target.h"
+#include "process/admit.h"
+#include "process/fleet.h"
 #include "process/http.h"
+#include "process/owner.h"
 #include "process/platform.h"
 #include "process/settings.h"
 #include "process/store.h"
@@ -45,6 +48,9 @@
  * @store: the platform's table service
  * @platform: VM list and reboots
  * @conf: current version of the configuration
+ * @fleet: VMs with their pools
+ * @owner: who decides for a shard; never NULL
+ * @admit: units of the teams' limits; NULL admits everything
  * @targets: targets and connections to them
  * @http: front end
  * @confirmed_at: latest time at which @conf was known to be the newest
@@ -57,6 +63,9 @@
 	struct seam_store *store;
 	struct seam_platform *platform;
 	struct seam_conf_cell conf;
+	struct seam_fleet *fleet;
+	struct seam_owner *owner;
+	struct seam_admit *admit;
 	struct seam_targets *targets;
 	struct seam_http *http;
 	seam_time confirmed_at;
--- /dev/null
+++ b/process/owner.c
@@ -0,0 +1,20 @@
+#include "process/owner.h"
+
+static bool mine_all(struct seam_owner *o, const char *name, seam_time now)
+{
+	(void)o;
+	(void)name;
+	(void)now;
+	return true;
+}
+
+static const struct seam_owner_ops all_ops = {
+	.mine = mine_all,
+};
+
+struct seam_owner *seam_owner_all(void)
+{
+	static struct seam_owner all = {&all_ops};
+
+	return &all;
+}
--- a/process/part_inventory.c
+++ b/process/part_inventory.c
@@ -27,9 +27,11 @@
 	return NULL;
 }
 
-static void fill(struct seam_target_info *t, const struct seam_vm *vm,
+static void fill(struct seam_target_info *t, const struct seam_fleet_vm *f,
 		 const struct seam_service *s, const struct seam_conf *c)
 {
+	const struct seam_vm *vm = &f->vm;
+
 	memcpy(t->id, vm->id, sizeof(t->id));
 	memcpy(t->addr, vm->addr, sizeof(t->addr));
 	memcpy(t->dc, vm->dc, sizeof(t->dc));
@@ -37,29 +39,47 @@
 	memcpy(t->service, s->name, sizeof(t->service));
 	t->slots = (int)s->slots;
 	t->connections = (int)s->connections;
-	t->leaving =
-		vm->state == SEAM_VM_LEAVING || seam_conf_dc_out(c, vm->dc);
+	t->leaving = vm->state == SEAM_VM_LEAVING ||
+		     f->member != SEAM_MEMBER_ACTIVE ||
+		     seam_conf_dc_out(c, vm->dc);
 }
 
-static void set_targets(struct seam_node *n, const struct seam_vms *vms)
+static void set_targets(struct seam_node *n)
 {
 	struct seam_conf *c = seam_conf_current(&n->conf);
-	struct seam_target_info *t = calloc(vms->n + 1, sizeof(*t));
+	struct seam_target_info *t;
+	struct seam_fleet_vm *vm;
 	size_t count = 0;
+	size_t vms;
 	size_t i;
 
-	for (i = 0; t && i < vms->n; i++) {
-		const struct seam_service *s = service_of(c, vms->vm[i].pool);
+	vm = seam_fleet_copy(n->fleet, NULL, &vms, NULL);
+	t = calloc(vms + 1, sizeof(*t));
+	for (i = 0; t && i < vms; i++) {
+		const struct seam_service *s = service_of(c, vm[i].vm.pool);
 
 		if (s)
-			fill(&t[count++], &vms->vm[i], s, c);
+			fill(&t[count++], &vm[i], s, c);
 	}
 	if (t)
 		seam_targets_set(n->targets, t, count);
 	free(t);
+	free(vm);
 	seam_conf_drop(c);
 }
 
+static void set_fleet(struct seam_node *n, const struct seam_vms *vms)
+{
+	struct seam_fleet_vm *vm = calloc(vms->n + 1, sizeof(*vm));
+	size_t i;
+
+	for (i = 0; vm && i < vms->n; i++)
+		vm[i].vm = vms->vm[i];
+	if (vm)
+		seam_fleet_set(n->fleet, vm, vms->n, vms->as_of);
+	free(vm);
+}
+
 static seam_time pass(void *arg, seam_time now)
 {
 	struct inventory *v = arg;
@@ -71,7 +91,8 @@
 		seam_log(SEAM_WARN, "inventory", "VM list not read: %s.",
 			 e.text);
 	else
-		set_targets(v->node, &vms);
+		set_fleet(v->node, &vms);
+	set_targets(v->node);
 	seam_vms_free(&vms);
 	return now + LIST_PERIOD;
 }
