--- a/Makefile
+++ b/Makefile
@@ -19,10 +19,10 @@
 LIBS = $(PKG_LIBS) -lcivetweb -lpthread -lm
 
 LIB_DIRS = base process version connection request fake
-LIB_SRC = $(wildcard $(LIB_DIRS:%=%/*.c)) cmd/embedded.c cmd/client.c
+LIB_SRC = $(wildcard $(LIB_DIRS:%=%/*.c)) $(filter-out cmd/seam%.c,$(wildcard cmd/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libseam.a
-PROGS = $(BUILD)/seamd $(BUILD)/seamctl
+PROGS = $(patsubst cmd/%.c,$(BUILD)/%,$(wildcard cmd/seam*.c))
 TESTS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/*_test.cc))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/*_bench.c))
 ALL_C = $(wildcard $(LIB_DIRS:%=%/*.[ch]) cmd/*.[ch] bench/*.[ch] \
