--- a/cmd/ctl_config.c
+++ b/cmd/ctl_config.c
@@ -139,25 +139,46 @@
 	return diff_or_apply(a, true);
 }
 
-int ctl_log(struct ctl *a)
+static void print_log(struct ctl *a, struct json_object *page)
 {
-	struct seam_err e = SEAM_ERR_INIT;
-	struct json_object *o =
-		seam_client_call(&a->client, "GET", "/v1/config/log", NULL, &e);
 	size_t i;
 
-	if (!o)
-		return ctl_refused(&e);
-	if (a->json)
-		ctl_print(o);
-	for (i = 0; !a->json && i < json_object_array_length(o); i++) {
-		struct json_object *row = json_object_array_get_idx(o, i);
+	if (a->json) {
+		ctl_print(page);
+		return;
+	}
+	for (i = 0; i < json_object_array_length(page); i++) {
+		struct json_object *row = json_object_array_get_idx(page, i);
 
 		printf("%-8" PRId64 " %-16s %s\n",
 		       seam_json_int(row, "version", 0),
 		       seam_json_str(row, "operator", ""),
 		       seam_json_str(row, "reason", ""));
 	}
-	json_object_put(o);
+}
+
+int ctl_log(struct ctl *a)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	int64_t after = 0;
+	size_t n;
+
+	do {
+		struct json_object *page;
+		char path[64];
+
+		snprintf(path, sizeof(path), "/v1/config/log?after=%" PRId64,
+			 after);
+		page = seam_client_call(&a->client, "GET", path, NULL, &e);
+		if (!page)
+			return ctl_refused(&e);
+		print_log(a, page);
+		n = json_object_array_length(page);
+		if (n)
+			after = seam_json_int(
+				json_object_array_get_idx(page, n - 1),
+				"version", 0);
+		json_object_put(page);
+	} while (n);
 	return CTL_DONE;
 }
--- a/process/part_admin.c
+++ b/process/part_admin.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define CHANGE_TIMEOUT (8 * SEAM_SEC)
+#define LOG_PAGE_ROWS 500
 
 /* Probes, counters, traces, and the operators' paths. */
 struct admin {
@@ -102,11 +103,13 @@
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_rows rows = {.row = NULL};
 	struct json_object *o;
+	char after[32] = "0";
 	size_t i;
 
+	seam_call_param(c, "after", after, sizeof(after));
 	if (!seam_node_operator(a->node, c, &e) ||
-	    seam_store_scan(a->node->store, "config/log/", NULL, 1000, &rows,
-			    c->deadline, &e)) {
+	    seam_conf_log(a->node->store, strtoull(after, NULL, 10),
+			  LOG_PAGE_ROWS, &rows, c->deadline, &e)) {
 		seam_reply_err(c, &e);
 		return;
 	}
--- a/version/conf.h
+++ b/version/conf.h
@@ -278,6 +278,20 @@
 				     const struct seam_conf *old, uint64_t head,
 				     seam_time deadline, struct seam_err *e);
 
+/**
+ * seam_conf_log() - rows of the log in order of version
+ * @s: store
+ * @after: first row has a greater version
+ * @max: at most this many
+ * @rows: receives them; the content is JSON with version, time_us, operator,
+ *        reason and change
+ * @deadline: end of the read
+ * @e: error
+ */
+int seam_conf_log(struct seam_store *s, uint64_t after, size_t max,
+		  struct seam_rows *rows, seam_time deadline,
+		  struct seam_err *e);
+
 /**
  * struct seam_change - an operator's change
  * @change: put and delete, as for seam_conf_apply()
--- a/version/conf_rows.c
+++ b/version/conf_rows.c
@@ -161,22 +161,24 @@
 	return c;
 }
 
-struct seam_conf *seam_conf_catch_up(struct seam_store *s,
-				     const struct seam_conf *old, uint64_t head,
-				     seam_time deadline, struct seam_err *e)
+/* Applies rows while they continue the versions; returns a new reference. */
+static struct seam_conf *apply_rows(struct seam_conf *c,
+				    const struct seam_rows *rows, uint64_t head,
+				    struct seam_err *e)
 {
-	struct seam_conf *c = seam_conf_hold((struct seam_conf *)old);
+	size_t i;
 
-	while (c->version < head) {
-		struct seam_row row = {.data = NULL};
-		struct seam_conf *next = NULL;
+	for (i = 0; i < rows->n && c->version < head; i++) {
+		struct seam_conf *next;
 		char key[SEAM_KEY_MAX];
 
 		log_key(c->version + 1, key);
-		if (!seam_store_get(s, key, &row, deadline, e)) {
-			next = apply_row(c, &row, e);
-			seam_row_free(&row);
+		if (strcmp(key, rows->row[i].key)) {
+			seam_conf_drop(c);
+			seam_fail(e, SEAM_NOT_FOUND, "row %s is missing", key);
+			return NULL;
 		}
+		next = apply_row(c, &rows->row[i], e);
 		seam_conf_drop(c);
 		if (!next)
 			return NULL;
@@ -185,6 +187,45 @@
 	return c;
 }
 
+struct seam_conf *seam_conf_catch_up(struct seam_store *s,
+				     const struct seam_conf *old, uint64_t head,
+				     seam_time deadline, struct seam_err *e)
+{
+	struct seam_conf *c = seam_conf_hold((struct seam_conf *)old);
+
+	while (c && c->version < head) {
+		struct seam_rows rows;
+		char after[SEAM_KEY_MAX];
+		uint64_t before = c->version;
+
+		log_key(before, after);
+		if (seam_store_scan(s, "config/log/", after, SCAN_ROWS, &rows,
+				    deadline, e)) {
+			seam_conf_drop(c);
+			return NULL;
+		}
+		c = apply_rows(c, &rows, head, e);
+		seam_rows_free(&rows);
+		if (c && c->version == before) {
+			seam_fail(e, SEAM_NOT_FOUND,
+				  "log ends at version %" PRIu64, before);
+			seam_conf_drop(c);
+			return NULL;
+		}
+	}
+	return c;
+}
+
+int seam_conf_log(struct seam_store *s, uint64_t after, size_t max,
+		  struct seam_rows *rows, seam_time deadline,
+		  struct seam_err *e)
+{
+	char key[SEAM_KEY_MAX];
+
+	log_key(after, key);
+	return seam_store_scan(s, "config/log/", key, max, rows, deadline, e);
+}
+
 /* One commit: head, log row and one row for each object of the change. */
 struct batch {
 	struct seam_write write[SEAM_COMMIT_MAX];
