--- /dev/null
+++ b/bench/measure.h
@@ -0,0 +1,59 @@
+#ifndef MEASURE_H
+#define MEASURE_H
+
+/* What the benchmark programs share: processor time, memory and line fits. */
+
+#include <malloc.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <time.h>
+
+/* Processor time of this thread in nanoseconds. */
+static inline int64_t cpu_ns(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+	return (int64_t)ts.tv_sec * 1000000000 + ts.tv_nsec;
+}
+
+/* Bytes in use on the heap. */
+static inline size_t heap_bytes(void)
+{
+	struct mallinfo2 m = mallinfo2();
+
+	return m.uordblks + m.hblkhd;
+}
+
+/* Least squares line y = a + b * x. */
+struct fit {
+	double n, x, y, xx, xy;
+};
+
+static inline void fit_add(struct fit *f, double x, double y)
+{
+	f->n++;
+	f->x += x;
+	f->y += y;
+	f->xx += x * x;
+	f->xy += x * y;
+}
+
+static inline double fit_slope(const struct fit *f)
+{
+	return (f->n * f->xy - f->x * f->y) / (f->n * f->xx - f->x * f->x);
+}
+
+static inline double fit_base(const struct fit *f)
+{
+	return (f->y - fit_slope(f) * f->x) / f->n;
+}
+
+static inline void fit_print(const char *what, const char *unit,
+			     const char *per, const struct fit *f)
+{
+	printf("fit %-28s %12.3f %s + %.6f %s for each %s\n", what, fit_base(f),
+	       unit, fit_slope(f), unit, per);
+}
+
+#endif
--- /dev/null
+++ b/tests/fleet/test_fleet.py
@@ -0,0 +1,139 @@
+"""Nine daemons, a platform stand-in, targets and workers as processes."""
+
+import concurrent.futures
+import json
+import os
+import signal
+import sys
+import pathlib
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from fleet import DCS, Fleet, wait_for  # noqa: E402
+
+
+def error(text: str) -> dict:
+    """The error object of an answer."""
+    return json.loads(text)["error"]
+
+
+class FleetTest(unittest.TestCase):
+    """One fleet for all tests; each leaves it working."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(os.environ.get("SEAM_BUILD", "build/plain"))
+        cls.fleet.__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.__exit__(None, None, None)
+
+    def served(self, name: str, **kw) -> bool:
+        """A request at this node gets its answer."""
+        return self.fleet.call(name, "GET", "/v1/services/reserve/x", **kw)[0] == 200
+
+    def test_every_node_serves(self):
+        """Guards the whole path: each node answers with its caller's own body."""
+        for name in self.fleet.urls:
+            status, body = self.fleet.call(name, "POST", "/v1/services/reserve/loans", body=name)
+            self.assertEqual(status, 200, body)
+            self.assertEqual(json.loads(body)["body"], name)
+
+    def test_task_ends_and_any_node_knows(self):
+        """Guards against a task that only the node that took it can find."""
+        status, body = self.fleet.call("entry-00", "POST", "/v1/queues/reconcile/tasks",
+                                       body=json.dumps({"kind": "day", "cpu_milli": 1000, "memory_mb": 100}))
+        self.assertIn(status, (200, 201, 202), body)
+        task = json.loads(body)["id"]
+
+        def done():
+            status, text = self.fleet.call("entry-21", "GET", f"/v1/tasks/{task}")
+            return status == 200 and json.loads(text)["state"] == "done"
+
+        wait_for(done, "task at another node")
+        self.assertEqual(self.fleet.call("entry-10", "GET", f"/v1/tasks/{task}", key="students-key")[0] // 100, 4)
+
+    def test_key_withdrawn_everywhere(self):
+        """Guards P3 and P11: a withdrawn key stops at every node."""
+        out = self.fleet.ctl("entry-00", "key", "withdraw", "students-1", "-m", "leaked")
+        self.assertEqual(out.returncode, 0, out.stderr)
+        for name in self.fleet.urls:
+            wait_for(lambda n=name: self.fleet.call(n, "GET", "/v1/services/reserve/x",
+                                                    key="students-key")[0] == 401, f"withdrawal at {name}", 10)
+        out = self.fleet.ctl("entry-20", "key", "grant", "students-1", "-m", "found")
+        self.assertEqual(out.returncode, 0, out.stderr)
+        for name in self.fleet.urls:
+            wait_for(lambda n=name: self.served(n, key="students-key"), f"grant at {name}")
+
+    def test_same_key_runs_once_at_all_nodes(self):
+        """Guards P8: one Idempotency-Key at nine nodes at once runs once."""
+        head = {"Idempotency-Key": f"extend-{os.getpid()}"}
+
+        def extend(name):
+            return self.fleet.call(name, "POST", "/v1/services/reserve/extend", body="copy 17", headers=head)
+
+        with concurrent.futures.ThreadPoolExecutor(9) as pool:
+            answers = list(pool.map(extend, self.fleet.urls))
+        runs = {json.loads(body)["runs"] for status, body in answers if status == 200}
+        self.assertEqual(len(runs), 1, answers)
+        for status, body in answers:
+            self.assertIn(status, (200, 409), body)
+        wait_for(lambda: extend("entry-22")[0] == 200, "stored answer")
+        self.assertIn(json.loads(extend("entry-11")[1])["runs"], runs)
+
+    def test_store_down(self):
+        """Guards P7: with the store down, requests go on, keyed ones are refused, truly not run."""
+        self.fleet.faults(down=True)
+        try:
+            for name in self.fleet.urls:
+                self.assertTrue(self.served(name), name)
+            status, body = self.fleet.call("entry-00", "POST", "/v1/services/reserve/extend", body="c",
+                                           headers={"Idempotency-Key": f"down-{os.getpid()}"})
+            self.assertEqual(status, 503, body)
+            self.assertEqual(error(body)["run"], "not_run")
+        finally:
+            self.fleet.faults()
+        wait_for(lambda: self.fleet.call("entry-00", "POST", "/v1/services/reserve/extend", body="c",
+                                         headers={"Idempotency-Key": f"down-{os.getpid()}"})[0] == 200,
+                 "keyed request after the outage")
+
+    def test_node_killed_and_replaced(self):
+        """Guards against work that depends on one node."""
+        self.fleet.procs["entry-01"].kill()
+        self.fleet.procs["entry-01"].wait()
+        for name in self.fleet.urls:
+            if name != "entry-01":
+                self.assertTrue(self.served(name), name)
+        self.fleet.start_node(0, DCS[0], 1)
+        wait_for(lambda: self.fleet.ready("entry-01") and self.served("entry-01"), "replaced node")
+
+    def test_node_paused(self):
+        """Guards against harm from a node that stops for longer than the suspicion time."""
+        proc = self.fleet.procs["entry-12"]
+        proc.send_signal(signal.SIGSTOP)
+        try:
+            wait_for(lambda: "suspect" in self.fleet.ctl("entry-00", "nodes").stdout, "suspicion")
+            self.assertTrue(self.served("entry-10"))
+        finally:
+            proc.send_signal(signal.SIGCONT)
+        wait_for(lambda: self.served("entry-12"), "resumed node")
+
+    def test_data_centre_out_and_back(self):
+        """Guards P5 and P9: an out data centre gets no requests after a few seconds."""
+        out = self.fleet.ctl("entry-00", "dc", "out", DCS[2], "-m", "power test")
+        self.assertEqual(out.returncode, 0, out.stderr)
+
+        def gone(name):
+            got = [self.fleet.call(name, "GET", "/v1/services/reserve/x") for _ in range(8)]
+            return all(s == 200 and not json.loads(b)["target"].startswith("web-2") for s, b in got)
+
+        for name in self.fleet.urls:
+            wait_for(lambda n=name: gone(n), f"no requests to {DCS[2]} from {name}", 10)
+        out = self.fleet.ctl("entry-10", "dc", "in", DCS[2], "-m", "power back")
+        self.assertEqual(out.returncode, 0, out.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
