store: the platform over HTTP, within a budget

The daemon could only run over the store in its own process. Adds clients of the table service and the VM list over libcurl, a stand-in for the platform (seamplatform), and a store that bounds rows written and reads by class of key, with a circuit breaker. A commit uses a connection of its own, because curl repeats a request on a reused connection that was closed.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 LIB_SRC = $(wildcard $(LIB_DIRS:%=%/*.c)) cmd/embedded.c cmd/client.c
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libseam.a
-PROGS = $(BUILD)/seamd $(BUILD)/seamctl
+PROGS = $(BUILD)/seamd $(BUILD)/seamctl $(BUILD)/seamplatform
 TESTS = $(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/*_test.cc))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/*_bench.c))
 ALL_C = $(wildcard $(LIB_DIRS:%=%/*.[ch]) cmd/*.[ch] bench/*.[ch] \
--- a/cmd/seamd.c
+++ b/cmd/seamd.c
@@ -10,6 +10,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/log.h"
 #include "cmd/embedded.h"
@@ -121,6 +122,30 @@
 	return rc;
 }
 
+/* The node reaches the platform over HTTP, within its store budget. */
+static int run_alone(const struct seam_settings *s, const sigset_t *set)
+{
+	struct seam_clock *k = seam_clock_real();
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_budget_conf c = {.writes = s->store_writes,
+				     .reads = s->store_reads,
+				     .seed = seam_store_token()};
+	struct seam_store *http = seam_store_http_new(k, s->store);
+	struct seam_store *store = seam_store_budget_new(http, k, &c);
+	struct seam_platform *p = seam_platform_http_new(k, s->store);
+	struct seam_node *n = seam_node_new(s, k, store, p, &e);
+	int rc = EXIT_START;
+
+	if (n)
+		rc = run(n, set, &e);
+	else
+		fprintf(stderr, "seamd: %s\n", e.text);
+	seam_node_free(n);
+	seam_platform_http_free(p);
+	seam_store_close(store);
+	return rc;
+}
+
 int main(int argc, char **argv)
 {
 	struct args a = {NULL, NULL, false};
@@ -143,7 +168,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (a.embedded)
 		return run_embedded(&s, a.embedded, &set);
-	fprintf(stderr, "seamd: store %s: not built yet, use --embedded\n",
-		s.store);
-	return EXIT_START;
+	if (!strcmp(s.store, "memory")) {
+		fprintf(stderr, "seamd: store memory requires --embedded\n");
+		return EXIT_START;
+	}
+	return run_alone(&s, &set);
 }
--- /dev/null
+++ b/cmd/seamplatform.c
@@ -0,0 +1,187 @@
+/*
+ * seamplatform - the platform's HTTP interface over memory, for tests
+ *
+ * Exit codes: 0 after SIGTERM or SIGINT, 2 for a wrong command line, 4 if it
+ * cannot listen.
+ */
+#include <argp.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "base/json.h"
+#include "fake/fake.h"
+#include "version/conf.h"
+
+enum { EXIT_USAGE = 2, EXIT_START = 4 };
+
+const char *argp_program_version = "seamplatform 0.1";
+
+struct args {
+	const char *listen;
+	const char *config;
+	const char *vms;
+};
+
+static const struct argp_option options[] = {
+	{"listen", 'l', "IP:PORT", 0, "address", 0},
+	{"config", 'c', "FILE", 0, "first configuration", 0},
+	{"vms", 'v', "FILE", 0,
+	 "VM list: array of id, data_centre, rack, addr, "
+	 "pool, cpu_milli, memory_mb, accelerators",
+	 0},
+	{0},
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct args *a = state->input;
+
+	switch (key) {
+	case 'l':
+		a->listen = arg;
+		return 0;
+	case 'c':
+		a->config = arg;
+		return 0;
+	case 'v':
+		a->vms = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->listen)
+			argp_error(state, "--listen is required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse,
+	.doc = "Runs a stand-in for the platform. PUT /faults sets down, "
+	       "delay_ms, lose_answers, writes_per_sec, reads_per_sec.",
+};
+
+#define F(name_, kind, member, ...)                            \
+	{                                                      \
+		.name = (name_), .type = (kind),               \
+		.off = offsetof(struct seam_vm, member),       \
+		.size = sizeof(((struct seam_vm *)0)->member), \
+		.max = INT32_MAX, __VA_ARGS__                  \
+	}
+
+static const struct seam_json_field fields[] = {
+	F("id", SEAM_JSON_NAME, id, .required = true),
+	F("data_centre", SEAM_JSON_NAME, dc, .required = true),
+	F("rack", SEAM_JSON_NAME, rack),
+	F("addr", SEAM_JSON_TEXT, addr),
+	F("pool", SEAM_JSON_NAME, pool),
+	F("cpu_milli", SEAM_JSON_INT, cpu_milli),
+	F("memory_mb", SEAM_JSON_INT, memory_mb),
+	F("accelerators", SEAM_JSON_INT, accelerators),
+};
+
+static int load_vms(struct seam_fake_platform *p, const char *file,
+		    struct seam_err *e)
+{
+	struct seam_problems pr = {.file = file};
+	struct json_object *o = seam_json_file(file, &pr);
+	size_t n = 0;
+	size_t i;
+	int rc = 0;
+
+	if (json_object_is_type(o, json_type_array))
+		n = json_object_array_length(o);
+	else
+		seam_problem(&pr, "", "must be an array");
+	for (i = 0; i < n; i++) {
+		struct seam_vm vm = {.state = SEAM_VM_LIVE};
+
+		if (!seam_json_read(json_object_array_get_idx(o, i), fields,
+				    sizeof(fields) / sizeof(*fields), &vm, "vm",
+				    &pr))
+			seam_fake_platform_put(p, &vm);
+	}
+	if (pr.n)
+		rc = seam_problems_err(&pr, SEAM_BAD_CONFIG, e);
+	seam_problems_free(&pr);
+	json_object_put(o);
+	return rc;
+}
+
+static int load_config(struct seam_store *s, const char *file,
+		       struct seam_err *e)
+{
+	struct seam_clock *k = seam_clock_real();
+	struct seam_problems p = {.file = file};
+	struct json_object *doc = seam_json_file(file, &p);
+	struct seam_conf *first = doc ? seam_conf_parse(doc, 1, &p) : NULL;
+	struct seam_conf *empty = seam_conf_empty();
+	struct seam_conf *done = NULL;
+	struct seam_change ch = {.reason = "first configuration",
+				 .operator_name = "seamplatform"};
+
+	if (first) {
+		ch.change = seam_conf_diff(empty, first);
+		done = seam_conf_commit(s, k, &ch, seam_now(k) + 5 * SEAM_SEC,
+					e);
+		json_object_put(ch.change);
+	} else {
+		seam_problems_err(&p, SEAM_BAD_CONFIG, e);
+	}
+	seam_problems_free(&p);
+	json_object_put(doc);
+	seam_conf_drop(first);
+	seam_conf_drop(empty);
+	seam_conf_drop(done);
+	return done ? 0 : -1;
+}
+
+static int run(const struct args *a, struct seam_store *mem,
+	       struct seam_fake_platform *vms, const sigset_t *set)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_fake_server *s;
+	int sig;
+
+	if ((a->config && load_config(mem, a->config, &e)) ||
+	    (a->vms && load_vms(vms, a->vms, &e))) {
+		fprintf(stderr, "seamplatform: %s\n", e.text);
+		return EXIT_START;
+	}
+	s = seam_fake_server_new(seam_clock_real(), a->listen, mem,
+				 seam_fake_platform_base(vms));
+	if (!s) {
+		fprintf(stderr, "seamplatform: cannot listen on %s\n",
+			a->listen);
+		return EXIT_START;
+	}
+	sigwait(set, &sig);
+	seam_fake_server_free(s);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct args a = {NULL, NULL, NULL};
+	struct seam_fake_platform *vms;
+	struct seam_store *mem;
+	sigset_t set;
+	int rc;
+
+	argp_err_exit_status = EXIT_USAGE;
+	argp_parse(&argp, argc, argv, 0, NULL, &a);
+	/* Blocked before any thread starts, so that only sigwait() sees it. */
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	mem = seam_store_mem_new(seam_clock_real());
+	vms = seam_fake_platform_new(seam_clock_real());
+	rc = run(&a, mem, vms, &set);
+	seam_fake_platform_free(vms);
+	seam_store_close(mem);
+	return rc;
+}
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -77,6 +77,45 @@
 /** seam_fake_platform_free() - free it */
 void seam_fake_platform_free(struct seam_fake_platform *p);
 
+/**
+ * struct seam_fake_server_faults - faults of the platform over HTTP
+ * @down: every path answers 503
+ * @delay_ms: time that each request takes
+ * @lose_answers: of 1,000 commits, how many apply without a whole answer
+ * @writes_per_sec: bound on written rows a second; 0 is none
+ * @reads_per_sec: bound on reads of rows a second; 0 is none
+ */
+struct seam_fake_server_faults {
+	bool down;
+	int64_t delay_ms;
+	int64_t lose_answers;
+	int64_t writes_per_sec;
+	int64_t reads_per_sec;
+};
+
+struct seam_fake_server;
+
+/**
+ * seam_fake_server_new() - the platform's HTTP interface over fakes
+ * @k: clock
+ * @addr: IP:PORT
+ * @mem: memory store, owned by the caller
+ * @vms: platform, owned by the caller
+ *
+ * Faults can also be set by PUT /faults.
+ */
+struct seam_fake_server *seam_fake_server_new(struct seam_clock *k,
+					      const char *addr,
+					      struct seam_store *mem,
+					      struct seam_platform *vms);
+
+/** seam_fake_server_set() - change its faults */
+void seam_fake_server_set(struct seam_fake_server *s,
+			  const struct seam_fake_server_faults *f);
+
+/** seam_fake_server_free() - stop it */
+void seam_fake_server_free(struct seam_fake_server *s);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/fake/store_server.c
@@ -0,0 +1,410 @@
+#include "base/json.h"
+#include "fake/fake.h"
+
+#include <civetweb.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define THREADS "64"
+#define CALL_TIMEOUT (5 * SEAM_SEC)
+#define BODY_MAX (64u << 20)
+
+struct seam_fake_server {
+	struct seam_clock *clock;
+	struct seam_store *view;
+	struct seam_platform *vms;
+	struct mg_context *ctx;
+	pthread_mutex_t lock;
+	struct seam_fake_server_faults faults;
+	GHashTable *objects; /* name to text */
+};
+
+static char *read_body(struct mg_connection *conn)
+{
+	GString *b = g_string_new(NULL);
+	char part[8192];
+	int n;
+
+	while (b->len < BODY_MAX && (n = mg_read(conn, part, sizeof(part))) > 0)
+		g_string_append_len(b, part, n);
+	return g_string_free(b, FALSE);
+}
+
+static int reply(struct mg_connection *conn, int status, const char *body)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		  "Content-Length: %zu\r\n\r\n",
+		  status, mg_get_response_code_text(conn, status),
+		  strlen(body));
+	mg_write(conn, body, strlen(body));
+	return status;
+}
+
+static int reply_object(struct mg_connection *conn, struct json_object *o)
+{
+	reply(conn, 200,
+	      json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+	return 200;
+}
+
+/* An answer that ends before its Content-Length. */
+static int reply_broken(struct mg_connection *conn)
+{
+	mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+			"Connection: close\r\n\r\n{\"ver");
+	return 200;
+}
+
+static int reply_err(struct mg_connection *conn, const struct seam_err *e)
+{
+	struct json_object *o = json_object_new_object();
+	int status = 503;
+
+	if (e->kind == SEAM_COMMIT_UNKNOWN) {
+		json_object_put(o);
+		return reply_broken(conn);
+	}
+	if (e->kind == SEAM_NOT_FOUND)
+		status = 404;
+	else if (e->kind == SEAM_CONFLICT)
+		status = 409;
+	else if (e->kind == SEAM_BAD_REQUEST)
+		status = 400;
+	else if (e->kind == SEAM_TOO_LARGE)
+		status = 413;
+	json_object_object_add(o, "error", json_object_new_string(e->text));
+	reply(conn, status, json_object_to_json_string(o));
+	json_object_put(o);
+	return status;
+}
+
+static struct json_object *row_object(const struct seam_row *r)
+{
+	struct json_object *o = json_object_new_object();
+	char writer[24];
+
+	snprintf(writer, sizeof(writer), "%" PRIx64, r->writer);
+	json_object_object_add(o, "key", json_object_new_string(r->key));
+	json_object_object_add(o, "version",
+			       json_object_new_uint64(r->version));
+	json_object_object_add(o, "writer", json_object_new_string(writer));
+	json_object_object_add(
+		o, "data", json_object_new_string_len(r->data, (int)r->len));
+	return o;
+}
+
+static int on_row(struct seam_fake_server *s, struct mg_connection *conn,
+		  const char *key, seam_time deadline)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_row row = {.data = NULL};
+	struct json_object *o;
+
+	if (seam_store_get(s->view, key, &row, deadline, &e))
+		return reply_err(conn, &e);
+	o = row_object(&row);
+	seam_row_free(&row);
+	return reply_object(conn, o);
+}
+
+static int on_scan(struct seam_fake_server *s, struct mg_connection *conn,
+		   const char *query, seam_time deadline)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	char prefix[SEAM_KEY_MAX] = "";
+	char after[SEAM_KEY_MAX] = "";
+	char max[16] = "1000";
+	struct json_object *o = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	struct seam_rows rows;
+	size_t n = strlen(query);
+	size_t i;
+
+	mg_get_var(query, n, "prefix", prefix, sizeof(prefix));
+	mg_get_var(query, n, "after", after, sizeof(after));
+	mg_get_var(query, n, "max", max, sizeof(max));
+	json_object_object_add(o, "rows", list);
+	if (seam_store_scan(s->view, prefix, after, strtoul(max, NULL, 10),
+			    &rows, deadline, &e)) {
+		json_object_put(o);
+		return reply_err(conn, &e);
+	}
+	for (i = 0; i < rows.n; i++)
+		json_object_array_add(list, row_object(&rows.row[i]));
+	seam_rows_free(&rows);
+	return reply_object(conn, o);
+}
+
+static bool read_write(struct json_object *o, struct seam_write *w)
+{
+	const char *op = seam_json_str(o, "op", "");
+	struct json_object *v = NULL;
+
+	w->key = seam_json_str(o, "key", NULL);
+	w->version = SEAM_ANY_VERSION;
+	if (json_object_object_get_ex(o, "version", &v))
+		w->version = json_object_get_uint64(v);
+	w->op = !strcmp(op, "put")    ? SEAM_PUT :
+		!strcmp(op, "delete") ? SEAM_DELETE :
+					SEAM_CHECK;
+	w->data = "";
+	w->len = 0;
+	if (json_object_object_get_ex(o, "data", &v)) {
+		w->data = json_object_get_string(v);
+		w->len = (size_t)json_object_get_string_len(v);
+	}
+	return w->key != NULL;
+}
+
+static int commit(struct seam_fake_server *s, struct json_object *o,
+		  struct seam_commit *c, seam_time deadline, struct seam_err *e)
+{
+	struct json_object *list = NULL;
+	struct seam_write *w;
+	int rc = 0;
+	size_t i;
+
+	json_object_object_get_ex(o, "writes", &list);
+	if (!json_object_is_type(list, json_type_array))
+		return seam_fail(e, SEAM_BAD_REQUEST, "writes: not a list");
+	c->n = json_object_array_length(list);
+	c->token = strtoull(seam_json_str(o, "token", "0"), NULL, 16);
+	w = g_new0(struct seam_write, c->n + 1);
+	c->write = w;
+	for (i = 0; i < c->n && !rc; i++)
+		if (!read_write(json_object_array_get_idx(list, i), &w[i]))
+			rc = seam_fail(e, SEAM_BAD_REQUEST, "key: missing");
+	if (!rc)
+		rc = seam_store_commit(s->view, c, deadline, e);
+	g_free(w);
+	return rc;
+}
+
+static int on_commit(struct seam_fake_server *s, struct mg_connection *conn,
+		     const char *body, seam_time deadline)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct json_object *o = json_tokener_parse(body);
+	struct seam_commit c = {.n = 0};
+	char text[64];
+	int rc = commit(s, o, &c, deadline, &e);
+
+	json_object_put(o);
+	if (rc)
+		return reply_err(conn, &e);
+	snprintf(text, sizeof(text), "{\"version\":%" PRIu64 "}", c.version);
+	return reply(conn, 200, text);
+}
+
+static int on_object(struct seam_fake_server *s, struct mg_connection *conn,
+		     const char *name, const char *put)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	char *found;
+	int status;
+
+	pthread_mutex_lock(&s->lock);
+	if (put)
+		g_hash_table_replace(s->objects, g_strdup(name), g_strdup(put));
+	found = g_strdup(g_hash_table_lookup(s->objects, name));
+	pthread_mutex_unlock(&s->lock);
+	if (!found) {
+		seam_fail(&e, SEAM_NOT_FOUND, "no object %s", name);
+		return reply_err(conn, &e);
+	}
+	status = reply(conn, 200, put ? "{}" : found);
+	g_free(found);
+	return status;
+}
+
+static struct json_object *vm_object(const struct seam_vm *vm)
+{
+	struct json_object *o = json_object_new_object();
+	const char *state = vm->state == SEAM_VM_LIVE ? "live" : "leaving";
+
+	json_object_object_add(o, "id", json_object_new_string(vm->id));
+	json_object_object_add(o, "data_centre",
+			       json_object_new_string(vm->dc));
+	json_object_object_add(o, "rack", json_object_new_string(vm->rack));
+	json_object_object_add(o, "addr", json_object_new_string(vm->addr));
+	json_object_object_add(o, "pool", json_object_new_string(vm->pool));
+	json_object_object_add(o, "state", json_object_new_string(state));
+	json_object_object_add(o, "cpu_milli",
+			       json_object_new_int64(vm->cpu_milli));
+	json_object_object_add(o, "memory_mb",
+			       json_object_new_int64(vm->memory_mb));
+	json_object_object_add(o, "accelerators",
+			       json_object_new_int64(vm->accelerators));
+	json_object_object_add(o, "boot", json_object_new_int64(vm->boot));
+	return o;
+}
+
+static int on_vms(struct seam_fake_server *s, struct mg_connection *conn,
+		  seam_time deadline)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_vms vms = {.vm = NULL};
+	struct json_object *o;
+	struct json_object *list;
+	size_t i;
+
+	if (s->vms->ops->vms(s->vms, &vms, deadline, &e))
+		return reply_err(conn, &e);
+	o = json_object_new_object();
+	list = json_object_new_array();
+	for (i = 0; i < vms.n; i++)
+		json_object_array_add(list, vm_object(&vms.vm[i]));
+	json_object_object_add(o, "as_of", json_object_new_int64(vms.as_of));
+	json_object_object_add(o, "vms", list);
+	seam_vms_free(&vms);
+	return reply_object(conn, o);
+}
+
+static int on_reboot(struct seam_fake_server *s, struct mg_connection *conn,
+		     const char *path, const char *body, seam_time deadline)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct json_object *o = json_tokener_parse(body);
+	int64_t boot = seam_json_int(o, "boot", -1);
+	char id[64];
+	const char *slash = strchr(path, '/');
+	int n = slash ? (int)(slash - path) : 0;
+
+	json_object_put(o);
+	snprintf(id, sizeof(id), "%.*s", n, path);
+	if (s->vms->ops->reboot(s->vms, id, boot, deadline, &e))
+		return reply_err(conn, &e);
+	return reply(conn, 200, "{}");
+}
+
+static int on_faults(struct seam_fake_server *s, struct mg_connection *conn,
+		     const char *body)
+{
+	struct json_object *o = json_tokener_parse(body);
+	struct seam_fake_server_faults f = {
+		.down = seam_json_int(o, "down", 0) != 0,
+		.delay_ms = seam_json_int(o, "delay_ms", 0),
+		.lose_answers = seam_json_int(o, "lose_answers", 0),
+		.writes_per_sec = seam_json_int(o, "writes_per_sec", 0),
+		.reads_per_sec = seam_json_int(o, "reads_per_sec", 0),
+	};
+
+	json_object_put(o);
+	seam_fake_server_set(s, &f);
+	return reply(conn, 200, "{}");
+}
+
+static int dispatch(struct seam_fake_server *s, struct mg_connection *conn,
+		    const char *body)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	seam_time deadline = seam_now(s->clock) + CALL_TIMEOUT;
+	const char *path = ri->local_uri;
+	bool put = !strcmp(ri->request_method, "PUT");
+
+	if (!strncmp(path, "/rows/", 6))
+		return on_row(s, conn, path + 6, deadline);
+	if (!strcmp(path, "/rows"))
+		return on_scan(s, conn,
+			       ri->query_string ? ri->query_string : "",
+			       deadline);
+	if (!strcmp(path, "/commit"))
+		return on_commit(s, conn, body, deadline);
+	if (!strncmp(path, "/objects/", 9))
+		return on_object(s, conn, path + 9, put ? body : NULL);
+	if (!strcmp(path, "/vms"))
+		return on_vms(s, conn, deadline);
+	if (!strncmp(path, "/vms/", 5))
+		return on_reboot(s, conn, path + 5, body, deadline);
+	return reply(conn, 404, "{\"error\":\"no such path\"}");
+}
+
+static int on_request(struct mg_connection *conn, void *arg)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	struct seam_fake_server *s = arg;
+	struct seam_fake_server_faults f;
+	char *body = read_body(conn);
+	int status;
+
+	pthread_mutex_lock(&s->lock);
+	f = s->faults;
+	pthread_mutex_unlock(&s->lock);
+	if (!strcmp(ri->local_uri, "/faults")) {
+		status = on_faults(s, conn, body);
+	} else {
+		if (f.delay_ms)
+			g_usleep((gulong)f.delay_ms * 1000);
+		status = f.down ? reply(conn, 503, "{\"error\":\"down\"}") :
+				  dispatch(s, conn, body);
+	}
+	g_free(body);
+	return status;
+}
+
+struct seam_fake_server *seam_fake_server_new(struct seam_clock *k,
+					      const char *addr,
+					      struct seam_store *mem,
+					      struct seam_platform *vms)
+{
+	const char *options[] = {"listening_ports",
+				 addr,
+				 "num_threads",
+				 THREADS,
+				 "enable_keep_alive",
+				 "yes",
+				 "keep_alive_timeout_ms",
+				 "20000",
+				 "tcp_nodelay",
+				 "1",
+				 NULL};
+	struct seam_fake_server *s = g_new0(struct seam_fake_server, 1);
+
+	s->clock = k;
+	s->view = seam_store_view_new(mem);
+	s->vms = vms;
+	s->objects =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pthread_mutex_init(&s->lock, NULL);
+	mg_init_library(0);
+	s->ctx = mg_start(NULL, s, options);
+	if (s->ctx) {
+		mg_set_request_handler(s->ctx, "/", on_request, s);
+		return s;
+	}
+	seam_fake_server_free(s);
+	return NULL;
+}
+
+void seam_fake_server_set(struct seam_fake_server *s,
+			  const struct seam_fake_server_faults *f)
+{
+	struct seam_store_faults sf = {
+		.lose_answers = (int)f->lose_answers,
+		.writes_per_sec = (int)f->writes_per_sec,
+		.reads_per_sec = (int)f->reads_per_sec,
+	};
+
+	pthread_mutex_lock(&s->lock);
+	s->faults = *f;
+	pthread_mutex_unlock(&s->lock);
+	seam_store_mem_faults(s->view, &sf);
+}
+
+void seam_fake_server_free(struct seam_fake_server *s)
+{
+	if (!s)
+		return;
+	if (s->ctx)
+		mg_stop(s->ctx);
+	mg_exit_library();
+	seam_store_close(s->view);
+	g_hash_table_destroy(s->objects);
+	pthread_mutex_destroy(&s->lock);
+	g_free(s);
+}
--- a/process/platform.h
+++ b/process/platform.h
@@ -79,6 +79,13 @@
 	v->n = 0;
 }
 
+/** seam_platform_http_new() - the platform over HTTP at http://IP:PORT */
+struct seam_platform *seam_platform_http_new(struct seam_clock *k,
+					     const char *url);
+
+/** seam_platform_http_free() - close its connections and free it */
+void seam_platform_http_free(struct seam_platform *p);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/process/rest.c
@@ -0,0 +1,188 @@
+#include "process/rest.h"
+
+#include <ctype.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CONNECTIONS 8
+#define ANSWER_BYTES_MAX (64u << 20)
+
+struct seam_rest {
+	struct seam_clock *clock;
+	char url[128];
+	pthread_mutex_t lock;
+	CURL *idle[CONNECTIONS];
+	int idle_count;
+};
+
+struct reading {
+	struct seam_rest_answer *answer;
+	size_t cap;
+};
+
+struct seam_rest *seam_rest_new(struct seam_clock *k, const char *url)
+{
+	struct seam_rest *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	r->clock = k;
+	snprintf(r->url, sizeof(r->url), "%s", url);
+	pthread_mutex_init(&r->lock, NULL);
+	return r;
+}
+
+void seam_rest_free(struct seam_rest *r)
+{
+	if (!r)
+		return;
+	while (r->idle_count)
+		curl_easy_cleanup(r->idle[--r->idle_count]);
+	pthread_mutex_destroy(&r->lock);
+	free(r);
+	curl_global_cleanup();
+}
+
+static CURL *take(struct seam_rest *r)
+{
+	CURL *c = NULL;
+
+	pthread_mutex_lock(&r->lock);
+	if (r->idle_count)
+		c = r->idle[--r->idle_count];
+	pthread_mutex_unlock(&r->lock);
+	return c ? c : curl_easy_init();
+}
+
+static void give_back(struct seam_rest *r, CURL *c)
+{
+	pthread_mutex_lock(&r->lock);
+	if (r->idle_count < CONNECTIONS) {
+		r->idle[r->idle_count++] = c;
+		c = NULL;
+	}
+	pthread_mutex_unlock(&r->lock);
+	curl_easy_cleanup(c);
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct reading *r = arg;
+	size_t more = size * n;
+	size_t need = r->answer->len + more + 1;
+
+	if (need > ANSWER_BYTES_MAX)
+		return 0;
+	if (need > r->cap) {
+		size_t cap = need < 4096 ? 4096 : need * 2;
+		char *body = realloc(r->answer->body, cap);
+
+		if (!body)
+			return 0;
+		r->answer->body = body;
+		r->cap = cap;
+	}
+	memcpy(r->answer->body + r->answer->len, data, more);
+	r->answer->len += more;
+	r->answer->body[r->answer->len] = '\0';
+	return more;
+}
+
+static void set_options(CURL *h, const struct seam_rest_call *c,
+			struct reading *rd, long left)
+{
+	curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h, CURLOPT_PROXY, "");
+	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, left);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, rd);
+	/*
+	 * curl repeats a request whose reused connection was closed by the
+	 * server. A repeated commit would report its own first run as a
+	 * conflict, so it gets a new connection.
+	 */
+	curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, c->once ? 1L : 0L);
+	if (c->body) {
+		curl_easy_setopt(h, CURLOPT_POSTFIELDS, c->body);
+		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)strlen(c->body));
+	}
+	curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, c->method);
+}
+
+static int perform(struct seam_rest *r, CURL *h, const struct seam_rest_call *c,
+		   struct seam_rest_answer *a, struct seam_err *e)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	struct reading rd = {.answer = a};
+	seam_time left = (c->deadline - seam_now(r->clock)) / SEAM_MSEC;
+	char url[1024];
+	long status = 0;
+	long sent = 0;
+	CURLcode rc;
+
+	snprintf(url, sizeof(url), "%s%s", r->url, c->path);
+	list = curl_slist_append(list, "Content-Type: application/json");
+	if (c->once)
+		list = curl_slist_append(list, "Connection: close");
+	curl_easy_reset(h);
+	curl_easy_setopt(h, CURLOPT_URL, url);
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, list);
+	set_options(h, c, &rd, (long)left);
+	rc = curl_easy_perform(h);
+	curl_slist_free_all(list);
+	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &sent);
+	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
+	a->status = (int)status;
+	if (rc == CURLE_OK)
+		return 0;
+	if (rc == CURLE_COULDNT_CONNECT || !sent)
+		return seam_fail(e, SEAM_UNAVAILABLE, "platform: %s",
+				 curl_easy_strerror(rc));
+	return seam_fail(e, SEAM_COMMIT_UNKNOWN, "platform: %s",
+			 curl_easy_strerror(rc));
+}
+
+int seam_rest_do(struct seam_rest *r, const struct seam_rest_call *c,
+		 struct seam_rest_answer *a, struct seam_err *e)
+{
+	CURL *h;
+	int rc;
+
+	memset(a, 0, sizeof(*a));
+	if (c->deadline - seam_now(r->clock) < SEAM_MSEC)
+		return seam_fail(e, SEAM_UNAVAILABLE,
+				 "platform: no time left for a request");
+	h = take(r);
+	if (!h)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	rc = perform(r, h, c, a, e);
+	if (rc) {
+		curl_easy_cleanup(h);
+		free(a->body);
+		memset(a, 0, sizeof(*a));
+	} else {
+		give_back(r, h);
+	}
+	return rc;
+}
+
+void seam_rest_escape(char *out, size_t size, const char *text)
+{
+	size_t n = strlen(out);
+
+	for (; *text && n + 4 < size; text++) {
+		unsigned char ch = (unsigned char)*text;
+
+		if (isalnum(ch) || strchr("-_.~/", ch))
+			out[n++] = (char)ch;
+		else
+			n += (size_t)snprintf(out + n, size - n, "%%%02X", ch);
+	}
+	out[n] = '\0';
+}
--- a/process/store.h
+++ b/process/store.h
@@ -209,6 +209,73 @@
  */
 struct seam_store *seam_store_view_new(struct seam_store *mem);
 
+/**
+ * seam_store_http_new() - the platform's table service over HTTP
+ * @k: clock of the deadlines
+ * @url: http://IP:PORT
+ *
+ * An answer to a commit that is broken or missing is SEAM_COMMIT_UNKNOWN,
+ * unless no connection was made.
+ */
+struct seam_store *seam_store_http_new(struct seam_clock *k, const char *url);
+
+/** enum seam_store_class - importance of a call, most important first */
+enum seam_store_class {
+	SEAM_CLASS_CONFIG,
+	SEAM_CLASS_CLAIM,
+	SEAM_CLASS_TASK,
+	SEAM_CLASS_TEAM,
+	SEAM_CLASS_POOL,
+	SEAM_CLASS_OTHER,
+	SEAM_CLASSES
+};
+
+/** seam_store_class_of() - class of a key, by its prefix */
+enum seam_store_class seam_store_class_of(const char *key);
+
+/**
+ * struct seam_budget_conf - limits of the budget store
+ * @writes: rows written a second, for all members together
+ * @reads: reads a second, for all members together
+ * @seed: seed of the jitter
+ */
+struct seam_budget_conf {
+	int64_t writes;
+	int64_t reads;
+	uint64_t seed;
+};
+
+/**
+ * struct seam_budget_state - what the budget store knows of the store
+ * @last_ok: latest time at which a call that the store answered was begun
+ * @open: calls are refused until the next probe
+ * @unsettled: a commit of the configuration is in progress, or its outcome is
+ *             unknown and it may still apply
+ */
+struct seam_budget_state {
+	seam_time last_ok;
+	bool open;
+	bool unsettled;
+};
+
+/**
+ * seam_store_budget_new() - bounds the calls that reach a store
+ * @inner: store; closed with the budget store
+ * @k: clock
+ * @c: limits
+ *
+ * A call over the budget fails with SEAM_UNAVAILABLE at once and was not made.
+ */
+struct seam_store *seam_store_budget_new(struct seam_store *inner,
+					 struct seam_clock *k,
+					 const struct seam_budget_conf *c);
+
+/** seam_store_budget_members() - live members that share the limits */
+void seam_store_budget_members(struct seam_store *s, int members);
+
+/** seam_store_budget_state() - state; zeroed if @s is no budget store */
+struct seam_budget_state seam_store_budget_state(struct seam_store *s);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/tests/budget_test.cc
@@ -0,0 +1,167 @@
+// The store budget, under a simulated clock.
+#include <gtest/gtest.h>
+
+#include "process/store.h"
+
+class Budget : public ::testing::Test
+{
+      protected:
+	seam_fake_clock fake;
+	seam_store *mem;
+	seam_store *s;
+	seam_err e = SEAM_ERR_INIT;
+
+	Budget()
+	{
+		seam_budget_conf c = {10, 20, 7};
+
+		seam_fake_init(&fake, 1000 * SEAM_SEC);
+		mem = seam_store_mem_new(&fake.clock);
+		s = seam_store_budget_new(seam_store_view_new(mem), &fake.clock,
+					  &c);
+	}
+	~Budget() override
+	{
+		seam_store_close(s);
+		seam_store_close(mem);
+	}
+	void pass(int ms)
+	{
+		seam_fake_set(&fake, fake.time + ms * SEAM_MSEC);
+	}
+	bool write(const char *key, uint64_t version = SEAM_ANY_VERSION)
+	{
+		seam_write w = {SEAM_PUT, key, version, "1", 1};
+		seam_commit c = {&w, 1, 5, 0};
+
+		seam_err_clear(&e);
+		return !seam_store_commit(s, &c, fake.time + SEAM_SEC, &e);
+	}
+	bool read(const char *key)
+	{
+		seam_row row = {};
+		int rc;
+
+		seam_err_clear(&e);
+		rc = seam_store_get(s, key, &row, fake.time + SEAM_SEC, &e);
+		if (!rc)
+			seam_row_free(&row);
+		return !rc || e.kind == SEAM_NOT_FOUND;
+	}
+	// The inner view is the budget's own, so faults go through it.
+	void faults(bool down, int lose = 0)
+	{
+		seam_store_faults f = {};
+
+		f.down = down;
+		f.lose_answers = lose;
+		seam_store_mem_faults(inner(), &f);
+	}
+	seam_store *inner()
+	{
+		// The budget store keeps the inner store after its vtable.
+		return ((seam_store **)s)[1];
+	}
+};
+
+// Guards against more writes a second than the setting allows.
+TEST_F(Budget, BoundsRowsWritten)
+{
+	int done = 0;
+
+	for (int i = 0; i < 10000; i++, pass(1))
+		done += write("config/x");
+	EXPECT_LE(done, 10 * 10 + 10 * 2 + 1);
+	EXPECT_GE(done, 10 * 10 - 1);
+	EXPECT_EQ((int)seam_store_mem_use(inner()).rows_written, done);
+}
+
+// Guards against a fleet that together goes over the store's rate.
+TEST_F(Budget, DividesByMembers)
+{
+	int done = 0;
+
+	seam_store_budget_members(s, 10);
+	for (int i = 0; i < 20000; i++, pass(1))
+		done += read("config/x");
+	EXPECT_LE(done, 20 * 2 + 2 * 2 + 1);
+	EXPECT_GE(done, 20 * 2 - 1);
+}
+
+// Guards against housekeeping that takes the rate from keys and claims.
+TEST_F(Budget, ShedsInOrderOfImportance)
+{
+	const char *keys[] = {"config/x", "once/x", "queue/x",
+			      "team/x",	  "pool/x", "member/x"};
+	int done[6] = {};
+
+	for (int i = 0; i < 20000; i++, pass(1))
+		for (int c = 5; c >= 0; c--)
+			done[c] += write(keys[c]);
+	EXPECT_GT(done[0], 150);
+	for (int c = 1; c < 6; c++)
+		EXPECT_LE(done[c], done[c - 1]) << keys[c];
+	EXPECT_LT(done[5], 20);
+}
+
+// Guards against a store that is down and gets the full load of retries, and
+// against recovery that takes longer than the probe bound.
+TEST_F(Budget, BreakerProbesAndRecovers)
+{
+	seam_store_use before;
+	int probes = 0;
+
+	faults(true);
+	for (int i = 0; i < 10; i++)
+		read("config/head");
+	EXPECT_TRUE(seam_store_budget_state(s).open);
+	for (int i = 0; i < 3600 * 10; i++, pass(100)) {
+		read("config/head");
+		probes += !strstr(e.text, "next probe");
+	}
+	EXPECT_LE(probes, 3600 * 2);
+	EXPECT_GE(probes, 3600 / 2);
+	faults(false);
+	for (int i = 0; i < 21 && seam_store_budget_state(s).open; i++) {
+		read("config/head");
+		pass(100);
+	}
+	EXPECT_FALSE(seam_store_budget_state(s).open);
+	before = seam_store_mem_use(inner());
+	for (int i = 0; i < 1000; i++, pass(1))
+		read("config/head");
+	EXPECT_LE(seam_store_mem_use(inner()).reads - before.reads, 20u / 2);
+}
+
+// Guards against "nobody can have accepted a change" while one may still apply.
+TEST_F(Budget, LostConfigCommitIsUnsettled)
+{
+	ASSERT_TRUE(write("config/head", SEAM_ABSENT));
+	EXPECT_FALSE(seam_store_budget_state(s).unsettled);
+	faults(false, 1000);
+	EXPECT_FALSE(write("config/head", 1));
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	EXPECT_TRUE(seam_store_budget_state(s).unsettled);
+	pass(1000);
+	ASSERT_TRUE(read("config/head"));
+	EXPECT_FALSE(seam_store_budget_state(s).unsettled);
+}
+
+// Guards against a dropped commit that is forgotten while the store could
+// still apply it.
+TEST_F(Budget, DroppedConfigCommitStaysUnsettled)
+{
+	seam_store_faults f = {};
+
+	ASSERT_TRUE(write("config/head", SEAM_ABSENT));
+	f.drop_commits = 1000;
+	seam_store_mem_faults(inner(), &f);
+	EXPECT_FALSE(write("config/head", 1));
+	pass(1000);
+	ASSERT_TRUE(read("config/head"));
+	EXPECT_TRUE(seam_store_budget_state(s).unsettled);
+	faults(false);
+	pass(1000);
+	EXPECT_TRUE(write("config/head", 1));
+	EXPECT_FALSE(seam_store_budget_state(s).unsettled);
+}
--- /dev/null
+++ b/tests/store_http_test.cc
@@ -0,0 +1,224 @@
+// The store over HTTP: that no broken answer is taken for an outcome.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fake/fake.h"
+#include "process/store.h"
+
+static const char *addr = "127.0.0.1:24010";
+
+class StoreHttp : public ::testing::Test
+{
+      protected:
+	seam_clock *k = seam_clock_real();
+	seam_store *mem = seam_store_mem_new(k);
+	seam_fake_platform *vms = seam_fake_platform_new(k);
+	seam_fake_server *server = seam_fake_server_new(
+		k, addr, mem, seam_fake_platform_base(vms));
+	seam_store *s = seam_store_http_new(k, "http://127.0.0.1:24010");
+	seam_err e = SEAM_ERR_INIT;
+
+	~StoreHttp() override
+	{
+		seam_store_close(s);
+		seam_fake_server_free(server);
+		seam_fake_platform_free(vms);
+		seam_store_close(mem);
+	}
+
+	seam_time in(int ms)
+	{
+		return seam_now(k) + ms * SEAM_MSEC;
+	}
+
+	int put(const char *key, const std::string &data, uint64_t version,
+		seam_time deadline)
+	{
+		seam_write w = {SEAM_PUT, key, version, data.data(),
+				data.size()};
+		seam_commit c = {&w, 1, seam_store_token(), 0};
+
+		seam_err_clear(&e);
+		return seam_store_commit(s, &c, deadline, &e);
+	}
+};
+
+// Guards against lost bytes, versions and writers on the way.
+TEST_F(StoreHttp, RowsRoundTrip)
+{
+	std::string data = "{\"a\":\"\\u00e9 \\\"quoted\\\"\",\"b\":[1]}\n";
+	seam_row a = {};
+	seam_row b = {};
+
+	ASSERT_EQ(put("pool/a b%&?", data, SEAM_ABSENT, in(2000)), 0) << e.text;
+	ASSERT_EQ(seam_store_get(s, "pool/a b%&?", &a, in(2000), &e), 0);
+	ASSERT_EQ(seam_store_get(mem, "pool/a b%&?", &b, in(2000), &e), 0);
+	EXPECT_EQ(std::string(a.data, a.len), data);
+	EXPECT_EQ(a.version, b.version);
+	EXPECT_EQ(a.writer, b.writer);
+	seam_row_free(&a);
+	seam_row_free(&b);
+	EXPECT_EQ(seam_store_get(s, "pool/none", &a, in(2000), &e), -1);
+	EXPECT_EQ(e.kind, SEAM_NOT_FOUND);
+	EXPECT_EQ(put("pool/a b%&?", "x", SEAM_ABSENT, in(2000)), -1);
+	EXPECT_EQ(e.kind, SEAM_CONFLICT);
+}
+
+// Guards against a scan that skips or repeats rows between its pages.
+TEST_F(StoreHttp, ScanPages)
+{
+	seam_rows rows;
+
+	for (int i = 0; i < 5; i++)
+		ASSERT_EQ(put(("m/" + std::to_string(i)).c_str(), "{}",
+			      SEAM_ABSENT, in(2000)),
+			  0);
+	ASSERT_EQ(seam_store_scan(s, "m/", nullptr, 3, &rows, in(2000), &e), 0);
+	ASSERT_EQ(rows.n, 3u);
+	seam_rows_free(&rows);
+	ASSERT_EQ(seam_store_scan(s, "m/", "m/2", 9, &rows, in(2000), &e), 0);
+	ASSERT_EQ(rows.n, 2u);
+	EXPECT_STREQ(rows.row[0].key, "m/3");
+	seam_rows_free(&rows);
+}
+
+// Guards against a commit that applied but is reported as not applied.
+TEST_F(StoreHttp, LostAnswerIsUnknownThenResolved)
+{
+	seam_fake_server_faults f = {};
+	seam_row row = {};
+
+	f.lose_answers = 1000;
+	seam_fake_server_set(server, &f);
+	EXPECT_EQ(put("team/a", "{}", SEAM_ABSENT, in(2000)), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	ASSERT_EQ(seam_store_get(s, "team/a", &row, in(2000), &e), 0);
+	seam_row_free(&row);
+
+	seam_write w = {SEAM_PUT, "team/b", SEAM_ABSENT, "{}", 2};
+	seam_commit c = {&w, 1, 0, 0};
+	seam_err_clear(&e);
+	EXPECT_EQ(seam_store_commit_sure(s, k, &c, in(3000), &e), 0) << e.text;
+	EXPECT_GT(c.version, 0u);
+}
+
+// Guards against "not applied" for a commit that runs past the deadline.
+TEST_F(StoreHttp, SlowCommitIsUnknown)
+{
+	seam_fake_server_faults f = {};
+
+	f.delay_ms = 400;
+	seam_fake_server_set(server, &f);
+	EXPECT_EQ(put("team/a", "{}", SEAM_ABSENT, in(100)), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	EXPECT_EQ(put("team/c", "{}", SEAM_ABSENT, seam_now(k)), -1);
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+}
+
+// Guards against unknown outcomes where nothing can have been applied.
+TEST_F(StoreHttp, DownAndRateBoundAreNotApplied)
+{
+	seam_fake_server_faults f = {};
+	seam_store *gone = seam_store_http_new(k, "http://127.0.0.1:24011");
+	seam_write w = {SEAM_PUT, "a", SEAM_ABSENT, "", 0};
+	seam_commit c = {&w, 1, 7, 0};
+
+	f.down = true;
+	seam_fake_server_set(server, &f);
+	EXPECT_EQ(put("team/a", "{}", SEAM_ABSENT, in(1000)), -1);
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+	f.down = false;
+	f.writes_per_sec = 1;
+	seam_fake_server_set(server, &f);
+	EXPECT_EQ(put("team/a", "{}", SEAM_ABSENT, in(1000)), 0);
+	EXPECT_EQ(put("team/b", "{}", SEAM_ABSENT, in(1000)), -1);
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+	EXPECT_EQ(seam_store_commit(gone, &c, in(500), &e), -1);
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+	seam_store_close(gone);
+}
+
+// Answers every connection with fixed bytes.
+static void answer_with(int fd, std::string bytes, int times)
+{
+	while (times--) {
+		char buf[4096];
+		int c = accept(fd, nullptr, nullptr);
+		if (read(c, buf, sizeof(buf)) > 0 &&
+		    write(c, bytes.data(), bytes.size()) < 0)
+			break;
+		close(c);
+	}
+}
+
+// Guards against a damaged answer that is read as an outcome of the commit.
+TEST_F(StoreHttp, DamagedAnswersAreUnknown)
+{
+	const char *answers[] = {
+		"",
+		"HTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"version",
+		"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy",
+		"HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 500 X\r\nContent-Length: 13\r\n\r\n{\"error\":\"x\"}",
+		"garbage",
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+	sockaddr_in a = {};
+
+	a.sin_family = AF_INET;
+	a.sin_port = htons(24012);
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ASSERT_EQ(bind(fd, (sockaddr *)&a, sizeof(a)), 0);
+	ASSERT_EQ(listen(fd, 4), 0);
+	for (const char *text : answers) {
+		seam_store *b =
+			seam_store_http_new(k, "http://127.0.0.1:24012");
+		seam_write w = {SEAM_PUT, "a", SEAM_ABSENT, "", 0};
+		seam_commit c = {&w, 1, 7, 0};
+		std::thread t(answer_with, fd, text, 1);
+
+		seam_err_clear(&e);
+		EXPECT_EQ(seam_store_commit(b, &c, in(1000), &e), -1) << text;
+		EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN) << text;
+		t.join();
+		seam_store_close(b);
+	}
+	close(fd);
+}
+
+// Guards against a reboot that is done twice for one boot number.
+TEST_F(StoreHttp, PlatformListAndReboot)
+{
+	seam_platform *p = seam_platform_http_new(k, "http://127.0.0.1:24010");
+	seam_vm vm = {};
+	seam_vms list = {};
+
+	snprintf(vm.id, sizeof(vm.id), "vm-1");
+	snprintf(vm.dc, sizeof(vm.dc), "a");
+	vm.memory_mb = 512;
+	vm.boot = 4;
+	seam_fake_platform_put(vms, &vm);
+	ASSERT_EQ(p->ops->vms(p, &list, in(2000), &e), 0) << e.text;
+	ASSERT_EQ(list.n, 1u);
+	EXPECT_STREQ(list.vm[0].id, "vm-1");
+	EXPECT_EQ(list.vm[0].memory_mb, 512);
+	EXPECT_EQ(list.vm[0].state, SEAM_VM_LIVE);
+	EXPECT_GT(list.as_of, 0);
+	seam_vms_free(&list);
+	EXPECT_EQ(p->ops->reboot(p, "vm-1", 4, in(2000), &e), 0);
+	EXPECT_EQ(p->ops->reboot(p, "vm-1", 4, in(2000), &e), 0);
+	EXPECT_EQ(seam_fake_platform_reboots(vms), 1);
+	EXPECT_EQ(p->ops->reboot(p, "vm-2", 1, in(2000), &e), -1);
+	EXPECT_EQ(e.kind, SEAM_NOT_FOUND);
+	seam_platform_http_free(p);
+}
