--- /dev/null
+++ b/process/member_beat.c
@@ -0,0 +1,334 @@
+#include "base/count.h"
+#include "base/log.h"
+#include "process/member_impl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define BEAT_BYTES 190 /* a beat without load, its hash and its framing */
+#define LOAD_OVERHEAD 6 /* bytes of an entry beyond the target's id */
+
+SEAM_COUNT(sent_bytes, "seam_peer_sent_bytes_total", "Bytes sent to peers.");
+SEAM_COUNT(received, "seam_peer_received_total", "Messages accepted.");
+SEAM_COUNT(refused_hash, "seam_peer_refused_damaged_total",
+	   "Messages refused: damaged, truncated or of another cluster.");
+SEAM_COUNT(refused_old, "seam_peer_refused_old_total",
+	   "Messages refused: repeated, out of order, or of an older "
+	   "incarnation.");
+SEAM_COUNT(refused_unknown, "seam_peer_refused_unknown_total",
+	   "Messages refused: sender is not a member.");
+
+/* What peers were last told of the load on a target. */
+struct told {
+	uint32_t load;
+	uint64_t beat; /* when, to repeat the oldest */
+};
+
+/* One candidate for a beat. */
+struct delta {
+	struct seam_load load;
+	uint32_t change;
+	uint64_t beat;
+};
+
+/* Most changed first; among equals the one told longest ago. */
+static int by_change(const void *x, const void *y)
+{
+	const struct delta *a = x;
+	const struct delta *b = y;
+
+	if (a->change != b->change)
+		return a->change > b->change ? -1 : 1;
+	if (a->beat != b->beat)
+		return a->beat < b->beat ? -1 : 1;
+	return strcmp(a->load.target, b->load.target);
+}
+
+static struct delta *deltas(struct seam_members *m, size_t *n)
+{
+	struct seam_table *t = seam_targets_lock(m->node->targets);
+	struct delta *d = calloc(seam_table_count(t) + 1, sizeof(*d));
+	struct seam_handle h = SEAM_NONE;
+	struct seam_target *g;
+
+	*n = 0;
+	while (d && (g = seam_table_next(t, &h))) {
+		struct told *old = g_hash_table_lookup(m->told, g->info.id);
+		uint32_t now = (uint32_t)g->outstanding;
+		uint32_t was = old ? old->load : 0;
+
+		if (!now && !old)
+			continue;
+		memcpy(d[*n].load.target, g->info.id, sizeof(g->info.id));
+		d[*n].load.load = now;
+		d[*n].change = now > was ? now - was : was - now;
+		d[*n].beat = old ? old->beat : 0;
+		(*n)++;
+	}
+	seam_targets_unlock(m->node->targets);
+	return d;
+}
+
+static void remember(struct seam_members *m, const struct seam_load *l)
+{
+	struct told *t = g_hash_table_lookup(m->told, l->target);
+
+	if (!t) {
+		t = g_new0(struct told, 1);
+		g_hash_table_insert(m->told, g_strdup(l->target), t);
+	}
+	t->load = l->load;
+	t->beat = m->seq;
+}
+
+/* Fills in as many entries as the budget allows, at least none. */
+static void add_loads(struct seam_members *m, struct seam_msg *msg, int peers)
+{
+	long left = SEAM_BEAT_BYTES_PER_SEC / (peers ? peers : 1) - BEAT_BYTES;
+	size_t n;
+	struct delta *d = deltas(m, &n);
+	size_t i;
+
+	if (!d)
+		return;
+	qsort(d, n, sizeof(*d), by_change);
+	msg->load = calloc(n + 1, sizeof(*msg->load));
+	for (i = 0; msg->load && i < n && i < SEAM_LOADS_MAX; i++) {
+		left -= (long)strlen(d[i].load.target) + LOAD_OVERHEAD;
+		if (left < 0)
+			break;
+		msg->load[msg->loads++] = d[i].load;
+		remember(m, &d[i].load);
+	}
+	free(d);
+}
+
+/*
+ * The time of confirmation is read before the version: "no change above this
+ * version was accepted before that time" stays true if a newer version is
+ * adopted in between.
+ */
+static void add_version(struct seam_members *m, struct seam_msg *msg)
+{
+	struct seam_budget_state st = seam_store_budget_state(m->node->store);
+	struct seam_conf *c;
+
+	msg->confirmed_at =
+		__atomic_load_n(&m->node->confirmed_at, __ATOMIC_ACQUIRE);
+	c = seam_conf_current(&m->node->conf);
+	msg->version = seam_conf_version(c);
+	seam_conf_drop(c);
+	msg->sent_at = seam_now(m->node->clock);
+	msg->store_at = m->store_at > st.last_ok ? m->store_at : st.last_ok;
+	msg->unsettled = st.unsettled;
+}
+
+void seam_members_send(struct seam_members *m, const char *addr,
+		       struct seam_msg *msg)
+{
+	char *bytes;
+	size_t len;
+
+	pthread_mutex_lock(&m->lock);
+	snprintf(msg->from, sizeof(msg->from), "%s", m->node->settings.node);
+	msg->inc = m->inc;
+	msg->seq = ++m->seq;
+	add_version(m, msg);
+	pthread_mutex_unlock(&m->lock);
+	bytes = seam_msg_seal(&m->key, addr, msg, &len);
+	if (bytes && m->bus) {
+		seam_count_add(&sent_bytes, (int64_t)len);
+		m->bus->ops->send(m->bus, addr, bytes, len);
+	}
+	free(bytes);
+}
+
+void seam_member_beat(struct seam_members *m, seam_time now)
+{
+	struct seam_msg msg = {.kind = SEAM_MSG_BEAT};
+	struct seam_member *b;
+	const char **addr;
+	size_t n;
+	size_t i;
+
+	(void)now;
+	if (!m->inc || !m->bus)
+		return;
+	b = seam_members_copy(m, &n);
+	add_loads(m, &msg, (int)n);
+	addr = calloc(n + 1, sizeof(*addr));
+	for (i = 0; addr && i < n; i++) {
+		addr[i] = b[i].peer;
+		seam_members_send(m, b[i].peer, &msg);
+	}
+	if (addr)
+		m->bus->ops->keep(m->bus, addr, n);
+	free(addr);
+	free(b);
+	seam_msg_free(&msg);
+}
+
+static void take_loads(struct seam_member *b, const struct seam_msg *msg)
+{
+	size_t i;
+
+	if (!b->load)
+		b->load = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	for (i = 0; i < msg->loads; i++) {
+		const struct seam_load *l = &msg->load[i];
+
+		if (l->load)
+			g_hash_table_replace(b->load, g_strdup(l->target),
+					     GUINT_TO_POINTER(l->load));
+		else
+			g_hash_table_remove(b->load, l->target);
+	}
+}
+
+/* The lock is held. False if the message is old. */
+static bool accept(struct seam_members *m, struct seam_member *b,
+		   const struct seam_msg *msg)
+{
+	seam_time now = seam_now(m->node->clock);
+
+	if (msg->inc < b->inc || msg->inc < b->heard_inc ||
+	    (msg->inc == b->heard_inc && msg->seq <= b->seq))
+		return false;
+	if (msg->inc > b->heard_inc && b->load) {
+		g_hash_table_destroy(b->load);
+		b->load = NULL;
+	}
+	b->heard_inc = msg->inc;
+	b->seq = msg->seq;
+	b->suspect_at = now + SEAM_SUSPECT_AFTER;
+	b->last.heard = true;
+	b->last.version = msg->version;
+	b->last.confirmed_at = msg->confirmed_at;
+	b->last.sent_at = msg->sent_at;
+	b->last.store_at = msg->store_at;
+	b->last.unsettled = msg->unsettled;
+	take_loads(b, msg);
+	return true;
+}
+
+/*
+ * A node that is not registered has no row. It may ask for a snapshot; a
+ * snapshot or change may come from a member that this node, itself without the
+ * store, does not know yet. The hash shows that they belong to the cluster.
+ */
+static bool take(struct seam_members *m, const struct seam_msg *msg)
+{
+	struct seam_member *b;
+	bool ok = true;
+
+	pthread_mutex_lock(&m->lock);
+	b = seam_member_find(m, msg->from);
+	if (b && msg->inc && !accept(m, b, msg)) {
+		seam_count_add(&refused_old, 1);
+		ok = false;
+	} else if (!b && msg->kind == SEAM_MSG_BEAT) {
+		seam_count_add(&refused_unknown, 1);
+		ok = false;
+	}
+	pthread_mutex_unlock(&m->lock);
+	return ok;
+}
+
+void seam_members_wire(void *arg, const char *bytes, size_t len)
+{
+	struct seam_members *m = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_msg msg;
+
+	if (seam_msg_open(&m->key, m->node->settings.peer, bytes, len, &msg,
+			  &e)) {
+		seam_count_add(&refused_hash, 1);
+		return;
+	}
+	if (take(m, &msg)) {
+		seam_count_add(&received, 1);
+		pthread_mutex_lock(&m->fn_lock);
+		if (m->fn && msg.kind != SEAM_MSG_BEAT)
+			m->fn(m->arg, &msg);
+		pthread_mutex_unlock(&m->fn_lock);
+		seam_members_confirm(m, seam_now(m->node->clock));
+	}
+	seam_msg_free(&msg);
+}
+
+/* Sets the load by peers of each target from the members not suspected. */
+void seam_member_loads(struct seam_members *m, seam_time now)
+{
+	struct seam_table *t;
+	struct seam_handle h = SEAM_NONE;
+	struct seam_target *g;
+
+	pthread_mutex_lock(&m->lock);
+	t = seam_targets_lock(m->node->targets);
+	while ((g = seam_table_next(t, &h))) {
+		struct seam_handle i = SEAM_NONE;
+		struct seam_member *b;
+
+		g->peer_load = 0;
+		while ((b = seam_table_next(m->table, &i)))
+			if (b->load && !seam_member_suspected(b, now))
+				g->peer_load +=
+					GPOINTER_TO_INT(g_hash_table_lookup(
+						b->load, g->info.id));
+	}
+	seam_targets_unlock(m->node->targets);
+	pthread_mutex_unlock(&m->lock);
+}
+
+/* The lock is held. */
+static struct seam_spread_peer *peers(struct seam_members *m, seam_time now,
+				      size_t *n)
+{
+	struct seam_spread_peer *p =
+		calloc(seam_table_count(m->table) + 1, sizeof(*p));
+	struct seam_handle h = SEAM_NONE;
+	struct seam_member *b;
+
+	*n = 0;
+	while (p && (b = seam_table_next(m->table, &h))) {
+		p[*n] = b->last;
+		/* What it said before it became suspected still holds, but it
+		 * is not reachable now. */
+		p[*n].heard = b->last.heard && !seam_member_suspected(b, now);
+		(*n)++;
+	}
+	return p;
+}
+
+void seam_members_confirm(struct seam_members *m, seam_time now)
+{
+	struct seam_budget_state st = seam_store_budget_state(m->node->store);
+	struct seam_spread_state s = {.now = now, .unsettled = st.unsettled};
+	struct seam_conf *c = seam_conf_current(&m->node->conf);
+	struct seam_spread_peer *p;
+	seam_time at;
+	size_t i;
+
+	s.version = seam_conf_version(c);
+	seam_conf_drop(c);
+	s.skew = m->node->settings.clock_skew_ms * SEAM_MSEC;
+	pthread_mutex_lock(&m->lock);
+	s.store_at = m->store_at > st.last_ok ? m->store_at : st.last_ok;
+	s.registered = m->listed && m->inc;
+	p = peers(m, now, &s.peers);
+	pthread_mutex_unlock(&m->lock);
+	if (!p)
+		return;
+	s.peer = p;
+	at = seam_spread_by_absence(&s);
+	for (i = 0; i < s.peers; i++) {
+		seam_time t = seam_spread_by_peer(s.version, &p[i], s.skew);
+
+		if (at < t)
+			at = t;
+	}
+	if (at)
+		seam_node_confirm(m->node, at < now ? at : now);
+	free(p);
+}
--- /dev/null
+++ b/process/member_impl.h
@@ -0,0 +1,46 @@
+#ifndef SEAM_MEMBER_IMPL_H
+#define SEAM_MEMBER_IMPL_H
+
+/* Shared by the files of the member library only. */
+
+#include <glib.h>
+
+#include "process/member.h"
+
+struct seam_members {
+	struct seam_owner owner; /* first, so that the owner is the object */
+	struct seam_node *node;
+	struct seam_bus *bus;
+	struct seam_msg_key key;
+	pthread_mutex_t lock;
+	struct seam_table *table; /* struct seam_member */
+	uint64_t inc;
+	uint64_t seq;
+	uint64_t seed;
+	bool listed; /* own row was in the last list read */
+	seam_time scan_at;
+	seam_time register_at;
+	seam_time beat_at;
+	seam_time passed_at;
+	seam_time store_at;
+	GHashTable *told; /* target to struct told, see member_beat.c */
+	pthread_mutex_t fn_lock; /* held while @fn runs */
+	seam_member_fn fn;
+	void *arg;
+};
+
+/* The lock is held by the caller of these. */
+struct seam_member *seam_member_find(struct seam_members *m, const char *node);
+bool seam_member_suspected(const struct seam_member *b, seam_time now);
+seam_time seam_member_jitter(struct seam_members *m, seam_time period);
+void seam_member_del(struct seam_members *m, struct seam_handle h);
+
+/* Not held: these call the store or the transport. */
+void seam_member_register(struct seam_members *m, seam_time now);
+void seam_member_scan(struct seam_members *m, seam_time now);
+void seam_member_beat(struct seam_members *m, seam_time now);
+void seam_member_loads(struct seam_members *m, seam_time now);
+
+const struct seam_owner_ops *seam_member_owner_ops(void);
+
+#endif
--- /dev/null
+++ b/process/member_owner.c
@@ -0,0 +1,38 @@
+#include "process/member_impl.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Rendezvous hashing: the node with the highest weight for a name owns it. */
+static uint64_t weight(const char *node, const char *name)
+{
+	return XXH3_64bits_withSeed(name, strlen(name),
+				    XXH3_64bits(node, strlen(node)));
+}
+
+static bool mine(struct seam_owner *o, const char *name, seam_time now)
+{
+	struct seam_members *m = (struct seam_members *)o;
+	uint64_t own = weight(m->node->settings.node, name);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_member *b;
+	bool first;
+
+	pthread_mutex_lock(&m->lock);
+	/* After a pause, suspicion is out of date until the next pass. */
+	first = now - m->passed_at < SEAM_SUSPECT_AFTER;
+	while (first && (b = seam_table_next(m->table, &h)))
+		if (!seam_member_suspected(b, now))
+			first = weight(b->node, name) < own;
+	pthread_mutex_unlock(&m->lock);
+	return first;
+}
+
+static const struct seam_owner_ops ops = {
+	.mine = mine,
+};
+
+const struct seam_owner_ops *seam_member_owner_ops(void)
+{
+	return &ops;
+}
--- a/process/node.h
+++ b/process/node.h
@@ -20,6 +20,8 @@
 #define SEAM_PARTS_MAX 16
 
 struct seam_part;
+struct seam_members;
+struct seam_versions;
 struct seam_node;
 
 /**
@@ -53,6 +55,8 @@
  * @admit: units of the teams' limits; NULL admits everything
  * @targets: targets and connections to them
  * @http: front end
+ * @members: other nodes; NULL until its part has started
+ * @versions: adoption of versions; NULL until its part has started
  * @confirmed_at: latest time at which @conf was known to be the newest
  * @part: parts in order of start
  * @parts: their number
@@ -68,6 +72,8 @@
 	struct seam_admit *admit;
 	struct seam_targets *targets;
 	struct seam_http *http;
+	struct seam_members *members;
+	struct seam_versions *versions;
 	seam_time confirmed_at;
 	struct seam_part *part[SEAM_PARTS_MAX];
 	int parts;
@@ -114,7 +120,11 @@
 bool seam_node_operator(struct seam_node *n, struct seam_call *c,
 			struct seam_err *e);
 
+/** seam_node_changed() - @n has committed a change: push it to peers now */
+void seam_node_changed(struct seam_node *n);
+
 /* The parts, in the order in which a node starts them. */
+struct seam_part *seam_part_members(struct seam_node *n);
 struct seam_part *seam_part_versions(struct seam_node *n);
 struct seam_part *seam_part_inventory(struct seam_node *n);
 struct seam_part *seam_part_requests(struct seam_node *n);
--- a/process/part_admin.c
+++ b/process/part_admin.c
@@ -177,6 +177,7 @@
 
 		version = seam_conf_version(conf);
 		seam_conf_publish(&n->conf, conf);
+		seam_node_changed(n);
 		snprintf(text, sizeof(text), "{\"version\":%" PRIu64 "}",
 			 version);
 		seam_reply_text(c, 200, "application/json", text);
--- a/process/part_versions.c
+++ b/process/part_versions.c
@@ -1,90 +1,44 @@
-#include "base/log.h"
-#include "process/node.h"
+#include "process/member.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 
-#define POLL_PERIOD (1 * SEAM_SEC)
-#define POLL_TIMEOUT (2 * SEAM_SEC)
-
-/* Polls the head of the configuration and adopts newer versions. */
-struct versions {
+/* The thread that adopts versions and pushes changes. */
+struct part {
 	struct seam_part part;
 	struct seam_node *node;
 	struct seam_loop loop;
+	bool started;
 };
 
-static struct seam_conf *newer(struct seam_node *n, uint64_t head,
-			       seam_time deadline, struct seam_err *e)
-{
-	struct seam_conf *old = seam_conf_current(&n->conf);
-	struct seam_conf *c = NULL;
-
-	if (seam_conf_version(old))
-		c = seam_conf_catch_up(n->store, old, head, deadline, e);
-	if (!c)
-		c = seam_conf_load(n->store, deadline, e);
-	seam_conf_drop(old);
-	return c;
-}
-
-static uint64_t own_version(struct seam_node *n)
-{
-	struct seam_conf *c = seam_conf_current(&n->conf);
-	uint64_t v = seam_conf_version(c);
-
-	seam_conf_drop(c);
-	return v;
-}
-
-static void poll_store(struct seam_node *n, seam_time now)
-{
-	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_conf *c;
-	uint64_t head;
-
-	if (seam_conf_head(n->store, &head, now + POLL_TIMEOUT, &e)) {
-		seam_log(SEAM_WARN, "version", "Store did not answer: %s.",
-			 e.text);
-		return;
-	}
-	if (head > own_version(n)) {
-		c = newer(n, head, now + POLL_TIMEOUT, &e);
-		if (!c) {
-			seam_log(SEAM_WARN, "version",
-				 "Version %" PRIu64 " not read: %s.", head,
-				 e.text);
-			return;
-		}
-		if (seam_conf_publish(&n->conf, c))
-			seam_log(SEAM_INFO, "version",
-				 "Version %" PRIu64 " is in force.", head);
-	}
-	seam_node_confirm(n, now);
-}
-
 static seam_time pass(void *arg, seam_time now)
 {
-	struct versions *v = arg;
-
-	poll_store(v->node, now);
-	return now + POLL_PERIOD;
+	return seam_versions_pass(arg, now);
 }
 
-static int start(struct seam_part *p, struct seam_err *e)
+static int start(struct seam_part *base, struct seam_err *e)
 {
-	struct versions *v = (struct versions *)p;
-
-	poll_store(v->node, seam_now(v->node->clock));
-	return seam_loop_start(&v->loop, v->node->clock, pass, v, e);
+	struct part *p = (struct part *)base;
+	struct seam_node *n = p->node;
+
+	n->versions = seam_versions_new(n, n->members);
+	if (!n->versions)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	seam_versions_pass(n->versions, seam_now(n->clock));
+	if (seam_loop_start(&p->loop, n->clock, pass, n->versions, e))
+		return -1;
+	p->started = true;
+	return 0;
 }
 
-static void stop(struct seam_part *p)
+static void stop(struct seam_part *base)
 {
-	struct versions *v = (struct versions *)p;
+	struct part *p = (struct part *)base;
 
-	seam_loop_stop(&v->loop);
-	free(v);
+	if (p->started)
+		seam_loop_stop(&p->loop);
+	seam_versions_free(p->node->versions);
+	p->node->versions = NULL;
+	free(p);
 }
 
 static const struct seam_part_ops ops = {
@@ -95,11 +49,21 @@
 
 struct seam_part *seam_part_versions(struct seam_node *n)
 {
-	struct versions *v = calloc(1, sizeof(*v));
+	struct part *p = calloc(1, sizeof(*p));
 
-	if (!v)
+	if (!p)
 		return NULL;
-	v->part.ops = &ops;
-	v->node = n;
-	return &v->part;
+	p->part.ops = &ops;
+	p->node = n;
+	return &p->part;
+}
+
+void seam_node_changed(struct seam_node *n)
+{
+	int i;
+
+	for (i = 0; i < n->parts; i++)
+		if (n->part[i]->ops == &ops &&
+		    ((struct part *)n->part[i])->started)
+			seam_loop_wake(&((struct part *)n->part[i])->loop);
 }
--- a/process/platform_http.c
+++ b/process/platform_http.c
@@ -130,12 +130,12 @@
 	return &p->base;
 }
 
-void seam_platform_http_free(struct seam_platform *base)
+void seam_platform_http_free(struct seam_platform *p)
 {
-	struct platform_http *p = (struct platform_http *)base;
+	struct platform_http *h = (struct platform_http *)p;
 
-	if (!p)
+	if (!h)
 		return;
-	seam_rest_free(p->rest);
-	free(p);
+	seam_rest_free(h->rest);
+	free(h);
 }
--- a/process/settings.c
+++ b/process/settings.c
@@ -22,6 +22,7 @@
 	F(data_centre, SEAM_JSON_NAME, .required = true),
 	F(listen, SEAM_JSON_TEXT, .required = true),
 	F(peer, SEAM_JSON_TEXT, .required = true),
+	F(seeds, SEAM_JSON_TEXT),
 	F(store, SEAM_JSON_TEXT, .required = true),
 	F(operator_sha256, SEAM_JSON_TEXT, .required = true),
 	F(cluster_key, SEAM_JSON_TEXT, .required = true),
--- a/process/settings.h
+++ b/process/settings.h
@@ -16,6 +16,8 @@
  * @data_centre: data centre of its VM
  * @listen: IP:PORT for callers and operators
  * @peer: IP:PORT for other nodes
+ * @seeds: peer addresses, separated by commas, that a node asks for the
+ *         configuration while it has never reached the store
  * @store: "memory" or http://IP:PORT of the platform
  * @operator_sha256: SHA-256 of the operators' key, in hexadecimal
  * @cluster_key: shared by the nodes; authenticates them to workers
@@ -39,6 +41,7 @@
 	char data_centre[64];
 	char listen[64];
 	char peer[64];
+	char seeds[512];
 	char store[128];
 	char operator_sha256[65];
 	char cluster_key[128];
--- /dev/null
+++ b/process/versions.c
@@ -0,0 +1,389 @@
+#include "base/count.h"
+#include "base/log.h"
+#include "process/member.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define POLL_PERIOD (1 * SEAM_SEC)
+#define POLL_TIMEOUT (2 * SEAM_SEC)
+#define COLLECT (1 * SEAM_SEC) /* wait for the snapshots of all peers asked */
+
+SEAM_COUNT(version_gauge, "seam_config_version", "Version in force.");
+SEAM_COUNT(confirmed_age, "seam_config_confirmed_age_ms",
+	   "Time since the version was known to be the newest.");
+SEAM_COUNT(pushed_total, "seam_config_pushed_total",
+	   "Changes pushed to peers, one for each peer.");
+SEAM_COUNT(from_peers_total, "seam_config_from_peers_total",
+	   "Versions adopted from peers.");
+
+/*
+ * @pushed is the version that peers were last told of; a version learned from
+ * a peer is not pushed again, as its origin has told all others.
+ */
+struct seam_versions {
+	struct seam_node *node;
+	struct seam_members *members;
+	pthread_mutex_t lock;
+	struct seam_conf *pushed;
+	uint64_t from_peer;
+	struct seam_conf *best; /* highest snapshot of those collected */
+	int asked; /* snapshots still to come */
+	seam_time collect_until;
+	uint64_t seen; /* highest version observed, for the invariant */
+	bool store_down;
+};
+
+static uint64_t own_version(struct seam_node *n)
+{
+	struct seam_conf *c = seam_conf_current(&n->conf);
+	uint64_t v = seam_conf_version(c);
+
+	seam_conf_drop(c);
+	return v;
+}
+
+static struct seam_conf *newer(struct seam_node *n, uint64_t head,
+			       seam_time deadline, struct seam_err *e)
+{
+	struct seam_conf *old = seam_conf_current(&n->conf);
+	struct seam_conf *c = NULL;
+
+	if (seam_conf_version(old))
+		c = seam_conf_catch_up(n->store, old, head, deadline, e);
+	if (!c)
+		c = seam_conf_load(n->store, deadline, e);
+	seam_conf_drop(old);
+	return c;
+}
+
+static bool adopt(struct seam_versions *v, struct seam_conf *c,
+		  const char *source)
+{
+	uint64_t version = seam_conf_version(c);
+
+	if (!seam_conf_publish(&v->node->conf, c))
+		return false;
+	seam_log(SEAM_INFO, "version", "Version %" PRIu64 " is in force (%s).",
+		 version, source);
+	return true;
+}
+
+static void store_state(struct seam_versions *v, bool down,
+			const struct seam_err *e)
+{
+	if (down && !v->store_down)
+		seam_log(SEAM_WARN, "version", "Store did not answer: %s.",
+			 e->text);
+	v->store_down = down;
+}
+
+/* The time of confirmation is that before the read: it may have been slow. */
+static bool poll_store(struct seam_versions *v, seam_time now)
+{
+	struct seam_node *n = v->node;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_conf *c;
+	uint64_t head;
+
+	if (seam_conf_head(n->store, &head, now + POLL_TIMEOUT, &e)) {
+		store_state(v, true, &e);
+		return false;
+	}
+	if (head > own_version(n)) {
+		c = newer(n, head, now + POLL_TIMEOUT, &e);
+		if (!c) {
+			store_state(v, true, &e);
+			return false;
+		}
+		adopt(v, c, "store");
+	}
+	store_state(v, false, &e);
+	if (v->members)
+		seam_members_store_ok(v->members, now);
+	seam_node_confirm(n, now);
+	return true;
+}
+
+/* Takes the version to push, or returns false. */
+static bool take_push(struct seam_versions *v, struct seam_conf **old,
+		      struct seam_conf **new)
+{
+	bool push;
+
+	*new = seam_conf_current(&v->node->conf);
+	pthread_mutex_lock(&v->lock);
+	*old = v->pushed;
+	if (seam_conf_version(*new) <= seam_conf_version(*old)) {
+		*old = seam_conf_hold(*old);
+		push = false;
+	} else {
+		push = seam_conf_version(*old) &&
+		       seam_conf_version(*new) != v->from_peer;
+		v->pushed = seam_conf_hold(*new);
+	}
+	pthread_mutex_unlock(&v->lock);
+	return push;
+}
+
+static void push_change(struct seam_versions *v)
+{
+	struct seam_msg msg = {.kind = SEAM_MSG_CHANGE};
+	struct seam_conf *old;
+	struct seam_conf *new;
+	struct seam_member *b = NULL;
+	struct json_object *o;
+	size_t n = 0;
+	size_t i;
+
+	if (take_push(v, &old, &new)) {
+		o = seam_conf_diff(old, new);
+		msg.base = seam_conf_version(old);
+		msg.text = g_strdup(json_object_to_json_string_ext(
+			o, JSON_C_TO_STRING_PLAIN));
+		json_object_put(o);
+		b = seam_members_copy(v->members, &n);
+	}
+	for (i = 0; i < n; i++) {
+		if (b[i].last.version >= seam_conf_version(new))
+			continue;
+		seam_members_send(v->members, b[i].peer, &msg);
+		seam_count_add(&pushed_total, 1);
+	}
+	free(b);
+	seam_msg_free(&msg);
+	seam_conf_drop(old);
+	seam_conf_drop(new);
+}
+
+static void ask(struct seam_versions *v, const char *addr)
+{
+	struct seam_msg msg = {.kind = SEAM_MSG_SNAPSHOT_GET};
+
+	snprintf(msg.addr, sizeof(msg.addr), "%s", v->node->settings.peer);
+	seam_members_send(v->members, addr, &msg);
+}
+
+static int ask_seeds(struct seam_versions *v)
+{
+	char **list = g_strsplit(v->node->settings.seeds, ",", 0);
+	int n = 0;
+
+	for (; list[n]; n++)
+		ask(v, g_strstrip(list[n]));
+	g_strfreev(list);
+	return n;
+}
+
+/*
+ * Without the store: a node without a version asks every peer that it knows
+ * and waits for their answers; others ask the peer with the highest version. A
+ * node that is not registered gets no heartbeats and asks its seeds each time.
+ */
+static void ask_peers(struct seam_versions *v, seam_time now)
+{
+	uint64_t own = own_version(v->node);
+	const struct seam_member *best = NULL;
+	size_t n;
+	struct seam_member *b = seam_members_copy(v->members, &n);
+	int asked = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (!own) {
+			ask(v, b[i].peer);
+			asked++;
+		} else if (now < b[i].suspect_at && b[i].last.version > own &&
+			   (!best || best->last.version < b[i].last.version)) {
+			best = &b[i];
+		}
+	}
+	if (best)
+		ask(v, best->peer);
+	if (!n || !seam_members_inc(v->members))
+		asked += ask_seeds(v);
+	free(b);
+	pthread_mutex_lock(&v->lock);
+	if (!own && !v->collect_until && asked) {
+		v->asked = asked;
+		v->collect_until = now + COLLECT;
+	}
+	pthread_mutex_unlock(&v->lock);
+}
+
+/* Takes the highest snapshot once every peer answered or the wait is over. */
+static void end_collect(struct seam_versions *v, seam_time now)
+{
+	struct seam_conf *c = NULL;
+
+	pthread_mutex_lock(&v->lock);
+	if (v->collect_until && (v->asked <= 0 || now >= v->collect_until)) {
+		c = v->best;
+		v->best = NULL;
+		v->collect_until = 0;
+	}
+	if (c)
+		v->from_peer = seam_conf_version(c);
+	pthread_mutex_unlock(&v->lock);
+	if (c && adopt(v, c, "peers"))
+		seam_count_add(&from_peers_total, 1);
+}
+
+static void confirm_by(struct seam_versions *v, const struct seam_msg *m)
+{
+	struct seam_spread_peer p = {.version = m->version,
+				     .confirmed_at = m->confirmed_at};
+	struct seam_node *n = v->node;
+	seam_time now = seam_now(n->clock);
+	seam_time at = seam_spread_by_peer(
+		own_version(n), &p, n->settings.clock_skew_ms * SEAM_MSEC);
+
+	if (at)
+		seam_node_confirm(n, at < now ? at : now);
+}
+
+static void adopt_peer(struct seam_versions *v, struct seam_conf *c)
+{
+	pthread_mutex_lock(&v->lock);
+	v->from_peer = seam_conf_version(c);
+	pthread_mutex_unlock(&v->lock);
+	if (adopt(v, c, "peer"))
+		seam_count_add(&from_peers_total, 1);
+}
+
+static void on_change(struct seam_versions *v, const struct seam_msg *m)
+{
+	struct seam_problems p = {.file = "peer"};
+	struct seam_conf *old = seam_conf_current(&v->node->conf);
+	struct seam_conf *c = NULL;
+	struct json_object *o = NULL;
+
+	if (seam_spread_on_change(seam_conf_version(old), m->base,
+				  m->version) == SEAM_SPREAD_APPLY &&
+	    m->text)
+		o = seam_json_parse(m->text, &p);
+	if (o)
+		c = seam_conf_apply(old, o, m->version, &p);
+	if (c)
+		adopt_peer(v, c);
+	else if (p.n)
+		seam_log(SEAM_WARN, "version", "Change of %s not applied: %s.",
+			 m->from, p.text[0]);
+	seam_problems_free(&p);
+	json_object_put(o);
+	seam_conf_drop(old);
+}
+
+static void on_snapshot(struct seam_versions *v, const struct seam_msg *m)
+{
+	struct seam_problems p = {.file = "peer"};
+	struct json_object *o = m->text ? seam_json_parse(m->text, &p) : NULL;
+	struct seam_conf *c =
+		o && m->base ? seam_conf_parse(o, m->base, &p) : NULL;
+
+	pthread_mutex_lock(&v->lock);
+	v->asked--;
+	if (c && v->collect_until) {
+		if (!v->best ||
+		    seam_conf_version(c) > seam_conf_version(v->best)) {
+			struct seam_conf *old = v->best;
+
+			v->best = c;
+			c = old;
+		}
+		seam_conf_drop(c);
+		c = NULL;
+	}
+	pthread_mutex_unlock(&v->lock);
+	if (c)
+		adopt_peer(v, c);
+	end_collect(v, seam_now(v->node->clock));
+	seam_problems_free(&p);
+	json_object_put(o);
+}
+
+/* Sends the whole configuration, or none if the asking node has it. */
+static void on_snapshot_get(struct seam_versions *v, const struct seam_msg *m)
+{
+	struct seam_msg msg = {.kind = SEAM_MSG_SNAPSHOT};
+	struct seam_conf *c = seam_conf_current(&v->node->conf);
+	struct json_object *o = NULL;
+
+	if (seam_conf_version(c) > m->version) {
+		o = seam_conf_doc(c);
+		msg.base = seam_conf_version(c);
+		msg.text = g_strdup(json_object_to_json_string_ext(
+			o, JSON_C_TO_STRING_PLAIN));
+	}
+	if (*m->addr)
+		seam_members_send(v->members, m->addr, &msg);
+	json_object_put(o);
+	seam_msg_free(&msg);
+	seam_conf_drop(c);
+}
+
+static void on_message(void *arg, const struct seam_msg *m)
+{
+	struct seam_versions *v = arg;
+
+	if (m->kind == SEAM_MSG_CHANGE)
+		on_change(v, m);
+	else if (m->kind == SEAM_MSG_SNAPSHOT)
+		on_snapshot(v, m);
+	else if (m->kind == SEAM_MSG_SNAPSHOT_GET)
+		on_snapshot_get(v, m);
+	if (m->kind != SEAM_MSG_SNAPSHOT_GET)
+		confirm_by(v, m);
+}
+
+seam_time seam_versions_pass(struct seam_versions *v, seam_time now)
+{
+	struct seam_node *n = v->node;
+	bool reached = poll_store(v, now);
+	uint64_t version;
+
+	if (v->members) {
+		if (!reached)
+			ask_peers(v, now);
+		end_collect(v, now);
+		push_change(v);
+	}
+	version = own_version(n);
+	SEAM_INVARIANT(version >= v->seen, "version",
+		       "version %" PRIu64 " after %" PRIu64, version, v->seen);
+	v->seen = version;
+	seam_count_set(&version_gauge, (int64_t)version);
+	seam_count_set(&confirmed_age,
+		       (seam_now(n->clock) - n->confirmed_at) / SEAM_MSEC);
+	return now + POLL_PERIOD;
+}
+
+struct seam_versions *seam_versions_new(struct seam_node *n,
+					struct seam_members *m)
+{
+	struct seam_versions *v = calloc(1, sizeof(*v));
+
+	if (!v)
+		return NULL;
+	v->node = n;
+	v->members = m;
+	v->pushed = seam_conf_empty();
+	pthread_mutex_init(&v->lock, NULL);
+	if (m)
+		seam_members_handler(m, on_message, v);
+	return v;
+}
+
+void seam_versions_free(struct seam_versions *v)
+{
+	if (!v)
+		return;
+	if (v->members)
+		seam_members_handler(v->members, NULL, NULL);
+	seam_conf_drop(v->pushed);
+	seam_conf_drop(v->best);
+	pthread_mutex_destroy(&v->lock);
+	free(v);
+}
