--- /dev/null
+++ b/tests/member_test.cc
@@ -0,0 +1,411 @@
+// Membership, versions and recovery of a fleet under a simulated clock.
+#include <gtest/gtest.h>
+
+#include "tests/fleet.h"
+
+static void cut_dc(sim &s, const std::string &dc, bool peers, bool store,
+		   bool on)
+{
+	for (auto &a : s.nodes) {
+		if (a->dc == dc && store)
+			s.store_down(*a, on);
+		for (auto &b : s.nodes)
+			if (peers && a->dc == dc && b->dc != dc)
+				s.cut(*a, *b, on);
+	}
+}
+
+static bool suspects(sim_node &n, const std::string &who)
+{
+	size_t count;
+	seam_member *b = seam_members_copy(n.members, &count);
+	bool yes = true;
+
+	for (size_t i = 0; i < count; i++)
+		if (who == b[i].node)
+			yes = n.now() >= b[i].suspect_at;
+	free(b);
+	return yes;
+}
+
+// Guards against shards with no owner or two owners in a healthy fleet.
+TEST(Member, FleetAgrees)
+{
+	auto s = sim::fleet(1);
+
+	EXPECT_TRUE(s->agreed());
+	for (auto &n : s->nodes)
+		EXPECT_EQ(seam_members_live(n->members, n->now()), 9);
+}
+
+// Guards against messages of a replaced node that count for its successor.
+TEST(Member, ReplacedUnderSameName)
+{
+	auto s = sim::fleet(2);
+	sim_node &n = *s->nodes[4];
+	uint64_t inc = seam_members_inc(n.members);
+	seam_msg_key key;
+	seam_msg m = {};
+	size_t len;
+
+	s->stop(n);
+	s->start(n);
+	s->run(7 * SEAM_SEC);
+	EXPECT_EQ(seam_members_inc(n.members), inc + 1);
+	EXPECT_TRUE(s->agreed());
+	seam_msg_key_init(&key, "key");
+	snprintf(m.from, sizeof(m.from), "n4");
+	m.inc = inc;
+	m.seq = UINT64_MAX / 2;
+	m.version = 999;
+	char *bytes = seam_msg_seal(&key, "peer-n0", &m, &len);
+	seam_members_wire(s->nodes[0]->members, bytes, len);
+	free(bytes);
+	size_t count;
+	seam_member *b = seam_members_copy(s->nodes[0]->members, &count);
+	for (size_t i = 0; i < count; i++)
+		EXPECT_NE(b[i].last.version, 999u);
+	free(b);
+}
+
+// Guards against a repeated or reordered message that takes effect.
+TEST(Member, RepeatedAndOutOfOrderRefused)
+{
+	auto s = sim::fleet(3);
+	seam_msg_key key;
+	seam_msg m = {};
+	uint64_t seqs[] = {UINT64_MAX / 2, UINT64_MAX / 2, UINT64_MAX / 2 - 1};
+	uint64_t want[] = {100, 100, 100};
+
+	seam_msg_key_init(&key, "key");
+	snprintf(m.from, sizeof(m.from), "n4");
+	m.inc = seam_members_inc(s->nodes[4]->members);
+	for (int i = 0; i < 3; i++) {
+		size_t len, count;
+		m.seq = seqs[i];
+		m.version = 100 + (uint64_t)i;
+		char *bytes = seam_msg_seal(&key, "peer-n0", &m, &len);
+		seam_members_wire(s->nodes[0]->members, bytes, len);
+		free(bytes);
+		seam_member *b =
+			seam_members_copy(s->nodes[0]->members, &count);
+		for (size_t k = 0; k < count; k++) {
+			if (strcmp(b[k].node, "n4"))
+				continue;
+			EXPECT_EQ(b[k].last.version, want[i]);
+		}
+		free(b);
+	}
+}
+
+// Guards against a paused node that keeps its shards, or takes all shards when
+// it resumes.
+TEST(Member, PausedNodeResumes)
+{
+	auto s = sim::fleet(4);
+	sim_node &n = *s->nodes[2];
+
+	n.paused = true;
+	s->run(4 * SEAM_SEC);
+	EXPECT_TRUE(suspects(*s->nodes[0], "n2"));
+	for (int i = 0; i < 50; i++) {
+		std::string shard = "pool/" + std::to_string(i);
+		EXPECT_FALSE(
+			seam_owner_mine(n.node->owner, shard.c_str(), n.now()));
+		EXPECT_EQ(s->owners(shard), 1);
+	}
+	s->run(20 * SEAM_SEC);
+	EXPECT_FALSE(n.fresh());
+	n.paused = false;
+	s->step();
+	EXPECT_FALSE(suspects(n, "n0"));
+	s->run(3 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+}
+
+// Guards against a cut-off data centre that goes stale although peers or the
+// store confirm its version.
+TEST(Member, PartitionFromStoreOrFromPeers)
+{
+	auto s = sim::fleet(5);
+
+	cut_dc(*s, "b", false, true, true);
+	s->run(30 * SEAM_SEC);
+	EXPECT_TRUE(s->nodes[3]->fresh()) << "peers confirm";
+	EXPECT_TRUE(s->change(*s->nodes[0]));
+	s->run(2 * SEAM_SEC);
+	EXPECT_EQ(s->nodes[3]->version(), 2u);
+	cut_dc(*s, "b", false, true, false);
+	cut_dc(*s, "b", true, false, true);
+	s->run(30 * SEAM_SEC);
+	EXPECT_TRUE(s->nodes[3]->fresh()) << "the store confirms";
+	cut_dc(*s, "b", true, false, false);
+	s->run(10 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+}
+
+// Guards against a data centre without store and peers that claims freshness
+// while operators withdraw a key elsewhere.
+TEST(Member, PartitionFromStoreAndAll)
+{
+	auto s = sim::fleet(6);
+
+	cut_dc(*s, "b", true, true, true);
+	s->run(2 * SEAM_SEC);
+	EXPECT_TRUE(s->change(*s->nodes[0]));
+	s->run(20 * SEAM_SEC);
+	EXPECT_FALSE(s->nodes[3]->fresh());
+	EXPECT_EQ(s->nodes[3]->version(), 1u);
+	cut_dc(*s, "b", true, true, false);
+	s->run(10 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+	EXPECT_TRUE(s->nodes[3]->fresh());
+}
+
+// Guards against a fleet that stops serving because the store is down, and
+// against recovery that takes longer than 10 s.
+TEST(Member, StoreDownForAnHourAndBack)
+{
+	auto s = sim::fleet(7);
+
+	for (auto &n : s->nodes)
+		s->store_down(*n, true);
+	for (int i = 0; i < 36; i++) {
+		s->run(100 * SEAM_SEC);
+		for (auto &n : s->nodes)
+			EXPECT_TRUE(n->fresh()) << n->name;
+	}
+	s->nodes[8]->paused = true;
+	s->run(15 * SEAM_SEC);
+	EXPECT_FALSE(s->nodes[0]->fresh()) << "a member can't be reached";
+	s->nodes[8]->paused = false;
+	for (auto &n : s->nodes)
+		s->store_down(*n, false);
+	s->run(10 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+}
+
+// Guards against a fresh node that is never ready, or takes an old version,
+// when only peers can give it the configuration.
+TEST(Member, FreshNodeWithoutStoreTakesHighest)
+{
+	auto s = sim::fleet(8);
+	sim_node &f = s->add("fresh", "b");
+
+	cut_dc(*s, "b", true, true, true);
+	s->cut(*s->nodes[3], *s->nodes[4], true);
+	s->cut(*s->nodes[3], *s->nodes[0], false);
+	ASSERT_TRUE(s->change(*s->nodes[0]));
+	s->run(5 * SEAM_SEC);
+	ASSERT_EQ(s->nodes[3]->version(), 2u);
+	ASSERT_EQ(s->nodes[4]->version(), 1u);
+	s->cut(*s->nodes[3], *s->nodes[0], true);
+	f.seeds = "peer-n4, peer-n3";
+	f.faults.down = true;
+	s->start(f);
+	s->run(3 * SEAM_SEC);
+	EXPECT_EQ(f.version(), 2u);
+	s->run(20 * SEAM_SEC);
+	EXPECT_FALSE(f.fresh());
+	cut_dc(*s, "b", true, true, false);
+	s->cut(*s->nodes[3], *s->nodes[4], false);
+	s->run(12 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+}
+
+// Guards against a node that never registers, or registers twice with one
+// incarnation, when the answer of its registration is lost.
+TEST(Member, LostAnswerAtRegistration)
+{
+	auto s = sim::fleet(9);
+	sim_node &n = *s->nodes[1];
+	uint64_t inc = seam_members_inc(n.members);
+	seam_store_faults f = {};
+
+	s->stop(n);
+	f.lose_answers = 1000;
+	f.seed = 5;
+	s->store_faults(n, f);
+	s->start(n);
+	s->run(8 * SEAM_SEC);
+	EXPECT_GT(seam_members_inc(n.members), inc);
+	EXPECT_TRUE(s->agreed());
+}
+
+// Guards against rows of VMs that are gone and keep the fleet from confirming,
+// and against dropping the row of a VM that is only missing for a moment.
+TEST(Member, RowOfGoneVmIsDropped)
+{
+	auto s = sim::fleet(10);
+	sim_node &n = *s->nodes[5];
+	seam_vm vm = {};
+	seam_row row = {};
+	seam_err e = SEAM_ERR_INIT;
+
+	seam_fake_platform_del(s->platform, "n5");
+	s->run(20 * SEAM_SEC);
+	snprintf(vm.id, sizeof(vm.id), "n5");
+	seam_fake_platform_put(s->platform, &vm);
+	s->run(20 * SEAM_SEC);
+	ASSERT_EQ(seam_store_get(s->mem, "member/n5", &row, SEAM_NEVER, &e), 0);
+	seam_row_free(&row);
+	s->stop(n);
+	seam_fake_platform_del(s->platform, "n5");
+	s->run(50 * SEAM_SEC);
+	EXPECT_EQ(seam_store_get(s->mem, "member/n5", &row, SEAM_NEVER, &e),
+		  -1);
+	EXPECT_EQ(seam_members_live(s->nodes[0]->members, s->nodes[0]->now()),
+		  8);
+}
+
+// Guards against load of a dead node that keeps work away from its targets.
+TEST(Member, LoadOfPeers)
+{
+	auto s = sim::fleet(11);
+	seam_target_info info = {};
+	seam_handle h = SEAM_NONE;
+	auto load = [&](sim_node &n, int set) {
+		seam_table *t = seam_targets_lock(n.node->targets);
+		h = SEAM_NONE;
+		auto *g = (seam_target *)seam_table_next(t, &h);
+		if (set >= 0)
+			g->outstanding = set;
+		int l = g->peer_load;
+		seam_targets_unlock(n.node->targets);
+		return l;
+	};
+
+	snprintf(info.id, sizeof(info.id), "vm-1");
+	for (auto &n : s->nodes)
+		seam_targets_set(n->node->targets, &info, 1);
+	load(*s->nodes[0], 4);
+	load(*s->nodes[1], 3);
+	s->run(3 * SEAM_SEC);
+	EXPECT_EQ(load(*s->nodes[2], -1), 7);
+	EXPECT_EQ(load(*s->nodes[0], -1), 3);
+	load(*s->nodes[1], 0);
+	s->run(3 * SEAM_SEC);
+	EXPECT_EQ(load(*s->nodes[2], -1), 4);
+	s->nodes[0]->paused = true;
+	s->run(6 * SEAM_SEC);
+	EXPECT_EQ(load(*s->nodes[2], -1), 0);
+	load(*s->nodes[0], 0);
+}
+
+// Guards against checks that can't fail: each is shown to fire.
+TEST(Member, InvariantsFire)
+{
+	auto s = sim::fleet(12);
+	sim_node &n = *s->nodes[3];
+	long before = seam_invariant_count();
+
+	cut_dc(*s, "b", true, true, true);
+	s->run(1 * SEAM_SEC);
+	ASSERT_TRUE(s->change(*s->nodes[0]));
+	s->run(20 * SEAM_SEC);
+	ASSERT_EQ(seam_invariant_count(), before);
+	seam_invariant_abort(false);
+	n.node->confirmed_at = n.now();
+	s->check(n);
+	EXPECT_EQ(seam_invariant_count(), before + 2);
+	n.node->confirmed_at = 0;
+	seam_conf *old = n.node->conf.current;
+	n.node->conf.current = seam_conf_empty();
+	seam_versions_pass(n.versions, n.now());
+	EXPECT_EQ(seam_invariant_count(), before + 3);
+	seam_conf_drop(n.node->conf.current);
+	n.node->conf.current = old;
+	seam_invariant_abort(true);
+}
+
+static void random_hub(sim &s)
+{
+	struct seam_hub_faults f = {(int)s.random(200), (int)s.random(100),
+				    (int)s.random(100), (int)s.random(50)};
+
+	seam_hub_faults(s.hub, &f);
+}
+
+static void random_store(sim &s, sim_node &n)
+{
+	seam_store_faults f = {};
+
+	f.down = s.random(3) == 0;
+	f.lose_answers = (int)s.random(3) * 150;
+	f.drop_commits = (int)s.random(3) * 150;
+	f.seed = s.random(1u << 30) + 1;
+	s.store_faults(n, f);
+}
+
+// One fault, or the end of one.
+static void event(sim &s)
+{
+	sim_node &n = *s.nodes[s.random(s.nodes.size())];
+	bool on = s.random(2);
+
+	switch (s.random(7)) {
+	case 0:
+		random_hub(s);
+		break;
+	case 1:
+		random_store(s, n);
+		break;
+	case 2: /* data centre, or all, from the store */
+		for (auto &m : s.nodes)
+			if (on || m->dc == n.dc)
+				s.store_down(*m, s.random(4) < 3);
+		break;
+	case 3: /* data centre from the others */
+		for (auto &m : s.nodes)
+			for (auto &o : s.nodes)
+				if (m->dc == n.dc && o->dc != n.dc)
+					s.cut(*m, *o, on);
+		break;
+	case 4:
+		n.paused = !n.paused;
+		break;
+	case 5:
+		s.stop(n);
+		s.start(n);
+		break;
+	default:
+		if (!n.paused)
+			s.change(n);
+	}
+}
+
+static void heal(sim &s)
+{
+	struct seam_hub_faults none = {};
+
+	seam_hub_faults(s.hub, &none);
+	for (auto &n : s.nodes) {
+		s.store_down(*n, false);
+		n->paused = false;
+		for (auto &o : s.nodes)
+			s.cut(*n, *o, false);
+	}
+}
+
+class MemberRandom : public ::testing::TestWithParam<int>
+{
+};
+
+// Guards against versions that revert, freshness that is claimed without
+// ground, and fleets that do not settle within 10 s after faults.
+TEST_P(MemberRandom, SettlesAfterFaults)
+{
+	auto s = sim::fleet((uint64_t)GetParam());
+
+	for (int round = 0; round < 3; round++) {
+		for (int i = 0; i < 60; i++) {
+			event(*s);
+			s->run((seam_time)(100 + s->random(4000)) * SEAM_MSEC);
+		}
+		heal(*s);
+		s->run(10 * SEAM_SEC);
+		EXPECT_TRUE(s->agreed()) << "round " << round;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, MemberRandom, ::testing::Range(1, 21));
--- /dev/null
+++ b/tests/peer_test.cc
@@ -0,0 +1,157 @@
+// Messages between nodes and their transport over ZeroMQ.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "connection/peer.h"
+
+static seam_msg sample()
+{
+	seam_msg m = {};
+
+	snprintf(m.from, sizeof(m.from), "n1");
+	m.inc = 3;
+	m.seq = 1ull << 50;
+	m.kind = SEAM_MSG_CHANGE;
+	m.version = 7;
+	m.base = 6;
+	m.confirmed_at = 1700000000000000;
+	m.sent_at = m.confirmed_at + 5;
+	m.store_at = 4;
+	m.unsettled = true;
+	m.text = strdup("{\"put\":[]}");
+	m.loads = 2;
+	m.load = (seam_load *)calloc(2, sizeof(*m.load));
+	snprintf(m.load[0].target, 64, "vm-1");
+	m.load[0].load = 5;
+	snprintf(m.load[1].target, 64, "vm-2");
+	return m;
+}
+
+// Guards against fields that are lost or mixed up in the encoding.
+TEST(Peer, RoundTrip)
+{
+	seam_msg m = sample();
+	seam_msg r;
+	seam_err e = SEAM_ERR_INIT;
+	size_t len;
+	char *bytes = seam_msg_encode(&m, &len);
+
+	ASSERT_EQ(seam_msg_decode(bytes, len, &r, &e), 0);
+	EXPECT_STREQ(r.from, "n1");
+	EXPECT_EQ(r.inc, 3u);
+	EXPECT_EQ(r.seq, m.seq);
+	EXPECT_EQ(r.kind, SEAM_MSG_CHANGE);
+	EXPECT_EQ(r.version, 7u);
+	EXPECT_EQ(r.base, 6u);
+	EXPECT_EQ(r.confirmed_at, m.confirmed_at);
+	EXPECT_EQ(r.sent_at, m.sent_at);
+	EXPECT_EQ(r.store_at, 4);
+	EXPECT_TRUE(r.unsettled);
+	EXPECT_STREQ(r.text, m.text);
+	ASSERT_EQ(r.loads, 2u);
+	EXPECT_STREQ(r.load[0].target, "vm-1");
+	EXPECT_EQ(r.load[0].load, 5u);
+	seam_msg_free(&r);
+	seam_msg_free(&m);
+	free(bytes);
+}
+
+// Guards against damaged bytes that reach the decoder's caller, and against
+// reads past the end of a truncated message.
+TEST(Peer, DamagedAndTruncatedAreRefused)
+{
+	seam_msg m = sample();
+	seam_msg r;
+	seam_err e = SEAM_ERR_INIT;
+	seam_msg_key k;
+	size_t len;
+
+	seam_msg_key_init(&k, "key");
+	char *bytes = seam_msg_seal(&k, "to", &m, &len);
+	ASSERT_EQ(seam_msg_open(&k, "to", bytes, len, &r, &e), 0);
+	seam_msg_free(&r);
+	for (size_t i = 0; i < len; i++) {
+		std::string copy(bytes, len);
+		copy[i] ^= 0x11;
+		EXPECT_EQ(seam_msg_open(&k, "to", copy.data(), len, &r, &e),
+			  -1);
+		EXPECT_EQ(seam_msg_open(&k, "to", std::string(bytes, i).data(),
+					i, &r, &e),
+			  -1);
+		// The decoder alone must survive what the hash would stop.
+		if (i < SEAM_MSG_MAC)
+			continue;
+		if (!seam_msg_decode(copy.data() + SEAM_MSG_MAC,
+				     len - SEAM_MSG_MAC, &r, &e))
+			seam_msg_free(&r);
+		std::string cut(bytes + SEAM_MSG_MAC, i - SEAM_MSG_MAC);
+		EXPECT_EQ(seam_msg_decode(cut.data(), cut.size(), &r, &e), -1);
+	}
+	seam_msg_free(&m);
+	free(bytes);
+}
+
+// Guards against messages of another cluster or for another node.
+TEST(Peer, OtherKeyOrReceiverIsRefused)
+{
+	seam_msg m = sample();
+	seam_msg r;
+	seam_err e = SEAM_ERR_INIT;
+	seam_msg_key k, other;
+	size_t len;
+
+	seam_msg_key_init(&k, "key");
+	seam_msg_key_init(&other, "kez");
+	char *bytes = seam_msg_seal(&k, "to", &m, &len);
+	EXPECT_EQ(seam_msg_open(&other, "to", bytes, len, &r, &e), -1);
+	EXPECT_EQ(e.kind, SEAM_UNAUTHENTICATED);
+	EXPECT_EQ(seam_msg_open(&k, "tp", bytes, len, &r, &e), -1);
+	seam_msg_free(&m);
+	free(bytes);
+}
+
+static void count(void *arg, const char *, size_t len)
+{
+	((std::atomic<size_t> *)arg)->fetch_add(len);
+}
+
+static bool reaches(std::atomic<size_t> &n, size_t want)
+{
+	for (int i = 0; i < 500 && n < want; i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(10));
+	return n >= want;
+}
+
+// Guards against a transport that does not come back after a peer restarts,
+// and against a close that hangs while a peer is away.
+TEST(Peer, ZmqSurvivesRestartOfPeer)
+{
+	std::atomic<size_t> a{0}, b{0};
+	seam_err e = SEAM_ERR_INIT;
+	seam_bus *x = seam_bus_zmq_new("127.0.0.1:24101", count, &a, &e);
+	seam_bus *y = seam_bus_zmq_new("127.0.0.1:24102", count, &b, &e);
+
+	ASSERT_TRUE(x && y) << e.text;
+	EXPECT_EQ(seam_bus_zmq_new("127.0.0.1:24101", count, &a, &e), nullptr);
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+	x->ops->send(x, "127.0.0.1:24102", "12345", 5);
+	EXPECT_TRUE(reaches(b, 5));
+	seam_bus_close(y);
+	y = seam_bus_zmq_new("127.0.0.1:24102", count, &b, &e);
+	ASSERT_TRUE(y) << e.text;
+	for (int i = 0; i < 50 && b < 10; i++) {
+		x->ops->send(x, "127.0.0.1:24102", "12345", 5);
+		std::this_thread::sleep_for(std::chrono::milliseconds(100));
+	}
+	EXPECT_GE(b, 10u);
+	x->ops->keep(x, nullptr, 0);
+	x->ops->send(x, "127.0.0.1:24102", "1", 1);
+	size_t before = b;
+	EXPECT_TRUE(reaches(b, before + 1));
+	x->ops->send(x, "127.0.0.1:24103", "away", 4);
+	seam_bus_close(x);
+	seam_bus_close(y);
+}
