--- a/connection/peer.h
+++ b/connection/peer.h
@@ -182,6 +182,9 @@
 /** seam_hub_cut() - lose, or carry again, all messages from @a to @b */
 void seam_hub_cut(struct seam_hub *h, const char *a, const char *b, bool cut);
 
+/** seam_hub_hold() - keep what is sent to @addr until it is released */
+void seam_hub_hold(struct seam_hub *h, const char *addr, bool hold);
+
 /** seam_hub_pump() - deliver what was sent, and what is sent meanwhile */
 void seam_hub_pump(struct seam_hub *h);
 
--- a/connection/peer_hub.c
+++ b/connection/peer_hub.c
@@ -10,6 +10,7 @@
 	seam_bus_fn fn;
 	void *arg;
 	uint64_t bytes;
+	bool held;
 	GHashTable *cut; /* addresses that receive nothing from here */
 };
 
@@ -162,6 +163,21 @@
 		g_hash_table_remove(from->cut, b);
 }
 
+void seam_hub_hold(struct seam_hub *h, const char *addr, bool hold)
+{
+	struct hub_bus *b = find(h, addr);
+
+	if (b)
+		b->held = hold;
+}
+
+static bool held(struct seam_hub *h, const char *addr)
+{
+	struct hub_bus *b = find(h, addr);
+
+	return b && b->held;
+}
+
 static void deliver(struct seam_hub *h, const struct packet *p)
 {
 	struct hub_bus *b = find(h, p->to);
@@ -174,13 +190,20 @@
 
 void seam_hub_pump(struct seam_hub *h)
 {
+	GQueue *later = g_queue_new();
 	struct packet *p;
 
 	while ((p = g_queue_pop_head(h->queue))) {
+		if (held(h, p->to)) {
+			g_queue_push_tail(later, p);
+			continue;
+		}
 		deliver(h, p);
 		g_bytes_unref(p->bytes);
 		g_free(p);
 	}
+	g_queue_free(h->queue);
+	h->queue = later;
 }
 
 uint64_t seam_hub_bytes(struct seam_hub *h, const char *addr)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -168,6 +168,12 @@
 		seam_hub_cut(hub, a.addr.c_str(), b.addr.c_str(), on);
 		seam_hub_cut(hub, b.addr.c_str(), a.addr.c_str(), on);
 	}
+	// A paused process reads what was sent meanwhile when it resumes.
+	void pause(sim_node &n, bool on)
+	{
+		n.paused = on;
+		seam_hub_hold(hub, n.addr.c_str(), on);
+	}
 	// A change by the operators through node n; true if it was accepted.
 	bool change(sim_node &n)
 	{
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -105,7 +105,7 @@
 	auto s = sim::fleet(4);
 	sim_node &n = *s->nodes[2];
 
-	n.paused = true;
+	s->pause(n, true);
 	s->run(4 * SEAM_SEC);
 	EXPECT_TRUE(suspects(*s->nodes[0], "n2"));
 	for (int i = 0; i < 50; i++) {
@@ -116,7 +116,7 @@
 	}
 	s->run(20 * SEAM_SEC);
 	EXPECT_FALSE(n.fresh());
-	n.paused = false;
+	s->pause(n, false);
 	s->step();
 	EXPECT_FALSE(suspects(n, "n0"));
 	s->run(3 * SEAM_SEC);
@@ -175,10 +175,10 @@
 		for (auto &n : s->nodes)
 			EXPECT_TRUE(n->fresh()) << n->name;
 	}
-	s->nodes[8]->paused = true;
+	s->pause(*s->nodes[8], true);
 	s->run(15 * SEAM_SEC);
 	EXPECT_FALSE(s->nodes[0]->fresh()) << "a member can't be reached";
-	s->nodes[8]->paused = false;
+	s->pause(*s->nodes[8], false);
 	for (auto &n : s->nodes)
 		s->store_down(*n, false);
 	s->run(10 * SEAM_SEC);
@@ -194,6 +194,7 @@
 
 	cut_dc(*s, "b", true, true, true);
 	s->cut(*s->nodes[3], *s->nodes[4], true);
+	s->cut(*s->nodes[5], *s->nodes[4], true);
 	s->cut(*s->nodes[3], *s->nodes[0], false);
 	ASSERT_TRUE(s->change(*s->nodes[0]));
 	s->run(5 * SEAM_SEC);
@@ -209,6 +210,7 @@
 	EXPECT_FALSE(f.fresh());
 	cut_dc(*s, "b", true, true, false);
 	s->cut(*s->nodes[3], *s->nodes[4], false);
+	s->cut(*s->nodes[5], *s->nodes[4], false);
 	s->run(12 * SEAM_SEC);
 	EXPECT_TRUE(s->agreed());
 }
@@ -286,7 +288,7 @@
 	load(*s->nodes[1], 0);
 	s->run(3 * SEAM_SEC);
 	EXPECT_EQ(load(*s->nodes[2], -1), 4);
-	s->nodes[0]->paused = true;
+	s->pause(*s->nodes[0], true);
 	s->run(6 * SEAM_SEC);
 	EXPECT_EQ(load(*s->nodes[2], -1), 0);
 	load(*s->nodes[0], 0);
@@ -362,7 +364,7 @@
 					s.cut(*m, *o, on);
 		break;
 	case 4:
-		n.paused = !n.paused;
+		s.pause(n, !n.paused);
 		break;
 	case 5:
 		s.stop(n);
@@ -381,7 +383,7 @@
 	seam_hub_faults(s.hub, &none);
 	for (auto &n : s.nodes) {
 		s.store_down(*n, false);
-		n->paused = false;
+		s.pause(*n, false);
 		for (auto &o : s.nodes)
 			s.cut(*n, *o, false);
 	}
