--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -175,7 +175,7 @@
 		seam_hub_hold(hub, n.addr.c_str(), on);
 	}
 	// A change by the operators through node n; true if it was accepted.
-	bool change(sim_node &n)
+	bool change(sim_node &n, seam_time timeout = 2 * SEAM_SEC)
 	{
 		static int serial;
 		std::string text =
@@ -187,7 +187,7 @@
 		seam_err e = SEAM_ERR_INIT;
 		seam_change ch = {o, "test", "test", n.version()};
 		seam_conf *c = seam_conf_commit(n.store, &n.clock.clock, &ch,
-						n.now() + 2 * SEAM_SEC, &e);
+						n.now() + timeout, &e);
 
 		json_object_put(o);
 		record();
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -28,6 +28,48 @@
 	return yes;
 }
 
+static void all_down(sim &s, bool down)
+{
+	for (auto &n : s.nodes)
+		s.store_down(*n, down);
+}
+
+// The store is down for all; then it is back for all but one data centre,
+// which is cut off from the others too, and a change is accepted.
+static bool outage_then_cut(sim &s, const std::string &dc)
+{
+	bool done = false;
+
+	all_down(s, true);
+	s.run(8 * SEAM_SEC);
+	cut_dc(s, dc, true, true, true);
+	for (auto &n : s.nodes)
+		if (n->dc != dc)
+			s.store_down(*n, false);
+	s.run(3 * SEAM_SEC);
+	for (auto &n : s.nodes)
+		if (n->dc != dc && !done && !n->paused)
+			done = s.change(*n);
+	s.run(12 * SEAM_SEC);
+	return done;
+}
+
+// A change applies, its answer is lost, and then the store is down for all.
+static void lost_then_outage(sim &s, sim_node &n)
+{
+	seam_store_faults f = {};
+
+	f.lose_answers = 1000;
+	f.reads_per_sec = 4; /* those of the commit, none to read it back */
+	f.seed = 1;
+	s.store_down(n, true);
+	s.run(1100 * SEAM_MSEC);
+	s.store_faults(n, f);
+	s.change(n, 500 * SEAM_MSEC);
+	all_down(s, true);
+	s.run(20 * SEAM_SEC);
+}
+
 // Guards against shards with no owner or two owners in a healthy fleet.
 TEST(Member, FleetAgrees)
 {
@@ -185,6 +227,36 @@
 	EXPECT_TRUE(s->agreed());
 }
 
+// Guards against a cut-off data centre that goes on as if nobody had the store.
+TEST(Member, OutageThenCut)
+{
+	auto s = sim::fleet(13);
+
+	EXPECT_TRUE(outage_then_cut(*s, "b"));
+	EXPECT_FALSE(s->nodes[3]->fresh());
+	EXPECT_EQ(s->nodes[3]->version(), 1u);
+	cut_dc(*s, "b", true, true, false);
+	s->run(10 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+}
+
+// Guards against a fleet that confirms the old version while a change is in the
+// store whose author does not know that it was accepted.
+TEST(Member, LostAnswerThenOutage)
+{
+	auto s = sim::fleet(14);
+
+	lost_then_outage(*s, *s->nodes[2]);
+	ASSERT_EQ(s->accepted.size(), 3u);
+	for (auto &n : s->nodes) {
+		EXPECT_EQ(n->version(), 1u);
+		EXPECT_FALSE(n->fresh()) << n->name;
+	}
+	all_down(*s, false);
+	s->run(10 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+}
+
 // Guards against a fresh node that is never ready, or takes an old version,
 // when only peers can give it the configuration.
 TEST(Member, FreshNodeWithoutStoreTakesHighest)
@@ -345,7 +417,7 @@
 	sim_node &n = *s.nodes[s.random(s.nodes.size())];
 	bool on = s.random(2);
 
-	switch (s.random(7)) {
+	switch (s.random(9)) {
 	case 0:
 		random_hub(s);
 		break;
@@ -370,6 +442,13 @@
 		s.stop(n);
 		s.start(n);
 		break;
+	case 6:
+		outage_then_cut(s, n.dc);
+		break;
+	case 7:
+		if (!n.paused)
+			lost_then_outage(s, n);
+		break;
 	default:
 		if (!n.paused)
 			s.change(n);
