--- /dev/null
+++ b/process/fresh.h
@@ -0,0 +1,62 @@
+#ifndef SEAM_FRESH_H
+#define SEAM_FRESH_H
+
+#include <stdbool.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** enum seam_fresh_class - classes of action by the freshness they need */
+enum seam_fresh_class {
+	SEAM_FRESH_IDEMPOTENT,
+	SEAM_FRESH_NON_IDEMPOTENT,
+	SEAM_FRESH_KEYED,
+	SEAM_FRESH_PUT_TASK,
+	SEAM_FRESH_START_TASK,
+	SEAM_FRESH_RUNNING_TASK, /* checkpoint, stop, renew */
+	SEAM_FRESH_MOVE_VM,
+	SEAM_FRESH_ADOPT_CONF,
+	SEAM_FRESH_CLASSES
+};
+
+/**
+ * struct seam_fresh_bounds - greatest ages, from the settings
+ * @stale_serve_ms: configuration, for idempotent requests
+ * @stale_key_ms: configuration, for other requests and new tasks
+ * @vm_list_ms: VM list, for moves and maintenance
+ * @clock_skew_ms: how far in the future a confirmation may lie
+ */
+struct seam_fresh_bounds {
+	int64_t stale_serve_ms;
+	int64_t stale_key_ms;
+	int64_t vm_list_ms;
+	int64_t clock_skew_ms;
+};
+
+/**
+ * seam_fresh_check() - whether an action may use what this process knows
+ * @class_: enum seam_fresh_class
+ * @confirmed_at: when the configuration was last known to be the newest; for
+ *                SEAM_FRESH_MOVE_VM the time of the VM list; 0 for never
+ * @now: time, read after the last wait
+ * @bounds: greatest ages
+ * @e: SEAM_STALE with the age and the bound
+ *
+ * SEAM_FRESH_START_TASK, _RUNNING_TASK and _ADOPT_CONF have no bound on the
+ * age: a store commit, a token or the version number decides.
+ */
+int seam_fresh_check(enum seam_fresh_class class_, seam_time confirmed_at,
+		     seam_time now, const struct seam_fresh_bounds *bounds,
+		     struct seam_err *e);
+
+/** seam_fresh_needs_store() - the action needs a store commit as well */
+bool seam_fresh_needs_store(enum seam_fresh_class class_);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/process/team_ledger.c
@@ -0,0 +1,328 @@
+#include "process/team.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Life of a want in the row; it is renewed at half of it. */
+#define WANT_LIFE (10 * SEAM_SEC)
+
+static int64_t max64(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static int64_t min64(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+int64_t seam_ledger_sum(const struct seam_ledger *l)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < l->n; i++)
+		sum += l->grant[i].units;
+	return sum;
+}
+
+int64_t seam_ledger_dc_sum(const struct seam_ledger *l, const char *dc)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < l->n; i++)
+		if (!strcmp(l->grant[i].dc, dc))
+			sum += l->grant[i].units;
+	return sum;
+}
+
+struct seam_grant *seam_ledger_find(const struct seam_ledger *l,
+				    const char *holder)
+{
+	size_t i;
+
+	for (i = 0; i < l->n; i++)
+		if (!strcmp(l->grant[i].holder, holder))
+			return &l->grant[i];
+	return NULL;
+}
+
+int seam_ledger_check(const struct seam_ledger *l, struct seam_err *e)
+{
+	int64_t units = 0;
+	int64_t caps = 0;
+	size_t i;
+
+	for (i = 0; i < l->n; i++) {
+		const struct seam_grant *g = &l->grant[i];
+
+		if (g->units < 0 || g->cap < 0 || g->cap > g->units)
+			return seam_fail(e, SEAM_INTERNAL,
+					 "team %s: grant of %s out of range",
+					 l->team, g->holder);
+		units += g->units;
+		caps += g->cap;
+	}
+	if (units > l->ceiling || caps > l->limit)
+		return seam_fail(e, SEAM_INTERNAL,
+				 "team %s: grants %lld, caps %lld, limit %lld",
+				 l->team, (long long)units, (long long)caps,
+				 (long long)l->limit);
+	return 0;
+}
+
+static void set_caps(struct seam_ledger *l)
+{
+	int64_t sum = seam_ledger_sum(l);
+	size_t i;
+
+	for (i = 0; i < l->n; i++) {
+		struct seam_grant *g = &l->grant[i];
+
+		g->cap = sum <= l->limit ? g->units : g->units * l->limit / sum;
+	}
+	l->ceiling = max64(l->limit, sum);
+}
+
+bool seam_ledger_terms(struct seam_ledger *l,
+		       const struct seam_team_terms *terms)
+{
+	if (terms->conf <= l->conf)
+		return false;
+	l->conf = terms->conf;
+	if (terms->limit == l->limit)
+		return false;
+	l->limit = terms->limit;
+	set_caps(l);
+	return true;
+}
+
+int64_t seam_ledger_room(const struct seam_ledger *l,
+			 const struct seam_team_terms *terms, const char *dc)
+{
+	int64_t sum = seam_ledger_sum(l);
+	int64_t room = l->limit - sum;
+	size_t i;
+
+	for (i = 0; i < terms->dcs; i++)
+		if (strcmp(terms->dc[i], dc))
+			room -= max64(0, terms->floor -
+						 seam_ledger_dc_sum(
+							 l, terms->dc[i]));
+	return max64(0, room);
+}
+
+static struct seam_grant *get_grant(struct seam_ledger *l,
+				    const struct seam_grant *g)
+{
+	struct seam_grant *old = seam_ledger_find(l, g->holder);
+	struct seam_grant *more;
+
+	if (old)
+		return old;
+	more = realloc(l->grant, (l->n + 1) * sizeof(*more));
+	if (!more)
+		return NULL;
+	l->grant = more;
+	old = &more[l->n++];
+	memset(old, 0, sizeof(*old));
+	memcpy(old->holder, g->holder, sizeof(old->holder));
+	memcpy(old->dc, g->dc, sizeof(old->dc));
+	memcpy(old->vm, g->vm, sizeof(old->vm));
+	return old;
+}
+
+static int no_room(const struct seam_ledger *l, const struct seam_grant *g,
+		   int64_t have, int64_t room, struct seam_err *e)
+{
+	return seam_fail(e, SEAM_OVER_LIMIT,
+			 "team %s: limit %lld, %s holds %lld and asks for "
+			 "%lld, others hold %lld, %lld free to it",
+			 l->team, (long long)l->limit, g->holder,
+			 (long long)have, (long long)g->units,
+			 (long long)(seam_ledger_sum(l) - have),
+			 (long long)room);
+}
+
+int seam_ledger_grant(struct seam_ledger *l,
+		      const struct seam_team_terms *terms,
+		      const struct seam_grant *g, struct seam_err *e)
+{
+	struct seam_grant *own = seam_ledger_find(l, g->holder);
+	int64_t have = own ? own->units : 0;
+	int64_t room = seam_ledger_room(l, terms, g->dc);
+
+	if (g->units < 0 || g->units > SEAM_TEAM_UNITS_MAX)
+		return seam_fail(e, SEAM_BAD_REQUEST, "units out of range");
+	if (g->units > have && g->units - have > room)
+		return no_room(l, g, have, room, e);
+	own = get_grant(l, g);
+	if (!own)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	/* A lowered cap is kept: a new share of the limit would let a holder
+	 * start work while others still have to shrink. */
+	own->cap = g->units > have ? g->units : min64(own->cap, g->units);
+	own->units = g->units;
+	l->ceiling = max64(l->limit, seam_ledger_sum(l));
+	return 0;
+}
+
+int seam_ledger_want(struct seam_ledger *l, const struct seam_grant *g,
+		     int64_t want, seam_time until, struct seam_err *e)
+{
+	struct seam_grant *own = get_grant(l, g);
+
+	if (!own)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	own->want = want;
+	own->want_until = want ? until : 0;
+	return 0;
+}
+
+static bool wants(const struct seam_grant *g, seam_time now)
+{
+	return g->want > 0 && g->want_until > now;
+}
+
+int64_t seam_ledger_wanted(const struct seam_ledger *l, const char *holder,
+			   const char *dc, seam_time now)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < l->n; i++) {
+		const struct seam_grant *g = &l->grant[i];
+
+		if (wants(g, now) && strcmp(g->holder, holder) &&
+		    (!dc || !strcmp(g->dc, dc)))
+			sum += g->want;
+	}
+	return sum;
+}
+
+static int compare(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Greatest level such that the demands, each cut at it, fit in @limit. */
+static int64_t water_level(int64_t *demand, size_t n, int64_t limit)
+{
+	size_t i;
+
+	qsort(demand, n, sizeof(*demand), compare);
+	for (i = 0; i < n; i++) {
+		if (demand[i] * (int64_t)(n - i) > limit)
+			return limit / (int64_t)(n - i);
+		limit -= demand[i];
+	}
+	return SEAM_TEAM_UNITS_MAX;
+}
+
+int64_t seam_ledger_fair(const struct seam_ledger *l, const char *holder,
+			 seam_time now)
+{
+	int64_t *demand = calloc(l->n + 1, sizeof(*demand));
+	const struct seam_grant *own = seam_ledger_find(l, holder);
+	int64_t mine;
+	size_t i;
+
+	if (!demand || !own) {
+		free(demand);
+		return own ? own->units : 0;
+	}
+	for (i = 0; i < l->n; i++) {
+		const struct seam_grant *g = &l->grant[i];
+
+		demand[i] = g->units + (wants(g, now) ? g->want : 0);
+	}
+	mine = own->units + (wants(own, now) ? own->want : 0);
+	mine = min64(mine, water_level(demand, l->n, l->limit));
+	free(demand);
+	return mine;
+}
+
+void seam_ledger_trim(struct seam_ledger *l, seam_time now)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < l->n; i++) {
+		struct seam_grant *g = &l->grant[i];
+
+		if (!wants(g, now)) {
+			g->want = 0;
+			g->want_until = 0;
+		}
+		if (g->units || g->want)
+			l->grant[kept++] = *g;
+	}
+	l->n = kept;
+	l->ceiling = max64(l->limit, seam_ledger_sum(l));
+}
+
+static int begin(const struct seam_row *row,
+		 const struct seam_team_terms *terms, const char *holder,
+		 struct seam_ledger *l, struct seam_grant *g,
+		 struct seam_err *e)
+{
+	memset(g, 0, sizeof(*g));
+	if (g_strlcpy(g->holder, holder, sizeof(g->holder)) >=
+	    sizeof(g->holder))
+		return seam_fail(e, SEAM_BAD_REQUEST, "holder too long");
+	if (seam_ledger_read(row, terms->name, l, e))
+		return -1;
+	seam_ledger_terms(l, terms);
+	return 0;
+}
+
+static uint64_t row_version(const struct seam_row *row)
+{
+	return row && row->data ? row->version : SEAM_ABSENT;
+}
+
+int seam_team_prepare(const struct seam_row *row,
+		      const struct seam_team_terms *terms, const char *holder,
+		      int64_t units, seam_time now, struct seam_team_put *p,
+		      struct seam_err *e)
+{
+	struct seam_ledger l;
+	struct seam_grant g;
+	int rc;
+
+	if (begin(row, terms, holder, &l, &g, e))
+		return -1;
+	g.units = units;
+	rc = seam_ledger_grant(&l, terms, &g, e);
+	if (!rc)
+		rc = seam_ledger_want(&l, &g, 0, 0, e);
+	seam_ledger_trim(&l, now);
+	if (!rc)
+		rc = seam_team_put(&l, row_version(row), p, e);
+	seam_ledger_free(&l);
+	return rc;
+}
+
+int seam_team_prepare_want(const struct seam_row *row,
+			   const struct seam_team_terms *terms,
+			   const char *holder, int64_t want, seam_time now,
+			   struct seam_team_put *p, struct seam_err *e)
+{
+	struct seam_ledger l;
+	struct seam_grant g;
+	int rc;
+
+	if (begin(row, terms, holder, &l, &g, e))
+		return -1;
+	rc = seam_ledger_want(&l, &g, want, now + WANT_LIFE, e);
+	seam_ledger_trim(&l, now);
+	if (!rc)
+		rc = seam_team_put(&l, row_version(row), p, e);
+	seam_ledger_free(&l);
+	return rc;
+}
