--- a/process/team.h
+++ b/process/team.h
@@ -172,13 +172,13 @@
 void seam_team_key(const char *team, char key[SEAM_KEY_MAX]);
 
 /**
- * seam_team_put() - prepare the write of a ledger
+ * seam_team_encode() - prepare the write of a ledger
  * @l: new content
  * @version: version of the row that it was made from, or SEAM_ABSENT
  * @p: receives the write
  * @e: SEAM_NO_MEMORY
  */
-int seam_team_put(const struct seam_ledger *l, uint64_t version,
+int seam_team_encode(const struct seam_ledger *l, uint64_t version,
 		  struct seam_team_put *p, struct seam_err *e);
 
 /** seam_team_put_free() - free the content */
@@ -261,12 +261,14 @@
 /**
  * seam_teams_configure() - take over teams and data centres
  * @t: holdings
+ * @conf: version of the configuration
  * @terms: all teams; copied
  * @n: their number
  *
- * A team that is no longer listed gets limit 0.
+ * A team that is no longer listed gets limit 0. Called by the thread of the
+ * pass.
  */
-void seam_teams_configure(struct seam_teams *t,
+void seam_teams_configure(struct seam_teams *t, uint64_t conf,
 			  const struct seam_team_terms *terms, size_t n);
 
 /**
--- /dev/null
+++ b/process/team_hold.c
@@ -0,0 +1,205 @@
+#include "base/count.h"
+#include "base/log.h"
+#include "process/team_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+SEAM_COUNT(refused_total, "seam_team_units_refused_total",
+	   "Units of requests refused for lack of granted units.");
+SEAM_COUNT(held_total, "seam_team_units_held_total",
+	   "Units kept because the end of a request was not known.");
+
+struct seam_team_slot *seam_teams_slot(struct seam_teams *t, const char *name)
+{
+	struct seam_handle h;
+
+	h.bits = GPOINTER_TO_UINT(g_hash_table_lookup(t->index, name));
+	return seam_table_get(t->table, h);
+}
+
+void seam_slot_expire(struct seam_team_slot *s, seam_time now)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < s->holds; i++) {
+		if (s->hold[i].until > now) {
+			s->hold[kept++] = s->hold[i];
+			continue;
+		}
+		s->held -= s->hold[i].units;
+		s->running -= s->hold[i].units;
+	}
+	s->holds = kept;
+}
+
+int64_t seam_slot_peak(const struct seam_team_slot *s)
+{
+	return s->peak[0] > s->peak[1] ? s->peak[0] : s->peak[1];
+}
+
+int64_t seam_slot_safe_cap(const struct seam_team_slot *s)
+{
+	int64_t cap = s->row_cap < s->units ? s->row_cap : s->units;
+
+	if (s->lower < cap)
+		cap = s->lower;
+	if (s->pending && s->pending_units < cap)
+		cap = s->pending_units;
+	return cap;
+}
+
+static void note_demand(struct seam_team_slot *s)
+{
+	int64_t demand = s->running + s->burst;
+
+	if (demand > s->peak[0])
+		s->peak[0] = demand;
+}
+
+static int refuse(struct seam_team_slot *s, int units, struct seam_err *e)
+{
+	s->burst += units;
+	s->refused += units;
+	seam_count_add(&refused_total, units);
+	return seam_fail(e, SEAM_OVER_LIMIT,
+			 "team %s: limit %lld, this node's grant %lld, cap "
+			 "%lld, running %lld",
+			 s->name, (long long)s->terms.limit,
+			 (long long)s->units, (long long)s->cap,
+			 (long long)s->running);
+}
+
+static int take(struct seam_admit *a, const char *team, int units,
+		seam_time now, struct seam_err *e)
+{
+	struct seam_teams *t = (struct seam_teams *)a;
+	struct seam_team_slot *s;
+	int rc = 0;
+
+	pthread_mutex_lock(&t->lock);
+	s = seam_teams_slot(t, team);
+	if (!s) {
+		pthread_mutex_unlock(&t->lock);
+		return seam_fail(e, SEAM_OVER_LIMIT,
+				 "team %s: no grant on this node yet", team);
+	}
+	if (s->holds)
+		seam_slot_expire(s, now);
+	if (s->running + units > s->cap) {
+		rc = refuse(s, units, e);
+	} else {
+		s->running += units;
+		SEAM_INVARIANT(s->running <= s->units, "team",
+			       "team %s: running %lld, grant %lld", s->name,
+			       (long long)s->running, (long long)s->units);
+	}
+	note_demand(s);
+	pthread_mutex_unlock(&t->lock);
+	if (rc && t->demand)
+		t->demand(t->demand_arg);
+	return rc;
+}
+
+static void release(struct seam_admit *a, const char *team, int units,
+		    seam_time now)
+{
+	struct seam_teams *t = (struct seam_teams *)a;
+	struct seam_team_slot *s;
+
+	(void)now;
+	pthread_mutex_lock(&t->lock);
+	s = seam_teams_slot(t, team);
+	if (s) {
+		SEAM_INVARIANT(s->running - s->held >= units, "team",
+			       "team %s: %d units released, %lld taken", team,
+			       units, (long long)(s->running - s->held));
+		s->running -= units;
+	}
+	pthread_mutex_unlock(&t->lock);
+}
+
+static bool add_hold(struct seam_team_slot *s, seam_time until, int units)
+{
+	struct seam_held *more;
+	size_t i;
+
+	/* Rounded up, so that the list stays as short as the longest request
+	 * has seconds. */
+	until = (until + SEAM_SEC - 1) / SEAM_SEC * SEAM_SEC;
+	for (i = 0; i < s->holds; i++)
+		if (s->hold[i].until == until) {
+			s->hold[i].units += units;
+			return true;
+		}
+	more = realloc(s->hold, (s->holds + 1) * sizeof(*more));
+	if (!more)
+		return false;
+	s->hold = more;
+	more[s->holds++] = (struct seam_held){until, units};
+	return true;
+}
+
+static void hold_until(struct seam_admit *a, const char *team, int units,
+		       seam_time until)
+{
+	struct seam_teams *t = (struct seam_teams *)a;
+	struct seam_team_slot *s;
+
+	pthread_mutex_lock(&t->lock);
+	s = seam_teams_slot(t, team);
+	/* Without memory the units stay taken for good, which is safe. */
+	if (s && add_hold(s, until, units)) {
+		s->held += units;
+		seam_count_add(&held_total, units);
+	}
+	pthread_mutex_unlock(&t->lock);
+}
+
+const struct seam_admit_ops seam_teams_admit_ops = {
+	.take = take,
+	.release = release,
+	.hold_until = hold_until,
+};
+
+static void fill(const struct seam_team_slot *s, struct seam_team_info *o)
+{
+	memcpy(o->name, s->name, sizeof(o->name));
+	o->limit = s->terms.limit;
+	o->units = s->units;
+	o->cap = s->cap;
+	o->running = s->running;
+	o->held = s->held;
+	o->peak = seam_slot_peak(s);
+	o->refused = s->refused;
+	o->damaged = s->damaged;
+}
+
+bool seam_teams_info(struct seam_teams *t, const char *team,
+		     struct seam_team_info *out)
+{
+	struct seam_team_slot *s;
+
+	pthread_mutex_lock(&t->lock);
+	s = seam_teams_slot(t, team);
+	if (s)
+		fill(s, out);
+	pthread_mutex_unlock(&t->lock);
+	return s != NULL;
+}
+
+struct seam_team_info *seam_teams_list(struct seam_teams *t, size_t *n)
+{
+	struct seam_team_info *out;
+	struct seam_team_slot *s;
+	struct seam_handle h = SEAM_NONE;
+
+	*n = 0;
+	pthread_mutex_lock(&t->lock);
+	out = calloc(seam_table_count(t->table) + 1, sizeof(*out));
+	while (out && (s = seam_table_next(t->table, &h)))
+		fill(s, &out[(*n)++]);
+	pthread_mutex_unlock(&t->lock);
+	return out;
+}
--- a/process/team_ledger.c
+++ b/process/team_ledger.c
@@ -303,7 +303,7 @@
 		rc = seam_ledger_want(&l, &g, 0, 0, e);
 	seam_ledger_trim(&l, now);
 	if (!rc)
-		rc = seam_team_put(&l, row_version(row), p, e);
+		rc = seam_team_encode(&l, row_version(row), p, e);
 	seam_ledger_free(&l);
 	return rc;
 }
@@ -322,7 +322,7 @@
 	rc = seam_ledger_want(&l, &g, want, now + WANT_LIFE, e);
 	seam_ledger_trim(&l, now);
 	if (!rc)
-		rc = seam_team_put(&l, row_version(row), p, e);
+		rc = seam_team_encode(&l, row_version(row), p, e);
 	seam_ledger_free(&l);
 	return rc;
 }
--- /dev/null
+++ b/process/team_read.c
@@ -0,0 +1,222 @@
+#include "base/count.h"
+#include "base/json.h"
+#include "base/log.h"
+#include "process/team_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define READ_TIMEOUT (2 * SEAM_SEC)
+#define SWEEP_PERIOD (1 * SEAM_SEC)
+#define MEMBERS_PERIOD (10 * SEAM_SEC)
+#define SWEEP_ROWS 64
+#define GETS_MAX 16 /* single rows in one pass */
+#define MEMBERS_MAX 1024
+
+SEAM_COUNT(damaged_rows, "seam_team_rows_damaged_total",
+	   "Rows of teams that could not be read.");
+SEAM_COUNT(reads_failed, "seam_team_reads_failed_total",
+	   "Reads of team rows that the store did not answer.");
+SEAM_COUNT(lost_grants, "seam_team_grants_lost_total",
+	   "Own grants that another node had taken back.");
+
+/* The grant in the row as far as admission is concerned. */
+static void adopt(struct seam_teams *t, struct seam_team_slot *s,
+		  const struct seam_grant *own)
+{
+	int64_t units = own ? own->units : 0;
+
+	pthread_mutex_lock(&t->lock);
+	if (s->pending && s->row.version != s->pending_version)
+		s->pending = false;
+	if (units < s->units && s->running > units) {
+		seam_count_add(&lost_grants, s->running - units);
+		seam_log(SEAM_WARN, "team",
+			 "Team %s: grant fell to %lld with %lld running.",
+			 s->name, (long long)units, (long long)s->running);
+	}
+	s->units = units;
+	s->row_cap = own ? own->cap : 0;
+	s->cap = seam_slot_safe_cap(s);
+	pthread_mutex_unlock(&t->lock);
+}
+
+/*
+ * Takes over @row. A damaged row changes nothing: the node keeps to the units
+ * that it knows of, and nobody raises a grant.
+ */
+void seam_teams_absorb(struct seam_teams *t, struct seam_team_slot *s,
+		       struct seam_row *row)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_ledger l;
+	bool bad = seam_ledger_read(row, s->name, &l, &e) != 0;
+
+	if (bad) {
+		if (!s->damaged)
+			seam_log(SEAM_ERROR, "team", "%s.", e.text);
+		seam_count_add(&damaged_rows, 1);
+	}
+	pthread_mutex_lock(&t->lock);
+	s->damaged = bad;
+	pthread_mutex_unlock(&t->lock);
+	s->read_at = SEAM_NEVER;
+	if (s->row.version != row->version)
+		s->plan_at = 0;
+	if (bad) {
+		seam_row_free(row);
+		return;
+	}
+	seam_row_free(&s->row);
+	s->row = *row;
+	s->known = true;
+	adopt(t, s, seam_ledger_find(&l, t->grant.holder));
+	seam_ledger_free(&l);
+}
+
+static bool read_one(struct seam_teams *t, struct seam_team_slot *s,
+		     seam_time now)
+{
+	struct seam_row row = {.data = NULL};
+	struct seam_err e = SEAM_ERR_INIT;
+	char key[SEAM_KEY_MAX];
+
+	seam_team_key(s->name, key);
+	if (seam_store_get(t->self.store, key, &row, now + READ_TIMEOUT, &e) &&
+	    e.kind != SEAM_NOT_FOUND) {
+		seam_count_add(&reads_failed, 1);
+		return false;
+	}
+	t->bytes -= (int64_t)row.len;
+	seam_teams_absorb(t, s, &row);
+	return true;
+}
+
+static void read_due(struct seam_teams *t, seam_time now)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_team_slot *s;
+	int left = GETS_MAX;
+
+	while (left && t->bytes > 0 && (s = seam_table_next(t->table, &h))) {
+		if (s->read_at > now)
+			continue;
+		if (!read_one(t, s, now))
+			return;
+		left--;
+	}
+}
+
+/* Teams with keys above t->after and up to @last have no row if the scan did
+ * not return one. */
+static void absorb_absent(struct seam_teams *t, const struct seam_rows *rows,
+			  const char *last)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_team_slot *s;
+	char key[SEAM_KEY_MAX];
+	size_t i;
+
+	while ((s = seam_table_next(t->table, &h))) {
+		struct seam_row none = {.data = NULL};
+
+		seam_team_key(s->name, key);
+		if (strcmp(key, t->after) <= 0 || (last && strcmp(key, last) > 0))
+			continue;
+		for (i = 0; i < rows->n; i++)
+			if (!strcmp(rows->row[i].key, key))
+				break;
+		if (i == rows->n)
+			seam_teams_absorb(t, s, &none);
+	}
+}
+
+static void absorb_rows(struct seam_teams *t, struct seam_rows *rows)
+{
+	size_t i;
+
+	for (i = 0; i < rows->n; i++) {
+		struct seam_row *row = &rows->row[i];
+		const char *name = row->key + strlen("team/");
+		struct seam_team_slot *s = seam_teams_slot(t, name);
+
+		t->bytes -= (int64_t)row->len;
+		if (!s)
+			continue;
+		seam_teams_absorb(t, s, row);
+		row->data = NULL;
+	}
+}
+
+static void sweep(struct seam_teams *t, seam_time now)
+{
+	struct seam_rows rows = {.row = NULL};
+	struct seam_err e = SEAM_ERR_INIT;
+	bool end;
+
+	if (seam_store_scan(t->self.store, "team/", t->after, SWEEP_ROWS, &rows,
+			    now + READ_TIMEOUT, &e)) {
+		seam_count_add(&reads_failed, 1);
+		return;
+	}
+	end = rows.n < SWEEP_ROWS;
+	absorb_absent(t, &rows, end ? NULL : rows.row[rows.n - 1].key);
+	if (end)
+		*t->after = '\0';
+	else
+		memcpy(t->after, rows.row[rows.n - 1].key, sizeof(t->after));
+	absorb_rows(t, &rows);
+	seam_rows_free(&rows);
+}
+
+static void add_member(struct seam_teams *t, const struct seam_row *row)
+{
+	struct json_object *o = json_tokener_parse(row->data);
+	int64_t incarnation = seam_json_int(o, "incarnation", 0);
+	int64_t *value;
+
+	if (incarnation > 0) {
+		value = g_new(int64_t, 1);
+		*value = incarnation;
+		g_hash_table_replace(t->member,
+				     g_strdup(row->key + strlen("member/")),
+				     value);
+		t->nodes++;
+		t->dc_nodes += !strcmp(seam_json_str(o, "data_centre", ""),
+				       t->self.dc);
+	}
+	json_object_put(o);
+}
+
+static void read_members(struct seam_teams *t, seam_time now)
+{
+	struct seam_rows rows = {.row = NULL};
+	struct seam_err e = SEAM_ERR_INIT;
+	size_t i;
+
+	if (seam_store_scan(t->self.store, "member/", NULL, MEMBERS_MAX, &rows,
+			    now + READ_TIMEOUT, &e)) {
+		seam_count_add(&reads_failed, 1);
+		return;
+	}
+	g_hash_table_remove_all(t->member);
+	t->nodes = 0;
+	t->dc_nodes = 0;
+	for (i = 0; i < rows.n; i++)
+		add_member(t, &rows.row[i]);
+	seam_rows_free(&rows);
+}
+
+void seam_teams_read(struct seam_teams *t, seam_time now)
+{
+	read_due(t, now);
+	if (now >= t->sweep_at && t->bytes > 0) {
+		sweep(t, now);
+		t->sweep_at = now + SWEEP_PERIOD;
+	}
+	if (now >= t->members_at) {
+		read_members(t, now);
+		t->members_at = now + MEMBERS_PERIOD;
+	}
+}
--- a/process/team_row.c
+++ b/process/team_row.c
@@ -163,7 +163,7 @@
 	snprintf(key, SEAM_KEY_MAX, "team/%s", team);
 }
 
-int seam_team_put(const struct seam_ledger *l, uint64_t version,
+int seam_team_encode(const struct seam_ledger *l, uint64_t version,
 		  struct seam_team_put *p, struct seam_err *e)
 {
 	struct json_object *o;
