team: start nothing while work is above a lowered limit

Cause: caps in proportion to grants let one node start work while others were still above the new limit. Change: holders start nothing until the grants fit in the limit, and release what they do not use.

--- a/process/team.h
+++ b/process/team.h
@@ -40,8 +40,6 @@
  * @dc: data centre of a node; "" for a bucket
  * @vm: VM of a node; "" for a bucket
  * @units: units counted against the limit
- * @cap: units that the holder may use; less than @units after the limit was
- *       lowered, until the holder has released the rest
  * @want: more units wanted, valid until @want_until
  * @want_until: deadline of the want
  * @reclaim_at: holder is dead; its units are free from this time on; 0 if not
@@ -51,7 +49,6 @@
 	char dc[SEAM_TEAM_NAME];
 	char vm[SEAM_TEAM_NAME];
 	int64_t units;
-	int64_t cap;
 	int64_t want;
 	seam_time want_until;
 	seam_time reclaim_at;
@@ -67,8 +64,9 @@
  * @grant: grants
  * @n: their number
  *
- * At every version of the row the units sum to at most @ceiling and the caps
- * to at most @limit.
+ * At every version of the row the units sum to at most @ceiling. While they
+ * sum to more than @limit, no holder starts work; each releases what it does
+ * not use until the sum is within @limit.
  */
 struct seam_ledger {
 	char team[SEAM_TEAM_NAME];
@@ -98,6 +96,9 @@
 /** seam_ledger_sum() - units granted */
 int64_t seam_ledger_sum(const struct seam_ledger *l);
 
+/** seam_ledger_open() - whether holders may start work with their units */
+bool seam_ledger_open(const struct seam_ledger *l);
+
 /** seam_ledger_dc_sum() - units granted to holders in @dc */
 int64_t seam_ledger_dc_sum(const struct seam_ledger *l, const char *dc);
 
@@ -111,8 +112,6 @@
 /**
  * seam_ledger_terms() - adopt a newer limit
  *
- * A lower limit takes effect at once in the caps, in proportion to the units.
- *
  * Return: true if the ledger changed.
  */
 bool seam_ledger_terms(struct seam_ledger *l,
--- a/process/team_dead.c
+++ b/process/team_dead.c
@@ -100,7 +100,6 @@
 				 l->team, (long long)g->units, g->holder);
 			seam_count_add(&reclaimed, g->units);
 			g->units = 0;
-			g->cap = 0;
 			g->want = 0;
 			changed = true;
 		}
--- a/process/team_impl.h
+++ b/process/team_impl.h
@@ -41,7 +41,7 @@
 	bool damaged;
 	bool hinted; /* a peer says that the row changed */
 	int64_t units; /* in the row */
-	int64_t row_cap; /* cap in the row */
+	int64_t row_cap; /* what the row allows: units, or 0 above the limit */
 	int64_t lower; /* cap of a decrease that the row does not show yet */
 	int64_t cap; /* what admission uses */
 	int64_t running;
--- a/process/team_ledger.c
+++ b/process/team_ledger.c
@@ -52,38 +52,29 @@
 int seam_ledger_check(const struct seam_ledger *l, struct seam_err *e)
 {
 	int64_t units = 0;
-	int64_t caps = 0;
 	size_t i;
 
 	for (i = 0; i < l->n; i++) {
 		const struct seam_grant *g = &l->grant[i];
 
-		if (g->units < 0 || g->cap < 0 || g->cap > g->units)
+		if (g->units < 0 || g->want < 0)
 			return seam_fail(e, SEAM_INTERNAL,
 					 "team %s: grant of %s out of range",
 					 l->team, g->holder);
 		units += g->units;
-		caps += g->cap;
 	}
-	if (units > l->ceiling || caps > l->limit)
+	if (units > l->ceiling || l->limit > l->ceiling)
 		return seam_fail(e, SEAM_INTERNAL,
-				 "team %s: grants %lld, caps %lld, limit %lld",
-				 l->team, (long long)units, (long long)caps,
-				 (long long)l->limit);
+				 "team %s: grants %lld, ceiling %lld, limit "
+				 "%lld",
+				 l->team, (long long)units,
+				 (long long)l->ceiling, (long long)l->limit);
 	return 0;
 }
 
-static void set_caps(struct seam_ledger *l)
+bool seam_ledger_open(const struct seam_ledger *l)
 {
-	int64_t sum = seam_ledger_sum(l);
-	size_t i;
-
-	for (i = 0; i < l->n; i++) {
-		struct seam_grant *g = &l->grant[i];
-
-		g->cap = sum <= l->limit ? g->units : g->units * l->limit / sum;
-	}
-	l->ceiling = max64(l->limit, sum);
+	return seam_ledger_sum(l) <= l->limit;
 }
 
 bool seam_ledger_terms(struct seam_ledger *l,
@@ -95,7 +86,7 @@
 	if (terms->limit == l->limit)
 		return false;
 	l->limit = terms->limit;
-	set_caps(l);
+	l->ceiling = max64(l->limit, seam_ledger_sum(l));
 	return true;
 }
 
@@ -161,9 +152,6 @@
 	own = get_grant(l, g);
 	if (!own)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
-	/* A lowered cap is kept: a new share of the limit would let a holder
-	 * start work while others still have to shrink. */
-	own->cap = g->units > have ? g->units : min64(own->cap, g->units);
 	own->units = g->units;
 	l->ceiling = max64(l->limit, seam_ledger_sum(l));
 	return 0;
--- a/process/team_plan.c
+++ b/process/team_plan.c
@@ -100,6 +100,17 @@
 	return p->release_at <= c->now ? above_floor(c, surplus) : 0;
 }
 
+/* The limit is below the grants: nothing starts, and what this node does not
+ * use is released as far as needed. */
+static void shrink(const struct seam_team_case *c, int64_t units,
+		   struct seam_team_plan *p)
+{
+	int64_t excess = seam_ledger_sum(c->ledger) - c->ledger->limit;
+
+	p->units = min64(units, max64(c->running, units - excess));
+	p->cap = 0;
+}
+
 void seam_team_plan(const struct seam_team_case *c, struct seam_team_plan *p)
 {
 	const struct seam_grant *own =
@@ -111,8 +122,8 @@
 	p->cap = units;
 	p->want = 0;
 	p->release_at = 0;
-	if (own && own->cap < units) {
-		p->units = p->cap = own->cap;
+	if (!seam_ledger_open(c->ledger)) {
+		shrink(c, units, p);
 		return;
 	}
 	raise_units(c, units, p);
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -23,8 +23,9 @@
 
 /* The grant in the row as far as admission is concerned. */
 static void adopt(struct seam_teams *t, struct seam_team_slot *s,
-		  const struct seam_grant *own)
+		  const struct seam_ledger *l)
 {
+	const struct seam_grant *own = seam_ledger_find(l, t->grant.holder);
 	int64_t units = own ? own->units : 0;
 
 	pthread_mutex_lock(&t->lock);
@@ -37,7 +38,7 @@
 			 s->name, (long long)units, (long long)s->running);
 	}
 	s->units = units;
-	s->row_cap = own ? own->cap : 0;
+	s->row_cap = seam_ledger_open(l) ? units : 0;
 	s->cap = seam_slot_safe_cap(s);
 	pthread_mutex_unlock(&t->lock);
 }
@@ -71,7 +72,7 @@
 	seam_row_free(&s->row);
 	s->row = *row;
 	s->known = true;
-	adopt(t, s, seam_ledger_find(&l, t->grant.holder));
+	adopt(t, s, &l);
 	seam_ledger_free(&l);
 }
 
--- a/process/team_row.c
+++ b/process/team_row.c
@@ -18,8 +18,6 @@
 	struct json_object *o = json_object_new_object();
 
 	add_int(o, "units", g->units);
-	if (g->cap != g->units)
-		add_int(o, "cap", g->cap);
 	if (*g->dc)
 		json_object_object_add(o, "dc", json_object_new_string(g->dc));
 	if (*g->vm)
@@ -87,7 +85,6 @@
 	    sizeof(g->holder))
 		return false;
 	return get_int(o, "units", -1, SEAM_TEAM_UNITS_MAX, &g->units) &&
-	       get_int(o, "cap", g->units, g->units, &g->cap) &&
 	       get_int(o, "want", 0, SEAM_TEAM_UNITS_MAX, &g->want) &&
 	       get_int(o, "want_until", 0, INT64_MAX, &g->want_until) &&
 	       get_int(o, "reclaim_at", 0, INT64_MAX, &g->reclaim_at) &&
--- a/process/team_write.c
+++ b/process/team_write.c
@@ -72,7 +72,7 @@
 	s->release_at = p->release_at;
 	s->plan_at = now + PLAN_PERIOD;
 	s->hungry_at = p->units > s->units ? 0 : now + HUNGRY_PERIOD;
-	if (p->want && s->read_at == SEAM_NEVER)
+	if ((p->want || !seam_ledger_open(l)) && s->read_at == SEAM_NEVER)
 		s->read_at = now + WANT_READ +
 			     (seam_time)(seam_teams_random(t) % WANT_READ);
 }
