--- a/process/fresh.c
+++ b/process/fresh.c
@@ -11,9 +11,10 @@
 	size_t bound; /* offset in struct seam_fresh_bounds */
 	bool store;
 } needs[SEAM_FRESH_CLASSES] = {
-	[SEAM_FRESH_IDEMPOTENT] =
-		{"idempotent request", "configuration",
-		 offsetof(struct seam_fresh_bounds, stale_serve_ms), false},
+	[SEAM_FRESH_IDEMPOTENT] = {"idempotent request", "configuration",
+				   offsetof(struct seam_fresh_bounds,
+					    stale_serve_ms),
+				   false},
 	[SEAM_FRESH_NON_IDEMPOTENT] =
 		{"non-idempotent request", "configuration",
 		 offsetof(struct seam_fresh_bounds, stale_key_ms), false},
--- a/process/node.h
+++ b/process/node.h
@@ -51,6 +51,7 @@
  * @fleet: VMs with their pools
  * @owner: who decides for a shard; never NULL
  * @admit: units of the teams' limits; NULL admits everything
+ * @incarnation: grows with each start of the node; 0 if not yet chosen
  * @targets: targets and connections to them
  * @http: front end
  * @confirmed_at: latest time at which @conf was known to be the newest
@@ -66,6 +67,7 @@
 	struct seam_fleet *fleet;
 	struct seam_owner *owner;
 	struct seam_admit *admit;
+	int64_t incarnation;
 	struct seam_targets *targets;
 	struct seam_http *http;
 	seam_time confirmed_at;
@@ -117,6 +119,7 @@
 /* The parts, in the order in which a node starts them. */
 struct seam_part *seam_part_versions(struct seam_node *n);
 struct seam_part *seam_part_inventory(struct seam_node *n);
+struct seam_part *seam_part_teams(struct seam_node *n);
 struct seam_part *seam_part_requests(struct seam_node *n);
 struct seam_part *seam_part_admin(struct seam_node *n);
 
--- /dev/null
+++ b/process/part_teams.c
@@ -0,0 +1,331 @@
+#include "base/log.h"
+#include "process/node.h"
+#include "process/team.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PATH_EXPLAIN "/v1/explain/team/"
+#define ROWS_MAX 1000
+#define DCS_MAX 64
+
+/* Holds this node's units of the teams' limits. */
+struct part_teams {
+	struct seam_part part;
+	struct seam_node *node;
+	struct seam_teams *teams;
+	struct seam_loop loop;
+	bool configured;
+	uint64_t version;
+};
+
+/* Units are reserved in each data centre only for teams that can send requests
+ * there; for others they would be idle. */
+static bool calls_services(const struct seam_conf *c, const char *team)
+{
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_service *s;
+	char **t;
+
+	while ((s = seam_conf_next(c, SEAM_CONF_SERVICE, &h))) {
+		if (!s->teams)
+			return true;
+		for (t = s->teams; *t; t++)
+			if (!strcmp(*t, team))
+				return true;
+	}
+	return false;
+}
+
+static size_t list_dcs(const struct seam_conf *c, char (*dc)[SEAM_TEAM_NAME])
+{
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_dc *d;
+	size_t n = 0;
+
+	while (n < DCS_MAX && (d = seam_conf_next(c, SEAM_CONF_DC, &h)))
+		if (d->state == SEAM_DC_STATE_IN)
+			memcpy(dc[n++], d->name, SEAM_TEAM_NAME);
+	return n;
+}
+
+static void fill_terms(const struct seam_conf *c, const struct seam_team *team,
+		       const char (*dc)[SEAM_TEAM_NAME], size_t dcs,
+		       struct seam_team_terms *t)
+{
+	memset(t, 0, sizeof(*t));
+	memcpy(t->name, team->name, sizeof(t->name));
+	t->limit = team->limit < SEAM_TEAM_UNITS_MAX ? team->limit :
+						       SEAM_TEAM_UNITS_MAX;
+	t->conf = seam_conf_version(c);
+	t->dc = dc;
+	t->dcs = dcs;
+	if (dcs && calls_services(c, team->name))
+		t->floor = t->limit / 2 / (int64_t)dcs;
+}
+
+static void configure(struct part_teams *p)
+{
+	struct seam_conf *c = seam_conf_current(&p->node->conf);
+	size_t n = seam_conf_count(c, SEAM_CONF_TEAM);
+	struct seam_team_terms *terms = calloc(n + 1, sizeof(*terms));
+	char(*dc)[SEAM_TEAM_NAME] = calloc(DCS_MAX, sizeof(*dc));
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_team *team;
+	size_t dcs;
+	size_t i = 0;
+
+	if (terms && dc &&
+	    (!p->configured || seam_conf_version(c) != p->version)) {
+		dcs = list_dcs(c, dc);
+		while (i < n && (team = seam_conf_next(c, SEAM_CONF_TEAM, &h)))
+			fill_terms(c, team, (const char(*)[SEAM_TEAM_NAME])dc,
+				   dcs, &terms[i++]);
+		seam_teams_configure(p->teams, seam_conf_version(c), terms, i);
+		p->version = seam_conf_version(c);
+		p->configured = true;
+	}
+	free(terms);
+	free(dc);
+	seam_conf_drop(c);
+}
+
+static void list_vms(struct part_teams *p)
+{
+	seam_time as_of;
+	size_t n;
+	size_t i;
+	struct seam_fleet_vm *vm =
+		seam_fleet_copy(p->node->fleet, NULL, &n, &as_of);
+	const char **id = calloc(n + 1, sizeof(*id));
+
+	for (i = 0; id && i < n; i++)
+		id[i] = vm[i].vm.id;
+	if (id)
+		seam_teams_vms(p->teams, id, n, as_of);
+	free(id);
+	free(vm);
+}
+
+static seam_time pass(void *arg, seam_time now)
+{
+	struct part_teams *p = arg;
+
+	configure(p);
+	list_vms(p);
+	return seam_teams_pass(p->teams, now);
+}
+
+static void add_int(struct json_object *o, const char *name, int64_t v)
+{
+	json_object_object_add(o, name, json_object_new_int64(v));
+}
+
+static struct json_object *here_json(const struct seam_team_info *i)
+{
+	struct json_object *o = json_object_new_object();
+
+	add_int(o, "granted", i->units);
+	add_int(o, "usable", i->cap);
+	add_int(o, "running", i->running);
+	add_int(o, "held", i->held);
+	add_int(o, "peak", i->peak);
+	add_int(o, "refused", i->refused);
+	json_object_object_add(o, "row_damaged",
+			       json_object_new_boolean(i->damaged));
+	return o;
+}
+
+static void reply_json(struct seam_call *c, struct json_object *o)
+{
+	seam_reply_text(
+		c, 200, "application/json",
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PRETTY));
+	json_object_put(o);
+}
+
+static struct json_object *row_json(const struct seam_rows *rows,
+				    const char *team)
+{
+	char key[SEAM_KEY_MAX];
+	size_t i;
+
+	seam_team_key(team, key);
+	for (i = 0; i < rows->n; i++)
+		if (!strcmp(rows->row[i].key, key))
+			return json_tokener_parse(rows->row[i].data);
+	return NULL;
+}
+
+static void on_teams(struct seam_call *c, void *arg)
+{
+	struct part_teams *p = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_rows rows = {.row = NULL};
+	struct seam_team_info *info;
+	struct json_object *all;
+	size_t n;
+	size_t i;
+
+	if (!seam_node_operator(p->node, c, &e) ||
+	    seam_store_scan(p->node->store, "team/", NULL, ROWS_MAX, &rows,
+			    c->deadline, &e)) {
+		seam_reply_err(c, &e);
+		return;
+	}
+	info = seam_teams_list(p->teams, &n);
+	all = json_object_new_array();
+	for (i = 0; i < n; i++) {
+		struct json_object *o = json_object_new_object();
+
+		json_object_object_add(o, "team",
+				       json_object_new_string(info[i].name));
+		add_int(o, "limit", info[i].limit);
+		json_object_object_add(o, "this_node", here_json(&info[i]));
+		json_object_object_add(o, "ledger",
+				       row_json(&rows, info[i].name));
+		json_object_array_add(all, o);
+	}
+	free(info);
+	seam_rows_free(&rows);
+	reply_json(c, all);
+}
+
+static void terms_now(struct part_teams *p, const char *name,
+		      char (*dc)[SEAM_TEAM_NAME], struct seam_team_terms *t)
+{
+	struct seam_conf *c = seam_conf_current(&p->node->conf);
+	const struct seam_team *team = seam_conf_named(c, SEAM_CONF_TEAM, name);
+
+	memset(t, 0, sizeof(*t));
+	if (team)
+		fill_terms(c, team, (const char(*)[SEAM_TEAM_NAME])dc,
+			   list_dcs(c, dc), t);
+	seam_conf_drop(c);
+}
+
+static struct json_object *explain(struct part_teams *p, const char *name,
+				   seam_time deadline)
+{
+	struct json_object *o = json_object_new_object();
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_row row = {.data = NULL};
+	struct seam_ledger l = {.n = 0};
+	struct seam_team_info here;
+	struct seam_team_terms terms;
+	char dc[DCS_MAX][SEAM_TEAM_NAME];
+	char key[SEAM_KEY_MAX];
+	char text[400];
+	bool known = seam_teams_info(p->teams, name, &here);
+	bool read;
+	bool refused;
+
+	terms_now(p, name, dc, &terms);
+	seam_team_key(name, key);
+	read = (!seam_store_get(p->node->store, key, &row, deadline, &e) ||
+		e.kind == SEAM_NOT_FOUND) &&
+	       !seam_ledger_read(&row, name, &l, &e);
+	refused = seam_team_explain(read ? &l : NULL, known ? &here : NULL,
+				    &terms, text, sizeof(text));
+	json_object_object_add(o, "team", json_object_new_string(name));
+	json_object_object_add(o, "refused", json_object_new_boolean(refused));
+	json_object_object_add(o, "reason", json_object_new_string(text));
+	json_object_object_add(o, "this_node", known ? here_json(&here) : NULL);
+	json_object_object_add(o, "ledger", read ? seam_ledger_json(&l) : NULL);
+	if (!read)
+		json_object_object_add(o, "ledger_error",
+				       json_object_new_string(e.text));
+	seam_ledger_free(&l);
+	seam_row_free(&row);
+	return o;
+}
+
+static void on_explain(struct seam_call *c, void *arg)
+{
+	struct part_teams *p = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+	const char *name = c->path + strlen(PATH_EXPLAIN);
+
+	if (!seam_node_operator(p->node, c, &e)) {
+		seam_reply_err(c, &e);
+	} else if (!*name || strlen(name) >= SEAM_TEAM_NAME) {
+		seam_fail(&e, SEAM_NOT_FOUND, "no team named in the path");
+		seam_reply_err(c, &e);
+	} else {
+		reply_json(c, explain(p, name, c->deadline));
+	}
+}
+
+static void on_demand(void *arg)
+{
+	struct part_teams *p = arg;
+
+	seam_loop_wake(&p->loop);
+}
+
+static void fill_self(struct seam_node *n, struct seam_teams_self *s)
+{
+	if (!n->incarnation)
+		n->incarnation = seam_now(n->clock);
+	memset(s, 0, sizeof(*s));
+	memcpy(s->node, n->settings.node, sizeof(s->node));
+	memcpy(s->vm, n->settings.vm, sizeof(s->vm));
+	memcpy(s->dc, n->settings.data_centre, sizeof(s->dc));
+	s->incarnation = n->incarnation;
+	s->clock = n->clock;
+	s->store = n->store;
+	s->owner = n->owner;
+	s->skew = n->settings.clock_skew_ms * SEAM_MSEC;
+	s->list_lag = n->settings.vm_list_ms * SEAM_MSEC;
+	s->seed = (uint64_t)seam_now(n->clock) ^ seam_store_token();
+}
+
+static int start(struct seam_part *part, struct seam_err *e)
+{
+	struct part_teams *p = (struct part_teams *)part;
+	struct seam_node *n = p->node;
+	struct seam_teams_self self;
+
+	fill_self(n, &self);
+	p->teams = seam_teams_new(&self);
+	if (!p->teams)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	seam_http_route(n->http, "GET", "/v1/teams", on_teams, p);
+	seam_http_route(n->http, "GET", PATH_EXPLAIN, on_explain, p);
+	/* The first requests find units granted. */
+	pass(p, seam_now(n->clock));
+	if (seam_loop_start(&p->loop, n->clock, pass, p, e))
+		return -1;
+	seam_teams_on_demand(p->teams, on_demand, p);
+	n->admit = seam_teams_admit(p->teams);
+	return 0;
+}
+
+static void stop(struct seam_part *part)
+{
+	struct part_teams *p = (struct part_teams *)part;
+
+	if (p->node->admit) {
+		p->node->admit = NULL;
+		seam_loop_stop(&p->loop);
+	}
+	seam_teams_free(p->teams);
+	free(p);
+}
+
+static const struct seam_part_ops ops = {
+	.name = "team",
+	.start = start,
+	.stop = stop,
+};
+
+struct seam_part *seam_part_teams(struct seam_node *n)
+{
+	struct part_teams *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->part.ops = &ops;
+	p->node = n;
+	return &p->part;
+}
--- /dev/null
+++ b/process/share.c
@@ -0,0 +1,213 @@
+#include "process/share_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct seam_share *seam_share_new(void)
+{
+	struct seam_share *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return NULL;
+	s->team = seam_table_new(sizeof(struct seam_sharer));
+	s->workspace = seam_table_new(sizeof(struct seam_sharer));
+	if (s->team && s->workspace)
+		return s;
+	seam_share_free(s);
+	return NULL;
+}
+
+void seam_share_free(struct seam_share *s)
+{
+	if (!s)
+		return;
+	seam_table_free(s->team);
+	seam_table_free(s->workspace);
+	free(s);
+}
+
+void seam_share_capacity(struct seam_share *s, const struct seam_amount *all)
+{
+	s->all = *all;
+}
+
+static struct seam_sharer *add(struct seam_table *t, int64_t weight,
+			       struct seam_handle *h)
+{
+	struct seam_sharer *x = seam_table_add(t, h);
+
+	if (x)
+		x->weight = weight > 0 ? (double)weight : 1;
+	return x;
+}
+
+struct seam_handle seam_share_team(struct seam_share *s, int64_t weight)
+{
+	struct seam_handle h;
+
+	return add(s->team, weight, &h) ? h : SEAM_NONE;
+}
+
+struct seam_handle seam_share_workspace(struct seam_share *s,
+					struct seam_handle team, int64_t weight)
+{
+	struct seam_sharer *t = seam_table_get(s->team, team);
+	struct seam_sharer *w;
+	struct seam_handle h;
+
+	if (!t)
+		return SEAM_NONE;
+	w = add(s->workspace, weight, &h);
+	if (!w)
+		return SEAM_NONE;
+	w->team = team;
+	w->next = t->first;
+	t->first = h;
+	return h;
+}
+
+static void add_amount(struct seam_amount *a, const struct seam_amount *b,
+		       int64_t sign)
+{
+	int r;
+
+	for (r = 0; r < SEAM_RESOURCES; r++)
+		a->of[r] += sign * b->of[r];
+}
+
+static void unlink_workspace(struct seam_share *s, struct seam_sharer *t,
+			     struct seam_handle h)
+{
+	struct seam_handle *at = &t->first;
+	struct seam_sharer *w = seam_table_get(s->workspace, *at);
+
+	while (w && !seam_handle_eq(*at, h)) {
+		at = &w->next;
+		w = seam_table_get(s->workspace, *at);
+	}
+	if (w)
+		*at = w->next;
+}
+
+static void del_workspace(struct seam_share *s, struct seam_handle h)
+{
+	struct seam_sharer *w = seam_table_get(s->workspace, h);
+	struct seam_sharer *t = w ? seam_table_get(s->team, w->team) : NULL;
+
+	if (t) {
+		add_amount(&t->demand, &w->demand, -1);
+		add_amount(&t->used, &w->used, -1);
+		t->used_share = seam_share_dominant(&t->used, &s->all);
+		unlink_workspace(s, t, h);
+	}
+	seam_table_del(s->workspace, h);
+}
+
+void seam_share_del(struct seam_share *s, struct seam_handle team,
+		    struct seam_handle workspace)
+{
+	struct seam_sharer *t = seam_table_get(s->team, team);
+
+	if (workspace.bits)
+		del_workspace(s, workspace);
+	if (!t)
+		return;
+	while (t->first.bits)
+		del_workspace(s, t->first);
+	seam_table_del(s->team, team);
+}
+
+bool seam_share_demand(struct seam_share *s, struct seam_handle workspace,
+		       const struct seam_amount *demand)
+{
+	struct seam_sharer *w = seam_table_get(s->workspace, workspace);
+	struct seam_sharer *t = w ? seam_table_get(s->team, w->team) : NULL;
+
+	if (!t)
+		return false;
+	add_amount(&t->demand, &w->demand, -1);
+	w->demand = *demand;
+	add_amount(&t->demand, demand, 1);
+	return true;
+}
+
+bool seam_share_use(struct seam_share *s, struct seam_handle workspace,
+		    const struct seam_amount *amount, int sign)
+{
+	struct seam_sharer *w = seam_table_get(s->workspace, workspace);
+	struct seam_sharer *t = w ? seam_table_get(s->team, w->team) : NULL;
+
+	if (!t)
+		return false;
+	add_amount(&w->used, amount, sign);
+	add_amount(&t->used, amount, sign);
+	w->used_share = seam_share_dominant(&w->used, &s->all);
+	t->used_share = seam_share_dominant(&t->used, &s->all);
+	return true;
+}
+
+static void fill_team(struct seam_share *s, struct seam_sharer *t,
+		      struct seam_sharer **list)
+{
+	struct seam_handle h = t->first;
+	struct seam_sharer *w;
+	size_t n = 0;
+
+	while ((w = seam_table_get(s->workspace, h))) {
+		w->used_share = seam_share_dominant(&w->used, &s->all);
+		list[n++] = w;
+		h = w->next;
+	}
+	seam_share_fill(list, n, &t->entitled, &s->all);
+}
+
+void seam_share_compute(struct seam_share *s)
+{
+	size_t most =
+		seam_table_count(s->team) + 1 + seam_table_count(s->workspace);
+	struct seam_sharer **list = calloc(most, sizeof(struct seam_sharer *));
+	struct seam_handle h = SEAM_NONE;
+	struct seam_sharer *t;
+	size_t n = 0;
+
+	if (!list)
+		return;
+	while ((t = seam_table_next(s->team, &h))) {
+		t->used_share = seam_share_dominant(&t->used, &s->all);
+		list[n++] = t;
+	}
+	seam_share_fill(list, n, &s->all, &s->all);
+	h = SEAM_NONE;
+	while ((t = seam_table_next(s->team, &h)))
+		fill_team(s, t, list);
+	free(list);
+}
+
+static const struct seam_sharer *sharer(const struct seam_share *s,
+					struct seam_handle team,
+					struct seam_handle workspace)
+{
+	return workspace.bits ? seam_table_get(s->workspace, workspace) :
+				seam_table_get(s->team, team);
+}
+
+double seam_share_entitled(const struct seam_share *s, struct seam_handle team,
+			   struct seam_handle workspace,
+			   struct seam_amount *out)
+{
+	const struct seam_sharer *x = sharer(s, team, workspace);
+
+	if (out)
+		memset(out, 0, sizeof(*out));
+	if (x && out)
+		*out = x->entitled;
+	return x ? x->entitled_share : 0;
+}
+
+double seam_share_used(const struct seam_share *s, struct seam_handle team,
+		       struct seam_handle workspace)
+{
+	const struct seam_sharer *x = sharer(s, team, workspace);
+
+	return x ? x->used_share : 0;
+}
--- a/process/team.c
+++ b/process/team.c
@@ -36,8 +36,8 @@
 	t->admit.ops = &seam_teams_admit_ops;
 	t->self = *self;
 	t->random = self->seed ? self->seed : 1;
-	snprintf(t->grant.holder, sizeof(t->grant.holder),
-		 "node:%s#%" PRId64, self->node, self->incarnation);
+	snprintf(t->grant.holder, sizeof(t->grant.holder), "node:%s#%" PRId64,
+		 self->node, self->incarnation);
 	memcpy(t->grant.dc, self->dc, sizeof(t->grant.dc));
 	memcpy(t->grant.vm, self->vm, sizeof(t->grant.vm));
 	pthread_mutex_init(&t->lock, NULL);
@@ -112,14 +112,13 @@
 		return NULL;
 	snprintf(s->name, sizeof(s->name), "%s", name);
 	s->lower = SEAM_TEAM_UNITS_MAX;
-	g_hash_table_insert(t->index, g_strdup(name),
-			    GUINT_TO_POINTER(h.bits));
+	g_hash_table_insert(t->index, g_strdup(name), GUINT_TO_POINTER(h.bits));
 	return s;
 }
 
 static bool copy_dcs(struct seam_teams *t, const struct seam_team_terms *terms)
 {
-	char (*dc)[SEAM_TEAM_NAME] = calloc(terms->dcs + 1, sizeof(*dc));
+	char(*dc)[SEAM_TEAM_NAME] = calloc(terms->dcs + 1, sizeof(*dc));
 
 	if (!dc)
 		return false;
@@ -146,7 +145,7 @@
 	struct seam_team_slot *s;
 
 	while ((s = seam_table_next(t->table, &h))) {
-		s->terms.dc = (const char (*)[SEAM_TEAM_NAME])t->dc;
+		s->terms.dc = (const char(*)[SEAM_TEAM_NAME])t->dc;
 		s->terms.dcs = t->dcs;
 		if (s->terms.conf == conf)
 			continue;
--- a/process/team.h
+++ b/process/team.h
@@ -178,7 +178,7 @@
  * @e: SEAM_NO_MEMORY
  */
 int seam_team_encode(const struct seam_ledger *l, uint64_t version,
-		  struct seam_team_put *p, struct seam_err *e);
+		     struct seam_team_put *p, struct seam_err *e);
 
 /** seam_team_put_free() - free the content */
 void seam_team_put_free(struct seam_team_put *p);
@@ -320,6 +320,21 @@
 bool seam_teams_info(struct seam_teams *t, const char *team,
 		     struct seam_team_info *out);
 
+/**
+ * seam_team_explain() - why requests of a team are refused on a node
+ * @l: ledger as read, or NULL if the row could not be read
+ * @here: the team on this node, or NULL if it is not configured
+ * @terms: terms of the current configuration
+ * @out: receives one sentence
+ * @size: size of @out
+ *
+ * Return: true if a request would be refused now.
+ */
+bool seam_team_explain(const struct seam_ledger *l,
+		       const struct seam_team_info *here,
+		       const struct seam_team_terms *terms, char *out,
+		       size_t size);
+
 /** seam_teams_list() - all teams; free() the result */
 struct seam_team_info *seam_teams_list(struct seam_teams *t, size_t *n);
 
--- a/process/team_ledger.c
+++ b/process/team_ledger.c
@@ -99,9 +99,9 @@
 
 	for (i = 0; i < terms->dcs; i++)
 		if (strcmp(terms->dc[i], dc))
-			room -= max64(0, terms->floor -
-						 seam_ledger_dc_sum(
-							 l, terms->dc[i]));
+			room -= max64(
+				0, terms->floor -
+					   seam_ledger_dc_sum(l, terms->dc[i]));
 	return max64(0, room);
 }
 
@@ -113,12 +113,14 @@
 
 	if (old)
 		return old;
-	more = realloc(l->grant, (l->n + 1) * sizeof(*more));
+	more = calloc(l->n + 1, sizeof(*more));
 	if (!more)
 		return NULL;
+	if (l->n)
+		memcpy(more, l->grant, l->n * sizeof(*more));
+	free(l->grant);
 	l->grant = more;
 	old = &more[l->n++];
-	memset(old, 0, sizeof(*old));
 	memcpy(old->holder, g->holder, sizeof(old->holder));
 	memcpy(old->dc, g->dc, sizeof(old->dc));
 	memcpy(old->vm, g->vm, sizeof(old->vm));
@@ -259,6 +261,7 @@
 		 struct seam_ledger *l, struct seam_grant *g,
 		 struct seam_err *e)
 {
+	memset(l, 0, sizeof(*l));
 	memset(g, 0, sizeof(*g));
 	if (g_strlcpy(g->holder, holder, sizeof(g->holder)) >=
 	    sizeof(g->holder))
--- a/process/team_plan.c
+++ b/process/team_plan.c
@@ -41,14 +41,13 @@
 /* Units that fill the floor of the own data centre. */
 static int64_t refill(const struct seam_team_case *c, int64_t units)
 {
-	int64_t lack = floor_of(c) -
-		       seam_ledger_dc_sum(c->ledger, c->self->dc);
+	int64_t lack = floor_of(c) - seam_ledger_dc_sum(c->ledger, c->self->dc);
 
 	return max64(0, min64(lack, c->base - units));
 }
 
 static void raise_units(const struct seam_team_case *c, int64_t units,
-		  struct seam_team_plan *p)
+			struct seam_team_plan *p)
 {
 	int64_t goal = units + refill(c, units);
 	int64_t room;
@@ -68,8 +67,8 @@
 {
 	const struct seam_ledger *l = c->ledger;
 	int64_t sum = seam_ledger_dc_sum(l, c->self->dc);
-	int64_t near = seam_ledger_wanted(l, c->self->holder, c->self->dc,
-					  c->now);
+	int64_t near =
+		seam_ledger_wanted(l, c->self->holder, c->self->dc, c->now);
 
 	return min64(give, max64(near, max64(0, sum - floor_of(c))));
 }
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -123,9 +123,10 @@
 		struct seam_row none = {.data = NULL};
 
 		seam_team_key(s->name, key);
-		if (strcmp(key, t->after) <= 0 || (last && strcmp(key, last) > 0))
+		if (strcmp(key, t->after) <= 0 ||
+		    (last && strcmp(key, last) > 0))
 			continue;
-		for (i = 0; i < rows->n; i++)
+		for (i = 0; rows->row && i < rows->n; i++)
 			if (!strcmp(rows->row[i].key, key))
 				break;
 		if (i == rows->n)
--- a/process/team_row.c
+++ b/process/team_row.c
@@ -161,7 +161,7 @@
 }
 
 int seam_team_encode(const struct seam_ledger *l, uint64_t version,
-		  struct seam_team_put *p, struct seam_err *e)
+		     struct seam_team_put *p, struct seam_err *e)
 {
 	struct json_object *o;
 
@@ -172,8 +172,8 @@
 	memset(p, 0, sizeof(*p));
 	seam_team_key(l->team, p->key);
 	o = seam_ledger_json(l);
-	p->text =
-		strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	p->text = strdup(
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
 	json_object_put(o);
 	if (!p->text)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
--- a/process/team_write.c
+++ b/process/team_write.c
@@ -101,7 +101,8 @@
 
 	if (!want)
 		return false;
-	return !own || !own->want || own->want_until < now + SEAM_WANT_LIFE / 2 ||
+	return !own || !own->want ||
+	       own->want_until < now + SEAM_WANT_LIFE / 2 ||
 	       want > 2 * own->want;
 }
 
--- /dev/null
+++ b/tests/share_test.cc
@@ -0,0 +1,242 @@
+// Shares: weighted max-min fairness on the dominant resource.
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+#include "process/share.h"
+
+static seam_amount amount(int64_t cpu, int64_t memory, int64_t acc = 0)
+{
+	return {{cpu, memory, acc}};
+}
+
+class Share : public ::testing::Test
+{
+      protected:
+	seam_share *s = seam_share_new();
+	struct team {
+		seam_handle h;
+		seam_handle w;
+	};
+
+	void TearDown() override
+	{
+		seam_share_free(s);
+	}
+	team add(int64_t weight, const seam_amount &demand)
+	{
+		team t;
+
+		t.h = seam_share_team(s, weight);
+		t.w = seam_share_workspace(s, t.h, 1);
+		seam_share_demand(s, t.w, &demand);
+		return t;
+	}
+	void capacity(const seam_amount &a)
+	{
+		seam_share_capacity(s, &a);
+	}
+	void use(team t, const seam_amount &a)
+	{
+		seam_share_use(s, t.w, &a, 1);
+	}
+	double entitled(team t)
+	{
+		return seam_share_entitled(s, t.h, SEAM_NONE, nullptr);
+	}
+};
+
+// Guards against a division by equal amounts: the example of the source
+// (Ghodsi et al., section 4.1) has 9 processors and 18 GB; A takes (1, 4) for
+// a task and B takes (3, 1); A gets 3 tasks and B gets 2.
+TEST_F(Share, ExampleOfTheSource)
+{
+	capacity(amount(9000, 18000));
+	team a = add(1, amount(100000, 400000));
+	team b = add(1, amount(300000, 100000));
+
+	seam_share_compute(s);
+	EXPECT_NEAR(entitled(a), 2.0 / 3, 1e-9);
+	EXPECT_NEAR(entitled(b), 2.0 / 3, 1e-9);
+	seam_amount out;
+	seam_share_entitled(s, a.h, SEAM_NONE, &out);
+	EXPECT_EQ(out.of[SEAM_CPU_MILLI], 3000);
+	EXPECT_EQ(out.of[SEAM_MEMORY_MB], 12000);
+	seam_share_entitled(s, b.h, SEAM_NONE, &out);
+	EXPECT_EQ(out.of[SEAM_CPU_MILLI], 6000);
+}
+
+// Guards against shares that stay idle: what one team does not want goes to
+// the others by weight.
+TEST_F(Share, UnusedPartsGoToOthersByWeight)
+{
+	capacity(amount(1000, 1000));
+	team a = add(1, amount(100, 10));
+	team b = add(1, amount(2000, 10));
+	team c = add(2, amount(2000, 10));
+
+	seam_share_compute(s);
+	EXPECT_NEAR(entitled(a), 0.1, 1e-9);
+	EXPECT_NEAR(entitled(b), 0.3, 1e-9);
+	EXPECT_NEAR(entitled(c), 0.6, 1e-9);
+}
+
+// Guards against a full resource that stops teams that do not need it.
+TEST_F(Share, ScarceResourceStopsOnlyItsUsers)
+{
+	capacity(amount(1000, 1000, 10));
+	team a = add(1, amount(100, 10, 20));
+	team b = add(1, amount(100, 10, 20));
+	team c = add(1, amount(5000, 10));
+
+	seam_share_compute(s);
+	EXPECT_NEAR(entitled(a), 0.5, 1e-9);
+	EXPECT_NEAR(entitled(b), 0.5, 1e-9);
+	EXPECT_NEAR(entitled(c), 0.95, 1e-9);
+}
+
+// Guards workspaces: they share what their team has, not the fleet.
+TEST_F(Share, WorkspacesShareWithinTheTeam)
+{
+	capacity(amount(1000, 1000));
+	team a = add(1, amount(1000, 0));
+	team b = add(1, amount(1000, 0));
+	seam_handle w = seam_share_workspace(s, b.h, 4);
+	seam_amount d = amount(1000, 0);
+
+	seam_share_demand(s, w, &d);
+	seam_share_compute(s);
+	EXPECT_NEAR(entitled(a), 0.5, 1e-9);
+	EXPECT_NEAR(seam_share_entitled(s, SEAM_NONE, b.w, nullptr), 0.1, 1e-9);
+	EXPECT_NEAR(seam_share_entitled(s, SEAM_NONE, w, nullptr), 0.4, 1e-9);
+	seam_share_del(s, b.h, SEAM_NONE);
+	EXPECT_FALSE(seam_share_demand(s, w, &d)) << "stale handle";
+	seam_share_compute(s);
+	EXPECT_NEAR(entitled(a), 1.0, 1e-9);
+}
+
+// Guards the order of starts: least for its weight first, and a team whose
+// tasks do not fit does not block the others.
+TEST_F(Share, NextIsFurthestBelow)
+{
+	capacity(amount(1000, 1000));
+	team a = add(1, amount(1000, 0));
+	team b = add(3, amount(1000, 0));
+	seam_handle t;
+	seam_handle w;
+
+	use(a, amount(100, 0));
+	use(b, amount(200, 0));
+	ASSERT_TRUE(seam_share_next(s, nullptr, nullptr, &t, &w));
+	EXPECT_TRUE(seam_handle_eq(t, b.h));
+	ASSERT_TRUE(seam_share_next(
+		s,
+		[](seam_handle h, void *arg) {
+			return seam_handle_eq(h, *(seam_handle *)arg);
+		},
+		&b.w, &t, &w));
+	EXPECT_TRUE(seam_handle_eq(t, a.h));
+	use(a, amount(900, 0));
+	use(b, amount(800, 0));
+	EXPECT_FALSE(seam_share_next(s, nullptr, nullptr, &t, &w));
+}
+
+// Guards lent work: it is taken back only while another team is under its
+// share and wants it, and only from a team over its own.
+TEST_F(Share, LentWorkIsTakenBackOnDemand)
+{
+	capacity(amount(1000, 1000));
+	team a = add(1, amount(1000, 0));
+	team b = add(1, amount(0, 0));
+	seam_handle t;
+	seam_handle w;
+
+	use(a, amount(1000, 0));
+	seam_share_compute(s);
+	EXPECT_FALSE(seam_share_over(s, &t, &w));
+	seam_amount d = amount(300, 0);
+	seam_share_demand(s, b.w, &d);
+	seam_share_compute(s);
+	ASSERT_TRUE(seam_share_over(s, &t, &w));
+	EXPECT_TRUE(seam_handle_eq(t, a.h));
+	EXPECT_TRUE(seam_handle_eq(w, a.w));
+	seam_amount x = amount(300, 0);
+	seam_share_use(s, a.w, &x, -1);
+	use(b, x);
+	EXPECT_FALSE(seam_share_over(s, &t, &w));
+}
+
+// Guards the choice of tasks: newest first, no more than needed, and none that
+// frees nothing of what is needed.
+TEST_F(Share, NewestTasksAreTaken)
+{
+	std::vector<seam_lent> lent = {{10, amount(100, 0), {1}},
+				       {40, amount(0, 500), {2}},
+				       {30, amount(100, 0), {3}},
+				       {20, amount(100, 0), {4}}};
+	seam_amount need = amount(150, 0);
+	seam_amount over = amount(1000, 0);
+
+	ASSERT_EQ(seam_share_victims(lent.data(), 4, &need, &over), 2u);
+	EXPECT_EQ(lent[0].task.bits, 3u);
+	EXPECT_EQ(lent[1].task.bits, 4u);
+	over = amount(50, 0);
+	EXPECT_EQ(seam_share_victims(lent.data(), 4, &need, &over), 1u);
+}
+
+// Guards the properties that define max-min fairness, on random teams: within
+// capacity, within demand, and a team is below another for its weight only if
+// its demand is met or a resource that it needs is used up.
+TEST_F(Share, RandomTablesAreFair)
+{
+	for (unsigned seed = 1; seed <= 200; seed++) {
+		std::mt19937 rnd(seed);
+		std::vector<team> teams;
+		std::vector<seam_amount> demand;
+		std::vector<int64_t> weight;
+		seam_amount all = amount(100000, 200000, seed % 2 ? 100 : 0);
+
+		seam_share_free(s);
+		s = seam_share_new();
+		capacity(all);
+		for (int i = 0; i < 40; i++) {
+			demand.push_back(amount(
+				rnd() % 9000, rnd() % 18000,
+				all.of[2] && rnd() % 3 == 0 ? rnd() % 30 : 0));
+			weight.push_back(1 + rnd() % 5);
+			teams.push_back(add(weight[i], demand[i]));
+		}
+		seam_share_compute(s);
+		double used[SEAM_RESOURCES] = {};
+		for (int i = 0; i < 40; i++) {
+			seam_amount got;
+			seam_share_entitled(s, teams[i].h, SEAM_NONE, &got);
+			for (int r = 0; r < SEAM_RESOURCES; r++) {
+				ASSERT_LE(got.of[r], demand[i].of[r]);
+				used[r] += (double)got.of[r];
+			}
+		}
+		for (int r = 0; r < SEAM_RESOURCES; r++)
+			ASSERT_LE(used[r], (double)all.of[r]) << seed;
+		double top = 0;
+		for (int i = 0; i < 40; i++)
+			top = std::max(top, entitled(teams[i]) / weight[i]);
+		for (int i = 0; i < 40; i++) {
+			double full = 0;
+			bool scarce = false;
+			for (int r = 0; r < SEAM_RESOURCES; r++) {
+				if (!all.of[r])
+					continue;
+				full = std::max(full, (double)demand[i].of[r] /
+							      all.of[r]);
+				/* Rounding takes under one unit of each. */
+				scarce |= demand[i].of[r] > 0 &&
+					  used[r] >= all.of[r] - 41;
+			}
+			bool met = entitled(teams[i]) >= full - 1e-9;
+			ASSERT_TRUE(met || scarce) << seed << " " << i;
+		}
+		ASSERT_GT(top, 0);
+	}
+}
--- a/tests/team_test.cc
+++ b/tests/team_test.cc
@@ -243,8 +243,9 @@
 		int64_t ceiling = l.ceiling;
 
 		seam_ledger_free(&l);
-		SEAM_INVARIANT(sum <= ceiling, "test", "t%d: sum %lld over %lld",
-			       k, (long long)sum, (long long)ceiling);
+		SEAM_INVARIANT(sum <= ceiling, "test",
+			       "t%d: sum %lld over %lld", k, (long long)sum,
+			       (long long)ceiling);
 		SEAM_INVARIANT(n <= ceiling, "test",
 			       "t%d: %lld units run, limit in force %lld", k,
 			       (long long)n, (long long)ceiling);
@@ -272,8 +273,8 @@
 			list_vms();
 		for (size_t i = 0; i < nodes.size(); i++)
 			if (serves((int)i) && nodes[i].pass_at <= clock.time)
-				nodes[i].pass_at = seam_teams_pass(
-					nodes[i].t, clock.time);
+				nodes[i].pass_at =
+					seam_teams_pass(nodes[i].t, clock.time);
 		for (size_t k = 0; k < teams.size(); k++)
 			check((int)k);
 	}
@@ -741,8 +742,7 @@
 		break;
 	case 4:
 		f.nodes[i].paused_until =
-			f.clock.time +
-			(seam_time)(f.rnd() % 240) * SEAM_SEC;
+			f.clock.time + (seam_time)(f.rnd() % 240) * SEAM_SEC;
 		break;
 	case 5:
 		if (f.nodes[i].alive)
