--- a/process/team_read.c
+++ b/process/team_read.c
@@ -52,8 +52,15 @@
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_ledger l;
-	bool bad = seam_ledger_read(row, s->name, &l, &e) != 0;
+	bool bad;
 
+	if (row->data && s->known && !s->damaged &&
+	    row->version == s->row.version) {
+		s->read_at = SEAM_NEVER;
+		seam_row_free(row);
+		return;
+	}
+	bad = seam_ledger_read(row, s->name, &l, &e) != 0;
 	if (bad) {
 		if (!s->damaged)
 			seam_log(SEAM_ERROR, "team", "%s.", e.text);
@@ -164,7 +171,7 @@
 	}
 	end = rows.n < SWEEP_ROWS;
 	absorb_absent(t, &rows, end ? NULL : rows.row[rows.n - 1].key);
-	if (end)
+	if (end || !rows.row)
 		*t->after = '\0';
 	else
 		memcpy(t->after, rows.row[rows.n - 1].key, sizeof(t->after));
