--- a/bench/team_bench.c
+++ b/bench/team_bench.c
@@ -45,8 +45,19 @@
 	int64_t limit;
 	int (*running)[NODES_MAX];
 	int (*want)[NODES_MAX];
+	bool hints;
 };
 
+/* Stands for the heartbeats, which carry wants to all peers. */
+static void hint_all(void *arg, const char *team)
+{
+	struct sim *s = arg;
+	int i;
+
+	for (i = 0; i < s->nodes; i++)
+		seam_teams_hint(s->t[i], team);
+}
+
 static void start_node(struct sim *s, int i)
 {
 	struct seam_teams_self self;
@@ -75,11 +86,14 @@
 	w.len = strlen(row);
 	seam_store_commit(s->store, &c, SEAM_NEVER, &e);
 	s->t[i] = seam_teams_new(&self);
+	if (s->hints)
+		seam_teams_on_want(s->t[i], hint_all, s);
 	seam_teams_configure(s->t[i], 1, s->terms, (size_t)s->teams);
 	s->next[i] = s->clock.time + (seam_time)(rnd() % SEAM_SEC);
 }
 
-static void open_sim(struct sim *s, int nodes, int teams, int64_t limit)
+static void open_sim(struct sim *s, int nodes, int teams, int64_t limit,
+		     bool hints)
 {
 	int i;
 
@@ -87,6 +101,7 @@
 	s->nodes = nodes;
 	s->teams = teams;
 	s->limit = limit;
+	s->hints = hints;
 	seam_fake_init(&s->clock, INT64_C(1000000) * SEAM_SEC);
 	s->store = seam_store_mem_new(&s->clock.clock);
 	s->terms = calloc((size_t)teams, sizeof(*s->terms));
@@ -206,7 +221,7 @@
 	struct result r = {0, 0, 0};
 	struct sim s;
 
-	open_sim(&s, 9, 6, 90);
+	open_sim(&s, 9, 6, 90, false);
 	run(&s, 300, &r);
 	memset(&r, 0, sizeof(r));
 	run(&s, 12000, &r);
@@ -216,7 +231,7 @@
 	close_sim(&s);
 }
 
-static void load(int nodes, int teams, int64_t limit, int steps)
+static void load(int nodes, int teams, int warm, int steps, bool hints)
 {
 	struct result r = {0, 0, 0};
 	uint64_t reads = 0;
@@ -227,8 +242,8 @@
 	struct sim s;
 	int i;
 
-	open_sim(&s, nodes, teams, limit);
-	run(&s, 300, &r);
+	open_sim(&s, nodes, teams, 90, hints);
+	run(&s, warm, &r);
 	for (i = 0; i < nodes; i++) {
 		struct seam_store_use u = seam_store_mem_use(s.view[i]);
 
@@ -247,10 +262,10 @@
 		commits += u.commits;
 		rows += u.rows_written;
 	}
-	printf("%2d nodes %3d teams limit %lld: reads/s %.1f commits/s %.1f "
+	printf("%2d nodes %3d teams%s: reads/s %.1f commits/s %.1f "
 	       "rows/s %.1f, usable %.1f%%, fixed %.1f%%, %.2f ms a node and "
 	       "second with admission\n",
-	       nodes, teams, (long long)limit, (double)reads / secs,
+	       nodes, teams, hints ? " hints" : "", (double)reads / secs,
 	       (double)commits / secs, (double)rows / secs,
 	       100 * r.served / r.offered, 100 * r.fixed / r.offered,
 	       wall * 1e3 / nodes / secs);
@@ -454,14 +469,15 @@
 
 	seam_log_level(SEAM_ERROR);
 	usable();
-	load(9, 6, 90, 1200);
-	load(18, 6, 90, 1200);
-	load(36, 6, 90, 1200);
-	load(72, 6, 90, 1200);
-	load(9, 60, 90, 1200);
-	load(9, 710, 90, 600);
-	load(72, 60, 90, 600);
-	load(72, 710, 90, 300);
+	load(9, 6, 300, 1200, false);
+	load(9, 6, 300, 1200, true);
+	load(18, 6, 300, 1200, true);
+	load(36, 6, 300, 1200, true);
+	load(72, 6, 300, 1200, true);
+	load(9, 60, 300, 1200, true);
+	load(9, 710, 2000, 1200, true);
+	load(72, 60, 2000, 1200, true);
+	load(72, 710, 6000, 600, true);
 	for (p = SHARES; p <= FIRST_COME; p++) {
 		double d = distance((enum policy)p, &used);
 
--- a/process/team.c
+++ b/process/team.c
@@ -9,8 +9,10 @@
 #define PASS_GAP (100 * SEAM_MSEC) /* least time between passes */
 #define PASS_PERIOD (500 * SEAM_MSEC)
 /* A node's part of the 10 KB/s that it may spend on control. */
-#define BYTES_PER_SEC 4000
-#define BYTES_BURST 32000
+#define BYTES_PER_SEC 3000
+#define BYTES_BURST 16000
+#define SWEEP_BYTES_PER_SEC 4000
+#define SWEEP_BURST 8000
 /* Rows written a second for all nodes together: half of the store's rate. */
 #define ROWS_PER_SEC 150
 #define ROWS_BURST 64
@@ -48,6 +50,8 @@
 	t->vm = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->batch = SEAM_TEAM_ROWS_MAX;
 	t->bytes = BYTES_BURST;
+	t->sweep_bytes = SWEEP_BURST;
+	t->row_bytes = 256;
 	t->rows = ROWS_BURST * 1000;
 	t->nodes = 1;
 	if (t->table)
@@ -92,6 +96,13 @@
 	t->demand_arg = arg;
 }
 
+void seam_teams_on_want(struct seam_teams *t,
+			void (*fn)(void *arg, const char *team), void *arg)
+{
+	t->want = fn;
+	t->want_arg = arg;
+}
+
 void seam_teams_hint(struct seam_teams *t, const char *team)
 {
 	struct seam_team_slot *s;
@@ -191,7 +202,8 @@
 			s->peak[0] = s->running;
 		}
 		s->burst = 0;
-		if (s->hinted)
+		/* Only a node that holds units can release some. */
+		if (s->hinted && s->units && s->read_at > now)
 			s->read_at = now;
 		s->hinted = false;
 		if (s->gone && s->known && !s->row.data && !s->running) {
@@ -204,6 +216,12 @@
 		t->window_at = now + WINDOW;
 }
 
+static int64_t grow(int64_t have, int64_t us, int64_t rate, int64_t most)
+{
+	have += us * rate / SEAM_SEC;
+	return have < most ? have : most;
+}
+
 static void refill(struct seam_teams *t, seam_time now)
 {
 	int64_t us = t->tokens_at ? now - t->tokens_at : 0;
@@ -212,9 +230,11 @@
 	if (us < 0 || us > REFILL_MAX)
 		us = REFILL_MAX;
 	t->tokens_at = now;
-	t->bytes += us * BYTES_PER_SEC / SEAM_SEC;
-	if (t->bytes > BYTES_BURST)
-		t->bytes = BYTES_BURST;
+	t->bytes = grow(t->bytes, us, BYTES_PER_SEC, BYTES_BURST);
+	t->sweep_bytes =
+		grow(t->sweep_bytes, us, SWEEP_BYTES_PER_SEC, SWEEP_BURST);
+	t->sweep_bytes = SWEEP_BURST;
+	t->row_bytes = 256;
 	t->rows += us * ROWS_PER_SEC / nodes / SEAM_MSEC;
 	if (t->rows > ROWS_BURST * 1000)
 		t->rows = ROWS_BURST * 1000;
--- a/process/team.h
+++ b/process/team.h
@@ -280,7 +280,16 @@
 void seam_teams_vms(struct seam_teams *t, const char *const *id, size_t n,
 		    seam_time as_of);
 
-/** seam_teams_hint() - a peer says that the row of @team changed */
+/**
+ * seam_teams_on_want() - call @fn when a want of this node was recorded
+ *
+ * The caller tells the other nodes, which call seam_teams_hint(). Without it
+ * they learn of the want when their sweep reaches the row.
+ */
+void seam_teams_on_want(struct seam_teams *t,
+			void (*fn)(void *arg, const char *team), void *arg);
+
+/** seam_teams_hint() - a peer says that it wants units of @team */
 void seam_teams_hint(struct seam_teams *t, const char *team);
 
 /**
--- a/process/team_impl.h
+++ b/process/team_impl.h
@@ -31,6 +31,7 @@
 	struct seam_row row;
 	bool known; /* the row was read since the start */
 	seam_time read_at; /* read the row by then; SEAM_NEVER if not due */
+	seam_time seen_at; /* when the row was last read or written */
 	seam_time release_at; /* surplus is given back then; 0 without */
 	seam_time plan_at; /* decide again by then */
 	seam_time hungry_at; /* a raise that did not fit is tried again */
@@ -62,6 +63,8 @@
 	GHashTable *index; /* name to handle bits */
 	void (*demand)(void *arg);
 	void *demand_arg;
+	void (*want)(void *arg, const char *team);
+	void *want_arg;
 	uint64_t random;
 
 	/* Used by the pass thread only. */
@@ -73,7 +76,9 @@
 	seam_time window_at;
 	seam_time pass_at;
 	seam_time tokens_at;
-	int64_t bytes; /* may be read now; negative after a large scan */
+	int64_t bytes; /* of single rows that may be read now */
+	int64_t sweep_bytes; /* the same for the sweep */
+	int64_t row_bytes; /* size of a row, moving average */
 	int64_t rows; /* may be written now, in thousandths */
 	size_t batch;
 	struct seam_handle start; /* the next batch begins after it */
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -10,7 +10,7 @@
 #define READ_TIMEOUT (2 * SEAM_SEC)
 #define SWEEP_PERIOD (1 * SEAM_SEC)
 #define MEMBERS_PERIOD (10 * SEAM_SEC)
-#define SWEEP_ROWS 64
+#define SWEEP_ROWS_MAX 64
 #define GETS_MAX 16 /* single rows in one pass */
 #define MEMBERS_MAX 1024
 
@@ -98,6 +98,7 @@
 	}
 	t->bytes -= (int64_t)row.len;
 	seam_teams_absorb(t, s, &row);
+	s->seen_at = now;
 	return true;
 }
 
@@ -119,7 +120,7 @@
 /* Teams with keys above t->after and up to @last have no row if the scan did
  * not return one. */
 static void absorb_absent(struct seam_teams *t, const struct seam_rows *rows,
-			  const char *last)
+			  const char *last, seam_time now)
 {
 	struct seam_handle h = SEAM_NONE;
 	struct seam_team_slot *s;
@@ -136,12 +137,15 @@
 		for (i = 0; rows->row && i < rows->n; i++)
 			if (!strcmp(rows->row[i].key, key))
 				break;
-		if (i == rows->n)
-			seam_teams_absorb(t, s, &none);
+		if (i < rows->n)
+			continue;
+		seam_teams_absorb(t, s, &none);
+		s->seen_at = now;
 	}
 }
 
-static void absorb_rows(struct seam_teams *t, struct seam_rows *rows)
+static void absorb_rows(struct seam_teams *t, struct seam_rows *rows,
+			seam_time now)
 {
 	size_t i;
 
@@ -150,32 +154,45 @@
 		const char *name = row->key + strlen("team/");
 		struct seam_team_slot *s = seam_teams_slot(t, name);
 
-		t->bytes -= (int64_t)row->len;
+		t->sweep_bytes -= (int64_t)row->len;
+		t->row_bytes += ((int64_t)row->len - t->row_bytes) / 8;
 		if (!s)
 			continue;
 		seam_teams_absorb(t, s, row);
+		s->seen_at = now;
 		row->data = NULL;
 	}
 }
 
+/* Rows that the budget allows; the sweep never waits for more than one row. */
+static size_t sweep_rows(const struct seam_teams *t)
+{
+	int64_t n = t->sweep_bytes / (t->row_bytes > 1 ? t->row_bytes : 1);
+
+	if (n < 1)
+		return 1;
+	return n < SWEEP_ROWS_MAX ? (size_t)n : SWEEP_ROWS_MAX;
+}
+
 static void sweep(struct seam_teams *t, seam_time now)
 {
 	struct seam_rows rows = {.row = NULL};
 	struct seam_err e = SEAM_ERR_INIT;
+	size_t most = sweep_rows(t);
 	bool end;
 
-	if (seam_store_scan(t->self.store, "team/", t->after, SWEEP_ROWS, &rows,
+	if (seam_store_scan(t->self.store, "team/", t->after, most, &rows,
 			    now + READ_TIMEOUT, &e)) {
 		seam_count_add(&reads_failed, 1);
 		return;
 	}
-	end = rows.n < SWEEP_ROWS;
-	absorb_absent(t, &rows, end ? NULL : rows.row[rows.n - 1].key);
+	end = rows.n < most;
+	absorb_absent(t, &rows, end ? NULL : rows.row[rows.n - 1].key, now);
 	if (end || !rows.row)
 		*t->after = '\0';
 	else
 		memcpy(t->after, rows.row[rows.n - 1].key, sizeof(t->after));
-	absorb_rows(t, &rows);
+	absorb_rows(t, &rows, now);
 	seam_rows_free(&rows);
 }
 
@@ -220,7 +237,7 @@
 void seam_teams_read(struct seam_teams *t, seam_time now)
 {
 	read_due(t, now);
-	if (now >= t->sweep_at && t->bytes > 0) {
+	if (now >= t->sweep_at && t->sweep_bytes > 0) {
 		sweep(t, now);
 		t->sweep_at = now + SWEEP_PERIOD;
 	}
--- a/process/team_write.c
+++ b/process/team_write.c
@@ -12,6 +12,11 @@
 #define HUNGRY_PERIOD (1 * SEAM_SEC)
 /* A node that wants units looks for released ones so often. */
 #define WANT_READ (300 * SEAM_MSEC)
+/* An older copy of a row is read again before a write: one stale row makes the
+ * store refuse the whole commit. */
+#define SEEN_MAX (2 * SEAM_SEC)
+/* After a conflict smaller commits find the stale row; this few are read. */
+#define READ_AGAIN_MAX 4
 
 SEAM_COUNT(commits_total, "seam_team_commits_total",
 	   "Commits of team rows that applied.");
@@ -150,6 +155,15 @@
 	seam_team_put_free(&j->put);
 }
 
+static bool recent(struct seam_team_slot *s, seam_time now)
+{
+	if (now - s->seen_at <= SEEN_MAX)
+		return true;
+	s->read_at = now;
+	s->plan_at = 0;
+	return false;
+}
+
 static bool prepare(struct seam_teams *t, struct job *j, seam_time now)
 {
 	struct seam_team_slot *s = j->slot;
@@ -159,7 +173,7 @@
 	if (seam_ledger_read(&s->row, s->name, &j->ledger, &e))
 		return false;
 	seam_team_key(s->name, j->put.key);
-	if (!change(t, j, now) ||
+	if (!change(t, j, now) || !recent(s, now) ||
 	    seam_team_encode(&j->ledger, row_version(s), &j->put, &e)) {
 		end_job(j);
 		return false;
@@ -188,7 +202,10 @@
 	}
 	seam_teams_absorb(t, s, &row);
 	s->read_at = read_at;
+	s->seen_at = now;
 	s->plan_at = now + PLAN_PERIOD;
+	if (j->want && t->want)
+		t->want(t->want_arg, s->name);
 }
 
 static void unknown(struct seam_teams *t, struct job *j, seam_time now)
@@ -208,7 +225,7 @@
 }
 
 static void failed(struct seam_teams *t, struct job *j, enum seam_kind kind,
-		   seam_time now)
+		   bool read, seam_time now)
 {
 	struct seam_team_slot *s = j->slot;
 
@@ -220,7 +237,7 @@
 	s->cap = seam_slot_safe_cap(s);
 	pthread_mutex_unlock(&t->lock);
 	s->plan_at = 0;
-	if (kind == SEAM_CONFLICT)
+	if (kind == SEAM_CONFLICT && read)
 		s->read_at = now;
 }
 
@@ -257,7 +274,7 @@
 		if (e.kind == SEAM_OK)
 			settle(t, &job[i], c.version, now);
 		else
-			failed(t, &job[i], e.kind, now);
+			failed(t, &job[i], e.kind, n <= READ_AGAIN_MAX, now);
 		end_job(&job[i]);
 	}
 }
