--- a/process/node.h
+++ b/process/node.h
@@ -53,6 +53,7 @@
  * @fleet: VMs with their pools
  * @owner: who decides for a shard; never NULL
  * @admit: units of the teams' limits; NULL admits everything
+ * @incarnation: grows with each start of the node; 0 if not yet chosen
  * @targets: targets and connections to them
  * @http: front end
  * @members: other nodes; NULL until its part has started
@@ -70,6 +71,7 @@
 	struct seam_fleet *fleet;
 	struct seam_owner *owner;
 	struct seam_admit *admit;
+	int64_t incarnation;
 	struct seam_targets *targets;
 	struct seam_http *http;
 	struct seam_members *members;
@@ -127,6 +129,7 @@
 struct seam_part *seam_part_members(struct seam_node *n);
 struct seam_part *seam_part_versions(struct seam_node *n);
 struct seam_part *seam_part_inventory(struct seam_node *n);
+struct seam_part *seam_part_teams(struct seam_node *n);
 struct seam_part *seam_part_requests(struct seam_node *n);
 struct seam_part *seam_part_admin(struct seam_node *n);
 
