--- a/fake/fake.h
+++ b/fake/fake.h
@@ -71,6 +71,28 @@
 /** seam_fake_platform_down() - let every call fail, or work again */
 void seam_fake_platform_down(struct seam_fake_platform *p, bool down);
 
+/**
+ * struct seam_fake_platform_faults - faults of the platform
+ * @down: every call fails
+ * @lag: age that the list may have, microseconds
+ * @reboot_time: time of a reboot, microseconds
+ * @lose_answers: of 1,000 reboots, how many begin but answer an error
+ * @fail_reboots: of 1,000 reboots, how many never come back
+ * @seed: seed of the random choice
+ */
+struct seam_fake_platform_faults {
+	bool down;
+	seam_time lag;
+	seam_time reboot_time;
+	int lose_answers;
+	int fail_reboots;
+	uint64_t seed;
+};
+
+/** seam_fake_platform_set() - set the faults */
+void seam_fake_platform_set(struct seam_fake_platform *p,
+			    const struct seam_fake_platform_faults *f);
+
 /** seam_fake_platform_reboots() - reboots done so far */
 int seam_fake_platform_reboots(struct seam_fake_platform *p);
 
--- /dev/null
+++ b/process/demand.h
@@ -0,0 +1,57 @@
+#ifndef SEAM_DEMAND_H
+#define SEAM_DEMAND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct seam_demand - demand for pools as reported by parts and other nodes
+ *
+ * Locked inside. A report counts until its deadline, so that a source that
+ * ended does not hold VMs.
+ */
+struct seam_demand;
+
+/** seam_demand_new() - empty table */
+struct seam_demand *seam_demand_new(void);
+
+/** seam_demand_free() - free it */
+void seam_demand_free(struct seam_demand *d);
+
+/**
+ * struct seam_demand_report - what one source sees for one pool
+ * @busy: units running
+ * @waiting: units waiting
+ * @per_vm: units that one VM runs at once; at least 1
+ * @valid_until: the report counts up to this time
+ */
+struct seam_demand_report {
+	int64_t busy;
+	int64_t waiting;
+	int64_t per_vm;
+	seam_time valid_until;
+};
+
+/** seam_demand_set() - replace the report of @source for @pool */
+void seam_demand_set(struct seam_demand *d, const char *pool,
+		     const char *source, const struct seam_demand_report *r);
+
+/**
+ * seam_demand_vms() - VMs that all reports for @pool ask for at @now
+ * @vms: receives the sum, in VMs
+ *
+ * Return: false if there is no valid report; the forecast then stays.
+ */
+bool seam_demand_vms(struct seam_demand *d, const char *pool, seam_time now,
+		     double *vms);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/process/forecast.h
@@ -0,0 +1,96 @@
+#ifndef SEAM_FORECAST_H
+#define SEAM_FORECAST_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct seam_forecast - expected demand of a pool, in VMs
+ * @mean: decayed mean
+ * @peak: decayed peak, never under @mean
+ * @duty: decayed part of the time that demand is nearer to the peak than to
+ *        the mean, 0 to 1
+ * @last: latest demand
+ * @at: time of the latest demand; 0 before the first one
+ * @want: VMs that the pool should have
+ * @shrink_at: when a surplus may leave; SEAM_NEVER without a surplus
+ */
+struct seam_forecast {
+	double mean;
+	double peak;
+	double duty;
+	double last;
+	seam_time at;
+	int64_t want;
+	seam_time shrink_at;
+};
+
+/** seam_forecast_add() - take in the demand @vms at @now */
+void seam_forecast_add(struct seam_forecast *f, double vms, seam_time now);
+
+/** seam_forecast_burst() - peak over mean, at least 1 */
+double seam_forecast_burst(const struct seam_forecast *f);
+
+struct seam_size_policy;
+
+/**
+ * struct seam_size_policy_ops - weighs buffer cost and moves against readiness
+ * @want: VMs for a pool, before its bounds apply
+ * @spare: VMs for the shared spare of @n pools
+ */
+struct seam_size_policy_ops {
+	int64_t (*want)(const struct seam_size_policy *s,
+			const struct seam_forecast *f);
+	int64_t (*spare)(const struct seam_size_policy *s,
+			 const struct seam_forecast *f, size_t n);
+};
+
+/**
+ * struct seam_size_policy - sizing policy; the vtable is the first member
+ * @ops: behaviour
+ * @headroom: thousandths of the mean kept in a pool above it
+ * @extra_peaks: peaks of other queues that the spare covers on top of the
+ *               expected number
+ * @hold_ms: how long a surplus lasts before VMs leave, milliseconds
+ * @move_ms: time that a move takes, milliseconds
+ * @moves: moves at once out of one pool
+ */
+struct seam_size_policy {
+	const struct seam_size_policy_ops *ops;
+	int headroom;
+	int extra_peaks;
+	int64_t hold_ms;
+	int64_t move_ms;
+	int moves;
+};
+
+/** seam_size_ready() - preset that favours readiness */
+const struct seam_size_policy *seam_size_ready(void);
+
+/** seam_size_thrifty() - preset that favours few VMs and few moves */
+const struct seam_size_policy *seam_size_thrifty(void);
+
+/**
+ * seam_size_update() - set @f->want and @f->shrink_at
+ * @s: policy
+ * @f: forecast
+ * @min: least VMs
+ * @max: most VMs
+ * @have: VMs in the pool
+ * @now: time
+ *
+ * Grows at once; keeps a surplus until it has lasted for the hold time.
+ */
+void seam_size_update(const struct seam_size_policy *s, struct seam_forecast *f,
+		      int64_t min, int64_t max, int64_t have, seam_time now);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/process/pool_batch.c
@@ -0,0 +1,65 @@
+#include "process/pool_impl.h"
+#include "base/count.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+SEAM_COUNT(commits, "seam_pool_commits_total", "Commits of pool rows.");
+SEAM_COUNT(conflicts, "seam_pool_conflicts_total",
+	   "Commits of pool rows refused because a row had changed.");
+SEAM_COUNT(failures, "seam_pool_commit_failures_total",
+	   "Commits of pool rows that the store did not confirm.");
+
+void seam_batch_init(struct seam_batch *b)
+{
+	b->write = g_array_new(FALSE, TRUE, sizeof(struct seam_write));
+	b->own = g_ptr_array_new_with_free_func(free);
+}
+
+void seam_batch_add(struct seam_batch *b, enum seam_op op, char *key,
+		    uint64_t version, char *data)
+{
+	struct seam_write w = {.op = op, .key = key, .version = version};
+
+	g_ptr_array_add(b->own, key);
+	if (data) {
+		g_ptr_array_add(b->own, data);
+		w.data = data;
+		w.len = strlen(data);
+	}
+	g_array_append_val(b->write, w);
+}
+
+/* The small row beside it has the same version, which pollers compare. */
+void seam_batch_row(struct seam_batch *b, const struct seam_pool_row *r)
+{
+	seam_batch_add(b, SEAM_PUT, g_strconcat("pool/", r->name, NULL),
+		       r->version, seam_pool_row_write(r));
+	seam_batch_add(b, SEAM_PUT, g_strconcat("pool-version/", r->name, NULL),
+		       SEAM_ANY_VERSION, strdup(""));
+}
+
+int seam_batch_commit(struct seam_pools *ps, struct seam_batch *b,
+		      uint64_t *version, seam_time now, struct seam_err *e)
+{
+	struct seam_commit c = {
+		.write = (const struct seam_write *)b->write->data,
+		.n = b->write->len,
+	};
+
+	if (seam_store_commit_sure(ps->env.store, ps->env.clock, &c,
+				   now + SEAM_POOL_TIMEOUT, e)) {
+		seam_count_add(e->kind == SEAM_CONFLICT ? &conflicts : &failures,
+			       1);
+		return -1;
+	}
+	seam_count_add(&commits, 1);
+	*version = c.version;
+	return 0;
+}
+
+void seam_batch_free(struct seam_batch *b)
+{
+	g_array_free(b->write, TRUE);
+	g_ptr_array_free(b->own, TRUE);
+}
--- /dev/null
+++ b/process/pool_impl.h
@@ -0,0 +1,93 @@
+#ifndef SEAM_POOL_IMPL_H
+#define SEAM_POOL_IMPL_H
+
+#include "process/pool.h"
+
+#include <glib.h>
+
+#define SEAM_POOL_TIMEOUT (3 * SEAM_SEC)
+
+/* One VM list, shared by passes and readers; counted references. */
+struct seam_vm_list {
+	int refs;
+	struct seam_vms vms;
+	GHashTable *index; /* id to struct seam_vm in vms */
+};
+
+/* A member on its way to another pool. */
+struct seam_moving {
+	char from[64];
+	char to[64];
+	char vm[64];
+};
+
+struct seam_pool {
+	struct seam_pools *ps;
+	char name[64];
+	struct seam_pool_row row;
+	struct seam_wave_order wave;
+	bool check_new; /* a commit with new VMs conflicted: read vm/ID first */
+};
+
+struct seam_pools {
+	struct seam_pools_env env;
+	pthread_mutex_t lock;
+	GHashTable *pool; /* name to struct seam_pool */
+	struct seam_vm_list *list;
+	GArray *orphans; /* struct seam_vm without a pool row; .pool decided */
+	GArray *moving; /* struct seam_moving */
+};
+
+/* Operations of one commit with the texts that they point to. */
+struct seam_batch {
+	GArray *write;
+	GPtrArray *own;
+};
+
+void seam_batch_init(struct seam_batch *b);
+void seam_batch_add(struct seam_batch *b, enum seam_op op, char *key,
+		    uint64_t version, char *data);
+void seam_batch_row(struct seam_batch *b, const struct seam_pool_row *r);
+int seam_batch_commit(struct seam_pools *ps, struct seam_batch *b,
+		      uint64_t *version, seam_time now, struct seam_err *e);
+void seam_batch_free(struct seam_batch *b);
+
+/* State of one pass over one pool. */
+struct seam_pool_work {
+	struct seam_pool *p;
+	struct seam_pools *ps;
+	struct seam_conf *conf;
+	const struct seam_pool_conf *pc; /* NULL: no longer configured */
+	struct seam_vm_list *list; /* NULL before the first list */
+	struct seam_pool_row old;
+	struct seam_pool_row next;
+	struct seam_wave_order wave;
+	struct seam_pool_rules rules;
+	struct seam_batch batch;
+	seam_time now;
+	bool changed;
+	bool began; /* planned work began in this pass */
+	bool adopted;
+};
+
+struct seam_vm_list *seam_vm_list_hold(struct seam_pools *ps);
+void seam_vm_list_drop(struct seam_vm_list *l);
+const struct seam_vm *seam_vm_list_find(const struct seam_vm_list *l,
+					const char *vm);
+
+/* The pool of kind spare, or NULL. */
+const struct seam_pool_conf *seam_pool_spare(const struct seam_conf *c);
+
+void seam_pool_mark_out(struct seam_pool_row *r, const struct seam_conf *c);
+void seam_pool_adopt(struct seam_pool_work *w);
+int seam_pool_arrivals(struct seam_pool_work *w);
+void seam_pool_resize(struct seam_pool_work *w);
+void seam_pool_effects(struct seam_pool_work *w);
+void seam_pool_invariants(const struct seam_pool_row *old,
+			  const struct seam_pool_row *next,
+			  const struct seam_pool_rules *rules);
+void seam_pool_keep(struct seam_pool *p, const struct seam_pool_row *r);
+seam_time seam_pool_drain_limit(const struct seam_pool_work *w);
+struct seam_drain *seam_pool_drain(const struct seam_pool_work *w);
+
+#endif
--- /dev/null
+++ b/process/pool_pass.c
@@ -0,0 +1,353 @@
+#include "process/pool_impl.h"
+#include "base/count.h"
+#include "base/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PASS_PERIOD (1 * SEAM_SEC)
+#define REBOOT_TIMEOUT (2 * SEAM_SEC)
+
+SEAM_COUNT(begun, "seam_pool_maintenance_begun_total",
+	   "Drains for maintenance that began.");
+SEAM_COUNT(undone, "seam_pool_drains_undone_total",
+	   "Drains undone because the budget or a data centre was lost.");
+SEAM_COUNT(removed, "seam_pool_removed_total",
+	   "Members removed because their VM left the list.");
+SEAM_COUNT(reboots, "seam_pool_reboots_asked_total",
+	   "Reboots asked of the platform, with repeats.");
+SEAM_COUNT(overdue, "seam_pool_overdue",
+	   "Members past their maintenance deadline in the owned pools.");
+SEAM_COUNT(over_budget, "seam_pool_over_budget",
+	   "Owned pools with more unavailable members than their budget.");
+SEAM_COUNT(poll_errors, "seam_pool_poll_errors_total",
+	   "Polls of the pool rows that failed.");
+
+seam_time seam_pool_drain_limit(const struct seam_pool_work *w)
+{
+	return w->pc && w->pc->kind == SEAM_POOL_TASKS ? SEAM_DRAIN_TASKS :
+							 SEAM_DRAIN_SERVICE;
+}
+
+struct seam_drain *seam_pool_drain(const struct seam_pool_work *w)
+{
+	return w->pc && w->pc->kind == SEAM_POOL_TASKS ?
+		       w->ps->env.drain_tasks :
+		       w->ps->env.drain;
+}
+
+static bool idle(const struct seam_pool_work *w, const struct seam_member *m)
+{
+	struct seam_drain *d = seam_pool_drain(w);
+
+	if (m->state != SEAM_MEMBER_DRAINING)
+		return false;
+	return !d || d->ops->idle(d, m->vm);
+}
+
+static void drop_member(struct seam_pool_work *w, struct seam_member *m)
+{
+	seam_log(SEAM_INFO, "pool", "VM %s left the list and pool %s.", m->vm,
+		 w->next.name);
+	seam_batch_add(&w->batch, SEAM_DELETE, g_strconcat("vm/", m->vm, NULL),
+		       SEAM_ANY_VERSION, NULL);
+	seam_pool_remove(&w->next, m->vm);
+	seam_count_add(&removed, 1);
+	w->changed = true;
+}
+
+static void step_members(struct seam_pool_work *w)
+{
+	size_t i = 0;
+
+	while (i < w->next.n) {
+		struct seam_member *m = &w->next.member[i];
+		struct seam_sight s = {
+			.vm = seam_vm_list_find(w->list, m->vm),
+			.as_of = w->list ? w->list->vms.as_of : 0,
+			.list_ok = w->rules.list_ok,
+			.lag = w->ps->env.vm_list_ms * SEAM_MSEC,
+			.idle = idle(w, m),
+		};
+
+		switch (seam_member_step(m, &s, w->now)) {
+		case SEAM_STEP_REMOVE:
+			drop_member(w, m);
+			continue;
+		case SEAM_STEP_CHANGED:
+			w->changed = true;
+			break;
+		default:
+			break;
+		}
+		i++;
+	}
+}
+
+static void undo(struct seam_pool_work *w, struct seam_member *m)
+{
+	m->state = SEAM_MEMBER_ACTIVE;
+	m->why = SEAM_WHY_NONE;
+	m->until = SEAM_NEVER;
+	m->drain_from = 0;
+	m->to[0] = '\0';
+	w->changed = true;
+	seam_count_add(&undone, 1);
+}
+
+/* Gives drained capacity back when it is needed more than the plan. */
+static void undo_drains(struct seam_pool_work *w)
+{
+	size_t i;
+
+	for (i = 0; i < w->next.n; i++) {
+		struct seam_member *m = &w->next.member[i];
+		bool wave = m->why == SEAM_WHY_MAINTENANCE;
+
+		if (m->state != SEAM_MEMBER_DRAINING ||
+		    (!wave && m->why != SEAM_WHY_MOVE))
+			continue;
+		if (seam_wave_must_stop(&w->next, &w->rules) ||
+		    (wave && w->wave.order == SEAM_ORDER_HALT) ||
+		    (!wave && !seam_conf_named(w->conf, SEAM_CONF_POOL, m->to)))
+			undo(w, m);
+	}
+}
+
+static void begin_wave(struct seam_pool_work *w)
+{
+	struct seam_member *m;
+
+	while (w->pc && (m = seam_wave_next(&w->next, &w->rules, &w->wave,
+					    w->now))) {
+		seam_member_drain(m, SEAM_WHY_MAINTENANCE, w->now,
+				  seam_pool_drain_limit(w));
+		w->changed = true;
+		w->began = true;
+		seam_count_add(&begun, 1);
+	}
+}
+
+/*
+ * The check of the wave row makes a halt exact: after it was accepted, no
+ * commit that begins planned work can apply.
+ */
+static int commit(struct seam_pool_work *w, struct seam_err *e)
+{
+	struct seam_batch head;
+
+	w->next.saved_at = w->now;
+	seam_batch_init(&head);
+	seam_batch_row(&head, &w->next);
+	if (w->began)
+		seam_batch_add(&head, SEAM_CHECK,
+			       g_strconcat("wave/", w->next.name, NULL),
+			       w->wave.version, NULL);
+	g_array_append_vals(head.write, w->batch.write->data,
+			    w->batch.write->len);
+	if (seam_batch_commit(w->ps, &head, &w->next.version, w->now, e)) {
+		seam_batch_free(&head);
+		w->p->check_new = w->adopted;
+		return -1;
+	}
+	seam_batch_free(&head);
+	seam_pool_invariants(&w->old, &w->next, &w->rules);
+	return 0;
+}
+
+static void begin_drain(struct seam_pool_work *w, const struct seam_member *m)
+{
+	struct seam_drain *d = seam_pool_drain(w);
+
+	if (d)
+		d->ops->begin(d, m->vm, m->until);
+}
+
+static void end_drain(struct seam_pool_work *w, const struct seam_member *m)
+{
+	struct seam_drain *d = seam_pool_drain(w);
+	const struct seam_member *old = seam_pool_member(&w->old, m->vm);
+
+	if (d && d->ops->end && old && old->state == SEAM_MEMBER_DRAINING)
+		d->ops->end(d, m->vm);
+}
+
+/* A repeat does not reboot twice: the platform compares the boot number. */
+static int ask_reboot(struct seam_pool_work *w, const struct seam_member *m)
+{
+	const struct seam_vm *vm = seam_vm_list_find(w->list, m->vm);
+	struct seam_platform *p = w->ps->env.platform;
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (vm && vm->boot > m->boot)
+		return 0;
+	seam_count_add(&reboots, 1);
+	if (p->ops->reboot(p, m->vm, m->boot, w->now + REBOOT_TIMEOUT, &e) &&
+	    e.kind == SEAM_UNAVAILABLE)
+		return -1;
+	return 0;
+}
+
+void seam_pool_effects(struct seam_pool_work *w)
+{
+	bool platform = true;
+	size_t i;
+
+	for (i = 0; i < w->next.n; i++) {
+		const struct seam_member *m = &w->next.member[i];
+
+		if (m->state == SEAM_MEMBER_DRAINING)
+			begin_drain(w, m);
+		else if (m->state == SEAM_MEMBER_ACTIVE)
+			end_drain(w, m);
+		else if (m->state == SEAM_MEMBER_REBOOTING && platform)
+			platform = !ask_reboot(w, m);
+	}
+}
+
+static int work_init(struct seam_pool_work *w, struct seam_pool *p,
+		     seam_time now)
+{
+	int rc;
+
+	memset(w, 0, sizeof(*w));
+	w->p = p;
+	w->ps = p->ps;
+	w->now = now;
+	w->conf = seam_conf_current(p->ps->env.conf);
+	w->pc = seam_conf_named(w->conf, SEAM_CONF_POOL, p->name);
+	w->list = seam_vm_list_hold(p->ps);
+	seam_pool_rules(p->ps, p->name, now, &w->rules);
+	seam_batch_init(&w->batch);
+	pthread_mutex_lock(&p->ps->lock);
+	rc = seam_pool_row_copy(&w->old, &p->row) ||
+	     seam_pool_row_copy(&w->next, &p->row);
+	w->wave = p->wave;
+	pthread_mutex_unlock(&p->ps->lock);
+	seam_pool_mark_out(&w->old, w->conf);
+	seam_pool_mark_out(&w->next, w->conf);
+	return rc ? -1 : 0;
+}
+
+static void work_free(struct seam_pool_work *w)
+{
+	seam_pool_row_free(&w->old);
+	seam_pool_row_free(&w->next);
+	seam_batch_free(&w->batch);
+	seam_vm_list_drop(w->list);
+	seam_conf_drop(w->conf);
+}
+
+int seam_pool_pass(struct seam_pool *p, seam_time now)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_pool_work w;
+	int rc = work_init(&w, p, now);
+
+	if (!rc)
+		rc = seam_pool_arrivals(&w);
+	if (!rc) {
+		step_members(&w);
+		undo_drains(&w);
+		seam_pool_adopt(&w);
+		begin_wave(&w);
+		seam_pool_resize(&w);
+		if (w.changed)
+			rc = commit(&w, &e);
+		if (rc)
+			seam_log(SEAM_INFO, "pool", "Pool %s not written: %s.",
+				 p->name, e.text);
+	}
+	if (!rc) {
+		seam_pool_keep(p, &w.next);
+		seam_pool_effects(&w);
+	}
+	work_free(&w);
+	return rc;
+}
+
+/* Without the store: drains and reboots already committed go on. */
+static void effects_only(struct seam_pool *p, seam_time now)
+{
+	struct seam_pool_work w;
+
+	if (!work_init(&w, p, now))
+		seam_pool_effects(&w);
+	work_free(&w);
+}
+
+static GPtrArray *owned(struct seam_pools *ps, seam_time now)
+{
+	GPtrArray *out = g_ptr_array_new();
+	struct seam_conf *c = seam_conf_current(ps->env.conf);
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_pool_conf *pc;
+	GHashTableIter it;
+	gpointer p;
+
+	while ((pc = seam_conf_next(c, SEAM_CONF_POOL, &h)))
+		seam_pools_get(ps, pc->name);
+	seam_conf_drop(c);
+	pthread_mutex_lock(&ps->lock);
+	g_hash_table_iter_init(&it, ps->pool);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		g_ptr_array_add(out, p);
+	pthread_mutex_unlock(&ps->lock);
+	for (guint i = 0; i < out->len;) {
+		struct seam_pool *x = g_ptr_array_index(out, i);
+		char name[80];
+
+		g_snprintf(name, sizeof(name), "pool/%s", x->name);
+		if (seam_owner_mine(ps->env.owner, name, now))
+			i++;
+		else
+			g_ptr_array_remove_index_fast(out, i);
+	}
+	return out;
+}
+
+static void gauges(struct seam_pools *ps, GPtrArray *own, seam_time now)
+{
+	int64_t late = 0;
+	int64_t over = 0;
+
+	for (guint i = 0; i < own->len; i++) {
+		struct seam_pool *p = g_ptr_array_index(own, i);
+		struct seam_pool_rules rules;
+		struct seam_pool_row r;
+
+		if (seam_pool_peek(ps, p->name, &r))
+			continue;
+		seam_pool_rules(ps, p->name, now, &rules);
+		over += seam_pool_tally(&r).unavailable > rules.budget;
+		for (size_t j = 0; j < r.n; j++)
+			late += r.member[j].maintain_by < now;
+		seam_pool_row_free(&r);
+	}
+	seam_count_set(&overdue, late);
+	seam_count_set(&over_budget, over);
+}
+
+seam_time seam_pools_pass(struct seam_pools *ps, seam_time now)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	GPtrArray *own = owned(ps, now);
+	bool store = !seam_pools_poll(ps, now, &e);
+
+	if (!store) {
+		seam_count_add(&poll_errors, 1);
+		seam_log(SEAM_DEBUG, "pool", "Rows not polled: %s.", e.text);
+	}
+	seam_pools_publish(ps);
+	for (guint i = 0; i < own->len; i++) {
+		struct seam_pool *p = g_ptr_array_index(own, i);
+
+		if (store)
+			seam_pool_pass(p, now);
+		else
+			effects_only(p, now);
+	}
+	gauges(ps, own, now);
+	g_ptr_array_free(own, TRUE);
+	return now + PASS_PERIOD;
+}
--- /dev/null
+++ b/process/pool_size.c
@@ -0,0 +1,256 @@
+#include "process/pool_impl.h"
+#include "base/count.h"
+#include "base/log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A forecast that a new owner starts from is at most this old. */
+#define SAVE_PERIOD (60LL * SEAM_SEC)
+
+SEAM_COUNT(moves_begun, "seam_pool_moves_begun_total",
+	   "Moves of a VM to another pool that began.");
+
+/* VMs that a pool lacks. */
+struct need {
+	const struct seam_pool_conf *pc;
+	int64_t lacks;
+};
+
+static bool stays(const struct seam_member *m)
+{
+	return m->state != SEAM_MEMBER_FAILED && m->why != SEAM_WHY_LEAVING &&
+	       !*m->to && !m->out;
+}
+
+static int64_t have(const struct seam_pool_row *r)
+{
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < r->n; i++)
+		n += stays(&r->member[i]);
+	return n;
+}
+
+static int64_t incoming(struct seam_pools *ps, const char *pool)
+{
+	int64_t n = 0;
+	guint i;
+
+	for (i = 0; i < ps->moving->len; i++)
+		n += !strcmp(g_array_index(ps->moving, struct seam_moving, i).to,
+			     pool);
+	return n;
+}
+
+static bool allowed(const struct seam_pool_conf *pc, const char *dc)
+{
+	char **d;
+
+	if (!pc->data_centres)
+		return true;
+	for (d = pc->data_centres; *d; d++)
+		if (!strcmp(*d, dc))
+			return true;
+	return false;
+}
+
+static int by_lack(const void *a, const void *b)
+{
+	const struct need *x = a;
+	const struct need *y = b;
+
+	if (x->lacks != y->lacks)
+		return x->lacks < y->lacks ? 1 : -1;
+	return strcmp(x->pc->name, y->pc->name);
+}
+
+/* What other pools lack, most first; the caller frees it. */
+static struct need *needs(struct seam_pool_work *w, size_t *n)
+{
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_pool_conf *pc;
+	struct need *out = calloc(seam_conf_count(w->conf, SEAM_CONF_POOL) + 1,
+				  sizeof(*out));
+
+	*n = 0;
+	pthread_mutex_lock(&w->ps->lock);
+	while (out && (pc = seam_conf_next(w->conf, SEAM_CONF_POOL, &h))) {
+		struct seam_pool *p =
+			g_hash_table_lookup(w->ps->pool, pc->name);
+		int64_t want = p ? p->row.forecast.want : 0;
+
+		if (!p || pc->kind == SEAM_POOL_SPARE ||
+		    !strcmp(pc->name, w->next.name))
+			continue;
+		want -= have(&p->row) + incoming(w->ps, pc->name);
+		if (want > 0)
+			out[(*n)++] = (struct need){pc, want};
+	}
+	pthread_mutex_unlock(&w->ps->lock);
+	if (out)
+		qsort(out, *n, sizeof(*out), by_lack);
+	return out;
+}
+
+/* The member whose maintenance is nearest: the reboot of its move counts. */
+static struct seam_member *giveable(struct seam_pool_work *w,
+				    const struct seam_pool_conf *to)
+{
+	struct seam_member *best = NULL;
+	size_t i;
+
+	for (i = 0; i < w->next.n; i++) {
+		struct seam_member *m = &w->next.member[i];
+
+		if (m->state == SEAM_MEMBER_ACTIVE && allowed(to, m->dc) &&
+		    (!best || m->maintain_by < best->maintain_by))
+			best = m;
+	}
+	if (best &&
+	    seam_pool_may_take(&w->next, best, &w->rules) != SEAM_MAY_BEGIN)
+		return NULL;
+	return best;
+}
+
+static int moving_out(const struct seam_pool_row *r)
+{
+	int n = 0;
+	size_t i;
+
+	for (i = 0; i < r->n; i++)
+		n += *r->member[i].to != '\0';
+	return n;
+}
+
+static bool give(struct seam_pool_work *w, const struct seam_pool_conf *to)
+{
+	struct seam_member *m = giveable(w, to);
+
+	if (!m || moving_out(&w->next) >= w->ps->env.size->moves)
+		return false;
+	seam_member_drain(m, SEAM_WHY_MOVE, w->now, seam_pool_drain_limit(w));
+	memcpy(m->to, to->name, sizeof(m->to));
+	snprintf(w->next.note, sizeof(w->next.note), "gave VM %s to pool %s",
+		 m->vm, m->to);
+	w->changed = true;
+	w->began = true;
+	seam_count_add(&moves_begun, 1);
+	return true;
+}
+
+static void give_needed(struct seam_pool_work *w, int64_t surplus)
+{
+	size_t n;
+	size_t i = 0;
+	struct need *list = needs(w, &n);
+
+	while (list && i < n && surplus > 0) {
+		if (!list[i].lacks || !give(w, list[i].pc)) {
+			i++;
+			continue;
+		}
+		list[i].lacks--;
+		surplus--;
+	}
+	free(list);
+}
+
+static void give_spare(struct seam_pool_work *w, int64_t surplus)
+{
+	const struct seam_pool_conf *spare = seam_pool_spare(w->conf);
+
+	while (spare && surplus-- > 0 && give(w, spare))
+		continue;
+}
+
+static int64_t spare_want(struct seam_pool_work *w)
+{
+	GArray *f = g_array_new(FALSE, FALSE, sizeof(struct seam_forecast));
+	struct seam_pools *ps = w->ps;
+	GHashTableIter it;
+	gpointer value;
+	int64_t want;
+
+	pthread_mutex_lock(&ps->lock);
+	g_hash_table_iter_init(&it, ps->pool);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct seam_pool *p = value;
+
+		if (p != w->p && p->row.forecast.at)
+			g_array_append_val(f, p->row.forecast);
+	}
+	pthread_mutex_unlock(&ps->lock);
+	want = ps->env.size->ops->spare(
+		ps->env.size, (const struct seam_forecast *)f->data, f->len);
+	g_array_free(f, TRUE);
+	return want;
+}
+
+/* One VM more than the least, so that maintenance can take one out. */
+static int64_t least(const struct seam_pool_work *w)
+{
+	struct seam_pool_tally t = seam_pool_tally(&w->next);
+	size_t i;
+
+	if (t.active > w->rules.min || w->rules.min >= w->pc->max)
+		return w->rules.min;
+	for (i = 0; i < w->next.n; i++)
+		if (w->now >= seam_wave_due(&w->next.member[i], w->next.n))
+			return w->rules.min + 1;
+	return w->rules.min;
+}
+
+static void decide(struct seam_pool_work *w, int64_t n)
+{
+	struct seam_forecast *f = &w->next.forecast;
+	double vms;
+	int64_t low;
+
+	if (!w->pc) {
+		f->want = 0;
+		return;
+	}
+	if (w->pc->kind == SEAM_POOL_SPARE) {
+		f->want = spare_want(w);
+		return;
+	}
+	low = least(w);
+	if (w->ps->env.demand &&
+	    seam_demand_vms(w->ps->env.demand, w->next.name, w->now, &vms))
+		seam_forecast_add(f, vms, w->now);
+	if (f->at)
+		seam_size_update(w->ps->env.size, f, low, w->pc->max, n,
+				 w->now);
+	else
+		f->want = CLAMP(n, low, w->pc->max);
+}
+
+void seam_pool_resize(struct seam_pool_work *w)
+{
+	const struct seam_forecast *f = &w->next.forecast;
+	int64_t n = have(&w->next);
+	int64_t before = w->old.forecast.want;
+
+	if (!w->ps->env.size)
+		return;
+	decide(w, n);
+	if (f->want != before) {
+		snprintf(w->next.note, sizeof(w->next.note),
+			 "wants %lld VMs, has %lld: demand %.1f, mean %.1f, "
+			 "peak %.1f, burst %.1f",
+			 (long long)f->want, (long long)n, f->last, f->mean,
+			 f->peak, seam_forecast_burst(f));
+		w->changed = true;
+	}
+	if (f->at > w->next.saved_at && w->now - w->next.saved_at > SAVE_PERIOD)
+		w->changed = true;
+	if (w->pc && w->pc->kind == SEAM_POOL_SPARE) {
+		give_needed(w, n);
+	} else if (n > f->want) {
+		give_needed(w, n - f->want);
+		give_spare(w, have(&w->next) - f->want);
+	}
+}
--- /dev/null
+++ b/process/pool_step.c
@@ -0,0 +1,126 @@
+#include "process/pool.h"
+
+static enum seam_step to_state(struct seam_member *m, int state, int why,
+			       seam_time until)
+{
+	m->state = state;
+	m->why = why;
+	m->until = until;
+	m->drain_from = 0;
+	if (state == SEAM_MEMBER_FAILED || state == SEAM_MEMBER_ACTIVE ||
+	    why == SEAM_WHY_LEAVING)
+		m->to[0] = '\0';
+	return SEAM_STEP_CHANGED;
+}
+
+static enum seam_step rebooted(struct seam_member *m, const struct seam_vm *vm,
+			       seam_time now)
+{
+	m->boot = vm->boot;
+	m->maintained = now;
+	m->maintain_by = now + SEAM_MAINTAIN_PERIOD;
+	m->to[0] = '\0';
+	return to_state(m, SEAM_MEMBER_JOINING, SEAM_WHY_MAINTENANCE,
+			now + SEAM_REBOOT_LIMIT);
+}
+
+/* A list made before the VM was adopted cannot have it. */
+static bool missing(const struct seam_member *m, const struct seam_sight *s)
+{
+	return !s->vm && s->list_ok && s->as_of > m->maintained;
+}
+
+static bool leaves(const struct seam_sight *s)
+{
+	return s->vm && s->vm->state == SEAM_VM_LEAVING;
+}
+
+static bool came_back(const struct seam_member *m, const struct seam_sight *s)
+{
+	return s->vm && !leaves(s) && s->vm->boot > m->boot;
+}
+
+static enum seam_step step_up(struct seam_member *m, const struct seam_sight *s,
+			      seam_time now)
+{
+	if (missing(m, s))
+		return to_state(m, SEAM_MEMBER_FAILED, SEAM_WHY_LEAVING,
+				now + s->lag);
+	if (leaves(s))
+		return to_state(m, SEAM_MEMBER_DRAINING, SEAM_WHY_LEAVING,
+				SEAM_NEVER);
+	if (m->state == SEAM_MEMBER_JOINING && s->vm && s->vm->boot >= m->boot)
+		return to_state(m, SEAM_MEMBER_ACTIVE, SEAM_WHY_NONE,
+				SEAM_NEVER);
+	return SEAM_STEP_NONE;
+}
+
+static enum seam_step step_draining(struct seam_member *m,
+				    const struct seam_sight *s, seam_time now)
+{
+	if (missing(m, s))
+		return to_state(m, SEAM_MEMBER_FAILED, SEAM_WHY_LEAVING,
+				now + s->lag);
+	if (m->why == SEAM_WHY_LEAVING)
+		return s->vm && !leaves(s) ?
+			       to_state(m, SEAM_MEMBER_ACTIVE, SEAM_WHY_NONE,
+					SEAM_NEVER) :
+			       SEAM_STEP_NONE;
+	if (leaves(s))
+		return to_state(m, SEAM_MEMBER_DRAINING, SEAM_WHY_LEAVING,
+				SEAM_NEVER);
+	if (!s->list_ok || !s->vm)
+		return SEAM_STEP_NONE;
+	if (now < m->until && !(s->idle && now >= m->drain_from))
+		return SEAM_STEP_NONE;
+	if (s->vm->boot > m->boot)
+		m->boot = s->vm->boot;
+	return to_state(m, SEAM_MEMBER_REBOOTING, m->why,
+			now + SEAM_REBOOT_LIMIT);
+}
+
+static enum seam_step step_rebooting(struct seam_member *m,
+				     const struct seam_sight *s, seam_time now)
+{
+	bool late = s->list_ok && s->as_of >= m->until;
+
+	/* The receiving pool takes a VM that moves, unless it fails to. */
+	if (came_back(m, s))
+		return *m->to && !late ? SEAM_STEP_NONE : rebooted(m, s->vm, now);
+	if (late)
+		return to_state(m, SEAM_MEMBER_FAILED, SEAM_WHY_FAILED,
+				SEAM_NEVER);
+	return SEAM_STEP_NONE;
+}
+
+static enum seam_step step_failed(struct seam_member *m,
+				  const struct seam_sight *s, seam_time now)
+{
+	if (came_back(m, s))
+		return rebooted(m, s->vm, now);
+	if (m->why == SEAM_WHY_LEAVING && s->vm && !leaves(s))
+		return to_state(m, SEAM_MEMBER_JOINING, SEAM_WHY_FAILED,
+				now + SEAM_REBOOT_LIMIT);
+	if (m->why == SEAM_WHY_FAILED && missing(m, s))
+		return to_state(m, SEAM_MEMBER_FAILED, SEAM_WHY_LEAVING,
+				now + s->lag);
+	if (m->why == SEAM_WHY_LEAVING && !s->vm && s->list_ok &&
+	    s->as_of >= m->until)
+		return SEAM_STEP_REMOVE;
+	return SEAM_STEP_NONE;
+}
+
+enum seam_step seam_member_step(struct seam_member *m,
+				const struct seam_sight *s, seam_time now)
+{
+	switch (m->state) {
+	case SEAM_MEMBER_DRAINING:
+		return step_draining(m, s, now);
+	case SEAM_MEMBER_REBOOTING:
+		return step_rebooting(m, s, now);
+	case SEAM_MEMBER_FAILED:
+		return step_failed(m, s, now);
+	default:
+		return step_up(m, s, now);
+	}
+}
