--- a/process/pool.c
+++ b/process/pool.c
@@ -94,7 +94,7 @@
 					   m->state == SEAM_MEMBER_REBOOTING);
 }
 
-struct seam_pool_tally seam_pool_tally(const struct seam_pool_row *r)
+struct seam_pool_tally seam_pool_count(const struct seam_pool_row *r)
 {
 	struct seam_pool_tally t = {0};
 	size_t i;
@@ -130,7 +130,7 @@
 				     const struct seam_member *m,
 				     const struct seam_pool_rules *rules)
 {
-	struct seam_pool_tally t = seam_pool_tally(r);
+	struct seam_pool_tally t = seam_pool_count(r);
 
 	if (m->state != SEAM_MEMBER_ACTIVE)
 		return SEAM_NOT_ACTIVE;
--- a/process/pool.h
+++ b/process/pool.h
@@ -124,8 +124,8 @@
 	int64_t out;
 };
 
-/** seam_pool_tally() - count the members */
-struct seam_pool_tally seam_pool_tally(const struct seam_pool_row *r);
+/** seam_pool_count() - count the members */
+struct seam_pool_tally seam_pool_count(const struct seam_pool_row *r);
 
 enum seam_order { SEAM_ORDER_NONE, SEAM_ORDER_START, SEAM_ORDER_HALT };
 
@@ -338,12 +338,12 @@
 int seam_pool_peek(struct seam_pools *ps, const char *name,
 		   struct seam_pool_row *out);
 
-/** seam_pool_rules() - rules of a pool at @now; false if not configured */
-bool seam_pool_rules(struct seam_pools *ps, const char *name, seam_time now,
+/** seam_pool_rules_of() - rules of a pool at @now; false if not configured */
+bool seam_pool_rules_of(struct seam_pools *ps, const char *name, seam_time now,
 		     struct seam_pool_rules *out);
 
 /**
- * seam_wave_order() - record an operators' order for a pool
+ * seam_wave_give() - record an operators' order for a pool
  * @ps: pools
  * @pool: pool
  * @w: order with reason and operator; @w->version is the version seen, or
@@ -352,7 +352,7 @@
  * @e: SEAM_BAD_REQUEST without a reason, SEAM_CONFLICT if another order came
  *     first, SEAM_NOT_FOUND, SEAM_UNAVAILABLE, SEAM_COMMIT_UNKNOWN
  */
-int seam_wave_order(struct seam_pools *ps, const char *pool,
+int seam_wave_give(struct seam_pools *ps, const char *pool,
 		    struct seam_wave_order *w, seam_time now,
 		    struct seam_err *e);
 
--- a/process/pool_check.c
+++ b/process/pool_check.c
@@ -39,7 +39,7 @@
 			  const struct seam_pool_row *next,
 			  const struct seam_pool_rules *rules)
 {
-	struct seam_pool_tally t = seam_pool_tally(next);
+	struct seam_pool_tally t = seam_pool_count(next);
 	size_t i;
 
 	for (i = 0; i < next->n; i++)
--- a/process/pool_order.c
+++ b/process/pool_order.c
@@ -44,7 +44,7 @@
 	return 0;
 }
 
-int seam_wave_order(struct seam_pools *ps, const char *pool,
+int seam_wave_give(struct seam_pools *ps, const char *pool,
 		    struct seam_wave_order *w, seam_time now,
 		    struct seam_err *e)
 {
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -36,13 +36,20 @@
 		       w->ps->env.drain;
 }
 
+/*
+ * Told again before it is asked: the owner that committed the drain may have
+ * ended before it told anybody.
+ */
 static bool idle(const struct seam_pool_work *w, const struct seam_member *m)
 {
 	struct seam_drain *d = seam_pool_drain(w);
 
 	if (m->state != SEAM_MEMBER_DRAINING)
 		return false;
-	return !d || d->ops->idle(d, m->vm);
+	if (!d)
+		return true;
+	d->ops->begin(d, m->vm, m->until);
+	return d->ops->idle(d, m->vm);
 }
 
 static void drop_member(struct seam_pool_work *w, struct seam_member *m)
@@ -217,7 +224,7 @@
 	w->conf = seam_conf_current(p->ps->env.conf);
 	w->pc = seam_conf_named(w->conf, SEAM_CONF_POOL, p->name);
 	w->list = seam_vm_list_hold(p->ps);
-	seam_pool_rules(p->ps, p->name, now, &w->rules);
+	seam_pool_rules_of(p->ps, p->name, now, &w->rules);
 	seam_batch_init(&w->batch);
 	pthread_mutex_lock(&p->ps->lock);
 	rc = seam_pool_row_copy(&w->old, &p->row) ||
@@ -318,8 +325,8 @@
 
 		if (seam_pool_peek(ps, p->name, &r))
 			continue;
-		seam_pool_rules(ps, p->name, now, &rules);
-		over += seam_pool_tally(&r).unavailable > rules.budget;
+		seam_pool_rules_of(ps, p->name, now, &rules);
+		over += seam_pool_count(&r).unavailable > rules.budget;
 		for (size_t j = 0; j < r.n; j++)
 			late += r.member[j].maintain_by < now;
 		seam_pool_row_free(&r);
--- a/process/pool_size.c
+++ b/process/pool_size.c
@@ -192,7 +192,7 @@
 /* One VM more than the least, so that maintenance can take one out. */
 static int64_t least(const struct seam_pool_work *w)
 {
-	struct seam_pool_tally t = seam_pool_tally(&w->next);
+	struct seam_pool_tally t = seam_pool_count(&w->next);
 	size_t i;
 
 	if (t.active > w->rules.min || w->rules.min >= w->pc->max)
--- a/process/pool_step.c
+++ b/process/pool_step.c
@@ -20,7 +20,9 @@
 	m->maintained = now;
 	m->maintain_by = now + SEAM_MAINTAIN_PERIOD;
 	m->to[0] = '\0';
-	return to_state(m, SEAM_MEMBER_JOINING, SEAM_WHY_MAINTENANCE,
+	return to_state(m, SEAM_MEMBER_JOINING,
+			m->state == SEAM_MEMBER_FAILED ? SEAM_WHY_FAILED :
+							 m->why,
 			now + SEAM_REBOOT_LIMIT);
 }
 
--- a/process/pool_wave.c
+++ b/process/pool_wave.c
@@ -94,7 +94,7 @@
 bool seam_wave_must_stop(const struct seam_pool_row *r,
 			 const struct seam_pool_rules *rules)
 {
-	struct seam_pool_tally t = seam_pool_tally(r);
+	struct seam_pool_tally t = seam_pool_count(r);
 
 	return t.out || t.unavailable > rules->budget;
 }
--- a/process/pools.c
+++ b/process/pools.c
@@ -245,7 +245,7 @@
 	return NULL;
 }
 
-bool seam_pool_rules(struct seam_pools *ps, const char *name, seam_time now,
+bool seam_pool_rules_of(struct seam_pools *ps, const char *name, seam_time now,
 		     struct seam_pool_rules *out)
 {
 	struct seam_conf *c = seam_conf_current(ps->env.conf);
--- /dev/null
+++ b/tests/pool_test.cc
@@ -0,0 +1,296 @@
+// Pools: one pool for each VM, moves in stages, the availability budget.
+#include "pool_world.h"
+
+static const char *const two =
+	"[{\"name\":\"web\",\"kind\":\"service\",\"min\":1,\"budget\":2},"
+	"{\"name\":\"spare\",\"kind\":\"spare\",\"budget\":4}]";
+
+static void ask(world &w, const char *pool, int64_t vms)
+{
+	seam_demand_report r = {vms, 0, 1, SEAM_NEVER};
+
+	seam_demand_set(w.demand, pool, "test", &r);
+}
+
+static void three(world &w)
+{
+	w.vm("v1", "a", "r1", "web");
+	w.vm("v2", "b", "r2", "spare");
+	w.vm("v3", "c", "r3", "spare");
+	w.run(3 * SEC);
+}
+
+// Guards against a row that another node reads differently.
+TEST(Pool, RowSurvivesEncoding)
+{
+	seam_pool_row r = {};
+	seam_pool_row back;
+	seam_member m = {};
+	seam_err e = SEAM_ERR_INIT;
+
+	strcpy(r.name, "web");
+	strcpy(r.note, "wants 3");
+	r.forecast.mean = 2.5;
+	r.forecast.shrink_at = SEAM_NEVER;
+	r.forecast.want = 3;
+	strcpy(m.vm, "v1");
+	strcpy(m.rack, "r1");
+	strcpy(m.dc, "a");
+	strcpy(m.to, "batch");
+	m.state = SEAM_MEMBER_REBOOTING;
+	m.why = SEAM_WHY_MOVE;
+	m.until = 12345;
+	m.maintain_by = 99;
+	m.boot = 7;
+	ASSERT_NE(seam_pool_add(&r, &m), nullptr);
+	m.until = SEAM_NEVER;
+	strcpy(m.vm, "v0");
+	ASSERT_NE(seam_pool_add(&r, &m), nullptr);
+	char *text = seam_pool_row_write(&r);
+	ASSERT_EQ(seam_pool_row_read(text, &back, &e), 0) << e.text;
+	ASSERT_EQ(back.n, 2u);
+	EXPECT_EQ(memcmp(back.member, r.member, 2 * sizeof(m)), 0);
+	EXPECT_EQ(back.forecast.want, 3);
+	EXPECT_DOUBLE_EQ(back.forecast.mean, 2.5);
+	EXPECT_EQ(back.forecast.shrink_at, SEAM_NEVER);
+	EXPECT_STREQ(back.note, "wants 3");
+	free(text);
+	seam_pool_row_free(&r);
+	seam_pool_row_free(&back);
+}
+
+// Guards against acting on a damaged row.
+TEST(Pool, DamagedRowIsRefused)
+{
+	const char *const bad[] = {
+		"", "{", "{\"name\":\"web\"}",
+		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\"}]}",
+		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\",\"state\":\"up\"}]}",
+		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\",\"state\":\"active\"},"
+		"{\"vm\":\"v\",\"state\":\"active\"}]}"};
+
+	for (const char *text : bad) {
+		seam_pool_row r;
+		seam_err e = SEAM_ERR_INIT;
+
+		EXPECT_EQ(seam_pool_row_read(text, &r, &e), -1) << text;
+		EXPECT_EQ(e.kind, SEAM_BAD_CONFIG);
+	}
+}
+
+// Guards P2 on arrival: a VM of an unknown pool goes to the spare pool, and
+// two owners that see it at once take it once.
+TEST(Pool, NewVmsAreAdoptedOnce)
+{
+	world w(two, 2);
+	std::string pool;
+
+	w.vm("v1", "a", "r1", "web");
+	w.vm("v2", "a", "r1", "gone");
+	for (int i = 0; i < 2; i++)
+		seam_pools_list(w.node[i], w.clock.time, &w.e);
+	for (int i = 0; i < 2; i++) {
+		seam_pools_poll(w.node[i], w.clock.time, &w.e);
+		seam_pools_publish(w.node[i]);
+	}
+	for (const char *name : {"web", "spare"}) {
+		EXPECT_EQ(seam_pool_pass(seam_pools_get(w.node[0], name),
+					 w.clock.time),
+			  0);
+		EXPECT_EQ(seam_pool_pass(seam_pools_get(w.node[1], name),
+					 w.clock.time),
+			  -1);
+	}
+	w.check();
+	EXPECT_EQ(w.member("v1", &pool).state, SEAM_MEMBER_ACTIVE);
+	EXPECT_EQ(pool, "web");
+	w.member("v2", &pool);
+	EXPECT_EQ(pool, "spare");
+}
+
+// Guards against dropping VMs on a list that lags or is down.
+TEST(Pool, MissingVmIsRemovedAfterTheLag)
+{
+	world w(two);
+
+	three(w);
+	seam_fake_platform_del(w.fake, "v1");
+	w.run(5 * SEC);
+	EXPECT_EQ(w.member("v1").state, SEAM_MEMBER_FAILED);
+	seam_fake_platform_down(w.fake, true);
+	w.run(300 * SEC);
+	EXPECT_EQ(w.member("v1").state, SEAM_MEMBER_FAILED);
+	seam_fake_platform_down(w.fake, false);
+	w.run(3 * SEC);
+	EXPECT_STREQ(w.member("v1").vm, "");
+	w.vm("v1", "a", "r1", "web", SEAM_VM_LIVE, 2);
+	w.run(3 * SEC);
+	EXPECT_EQ(w.member("v1").state, SEAM_MEMBER_ACTIVE);
+}
+
+// Guards P2 and P10: a move drains, reboots, then changes the pool.
+TEST(Pool, MoveHasItsStages)
+{
+	world w(two);
+	std::string pool;
+
+	three(w);
+	ask(w, "web", 2);
+	w.run(3 * SEC);
+	EXPECT_EQ(w.count("spare", SEAM_MEMBER_DRAINING), 1);
+	EXPECT_EQ(w.size("web"), 1u);
+	w.run(10 * SEC);
+	seam_pool_row r = w.row("web");
+	EXPECT_EQ(r.n, 2u);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 2);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 1);
+	seam_pool_row_free(&r);
+}
+
+// Guards against a move that is lost or done twice when its owner ends at any
+// pass of it.
+TEST(Pool, OwnerKilledBetweenStages)
+{
+	for (int at = 1; at < 12; at++) {
+		world w(two, 2);
+
+		w.owner[1].alive = false;
+		three(w);
+		ask(w, "web", 2);
+		w.run(at * SEC);
+		w.owner[0].alive = false;
+		w.owner[1].alive = true;
+		w.run(15 * SEC);
+		EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 2) << at;
+		EXPECT_EQ(w.count("spare", SEAM_MEMBER_ACTIVE), 1) << at;
+		EXPECT_EQ(seam_fake_platform_reboots(w.fake), 1) << at;
+	}
+}
+
+// Guards against an owner that resumes after a pause and acts on old rows: it
+// must neither write nor reboot the VM a second time.
+TEST(Pool, StaleOwnerLosesTheCompareAndSet)
+{
+	world w(two, 2);
+
+	w.owner[1].alive = false;
+	three(w);
+	ask(w, "web", 2);
+	w.run(2 * SEC);
+	ASSERT_EQ(w.count("spare", SEAM_MEMBER_DRAINING), 1);
+	seam_pools_poll(w.node[1], w.clock.time, &w.e);
+	seam_pools_list(w.node[1], w.clock.time, &w.e);
+	w.run(10 * SEC);
+	uint64_t before = w.row_version("spare");
+	EXPECT_EQ(seam_pool_pass(seam_pools_get(w.node[1], "spare"),
+				 w.clock.time),
+		  -1);
+	EXPECT_EQ(w.row_version("spare"), before);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 2);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 1);
+}
+
+// Guards against doing a stage twice, or not at all, when the store loses the
+// answer of every commit.
+TEST(Pool, LostAnswersAtEveryCommit)
+{
+	for (int drop : {0, 300, 600}) {
+		world w(two);
+
+		w.store_faults(0, false, 1000, drop);
+		three(w);
+		ask(w, "web", 3);
+		w.run(60 * SEC);
+		EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 3) << drop;
+		EXPECT_EQ(seam_fake_platform_reboots(w.fake), 2) << drop;
+	}
+}
+
+// Guards P9 without the store: the list's own state reaches the fleet, and a
+// node without store and list keeps the last known state.
+TEST(Pool, LeavingIsSeenWithoutTheStore)
+{
+	world w(two);
+	size_t n = 0;
+
+	three(w);
+	w.store_faults(0, true);
+	w.vm("v1", "a", "r1", "web", SEAM_VM_LEAVING);
+	w.run(2 * SEC);
+	seam_fake_platform_down(w.fake, true);
+	w.run(600 * SEC, 10 * SEC);
+	seam_fleet_vm *f = seam_fleet_copy(w.fleet, "web", &n, nullptr);
+	ASSERT_EQ(n, 1u);
+	EXPECT_EQ(f[0].vm.state, SEAM_VM_LEAVING);
+	free(f);
+	w.store_faults(0, false);
+	seam_fake_platform_down(w.fake, false);
+	w.run(2 * SEC);
+	EXPECT_EQ(w.member("v1").state, SEAM_MEMBER_DRAINING);
+	EXPECT_EQ(w.member("v1").why, SEAM_WHY_LEAVING);
+}
+
+// Guards P1 against each cause that may hide a member that is not active.
+TEST(Pool, EveryCauseCountsInTheBudget)
+{
+	seam_pool_rules rules = {1, 2, true};
+
+	for (int state = 0; state <= SEAM_MEMBER_FAILED; state++) {
+		seam_pool_row r = {};
+		seam_member m = {};
+
+		for (const char *id : {"v1", "v2", "v3", "v4"}) {
+			strcpy(m.vm, id);
+			seam_pool_add(&r, &m);
+		}
+		r.member[0].state = state;
+		EXPECT_EQ(seam_pool_may_take(&r, &r.member[3], &rules),
+			  SEAM_MAY_BEGIN);
+		r.member[1].state = state;
+		EXPECT_EQ(seam_pool_may_take(&r, &r.member[3], &rules),
+			  state ? SEAM_NO_BUDGET : SEAM_MAY_BEGIN);
+		r.member[2].out = true;
+		EXPECT_EQ(seam_pool_may_take(&r, &r.member[3], &rules),
+			  SEAM_DC_IS_OUT);
+		seam_pool_row_free(&r);
+	}
+}
+
+// Guards the pool's least number of VMs, and an old list.
+TEST(Pool, PlannedWorkKeepsTheMinimum)
+{
+	seam_pool_row r = {};
+	seam_pool_rules rules = {2, 2, true};
+	seam_member m = {};
+
+	strcpy(m.vm, "v1");
+	seam_pool_add(&r, &m);
+	strcpy(m.vm, "v2");
+	seam_pool_add(&r, &m);
+	EXPECT_EQ(seam_pool_may_take(&r, r.member, &rules), SEAM_AT_MIN);
+	rules.min = 1;
+	EXPECT_EQ(seam_pool_may_take(&r, r.member, &rules), SEAM_MAY_BEGIN);
+	rules.list_ok = false;
+	EXPECT_EQ(seam_pool_may_take(&r, r.member, &rules), SEAM_NO_LIST);
+	seam_pool_row_free(&r);
+}
+
+// Guards against a VM that is stuck when its new pool is deleted on the way.
+TEST(Pool, MoveToADeletedPoolEndsInTheOldOne)
+{
+	world w(two);
+	seam_fake_platform_faults f = {};
+	std::string pool;
+
+	f.reboot_time = 60 * SEC;
+	seam_fake_platform_set(w.fake, &f);
+	three(w);
+	ask(w, "web", 2);
+	w.run(8 * SEC);
+	ASSERT_EQ(w.count("spare", SEAM_MEMBER_REBOOTING), 1);
+	w.pools = "[{\"name\":\"spare\",\"kind\":\"spare\",\"budget\":4}]";
+	w.configure();
+	w.run(SEAM_REBOOT_LIMIT + 200 * SEC);
+	EXPECT_EQ(w.count("spare", SEAM_MEMBER_ACTIVE), 3);
+	EXPECT_EQ(w.size("web"), 0u);
+}
--- /dev/null
+++ b/tests/wave_test.cc
@@ -0,0 +1,562 @@
+// Maintenance waves under failures, and randomised runs of several owners.
+#include "pool_world.h"
+
+#include <random>
+
+static const char *const web =
+	"[{\"name\":\"web\",\"kind\":\"service\",\"min\":4,\"budget\":2}]";
+
+// Nine VMs, three racks, a rack in each data centre.
+static void nine(world &w)
+{
+	const char *const dc[] = {"a", "b", "c"};
+
+	for (int i = 0; i < 9; i++)
+		w.vm("v" + std::to_string(i), dc[i / 3],
+		     ("r" + std::to_string(i / 3)).c_str(), "web");
+	w.run(2 * SEC);
+}
+
+static void slow_reboots(world &w, int fail = 0, int lose = 0)
+{
+	seam_fake_platform_faults f = {};
+
+	f.reboot_time = 30 * SEC;
+	f.fail_reboots = fail;
+	f.lose_answers = lose;
+	f.lag = 5 * SEC;
+	seam_fake_platform_set(w.fake, &f);
+}
+
+static int maintained_since(world &w, seam_time t)
+{
+	seam_pool_row r = w.row("web");
+	int n = 0;
+
+	for (size_t i = 0; i < r.n; i++)
+		n += r.member[i].maintained > t;
+	seam_pool_row_free(&r);
+	return n;
+}
+
+static int not_active(world &w)
+{
+	return (int)w.size("web") - w.count("web", SEAM_MEMBER_ACTIVE);
+}
+
+// Guards against VMs that a wave forgets, and against two racks, two data
+// centres or more than the budget at once (world::check, each second).
+TEST(Wave, ReachesEveryVm)
+{
+	world w(web);
+
+	slow_reboots(w);
+	nine(w);
+	seam_time t = w.clock.time;
+	w.order("web", SEAM_ORDER_START);
+	w.run(600 * SEC);
+	EXPECT_EQ(maintained_since(w, t), 9);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 9);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 9);
+}
+
+// Guards the period of 4 weeks without any order, earliest deadline first.
+TEST(Wave, ScheduleMeetsTheDeadlines)
+{
+	world w(web);
+
+	slow_reboots(w);
+	nine(w);
+	seam_time t = w.clock.time;
+	w.run(57LL * 86400 * SEC, 120 * SEC);
+	EXPECT_GE(seam_fake_platform_reboots(w.fake), 18);
+	EXPECT_LE(seam_fake_platform_reboots(w.fake), 27);
+	seam_pool_row r = w.row("web");
+	for (size_t i = 0; i < r.n; i++) {
+		EXPECT_GT(r.member[i].maintain_by, w.clock.time);
+		EXPECT_GT(r.member[i].maintained, t + SEAM_MAINTAIN_PERIOD);
+	}
+	seam_pool_row_free(&r);
+}
+
+// Guards against a wave whose state is lost with its owner.
+TEST(Wave, NewOwnerResumesFromTheRow)
+{
+	world w(web, 2);
+
+	slow_reboots(w);
+	w.owner[1].alive = false;
+	nine(w);
+	seam_time t = w.clock.time;
+	w.order("web", SEAM_ORDER_START);
+	for (int i = 0; i < 60; i++) {
+		w.owner[i % 2].alive = true;
+		w.owner[1 - i % 2].alive = false;
+		w.run(13 * SEC);
+	}
+	EXPECT_EQ(maintained_since(w, t), 9);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 9);
+}
+
+// Guards against drains that begin, or reboots without a recorded drain,
+// while the store is down for an hour; the wave goes on afterwards.
+TEST(Wave, StoreDownForAnHour)
+{
+	for (int at = 1; at < 60; at += 7) {
+		world w(web);
+
+		slow_reboots(w);
+		nine(w);
+		seam_time t = w.clock.time;
+		w.order("web", SEAM_ORDER_START);
+		w.run(at * SEC);
+		uint64_t before = w.row_version("web");
+		int rebooting = w.count("web", SEAM_MEMBER_REBOOTING);
+		int reboots = seam_fake_platform_reboots(w.fake);
+		w.store_faults(0, true);
+		w.run(3600 * SEC, 10 * SEC);
+		EXPECT_EQ(w.row_version("web"), before);
+		EXPECT_LE(seam_fake_platform_reboots(w.fake),
+			  reboots + rebooting);
+		w.store_faults(0, false);
+		w.run(600 * SEC);
+		EXPECT_EQ(maintained_since(w, t), 9) << at;
+		EXPECT_EQ(seam_fake_platform_reboots(w.fake), 9) << at;
+	}
+}
+
+// Guards against two operators who both believe that their order holds.
+TEST(Wave, StartAndHaltAtOnce)
+{
+	world w(web, 2);
+	seam_wave_order a = {};
+	seam_wave_order b = {};
+
+	nine(w);
+	a.order = SEAM_ORDER_START;
+	b.order = SEAM_ORDER_HALT;
+	for (auto *o : {&a, &b}) {
+		strcpy(o->reason, "r");
+		strcpy(o->operator_name, "o");
+	}
+	EXPECT_EQ(seam_wave_give(w.node[0], "web", &a, w.clock.time, &w.e), 0);
+	EXPECT_EQ(seam_wave_give(w.node[1], "web", &b, w.clock.time, &w.e), -1);
+	EXPECT_EQ(w.e.kind, SEAM_CONFLICT);
+	b.reason[0] = '\0';
+	EXPECT_EQ(seam_wave_give(w.node[1], "web", &b, w.clock.time, &w.e), -1);
+	EXPECT_EQ(w.e.kind, SEAM_BAD_REQUEST);
+}
+
+// Guards against planned work that begins after a halt was accepted, by an
+// owner that has not seen the halt.
+TEST(Wave, HaltIsExact)
+{
+	world w(web);
+
+	slow_reboots(w);
+	nine(w);
+	w.order("web", SEAM_ORDER_START);
+	seam_pools_poll(w.node[0], w.clock.time, &w.e);
+	w.order("web", SEAM_ORDER_HALT);
+	EXPECT_EQ(seam_pool_pass(seam_pools_get(w.node[0], "web"),
+				 w.clock.time),
+		  -1);
+	w.run(600 * SEC);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 0);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 9);
+}
+
+// Guards against a halt that leaves drained VMs without work.
+TEST(Wave, HaltGivesDrainsBack)
+{
+	world w(web);
+
+	nine(w);
+	for (int i = 0; i < 9; i++)
+		w.drain.busy_until["v" + std::to_string(i)] = SEAM_NEVER;
+	w.order("web", SEAM_ORDER_START);
+	w.run(5 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_DRAINING), 2);
+	w.order("web", SEAM_ORDER_HALT);
+	w.run(3 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 9);
+	EXPECT_TRUE(w.drain.begun.empty());
+}
+
+// Guards P1: a rack that fails uses up the budget and stops the wave.
+TEST(Wave, RackFailsDuringTheWave)
+{
+	world w(web);
+
+	nine(w);
+	for (int i = 0; i < 9; i++)
+		w.drain.busy_until["v" + std::to_string(i)] =
+			w.clock.time + 20 * SEC;
+	w.order("web", SEAM_ORDER_START);
+	w.run(5 * SEC);
+	std::string rack = "r2";
+	for (int i = 6; i < 9; i++) {
+		if (w.member("v" + std::to_string(i)).state !=
+		    SEAM_MEMBER_ACTIVE)
+			rack = "r0";
+	}
+	int first = rack == "r2" ? 6 : 0;
+	for (int i = first; i < first + 3; i++)
+		seam_fake_platform_del(w.fake,
+				       ("v" + std::to_string(i)).c_str());
+	w.run(3 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_DRAINING), 0);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_FAILED), 3);
+	w.run(20 * SEC);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 0);
+}
+
+// Guards against planned work while operators have a data centre out, and
+// against a wave that does not go on after its return.
+TEST(Wave, DataCentreOutAndBack)
+{
+	world w(web);
+
+	slow_reboots(w);
+	nine(w);
+	seam_time t = w.clock.time;
+	w.order("web", SEAM_ORDER_START);
+	w.run(2 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_DRAINING), 2);
+	w.out("b", true);
+	w.run(300 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 9);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 0);
+	w.out("b", false);
+	w.run(600 * SEC);
+	EXPECT_EQ(maintained_since(w, t), 9);
+}
+
+// Guards against a wave that goes on over VMs that never come back.
+TEST(Wave, VmNeverComesBack)
+{
+	world w(web);
+
+	slow_reboots(w, 1000);
+	nine(w);
+	w.order("web", SEAM_ORDER_START);
+	w.run(SEAM_REBOOT_LIMIT - 60 * SEC);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 2);
+	EXPECT_EQ(not_active(w), 2);
+	w.run(70 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_FAILED), 2);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 2);
+}
+
+// Guards against a second reboot when the platform's answer was lost, and when
+// the owner ends before it learns of it: a pair of failures.
+TEST(Wave, LostPlatformAnswerRebootsOnce)
+{
+	world w(web, 2);
+
+	slow_reboots(w, 0, 1000);
+	w.owner[1].alive = false;
+	nine(w);
+	w.order("web", SEAM_ORDER_START);
+	w.run(20 * SEC);
+	w.owner[0].alive = false;
+	w.owner[1].alive = true;
+	w.run(600 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 9);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 9);
+}
+
+// Guards against planned work on a list that is too old to show failures.
+TEST(Wave, WaitsForAFreshList)
+{
+	world w(web);
+
+	nine(w);
+	seam_fake_platform_down(w.fake, true);
+	w.run(40 * SEC);
+	w.order("web", SEAM_ORDER_START);
+	w.run(300 * SEC);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 9);
+	seam_fake_platform_down(w.fake, false);
+	w.run(300 * SEC);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 9);
+}
+
+// Guards against a wave with a budget that a lasting failure uses up: it must
+// say so, and go on when the failure ends.
+TEST(Wave, ExplainsTheRefusal)
+{
+	seam_pool_row r = {};
+	seam_pool_rules rules = {0, 1, true};
+	seam_wave_order order = {};
+	seam_member m = {};
+	seam_time now = 100;
+
+	m.maintain_by = now;
+	strcpy(m.rack, "r");
+	for (const char *id : {"v1", "v2", "v3"}) {
+		strcpy(m.vm, id);
+		strcpy(m.dc, id);
+		seam_pool_add(&r, &m);
+	}
+	auto why = [&] {
+		return seam_wave_may_begin(&r, &r.member[0], &rules, &order,
+					   now);
+	};
+	EXPECT_EQ(why(), SEAM_MAY_BEGIN);
+	r.member[1].state = SEAM_MEMBER_FAILED;
+	EXPECT_EQ(why(), SEAM_NO_BUDGET);
+	r.member[1].state = SEAM_MEMBER_REBOOTING;
+	r.member[1].why = SEAM_WHY_MAINTENANCE;
+	EXPECT_EQ(why(), SEAM_OTHER_DC);
+	strcpy(r.member[1].dc, "v1");
+	strcpy(r.member[1].rack, "q");
+	EXPECT_EQ(why(), SEAM_OTHER_RACK);
+	r.member[1].state = SEAM_MEMBER_ACTIVE;
+	order.order = SEAM_ORDER_HALT;
+	EXPECT_EQ(why(), SEAM_HALTED);
+	r.member[0].maintain_by = SEAM_NEVER;
+	EXPECT_EQ(why(), SEAM_NOT_DUE);
+	seam_pool_row_free(&r);
+}
+
+class Firing : public ::testing::Test
+{
+      protected:
+	long before = seam_invariant_count();
+
+	void SetUp() override
+	{
+		seam_invariant_abort(false);
+	}
+	void TearDown() override
+	{
+		seam_invariant_abort(true);
+	}
+	bool fired()
+	{
+		return seam_invariant_count() > before;
+	}
+};
+
+// Each of the following shows that an invariant of the runs can fire.
+TEST_F(Firing, BudgetOverAllRows)
+{
+	world w(web);
+
+	nine(w);
+	w.check();
+	EXPECT_FALSE(fired());
+	seam_pool_row r = w.row("web");
+	for (int i = 0; i < 3; i++)
+		seam_member_drain(&r.member[i], SEAM_WHY_MAINTENANCE, 0, 1);
+	char *text = seam_pool_row_write(&r);
+	seam_write op = {SEAM_PUT, "pool/web", r.version, text, strlen(text)};
+	seam_commit c = {&op, 1, 1, 0};
+	ASSERT_EQ(seam_store_commit(w.mem, &c, SEAM_NEVER, &w.e), 0);
+	w.check();
+	EXPECT_TRUE(fired());
+	free(text);
+	seam_pool_row_free(&r);
+}
+
+TEST_F(Firing, VmInTwoPools)
+{
+	world w(web);
+	const char *text = "{\"name\":\"x\",\"members\":[{\"vm\":\"v1\","
+			   "\"state\":\"active\"}]}";
+
+	nine(w);
+	seam_write op = {SEAM_PUT, "pool/x", SEAM_ABSENT, text, strlen(text)};
+	seam_commit c = {&op, 1, 1, 0};
+	ASSERT_EQ(seam_store_commit(w.mem, &c, SEAM_NEVER, &w.e), 0);
+	w.check();
+	EXPECT_TRUE(fired());
+}
+
+TEST_F(Firing, RebootWithoutADrain)
+{
+	world w(web);
+
+	nine(w);
+	w.drain.begun["v1"] = w.clock.time;
+	w.platform.base.ops->reboot(&w.platform.base, "v1", 1, 0, &w.e);
+	EXPECT_FALSE(fired());
+	w.platform.base.ops->reboot(&w.platform.base, "v2", 1, 0, &w.e);
+	EXPECT_TRUE(fired());
+}
+
+TEST_F(Firing, VmPastItsDeadline)
+{
+	world w("[{\"name\":\"web\",\"kind\":\"service\",\"budget\":0}]");
+
+	nine(w);
+	w.check_deadlines();
+	EXPECT_FALSE(fired());
+	w.run(29LL * 86400 * SEC, 3600 * SEC);
+	w.check_deadlines();
+	EXPECT_TRUE(fired());
+}
+
+class Random : public ::testing::TestWithParam<int>
+{
+};
+
+static const char *const four =
+	"[{\"name\":\"web\",\"kind\":\"service\",\"min\":2,\"max\":12,"
+	"\"budget\":2},"
+	"{\"name\":\"shop\",\"kind\":\"service\",\"min\":2,\"max\":12,"
+	"\"budget\":1},"
+	"{\"name\":\"batch\",\"kind\":\"tasks\",\"min\":1,\"max\":12,"
+	"\"budget\":3},"
+	"{\"name\":\"spare\",\"kind\":\"spare\",\"budget\":4}]";
+
+struct random_run {
+	world w;
+	std::mt19937 rng;
+	std::vector<std::string> gone;
+
+	explicit random_run(int seed) : w(four, 3), rng(seed)
+	{
+		const char *const dc[] = {"a", "b", "c"};
+		const char *const pool[] = {"web", "shop", "batch", "spare"};
+
+		slow_reboots(w, 20, 100);
+		for (int i = 0; i < 32; i++)
+			w.vm("v" + std::to_string(i), dc[i / 4 % 3],
+			     ("r" + std::to_string(i / 4)).c_str(),
+			     pool[(i * 7 + i / 4) % 4]);
+	}
+	bool one_in(int n)
+	{
+		return rng() % n == 0;
+	}
+	void demand_changes()
+	{
+		for (const char *p : {"web", "shop", "batch"}) {
+			seam_demand_report r = {(int64_t)(rng() % 9), 0, 1,
+						w.clock.time + 3600 * SEC};
+			seam_demand_set(w.demand, p, "test", &r);
+		}
+	}
+	void vm_event()
+	{
+		std::string id = "v" + std::to_string(rng() % 32);
+
+		if (one_in(2) && gone.size() < 6) {
+			seam_fake_platform_del(w.fake, id.c_str());
+			gone.push_back(id);
+		} else if (!gone.empty()) {
+			int i = atoi(gone.back().c_str() + 1);
+
+			w.vm(gone.back(), i / 4 % 3 == 0 ? "a" : "b",
+			     ("r" + std::to_string(i / 4)).c_str(), "web",
+			     SEAM_VM_LIVE, 1000 + (int64_t)(rng() % 1000000));
+			gone.pop_back();
+		}
+		w.drain.busy_until[id] =
+			w.clock.time + (rng() % 120) * SEC;
+	}
+	void event()
+	{
+		const char *const pool[] = {"web", "shop", "batch", "spare"};
+		size_t i = rng() % 3;
+
+		switch (rng() % 7) {
+		case 0:
+			w.owner[i].alive = !w.owner[i].alive;
+			break;
+		case 1:
+			w.store_faults(i, one_in(2), rng() % 300, rng() % 300);
+			break;
+		case 2:
+			w.out(one_in(2) ? "a" : "b", one_in(3));
+			break;
+		case 3:
+			seam_fake_platform_down(w.fake, one_in(3));
+			break;
+		case 4:
+			if (!one_in(3))
+				order(pool[rng() % 4], i);
+			break;
+		case 5:
+			demand_changes();
+			break;
+		default:
+			vm_event();
+		}
+	}
+	void order(const char *pool, size_t i)
+	{
+		seam_wave_order o = {};
+
+		o.order = one_in(4) ? SEAM_ORDER_HALT : SEAM_ORDER_START;
+		o.version = SEAM_ANY_VERSION;
+		strcpy(o.reason, "random");
+		strcpy(o.operator_name, "op");
+		seam_wave_give(w.node[i], pool, &o, w.clock.time, &w.e);
+	}
+	void heal()
+	{
+		for (int i = 0; i < 3; i++) {
+			w.owner[i].alive = true;
+			w.store_faults(i, false);
+		}
+		for (auto &d : w.dc_out)
+			d.second = false;
+		w.configure();
+		slow_reboots(w);
+	}
+	// Every VM that the platform lists is in a pool, and planned work of
+	// before ends.
+	void converge()
+	{
+		heal();
+		w.run(3 * 3600 * SEC, 10 * SEC);
+		EXPECT_EQ(w.count("web", SEAM_MEMBER_FAILED), 0);
+		EXPECT_GE(w.size("web") + w.size("shop") + w.size("batch") +
+				  w.size("spare"),
+			  10u);
+		EXPECT_GE(w.count("web", SEAM_MEMBER_ACTIVE), 2);
+	}
+};
+
+// Guards P1, P2 and P10 against orders of events that nobody thought of: three
+// owners that all believe that they own every pool, with faults of store,
+// platform, list, data centres and operators. The invariants abort the run.
+TEST_P(Random, InvariantsHold)
+{
+	random_run r(GetParam());
+	long before = seam_invariant_count();
+
+	r.demand_changes();
+	for (int i = 0; i < 1500; i++) {
+		if (r.one_in(4))
+			r.event();
+		r.w.run((1 + r.rng() % 10) * SEC);
+	}
+	EXPECT_GT(seam_fake_platform_reboots(r.w.fake), 20);
+	r.converge();
+	EXPECT_EQ(seam_invariant_count(), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Random, ::testing::Range(1, 7));
+
+// Guards the maintenance deadline under everyday faults: owners that change,
+// a store that loses answers, single VMs that fail.
+TEST_P(Random, DeadlinesHoldWhenFaultsLeaveRoom)
+{
+	random_run r(GetParam() + 100);
+
+	slow_reboots(r.w, 0, 200);
+	for (int i = 0; i < 30 * 24; i++) {
+		size_t o = r.rng() % 3;
+
+		for (size_t j = 0; j < 3; j++)
+			r.w.owner[j].alive = j == o;
+		r.w.store_faults(o, false, 100, 100);
+		r.w.run(3600 * SEC, 120 * SEC);
+		r.w.check_deadlines();
+	}
+	EXPECT_GE(seam_fake_platform_reboots(r.w.fake), 32);
+}
