pool: ask again for a reboot that the platform never began

A member whose reboot timed out because the platform was down for the whole time stayed failed for ever.

--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -195,6 +195,19 @@
 	return 0;
 }
 
+/*
+ * A reboot that the platform never began, for example because it was down up to
+ * the deadline, is asked for again; the member stays failed until then.
+ */
+static bool wants_reboot(const struct seam_pool_work *w,
+			 const struct seam_member *m)
+{
+	if (m->state == SEAM_MEMBER_REBOOTING)
+		return true;
+	return m->state == SEAM_MEMBER_FAILED && m->why == SEAM_WHY_FAILED &&
+	       seam_vm_list_find(w->list, m->vm);
+}
+
 void seam_pool_effects(struct seam_pool_work *w)
 {
 	bool platform = true;
@@ -207,7 +220,7 @@
 			begin_drain(w, m);
 		else if (m->state == SEAM_MEMBER_ACTIVE)
 			end_drain(w, m);
-		else if (m->state == SEAM_MEMBER_REBOOTING && platform)
+		else if (platform && wants_reboot(w, m))
 			platform = !ask_reboot(w, m);
 	}
 }
