--- a/connection/target.c
+++ b/connection/target.c
@@ -1,4 +1,4 @@
-#include "connection/target.h"
+#include "connection/target_impl.h"
 #include "base/count.h"
 
 #include <curl/curl.h>
@@ -9,6 +9,12 @@
 
 #define ANSWER_BYTES_MAX (8u << 20)
 
+/*
+ * Data centres are 1.4 ms apart. A VM that answers no connect for this long
+ * is gone, and the request can still be sent to another one.
+ */
+#define CONNECT_TIMEOUT_MS 500L
+
 SEAM_COUNT(conns_opened, "seam_target_connections_opened_total",
 	   "Connections opened to targets.");
 SEAM_COUNT(conns_closed, "seam_target_connections_closed_total",
@@ -20,12 +26,6 @@
 	struct seam_conn *next;
 };
 
-struct seam_targets {
-	struct seam_clock *clock;
-	pthread_mutex_t lock;
-	struct seam_table *table;
-};
-
 struct reading {
 	struct seam_answer *answer;
 	size_t cap;
@@ -33,20 +33,7 @@
 	bool not_run;
 };
 
-struct seam_targets *seam_targets_new(struct seam_clock *k)
-{
-	struct seam_targets *ts = calloc(1, sizeof(*ts));
-
-	if (!ts)
-		return NULL;
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	ts->clock = k;
-	ts->table = seam_table_new(sizeof(struct seam_target));
-	pthread_mutex_init(&ts->lock, NULL);
-	return ts;
-}
-
-static void close_idle(struct seam_target *t)
+void seam_target_close_idle(struct seam_target *t)
 {
 	while (t->idle) {
 		struct seam_conn *c = t->idle;
@@ -58,84 +45,6 @@
 	t->idle_count = 0;
 }
 
-void seam_targets_free(struct seam_targets *ts)
-{
-	struct seam_handle h = SEAM_NONE;
-	struct seam_target *t;
-
-	if (!ts)
-		return;
-	while ((t = seam_table_next(ts->table, &h)))
-		close_idle(t);
-	seam_table_free(ts->table);
-	pthread_mutex_destroy(&ts->lock);
-	free(ts);
-	curl_global_cleanup();
-}
-
-struct seam_table *seam_targets_lock(struct seam_targets *ts)
-{
-	pthread_mutex_lock(&ts->lock);
-	return ts->table;
-}
-
-void seam_targets_unlock(struct seam_targets *ts)
-{
-	pthread_mutex_unlock(&ts->lock);
-}
-
-static const struct seam_target_info *
-find_info(const struct seam_target_info *info, size_t n, const char *id)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		if (!strcmp(info[i].id, id))
-			return &info[i];
-	return NULL;
-}
-
-static struct seam_target *find_target(struct seam_table *t, const char *id)
-{
-	struct seam_handle h = SEAM_NONE;
-	struct seam_target *g;
-
-	while ((g = seam_table_next(t, &h)))
-		if (!strcmp(g->info.id, id))
-			return g;
-	return NULL;
-}
-
-void seam_targets_set(struct seam_targets *ts,
-		      const struct seam_target_info *info, size_t n)
-{
-	struct seam_table *t = seam_targets_lock(ts);
-	struct seam_handle h = SEAM_NONE;
-	struct seam_target *g;
-	size_t i;
-
-	while ((g = seam_table_next(t, &h))) {
-		if (find_info(info, n, g->info.id))
-			continue;
-		g->info.leaving = true;
-		if (g->outstanding)
-			continue;
-		close_idle(g);
-		seam_table_del(t, h);
-	}
-	for (i = 0; i < n; i++) {
-		g = find_target(t, info[i].id);
-		if (!g)
-			g = seam_table_add(t, &h);
-		if (!g)
-			break;
-		if (*g->info.addr && strcmp(g->info.addr, info[i].addr))
-			close_idle(g);
-		g->info = info[i];
-	}
-	seam_targets_unlock(ts);
-}
-
 static struct seam_conn *take_conn(struct seam_targets *ts,
 				   struct seam_handle h, char *addr,
 				   size_t size, char *id, size_t id_size)
@@ -182,7 +91,7 @@
 	struct seam_table *t = seam_targets_lock(ts);
 	struct seam_target *g = seam_table_get(t, h);
 
-	if (g && g->idle_count < g->info.connections) {
+	if (g && !g->info.leaving && g->idle_count < g->info.connections) {
 		c->next = g->idle;
 		g->idle = c;
 		g->idle_count++;
@@ -277,6 +186,9 @@
 	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, left > 0 ? left : 1L);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	/* One connection for each handle, so that info.connections holds. */
+	curl_easy_setopt(curl, CURLOPT_MAXCONNECTS, 1L);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, r);
@@ -345,6 +257,7 @@
 	curl_easy_getinfo(c->curl, CURLINFO_CONTENT_TYPE, &type);
 	if (status == 503 && r.not_run) {
 		seam_answer_free(a);
+		a->status = 503;
 		return seam_fail(e, SEAM_TARGET_REFUSED,
 				 "target %s: refused, not run", id);
 	}
--- a/connection/target.h
+++ b/connection/target.h
@@ -35,14 +35,59 @@
 	bool leaving;
 };
 
+/**
+ * struct seam_target_group - targets of a service in one data centre
+ * @dc: data centre
+ * @open: handles of targets that can take a request now, in no order
+ * @opens: their number
+ * @cap: allocated length of @open
+ */
+struct seam_target_group {
+	char dc[64];
+	struct seam_handle *open;
+	int opens;
+	int cap;
+};
+
+/**
+ * struct seam_target_service - index of the targets of one service
+ * @name: service
+ * @table: table of the targets
+ * @group: one group for each data centre
+ * @groups: their number
+ * @members: targets that are not leaving
+ * @away: handles of ejected targets
+ * @ejected: their number
+ * @away_cap: allocated length of @away
+ * @return_at: the earliest end of an ejection
+ */
+struct seam_target_service {
+	char name[64];
+	struct seam_table *table;
+	struct seam_target_group **group;
+	int groups;
+	int members;
+	struct seam_handle *away;
+	int ejected;
+	int away_cap;
+	seam_time return_at;
+};
+
 /**
  * struct seam_target - a target and the connections to it
  * @info: from the pool rows and the VM list
  * @outstanding: requests of this process on it
- * @peer_load: requests of other nodes on it, as last told
+ * @peer_load: requests of other nodes on it; see seam_targets_peer_load()
  * @fails: consecutive failures
+ * @ejections: ejections since it last worked at full weight
+ * @ejected: in @service->away
  * @ejected_until: no new work before this time
  * @full_weight_at: end of the slow start after a return
+ * @self: its handle
+ * @service: index that it is in; NULL until it is listed
+ * @group: group that it is in
+ * @open_at: position in @group->open, from 1; 0 if it is not open
+ * @round: number of the last list that named it
  * @idle: idle connections, private to target.c
  * @idle_count: their number
  */
@@ -51,8 +96,15 @@
 	int outstanding;
 	int peer_load;
 	int fails;
+	int ejections;
+	bool ejected;
 	seam_time ejected_until;
 	seam_time full_weight_at;
+	struct seam_handle self;
+	struct seam_target_service *service;
+	struct seam_target_group *group;
+	int open_at;
+	uint64_t round;
 	struct seam_conn *idle;
 	int idle_count;
 };
@@ -88,6 +140,38 @@
 /** seam_targets_unlock() - end of seam_targets_lock() */
 void seam_targets_unlock(struct seam_targets *ts);
 
+/**
+ * seam_targets_service() - index of a service, or NULL if it has no targets
+ *
+ * To be called, and the result used, with the lock held.
+ */
+struct seam_target_service *seam_targets_service(struct seam_targets *ts,
+						 const char *name);
+
+/**
+ * seam_target_place() - bring the index in line with the target's state
+ *
+ * To be called with the lock held after a change of the load, of @leaving or
+ * of @ejected.
+ */
+void seam_target_place(struct seam_target *t);
+
+/** seam_target_away() - eject a target until @until; lock held */
+void seam_target_away(struct seam_target *t, seam_time until);
+
+/** seam_target_back() - end the ejection of a target; lock held */
+void seam_target_back(struct seam_target *t);
+
+/**
+ * seam_targets_peer_load() - set what other nodes have on a target
+ * @ts: targets
+ * @id: id of the VM
+ * @load: requests of other nodes that run on it
+ *
+ * Return: false if there is no such target.
+ */
+bool seam_targets_peer_load(struct seam_targets *ts, const char *id, int load);
+
 /**
  * struct seam_send - one attempt at a target
  * @call: the caller's request
@@ -111,8 +195,9 @@
  * @h: target
  * @s: the attempt
  * @a: receives the answer
- * @e: SEAM_TARGET_REFUSED if it provably did not start, SEAM_TARGET_FAILED if
- *     the answer is incomplete, SEAM_OUTCOME_UNKNOWN at the deadline,
+ * @e: SEAM_TARGET_REFUSED if it provably did not start (@a->status is then 503
+ *     if the target said so itself, else 0), SEAM_TARGET_FAILED if the answer
+ *     is incomplete, SEAM_OUTCOME_UNKNOWN at the deadline,
  *     SEAM_NOT_FOUND if @h is stale
  */
 int seam_target_send(struct seam_targets *ts, struct seam_handle h,
--- a/process/part_requests.c
+++ b/process/part_requests.c
@@ -1,5 +1,7 @@
 #include "base/count.h"
+#include "base/log.h"
 #include "process/node.h"
+#include "request/once.h"
 #include "request/route.h"
 
 #include <stdio.h>
@@ -7,14 +9,32 @@
 #include <string.h>
 
 #define PATH_PREFIX "/v1/services/"
+#define REGION_DCS_MAX 32
 
 SEAM_COUNT(refused, "seam_requests_refused_total",
 	   "Requests refused before the start.");
+SEAM_COUNT(keyed, "seam_requests_keyed_total",
+	   "Non-idempotent requests with a caller's key.");
 
 /* Serves callers' requests for services. */
 struct requests {
 	struct seam_part part;
 	struct seam_node *node;
+	struct seam_router *router;
+	struct seam_once *once;
+	struct seam_loop loop;
+	bool looping;
+};
+
+/* One request: what was found for it in the version of the configuration. */
+struct request {
+	struct requests *r;
+	struct seam_conf *conf;
+	struct seam_call *call;
+	const struct seam_service *service;
+	const struct seam_key *key;
+	const char *rest;
+	bool idempotent;
 };
 
 static bool idempotent(const struct seam_service *s, const char *method)
@@ -34,90 +54,149 @@
 	return false;
 }
 
-static const struct seam_service *find_service(const struct seam_conf *c,
-					       const char *path,
-					       const char **rest,
-					       struct seam_err *e)
+static int find_service(struct request *q, struct seam_err *e)
 {
-	const char *at = path + strlen(PATH_PREFIX);
-	const struct seam_service *s;
+	const char *at = q->call->path + strlen(PATH_PREFIX);
 	char name[SEAM_NAME_MAX];
 	size_t n = strcspn(at, "/");
 
-	*rest = at[n] ? at + n : "/";
-	if (!n || n >= sizeof(name)) {
-		seam_fail(e, SEAM_NOT_FOUND, "no service named in the path");
-		return NULL;
-	}
+	q->rest = at[n] ? at + n : "/";
+	if (!n || n >= sizeof(name))
+		return seam_fail(e, SEAM_NOT_FOUND,
+				 "no service named in the path");
 	memcpy(name, at, n);
 	name[n] = '\0';
-	s = seam_conf_named(c, SEAM_CONF_SERVICE, name);
-	if (!s)
-		seam_fail(e, SEAM_NOT_FOUND, "no service %s", name);
-	return s;
+	q->service = seam_conf_named(q->conf, SEAM_CONF_SERVICE, name);
+	if (!q->service)
+		return seam_fail(e, SEAM_NOT_FOUND, "no service %s", name);
+	q->idempotent = idempotent(q->service, q->call->method);
+	return 0;
 }
 
-static int allow(struct seam_node *n, struct seam_conf *c,
-		 struct seam_call *call, const struct seam_service *s,
-		 struct seam_err *e)
+static int allow(struct request *q, struct seam_err *e)
 {
-	const char *text = seam_call_key(call);
-	const struct seam_key *key;
-	int64_t max_age = idempotent(s, call->method) ?
-				  n->settings.stale_serve_ms :
-				  n->settings.stale_key_ms;
+	struct seam_node *n = q->r->node;
+	const char *text = seam_call_key(q->call);
+	int64_t max_age = q->idempotent ? n->settings.stale_serve_ms :
+					  n->settings.stale_key_ms;
 
 	if (!text)
 		return seam_fail(e, SEAM_UNAUTHENTICATED, "a key is required");
-	key = seam_conf_key(c, text, e);
-	if (!key)
+	q->key = seam_conf_key(q->conf, text, e);
+	if (!q->key)
 		return -1;
-	if (!team_listed(s->teams, key->team))
+	if (!team_listed(q->service->teams, q->key->team))
 		return seam_fail(e, SEAM_FORBIDDEN,
-				 "team %s may not call service %s", key->team,
-				 s->name);
+				 "team %s may not call service %s",
+				 q->key->team, q->service->name);
 	return seam_node_fresh(n, max_age, e);
 }
 
-static int forward(struct seam_node *n, struct seam_call *call,
-		   const struct seam_service *s, const char *rest,
+/* Data centres of the region of @own; returns their number. */
+static int region_of(const struct seam_conf *c, const char *own,
+		     const char **list)
+{
+	const struct seam_dc *me = seam_conf_named(c, SEAM_CONF_DC, own);
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_dc *dc;
+	int n = 0;
+
+	if (!me)
+		return 0;
+	while (n < REGION_DCS_MAX && (dc = seam_conf_next(c, SEAM_CONF_DC, &h)))
+		if (dc != me && !strcmp(dc->region, me->region))
+			list[n++] = dc->name;
+	return n;
+}
+
+static int forward(struct request *q, struct seam_job *job,
 		   struct seam_answer *a, struct seam_err *e)
 {
-	seam_time start = seam_now(n->clock);
-	struct seam_send send = {.call = call,
-				 .idempotent = idempotent(s, call->method)};
-	struct seam_handle h;
-	char path[2200];
+	return seam_router_run(q->r->router, job, a, e);
+}
+
+/* When the queue is full, only a stored outcome is worth a store call. */
+static int before_claim(struct request *q, const struct seam_job *job,
+			struct seam_once_claim *c, struct seam_err *e)
+{
+	struct seam_err busy = SEAM_ERR_INIT;
+	int rc;
+
+	if (!seam_router_would_wait(q->r->router, job, &busy))
+		return SEAM_ONCE_RUN;
+	rc = seam_once_look(q->r->once, c, e);
+	if (rc != SEAM_ONCE_RUN)
+		return rc;
+	*e = busy;
+	return -1;
+}
+
+static int forward_once(struct request *q, struct seam_job *job,
+			const char *key, struct seam_answer *a,
+			struct seam_err *e)
+{
+	struct seam_once *o = q->r->once;
+	struct seam_once_claim c;
 	int rc;
 
-	snprintf(path, sizeof(path), "%s%s%s", rest, *call->query ? "?" : "",
-		 call->query);
-	send.path = path;
-	send.deadline = call->arrived + s->timeout_ms * SEAM_MSEC;
-	if (send.deadline > call->deadline)
-		send.deadline = call->deadline;
-	seam_trace_child(&send.trace, &call->trace);
-	if (seam_route_take(n->targets, s->name, n->settings.data_centre, start,
-			    &h, e))
+	seam_count_add(&keyed, 1);
+	if (seam_once_name(&c, q->key->team, key, q->service->name, q->call, e))
 		return -1;
-	rc = seam_target_send(n->targets, h, &send, a, e);
-	seam_route_release(n->targets, h);
-	seam_span_end(&send.trace, "target", start, seam_now(n->clock),
-		      a->status);
+	rc = before_claim(q, job, &c, e);
+	if (rc == SEAM_ONCE_RUN)
+		rc = seam_once_begin(o, &c, job->send.deadline, e);
+	if (rc == SEAM_ONCE_RUN) {
+		rc = forward(q, job, a, e);
+		seam_once_end(o, &c, rc, a, e);
+	} else if (rc == SEAM_ONCE_REPEAT) {
+		seam_once_answer(&c, a);
+		rc = 0;
+	}
+	seam_once_claim_free(&c);
 	return rc;
 }
 
+static int serve(struct request *q, struct seam_answer *a, struct seam_err *e)
+{
+	struct seam_node *n = q->r->node;
+	const struct seam_team *team =
+		seam_conf_named(q->conf, SEAM_CONF_TEAM, q->key->team);
+	const char *key = seam_call_header(q->call, "Idempotency-Key");
+	const char *region[REGION_DCS_MAX];
+	char path[2200];
+	struct seam_job job = {
+		.service = q->service->name,
+		.team = q->key->team,
+		.share = team ? team->share : 1,
+		.admit = n->admit,
+		.skew = n->settings.clock_skew_ms * SEAM_MSEC,
+		.send = {.call = q->call,
+			 .path = path,
+			 .idempotent = q->idempotent},
+	};
+
+	snprintf(path, sizeof(path), "%s%s%s", q->rest,
+		 *q->call->query ? "?" : "", q->call->query);
+	job.send.deadline =
+		q->call->arrived + q->service->timeout_ms * SEAM_MSEC;
+	if (job.send.deadline > q->call->deadline)
+		job.send.deadline = q->call->deadline;
+	job.near.dc = n->settings.data_centre;
+	job.near.region = region;
+	job.near.n = region_of(q->conf, job.near.dc, region);
+	if (key && !q->idempotent)
+		return forward_once(q, &job, key, a, e);
+	return forward(q, &job, a, e);
+}
+
 static void on_request(struct seam_call *call, void *arg)
 {
-	struct requests *r = arg;
-	struct seam_conf *c = seam_conf_current(&r->node->conf);
+	struct request q = {.r = arg, .call = call};
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_answer a = {.status = 0};
-	const char *rest;
-	const struct seam_service *s = find_service(c, call->path, &rest, &e);
 
-	if (!s || allow(r->node, c, call, s, &e) ||
-	    forward(r->node, call, s, rest, &a, &e)) {
+	q.conf = seam_conf_current(&q.r->node->conf);
+	if (find_service(&q, &e) || allow(&q, &e) || serve(&q, &a, &e)) {
 		if (seam_kind_info(e.kind)->run == SEAM_NOT_RUN)
 			seam_count_add(&refused, 1);
 		seam_reply_err(call, &e);
@@ -125,26 +204,63 @@
 		seam_reply(call, &a);
 	}
 	seam_answer_free(&a);
-	seam_conf_drop(c);
+	seam_conf_drop(q.conf);
+}
+
+static seam_time pass(void *arg, seam_time now)
+{
+	struct requests *r = arg;
+	bool mine = seam_owner_mine(r->node->owner, "once", now);
+
+	return seam_once_pass(r->once, now, mine);
 }
 
 static int start(struct seam_part *p, struct seam_err *e)
 {
 	struct requests *r = (struct requests *)p;
+	struct seam_node *n = r->node;
+	struct seam_once_settings set = {
+		.skew = n->settings.clock_skew_ms * SEAM_MSEC,
+		.writes_per_sec = (int)n->settings.store_writes,
+	};
 
-	(void)e;
-	seam_http_route(r->node->http, "*", PATH_PREFIX, on_request, r);
+	snprintf(set.node, sizeof(set.node), "%s", n->settings.node);
+	r->router = seam_router_new(n->targets, n->clock);
+	r->once = seam_once_new(n->store, n->clock, &set);
+	if (!r->router || !r->once)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	seam_http_route(n->http, "*", PATH_PREFIX, on_request, r);
+	if (seam_loop_start(&r->loop, n->clock, pass, r, e))
+		return -1;
+	r->looping = true;
 	return 0;
 }
 
+/* Outcomes that the store has not taken yet would be lost with the node. */
+static void drain(struct seam_part *p, seam_time deadline)
+{
+	struct requests *r = (struct requests *)p;
+
+	if (!seam_once_flush(r->once, deadline))
+		seam_log(SEAM_WARN, "request",
+			 "Outcomes of keyed requests are lost at the stop.");
+}
+
 static void stop(struct seam_part *p)
 {
-	free(p);
+	struct requests *r = (struct requests *)p;
+
+	if (r->looping)
+		seam_loop_stop(&r->loop);
+	seam_once_free(r->once);
+	seam_router_free(r->router);
+	free(r);
 }
 
 static const struct seam_part_ops ops = {
 	.name = "request",
 	.start = start,
+	.drain = drain,
 	.stop = stop,
 };
 
--- /dev/null
+++ b/request/once.c
@@ -0,0 +1,400 @@
+#include "request/once_impl.h"
+#include "base/count.h"
+#include "base/log.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Callers repeat a request with its key within a working day. */
+#define KEEP (24LL * 3600 * SEAM_SEC)
+#define CLAIM_ROUNDS 4 /* claims of a key that others claim and give back */
+#define KEPT_MAX 1024
+#define ROW_MILLI 1000
+#define ROWS_OF_A_REQUEST 2 /* claim and outcome */
+
+SEAM_COUNT(claims, "seam_once_claims_total", "Claims written.");
+SEAM_COUNT(repeats, "seam_once_repeats_total",
+	   "Repeated requests answered with the stored outcome.");
+SEAM_COUNT(in_progress, "seam_once_in_progress_total",
+	   "Requests refused because their key is running.");
+SEAM_COUNT(lost, "seam_once_outcome_unknown_total",
+	   "Requests whose key has no known outcome.");
+SEAM_COUNT(other_body, "seam_once_conflicts_total",
+	   "Requests refused because their key belongs to another request.");
+SEAM_COUNT(over_budget, "seam_once_over_budget_total",
+	   "Requests refused because the write budget was used up.");
+SEAM_COUNT(unavailable, "seam_once_unavailable_total",
+	   "Requests refused because their claim could not be written.");
+SEAM_COUNT(kept_now, "seam_once_outcomes_kept",
+	   "Outcomes that wait for the store.");
+SEAM_COUNT(kept_dropped, "seam_once_outcomes_dropped_total",
+	   "Outcomes given up because too many waited.");
+
+struct seam_once *seam_once_new(struct seam_store *s, struct seam_clock *k,
+				const struct seam_once_settings *set)
+{
+	struct seam_once *o = calloc(1, sizeof(*o));
+
+	if (!o)
+		return NULL;
+	o->store = s;
+	o->clock = k;
+	o->set = *set;
+	o->milli = (int64_t)set->writes_per_sec * ROW_MILLI;
+	o->filled_at = seam_now(k);
+	o->running =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_queue_init(&o->kept);
+	pthread_mutex_init(&o->lock, NULL);
+	return o;
+}
+
+static void free_claim(gpointer p)
+{
+	seam_once_claim_free(p);
+	g_free(p);
+}
+
+void seam_once_free(struct seam_once *o)
+{
+	if (!o)
+		return;
+	g_queue_clear_full(&o->kept, free_claim);
+	g_hash_table_destroy(o->running);
+	pthread_mutex_destroy(&o->lock);
+	free(o);
+}
+
+void seam_once_claim_free(struct seam_once_claim *c)
+{
+	seam_answer_free(&c->row.answer);
+}
+
+static void hash_part(crypto_hash_sha256_state *h, const char *data, size_t n)
+{
+	uint64_t len = n;
+
+	/* The length keeps neighbouring parts apart. */
+	crypto_hash_sha256_update(h, (unsigned char *)&len, sizeof(len));
+	if (n)
+		crypto_hash_sha256_update(h, (const unsigned char *)data, n);
+}
+
+int seam_once_name(struct seam_once_claim *c, const char *team, const char *key,
+		   const char *service, const struct seam_call *call,
+		   struct seam_err *e)
+{
+	unsigned char out[crypto_hash_sha256_BYTES];
+	crypto_hash_sha256_state h;
+	char hex[SEAM_SHA256_HEX];
+
+	memset(c, 0, sizeof(*c));
+	if (!*key || strlen(key) > SEAM_ONCE_KEY_MAX)
+		return seam_fail(e, SEAM_BAD_REQUEST,
+				 "Idempotency-Key: must have 1 to %d bytes",
+				 SEAM_ONCE_KEY_MAX);
+	seam_sha256_hex(key, hex);
+	snprintf(c->key, sizeof(c->key), "once/%s/%s", team, hex);
+	crypto_hash_sha256_init(&h);
+	hash_part(&h, service, strlen(service));
+	hash_part(&h, call->method, strlen(call->method));
+	hash_part(&h, call->path, strlen(call->path));
+	hash_part(&h, call->query, strlen(call->query));
+	hash_part(&h, call->body, call->len);
+	crypto_hash_sha256_final(&h, out);
+	sodium_bin2hex(c->row.request, sizeof(c->row.request), out,
+		       sizeof(out));
+	return 0;
+}
+
+static bool take_rows(struct seam_once *o, seam_time now)
+{
+	int64_t max = (int64_t)o->set.writes_per_sec * ROW_MILLI;
+
+	if (!max)
+		return true;
+	if (now > o->filled_at) {
+		seam_time past = now - o->filled_at;
+
+		if (past > SEAM_SEC)
+			past = SEAM_SEC;
+		o->milli += past * max / SEAM_SEC;
+		o->filled_at = now;
+	}
+	if (o->milli > max)
+		o->milli = max;
+	if (o->milli < ROWS_OF_A_REQUEST * ROW_MILLI)
+		return false;
+	o->milli -= ROWS_OF_A_REQUEST * ROW_MILLI;
+	return true;
+}
+
+static int refuse(enum seam_once_verdict v, struct seam_err *e)
+{
+	switch (v) {
+	case SEAM_ONCE_IN_PROGRESS:
+		seam_count_add(&in_progress, 1);
+		return seam_fail(e, SEAM_IN_PROGRESS, NULL);
+	case SEAM_ONCE_OTHER_BODY:
+		seam_count_add(&other_body, 1);
+		return seam_fail(e, SEAM_CONFLICT,
+				 "Idempotency-Key belongs to another request");
+	default:
+		seam_count_add(&lost, 1);
+		return seam_fail(e, SEAM_OUTCOME_UNKNOWN,
+				 "the request with this key has no known "
+				 "outcome; it is not run again");
+	}
+}
+
+/* One request for each key and node: the second does not reach the store. */
+static int enter(struct seam_once *o, const struct seam_once_claim *c,
+		 struct seam_err *e)
+{
+	const char *same;
+	int rc = 0;
+
+	pthread_mutex_lock(&o->lock);
+	same = g_hash_table_lookup(o->running, c->key);
+	if (same) {
+		rc = refuse(strcmp(same, c->row.request) ?
+				    SEAM_ONCE_OTHER_BODY :
+				    SEAM_ONCE_IN_PROGRESS,
+			    e);
+	} else if (!take_rows(o, seam_now(o->clock))) {
+		seam_count_add(&over_budget, 1);
+		rc = seam_fail(e, SEAM_UNAVAILABLE,
+			       "write budget for claims is used up");
+	} else {
+		g_hash_table_insert(o->running, g_strdup(c->key),
+				    g_strdup(c->row.request));
+	}
+	pthread_mutex_unlock(&o->lock);
+	return rc;
+}
+
+static void leave(struct seam_once *o, const struct seam_once_claim *c)
+{
+	pthread_mutex_lock(&o->lock);
+	g_hash_table_remove(o->running, c->key);
+	pthread_mutex_unlock(&o->lock);
+}
+
+/* The row that is there decides; takes it over if it has the outcome. */
+static int follow(struct seam_once *o, struct seam_once_claim *c,
+		  struct seam_once_row *found, struct seam_err *e)
+{
+	enum seam_once_verdict v = seam_once_decide(
+		found, c->row.request, seam_now(o->clock), o->set.skew);
+
+	if (v == SEAM_ONCE_RUN || v == SEAM_ONCE_REPEAT) {
+		if (v == SEAM_ONCE_REPEAT) {
+			c->row = *found;
+			seam_count_add(&repeats, 1);
+		} else {
+			seam_answer_free(&found->answer);
+		}
+		return v;
+	}
+	seam_answer_free(&found->answer);
+	return refuse(v, e);
+}
+
+static int claim(struct seam_once *o, struct seam_once_claim *c,
+		 struct seam_err *e)
+{
+	int round;
+
+	for (round = 0; round < CLAIM_ROUNDS; round++) {
+		struct once_write w = {
+			.key = c->key, .row = &c->row, .version = c->version};
+		int rc;
+
+		seam_once_write(o, &w);
+		c->version = w.version;
+		if (!w.err.kind)
+			return SEAM_ONCE_RUN;
+		if (w.err.kind == SEAM_COMMIT_UNKNOWN)
+			return refuse(SEAM_ONCE_LOST, e);
+		if (w.err.kind != SEAM_CONFLICT) {
+			seam_count_add(&unavailable, 1);
+			return seam_fail(e, w.err.kind, "claim: %s",
+					 w.err.text);
+		}
+		rc = follow(o, c, w.found_version ? &w.found : NULL, e);
+		if (rc != SEAM_ONCE_RUN)
+			return rc;
+		c->version = w.found_version;
+	}
+	return seam_fail(e, SEAM_UNAVAILABLE, "claim: key is contended");
+}
+
+int seam_once_begin(struct seam_once *o, struct seam_once_claim *c,
+		    seam_time deadline, struct seam_err *e)
+{
+	int rc;
+
+	if (enter(o, c, e))
+		return -1;
+	c->row.state = SEAM_ONCE_CLAIMED;
+	c->row.claim = seam_store_token();
+	c->row.deadline = deadline;
+	c->row.expires = deadline + KEEP;
+	g_strlcpy(c->row.node, o->set.node, sizeof(c->row.node));
+	rc = claim(o, c, e);
+	if (rc != SEAM_ONCE_RUN) {
+		leave(o, c);
+		return rc;
+	}
+	seam_count_add(&claims, 1);
+	if (seam_now(o->clock) < deadline)
+		return SEAM_ONCE_RUN;
+	seam_fail(e, SEAM_DEADLINE, "claim: written after the deadline");
+	seam_once_end(o, c, -1, NULL, e);
+	return -1;
+}
+
+int seam_once_look(struct seam_once *o, struct seam_once_claim *c,
+		   struct seam_err *e)
+{
+	struct seam_once_row found;
+	uint64_t version;
+
+	if (seam_once_get(o, c->key, &found, &version, e)) {
+		if (e->kind != SEAM_NOT_FOUND)
+			return -1;
+		seam_err_clear(e);
+		return SEAM_ONCE_RUN;
+	}
+	return follow(o, c, &found, e);
+}
+
+static void keep(struct seam_once *o, const struct seam_once_claim *c)
+{
+	struct seam_once_claim *k = g_new0(struct seam_once_claim, 1);
+
+	memcpy(k->key, c->key, sizeof(k->key));
+	k->row = c->row;
+	k->version = c->version;
+	k->row.answer.body = NULL;
+	if (c->row.answer.body)
+		k->row.answer.body =
+			g_memdup2(c->row.answer.body, c->row.answer.len + 1);
+	pthread_mutex_lock(&o->lock);
+	g_queue_push_tail(&o->kept, k);
+	if (g_queue_get_length(&o->kept) > KEPT_MAX) {
+		free_claim(g_queue_pop_head(&o->kept));
+		seam_count_add(&kept_dropped, 1);
+	}
+	seam_count_set(&kept_now, g_queue_get_length(&o->kept));
+	pthread_mutex_unlock(&o->lock);
+}
+
+/*
+ * Nobody may write over a claim that may run: another writer means that the
+ * key was claimed twice. A claim given back may be claimed again at once.
+ */
+static void check_outcome(struct seam_once *o, const struct once_write *w)
+{
+	SEAM_INVARIANT(w->err.kind != SEAM_CONFLICT ||
+			       w->row->state == SEAM_ONCE_NOT_RUN ||
+			       seam_now(o->clock) > w->row->expires,
+		       "request", "Claim %s was overwritten by node %s.",
+		       w->key, w->found.node);
+}
+
+static bool to_keep(const struct once_write *w)
+{
+	return w->err.kind == SEAM_UNAVAILABLE ||
+	       w->err.kind == SEAM_COMMIT_UNKNOWN;
+}
+
+void seam_once_end(struct seam_once *o, struct seam_once_claim *c, int rc,
+		   const struct seam_answer *a, const struct seam_err *failed)
+{
+	struct once_write w = {
+		.key = c->key, .row = &c->row, .version = c->version};
+
+	if (!rc) {
+		c->row.state = SEAM_ONCE_DONE;
+		seam_once_row_answer(&c->row, a);
+	} else if (seam_kind_info(failed->kind)->run == SEAM_NOT_RUN) {
+		c->row.state = SEAM_ONCE_NOT_RUN;
+	} else {
+		c->row.state = SEAM_ONCE_UNKNOWN;
+	}
+	seam_once_write(o, &w);
+	check_outcome(o, &w);
+	if (to_keep(&w))
+		keep(o, c);
+	seam_answer_free(&w.found.answer);
+	leave(o, c);
+}
+
+void seam_once_answer(const struct seam_once_claim *c, struct seam_answer *a)
+{
+	const struct seam_once_row *r = &c->row;
+	char text[256];
+	int n;
+
+	*a = r->answer;
+	if (r->answer.body) {
+		a->body = malloc(a->len + 1);
+		if (a->body)
+			memcpy(a->body, r->answer.body, a->len + 1);
+		return;
+	}
+	n = snprintf(text, sizeof(text),
+		     "{\"outcome\":{\"run\":\"ran\",\"status\":%d,"
+		     "\"length\":%zu,\"sha256\":\"%s\",\"body\":\"not_kept\"}}",
+		     a->status, r->len, r->sha256);
+	snprintf(a->type, sizeof(a->type), "%s", SEAM_ONCE_TYPE);
+	a->body = strdup(text);
+	a->len = (size_t)n;
+}
+
+static int take_kept(struct seam_once *o, struct seam_once_claim **c, int max)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&o->lock);
+	while (n < max && !g_queue_is_empty(&o->kept))
+		c[n++] = g_queue_pop_head(&o->kept);
+	pthread_mutex_unlock(&o->lock);
+	return n;
+}
+
+bool seam_once_write_kept(struct seam_once *o)
+{
+	struct seam_once_claim *c[SEAM_ONCE_GROUP];
+	struct once_write w[SEAM_ONCE_GROUP];
+	struct once_write *list[SEAM_ONCE_GROUP];
+	int n = take_kept(o, c, SEAM_ONCE_GROUP);
+	bool more = n == SEAM_ONCE_GROUP;
+	int i;
+
+	memset(w, 0, sizeof(w));
+	for (i = 0; i < n; i++) {
+		w[i].key = c[i]->key;
+		w[i].row = &c[i]->row;
+		w[i].version = c[i]->version;
+		list[i] = &w[i];
+	}
+	if (n)
+		seam_once_commit(o, list, n);
+	for (i = 0; i < n; i++) {
+		check_outcome(o, &w[i]);
+		if (to_keep(&w[i])) {
+			keep(o, c[i]);
+			more = false;
+		}
+		seam_answer_free(&w[i].found.answer);
+		free_claim(c[i]);
+	}
+	pthread_mutex_lock(&o->lock);
+	seam_count_set(&kept_now, g_queue_get_length(&o->kept));
+	pthread_mutex_unlock(&o->lock);
+	return more;
+}
--- /dev/null
+++ b/request/once_sweep.c
@@ -0,0 +1,97 @@
+#include "request/once_impl.h"
+#include "base/count.h"
+#include "base/log.h"
+
+#include <string.h>
+
+#define SWEEP_ROWS 128 /* read, and at most deleted, in one pass */
+#define SWEEP_PERIOD (1 * SEAM_SEC)
+#define SWEEP_REST (60 * SEAM_SEC) /* after the last row of a round */
+#define KEPT_PERIOD (1 * SEAM_SEC)
+#define FLUSH_PERIOD (100 * SEAM_MSEC)
+
+SEAM_COUNT(deleted, "seam_once_rows_deleted_total",
+	   "Rows deleted after their expiry.");
+
+static int find_expired(const struct seam_rows *rows, struct seam_write *op,
+			seam_time now)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	int n = 0;
+	size_t i;
+
+	for (i = 0; i < rows->n; i++) {
+		const struct seam_row *r = &rows->row[i];
+		struct seam_once_row row;
+
+		if (seam_once_row_read(r->data, &row, &e))
+			continue;
+		if (row.expires < now) {
+			op[n].op = SEAM_DELETE;
+			op[n].key = r->key;
+			op[n].version = r->version;
+			n++;
+		}
+		seam_answer_free(&row.answer);
+	}
+	return n;
+}
+
+/* Reads the next rows and deletes the expired; false at the end of a round. */
+static bool sweep_rows(struct seam_once *o, seam_time now)
+{
+	struct seam_write op[SWEEP_ROWS];
+	struct seam_commit c = {.write = op, .token = seam_store_token()};
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_rows rows;
+	bool more;
+
+	memset(op, 0, sizeof(op));
+	if (seam_store_scan(o->store, "once/", o->swept, SWEEP_ROWS, &rows,
+			    now + STORE_TIMEOUT, &e))
+		return true;
+	c.n = (size_t)find_expired(&rows, op, now);
+	/* A lost answer or a conflict costs nothing: the next round reads. */
+	if (c.n && !seam_store_commit(o->store, &c, now + STORE_TIMEOUT, &e))
+		seam_count_add(&deleted, (int64_t)c.n);
+	more = rows.n == SWEEP_ROWS;
+	if (more)
+		memcpy(o->swept, rows.row[rows.n - 1].key, sizeof(o->swept));
+	else
+		o->swept[0] = '\0';
+	seam_rows_free(&rows);
+	return more;
+}
+
+seam_time seam_once_pass(struct seam_once *o, seam_time now, bool sweep)
+{
+	bool more = seam_once_write_kept(o);
+
+	if (sweep && now >= o->sweep_at)
+		o->sweep_at =
+			now + (sweep_rows(o, now) ? SWEEP_PERIOD : SWEEP_REST);
+	return more ? now : now + KEPT_PERIOD;
+}
+
+bool seam_once_flush(struct seam_once *o, seam_time deadline)
+{
+	pthread_cond_t never;
+	bool empty;
+
+	seam_cond_init(&never);
+	for (;;) {
+		seam_time next;
+
+		seam_once_write_kept(o);
+		pthread_mutex_lock(&o->lock);
+		empty = g_queue_is_empty(&o->kept);
+		next = seam_now(o->clock) + FLUSH_PERIOD;
+		if (!empty && next < deadline)
+			seam_wait(o->clock, &never, &o->lock, next);
+		pthread_mutex_unlock(&o->lock);
+		if (empty || next >= deadline)
+			break;
+	}
+	pthread_cond_destroy(&never);
+	return empty;
+}
--- a/request/route.c
+++ b/request/route.c
@@ -1,52 +1,201 @@
 #include "request/route.h"
+#include "base/count.h"
+#include "base/log.h"
 
+#include <sodium.h>
 #include <string.h>
 
+#define SLOW_START (10 * SEAM_SEC)
+#define WEIGHT_FULL 1000
+#define WEIGHT_LEAST 50
+#define DRAWS 8 /* random draws before the group is searched in order */
+
+SEAM_COUNT(chosen_near, "seam_request_chosen_near_total",
+	   "Targets chosen in the own data centre.");
+SEAM_COUNT(chosen_far, "seam_request_chosen_far_total",
+	   "Targets chosen in another data centre.");
+
+/* xorshift64* (Vigna 2016) */
+static uint64_t next_random(uint64_t *x)
+{
+	*x ^= *x >> 12;
+	*x ^= *x << 25;
+	*x ^= *x >> 27;
+	return (*x * 0x2545f4914f6cdd1dull) >> 32;
+}
+
 static int load(const struct seam_target *t)
 {
 	return t->outstanding + t->peer_load;
 }
 
-/* Free slots first near, then far; the least loaded of them. */
-static bool better(const struct seam_target *t, const struct seam_target *best,
-		   const char *dc)
+int seam_route_weight(const struct seam_target *t, seam_time now)
 {
-	bool near = !strcmp(t->info.dc, dc);
-	bool best_near;
-
-	if (!best)
-		return true;
-	best_near = !strcmp(best->info.dc, dc);
-	if (near != best_near)
-		return near;
-	return load(t) * best->info.slots < load(best) * t->info.slots;
+	seam_time left = t->full_weight_at - now;
+	int w;
+
+	if (left <= 0)
+		return WEIGHT_FULL;
+	if (left > SLOW_START)
+		return WEIGHT_LEAST;
+	w = (int)(WEIGHT_FULL * (SLOW_START - left) / SLOW_START);
+	return w < WEIGHT_LEAST ? WEIGHT_LEAST : w;
 }
 
-int seam_route_take(struct seam_targets *ts, const char *service,
-		    const char *dc, seam_time now, struct seam_handle *h,
-		    struct seam_err *e)
+/* During the slow start only a part of the slots is used, at least one. */
+static bool has_room(const struct seam_target *t, seam_time now)
+{
+	int64_t slots = t->info.slots;
+	int64_t part = (slots * seam_route_weight(t, now) + WEIGHT_FULL - 1) /
+		       WEIGHT_FULL;
+
+	return load(t) < part;
+}
+
+static bool lighter(const struct seam_target *a, const struct seam_target *b,
+		    seam_time now)
+{
+	int64_t wa = (int64_t)a->info.slots * seam_route_weight(a, now);
+	int64_t wb = (int64_t)b->info.slots * seam_route_weight(b, now);
+
+	return (load(a) + 1) * wb < (load(b) + 1) * wa;
+}
+
+static bool left_out(const struct seam_route_not * not, struct seam_handle h)
+{
+	int i;
+
+	for (i = 0; not &&i < not ->n; i++)
+		if (seam_handle_eq(not ->h[i], h))
+			return true;
+	return false;
+}
+
+/* The open target at @i, or NULL if it may not be used now. */
+static struct seam_target *usable(struct seam_target_service *s,
+				  struct seam_target_group *g, int i,
+				  const struct seam_route_not * not,
+				  seam_time now)
+{
+	struct seam_target *t = seam_table_get(s->table, g->open[i]);
+
+	if (left_out(not, t->self) || !has_room(t, now))
+		return NULL;
+	return t;
+}
+
+static struct seam_target *search(struct seam_target_service *s,
+				  struct seam_target_group *g,
+				  const struct seam_route_not * not,
+				  seam_time now, uint64_t *rnd)
+{
+	int first = (int)(next_random(rnd) % (uint64_t)g->opens);
+	int i;
+
+	for (i = 0; i < g->opens; i++) {
+		struct seam_target *t =
+			usable(s, g, (first + i) % g->opens, not, now);
+
+		if (t)
+			return t;
+	}
+	return NULL;
+}
+
+struct seam_target *seam_route_draw(struct seam_target_service *s,
+				    struct seam_target_group *g,
+				    const struct seam_route_not * not,
+				    seam_time now, uint64_t *rnd)
 {
-	struct seam_table *table = seam_targets_lock(ts);
-	struct seam_handle at = SEAM_NONE;
 	struct seam_target *best = NULL;
-	struct seam_target *t;
-	bool any = false;
+	int found = 0;
+	int i;
 
-	while ((t = seam_table_next(table, &at))) {
-		if (strcmp(t->info.service, service) || t->info.leaving)
-			continue;
-		any = true;
-		if (t->ejected_until > now || load(t) >= t->info.slots)
-			continue;
-		if (!better(t, best, dc))
+	if (!g->opens)
+		return NULL;
+	for (i = 0; i < DRAWS && found < 2; i++) {
+		int at = (int)(next_random(rnd) % (uint64_t)g->opens);
+		struct seam_target *t = usable(s, g, at, not, now);
+
+		if (!t || t == best)
 			continue;
-		best = t;
-		*h = at;
+		found++;
+		if (!best || lighter(t, best, now))
+			best = t;
+	}
+	return best ? best : search(s, g, not, now, rnd);
+}
+
+static int distance(const struct seam_near *near, const char *dc)
+{
+	int i;
+
+	if (!strcmp(near->dc, dc))
+		return 0;
+	for (i = 0; i < near->n; i++)
+		if (!strcmp(near->region[i], dc))
+			return 1;
+	return 2;
+}
+
+static struct seam_target *choose(struct seam_target_service *s,
+				  const struct seam_near *near,
+				  const struct seam_route_not * not,
+				  seam_time now, uint64_t *rnd)
+{
+	int first = (int)(next_random(rnd) % (uint64_t)s->groups);
+	struct seam_target *t = NULL;
+	int d;
+	int i;
+
+	for (d = 0; d < 3 && !t; d++)
+		for (i = 0; i < s->groups && !t; i++) {
+			struct seam_target_group *g =
+				s->group[(first + i) % s->groups];
+
+			if (distance(near, g->dc) == d)
+				t = seam_route_draw(s, g, not, now, rnd);
+		}
+	if (t)
+		seam_count_add(d == 1 ? &chosen_near : &chosen_far, 1);
+	return t;
+}
+
+static uint64_t *thread_random(void)
+{
+	static __thread uint64_t state;
+
+	while (!state)
+		randombytes_buf(&state, sizeof(state));
+	return &state;
+}
+
+int seam_route_take(struct seam_targets *ts, const char *service,
+		    const struct seam_near *near,
+		    const struct seam_route_not * not, seam_time now,
+		    struct seam_handle *h, struct seam_err *e)
+{
+	struct seam_target_service *s;
+	struct seam_target *t = NULL;
+	bool any;
+
+	seam_targets_lock(ts);
+	s = seam_targets_service(ts, service);
+	any = s && s->members;
+	if (any) {
+		seam_route_returns(s, now);
+		t = choose(s, near, not, now, thread_random());
+	}
+	if (t) {
+		*h = t->self;
+		t->outstanding++;
+		SEAM_INVARIANT(load(t) <= t->info.slots && !t->info.leaving,
+			       "request", "Target %s has %d of %d slots.",
+			       t->info.id, load(t), t->info.slots);
+		seam_target_place(t);
 	}
-	if (best)
-		best->outstanding++;
 	seam_targets_unlock(ts);
-	if (best)
+	if (t)
 		return 0;
 	if (any)
 		return seam_fail(e, SEAM_BUSY,
@@ -61,7 +210,12 @@
 	struct seam_table *table = seam_targets_lock(ts);
 	struct seam_target *t = seam_table_get(table, h);
 
-	if (t)
+	if (t) {
 		t->outstanding--;
+		SEAM_INVARIANT(t->outstanding >= 0, "request",
+			       "Target %s released more often than taken.",
+			       t->info.id);
+		seam_target_place(t);
+	}
 	seam_targets_unlock(ts);
 }
--- /dev/null
+++ b/request/route_eject.c
@@ -0,0 +1,102 @@
+#include "request/route.h"
+#include "base/count.h"
+#include "base/log.h"
+
+#define FAILS_TO_EJECT 3
+#define EJECT_FIRST (1 * SEAM_SEC)
+#define EJECT_LONGEST (60 * SEAM_SEC)
+#define SLOW_START (10 * SEAM_SEC)
+
+SEAM_COUNT(ejections, "seam_request_ejections_total", "Targets ejected.");
+SEAM_COUNT(spared, "seam_request_ejections_spared_total",
+	   "Failing targets kept because half of the service was out.");
+SEAM_COUNT(returns, "seam_request_returns_total",
+	   "Ejected targets that returned.");
+
+struct seam_eject seam_eject_decide(const struct seam_target *t,
+				    const struct seam_target_service *s,
+				    seam_time now)
+{
+	struct seam_eject d = {false, 0};
+	seam_time length = EJECT_FIRST;
+	int i;
+
+	if (t->fails < FAILS_TO_EJECT || t->ejected || t->info.leaving)
+		return d;
+	if ((s->ejected + 1) * 2 > s->members)
+		return d;
+	for (i = 0; i < t->ejections && length < EJECT_LONGEST; i++)
+		length *= 2;
+	d.eject = true;
+	d.until = now + (length < EJECT_LONGEST ? length : EJECT_LONGEST);
+	return d;
+}
+
+/*
+ * A full target refuses rightly. One that refuses with most slots free looks
+ * idle and would draw the requests of the whole service.
+ */
+static bool refuses_idle(const struct seam_target *t)
+{
+	return (t->outstanding + t->peer_load) * 2 <= t->info.slots;
+}
+
+static void on_failure(struct seam_target *t, seam_time now)
+{
+	struct seam_target_service *s = t->service;
+	struct seam_eject d;
+
+	t->fails++;
+	d = seam_eject_decide(t, s, now);
+	if (!d.eject) {
+		if (t->fails == FAILS_TO_EJECT && !t->ejected)
+			seam_count_add(&spared, 1);
+		return;
+	}
+	t->ejections++;
+	seam_target_away(t, d.until);
+	seam_count_add(&ejections, 1);
+	SEAM_INVARIANT(s->ejected * 2 <= s->members, "request",
+		       "Service %s has %d of %d targets ejected.", s->name,
+		       s->ejected, s->members);
+	seam_log(SEAM_WARN, "request", "Target %s ejected after %d failures.",
+		 t->info.id, t->fails);
+}
+
+void seam_route_report(struct seam_targets *ts, struct seam_handle h,
+		       enum seam_route_result result, seam_time now)
+{
+	struct seam_table *table = seam_targets_lock(ts);
+	struct seam_target *t = seam_table_get(table, h);
+
+	if (t && t->service &&
+	    (result == SEAM_ROUTE_FAILED ||
+	     (result == SEAM_ROUTE_FULL && refuses_idle(t)))) {
+		on_failure(t, now);
+	} else if (t && result == SEAM_ROUTE_WORKED) {
+		t->fails = 0;
+		if (!t->ejected && now >= t->full_weight_at)
+			t->ejections = 0;
+	}
+	seam_targets_unlock(ts);
+}
+
+void seam_route_returns(struct seam_target_service *s, seam_time now)
+{
+	int i;
+
+	if (now < s->return_at)
+		return;
+	for (i = s->ejected - 1; i >= 0; i--) {
+		struct seam_target *t = seam_table_get(s->table, s->away[i]);
+
+		if (t->ejected_until > now)
+			continue;
+		t->fails = FAILS_TO_EJECT - 1;
+		t->full_weight_at = now + SLOW_START;
+		seam_target_back(t);
+		seam_count_add(&returns, 1);
+		seam_log(SEAM_INFO, "request", "Target %s returned.",
+			 t->info.id);
+	}
+}
--- /dev/null
+++ b/request/waitq.c
@@ -0,0 +1,172 @@
+#include "request/waitq.h"
+#include "base/count.h"
+
+#include <stdlib.h>
+
+/*
+ * Targets that return, new targets and a lower load of peers signal nobody:
+ * the first waiter looks again after this time.
+ */
+#define LOOK_AGAIN (20 * SEAM_MSEC)
+
+SEAM_COUNT(waiting, "seam_request_waiting", "Requests that wait for a slot.");
+SEAM_COUNT(waited, "seam_request_waited_total",
+	   "Requests that got a slot after a wait.");
+SEAM_COUNT(shed, "seam_request_shed_total",
+	   "Requests shed because the queue was full or their turn too late.");
+SEAM_COUNT(expired, "seam_request_wait_expired_total",
+	   "Requests whose deadline passed while they waited.");
+SEAM_COUNT(wait_us, "seam_request_wait_microseconds_total",
+	   "Time spent waiting by requests that got a slot.");
+
+struct seam_waitq {
+	struct seam_clock *clock;
+	pthread_mutex_t lock;
+	struct seam_fair *fair;
+};
+
+struct seam_waitq *seam_waitq_new(struct seam_clock *k, int max)
+{
+	struct seam_waitq *q = calloc(1, sizeof(*q));
+
+	if (!q)
+		return NULL;
+	q->clock = k;
+	q->fair = seam_fair_new(max);
+	if (!q->fair) {
+		free(q);
+		return NULL;
+	}
+	pthread_mutex_init(&q->lock, NULL);
+	return q;
+}
+
+void seam_waitq_free(struct seam_waitq *q)
+{
+	if (!q)
+		return;
+	seam_fair_free(q->fair);
+	pthread_mutex_destroy(&q->lock);
+	free(q);
+}
+
+static void wake_first(struct seam_waitq *q)
+{
+	struct seam_waiter *w = seam_fair_first(q->fair);
+
+	if (w)
+		pthread_cond_signal(&w->turn);
+}
+
+/* One look at the state of @w: 1 to wait on, 0 with a slot, -1 without. */
+static int step(struct seam_waitq *q, struct seam_waiter *w,
+		seam_waitq_take take, void *arg, seam_time now,
+		struct seam_err *e)
+{
+	if (w->shed) {
+		seam_count_add(&shed, 1);
+		return seam_fail(e, SEAM_BUSY,
+				 "shed for teams below their "
+				 "share");
+	}
+	if (now >= w->deadline) {
+		seam_fair_drop(q->fair, w);
+		seam_count_add(&expired, 1);
+		return seam_fail(e, SEAM_DEADLINE, "no slot in time");
+	}
+	if (seam_fair_first(q->fair) != w)
+		return 1;
+	if (!take(arg, now, e)) {
+		seam_fair_served(q->fair, w, now);
+		seam_err_clear(e);
+		return 0;
+	}
+	if (e->kind == SEAM_BUSY)
+		return 1;
+	seam_fair_drop(q->fair, w);
+	return -1;
+}
+
+static int wait_turn(struct seam_waitq *q, struct seam_waiter *w,
+		     seam_waitq_take take, void *arg, struct seam_err *e)
+{
+	seam_time now = seam_now(q->clock);
+	seam_time from = now;
+	int rc;
+
+	while ((rc = step(q, w, take, arg, now, e)) > 0) {
+		seam_time until = w->deadline;
+
+		if (seam_fair_first(q->fair) == w && now + LOOK_AGAIN < until)
+			until = now + LOOK_AGAIN;
+		seam_wait(q->clock, &w->turn, &q->lock, until);
+		now = seam_now(q->clock);
+	}
+	if (!rc) {
+		seam_count_add(&waited, 1);
+		seam_count_add(&wait_us, now - from);
+	}
+	wake_first(q);
+	return rc;
+}
+
+static int enter(struct seam_waitq *q, struct seam_waiter *w,
+		 seam_waitq_take take, void *arg, struct seam_err *e)
+{
+	seam_time now = seam_now(q->clock);
+	struct seam_waiter *out;
+	int rc;
+
+	if (!seam_fair_count(q->fair)) {
+		if (!take(arg, now, e))
+			return 0;
+		if (e->kind != SEAM_BUSY)
+			return -1;
+	}
+	if (seam_fair_add(q->fair, w, now, &out, e)) {
+		seam_count_add(&shed, 1);
+		return -1;
+	}
+	if (out)
+		pthread_cond_signal(&out->turn);
+	seam_count_add(&waiting, 1);
+	rc = wait_turn(q, w, take, arg, e);
+	seam_count_add(&waiting, -1);
+	return rc;
+}
+
+int seam_waitq_wait(struct seam_waitq *q, struct seam_waiter *w,
+		    seam_waitq_take take, void *arg, struct seam_err *e)
+{
+	int rc;
+
+	seam_cond_init(&w->turn);
+	pthread_mutex_lock(&q->lock);
+	rc = enter(q, w, take, arg, e);
+	pthread_mutex_unlock(&q->lock);
+	pthread_cond_destroy(&w->turn);
+	return rc;
+}
+
+int seam_waitq_check(struct seam_waitq *q, struct seam_waiter *w,
+		     struct seam_err *e)
+{
+	int rc = 0;
+
+	pthread_mutex_lock(&q->lock);
+	if (seam_fair_count(q->fair))
+		rc = seam_fair_check(q->fair, w, seam_now(q->clock), e);
+	pthread_mutex_unlock(&q->lock);
+	if (rc)
+		seam_count_add(&shed, 1);
+	return rc;
+}
+
+void seam_waitq_released(struct seam_waitq *q, seam_time length)
+{
+	pthread_mutex_lock(&q->lock);
+	if (length)
+		seam_fair_ran(q->fair, length);
+	wake_first(q);
+	pthread_mutex_unlock(&q->lock);
+}
