--- a/connection/target_index.c
+++ b/connection/target_index.c
@@ -1,4 +1,5 @@
 #include "connection/target_impl.h"
+#include "base/log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -140,6 +141,9 @@
 	t->ejected_until = until;
 	if (until < s->return_at)
 		s->return_at = until;
+	SEAM_INVARIANT(s->ejected * 2 <= s->members, "request",
+		       "Service %s has %d of %d targets ejected.", s->name,
+		       s->ejected, s->members);
 	seam_target_place(t);
 }
 
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -50,6 +50,23 @@
 /** seam_fake_target_free() - stop it */
 void seam_fake_target_free(struct seam_fake_target *t);
 
+/** struct seam_fake_light - many small targets served by one thread */
+struct seam_fake_light;
+
+/**
+ * seam_fake_light_new() - targets for measurements: they answer "ok" at once
+ * @ip: loopback address
+ * @port: port of the first one
+ * @n: their number, on ports that follow each other
+ */
+struct seam_fake_light *seam_fake_light_new(const char *ip, int port, int n);
+
+/** seam_fake_light_runs() - requests answered by all of them */
+long seam_fake_light_runs(struct seam_fake_light *l);
+
+/** seam_fake_light_free() - stop them */
+void seam_fake_light_free(struct seam_fake_light *l);
+
 /**
  * struct seam_fake_platform - VM list and reboots in memory
  */
--- /dev/null
+++ b/fake/target_light.c
@@ -0,0 +1,189 @@
+#include "fake/fake.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define EVENTS 64
+#define HEAD_MAX 8192
+
+/* One connection, or a listening socket, or the stop signal. */
+struct sock {
+	int fd;
+	bool listens;
+	size_t got;
+	char buf[HEAD_MAX];
+	struct sock *next;
+};
+
+struct seam_fake_light {
+	int epoll;
+	int stop;
+	long runs;
+	struct sock *all;
+	pthread_t thread;
+};
+
+static struct sock *add(struct seam_fake_light *l, int fd, bool listens)
+{
+	struct sock *s = calloc(1, sizeof(*s));
+	struct epoll_event ev = {.events = EPOLLIN, .data.ptr = s};
+
+	if (!s)
+		return NULL;
+	s->fd = fd;
+	s->listens = listens;
+	s->next = l->all;
+	l->all = s;
+	epoll_ctl(l->epoll, EPOLL_CTL_ADD, fd, &ev);
+	return s;
+}
+
+static void accept_all(struct seam_fake_light *l, struct sock *s)
+{
+	int one = 1;
+	int fd;
+
+	while ((fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		if (!add(l, fd, false))
+			close(fd);
+	}
+}
+
+/* Length of the first request in the buffer, 0 if it is not complete. */
+static size_t whole(const struct sock *s)
+{
+	const char *end = memmem(s->buf, s->got, "\r\n\r\n", 4);
+	const char *at;
+	size_t body = 0;
+	size_t head;
+
+	if (!end)
+		return 0;
+	head = (size_t)(end - s->buf) + 4;
+	at = memmem(s->buf, head, "Content-Length: ", 16);
+	if (at)
+		body = strtoul(at + 16, NULL, 10);
+	return s->got >= head + body ? head + body : 0;
+}
+
+static bool serve(struct seam_fake_light *l, struct sock *s)
+{
+	static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Type: "
+				    "text/plain\r\nContent-Length: 2\r\n\r\nok";
+	ssize_t n = read(s->fd, s->buf + s->got, sizeof(s->buf) - s->got);
+	size_t len;
+
+	if (n < 0 && errno == EAGAIN)
+		return true;
+	if (n <= 0)
+		return false;
+	s->got += (size_t)n;
+	while ((len = whole(s)) > 0) {
+		s->got -= len;
+		memmove(s->buf, s->buf + len, s->got);
+		__atomic_fetch_add(&l->runs, 1, __ATOMIC_RELAXED);
+		if (write(s->fd, reply, sizeof(reply) - 1) < 0)
+			return false;
+	}
+	return s->got < sizeof(s->buf);
+}
+
+static void *run(void *arg)
+{
+	struct seam_fake_light *l = arg;
+	struct epoll_event ev[EVENTS];
+
+	for (;;) {
+		int n = epoll_wait(l->epoll, ev, EVENTS, -1);
+		int i;
+
+		for (i = 0; i < n; i++) {
+			struct sock *s = ev[i].data.ptr;
+
+			if (!s)
+				return NULL;
+			if (s->listens) {
+				accept_all(l, s);
+			} else if (!serve(l, s)) {
+				close(s->fd);
+				s->fd = -1;
+			}
+		}
+	}
+}
+
+static int listen_on(const char *ip, int port)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET,
+				.sin_port = htons((uint16_t)port)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	int one = 1;
+
+	inet_pton(AF_INET, ip, &a.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) || listen(fd, 512)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+struct seam_fake_light *seam_fake_light_new(const char *ip, int port, int n)
+{
+	struct seam_fake_light *l = calloc(1, sizeof(*l));
+	struct epoll_event ev = {.events = EPOLLIN, .data.ptr = NULL};
+	int i;
+
+	if (!l)
+		return NULL;
+	l->epoll = epoll_create1(0);
+	l->stop = eventfd(0, 0);
+	epoll_ctl(l->epoll, EPOLL_CTL_ADD, l->stop, &ev);
+	for (i = 0; i < n; i++) {
+		int fd = listen_on(ip, port + i);
+
+		if (fd >= 0)
+			add(l, fd, true);
+		else
+			fprintf(stderr, "fake: cannot use port %d\n", port + i);
+	}
+	pthread_create(&l->thread, NULL, run, l);
+	return l;
+}
+
+long seam_fake_light_runs(struct seam_fake_light *l)
+{
+	return __atomic_load_n(&l->runs, __ATOMIC_RELAXED);
+}
+
+void seam_fake_light_free(struct seam_fake_light *l)
+{
+	uint64_t one = 1;
+
+	if (write(l->stop, &one, sizeof(one)) < 0)
+		return;
+	pthread_join(l->thread, NULL);
+	while (l->all) {
+		struct sock *s = l->all;
+
+		l->all = s->next;
+		if (s->fd >= 0)
+			close(s->fd);
+		free(s);
+	}
+	close(l->stop);
+	close(l->epoll);
+	free(l);
+}
--- a/request/route.c
+++ b/request/route.c
@@ -61,12 +61,12 @@
 	return (load(a) + 1) * wb < (load(b) + 1) * wa;
 }
 
-static bool left_out(const struct seam_route_not * not, struct seam_handle h)
+static bool left_out(const struct seam_tried *tried, struct seam_handle h)
 {
 	int i;
 
-	for (i = 0; not &&i < not ->n; i++)
-		if (seam_handle_eq(not ->h[i], h))
+	for (i = 0; tried && i < tried->n; i++)
+		if (seam_handle_eq(tried->h[i], h))
 			return true;
 	return false;
 }
@@ -74,27 +74,26 @@
 /* The open target at @i, or NULL if it may not be used now. */
 static struct seam_target *usable(struct seam_target_service *s,
 				  struct seam_target_group *g, int i,
-				  const struct seam_route_not * not,
-				  seam_time now)
+				  const struct seam_tried *tried, seam_time now)
 {
 	struct seam_target *t = seam_table_get(s->table, g->open[i]);
 
-	if (left_out(not, t->self) || !has_room(t, now))
+	if (left_out(tried, t->self) || !has_room(t, now))
 		return NULL;
 	return t;
 }
 
 static struct seam_target *search(struct seam_target_service *s,
 				  struct seam_target_group *g,
-				  const struct seam_route_not * not,
-				  seam_time now, uint64_t *rnd)
+				  const struct seam_tried *tried, seam_time now,
+				  uint64_t *rnd)
 {
 	int first = (int)(next_random(rnd) % (uint64_t)g->opens);
 	int i;
 
 	for (i = 0; i < g->opens; i++) {
 		struct seam_target *t =
-			usable(s, g, (first + i) % g->opens, not, now);
+			usable(s, g, (first + i) % g->opens, tried, now);
 
 		if (t)
 			return t;
@@ -104,7 +103,7 @@
 
 struct seam_target *seam_route_draw(struct seam_target_service *s,
 				    struct seam_target_group *g,
-				    const struct seam_route_not * not,
+				    const struct seam_tried *tried,
 				    seam_time now, uint64_t *rnd)
 {
 	struct seam_target *best = NULL;
@@ -115,7 +114,7 @@
 		return NULL;
 	for (i = 0; i < DRAWS && found < 2; i++) {
 		int at = (int)(next_random(rnd) % (uint64_t)g->opens);
-		struct seam_target *t = usable(s, g, at, not, now);
+		struct seam_target *t = usable(s, g, at, tried, now);
 
 		if (!t || t == best)
 			continue;
@@ -123,7 +122,7 @@
 		if (!best || lighter(t, best, now))
 			best = t;
 	}
-	return best ? best : search(s, g, not, now, rnd);
+	return best ? best : search(s, g, tried, now, rnd);
 }
 
 static int distance(const struct seam_near *near, const char *dc)
@@ -140,8 +139,8 @@
 
 static struct seam_target *choose(struct seam_target_service *s,
 				  const struct seam_near *near,
-				  const struct seam_route_not * not,
-				  seam_time now, uint64_t *rnd)
+				  const struct seam_tried *tried, seam_time now,
+				  uint64_t *rnd)
 {
 	int first = (int)(next_random(rnd) % (uint64_t)s->groups);
 	struct seam_target *t = NULL;
@@ -154,7 +153,7 @@
 				s->group[(first + i) % s->groups];
 
 			if (distance(near, g->dc) == d)
-				t = seam_route_draw(s, g, not, now, rnd);
+				t = seam_route_draw(s, g, tried, now, rnd);
 		}
 	if (t)
 		seam_count_add(d == 1 ? &chosen_near : &chosen_far, 1);
@@ -172,7 +171,7 @@
 
 int seam_route_take(struct seam_targets *ts, const char *service,
 		    const struct seam_near *near,
-		    const struct seam_route_not * not, seam_time now,
+		    const struct seam_tried *tried, seam_time now,
 		    struct seam_handle *h, struct seam_err *e)
 {
 	struct seam_target_service *s;
@@ -184,7 +183,7 @@
 	any = s && s->members;
 	if (any) {
 		seam_route_returns(s, now);
-		t = choose(s, near, not, now, thread_random());
+		t = choose(s, near, tried, now, thread_random());
 	}
 	if (t) {
 		*h = t->self;
--- a/request/route.h
+++ b/request/route.h
@@ -24,11 +24,11 @@
 };
 
 /**
- * struct seam_route_not - targets that an earlier attempt has tried
+ * struct seam_tried - targets that an earlier attempt has tried
  * @h: handles
  * @n: their number
  */
-struct seam_route_not {
+struct seam_tried {
 	struct seam_handle h[SEAM_ROUTE_TRIES];
 	int n;
 };
@@ -46,7 +46,7 @@
  * seam_route_draw() - power of two choices among the open targets of a group
  * @s: service, locked
  * @g: one of its groups
- * @not: targets to leave out
+ * @tried: targets to leave out
  * @now: time
  * @rnd: state of the random numbers, not 0
  *
@@ -58,7 +58,7 @@
  */
 struct seam_target *seam_route_draw(struct seam_target_service *s,
 				    struct seam_target_group *g,
-				    const struct seam_route_not * not,
+				    const struct seam_tried *tried,
 				    seam_time now, uint64_t *rnd);
 
 /**
@@ -66,7 +66,7 @@
  * @ts: targets
  * @service: service
  * @near: own data centre first, then the own region, then the others
- * @not: targets to leave out
+ * @tried: targets to leave out
  * @now: time
  * @h: receives the target
  * @e: SEAM_NOT_FOUND if the service has no targets, SEAM_BUSY if all are at
@@ -74,7 +74,7 @@
  */
 int seam_route_take(struct seam_targets *ts, const char *service,
 		    const struct seam_near *near,
-		    const struct seam_route_not * not, seam_time now,
+		    const struct seam_tried *tried, seam_time now,
 		    struct seam_handle *h, struct seam_err *e);
 
 /** seam_route_release() - give the slot back */
--- a/request/route_eject.c
+++ b/request/route_eject.c
@@ -56,9 +56,6 @@
 	t->ejections++;
 	seam_target_away(t, d.until);
 	seam_count_add(&ejections, 1);
-	SEAM_INVARIANT(s->ejected * 2 <= s->members, "request",
-		       "Service %s has %d of %d targets ejected.", s->name,
-		       s->ejected, s->members);
 	seam_log(SEAM_WARN, "request", "Target %s ejected after %d failures.",
 		 t->info.id, t->fails);
 }
--- a/request/route_run.c
+++ b/request/route_run.c
@@ -32,7 +32,7 @@
 	struct seam_router *router;
 	struct seam_job *job;
 	struct lane *lane;
-	struct seam_route_not not ;
+	struct seam_tried tried;
 	struct seam_handle target;
 };
 
@@ -107,7 +107,7 @@
 	struct attempt *t = arg;
 
 	return seam_route_take(t->router->targets, t->job->service,
-			       &t->job->near, &t->not, now, &t->target, e);
+			       &t->job->near, &t->tried, now, &t->target, e);
 }
 
 static struct seam_waiter waiter_of(const struct seam_job *job)
@@ -138,7 +138,7 @@
 	seam_time from = seam_now(t->router->clock);
 	int rc;
 
-	if (t->not .n)
+	if (t->tried.n)
 		return take_slot(t, from, e);
 	rc = seam_waitq_wait(t->lane->queue, &w, take_slot, t, e);
 	seam_trace_child(&span, &t->job->send.call->trace);
@@ -251,7 +251,7 @@
 	seam_time now = seam_now(t->router->clock);
 	bool ok;
 
-	if (t->not .n + 1 >= SEAM_ROUTE_TRIES || now >= t->job->send.deadline)
+	if (t->tried.n + 1 >= SEAM_ROUTE_TRIES || now >= t->job->send.deadline)
 		return false;
 	if (!seam_retry_allowed(t->job->send.idempotent, e->kind))
 		return false;
@@ -286,7 +286,7 @@
 			first = *e;
 		if (!started || !retry(&t, e))
 			break;
-		t.not .h[t.not .n++] = t.target;
+		t.tried.h[t.tried.n++] = t.target;
 	}
 	*e = first;
 	return -1;
