request: rest a target that refused as full

Peers tell their load once a second, so a full target looked open and drew attempts until the retry budget was used up.

--- a/connection/target.h
+++ b/connection/target.h
@@ -78,6 +78,7 @@
  * @info: from the pool rows and the VM list
  * @outstanding: requests of this process on it
  * @peer_load: requests of other nodes on it; see seam_targets_peer_load()
+ * @full_until: it refused as full: not chosen before this time
  * @fails: consecutive failures
  * @ejections: ejections since it last worked at full weight
  * @ejected: in @service->away
@@ -95,6 +96,7 @@
 	struct seam_target_info info;
 	int outstanding;
 	int peer_load;
+	seam_time full_until;
 	int fails;
 	int ejections;
 	bool ejected;
--- a/request/route.c
+++ b/request/route.c
@@ -78,7 +78,8 @@
 {
 	struct seam_target *t = seam_table_get(s->table, g->open[i]);
 
-	if (left_out(tried, t->self) || !has_room(t, now))
+	if (left_out(tried, t->self) || now < t->full_until ||
+	    !has_room(t, now))
 		return NULL;
 	return t;
 }
--- a/request/route_eject.c
+++ b/request/route_eject.c
@@ -5,6 +5,8 @@
 #define FAILS_TO_EJECT 3
 #define EJECT_FIRST (1 * SEAM_SEC)
 #define EJECT_LONGEST (60 * SEAM_SEC)
+/* The load that peers told is older than this; a slot frees up sooner. */
+#define FULL_PAUSE (20 * SEAM_MSEC)
 #define SLOW_START (10 * SEAM_SEC)
 
 SEAM_COUNT(ejections, "seam_request_ejections_total", "Targets ejected.");
@@ -66,6 +68,8 @@
 	struct seam_table *table = seam_targets_lock(ts);
 	struct seam_target *t = seam_table_get(table, h);
 
+	if (t && result == SEAM_ROUTE_FULL)
+		t->full_until = now + FULL_PAUSE;
 	if (t && t->service &&
 	    (result == SEAM_ROUTE_FAILED ||
 	     (result == SEAM_ROUTE_FULL && refuses_idle(t)))) {
