--- a/bench/requests_bench.c
+++ b/bench/requests_bench.c
@@ -17,7 +17,7 @@
 #define NODE_ADDR "127.0.0.1:20500"
 #define TARGET_PORT 20510
 #define INSTANCES 50
-#define CONNECTIONS 64
+#define CONNECTIONS SEAM_FAKE_HOLD
 #define WARM 50
 #define REQUESTS 8000 /* of all callers together, in each row */
 #define CALLERS_MAX 64
@@ -239,7 +239,7 @@
 	struct opener *o = arg;
 	struct seam_call c = {.ops = &ops, .method = "GET", .query = ""};
 	struct seam_send s = {.call = &c,
-			      .path = "/x",
+			      .path = "/hold",
 			      .deadline = seam_now(seam_clock_real()) +
 					  10 * SEAM_SEC,
 			      .idempotent = true};
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -53,6 +53,8 @@
 /** seam_fake_target_free() - stop it */
 void seam_fake_target_free(struct seam_fake_target *t);
 
+#define SEAM_FAKE_HOLD 64 /* requests for /hold that are answered together */
+
 /** struct seam_fake_light - many small targets served by one thread */
 struct seam_fake_light;
 
--- a/fake/target_light.c
+++ b/fake/target_light.c
@@ -30,6 +30,8 @@
 	int epoll;
 	int stop;
 	long runs;
+	struct sock *held[SEAM_FAKE_HOLD];
+	int holds;
 	struct sock *all;
 	pthread_t thread;
 };
@@ -78,10 +80,29 @@
 	return s->got >= head + body ? head + body : 0;
 }
 
+static bool reply(struct sock *s)
+{
+	static const char text[] = "HTTP/1.1 200 OK\r\nContent-Type: "
+				   "text/plain\r\nContent-Length: 2\r\n\r\nok";
+
+	return write(s->fd, text, sizeof(text) - 1) > 0;
+}
+
+/* Requests for /hold are answered together, so that each has a connection. */
+static bool hold(struct seam_fake_light *l, struct sock *s)
+{
+	bool ok = true;
+
+	l->held[l->holds++] = s;
+	if (l->holds < SEAM_FAKE_HOLD)
+		return true;
+	while (l->holds)
+		ok = reply(l->held[--l->holds]) && ok;
+	return ok;
+}
+
 static bool serve(struct seam_fake_light *l, struct sock *s)
 {
-	static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Type: "
-				    "text/plain\r\nContent-Length: 2\r\n\r\nok";
 	ssize_t n = read(s->fd, s->buf + s->got, sizeof(s->buf) - s->got);
 	size_t len;
 
@@ -91,10 +112,12 @@
 		return false;
 	s->got += (size_t)n;
 	while ((len = whole(s)) > 0) {
+		bool held = !memcmp(s->buf, "GET /hold", 9);
+
 		s->got -= len;
 		memmove(s->buf, s->buf + len, s->got);
 		__atomic_fetch_add(&l->runs, 1, __ATOMIC_RELAXED);
-		if (write(s->fd, reply, sizeof(reply) - 1) < 0)
+		if (!(held ? hold(l, s) : reply(s)))
 			return false;
 	}
 	return s->got < sizeof(s->buf);
