--- a/fake/worker.c
+++ b/fake/worker.c
@@ -200,6 +200,7 @@
 	r->need = c->need;
 	r->lease_until = c->lease_until;
 	r->once = json_object_get_boolean(json_object_object_get(o, "once"));
+	r->deaf = json_object_get_boolean(json_object_object_get(o, "deaf"));
 	r->usage.cpu = seam_json_int(o, "cpu", c->need.cpu);
 	r->usage.mem = seam_json_int(o, "mem", c->need.mem);
 	r->end_at = now + seam_json_int(o, "run_ms", 1000) * SEAM_MSEC;
@@ -271,7 +272,7 @@
 		on_stop(w, &r, c, now);
 	else if (r && r->attempt == c->attempt && c->what == SEAM_DO_RENEW)
 		r->lease_until = MAX(r->lease_until, c->lease_until);
-	else if (r && c->what == SEAM_DO_THROTTLE)
+	else if (r && c->what == SEAM_DO_THROTTLE && !r->deaf)
 		r->usage = c->need;
 	if (!r || r->attempt < c->attempt) {
 		g_strlcpy(none.task, c->task, sizeof(none.task));
--- a/fake/worker_impl.h
+++ b/fake/worker_impl.h
@@ -16,6 +16,7 @@
 	int say;
 	bool once;
 	bool fails;
+	bool deaf; /* takes no notice of a throttle */
 	struct seam_need need;
 	struct seam_need usage;
 	seam_time lease_until;
--- a/process/task_bucket.c
+++ b/process/task_bucket.c
@@ -148,7 +148,8 @@
 
 void seam_bucket_touch(struct seam_bucket *b, const char *worker)
 {
-	if (*worker)
+	/* An entry that is replaced would free the name under a reader. */
+	if (*worker && !g_hash_table_contains(b->touched, worker))
 		g_hash_table_add(b->touched, g_strdup(worker));
 	b->dirty = true;
 }
--- a/process/task_impl.h
+++ b/process/task_impl.h
@@ -165,6 +165,9 @@
 
 /* task_report.c, task_lease.c, task_start.c, task_put.c */
 void seam_bucket_reports(struct seam_bucket *b, seam_time now);
+void seam_task_record_fail(struct seam_bucket *b, struct seam_task *t,
+			   seam_time now);
+int seam_task_healthy_fails(struct seam_bucket *b, const struct seam_task *t);
 void seam_bucket_leases(struct seam_bucket *b, seam_time now);
 void seam_bucket_renew(struct seam_bucket *b, seam_time now);
 void seam_bucket_plan(struct seam_bucket *b, seam_time now);
--- a/process/task_report.c
+++ b/process/task_report.c
@@ -35,7 +35,7 @@
 	return true;
 }
 
-static int healthy_fails(struct seam_bucket *b, const struct seam_task *t)
+int seam_task_healthy_fails(struct seam_bucket *b, const struct seam_task *t)
 {
 	int n = 0;
 	int i;
@@ -45,7 +45,7 @@
 	return n;
 }
 
-static void record_fail(struct seam_bucket *b, struct seam_task *t,
+void seam_task_record_fail(struct seam_bucket *b, struct seam_task *t,
 			seam_time now)
 {
 	struct seam_placer *p = b->ts->c.placer;
@@ -70,8 +70,8 @@
 	char why[160];
 	int n;
 
-	record_fail(b, t, now);
-	n = healthy_fails(b, t);
+	seam_task_record_fail(b, t, now);
+	n = seam_task_healthy_fails(b, t);
 	if (!t->idempotent)
 		g_snprintf(why, sizeof(why), "failed on %s: %s", t->worker,
 			   r->reason);
--- a/process/task_start.c
+++ b/process/task_start.c
@@ -1,5 +1,6 @@
 #include "process/task_impl.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -81,13 +82,18 @@
 	b->dirty = true;
 }
 
-/* Data centres of the queue whose row says "in", NULL-terminated. */
-static char **allowed_dcs(struct seam_bucket *b, const struct seam_conf *c,
-			  const struct seam_queue *q, seam_time now,
-			  struct seam_err *e)
+struct where {
+	char **dcs; /* of the queue, whose row says "in"; NULL-terminated */
+	char *out; /* names of the others */
+};
+
+static int find_dcs(struct seam_bucket *b, const struct seam_conf *c,
+		    const struct seam_queue *q, seam_time now, struct where *w)
 {
 	GPtrArray *a = g_ptr_array_new();
+	GString *out = g_string_new(NULL);
 	struct seam_handle h = SEAM_NONE;
+	struct seam_err e = SEAM_ERR_INIT;
 	const struct seam_dc *d;
 
 	while ((d = seam_conf_next(c, SEAM_CONF_DC, &h))) {
@@ -95,11 +101,15 @@
 		    !g_strv_contains((const gchar *const *)q->data_centres,
 				     d->name))
 			continue;
-		if (seam_dc_in(b->ts, d->name, now, e))
+		if (seam_dc_in(b->ts, d->name, now, &e))
 			g_ptr_array_add(a, g_strdup(d->name));
+		else if (e.kind == SEAM_DC_OUT)
+			g_string_append_printf(out, " %s", d->name);
 	}
 	g_ptr_array_add(a, NULL);
-	return (char **)g_ptr_array_free(a, FALSE);
+	w->dcs = (char **)g_ptr_array_free(a, FALSE);
+	w->out = g_string_free(out, FALSE);
+	return *w->dcs || *w->out ? 0 : -1;
 }
 
 struct racks {
@@ -228,8 +238,24 @@
 	return 0;
 }
 
+static void explain(struct seam_bucket *b, struct seam_task *t,
+		    const struct seam_queue *q, const struct where *at)
+{
+	char why[160];
+
+	if (!*at->dcs)
+		snprintf(why, sizeof(why),
+			 "every data centre of queue %s is out", q->name);
+	else
+		snprintf(why, sizeof(why), "no worker of pool %s has room%s%s",
+			 q->pool, *at->out ? "; data centres out:" : "",
+			 at->out);
+	wait_because(b, t, why);
+}
+
 static void try_start(struct seam_bucket *b, struct seam_task *t,
-		      const struct seam_queue *q, char **dcs, seam_time now)
+		      const struct seam_queue *q, const struct where *at,
+		      seam_time now)
 {
 	const char *avoid[SEAM_TASK_FAILS];
 	struct seam_place_ask a = {.pool = q->pool};
@@ -242,24 +268,21 @@
 		avoid[i] = t->fail[i].worker;
 	a.avoid = avoid;
 	a.avoids = (size_t)t->fails;
-	/* What no worker may run now can still be too large for all of them. */
+	/* A data centre that is out may come back with a larger worker. */
 	a.dcs = q->data_centres;
 	if (fit_need(b, t, &a, now))
 		return;
-	a.dcs = dcs;
+	a.dcs = at->dcs;
 	group_racks(b, t->group, &racks);
 	a.racks = racks.name;
 	a.rack_count = racks.n;
-	w = *dcs ? choose(b, t, &a, now, &e) : NULL;
-	if (!*dcs)
-		seam_fail(&e, SEAM_DC_OUT,
-			  "every data centre of queue %s is out", q->name);
+	w = *at->dcs ? choose(b, t, &a, now, &e) : NULL;
 	if (w)
 		begin(b, t, w, &a.need, now);
-	else if (t->urgent && *dcs && seam_task_preempt(b, t, &a, now))
+	else if (t->urgent && *at->dcs && seam_task_preempt(b, t, &a, now))
 		wait_because(b, t, "waits for preempted work to stop");
-	else if (!t->urgent || now >= t->ask_at)
-		wait_because(b, t, e.text);
+	else
+		explain(b, t, q, at);
 }
 
 void seam_bucket_start_next(struct seam_bucket *b, seam_time now)
@@ -268,18 +291,17 @@
 	struct seam_conf *c = seam_conf_current(b->ts->c.conf);
 	const struct seam_queue *q =
 		seam_conf_named(c, SEAM_CONF_QUEUE, b->queue);
-	struct seam_err e = SEAM_ERR_INIT;
-	char **dcs;
+	struct where at;
 
 	if (!q) {
 		wait_because(b, t, "its queue is not configured");
 	} else {
-		dcs = allowed_dcs(b, c, q, now, &e);
-		if (!*dcs && e.kind != SEAM_DC_OUT)
+		if (find_dcs(b, c, q, now, &at))
 			wait_because(b, t, "data centres not read");
 		else
-			try_start(b, t, q, dcs, now);
-		g_strfreev(dcs);
+			try_start(b, t, q, &at, now);
+		g_strfreev(at.dcs);
+		g_free(at.out);
 	}
 	seam_conf_drop(c);
 }
