--- a/connection/workerlink.h
+++ b/connection/workerlink.h
@@ -145,8 +145,7 @@
 void seam_worker_cmd_read(struct json_object *o, struct seam_worker_cmd *c);
 
 /** seam_worker_report_json() - a worker's statement; caller puts it */
-struct json_object *
-seam_worker_report_json(const struct seam_worker_report *r);
+struct json_object *seam_worker_report_json(const struct seam_worker_report *r);
 
 /** seam_worker_report_read() - read a statement; -1 if malformed */
 int seam_worker_report_read(struct json_object *o,
--- a/connection/workerlink_json.c
+++ b/connection/workerlink_json.c
@@ -91,8 +91,7 @@
 	c->payload = seam_json_str(o, "payload", NULL);
 }
 
-struct json_object *
-seam_worker_report_json(const struct seam_worker_report *r)
+struct json_object *seam_worker_report_json(const struct seam_worker_report *r)
 {
 	struct json_object *o = json_object_new_object();
 
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -101,9 +101,10 @@
  *
  * The payload of a task decides what it does: {"run_ms":N,"cpu":N,"mem":N,
  * "fail":true,"once":true,"deaf":true}; "once" marks a task that must not have
- * effects twice, "deaf" one that takes no notice of a throttle. Promises that a worker can see are checked with SEAM_INVARIANT:
- * effects once, one valid lease for a task, no start in a data centre more
- * than 5 s after seam_fake_workers_dc_out(), reservations within the size.
+ * effects twice, "deaf" one that takes no notice of a throttle. Promises that a
+ * worker can see are checked with SEAM_INVARIANT: effects once, one valid lease
+ * for a task, no start in a data centre more than 5 s after
+ * seam_fake_workers_dc_out(), reservations within the size.
  */
 struct seam_fake_workers;
 
--- a/process/node.c
+++ b/process/node.c
@@ -11,6 +11,7 @@
 	seam_part_versions,
 	seam_part_inventory,
 	seam_part_requests,
+	seam_part_tasks,
 	seam_part_admin,
 };
 
--- a/process/place.c
+++ b/process/place.c
@@ -110,8 +110,7 @@
 		return;
 	for (r = 0; r < RESOURCES; r++) {
 		int l = level_of(free_of(&s->w, r), part(&s->group->max, r));
-		struct spot *n =
-			seam_table_get(b->spot, s->group->head[r][l]);
+		struct spot *n = seam_table_get(b->spot, s->group->head[r][l]);
 
 		s->level[r] = l;
 		s->prev[r] = SEAM_NONE;
@@ -301,9 +300,9 @@
 	int r;
 
 	for (r = 0; r < RESOURCES; r++) {
-		double f = part(max, r) ? (double)part(n, r) /
-						  (double)part(max, r) :
-					  0;
+		double f = part(max, r) ?
+				   (double)part(n, r) / (double)part(max, r) :
+				   0;
 
 		if (f > most) {
 			most = f;
@@ -392,8 +391,8 @@
 
 		if (strcmp(g->pool, a->pool))
 			continue;
-		if (!a->dcs || g_strv_contains((const gchar *const *)a->dcs,
-					       g->dc))
+		if (!a->dcs ||
+		    g_strv_contains((const gchar *const *)a->dcs, g->dc))
 			search_group(b, &q, g);
 	}
 	if (q.best)
@@ -427,9 +426,8 @@
 			return seam_fail(e, SEAM_NEVER_RUNS,
 					 "%s: %lld needed, the most that a "
 					 "worker of pool %s has is %lld",
-					 names[r],
-					 (long long)part(&a->need, r), a->pool,
-					 (long long)part(max, r));
+					 names[r], (long long)part(&a->need, r),
+					 a->pool, (long long)part(max, r));
 	return seam_fail(e, SEAM_NEVER_RUNS,
 			 "no single worker of pool %s has cpu_milli %lld, "
 			 "memory_mb %lld and accelerators %lld together",
@@ -451,8 +449,8 @@
 		struct group *g = v;
 
 		if (strcmp(g->pool, a->pool) ||
-		    (a->dcs && !g_strv_contains((const gchar *const *)a->dcs,
-						g->dc)))
+		    (a->dcs &&
+		     !g_strv_contains((const gchar *const *)a->dcs, g->dc)))
 			continue;
 		if (shape_fits(g, &a->need))
 			return 0;
--- a/process/size.c
+++ b/process/size.c
@@ -36,9 +36,8 @@
 	struct seam_sizes *s = calloc(1, sizeof(*s));
 
 	if (s)
-		s->by_kind =
-			g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      free);
+		s->by_kind = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, free);
 	return s;
 }
 
--- a/process/task.h
+++ b/process/task.h
@@ -206,7 +206,7 @@
  * what they point to.
  */
 struct seam_task_ctx {
-	char node[80];
+	char node[96];
 	struct seam_clock *clock;
 	struct seam_store *store;
 	struct seam_owner *owner;
@@ -304,8 +304,8 @@
  *
  * A queued task is cancelled at once, a running one is marked as stopping.
  */
-int seam_tasks_cancel(struct seam_tasks *ts, const char *id,
-		      seam_time deadline, struct seam_err *e);
+int seam_tasks_cancel(struct seam_tasks *ts, const char *id, seam_time deadline,
+		      struct seam_err *e);
 
 /**
  * seam_tasks_get() - a task from its row
@@ -315,6 +315,22 @@
 struct json_object *seam_tasks_get(struct seam_tasks *ts, const char *id,
 				   seam_time deadline, struct seam_err *e);
 
+/**
+ * seam_tasks_explain() - why a task waits, for operators
+ *
+ * The task as in seam_tasks_get(), with its team's rank and whether it is over
+ * its share, the least size that found no room, and workers in quarantine.
+ */
+struct json_object *seam_tasks_explain(struct seam_tasks *ts, const char *id,
+				       seam_time deadline, struct seam_err *e);
+
+/**
+ * seam_tasks_wake() - passes now run in a loop
+ * @wake: called when a pass has something to do; until it is set, tasks are
+ *        put and cancelled by compare-and-set of the row only
+ */
+void seam_tasks_wake(struct seam_tasks *ts, void (*wake)(void *arg), void *arg);
+
 /** seam_tasks_workers() - workers as placed on; JSON array, caller puts it */
 struct json_object *seam_tasks_workers(struct seam_tasks *ts);
 
--- a/process/task_bucket.c
+++ b/process/task_bucket.c
@@ -106,13 +106,12 @@
 	pthread_mutex_init(&ts->pass, NULL);
 	pthread_mutex_init(&ts->lock, NULL);
 	seam_cond_init(&ts->answered);
-	ts->buckets =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-				      seam_bucket_free);
+	ts->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    seam_bucket_free);
 	ts->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 seam_wrow_free);
-	ts->dcs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					g_free);
+	ts->dcs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return ts;
 }
 
@@ -254,8 +253,8 @@
 	return b->held && b->term == term && !strcmp(b->owner, owner);
 }
 
-static void inherit(struct seam_bucket *b, struct seam_table *old,
-		    bool same, seam_time now)
+static void inherit(struct seam_bucket *b, struct seam_table *old, bool same,
+		    seam_time now)
 {
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
@@ -308,7 +307,7 @@
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_table *old = b->table;
 	int64_t term = b->term;
-	char owner[80];
+	char owner[96];
 	bool same;
 
 	if (fetch(b, &row, now))
--- a/process/task_commit.c
+++ b/process/task_commit.c
@@ -188,8 +188,7 @@
 		if (!strcmp(b->event[i].worker, id))
 			seam_wrow_event(b->ts, w, &b->event[i], now);
 	SEAM_INVARIANT(!starts_on(b, id) || !too_large(b->ts, w), "task",
-		       "worker %s committed beyond its size by %s", id,
-		       b->key);
+		       "worker %s committed beyond its size by %s", id, b->key);
 	snprintf(key, sizeof(key), "worker/%s", id);
 	x->row[x->n] = w;
 	return add(x, SEAM_PUT, key, w->version, seam_wrow_text(w));
--- a/process/task_impl.h
+++ b/process/task_impl.h
@@ -10,7 +10,8 @@
 #define SEAM_TASK_COMMIT_GAP (100 * SEAM_MSEC) /* group commit of a bucket */
 #define SEAM_TASK_COMMIT_TIME (2 * SEAM_SEC) /* all attempts of a commit */
 #define SEAM_TASK_START_TIME (2 * SEAM_SEC) /* from a commit to start_by */
-#define SEAM_TASK_GRACE (2 * SEAM_SEC) /* a worker stops a task in this time */
+#define SEAM_TASK_GRACE (2 * SEAM_SEC) /* a worker stops a task in this time \
+					*/
 #define SEAM_TASK_ASK_GAP (1 * SEAM_SEC) /* between repeated commands */
 #define SEAM_TASK_READ_GAP (1 * SEAM_SEC) /* other nodes add to a row */
 #define SEAM_TASK_READ_GAP_DOWN (500 * SEAM_MSEC) /* the store failed */
@@ -51,7 +52,8 @@
 	uint64_t version;
 	struct seam_wuse *use;
 	int uses;
-	struct seam_wfail fail[SEAM_TASK_BAD_WORKER]; /* in a row, newest last */
+	struct seam_wfail
+		fail[SEAM_TASK_BAD_WORKER]; /* in a row, newest last */
 	int fails;
 	bool quarantined;
 	seam_time probe_at;
@@ -87,7 +89,7 @@
 	uint64_t version;
 	uint64_t taken; /* version as of which this node is the owner */
 	int64_t term; /* grows with each change of the owner */
-	char owner[80];
+	char owner[96];
 	struct seam_table *table;
 	struct seam_ticket *inbox; /* locked by ts->lock */
 	struct seam_ticket **inbox_end;
--- a/process/task_json.c
+++ b/process/task_json.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char *const states[] = {"queued",	  "running", "stopping",
-				     "done",	  "failed",  "cancelled",
-				     "unknown",	  "never_runs", NULL};
+static const char *const states[] = {"queued",	"running",    "stopping",
+				     "done",	"failed",     "cancelled",
+				     "unknown", "never_runs", NULL};
 static const char *const stops[] = {"",	       "cancel", "preempt",
 				    "overuse", "dc_out", NULL};
 
@@ -199,8 +199,8 @@
 	while ((t = seam_table_next(b->table, &h)))
 		json_object_array_add(a, seam_task_json(t, true));
 	json_object_object_add(o, "tasks", a);
-	text = strdup(json_object_to_json_string_ext(o,
-						     JSON_C_TO_STRING_PLAIN));
+	text = strdup(
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
 	json_object_put(o);
 	return text;
 }
--- a/process/task_lease.c
+++ b/process/task_lease.c
@@ -186,8 +186,7 @@
 	struct seam_task *t;
 
 	while ((t = seam_table_next(b->table, &h))) {
-		if (!seam_task_ended(t) ||
-		    now - t->ended_at < SEAM_TASK_KEEP)
+		if (!seam_task_ended(t) || now - t->ended_at < SEAM_TASK_KEEP)
 			continue;
 		seam_bucket_forget(b, h);
 	}
@@ -219,7 +218,7 @@
 			return;
 		t->ask_at = now + SEAM_TASK_ASK_GAP;
 		seam_task_send(b, t,
-			       stopping		       ? SEAM_DO_STOP :
+			       stopping		 ? SEAM_DO_STOP :
 			       now > t->start_by ? SEAM_DO_RENEW :
 						   SEAM_DO_START,
 			       now);
--- a/process/task_pass.c
+++ b/process/task_pass.c
@@ -246,6 +246,41 @@
 	return now + SEAM_TASK_COMMIT_GAP;
 }
 
+void seam_tasks_wake(struct seam_tasks *ts, void (*wake)(void *arg), void *arg)
+{
+	ts->wake = wake;
+	ts->wake_arg = arg;
+	ts->running = true;
+}
+
+struct json_object *seam_tasks_explain(struct seam_tasks *ts, const char *id,
+				       seam_time deadline, struct seam_err *e)
+{
+	struct json_object *o = seam_tasks_get(ts, id, deadline, e);
+	struct seam_task_order *order = ts->c.order;
+	seam_time now = seam_now(ts->c.clock);
+	char key[SEAM_KEY_MAX];
+	struct seam_bucket *b;
+
+	if (!o || seam_bucket_key(id, key))
+		return o;
+	b = seam_bucket_get(ts, key);
+	pthread_mutex_lock(&ts->pass);
+	json_object_object_add(o, "owned_here",
+			       json_object_new_boolean(b->held));
+	json_object_object_add(
+		o, "team_rank",
+		json_object_new_double(order->ops->rank(order, b->team, now)));
+	json_object_object_add(
+		o, "team_over_share",
+		json_object_new_double(order->ops->lent(order, b->team, now)));
+	if (b->held && b->no_room.cpu > 0)
+		json_object_object_add(o, "no_room_for",
+				       seam_need_json(&b->no_room));
+	pthread_mutex_unlock(&ts->pass);
+	return o;
+}
+
 struct json_object *seam_tasks_workers(struct seam_tasks *ts)
 {
 	struct json_object *a = json_object_new_array();
@@ -273,9 +308,8 @@
 		json_object_object_add(o, "committed", seam_need_json(&sum));
 		json_object_object_add(o, "usable",
 				       json_object_new_boolean(pw->usable));
-		json_object_object_add(
-			o, "quarantined",
-			json_object_new_boolean(w->quarantined));
+		json_object_object_add(o, "quarantined",
+				       json_object_new_boolean(w->quarantined));
 		json_object_object_add(o, "reason",
 				       json_object_new_string(w->reason));
 		json_object_array_add(a, o);
--- a/process/task_report.c
+++ b/process/task_report.c
@@ -46,7 +46,7 @@
 }
 
 void seam_task_record_fail(struct seam_bucket *b, struct seam_task *t,
-			seam_time now)
+			   seam_time now)
 {
 	struct seam_placer *p = b->ts->c.placer;
 	const struct seam_place_worker *w = p->ops->get(p, t->worker);
--- a/process/task_start.c
+++ b/process/task_start.c
@@ -16,8 +16,7 @@
 {
 	if (t->finish_by == SEAM_NEVER)
 		return SEAM_NEVER;
-	return t->finish_by -
-	       seam_sizes_run(b->ts->c.sizes, b->team, t->kind);
+	return t->finish_by - seam_sizes_run(b->ts->c.sizes, b->team, t->kind);
 }
 
 /* Urgent, then the earliest latest start, then the share, then the oldest. */
@@ -117,8 +116,7 @@
 	size_t n;
 };
 
-static void add_racks(struct seam_bucket *b, const char *group,
-		      struct racks *r)
+static void add_racks(struct seam_bucket *b, const char *group, struct racks *r)
 {
 	struct seam_placer *p = b->ts->c.placer;
 	struct seam_handle h = SEAM_NONE;
@@ -198,8 +196,7 @@
 static const struct seam_place_worker *choose(struct seam_bucket *b,
 					      struct seam_task *t,
 					      struct seam_place_ask *a,
-					      seam_time now,
-					      struct seam_err *e)
+					      seam_time now, struct seam_err *e)
 {
 	struct seam_placer *p = b->ts->c.placer;
 	const struct seam_place_worker *w;
--- a/process/task_worker.c
+++ b/process/task_worker.c
@@ -112,8 +112,7 @@
 	read_fails(w, json_object_object_get(o, "fails"));
 	w->quarantined = seam_json_int(o, "quarantined", 0) != 0;
 	w->probe_at = seam_json_int(o, "probe_at", 0);
-	g_strlcpy(w->reason, seam_json_str(o, "reason", ""),
-		  sizeof(w->reason));
+	g_strlcpy(w->reason, seam_json_str(o, "reason", ""), sizeof(w->reason));
 	json_object_put(o);
 }
 
@@ -379,8 +378,8 @@
 void seam_bucket_event(struct seam_bucket *b, int what, const char *worker,
 		       const struct seam_task *t)
 {
-	struct seam_wevent *more = realloc(
-		b->event, (size_t)(b->events + 1) * sizeof(*more));
+	struct seam_wevent *more =
+		realloc(b->event, (size_t)(b->events + 1) * sizeof(*more));
 	struct seam_wevent *ev;
 
 	if (!more)
