--- a/process/node.h
+++ b/process/node.h
@@ -131,6 +131,7 @@
 struct seam_part *seam_part_inventory(struct seam_node *n);
 struct seam_part *seam_part_teams(struct seam_node *n);
 struct seam_part *seam_part_requests(struct seam_node *n);
+struct seam_part *seam_part_tasks(struct seam_node *n);
 struct seam_part *seam_part_admin(struct seam_node *n);
 
 /**
