--- a/fake/fake.h
+++ b/fake/fake.h
@@ -161,6 +161,7 @@
 /** seam_fake_server_free() - stop it */
 void seam_fake_server_free(struct seam_fake_server *s);
 
+/**
  * struct seam_fake_worker_faults - behaviour of a fake worker
  * @paused: does nothing and answers nothing
  * @fail_all: each task fails 100 ms after its start
--- a/process/pool.h
+++ b/process/pool.h
@@ -340,7 +340,7 @@
 
 /** seam_pool_rules_of() - rules of a pool at @now; false if not configured */
 bool seam_pool_rules_of(struct seam_pools *ps, const char *name, seam_time now,
-		     struct seam_pool_rules *out);
+			struct seam_pool_rules *out);
 
 /**
  * seam_wave_give() - record an operators' order for a pool
@@ -353,8 +353,8 @@
  *     first, SEAM_NOT_FOUND, SEAM_UNAVAILABLE, SEAM_COMMIT_UNKNOWN
  */
 int seam_wave_give(struct seam_pools *ps, const char *pool,
-		    struct seam_wave_order *w, seam_time now,
-		    struct seam_err *e);
+		   struct seam_wave_order *w, seam_time now,
+		   struct seam_err *e);
 
 /** seam_wave_get() - current order of a pool; SEAM_ORDER_NONE if absent */
 int seam_wave_get(struct seam_pools *ps, const char *pool,
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -125,8 +125,8 @@
 {
 	struct seam_member *m;
 
-	while (w->pc && (m = seam_wave_next(&w->next, &w->rules, &w->wave,
-					    w->now))) {
+	while (w->pc &&
+	       (m = seam_wave_next(&w->next, &w->rules, &w->wave, w->now))) {
 		seam_member_drain(m, SEAM_WHY_MAINTENANCE, w->now,
 				  seam_pool_drain_limit(w));
 		w->changed = true;
--- a/process/pools.c
+++ b/process/pools.c
@@ -30,8 +30,8 @@
 
 	ps->env = *env;
 	pthread_mutex_init(&ps->lock, NULL);
-	ps->pool = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					 free_pool);
+	ps->pool =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	ps->orphans = g_array_new(FALSE, TRUE, sizeof(struct seam_vm));
 	ps->moving = g_array_new(FALSE, TRUE, sizeof(struct seam_moving));
 	return ps;
@@ -156,8 +156,7 @@
 
 	pthread_mutex_lock(&ps->lock);
 	*p = get_locked(ps, name);
-	newer = *p && version > (wave ? (*p)->wave.version :
-					(*p)->row.version);
+	newer = *p && version > (wave ? (*p)->wave.version : (*p)->row.version);
 	pthread_mutex_unlock(&ps->lock);
 	return newer;
 }
@@ -172,8 +171,7 @@
 		struct seam_pool *p;
 		char *slash;
 
-		g_strlcpy(name, rows->row[i].key + strlen(INDEX),
-			  sizeof(name));
+		g_strlcpy(name, rows->row[i].key + strlen(INDEX), sizeof(name));
 		slash = strchr(name, '/');
 		if (slash)
 			*slash = '\0';
@@ -246,7 +244,7 @@
 }
 
 bool seam_pool_rules_of(struct seam_pools *ps, const char *name, seam_time now,
-		     struct seam_pool_rules *out)
+			struct seam_pool_rules *out)
 {
 	struct seam_conf *c = seam_conf_current(ps->env.conf);
 	const struct seam_pool_conf *pc =
@@ -256,8 +254,8 @@
 	/* A pool that was deleted is emptied one VM at a time. */
 	out->min = pc ? pc->min : 0;
 	out->budget = pc ? pc->budget : 1;
-	out->list_ok = l && now - l->vms.as_of <=
-				    ps->env.vm_list_ms * SEAM_MSEC;
+	out->list_ok =
+		l && now - l->vms.as_of <= ps->env.vm_list_ms * SEAM_MSEC;
 	seam_vm_list_drop(l);
 	seam_conf_drop(c);
 	return pc;
--- a/process/task_impl.h
+++ b/process/task_impl.h
@@ -10,8 +10,9 @@
 #define SEAM_TASK_COMMIT_GAP (100 * SEAM_MSEC) /* group commit of a bucket */
 #define SEAM_TASK_COMMIT_TIME (2 * SEAM_SEC) /* all attempts of a commit */
 #define SEAM_TASK_START_TIME (2 * SEAM_SEC) /* from a commit to start_by */
-#define SEAM_TASK_GRACE (2 * SEAM_SEC) /* a worker stops a task in this time \
-					*/
+#define SEAM_TASK_GRACE                                      \
+	(2 * SEAM_SEC) /* a worker stops a task in this time \
+			*/
 #define SEAM_TASK_ASK_GAP (1 * SEAM_SEC) /* between repeated commands */
 #define SEAM_TASK_READ_GAP (1 * SEAM_SEC) /* other nodes add to a row */
 #define SEAM_TASK_READ_GAP_DOWN (500 * SEAM_MSEC) /* the store failed */
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -63,7 +63,9 @@
 TEST(Pool, DamagedRowIsRefused)
 {
 	const char *const bad[] = {
-		"", "{", "{\"name\":\"web\"}",
+		"",
+		"{",
+		"{\"name\":\"web\"}",
 		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\"}]}",
 		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\",\"state\":\"up\"}]}",
 		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\",\"state\":\"active\"},"
