request: short deadlines of callers eject no target

A caller's deadline of 300 ms ejected a healthy target that takes a second (Requests.FullTargetsRefuseNotRun). Late answers count after 1 s.

--- a/request/route.h
+++ b/request/route.h
@@ -87,6 +87,7 @@
 enum seam_route_result {
 	SEAM_ROUTE_WORKED,
 	SEAM_ROUTE_FULL, /* refused by the target, marked as not run */
+	SEAM_ROUTE_CUT_SHORT, /* the caller's deadline was short */
 	SEAM_ROUTE_FAILED
 };
 
--- a/request/route_run.c
+++ b/request/route_run.c
@@ -4,6 +4,12 @@
 #include <glib.h>
 #include <stdlib.h>
 
+/*
+ * A late answer counts against the target only after this time: a caller with
+ * a short deadline says nothing about a target that is slower than that.
+ */
+#define LATE_FAILS (1 * SEAM_SEC)
+
 SEAM_COUNT(attempts, "seam_request_attempts_total", "Attempts at targets.");
 SEAM_COUNT(retries, "seam_request_retries_total",
 	   "Requests sent again to another target.");
@@ -182,12 +188,15 @@
 }
 
 static enum seam_route_result result_of(int rc, const struct seam_answer *a,
+					seam_time length,
 					const struct seam_err *e)
 {
 	if (!rc)
 		return a->status >= 500 ? SEAM_ROUTE_FAILED : SEAM_ROUTE_WORKED;
 	if (e->kind == SEAM_TARGET_REFUSED && a->status)
 		return SEAM_ROUTE_FULL;
+	if (e->kind == SEAM_OUTCOME_UNKNOWN && length < LATE_FAILS)
+		return SEAM_ROUTE_CUT_SHORT;
 	return SEAM_ROUTE_FAILED;
 }
 
@@ -209,7 +218,7 @@
 		rc = seam_target_send(r->targets, t->target, s, a, e);
 		end = seam_now(r->clock);
 		seam_span_end(&s->trace, "target", start, end, a->status);
-		result = result_of(rc, a, e);
+		result = result_of(rc, a, end - start, e);
 		seam_route_report(r->targets, t->target, result, end);
 		t->full = result == SEAM_ROUTE_FULL;
 	}
