--- a/request/route.h
+++ b/request/route.h
@@ -77,6 +77,9 @@
 		    const struct seam_tried *tried, seam_time now,
 		    struct seam_handle *h, struct seam_err *e);
 
+/** seam_route_seed() - make the choices of this thread reproducible */
+void seam_route_seed(uint64_t seed);
+
 /** seam_route_release() - give the slot back */
 void seam_route_release(struct seam_targets *ts, struct seam_handle h);
 
@@ -84,6 +87,7 @@
 enum seam_route_result {
 	SEAM_ROUTE_WORKED,
 	SEAM_ROUTE_FULL, /* refused by the target, marked as not run */
+	SEAM_ROUTE_CUT_SHORT, /* the caller's deadline was short */
 	SEAM_ROUTE_FAILED
 };
 
@@ -133,6 +137,9 @@
 /** seam_budget_retry() - take one retry; false if the budget is used up */
 bool seam_budget_retry(struct seam_budget *b, seam_time now);
 
+/** seam_budget_refund() - give back a retry that was not made */
+void seam_budget_refund(struct seam_budget *b);
+
 /**
  * seam_retry_allowed() - whether a failed attempt may be sent again
  * @idempotent: the request may run more than once
