team: stop at once under a lowered limit, split the tests

Change: admission stops as soon as the configuration shows a limit below the grants; tests of the row are a program of their own.

--- a/process/team.c
+++ b/process/team.c
@@ -141,13 +141,33 @@
 	return true;
 }
 
+/* Under a lowered limit nothing starts from now on, even if the store does not
+ * answer; the next decision opens admission again. */
+static void stop_if_over(struct seam_team_slot *s)
+{
+	struct seam_ledger l;
+
+	if (seam_ledger_read(&s->row, s->name, &l, NULL))
+		return;
+	seam_ledger_terms(&l, &s->terms);
+	if (!seam_ledger_open(&l)) {
+		s->lower = 0;
+		s->cap = seam_slot_safe_cap(s);
+	}
+	seam_ledger_free(&l);
+}
+
 static void set_terms(struct seam_team_slot *s,
 		      const struct seam_team_terms *terms)
 {
+	bool lowered = terms->limit < s->terms.limit;
+
 	if (s->terms.conf != terms->conf)
 		s->plan_at = 0;
 	s->terms = *terms;
 	s->gone = false;
+	if (lowered)
+		stop_if_over(s);
 }
 
 static void mark_gone(struct seam_teams *t, uint64_t conf)
@@ -165,6 +185,7 @@
 		s->terms.conf = conf;
 		s->gone = true;
 		s->plan_at = 0;
+		stop_if_over(s);
 	}
 }
 
--- a/process/team_explain.c
+++ b/process/team_explain.c
@@ -79,11 +79,12 @@
 			 "This node uses all %lld units that it may use, and "
 			 "the store does not answer.",
 			 (long long)here->cap);
-	else if (!seam_ledger_open(l))
+	else if (terms->limit < seam_ledger_sum(l))
 		snprintf(out, size,
 			 "The limit was lowered to %lld; %lld units are still "
 			 "granted, and nothing starts until they fit.",
-			 (long long)l->limit, (long long)seam_ledger_sum(l));
+			 (long long)terms->limit,
+			 (long long)seam_ledger_sum(l));
 	else if (here->cap < here->units)
 		snprintf(out, size,
 			 "This node is giving back %lld of its %lld units.",
--- a/process/team_impl.h
+++ b/process/team_impl.h
@@ -9,6 +9,10 @@
 #include "base/table.h"
 #include "process/team.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /* Life of a want in the row; it is renewed at half of it. */
 #define SEAM_WANT_LIFE (10 * SEAM_SEC)
 /* Longest time that a request can run: SEAM_TIMEOUT_MS_MAX. */
@@ -136,4 +140,7 @@
 
 uint64_t seam_teams_random(struct seam_teams *t);
 
+#ifdef __cplusplus
+}
+#endif
 #endif
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -149,7 +149,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < rows->n; i++) {
+	for (i = 0; rows->row && i < rows->n; i++) {
 		struct seam_row *row = &rows->row[i];
 		const char *name = row->key + strlen("team/");
 		struct seam_team_slot *s = seam_teams_slot(t, name);
--- /dev/null
+++ b/tests/ledger_test.cc
@@ -0,0 +1,242 @@
+// The row of a team and what operators are told about it.
+#include <curl/curl.h>
+
+#include "fake/fake.h"
+#include "process/node.h"
+#include "tests/team_fleet.h"
+
+// Guards against a floor that a far data centre's demand uses up.
+TEST(Ledger, RaisesLeaveFloorsAndLimit)
+{
+	seam_team_terms t = terms_of("x", 60, 1);
+	seam_ledger l = {};
+	seam_err e = SEAM_ERR_INIT;
+	seam_grant g = {};
+
+	snprintf(l.team, sizeof(l.team), "x");
+	seam_ledger_terms(&l, &t);
+	snprintf(g.holder, sizeof(g.holder), "node:a#1");
+	snprintf(g.dc, sizeof(g.dc), "a");
+	EXPECT_EQ(seam_ledger_room(&l, &t, "a"), 40);
+	g.units = 41;
+	EXPECT_EQ(seam_ledger_grant(&l, &t, &g, &e), -1);
+	EXPECT_EQ(e.kind, SEAM_OVER_LIMIT);
+	g.units = 40;
+	EXPECT_EQ(seam_ledger_grant(&l, &t, &g, &e), 0);
+	EXPECT_EQ(seam_ledger_room(&l, &t, "b"), 10);
+	EXPECT_EQ(seam_ledger_room(&l, &t, ""), 0);
+	seam_ledger_free(&l);
+}
+
+// Guards against new work while old work is above a lowered limit.
+TEST(Ledger, LoweredLimitStopsNewWork)
+{
+	seam_team_terms t = terms_of("x", 100, 1, 0);
+	seam_ledger l = {};
+	seam_err e = SEAM_ERR_INIT;
+	seam_grant g = {};
+
+	snprintf(l.team, sizeof(l.team), "x");
+	seam_ledger_terms(&l, &t);
+	for (const char *h : {"node:a#1", "node:b#1"}) {
+		snprintf(g.holder, sizeof(g.holder), "%s", h);
+		g.units = 50;
+		ASSERT_EQ(seam_ledger_grant(&l, &t, &g, &e), 0);
+	}
+	t = terms_of("x", 30, 2, 0);
+	EXPECT_TRUE(seam_ledger_terms(&l, &t));
+	EXPECT_EQ(l.ceiling, 100);
+	EXPECT_FALSE(seam_ledger_open(&l));
+	EXPECT_EQ(seam_ledger_room(&l, &t, ""), 0);
+	g.units = 15;
+	ASSERT_EQ(seam_ledger_grant(&l, &t, &g, &e), 0);
+	EXPECT_EQ(l.ceiling, 65);
+	EXPECT_FALSE(seam_ledger_open(&l));
+	snprintf(g.holder, sizeof(g.holder), "node:a#1");
+	ASSERT_EQ(seam_ledger_grant(&l, &t, &g, &e), 0);
+	EXPECT_TRUE(seam_ledger_open(&l));
+	EXPECT_EQ(l.ceiling, 30);
+	t = terms_of("x", 90, 1, 0);
+	EXPECT_FALSE(seam_ledger_terms(&l, &t)) << "older configuration";
+	seam_ledger_free(&l);
+}
+
+// Guards against a damaged row that is read as "nothing granted".
+TEST(Ledger, DamagedRowsAreRefused)
+{
+	for (const char *text :
+	     {"", "[]", "{\"team\":\"x\"}",
+	      "{\"team\":\"y\",\"limit\":1,\"ceiling\":1,\"conf\":1,"
+	      "\"grants\":{}}",
+	      "{\"team\":\"x\",\"limit\":1,\"ceiling\":1,\"conf\":1,"
+	      "\"grants\":{\"node:a#1\":{\"units\":2}}}",
+	      "{\"team\":\"x\",\"limit\":1,\"ceiling\":1,\"conf\":1,"
+	      "\"grants\":{\"node:a#1\":{\"units\":-1}}}"}) {
+		seam_row row = {};
+		seam_ledger l;
+		seam_err e = SEAM_ERR_INIT;
+
+		row.data = (char *)text;
+		row.version = 3;
+		EXPECT_EQ(seam_ledger_read(&row, "x", &l, &e), -1) << text;
+	}
+}
+
+// Shows that the check on written rows fires.
+TEST(Ledger, InvariantOnWrittenRowsFires)
+{
+	seam_ledger l = {};
+	seam_grant g = {};
+	seam_team_put p;
+	long before = seam_invariant_count();
+
+	g.units = 5;
+	l.limit = l.ceiling = 4;
+	l.grant = &g;
+	l.n = 1;
+	seam_invariant_abort(false);
+	seam_team_encode(&l, SEAM_ABSENT, &p, nullptr);
+	seam_invariant_abort(true);
+	seam_team_put_free(&p);
+	EXPECT_EQ(seam_invariant_count(), before + 1);
+}
+
+// Guards the commit of a bucket: both rows or none, and never over the limit.
+TEST(Ledger, BucketGrants)
+{
+	seam_team_terms t = terms_of("x", 10, 1, 0);
+	seam_team_put p;
+	seam_err e = SEAM_ERR_INIT;
+	seam_row row = {};
+	seam_ledger l;
+
+	ASSERT_EQ(seam_team_prepare(nullptr, &t, "bucket:x/q/0", 8, 1, &p, &e),
+		  0);
+	EXPECT_EQ(p.write.version, (uint64_t)SEAM_ABSENT);
+	row.data = p.text;
+	row.version = 7;
+	seam_team_put q;
+	EXPECT_EQ(seam_team_prepare(&row, &t, "bucket:x/q/1", 3, 1, &q, &e),
+		  -1);
+	EXPECT_EQ(e.kind, SEAM_OVER_LIMIT);
+	ASSERT_EQ(
+		seam_team_prepare_want(&row, &t, "bucket:x/q/1", 3, 1, &q, &e),
+		0);
+	EXPECT_EQ(q.write.version, 7u);
+	row.data = q.text;
+	ASSERT_EQ(seam_ledger_read(&row, "x", &l, &e), 0);
+	EXPECT_EQ(seam_ledger_wanted(&l, "bucket:x/q/0", nullptr, 2), 3);
+	EXPECT_EQ(seam_ledger_fair(&l, "bucket:x/q/0", 2), 7);
+	seam_ledger_free(&l);
+	seam_team_put_free(&p);
+	seam_team_put_free(&q);
+}
+
+// Guards the text that operators get for each cause of a refusal.
+TEST(Teams, ExplainsRefusals)
+{
+	fleet f(3, 1, 60);
+	char text[400];
+	seam_team_info here = {};
+	seam_team_terms t = terms_of("t0", 60, 1);
+	auto why = [&](int i) {
+		seam_ledger l = f.ledger(0);
+		seam_teams_info(f.nodes[i].t, "t0", &here);
+		bool refused =
+			seam_team_explain(&l, &here, &t, text, sizeof(text));
+		seam_ledger_free(&l);
+		return refused;
+	};
+
+	f.press({0, 1, 2}, 0, 20 * SEAM_SEC);
+	EXPECT_TRUE(why(0));
+	EXPECT_NE(strstr(text, "most of them node:n"), nullptr) << text;
+	f.set_limit(0, 10);
+	t.limit = 10;
+	f.step();
+	f.run(300 * SEAM_MSEC);
+	EXPECT_TRUE(why(0));
+	EXPECT_NE(strstr(text, "lowered to 10"), nullptr) << text;
+	f.run(20 * SEAM_SEC);
+	EXPECT_FALSE(why(0)) << text;
+	t.limit = 0;
+	EXPECT_FALSE(seam_team_explain(nullptr, &here, &t, text, sizeof(text)));
+	EXPECT_NE(strstr(text, "limit 0"), nullptr) << text;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	((std::string *)arg)->append(data, size * n);
+	return size * n;
+}
+
+static long get(const char *path, const char *key, std::string *body)
+{
+	std::string url = std::string("http://127.0.0.1:21000") + path;
+	std::string auth = std::string("Authorization: Bearer ") + key;
+	curl_slist *list = curl_slist_append(nullptr, auth.c_str());
+	CURL *c = curl_easy_init();
+	long status = 0;
+
+	body->clear();
+	curl_easy_setopt(c, CURLOPT_URL, url.c_str());
+	curl_easy_setopt(c, CURLOPT_PROXY, "");
+	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, 10000L);
+	curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, body);
+	curl_easy_perform(c);
+	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(c);
+	return status;
+}
+
+// Guards the operators' paths and their key, and that a daemon that has just
+// started holds units before the first request.
+TEST(Part, OperatorsSeeLimitsAndReasons)
+{
+	seam_clock *k = seam_clock_real();
+	seam_store *store = seam_store_mem_new(k);
+	seam_fake_platform *platform = seam_fake_platform_new(k);
+	seam_err e = SEAM_ERR_INIT;
+	seam_settings s;
+	json_object *o = json_tokener_parse(
+		"{\"put\":[{\"kind\":\"data_centre\",\"object\":{"
+		"\"name\":\"a\",\"region\":\"r\"}},{\"kind\":\"pool\","
+		"\"object\":{\"name\":\"web\",\"kind\":\"service\"}},{"
+		"\"kind\":\"service\",\"object\":{\"name\":\"s\","
+		"\"pool\":\"web\"}},{\"kind\":\"team\",\"object\":{"
+		"\"name\":\"t\",\"limit\":30}}]}");
+	seam_change ch = {o, "test", "test", 0};
+	std::string body;
+
+	seam_conf_drop(seam_conf_commit(store, k, &ch,
+					seam_now(k) + 5 * SEAM_SEC, &e));
+	json_object_put(o);
+	seam_settings_default(&s);
+	snprintf(s.node, sizeof(s.node), "n1");
+	snprintf(s.vm, sizeof(s.vm), "n1");
+	snprintf(s.data_centre, sizeof(s.data_centre), "a");
+	snprintf(s.listen, sizeof(s.listen), "127.0.0.1:21000");
+	snprintf(s.peer, sizeof(s.peer), "127.0.0.1:21001");
+	seam_sha256_hex("op", s.operator_sha256);
+	seam_node *n = seam_node_new(&s, k, store,
+				     seam_fake_platform_base(platform), &e);
+	ASSERT_EQ(seam_node_start(n, &e), 0) << e.text;
+	ASSERT_NE(n->admit, nullptr);
+	EXPECT_EQ(n->admit->ops->take(n->admit, "t", 15, seam_now(k), &e), 0)
+		<< e.text;
+	EXPECT_EQ(get("/v1/teams", "wrong", &body), 401);
+	EXPECT_EQ(get("/v1/explain/team/t", "wrong", &body), 401);
+	EXPECT_EQ(get("/v1/teams", "op", &body), 200);
+	EXPECT_NE(body.find("\"running\":15"), std::string::npos) << body;
+	EXPECT_EQ(get("/v1/explain/team/t", "op", &body), 200);
+	EXPECT_NE(body.find("\"reason\":"), std::string::npos) << body;
+	EXPECT_EQ(get("/v1/explain/team/none", "op", &body), 200);
+	EXPECT_NE(body.find("not in the configuration"), std::string::npos);
+	n->admit->ops->release(n->admit, "t", 15, seam_now(k));
+	seam_node_free(n);
+	seam_fake_platform_free(platform);
+	seam_store_close(store);
+}
