--- a/process/task_impl.h
+++ b/process/task_impl.h
@@ -22,6 +22,7 @@
 #define SEAM_TASK_RACK_CAUSE (60 * SEAM_SEC) /* one failing rack, one cause */
 #define SEAM_TASK_BAD_WORKER 3 /* distinct tasks in a row */
 #define SEAM_TASK_PROBE_GAP (30 * SEAM_SEC)
+#define SEAM_TASK_REPORTS 256 /* taken in one pass of a bucket */
 #define SEAM_TASK_INBOX_PASS 64 /* tickets taken in one pass */
 
 /* A request of a caller on its way through the owner's pass. */
@@ -115,6 +116,7 @@
 	bool running; /* a loop runs passes, so callers may wait for them */
 	void (*wake)(void *arg);
 	void *wake_arg;
+	struct seam_worker_report report[SEAM_TASK_REPORTS];
 	seam_time scan_at;
 	seam_time fleet_at;
 	seam_time fleet_as_of;
--- a/process/task_report.c
+++ b/process/task_report.c
@@ -5,7 +5,6 @@
 #include "base/count.h"
 #include "base/log.h"
 
-#define REPORTS_MAX 256 /* taken in one pass */
 #define FAILS_MAX 6 /* attempts, where the pool has too few workers */
 #define ELSEWHERE_MAX 200 /* rows of workers changed by one commit */
 
@@ -236,9 +235,9 @@
 
 void seam_bucket_reports(struct seam_bucket *b, seam_time now)
 {
-	static __thread struct seam_worker_report r[REPORTS_MAX];
+	struct seam_worker_report *r = b->ts->report;
 	struct seam_workers *w = b->ts->c.workers;
-	size_t n = w->ops->poll(w, b->prefix, r, REPORTS_MAX);
+	size_t n = w->ops->poll(w, b->prefix, r, SEAM_TASK_REPORTS);
 	size_t i;
 
 	for (i = 0; i < n; i++) {
--- a/tests/task_test.cc
+++ b/tests/task_test.cc
@@ -634,7 +634,7 @@
 	l->ops->send(l, &c, &s.e);
 	EXPECT_EQ(seam_invariant_count(), before + 4) << "data centre out";
 	seam_write w = {SEAM_PUT, "worker/w1", SEAM_ABSENT,
-			"{\"use\":[{\"cpu_milli\":9000}]}", 30};
+			"{\"use\":[{\"cpu_milli\":9000}]}", 28};
 	seam_commit k = {&w, 1, 1, 0};
 	ASSERT_EQ(seam_store_commit(s.store, &k, s.clock.time + SEAM_SEC, &s.e),
 		  0);
