--- a/connection/workerlink.c
+++ b/connection/workerlink.c
@@ -9,7 +9,8 @@
 #include "base/log.h"
 
 #define QUEUE_MAX 512 /* commands that wait for one worker */
-#define CALL_TIMEOUT_MS 2000L /* one command */
+/* A worker that answers late must not hold up starts behind it for long. */
+#define CALL_TIMEOUT_MS 500L
 #define LIST_GAP (1 * SEAM_SEC)
 #define IDLE_END (60 * SEAM_SEC) /* a link without commands ends */
 #define BODY_MAX (4u << 20) /* a listing */
--- a/fake/worker_http.c
+++ b/fake/worker_http.c
@@ -67,11 +67,13 @@
 	o = json_tokener_parse(body);
 	seam_worker_cmd_read(o, &c);
 	c.what = what;
-	if (seam_fake_do(h->workers, h->id, &c, &r))
+	if (seam_fake_do(h->workers, h->id, &c, &r)) {
+		mg_disable_connection_keep_alive(conn);
 		mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
 				"Connection: close\r\n\r\n{");
-	else
+	} else {
 		answer(conn, seam_worker_report_json(&r));
+	}
 	json_object_put(o);
 	return 200;
 }
--- a/tests/worker_test.cc
+++ b/tests/worker_test.cc
@@ -187,7 +187,9 @@
 		ids.push_back(put("kt", ",\"idempotent\":false,\"payload\":{"
 					"\"run_ms\":200,\"once\":true}"));
 	for (auto &id : ids) {
-		EXPECT_TRUE(until(id, "kt", "done")) << id;
+		ASSERT_TRUE(until(id, "kt", "done"))
+			<< send("GET", url + "/v1/explain/task/" + id, "op")
+				   .body;
 		EXPECT_EQ(seam_fake_workers_starts(workers, id.c_str()), 1);
 	}
 }
