--- a/fake/fake.h
+++ b/fake/fake.h
@@ -113,43 +113,43 @@
 						uint64_t seed);
 
 /** seam_fake_workers_free() - free; links are freed before */
-void seam_fake_workers_free(struct seam_fake_workers *w);
+void seam_fake_workers_free(struct seam_fake_workers *f);
 
 /** seam_fake_workers_add() - add a worker, or reboot it with @vm->boot */
-void seam_fake_workers_add(struct seam_fake_workers *w,
+void seam_fake_workers_add(struct seam_fake_workers *f,
 			   const struct seam_vm *vm);
 
 /** seam_fake_workers_del() - the worker is lost with all that it ran */
-void seam_fake_workers_del(struct seam_fake_workers *w, const char *id);
+void seam_fake_workers_del(struct seam_fake_workers *f, const char *id);
 
 /** seam_fake_workers_set() - change the faults of a worker */
-void seam_fake_workers_set(struct seam_fake_workers *w, const char *id,
-			   const struct seam_fake_worker_faults *f);
+void seam_fake_workers_set(struct seam_fake_workers *f, const char *id,
+			   const struct seam_fake_worker_faults *faults);
 
 /** seam_fake_workers_dc_out() - a data centre was taken out, or 0: is in */
-void seam_fake_workers_dc_out(struct seam_fake_workers *w, const char *dc,
+void seam_fake_workers_dc_out(struct seam_fake_workers *f, const char *dc,
 			      seam_time at);
 
 /** seam_fake_workers_tick() - let time pass on all workers */
-void seam_fake_workers_tick(struct seam_fake_workers *w, seam_time now);
+void seam_fake_workers_tick(struct seam_fake_workers *f, seam_time now);
 
 /** seam_fake_workers_starts() - starts of a task, or of all if NULL */
-int seam_fake_workers_starts(struct seam_fake_workers *w, const char *task);
+int seam_fake_workers_starts(struct seam_fake_workers *f, const char *task);
 
 /** seam_fake_workers_running() - tasks that run now */
-int seam_fake_workers_running(struct seam_fake_workers *w);
+int seam_fake_workers_running(struct seam_fake_workers *f);
 
 /** seam_fake_workers_link() - link of one node to them, without HTTP */
-struct seam_workers *seam_fake_workers_link(struct seam_fake_workers *w);
+struct seam_workers *seam_fake_workers_link(struct seam_fake_workers *f);
 
 /** seam_fake_link_cut() - cut a link, or join it again */
-void seam_fake_link_cut(struct seam_workers *link, bool cut);
+void seam_fake_link_cut(struct seam_workers *s, bool cut);
 
 struct seam_fake_worker_http;
 
 /** seam_fake_worker_http_new() - serve worker @id over HTTP at @addr */
 struct seam_fake_worker_http *
-seam_fake_worker_http_new(struct seam_fake_workers *w, const char *id,
+seam_fake_worker_http_new(struct seam_fake_workers *f, const char *id,
 			  const char *addr);
 
 /** seam_fake_worker_http_free() - stop serving */
--- a/fake/worker_http.c
+++ b/fake/worker_http.c
@@ -93,7 +93,7 @@
 }
 
 struct seam_fake_worker_http *
-seam_fake_worker_http_new(struct seam_fake_workers *w, const char *id,
+seam_fake_worker_http_new(struct seam_fake_workers *f, const char *id,
 			  const char *addr)
 {
 	const char *options[] = {"listening_ports",
@@ -111,7 +111,7 @@
 
 	if (!h)
 		return NULL;
-	h->workers = w;
+	h->workers = f;
 	g_strlcpy(h->id, id, sizeof(h->id));
 	mg_init_library(0);
 	h->ctx = mg_start(NULL, h, options);
