--- a/fake/worker_http.c
+++ b/fake/worker_http.c
@@ -67,11 +67,13 @@
 	o = json_tokener_parse(body);
 	seam_worker_cmd_read(o, &c);
 	c.what = what;
-	if (seam_fake_do(h->workers, h->id, &c, &r))
+	if (seam_fake_do(h->workers, h->id, &c, &r)) {
+		mg_disable_connection_keep_alive(conn);
 		mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
 				"Connection: close\r\n\r\n{");
-	else
+	} else {
 		answer(conn, seam_worker_report_json(&r));
+	}
 	json_object_put(o);
 	return 200;
 }
@@ -91,7 +93,7 @@
 }
 
 struct seam_fake_worker_http *
-seam_fake_worker_http_new(struct seam_fake_workers *w, const char *id,
+seam_fake_worker_http_new(struct seam_fake_workers *f, const char *id,
 			  const char *addr)
 {
 	const char *options[] = {"listening_ports",
@@ -109,7 +111,7 @@
 
 	if (!h)
 		return NULL;
-	h->workers = w;
+	h->workers = f;
 	g_strlcpy(h->id, id, sizeof(h->id));
 	mg_init_library(0);
 	h->ctx = mg_start(NULL, h, options);
