--- a/process/node.h
+++ b/process/node.h
@@ -21,6 +21,8 @@
 
 struct seam_part;
 struct seam_node;
+struct seam_pools;
+struct seam_demand;
 
 /**
  * struct seam_part_ops - behaviour of a part of the daemon
@@ -52,6 +54,8 @@
  * @owner: who decides for a shard; never NULL
  * @admit: units of the teams' limits; NULL admits everything
  * @targets: targets and connections to them
+ * @pools: pool rows as last read; made by the inventory part
+ * @demand: demand for pools, reported by parts and by other nodes
  * @http: front end
  * @confirmed_at: latest time at which @conf was known to be the newest
  * @part: parts in order of start
@@ -67,6 +71,8 @@
 	struct seam_owner *owner;
 	struct seam_admit *admit;
 	struct seam_targets *targets;
+	struct seam_pools *pools;
+	struct seam_demand *demand;
 	struct seam_http *http;
 	seam_time confirmed_at;
 	struct seam_part *part[SEAM_PARTS_MAX];
@@ -118,6 +124,7 @@
 struct seam_part *seam_part_versions(struct seam_node *n);
 struct seam_part *seam_part_inventory(struct seam_node *n);
 struct seam_part *seam_part_requests(struct seam_node *n);
+struct seam_part *seam_part_pools(struct seam_node *n);
 struct seam_part *seam_part_admin(struct seam_node *n);
 
 /**
--- a/process/part_inventory.c
+++ b/process/part_inventory.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "process/node.h"
+#include "process/pool.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,11 +9,12 @@
 #define LIST_PERIOD (1 * SEAM_SEC)
 #define LIST_TIMEOUT (2 * SEAM_SEC)
 
-/* Reads the platform's VM list and keeps the targets up to date. */
+/* Reads the platform's VM list and the pool rows; keeps the targets current. */
 struct inventory {
 	struct seam_part part;
 	struct seam_node *node;
 	struct seam_loop loop;
+	struct seam_target_drain drain;
 };
 
 static const struct seam_service *service_of(const struct seam_conf *c,
@@ -68,35 +70,49 @@
 	seam_conf_drop(c);
 }
 
-static void set_fleet(struct seam_node *n, const struct seam_vms *vms)
-{
-	struct seam_fleet_vm *vm = calloc(vms->n + 1, sizeof(*vm));
-	size_t i;
-
-	for (i = 0; vm && i < vms->n; i++)
-		vm[i].vm = vms->vm[i];
-	if (vm)
-		seam_fleet_set(n->fleet, vm, vms->n, vms->as_of);
-	free(vm);
-}
-
+/*
+ * What the store and the list last told stays in force while they are down:
+ * both reads leave the state alone on an error.
+ */
 static seam_time pass(void *arg, seam_time now)
 {
 	struct inventory *v = arg;
-	struct seam_vms vms = {.vm = NULL};
+	struct seam_node *n = v->node;
 	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_platform *p = v->node->platform;
 
-	if (p->ops->vms(p, &vms, now + LIST_TIMEOUT, &e))
+	if (seam_pools_list(n->pools, now, &e))
 		seam_log(SEAM_WARN, "inventory", "VM list not read: %s.",
 			 e.text);
-	else
-		set_fleet(v->node, &vms);
-	set_targets(v->node);
-	seam_vms_free(&vms);
+	seam_err_clear(&e);
+	if (seam_pools_poll(n->pools, now, &e))
+		seam_log(SEAM_WARN, "inventory", "Pool rows not read: %s.",
+			 e.text);
+	seam_pools_publish(n->pools);
+	set_targets(n);
 	return now + LIST_PERIOD;
 }
 
+static void make_pools(struct inventory *v)
+{
+	struct seam_node *n = v->node;
+	struct seam_pools_env env = {
+		.clock = n->clock,
+		.store = n->store,
+		.platform = n->platform,
+		.conf = &n->conf,
+		.owner = n->owner,
+		.drain = &v->drain.drain,
+		.size = seam_size_ready(),
+		.fleet = n->fleet,
+		.vm_list_ms = n->settings.vm_list_ms,
+	};
+
+	seam_target_drain_init(&v->drain, n->targets);
+	n->demand = seam_demand_new();
+	env.demand = n->demand;
+	n->pools = seam_pools_new(&env);
+}
+
 static int start(struct seam_part *p, struct seam_err *e)
 {
 	struct inventory *v = (struct inventory *)p;
@@ -110,6 +126,10 @@
 	struct inventory *v = (struct inventory *)p;
 
 	seam_loop_stop(&v->loop);
+	seam_pools_free(v->node->pools);
+	seam_demand_free(v->node->demand);
+	v->node->pools = NULL;
+	v->node->demand = NULL;
 	free(v);
 }
 
@@ -127,5 +147,6 @@
 		return NULL;
 	v->part.ops = &ops;
 	v->node = n;
+	make_pools(v);
 	return &v->part;
 }
--- a/process/pool.c
+++ b/process/pool.c
@@ -11,8 +11,7 @@
 	if (!to->member)
 		return -1;
 	if (from->n)
-		memcpy(to->member, from->member,
-		       from->n * sizeof(*to->member));
+		memcpy(to->member, from->member, from->n * sizeof(*to->member));
 	return 0;
 }
 
--- a/process/pool.h
+++ b/process/pool.h
@@ -268,8 +268,9 @@
  * @platform: VM list and reboots
  * @conf: configuration
  * @owner: ownership of pools
- * @drain: for VMs of service pools; NULL counts as idle
- * @drain_tasks: for VMs of task pools; NULL counts as idle
+ * @drain: for VMs of service and spare pools; NULL never reports idle, so that
+ *         the deadline ends a drain
+ * @drain_tasks: the same for VMs of task pools
  * @demand: reported demand; NULL keeps sizes
  * @size: sizing policy; NULL keeps sizes
  * @fleet: receives VMs with pools and states; may be NULL
@@ -298,6 +299,16 @@
 /** seam_pools_new() - pools of @env, copied; nothing is read yet */
 struct seam_pools *seam_pools_new(const struct seam_pools_env *env);
 
+/** seam_pools_drain_tasks() - set the drain of task pools; before any pass */
+void seam_pools_drain_tasks(struct seam_pools *ps, struct seam_drain *d);
+
+/**
+ * seam_pools_names() - names of the pools known
+ *
+ * Return: a NULL-terminated array to be freed with g_strfreev().
+ */
+char **seam_pools_names(struct seam_pools *ps);
+
 /** seam_pools_free() - free; the environment stays */
 void seam_pools_free(struct seam_pools *ps);
 
@@ -340,7 +351,7 @@
 
 /** seam_pool_rules_of() - rules of a pool at @now; false if not configured */
 bool seam_pool_rules_of(struct seam_pools *ps, const char *name, seam_time now,
-		     struct seam_pool_rules *out);
+			struct seam_pool_rules *out);
 
 /**
  * seam_wave_give() - record an operators' order for a pool
@@ -353,13 +364,33 @@
  *     first, SEAM_NOT_FOUND, SEAM_UNAVAILABLE, SEAM_COMMIT_UNKNOWN
  */
 int seam_wave_give(struct seam_pools *ps, const char *pool,
-		    struct seam_wave_order *w, seam_time now,
-		    struct seam_err *e);
+		   struct seam_wave_order *w, seam_time now,
+		   struct seam_err *e);
 
 /** seam_wave_get() - current order of a pool; SEAM_ORDER_NONE if absent */
 int seam_wave_get(struct seam_pools *ps, const char *pool,
 		  struct seam_wave_order *w, seam_time now, struct seam_err *e);
 
+struct seam_targets;
+
+/**
+ * struct seam_target_drain - drain of targets by this process's table of them
+ * @drain: pass &d.drain to seam_pools_new()
+ * @targets: targets
+ *
+ * Every node reads the pool row and stops sending, so begin has nothing to
+ * tell. Idle means that neither this node nor, as last told, another one has a
+ * request on the target.
+ */
+struct seam_target_drain {
+	struct seam_drain drain;
+	struct seam_targets *targets;
+};
+
+/** seam_target_drain_init() - drain over @ts */
+void seam_target_drain_init(struct seam_target_drain *d,
+			    struct seam_targets *ts);
+
 #ifdef __cplusplus
 }
 #endif
--- a/process/pool_batch.c
+++ b/process/pool_batch.c
@@ -49,8 +49,8 @@
 
 	if (seam_store_commit_sure(ps->env.store, ps->env.clock, &c,
 				   now + SEAM_POOL_TIMEOUT, e)) {
-		seam_count_add(e->kind == SEAM_CONFLICT ? &conflicts : &failures,
-			       1);
+		seam_count_add(
+			e->kind == SEAM_CONFLICT ? &conflicts : &failures, 1);
 		return -1;
 	}
 	seam_count_add(&commits, 1);
--- /dev/null
+++ b/process/pool_drain.c
@@ -0,0 +1,38 @@
+#include "connection/target.h"
+#include "process/pool.h"
+
+#include <string.h>
+
+static void begin(struct seam_drain *d, const char *vm, seam_time deadline)
+{
+	(void)d;
+	(void)vm;
+	(void)deadline;
+}
+
+static bool idle(struct seam_drain *d, const char *vm)
+{
+	struct seam_target_drain *t = (struct seam_target_drain *)d;
+	struct seam_handle h = SEAM_NONE;
+	struct seam_table *table = seam_targets_lock(t->targets);
+	struct seam_target *x;
+	bool busy = false;
+
+	while ((x = seam_table_next(table, &h)))
+		if (!strcmp(x->info.id, vm))
+			busy = busy || x->outstanding || x->peer_load;
+	seam_targets_unlock(t->targets);
+	return !busy;
+}
+
+static const struct seam_drain_ops ops = {
+	.begin = begin,
+	.idle = idle,
+};
+
+void seam_target_drain_init(struct seam_target_drain *d,
+			    struct seam_targets *ts)
+{
+	d->drain.ops = &ops;
+	d->targets = ts;
+}
--- a/process/pool_impl.h
+++ b/process/pool_impl.h
@@ -36,6 +36,7 @@
 	struct seam_vm_list *list;
 	GArray *orphans; /* struct seam_vm without a pool row; .pool decided */
 	GArray *moving; /* struct seam_moving */
+	seam_time polled_at; /* latest poll that read all changed rows */
 };
 
 /* Operations of one commit with the texts that they point to. */
@@ -70,6 +71,9 @@
 	bool adopted;
 };
 
+/* True if another thread of the process polled just now. */
+bool seam_pools_polled(struct seam_pools *ps, seam_time now);
+
 struct seam_vm_list *seam_vm_list_hold(struct seam_pools *ps);
 void seam_vm_list_drop(struct seam_vm_list *l);
 const struct seam_vm *seam_vm_list_find(const struct seam_vm_list *l,
--- a/process/pool_move.c
+++ b/process/pool_move.c
@@ -26,7 +26,8 @@
 
 	json_object_object_add(o, "pool", json_object_new_string(pool));
 	json_object_object_add(o, "move", json_object_new_int64(move));
-	text = strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	text = strdup(
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
 	json_object_put(o);
 	return text;
 }
@@ -154,8 +155,8 @@
 	if (!seam_batch_commit(w->ps, &b, &w->next.version, w->now, &e)) {
 		from->version = w->next.version;
 		seam_count_add(&moves, 1);
-		seam_log(SEAM_INFO, "pool", "VM %s moved from %s to %s.",
-			 v->vm, v->from, v->to);
+		seam_log(SEAM_INFO, "pool", "VM %s moved from %s to %s.", v->vm,
+			 v->from, v->to);
 		rc = 0;
 	}
 	seam_batch_free(&b);
--- a/process/pool_order.c
+++ b/process/pool_order.c
@@ -45,8 +45,7 @@
 }
 
 int seam_wave_give(struct seam_pools *ps, const char *pool,
-		    struct seam_wave_order *w, seam_time now,
-		    struct seam_err *e)
+		   struct seam_wave_order *w, seam_time now, struct seam_err *e)
 {
 	struct seam_wave_order old;
 	struct seam_batch b;
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -47,7 +47,7 @@
 	if (m->state != SEAM_MEMBER_DRAINING)
 		return false;
 	if (!d)
-		return true;
+		return false;
 	d->ops->begin(d, m->vm, m->until);
 	return d->ops->idle(d, m->vm);
 }
@@ -125,8 +125,8 @@
 {
 	struct seam_member *m;
 
-	while (w->pc && (m = seam_wave_next(&w->next, &w->rules, &w->wave,
-					    w->now))) {
+	while (w->pc &&
+	       (m = seam_wave_next(&w->next, &w->rules, &w->wave, w->now))) {
 		seam_member_drain(m, SEAM_WHY_MAINTENANCE, w->now,
 				  seam_pool_drain_limit(w));
 		w->changed = true;
@@ -348,18 +348,30 @@
 	seam_count_set(&over_budget, over);
 }
 
+/* Without a configuration every pool looks deleted and every data centre out.
+ */
+static bool configured(struct seam_pools *ps)
+{
+	struct seam_conf *c = seam_conf_current(ps->env.conf);
+	bool any = seam_conf_version(c) > 0;
+
+	seam_conf_drop(c);
+	return any;
+}
+
 seam_time seam_pools_pass(struct seam_pools *ps, seam_time now)
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	GPtrArray *own = owned(ps, now);
-	bool store = !seam_pools_poll(ps, now, &e);
+	bool store =
+		seam_pools_polled(ps, now) || !seam_pools_poll(ps, now, &e);
 
 	if (!store) {
 		seam_count_add(&poll_errors, 1);
 		seam_log(SEAM_DEBUG, "pool", "Rows not polled: %s.", e.text);
 	}
 	seam_pools_publish(ps);
-	for (guint i = 0; i < own->len; i++) {
+	for (guint i = 0; i < own->len && configured(ps); i++) {
 		struct seam_pool *p = g_ptr_array_index(own, i);
 
 		if (store)
--- a/process/pool_row.c
+++ b/process/pool_row.c
@@ -5,12 +5,11 @@
 #include <string.h>
 
 #define COUNT(a) (sizeof(a) / sizeof(*(a)))
-#define FIELD(st, member, kind, ...)                              \
-	{                                                         \
-		.name = #member, .type = (kind),                  \
-		.off = offsetof(struct st, member),               \
-		.size = sizeof(((struct st *)0)->member),         \
-		__VA_ARGS__                                       \
+#define FIELD(st, member, kind, ...)                                  \
+	{                                                             \
+		.name = #member, .type = (kind),                      \
+		.off = offsetof(struct st, member),                   \
+		.size = sizeof(((struct st *)0)->member), __VA_ARGS__ \
 	}
 #define INT(st, member) \
 	FIELD(st, member, SEAM_JSON_INT, .min = 0, .max = INT64_MAX)
@@ -57,8 +56,8 @@
 };
 
 static const struct seam_json_field stored_fields[] = {
-	INT(stored, mean), INT(stored, peak), INT(stored, duty),
-	INT(stored, last), INT(stored, at),   INT(stored, want),
+	INT(stored, mean),	INT(stored, peak), INT(stored, duty),
+	INT(stored, last),	INT(stored, at),   INT(stored, want),
 	INT(stored, shrink_at),
 };
 
--- a/process/pool_size.c
+++ b/process/pool_size.c
@@ -40,8 +40,9 @@
 	guint i;
 
 	for (i = 0; i < ps->moving->len; i++)
-		n += !strcmp(g_array_index(ps->moving, struct seam_moving, i).to,
-			     pool);
+		n += !strcmp(
+			g_array_index(ps->moving, struct seam_moving, i).to,
+			pool);
 	return n;
 }
 
--- a/process/pool_step.c
+++ b/process/pool_step.c
@@ -88,7 +88,8 @@
 
 	/* The receiving pool takes a VM that moves, unless it fails to. */
 	if (came_back(m, s))
-		return *m->to && !late ? SEAM_STEP_NONE : rebooted(m, s->vm, now);
+		return *m->to && !late ? SEAM_STEP_NONE :
+					 rebooted(m, s->vm, now);
 	if (late)
 		return to_state(m, SEAM_MEMBER_FAILED, SEAM_WHY_FAILED,
 				SEAM_NEVER);
--- a/process/pool_wave.c
+++ b/process/pool_wave.c
@@ -26,8 +26,7 @@
 
 static bool in_wave(const struct seam_member *m)
 {
-	return m->why == SEAM_WHY_MAINTENANCE &&
-	       m->state != SEAM_MEMBER_ACTIVE;
+	return m->why == SEAM_WHY_MAINTENANCE && m->state != SEAM_MEMBER_ACTIVE;
 }
 
 static const struct seam_member *leader(const struct seam_pool_row *r)
--- a/process/pools.c
+++ b/process/pools.c
@@ -10,6 +10,8 @@
 #define SCAN_PAGE 512
 /* Rows read in one poll; the next poll goes on. */
 #define POLL_ROWS 128
+/* Two threads of a process poll; one scan serves both. */
+#define POLL_MIN (500 * SEAM_MSEC)
 
 SEAM_COUNT(rows_read, "seam_pool_rows_read_total",
 	   "Pool and wave rows read because their version changed.");
@@ -30,8 +32,8 @@
 
 	ps->env = *env;
 	pthread_mutex_init(&ps->lock, NULL);
-	ps->pool = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					 free_pool);
+	ps->pool =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	ps->orphans = g_array_new(FALSE, TRUE, sizeof(struct seam_vm));
 	ps->moving = g_array_new(FALSE, TRUE, sizeof(struct seam_moving));
 	return ps;
@@ -156,8 +158,7 @@
 
 	pthread_mutex_lock(&ps->lock);
 	*p = get_locked(ps, name);
-	newer = *p && version > (wave ? (*p)->wave.version :
-					(*p)->row.version);
+	newer = *p && version > (wave ? (*p)->wave.version : (*p)->row.version);
 	pthread_mutex_unlock(&ps->lock);
 	return newer;
 }
@@ -172,8 +173,7 @@
 		struct seam_pool *p;
 		char *slash;
 
-		g_strlcpy(name, rows->row[i].key + strlen(INDEX),
-			  sizeof(name));
+		g_strlcpy(name, rows->row[i].key + strlen(INDEX), sizeof(name));
 		slash = strchr(name, '/');
 		if (slash)
 			*slash = '\0';
@@ -205,9 +205,39 @@
 		rc = poll_page(ps, &rows, &left, now, e);
 		seam_rows_free(&rows);
 	} while (!rc && n == SCAN_PAGE && left);
+	if (!rc && left)
+		__atomic_store_n(&ps->polled_at, now, __ATOMIC_RELEASE);
 	return rc;
 }
 
+bool seam_pools_polled(struct seam_pools *ps, seam_time now)
+{
+	seam_time at = __atomic_load_n(&ps->polled_at, __ATOMIC_ACQUIRE);
+
+	return at && now - at < POLL_MIN;
+}
+
+void seam_pools_drain_tasks(struct seam_pools *ps, struct seam_drain *d)
+{
+	ps->env.drain_tasks = d;
+}
+
+char **seam_pools_names(struct seam_pools *ps)
+{
+	GHashTableIter it;
+	gpointer p;
+	char **out;
+	guint i = 0;
+
+	pthread_mutex_lock(&ps->lock);
+	out = g_new0(char *, g_hash_table_size(ps->pool) + 1);
+	g_hash_table_iter_init(&it, ps->pool);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		out[i++] = g_strdup(((struct seam_pool *)p)->name);
+	pthread_mutex_unlock(&ps->lock);
+	return out;
+}
+
 int seam_pool_peek(struct seam_pools *ps, const char *name,
 		   struct seam_pool_row *out)
 {
@@ -246,7 +276,7 @@
 }
 
 bool seam_pool_rules_of(struct seam_pools *ps, const char *name, seam_time now,
-		     struct seam_pool_rules *out)
+			struct seam_pool_rules *out)
 {
 	struct seam_conf *c = seam_conf_current(ps->env.conf);
 	const struct seam_pool_conf *pc =
@@ -256,8 +286,8 @@
 	/* A pool that was deleted is emptied one VM at a time. */
 	out->min = pc ? pc->min : 0;
 	out->budget = pc ? pc->budget : 1;
-	out->list_ok = l && now - l->vms.as_of <=
-				    ps->env.vm_list_ms * SEAM_MSEC;
+	out->list_ok =
+		l && now - l->vms.as_of <= ps->env.vm_list_ms * SEAM_MSEC;
 	seam_vm_list_drop(l);
 	seam_conf_drop(c);
 	return pc;
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -1,6 +1,10 @@
 // Pools: one pool for each VM, moves in stages, the availability budget.
 #include "pool_world.h"
 
+#include <curl/curl.h>
+
+#include "process/node.h"
+
 static const char *const two =
 	"[{\"name\":\"web\",\"kind\":\"service\",\"min\":1,\"budget\":2},"
 	"{\"name\":\"spare\",\"kind\":\"spare\",\"budget\":4}]";
@@ -63,7 +67,9 @@
 TEST(Pool, DamagedRowIsRefused)
 {
 	const char *const bad[] = {
-		"", "{", "{\"name\":\"web\"}",
+		"",
+		"{",
+		"{\"name\":\"web\"}",
 		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\"}]}",
 		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\",\"state\":\"up\"}]}",
 		"{\"name\":\"web\",\"members\":[{\"vm\":\"v\",\"state\":\"active\"},"
@@ -294,3 +300,135 @@
 	EXPECT_EQ(w.count("spare", SEAM_MEMBER_ACTIVE), 3);
 	EXPECT_EQ(w.size("web"), 0u);
 }
+
+// Guards against a node that has not read a configuration yet and undoes the
+// work of the others.
+TEST(Pool, NoPassWithoutAConfiguration)
+{
+	world w(two, 2);
+
+	w.owner[1].alive = false;
+	three(w);
+	w.drain.busy_until["v3"] = w.drain.busy_until["v2"] = SEAM_NEVER;
+	ask(w, "web", 2);
+	w.run(5 * SEC);
+	ASSERT_EQ(w.count("spare", SEAM_MEMBER_DRAINING), 1);
+	uint64_t before = w.row_version("spare");
+	seam_conf_cell_free(&w.conf);
+	seam_conf_cell_init(&w.conf);
+	w.pass(1);
+	EXPECT_EQ(w.row_version("spare"), before);
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	((std::string *)arg)->append(data, size * n);
+	return size * n;
+}
+
+static long http(const char *method, const std::string &path, const char *key,
+		 const char *body, std::string *out)
+{
+	CURL *c = curl_easy_init();
+	curl_slist *list = curl_slist_append(
+		nullptr, (std::string("Authorization: Bearer ") + key).c_str());
+	long status = 0;
+
+	out->clear();
+	curl_easy_setopt(c, CURLOPT_URL,
+			 ("http://127.0.0.1:23010" + path).c_str());
+	curl_easy_setopt(c, CURLOPT_PROXY, "");
+	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, 10000L);
+	curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, out);
+	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
+	if (body)
+		curl_easy_setopt(c, CURLOPT_COPYPOSTFIELDS, body);
+	curl_easy_perform(c);
+	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(c);
+	return status;
+}
+
+class Paths : public ::testing::Test
+{
+      protected:
+	seam_clock *clock = seam_clock_real();
+	seam_store *store = seam_store_mem_new(clock);
+	seam_fake_platform *platform = seam_fake_platform_new(clock);
+	seam_node *node = nullptr;
+	seam_err e = SEAM_ERR_INIT;
+	std::string out;
+
+	void SetUp() override
+	{
+		json_object *o = json_tokener_parse(
+			"{\"put\":[{\"kind\":\"data_centre\",\"object\":"
+			"{\"name\":\"a\",\"region\":\"r\"}},"
+			"{\"kind\":\"pool\",\"object\":{\"name\":\"web\","
+			"\"kind\":\"service\",\"budget\":0}}]}");
+		seam_change ch = {o, "test", "test", 0};
+		seam_conf *c = seam_conf_commit(store, clock, &ch,
+						seam_now(clock) + 5 * SEC, &e);
+		seam_settings s;
+		seam_vm vm = {};
+
+		ASSERT_NE(c, nullptr) << e.text;
+		seam_conf_drop(c);
+		json_object_put(o);
+		strcpy(vm.id, "v1");
+		strcpy(vm.dc, "a");
+		strcpy(vm.pool, "web");
+		seam_fake_platform_put(platform, &vm);
+		seam_settings_default(&s);
+		strcpy(s.node, "n1");
+		strcpy(s.data_centre, "a");
+		strcpy(s.listen, "127.0.0.1:23010");
+		strcpy(s.peer, "127.0.0.1:23011");
+		seam_sha256_hex("op", s.operator_sha256);
+		node = seam_node_new(&s, clock, store,
+				     seam_fake_platform_base(platform), &e);
+		ASSERT_EQ(seam_node_start(node, &e), 0) << e.text;
+		for (int i = 0; i < 200; i++) {
+			http("GET", "/v1/explain/vm/v1", "op", nullptr, &out);
+			if (out.find("\"vm\"") != std::string::npos)
+				break;
+			usleep(50000);
+		}
+	}
+	void TearDown() override
+	{
+		seam_node_free(node);
+		seam_fake_platform_free(platform);
+		seam_store_close(store);
+	}
+};
+
+// Guards the operators' paths: key, reason and version are required, and the
+// explanation names the rule that holds a VM back.
+TEST_F(Paths, OrderAndExplain)
+{
+	const char *start = "{\"order\":\"start\",\"reason\":\"kernel\","
+			    "\"operator\":\"ana\",\"expected\":0}";
+
+	EXPECT_EQ(http("GET", "/v1/pools", "no", nullptr, &out), 401);
+	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "no", start, &out), 401);
+	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "op",
+		       "{\"order\":\"start\",\"operator\":\"ana\"}", &out),
+		  400);
+	EXPECT_EQ(http("POST", "/v1/pools/none/wave", "op", start, &out), 404);
+	EXPECT_EQ(http("GET", "/v1/explain/vm/v1", "op", nullptr, &out), 200);
+	EXPECT_NE(out.find("not due"), std::string::npos) << out;
+	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "op", start, &out), 200);
+	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "op", start, &out), 409);
+	EXPECT_EQ(http("GET", "/v1/explain/vm/v1", "op", nullptr, &out), 200);
+	EXPECT_NE(out.find("budget is used up"), std::string::npos) << out;
+	EXPECT_NE(out.find("kernel"), std::string::npos) << out;
+	EXPECT_EQ(http("GET", "/v1/explain/pool/web", "op", nullptr, &out),
+		  200);
+	EXPECT_NE(out.find("\"forecast\""), std::string::npos) << out;
+	EXPECT_EQ(http("GET", "/v1/pools", "op", nullptr, &out), 200);
+	EXPECT_NE(out.find("\"web\""), std::string::npos) << out;
+}
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -105,12 +105,11 @@
 		drain.begun.erase(vm);
 	}
 
-	explicit world(const char *pool_list, int nodes = 1)
-		: pools(pool_list)
+	explicit world(const char *pool_list, int nodes = 1) : pools(pool_list)
 	{
 		static const seam_owner_ops owner_ops = {mine};
-		static const seam_drain_ops drain_ops = {
-			drain_begin, drain_idle, drain_end};
+		static const seam_drain_ops drain_ops = {drain_begin,
+							 drain_idle, drain_end};
 		static const seam_platform_ops platform_ops = {list, reboot};
 
 		seam_fake_init(&clock, 1000000LL * SEC);
@@ -222,8 +221,7 @@
 				if (owner[i].alive)
 					pass(i);
 			check();
-			seam_fake_set(&clock,
-				      clock.time + step);
+			seam_fake_set(&clock, clock.time + step);
 		}
 	}
 	seam_pool_row row(const char *pool)
@@ -363,11 +361,10 @@
 
 			seam_pool_row_read(rows.row[i].data, &r, &e);
 			for (size_t j = 0; j < r.n; j++)
-				SEAM_INVARIANT(r.member[j].maintain_by >=
-						       clock.time,
-					       "test",
-					       "VM %s is past its deadline",
-					       r.member[j].vm);
+				SEAM_INVARIANT(
+					r.member[j].maintain_by >= clock.time,
+					"test", "VM %s is past its deadline",
+					r.member[j].vm);
 			seam_pool_row_free(&r);
 		}
 		seam_rows_free(&rows);
--- a/tests/wave_test.cc
+++ b/tests/wave_test.cc
@@ -158,9 +158,9 @@
 	w.order("web", SEAM_ORDER_START);
 	seam_pools_poll(w.node[0], w.clock.time, &w.e);
 	w.order("web", SEAM_ORDER_HALT);
-	EXPECT_EQ(seam_pool_pass(seam_pools_get(w.node[0], "web"),
-				 w.clock.time),
-		  -1);
+	EXPECT_EQ(
+		seam_pool_pass(seam_pools_get(w.node[0], "web"), w.clock.time),
+		-1);
 	w.run(600 * SEC);
 	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 0);
 	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 9);
@@ -475,8 +475,7 @@
 			     SEAM_VM_LIVE, boot += 1000);
 			gone.pop_back();
 		}
-		w.drain.busy_until[id] =
-			w.clock.time + (rng() % 120) * SEC;
+		w.drain.busy_until[id] = w.clock.time + (rng() % 120) * SEC;
 	}
 	void event()
 	{
