--- /dev/null
+++ b/bench/pool_bench.c
@@ -0,0 +1,566 @@
+/*
+ * Pools in simulated time: buffer cost and moves, roll-out of waves, cost of a
+ * pass, use of the store. usage: pool_bench [sizes|waves|month|pass|store]
+ */
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/log.h"
+#include "fake/fake.h"
+#include "process/pool.h"
+
+#define SEC ((seam_time)SEAM_SEC)
+#define HOUR (3600 * SEC)
+#define DCS 16
+
+struct bench {
+	struct seam_fake_clock clock;
+	struct seam_store *store;
+	struct seam_fake_platform *fake;
+	struct seam_conf_cell conf;
+	struct seam_demand *demand;
+	struct seam_fleet *fleet;
+	struct seam_pools *ps;
+	struct seam_drain drain;
+	GHashTable *since; /* VM to when its drain began */
+	seam_time work; /* time for which a drained VM still works */
+};
+
+static void drain_begin(struct seam_drain *d, const char *vm, seam_time until)
+{
+	struct bench *b =
+		(struct bench *)((char *)d - offsetof(struct bench, drain));
+
+	(void)until;
+	if (!g_hash_table_contains(b->since, vm))
+		g_hash_table_insert(b->since, g_strdup(vm),
+				    GSIZE_TO_POINTER((gsize)b->clock.time));
+}
+
+static bool drain_idle(struct seam_drain *d, const char *vm)
+{
+	struct bench *b =
+		(struct bench *)((char *)d - offsetof(struct bench, drain));
+	gpointer since = g_hash_table_lookup(b->since, vm);
+	bool idle =
+		b->clock.time >= (seam_time)GPOINTER_TO_SIZE(since) + b->work;
+
+	if (idle)
+		g_hash_table_remove(b->since, vm);
+	return idle;
+}
+
+static const struct seam_drain_ops drain_ops = {
+	.begin = drain_begin,
+	.idle = drain_idle,
+};
+
+static void configure(struct bench *b, const char *pools)
+{
+	struct seam_problems p = {.file = "bench"};
+	GString *doc = g_string_new("{\"data_centres\":[");
+	struct json_object *o;
+	struct seam_conf *c;
+	int i;
+
+	for (i = 0; i < DCS; i++)
+		g_string_append_printf(doc,
+				       "%s{\"name\":\"dc%d\",\"region\":\"r\"}",
+				       i ? "," : "", i);
+	g_string_append_printf(doc, "],\"pools\":%s}", pools);
+	o = json_tokener_parse(doc->str);
+	c = seam_conf_parse(o, 1, &p);
+	if (!c) {
+		fprintf(stderr, "pool_bench: %s\n", p.n ? p.text[0] : "");
+		exit(1);
+	}
+	seam_conf_publish(&b->conf, c);
+	json_object_put(o);
+	g_string_free(doc, TRUE);
+}
+
+static struct bench *bench_new(const char *pools,
+			       const struct seam_size_policy *size)
+{
+	struct bench *b = calloc(1, sizeof(*b));
+	struct seam_fake_platform_faults f = {.reboot_time = 60 * SEC};
+	struct seam_pools_env env = {.vm_list_ms = 30000, .size = size};
+
+	seam_fake_init(&b->clock, 1000000 * SEC);
+	b->store = seam_store_mem_new(&b->clock.clock);
+	b->fake = seam_fake_platform_new(&b->clock.clock);
+	seam_fake_platform_set(b->fake, &f);
+	seam_conf_cell_init(&b->conf);
+	configure(b, pools);
+	b->demand = seam_demand_new();
+	b->fleet = seam_fleet_new();
+	b->drain.ops = &drain_ops;
+	b->since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->work = 5 * SEC;
+	env.clock = &b->clock.clock;
+	env.store = b->store;
+	env.platform = seam_fake_platform_base(b->fake);
+	env.conf = &b->conf;
+	env.owner = seam_owner_all();
+	env.drain = &b->drain;
+	env.drain_tasks = &b->drain;
+	env.demand = b->demand;
+	env.fleet = b->fleet;
+	b->ps = seam_pools_new(&env);
+	return b;
+}
+
+static void bench_free(struct bench *b)
+{
+	seam_pools_free(b->ps);
+	seam_store_close(b->store);
+	seam_fake_platform_free(b->fake);
+	seam_conf_cell_free(&b->conf);
+	seam_demand_free(b->demand);
+	seam_fleet_free(b->fleet);
+	g_hash_table_destroy(b->since);
+	free(b);
+}
+
+static void add_vm(struct bench *b, int i, int dc, int rack, const char *pool,
+		   int64_t boot)
+{
+	struct seam_vm vm = {.boot = boot};
+
+	snprintf(vm.id, sizeof(vm.id), "vm-%05d", i);
+	snprintf(vm.dc, sizeof(vm.dc), "dc%d", dc);
+	snprintf(vm.rack, sizeof(vm.rack), "rack-%d", rack);
+	snprintf(vm.pool, sizeof(vm.pool), "%s", pool);
+	seam_fake_platform_put(b->fake, &vm);
+}
+
+static void step(struct bench *b, seam_time by)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+
+	seam_pools_list(b->ps, b->clock.time, &e);
+	seam_pools_pass(b->ps, b->clock.time);
+	seam_fake_set(&b->clock, b->clock.time + by);
+}
+
+static double cpu_now(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+	return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+/* Five queues that peak in turn: 5 times the mean, a twentieth between. */
+#define QUEUES 5
+#define MEAN 4.0
+
+static double demand_of(int q, seam_time t, seam_time peak)
+{
+	return t / peak % QUEUES == q ? MEAN * 5 : MEAN / 20;
+}
+
+struct sized {
+	double unmet; /* VM hours */
+	double buffer; /* VM hours in pools above their demand */
+	double spare; /* VM hours in the spare pool */
+	int moves;
+};
+
+static int active_in(struct bench *b, const char *pool)
+{
+	struct seam_pool_row r;
+	int n = 0;
+
+	if (seam_pool_peek(b->ps, pool, &r))
+		return 0;
+	n = (int)seam_pool_count(&r).active;
+	seam_pool_row_free(&r);
+	return n;
+}
+
+static void account(struct sized *s, double have, double need, double hours)
+{
+	s->unmet += fmax(0, need - have) * hours;
+	s->buffer += fmax(0, have - need) * hours;
+}
+
+static struct sized run_sizes(const struct seam_size_policy *size, int fleet,
+			      seam_time peak, seam_time span)
+{
+	struct bench *b = bench_new(
+		"[{\"name\":\"q0\",\"kind\":\"service\",\"min\":1,\"budget\":8},"
+		"{\"name\":\"q1\",\"kind\":\"service\",\"min\":1,\"budget\":8},"
+		"{\"name\":\"q2\",\"kind\":\"service\",\"min\":1,\"budget\":8},"
+		"{\"name\":\"q3\",\"kind\":\"service\",\"min\":1,\"budget\":8},"
+		"{\"name\":\"q4\",\"kind\":\"service\",\"min\":1,\"budget\":8},"
+		"{\"name\":\"spare\",\"kind\":\"spare\",\"budget\":32}]",
+		size);
+	struct sized s = {0};
+	seam_time by = 2 * SEC;
+	seam_time t;
+	char name[16];
+	int i;
+
+	for (i = 0; i < fleet; i++) {
+		snprintf(name, sizeof(name), "q%d", i % QUEUES);
+		add_vm(b, i, i % 3, i / 4, i < 20 ? name : "spare", 1);
+	}
+	for (t = 0; t < span; t += by) {
+		for (i = 0; i < QUEUES; i++) {
+			double need = demand_of(i, t, peak);
+			struct seam_demand_report r = {
+				.busy = (int64_t)(need * 1000),
+				.per_vm = 1000,
+				.valid_until = SEAM_NEVER,
+			};
+
+			snprintf(name, sizeof(name), "q%d", i);
+			seam_demand_set(b->demand, name, "bench", &r);
+			account(&s, active_in(b, name), need, 2 / 3600.0);
+		}
+		s.spare += active_in(b, "spare") * 2 / 3600.0;
+		step(b, by);
+	}
+	s.moves = seam_fake_platform_reboots(b->fake);
+	bench_free(b);
+	return s;
+}
+
+static struct sized run_fixed(int each, seam_time peak, seam_time span)
+{
+	struct sized s = {0};
+	seam_time t;
+	int i;
+
+	for (t = 0; t < span; t += 2 * SEC)
+		for (i = 0; i < QUEUES; i++)
+			account(&s, each, demand_of(i, t, peak), 2 / 3600.0);
+	return s;
+}
+
+static void print_sized(const char *name, int fleet, struct sized s)
+{
+	printf("  %-18s fleet %3d  buffer %7.1f  spare %7.1f  unmet %6.1f VM "
+	       "hours, moves %d\n",
+	       name, fleet, s.buffer, s.spare, s.unmet, s.moves);
+}
+
+static void sizes(void)
+{
+	static const int peaks[] = {10, 600, 7200};
+	seam_time span = 20 * HOUR;
+	size_t i;
+
+	for (i = 0; i < 3; i++) {
+		seam_time peak = peaks[i] * SEC;
+
+		printf("sizes: 5 queues, peaks of %d s in turn, 20 h\n",
+		       peaks[i]);
+		print_sized("fixed for peaks", 100, run_fixed(20, peak, span));
+		print_sized("fixed, same fleet", 45, run_fixed(9, peak, span));
+		print_sized("ready", 45,
+			    run_sizes(seam_size_ready(), 45, peak, span));
+		print_sized("thrifty", 45,
+			    run_sizes(seam_size_thrifty(), 45, peak, span));
+	}
+}
+
+static bool all_done(struct bench *b, seam_time start, size_t vms)
+{
+	char **names = seam_pools_names(b->ps);
+	size_t done = 0;
+	size_t i;
+	size_t j;
+
+	for (i = 0; names[i]; i++) {
+		struct seam_pool_row r;
+
+		if (seam_pool_peek(b->ps, names[i], &r))
+			continue;
+		for (j = 0; j < r.n; j++)
+			done += r.member[j].maintained > start &&
+				r.member[j].state == SEAM_MEMBER_ACTIVE;
+		seam_pool_row_free(&r);
+	}
+	g_strfreev(names);
+	return done == vms;
+}
+
+static double roll_out(struct bench *b, size_t vms)
+{
+	char **names;
+	seam_time start;
+	size_t i;
+
+	step(b, SEC);
+	step(b, SEC);
+	start = b->clock.time;
+	names = seam_pools_names(b->ps);
+	for (i = 0; names[i]; i++) {
+		struct seam_wave_order w = {
+			.order = SEAM_ORDER_START,
+			.reason = "bench",
+			.operator_name = "bench",
+			.version = SEAM_ANY_VERSION,
+		};
+		struct seam_err e = SEAM_ERR_INIT;
+
+		if (seam_wave_give(b->ps, names[i], &w, start, &e))
+			exit(1);
+	}
+	g_strfreev(names);
+	while (!all_done(b, start, vms) && b->clock.time < start + 72 * HOUR)
+		step(b, SEC);
+	return (double)(b->clock.time - start) / SEAM_SEC;
+}
+
+static double one_vm(const char *kind)
+{
+	char *conf = g_strdup_printf(
+		"[{\"name\":\"p\",\"kind\":\"%s\",\"budget\":1}]", kind);
+	struct bench *b = bench_new(conf, NULL);
+	double t;
+
+	add_vm(b, 0, 0, 0, "p", 1);
+	b->work = 120 * SEC;
+	t = roll_out(b, 1);
+	bench_free(b);
+	g_free(conf);
+	return t;
+}
+
+static void waves(void)
+{
+	struct bench *b = bench_new(
+		"[{\"name\":\"s0\",\"kind\":\"service\",\"budget\":2},"
+		"{\"name\":\"s1\",\"kind\":\"service\",\"budget\":2},"
+		"{\"name\":\"s2\",\"kind\":\"service\",\"budget\":2},"
+		"{\"name\":\"s3\",\"kind\":\"service\",\"budget\":2},"
+		"{\"name\":\"s4\",\"kind\":\"service\",\"budget\":2},"
+		"{\"name\":\"batch\",\"kind\":\"tasks\",\"budget\":4}]",
+		NULL);
+	char name[16];
+	int i;
+	double target;
+	double worker;
+	double t;
+
+	for (i = 0; i < 50; i++) {
+		snprintf(name, sizeof(name), "s%d", i % 5);
+		add_vm(b, i, i / 5 % 3, 100 + i / 5, name, 1);
+	}
+	for (i = 0; i < 50; i++)
+		add_vm(b, 50 + i, i / 4 % 3, i / 4, "batch", 1);
+	b->work = 120 * SEC;
+	t = roll_out(b, 100);
+	printf("waves: today, 50 targets in 5 pools and 50 workers, work ends "
+	       "in 120 s: %.0f s\n",
+	       t);
+	target = one_vm("service");
+	worker = one_vm("tasks");
+	printf("waves: one target %.0f s, one worker %.0f s; one at a time, 50 "
+	       "of each (computed): %.0f s\n",
+	       target, worker, 50 * (target + worker));
+	bench_free(b);
+}
+
+static char *many_pools(int n, int budget)
+{
+	GString *s = g_string_new("[");
+	int i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_printf(s,
+				       "%s{\"name\":\"p%d\",\"kind\":\"tasks\","
+				       "\"budget\":%d}",
+				       i ? "," : "", i, budget);
+	g_string_append(s, "]");
+	return g_string_free(s, FALSE);
+}
+
+static void put_worker(struct bench *b, int i, int pools, int64_t boot)
+{
+	char name[16];
+
+	snprintf(name, sizeof(name), "p%d", i / 4 % pools);
+	add_vm(b, i, i / 4 / pools % DCS, i / 4, name, boot);
+}
+
+static int64_t late(struct bench *b)
+{
+	char **names = seam_pools_names(b->ps);
+	int64_t n = 0;
+	size_t i;
+	size_t j;
+
+	for (i = 0; names[i]; i++) {
+		struct seam_pool_row r;
+
+		if (seam_pool_peek(b->ps, names[i], &r))
+			continue;
+		for (j = 0; j < r.n; j++)
+			n += r.member[j].maintain_by < b->clock.time;
+		seam_pool_row_free(&r);
+	}
+	g_strfreev(names);
+	return n;
+}
+
+/* 26,000 workers, 28 days and the week of the first deadlines before. */
+static void month(void)
+{
+	const int pools = 332;
+	const int vms = 26000;
+	const int days = 35;
+	char *conf = many_pools(pools, 4);
+	struct bench *b = bench_new(conf, NULL);
+	GQueue back = G_QUEUE_INIT;
+	GRand *rng = g_rand_new_with_seed(1);
+	seam_time by = 600 * SEC;
+	struct seam_store_use use;
+	double cpu = cpu_now();
+	int64_t worst = 0;
+	int64_t boot = 1000;
+	int fails = 0;
+	int i;
+	int n;
+
+	for (i = 0; i < vms; i++)
+		put_worker(b, i, pools, 1);
+	b->work = 120 * SEC;
+	for (n = 0; n < days * 144; n++) {
+		while (fails < n * 380 / 144) {
+			char id[64];
+
+			i = g_rand_int_range(rng, 0, vms);
+			snprintf(id, sizeof(id), "vm-%05d", i);
+			seam_fake_platform_del(b->fake, id);
+			g_queue_push_tail(&back, GINT_TO_POINTER(i));
+			fails++;
+		}
+		/* A failed VM is back after an hour. */
+		while ((int)g_queue_get_length(&back) > 16)
+			put_worker(b, GPOINTER_TO_INT(g_queue_pop_head(&back)),
+				   pools, boot++);
+		step(b, by);
+		if (n % 36 == 0)
+			worst = MAX(worst, late(b));
+	}
+	use = seam_store_mem_use(b->store);
+	printf("month: 332 pools, 26,000 workers, %d days, %d failures, pass "
+	       "each 600 s: reboots %d, most past the deadline at once %lld, "
+	       "rows written %.3f/s, cpu %.1f ms a pass over all pools\n",
+	       days, fails, seam_fake_platform_reboots(b->fake),
+	       (long long)worst, (double)use.rows_written / (days * 86400.0),
+	       (cpu_now() - cpu) * 1000 / n);
+	g_rand_free(rng);
+	g_queue_clear(&back);
+	g_free(conf);
+	bench_free(b);
+}
+
+static void pass_cost(void)
+{
+	static const int sizes_of[] = {10, 50, 100, 500};
+	size_t k;
+
+	for (k = 0; k < 4; k++) {
+		struct bench *b = bench_new(
+			"[{\"name\":\"p0\",\"kind\":\"tasks\",\"budget\":4}]",
+			NULL);
+		struct seam_pool_row r;
+		struct seam_pool *p;
+		double cpu;
+		double idle;
+		double encode;
+		int i;
+
+		for (i = 0; i < sizes_of[k]; i++)
+			put_worker(b, i, 1, 1);
+		for (i = 0; i < 6; i++)
+			step(b, SEC);
+		p = seam_pools_get(b->ps, "p0");
+		cpu = cpu_now();
+		for (i = 0; i < 1000; i++)
+			seam_pool_pass(p, b->clock.time);
+		idle = (cpu_now() - cpu) * 1000;
+		if (seam_pool_peek(b->ps, "p0", &r))
+			exit(1);
+		cpu = cpu_now();
+		for (i = 0; i < 200; i++)
+			free(seam_pool_row_write(&r));
+		encode = (cpu_now() - cpu) * 5000;
+		char *text = seam_pool_row_write(&r);
+		printf("pass: %d members: %.1f us without a change, %.1f us "
+		       "more to encode, row %zu bytes\n",
+		       sizes_of[k], idle, encode, strlen(text));
+		free(text);
+		seam_pool_row_free(&r);
+		bench_free(b);
+	}
+}
+
+static void store_use(void)
+{
+	static const int counts[] = {6, 50, 332};
+	size_t k;
+
+	for (k = 0; k < 3; k++) {
+		char *conf = many_pools(counts[k], 4);
+		struct bench *b = bench_new(conf, seam_size_ready());
+		struct seam_store_use before;
+		struct seam_store_use use;
+		int i;
+		int j;
+
+		for (i = 0; i < counts[k] * 8; i++)
+			put_worker(b, i, counts[k], 1);
+		for (i = 0; i < 10; i++)
+			step(b, SEC);
+		before = seam_store_mem_use(b->store);
+		for (i = 0; i < 300; i++) {
+			for (j = 0; j < counts[k]; j++) {
+				struct seam_demand_report r = {
+					.busy = 20 + (i + j) % 5,
+					.per_vm = 8,
+					.valid_until = SEAM_NEVER,
+				};
+				char name[16];
+
+				snprintf(name, sizeof(name), "p%d", j);
+				seam_demand_set(b->demand, name, "n", &r);
+			}
+			step(b, SEC);
+		}
+		use = seam_store_mem_use(b->store);
+		printf("store: %d pools, one owner: %.2f reads/s, %.2f rows "
+		       "written/s\n",
+		       counts[k], (double)(use.reads - before.reads) / 300,
+		       (double)(use.rows_written - before.rows_written) / 300);
+		bench_free(b);
+		g_free(conf);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	const char *only = argc > 1 ? argv[1] : NULL;
+
+	seam_log_level(SEAM_ERROR);
+	if (!only || !strcmp(only, "pass"))
+		pass_cost();
+	if (!only || !strcmp(only, "store"))
+		store_use();
+	if (!only || !strcmp(only, "waves"))
+		waves();
+	if (!only || !strcmp(only, "sizes"))
+		sizes();
+	if (!only || !strcmp(only, "month"))
+		month();
+	return 0;
+}
