--- a/process/node.h
+++ b/process/node.h
@@ -23,6 +23,8 @@
 struct seam_members;
 struct seam_versions;
 struct seam_node;
+struct seam_pools;
+struct seam_demand;
 
 /**
  * struct seam_part_ops - behaviour of a part of the daemon
@@ -55,6 +57,8 @@
  * @admit: units of the teams' limits; NULL admits everything
  * @incarnation: grows with each start of the node; 0 if not yet chosen
  * @targets: targets and connections to them
+ * @pools: pool rows as last read; made by the inventory part
+ * @demand: demand for pools, reported by parts and by other nodes
  * @http: front end
  * @members: other nodes; NULL until its part has started
  * @versions: adoption of versions; NULL until its part has started
@@ -73,6 +77,8 @@
 	struct seam_admit *admit;
 	int64_t incarnation;
 	struct seam_targets *targets;
+	struct seam_pools *pools;
+	struct seam_demand *demand;
 	struct seam_http *http;
 	struct seam_members *members;
 	struct seam_versions *versions;
@@ -132,6 +138,7 @@
 struct seam_part *seam_part_teams(struct seam_node *n);
 struct seam_part *seam_part_requests(struct seam_node *n);
 struct seam_part *seam_part_tasks(struct seam_node *n);
+struct seam_part *seam_part_pools(struct seam_node *n);
 struct seam_part *seam_part_admin(struct seam_node *n);
 
 /**
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -47,7 +47,7 @@
 	if (m->state != SEAM_MEMBER_DRAINING)
 		return false;
 	if (!d)
-		return true;
+		return false;
 	d->ops->begin(d, m->vm, m->until);
 	return d->ops->idle(d, m->vm);
 }
@@ -258,6 +258,28 @@
 	seam_conf_drop(w->conf);
 }
 
+/* The passes over the other pools in this round count these as coming. */
+static void note_moves(struct seam_pool_work *w)
+{
+	size_t i;
+
+	pthread_mutex_lock(&w->ps->lock);
+	for (i = 0; w->began && i < w->next.n; i++) {
+		const struct seam_member *m = &w->next.member[i];
+		const struct seam_member *old =
+			seam_pool_member(&w->old, m->vm);
+		struct seam_moving v = {.from = ""};
+
+		if (!*m->to || (old && *old->to))
+			continue;
+		memcpy(v.from, w->next.name, sizeof(v.from));
+		memcpy(v.to, m->to, sizeof(v.to));
+		memcpy(v.vm, m->vm, sizeof(v.vm));
+		g_array_append_val(w->ps->moving, v);
+	}
+	pthread_mutex_unlock(&w->ps->lock);
+}
+
 int seam_pool_pass(struct seam_pool *p, seam_time now)
 {
 	struct seam_err e = SEAM_ERR_INIT;
@@ -280,6 +302,7 @@
 	}
 	if (!rc) {
 		seam_pool_keep(p, &w.next);
+		note_moves(&w);
 		seam_pool_effects(&w);
 	}
 	work_free(&w);
@@ -348,18 +371,30 @@
 	seam_count_set(&over_budget, over);
 }
 
+/* Without a configuration every pool looks deleted and every data centre out.
+ */
+static bool configured(struct seam_pools *ps)
+{
+	struct seam_conf *c = seam_conf_current(ps->env.conf);
+	bool any = seam_conf_version(c) > 0;
+
+	seam_conf_drop(c);
+	return any;
+}
+
 seam_time seam_pools_pass(struct seam_pools *ps, seam_time now)
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	GPtrArray *own = owned(ps, now);
-	bool store = !seam_pools_poll(ps, now, &e);
+	bool store =
+		seam_pools_polled(ps, now) || !seam_pools_poll(ps, now, &e);
 
 	if (!store) {
 		seam_count_add(&poll_errors, 1);
 		seam_log(SEAM_DEBUG, "pool", "Rows not polled: %s.", e.text);
 	}
 	seam_pools_publish(ps);
-	for (guint i = 0; i < own->len; i++) {
+	for (guint i = 0; i < own->len && configured(ps); i++) {
 		struct seam_pool *p = g_ptr_array_index(own, i);
 
 		if (store)
--- a/process/pools.c
+++ b/process/pools.c
@@ -10,6 +10,8 @@
 #define SCAN_PAGE 512
 /* Rows read in one poll; the next poll goes on. */
 #define POLL_ROWS 128
+/* Two threads of a process poll; one scan serves both. */
+#define POLL_MIN (500 * SEAM_MSEC)
 
 SEAM_COUNT(rows_read, "seam_pool_rows_read_total",
 	   "Pool and wave rows read because their version changed.");
@@ -203,9 +205,39 @@
 		rc = poll_page(ps, &rows, &left, now, e);
 		seam_rows_free(&rows);
 	} while (!rc && n == SCAN_PAGE && left);
+	if (!rc && left)
+		__atomic_store_n(&ps->polled_at, now, __ATOMIC_RELEASE);
 	return rc;
 }
 
+bool seam_pools_polled(struct seam_pools *ps, seam_time now)
+{
+	seam_time at = __atomic_load_n(&ps->polled_at, __ATOMIC_ACQUIRE);
+
+	return at && now - at < POLL_MIN;
+}
+
+void seam_pools_drain_tasks(struct seam_pools *ps, struct seam_drain *d)
+{
+	ps->env.drain_tasks = d;
+}
+
+char **seam_pools_names(struct seam_pools *ps)
+{
+	GHashTableIter it;
+	gpointer p;
+	char **out;
+	guint i = 0;
+
+	pthread_mutex_lock(&ps->lock);
+	out = g_new0(char *, g_hash_table_size(ps->pool) + 1);
+	g_hash_table_iter_init(&it, ps->pool);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		out[i++] = g_strdup(((struct seam_pool *)p)->name);
+	pthread_mutex_unlock(&ps->lock);
+	return out;
+}
+
 int seam_pool_peek(struct seam_pools *ps, const char *name,
 		   struct seam_pool_row *out)
 {
