--- a/cmd/seamplatform.c
+++ b/cmd/seamplatform.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 
 #include "base/json.h"
+#include "cmd/vmlist.h"
 #include "fake/fake.h"
 #include "version/conf.h"
 
@@ -63,51 +64,18 @@
 	       "delay_ms, lose_answers, writes_per_sec, reads_per_sec.",
 };
 
-#define F(name_, kind, member, ...)                            \
-	{                                                      \
-		.name = (name_), .type = (kind),               \
-		.off = offsetof(struct seam_vm, member),       \
-		.size = sizeof(((struct seam_vm *)0)->member), \
-		.max = INT32_MAX, __VA_ARGS__                  \
-	}
-
-static const struct seam_json_field fields[] = {
-	F("id", SEAM_JSON_NAME, id, .required = true),
-	F("data_centre", SEAM_JSON_NAME, dc, .required = true),
-	F("rack", SEAM_JSON_NAME, rack),
-	F("addr", SEAM_JSON_TEXT, addr),
-	F("pool", SEAM_JSON_NAME, pool),
-	F("cpu_milli", SEAM_JSON_INT, cpu_milli),
-	F("memory_mb", SEAM_JSON_INT, memory_mb),
-	F("accelerators", SEAM_JSON_INT, accelerators),
-};
-
 static int load_vms(struct seam_fake_platform *p, const char *file,
 		    struct seam_err *e)
 {
-	struct seam_problems pr = {.file = file};
-	struct json_object *o = seam_json_file(file, &pr);
-	size_t n = 0;
+	struct seam_vms vms = {.vm = NULL};
 	size_t i;
-	int rc = 0;
-
-	if (json_object_is_type(o, json_type_array))
-		n = json_object_array_length(o);
-	else
-		seam_problem(&pr, "", "must be an array");
-	for (i = 0; i < n; i++) {
-		struct seam_vm vm = {.state = SEAM_VM_LIVE};
-
-		if (!seam_json_read(json_object_array_get_idx(o, i), fields,
-				    sizeof(fields) / sizeof(*fields), &vm, "vm",
-				    &pr))
-			seam_fake_platform_put(p, &vm);
-	}
-	if (pr.n)
-		rc = seam_problems_err(&pr, SEAM_BAD_CONFIG, e);
-	seam_problems_free(&pr);
-	json_object_put(o);
-	return rc;
+
+	if (cmd_vm_list(file, &vms, e))
+		return -1;
+	for (i = 0; i < vms.n; i++)
+		seam_fake_platform_put(p, &vms.vm[i]);
+	seam_vms_free(&vms);
+	return 0;
 }
 
 static int load_config(struct seam_store *s, const char *file,
