--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -392,4 +392,25 @@
 	}
 };
 
+// A row whose members have the states of @text: a letter for each.
+static inline seam_pool_row states(const char *text)
+{
+	seam_pool_row r = {};
+	seam_member m = {};
+
+	for (int i = 0; text[i]; i++) {
+		m = {};
+		snprintf(m.vm, sizeof(m.vm), "v%d", i);
+		if (text[i] == 'd')
+			seam_member_drain(&m, SEAM_WHY_MAINTENANCE, 0, 1);
+		if (text[i] == 'r')
+			m.state = SEAM_MEMBER_REBOOTING;
+		if (text[i] == 'f')
+			m.state = SEAM_MEMBER_FAILED;
+		m.out = text[i] == 'o';
+		seam_pool_add(&r, &m);
+	}
+	return r;
+}
+
 #endif
