--- a/bench/pool_bench.c
+++ b/bench/pool_bench.c
@@ -1,6 +1,7 @@
 /*
  * Pools in simulated time: buffer cost and moves, roll-out of waves, cost of a
- * pass, use of the store. usage: pool_bench [sizes|waves|month|pass|store]
+ * pass, use of the store. usage: pool_bench
+ * [sizes|waves|month|tenth|pass|store]
  */
 #include <glib.h>
 #include <math.h>
@@ -411,11 +412,9 @@
 	return n;
 }
 
-/* 26,000 workers, 28 days and the week of the first deadlines before. */
-static void month(void)
+/* 28 days and the week of the first deadlines before. */
+static void month(int pools, int vms, int fails_a_day)
 {
-	const int pools = 332;
-	const int vms = 26000;
 	const int days = 35;
 	char *conf = many_pools(pools, 4);
 	struct bench *b = bench_new(conf, NULL);
@@ -434,7 +433,7 @@
 		put_worker(b, i, pools, 1);
 	b->work = 120 * SEC;
 	for (n = 0; n < days * 144; n++) {
-		while (fails < n * 380 / 144) {
+		while (fails < n * fails_a_day / 144) {
 			char id[64];
 
 			i = g_rand_int_range(rng, 0, vms);
@@ -444,7 +443,7 @@
 			fails++;
 		}
 		/* A failed VM is back after an hour. */
-		while ((int)g_queue_get_length(&back) > 16)
+		while ((int)g_queue_get_length(&back) > fails_a_day / 24)
 			put_worker(b, GPOINTER_TO_INT(g_queue_pop_head(&back)),
 				   pools, boot++);
 		step(b, by);
@@ -452,10 +451,10 @@
 			worst = MAX(worst, late(b));
 	}
 	use = seam_store_mem_use(b->store);
-	printf("month: 332 pools, 26,000 workers, %d days, %d failures, pass "
+	printf("month: %d pools, %d workers, %d days, %d failures, pass "
 	       "each 600 s: reboots %d, most past the deadline at once %lld, "
 	       "rows written %.3f/s, cpu %.1f ms a pass over all pools\n",
-	       days, fails, seam_fake_platform_reboots(b->fake),
+	       pools, vms, days, fails, seam_fake_platform_reboots(b->fake),
 	       (long long)worst, (double)use.rows_written / (days * 86400.0),
 	       (cpu_now() - cpu) * 1000 / n);
 	g_rand_free(rng);
@@ -561,6 +560,8 @@
 	if (!only || !strcmp(only, "sizes"))
 		sizes();
 	if (!only || !strcmp(only, "month"))
-		month();
+		month(332, 26000, 380);
+	if (only && !strcmp(only, "tenth"))
+		month(33, 2600, 38);
 	return 0;
 }
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -386,14 +386,16 @@
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	GPtrArray *own = owned(ps, now);
-	bool store =
-		seam_pools_polled(ps, now) || !seam_pools_poll(ps, now, &e);
+	bool recent = seam_pools_polled(ps, now);
+	bool store = recent || !seam_pools_poll(ps, now, &e);
 
 	if (!store) {
 		seam_count_add(&poll_errors, 1);
 		seam_log(SEAM_DEBUG, "pool", "Rows not polled: %s.", e.text);
 	}
-	seam_pools_publish(ps);
+	/* The thread that polled has published too. */
+	if (!recent)
+		seam_pools_publish(ps);
 	for (guint i = 0; i < own->len && configured(ps); i++) {
 		struct seam_pool *p = g_ptr_array_index(own, i);
 
