peer: a pushed change carries the version it leads to

The version of the message head is read when it is sent and can be newer than the change. A receiver would have given the change that newer number.

--- a/connection/peer.h
+++ b/connection/peer.h
@@ -44,9 +44,9 @@
  * @sent_at: time of sending, by the clock of the sender
  * @store_at: latest time at which the store answered the sender
  * @unsettled: the sender has a change whose outcome is not known
- * @base: SEAM_MSG_CHANGE: version that the change applies to;
- *        SEAM_MSG_SNAPSHOT: version of the document, which is older than
- *        @version if the sender adopted another one meanwhile
+ * @base: SEAM_MSG_CHANGE: version that @text applies to
+ * @next: version that @text leads to or is; older than @version if the sender
+ *        adopted another one meanwhile
  * @addr: SEAM_MSG_SNAPSHOT_GET: peer address of the sender
  * @text: change or whole document as JSON; owned by the message; may be NULL
  * @load: requests on targets, a delta
@@ -63,6 +63,7 @@
 	seam_time store_at;
 	bool unsettled;
 	uint64_t base;
+	uint64_t next;
 	char addr[64];
 	char *text;
 	struct seam_load *load;
--- a/connection/peer_code.c
+++ b/connection/peer_code.c
@@ -58,12 +58,13 @@
 {
 	size_t i;
 
-	put(o, mpack_pack_map(8));
+	put(o, mpack_pack_map(9));
 	put_num(o, "ver", m->version);
 	put_num(o, "conf", (uint64_t)m->confirmed_at);
 	put_num(o, "sent", (uint64_t)m->sent_at);
 	put_num(o, "store", (uint64_t)m->store_at);
 	put_num(o, "uns", m->unsettled);
+	put_num(o, "next", m->next);
 	if (m->kind == SEAM_MSG_SNAPSHOT_GET)
 		put_text(o, "addr", m->addr);
 	else
@@ -213,6 +214,8 @@
 			m->unsettled = get_num(i) != 0;
 		else if (!strcmp(name, "base"))
 			m->base = get_num(i);
+		else if (!strcmp(name, "next"))
+			m->next = get_num(i);
 		else if (!strcmp(name, "addr"))
 			get_text(i, m->addr, sizeof(m->addr));
 		else if (!strcmp(name, "text") && !m->text)
