--- a/process/versions.c
+++ b/process/versions.c
@@ -141,6 +141,7 @@
 	if (take_push(v, &old, &new)) {
 		o = seam_conf_diff(old, new);
 		msg.base = seam_conf_version(old);
+		msg.next = seam_conf_version(new);
 		msg.text = g_strdup(json_object_to_json_string_ext(
 			o, JSON_C_TO_STRING_PLAIN));
 		json_object_put(o);
@@ -272,15 +273,15 @@
 	struct seam_conf *old = seam_conf_current(&v->node->conf);
 	struct seam_conf *c = NULL;
 	struct json_object *o = NULL;
-	enum seam_spread_act act = seam_spread_on_change(seam_conf_version(old),
-							 m->base, m->version);
+	enum seam_spread_act act =
+		seam_spread_on_change(seam_conf_version(old), m->base, m->next);
 
 	if (act == SEAM_SPREAD_APPLY && m->text)
 		o = seam_json_parse(m->text, &p);
 	else if (act == SEAM_SPREAD_FETCH)
 		seam_node_changed(v->node); /* read the store now */
 	if (o)
-		c = seam_conf_apply(old, o, m->version, &p);
+		c = seam_conf_apply(old, o, m->next, &p);
 	if (c)
 		adopt_peer(v, c);
 	else if (p.n)
@@ -296,7 +297,7 @@
 	struct seam_problems p = {.file = "peer"};
 	struct json_object *o = m->text ? seam_json_parse(m->text, &p) : NULL;
 	struct seam_conf *c =
-		o && m->base ? seam_conf_parse(o, m->base, &p) : NULL;
+		o && m->next ? seam_conf_parse(o, m->next, &p) : NULL;
 
 	pthread_mutex_lock(&v->lock);
 	v->asked--;
@@ -328,7 +329,7 @@
 
 	if (seam_conf_version(c) > m->version) {
 		o = seam_conf_doc(c);
-		msg.base = seam_conf_version(c);
+		msg.next = seam_conf_version(c);
 		msg.text = g_strdup(json_object_to_json_string_ext(
 			o, JSON_C_TO_STRING_PLAIN));
 	}
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -141,6 +141,33 @@
 	}
 }
 
+// Guards against a change that is taken for a newer version, because its sender
+// adopted one between the change and the message.
+TEST(Member, ChangeKeepsItsOwnVersion)
+{
+	auto s = sim::fleet(15);
+	sim_node &n = *s->nodes[0];
+	seam_msg_key key;
+	seam_msg m = {};
+	size_t len;
+
+	seam_msg_key_init(&key, "key");
+	snprintf(m.from, sizeof(m.from), "n4");
+	m.inc = seam_members_inc(s->nodes[4]->members);
+	m.seq = UINT64_MAX / 2;
+	m.kind = SEAM_MSG_CHANGE;
+	m.version = 9;
+	m.base = 1;
+	m.next = 2;
+	m.text = strdup("{\"put\":[{\"kind\":\"data_centre\",\"object\":{"
+			"\"name\":\"x\",\"region\":\"r\"}}]}");
+	char *bytes = seam_msg_seal(&key, "peer-n0", &m, &len);
+	seam_members_wire(n.members, bytes, len);
+	EXPECT_EQ(n.version(), 2u);
+	free(bytes);
+	seam_msg_free(&m);
+}
+
 // Guards against a paused node that keeps its shards, or takes all shards when
 // it resumes.
 TEST(Member, PausedNodeResumes)
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -17,6 +17,7 @@
 	m.kind = SEAM_MSG_CHANGE;
 	m.version = 7;
 	m.base = 6;
+	m.next = 5;
 	m.confirmed_at = 1700000000000000;
 	m.sent_at = m.confirmed_at + 5;
 	m.store_at = 4;
@@ -46,6 +47,7 @@
 	EXPECT_EQ(r.kind, SEAM_MSG_CHANGE);
 	EXPECT_EQ(r.version, 7u);
 	EXPECT_EQ(r.base, 6u);
+	EXPECT_EQ(r.next, 5u);
 	EXPECT_EQ(r.confirmed_at, m.confirmed_at);
 	EXPECT_EQ(r.sent_at, m.sent_at);
 	EXPECT_EQ(r.store_at, 4);
