tests: the new node of the known red case reaches the store

The case failed earlier for another reason: the new node had no store. It now fails because n0 confirms version 1 506 ms after version 2 was accepted.

--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -406,6 +406,7 @@
 	for (auto &n : s->nodes)
 		if (n.get() != &f)
 			s->cut(*n, f, true);
+	s->store_down(f, false);
 	s->start(f);
 	for (auto &n : s->nodes)
 		if (n.get() != &f)
