--- a/connection/workerlink.c
+++ b/connection/workerlink.c
@@ -14,7 +14,7 @@
 #define LIST_GAP (1 * SEAM_SEC)
 #define IDLE_END (60 * SEAM_SEC) /* a link without commands ends */
 #define BODY_MAX (4u << 20) /* a listing */
-#define REPORTS_MAX 65536 /* not taken yet */
+#define REPORTS_MAX 1024 /* of one bucket, not taken yet */
 
 SEAM_COUNT(sent, "seam_worker_commands_total", "Commands sent to workers.");
 SEAM_COUNT(unanswered, "seam_worker_commands_unanswered_total",
@@ -47,7 +47,7 @@
 	void *arg;
 	pthread_mutex_t lock;
 	GHashTable *link; /* worker to struct link */
-	GQueue reports; /* struct seam_worker_report */
+	GHashTable *reports; /* prefix of ids to GQueue of reports */
 	bool stop;
 };
 
@@ -114,10 +114,32 @@
 	return o;
 }
 
+static void queue_free(void *p)
+{
+	g_queue_free_full(p, free);
+}
+
+/* Reports are kept by bucket, so that a poll looks at no others. */
+static GQueue *queue_of(struct links *all, const char *task)
+{
+	const char *last = strrchr(task, '~');
+	char prefix[SEAM_TASK_ID];
+	GQueue *q;
+
+	g_strlcpy(prefix, task, last ? (gsize)(last - task) + 2 : 1);
+	q = g_hash_table_lookup(all->reports, prefix);
+	if (!q) {
+		q = g_queue_new();
+		g_hash_table_insert(all->reports, g_strdup(prefix), q);
+	}
+	return q;
+}
+
 static void add_report(struct link *l, struct json_object *o)
 {
 	struct seam_worker_report *r = malloc(sizeof(*r));
 	struct links *all = l->all;
+	GQueue *q;
 
 	if (!r || seam_worker_report_read(o, r) ||
 	    strcmp(r->worker, l->worker)) {
@@ -126,9 +148,10 @@
 		return;
 	}
 	pthread_mutex_lock(&all->lock);
-	if (all->reports.length >= REPORTS_MAX)
-		free(g_queue_pop_head(&all->reports));
-	g_queue_push_tail(&all->reports, r);
+	q = queue_of(all, r->task);
+	if (q->length >= REPORTS_MAX)
+		free(g_queue_pop_head(q));
+	g_queue_push_tail(q, r);
 	pthread_mutex_unlock(&all->lock);
 }
 
@@ -275,20 +298,15 @@
 			struct seam_worker_report *out, size_t max)
 {
 	struct links *all = (struct links *)w;
+	struct seam_worker_report *r;
 	size_t n = 0;
-	GList *i;
-	GList *next;
+	GQueue *q;
 
 	pthread_mutex_lock(&all->lock);
-	for (i = all->reports.head; i && n < max; i = next) {
-		struct seam_worker_report *r = i->data;
-
-		next = i->next;
-		if (strncmp(r->task, prefix, strlen(prefix)))
-			continue;
+	q = g_hash_table_lookup(all->reports, prefix);
+	while (q && n < max && (r = g_queue_pop_head(q))) {
 		out[n++] = *r;
 		free(r);
-		g_queue_delete_link(&all->reports, i);
 	}
 	pthread_mutex_unlock(&all->lock);
 	return n;
@@ -317,7 +335,7 @@
 		free(l);
 	}
 	g_hash_table_destroy(all->link);
-	g_queue_clear_full(&all->reports, free);
+	g_hash_table_destroy(all->reports);
 	pthread_mutex_destroy(&all->lock);
 	free(all);
 }
@@ -343,6 +361,7 @@
 	all->arg = arg;
 	pthread_mutex_init(&all->lock, NULL);
 	all->link = g_hash_table_new(g_str_hash, g_str_equal);
-	g_queue_init(&all->reports);
+	all->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     queue_free);
 	return &all->workers;
 }
--- a/connection/workerlink.h
+++ b/connection/workerlink.h
@@ -105,8 +105,9 @@
 /**
  * struct seam_worker_ops - commands to workers and their reports
  * @send: queue a command; does not block; SEAM_BUSY if too many wait
- * @poll: take reports about tasks whose id starts with @prefix: answers to
- *        commands, and states from listings; the same state may come again
+ * @poll: take reports about the tasks of one bucket; @prefix is their id up to
+ *        and with the last "~". Answers to commands, and states from listings;
+ *        the same state may come again
  * @free: close all connections
  *
  * Commands to one worker are carried out in order. An answer may be lost; the
