--- a/bench/task_bench.c
+++ b/bench/task_bench.c
@@ -222,8 +222,11 @@
 			printf("urgent task refused\n");
 		at = b.clock.time;
 		while (!seam_fake_workers_starts(b.workers, id) &&
-		       b.clock.time < at + 300 * (seam_time)SEAM_SEC)
+		       b.clock.time < at + 300 * (seam_time)SEAM_SEC) {
 			step(&b);
+			if (b.clock.time / STEP % 3 == 0)
+				add_load(&b, 1);
+		}
 		wait[n] = b.clock.time - at;
 	}
 	qsort(wait, (size_t)samples, sizeof(*wait), compare);
--- a/process/task_bucket.c
+++ b/process/task_bucket.c
@@ -22,6 +22,41 @@
 	return t->state == SEAM_TASK_RUNNING || t->state == SEAM_TASK_STOPPING;
 }
 
+/*
+ * The table of a bucket holds pointers: chunks of whole tasks would take room
+ * for many more than the 64 that a bucket can have.
+ */
+struct seam_task *seam_task_next(struct seam_table *t, struct seam_handle *h)
+{
+	struct seam_task **at = seam_table_next(t, h);
+
+	return at ? *at : NULL;
+}
+
+struct seam_task *seam_task_add(struct seam_table *t, struct seam_handle *h)
+{
+	struct seam_task *task = calloc(1, sizeof(*task));
+	struct seam_task **at = task ? seam_table_add(t, h) : NULL;
+
+	if (!at) {
+		free(task);
+		return NULL;
+	}
+	*at = task;
+	return task;
+}
+
+void seam_task_del(struct seam_table *t, struct seam_handle h)
+{
+	struct seam_task **at = seam_table_get(t, h);
+
+	if (!at)
+		return;
+	free((*at)->payload);
+	free(*at);
+	seam_table_del(t, h);
+}
+
 /* TEAM~QUEUE~BUCKET~HEX; "~" occurs in no name. */
 static int split(const char *task, char team[64], char queue[64], int *nr)
 {
@@ -63,7 +98,7 @@
 	g_strlcpy(b->key, key, sizeof(b->key));
 	snprintf(b->prefix, sizeof(b->prefix), "%s~%s~%d~", b->team, b->queue,
 		 nr);
-	b->table = seam_table_new(sizeof(struct seam_task));
+	b->table = seam_table_new(sizeof(struct seam_task *));
 	b->touched =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	b->inbox_end = &b->inbox;
@@ -133,7 +168,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (!strcmp(t->id, id))
 			return t;
 	return NULL;
@@ -198,7 +233,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (seam_task_active(t))
 			count_running(b, &t->reserved, sign);
 }
@@ -212,10 +247,7 @@
 
 void seam_bucket_forget(struct seam_bucket *b, struct seam_handle h)
 {
-	struct seam_task *t = seam_table_get(b->table, h);
-
-	free(t->payload);
-	seam_table_del(b->table, h);
+	seam_task_del(b->table, h);
 	b->dirty = true;
 }
 
@@ -259,13 +291,13 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		struct seam_handle g = SEAM_NONE;
 		struct seam_task *o;
 
 		if (!seam_task_active(t))
 			continue;
-		while (same && (o = seam_table_next(old, &g)))
+		while (same && (o = seam_task_next(old, &g)))
 			if (!strcmp(o->id, t->id) && o->attempt == t->attempt)
 				break;
 		if (same && o) {
@@ -294,10 +326,9 @@
 static void free_tasks(struct seam_table *t)
 {
 	struct seam_handle h = SEAM_NONE;
-	struct seam_task *task;
 
-	while ((task = seam_table_next(t, &h)))
-		free(task->payload);
+	while (seam_task_next(t, &h))
+		seam_task_del(t, h);
 }
 
 /* Reads the row; the copy in memory stays as it is if that fails. */
@@ -319,7 +350,7 @@
 	}
 	g_strlcpy(owner, b->owner, sizeof(owner));
 	count_all(b, -1);
-	b->table = seam_table_new(sizeof(struct seam_task));
+	b->table = seam_table_new(sizeof(struct seam_task *));
 	*b->owner = '\0';
 	b->term = 0;
 	if (seam_bucket_read(b, row.data, &e))
--- a/process/task_commit.c
+++ b/process/task_commit.c
@@ -87,7 +87,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		if (!seam_task_active(t) || strcmp(t->worker, worker))
 			continue;
 		sum.cpu += t->reserved.cpu;
@@ -102,7 +102,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (t->launch && !strcmp(t->worker, worker))
 			return true;
 	return false;
@@ -113,7 +113,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (t->launch && !strcmp(t->worker, worker)) {
 			t->attempt--;
 			seam_task_requeue(b, t, why);
@@ -212,7 +212,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		const struct seam_place_worker *w;
 		struct seam_dcrow *d;
 		char key[SEAM_KEY_MAX];
@@ -236,7 +236,7 @@
 	struct seam_task *t;
 	int n = 0;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		n += seam_task_active(t);
 	return n;
 }
@@ -246,7 +246,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (t->launch)
 			return t;
 	return NULL;
--- a/process/task_impl.h
+++ b/process/task_impl.h
@@ -10,8 +10,9 @@
 #define SEAM_TASK_COMMIT_GAP (100 * SEAM_MSEC) /* group commit of a bucket */
 #define SEAM_TASK_COMMIT_TIME (2 * SEAM_SEC) /* all attempts of a commit */
 #define SEAM_TASK_START_TIME (2 * SEAM_SEC) /* from a commit to start_by */
-#define SEAM_TASK_GRACE (2 * SEAM_SEC) /* a worker stops a task in this time \
-					*/
+#define SEAM_TASK_GRACE                                      \
+	(2 * SEAM_SEC) /* a worker stops a task in this time \
+			*/
 #define SEAM_TASK_ASK_GAP (1 * SEAM_SEC) /* between repeated commands */
 #define SEAM_TASK_READ_GAP (1 * SEAM_SEC) /* other nodes add to a row */
 #define SEAM_TASK_READ_GAP_DOWN (500 * SEAM_MSEC) /* the store failed */
@@ -91,7 +92,7 @@
 	uint64_t taken; /* version as of which this node is the owner */
 	int64_t term; /* grows with each change of the owner */
 	char owner[96];
-	struct seam_table *table;
+	struct seam_table *table; /* of struct seam_task * */
 	struct seam_ticket *inbox; /* locked by ts->lock */
 	struct seam_ticket **inbox_end;
 	struct seam_wevent *event;
@@ -133,6 +134,9 @@
 struct seam_need seam_need_read(struct json_object *o);
 
 /* task_bucket.c */
+struct seam_task *seam_task_next(struct seam_table *t, struct seam_handle *h);
+struct seam_task *seam_task_add(struct seam_table *t, struct seam_handle *h);
+void seam_task_del(struct seam_table *t, struct seam_handle h);
 struct seam_task *seam_bucket_find(struct seam_bucket *b, const char *id);
 void seam_bucket_drop(struct seam_bucket *b);
 int seam_bucket_load(struct seam_bucket *b, seam_time now);
--- a/process/task_json.c
+++ b/process/task_json.c
@@ -196,7 +196,7 @@
 
 	put_int(o, "term", b->term);
 	put_str(o, "owner", b->owner);
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		json_object_array_add(a, seam_task_json(t, true));
 	json_object_object_add(o, "tasks", a);
 	text = strdup(
@@ -208,12 +208,9 @@
 void seam_bucket_clear(struct seam_bucket *b)
 {
 	struct seam_handle h = SEAM_NONE;
-	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
-		free(t->payload);
-		seam_table_del(b->table, h);
-	}
+	while (seam_task_next(b->table, &h))
+		seam_task_del(b->table, h);
 }
 
 static int read_tasks(struct seam_bucket *b, struct json_object *a)
@@ -223,7 +220,7 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct seam_task *t = seam_table_add(b->table, &h);
+		struct seam_task *t = seam_task_add(b->table, &h);
 
 		if (!t || seam_task_read(json_object_array_get_idx(a, i), t))
 			return -1;
--- a/process/task_lease.c
+++ b/process/task_lease.c
@@ -146,7 +146,7 @@
 	struct seam_task *best = NULL;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		const struct seam_place_worker *w;
 
 		if (t->state != SEAM_TASK_RUNNING || !t->idempotent)
@@ -185,7 +185,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		if (!seam_task_ended(t) || now - t->ended_at < SEAM_TASK_KEEP)
 			continue;
 		seam_bucket_forget(b, h);
@@ -197,7 +197,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		if (!seam_task_active(t) || t->launch)
 			continue;
 		if (lease_over(b, t, now))
@@ -238,7 +238,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (seam_task_active(t) && !t->launch)
 			renew(b, t, now);
 }
--- a/process/task_pass.c
+++ b/process/task_pass.c
@@ -42,7 +42,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (t->launch) {
 			t->launch = false;
 			seam_task_send(b, t, SEAM_DO_START, now);
@@ -209,7 +209,7 @@
 		struct seam_handle h = SEAM_NONE;
 		struct seam_task *t;
 
-		while ((t = seam_table_next(b->table, &h))) {
+		while ((t = seam_task_next(b->table, &h))) {
 			q += t->state == SEAM_TASK_QUEUED;
 			r += seam_task_active(t);
 		}
--- a/process/task_preempt.c
+++ b/process/task_preempt.c
@@ -34,7 +34,7 @@
 
 	if (lent <= 0 && strcmp(of->team, b->team))
 		return;
-	while ((t = seam_table_next(of->table, &h))) {
+	while ((t = seam_task_next(of->table, &h))) {
 		const struct seam_place_worker *w;
 
 		if (t->state != SEAM_TASK_RUNNING || t->launch || t->urgent ||
--- a/process/task_put.c
+++ b/process/task_put.c
@@ -20,7 +20,7 @@
 
 	if (seam_table_count(b->table) < SEAM_BUCKET_TASKS)
 		return true;
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (seam_task_ended(t) && t->ended_at < at) {
 			at = t->ended_at;
 			oldest = h;
@@ -48,7 +48,7 @@
 				 "bucket %s holds %d tasks that have not ended",
 				 b->key, SEAM_BUCKET_TASKS);
 	}
-	t = seam_table_add(b->table, &h);
+	t = seam_task_add(b->table, &h);
 	if (!t)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
 	*t = *from;
--- a/process/task_start.c
+++ b/process/task_start.c
@@ -53,7 +53,7 @@
 	b->plans = 0;
 	b->plan_at = 0;
 	memset(&b->no_room, 0xff, sizeof(b->no_room));
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		if (t->state != SEAM_TASK_QUEUED ||
 		    b->plans == SEAM_BUCKET_TASKS)
 			continue;
@@ -122,7 +122,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		const struct seam_place_worker *w;
 
 		if (!seam_task_active(t) || strcmp(t->group, group) ||
