--- a/connection/workerlink.h
+++ b/connection/workerlink.h
@@ -54,6 +54,9 @@
  * @token: version of the bucket row that the sender last wrote; a worker
  *         refuses a command whose token is older than one it has seen for the
  *         task
+ * @boot: boots of the worker when the start was committed; a worker that has
+ *        been rebooted since refuses the start, because it has forgotten
+ *        whether it had run the attempt
  * @start_by: a start after this time is refused
  * @lease_until: the worker stops the task then unless renewed
  * @need: reserved resources
@@ -68,6 +71,7 @@
 	char task[SEAM_TASK_ID];
 	int64_t attempt;
 	uint64_t token;
+	int64_t boot;
 	seam_time start_by;
 	seam_time lease_until;
 	struct seam_need need;
@@ -105,8 +109,9 @@
 /**
  * struct seam_worker_ops - commands to workers and their reports
  * @send: queue a command; does not block; SEAM_BUSY if too many wait
- * @poll: take reports about tasks whose id starts with @prefix: answers to
- *        commands, and states from listings; the same state may come again
+ * @poll: take reports about the tasks of one bucket; @prefix is their id up to
+ *        and with the last "~". Answers to commands, and states from listings;
+ *        the same state may come again
  * @free: close all connections
  *
  * Commands to one worker are carried out in order. An answer may be lost; the
--- a/process/task_lease.c
+++ b/process/task_lease.c
@@ -29,6 +29,7 @@
 	seam_task_full_id(b, t, c->task);
 	c->attempt = t->attempt;
 	c->token = b->version;
+	c->boot = t->boot;
 	c->start_by = t->start_by;
 	c->need = t->reserved;
 	g_strlcpy(c->team, b->team, sizeof(c->team));
@@ -146,7 +147,7 @@
 	struct seam_task *best = NULL;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		const struct seam_place_worker *w;
 
 		if (t->state != SEAM_TASK_RUNNING || !t->idempotent)
@@ -185,7 +186,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		if (!seam_task_ended(t) || now - t->ended_at < SEAM_TASK_KEEP)
 			continue;
 		seam_bucket_forget(b, h);
@@ -197,7 +198,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h))) {
+	while ((t = seam_task_next(b->table, &h))) {
 		if (!seam_task_active(t) || t->launch)
 			continue;
 		if (lease_over(b, t, now))
@@ -238,7 +239,7 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_task *t;
 
-	while ((t = seam_table_next(b->table, &h)))
+	while ((t = seam_task_next(b->table, &h)))
 		if (seam_task_active(t) && !t->launch)
 			renew(b, t, now);
 }
