task, team: tasks count against the team's upper limit

Tasks ran without a check of the team's limit: the hook of the buckets was not connected to the team's row. The row now changes in the commit of the bucket. A node takes part in the limits once it has registered, so that its grants carry its incarnation.

--- a/process/node.h
+++ b/process/node.h
@@ -55,7 +55,6 @@
  * @fleet: VMs with their pools
  * @owner: who decides for a shard; never NULL
  * @admit: units of the teams' limits; NULL admits everything
- * @incarnation: grows with each start of the node; 0 if not yet chosen
  * @targets: targets and connections to them
  * @pools: pool rows as last read; made by the inventory part
  * @demand: demand for pools, reported by parts and by other nodes
@@ -75,7 +74,6 @@
 	struct seam_fleet *fleet;
 	struct seam_owner *owner;
 	struct seam_admit *admit;
-	int64_t incarnation;
 	struct seam_targets *targets;
 	struct seam_pools *pools;
 	struct seam_demand *demand;
--- a/process/part_tasks.c
+++ b/process/part_tasks.c
@@ -301,6 +301,7 @@
 	c->placer = seam_placer_best_fit();
 	c->sizes = seam_sizes_new();
 	c->order = seam_task_order_weighted(&n->conf);
+	c->limit = seam_task_limit_teams(n->clock, n->store, &n->conf);
 	c->lease = n->settings.lease_ms * SEAM_MSEC;
 	c->skew = n->settings.clock_skew_ms * SEAM_MSEC;
 	if (!c->workers || !c->placer || !c->sizes || !c->order)
@@ -349,6 +350,8 @@
 		c->placer->ops->free(c->placer);
 	if (c->order)
 		c->order->ops->free(c->order);
+	if (c->limit)
+		c->limit->ops->free(c->limit);
 	seam_sizes_free(c->sizes);
 	pthread_mutex_destroy(&p->lock);
 	free(p);
--- a/process/part_teams.c
+++ b/process/part_teams.c
@@ -1,4 +1,5 @@
 #include "base/log.h"
+#include "process/member.h"
 #include "process/node.h"
 #include "process/team.h"
 
@@ -7,7 +8,6 @@
 
 #define PATH_EXPLAIN "/v1/explain/team/"
 #define ROWS_MAX 1000
-#define DCS_MAX 64
 
 /* Holds this node's units of the teams' limits. */
 struct part_teams {
@@ -15,79 +15,26 @@
 	struct seam_node *node;
 	struct seam_teams *teams;
 	struct seam_loop loop;
-	bool configured;
-	uint64_t version;
+	struct seam_team_set *set; /* terms in force, used by the pass only */
 };
 
-/* Units are reserved in each data centre only for teams that can send requests
- * there; for others they would be idle. */
-static bool calls_services(const struct seam_conf *c, const char *team)
-{
-	struct seam_handle h = SEAM_NONE;
-	const struct seam_service *s;
-	char **t;
-
-	while ((s = seam_conf_next(c, SEAM_CONF_SERVICE, &h))) {
-		if (!s->teams)
-			return true;
-		for (t = s->teams; *t; t++)
-			if (!strcmp(*t, team))
-				return true;
-	}
-	return false;
-}
-
-static size_t list_dcs(const struct seam_conf *c, char (*dc)[SEAM_TEAM_NAME])
-{
-	struct seam_handle h = SEAM_NONE;
-	const struct seam_dc *d;
-	size_t n = 0;
-
-	while (n < DCS_MAX && (d = seam_conf_next(c, SEAM_CONF_DC, &h)))
-		if (d->state == SEAM_DC_STATE_IN)
-			memcpy(dc[n++], d->name, SEAM_TEAM_NAME);
-	return n;
-}
-
-static void fill_terms(const struct seam_conf *c, const struct seam_team *team,
-		       const char (*dc)[SEAM_TEAM_NAME], size_t dcs,
-		       struct seam_team_terms *t)
-{
-	memset(t, 0, sizeof(*t));
-	memcpy(t->name, team->name, sizeof(t->name));
-	t->limit = team->limit < SEAM_TEAM_UNITS_MAX ? team->limit :
-						       SEAM_TEAM_UNITS_MAX;
-	t->conf = seam_conf_version(c);
-	t->dc = dc;
-	t->dcs = dcs;
-	if (dcs && calls_services(c, team->name))
-		t->floor = t->limit / 2 / (int64_t)dcs;
-}
-
 static void configure(struct part_teams *p)
 {
 	struct seam_conf *c = seam_conf_current(&p->node->conf);
-	size_t n = seam_conf_count(c, SEAM_CONF_TEAM);
-	struct seam_team_terms *terms = calloc(n + 1, sizeof(*terms));
-	char(*dc)[SEAM_TEAM_NAME] = calloc(DCS_MAX, sizeof(*dc));
-	struct seam_handle h = SEAM_NONE;
-	const struct seam_team *team;
-	size_t dcs;
-	size_t i = 0;
-
-	if (terms && dc &&
-	    (!p->configured || seam_conf_version(c) != p->version)) {
-		dcs = list_dcs(c, dc);
-		while (i < n && (team = seam_conf_next(c, SEAM_CONF_TEAM, &h)))
-			fill_terms(c, team, (const char(*)[SEAM_TEAM_NAME])dc,
-				   dcs, &terms[i++]);
-		seam_teams_configure(p->teams, seam_conf_version(c), terms, i);
-		p->version = seam_conf_version(c);
-		p->configured = true;
-	}
-	free(terms);
-	free(dc);
+	const struct seam_team_terms *terms;
+	struct seam_team_set *set;
+	size_t n;
+
+	set = p->set && seam_conf_version(c) == seam_team_set_version(p->set) ?
+		      NULL :
+		      seam_team_set_new(c);
 	seam_conf_drop(c);
+	if (!set)
+		return;
+	terms = seam_team_set_all(set, &n);
+	seam_teams_configure(p->teams, seam_team_set_version(set), terms, n);
+	seam_team_set_free(p->set);
+	p->set = set;
 }
 
 static void list_vms(struct part_teams *p)
@@ -113,6 +60,8 @@
 
 	configure(p);
 	list_vms(p);
+	seam_teams_register(p->teams,
+			    (int64_t)seam_members_inc(p->node->members));
 	return seam_teams_pass(p->teams, now);
 }
 
@@ -191,19 +140,6 @@
 	reply_json(c, all);
 }
 
-static void terms_now(struct part_teams *p, const char *name,
-		      char (*dc)[SEAM_TEAM_NAME], struct seam_team_terms *t)
-{
-	struct seam_conf *c = seam_conf_current(&p->node->conf);
-	const struct seam_team *team = seam_conf_named(c, SEAM_CONF_TEAM, name);
-
-	memset(t, 0, sizeof(*t));
-	if (team)
-		fill_terms(c, team, (const char(*)[SEAM_TEAM_NAME])dc,
-			   list_dcs(c, dc), t);
-	seam_conf_drop(c);
-}
-
 static struct json_object *explain(struct part_teams *p, const char *name,
 				   seam_time deadline)
 {
@@ -212,21 +148,25 @@
 	struct seam_row row = {.data = NULL};
 	struct seam_ledger l = {.n = 0};
 	struct seam_team_info here;
-	struct seam_team_terms terms;
-	char dc[DCS_MAX][SEAM_TEAM_NAME];
+	struct seam_conf *c = seam_conf_current(&p->node->conf);
+	struct seam_team_set *set = seam_team_set_new(c);
+	const struct seam_team_terms *terms =
+		set ? seam_team_set_find(set, name) : NULL;
+	const struct seam_team_terms none = {.limit = 0};
 	char key[SEAM_KEY_MAX];
 	char text[400];
 	bool known = seam_teams_info(p->teams, name, &here);
 	bool read;
 	bool refused;
 
-	terms_now(p, name, dc, &terms);
+	seam_conf_drop(c);
 	seam_team_key(name, key);
 	read = (!seam_store_get(p->node->store, key, &row, deadline, &e) ||
 		e.kind == SEAM_NOT_FOUND) &&
 	       !seam_ledger_read(&row, name, &l, &e);
 	refused = seam_team_explain(read ? &l : NULL, known ? &here : NULL,
-				    &terms, text, sizeof(text));
+				    terms ? terms : &none, text, sizeof(text));
+	seam_team_set_free(set);
 	json_object_object_add(o, "team", json_object_new_string(name));
 	json_object_object_add(o, "refused", json_object_new_boolean(refused));
 	json_object_object_add(o, "reason", json_object_new_string(text));
@@ -265,13 +205,10 @@
 
 static void fill_self(struct seam_node *n, struct seam_teams_self *s)
 {
-	if (!n->incarnation)
-		n->incarnation = seam_now(n->clock);
 	memset(s, 0, sizeof(*s));
 	memcpy(s->node, n->settings.node, sizeof(s->node));
 	memcpy(s->vm, n->settings.vm, sizeof(s->vm));
 	memcpy(s->dc, n->settings.data_centre, sizeof(s->dc));
-	s->incarnation = n->incarnation;
 	s->clock = n->clock;
 	s->store = n->store;
 	s->owner = n->owner;
@@ -310,6 +247,7 @@
 		seam_loop_stop(&p->loop);
 	}
 	seam_teams_free(p->teams);
+	seam_team_set_free(p->set);
 	free(p);
 }
 
--- a/process/task.h
+++ b/process/task.h
@@ -171,6 +171,7 @@
  *         leaves @w->key NULL; SEAM_OVER_LIMIT refuses the start. The content
  *         of @w stays valid until @done.
  * @done: outcome of that commit
+ * @free: free it
  */
 struct seam_task_limit_ops {
 	int (*write)(struct seam_task_limit *l, const char *team,
@@ -178,6 +179,7 @@
 		     struct seam_write *w, struct seam_err *e);
 	void (*done)(struct seam_task_limit *l, const char *team,
 		     const char *key, bool applied, uint64_t version);
+	void (*free)(struct seam_task_limit *l);
 };
 
 /** struct seam_task_limit - limits; the vtable is the first member */
@@ -185,6 +187,17 @@
 	const struct seam_task_limit_ops *ops;
 };
 
+/**
+ * seam_task_limit_teams() - grants of buckets in the rows of teams
+ *
+ * The row of a team changes in the commit of the bucket, so that the grants
+ * and the running tasks agree at every version. A few units stay granted
+ * unused, which saves a write for most starts and ends.
+ */
+struct seam_task_limit *seam_task_limit_teams(struct seam_clock *k,
+					      struct seam_store *s,
+					      struct seam_conf_cell *conf);
+
 /**
  * struct seam_task_ctx - what the buckets of a node share
  * @node: name of the node, with its incarnation
--- a/process/task_team.c
+++ b/process/task_team.c
@@ -31,6 +31,7 @@
 	struct seam_conf_cell *conf;
 	GHashTable *teams; /* name to struct entry */
 	GHashTable *running; /* bucket row key to units in its last commit */
+	struct seam_team_set *set; /* terms of the version last seen */
 	int64_t asked; /* units of the commit being prepared */
 };
 
@@ -76,18 +77,23 @@
 	return 0;
 }
 
-/* Units and cap of @holder in the row as known. */
-static int granted(struct entry *t, const char *team, const char *holder,
-		   int64_t *units, int64_t *cap, struct seam_err *e)
+/*
+ * Reads the units of @holder and whether the grants sum to more than the limit:
+ * then nothing starts until holders have released enough.
+ */
+static int granted(struct entry *t, const struct seam_team_terms *terms,
+		   const char *holder, int64_t *units, bool *over,
+		   struct seam_err *e)
 {
 	struct seam_ledger ledger;
 	struct seam_grant *g;
 
-	if (seam_ledger_read(t->row.data ? &t->row : NULL, team, &ledger, e))
+	if (seam_ledger_read(t->row.data ? &t->row : NULL, terms->name, &ledger,
+			     e))
 		return -1;
 	g = seam_ledger_find(&ledger, holder);
 	*units = g ? g->units : 0;
-	*cap = g ? g->cap : 0;
+	*over = seam_ledger_sum(&ledger) > terms->limit;
 	seam_ledger_free(&ledger);
 	return 0;
 }
@@ -126,12 +132,12 @@
 
 static int change(struct limit *l, struct entry *t,
 		  const struct seam_team_terms *terms, const char *holder,
-		  int64_t units, seam_time now, struct seam_write *w,
+		  int64_t units, bool over, seam_time now, struct seam_write *w,
 		  struct seam_err *e)
 {
 	const struct seam_row *row = t->row.data ? &t->row : NULL;
 
-	int64_t more = units ? units + SLACK_UNITS / 2 : 0;
+	int64_t more = units && !over ? units + SLACK_UNITS / 2 : units;
 
 	if (seam_team_prepare(row, terms, holder, more, now, &t->put, e)) {
 		seam_err_clear(e);
@@ -146,41 +152,49 @@
 	return 0;
 }
 
+static const struct seam_team_terms *terms_of(struct limit *l, const char *team)
+{
+	struct seam_conf *c = seam_conf_current(l->conf);
+
+	if (!l->set || seam_team_set_version(l->set) != seam_conf_version(c)) {
+		seam_team_set_free(l->set);
+		l->set = seam_team_set_new(c);
+	}
+	seam_conf_drop(c);
+	return l->set ? seam_team_set_find(l->set, team) : NULL;
+}
+
 static int limit_write(struct seam_task_limit *base, const char *team,
 		       const char *key, int units, seam_time now,
 		       struct seam_write *w, struct seam_err *e)
 {
 	struct limit *l = (struct limit *)base;
 	struct entry *t = entry_of(l, team);
-	struct seam_team_terms_set *set;
 	const struct seam_team_terms *terms;
 	char holder[SEAM_HOLDER_MAX];
+	struct seam_team_terms deleted = {.limit = 0};
 	int64_t have;
-	int64_t cap;
-	int rc;
+	bool over;
 
 	w->key = NULL;
 	l->asked = units;
 	snprintf(holder, sizeof(holder), "bucket:%s", key + strlen("queue/"));
+	terms = terms_of(l, team);
+	if (!terms) {
+		/* The running tasks of a deleted team still end and release. */
+		g_strlcpy(deleted.name, team, sizeof(deleted.name));
+		terms = &deleted;
+	}
 	if (read_row(l, t, team, now, e) ||
-	    granted(t, team, holder, &have, &cap, e))
+	    granted(t, terms, holder, &have, &over, e))
 		return -1;
-	if (units <= have && units > cap &&
-	    units > running_before(l, key, have))
+	if (over && units > running_before(l, key, have))
 		return seam_fail(e, SEAM_OVER_LIMIT,
-				 "team %s: the limit was lowered", team);
-	if (units <= have && have - units <= SLACK_UNITS &&
-	    (cap == have || units == have))
+				 "team %s: more is granted than the limit %lld",
+				 team, (long long)terms->limit);
+	if (units <= have && have - units <= (over ? 0 : SLACK_UNITS))
 		return 0;
-	set = seam_team_terms_read(l->conf);
-	terms = seam_team_terms_find(set, team);
-	if (terms)
-		rc = change(l, t, terms, holder, units, now, w, e);
-	else
-		rc = seam_fail(e, SEAM_OVER_LIMIT, "team %s is not configured",
-			       team);
-	seam_team_terms_free(set);
-	return rc;
+	return change(l, t, terms, holder, units, over, now, w, e);
 }
 
 static void limit_done(struct seam_task_limit *base, const char *team,
@@ -212,6 +226,7 @@
 {
 	struct limit *l = (struct limit *)base;
 
+	seam_team_set_free(l->set);
 	g_hash_table_destroy(l->teams);
 	g_hash_table_destroy(l->running);
 	g_free(l);
--- a/process/team.c
+++ b/process/team.c
@@ -29,6 +29,15 @@
 	return t->random * 0x2545f4914f6cdd1dull >> 32;
 }
 
+void seam_teams_register(struct seam_teams *t, int64_t incarnation)
+{
+	if (!incarnation || t->self.incarnation)
+		return;
+	t->self.incarnation = incarnation;
+	snprintf(t->grant.holder, sizeof(t->grant.holder), "node:%s#%" PRId64,
+		 t->self.node, incarnation);
+}
+
 struct seam_teams *seam_teams_new(const struct seam_teams_self *self)
 {
 	struct seam_teams *t = calloc(1, sizeof(*t));
@@ -38,8 +47,8 @@
 	t->admit.ops = &seam_teams_admit_ops;
 	t->self = *self;
 	t->random = self->seed ? self->seed : 1;
-	snprintf(t->grant.holder, sizeof(t->grant.holder), "node:%s#%" PRId64,
-		 self->node, self->incarnation);
+	t->self.incarnation = 0;
+	seam_teams_register(t, self->incarnation);
 	memcpy(t->grant.dc, self->dc, sizeof(t->grant.dc));
 	memcpy(t->grant.vm, self->vm, sizeof(t->grant.vm));
 	pthread_mutex_init(&t->lock, NULL);
@@ -275,6 +284,8 @@
 	seam_time wait;
 	bool more;
 
+	if (!t->self.incarnation)
+		return now + PASS_GAP;
 	if (now < t->pass_at)
 		return t->pass_at;
 	pthread_mutex_lock(&t->lock);
--- a/process/team.h
+++ b/process/team.h
@@ -6,6 +6,7 @@
 #include "process/admit.h"
 #include "process/owner.h"
 #include "process/store.h"
+#include "version/conf.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -77,6 +78,28 @@
 	size_t n;
 };
 
+/**
+ * struct seam_team_set - terms of all teams of one version of the configuration
+ */
+struct seam_team_set;
+
+/** seam_team_set_new() - terms of every team of @c; NULL without memory */
+struct seam_team_set *seam_team_set_new(const struct seam_conf *c);
+
+/** seam_team_set_version() - version that the terms come from */
+uint64_t seam_team_set_version(const struct seam_team_set *s);
+
+/** seam_team_set_all() - all terms and their number */
+const struct seam_team_terms *seam_team_set_all(const struct seam_team_set *s,
+						size_t *n);
+
+/** seam_team_set_find() - terms of a team, or NULL */
+const struct seam_team_terms *seam_team_set_find(const struct seam_team_set *s,
+						 const char *team);
+
+/** seam_team_set_free() - free it; NULL is accepted */
+void seam_team_set_free(struct seam_team_set *s);
+
 /** seam_ledger_free() - free the grants */
 void seam_ledger_free(struct seam_ledger *l);
 
@@ -217,7 +240,7 @@
  * @node: name of the node
  * @vm: its VM
  * @dc: its data centre
- * @incarnation: incarnation of this process
+ * @incarnation: incarnation of this process; 0 if it has not registered yet
  * @clock: clock
  * @store: store
  * @owner: who marks dead holders and lowers limits
@@ -244,6 +267,14 @@
 /** seam_teams_new() - holdings without units; NULL without memory */
 struct seam_teams *seam_teams_new(const struct seam_teams_self *self);
 
+/**
+ * seam_teams_register() - the node has registered as @incarnation
+ *
+ * Before that a pass does nothing and every request is refused. Calls after
+ * the first have no effect. Called by the thread of the pass.
+ */
+void seam_teams_register(struct seam_teams *t, int64_t incarnation);
+
 /** seam_teams_free() - free; the row keeps the grants until reclaimed */
 void seam_teams_free(struct seam_teams *t);
 
