--- /dev/null
+++ b/bench/task_bench.c
@@ -0,0 +1,382 @@
+/* Figures of docs/tasks.md. Everything runs in one thread under a simulated
+ * clock; only the cost of a placement is measured in real time. */
+#include <json-c/json.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "fake/fake.h"
+#include "process/task.h"
+
+#define STEP (100 * SEAM_MSEC)
+#define WORKERS 50
+#define SAMPLES 60
+
+struct bench {
+	struct seam_fake_clock clock;
+	struct seam_store *store;
+	struct seam_fake_workers *workers;
+	struct seam_conf_cell conf;
+	struct seam_task_ctx c;
+	struct seam_tasks *tasks;
+};
+
+static double real_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+static void configure(struct bench *b)
+{
+	struct json_object *o = json_tokener_parse(
+		"{\"put\":[{\"kind\":\"data_centre\",\"object\":{\"name\":"
+		"\"a\",\"region\":\"r\"}},{\"kind\":\"pool\",\"object\":{"
+		"\"name\":\"p\",\"kind\":\"tasks\"}},{\"kind\":\"team\","
+		"\"object\":{\"name\":\"t\"}},{\"kind\":\"team\",\"object\":{"
+		"\"name\":\"u\"}},{\"kind\":\"queue\",\"object\":{\"name\":"
+		"\"q\",\"team\":\"t\",\"pool\":\"p\"}},{\"kind\":\"queue\","
+		"\"object\":{\"name\":\"v\",\"team\":\"u\",\"pool\":"
+		"\"p\"}}]}");
+	struct seam_change ch = {o, "bench", "bench", 0};
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_conf *c = seam_conf_commit(b->store, &b->clock.clock, &ch,
+					       b->clock.time + SEAM_SEC, &e);
+
+	seam_conf_cell_init(&b->conf);
+	seam_conf_publish(&b->conf, c);
+	json_object_put(o);
+}
+
+static void add_workers(struct bench *b)
+{
+	struct seam_fleet_vm *f = calloc(WORKERS, sizeof(*f));
+	int i;
+
+	for (i = 0; i < WORKERS; i++) {
+		struct seam_vm *vm = &f[i].vm;
+
+		snprintf(vm->id, sizeof(vm->id), "w%d", i);
+		snprintf(vm->dc, sizeof(vm->dc), "a");
+		snprintf(vm->rack, sizeof(vm->rack), "r%d", i / 4);
+		snprintf(vm->pool, sizeof(vm->pool), "p");
+		vm->cpu_milli = 32000;
+		vm->memory_mb = 128 << 10;
+		vm->boot = 1;
+		seam_fake_workers_add(b->workers, vm);
+	}
+	seam_fleet_set(b->c.fleet, f, WORKERS, b->clock.time);
+	free(f);
+}
+
+static void bench_new(struct bench *b)
+{
+	memset(b, 0, sizeof(*b));
+	seam_fake_init(&b->clock, 1000000 * (seam_time)SEAM_SEC);
+	b->store = seam_store_mem_new(&b->clock.clock);
+	b->workers = seam_fake_workers_new(&b->clock.clock, 1);
+	configure(b);
+	b->c.fleet = seam_fleet_new();
+	add_workers(b);
+	snprintf(b->c.node, sizeof(b->c.node), "n#1");
+	b->c.clock = &b->clock.clock;
+	b->c.store = b->store;
+	b->c.owner = seam_owner_all();
+	b->c.conf = &b->conf;
+	b->c.workers = seam_fake_workers_link(b->workers);
+	b->c.placer = seam_placer_best_fit();
+	b->c.sizes = seam_sizes_new();
+	b->c.order = seam_task_order_weighted(&b->conf);
+	b->c.lease = 15 * SEAM_SEC;
+	b->c.skew = 200 * SEAM_MSEC;
+	b->tasks = seam_tasks_new(&b->c);
+}
+
+static void bench_free(struct bench *b)
+{
+	seam_tasks_free(b->tasks);
+	b->c.workers->ops->free(b->c.workers);
+	b->c.placer->ops->free(b->c.placer);
+	b->c.order->ops->free(b->c.order);
+	seam_sizes_free(b->c.sizes);
+	seam_fleet_free(b->c.fleet);
+	seam_conf_cell_free(&b->conf);
+	seam_fake_workers_free(b->workers);
+	seam_store_close(b->store);
+}
+
+static void step(struct bench *b)
+{
+	seam_fake_set(&b->clock, b->clock.time + STEP);
+	seam_fake_workers_tick(b->workers, b->clock.time);
+	seam_tasks_pass(b->tasks, b->clock.time);
+}
+
+static int put(struct bench *b, const char *queue, int64_t cpu, int use,
+	       int run_ms, bool urgent, char id[SEAM_TASK_ID])
+{
+	struct seam_conf *c = seam_conf_current(&b->conf);
+	const struct seam_queue *q = seam_conf_named(c, SEAM_CONF_QUEUE, queue);
+	struct seam_err e = SEAM_ERR_INIT;
+	char payload[96];
+	struct seam_task_ask a = {.team = q->team,
+				  .queue = q,
+				  .kind = urgent ? "urgent" : "k",
+				  .group = "",
+				  .payload = payload,
+				  .need = {cpu, 1000, 0},
+				  .urgent = urgent,
+				  .idempotent = true,
+				  .finish_by = SEAM_NEVER};
+	int rc;
+
+	snprintf(payload, sizeof(payload),
+		 "{\"run_ms\":%d,\"cpu\":%d,\"mem\":500}", run_ms, use);
+	rc = seam_tasks_put(b->tasks, &a, id, b->clock.time + SEAM_SEC, &e);
+	seam_conf_drop(c);
+	return rc;
+}
+
+static int compare(const void *a, const void *b)
+{
+	seam_time x = *(const seam_time *)a;
+	seam_time y = *(const seam_time *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double seconds(seam_time t)
+{
+	return (double)t / SEAM_SEC;
+}
+
+static double no_rank(struct seam_task_order *o, const char *team,
+		      seam_time now)
+{
+	(void)o;
+	(void)team;
+	(void)now;
+	return 0;
+}
+
+static void no_running(struct seam_task_order *o, const char *team,
+		       const struct seam_need *by)
+{
+	(void)o;
+	(void)team;
+	(void)by;
+}
+
+static void no_free(struct seam_task_order *o)
+{
+	(void)o;
+}
+
+/* First come, first served. */
+static const struct seam_task_order_ops fifo_ops = {no_rank, no_rank,
+						    no_running, no_free};
+
+static void add_load(struct bench *b, int n)
+{
+	char id[SEAM_TASK_ID];
+
+	while (n--)
+		put(b, "q", 4000, 3600, 60000 + rand() % 120000, false, id);
+}
+
+/* 800 tasks of one to three minutes fill the fleet twice; then an urgent one
+ * comes each 2 s with more of the others. */
+static void urgent(bool lane, int samples)
+{
+	static struct seam_task_order fifo = {&fifo_ops};
+	seam_time wait[SAMPLES];
+	char id[SEAM_TASK_ID];
+	struct bench b;
+	int n;
+	int i;
+
+	bench_new(&b);
+	if (!lane) {
+		b.c.order->ops->free(b.c.order);
+		b.c.order = &fifo;
+		seam_tasks_free(b.tasks);
+		b.tasks = seam_tasks_new(&b.c);
+	}
+	srand(1);
+	add_load(&b, 800);
+	for (i = 0; i < 100; i++)
+		step(&b);
+	printf("%d tasks run when the first urgent one comes\n",
+	       seam_fake_workers_running(b.workers));
+	for (n = 0; n < samples; n++) {
+		seam_time at;
+
+		for (i = 0; i < 20; i++)
+			step(&b);
+		add_load(&b, 7);
+		if (put(&b, "v", 4000, 3600, 5000, lane, id))
+			printf("urgent task refused\n");
+		at = b.clock.time;
+		while (!seam_fake_workers_starts(b.workers, id) &&
+		       b.clock.time < at + 300 * (seam_time)SEAM_SEC) {
+			step(&b);
+			if (b.clock.time / STEP % 3 == 0)
+				add_load(&b, 1);
+		}
+		wait[n] = b.clock.time - at;
+	}
+	qsort(wait, (size_t)samples, sizeof(*wait), compare);
+	printf("urgent start, %s: p50 %.1f s, p99 %.1f s, %d samples\n",
+	       lane ? "urgent lane" : "first come first served",
+	       seconds(wait[samples * 50 / 100]),
+	       seconds(wait[samples * 99 / 100]), samples);
+	bench_free(&b);
+}
+
+/* Tasks declare four times what they use; how many run at once? At most 1024
+ * fit into the buckets of the queue. */
+static void waste(void)
+{
+	char id[SEAM_TASK_ID];
+	struct bench b;
+	int declared = 0;
+	int i;
+	int j;
+
+	bench_new(&b);
+	/* No task ends in the first ten seconds, so nothing is learned then. */
+	for (j = 0; j < 26; j++) {
+		for (i = 0; i < 120; i++)
+			put(&b, "q", 4000, 1000, 10000, false, id);
+		for (i = 0; i < 10; i++)
+			step(&b);
+		if (j == 8)
+			declared = seam_fake_workers_running(b.workers);
+	}
+	i = seam_fake_workers_running(b.workers);
+	printf("a task uses 1000 of 4000 declared: %d run at once by declared, "
+	       "%d by learned sizes\n",
+	       declared, i);
+	bench_free(&b);
+}
+
+static void writes(int per_second)
+{
+	struct seam_store_use before;
+	struct seam_store_use after;
+	char id[SEAM_TASK_ID];
+	struct bench b;
+	int seconds = 30;
+	int tasks = 0;
+	int i;
+
+	bench_new(&b);
+	before = seam_store_mem_use(b.store);
+	for (i = 0; i < seconds * 10; i++) {
+		while (tasks < (i + 1) * per_second / 10)
+			tasks += !put(&b, "q", 500, 500, 1000, false, id);
+		step(&b);
+	}
+	for (i = 0; i < 50; i++)
+		step(&b);
+	after = seam_store_mem_use(b.store);
+	printf("%d tasks/s: %.2f rows and %.2f commits a task, %.1f reads/s\n",
+	       per_second,
+	       (double)(after.rows_written - before.rows_written) / tasks,
+	       (double)(after.commits - before.commits) / tasks,
+	       (double)(after.reads - before.reads) / (seconds + 5));
+	bench_free(&b);
+}
+
+static void placement(int workers)
+{
+	struct seam_placer *p = seam_placer_best_fit();
+	struct seam_place_worker w;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_place_ask a = {.pool = "p"};
+	int rounds = 20000;
+	double start;
+	int found = 0;
+	int i;
+
+	srand(1);
+	for (i = 0; i < workers; i++) {
+		memset(&w, 0, sizeof(w));
+		snprintf(w.id, sizeof(w.id), "w%d", i);
+		snprintf(w.dc, sizeof(w.dc), "dc%d", i % 16);
+		snprintf(w.rack, sizeof(w.rack), "r%d", i / 4);
+		snprintf(w.pool, sizeof(w.pool), "p");
+		w.size.cpu = 64000;
+		w.size.mem = 128 << 10;
+		w.used.cpu = rand() % 64000;
+		w.used.mem = rand() % (128 << 10);
+		w.usable = true;
+		p->ops->set(p, &w);
+	}
+	start = real_us();
+	for (i = 0; i < rounds; i++) {
+		const struct seam_place_worker *got;
+
+		a.need.cpu = 500 + rand() % 8000;
+		a.need.mem = 500 + rand() % 16000;
+		got = p->ops->choose(p, &a, 0, &e);
+		found += got != NULL;
+		if (got) {
+			struct seam_need used = got->used;
+
+			p->ops->used(p, got->id, &used);
+		}
+	}
+	printf("placement, %d workers in 16 data centres: %.1f us, %d of %d "
+	       "found\n",
+	       workers, (real_us() - start) / rounds, found, rounds);
+	p->ops->free(p);
+}
+
+static void memory(void)
+{
+	struct mallinfo2 before;
+	struct mallinfo2 after;
+	char id[SEAM_TASK_ID];
+	struct bench b;
+	int n = 0;
+	int i;
+
+	bench_new(&b);
+	for (i = 0; i < 800; i++)
+		n += !put(&b, "q", 32000, 500, 1000000, false, id);
+	before = mallinfo2();
+	for (i = 0; i < 20; i++)
+		step(&b);
+	after = mallinfo2();
+	printf("memory: %.0f bytes a queued task held (%d tasks), %zu bytes of "
+	       "it the entry\n",
+	       (double)(after.uordblks - before.uordblks) / n, n,
+	       sizeof(struct seam_task));
+	bench_free(&b);
+}
+
+/* With the argument "short" the waits of urgent tasks are left out. */
+int main(int argc, char **argv)
+{
+	static const int sizes[] = {50, 500, 5000, 26000};
+	size_t i;
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	for (i = 0; i < sizeof(sizes) / sizeof(*sizes); i++)
+		placement(sizes[i]);
+	if (argc < 2 || strcmp(argv[1], "short")) {
+		urgent(true, SAMPLES);
+		urgent(false, 10);
+	}
+	waste();
+	writes(1);
+	writes(10);
+	writes(100);
+	memory();
+	return 0;
+}
--- /dev/null
+++ b/connection/workerlink.c
@@ -0,0 +1,367 @@
+#include "connection/workerlink.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/count.h"
+#include "base/log.h"
+
+#define QUEUE_MAX 512 /* commands that wait for one worker */
+/* A worker that answers late must not hold up starts behind it for long. */
+#define CALL_TIMEOUT_MS 500L
+#define LIST_GAP (1 * SEAM_SEC)
+#define IDLE_END (60 * SEAM_SEC) /* a link without commands ends */
+#define BODY_MAX (4u << 20) /* a listing */
+#define REPORTS_MAX 1024 /* of one bucket, not taken yet */
+
+SEAM_COUNT(sent, "seam_worker_commands_total", "Commands sent to workers.");
+SEAM_COUNT(unanswered, "seam_worker_commands_unanswered_total",
+	   "Commands to workers without a usable answer.");
+SEAM_COUNT(dropped, "seam_worker_commands_dropped_total",
+	   "Commands not queued because too many waited.");
+
+struct links;
+
+/* One worker: its connection and the thread that drives it. */
+struct link {
+	struct links *all;
+	char worker[64];
+	char addr[64];
+	GQueue cmds; /* struct seam_worker_cmd, payload owned */
+	pthread_cond_t wake;
+	pthread_t thread;
+	bool running;
+	bool ended;
+	seam_time last_cmd;
+	seam_time list_at;
+	CURL *curl;
+};
+
+struct links {
+	struct seam_workers workers;
+	struct seam_clock *clock;
+	char auth[256];
+	void (*wake)(void *arg);
+	void *arg;
+	pthread_mutex_t lock;
+	GHashTable *link; /* worker to struct link */
+	GHashTable *reports; /* prefix of ids to GQueue of reports */
+	bool stop;
+};
+
+static void cmd_free(void *p)
+{
+	struct seam_worker_cmd *c = p;
+
+	free((char *)c->payload);
+	free(c);
+}
+
+static struct seam_worker_cmd *cmd_copy(const struct seam_worker_cmd *c)
+{
+	struct seam_worker_cmd *n = malloc(sizeof(*n));
+
+	if (!n)
+		return NULL;
+	*n = *c;
+	n->payload = c->payload ? strdup(c->payload) : NULL;
+	return n;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	GString *s = arg;
+
+	if (s->len + size * n > BODY_MAX)
+		return 0;
+	g_string_append_len(s, data, (gssize)(size * n));
+	return size * n;
+}
+
+/* Returns the parsed answer, or NULL. @body is NULL for a GET. */
+static struct json_object *call(struct link *l, const char *addr,
+				const char *path, const char *body)
+{
+	struct curl_slist *list = curl_slist_append(NULL, l->all->auth);
+	GString *out = g_string_new(NULL);
+	struct json_object *o = NULL;
+	char url[160];
+	long status = 0;
+
+	g_snprintf(url, sizeof(url), "http://%s/%s", addr, path);
+	list = curl_slist_append(list, "Content-Type: application/json");
+	list = curl_slist_append(list, "Expect:");
+	curl_easy_reset(l->curl);
+	curl_easy_setopt(l->curl, CURLOPT_URL, url);
+	curl_easy_setopt(l->curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(l->curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(l->curl, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(l->curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(l->curl, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+	curl_easy_setopt(l->curl, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(l->curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(l->curl, CURLOPT_WRITEDATA, out);
+	if (body)
+		curl_easy_setopt(l->curl, CURLOPT_POSTFIELDS, body);
+	if (curl_easy_perform(l->curl) == CURLE_OK)
+		curl_easy_getinfo(l->curl, CURLINFO_RESPONSE_CODE, &status);
+	if (status == 200)
+		o = json_tokener_parse(out->str);
+	curl_slist_free_all(list);
+	g_string_free(out, TRUE);
+	return o;
+}
+
+static void queue_free(void *p)
+{
+	g_queue_free_full(p, free);
+}
+
+/* Reports are kept by bucket, so that a poll looks at no others. */
+static GQueue *queue_of(struct links *all, const char *task)
+{
+	const char *last = strrchr(task, '~');
+	char prefix[SEAM_TASK_ID];
+	GQueue *q;
+
+	g_strlcpy(prefix, task, last ? (gsize)(last - task) + 2 : 1);
+	q = g_hash_table_lookup(all->reports, prefix);
+	if (!q) {
+		q = g_queue_new();
+		g_hash_table_insert(all->reports, g_strdup(prefix), q);
+	}
+	return q;
+}
+
+static void add_report(struct link *l, struct json_object *o)
+{
+	struct seam_worker_report *r = malloc(sizeof(*r));
+	struct links *all = l->all;
+	GQueue *q;
+
+	if (!r || seam_worker_report_read(o, r) ||
+	    strcmp(r->worker, l->worker)) {
+		free(r);
+		seam_count_add(&unanswered, 1);
+		return;
+	}
+	pthread_mutex_lock(&all->lock);
+	q = queue_of(all, r->task);
+	if (q->length >= REPORTS_MAX)
+		free(g_queue_pop_head(q));
+	g_queue_push_tail(q, r);
+	pthread_mutex_unlock(&all->lock);
+}
+
+static void run_cmd(struct link *l, const struct seam_worker_cmd *c)
+{
+	struct json_object *body = seam_worker_cmd_json(c);
+	struct json_object *o = call(l, c->addr, seam_worker_do_name(c->what),
+				     json_object_to_json_string(body));
+
+	seam_count_add(&sent, 1);
+	if (o)
+		add_report(l, o);
+	else
+		seam_count_add(&unanswered, 1);
+	json_object_put(o);
+	json_object_put(body);
+}
+
+static void list_tasks(struct link *l, const char *addr)
+{
+	struct json_object *o = call(l, addr, "tasks", NULL);
+	size_t n = json_object_is_type(o, json_type_array) ?
+			   json_object_array_length(o) :
+			   0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		add_report(l, json_object_array_get_idx(o, i));
+	json_object_put(o);
+}
+
+/* Called and returns with the lock held. */
+static void serve(struct link *l, struct seam_worker_cmd *c)
+{
+	struct links *all = l->all;
+	char addr[64];
+
+	memcpy(addr, l->addr, sizeof(addr));
+	pthread_mutex_unlock(&all->lock);
+	if (c) {
+		run_cmd(l, c);
+		cmd_free(c);
+	} else {
+		list_tasks(l, addr);
+	}
+	if (all->wake)
+		all->wake(all->arg);
+	pthread_mutex_lock(&all->lock);
+	if (!c)
+		l->list_at = seam_now(all->clock) + LIST_GAP;
+}
+
+static void *run(void *arg)
+{
+	struct link *l = arg;
+	struct links *all = l->all;
+
+	l->curl = curl_easy_init();
+	pthread_mutex_lock(&all->lock);
+	while (!all->stop && l->curl) {
+		seam_time now = seam_now(all->clock);
+		struct seam_worker_cmd *c = g_queue_pop_head(&l->cmds);
+
+		if (c || now >= l->list_at)
+			serve(l, c);
+		else if (now - l->last_cmd > IDLE_END)
+			break;
+		else
+			seam_wait(all->clock, &l->wake, &all->lock, l->list_at);
+	}
+	l->ended = true;
+	pthread_mutex_unlock(&all->lock);
+	curl_easy_cleanup(l->curl);
+	return NULL;
+}
+
+static struct link *link_of(struct links *all, const char *worker)
+{
+	struct link *l = g_hash_table_lookup(all->link, worker);
+
+	if (l)
+		return l;
+	l = calloc(1, sizeof(*l));
+	if (!l)
+		return NULL;
+	l->all = all;
+	g_strlcpy(l->worker, worker, sizeof(l->worker));
+	g_queue_init(&l->cmds);
+	seam_cond_init(&l->wake);
+	g_hash_table_insert(all->link, l->worker, l);
+	return l;
+}
+
+static int ensure_thread(struct link *l, struct seam_err *e)
+{
+	if (l->running && l->ended) {
+		/* It holds no lock any more and is about to return. */
+		pthread_join(l->thread, NULL);
+		l->running = false;
+	}
+	if (l->running)
+		return 0;
+	l->ended = false;
+	if (pthread_create(&l->thread, NULL, run, l))
+		return seam_fail(e, SEAM_NO_MEMORY, "cannot start a thread");
+	l->running = true;
+	return 0;
+}
+
+static int http_send(struct seam_workers *w, const struct seam_worker_cmd *c,
+		     struct seam_err *e)
+{
+	struct links *all = (struct links *)w;
+	struct link *l;
+	int rc = -1;
+
+	pthread_mutex_lock(&all->lock);
+	l = link_of(all, c->worker);
+	if (l && *c->addr)
+		g_strlcpy(l->addr, c->addr, sizeof(l->addr));
+	if (!l || !*l->addr) {
+		seam_fail(e, SEAM_NOT_FOUND, "no address of worker %s",
+			  c->worker);
+	} else if (l->cmds.length >= QUEUE_MAX) {
+		seam_count_add(&dropped, 1);
+		seam_fail(e, SEAM_BUSY, "worker %s: %d commands wait",
+			  c->worker, QUEUE_MAX);
+	} else {
+		struct seam_worker_cmd *copy = cmd_copy(c);
+
+		if (copy)
+			g_strlcpy(copy->addr, l->addr, sizeof(copy->addr));
+		if (copy)
+			g_queue_push_tail(&l->cmds, copy);
+		l->last_cmd = seam_now(all->clock);
+		rc = ensure_thread(l, e);
+		pthread_cond_signal(&l->wake);
+	}
+	pthread_mutex_unlock(&all->lock);
+	return rc;
+}
+
+static size_t http_poll(struct seam_workers *w, const char *prefix,
+			struct seam_worker_report *out, size_t max)
+{
+	struct links *all = (struct links *)w;
+	struct seam_worker_report *r;
+	size_t n = 0;
+	GQueue *q;
+
+	pthread_mutex_lock(&all->lock);
+	q = g_hash_table_lookup(all->reports, prefix);
+	while (q && n < max && (r = g_queue_pop_head(q))) {
+		out[n++] = *r;
+		free(r);
+	}
+	pthread_mutex_unlock(&all->lock);
+	return n;
+}
+
+static void http_free(struct seam_workers *w)
+{
+	struct links *all = (struct links *)w;
+	GHashTableIter it;
+	gpointer v;
+
+	pthread_mutex_lock(&all->lock);
+	all->stop = true;
+	g_hash_table_iter_init(&it, all->link);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		pthread_cond_signal(&((struct link *)v)->wake);
+	pthread_mutex_unlock(&all->lock);
+	g_hash_table_iter_init(&it, all->link);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct link *l = v;
+
+		if (l->running)
+			pthread_join(l->thread, NULL);
+		g_queue_clear_full(&l->cmds, cmd_free);
+		pthread_cond_destroy(&l->wake);
+		free(l);
+	}
+	g_hash_table_destroy(all->link);
+	g_hash_table_destroy(all->reports);
+	pthread_mutex_destroy(&all->lock);
+	free(all);
+}
+
+static const struct seam_worker_ops ops = {
+	.send = http_send,
+	.poll = http_poll,
+	.free = http_free,
+};
+
+struct seam_workers *seam_workerlink_new(struct seam_clock *k, const char *key,
+					 void (*wake)(void *arg), void *arg)
+{
+	struct links *all = calloc(1, sizeof(*all));
+
+	if (!all)
+		return NULL;
+	all->workers.ops = &ops;
+	all->clock = k;
+	g_snprintf(all->auth, sizeof(all->auth), "Authorization: Bearer %s",
+		   key);
+	all->wake = wake;
+	all->arg = arg;
+	pthread_mutex_init(&all->lock, NULL);
+	all->link = g_hash_table_new(g_str_hash, g_str_equal);
+	all->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     queue_free);
+	return &all->workers;
+}
--- /dev/null
+++ b/connection/workerlink_json.c
@@ -0,0 +1,127 @@
+#include "connection/workerlink.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "base/json.h"
+
+static const char *const dos[] = {"start", "renew", "checkpoint", "throttle",
+				  "stop"};
+static const char *const says[] = {"running",	  "done",   "failed", "stopped",
+				   "not_started", "absent", "fenced"};
+
+const char *seam_worker_do_name(int what)
+{
+	return dos[what];
+}
+
+const char *seam_worker_say_name(int say)
+{
+	return says[say];
+}
+
+int seam_worker_say_of(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(says); i++)
+		if (!strcmp(says[i], name))
+			return (int)i;
+	return -1;
+}
+
+static void put_str(struct json_object *o, const char *name, const char *v)
+{
+	json_object_object_add(o, name, json_object_new_string(v));
+}
+
+static void put_int(struct json_object *o, const char *name, int64_t v)
+{
+	json_object_object_add(o, name, json_object_new_int64(v));
+}
+
+static void put_need(struct json_object *o, const struct seam_need *n)
+{
+	put_int(o, "cpu_milli", n->cpu);
+	put_int(o, "memory_mb", n->mem);
+	put_int(o, "accelerators", n->acc);
+}
+
+static void get_need(struct json_object *o, struct seam_need *n)
+{
+	n->cpu = seam_json_int(o, "cpu_milli", 0);
+	n->mem = seam_json_int(o, "memory_mb", 0);
+	n->acc = seam_json_int(o, "accelerators", 0);
+}
+
+static void get_str(struct json_object *o, const char *name, char *out,
+		    size_t size)
+{
+	g_strlcpy(out, seam_json_str(o, name, ""), size);
+}
+
+struct json_object *seam_worker_cmd_json(const struct seam_worker_cmd *c)
+{
+	struct json_object *o = json_object_new_object();
+
+	put_str(o, "task", c->task);
+	put_int(o, "attempt", c->attempt);
+	put_int(o, "token", (int64_t)c->token);
+	put_int(o, "boot", c->boot);
+	put_int(o, "start_by", c->start_by);
+	put_int(o, "lease_until", c->lease_until);
+	put_need(o, &c->need);
+	put_str(o, "team", c->team);
+	put_str(o, "kind", c->kind);
+	if (c->payload)
+		put_str(o, "payload", c->payload);
+	return o;
+}
+
+void seam_worker_cmd_read(struct json_object *o, struct seam_worker_cmd *c)
+{
+	memset(c, 0, sizeof(*c));
+	get_str(o, "task", c->task, sizeof(c->task));
+	c->attempt = seam_json_int(o, "attempt", 0);
+	c->token = (uint64_t)seam_json_int(o, "token", 0);
+	c->boot = seam_json_int(o, "boot", 0);
+	c->start_by = seam_json_int(o, "start_by", 0);
+	c->lease_until = seam_json_int(o, "lease_until", 0);
+	get_need(o, &c->need);
+	get_str(o, "team", c->team, sizeof(c->team));
+	get_str(o, "kind", c->kind, sizeof(c->kind));
+	c->payload = seam_json_str(o, "payload", NULL);
+}
+
+struct json_object *seam_worker_report_json(const struct seam_worker_report *r)
+{
+	struct json_object *o = json_object_new_object();
+
+	put_str(o, "state", says[r->say]);
+	put_str(o, "worker", r->worker);
+	put_str(o, "task", r->task);
+	put_int(o, "attempt", r->attempt);
+	put_int(o, "token", (int64_t)r->token);
+	put_int(o, "boot", r->boot);
+	put_need(o, &r->usage);
+	put_int(o, "usage_at", r->usage_at);
+	put_str(o, "reason", r->reason);
+	return o;
+}
+
+int seam_worker_report_read(struct json_object *o, struct seam_worker_report *r)
+{
+	memset(r, 0, sizeof(*r));
+	if (!json_object_is_type(o, json_type_object))
+		return -1;
+	r->say = seam_worker_say_of(seam_json_str(o, "state", ""));
+	get_str(o, "worker", r->worker, sizeof(r->worker));
+	get_str(o, "task", r->task, sizeof(r->task));
+	r->attempt = seam_json_int(o, "attempt", 0);
+	r->token = (uint64_t)seam_json_int(o, "token", 0);
+	r->boot = seam_json_int(o, "boot", 0);
+	get_need(o, &r->usage);
+	r->usage_at = seam_json_int(o, "usage_at", 0);
+	get_str(o, "reason", r->reason, sizeof(r->reason));
+	return r->say < 0 || !*r->task ? -1 : 0;
+}
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "connection/workerlink.h"
 #include "process/platform.h"
 #include "process/store.h"
 
@@ -77,6 +78,83 @@
 /** seam_fake_platform_free() - free it */
 void seam_fake_platform_free(struct seam_fake_platform *p);
 
+/**
+ * struct seam_fake_worker_faults - behaviour of a fake worker
+ * @paused: does nothing and answers nothing
+ * @fail_all: each task fails 100 ms after its start
+ * @fail_kind: the same for tasks of this kind
+ * @lose_answers: of 1,000 commands, how many are done without an answer
+ * @usage_lag: usage is reported as of this many microseconds ago
+ * @no_listing: nothing is told but the answers to commands
+ */
+struct seam_fake_worker_faults {
+	bool paused;
+	bool fail_all;
+	char fail_kind[64];
+	int lose_answers;
+	seam_time usage_lag;
+	bool no_listing;
+};
+
+/**
+ * struct seam_fake_workers - workers in memory
+ *
+ * The payload of a task decides what it does: {"run_ms":N,"cpu":N,"mem":N,
+ * "fail":true,"once":true,"deaf":true}; "once" marks a task that must not have
+ * effects twice, "deaf" one that takes no notice of a throttle. Promises that a
+ * worker can see are checked with SEAM_INVARIANT: effects once, one valid lease
+ * for a task, no start in a data centre more than 5 s after
+ * seam_fake_workers_dc_out(), reservations within the size.
+ */
+struct seam_fake_workers;
+
+/** seam_fake_workers_new() - no workers yet */
+struct seam_fake_workers *seam_fake_workers_new(struct seam_clock *k,
+						uint64_t seed);
+
+/** seam_fake_workers_free() - free; links are freed before */
+void seam_fake_workers_free(struct seam_fake_workers *f);
+
+/** seam_fake_workers_add() - add a worker, or reboot it with @vm->boot */
+void seam_fake_workers_add(struct seam_fake_workers *f,
+			   const struct seam_vm *vm);
+
+/** seam_fake_workers_del() - the worker is lost with all that it ran */
+void seam_fake_workers_del(struct seam_fake_workers *f, const char *id);
+
+/** seam_fake_workers_set() - change the faults of a worker */
+void seam_fake_workers_set(struct seam_fake_workers *f, const char *id,
+			   const struct seam_fake_worker_faults *faults);
+
+/** seam_fake_workers_dc_out() - a data centre was taken out, or 0: is in */
+void seam_fake_workers_dc_out(struct seam_fake_workers *f, const char *dc,
+			      seam_time at);
+
+/** seam_fake_workers_tick() - let time pass on all workers */
+void seam_fake_workers_tick(struct seam_fake_workers *f, seam_time now);
+
+/** seam_fake_workers_starts() - starts of a task, or of all if NULL */
+int seam_fake_workers_starts(struct seam_fake_workers *f, const char *task);
+
+/** seam_fake_workers_running() - tasks that run now */
+int seam_fake_workers_running(struct seam_fake_workers *f);
+
+/** seam_fake_workers_link() - link of one node to them, without HTTP */
+struct seam_workers *seam_fake_workers_link(struct seam_fake_workers *f);
+
+/** seam_fake_link_cut() - cut a link, or join it again */
+void seam_fake_link_cut(struct seam_workers *s, bool cut);
+
+struct seam_fake_worker_http;
+
+/** seam_fake_worker_http_new() - serve worker @id over HTTP at @addr */
+struct seam_fake_worker_http *
+seam_fake_worker_http_new(struct seam_fake_workers *f, const char *id,
+			  const char *addr);
+
+/** seam_fake_worker_http_free() - stop serving */
+void seam_fake_worker_http_free(struct seam_fake_worker_http *h);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/fake/worker.c
@@ -0,0 +1,469 @@
+#include "fake/worker_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/json.h"
+#include "base/log.h"
+
+#define FAIL_TIME (100 * SEAM_MSEC)
+#define STOP_TIME (300 * SEAM_MSEC) /* a checkpoint takes this long */
+#define OUT_BOUND (5 * SEAM_SEC) /* P5 */
+#define REPORTS_KEPT 512
+#define LIST_GAP (1 * SEAM_SEC)
+#define LIST_ENDED (60 * SEAM_SEC) /* ended tasks are listed this long */
+
+static void worker_free(void *p)
+{
+	struct worker *w = p;
+
+	g_hash_table_destroy(w->recs);
+	free(w);
+}
+
+struct seam_fake_workers *seam_fake_workers_new(struct seam_clock *k,
+						uint64_t seed)
+{
+	struct seam_fake_workers *f = calloc(1, sizeof(*f));
+
+	f->clock = k;
+	f->seed = seed ? seed : 1;
+	pthread_mutex_init(&f->lock, NULL);
+	f->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   worker_free);
+	f->starts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return f;
+}
+
+void seam_fake_workers_free(struct seam_fake_workers *f)
+{
+	g_hash_table_destroy(f->workers);
+	g_hash_table_destroy(f->starts);
+	g_hash_table_destroy(f->out);
+	pthread_mutex_destroy(&f->lock);
+	free(f);
+}
+
+void seam_fake_workers_add(struct seam_fake_workers *f,
+			   const struct seam_vm *vm)
+{
+	struct worker *w = calloc(1, sizeof(*w));
+
+	w->vm = *vm;
+	w->recs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	pthread_mutex_lock(&f->lock);
+	g_hash_table_replace(f->workers, w->vm.id, w);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void seam_fake_workers_del(struct seam_fake_workers *f, const char *id)
+{
+	pthread_mutex_lock(&f->lock);
+	g_hash_table_remove(f->workers, id);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void seam_fake_workers_set(struct seam_fake_workers *f, const char *id,
+			   const struct seam_fake_worker_faults *faults)
+{
+	struct worker *w;
+
+	pthread_mutex_lock(&f->lock);
+	w = g_hash_table_lookup(f->workers, id);
+	if (w)
+		w->faults = *faults;
+	pthread_mutex_unlock(&f->lock);
+}
+
+void seam_fake_workers_dc_out(struct seam_fake_workers *f, const char *dc,
+			      seam_time at)
+{
+	pthread_mutex_lock(&f->lock);
+	if (at) {
+		seam_time *t = g_new(seam_time, 1);
+
+		*t = at;
+		g_hash_table_replace(f->out, g_strdup(dc), t);
+	} else {
+		g_hash_table_remove(f->out, dc);
+	}
+	pthread_mutex_unlock(&f->lock);
+}
+
+int seam_fake_workers_starts(struct seam_fake_workers *f, const char *task)
+{
+	int n;
+
+	pthread_mutex_lock(&f->lock);
+	n = task ? GPOINTER_TO_INT(g_hash_table_lookup(f->starts, task)) :
+		   f->all_starts;
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
+
+static int running_on(struct worker *w, struct seam_need *sum)
+{
+	GHashTableIter it;
+	gpointer v;
+	int n = 0;
+
+	memset(sum, 0, sizeof(*sum));
+	g_hash_table_iter_init(&it, w->recs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct rec *r = v;
+
+		if (r->say != SEAM_SAY_RUNNING)
+			continue;
+		n++;
+		sum->cpu += r->need.cpu;
+		sum->mem += r->need.mem;
+		sum->acc += r->need.acc;
+	}
+	return n;
+}
+
+int seam_fake_workers_running(struct seam_fake_workers *f)
+{
+	struct seam_need sum;
+	GHashTableIter it;
+	gpointer v;
+	int n = 0;
+
+	pthread_mutex_lock(&f->lock);
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		n += running_on(v, &sum);
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
+
+static void check_leases(struct seam_fake_workers *f, struct worker *at,
+			 const char *task, seam_time now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct worker *w = v;
+		struct rec *r = g_hash_table_lookup(w->recs, task);
+
+		SEAM_INVARIANT(w == at || !r || r->say != SEAM_SAY_RUNNING ||
+				       r->lease_until < now,
+			       "fake", "task %s holds a lease on %s and %s",
+			       task, w->vm.id, at->vm.id);
+	}
+}
+
+static void check_start(struct seam_fake_workers *f, struct worker *w,
+			struct rec *r, seam_time now)
+{
+	seam_time *out = g_hash_table_lookup(f->out, w->vm.dc);
+	struct seam_need sum;
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(f->starts, r->task)) + 1;
+
+	g_hash_table_replace(f->starts, g_strdup(r->task), GINT_TO_POINTER(n));
+	f->all_starts++;
+	SEAM_INVARIANT(!r->once || n == 1, "fake",
+		       "task %s has effects %d times", r->task, n);
+	SEAM_INVARIANT(!out || now <= *out + OUT_BOUND, "fake",
+		       "task %s starts in data centre %s that is out", r->task,
+		       w->vm.dc);
+	check_leases(f, w, r->task, now);
+	running_on(w, &sum);
+	SEAM_INVARIANT(sum.cpu <= w->vm.cpu_milli && sum.mem <= w->vm.memory_mb,
+		       "fake", "worker %s has %lld of %lld reserved", w->vm.id,
+		       (long long)sum.cpu, (long long)w->vm.cpu_milli);
+}
+
+static struct rec *rec_new(struct worker *w, const struct seam_worker_cmd *c)
+{
+	struct rec *r = calloc(1, sizeof(*r));
+
+	g_strlcpy(r->task, c->task, sizeof(r->task));
+	r->attempt = c->attempt;
+	r->token = c->token;
+	r->say = SEAM_SAY_NOT_STARTED;
+	g_hash_table_replace(w->recs, r->task, r);
+	return r;
+}
+
+static void begin(struct seam_fake_workers *f, struct worker *w, struct rec *r,
+		  const struct seam_worker_cmd *c, seam_time now)
+{
+	struct json_object *o =
+		c->payload ? json_tokener_parse(c->payload) : NULL;
+	bool fail = json_object_get_boolean(json_object_object_get(o, "fail"));
+
+	r->say = SEAM_SAY_RUNNING;
+	r->need = c->need;
+	r->lease_until = c->lease_until;
+	r->once = json_object_get_boolean(json_object_object_get(o, "once"));
+	r->deaf = json_object_get_boolean(json_object_object_get(o, "deaf"));
+	r->usage.cpu = seam_json_int(o, "cpu", c->need.cpu);
+	r->usage.mem = seam_json_int(o, "mem", c->need.mem);
+	r->end_at = now + seam_json_int(o, "run_ms", 1000) * SEAM_MSEC;
+	r->fails =
+		fail || w->faults.fail_all ||
+		(*w->faults.fail_kind && !strcmp(w->faults.fail_kind, c->kind));
+	if (r->fails)
+		r->end_at = now + FAIL_TIME;
+	json_object_put(o);
+	check_start(f, w, r, now);
+}
+
+static void on_start(struct seam_fake_workers *f, struct worker *w,
+		     struct rec **r, const struct seam_worker_cmd *c,
+		     seam_time now)
+{
+	if (*r && (*r)->attempt >= c->attempt)
+		return;
+	*r = rec_new(w, c);
+	if (now > c->start_by)
+		g_strlcpy((*r)->reason, "after start_by", 96);
+	else if (c->boot != w->vm.boot)
+		g_strlcpy((*r)->reason, "rebooted since", 96);
+	else
+		begin(f, w, *r, c, now);
+}
+
+static void on_stop(struct worker *w, struct rec **r,
+		    const struct seam_worker_cmd *c, seam_time now)
+{
+	if (!*r || (*r)->attempt < c->attempt)
+		*r = rec_new(w, c);
+	else if ((*r)->say == SEAM_SAY_RUNNING && !(*r)->stop_at)
+		(*r)->stop_at = now + STOP_TIME;
+}
+
+static void report(struct seam_fake_workers *f, struct worker *w,
+		   const struct rec *r, uint64_t token,
+		   struct seam_worker_report *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->say = r->say;
+	out->attempt = r->attempt;
+	out->token = token;
+	out->boot = w->vm.boot;
+	out->usage = r->usage;
+	out->usage_at = seam_now(f->clock) - w->faults.usage_lag;
+	memcpy(out->worker, w->vm.id, sizeof(out->worker));
+	memcpy(out->task, r->task, sizeof(out->task));
+	memcpy(out->reason, r->reason, sizeof(out->reason));
+}
+
+static void do_cmd(struct seam_fake_workers *f, struct worker *w,
+		   const struct seam_worker_cmd *c,
+		   struct seam_worker_report *out, seam_time now)
+{
+	struct rec *r = g_hash_table_lookup(w->recs, c->task);
+	struct rec none = {.say = SEAM_SAY_ABSENT, .attempt = c->attempt};
+
+	if (r && (c->token < r->token || c->attempt < r->attempt)) {
+		report(f, w, r, c->token, out);
+		out->attempt = c->attempt;
+		out->say = SEAM_SAY_FENCED;
+		return;
+	}
+	if (r)
+		r->token = c->token;
+	if (c->what == SEAM_DO_START)
+		on_start(f, w, &r, c, now);
+	else if (c->what == SEAM_DO_STOP || c->what == SEAM_DO_CHECKPOINT)
+		on_stop(w, &r, c, now);
+	else if (r && r->attempt == c->attempt && c->what == SEAM_DO_RENEW)
+		r->lease_until = MAX(r->lease_until, c->lease_until);
+	else if (r && c->what == SEAM_DO_THROTTLE && !r->deaf)
+		r->usage = c->need;
+	if (!r || r->attempt < c->attempt) {
+		g_strlcpy(none.task, c->task, sizeof(none.task));
+		r = &none;
+	}
+	report(f, w, r, c->token, out);
+}
+
+int seam_fake_do(struct seam_fake_workers *f, const char *id,
+		 const struct seam_worker_cmd *c,
+		 struct seam_worker_report *out)
+{
+	seam_time now = seam_now(f->clock);
+	struct worker *w;
+	int rc = -1;
+
+	seam_fake_workers_tick(f, now);
+	pthread_mutex_lock(&f->lock);
+	w = g_hash_table_lookup(f->workers, id);
+	if (w && !w->faults.paused) {
+		do_cmd(f, w, c, out, now);
+		f->seed = f->seed * 6364136223846793005ull +
+			  1442695040888963407ull;
+		rc = (int)(f->seed >> 33) % 1000 < w->faults.lose_answers ? -1 :
+									    0;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return rc;
+}
+
+static void end(struct rec *r, int say, const char *why, seam_time now)
+{
+	r->say = say;
+	r->ended_at = now;
+	g_strlcpy(r->reason, why, sizeof(r->reason));
+}
+
+static void tick(struct worker *w, seam_time now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (w->faults.paused)
+		return;
+	g_hash_table_iter_init(&it, w->recs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct rec *r = v;
+
+		if (r->say != SEAM_SAY_RUNNING)
+			continue;
+		if (r->lease_until < now)
+			end(r, SEAM_SAY_STOPPED, "lease expired", now);
+		else if (r->stop_at && r->stop_at <= now)
+			end(r, SEAM_SAY_STOPPED, "on command", now);
+		else if (r->end_at <= now)
+			end(r, r->fails ? SEAM_SAY_FAILED : SEAM_SAY_DONE,
+			    r->fails ? "exit code 1" : "", now);
+	}
+}
+
+void seam_fake_workers_tick(struct seam_fake_workers *f, seam_time now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	pthread_mutex_lock(&f->lock);
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		tick(v, now);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void seam_fake_list(struct seam_fake_workers *f, const char *id, GArray *out)
+{
+	seam_time now = seam_now(f->clock);
+	struct seam_worker_report r;
+	struct worker *w;
+	GHashTableIter it;
+	gpointer v;
+
+	pthread_mutex_lock(&f->lock);
+	w = g_hash_table_lookup(f->workers, id);
+	if (w && !w->faults.paused && !w->faults.no_listing) {
+		g_hash_table_iter_init(&it, w->recs);
+		while (g_hash_table_iter_next(&it, NULL, &v)) {
+			struct rec *e = v;
+
+			if (e->ended_at && now - e->ended_at > LIST_ENDED)
+				continue;
+			report(f, w, e, 0, &r);
+			g_array_append_val(out, r);
+		}
+	}
+	pthread_mutex_unlock(&f->lock);
+}
+
+/* A node's link, called directly. */
+struct link {
+	struct seam_workers workers;
+	struct seam_fake_workers *fleet;
+	GArray *reports;
+	seam_time list_at;
+	bool cut;
+};
+
+static int link_send(struct seam_workers *s, const struct seam_worker_cmd *c,
+		     struct seam_err *e)
+{
+	struct link *l = (struct link *)s;
+	struct seam_worker_report r;
+
+	(void)e;
+	if (!l->cut && !seam_fake_do(l->fleet, c->worker, c, &r))
+		g_array_append_val(l->reports, r);
+	return 0;
+}
+
+static void list_all(struct link *l)
+{
+	GList *ids;
+	GList *i;
+
+	pthread_mutex_lock(&l->fleet->lock);
+	ids = g_hash_table_get_keys(l->fleet->workers);
+	pthread_mutex_unlock(&l->fleet->lock);
+	for (i = ids; i; i = i->next)
+		seam_fake_list(l->fleet, i->data, l->reports);
+	g_list_free(ids);
+}
+
+static size_t link_poll(struct seam_workers *s, const char *prefix,
+			struct seam_worker_report *out, size_t max)
+{
+	struct link *l = (struct link *)s;
+	seam_time now = seam_now(l->fleet->clock);
+	size_t len = strlen(prefix);
+	size_t n = 0;
+	guint i = 0;
+
+	seam_fake_workers_tick(l->fleet, now);
+	if (!l->cut && now >= l->list_at) {
+		/* Reports for buckets that this node lost are never taken. */
+		if (l->reports->len > REPORTS_KEPT)
+			g_array_remove_range(l->reports, 0,
+					     l->reports->len - REPORTS_KEPT);
+		list_all(l);
+		l->list_at = now + LIST_GAP;
+	}
+	while (i < l->reports->len && n < max) {
+		struct seam_worker_report *r = &g_array_index(
+			l->reports, struct seam_worker_report, i);
+
+		if (strncmp(r->task, prefix, len)) {
+			i++;
+			continue;
+		}
+		out[n++] = *r;
+		g_array_remove_index(l->reports, i);
+	}
+	return n;
+}
+
+static void link_free(struct seam_workers *s)
+{
+	struct link *l = (struct link *)s;
+
+	g_array_free(l->reports, TRUE);
+	free(l);
+}
+
+static const struct seam_worker_ops link_ops = {
+	.send = link_send,
+	.poll = link_poll,
+	.free = link_free,
+};
+
+struct seam_workers *seam_fake_workers_link(struct seam_fake_workers *f)
+{
+	struct link *l = calloc(1, sizeof(*l));
+
+	l->workers.ops = &link_ops;
+	l->fleet = f;
+	l->reports =
+		g_array_new(FALSE, FALSE, sizeof(struct seam_worker_report));
+	return &l->workers;
+}
+
+void seam_fake_link_cut(struct seam_workers *s, bool cut)
+{
+	((struct link *)s)->cut = cut;
+}
--- /dev/null
+++ b/fake/worker_http.c
@@ -0,0 +1,134 @@
+#include "fake/worker_impl.h"
+
+#include <civetweb.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct seam_fake_worker_http {
+	struct seam_fake_workers *workers;
+	char id[64];
+	struct mg_context *ctx;
+};
+
+static void answer(struct mg_connection *conn, struct json_object *o)
+{
+	const char *body = json_object_to_json_string(o);
+
+	mg_printf(conn,
+		  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		  "Content-Length: %zu\r\n\r\n%s",
+		  strlen(body), body);
+	json_object_put(o);
+}
+
+static int what_of(const char *path)
+{
+	int i;
+
+	for (i = SEAM_DO_START; i <= SEAM_DO_STOP; i++)
+		if (!strcmp(path + 1, seam_worker_do_name(i)))
+			return i;
+	return -1;
+}
+
+static int on_list(struct seam_fake_worker_http *h, struct mg_connection *conn)
+{
+	GArray *a =
+		g_array_new(FALSE, FALSE, sizeof(struct seam_worker_report));
+	struct json_object *o = json_object_new_array();
+	guint i;
+
+	seam_fake_workers_tick(h->workers, seam_now(h->workers->clock));
+	seam_fake_list(h->workers, h->id, a);
+	for (i = 0; i < a->len; i++)
+		json_object_array_add(
+			o, seam_worker_report_json(&g_array_index(
+				   a, struct seam_worker_report, i)));
+	g_array_free(a, TRUE);
+	answer(conn, o);
+	return 200;
+}
+
+/* An answer that is lost shows as a closed connection. */
+static int on_cmd(struct seam_fake_worker_http *h, struct mg_connection *conn,
+		  int what)
+{
+	struct seam_worker_report r;
+	struct seam_worker_cmd c;
+	struct json_object *o;
+	char body[16384];
+	int n = 0;
+	int got;
+
+	while ((got = mg_read(conn, body + n, sizeof(body) - 1 - (size_t)n)) >
+	       0)
+		n += got;
+	body[n] = '\0';
+	o = json_tokener_parse(body);
+	seam_worker_cmd_read(o, &c);
+	c.what = what;
+	if (seam_fake_do(h->workers, h->id, &c, &r)) {
+		mg_disable_connection_keep_alive(conn);
+		mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+				"Connection: close\r\n\r\n{");
+	} else {
+		answer(conn, seam_worker_report_json(&r));
+	}
+	json_object_put(o);
+	return 200;
+}
+
+static int on_request(struct mg_connection *conn, void *arg)
+{
+	struct seam_fake_worker_http *h = arg;
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	int what = what_of(ri->local_uri);
+
+	if (what >= 0)
+		return on_cmd(h, conn, what);
+	if (!strcmp(ri->local_uri, "/tasks"))
+		return on_list(h, conn);
+	mg_send_http_error(conn, 404, "no such path");
+	return 404;
+}
+
+struct seam_fake_worker_http *
+seam_fake_worker_http_new(struct seam_fake_workers *f, const char *id,
+			  const char *addr)
+{
+	const char *options[] = {"listening_ports",
+				 addr,
+				 "num_threads",
+				 "8",
+				 "enable_keep_alive",
+				 "yes",
+				 "keep_alive_timeout_ms",
+				 "20000",
+				 "tcp_nodelay",
+				 "1",
+				 NULL};
+	struct seam_fake_worker_http *h = calloc(1, sizeof(*h));
+
+	if (!h)
+		return NULL;
+	h->workers = f;
+	g_strlcpy(h->id, id, sizeof(h->id));
+	mg_init_library(0);
+	h->ctx = mg_start(NULL, h, options);
+	if (!h->ctx) {
+		mg_exit_library();
+		free(h);
+		return NULL;
+	}
+	mg_set_request_handler(h->ctx, "/", on_request, h);
+	return h;
+}
+
+void seam_fake_worker_http_free(struct seam_fake_worker_http *h)
+{
+	if (!h)
+		return;
+	mg_stop(h->ctx);
+	mg_exit_library();
+	free(h);
+}
--- a/process/node.c
+++ b/process/node.c
@@ -8,10 +8,8 @@
 typedef struct seam_part *(*part_new)(struct seam_node *n);
 
 static const part_new all_parts[] = {
-	seam_part_versions,
-	seam_part_inventory,
-	seam_part_requests,
-	seam_part_admin,
+	seam_part_versions, seam_part_inventory, seam_part_requests,
+	seam_part_tasks,    seam_part_admin,
 };
 
 struct seam_node *seam_node_new(const struct seam_settings *s,
--- a/process/node.h
+++ b/process/node.h
@@ -118,6 +118,7 @@
 struct seam_part *seam_part_versions(struct seam_node *n);
 struct seam_part *seam_part_inventory(struct seam_node *n);
 struct seam_part *seam_part_requests(struct seam_node *n);
+struct seam_part *seam_part_tasks(struct seam_node *n);
 struct seam_part *seam_part_admin(struct seam_node *n);
 
 /**
--- /dev/null
+++ b/process/part_tasks.c
@@ -0,0 +1,373 @@
+#include "base/count.h"
+#include "base/log.h"
+#include "connection/workerlink.h"
+#include "process/node.h"
+#include "process/task.h"
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define QUEUES "/v1/queues/"
+#define TASKS "/v1/tasks/"
+#define EXPLAIN "/v1/explain/task/"
+#define DAY (86400 * (seam_time)SEAM_SEC)
+#define MINUTE (60 * (seam_time)SEAM_SEC)
+#define CPU_MAX 10000000 /* thousandths of a core */
+#define MEM_MAX (1 << 30) /* MB */
+#define ACC_MAX 10000
+
+SEAM_COUNT(refused, "seam_task_requests_refused_total",
+	   "Requests about tasks that were refused.");
+
+/* Queues of tasks: the callers' interface and the loop of passes. */
+struct tasks {
+	struct seam_part part;
+	struct seam_node *node;
+	struct seam_tasks *tasks;
+	struct seam_task_ctx ctx;
+	struct seam_loop loop;
+	pthread_mutex_t lock;
+	bool looping; /* locked */
+};
+
+/* Body of a submission. */
+struct body {
+	char kind[64];
+	char group[64];
+	int64_t cpu;
+	int64_t mem;
+	int64_t acc;
+	int64_t finish_by;
+	bool idempotent;
+};
+
+#define FIELD(name_, type_, member, min_, max_, required_)                 \
+	{                                                                  \
+		.name = (name_), .type = (type_),                          \
+		.off = offsetof(struct body, member),                      \
+		.size = sizeof(((struct body *)0)->member), .min = (min_), \
+		.max = (max_), .required = (required_)                     \
+	}
+
+static const struct seam_json_field fields[] = {
+	FIELD("kind", SEAM_JSON_NAME, kind, 0, 0, true),
+	FIELD("group", SEAM_JSON_NAME, group, 0, 0, false),
+	FIELD("cpu_milli", SEAM_JSON_INT, cpu, 1, CPU_MAX, true),
+	FIELD("memory_mb", SEAM_JSON_INT, mem, 1, MEM_MAX, true),
+	FIELD("accelerators", SEAM_JSON_INT, acc, 0, ACC_MAX, false),
+	FIELD("finish_by", SEAM_JSON_INT, finish_by, 1, INT64_MAX, false),
+	FIELD("idempotent", SEAM_JSON_BOOL, idempotent, 0, 0, false),
+	{.name = "payload", .type = SEAM_JSON_ANY},
+};
+
+static const struct seam_key *caller(struct tasks *p, const struct seam_conf *c,
+				     struct seam_call *call, struct seam_err *e)
+{
+	const char *text = seam_call_key(call);
+	const struct seam_key *key;
+
+	if (!text) {
+		seam_fail(e, SEAM_UNAUTHENTICATED, "a key is required");
+		return NULL;
+	}
+	key = seam_conf_key(c, text, e);
+	if (!key || seam_node_fresh(p->node, p->node->settings.stale_key_ms, e))
+		return NULL;
+	return key;
+}
+
+/* Name of the queue in /v1/queues/QUEUE/tasks. */
+static const struct seam_queue *find_queue(const struct seam_conf *c,
+					   const struct seam_key *key,
+					   const char *path, struct seam_err *e)
+{
+	const char *at = path + strlen(QUEUES);
+	size_t n = strcspn(at, "/");
+	const struct seam_queue *q = NULL;
+	char name[SEAM_NAME_MAX];
+
+	if (n && n < sizeof(name) && !strcmp(at + n, "/tasks")) {
+		memcpy(name, at, n);
+		name[n] = '\0';
+		q = seam_conf_named(c, SEAM_CONF_QUEUE, name);
+	}
+	if (!q) {
+		seam_fail(e, SEAM_NOT_FOUND, "no queue at %s", path);
+		return NULL;
+	}
+	if (!q->open && strcmp(q->team, key->team)) {
+		seam_fail(e, SEAM_FORBIDDEN,
+			  "team %s may not put tasks into queue %s", key->team,
+			  q->name);
+		return NULL;
+	}
+	return q;
+}
+
+static seam_time finish_by(const struct seam_queue *q, const struct body *b,
+			   seam_time now)
+{
+	seam_time at;
+
+	if (b->finish_by)
+		return b->finish_by;
+	if (q->finish_at < 0)
+		return SEAM_NEVER;
+	at = now - now % DAY + q->finish_at * MINUTE;
+	return at > now ? at : at + DAY;
+}
+
+static int read_body(struct seam_call *call, struct json_object **o,
+		     struct body *b, struct seam_err *e)
+{
+	struct seam_problems p = {.file = "task"};
+	int rc = -1;
+
+	memset(b, 0, sizeof(*b));
+	b->idempotent = true;
+	*o = seam_json_parse(call->body ? call->body : "", &p);
+	if (*o)
+		rc = seam_json_read(*o, fields, G_N_ELEMENTS(fields), b, "",
+				    &p);
+	if (rc)
+		seam_problems_err(&p, SEAM_BAD_REQUEST, e);
+	seam_problems_free(&p);
+	return rc;
+}
+
+static int put(struct tasks *p, struct seam_call *call,
+	       const struct seam_key *key, const struct seam_queue *q,
+	       char id[SEAM_TASK_ID], struct seam_err *e)
+{
+	seam_time now = seam_now(p->node->clock);
+	struct seam_task_ask a = {.team = key->team, .queue = q};
+	struct json_object *o = NULL;
+	struct json_object *payload;
+	struct body b;
+	int rc = -1;
+
+	if (!read_body(call, &o, &b, e)) {
+		a.idem_key = seam_call_header(call, "Idempotency-Key");
+		a.kind = b.kind;
+		a.group = b.group;
+		a.need = (struct seam_need){b.cpu, b.mem, b.acc};
+		a.urgent = q->priority == SEAM_PRIORITY_URGENT;
+		a.idempotent = q->idempotent && b.idempotent;
+		a.finish_by = finish_by(q, &b, now);
+		if (json_object_object_get_ex(o, "payload", &payload))
+			a.payload = json_object_to_json_string_ext(
+				payload, JSON_C_TO_STRING_PLAIN);
+		if (a.payload && strlen(a.payload) > SEAM_TASK_PAYLOAD_MAX)
+			seam_fail(e, SEAM_TOO_LARGE, "payload: over %d bytes",
+				  SEAM_TASK_PAYLOAD_MAX);
+		else
+			rc = seam_tasks_put(p->tasks, &a, id, call->deadline,
+					    e);
+	}
+	json_object_put(o);
+	return rc;
+}
+
+static void fail(struct seam_call *call, const struct seam_err *e)
+{
+	seam_count_add(&refused, 1);
+	seam_reply_err(call, e);
+}
+
+static void on_put(struct seam_call *call, void *arg)
+{
+	struct tasks *p = arg;
+	struct seam_conf *c = seam_conf_current(&p->node->conf);
+	struct seam_err e = SEAM_ERR_INIT;
+	const struct seam_key *key = caller(p, c, call, &e);
+	const struct seam_queue *q =
+		key ? find_queue(c, key, call->path, &e) : NULL;
+	char text[SEAM_TASK_ID + 16];
+	char id[SEAM_TASK_ID];
+
+	if (!q || put(p, call, key, q, id, &e)) {
+		fail(call, &e);
+	} else {
+		snprintf(text, sizeof(text), "{\"id\":\"%s\"}", id);
+		seam_reply_text(call, 202, "application/json", text);
+	}
+	seam_conf_drop(c);
+}
+
+/* A key opens only tasks that count for its own team. */
+static const char *own_task(struct seam_call *call, const struct seam_key *key,
+			    struct seam_err *e)
+{
+	const char *id = call->path + strlen(TASKS);
+	size_t n = strlen(key->team);
+
+	if (!strncmp(id, key->team, n) && id[n] == '~')
+		return id;
+	seam_fail(e, SEAM_NOT_FOUND, "team %s has no such task", key->team);
+	return NULL;
+}
+
+static void reply_task(struct seam_call *call, struct json_object *o,
+		       const struct seam_err *e)
+{
+	if (!o) {
+		fail(call, e);
+		return;
+	}
+	seam_reply_text(
+		call, 200, "application/json",
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+}
+
+static void on_task(struct seam_call *call, void *arg)
+{
+	struct tasks *p = arg;
+	struct seam_conf *c = seam_conf_current(&p->node->conf);
+	struct seam_err e = SEAM_ERR_INIT;
+	const struct seam_key *key = caller(p, c, call, &e);
+	const char *id = key ? own_task(call, key, &e) : NULL;
+	bool del = !strcmp(call->method, "DELETE");
+
+	if (!id || (del && seam_tasks_cancel(p->tasks, id, call->deadline, &e)))
+		fail(call, &e);
+	else
+		reply_task(call,
+			   seam_tasks_get(p->tasks, id, call->deadline, &e),
+			   &e);
+	seam_conf_drop(c);
+}
+
+static void on_workers(struct seam_call *call, void *arg)
+{
+	struct tasks *p = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (!seam_node_operator(p->node, call, &e))
+		fail(call, &e);
+	else
+		reply_task(call, seam_tasks_workers(p->tasks), &e);
+}
+
+static void on_explain(struct seam_call *call, void *arg)
+{
+	struct tasks *p = arg;
+	const char *id = call->path + strlen(EXPLAIN);
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (!seam_node_operator(p->node, call, &e))
+		fail(call, &e);
+	else
+		reply_task(call,
+			   seam_tasks_explain(p->tasks, id, call->deadline, &e),
+			   &e);
+}
+
+static seam_time pass(void *arg, seam_time now)
+{
+	struct tasks *p = arg;
+
+	return seam_tasks_pass(p->tasks, now);
+}
+
+/* Called by threads of links, which may outlive the loop's. */
+static void wake(void *arg)
+{
+	struct tasks *p = arg;
+
+	pthread_mutex_lock(&p->lock);
+	if (p->looping)
+		seam_loop_wake(&p->loop);
+	pthread_mutex_unlock(&p->lock);
+}
+
+static int make(struct tasks *p, struct seam_err *e)
+{
+	struct seam_node *n = p->node;
+	struct seam_task_ctx *c = &p->ctx;
+
+	snprintf(c->node, sizeof(c->node), "%s#%016llx", n->settings.node,
+		 (unsigned long long)seam_store_token());
+	c->clock = n->clock;
+	c->store = n->store;
+	c->owner = n->owner;
+	c->conf = &n->conf;
+	c->fleet = n->fleet;
+	c->workers =
+		seam_workerlink_new(n->clock, n->settings.cluster_key, wake, p);
+	c->placer = seam_placer_best_fit();
+	c->sizes = seam_sizes_new();
+	c->order = seam_task_order_weighted(&n->conf);
+	c->lease = n->settings.lease_ms * SEAM_MSEC;
+	c->skew = n->settings.clock_skew_ms * SEAM_MSEC;
+	if (!c->workers || !c->placer || !c->sizes || !c->order)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	p->tasks = seam_tasks_new(c);
+	if (!p->tasks)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	seam_tasks_wake(p->tasks, wake, p);
+	return 0;
+}
+
+static int start(struct seam_part *part, struct seam_err *e)
+{
+	struct tasks *p = (struct tasks *)part;
+	struct seam_http *h = p->node->http;
+
+	if (make(p, e))
+		return -1;
+	seam_http_route(h, "POST", QUEUES, on_put, p);
+	seam_http_route(h, "GET|DELETE", TASKS, on_task, p);
+	seam_http_route(h, "GET", "/v1/workers", on_workers, p);
+	seam_http_route(h, "GET", EXPLAIN, on_explain, p);
+	pthread_mutex_lock(&p->lock);
+	p->looping = !seam_loop_start(&p->loop, p->node->clock, pass, p, e);
+	pthread_mutex_unlock(&p->lock);
+	return p->looping ? 0 : -1;
+}
+
+static void stop(struct seam_part *part)
+{
+	struct tasks *p = (struct tasks *)part;
+	struct seam_task_ctx *c = &p->ctx;
+
+	bool looping;
+
+	pthread_mutex_lock(&p->lock);
+	looping = p->looping;
+	p->looping = false;
+	pthread_mutex_unlock(&p->lock);
+	if (looping)
+		seam_loop_stop(&p->loop);
+	seam_tasks_free(p->tasks);
+	if (c->workers)
+		c->workers->ops->free(c->workers);
+	if (c->placer)
+		c->placer->ops->free(c->placer);
+	if (c->order)
+		c->order->ops->free(c->order);
+	seam_sizes_free(c->sizes);
+	pthread_mutex_destroy(&p->lock);
+	free(p);
+}
+
+static const struct seam_part_ops ops = {
+	.name = "task",
+	.start = start,
+	.stop = stop,
+};
+
+struct seam_part *seam_part_tasks(struct seam_node *n)
+{
+	struct tasks *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	pthread_mutex_init(&p->lock, NULL);
+	p->part.ops = &ops;
+	p->node = n;
+	return &p->part;
+}
--- /dev/null
+++ b/process/size.h
@@ -0,0 +1,66 @@
+#ifndef SEAM_SIZE_H
+#define SEAM_SIZE_H
+
+#include "base/clock.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct seam_need - resources of a task or a worker
+ * @cpu: processors, in thousandths of a core
+ * @mem: memory in MB
+ * @acc: accelerators
+ */
+struct seam_need {
+	int64_t cpu;
+	int64_t mem;
+	int64_t acc;
+};
+
+/** struct seam_sizes - learned sizes and run times; one thread at a time */
+struct seam_sizes;
+
+/** seam_sizes_new() - nothing learned yet */
+struct seam_sizes *seam_sizes_new(void);
+
+/** seam_sizes_free() - free it */
+void seam_sizes_free(struct seam_sizes *s);
+
+/**
+ * seam_sizes_add() - learn from an ended task
+ * @s: sizes
+ * @team: team
+ * @kind: kind of the task, as its caller named it
+ * @peak: greatest usage that was reported
+ * @run: run time in microseconds
+ * @now: time; a sample weighs half after six hours
+ */
+void seam_sizes_add(struct seam_sizes *s, const char *team, const char *kind,
+		    const struct seam_need *peak, seam_time run, seam_time now);
+
+/**
+ * seam_sizes_reserve() - what to reserve for a task
+ * @s: sizes
+ * @team: team
+ * @kind: kind
+ * @declared: declared size, used until enough was learned
+ * @reported: usage reported for an earlier attempt, or zeros
+ *
+ * Return: the larger of the learned p90 and @reported, at most four times
+ * @declared. Accelerators are always as declared.
+ */
+struct seam_need seam_sizes_reserve(const struct seam_sizes *s,
+				    const char *team, const char *kind,
+				    const struct seam_need *declared,
+				    const struct seam_need *reported);
+
+/** seam_sizes_run() - learned p90 of the run time, 0 if unknown */
+seam_time seam_sizes_run(const struct seam_sizes *s, const char *team,
+			 const char *kind);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/process/task_commit.c
@@ -0,0 +1,373 @@
+#include "process/task_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/count.h"
+#include "base/log.h"
+
+SEAM_COUNT(commits, "seam_task_commits_total", "Commits of buckets.");
+SEAM_COUNT(conflicts, "seam_task_conflicts_total",
+	   "Commits of buckets that lost a compare-and-set.");
+SEAM_COUNT(failures, "seam_task_commit_failures_total",
+	   "Commits of buckets that the store did not confirm.");
+
+/* The operations of one commit with the texts that they point to. */
+struct batch {
+	struct seam_write write[SEAM_COMMIT_MAX];
+	char (*key)[SEAM_KEY_MAX];
+	char *text[SEAM_COMMIT_MAX];
+	struct seam_wrow *row[SEAM_COMMIT_MAX];
+	size_t n;
+	bool limit; /* the limit waits for the outcome */
+	struct seam_write team; /* from the limit */
+};
+
+static int add(struct batch *x, enum seam_op op, const char *key,
+	       uint64_t version, char *text)
+{
+	struct seam_write *w = &x->write[x->n];
+
+	if (x->n == SEAM_COMMIT_MAX - 1) {
+		free(text);
+		return -1;
+	}
+	g_strlcpy(x->key[x->n], key, SEAM_KEY_MAX);
+	x->text[x->n] = text;
+	*w = (struct seam_write){op, x->key[x->n], version, text,
+				 text ? strlen(text) : 0};
+	x->n++;
+	return 0;
+}
+
+static int read_dc(struct seam_tasks *ts, const char *dc, struct seam_dcrow *d,
+		   seam_time now, struct seam_err *e)
+{
+	struct seam_row row = {.data = NULL};
+	char key[SEAM_KEY_MAX];
+	struct json_object *o;
+
+	seam_conf_dc_key(dc, key);
+	if (seam_store_get(ts->c.store, key, &row, now + SEAM_TASK_COMMIT_TIME,
+			   e))
+		return -1;
+	o = json_tokener_parse(row.data);
+	d->in = !strcmp(seam_json_str(o, "state", "in"), "in");
+	d->version = row.version;
+	d->read_at = now;
+	json_object_put(o);
+	seam_row_free(&row);
+	return 0;
+}
+
+struct seam_dcrow *seam_dc_in(struct seam_tasks *ts, const char *dc,
+			      seam_time now, struct seam_err *e)
+{
+	struct seam_dcrow *d = g_hash_table_lookup(ts->dcs, dc);
+	struct seam_dcrow fresh;
+
+	if (!d || now >= d->read_at + SEAM_TASK_READ_GAP) {
+		if (read_dc(ts, dc, &fresh, now, e))
+			return NULL;
+		d = g_new(struct seam_dcrow, 1);
+		*d = fresh;
+		g_hash_table_replace(ts->dcs, g_strdup(dc), d);
+	}
+	if (!d->in) {
+		seam_fail(e, SEAM_DC_OUT, "data centre %s is out", dc);
+		return NULL;
+	}
+	return d;
+}
+
+static struct seam_need use_on(struct seam_bucket *b, const char *worker)
+{
+	struct seam_need sum = {0, 0, 0};
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h))) {
+		if (!seam_task_active(t) || strcmp(t->worker, worker))
+			continue;
+		sum.cpu += t->reserved.cpu;
+		sum.mem += t->reserved.mem;
+		sum.acc += t->reserved.acc;
+	}
+	return sum;
+}
+
+static bool starts_on(struct seam_bucket *b, const char *worker)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h)))
+		if (t->launch && !strcmp(t->worker, worker))
+			return true;
+	return false;
+}
+
+static void unstart(struct seam_bucket *b, const char *worker, const char *why)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h)))
+		if (t->launch && !strcmp(t->worker, worker)) {
+			t->attempt--;
+			seam_task_requeue(b, t, why);
+		}
+}
+
+static bool too_large(struct seam_tasks *ts, const struct seam_wrow *w)
+{
+	struct seam_placer *p = ts->c.placer;
+	const struct seam_place_worker *pw = p->ops->get(p, w->id);
+	struct seam_need sum = seam_wrow_sum(w);
+
+	return !pw || sum.cpu > pw->size.cpu || sum.mem > pw->size.mem ||
+	       sum.acc > pw->size.acc;
+}
+
+/* The row may hold starts of other nodes that the placement did not see. */
+static int fit(struct seam_bucket *b, const char *id, seam_time now,
+	       struct seam_err *e)
+{
+	struct seam_tasks *ts = b->ts;
+	struct seam_wrow *w =
+		seam_wrow_get(ts, id, now + SEAM_TASK_COMMIT_TIME, e);
+	struct seam_need use = use_on(b, id);
+
+	if (!w)
+		return -1;
+	seam_wrow_set_use(w, b->key, &use);
+	if (!starts_on(b, id) || !too_large(ts, w))
+		return 0;
+	seam_wrow_place(ts, w);
+	unstart(b, id, "no room any more");
+	use = use_on(b, id);
+	seam_wrow_set_use(w, b->key, &use);
+	return 0;
+}
+
+static int for_touched(struct seam_bucket *b, struct batch *x, seam_time now,
+		       struct seam_err *e,
+		       int (*fn)(struct seam_bucket *b, struct batch *x,
+				 const char *id, seam_time now,
+				 struct seam_err *e))
+{
+	GList *ids = g_hash_table_get_keys(b->touched);
+	GList *l;
+	int rc = 0;
+
+	for (l = ids; l && !rc; l = l->next)
+		rc = fn(b, x, l->data, now, e);
+	g_list_free(ids);
+	return rc;
+}
+
+static int fit_one(struct seam_bucket *b, struct batch *x, const char *id,
+		   seam_time now, struct seam_err *e)
+{
+	(void)x;
+	return fit(b, id, now, e);
+}
+
+static int add_worker(struct seam_bucket *b, struct batch *x, const char *id,
+		      seam_time now, struct seam_err *e)
+{
+	struct seam_wrow *w = g_hash_table_lookup(b->ts->rows, id);
+	struct seam_need use = use_on(b, id);
+	char key[SEAM_KEY_MAX];
+	int i;
+
+	(void)e;
+	seam_wrow_set_use(w, b->key, &use);
+	for (i = 0; i < b->events; i++)
+		if (!strcmp(b->event[i].worker, id))
+			seam_wrow_event(b->ts, w, &b->event[i], now);
+	SEAM_INVARIANT(!starts_on(b, id) || !too_large(b->ts, w), "task",
+		       "worker %s committed beyond its size by %s", id, b->key);
+	snprintf(key, sizeof(key), "worker/%s", id);
+	x->row[x->n] = w;
+	return add(x, SEAM_PUT, key, w->version, seam_wrow_text(w));
+}
+
+static bool has(const struct batch *x, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < x->n; i++)
+		if (!strcmp(x->key[i], key))
+			return true;
+	return false;
+}
+
+/* P5: a start commits only while the object of its data centre says "in". */
+static int add_dcs(struct seam_bucket *b, struct batch *x, seam_time now,
+		   struct seam_err *e)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h))) {
+		const struct seam_place_worker *w;
+		struct seam_dcrow *d;
+		char key[SEAM_KEY_MAX];
+
+		if (!t->launch)
+			continue;
+		w = p->ops->get(p, t->worker);
+		d = w ? seam_dc_in(b->ts, w->dc, now, e) : NULL;
+		if (!d)
+			return -1;
+		seam_conf_dc_key(w->dc, key);
+		if (!has(x, key) && add(x, SEAM_CHECK, key, d->version, NULL))
+			return -1;
+	}
+	return 0;
+}
+
+static int running_units(struct seam_bucket *b)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+	int n = 0;
+
+	while ((t = seam_task_next(b->table, &h)))
+		n += seam_task_active(t);
+	return n;
+}
+
+static struct seam_task *a_start(struct seam_bucket *b)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h)))
+		if (t->launch)
+			return t;
+	return NULL;
+}
+
+/* Takes back starts until the rest is within the team's limit. */
+static int ask_limit(struct seam_bucket *b, struct batch *x, seam_time now,
+		     struct seam_err *e)
+{
+	struct seam_task_limit *l = b->ts->c.limit;
+	struct seam_task *t;
+	char why[160];
+
+	if (!l)
+		return 0;
+	while (l->ops->write(l, b->team, b->key, running_units(b), now,
+			     &x->team, e)) {
+		t = a_start(b);
+		if (e->kind != SEAM_OVER_LIMIT || !t)
+			return -1;
+		g_strlcpy(why, e->text, sizeof(why));
+		t->attempt--;
+		seam_task_requeue(b, t, why);
+		seam_err_clear(e);
+	}
+	x->limit = true;
+	return 0;
+}
+
+static void settle_rows(struct seam_bucket *b, struct batch *x, bool ok,
+			uint64_t version)
+{
+	size_t i;
+
+	for (i = 0; i < x->n; i++) {
+		struct seam_wrow *w = x->row[i];
+
+		if (!w)
+			continue;
+		if (ok)
+			w->version = version;
+		else
+			w->known = false;
+		if (ok)
+			seam_wrow_place(b->ts, w);
+	}
+}
+
+/* Index 0 is the bucket: lost answers are resolved by the first row. */
+static int build(struct seam_bucket *b, struct batch *x, seam_time now,
+		 struct seam_err *e)
+{
+	char *text;
+
+	x->n = 1;
+	if (for_touched(b, x, now, e, fit_one) || ask_limit(b, x, now, e) ||
+	    for_touched(b, x, now, e, add_worker) || add_dcs(b, x, now, e))
+		return -1;
+	if (x->team.key)
+		x->write[x->n++] = x->team;
+	text = seam_bucket_text(b);
+	x->text[0] = text;
+	x->write[0] = (struct seam_write){SEAM_PUT, b->key, b->version, text,
+					  strlen(text)};
+	return 0;
+}
+
+static void lost(struct seam_bucket *b, enum seam_kind kind, seam_time now)
+{
+	GHashTableIter it;
+	gpointer id;
+
+	g_hash_table_iter_init(&it, b->touched);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		seam_wrow_forget(b->ts, id);
+	seam_count_add(kind == SEAM_CONFLICT ? &conflicts : &failures, 1);
+	b->reload = true;
+	b->read_at = kind == SEAM_CONFLICT ? 0 : now + SEAM_TASK_READ_GAP_DOWN;
+	g_hash_table_remove_all(b->ts->dcs);
+}
+
+static void settle(struct seam_bucket *b, struct batch *x,
+		   struct seam_commit *c, int rc, enum seam_kind kind,
+		   seam_time now)
+{
+	struct seam_task_limit *l = b->ts->c.limit;
+
+	settle_rows(b, x, !rc, c->version);
+	if (x->limit)
+		l->ops->done(l, b->team, b->key, !rc, c->version);
+	if (rc) {
+		lost(b, kind, now);
+		return;
+	}
+	seam_count_add(&commits, 1);
+	b->version = c->version;
+	b->dirty = false;
+	b->events = 0;
+	g_hash_table_remove_all(b->touched);
+	b->commit_at = now + SEAM_TASK_COMMIT_GAP;
+	b->read_at = now + SEAM_TASK_READ_GAP;
+}
+
+int seam_bucket_commit(struct seam_bucket *b, seam_time now)
+{
+	struct batch *x = calloc(1, sizeof(*x));
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_commit c = {.write = x->write};
+	int rc = -1;
+	size_t i;
+
+	x->key = calloc(SEAM_COMMIT_MAX, SEAM_KEY_MAX);
+	if (!build(b, x, now, &e)) {
+		c.n = x->n;
+		rc = seam_store_commit_sure(b->ts->c.store, b->ts->c.clock, &c,
+					    now + SEAM_TASK_COMMIT_TIME, &e);
+	}
+	settle(b, x, &c, rc, e.kind, now);
+	for (i = 0; i < x->n; i++)
+		free(x->text[i]);
+	free(x->key);
+	free(x);
+	return rc;
+}
--- /dev/null
+++ b/process/task_lease.c
@@ -0,0 +1,245 @@
+#include "process/task_impl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/count.h"
+#include "base/log.h"
+
+#define DC_MOVES_MAX 8 /* checkpoints begun in one pass of a bucket */
+
+SEAM_COUNT(expired, "seam_task_leases_expired_total",
+	   "Leases that ended without an answer of the worker.");
+SEAM_COUNT(renewals, "seam_task_renewals_total", "Renewals sent.");
+SEAM_COUNT(throttled, "seam_tasks_throttled_total",
+	   "Tasks held to their reservation.");
+SEAM_COUNT(moved, "seam_tasks_moved_total",
+	   "Tasks checkpointed in order to run elsewhere.");
+
+static void fill(struct seam_bucket *b, struct seam_task *t, int what,
+		 struct seam_worker_cmd *c)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	const struct seam_place_worker *w = p->ops->get(p, t->worker);
+
+	memset(c, 0, sizeof(*c));
+	c->what = what;
+	g_strlcpy(c->worker, t->worker, sizeof(c->worker));
+	g_strlcpy(c->addr, w ? w->addr : "", sizeof(c->addr));
+	seam_task_full_id(b, t, c->task);
+	c->attempt = t->attempt;
+	c->token = b->version;
+	c->boot = t->boot;
+	c->start_by = t->start_by;
+	c->need = t->reserved;
+	g_strlcpy(c->team, b->team, sizeof(c->team));
+	g_strlcpy(c->kind, t->kind, sizeof(c->kind));
+	c->payload = t->payload;
+}
+
+int seam_task_send(struct seam_bucket *b, struct seam_task *t, int what,
+		   seam_time now)
+{
+	struct seam_workers *w = b->ts->c.workers;
+	seam_time lease = b->ts->c.lease;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_worker_cmd c;
+
+	fill(b, t, what, &c);
+	if (what == SEAM_DO_START || what == SEAM_DO_RENEW)
+		t->renew_at = now + lease / 3;
+	if (what == SEAM_DO_RENEW && t->heard) {
+		/* Even if the command is lost: the worker may have got it. */
+		t->lease_until = MAX(t->lease_until, now + lease);
+		t->heard = false;
+	}
+	c.lease_until = t->lease_until;
+	if (what != SEAM_DO_RENEW)
+		t->ask_at = now + SEAM_TASK_ASK_GAP;
+	if (what == SEAM_DO_RENEW)
+		seam_count_add(&renewals, 1);
+	return w->ops->send(w, &c, &e);
+}
+
+/* A VM that a later list does not show has ended, and its tasks with it. */
+static bool worker_gone(struct seam_bucket *b, const struct seam_task *t)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	const struct seam_place_worker *w = p->ops->get(p, t->worker);
+
+	if (b->ts->fleet_as_of <= t->lease_until)
+		return false;
+	return !w || w->boot > t->boot;
+}
+
+/* The next attempt avoids the worker; a task may also stop its workers. */
+static void run_again(struct seam_bucket *b, struct seam_task *t, seam_time now)
+{
+	char why[160];
+
+	seam_task_record_fail(b, t, now);
+	snprintf(why, sizeof(why), "lease on %s ended", t->worker);
+	if (seam_task_healthy_fails(b, t) >= SEAM_TASK_POISON)
+		seam_task_end(b, t, SEAM_TASK_FAILED, now, why);
+	else
+		seam_task_requeue(b, t, why);
+}
+
+static void expire(struct seam_bucket *b, struct seam_task *t, seam_time now)
+{
+	char why[160];
+
+	seam_count_add(&expired, 1);
+	if (t->stop == SEAM_STOP_CANCEL) {
+		seam_task_end(b, t, SEAM_TASK_CANCELLED, now,
+			      "cancelled; the worker did not answer");
+	} else if (t->idempotent) {
+		run_again(b, t, now);
+	} else {
+		snprintf(why, sizeof(why),
+			 "lease on %s ended and it has not stated that "
+			 "attempt %lld did not start",
+			 t->worker, (long long)t->attempt);
+		seam_task_end(b, t, SEAM_TASK_UNKNOWN, now, why);
+	}
+}
+
+/*
+ * An attempt that an earlier owner started may still be renewed by it, for as
+ * long as neither the store nor the worker has told it that it lost the
+ * bucket. Only the worker or the platform's list can end that.
+ */
+static bool lease_over(struct seam_bucket *b, const struct seam_task *t,
+		       seam_time now)
+{
+	seam_time end = t->lease_until + b->ts->c.skew + SEAM_TASK_GRACE;
+
+	if (now <= end)
+		return false;
+	return !t->inherited || worker_gone(b, t);
+}
+
+static void check_overuse(struct seam_bucket *b, struct seam_task *t,
+			  seam_time now)
+{
+	if (!t->over_since || t->state != SEAM_TASK_RUNNING)
+		return;
+	if (now - t->over_since < SEAM_TASK_OVERUSE || !t->idempotent) {
+		if (now < t->ask_at)
+			return;
+		seam_count_add(&throttled, 1);
+		seam_task_send(b, t, SEAM_DO_THROTTLE, now);
+		return;
+	}
+	t->state = SEAM_TASK_STOPPING;
+	t->stop = SEAM_STOP_OVERUSE;
+	t->ask_at = 0;
+	b->dirty = true;
+	seam_count_add(&moved, 1);
+}
+
+/* Tasks of a data centre that is out move in order of finishing time. */
+static struct seam_task *next_in_out_dc(struct seam_bucket *b,
+					const struct seam_conf *c)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *best = NULL;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h))) {
+		const struct seam_place_worker *w;
+
+		if (t->state != SEAM_TASK_RUNNING || !t->idempotent)
+			continue;
+		w = p->ops->get(p, t->worker);
+		if (!w || !seam_conf_dc_out(c, w->dc))
+			continue;
+		if (!best || t->finish_by < best->finish_by)
+			best = t;
+	}
+	return best;
+}
+
+static void leave_dcs(struct seam_bucket *b)
+{
+	struct seam_conf *c = seam_conf_current(b->ts->c.conf);
+	struct seam_task *t;
+	int i;
+
+	for (i = 0; i < DC_MOVES_MAX; i++) {
+		t = next_in_out_dc(b, c);
+		if (!t)
+			break;
+		t->state = SEAM_TASK_STOPPING;
+		t->stop = SEAM_STOP_DC_OUT;
+		t->ask_at = 0;
+		b->dirty = true;
+		seam_count_add(&moved, 1);
+	}
+	seam_conf_drop(c);
+}
+
+/* Ended tasks are kept for callers, but make room for new ones. */
+static void forget_ended(struct seam_bucket *b, seam_time now)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h))) {
+		if (!seam_task_ended(t) || now - t->ended_at < SEAM_TASK_KEEP)
+			continue;
+		seam_bucket_forget(b, h);
+	}
+}
+
+void seam_bucket_leases(struct seam_bucket *b, seam_time now)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h))) {
+		if (!seam_task_active(t) || t->launch)
+			continue;
+		if (lease_over(b, t, now))
+			expire(b, t, now);
+		else
+			check_overuse(b, t, now);
+	}
+	leave_dcs(b);
+	forget_ended(b, now);
+}
+
+static void renew(struct seam_bucket *b, struct seam_task *t, seam_time now)
+{
+	bool stopping = t->state == SEAM_TASK_STOPPING && !b->reload;
+
+	if (!t->confirmed && !t->inherited) {
+		if (now < t->ask_at || b->reload)
+			return;
+		t->ask_at = now + SEAM_TASK_ASK_GAP;
+		seam_task_send(b, t,
+			       stopping		 ? SEAM_DO_STOP :
+			       now > t->start_by ? SEAM_DO_RENEW :
+						   SEAM_DO_START,
+			       now);
+		return;
+	}
+	if (stopping && !b->dirty && now >= t->ask_at)
+		seam_task_send(b, t,
+			       t->stop == SEAM_STOP_CANCEL ? SEAM_DO_STOP :
+							     SEAM_DO_CHECKPOINT,
+			       now);
+	else if (now >= t->renew_at)
+		seam_task_send(b, t, SEAM_DO_RENEW, now);
+}
+
+void seam_bucket_renew(struct seam_bucket *b, seam_time now)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h)))
+		if (seam_task_active(t) && !t->launch)
+			renew(b, t, now);
+}
--- /dev/null
+++ b/process/task_put.c
@@ -0,0 +1,349 @@
+#include "process/task_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/count.h"
+
+SEAM_COUNT(accepted, "seam_tasks_accepted_total", "Tasks accepted.");
+SEAM_COUNT(full, "seam_tasks_refused_full_total",
+	   "Tasks refused because their bucket is full.");
+
+static bool make_place(struct seam_bucket *b)
+{
+	struct seam_handle oldest = SEAM_NONE;
+	struct seam_handle h = SEAM_NONE;
+	seam_time at = SEAM_NEVER;
+	struct seam_task *t;
+
+	if (seam_table_count(b->table) < SEAM_BUCKET_TASKS)
+		return true;
+	while ((t = seam_task_next(b->table, &h)))
+		if (seam_task_ended(t) && t->ended_at < at) {
+			at = t->ended_at;
+			oldest = h;
+		}
+	if (at == SEAM_NEVER)
+		return false;
+	seam_bucket_forget(b, oldest);
+	return true;
+}
+
+static int put(struct seam_bucket *b, const struct seam_task *from,
+	       struct seam_err *e)
+{
+	struct seam_task *t = seam_bucket_find(b, from->id);
+	struct seam_handle h;
+
+	if (t && strcmp(t->request, from->request))
+		return seam_fail(e, SEAM_CONFLICT,
+				 "the key was used for another task");
+	if (t)
+		return 0;
+	if (!make_place(b)) {
+		seam_count_add(&full, 1);
+		return seam_fail(e, SEAM_BUSY,
+				 "bucket %s holds %d tasks that have not ended",
+				 b->key, SEAM_BUCKET_TASKS);
+	}
+	t = seam_task_add(b->table, &h);
+	if (!t)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	*t = *from;
+	t->payload = from->payload ? strdup(from->payload) : NULL;
+	b->dirty = true;
+	return 0;
+}
+
+static int cancel(struct seam_bucket *b, const char *id, seam_time now,
+		  struct seam_err *e)
+{
+	struct seam_task *t = seam_bucket_find(b, id);
+
+	if (!t)
+		return seam_fail(e, SEAM_NOT_FOUND, "no task %s%s", b->prefix,
+				 id);
+	if (t->state == SEAM_TASK_QUEUED) {
+		seam_task_end(b, t, SEAM_TASK_CANCELLED, now, "cancelled");
+	} else if (seam_task_active(t) && t->stop != SEAM_STOP_CANCEL) {
+		t->state = SEAM_TASK_STOPPING;
+		t->stop = SEAM_STOP_CANCEL;
+		t->ask_at = 0;
+		b->dirty = true;
+	}
+	return 0;
+}
+
+static int apply(struct seam_bucket *b, struct seam_ticket *k, seam_time now,
+		 struct seam_err *e)
+{
+	if (k->cancel)
+		return cancel(b, k->task.id, now, e);
+	return put(b, &k->task, e);
+}
+
+static struct seam_ticket *unlink_ticket(struct seam_bucket *b,
+					 struct seam_ticket **at)
+{
+	struct seam_ticket *k = *at;
+
+	*at = k->next;
+	if (!k->next)
+		b->inbox_end = at;
+	return k;
+}
+
+/* A wave of cancellations is worked off over several passes. */
+void seam_bucket_inbox(struct seam_bucket *b, seam_time now)
+{
+	struct seam_ticket **at = &b->inbox;
+	bool answered = false;
+	int n = 0;
+
+	pthread_mutex_lock(&b->ts->lock);
+	while (*at && n++ < SEAM_TASK_INBOX_PASS) {
+		struct seam_ticket *k = *at;
+
+		if (!k->applied && apply(b, k, now, &k->err)) {
+			unlink_ticket(b, at)->done = true;
+			answered = true;
+			continue;
+		}
+		k->applied = true;
+		at = &k->next;
+	}
+	if (answered)
+		pthread_cond_broadcast(&b->ts->answered);
+	pthread_mutex_unlock(&b->ts->lock);
+}
+
+void seam_bucket_answer(struct seam_bucket *b, bool committed)
+{
+	struct seam_ticket **at = &b->inbox;
+
+	pthread_mutex_lock(&b->ts->lock);
+	while (*at) {
+		struct seam_ticket *k = *at;
+
+		if (committed && k->applied) {
+			unlink_ticket(b, at)->done = true;
+			if (!k->cancel)
+				seam_count_add(&accepted, 1);
+			continue;
+		}
+		k->applied = false;
+		at = &k->next;
+	}
+	pthread_cond_broadcast(&b->ts->answered);
+	pthread_mutex_unlock(&b->ts->lock);
+}
+
+void seam_ticket_add(struct seam_bucket *b, struct seam_ticket *k)
+{
+	pthread_mutex_lock(&b->ts->lock);
+	k->next = NULL;
+	*b->inbox_end = k;
+	b->inbox_end = &k->next;
+	pthread_mutex_unlock(&b->ts->lock);
+	if (b->ts->wake)
+		b->ts->wake(b->ts->wake_arg);
+}
+
+static int take_back(struct seam_bucket *b, struct seam_ticket *k,
+		     struct seam_err *e)
+{
+	struct seam_ticket **at = &b->inbox;
+
+	while (*at && *at != k)
+		at = &(*at)->next;
+	if (*at)
+		unlink_ticket(b, at);
+	/* Applied in memory: a commit with it may be under way. */
+	return seam_fail(e, k->applied ? SEAM_COMMIT_UNKNOWN : SEAM_UNAVAILABLE,
+			 "no commit of %s in time", b->key);
+}
+
+static int through_owner(struct seam_bucket *b, struct seam_ticket *k,
+			 seam_time deadline, struct seam_err *e)
+{
+	struct seam_tasks *ts = b->ts;
+	int rc = 0;
+
+	seam_ticket_add(b, k);
+	pthread_mutex_lock(&ts->lock);
+	while (!k->done && seam_now(ts->c.clock) < deadline)
+		seam_wait(ts->c.clock, &ts->answered, &ts->lock, deadline);
+	if (!k->done)
+		rc = take_back(b, k, e);
+	else if (k->err.kind != SEAM_OK) {
+		*e = k->err;
+		rc = -1;
+	}
+	pthread_mutex_unlock(&ts->lock);
+	return rc;
+}
+
+static int read_bucket(struct seam_bucket *b, seam_time deadline,
+		       struct seam_err *e)
+{
+	struct seam_row row = {.data = NULL};
+	int rc;
+
+	if (seam_store_get(b->ts->c.store, b->key, &row, deadline, e)) {
+		if (e->kind != SEAM_NOT_FOUND)
+			return -1;
+		seam_err_clear(e);
+		b->version = SEAM_ABSENT;
+		return 0;
+	}
+	b->version = row.version;
+	rc = seam_bucket_read(b, row.data, e);
+	seam_row_free(&row);
+	return rc;
+}
+
+static int write_bucket(struct seam_bucket *b, seam_time deadline,
+			struct seam_err *e)
+{
+	char *text = seam_bucket_text(b);
+	struct seam_write w = {SEAM_PUT, b->key, b->version, text,
+			       strlen(text)};
+	struct seam_commit c = {.write = &w, .n = 1};
+	int rc = seam_store_commit_sure(b->ts->c.store, b->ts->c.clock, &c,
+					deadline, e);
+
+	free(text);
+	return rc;
+}
+
+/* Ends of active tasks need more rows, so only the owner makes them. */
+static int directly(struct seam_tasks *ts, const char *key,
+		    struct seam_ticket *k, seam_time deadline,
+		    struct seam_err *e)
+{
+	struct seam_bucket *b = seam_bucket_new(ts, key);
+	int rc = -1;
+
+	if (!b)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	do {
+		seam_err_clear(e);
+		seam_bucket_clear(b);
+		b->dirty = false;
+		rc = read_bucket(b, deadline, e);
+		if (!rc)
+			rc = apply(b, k, seam_now(ts->c.clock), e);
+		if (rc)
+			break;
+		rc = b->dirty ? write_bucket(b, deadline, e) : 0;
+	} while (rc && e->kind == SEAM_CONFLICT &&
+		 seam_now(ts->c.clock) < deadline);
+	if (rc && e->kind == SEAM_CONFLICT && b->dirty)
+		seam_fail(e, SEAM_UNAVAILABLE, "no commit of %s in time", key);
+	if (!rc && !k->cancel && b->dirty)
+		seam_count_add(&accepted, 1);
+	seam_bucket_free(b);
+	return rc;
+}
+
+static int submit(struct seam_tasks *ts, const char *id, struct seam_ticket *k,
+		  seam_time deadline, struct seam_err *e)
+{
+	char key[SEAM_KEY_MAX];
+
+	if (seam_bucket_key(id, key))
+		return seam_fail(e, SEAM_NOT_FOUND, "no task %s", id);
+	if (ts->running &&
+	    seam_owner_mine(ts->c.owner, key, seam_now(ts->c.clock)))
+		return through_owner(seam_bucket_get(ts, key), k, deadline, e);
+	return directly(ts, key, k, deadline, e);
+}
+
+static uint64_t hash(const char *a, const char *b, const char *c, uint64_t seed)
+{
+	seed = XXH3_64bits_withSeed(a, strlen(a) + 1, seed);
+	seed = XXH3_64bits_withSeed(b, strlen(b) + 1, seed);
+	return XXH3_64bits_withSeed(c, strlen(c) + 1, seed);
+}
+
+static uint64_t request_hash(const struct seam_task_ask *a)
+{
+	char rest[256];
+
+	snprintf(rest, sizeof(rest), "%lld/%lld/%lld/%d/%s",
+		 (long long)a->need.cpu, (long long)a->need.mem,
+		 (long long)a->need.acc, a->urgent, a->group);
+	return hash(a->kind, a->payload ? a->payload : "", rest, 0);
+}
+
+static void fill(struct seam_task *t, const struct seam_task_ask *a,
+		 uint64_t id, seam_time now)
+{
+	snprintf(t->id, sizeof(t->id), "%016llx", (unsigned long long)id);
+	g_strlcpy(t->kind, a->kind, sizeof(t->kind));
+	g_strlcpy(t->group, a->group, sizeof(t->group));
+	snprintf(t->request, sizeof(t->request), "%016llx",
+		 (unsigned long long)request_hash(a));
+	t->payload = (char *)a->payload;
+	t->declared = a->need;
+	t->urgent = a->urgent;
+	t->idempotent = a->idempotent;
+	t->finish_by = a->finish_by;
+	t->submitted = now;
+}
+
+int seam_tasks_put(struct seam_tasks *ts, const struct seam_task_ask *a,
+		   char id[SEAM_TASK_ID], seam_time deadline,
+		   struct seam_err *e)
+{
+	struct seam_ticket k = {.next = NULL};
+	uint64_t nr = a->idem_key ?
+			      hash(a->team, a->queue->name, a->idem_key, 1) :
+			      seam_store_token();
+
+	fill(&k.task, a, nr, seam_now(ts->c.clock));
+	snprintf(id, SEAM_TASK_ID, "%s~%s~%d~%s", a->team, a->queue->name,
+		 (int)(nr % SEAM_BUCKETS), k.task.id);
+	return submit(ts, id, &k, deadline, e);
+}
+
+int seam_tasks_cancel(struct seam_tasks *ts, const char *id, seam_time deadline,
+		      struct seam_err *e)
+{
+	struct seam_ticket k = {.cancel = true};
+	const char *last = strrchr(id, '~');
+
+	g_strlcpy(k.task.id, last ? last + 1 : "", sizeof(k.task.id));
+	return submit(ts, id, &k, deadline, e);
+}
+
+struct json_object *seam_tasks_get(struct seam_tasks *ts, const char *id,
+				   seam_time deadline, struct seam_err *e)
+{
+	struct json_object *o = NULL;
+	const char *last = strrchr(id, '~');
+	char key[SEAM_KEY_MAX];
+	struct seam_bucket *b;
+	struct seam_task *t;
+
+	if (!last || seam_bucket_key(id, key)) {
+		seam_fail(e, SEAM_NOT_FOUND, "no task %s", id);
+		return NULL;
+	}
+	b = seam_bucket_new(ts, key);
+	if (b && !read_bucket(b, deadline, e)) {
+		t = seam_bucket_find(b, last + 1);
+		if (t) {
+			o = seam_task_json(t, false);
+			json_object_object_add(o, "id",
+					       json_object_new_string(id));
+		} else {
+			seam_fail(e, SEAM_NOT_FOUND, "no task %s", id);
+		}
+	}
+	if (b)
+		seam_bucket_free(b);
+	return o;
+}
--- /dev/null
+++ b/process/task_report.c
@@ -0,0 +1,258 @@
+#include "process/task_impl.h"
+
+#include <string.h>
+
+#include "base/count.h"
+#include "base/log.h"
+
+#define FAILS_MAX 6 /* attempts, where the pool has too few workers */
+#define ELSEWHERE_MAX 200 /* rows of workers changed by one commit */
+
+SEAM_COUNT(ends_done, "seam_tasks_done_total", "Tasks that ended well.");
+SEAM_COUNT(ends_failed, "seam_tasks_failed_total", "Tasks ended as failed.");
+SEAM_COUNT(ends_unknown, "seam_tasks_unknown_total",
+	   "Tasks whose outcome is left to an operator.");
+SEAM_COUNT(fenced, "seam_task_fenced_total",
+	   "Commands that a worker refused because their token was old.");
+SEAM_COUNT(old_usage, "seam_task_old_usage_total",
+	   "Usage reports that were too old to be trusted.");
+
+static bool counts(struct seam_bucket *b, const struct seam_task *t, int i)
+{
+	int j;
+
+	if (seam_wrow_quarantined(b->ts, t->fail[i].worker))
+		return false;
+	for (j = 0; j < i; j++) {
+		if (!strcmp(t->fail[j].worker, t->fail[i].worker))
+			return false;
+		if (*t->fail[i].rack &&
+		    !strcmp(t->fail[j].rack, t->fail[i].rack) &&
+		    t->fail[i].at - t->fail[j].at < SEAM_TASK_RACK_CAUSE)
+			return false;
+	}
+	return true;
+}
+
+int seam_task_healthy_fails(struct seam_bucket *b, const struct seam_task *t)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < t->fails; i++)
+		n += counts(b, t, i);
+	return n;
+}
+
+void seam_task_record_fail(struct seam_bucket *b, struct seam_task *t,
+			   seam_time now)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	const struct seam_place_worker *w = p->ops->get(p, t->worker);
+	struct seam_task_fail *f;
+
+	if (t->fails == SEAM_TASK_FAILS) {
+		memmove(t->fail, t->fail + 1,
+			(SEAM_TASK_FAILS - 1) * sizeof(*t->fail));
+		t->fails--;
+	}
+	f = &t->fail[t->fails++];
+	g_strlcpy(f->worker, t->worker, sizeof(f->worker));
+	g_strlcpy(f->rack, w ? w->rack : "", sizeof(f->rack));
+	f->at = now;
+	seam_bucket_event(b, SEAM_W_FAILED, t->worker, t);
+}
+
+static void on_failed(struct seam_bucket *b, struct seam_task *t,
+		      const struct seam_worker_report *r, seam_time now)
+{
+	char why[160];
+	int n;
+
+	seam_task_record_fail(b, t, now);
+	n = seam_task_healthy_fails(b, t);
+	if (!t->idempotent)
+		g_snprintf(why, sizeof(why), "failed on %s: %s", t->worker,
+			   r->reason);
+	else if (n >= SEAM_TASK_POISON)
+		g_snprintf(why, sizeof(why),
+			   "failed on %d healthy workers, last on %s: %s", n,
+			   t->worker, r->reason);
+	else if (t->fails >= FAILS_MAX)
+		g_snprintf(why, sizeof(why), "failed %d times, last on %s: %s",
+			   t->fails, t->worker, r->reason);
+	else
+		*why = '\0';
+	if (t->stop == SEAM_STOP_CANCEL) {
+		seam_task_end(b, t, SEAM_TASK_CANCELLED, now, "cancelled");
+	} else if (*why) {
+		seam_task_end(b, t, SEAM_TASK_FAILED, now, why);
+		seam_count_add(&ends_failed, 1);
+	} else {
+		g_snprintf(why, sizeof(why), "failed on %s: %s", t->worker,
+			   r->reason);
+		seam_task_requeue(b, t, why);
+	}
+}
+
+static void on_done(struct seam_bucket *b, struct seam_task *t, seam_time now)
+{
+	int i;
+
+	seam_sizes_add(b->ts->c.sizes, b->team, t->kind, &t->seen,
+		       now - t->started_at, now);
+	seam_bucket_event(b, SEAM_W_DONE, t->worker, t);
+	for (i = 0; i < t->fails && b->events < ELSEWHERE_MAX; i++)
+		if (strcmp(t->fail[i].worker, t->worker))
+			seam_bucket_event(b, SEAM_W_ELSEWHERE,
+					  t->fail[i].worker, t);
+	seam_task_end(b, t, SEAM_TASK_DONE, now, "");
+	seam_count_add(&ends_done, 1);
+}
+
+/* The attempt ran in part and stopped. */
+static void on_stopped(struct seam_bucket *b, struct seam_task *t,
+		       const struct seam_worker_report *r, seam_time now)
+{
+	char why[160];
+
+	if (t->stop == SEAM_STOP_CANCEL) {
+		seam_task_end(b, t, SEAM_TASK_CANCELLED, now, "cancelled");
+		return;
+	}
+	if (t->idempotent) {
+		g_snprintf(why, sizeof(why), "stopped on %s: %s", t->worker,
+			   r->reason);
+		seam_task_requeue(b, t, why);
+		return;
+	}
+	g_snprintf(why, sizeof(why),
+		   "attempt %lld stopped on %s before its end: %s",
+		   (long long)t->attempt, t->worker, r->reason);
+	seam_task_end(b, t, SEAM_TASK_UNKNOWN, now, why);
+	seam_count_add(&ends_unknown, 1);
+}
+
+static void on_not_started(struct seam_bucket *b, struct seam_task *t,
+			   const struct seam_worker_report *r, seam_time now)
+{
+	/* A worker that rebooted has forgotten what it had started. */
+	if (!t->idempotent && r->boot != t->boot) {
+		on_stopped(b, t, r, now);
+		return;
+	}
+	if (t->stop == SEAM_STOP_CANCEL)
+		seam_task_end(b, t, SEAM_TASK_CANCELLED, now, "cancelled");
+	else
+		seam_task_requeue(b, t, "the worker did not start it");
+}
+
+static void take_usage(struct seam_task *t, const struct seam_worker_report *r,
+		       seam_time now)
+{
+	bool over;
+
+	if (r->usage_at <= t->usage_at)
+		return;
+	if (now - r->usage_at > SEAM_TASK_USAGE_AGE) {
+		seam_count_add(&old_usage, 1);
+		return;
+	}
+	t->usage_at = r->usage_at;
+	t->seen.cpu = MAX(t->seen.cpu, r->usage.cpu);
+	t->seen.mem = MAX(t->seen.mem, r->usage.mem);
+	over = r->usage.cpu > t->reserved.cpu || r->usage.mem > t->reserved.mem;
+	if (!over)
+		t->over_since = 0;
+	else if (!t->over_since)
+		t->over_since = now;
+}
+
+static void on_running(struct seam_bucket *b, struct seam_task *t,
+		       const struct seam_worker_report *r, seam_time now)
+{
+	t->confirmed = true;
+	t->heard = true;
+	/* The worker has seen this owner's token, so it refuses older ones. */
+	if (r->token && r->token >= b->taken)
+		t->inherited = false;
+	take_usage(t, r, now);
+}
+
+static void on_absent(struct seam_bucket *b, struct seam_task *t, seam_time now)
+{
+	if (t->confirmed || now > t->start_by)
+		seam_task_send(b, t, SEAM_DO_STOP, now);
+	else
+		seam_task_send(b, t, SEAM_DO_START, now);
+}
+
+static void apply(struct seam_bucket *b, struct seam_task *t,
+		  const struct seam_worker_report *r, seam_time now)
+{
+	switch (r->say) {
+	case SEAM_SAY_RUNNING:
+		on_running(b, t, r, now);
+		break;
+	case SEAM_SAY_DONE:
+		take_usage(t, r, now);
+		on_done(b, t, now);
+		break;
+	case SEAM_SAY_FAILED:
+		take_usage(t, r, now);
+		on_failed(b, t, r, now);
+		break;
+	case SEAM_SAY_STOPPED:
+		take_usage(t, r, now);
+		on_stopped(b, t, r, now);
+		break;
+	case SEAM_SAY_NOT_STARTED:
+		on_not_started(b, t, r, now);
+		break;
+	case SEAM_SAY_ABSENT:
+		on_absent(b, t, now);
+		break;
+	case SEAM_SAY_FENCED:
+		seam_count_add(&fenced, 1);
+		b->reload = true;
+		b->read_at = 0;
+		break;
+	}
+}
+
+/* A worker came back with its record after the task was given up. */
+static void late(struct seam_bucket *b, struct seam_task *t,
+		 const struct seam_worker_report *r, seam_time now)
+{
+	if (t->state != SEAM_TASK_UNKNOWN)
+		return;
+	if (r->say == SEAM_SAY_DONE)
+		seam_task_end(b, t, SEAM_TASK_DONE, now,
+			      "its worker came back with the record");
+	else if (r->say == SEAM_SAY_FAILED)
+		seam_task_end(b, t, SEAM_TASK_FAILED, now, r->reason);
+}
+
+void seam_bucket_reports(struct seam_bucket *b, seam_time now)
+{
+	struct seam_worker_report *r = b->ts->report;
+	struct seam_workers *w = b->ts->c.workers;
+	size_t n = w->ops->poll(w, b->prefix, r, SEAM_TASK_REPORTS);
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		const char *id = r[i].task + strlen(b->prefix);
+		struct seam_task *t = seam_bucket_find(b, id);
+
+		if (!t || t->attempt != r[i].attempt ||
+		    strcmp(t->worker, r[i].worker))
+			continue;
+		/* Not committed yet, so this is not about this start. */
+		if (t->launch)
+			continue;
+		if (seam_task_active(t))
+			apply(b, t, &r[i], now);
+		else
+			late(b, t, &r[i], now);
+	}
+}
--- /dev/null
+++ b/process/task_start.c
@@ -0,0 +1,304 @@
+#include "process/task_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/count.h"
+
+#define RACKS_MAX 256 /* running tasks of a group that are looked at */
+
+SEAM_COUNT(starts, "seam_task_starts_total", "Starts planned.");
+SEAM_COUNT(never, "seam_tasks_never_run_total",
+	   "Tasks larger than any worker ever listed.");
+
+static seam_time latest_start(struct seam_bucket *b, const struct seam_task *t)
+{
+	if (t->finish_by == SEAM_NEVER)
+		return SEAM_NEVER;
+	return t->finish_by - seam_sizes_run(b->ts->c.sizes, b->team, t->kind);
+}
+
+/* Urgent, then the earliest latest start, then the share, then the oldest. */
+static int compare(struct seam_bucket *a, const struct seam_task *x,
+		   struct seam_bucket *b, const struct seam_task *y,
+		   seam_time now)
+{
+	struct seam_task_order *o = a->ts->c.order;
+	seam_time sx;
+	seam_time sy;
+
+	if (x->urgent != y->urgent)
+		return x->urgent ? -1 : 1;
+	sx = latest_start(a, x);
+	sy = latest_start(b, y);
+	if (sx != sy)
+		return sx < sy ? -1 : 1;
+	if (strcmp(a->team, b->team)) {
+		double ra = o->ops->rank(o, a->team, now);
+		double rb = o->ops->rank(o, b->team, now);
+
+		if (ra != rb)
+			return ra < rb ? -1 : 1;
+	}
+	return x->submitted < y->submitted ? -1 : x->submitted > y->submitted;
+}
+
+void seam_bucket_plan(struct seam_bucket *b, seam_time now)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+	int i;
+
+	b->plans = 0;
+	b->plan_at = 0;
+	memset(&b->no_room, 0xff, sizeof(b->no_room));
+	while ((t = seam_task_next(b->table, &h))) {
+		if (t->state != SEAM_TASK_QUEUED ||
+		    b->plans == SEAM_BUCKET_TASKS)
+			continue;
+		for (i = b->plans++; i > 0; i--) {
+			if (compare(b, b->plan[i - 1], b, t, now) <= 0)
+				break;
+			b->plan[i] = b->plan[i - 1];
+		}
+		b->plan[i] = t;
+	}
+}
+
+bool seam_bucket_before(struct seam_bucket *a, struct seam_bucket *b,
+			seam_time now)
+{
+	return compare(a, a->plan[a->plan_at], b, b->plan[b->plan_at], now) < 0;
+}
+
+static void wait_because(struct seam_bucket *b, struct seam_task *t,
+			 const char *why)
+{
+	if (!strcmp(t->reason, why))
+		return;
+	g_strlcpy(t->reason, why, sizeof(t->reason));
+	b->dirty = true;
+}
+
+struct where {
+	char **dcs; /* of the queue, whose row says "in"; NULL-terminated */
+	char *out; /* names of the others */
+};
+
+static int find_dcs(struct seam_bucket *b, const struct seam_conf *c,
+		    const struct seam_queue *q, seam_time now, struct where *w)
+{
+	GPtrArray *a = g_ptr_array_new();
+	GString *out = g_string_new(NULL);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_err e = SEAM_ERR_INIT;
+	const struct seam_dc *d;
+
+	while ((d = seam_conf_next(c, SEAM_CONF_DC, &h))) {
+		if (q->data_centres &&
+		    !g_strv_contains((const gchar *const *)q->data_centres,
+				     d->name))
+			continue;
+		if (seam_dc_in(b->ts, d->name, now, &e))
+			g_ptr_array_add(a, g_strdup(d->name));
+		else if (e.kind == SEAM_DC_OUT)
+			g_string_append_printf(out, " %s", d->name);
+	}
+	g_ptr_array_add(a, NULL);
+	w->dcs = (char **)g_ptr_array_free(a, FALSE);
+	w->out = g_string_free(out, FALSE);
+	return *w->dcs || *w->out ? 0 : -1;
+}
+
+struct racks {
+	const char *name[RACKS_MAX];
+	size_t n;
+};
+
+static void add_racks(struct seam_bucket *b, const char *group, struct racks *r)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	struct seam_handle h = SEAM_NONE;
+	struct seam_task *t;
+
+	while ((t = seam_task_next(b->table, &h))) {
+		const struct seam_place_worker *w;
+
+		if (!seam_task_active(t) || strcmp(t->group, group) ||
+		    r->n == RACKS_MAX)
+			continue;
+		w = p->ops->get(p, t->worker);
+		if (w)
+			r->name[r->n++] = w->rack;
+	}
+}
+
+/* Tasks of a group are in any bucket of their queue. */
+static void group_racks(struct seam_bucket *b, const char *group,
+			struct racks *r)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	r->n = 0;
+	if (!*group)
+		return;
+	pthread_mutex_lock(&b->ts->lock);
+	g_hash_table_iter_init(&it, b->ts->buckets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct seam_bucket *o = v;
+
+		if (o->held && !strcmp(o->team, b->team) &&
+		    !strcmp(o->queue, b->queue))
+			add_racks(o, group, r);
+	}
+	pthread_mutex_unlock(&b->ts->lock);
+}
+
+static void begin(struct seam_bucket *b, struct seam_task *t,
+		  const struct seam_place_worker *w,
+		  const struct seam_need *need, seam_time now)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	struct seam_task_order *o = b->ts->c.order;
+	struct seam_need used = {w->used.cpu + need->cpu,
+				 w->used.mem + need->mem,
+				 w->used.acc + need->acc};
+
+	t->state = SEAM_TASK_RUNNING;
+	t->attempt++;
+	g_strlcpy(t->worker, w->id, sizeof(t->worker));
+	t->boot = w->boot;
+	t->lease_until = now + b->ts->c.lease;
+	t->start_by = now + SEAM_TASK_START_TIME;
+	t->started_at = now;
+	t->reserved = *need;
+	t->confirmed = false;
+	t->heard = false;
+	t->inherited = false;
+	t->launch = true;
+	t->usage_at = 0;
+	t->over_since = 0;
+	*t->reason = '\0';
+	seam_bucket_touch(b, w->id);
+	o->ops->running(o, b->team, need);
+	p->ops->used(p, t->worker, &used);
+	seam_count_add(&starts, 1);
+}
+
+static bool no_room_for(const struct seam_bucket *b, const struct seam_need *n)
+{
+	return b->no_room.cpu >= 0 && n->cpu >= b->no_room.cpu &&
+	       n->mem >= b->no_room.mem && n->acc >= b->no_room.acc;
+}
+
+static const struct seam_place_worker *choose(struct seam_bucket *b,
+					      struct seam_task *t,
+					      struct seam_place_ask *a,
+					      seam_time now, struct seam_err *e)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	const struct seam_place_worker *w;
+
+	if (no_room_for(b, &a->need)) {
+		seam_fail(e, SEAM_BUSY, "no worker of pool %s has room",
+			  a->pool);
+		return NULL;
+	}
+	w = p->ops->choose(p, a, now, e);
+	if (!w && a->avoids >= p->ops->count(p, a->pool)) {
+		a->avoids = 0;
+		w = p->ops->choose(p, a, now, e);
+	}
+	if (!w && !t->fails)
+		b->no_room = a->need;
+	return w;
+}
+
+static int fit_need(struct seam_bucket *b, struct seam_task *t,
+		    struct seam_place_ask *a, seam_time now)
+{
+	struct seam_placer *p = b->ts->c.placer;
+	struct seam_err e = SEAM_ERR_INIT;
+
+	a->need = t->declared;
+	if (p->ops->ever(p, a, &e)) {
+		seam_task_end(b, t, SEAM_TASK_NEVER_RUNS, now, e.text);
+		seam_count_add(&never, 1);
+		return -1;
+	}
+	a->need = seam_sizes_reserve(b->ts->c.sizes, b->team, t->kind,
+				     &t->declared, &t->seen);
+	if (p->ops->ever(p, a, &e))
+		a->need = t->declared;
+	return 0;
+}
+
+static void explain(struct seam_bucket *b, struct seam_task *t,
+		    const struct seam_queue *q, const struct where *at)
+{
+	char why[160];
+
+	if (!*at->dcs)
+		snprintf(why, sizeof(why),
+			 "every data centre of queue %s is out", q->name);
+	else
+		snprintf(why, sizeof(why), "no worker of pool %s has room%s%s",
+			 q->pool, *at->out ? "; data centres out:" : "",
+			 at->out);
+	wait_because(b, t, why);
+}
+
+static void try_start(struct seam_bucket *b, struct seam_task *t,
+		      const struct seam_queue *q, const struct where *at,
+		      seam_time now)
+{
+	const char *avoid[SEAM_TASK_FAILS];
+	struct seam_place_ask a = {.pool = q->pool};
+	const struct seam_place_worker *w;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct racks racks;
+	int i;
+
+	for (i = 0; i < t->fails; i++)
+		avoid[i] = t->fail[i].worker;
+	a.avoid = avoid;
+	a.avoids = (size_t)t->fails;
+	/* A data centre that is out may come back with a larger worker. */
+	a.dcs = q->data_centres;
+	if (fit_need(b, t, &a, now))
+		return;
+	a.dcs = at->dcs;
+	group_racks(b, t->group, &racks);
+	a.racks = racks.name;
+	a.rack_count = racks.n;
+	w = *at->dcs ? choose(b, t, &a, now, &e) : NULL;
+	if (w)
+		begin(b, t, w, &a.need, now);
+	else if (t->urgent && *at->dcs && seam_task_preempt(b, t, &a, now))
+		wait_because(b, t, "waits for preempted work to stop");
+	else
+		explain(b, t, q, at);
+}
+
+void seam_bucket_start_next(struct seam_bucket *b, seam_time now)
+{
+	struct seam_task *t = b->plan[b->plan_at++];
+	struct seam_conf *c = seam_conf_current(b->ts->c.conf);
+	const struct seam_queue *q =
+		seam_conf_named(c, SEAM_CONF_QUEUE, b->queue);
+	struct where at;
+
+	if (!q) {
+		wait_because(b, t, "its queue is not configured");
+	} else {
+		if (find_dcs(b, c, q, now, &at))
+			wait_because(b, t, "data centres not read");
+		else
+			try_start(b, t, q, &at, now);
+		g_strfreev(at.dcs);
+		g_free(at.out);
+	}
+	seam_conf_drop(c);
+}
--- /dev/null
+++ b/process/task_worker.c
@@ -0,0 +1,394 @@
+#include "process/task_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/count.h"
+#include "base/log.h"
+
+#define SCAN_PAGE 500
+#define QUARANTINE_PART 4 /* at most a quarter of a pool */
+
+SEAM_COUNT(quarantines, "seam_workers_quarantined_total",
+	   "Workers put in quarantine by this node.");
+SEAM_COUNT(returns, "seam_workers_returned_total",
+	   "Workers that came back from quarantine.");
+SEAM_COUNT(capped, "seam_workers_quarantine_refused_total",
+	   "Quarantines refused because a quarter of the pool has one.");
+
+void seam_wrow_free(void *p)
+{
+	struct seam_wrow *w = p;
+
+	free(w->use);
+	free(w);
+}
+
+void seam_wrow_forget(struct seam_tasks *ts, const char *id)
+{
+	struct seam_wrow *w = g_hash_table_lookup(ts->rows, id);
+
+	if (w)
+		w->known = false;
+}
+
+void seam_wrow_set_use(struct seam_wrow *w, const char *bucket,
+		       const struct seam_need *n)
+{
+	struct seam_wuse *more;
+	int i;
+
+	for (i = 0; i < w->uses; i++)
+		if (!strcmp(w->use[i].bucket, bucket))
+			break;
+	if (!n->cpu && !n->mem && !n->acc) {
+		if (i < w->uses)
+			w->use[i] = w->use[--w->uses];
+		return;
+	}
+	if (i == w->uses) {
+		more = realloc(w->use, (size_t)(i + 1) * sizeof(*more));
+		if (!more)
+			return;
+		w->use = more;
+		w->uses++;
+		g_strlcpy(w->use[i].bucket, bucket, SEAM_KEY_MAX);
+	}
+	w->use[i].need = *n;
+}
+
+struct seam_need seam_wrow_sum(const struct seam_wrow *w)
+{
+	struct seam_need sum = {0, 0, 0};
+	int i;
+
+	for (i = 0; i < w->uses; i++) {
+		sum.cpu += w->use[i].need.cpu;
+		sum.mem += w->use[i].need.mem;
+		sum.acc += w->use[i].need.acc;
+	}
+	return sum;
+}
+
+static void read_use(struct seam_wrow *w, struct json_object *a)
+{
+	size_t n = a ? json_object_array_length(a) : 0;
+	size_t i;
+
+	w->uses = 0;
+	for (i = 0; i < n; i++) {
+		struct json_object *o = json_object_array_get_idx(a, i);
+		struct seam_need need = seam_need_read(o);
+
+		seam_wrow_set_use(w, seam_json_str(o, "bucket", ""), &need);
+	}
+}
+
+static void read_fails(struct seam_wrow *w, struct json_object *a)
+{
+	size_t n = a ? json_object_array_length(a) : 0;
+	size_t i;
+
+	for (i = 0; i < n && i < SEAM_TASK_BAD_WORKER; i++) {
+		struct json_object *o = json_object_array_get_idx(a, i);
+		struct seam_wfail *f = &w->fail[i];
+
+		g_strlcpy(f->task, seam_json_str(o, "task", ""),
+			  sizeof(f->task));
+		g_strlcpy(f->pair, seam_json_str(o, "pair", ""),
+			  sizeof(f->pair));
+		f->elsewhere = seam_json_int(o, "elsewhere", 0) != 0;
+	}
+	w->fails = (int)i;
+}
+
+static void read_row(struct seam_wrow *w, const struct seam_row *row)
+{
+	struct json_object *o = json_tokener_parse(row->data);
+
+	w->known = true;
+	w->version = row->version;
+	read_use(w, json_object_object_get(o, "use"));
+	read_fails(w, json_object_object_get(o, "fails"));
+	w->quarantined = seam_json_int(o, "quarantined", 0) != 0;
+	w->probe_at = seam_json_int(o, "probe_at", 0);
+	g_strlcpy(w->reason, seam_json_str(o, "reason", ""), sizeof(w->reason));
+	json_object_put(o);
+}
+
+static struct json_object *use_json(const struct seam_wrow *w)
+{
+	struct json_object *a = json_object_new_array();
+	int i;
+
+	for (i = 0; i < w->uses; i++) {
+		struct json_object *o = seam_need_json(&w->use[i].need);
+
+		json_object_object_add(
+			o, "bucket", json_object_new_string(w->use[i].bucket));
+		json_object_array_add(a, o);
+	}
+	return a;
+}
+
+static struct json_object *fails_json(const struct seam_wrow *w)
+{
+	struct json_object *a = json_object_new_array();
+	int i;
+
+	for (i = 0; i < w->fails; i++) {
+		const struct seam_wfail *f = &w->fail[i];
+		struct json_object *o = json_object_new_object();
+
+		json_object_object_add(o, "task",
+				       json_object_new_string(f->task));
+		json_object_object_add(o, "pair",
+				       json_object_new_string(f->pair));
+		json_object_object_add(o, "elsewhere",
+				       json_object_new_int(f->elsewhere));
+		json_object_array_add(a, o);
+	}
+	return a;
+}
+
+char *seam_wrow_text(const struct seam_wrow *w)
+{
+	struct json_object *o = json_object_new_object();
+	char *text;
+
+	json_object_object_add(o, "use", use_json(w));
+	json_object_object_add(o, "fails", fails_json(w));
+	json_object_object_add(o, "quarantined",
+			       json_object_new_int(w->quarantined));
+	json_object_object_add(o, "probe_at",
+			       json_object_new_int64(w->probe_at));
+	json_object_object_add(o, "reason", json_object_new_string(w->reason));
+	text = strdup(
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+	return text;
+}
+
+/* A worker in quarantine gets one probe task when its time has come. */
+static bool open_to_tasks(const struct seam_wrow *w, seam_time now)
+{
+	return !w->quarantined || (now >= w->probe_at && !w->uses);
+}
+
+void seam_wrow_place(struct seam_tasks *ts, struct seam_wrow *w)
+{
+	struct seam_placer *p = ts->c.placer;
+	struct seam_need sum = seam_wrow_sum(w);
+
+	p->ops->used(p, w->id, &sum);
+	p->ops->open(p, w->id, open_to_tasks(w, seam_now(ts->c.clock)));
+}
+
+static struct seam_wrow *row_of(struct seam_tasks *ts, const char *id)
+{
+	struct seam_wrow *w = g_hash_table_lookup(ts->rows, id);
+
+	if (w)
+		return w;
+	w = calloc(1, sizeof(*w));
+	if (!w)
+		return NULL;
+	g_strlcpy(w->id, id, sizeof(w->id));
+	g_hash_table_insert(ts->rows, w->id, w);
+	return w;
+}
+
+struct seam_wrow *seam_wrow_get(struct seam_tasks *ts, const char *id,
+				seam_time deadline, struct seam_err *e)
+{
+	struct seam_wrow *w = row_of(ts, id);
+	struct seam_row row = {.data = NULL};
+	char key[SEAM_KEY_MAX];
+
+	if (!w || w->known)
+		return w;
+	g_snprintf(key, sizeof(key), "worker/%s", id);
+	if (!seam_store_get(ts->c.store, key, &row, deadline, e)) {
+		read_row(w, &row);
+		seam_row_free(&row);
+		return w;
+	}
+	if (e->kind != SEAM_NOT_FOUND)
+		return NULL;
+	seam_err_clear(e);
+	w->known = true;
+	w->version = SEAM_ABSENT;
+	w->uses = 0;
+	w->fails = 0;
+	w->quarantined = false;
+	return w;
+}
+
+static void take_row(struct seam_tasks *ts, const struct seam_row *row)
+{
+	struct seam_wrow *w = row_of(ts, row->key + strlen("worker/"));
+
+	if (!w)
+		return;
+	if (!w->known || w->version < row->version)
+		read_row(w, row);
+	seam_wrow_place(ts, w);
+}
+
+void seam_wrow_scan(struct seam_tasks *ts, seam_time now)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	char after[SEAM_KEY_MAX] = "";
+	struct seam_rows rows;
+	size_t n;
+	size_t i;
+
+	do {
+		if (seam_store_scan(ts->c.store, "worker/", after, SCAN_PAGE,
+				    &rows, now + SEAM_TASK_COMMIT_TIME, &e))
+			return;
+		for (i = 0; i < rows.n; i++)
+			take_row(ts, &rows.row[i]);
+		n = rows.n;
+		if (n)
+			g_strlcpy(after, rows.row[n - 1].key, sizeof(after));
+		seam_rows_free(&rows);
+	} while (n == SCAN_PAGE);
+}
+
+bool seam_wrow_quarantined(struct seam_tasks *ts, const char *id)
+{
+	struct seam_wrow *w = g_hash_table_lookup(ts->rows, id);
+
+	return w && w->quarantined;
+}
+
+static bool below_cap(struct seam_tasks *ts, const char *id)
+{
+	struct seam_placer *p = ts->c.placer;
+	const struct seam_place_worker *me = p->ops->get(p, id);
+	GHashTableIter it;
+	size_t bad = 0;
+	gpointer v;
+
+	if (!me)
+		return false;
+	g_hash_table_iter_init(&it, ts->rows);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct seam_wrow *w = v;
+		const struct seam_place_worker *o =
+			w->quarantined ? p->ops->get(p, w->id) : NULL;
+
+		bad += o && !strcmp(o->pool, me->pool);
+	}
+	return (bad + 1) * QUARANTINE_PART <= p->ops->count(p, me->pool);
+}
+
+static bool distinct_pairs(const struct seam_wrow *w)
+{
+	int i;
+	int j;
+
+	for (i = 0; i < w->fails; i++)
+		for (j = 0; j < i; j++)
+			if (!strcmp(w->fail[i].pair, w->fail[j].pair))
+				return false;
+	return true;
+}
+
+static bool all_elsewhere(const struct seam_wrow *w)
+{
+	int i;
+
+	for (i = 0; i < w->fails; i++)
+		if (!w->fail[i].elsewhere)
+			return false;
+	return true;
+}
+
+static void judge(struct seam_tasks *ts, struct seam_wrow *w, seam_time now)
+{
+	if (w->quarantined || w->fails < SEAM_TASK_BAD_WORKER)
+		return;
+	if (!distinct_pairs(w) && !all_elsewhere(w))
+		return;
+	if (!below_cap(ts, w->id)) {
+		seam_count_add(&capped, 1);
+		return;
+	}
+	w->quarantined = true;
+	w->probe_at = now + SEAM_TASK_PROBE_GAP;
+	g_snprintf(w->reason, sizeof(w->reason),
+		   "%d tasks in a row failed on it", w->fails);
+	seam_count_add(&quarantines, 1);
+	seam_log(SEAM_WARN, "task", "Worker %s is in quarantine: %s.", w->id,
+		 w->reason);
+}
+
+static void add_fail(struct seam_wrow *w, const struct seam_wevent *ev)
+{
+	int i;
+
+	for (i = 0; i < w->fails; i++)
+		if (!strcmp(w->fail[i].task, ev->task))
+			return;
+	if (w->fails == SEAM_TASK_BAD_WORKER) {
+		memmove(w->fail, w->fail + 1,
+			(SEAM_TASK_BAD_WORKER - 1) * sizeof(*w->fail));
+		w->fails--;
+	}
+	memset(&w->fail[w->fails], 0, sizeof(*w->fail));
+	g_strlcpy(w->fail[w->fails].task, ev->task, SEAM_TASK_ID);
+	g_strlcpy(w->fail[w->fails].pair, ev->pair,
+		  sizeof(w->fail[w->fails].pair));
+	w->fails++;
+}
+
+void seam_wrow_event(struct seam_tasks *ts, struct seam_wrow *w,
+		     const struct seam_wevent *ev, seam_time now)
+{
+	int i;
+
+	switch (ev->what) {
+	case SEAM_W_DONE:
+		w->fails = 0;
+		if (w->quarantined) {
+			w->quarantined = false;
+			*w->reason = '\0';
+			seam_count_add(&returns, 1);
+			seam_log(SEAM_INFO, "task",
+				 "Worker %s returns: its probe task ended.",
+				 w->id);
+		}
+		break;
+	case SEAM_W_FAILED:
+		if (w->quarantined)
+			w->probe_at = now + SEAM_TASK_PROBE_GAP;
+		add_fail(w, ev);
+		break;
+	case SEAM_W_ELSEWHERE:
+		for (i = 0; i < w->fails; i++)
+			if (!strcmp(w->fail[i].task, ev->task))
+				w->fail[i].elsewhere = true;
+		break;
+	}
+	judge(ts, w, now);
+}
+
+void seam_bucket_event(struct seam_bucket *b, int what, const char *worker,
+		       const struct seam_task *t)
+{
+	struct seam_wevent *more =
+		realloc(b->event, (size_t)(b->events + 1) * sizeof(*more));
+	struct seam_wevent *ev;
+
+	if (!more)
+		return;
+	b->event = more;
+	ev = &more[b->events++];
+	ev->what = what;
+	g_strlcpy(ev->worker, worker, sizeof(ev->worker));
+	seam_task_full_id(b, t, ev->task);
+	g_snprintf(ev->pair, sizeof(ev->pair), "%s/%s", b->team, t->kind);
+	seam_bucket_touch(b, worker);
+}
--- /dev/null
+++ b/tests/place_test.cc
@@ -0,0 +1,133 @@
+// Placement: best fit, spread over racks, what never fits.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "process/place.h"
+
+class Place : public ::testing::Test
+{
+      protected:
+	seam_placer *p = seam_placer_best_fit();
+	seam_err e = SEAM_ERR_INIT;
+
+	void TearDown() override
+	{
+		p->ops->free(p);
+	}
+	void add(const std::string &id, const char *dc, const char *rack,
+		 seam_need size, bool usable = true)
+	{
+		seam_place_worker w = {};
+
+		snprintf(w.id, sizeof(w.id), "%s", id.c_str());
+		snprintf(w.dc, sizeof(w.dc), "%s", dc);
+		snprintf(w.rack, sizeof(w.rack), "%s", rack);
+		snprintf(w.pool, sizeof(w.pool), "p");
+		w.size = size;
+		w.usable = usable;
+		ASSERT_EQ(p->ops->set(p, &w), 0);
+	}
+	std::string choose(seam_need n, char **dcs = nullptr)
+	{
+		seam_place_ask a = {};
+
+		a.need = n;
+		a.pool = "p";
+		a.dcs = dcs;
+		auto *w = p->ops->choose(p, &a, 0, &e);
+		return w ? w->id : "";
+	}
+};
+
+// Guards large holes: the fullest worker that has room is taken.
+TEST_F(Place, BestFit)
+{
+	seam_need half = {2000, 2000, 0};
+
+	add("a", "x", "r1", {4000, 4000, 0});
+	add("b", "x", "r2", {4000, 4000, 0});
+	p->ops->used(p, "b", &half);
+	EXPECT_EQ(choose({1000, 1000, 0}), "b");
+	EXPECT_EQ(choose({3000, 1000, 0}), "a");
+	EXPECT_EQ(choose({5000, 1000, 0}), "");
+	EXPECT_EQ(e.kind, SEAM_BUSY);
+}
+
+// Guards against a worker that has one resource left but not the other, and a
+// short search that stops at such workers.
+TEST_F(Place, AllResourcesMustFit)
+{
+	seam_need full = {0, 4000, 0};
+
+	for (int i = 0; i < 1000; i++) {
+		std::string id = "w" + std::to_string(i);
+		add(id, "x", "r", {4000, 4000, 0});
+		p->ops->used(p, id.c_str(), &full);
+	}
+	EXPECT_EQ(choose({1000, 500, 0}), "");
+	add("free", "x", "r", {4000, 8000, 0});
+	EXPECT_EQ(choose({1000, 500, 0}), "free");
+}
+
+// Guards against work on workers that are not usable, in quarantine, outside
+// the allowed data centres, or gone.
+TEST_F(Place, OnlyUsableWorkers)
+{
+	char x[] = "x";
+	char *dcs[] = {x, nullptr};
+
+	add("a", "y", "r1", {4000, 4000, 0});
+	add("b", "x", "r1", {4000, 4000, 0}, false);
+	add("c", "x", "r1", {4000, 4000, 0});
+	EXPECT_EQ(choose({1, 1, 0}, dcs), "c");
+	p->ops->open(p, "c", false);
+	EXPECT_EQ(choose({1, 1, 0}, dcs), "");
+	p->ops->open(p, "c", true);
+	EXPECT_EQ(choose({1, 1, 0}, dcs), "c");
+	p->ops->sweep(p);
+	p->ops->sweep(p);
+	EXPECT_EQ(choose({1, 1, 0}), "");
+	EXPECT_EQ(p->ops->count(p, "p"), 0u);
+}
+
+// Guards the spread of a group over racks.
+TEST_F(Place, SpreadsAGroup)
+{
+	const char *racks[] = {"r1", "r1", "r2"};
+	seam_place_ask a = {};
+
+	add("a", "x", "r1", {4000, 4000, 0});
+	add("b", "x", "r2", {4000, 4000, 0});
+	add("c", "x", "r3", {9000, 9000, 0});
+	a.need = {100, 100, 0};
+	a.pool = "p";
+	a.racks = racks;
+	a.rack_count = 3;
+	EXPECT_STREQ(p->ops->choose(p, &a, 0, &e)->id, "c");
+	a.rack_count = 2;
+	EXPECT_STREQ(p->ops->choose(p, &a, 0, &e)->id, "b");
+}
+
+// Guards "never runs": true of sizes that no single worker ever had, also
+// after the large worker left.
+TEST_F(Place, NeverRuns)
+{
+	seam_place_ask a = {};
+
+	a.pool = "p";
+	a.need = {100, 9000, 0};
+	EXPECT_EQ(p->ops->ever(p, &a, &e), 0) << "no list was read yet";
+	add("a", "x", "r1", {8000, 1000, 0});
+	add("b", "x", "r1", {1000, 8000, 0});
+	EXPECT_EQ(p->ops->ever(p, &a, &e), -1);
+	EXPECT_EQ(e.kind, SEAM_NEVER_RUNS);
+	EXPECT_NE(strstr(e.text, "memory_mb"), nullptr);
+	a.need = {8000, 8000, 0};
+	EXPECT_EQ(p->ops->ever(p, &a, &e), -1);
+	p->ops->sweep(p);
+	p->ops->sweep(p);
+	a.need = {8000, 1000, 0};
+	EXPECT_EQ(p->ops->ever(p, &a, &e), 0);
+}
--- /dev/null
+++ b/tests/task_order_test.cc
@@ -0,0 +1,128 @@
+// Which task starts first, and which may not start.
+#include "task_sim.h"
+
+struct test_limit {
+	seam_task_limit base;
+	int most;
+	uint64_t version;
+	std::string text;
+	int refused;
+};
+
+static int limit_write(seam_task_limit *l, const char *, const char *,
+		       int units, seam_time, seam_write *w, seam_err *e)
+{
+	test_limit *t = (test_limit *)l;
+
+	if (units > t->most) {
+		t->refused++;
+		return seam_fail(e, SEAM_OVER_LIMIT, "team t: %d of %d", units,
+				 t->most);
+	}
+	t->text = std::to_string(units);
+	*w = {SEAM_PUT, "team/t", t->version, t->text.c_str(), t->text.size()};
+	return 0;
+}
+
+static void limit_done(seam_task_limit *l, const char *, const char *,
+		       bool applied, uint64_t version)
+{
+	if (applied)
+		((test_limit *)l)->version = version;
+}
+
+// Guards P4: starts commit with the team's row and stop at its limit, and the
+// task says so.
+TEST(Order, StartsCommitWithTheTeamsRow)
+{
+	static const seam_task_limit_ops ops = {limit_write, limit_done};
+	test_limit l = {{&ops}, 1, SEAM_ABSENT, "", 0};
+	sim s(1);
+	std::vector<std::string> ids;
+	seam_row row = {};
+	s.add_worker("w1", "a", "r1");
+	s.start(0);
+	s.node[0].c.limit = &l.base;
+	seam_tasks_free(s.node[0].tasks);
+	s.node[0].tasks = seam_tasks_new(&s.node[0].c);
+	for (int i = 0; ids.size() < 3; i++) {
+		std::string id = s.put(0, "{\"run_ms\":5000}");
+		if (ids.empty() || id.substr(0, 6) == ids[0].substr(0, 6))
+			ids.push_back(id);
+		else
+			seam_tasks_cancel(s.node[0].tasks, id.c_str(),
+					  s.clock.time + SEAM_SEC, &s.e);
+	}
+	s.run(3 * SEAM_SEC);
+	EXPECT_EQ(seam_fake_workers_running(s.workers), 1);
+	EXPECT_GT(l.refused, 0);
+	ASSERT_EQ(seam_store_get(s.store, "team/t", &row,
+				 s.clock.time + SEAM_SEC, &s.e),
+		  0);
+	EXPECT_STREQ(row.data, "1");
+	seam_row_free(&row);
+	int told = 0;
+	for (auto &id : ids)
+		told += s.get(id, "reason").find("1 of 1") !=
+				std::string::npos ||
+			s.get(id, "reason").find("2 of 1") != std::string::npos;
+	EXPECT_GE(told, 1);
+	s.run(30 * SEAM_SEC);
+	for (auto &id : ids)
+		EXPECT_EQ(s.get(id), "done");
+}
+
+// Guards shares on a full fleet: a team that comes later gets its part as
+// room becomes free.
+TEST(Order, SharesOnAFullFleet)
+{
+	sim s(1);
+	std::vector<std::string> u;
+	s.add_worker("w1", "a", "r1", 10000);
+	s.start(0);
+	for (int i = 0; i < 100; i++)
+		s.put(0, "{\"run_ms\":4000}");
+	s.run(2 * SEAM_SEC);
+	for (int i = 0; i < 60; i++)
+		u.push_back(s.put(0, "{\"run_ms\":4000}", 1000, 100, true,
+				  false, "k", "v"));
+	s.run(14 * SEAM_SEC);
+	int running = 0;
+	for (auto &id : u)
+		running += s.get(id) == "running";
+	EXPECT_GE(running, 4);
+	EXPECT_LE(running, 6);
+}
+
+// Guards against a task that fits no worker blocking those behind it.
+TEST(Order, NeverRunsIsNamedAndBlocksNothing)
+{
+	sim s(1);
+	s.add_worker("w1", "a", "r1");
+	s.start(0);
+	std::string big = s.put(0, "{}", 1000, 1 << 20);
+	std::string small = s.put(0, "{\"run_ms\":500}");
+	s.run(3 * SEAM_SEC);
+	EXPECT_EQ(s.get(big), "never_runs");
+	EXPECT_NE(s.get(big, "reason").find("memory_mb"), std::string::npos);
+	EXPECT_EQ(s.get(small), "done");
+}
+
+// Guards the start of urgent work on a full fleet within 2.1 s.
+TEST(Order, UrgentPreempts)
+{
+	sim s(1);
+	s.add_worker("w1", "a", "r1");
+	s.add_worker("w2", "a", "r2");
+	s.start(0);
+	for (int i = 0; i < 12; i++)
+		s.put(0, "{\"run_ms\":600000}");
+	s.run(5 * SEAM_SEC);
+	ASSERT_EQ(seam_fake_workers_running(s.workers), 8);
+	std::string id =
+		s.put(0, "{\"run_ms\":500}", 2000, 100, true, true, "now", "v");
+	seam_time at = s.clock.time;
+	while (!s.starts(id) && s.clock.time < at + 10 * SEAM_SEC)
+		s.step();
+	EXPECT_LE(s.clock.time - at, 2100 * SEAM_MSEC);
+}
