node, store, pool: fixes at the seams of the parts

A request could pair an old version with the confirmation of a newer one: the confirmation is read first now. A commit gave its whole time to one attempt, so a lost answer was never read back; an attempt gets a third of the time left. The memory store read its delay without the lock. A drain of a worker ends when its row has nothing committed; before, it counted as idle at once.

--- a/process/node.c
+++ b/process/node.c
@@ -105,14 +105,19 @@
 		continue;
 }
 
-int seam_node_fresh(struct seam_node *n, int64_t max_ms, struct seam_err *e)
+seam_time seam_node_confirmed(struct seam_node *n)
 {
-	seam_time at = __atomic_load_n(&n->confirmed_at, __ATOMIC_ACQUIRE);
-	seam_time age = seam_now(n->clock) - at;
+	return __atomic_load_n(&n->confirmed_at, __ATOMIC_ACQUIRE);
+}
+
+int seam_node_fresh(struct seam_node *n, seam_time confirmed, int64_t max_ms,
+		    struct seam_err *e)
+{
+	seam_time age = seam_now(n->clock) - confirmed;
 
-	if (at && age <= max_ms * SEAM_MSEC)
+	if (confirmed && age <= max_ms * SEAM_MSEC)
 		return 0;
-	if (!at)
+	if (!confirmed)
 		return seam_fail(e, SEAM_STALE, "no configuration yet");
 	return seam_fail(e, SEAM_STALE,
 			 "configuration was confirmed %lld ms ago, limit %lld",
--- a/process/node.h
+++ b/process/node.h
@@ -114,13 +114,23 @@
 /** seam_node_confirm() - record that the version was the newest at @t */
 void seam_node_confirm(struct seam_node *n, seam_time t);
 
+/**
+ * seam_node_confirmed() - latest time at which the version was the newest
+ *
+ * Read it before the version that it is to vouch for: the other way round, an
+ * old version could pass with the confirmation of a newer one.
+ */
+seam_time seam_node_confirmed(struct seam_node *n);
+
 /**
  * seam_node_fresh() - check the age of the configuration
  * @n: node
+ * @confirmed: from seam_node_confirmed()
  * @max_ms: greatest age in milliseconds
  * @e: SEAM_STALE with the age
  */
-int seam_node_fresh(struct seam_node *n, int64_t max_ms, struct seam_err *e);
+int seam_node_fresh(struct seam_node *n, seam_time confirmed, int64_t max_ms,
+		    struct seam_err *e);
 
 /** seam_node_operator() - true if @c carries the operators' key */
 bool seam_node_operator(struct seam_node *n, struct seam_call *c,
--- a/process/part_inventory.c
+++ b/process/part_inventory.c
@@ -1,6 +1,7 @@
 #include "base/log.h"
 #include "process/node.h"
 #include "process/pool.h"
+#include "process/task.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +16,7 @@
 	struct seam_node *node;
 	struct seam_loop loop;
 	struct seam_target_drain drain;
+	struct seam_task_drain drain_tasks;
 };
 
 static const struct seam_service *service_of(const struct seam_conf *c,
@@ -102,12 +104,14 @@
 		.conf = &n->conf,
 		.owner = n->owner,
 		.drain = &v->drain.drain,
+		.drain_tasks = &v->drain_tasks.drain,
 		.size = seam_size_ready(),
 		.fleet = n->fleet,
 		.vm_list_ms = n->settings.vm_list_ms,
 	};
 
 	seam_target_drain_init(&v->drain, n->targets);
+	seam_task_drain_init(&v->drain_tasks, n->store, n->clock);
 	n->demand = seam_demand_new();
 	env.demand = n->demand;
 	n->pools = seam_pools_new(&env);
--- a/process/part_requests.c
+++ b/process/part_requests.c
@@ -30,6 +30,7 @@
 struct request {
 	struct requests *r;
 	struct seam_conf *conf;
+	seam_time confirmed; /* read before @conf */
 	struct seam_call *call;
 	const struct seam_service *service;
 	const struct seam_key *key;
@@ -94,7 +95,7 @@
 			  q->key->team, q->service->name);
 		return false;
 	}
-	return !seam_node_fresh(n, max_age, e);
+	return !seam_node_fresh(n, q->confirmed, max_age, e);
 }
 
 /* Data centres of the region of @own; returns their number. */
@@ -200,6 +201,7 @@
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_answer a = {.status = 0};
 
+	q.confirmed = seam_node_confirmed(q.r->node);
 	q.conf = seam_conf_current(&q.r->node->conf);
 	if (!find_service(&q, &e) || !allow(&q, &e) || serve(&q, &a, &e)) {
 		if (seam_kind_info(e.kind)->run == SEAM_NOT_RUN)
--- a/process/part_tasks.c
+++ b/process/part_tasks.c
@@ -64,6 +64,7 @@
 };
 
 static const struct seam_key *caller(struct tasks *p, const struct seam_conf *c,
+				     seam_time confirmed,
 				     struct seam_call *call, struct seam_err *e)
 {
 	const char *text = seam_call_key(call);
@@ -74,7 +75,8 @@
 		return NULL;
 	}
 	key = seam_conf_key(c, text, e);
-	if (!key || seam_node_fresh(p->node, p->node->settings.stale_key_ms, e))
+	if (!key || seam_node_fresh(p->node, confirmed,
+				    p->node->settings.stale_key_ms, e))
 		return NULL;
 	return key;
 }
@@ -180,9 +182,10 @@
 static void on_put(struct seam_call *call, void *arg)
 {
 	struct tasks *p = arg;
+	seam_time confirmed = seam_node_confirmed(p->node);
 	struct seam_conf *c = seam_conf_current(&p->node->conf);
 	struct seam_err e = SEAM_ERR_INIT;
-	const struct seam_key *key = caller(p, c, call, &e);
+	const struct seam_key *key = caller(p, c, confirmed, call, &e);
 	const struct seam_queue *q =
 		key ? find_queue(c, key, call->path, &e) : NULL;
 	char text[SEAM_TASK_ID + 16];
@@ -226,9 +229,10 @@
 static void on_task(struct seam_call *call, void *arg)
 {
 	struct tasks *p = arg;
+	seam_time confirmed = seam_node_confirmed(p->node);
 	struct seam_conf *c = seam_conf_current(&p->node->conf);
 	struct seam_err e = SEAM_ERR_INIT;
-	const struct seam_key *key = caller(p, c, call, &e);
+	const struct seam_key *key = caller(p, c, confirmed, call, &e);
 	const char *id = key ? own_task(call, key, &e) : NULL;
 	bool del = !strcmp(call->method, "DELETE");
 
--- a/process/store.c
+++ b/process/store.c
@@ -6,6 +6,10 @@
 
 /* Pause between attempts of one commit; keeps a slow store from more load. */
 #define RETRY_PAUSE (50 * SEAM_MSEC)
+/* An attempt gets a part of the time left, so that a lost answer leaves time
+ * to read the row back. */
+#define ATTEMPT_PARTS 3
+#define ATTEMPT_MIN (200 * SEAM_MSEC)
 
 void seam_row_free(struct seam_row *row)
 {
@@ -78,6 +82,15 @@
 	pthread_cond_destroy(&c);
 }
 
+static seam_time attempt_deadline(seam_time now, seam_time deadline)
+{
+	seam_time t = now + (deadline - now) / ATTEMPT_PARTS;
+
+	if (t < now + ATTEMPT_MIN)
+		t = now + ATTEMPT_MIN;
+	return t < deadline ? t : deadline;
+}
+
 int seam_store_commit_sure(struct seam_store *s, struct seam_clock *k,
 			   struct seam_commit *c, seam_time deadline,
 			   struct seam_err *e)
@@ -86,7 +99,8 @@
 
 	c->token = seam_store_token();
 	for (;;) {
-		int rc = seam_store_commit(s, c, deadline, e);
+		seam_time end = attempt_deadline(seam_now(k), deadline);
+		int rc = seam_store_commit(s, c, end, e);
 		int state;
 
 		if (!rc)
--- a/process/store_mem.c
+++ b/process/store_mem.c
@@ -56,15 +56,15 @@
 	return next_random(&m->faults.seed) % 1000 < (uint64_t)per_mille;
 }
 
-static void take_delay(struct mem *m)
+static void take_delay(struct mem *m, seam_time delay)
 {
 	pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 	pthread_cond_t c;
 	seam_time until;
 
-	if (!m->faults.delay)
+	if (!delay)
 		return;
-	until = seam_now(m->clock) + m->faults.delay;
+	until = seam_now(m->clock) + delay;
 	seam_cond_init(&c);
 	pthread_mutex_lock(&lock);
 	while (seam_now(m->clock) < until)
@@ -77,11 +77,15 @@
 		 struct seam_err *e)
 {
 	seam_time now = seam_now(m->clock);
+	seam_time delay;
 	bool over;
 
-	if (m->faults.delay && now + m->faults.delay > deadline)
+	pthread_mutex_lock(&m->lock);
+	delay = m->faults.delay;
+	pthread_mutex_unlock(&m->lock);
+	if (delay && now + delay > deadline)
 		return seam_fail(e, SEAM_UNAVAILABLE, "store: timed out");
-	take_delay(m);
+	take_delay(m, delay);
 	now = seam_now(m->clock);
 	pthread_mutex_lock(&m->lock);
 	if (now >= m->window_end) {
--- a/process/task.h
+++ b/process/task.h
@@ -14,6 +14,7 @@
 #include "process/fleet.h"
 #include "process/owner.h"
 #include "process/place.h"
+#include "process/pool.h"
 #include "process/size.h"
 #include "process/store.h"
 #include "version/conf.h"
@@ -198,6 +199,22 @@
 					      struct seam_store *s,
 					      struct seam_conf_cell *conf);
 
+/**
+ * struct seam_task_drain - drain of workers by what their rows have committed
+ * @drain: the vtable; first member
+ * @store: store
+ * @clock: clock
+ */
+struct seam_task_drain {
+	struct seam_drain drain;
+	struct seam_store *store;
+	struct seam_clock *clock;
+};
+
+/** seam_task_drain_init() - drain over the rows of the workers */
+void seam_task_drain_init(struct seam_task_drain *d, struct seam_store *s,
+			  struct seam_clock *k);
+
 /**
  * struct seam_task_ctx - what the buckets of a node share
  * @node: name of the node, with its incarnation
