--- a/process/part_members.c
+++ b/process/part_members.c
@@ -110,6 +110,8 @@
 		return -1;
 	seam_members_bus(n->members, p->bus);
 	seam_http_route(n->http, "GET", "/v1/nodes", on_nodes, p);
+	/* The parts that follow need the incarnation for their grants. */
+	seam_members_pass(n->members, seam_now(n->clock));
 	if (seam_loop_start(&p->loop, n->clock, pass, n->members, e))
 		return -1;
 	p->started = true;
