--- a/fake/store_server.c
+++ b/fake/store_server.c
@@ -282,21 +282,41 @@
 	return reply(conn, 200, "{}");
 }
 
+#define FAULT(name_, kind, max_)                                        \
+	{                                                               \
+		.name = #name_, .type = (kind),                         \
+		.off = offsetof(struct seam_fake_server_faults, name_), \
+		.max = (max_)                                           \
+	}
+
+static const struct seam_json_field fault_fields[] = {
+	FAULT(down, SEAM_JSON_BOOL, 0),
+	FAULT(delay_ms, SEAM_JSON_INT, 60000),
+	FAULT(lose_answers, SEAM_JSON_INT, 1000),
+	FAULT(writes_per_sec, SEAM_JSON_INT, 1000000),
+	FAULT(reads_per_sec, SEAM_JSON_INT, 1000000),
+};
+
+/* A fault that is misspelt must not pass for one that was set. */
 static int on_faults(struct seam_fake_server *s, struct mg_connection *conn,
 		     const char *body)
 {
-	struct json_object *o = json_tokener_parse(body);
-	struct seam_fake_server_faults f = {
-		.down = seam_json_int(o, "down", 0) != 0,
-		.delay_ms = seam_json_int(o, "delay_ms", 0),
-		.lose_answers = seam_json_int(o, "lose_answers", 0),
-		.writes_per_sec = seam_json_int(o, "writes_per_sec", 0),
-		.reads_per_sec = seam_json_int(o, "reads_per_sec", 0),
-	};
+	struct seam_problems p = {.file = "faults"};
+	struct seam_fake_server_faults f = {.down = false};
+	struct json_object *o = seam_json_parse(body, &p);
+	struct seam_err e = SEAM_ERR_INIT;
 
+	if (o)
+		seam_json_read(o, fault_fields,
+			       sizeof(fault_fields) / sizeof(*fault_fields), &f,
+			       "", &p);
 	json_object_put(o);
-	seam_fake_server_set(s, &f);
-	return reply(conn, 200, "{}");
+	if (p.n)
+		seam_problems_err(&p, SEAM_BAD_REQUEST, &e);
+	else
+		seam_fake_server_set(s, &f);
+	seam_problems_free(&p);
+	return e.kind == SEAM_OK ? reply(conn, 200, "{}") : reply_err(conn, &e);
 }
 
 static int dispatch(struct seam_fake_server *s, struct mg_connection *conn,
