team, pool: an idle node waits for units; entry VMs belong to no pool

The fleet test of a maintenance wave failed: a node without units of a team answered 429 while 30 of 60 units were free, because its data centre's floor was held by its neighbours. A request now waits up to a second for units, at most 8 requests at once. The same run showed the entry VMs in the spare pool, from where they would have been drained and rebooted; a VM that was made for no pool is left alone. The new pool test fails without the change.

--- a/process/platform.h
+++ b/process/platform.h
@@ -20,7 +20,8 @@
  * @dc: data centre
  * @rack: rack
  * @addr: IP:PORT of the target or worker that runs on it
- * @pool: pool it was made for; used only until it is in a pool row
+ * @pool: pool it was made for; used only until it is in a pool row. Empty for
+ *        VMs that no pool may have, such as the entry VMs
  * @state: enum seam_vm_state
  * @cpu_milli: processors, in thousandths of a core
  * @memory_mb: memory in MB
--- a/process/pool_list.c
+++ b/process/pool_list.c
@@ -120,12 +120,17 @@
 	return t;
 }
 
-/* A VM without a row counts for the pool that it was made for. */
+/*
+ * A VM without a row counts for the pool that it was made for. One that was
+ * made for none is not ours to move or reboot: the entry VMs are such.
+ */
 static void place_orphan(struct seam_pools *ps, struct seam_fleet_vm *f,
 			 const struct seam_conf *c)
 {
 	const struct seam_pool_conf *spare = seam_pool_spare(c);
 
+	if (!*f->vm.pool)
+		return;
 	if (!seam_conf_named(c, SEAM_CONF_POOL, f->vm.pool)) {
 		if (!spare)
 			return;
--- a/process/team.c
+++ b/process/team.c
@@ -52,6 +52,7 @@
 	memcpy(t->grant.dc, self->dc, sizeof(t->grant.dc));
 	memcpy(t->grant.vm, self->vm, sizeof(t->grant.vm));
 	pthread_mutex_init(&t->lock, NULL);
+	seam_cond_init(&t->granted);
 	t->table = seam_table_new(sizeof(struct seam_team_slot));
 	t->index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	t->member =
@@ -89,6 +90,7 @@
 	g_hash_table_destroy(t->member);
 	g_hash_table_destroy(t->vm);
 	pthread_mutex_destroy(&t->lock);
+	pthread_cond_destroy(&t->granted);
 	free(t->dc);
 	free(t);
 }
@@ -295,6 +297,9 @@
 	g_hash_table_foreach_remove(t->vm, forgotten, t);
 	seam_teams_read(t, now);
 	more = seam_teams_write(t, now);
+	pthread_mutex_lock(&t->lock);
+	pthread_cond_broadcast(&t->granted);
+	pthread_mutex_unlock(&t->lock);
 	wait = more ? PASS_GAP : PASS_PERIOD;
 	t->pass_at = now + PASS_GAP;
 	return now + wait + (seam_time)(seam_teams_random(t) % (uint64_t)wait);
--- a/process/team_hold.c
+++ b/process/team_hold.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define WAITERS_MAX 8
+
 SEAM_COUNT(refused_total, "seam_team_units_refused_total",
 	   "Units of requests refused for lack of granted units.");
 SEAM_COUNT(held_total, "seam_team_units_held_total",
@@ -102,6 +104,36 @@
 	return rc;
 }
 
+static bool lacks(struct seam_teams *t, const char *team, int units)
+{
+	struct seam_team_slot *s = seam_teams_slot(t, team);
+
+	return !s || s->running + units > s->cap;
+}
+
+/* Waiters are few, so that a team at its limit does not take the threads that
+ * serve others. */
+static bool wait_units(struct seam_admit *a, const char *team, int units,
+		       seam_time until)
+{
+	struct seam_teams *t = (struct seam_teams *)a;
+	struct seam_clock *k = t->self.clock;
+	bool ok;
+
+	pthread_mutex_lock(&t->lock);
+	if (t->waiters >= WAITERS_MAX) {
+		pthread_mutex_unlock(&t->lock);
+		return false;
+	}
+	t->waiters++;
+	while (lacks(t, team, units) && seam_now(k) < until)
+		seam_wait(k, &t->granted, &t->lock, until);
+	t->waiters--;
+	ok = !lacks(t, team, units);
+	pthread_mutex_unlock(&t->lock);
+	return ok;
+}
+
 static void release(struct seam_admit *a, const char *team, int units,
 		    seam_time now)
 {
@@ -159,6 +191,7 @@
 
 const struct seam_admit_ops seam_teams_admit_ops = {
 	.take = take,
+	.wait = wait_units,
 	.release = release,
 	.hold_until = hold_until,
 };
--- a/process/team_impl.h
+++ b/process/team_impl.h
@@ -63,6 +63,8 @@
 	struct seam_teams_self self;
 	struct seam_grant grant; /* holder, data centre, VM of this node */
 	pthread_mutex_t lock;
+	pthread_cond_t granted; /* signalled after each pass */
+	int waiters;
 	struct seam_table *table; /* struct seam_team_slot */
 	GHashTable *index; /* name to handle bits */
 	void (*demand)(void *arg);
--- a/request/route_run.c
+++ b/request/route_run.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <stdlib.h>
 
+#define UNIT_WAIT (1 * SEAM_SEC)
+
 /*
  * A late answer counts against the target only after this time: a caller with
  * a short deadline says nothing about a target that is slower than that.
@@ -234,13 +236,25 @@
 	return seam_kind_info(e->kind)->run != SEAM_NOT_RUN;
 }
 
+/*
+ * A node that was idle may have no units while others have some to spare; they
+ * come within a pass or two of the team's row.
+ */
 static int take_unit(struct attempt *t, struct seam_err *e)
 {
 	struct seam_admit *a = t->job->admit;
+	const char *team = t->job->team;
+	seam_time now = seam_now(t->router->clock);
+	seam_time until = now + UNIT_WAIT;
 
-	if (!a)
+	if (!a || !a->ops->take(a, team, 1, now, e))
 		return 0;
-	return a->ops->take(a, t->job->team, 1, seam_now(t->router->clock), e);
+	if (until > t->job->send.deadline)
+		until = t->job->send.deadline;
+	if (!a->ops->wait || !a->ops->wait(a, team, 1, until))
+		return -1;
+	seam_err_clear(e);
+	return a->ops->take(a, team, 1, seam_now(t->router->clock), e);
 }
 
 /*
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -198,7 +198,8 @@
 
         def all_rebooted():
             for name in self.fleet.urls:
-                self.assertTrue(self.served(name), name)
+                status, body = self.fleet.call(name, "GET", "/v1/services/reserve/x")
+                self.assertEqual(status, 200, (name, body, self.fleet.ctl(name, "--json", "pools").stdout))
             return all(now > was for was, now in zip(start, boots()))
 
         wait_for(all_rebooted, "wave of pool web", 240)
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -114,6 +114,22 @@
 	EXPECT_EQ(pool, "spare");
 }
 
+// Guards against draining and rebooting the entry VMs: they are in the VM list
+// but were made for no pool, and were once adopted into the spare pool.
+TEST(Pool, VmsMadeForNoPoolAreLeftAlone)
+{
+	world w(two);
+
+	three(w);
+	w.vm("entry", "a", "r9", "");
+	w.run(5 * SEC);
+	seam_row row = {};
+	EXPECT_EQ(seam_store_get(w.mem, "vm/entry", &row, w.clock.time + SEC,
+				 &w.e),
+		  -1);
+	EXPECT_EQ(w.e.kind, SEAM_NOT_FOUND);
+}
+
 // Guards against dropping VMs on a list that lags or is down.
 TEST(Pool, MissingVmIsRemovedAfterTheLag)
 {
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -80,7 +80,8 @@
 	((fake_admit *)a)->until = until;
 }
 
-static const seam_admit_ops admit_ops = {admit_take, admit_release, admit_hold};
+static const seam_admit_ops admit_ops = {admit_take, nullptr, admit_release,
+					 admit_hold};
 
 class Requests : public ::testing::Test
 {
--- a/tests/team_test.cc
+++ b/tests/team_test.cc
@@ -1,5 +1,7 @@
 // Upper limits over several nodes: failures, pairs of failures, and long
 // randomised runs.
+#include <atomic>
+#include <chrono>
 #include <thread>
 
 #include "process/team_impl.h"
@@ -16,6 +18,51 @@
 	EXPECT_GE(f.press({0, 1, 2, 3, 4, 5, 6, 7, 8}, 0, 40 * SEAM_SEC), 85);
 }
 
+// Guards against refusing the first request of an idle node while the limit has
+// room: it waits for the grant. A team at its limit is refused in the end.
+TEST(Teams, FirstRequestWaitsForAGrant)
+{
+	seam_clock *real = seam_clock_real();
+	seam_store *s = seam_store_mem_new(real);
+	seam_teams_self self = {};
+	seam_team_terms terms = {};
+	std::atomic<bool> stop{false};
+	seam_err e = SEAM_ERR_INIT;
+
+	snprintf(self.node, sizeof(self.node), "n");
+	self.incarnation = 1;
+	self.clock = real;
+	self.store = s;
+	self.owner = seam_owner_all();
+	self.seed = 5;
+	seam_teams *t = seam_teams_new(&self);
+	snprintf(terms.name, sizeof(terms.name), "t");
+	terms.limit = 2;
+	terms.conf = 1;
+	seam_teams_configure(t, 1, &terms, 1);
+	seam_admit *a = seam_teams_admit(t);
+	EXPECT_EQ(a->ops->take(a, "t", 1, seam_now(real), &e), -1);
+	std::thread passes([&] {
+		while (!stop) {
+			seam_teams_pass(t, seam_now(real));
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(20));
+		}
+	});
+	for (int i = 0; i < 2; i++) {
+		a->ops->wait(a, "t", 1, seam_now(real) + 60 * SEAM_SEC);
+		EXPECT_EQ(a->ops->take(a, "t", 1, seam_now(real), &e), 0)
+			<< e.text;
+	}
+	EXPECT_FALSE(a->ops->wait(a, "t", 1, seam_now(real) + SEAM_SEC / 2));
+	EXPECT_EQ(a->ops->take(a, "t", 1, seam_now(real), &e), -1);
+	stop = true;
+	passes.join();
+	a->ops->release(a, "t", 2, seam_now(real));
+	seam_teams_free(t);
+	seam_store_close(s);
+}
+
 // Guards the floor: a data centre that is cut off serves up to it, and the
 // others use the rest.
 TEST(Teams, CutOffDataCentreServesItsFloor)
