embedded: workers over HTTP that run tasks

Cause: the embedded mode had no workers, so a task stayed queued. Change: three fake workers of pool batch on 127.0.0.1:18110 and up, with a thread that lets their time pass every 20 ms.

--- a/cmd/embedded.c
+++ b/cmd/embedded.c
@@ -1,17 +1,29 @@
 #include "cmd/embedded.h"
 #include "fake/fake.h"
 
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #define TARGETS 3
 #define TARGET_PORT 18100
 #define TARGET_THREADS 16
+#define WORKERS 3
+#define WORKER_PORT 18110
+#define TICK_MS 20
 
 struct seam_embedded {
 	struct seam_store *store;
 	struct seam_fake_platform *platform;
 	struct seam_fake_target *target[TARGETS];
+	struct seam_fake_workers *workers;
+	struct seam_fake_worker_http *worker[WORKERS];
+	struct seam_clock *clock;
+	pthread_t ticker;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	bool ticks;
+	bool stop;
 };
 
 static int add_target(struct seam_embedded *m, int i, const char *dc,
@@ -32,21 +44,77 @@
 	return 0;
 }
 
+static int add_worker(struct seam_embedded *m, int i, const char *dc,
+		      struct seam_err *e)
+{
+	struct seam_vm vm = {
+		.cpu_milli = 8000, .memory_mb = 32768, .boot = 1};
+
+	snprintf(vm.id, sizeof(vm.id), "worker-%d", i + 1);
+	snprintf(vm.dc, sizeof(vm.dc), "%s", dc);
+	snprintf(vm.rack, sizeof(vm.rack), "rack-%d", i + 1);
+	snprintf(vm.addr, sizeof(vm.addr), "127.0.0.1:%d", WORKER_PORT + i);
+	snprintf(vm.pool, sizeof(vm.pool), "batch");
+	seam_fake_workers_add(m->workers, &vm);
+	m->worker[i] = seam_fake_worker_http_new(m->workers, vm.id, vm.addr);
+	if (!m->worker[i])
+		return seam_fail(e, SEAM_UNAVAILABLE,
+				 "embedded: cannot use address %s", vm.addr);
+	seam_fake_platform_put(m->platform, &vm);
+	return 0;
+}
+
+/* Lets the tasks of the fake workers proceed and end. */
+static void *tick(void *arg)
+{
+	struct seam_embedded *m = arg;
+
+	pthread_mutex_lock(&m->lock);
+	while (!m->stop) {
+		struct timespec ts;
+		seam_time until = seam_now(m->clock) + TICK_MS * SEAM_MSEC;
+
+		seam_fake_workers_tick(m->workers, seam_now(m->clock));
+		ts.tv_sec = until / SEAM_SEC;
+		ts.tv_nsec = until % SEAM_SEC * 1000;
+		pthread_cond_timedwait(&m->wake, &m->lock, &ts);
+	}
+	pthread_mutex_unlock(&m->lock);
+	return NULL;
+}
+
+static int add_all(struct seam_embedded *m, const char *dc, struct seam_err *e)
+{
+	int i;
+
+	for (i = 0; i < TARGETS; i++)
+		if (add_target(m, i, dc, e))
+			return -1;
+	for (i = 0; i < WORKERS; i++)
+		if (add_worker(m, i, dc, e))
+			return -1;
+	if (pthread_create(&m->ticker, NULL, tick, m))
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	m->ticks = true;
+	return 0;
+}
+
 struct seam_embedded *seam_embedded_new(struct seam_clock *k, const char *dc,
 					struct seam_err *e)
 {
 	struct seam_embedded *m = calloc(1, sizeof(*m));
-	int i;
 
 	if (!m) {
 		seam_fail(e, SEAM_NO_MEMORY, NULL);
 		return NULL;
 	}
+	m->clock = k;
+	pthread_mutex_init(&m->lock, NULL);
+	pthread_cond_init(&m->wake, NULL);
 	m->store = seam_store_mem_new(k);
 	m->platform = seam_fake_platform_new(k);
-	for (i = 0; i < TARGETS; i++) {
-		if (!add_target(m, i, dc, e))
-			continue;
+	m->workers = seam_fake_workers_new(k, 1);
+	if (add_all(m, dc, e)) {
 		seam_embedded_free(m);
 		return NULL;
 	}
@@ -90,15 +158,32 @@
 	return done ? 0 : -1;
 }
 
+static void stop_ticks(struct seam_embedded *m)
+{
+	if (!m->ticks)
+		return;
+	pthread_mutex_lock(&m->lock);
+	m->stop = true;
+	pthread_cond_signal(&m->wake);
+	pthread_mutex_unlock(&m->lock);
+	pthread_join(m->ticker, NULL);
+}
+
 void seam_embedded_free(struct seam_embedded *m)
 {
 	int i;
 
 	if (!m)
 		return;
+	stop_ticks(m);
+	for (i = 0; i < WORKERS; i++)
+		seam_fake_worker_http_free(m->worker[i]);
 	for (i = 0; i < TARGETS; i++)
 		seam_fake_target_free(m->target[i]);
+	seam_fake_workers_free(m->workers);
 	seam_fake_platform_free(m->platform);
 	seam_store_close(m->store);
+	pthread_cond_destroy(&m->wake);
+	pthread_mutex_destroy(&m->lock);
 	free(m);
 }
--- a/cmd/embedded.h
+++ b/cmd/embedded.h
@@ -4,13 +4,13 @@
 #include "process/node.h"
 
 /**
- * struct seam_embedded - platform and targets in the daemon's own process
+ * struct seam_embedded - platform, targets and workers in one process
  *
  * For trying the daemon without any other process; nothing outlives it.
  */
 struct seam_embedded;
 
-/** seam_embedded_new() - store, VM list and targets for the data centre */
+/** seam_embedded_new() - store, VM list, targets and workers of @dc */
 struct seam_embedded *seam_embedded_new(struct seam_clock *k, const char *dc,
 					struct seam_err *e);
 
@@ -24,7 +24,7 @@
 int seam_embedded_config(struct seam_embedded *m, struct seam_clock *k,
 			 const char *file, struct seam_err *e);
 
-/** seam_embedded_free() - stop the targets and free */
+/** seam_embedded_free() - stop targets and workers, and free */
 void seam_embedded_free(struct seam_embedded *m);
 
 #endif
