embedded: spare VMs, reboots of workers, stop in parallel

Cause: each of the eight fake servers needs up to 2 s to stop, so the daemon took 16 s to end and the next start found its ports in use. A rebooted worker kept its records. Change: all servers stop at once; a worker follows the platform's boot number; two spare VMs.

--- a/cmd/embedded.c
+++ b/cmd/embedded.c
@@ -5,7 +5,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define TARGETS 3
+#define TARGETS 5
+#define TARGETS_WEB 3 /* the others are spare */
 #define TARGET_PORT 18100
 #define TARGET_THREADS 16
 #define WORKERS 3
@@ -18,6 +19,7 @@
 	struct seam_fake_target *target[TARGETS];
 	struct seam_fake_workers *workers;
 	struct seam_fake_worker_http *worker[WORKERS];
+	int64_t boot[WORKERS];
 	struct seam_clock *clock;
 	pthread_t ticker;
 	pthread_mutex_t lock;
@@ -35,7 +37,7 @@
 	snprintf(vm.dc, sizeof(vm.dc), "%s", dc);
 	snprintf(vm.rack, sizeof(vm.rack), "rack-%d", i + 1);
 	snprintf(vm.addr, sizeof(vm.addr), "127.0.0.1:%d", TARGET_PORT + i);
-	snprintf(vm.pool, sizeof(vm.pool), "web");
+	snprintf(vm.pool, sizeof(vm.pool), i < TARGETS_WEB ? "web" : "spare");
 	m->target[i] = seam_fake_target_new(vm.id, vm.addr, TARGET_THREADS);
 	if (!m->target[i])
 		return seam_fail(e, SEAM_UNAVAILABLE,
@@ -47,14 +49,14 @@
 static int add_worker(struct seam_embedded *m, int i, const char *dc,
 		      struct seam_err *e)
 {
-	struct seam_vm vm = {
-		.cpu_milli = 8000, .memory_mb = 32768, .boot = 1};
+	struct seam_vm vm = {.cpu_milli = 8000, .memory_mb = 32768, .boot = 1};
 
 	snprintf(vm.id, sizeof(vm.id), "worker-%d", i + 1);
 	snprintf(vm.dc, sizeof(vm.dc), "%s", dc);
 	snprintf(vm.rack, sizeof(vm.rack), "rack-%d", i + 1);
 	snprintf(vm.addr, sizeof(vm.addr), "127.0.0.1:%d", WORKER_PORT + i);
 	snprintf(vm.pool, sizeof(vm.pool), "batch");
+	m->boot[i] = vm.boot;
 	seam_fake_workers_add(m->workers, &vm);
 	m->worker[i] = seam_fake_worker_http_new(m->workers, vm.id, vm.addr);
 	if (!m->worker[i])
@@ -64,6 +66,27 @@
 	return 0;
 }
 
+/* A worker that the platform rebooted forgets what it ran. */
+static void follow_reboots(struct seam_embedded *m)
+{
+	struct seam_platform *p = seam_fake_platform_base(m->platform);
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_vms vms = {.vm = NULL};
+	size_t i;
+	int w;
+
+	if (p->ops->vms(p, &vms, seam_now(m->clock) + SEAM_SEC, &e))
+		return;
+	for (i = 0; i < vms.n; i++) {
+		if (sscanf(vms.vm[i].id, "worker-%d", &w) != 1 || w < 1 ||
+		    w > WORKERS || m->boot[w - 1] == vms.vm[i].boot)
+			continue;
+		m->boot[w - 1] = vms.vm[i].boot;
+		seam_fake_workers_add(m->workers, &vms.vm[i]);
+	}
+	seam_vms_free(&vms);
+}
+
 /* Lets the tasks of the fake workers proceed and end. */
 static void *tick(void *arg)
 {
@@ -74,6 +97,7 @@
 		struct timespec ts;
 		seam_time until = seam_now(m->clock) + TICK_MS * SEAM_MSEC;
 
+		follow_reboots(m);
 		seam_fake_workers_tick(m->workers, seam_now(m->clock));
 		ts.tv_sec = until / SEAM_SEC;
 		ts.tv_nsec = until % SEAM_SEC * 1000;
@@ -169,17 +193,45 @@
 	pthread_join(m->ticker, NULL);
 }
 
-void seam_embedded_free(struct seam_embedded *m)
+static void *stop_target(void *arg)
+{
+	seam_fake_target_free(arg);
+	return NULL;
+}
+
+static void *stop_worker(void *arg)
 {
+	seam_fake_worker_http_free(arg);
+	return NULL;
+}
+
+/* Each server needs up to 2 s to stop, so all of them stop at once. */
+static void stop_servers(struct seam_embedded *m)
+{
+	pthread_t thread[TARGETS + WORKERS];
+	int n = 0;
 	int i;
 
+	for (i = 0; i < TARGETS; i++)
+		if (pthread_create(&thread[n], NULL, stop_target, m->target[i]))
+			stop_target(m->target[i]);
+		else
+			n++;
+	for (i = 0; i < WORKERS; i++)
+		if (pthread_create(&thread[n], NULL, stop_worker, m->worker[i]))
+			stop_worker(m->worker[i]);
+		else
+			n++;
+	for (i = 0; i < n; i++)
+		pthread_join(thread[i], NULL);
+}
+
+void seam_embedded_free(struct seam_embedded *m)
+{
 	if (!m)
 		return;
 	stop_ticks(m);
-	for (i = 0; i < WORKERS; i++)
-		seam_fake_worker_http_free(m->worker[i]);
-	for (i = 0; i < TARGETS; i++)
-		seam_fake_target_free(m->target[i]);
+	stop_servers(m);
 	seam_fake_workers_free(m->workers);
 	seam_fake_platform_free(m->platform);
 	seam_store_close(m->store);
