--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -38,8 +38,48 @@
 /** ctl_print() - print JSON */
 void ctl_print(struct json_object *o);
 
-/** ctl_table() - print an array of objects as a table */
-void ctl_table(struct json_object *rows);
+#define CTL_COLUMNS 12 /* most columns of a table */
+
+/** How a member is printed; times are microseconds since the Unix epoch. */
+enum ctl_format { CTL_TEXT, CTL_YES, CTL_UTC, CTL_CORES, CTL_GB };
+
+/**
+ * struct ctl_column - one column of a table
+ * @title: heading
+ * @path: member of each row, with dots between names
+ * @format: how it is printed
+ */
+struct ctl_column {
+	const char *title;
+	const char *path;
+	enum ctl_format format;
+};
+
+/** ctl_table() - print an array of objects; @n is at most CTL_COLUMNS */
+void ctl_table(struct json_object *rows, const struct ctl_column *col, int n);
+
+/** ctl_line() - print one named member, or nothing if it is absent or empty */
+void ctl_line(const char *name, struct json_object *o, const char *path,
+	      enum ctl_format format);
+
+/** ctl_at() - member at a path with dots between names, or NULL */
+struct json_object *ctl_at(struct json_object *o, const char *path);
+
+/** ctl_int() - number at a path, or 0 */
+int64_t ctl_int(struct json_object *o, const char *path);
+
+/** ctl_str() - text at a path, or "" */
+const char *ctl_str(struct json_object *o, const char *path);
+
+/** ctl_utc() - write a time in microseconds as UTC; "-" for none */
+const char *ctl_utc(int64_t us, char *out, size_t size);
+
+/** ctl_path() - path of a request; escapes @word as one part of it */
+void ctl_path(char *out, size_t size, const char *prefix, const char *word,
+	      const char *suffix);
+
+/** ctl_print_change() - print a change of @doc, one object a line */
+void ctl_print_change(struct json_object *change, struct json_object *doc);
 
 /* Commands on files and the configuration (ctl_config.c). */
 int ctl_check(struct ctl *a);
@@ -60,10 +100,10 @@
  */
 int ctl_send(struct ctl *a, struct json_object *change, uint64_t version);
 
-/* Commands that read state or give orders (ctl_state.c). */
+/* Commands that read state or give orders (ctl_state.c, ctl_explain.c). */
 int ctl_list(struct ctl *a);
-int ctl_task(struct ctl *a);
 int ctl_wave(struct ctl *a);
+int ctl_task(struct ctl *a);
 int ctl_explain(struct ctl *a);
 
 #endif
--- a/cmd/ctl_config.c
+++ b/cmd/ctl_config.c
@@ -69,7 +69,13 @@
 
 	if (!o)
 		return ctl_refused(&e);
-	ctl_print(o);
+	if (a->json) {
+		ctl_print(o);
+	} else {
+		/* With the version as a comment, so that apply takes it. */
+		printf("// version %" PRId64 "\n", ctl_int(o, "version"));
+		ctl_print(ctl_at(o, "config"));
+	}
 	json_object_put(o);
 	return CTL_DONE;
 }
@@ -98,6 +104,18 @@
 	return CTL_DONE;
 }
 
+static void print_change(struct ctl *a, struct seam_conf *now,
+			 struct json_object *change)
+{
+	struct json_object *doc = seam_conf_doc(now);
+
+	if (a->json)
+		ctl_print(change);
+	else
+		ctl_print_change(change, doc);
+	json_object_put(doc);
+}
+
 static int change_to(struct ctl *a, struct seam_conf *next, bool apply)
 {
 	struct seam_err e = SEAM_ERR_INIT;
@@ -111,7 +129,7 @@
 	if (apply)
 		rc = ctl_send(a, change, seam_conf_version(now));
 	else
-		ctl_print(change);
+		print_change(a, now, change);
 	json_object_put(change);
 	seam_conf_drop(now);
 	return rc;
@@ -139,46 +157,68 @@
 	return diff_or_apply(a, true);
 }
 
-static void print_log(struct ctl *a, struct json_object *page)
+static void print_row(struct json_object *row)
 {
-	size_t i;
+	struct json_object *put = ctl_at(row, "change.put");
+	struct json_object *del = ctl_at(row, "change.delete");
+	size_t puts_n = put ? json_object_array_length(put) : 0;
+	size_t dels = del ? json_object_array_length(del) : 0;
+	char when[32];
+
+	printf("%-7" PRId64 " %s  %-12s %s: ", ctl_int(row, "version"),
+	       ctl_utc(ctl_int(row, "time_us"), when, sizeof(when)),
+	       ctl_str(row, "operator"), ctl_str(row, "reason"));
+	if (puts_n + dels == 1 && puts_n)
+		printf("%s %s\n",
+		       ctl_str(json_object_array_get_idx(put, 0), "kind"),
+		       ctl_str(json_object_array_get_idx(put, 0),
+			       "object.name"));
+	else
+		printf("%zu put, %zu deleted\n", puts_n, dels);
+}
 
-	if (a->json) {
-		ctl_print(page);
-		return;
-	}
-	for (i = 0; i < json_object_array_length(page); i++) {
-		struct json_object *row = json_object_array_get_idx(page, i);
+/* Adds the page after @after to @all; returns its length, or -1. */
+static int log_page(struct ctl *a, int64_t after, struct json_object *all,
+		    struct seam_err *e)
+{
+	struct json_object *page;
+	char path[64];
+	size_t n;
+	size_t i;
 
-		printf("%-8" PRId64 " %-16s %s\n",
-		       seam_json_int(row, "version", 0),
-		       seam_json_str(row, "operator", ""),
-		       seam_json_str(row, "reason", ""));
-	}
+	snprintf(path, sizeof(path), "/v1/config/log?after=%" PRId64, after);
+	page = seam_client_call(&a->client, "GET", path, NULL, e);
+	if (!page)
+		return -1;
+	n = json_object_array_length(page);
+	for (i = 0; i < n; i++)
+		json_object_array_add(
+			all,
+			json_object_get(json_object_array_get_idx(page, i)));
+	json_object_put(page);
+	return (int)n;
 }
 
 int ctl_log(struct ctl *a)
 {
 	struct seam_err e = SEAM_ERR_INIT;
-	int64_t after = 0;
-	size_t n;
+	struct json_object *all = json_object_new_array();
+	size_t i = 0;
+	int n;
 
 	do {
-		struct json_object *page;
-		char path[64];
-
-		snprintf(path, sizeof(path), "/v1/config/log?after=%" PRId64,
-			 after);
-		page = seam_client_call(&a->client, "GET", path, NULL, &e);
-		if (!page)
-			return ctl_refused(&e);
-		print_log(a, page);
-		n = json_object_array_length(page);
-		if (n)
-			after = seam_json_int(
-				json_object_array_get_idx(page, n - 1),
-				"version", 0);
-		json_object_put(page);
-	} while (n);
-	return CTL_DONE;
+		size_t len = json_object_array_length(all);
+		int64_t after =
+			len ? ctl_int(json_object_array_get_idx(all, len - 1),
+				      "version") :
+			      0;
+
+		n = log_page(a, after, all, &e);
+	} while (n > 0);
+	if (!n && a->json)
+		ctl_print(all);
+	for (; !n && !a->json && i < json_object_array_length(all); i++)
+		print_row(json_object_array_get_idx(all, i));
+	json_object_put(all);
+	return n ? ctl_refused(&e) : CTL_DONE;
 }
--- a/cmd/ctl_state.c
+++ b/cmd/ctl_state.c
@@ -1,113 +1,157 @@
 #include "cmd/ctl.h"
 
 #include <curl/curl.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define COLUMNS_MAX 16
-#define CELL_MAX 40
-
-static const char *cell(struct json_object *row, const char *name)
-{
-	struct json_object *v = NULL;
-
-	json_object_object_get_ex(row, name, &v);
-	if (!v)
-		return "-";
-	if (json_object_is_type(v, json_type_array) ||
-	    json_object_is_type(v, json_type_object))
-		return json_object_to_json_string_ext(v,
-						      JSON_C_TO_STRING_PLAIN);
-	return json_object_get_string(v);
-}
-
-static int width_of(struct json_object *rows, const char *name)
+#define MSEC_PER_SEC 1000.0
+
+static const struct ctl_column pool_columns[] = {
+	{"POOL", "name", CTL_TEXT},
+	{"MEMBERS", "members", CTL_TEXT},
+	{"ACTIVE", "active", CTL_TEXT},
+	{"UNAVAIL", "unavailable", CTL_TEXT},
+	{"PLANNED", "planned", CTL_TEXT},
+	{"DC-OUT", "data_centre_out", CTL_TEXT},
+	{"BUDGET", "budget", CTL_TEXT},
+	{"MIN", "min", CTL_TEXT},
+	{"WANTS", "wants", CTL_TEXT},
+	{"OVERDUE", "overdue", CTL_TEXT},
+};
+
+static const struct ctl_column team_columns[] = {
+	{"TEAM", "team", CTL_TEXT},
+	{"LIMIT", "limit", CTL_TEXT},
+	{"GRANTED", "granted_all", CTL_TEXT},
+	{"HOLDERS", "holders", CTL_TEXT},
+	{"HERE", "this_node.granted", CTL_TEXT},
+	{"RUNNING-HERE", "this_node.running", CTL_TEXT},
+	{"REFUSED-HERE", "this_node.refused", CTL_TEXT},
+	{"ROW-DAMAGED", "this_node.row_damaged", CTL_YES},
+};
+
+static const struct ctl_column worker_columns[] = {
+	{"WORKER", "id", CTL_TEXT},
+	{"POOL", "pool", CTL_TEXT},
+	{"DC", "data_centre", CTL_TEXT},
+	{"CORES", "size.cpu_milli", CTL_CORES},
+	{"USED", "committed.cpu_milli", CTL_CORES},
+	{"GB", "size.memory_mb", CTL_GB},
+	{"USED-GB", "committed.memory_mb", CTL_GB},
+	{"USABLE", "usable", CTL_YES},
+	{"QUARANTINED", "quarantined", CTL_YES},
+	{"REASON", "reason", CTL_TEXT},
+};
+
+static const struct ctl_column node_columns[] = {
+	{"NODE", "node", CTL_TEXT},
+	{"DC", "data_centre", CTL_TEXT},
+	{"CALLERS", "listen", CTL_TEXT},
+	{"INC", "incarnation", CTL_TEXT},
+	{"SUSPECTED", "suspected", CTL_YES},
+	{"VERSION", "version", CTL_TEXT},
+	{"CONFIRMED", "confirmed_at_us", CTL_UTC},
+};
+
+#define TABLE(rows, columns) \
+	ctl_table((rows), (columns), sizeof(columns) / sizeof(*(columns)))
+
+/* Sums the grants of each team over all holders. */
+static void add_sums(struct json_object *teams)
 {
-	size_t width = strlen(name);
 	size_t i;
 
-	for (i = 0; i < json_object_array_length(rows); i++) {
-		size_t n =
-			strlen(cell(json_object_array_get_idx(rows, i), name));
-
-		if (n > width)
-			width = n;
+	for (i = 0; i < json_object_array_length(teams); i++) {
+		struct json_object *o = json_object_array_get_idx(teams, i);
+		struct json_object *grants = ctl_at(o, "ledger.grants");
+		int64_t units = 0;
+		int holders = 0;
+
+		if (!grants)
+			continue;
+		json_object_object_foreach(grants, holder, grant)
+		{
+			(void)holder;
+			units += ctl_int(grant, "units");
+			holders++;
+		}
+		json_object_object_add(o, "granted_all",
+				       json_object_new_int64(units));
+		json_object_object_add(o, "holders",
+				       json_object_new_int(holders));
 	}
-	return width > CELL_MAX ? CELL_MAX : (int)width;
 }
 
-void ctl_table(struct json_object *rows)
+static void print_nodes(struct json_object *o)
 {
-	const char *name[COLUMNS_MAX];
-	int width[COLUMNS_MAX];
-	int columns = 0;
-	size_t i;
-	int c;
-
-	if (!json_object_array_length(rows))
-		return;
-	json_object_object_foreach(json_object_array_get_idx(rows, 0), key, val)
-	{
-		(void)val;
-		if (columns == COLUMNS_MAX)
-			break;
-		name[columns] = key;
-		width[columns] = width_of(rows, key);
-		columns++;
-	}
-	for (c = 0; c < columns; c++)
-		printf("%-*s%s", width[c], name[c],
-		       c + 1 < columns ? "  " : "\n");
-	for (i = 0; i < json_object_array_length(rows); i++)
-		for (c = 0; c < columns; c++)
-			printf("%-*.*s%s", width[c], CELL_MAX,
-			       cell(json_object_array_get_idx(rows, i),
-				    name[c]),
-			       c + 1 < columns ? "  " : "\n");
+	struct json_object *self = ctl_at(o, "self");
+	struct json_object *members = ctl_at(o, "members");
+	int64_t age = ctl_int(self, "confirmed_age_ms");
+
+	printf("Asked node %s in data centre %s, incarnation %" PRId64 ".\n",
+	       ctl_str(self, "node"), ctl_str(self, "data_centre"),
+	       ctl_int(self, "incarnation"));
+	if (age < 0)
+		printf("Its version %" PRId64 " was never confirmed.\n",
+		       ctl_int(self, "version"));
+	else
+		printf("Its version %" PRId64 " was confirmed %.1f s ago.\n",
+		       ctl_int(self, "version"), (double)age / MSEC_PER_SEC);
+	puts(json_object_get_boolean(ctl_at(self, "store_down")) ?
+		     "It does not reach the store." :
+		     "It reaches the store.");
+	if (json_object_get_boolean(ctl_at(self, "change_unsettled")))
+		puts("A change that it sent to the store is not settled yet.");
+	if (members && json_object_array_length(members))
+		TABLE(members, node_columns);
+	else
+		puts("It knows no other node.");
 }
 
-/* An answer is an array, or an object with one array under the list's name. */
-static struct json_object *rows_of(struct json_object *o, const char *name)
+static void print_workers(struct json_object *o)
 {
-	struct json_object *rows = NULL;
+	if (json_object_array_length(o))
+		TABLE(o, worker_columns);
+	else
+		puts("No worker has run a task yet.");
+}
 
-	if (json_object_is_type(o, json_type_array))
-		return o;
-	json_object_object_get_ex(o, name, &rows);
-	return json_object_is_type(rows, json_type_array) ? rows : NULL;
+static void print_list(const char *name, struct json_object *o)
+{
+	if (!strcmp(name, "pools")) {
+		TABLE(o, pool_columns);
+	} else if (!strcmp(name, "teams")) {
+		add_sums(o);
+		TABLE(o, team_columns);
+	} else if (!strcmp(name, "workers")) {
+		print_workers(o);
+	} else {
+		print_nodes(o);
+	}
 }
 
-static int show(struct ctl *a, const char *method, const char *path,
-		const char *body, const char *list)
+int ctl_list(struct ctl *a)
 {
 	struct seam_err e = SEAM_ERR_INIT;
-	struct json_object *o =
-		seam_client_call(&a->client, method, path, body, &e);
-	struct json_object *rows;
+	struct json_object *o;
+	char path[64];
 
+	snprintf(path, sizeof(path), "/v1/%s", a->word[0]);
+	o = seam_client_call(&a->client, "GET", path, NULL, &e);
 	if (!o)
 		return ctl_refused(&e);
-	rows = list ? rows_of(o, list) : NULL;
-	if (rows && !a->json)
-		ctl_table(rows);
-	else
+	if (a->json)
 		ctl_print(o);
+	else
+		print_list(a->word[0], o);
 	json_object_put(o);
 	return CTL_DONE;
 }
 
-int ctl_list(struct ctl *a)
-{
-	char path[64];
-
-	snprintf(path, sizeof(path), "/v1/%s", a->word[0]);
-	return show(a, "GET", path, NULL, a->word[0]);
-}
-
-/* Escapes a word for use as one part of a path. */
-static void path_of(char *out, size_t size, const char *prefix,
-		    const char *word, const char *suffix)
+void ctl_path(char *out, size_t size, const char *prefix, const char *word,
+	      const char *suffix)
 {
 	char *escaped = curl_easy_escape(NULL, word, 0);
 
@@ -115,41 +159,43 @@
 	curl_free(escaped);
 }
 
-int ctl_task(struct ctl *a)
+static struct json_object *wave_order(const struct ctl *a)
 {
-	char path[600];
+	struct json_object *o = json_object_new_object();
 
-	path_of(path, sizeof(path), "/v1/tasks/", a->word[1], "");
-	return show(a, "GET", path, NULL, NULL);
+	json_object_object_add(o, "order", json_object_new_string(a->word[1]));
+	json_object_object_add(o, "reason", json_object_new_string(a->message));
+	json_object_object_add(o, "operator",
+			       json_object_new_string(a->operator_name));
+	if (a->expect >= 0)
+		json_object_object_add(o, "expected",
+				       json_object_new_int64(a->expect));
+	return o;
 }
 
 int ctl_wave(struct ctl *a)
 {
-	struct json_object *o = json_object_new_object();
+	struct seam_err e = SEAM_ERR_INIT;
+	struct json_object *order;
+	struct json_object *o;
 	char path[600];
-	int rc;
 
 	if (strcmp(a->word[1], "start") && strcmp(a->word[1], "halt")) {
 		fprintf(stderr, "seamctl: wave takes start or halt\n");
-		json_object_put(o);
 		return CTL_USAGE;
 	}
-	json_object_object_add(o, "order", json_object_new_string(a->word[1]));
-	json_object_object_add(o, "reason", json_object_new_string(a->message));
-	json_object_object_add(o, "operator",
-			       json_object_new_string(a->operator_name));
-	path_of(path, sizeof(path), "/v1/pools/", a->word[2], "/wave");
-	rc = show(a, "POST", path, json_object_to_json_string(o), NULL);
+	order = wave_order(a);
+	ctl_path(path, sizeof(path), "/v1/pools/", a->word[2], "/wave");
+	o = seam_client_call(&a->client, "POST", path,
+			     json_object_to_json_string(order), &e);
+	json_object_put(order);
+	if (!o)
+		return ctl_refused(&e);
+	if (a->json)
+		ctl_print(o);
+	else
+		printf("wave order %" PRId64 " of pool %s: %s\n",
+		       ctl_int(o, "version"), a->word[2], a->word[1]);
 	json_object_put(o);
-	return rc;
-}
-
-int ctl_explain(struct ctl *a)
-{
-	char prefix[80];
-	char path[700];
-
-	snprintf(prefix, sizeof(prefix), "/v1/explain/%.40s/", a->word[1]);
-	path_of(path, sizeof(path), prefix, a->word[2], "");
-	return show(a, "GET", path, NULL, NULL);
+	return CTL_DONE;
 }
--- a/cmd/seamctl.c
+++ b/cmd/seamctl.c
@@ -16,7 +16,8 @@
 	"\v"
 	"Configuration:\n"
 	"  check FILE            check a configuration without a daemon\n"
-	"  show                  print the configuration in force\n"
+	"  show                  print the configuration in force, as apply "
+	"takes it\n"
 	"  diff FILE             print the change from it to FILE\n"
 	"  apply FILE            make that change; needs --message\n"
 	"  log                   list the changes, oldest first\n"
@@ -25,25 +26,31 @@
 	"  key withdraw NAME     withdraw a key; needs --message\n"
 	"  key grant NAME        grant it again; needs --message\n"
 	"State:\n"
-	"  pools | teams | nodes | workers\n"
-	"                        list them\n"
+	"  pools                 members, availability budget, maintenance\n"
+	"  teams                 limits and grants in units; HERE is the node "
+	"asked\n"
+	"  nodes                 the node asked and what it knows of others\n"
+	"  workers               cores and GB in use, quarantine\n"
 	"  task ID               show a task\n"
+	"  explain KIND NAME     say why: task ID, vm ID, pool NAME, team NAME\n"
+	"Orders:\n"
 	"  wave start POOL       start a maintenance wave; needs --message\n"
 	"  wave halt POOL        halt it; needs --message\n"
-	"  explain KIND NAME     say why: task ID, vm ID, pool NAME, team NAME\n"
-	"FILE may be - for standard input.\n\n"
+	"FILE may be - for standard input. Times are UTC.\n\n"
 	"Environment: SEAM_URL and SEAM_KEY replace --url and --key.\n"
-	"Exit codes: 0 done, 1 refused, 2 usage, 3 invalid file, "
-	"4 daemon not reached.";
+	"Exit codes: 0 done, 1 refused, 2 wrong command line, 3 invalid "
+	"file, 4 daemon not reached.";
 
 static const struct argp_option options[] = {
-	{"url", 'u', "URL", 0, "a daemon, http://IP:PORT", 0},
+	{"url", 'u', "URL", 0, "a daemon; default http://127.0.0.1:18080", 0},
 	{"key", 'k', "KEY", 0, "operators' key", 0},
 	{"message", 'm', "TEXT", 0, "reason of the change", 0},
 	{"operator", 'o', "NAME", 0, "who changes; default $USER", 0},
 	{"expect", 'x', "VERSION", 0,
-	 "change only this version; default is the one just read", 0},
-	{"json", 'j', NULL, 0, "print JSON", 0},
+	 "change only this version of the configuration or of the wave order; "
+	 "default is the one just read, or any order",
+	 0},
+	{"json", 'j', NULL, 0, "print the answer as JSON", 0},
 	{0},
 };
 
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -1,4 +1,6 @@
 // The command-line tool against a running daemon.
+#include <unistd.h>
+
 #include <vector>
 
 #include "tests/node_fixture.h"
@@ -11,7 +13,7 @@
 {
       protected:
 	int run(int (*fn)(ctl *), std::vector<std::string> words,
-		int64_t expect = -1, const char *key = "op")
+		int64_t expect = -1, const char *key = "op", bool json = false)
 	{
 		ctl a = {};
 
@@ -20,6 +22,7 @@
 		a.message = "test";
 		a.operator_name = "me";
 		a.expect = expect;
+		a.json = json;
 		for (auto &w : words)
 			a.word[a.words++] = &w[0];
 		return fn(&a);
@@ -59,3 +62,109 @@
 	node = nullptr;
 	EXPECT_EQ(run(ctl_show, {"show"}), CTL_UNREACHABLE);
 }
+
+// Guards against JSON, or times in microseconds, where operators read a table.
+TEST_F(Ctl, ListsAreTables)
+{
+	const std::vector<std::pair<const char *, const char *>> lists = {
+		{"pools", "POOL "},
+		{"teams", "TEAM "},
+		{"nodes", "Asked node "},
+		{"workers", "No worker has run a task yet."}};
+
+	for (auto &l : lists) {
+		testing::internal::CaptureStdout();
+		EXPECT_EQ(run(ctl_list, {l.first}), CTL_DONE);
+		std::string out = testing::internal::GetCapturedStdout();
+		EXPECT_EQ(out.find(l.second), 0u) << out;
+		EXPECT_EQ(out.find('{'), std::string::npos) << out;
+		EXPECT_EQ(out.find("_us"), std::string::npos) << out;
+	}
+}
+
+// Guards against an explanation that begins with data in place of the reason.
+TEST_F(Ctl, ExplainPrintsSentencesFirst)
+{
+	const std::vector<std::vector<std::string>> asked = {
+		{"explain", "vm", "vm-0"},
+		{"explain", "pool", "web"},
+		{"explain", "team", "t"}};
+
+	for (auto &words : asked) {
+		std::string out;
+
+		/* The pool's first pass may come after the daemon is ready. */
+		for (int i = 0; i < 100; i++) {
+			testing::internal::CaptureStdout();
+			int rc = run(ctl_explain, words);
+			out = testing::internal::GetCapturedStdout();
+			if (rc == CTL_DONE)
+				break;
+			usleep(50000);
+		}
+		std::string first = out.substr(0, out.find('\n'));
+		ASSERT_FALSE(first.empty()) << words[1];
+		EXPECT_EQ(first.back(), '.') << out;
+		EXPECT_EQ(out.find('{'), std::string::npos) << out;
+	}
+	EXPECT_EQ(run(ctl_explain, {"explain", "team", "none"}), CTL_DONE);
+	EXPECT_EQ(run(ctl_explain, {"explain", "vm", "none"}), CTL_REFUSED);
+	EXPECT_EQ(run(ctl_explain, {"explain", "moon", "none"}), CTL_USAGE);
+}
+
+// Guards against a shown configuration that the tool itself refuses.
+TEST_F(Ctl, ShownConfigurationIsAccepted)
+{
+	std::string file = testing::TempDir() + "seam_ctl_test.json";
+
+	testing::internal::CaptureStdout();
+	EXPECT_EQ(run(ctl_show, {"show"}), CTL_DONE);
+	std::string out = testing::internal::GetCapturedStdout();
+	FILE *f = fopen(file.c_str(), "w");
+	ASSERT_NE(f, nullptr);
+	fputs(out.c_str(), f);
+	fclose(f);
+	EXPECT_EQ(run(ctl_check, {"check", file}), CTL_DONE);
+	testing::internal::CaptureStdout();
+	EXPECT_EQ(run(ctl_diff, {"diff", file}), CTL_DONE);
+	EXPECT_EQ(testing::internal::GetCapturedStdout(), "No difference.\n");
+	remove(file.c_str());
+}
+
+// Guards against two operators who order one pool's wave: the later one, who
+// saw an older order, is refused.
+TEST_F(Ctl, LaterWaveOrderIsRefused)
+{
+	EXPECT_EQ(run(ctl_wave, {"wave", "start", "web"}, 0), CTL_DONE);
+	EXPECT_EQ(run(ctl_wave, {"wave", "halt", "web"}, 0), CTL_REFUSED);
+	EXPECT_EQ(run(ctl_wave, {"wave", "halt", "web"}), CTL_DONE);
+	EXPECT_EQ(run(ctl_wave, {"wave", "stop", "web"}), CTL_USAGE);
+}
+
+// Guards against several JSON documents in one answer, one for each page.
+TEST_F(Ctl, LogIsOneDocument)
+{
+	EXPECT_EQ(run(ctl_dc, {"dc", "out", "a"}), CTL_DONE);
+	testing::internal::CaptureStdout();
+	EXPECT_EQ(run(ctl_log, {"log"}, -1, "op", true), CTL_DONE);
+	std::string out = testing::internal::GetCapturedStdout();
+	json_tokener *t = json_tokener_new();
+	json_object *o = json_tokener_parse_ex(t, out.c_str(), (int)out.size());
+	ASSERT_NE(o, nullptr) << out;
+	EXPECT_EQ(json_object_array_length(o), 2u);
+	EXPECT_EQ(out.find_first_not_of(" \n", json_tokener_get_parse_end(t)),
+		  std::string::npos)
+		<< out;
+	json_object_put(o);
+	json_tokener_free(t);
+}
+
+// Guards against times shown in a zone or unit other than UTC.
+TEST(CtlTime, IsUtc)
+{
+	char out[32];
+
+	EXPECT_STREQ(ctl_utc(1796384257504276, out, sizeof(out)),
+		     "2026-12-04 11:37:37 UTC");
+	EXPECT_STREQ(ctl_utc(0, out, sizeof(out)), "-");
+}
