--- a/cmd/ctl_config.c
+++ b/cmd/ctl_config.c
@@ -174,7 +174,7 @@
 		       ctl_str(json_object_array_get_idx(put, 0),
 			       "object.name"));
 	else
-		printf("%zu put, %zu deleted\n", puts_n, dels);
+		printf("%zu objects written, %zu deleted\n", puts_n, dels);
 }
 
 /* Adds the page after @after to @all; returns its length, or -1. */
--- a/cmd/ctl_explain.c
+++ b/cmd/ctl_explain.c
@@ -153,7 +153,7 @@
 {
 	char when[32];
 
-	printf("Pool %s has %" PRId64 " members: %" PRId64 " active, %" PRId64
+	printf("Pool %s: %" PRId64 " members, %" PRId64 " active, %" PRId64
 	       " unavailable with a budget of %" PRId64 ".\n",
 	       ctl_str(o, "name"), ctl_int(o, "members"), ctl_int(o, "active"),
 	       ctl_int(o, "unavailable"), ctl_int(o, "budget"));
