ops: the library refuses what the daemon refuses

Cause: the library let pass a second spare pool, a service or queue on a pool of another kind, two keys with one hash, values that are not booleans or lists, and names that end in a newline. Change: these are refused where they are written. A test runs seamctl check of SEAM_BUILD on both example deployments and on a wrong document.

--- a/ops/seamops.py
+++ b/ops/seamops.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Dict, List, Optional
 
-_NAME = re.compile(r"^[A-Za-z0-9._-]{1,63}$")
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,63}")
 
 
 class ConfigError(ValueError):
@@ -20,7 +20,7 @@
 
 
 def _name(kind: str, name: str) -> str:
-    if not isinstance(name, str) or not _NAME.match(name):
+    if not isinstance(name, str) or not _NAME.fullmatch(name):
         raise ConfigError(f"{kind} {name!r}: must be 1 to 63 letters, digits, '-', '_', '.'")
     return name
 
@@ -31,6 +31,18 @@
     return value
 
 
+def _bool(where: str, value: bool) -> bool:
+    if not isinstance(value, bool):
+        raise ConfigError(f"{where}: must be True or False")
+    return value
+
+
+def _names(where: str, names: Optional[List[str]]) -> List[str]:
+    if names is not None and not isinstance(names, (list, tuple)):
+        raise ConfigError(f"{where}: must be a list of names")
+    return list(names or [])
+
+
 def key_hash(text: str) -> str:
     """SHA-256 of a key's text, as the configuration stores it."""
     return hashlib.sha256(text.encode()).hexdigest()
@@ -55,6 +67,12 @@
             raise ConfigError(f"{where}: no {kind} {name!r}")
         return name
 
+    def _pool_of(self, kind: str, name: str, where: str) -> str:
+        self._known("pools", "pool", name, where)
+        if not any(p["name"] == name and p["kind"] == kind for p in self.objects["pools"]):
+            raise ConfigError(f"{where}: pool {name!r} is not of kind {kind!r}")
+        return name
+
     def data_centre(self, name: str, region: str, state: str = "in") -> str:
         """A data centre; state is "in" or "out"."""
         if state not in ("in", "out"):
@@ -67,10 +85,12 @@
         """A pool of VMs; budget is how many may be unavailable at once."""
         if kind not in ("service", "tasks", "spare"):
             raise ConfigError(f"pool {name!r}: kind must be 'service', 'tasks' or 'spare'")
+        if kind == "spare" and any(p["kind"] == "spare" for p in self.objects.get("pools", [])):
+            raise ConfigError(f"pool {name!r}: a second pool of kind 'spare'")
         _int(f"pool {name!r} minimum", minimum, 0, 100000)
         _int(f"pool {name!r} maximum", maximum, max(1, minimum), 100000)
         _int(f"pool {name!r} budget", budget, 0, 100000)
-        for dc in data_centres or []:
+        for dc in _names(f"pool {name!r} data_centres", data_centres):
             self._known("data_centres", "data centre", dc, f"pool {name!r}")
         return self._add("pools", "pool",
                          {"name": name, "kind": kind, "min": minimum, "max": maximum,
@@ -80,15 +100,16 @@
                 connections: int = 64, idempotent: bool = False,
                 teams: Optional[List[str]] = None) -> str:
         """A service that runs on the VMs of a pool."""
-        self._known("pools", "pool", pool, f"service {name!r}")
-        for team in teams or []:
+        self._pool_of("service", pool, f"service {name!r}")
+        for team in _names(f"service {name!r} teams", teams):
             self._known("teams", "team", team, f"service {name!r}")
         return self._add("services", "service",
                          {"name": name, "pool": pool,
                           "timeout_ms": _int(f"service {name!r} timeout_ms", timeout_ms, 10, 30000),
                           "slots": _int(f"service {name!r} slots", slots, 1, 1024),
                           "connections": _int(f"service {name!r} connections", connections, 1, 1024),
-                          "idempotent": bool(idempotent), "teams": teams})
+                          "idempotent": _bool(f"service {name!r} idempotent", idempotent),
+                          "teams": teams})
 
     def team(self, name: str, share: int = 1, limit: int = 1000000) -> str:
         """A team with its share when all is full and its upper limit."""
@@ -109,30 +130,33 @@
               data_centres: Optional[List[str]] = None) -> str:
         """A queue of tasks; finish_at is "HH:MM" in UTC."""
         self._known("teams", "team", team, f"queue {name!r}")
-        self._known("pools", "pool", pool, f"queue {name!r}")
+        self._pool_of("tasks", pool, f"queue {name!r}")
         if priority not in ("normal", "urgent"):
             raise ConfigError(f"queue {name!r}: priority must be 'normal' or 'urgent'")
         minute = None
         if finish_at is not None:
-            match = re.match(r"^([01]\d|2[0-3]):([0-5]\d)$", finish_at)
+            match = re.fullmatch(r"([01][0-9]|2[0-3]):([0-5][0-9])", finish_at)
             if not match:
                 raise ConfigError(f"queue {name!r}: finish_at must be HH:MM")
             minute = int(match.group(1)) * 60 + int(match.group(2))
-        for dc in data_centres or []:
+        for dc in _names(f"queue {name!r} data_centres", data_centres):
             self._known("data_centres", "data centre", dc, f"queue {name!r}")
         return self._add("queues", "queue",
                          {"name": name, "team": team, "pool": pool, "priority": priority,
-                          "open": bool(open_to_all), "idempotent": bool(idempotent),
+                          "open": _bool(f"queue {name!r} open_to_all", open_to_all),
+                          "idempotent": _bool(f"queue {name!r} idempotent", idempotent),
                           "finish_at": minute, "data_centres": data_centres})
 
     def key(self, name: str, team: str, sha256: str, withdrawn: bool = False) -> str:
         """A caller's key; pass key_hash(text), never the text itself."""
         self._known("teams", "team", team, f"key {name!r}")
-        if not re.match(r"^[0-9a-f]{64}$", sha256):
+        if not isinstance(sha256, str) or not re.fullmatch(r"[0-9a-f]{64}", sha256):
             raise ConfigError(f"key {name!r}: sha256 must be 64 lower-case hex digits")
+        if any(k["sha256"] == sha256 for k in self.objects.get("keys", [])):
+            raise ConfigError(f"key {name!r}: another key has this hash")
         return self._add("keys", "key",
                          {"name": name, "team": team, "sha256": sha256,
-                          "state": "withdrawn" if withdrawn else "granted"})
+                          "state": "withdrawn" if _bool(f"key {name!r} withdrawn", withdrawn) else "granted"})
 
     def to_json(self) -> str:
         """The configuration document as text."""
--- a/ops/tests/test_seamops.py
+++ b/ops/tests/test_seamops.py
@@ -1,10 +1,14 @@
 """The operators' library checks values where they are written."""
 
 import json
+import os
 import pathlib
+import subprocess
 import sys
 import unittest
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BUILD = ROOT / os.environ.get("SEAM_BUILD", "build/plain")
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import arhivna_kotva
@@ -38,6 +42,43 @@
         with self.assertRaisesRegex(ConfigError, "64 lower-case"):
             c.key("k", "t", "abc")
 
+    def test_rules_between_objects(self):
+        """What the daemon refuses between objects is refused here too."""
+        c = Config()
+        c.pool("spare", "spare")
+        c.pool("web", "service")
+        c.pool("batch", "tasks")
+        c.team("t")
+        with self.assertRaisesRegex(ConfigError, "second pool of kind 'spare'"):
+            c.pool("spare-2", "spare")
+        with self.assertRaisesRegex(ConfigError, "not of kind 'service'"):
+            c.service("s", "batch")
+        with self.assertRaisesRegex(ConfigError, "not of kind 'tasks'"):
+            c.queue("q", "t", "web")
+        c.key("k", "t", key_hash("one"))
+        with self.assertRaisesRegex(ConfigError, "another key has this hash"):
+            c.key("l", "t", key_hash("one"))
+        with self.assertRaisesRegex(ConfigError, "must be True or False"):
+            c.queue("q", "t", "batch", idempotent="no")
+        with self.assertRaisesRegex(ConfigError, "list of names"):
+            c.service("s", "web", teams="t")
+        with self.assertRaisesRegex(ConfigError, "must be 1 to 63"):
+            c.team("t\n")
+        with self.assertRaisesRegex(ConfigError, "64 lower-case"):
+            c.key("m", "t", key_hash("two") + "\n")
+
+    def check(self, text):
+        """Run "seamctl check -"; a missing program is an error."""
+        return subprocess.run([str(BUILD / "seamctl"), "check", "-"], input=text, text=True,
+                              capture_output=True, timeout=20, check=False)
+
+    def test_daemon_accepts_examples(self):
+        """The daemon's own reader accepts both deployments, and is not deaf."""
+        for module in (arhivna_kotva, pathshala):
+            done = self.check(module.build().to_json())
+            self.assertEqual((done.returncode, done.stderr), (0, ""))
+        self.assertEqual(self.check('{"pools":[{"name":"p","kind":"x"}]}').returncode, 3)
+
     def test_hash_matches_daemon(self):
         """The daemon's settings example stores this hash of operator-demo."""
         settings = pathlib.Path(__file__).parents[2] / "examples" / "embedded-settings.json"
