bench: slopes of each role by the size of the fleet

docs/CAPACITY.md needs the cost of each role at sizes that were not measured: the fleet table, the routing table, worker rows, running tasks, grants of teams, ownership, versions, and calls over HTTP.

--- /dev/null
+++ b/bench/capacity_http_bench.c
@@ -0,0 +1,387 @@
+/*
+ * Slopes behind docs/CAPACITY.md: calls over HTTP on loopback against the
+ * fakes. usage: capacity_http_bench [store|list|worker|links]
+ * Processor time is that of the calling thread; the fakes run in others. Bytes
+ * over HTTP are bodies, without headers.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "bench/measure.h"
+#include "fake/fake.h"
+#include "process/rest.h"
+
+#define START ((seam_time)1000000 * SEAM_SEC)
+#define DCS 16
+#define SERVER "127.0.0.1:24810"
+#define WORKER "127.0.0.1:24811"
+#define NOBODY "127.0.0.1:24812" /* nothing listens there */
+#define CHANGES 200
+
+static seam_time soon(void)
+{
+	return seam_now(seam_clock_real()) + 20 * SEAM_SEC;
+}
+
+static void put_row(struct seam_store *s, const char *key, const char *text)
+{
+	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
+			       strlen(text)};
+	struct seam_commit c = {&w, 1, 1, 0};
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (seam_store_commit(s, &c, SEAM_NEVER, &e))
+		abort();
+}
+
+/* ---- the platform over HTTP ---- */
+
+static struct seam_store *mem;
+static struct seam_fake_platform *vms;
+
+static size_t body_bytes(const char *path)
+{
+	struct seam_rest *r =
+		seam_rest_new(seam_clock_real(), "http://" SERVER);
+	struct seam_rest_call c = {
+		.method = "GET", .path = path, .deadline = soon()};
+	struct seam_rest_answer a;
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (seam_rest_do(r, &c, &a, &e) || a.status != 200) {
+		fprintf(stderr, "capacity: %s %s\n", path, e.text);
+		exit(1);
+	}
+	free(a.body);
+	seam_rest_free(r);
+	return a.len;
+}
+
+static void time_get(struct seam_store *s, int bytes, struct fit *f)
+{
+	char *data = g_strnfill((gsize)bytes, 'x');
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_row row;
+	int64_t at;
+	double us;
+	int i;
+
+	put_row(mem, "get/row", data);
+	at = cpu_ns();
+	for (i = 0; i < CHANGES; i++) {
+		if (seam_store_get(s, "get/row", &row, soon(), &e))
+			abort();
+		seam_row_free(&row);
+	}
+	us = since_us(at, CHANGES);
+	printf("get %6d bytes: %8.1f us, body %zu bytes\n", bytes, us,
+	       body_bytes("/rows/get%2Frow"));
+	fit_add(f, bytes, us);
+	g_free(data);
+}
+
+static void time_scan(struct seam_store *s, int rows, struct fit *f,
+		      struct fit *wire)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_rows out;
+	char path[64];
+	int64_t at;
+	double us;
+	size_t len;
+	int i;
+
+	at = cpu_ns();
+	for (i = 0; i < 20; i++) {
+		if (seam_store_scan(s, "worker/", "", (size_t)rows, &out,
+				    soon(), &e) ||
+		    out.n != (size_t)rows)
+			abort();
+		seam_rows_free(&out);
+	}
+	us = since_us(at, 20);
+	snprintf(path, sizeof(path),
+		 "/rows?prefix=worker%%2F&max=%d&after=", rows);
+	len = body_bytes(path);
+	printf("scan %5d rows: %8.1f us, body %zu bytes\n", rows, us, len);
+	fit_add(f, rows, us);
+	fit_add(wire, rows, (double)len);
+}
+
+static void time_commit(struct seam_store *s, int rows, struct fit *f)
+{
+	struct seam_write w[64];
+	struct seam_commit c = {.write = w, .n = (size_t)rows, .token = 1};
+	struct seam_err e = SEAM_ERR_INIT;
+	char key[64][32];
+	char *data = g_strnfill(300, 'x');
+	int64_t at;
+	double us;
+	int i;
+
+	for (i = 0; i < rows; i++) {
+		snprintf(key[i], sizeof(key[i]), "commit/%d", i);
+		w[i] = (struct seam_write){SEAM_PUT, key[i], SEAM_ANY_VERSION,
+					   data, 300};
+	}
+	at = cpu_ns();
+	for (i = 0; i < CHANGES; i++)
+		if (seam_store_commit(s, &c, soon(), &e))
+			abort();
+	us = since_us(at, CHANGES);
+	printf("commit %4d rows of 300 bytes: %8.1f us\n", rows, us);
+	fit_add(f, rows, us);
+	g_free(data);
+}
+
+static void bench_store(void)
+{
+	static const int bytes[] = {100, 1000, 10000, 100000};
+	static const int rows[] = {1, 50, 200, 500};
+	static const int writes[] = {1, 4, 16, 64};
+	struct seam_store *s =
+		seam_store_http_new(seam_clock_real(), "http://" SERVER);
+	struct fit get = {0};
+	struct fit scan = {0};
+	struct fit wire = {0};
+	struct fit put = {0};
+	char key[64];
+	int i;
+
+	for (i = 0; i < 500; i++) {
+		snprintf(key, sizeof(key), "worker/worker-%05d", i);
+		put_row(mem, key,
+			"{\"use\":[{\"cpu_milli\":8000,\"memory_mb\":1000,"
+			"\"accelerators\":0,\"bucket\":\"queue/team-000/"
+			"queue-000/1\"}],\"fails\":[],\"quarantined\":0,"
+			"\"probe_at\":0,\"reason\":\"\"}");
+	}
+	time_get(s, 100, &(struct fit){0}); /* opens the connection */
+	for (i = 0; i < 4; i++)
+		time_get(s, bytes[i], &get);
+	for (i = 0; i < 4; i++)
+		time_scan(s, rows[i], &scan, &wire);
+	for (i = 0; i < 4; i++)
+		time_commit(s, writes[i], &put);
+	fit_print("store get", "us", "byte", &get);
+	fit_print("store scan, worker rows", "us", "row", &scan);
+	fit_print("store scan, worker rows", "bytes", "row", &wire);
+	fit_print("store commit, 300 bytes each", "us", "row", &put);
+	seam_store_close(s);
+}
+
+static void bench_list(void)
+{
+	static const int sizes[] = {260, 2600, 6500, 26000};
+	struct seam_platform *p =
+		seam_platform_http_new(seam_clock_real(), "http://" SERVER);
+	struct fit cpu = {0};
+	struct fit wire = {0};
+	struct fit heap = {0};
+	int have = 0;
+	size_t k;
+
+	printf("%8s %10s %12s %12s\n", "vms", "list_us", "bytes", "held");
+	for (k = 0; k < 4; k++) {
+		struct seam_vms out;
+		struct seam_err e = SEAM_ERR_INIT;
+		double us;
+		size_t len;
+		int64_t at;
+
+		for (; have < sizes[k]; have++) {
+			struct seam_vm vm = {.cpu_milli = 32000,
+					     .memory_mb = 128 << 10,
+					     .boot = 1};
+
+			snprintf(vm.id, 64, "worker-%05d", have);
+			snprintf(vm.dc, 64, "dc-%02d", have % DCS);
+			snprintf(vm.rack, 64, "rack-%04d", have / 4);
+			snprintf(vm.addr, 64, "10.0.%d.%d:8080", have >> 8,
+				 have & 255);
+			snprintf(vm.pool, 64, "pool-%03d", have / 78);
+			seam_fake_platform_put(vms, &vm);
+		}
+		at = cpu_ns();
+		if (p->ops->vms(p, &out, soon(), &e))
+			abort();
+		us = since_us(at, 1);
+		len = body_bytes("/vms");
+		printf("%8d %10.0f %12zu %12zu\n", sizes[k], us, len,
+		       out.n * sizeof(*out.vm));
+		fit_add(&cpu, sizes[k], us);
+		fit_add(&wire, sizes[k], (double)len);
+		fit_add(&heap, sizes[k], (double)(out.n * sizeof(*out.vm)));
+		seam_vms_free(&out);
+	}
+	fit_print("VM list over HTTP", "us", "VM", &cpu);
+	fit_print("VM list over HTTP", "bytes", "VM", &wire);
+	fit_print("VM list held", "bytes", "VM", &heap);
+	seam_platform_http_free(p);
+}
+
+/* ---- workers ---- */
+
+static void fill_cmd(struct seam_worker_cmd *c, int i)
+{
+	memset(c, 0, sizeof(*c));
+	c->what = SEAM_DO_RENEW;
+	snprintf(c->worker, sizeof(c->worker), "worker-%05d", i);
+	snprintf(c->addr, sizeof(c->addr), "%s", NOBODY);
+	snprintf(c->task, sizeof(c->task),
+		 "team-000~queue-000~%d~0123456789abcdef", i % 16);
+	snprintf(c->team, sizeof(c->team), "team-000");
+	snprintf(c->kind, sizeof(c->kind), "index");
+	c->attempt = 1;
+	c->token = 123456;
+	c->boot = 1;
+	c->start_by = START * 1600;
+	c->lease_until = START * 1600;
+	c->need = (struct seam_need){8000, 1000, 0};
+}
+
+static size_t report_bytes(int i)
+{
+	struct seam_worker_report r = {.say = SEAM_SAY_RUNNING,
+				       .attempt = 1,
+				       .token = 123456,
+				       .boot = 1,
+				       .usage = {7000, 500, 0},
+				       .usage_at = START * 1600};
+	struct json_object *o;
+	size_t n;
+
+	snprintf(r.worker, sizeof(r.worker), "worker-%05d", i);
+	snprintf(r.task, sizeof(r.task),
+		 "team-000~queue-000~%d~0123456789abcdef", i % 16);
+	o = seam_worker_report_json(&r);
+	n = strlen(json_object_to_json_string(o));
+	json_object_put(o);
+	return n;
+}
+
+/* A renewal as the link sends it, with the JSON on both sides. */
+static void bench_worker(void)
+{
+	struct seam_clock *k = seam_clock_real();
+	struct seam_fake_workers *f = seam_fake_workers_new(k, 1);
+	struct seam_vm vm = {.id = "worker-00000", .boot = 1};
+	struct seam_fake_worker_http *h;
+	struct seam_rest *r = seam_rest_new(k, "http://" WORKER);
+	struct seam_worker_report rep;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_worker_cmd c;
+	size_t body = 0;
+	int64_t at;
+	int i;
+
+	seam_fake_workers_add(f, &vm);
+	h = seam_fake_worker_http_new(f, vm.id, WORKER);
+	fill_cmd(&c, 0);
+	at = cpu_ns();
+	for (i = 0; i < CHANGES; i++) {
+		struct json_object *o = seam_worker_cmd_json(&c);
+		struct seam_rest_call call = {
+			.method = "POST",
+			.path = "/renew",
+			.body = json_object_to_json_string(o),
+			.deadline = soon()};
+		struct seam_rest_answer a;
+
+		body = strlen(call.body);
+		if (seam_rest_do(r, &call, &a, &e) || a.status != 200)
+			abort();
+		json_object_put(o);
+		o = json_tokener_parse(a.body);
+		if (seam_worker_report_read(o, &rep))
+			abort();
+		json_object_put(o);
+		free(a.body);
+	}
+	printf("renewal: %.1f us, %zu bytes out, %zu bytes back; a task in a "
+	       "listing %zu bytes\n",
+	       since_us(at, CHANGES), body, report_bytes(0),
+	       report_bytes(0) + 2);
+	seam_rest_free(r);
+	seam_fake_worker_http_free(h);
+	seam_fake_workers_free(f);
+}
+
+static long status_kb(const char *name)
+{
+	FILE *in = fopen("/proc/self/status", "r");
+	char line[200];
+	long kb = 0;
+
+	while (in && fgets(line, sizeof(line), in))
+		if (!strncmp(line, name, strlen(name)))
+			kb = atol(line + strlen(name) + 1);
+	if (in)
+		fclose(in);
+	return kb;
+}
+
+/* One thread and one curl handle for each worker; nobody answers them. */
+static void bench_links(void)
+{
+	static const int sizes[] = {50, 100, 200, 400};
+	struct fit rss = {0};
+	struct fit threads = {0};
+	size_t k;
+	int i;
+
+	for (k = 0; k < 4; k++) {
+		struct seam_workers *l;
+		long kb = status_kb("VmRSS:");
+		long before = status_kb("Threads:");
+		struct seam_err e = SEAM_ERR_INIT;
+
+		l = seam_workerlink_new(seam_clock_real(), "key", NULL, NULL);
+		for (i = 0; i < sizes[k]; i++) {
+			struct seam_worker_cmd c;
+
+			fill_cmd(&c, i);
+			l->ops->send(l, &c, &e);
+		}
+		g_usleep(G_USEC_PER_SEC);
+		kb = status_kb("VmRSS:") - kb;
+		before = status_kb("Threads:") - before;
+		printf("links %4d: %ld threads, %ld KB resident more\n",
+		       sizes[k], before, kb);
+		fit_add(&rss, sizes[k], (double)kb);
+		fit_add(&threads, sizes[k], (double)before);
+		l->ops->free(l);
+		malloc_trim(0);
+	}
+	fit_print("links to workers", "KB", "worker", &rss);
+	fit_print("links to workers", "threads", "worker", &threads);
+}
+
+int main(int argc, char **argv)
+{
+	const char *only = argc > 1 ? argv[1] : NULL;
+	struct seam_fake_server *server;
+
+	seam_log_level(SEAM_ERROR);
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	if (!only || !strcmp(only, "links"))
+		bench_links();
+	mem = seam_store_mem_new(seam_clock_real());
+	vms = seam_fake_platform_new(seam_clock_real());
+	server = seam_fake_server_new(seam_clock_real(), SERVER, mem,
+				      seam_fake_platform_base(vms));
+	if (!server)
+		return 1;
+	if (!only || !strcmp(only, "store"))
+		bench_store();
+	if (!only || !strcmp(only, "list"))
+		bench_list();
+	if (!only || !strcmp(only, "worker"))
+		bench_worker();
+	seam_fake_server_free(server);
+	seam_fake_platform_free(vms);
+	seam_store_close(mem);
+	return 0;
+}
--- a/bench/measure.h
+++ b/bench/measure.h
@@ -17,6 +17,12 @@
 	return (int64_t)ts.tv_sec * 1000000000 + ts.tv_nsec;
 }
 
+/* Microseconds for each of @rounds since cpu_ns() gave @start. */
+static inline double since_us(int64_t start, int rounds)
+{
+	return (double)(cpu_ns() - start) / 1000 / rounds;
+}
+
 /* Bytes in use on the heap. */
 static inline size_t heap_bytes(void)
 {
