--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,249 @@
+#!/usr/bin/env python3
+"""Prints the tables of docs/CAPACITY.md from the fits of the benchmarks.
+
+usage: bench/capacity.py [DIR [NAME=VALUE ...]]
+DIR holds the outputs of the capacity_*_bench programs (capacity_bench.txt, ...)
+and of conf_bench; programs whose output is missing are run first. NAME=VALUE
+changes an assumption.
+"""
+import os
+import re
+import subprocess
+import sys
+
+BENCHES = ("capacity_bench", "capacity_work_bench", "capacity_team_bench",
+           "capacity_version_bench", "capacity_http_bench", "conf_bench")
+FIT = re.compile(r"fit (.+?)\s+(-?[\d.]+) (\S+) \+ (-?[\d.]+) \S+ for each "
+                 r"(\S+)")
+
+# The target of docs/design.md.
+WORKERS, POOLS, TEAMS, DCS = 26000, 332, 710, 16
+CHANGES = 21000 / 86400
+VM_EVENTS = (380 + 2600 + 26000 / 28) / 86400
+
+# Assumptions where the target gives no number.
+ASSUMED = {
+    "nodes": 48,  # entry VMs
+    "targets": 5000,  # VMs of services
+    "running": 26000,  # tasks at once
+    "rate": 50,  # tasks accepted a second
+    "objects": 4700,  # of the configuration
+}
+
+BEAT_BYTES = 161  # 15,295 B/s to 95 peers, member_bench beats
+ROWS_TASK = 2.1  # task_bench, 100 tasks a second
+NODE_CPU, NODE_MB, NODE_KB = 1.7, 256, 10
+
+
+def read_fits(folder):
+    fits = {}
+    for name in BENCHES:
+        path = os.path.join(folder, name + ".txt")
+        if not os.path.exists(path):
+            text = subprocess.run(["build/plain/bench/" + name], check=True,
+                                  capture_output=True, text=True).stdout
+            with open(path, "w", encoding="utf-8") as out:
+                out.write(text)
+        with open(path, encoding="utf-8") as lines:
+            for m in FIT.finditer(lines.read()):
+                fits[m[1], m[3]] = float(m[2]), float(m[4])
+    return fits
+
+
+class Model:
+    """Use of one node in steady state, by role."""
+
+    def __init__(self, fits, given):
+        self.fits = fits
+        self.a = dict(ASSUMED, **given)
+        self.roles = {}
+        self.build()
+
+    def fit(self, name, unit, x):
+        base, slope = self.fits[name, unit]
+        return max(0, base + slope * x)
+
+    def slope(self, name, unit):
+        return self.fits[name, unit][1]
+
+    def add(self, role, what, cpu=0.0, kb=0.0, mb=0.0, reads=0.0, rows=0.0):
+        """CPU in microseconds a second, KB/s, MB, reads and rows a second."""
+        self.roles.setdefault(role, []).append(
+            (what, cpu / 1e4, kb, mb, reads, rows))
+
+    def build(self):
+        self.inventory()
+        self.pools()
+        self.teams()
+        self.tasks()
+        self.members()
+        self.versions()
+
+    def inventory(self):
+        vms = WORKERS + self.a["targets"]
+        self.add("routing table", "VM list each second",
+                 cpu=self.fit("VM list over HTTP", "us", vms),
+                 kb=self.fit("VM list over HTTP", "bytes", vms) / 1e3,
+                 mb=self.fit("VM list while parsed", "bytes", vms) / 1e6)
+        self.add("routing table", "publication of the fleet",
+                 cpu=self.fit("publication", "us", vms),
+                 mb=2 * self.fit("fleet table heap", "bytes", vms) / 1e6)
+        targets = self.a["targets"]
+        self.add("routing table", "targets taken over",
+                 cpu=self.fit("routing table, list taken over", "us", targets),
+                 mb=self.fit("routing table heap", "bytes", targets) / 1e6)
+
+    def pools(self):
+        vms = WORKERS + self.a["targets"]
+        n = self.a["nodes"]
+        row = self.fit("pool rows", "bytes", vms) / POOLS
+        index = POOLS
+        self.add("pools", "index read each second", reads=1,
+                 cpu=self.fit("store scan, index rows", "us", index),
+                 kb=self.fit("store scan, index rows", "bytes", index) / 1e3)
+        for what, changed in (("rows with a new forecast", POOLS / 60),
+                              ("rows with a VM event", 4 * VM_EVENTS)):
+            self.add("pools", what, reads=changed, rows=2 * changed / n,
+                     cpu=changed * self.fit("store get", "us", row),
+                     kb=changed * row / 1e3)
+        self.add("pools", "passes over owned pools",
+                 cpu=self.fit("pass, all pools owned", "us", vms) / n,
+                 mb=self.fit("pools and list heap", "bytes", vms) / 1e6)
+
+    def teams(self):
+        n = self.a["nodes"]
+        self.add("team grants", "sweep and single rows",
+                 cpu=self.fit("team grants, 710 teams", "us/s", n),
+                 kb=self.fit("team grants, 710 teams, bytes", "B/s", n) / 1e3,
+                 mb=TEAMS * 2 * self.fit("team row", "bytes", n) / 1e6,
+                 reads=3, rows=150 / n)
+
+    def tasks(self):
+        a = self.a
+        n = a["nodes"]
+        per_node = a["running"] / n
+        self.add("task owner", "fleet taken over",
+                 cpu=self.fit("fleet taken over by tasks", "us/s", WORKERS),
+                 mb=self.fit("placement and worker rows heap", "bytes",
+                             WORKERS) / 1e6)
+        self.add("task owner", "scan of worker rows each second",
+                 reads=WORKERS / 500,
+                 cpu=self.slope("scan of worker rows", "us/s") * WORKERS +
+                 self.slope("store scan, worker rows", "us") * WORKERS,
+                 kb=self.slope("store scan, worker rows", "bytes") * WORKERS /
+                 1e3)
+        queue = self.slope("running tasks, bytes read", "B/s") * a["running"]
+        buckets = a["running"] / 48  # 768 tasks in 16 buckets
+        self.add("task owner", "scan of all buckets, twice a second",
+                 reads=2 * max(1, buckets / 200), kb=queue / 1e3,
+                 cpu=queue * self.slope("store get", "us"))
+        # Workers that run at least one task of this node's buckets.
+        each = a["running"] / WORKERS
+        links = WORKERS * (1 - (1 - 1 / n) ** each)
+        self.add("task owner", "passes over running tasks",
+                 cpu=self.slope("running tasks, all owned", "us/s") * per_node,
+                 mb=self.slope("running tasks heap", "bytes") * per_node / 1e6)
+        self.add("task owner", "renewals", cpu=per_node * 0.2 * 100,
+                 kb=per_node * 0.2 * 489 / 1e3)
+        self.add("task owner", "links and listings", cpu=links * 100,
+                 kb=links * 241 * max(1, each) / 1e3,
+                 mb=links * self.slope("links to workers", "KB") / 1e3)
+        self.add("task owner", "commits", rows=ROWS_TASK * a["rate"] / n,
+                 reads=a["rate"] / n, cpu=1.3 * a["rate"] / n *
+                 self.fit("store commit, 300 bytes each", "us", 2))
+
+    def members(self):
+        n = self.a["nodes"]
+        # 2.25% and 0.188% of a core at 96 members, 5,000 and 50 targets.
+        cpu = 19 * n + 4.3 * self.a["targets"] * n / 96
+        self.add("membership", "heartbeats to all members", cpu=cpu,
+                 kb=BEAT_BYTES * (n - 1) / 1e3, reads=0.2)
+
+    def versions(self):
+        objects = self.a["objects"]
+        self.add("versions", "head each second", cpu=self.fit(
+            "store get", "us", 100), kb=0.2, reads=1)
+        self.add("versions", "changes", reads=CHANGES,
+                 cpu=CHANGES * self.fit("one change read and applied", "us",
+                                        objects),
+                 mb=2 * self.fit("configuration heap", "bytes", objects) / 1e6,
+                 kb=CHANGES * 0.35 * 2, rows=3 * CHANGES / self.a["nodes"])
+
+    def sums(self):
+        return [sum(x[i] for r in self.roles.values() for x in r)
+                for i in range(1, 6)]
+
+
+def line(cells):
+    print("| " + " | ".join(cells) + " |")
+
+
+def numbers(x):
+    return [f"{x[0]:.2f}", f"{x[1]:,.1f}", f"{x[2]:,.1f}", f"{x[3]:.2f}",
+            f"{x[4]:.2f}"]
+
+
+def steady(m):
+    line(["role", "part", "% of a core", "KB/s", "MB", "reads/s", "rows/s"])
+    line(["---"] * 7)
+    for role, parts in m.roles.items():
+        for part in parts:
+            line([role, part[0]] + numbers(part[1:]))
+    line(["**sum**", ""] + numbers(m.sums()))
+    line(["a node may spend", "", f"{NODE_CPU}", f"{NODE_KB}", f"{NODE_MB}",
+          f"{1500 / m.a['nodes']:.0f}", f"{300 / m.a['nodes']:.1f}"])
+
+
+def sensitivity(fits, given):
+    print()
+    line(["changed", "% of a core", "KB/s", "MB", "reads/s of all",
+          "rows/s of all"])
+    line(["---"] * 6)
+    for name, value in ((None, 0), ("nodes", 32), ("nodes", 96),
+                        ("targets", 26000), ("running", 104000),
+                        ("rate", 10), ("rate", 200), ("objects", 10000)):
+        m = Model(fits, dict(given, **({name: value} if name else {})))
+        s = m.sums()
+        n = m.a["nodes"]
+        line([f"{name} = {value:,}" if name else "nothing", f"{s[0]:.1f}",
+              f"{s[1]:,.0f}", f"{s[2]:,.0f}", f"{s[3] * n:,.0f}",
+              f"{s[4] * n:,.0f}"])
+
+
+def dc_fails(m):
+    """What the loss of one data centre of 16 asks of the rest, once."""
+    n = m.a["nodes"]
+    vms = WORKERS + m.a["targets"]
+    left = n * (DCS - 1) / DCS
+    row = m.fit("pool rows", "bytes", vms) / POOLS
+    tasks = m.a["running"] / DCS
+    print()
+    line(["work", "rows written", "at 300 rows/s", "reads",
+          "at 1,500 reads/s", "bytes read by a node"])
+    line(["---"] * 6)
+    for what, rows, reads, size in (
+            ("members marked failed in all pools", 2 * POOLS, POOLS * left,
+             POOLS * row),
+            ("failed members removed", 2 * POOLS, POOLS * left, POOLS * row),
+            ("buckets taken over", m.a["running"] / 48 / DCS,
+             m.a["running"] / 48 / DCS, 0),
+            ("lost tasks started again", ROWS_TASK * tasks, tasks, 0),
+            ("grants of the lost nodes marked, then freed", 2 * TEAMS,
+             2 * TEAMS, 2 * TEAMS * m.fit("team row", "bytes", n) / left)):
+        line([what, f"{rows:,.0f}", f"{rows / 300:.1f} s", f"{reads:,.0f}",
+              f"{reads / 1500:.1f} s", f"{size / 1e6:.2f} MB"])
+
+
+def main():
+    folder = sys.argv[1] if len(sys.argv) > 1 else "build/plain/bench"
+    given = {k: float(v) for k, v in
+             (x.split("=") for x in sys.argv[2:])}
+    fits = read_fits(folder)
+    m = Model(fits, given)
+    steady(m)
+    dc_fails(m)
+    sensitivity(fits, given)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/capacity_http_bench.c
+++ b/bench/capacity_http_bench.c
@@ -41,7 +41,8 @@
 static struct seam_store *mem;
 static struct seam_fake_platform *vms;
 
-static size_t body_bytes(const char *path)
+/* The body of the answer, to be freed with free(). */
+static char *fetch(const char *path, size_t *len)
 {
 	struct seam_rest *r =
 		seam_rest_new(seam_clock_real(), "http://" SERVER);
@@ -54,9 +55,35 @@
 		fprintf(stderr, "capacity: %s %s\n", path, e.text);
 		exit(1);
 	}
-	free(a.body);
 	seam_rest_free(r);
-	return a.len;
+	*len = a.len;
+	return a.body;
+}
+
+static size_t body_bytes(const char *path)
+{
+	size_t len;
+
+	free(fetch(path, &len));
+	return len;
+}
+
+/* What json-c holds while the answer is read. */
+static double parsed_bytes(const char *path)
+{
+	size_t len;
+	char *body = fetch(path, &len);
+	struct json_object *o;
+	size_t heap;
+
+	/* The server's threads free their copy of the answer meanwhile. */
+	g_usleep(G_USEC_PER_SEC / 5);
+	heap = heap_bytes();
+	o = json_tokener_parse(body);
+	heap = heap_bytes() - heap;
+	json_object_put(o);
+	free(body);
+	return (double)heap;
 }
 
 static void time_get(struct seam_store *s, int bytes, struct fit *f)
@@ -82,12 +109,12 @@
 	g_free(data);
 }
 
-static void time_scan(struct seam_store *s, int rows, struct fit *f,
-		      struct fit *wire)
+static void time_scan(struct seam_store *s, const char *prefix, int rows,
+		      struct fit *f, struct fit *wire)
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_rows out;
-	char path[64];
+	char path[80];
 	int64_t at;
 	double us;
 	size_t len;
@@ -95,17 +122,19 @@
 
 	at = cpu_ns();
 	for (i = 0; i < 20; i++) {
-		if (seam_store_scan(s, "worker/", "", (size_t)rows, &out,
-				    soon(), &e) ||
+		if (seam_store_scan(s, prefix, "", (size_t)rows, &out, soon(),
+				    &e) ||
 		    out.n != (size_t)rows)
 			abort();
 		seam_rows_free(&out);
 	}
 	us = since_us(at, 20);
 	snprintf(path, sizeof(path),
-		 "/rows?prefix=worker%%2F&max=%d&after=", rows);
+		 "/rows?prefix=%.*s%%2F&max=%d&after=", (int)strlen(prefix) - 1,
+		 prefix, rows);
 	len = body_bytes(path);
-	printf("scan %5d rows: %8.1f us, body %zu bytes\n", rows, us, len);
+	printf("scan %s %5d rows: %8.1f us, body %zu bytes\n", prefix, rows, us,
+	       len);
 	fit_add(f, rows, us);
 	fit_add(wire, rows, (double)len);
 }
@@ -147,10 +176,14 @@
 	struct fit scan = {0};
 	struct fit wire = {0};
 	struct fit put = {0};
+	struct fit index = {0};
+	struct fit small = {0};
 	char key[64];
 	int i;
 
 	for (i = 0; i < 500; i++) {
+		snprintf(key, sizeof(key), "pool-version/pool-%03d", i);
+		put_row(mem, key, "");
 		snprintf(key, sizeof(key), "worker/worker-%05d", i);
 		put_row(mem, key,
 			"{\"use\":[{\"cpu_milli\":8000,\"memory_mb\":1000,"
@@ -162,12 +195,16 @@
 	for (i = 0; i < 4; i++)
 		time_get(s, bytes[i], &get);
 	for (i = 0; i < 4; i++)
-		time_scan(s, rows[i], &scan, &wire);
+		time_scan(s, "worker/", rows[i], &scan, &wire);
+	for (i = 0; i < 4; i++)
+		time_scan(s, "pool-version/", rows[i], &index, &small);
 	for (i = 0; i < 4; i++)
 		time_commit(s, writes[i], &put);
 	fit_print("store get", "us", "byte", &get);
 	fit_print("store scan, worker rows", "us", "row", &scan);
 	fit_print("store scan, worker rows", "bytes", "row", &wire);
+	fit_print("store scan, index rows", "us", "row", &index);
+	fit_print("store scan, index rows", "bytes", "row", &small);
 	fit_print("store commit, 300 bytes each", "us", "row", &put);
 	seam_store_close(s);
 }
@@ -180,6 +217,7 @@
 	struct fit cpu = {0};
 	struct fit wire = {0};
 	struct fit heap = {0};
+	struct fit parsed = {0};
 	int have = 0;
 	size_t k;
 
@@ -214,11 +252,13 @@
 		fit_add(&cpu, sizes[k], us);
 		fit_add(&wire, sizes[k], (double)len);
 		fit_add(&heap, sizes[k], (double)(out.n * sizeof(*out.vm)));
+		fit_add(&parsed, sizes[k], parsed_bytes("/vms"));
 		seam_vms_free(&out);
 	}
 	fit_print("VM list over HTTP", "us", "VM", &cpu);
 	fit_print("VM list over HTTP", "bytes", "VM", &wire);
 	fit_print("VM list held", "bytes", "VM", &heap);
+	fit_print("VM list while parsed", "bytes", "VM", &parsed);
 	seam_platform_http_free(p);
 }
 
