--- a/process/team.c
+++ b/process/team.c
@@ -263,8 +263,6 @@
 	t->bytes = grow(t->bytes, us, BYTES_PER_SEC, BYTES_BURST);
 	t->sweep_bytes =
 		grow(t->sweep_bytes, us, SWEEP_BYTES_PER_SEC, SWEEP_BURST);
-	t->sweep_bytes = SWEEP_BURST;
-	t->row_bytes = 256;
 	t->rows += us * ROWS_PER_SEC / nodes / SEAM_MSEC;
 	if (t->rows > ROWS_BURST * 1000)
 		t->rows = ROWS_BURST * 1000;
