--- a/bench/capacity_work_bench.c
+++ b/bench/capacity_work_bench.c
@@ -225,60 +225,81 @@
 	seam_conf_drop(c);
 }
 
-/* Idle workers: the fleet is taken over and worker rows are read each second.
- */
-static void bench_workers(void)
+static void put_worker_rows(struct work *w, int n)
 {
-	static const int sizes[] = {2600, 6500, 13000, 26000};
 	static const char row[] =
 		"{\"use\":[{\"cpu_milli\":8000,\"memory_mb\":1000,"
 		"\"accelerators\":0,\"bucket\":\"queue/team-000/queue-000/1\"}]"
 		",\"fails\":[],\"quarantined\":0,\"probe_at\":0,\"reason\":\"\"}";
+	char key[64];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(key, sizeof(key), "worker/worker-%05d", i);
+		put_row(w->mem, key, row);
+	}
+}
+
+struct worker_cost {
+	double first; /* us of the first second */
+	double us;
+	struct moved moved;
+	size_t heap;
+};
+
+static struct worker_cost idle_workers(int n, bool rows)
+{
+	struct worker_cost c;
+	struct work w;
+
+	work_open(&w, n, 0);
+	if (rows)
+		put_worker_rows(&w, n);
+	c.first = work_run(&w, 1);
+	memset(&w.store.sum, 0, sizeof(w.store.sum));
+	c.us = work_run(&w, 5) / 5;
+	c.moved = w.store.sum;
+	c.heap = heap_bytes();
+	seam_tasks_free(w.tasks);
+	w.c.placer->ops->free(w.c.placer);
+	c.heap -= heap_bytes();
+	w.c.placer = seam_placer_best_fit();
+	w.tasks = seam_tasks_new(&w.c);
+	work_close(&w);
+	return c;
+}
+
+/* The fleet is taken over and worker rows are read each second. */
+static void bench_workers(void)
+{
+	static const int sizes[] = {2600, 6500, 13000, 26000};
 	struct fit bare = {0};
+	struct fit first = {0};
 	struct fit rows = {0};
 	struct fit reads = {0};
 	struct fit bytes = {0};
 	struct fit heap = {0};
 	size_t k;
 
-	printf("%8s %12s %12s %8s %12s %12s\n", "workers", "us/s bare",
-	       "us/s rows", "reads/s", "bytes/s", "heap");
+	printf("%8s %12s %12s %12s %8s %12s %12s\n", "workers", "us/s bare",
+	       "first us", "us/s rows", "reads/s", "bytes/s", "heap");
 	for (k = 0; k < 4; k++) {
-		struct work w;
-		char key[64];
-		double a;
-		double b;
-		size_t mem;
-		int i;
-
-		work_open(&w, sizes[k], 0);
-		malloc_trim(0);
-		mem = heap_bytes();
-		work_run(&w, 1);
-		a = work_run(&w, 3) / 3;
-		for (i = 0; i < sizes[k]; i++) {
-			snprintf(key, sizeof(key), "worker/worker-%05d", i);
-			put_row(w.mem, key, row);
-		}
-		mem -= heap_bytes();
-		work_run(&w, 2);
-		memset(&w.store.sum, 0, sizeof(w.store.sum));
-		b = work_run(&w, 3) / 3 - a;
-		printf("%8d %12.0f %12.0f %8.1f %12.0f\n", sizes[k], a, b,
-		       w.store.sum.reads / 3, w.store.sum.bytes_read / 3);
-		fit_add(&bare, sizes[k], a);
-		fit_add(&rows, sizes[k], b);
-		fit_add(&reads, sizes[k], w.store.sum.reads / 3);
-		fit_add(&bytes, sizes[k], w.store.sum.bytes_read / 3);
-		mem = heap_bytes();
-		seam_tasks_free(w.tasks);
-		w.c.placer->ops->free(w.c.placer);
-		fit_add(&heap, sizes[k], (double)(mem - heap_bytes()));
-		w.c.placer = seam_placer_best_fit();
-		w.tasks = seam_tasks_new(&w.c);
-		work_close(&w);
+		int n = sizes[k];
+		struct worker_cost a = idle_workers(n, false);
+		struct worker_cost b = idle_workers(n, true);
+
+		printf("%8d %12.0f %12.0f %12.0f %8.1f %12.0f %12zu\n", n, a.us,
+		       b.first - a.first, b.us - a.us, b.moved.reads / 5,
+		       b.moved.bytes_read / 5, b.heap);
+		fit_add(&bare, n, a.us);
+		fit_add(&first, n, b.first - a.first);
+		fit_add(&rows, n, b.us - a.us);
+		fit_add(&reads, n, b.moved.reads / 5);
+		fit_add(&bytes, n, b.moved.bytes_read / 5);
+		fit_add(&heap, n, (double)b.heap);
 	}
 	fit_print("fleet taken over by tasks", "us/s", "worker", &bare);
+	fit_print("first round of worker rows", "us", "worker", &first);
 	fit_print("scan of worker rows", "us/s", "worker", &rows);
 	fit_print("scan of worker rows, reads", "reads/s", "worker", &reads);
 	fit_print("scan of worker rows, bytes", "B/s", "worker", &bytes);
