task: take over the fleet only when it changed

Cause: the placement was told of every VM each second, 27 ms/s at 26,000 workers, although about 0.2 VM states a second change at the target size. Change: the fleet counts contents that differ; the placement is told of all VMs when the count or the version of the configuration changed. The time of the list is taken over each second as before. Measured (capacity_work_bench workers, 26,000 workers, fleet unchanged): 27.1 ms/s before, 0.1 ms/s after; a change costs what each second cost before. Guarded by Task.RandomRuns: a scratch copy without the comparison of versions and without the time of the list fails it.

--- a/process/fleet.c
+++ b/process/fleet.c
@@ -1,6 +1,7 @@
 #include "process/fleet.h"
 
 #include <pthread.h>
+#include <stdbool.h>
 #include <string.h>
 
 struct seam_fleet {
@@ -8,6 +9,7 @@
 	struct seam_fleet_vm *vm;
 	size_t n;
 	seam_time as_of;
+	uint64_t changes;
 };
 
 struct seam_fleet *seam_fleet_new(void)
@@ -28,12 +30,29 @@
 	free(f);
 }
 
+/* Takes the time over if the content is the same. */
+static bool same(struct seam_fleet *f, const struct seam_fleet_vm *vm, size_t n,
+		 seam_time as_of)
+{
+	bool equal;
+
+	pthread_mutex_lock(&f->lock);
+	equal = n == f->n && n && !memcmp(vm, f->vm, n * sizeof(*vm));
+	if (equal)
+		f->as_of = as_of;
+	pthread_mutex_unlock(&f->lock);
+	return equal;
+}
+
 void seam_fleet_set(struct seam_fleet *f, const struct seam_fleet_vm *vm,
 		    size_t n, seam_time as_of)
 {
-	struct seam_fleet_vm *copy = calloc(n + 1, sizeof(*copy));
+	struct seam_fleet_vm *copy;
 	struct seam_fleet_vm *old;
 
+	if (same(f, vm, n, as_of))
+		return;
+	copy = calloc(n + 1, sizeof(*copy));
 	if (!copy)
 		return;
 	if (n)
@@ -43,10 +62,22 @@
 	f->vm = copy;
 	f->n = n;
 	f->as_of = as_of;
+	f->changes++;
 	pthread_mutex_unlock(&f->lock);
 	free(old);
 }
 
+uint64_t seam_fleet_changes(struct seam_fleet *f, seam_time *as_of)
+{
+	uint64_t n;
+
+	pthread_mutex_lock(&f->lock);
+	*as_of = f->as_of;
+	n = f->changes;
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
+
 struct seam_fleet_vm *seam_fleet_copy(struct seam_fleet *f, const char *pool,
 				      size_t *n, seam_time *as_of)
 {
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -35,10 +35,21 @@
 /** seam_fleet_free() - free it */
 void seam_fleet_free(struct seam_fleet *f);
 
-/** seam_fleet_set() - replace the content; @vm is copied */
+/**
+ * seam_fleet_set() - replace the content; @vm is copied
+ *
+ * An equal content only moves the time of the list.
+ */
 void seam_fleet_set(struct seam_fleet *f, const struct seam_fleet_vm *vm,
 		    size_t n, seam_time as_of);
 
+/**
+ * seam_fleet_changes() - how often seam_fleet_set() brought another content
+ * @f: fleet
+ * @as_of: receives the time of the list
+ */
+uint64_t seam_fleet_changes(struct seam_fleet *f, seam_time *as_of);
+
 /**
  * seam_fleet_copy() - VMs of a pool
  * @f: fleet
--- a/process/task_impl.h
+++ b/process/task_impl.h
@@ -121,6 +121,8 @@
 	seam_time scan_at;
 	seam_time fleet_at;
 	seam_time fleet_as_of;
+	uint64_t fleet_changes; /* of the fleet last taken over */
+	uint64_t fleet_conf; /* version that it was taken over with */
 	char row_after[SEAM_KEY_MAX]; /* last worker row read in this round */
 	bool rows_known; /* the first round is over */
 };
--- a/process/task_pass.c
+++ b/process/task_pass.c
@@ -101,23 +101,38 @@
 	p->ops->set(p, &w);
 }
 
-static void take_fleet(struct seam_tasks *ts, seam_time now)
+/* An empty list is a list that was not read yet. */
+static void place_fleet(struct seam_tasks *ts, const struct seam_conf *c,
+			uint64_t changes)
 {
-	struct seam_conf *c = seam_conf_current(ts->c.conf);
 	seam_time as_of = 0;
 	size_t n;
 	size_t i;
 	struct seam_fleet_vm *vm =
 		seam_fleet_copy(ts->c.fleet, NULL, &n, &as_of);
 
-	/* An empty list is a list that was not read yet. */
 	for (i = 0; i < n; i++)
 		place_vm(ts, c, &vm[i]);
 	if (n) {
 		ts->c.placer->ops->sweep(ts->c.placer);
 		ts->fleet_as_of = as_of;
+		ts->fleet_changes = changes;
+		ts->fleet_conf = seam_conf_version(c);
 	}
 	free(vm);
+}
+
+static void take_fleet(struct seam_tasks *ts, seam_time now)
+{
+	struct seam_conf *c = seam_conf_current(ts->c.conf);
+	seam_time as_of;
+	uint64_t changes = seam_fleet_changes(ts->c.fleet, &as_of);
+
+	if (changes && changes == ts->fleet_changes &&
+	    seam_conf_version(c) == ts->fleet_conf)
+		ts->fleet_as_of = as_of;
+	else
+		place_fleet(ts, c, changes);
 	seam_conf_drop(c);
 	ts->fleet_at = now + FLEET_GAP;
 }
