pool: requests are the demand of service pools; setting sizing

Cause: the table of demand had no source in the daemon, so pools kept their sizes, and the sizing policy was fixed to "ready".

Change: each second the request part reports for each service the requests on its targets (own and those that peers told of) and those that wait, valid for 3 s. Beats do not carry waiting requests; this node's number times the live members stands for them. Every node reports, the owner of the pool reads. The setting "sizing" chooses "ready" or "thrifty".

Task pools have no report: a node knows the queued tasks of its own buckets only, and a part of the sum would shrink the pool.

--- a/process/demand.h
+++ b/process/demand.h
@@ -42,6 +42,21 @@
 void seam_demand_set(struct seam_demand *d, const char *pool,
 		     const char *source, const struct seam_demand_report *r);
 
+struct seam_service;
+struct seam_targets;
+
+/**
+ * seam_demand_service() - report a service's requests for its pool
+ * @d: demand
+ * @s: service
+ * @ts: targets; own requests and those that peers told of count as busy
+ * @waiting: requests that wait for a slot
+ * @valid_until: deadline of the report
+ */
+void seam_demand_service(struct seam_demand *d, const struct seam_service *s,
+			 struct seam_targets *ts, int64_t waiting,
+			 seam_time valid_until);
+
 /**
  * seam_demand_vms() - VMs that all reports for @pool ask for at @now
  * @vms: receives the sum, in VMs
--- a/process/part_inventory.c
+++ b/process/part_inventory.c
@@ -94,6 +94,12 @@
 	return now + LIST_PERIOD;
 }
 
+static const struct seam_size_policy *size_policy(int sizing)
+{
+	return sizing == SEAM_SIZING_THRIFTY ? seam_size_thrifty() :
+					       seam_size_ready();
+}
+
 static void make_pools(struct inventory *v)
 {
 	struct seam_node *n = v->node;
@@ -105,7 +111,7 @@
 		.owner = n->owner,
 		.drain = &v->drain.drain,
 		.drain_tasks = &v->drain_tasks.drain,
-		.size = seam_size_ready(),
+		.size = size_policy(n->settings.sizing),
 		.fleet = n->fleet,
 		.vm_list_ms = n->settings.vm_list_ms,
 	};
--- a/process/part_requests.c
+++ b/process/part_requests.c
@@ -1,5 +1,7 @@
 #include "base/count.h"
 #include "base/log.h"
+#include "process/demand.h"
+#include "process/member.h"
 #include "process/node.h"
 #include "request/once.h"
 #include "request/route.h"
@@ -10,6 +12,8 @@
 
 #define PATH_PREFIX "/v1/services/"
 #define REGION_DCS_MAX 32
+#define DEMAND_PERIOD (1 * SEAM_SEC)
+#define DEMAND_VALID (3 * SEAM_SEC) /* a pass that is late is not a gap */
 
 SEAM_COUNT(refused, "seam_requests_refused_total",
 	   "Requests refused before the start.");
@@ -23,7 +27,10 @@
 	struct seam_router *router;
 	struct seam_once *once;
 	struct seam_loop loop;
+	struct seam_loop
+		demand; /* apart: a pass of @loop waits for the store */
 	bool looping;
+	bool reporting;
 };
 
 /* One request: what was found for it in the version of the configuration. */
@@ -222,6 +229,35 @@
 	return seam_once_pass(r->once, now, mine);
 }
 
+/*
+ * Beats do not carry the number of waiting requests. The load balancer spreads
+ * callers evenly over the nodes, so this node's number stands for each of them.
+ */
+static int64_t all_waiting(struct requests *r, const char *service,
+			   seam_time now)
+{
+	struct seam_members *m = r->node->members;
+	int64_t n = seam_router_waiting(r->router, service);
+
+	return m ? n * seam_members_live(m, now) : n;
+}
+
+/* Each node reports all it knows; only the owner of a pool reads it. */
+static seam_time report_demand(void *arg, seam_time now)
+{
+	struct requests *r = arg;
+	struct seam_conf *c = seam_conf_current(&r->node->conf);
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_service *s;
+
+	while ((s = seam_conf_next(c, SEAM_CONF_SERVICE, &h)))
+		seam_demand_service(r->node->demand, s, r->node->targets,
+				    all_waiting(r, s->name, now),
+				    now + DEMAND_VALID);
+	seam_conf_drop(c);
+	return now + DEMAND_PERIOD;
+}
+
 static int start(struct seam_part *p, struct seam_err *e)
 {
 	struct requests *r = (struct requests *)p;
@@ -240,6 +276,9 @@
 	if (seam_loop_start(&r->loop, n->clock, pass, r, e))
 		return -1;
 	r->looping = true;
+	if (seam_loop_start(&r->demand, n->clock, report_demand, r, e))
+		return -1;
+	r->reporting = true;
 	return 0;
 }
 
@@ -257,6 +296,8 @@
 {
 	struct requests *r = (struct requests *)p;
 
+	if (r->reporting)
+		seam_loop_stop(&r->demand);
 	if (r->looping)
 		seam_loop_stop(&r->loop);
 	seam_once_free(r->once);
--- a/process/settings.c
+++ b/process/settings.c
@@ -16,6 +16,8 @@
 
 static const char *const levels[] = {"debug", "info", "warning", "error", NULL};
 
+static const char *const sizings[] = {"ready", "thrifty", NULL};
+
 static const struct seam_json_field fields[] = {
 	F(node, SEAM_JSON_NAME, .required = true),
 	F(vm, SEAM_JSON_NAME),
@@ -35,6 +37,7 @@
 	INT(lease_ms, 1000, 600000),
 	INT(store_writes, 1, 1000000),
 	INT(store_reads, 1, 1000000),
+	F(sizing, SEAM_JSON_CHOICE, .choices = sizings),
 	F(log_level, SEAM_JSON_CHOICE, .choices = levels),
 };
 
@@ -50,6 +53,7 @@
 	s->lease_ms = 15000;
 	s->store_writes = 300;
 	s->store_reads = 1500;
+	s->sizing = SEAM_SIZING_READY;
 	s->log_level = 1;
 }
 
--- a/process/settings.h
+++ b/process/settings.h
@@ -9,6 +9,9 @@
 extern "C" {
 #endif
 
+/** enum seam_sizing - sizing policies to choose from */
+enum seam_sizing { SEAM_SIZING_READY, SEAM_SIZING_THRIFTY };
+
 /**
  * struct seam_settings - what a process is told at start
  * @node: name of this node, unique in the fleet
@@ -31,6 +34,7 @@
  * @lease_ms: lease of a task on a worker
  * @store_writes: rows written a second, for all nodes together
  * @store_reads: reads a second, for all nodes together
+ * @sizing: index of ready, thrifty: sizing policy of pools
  * @log_level: index of debug, info, warning, error
  *
  * Periods are settings only; state holds deadlines.
@@ -54,6 +58,7 @@
 	int64_t lease_ms;
 	int64_t store_writes;
 	int64_t store_reads;
+	int sizing;
 	int log_level;
 };
 
--- a/request/route.h
+++ b/request/route.h
@@ -177,6 +177,9 @@
 	struct seam_send send;
 };
 
+/** seam_router_waiting() - requests for @service that wait in this process */
+int seam_router_waiting(struct seam_router *r, const char *service);
+
 /**
  * seam_router_would_wait() - SEAM_BUSY if the job would be shed at once
  *
--- a/request/route_run.c
+++ b/request/route_run.c
@@ -114,6 +114,16 @@
 	return l;
 }
 
+int seam_router_waiting(struct seam_router *r, const char *service)
+{
+	struct lane *l;
+
+	pthread_mutex_lock(&r->lock);
+	l = g_hash_table_lookup(r->lanes, service);
+	pthread_mutex_unlock(&r->lock);
+	return l ? seam_waitq_count(l->queue) + seam_waitq_count(l->again) : 0;
+}
+
 static int take_slot(void *arg, seam_time now, struct seam_err *e)
 {
 	struct attempt *t = arg;
--- a/request/waitq.c
+++ b/request/waitq.c
@@ -148,6 +148,16 @@
 	return rc;
 }
 
+int seam_waitq_count(struct seam_waitq *q)
+{
+	int n;
+
+	pthread_mutex_lock(&q->lock);
+	n = seam_fair_count(q->fair);
+	pthread_mutex_unlock(&q->lock);
+	return n;
+}
+
 int seam_waitq_check(struct seam_waitq *q, struct seam_waiter *w,
 		     struct seam_err *e)
 {
--- a/request/waitq.h
+++ b/request/waitq.h
@@ -113,6 +113,9 @@
 int seam_waitq_wait(struct seam_waitq *q, struct seam_waiter *w,
 		    seam_waitq_take take, void *arg, struct seam_err *e);
 
+/** seam_waitq_count() - number of waiters */
+int seam_waitq_count(struct seam_waitq *q);
+
 /** seam_waitq_check() - seam_fair_check() if others are waiting */
 int seam_waitq_check(struct seam_waitq *q, struct seam_waiter *w,
 		     struct seam_err *e);
--- a/tests/forecast_test.cc
+++ b/tests/forecast_test.cc
@@ -1,8 +1,10 @@
 // Forecast, sizes and the table of demand.
 #include <gtest/gtest.h>
 
+#include "connection/target.h"
 #include "process/demand.h"
 #include "process/forecast.h"
+#include "version/conf.h"
 
 static const seam_time SEC = SEAM_SEC;
 
@@ -124,3 +126,40 @@
 	EXPECT_FALSE(seam_demand_vms(d, "web", 201, &vms));
 	seam_demand_free(d);
 }
+
+// Guards against a pool that is sized by the requests of its owner alone, or by
+// those of another service.
+TEST(Demand, ServiceCountsOwnPeersAndWaiting)
+{
+	seam_targets *ts = seam_targets_new(seam_clock_real());
+	seam_demand *d = seam_demand_new();
+	seam_target_info info[2] = {};
+	seam_service s = {};
+	seam_handle h = SEAM_NONE;
+	double vms;
+
+	for (int i = 0; i < 2; i++) {
+		snprintf(info[i].id, sizeof(info[i].id), "vm-%d", i);
+		snprintf(info[i].addr, sizeof(info[i].addr), "127.0.0.1:%d",
+			 26000 + i);
+		snprintf(info[i].service, sizeof(info[i].service), "%s",
+			 i ? "other" : "s");
+		info[i].slots = 8;
+	}
+	seam_targets_set(ts, info, 2);
+	seam_table *t = seam_targets_lock(ts);
+	while (auto *g = (seam_target *)seam_table_next(t, &h))
+		g->outstanding = 3;
+	seam_targets_unlock(ts);
+	EXPECT_TRUE(seam_targets_peer_load(ts, "vm-0", 5));
+	EXPECT_TRUE(seam_targets_peer_load(ts, "vm-1", 7));
+	snprintf(s.name, sizeof(s.name), "s");
+	snprintf(s.pool, sizeof(s.pool), "web");
+	s.slots = 8;
+	seam_demand_service(d, &s, ts, 8, 100);
+	ASSERT_TRUE(seam_demand_vms(d, "web", 100, &vms));
+	EXPECT_DOUBLE_EQ(vms, 2);
+	EXPECT_FALSE(seam_demand_vms(d, "web", 101, &vms));
+	seam_demand_free(d);
+	seam_targets_free(ts);
+}
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -1,7 +1,9 @@
 // One node end to end: a real HTTP client, targets and a configuration.
+#include <chrono>
 #include <thread>
 #include <vector>
 
+#include "process/demand.h"
 #include "tests/node_fixture.h"
 
 class Node : public NodeFixture
@@ -81,6 +83,29 @@
 	EXPECT_EQ(wrong, 0);
 }
 
+// Guards against pools that never see the requests that the daemon serves.
+TEST_F(Node, RequestsAreReportedAsDemand)
+{
+	seam_fake_target_faults f = {};
+	seam_time end = seam_now(clock) + 20 * SEAM_SEC;
+	double vms = 0;
+	reply slow;
+
+	f.delay_ms = 3000;
+	seam_fake_target_set(target[0], &f);
+	seam_fake_target_set(target[1], &f);
+	std::thread t([&] {
+		slow = send("GET", url + "/v1/services/s/x", "lender", "");
+	});
+	while (vms <= 0 && seam_now(clock) < end) {
+		seam_demand_vms(node->demand, "web", seam_now(clock), &vms);
+		std::this_thread::sleep_for(std::chrono::milliseconds(10));
+	}
+	t.join();
+	EXPECT_EQ(slow.status, 200);
+	EXPECT_DOUBLE_EQ(vms, 1.0 / 8);
+}
+
 // Guards P10: a drain answers running requests in full and refuses new ones.
 TEST_F(Node, DrainAnswersRunningRequests)
 {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -50,6 +50,20 @@
 		  std::string::npos);
 }
 
+// Guards against a misspelt policy that silently becomes the default one.
+TEST(Settings, SizingIsOneOfTheTwo)
+{
+	const std::string text = std::string("{") + good;
+	seam_settings s;
+
+	EXPECT_EQ(read(text + "}", &s), "");
+	EXPECT_EQ(s.sizing, SEAM_SIZING_READY);
+	EXPECT_EQ(read(text + ",\"sizing\":\"thrifty\"}", &s), "");
+	EXPECT_EQ(s.sizing, SEAM_SIZING_THRIFTY);
+	EXPECT_NE(read(text + ",\"sizing\":\"thrift\"}", &s).find("sizing"),
+		  std::string::npos);
+}
+
 // Guards against two sockets on one address, found only at start.
 TEST(Settings, DuplicateAddressAndBadAddress)
 {
