--- a/bench/measure.h
+++ b/bench/measure.h
@@ -8,6 +8,17 @@
 #include <stdio.h>
 #include <time.h>
 
+/* The same random numbers in each run: xorshift64 (Marsaglia, 2003). */
+static uint64_t seed __attribute__((unused)) = 88172645463325252ull;
+
+static inline uint64_t rnd(void)
+{
+	seed ^= seed << 13;
+	seed ^= seed >> 7;
+	seed ^= seed << 17;
+	return seed >> 11;
+}
+
 /* Processor time of this thread in nanoseconds. */
 static inline int64_t cpu_ns(void)
 {
--- a/bench/task_bench.c
+++ b/bench/task_bench.c
@@ -1,28 +1,15 @@
 /* Figures of docs/tasks.md. Everything runs in one thread under a simulated
  * clock; only the cost of a placement is measured in real time. */
-#include <json-c/json.h>
 #include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
-#include "fake/fake.h"
-#include "process/task.h"
+#include "bench/task_fleet.h"
 
-#define STEP (100 * SEAM_MSEC)
-#define WORKERS 50
 #define SAMPLES 60
 
-struct bench {
-	struct seam_fake_clock clock;
-	struct seam_store *store;
-	struct seam_fake_workers *workers;
-	struct seam_conf_cell conf;
-	struct seam_task_ctx c;
-	struct seam_tasks *tasks;
-};
-
 static double real_us(void)
 {
 	struct timespec t;
@@ -31,116 +18,6 @@
 	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
 }
 
-static void configure(struct bench *b)
-{
-	struct json_object *o = json_tokener_parse(
-		"{\"put\":[{\"kind\":\"data_centre\",\"object\":{\"name\":"
-		"\"a\",\"region\":\"r\"}},{\"kind\":\"pool\",\"object\":{"
-		"\"name\":\"p\",\"kind\":\"tasks\"}},{\"kind\":\"team\","
-		"\"object\":{\"name\":\"t\"}},{\"kind\":\"team\",\"object\":{"
-		"\"name\":\"u\"}},{\"kind\":\"queue\",\"object\":{\"name\":"
-		"\"q\",\"team\":\"t\",\"pool\":\"p\"}},{\"kind\":\"queue\","
-		"\"object\":{\"name\":\"v\",\"team\":\"u\",\"pool\":"
-		"\"p\"}}]}");
-	struct seam_change ch = {o, "bench", "bench", 0};
-	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_conf *c = seam_conf_commit(b->store, &b->clock.clock, &ch,
-					       b->clock.time + SEAM_SEC, &e);
-
-	seam_conf_cell_init(&b->conf);
-	seam_conf_publish(&b->conf, c);
-	json_object_put(o);
-}
-
-static void add_workers(struct bench *b)
-{
-	struct seam_fleet_vm *f = calloc(WORKERS, sizeof(*f));
-	int i;
-
-	for (i = 0; i < WORKERS; i++) {
-		struct seam_vm *vm = &f[i].vm;
-
-		snprintf(vm->id, sizeof(vm->id), "w%d", i);
-		snprintf(vm->dc, sizeof(vm->dc), "a");
-		snprintf(vm->rack, sizeof(vm->rack), "r%d", i / 4);
-		snprintf(vm->pool, sizeof(vm->pool), "p");
-		vm->cpu_milli = 32000;
-		vm->memory_mb = 128 << 10;
-		vm->boot = 1;
-		seam_fake_workers_add(b->workers, vm);
-	}
-	seam_fleet_set(b->c.fleet, f, WORKERS, b->clock.time);
-	free(f);
-}
-
-static void bench_new(struct bench *b)
-{
-	memset(b, 0, sizeof(*b));
-	seam_fake_init(&b->clock, 1000000 * (seam_time)SEAM_SEC);
-	b->store = seam_store_mem_new(&b->clock.clock);
-	b->workers = seam_fake_workers_new(&b->clock.clock, 1);
-	configure(b);
-	b->c.fleet = seam_fleet_new();
-	add_workers(b);
-	snprintf(b->c.node, sizeof(b->c.node), "n#1");
-	b->c.clock = &b->clock.clock;
-	b->c.store = b->store;
-	b->c.owner = seam_owner_all();
-	b->c.conf = &b->conf;
-	b->c.workers = seam_fake_workers_link(b->workers);
-	b->c.placer = seam_placer_best_fit();
-	b->c.sizes = seam_sizes_new();
-	b->c.order = seam_task_order_weighted(&b->conf);
-	b->c.lease = 15 * SEAM_SEC;
-	b->c.skew = 200 * SEAM_MSEC;
-	b->tasks = seam_tasks_new(&b->c);
-}
-
-static void bench_free(struct bench *b)
-{
-	seam_tasks_free(b->tasks);
-	b->c.workers->ops->free(b->c.workers);
-	b->c.placer->ops->free(b->c.placer);
-	b->c.order->ops->free(b->c.order);
-	seam_sizes_free(b->c.sizes);
-	seam_fleet_free(b->c.fleet);
-	seam_conf_cell_free(&b->conf);
-	seam_fake_workers_free(b->workers);
-	seam_store_close(b->store);
-}
-
-static void step(struct bench *b)
-{
-	seam_fake_set(&b->clock, b->clock.time + STEP);
-	seam_fake_workers_tick(b->workers, b->clock.time);
-	seam_tasks_pass(b->tasks, b->clock.time);
-}
-
-static int put(struct bench *b, const char *queue, int64_t cpu, int use,
-	       int run_ms, bool urgent, char id[SEAM_TASK_ID])
-{
-	struct seam_conf *c = seam_conf_current(&b->conf);
-	const struct seam_queue *q = seam_conf_named(c, SEAM_CONF_QUEUE, queue);
-	struct seam_err e = SEAM_ERR_INIT;
-	char payload[96];
-	struct seam_task_ask a = {.team = q->team,
-				  .queue = q,
-				  .kind = urgent ? "urgent" : "k",
-				  .group = "",
-				  .payload = payload,
-				  .need = {cpu, 1000, 0},
-				  .urgent = urgent,
-				  .idempotent = true,
-				  .finish_by = SEAM_NEVER};
-	int rc;
-
-	snprintf(payload, sizeof(payload),
-		 "{\"run_ms\":%d,\"cpu\":%d,\"mem\":500}", run_ms, use);
-	rc = seam_tasks_put(b->tasks, &a, id, b->clock.time + SEAM_SEC, &e);
-	seam_conf_drop(c);
-	return rc;
-}
-
 static int compare(const void *a, const void *b)
 {
 	seam_time x = *(const seam_time *)a;
@@ -154,33 +31,7 @@
 	return (double)t / SEAM_SEC;
 }
 
-static double no_rank(struct seam_task_order *o, const char *team,
-		      seam_time now)
-{
-	(void)o;
-	(void)team;
-	(void)now;
-	return 0;
-}
-
-static void no_running(struct seam_task_order *o, const char *team,
-		       const struct seam_need *by)
-{
-	(void)o;
-	(void)team;
-	(void)by;
-}
-
-static void no_free(struct seam_task_order *o)
-{
-	(void)o;
-}
-
-/* First come, first served. */
-static const struct seam_task_order_ops fifo_ops = {no_rank, no_rank,
-						    no_running, no_free};
-
-static void add_load(struct bench *b, int n)
+static void add_load(struct task_fleet *b, int n)
 {
 	char id[SEAM_TASK_ID];
 
@@ -195,11 +46,11 @@
 	static struct seam_task_order fifo = {&fifo_ops};
 	seam_time wait[SAMPLES];
 	char id[SEAM_TASK_ID];
-	struct bench b;
+	struct task_fleet b;
 	int n;
 	int i;
 
-	bench_new(&b);
+	task_fleet_new(&b, 32, 1);
 	if (!lane) {
 		b.c.order->ops->free(b.c.order);
 		b.c.order = &fifo;
@@ -234,7 +85,7 @@
 	       lane ? "urgent lane" : "first come first served",
 	       seconds(wait[samples * 50 / 100]),
 	       seconds(wait[samples * 99 / 100]), samples);
-	bench_free(&b);
+	task_fleet_free(&b);
 }
 
 /* Tasks declare four times what they use; how many run at once? At most 1024
@@ -242,12 +93,12 @@
 static void waste(void)
 {
 	char id[SEAM_TASK_ID];
-	struct bench b;
+	struct task_fleet b;
 	int declared = 0;
 	int i;
 	int j;
 
-	bench_new(&b);
+	task_fleet_new(&b, 32, 1);
 	/* No task ends in the first ten seconds, so nothing is learned then. */
 	for (j = 0; j < 26; j++) {
 		for (i = 0; i < 120; i++)
@@ -261,7 +112,7 @@
 	printf("a task uses 1000 of 4000 declared: %d run at once by declared, "
 	       "%d by learned sizes\n",
 	       declared, i);
-	bench_free(&b);
+	task_fleet_free(&b);
 }
 
 static void writes(int per_second)
@@ -269,12 +120,12 @@
 	struct seam_store_use before;
 	struct seam_store_use after;
 	char id[SEAM_TASK_ID];
-	struct bench b;
+	struct task_fleet b;
 	int seconds = 30;
 	int tasks = 0;
 	int i;
 
-	bench_new(&b);
+	task_fleet_new(&b, 32, 1);
 	before = seam_store_mem_use(b.store);
 	for (i = 0; i < seconds * 10; i++) {
 		while (tasks < (i + 1) * per_second / 10)
@@ -289,7 +140,7 @@
 	       (double)(after.rows_written - before.rows_written) / tasks,
 	       (double)(after.commits - before.commits) / tasks,
 	       (double)(after.reads - before.reads) / (seconds + 5));
-	bench_free(&b);
+	task_fleet_free(&b);
 }
 
 static void placement(int workers)
@@ -342,11 +193,11 @@
 	struct mallinfo2 before;
 	struct mallinfo2 after;
 	char id[SEAM_TASK_ID];
-	struct bench b;
+	struct task_fleet b;
 	int n = 0;
 	int i;
 
-	bench_new(&b);
+	task_fleet_new(&b, 32, 1);
 	for (i = 0; i < 800; i++)
 		n += !put(&b, "q", 32000, 500, 1000000, false, id);
 	before = mallinfo2();
@@ -357,7 +208,7 @@
 	       "it the entry\n",
 	       (double)(after.uordblks - before.uordblks) / n, n,
 	       sizeof(struct seam_task));
-	bench_free(&b);
+	task_fleet_free(&b);
 }
 
 /* With the argument "short" the waits of urgent tasks are left out. */
