--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, demo, bench, format, lint, clean. See README.md.
+# Targets: all, check, demo, bench, measures, format, lint, clean. See README.md.
 
 BUILD ?= build/plain
 SAN ?=
@@ -51,7 +51,10 @@
 	@$(CXX) $(SAN) $< $(LIB) $(LIBS) -lgtest -lgtest_main -o $@
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
-	@$(CC) $(SAN) $< $(LIB) $(LIBS) -o $@
+	@$(CC) $(SAN) $(filter %.o,$^) $(LIB) $(LIBS) -o $@
+
+$(BUILD)/bench/measures_bench: $(patsubst %.c,$(BUILD)/%.o,\
+	$(filter-out %_bench.c,$(wildcard bench/measures_*.c)))
 
 .SECONDARY:
 
@@ -69,6 +72,9 @@
 	@$(MAKE) -s all tests
 	@tests/run $(BUILD)
 
+measures: $(BUILD)/bench/measures_bench
+	@python3 bench/measures.py $< docs/measures.svg
+
 demo: deps
 	@$(MAKE) -s all
 	@examples/demo $(BUILD)
@@ -92,4 +98,4 @@
 clean:
 	rm -rf build
 
-.PHONY: all deps tests bench check demo format format-check lint clean
+.PHONY: all deps tests bench check measures demo format format-check lint clean
--- a/bench/measure.h
+++ b/bench/measure.h
@@ -19,6 +19,20 @@
 	return seed >> 11;
 }
 
+static inline int by_double(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Of @n sorted values; 0 without any. */
+static inline double percentile(const double *v, size_t n, int percent)
+{
+	return n ? v[n * (size_t)percent / 100] : 0;
+}
+
 /* Processor time of this thread in nanoseconds. */
 static inline int64_t cpu_ns(void)
 {
--- /dev/null
+++ b/bench/route_sim.h
@@ -0,0 +1,513 @@
+#ifndef ROUTE_SIM_H
+#define ROUTE_SIM_H
+
+/*
+ * Requests in simulated time: a table of events and no threads, with a fixed
+ * seed. Entry nodes route to the targets of several services; each node knows
+ * its own outstanding exactly and that of others once a second.
+ */
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench/measure.h"
+#include "request/route.h"
+
+#define SIM_NODES 9
+#define SIM_SERVICES 5
+#define SIM_TARGETS 12
+#define SLOTS 8
+#define TICK (1 * SEAM_MSEC)
+#define RUN_MS 40 /* mean run time of a request */
+#define LOAD_PERIOD_MS 1000 /* peers tell their load once a second */
+
+enum policy { TWO_CHOICES, RANDOM, LEAST };
+
+/* What is simulated; data centre i % dcs has node or target i. */
+struct sim_plan {
+	int nodes;
+	int services;
+	int targets[SIM_SERVICES];
+	int dcs;
+	seam_time hop; /* one way between data centres */
+	seam_time end;
+	seam_time deadline; /* from arrival */
+	double (*rate)(int service, int targets, seam_time now); /* a second */
+	bool (*fails)(int service, int target, seam_time now); /* at once */
+	bool (*out)(int dc, seam_time now); /* as the nodes are told */
+	seam_time from; /* counted: arrivals from here */
+	seam_time until;
+};
+
+/* One request in the simulation. */
+struct req {
+	seam_time arrived;
+	seam_time end;
+	int node;
+	int service;
+	int target;
+	int tries;
+	struct seam_waiter waiter;
+	char team[8];
+};
+
+/* What a node has for one service. */
+struct sim_lane {
+	struct seam_handle h[SIM_TARGETS];
+	struct seam_fair *queue;
+	struct seam_fair *again; /* refused as full */
+	struct seam_budget budget;
+	bool leaving[SIM_TARGETS];
+};
+
+struct sim {
+	const struct sim_plan *plan;
+	enum policy policy;
+	seam_time now;
+	struct seam_targets *ts[SIM_NODES];
+	struct sim_lane lane[SIM_NODES][SIM_SERVICES];
+	int running[SIM_SERVICES][SIM_TARGETS];
+	GPtrArray *in_flight;
+	GArray *wait; /* double, microseconds */
+	long offered;
+	long done;
+	long refused;
+	long retries;
+	long failed;
+};
+
+static const char *const sim_dc[] = {"dc-0", "dc-1", "dc-2"};
+
+static inline void sim_info(struct seam_target_info *t, int service, int i,
+			    int dcs)
+{
+	memset(t, 0, sizeof(*t));
+	snprintf(t->id, sizeof(t->id), "vm-%d", service * 1000000 + i);
+	snprintf(t->addr, sizeof(t->addr), "127.0.0.1:%d", 1 + i % 60000);
+	snprintf(t->dc, sizeof(t->dc), "dc-%d", i % dcs);
+	snprintf(t->service, sizeof(t->service), "s%d", service);
+	t->slots = SLOTS;
+	t->connections = 64;
+}
+
+static inline bool counted(const struct sim *s, const struct req *r)
+{
+	return r->arrived >= s->plan->from && r->arrived < s->plan->until;
+}
+
+static inline bool dc_out(const struct sim *s, int dc)
+{
+	return s->plan->out && s->plan->out(dc, s->now);
+}
+
+static inline struct seam_target *at(struct sim *s, int node, int service,
+				     int i)
+{
+	struct seam_table *t = seam_targets_lock(s->ts[node]);
+	struct seam_target *g = seam_table_get(t, s->lane[node][service].h[i]);
+
+	seam_targets_unlock(s->ts[node]);
+	return g;
+}
+
+static inline int sim_load(struct sim *s, int node, int service, int i)
+{
+	struct seam_target *g = at(s, node, service, i);
+
+	return g->outstanding + g->peer_load;
+}
+
+static inline int index_of(struct sim *s, const struct req *r,
+			   struct seam_handle h)
+{
+	int i;
+
+	for (i = 0; i < s->plan->targets[r->service]; i++)
+		if (seam_handle_eq(s->lane[r->node][r->service].h[i], h))
+			return i;
+	return -1;
+}
+
+static inline int take_by_route(struct sim *s, struct req *r)
+{
+	const char *region[3];
+	char name[8];
+	struct seam_near near = {sim_dc[r->node % s->plan->dcs], region, 0};
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_handle h;
+	int i;
+
+	for (i = 0; i < s->plan->dcs; i++)
+		if (i != r->node % s->plan->dcs)
+			region[near.n++] = sim_dc[i];
+	snprintf(name, sizeof(name), "s%d", r->service);
+	if (seam_route_take(s->ts[r->node], name, &near, NULL, s->now, &h, &e))
+		return -1;
+	return index_of(s, r, h);
+}
+
+/* Uniform over the targets that are not leaving. */
+static inline int take_random(struct sim *s, const struct req *r)
+{
+	const bool *leaving = s->lane[r->node][r->service].leaving;
+	int some[SIM_TARGETS];
+	int n = 0;
+	int i;
+
+	for (i = 0; i < s->plan->targets[r->service]; i++)
+		if (!leaving[i])
+			some[n++] = i;
+	return n ? some[rnd() % (uint64_t)n] : -1;
+}
+
+static inline int take_least(struct sim *s, const struct req *r)
+{
+	int best = -1;
+	int least = SLOTS;
+	int i;
+
+	for (i = 0; i < s->plan->targets[r->service]; i++) {
+		int l = sim_load(s, r->node, r->service, i);
+
+		if (s->lane[r->node][r->service].leaving[i] || l >= least)
+			continue;
+		best = i;
+		least = l;
+	}
+	return best;
+}
+
+static inline int choose(struct sim *s, struct req *r)
+{
+	int best;
+
+	if (s->policy == TWO_CHOICES)
+		return take_by_route(s, r);
+	best = s->policy == RANDOM ? take_random(s, r) : take_least(s, r);
+	if (best >= 0)
+		at(s, r->node, r->service, best)->outstanding++;
+	return best;
+}
+
+static inline bool target_fails(const struct sim *s, int service, int target)
+{
+	return s->plan->fails && s->plan->fails(service, target, s->now);
+}
+
+static inline void let_go(struct sim *s, const struct req *r, int target,
+			  enum seam_route_result result)
+{
+	struct seam_handle h = s->lane[r->node][r->service].h[target];
+
+	if (s->policy == TWO_CHOICES)
+		seam_route_report(s->ts[r->node], h, result, s->now);
+	seam_route_release(s->ts[r->node], h);
+}
+
+static inline bool may_retry(struct sim *s, struct req *r)
+{
+	if (r->tries >= SEAM_ROUTE_TRIES)
+		return false;
+	if (s->policy == TWO_CHOICES &&
+	    !seam_budget_retry(&s->lane[r->node][r->service].budget, s->now))
+		return false;
+	s->retries++;
+	return true;
+}
+
+static inline void refuse(struct sim *s, struct req *r)
+{
+	s->refused += counted(s, r);
+	g_free(r);
+}
+
+static inline void shed(struct sim *s, struct seam_waiter *out)
+{
+	if (out)
+		refuse(s, (struct req *)((char *)out -
+					 offsetof(struct req, waiter)));
+}
+
+static inline bool wait_again(struct sim *s, struct req *r)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_waiter *out = NULL;
+
+	if (s->policy != TWO_CHOICES || r->tries >= SEAM_ROUTE_TRIES ||
+	    seam_fair_add(s->lane[r->node][r->service].again, &r->waiter,
+			  s->now, &out, &e))
+		return false;
+	shed(s, out);
+	return true;
+}
+
+static inline void begin(struct sim *s, struct req *r, int target)
+{
+	double wait = (double)(s->now - r->arrived);
+	int dcs = s->plan->dcs;
+
+	s->running[r->service][target]++;
+	r->target = target;
+	r->end = s->now + (seam_time)(RUN_MS / 2 + rnd() % RUN_MS) * SEAM_MSEC;
+	if (r->node % dcs != target % dcs)
+		r->end += 2 * s->plan->hop;
+	if (counted(s, r))
+		g_array_append_val(s->wait, wait);
+	g_ptr_array_add(s->in_flight, r);
+}
+
+/* 1: runs or waits, 0: no slot, -1: refused or failed, 2: waits again. */
+static inline int attempt(struct sim *s, struct req *r)
+{
+	for (;;) {
+		int t = choose(s, r);
+		bool bad = t >= 0 && target_fails(s, r->service, t);
+
+		if (t < 0)
+			return 0;
+		r->tries++;
+		if (!bad && s->running[r->service][t] < SLOTS) {
+			begin(s, r, t);
+			return 1;
+		}
+		let_go(s, r, t, bad ? SEAM_ROUTE_FAILED : SEAM_ROUTE_FULL);
+		if (!bad && r->waiter.at)
+			return 2;
+		if (!bad && wait_again(s, r))
+			return 1;
+		if (!may_retry(s, r)) {
+			s->failed += bad && counted(s, r);
+			s->refused += !bad && counted(s, r);
+			return -1;
+		}
+	}
+}
+
+static inline void arrive(struct sim *s, int node, int service)
+{
+	struct sim_lane *l = &s->lane[node][service];
+	struct req *r = g_new0(struct req, 1);
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_waiter *out;
+	int rc = 0;
+
+	r->arrived = s->now;
+	r->node = node;
+	r->service = service;
+	s->offered += counted(s, r);
+	snprintf(r->team, sizeof(r->team), "t%d", (int)(rnd() % 6));
+	r->waiter.team = r->team;
+	r->waiter.share = 1;
+	r->waiter.deadline = s->now + s->plan->deadline;
+	seam_budget_first(&l->budget, s->now);
+	if (!seam_fair_count(l->queue))
+		rc = attempt(s, r);
+	if (rc > 0)
+		return;
+	/* The plain policies have no queue: no slot is a refusal. */
+	if (!rc && s->policy == TWO_CHOICES &&
+	    !seam_fair_add(l->queue, &r->waiter, s->now, &out, &e)) {
+		shed(s, out);
+		return;
+	}
+	s->refused += !rc && counted(s, r);
+	g_free(r);
+}
+
+/* One turn: false if the first waiter has to wait on. */
+static inline bool serve_first(struct sim *s, struct sim_lane *l, bool again)
+{
+	struct seam_fair *f = again ? l->again : l->queue;
+	struct seam_waiter *w = seam_fair_first(f);
+	struct req *r;
+	int rc;
+
+	if (!w || (again && !seam_budget_retry(&l->budget, s->now)))
+		return false;
+	r = (struct req *)((char *)w - offsetof(struct req, waiter));
+	rc = s->now < w->deadline ? attempt(s, r) : -2;
+	if (again && (!rc || rc == -2))
+		seam_budget_refund(&l->budget);
+	if (!rc)
+		return false;
+	s->retries += again && rc != -2;
+	if (rc == 1) {
+		seam_fair_served(f, w, s->now);
+		return true;
+	}
+	seam_fair_drop(f, w);
+	if (rc == 2 && wait_again(s, r))
+		return true;
+	s->refused += rc != -1 && counted(s, r);
+	g_free(r);
+	return true;
+}
+
+static inline void serve_queues(struct sim *s)
+{
+	int n;
+	int v;
+
+	for (n = 0; n < s->plan->nodes; n++)
+		for (v = 0; v < s->plan->services; v++) {
+			struct sim_lane *l = &s->lane[n][v];
+
+			while (serve_first(s, l, false))
+				continue;
+			while (serve_first(s, l, true))
+				continue;
+		}
+}
+
+static inline void finish(struct sim *s)
+{
+	guint i;
+
+	for (i = 0; i < s->in_flight->len; i++) {
+		struct req *r = s->in_flight->pdata[i];
+		struct sim_lane *l = &s->lane[r->node][r->service];
+		bool lost = target_fails(s, r->service, r->target);
+
+		if (r->end > s->now && !lost)
+			continue;
+		s->running[r->service][r->target]--;
+		let_go(s, r, r->target,
+		       lost ? SEAM_ROUTE_FAILED : SEAM_ROUTE_WORKED);
+		s->failed += lost && counted(s, r);
+		s->done += !lost && counted(s, r);
+		seam_fair_ran(l->queue, RUN_MS * SEAM_MSEC);
+		seam_fair_ran(l->again, RUN_MS * SEAM_MSEC);
+		g_ptr_array_remove_index_fast(s->in_flight, i--);
+		g_free(r);
+	}
+}
+
+/* Each node tells the others; for the plain policies too. */
+static inline void tell_load(struct sim *s)
+{
+	char id[16];
+	int n;
+	int v;
+	int i;
+
+	for (v = 0; v < s->plan->services; v++)
+		for (i = 0; i < s->plan->targets[v]; i++) {
+			int all = 0;
+
+			snprintf(id, sizeof(id), "vm-%d", v * 1000000 + i);
+			for (n = 0; n < s->plan->nodes; n++)
+				all += at(s, n, v, i)->outstanding;
+			for (n = 0; n < s->plan->nodes; n++)
+				seam_targets_peer_load(
+					s->ts[n], id,
+					all - at(s, n, v, i)->outstanding);
+		}
+}
+
+/* The list of targets, as the nodes' configuration has it. */
+static inline void list_targets(struct sim *s)
+{
+	struct seam_target_info info[SIM_SERVICES * SIM_TARGETS];
+	int count = 0;
+	int v;
+	int i;
+	int n;
+
+	for (v = 0; v < s->plan->services; v++)
+		for (i = 0; i < s->plan->targets[v]; i++) {
+			struct seam_target_info *t = &info[count++];
+
+			sim_info(t, v, i, s->plan->dcs);
+			t->leaving = dc_out(s, i % s->plan->dcs);
+			for (n = 0; n < s->plan->nodes; n++)
+				s->lane[n][v].leaving[i] = t->leaving;
+		}
+	for (n = 0; n < s->plan->nodes; n++)
+		seam_targets_set(s->ts[n], info, (size_t)count);
+}
+
+static inline void find_handles(struct sim *s, int n)
+{
+	struct seam_table *t = seam_targets_lock(s->ts[n]);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_target *g;
+
+	while ((g = seam_table_next(t, &h))) {
+		int id = atoi(g->info.id + 3);
+
+		s->lane[n][id / 1000000].h[id % 1000000] = h;
+	}
+	seam_targets_unlock(s->ts[n]);
+}
+
+static inline void sim_open(struct sim *s, struct seam_clock *k)
+{
+	int n;
+	int v;
+
+	s->in_flight = g_ptr_array_new();
+	s->wait = g_array_new(FALSE, FALSE, sizeof(double));
+	for (n = 0; n < s->plan->nodes; n++) {
+		s->ts[n] = seam_targets_new(k);
+		for (v = 0; v < s->plan->services; v++) {
+			s->lane[n][v].queue = seam_fair_new(SEAM_WAITERS_MAX);
+			s->lane[n][v].again = seam_fair_new(SEAM_WAITERS_MAX);
+		}
+	}
+	list_targets(s);
+	for (n = 0; n < s->plan->nodes; n++)
+		find_handles(s, n);
+}
+
+/* The load balancer sends nothing to nodes of a data centre that is out. */
+static inline int entry_node(struct sim *s)
+{
+	int n;
+
+	do
+		n = (int)(rnd() % (uint64_t)s->plan->nodes);
+	while (dc_out(s, n % s->plan->dcs));
+	return n;
+}
+
+/* Runs the plan; @s->wait is sorted then. */
+static inline void sim_run(struct sim *s, const struct sim_plan *plan,
+			   enum policy p)
+{
+	double due[SIM_SERVICES] = {0};
+	struct seam_fake_clock k;
+	int v;
+
+	memset(s, 0, sizeof(*s));
+	s->plan = plan;
+	s->policy = p;
+	s->now = 1 * SEAM_SEC;
+	seed = 88172645463325252ull;
+	seam_route_seed(seed);
+	seam_fake_init(&k, s->now);
+	sim_open(s, &k.clock);
+	for (; s->now < plan->end; s->now += TICK) {
+		finish(s);
+		if (s->now / SEAM_MSEC % LOAD_PERIOD_MS == 0) {
+			list_targets(s);
+			tell_load(s);
+		}
+		serve_queues(s);
+		for (v = 0; v < plan->services; v++) {
+			due[v] += plan->rate(v, plan->targets[v], s->now) *
+				  TICK / SEAM_SEC;
+			for (; due[v] >= 1; due[v]--)
+				arrive(s, entry_node(s), v);
+		}
+	}
+	g_array_sort(s->wait, by_double);
+}
+
+static inline double sim_wait_ms(const struct sim *s, int percent)
+{
+	return percentile((double *)s->wait->data, s->wait->len, percent) /
+	       1000;
+}
+
+#endif
