--- a/bench/measures_dc.c
+++ b/bench/measures_dc.c
@@ -7,6 +7,7 @@
 #define ON_AT (148 * SEAM_SEC) /* and on again */
 #define IN_AT (150 * SEAM_SEC)
 #define SPREAD (1 * SEAM_SEC) /* until the nodes know the change */
+#define THREADS_DEFAULT 128
 #define GONE 0 /* the data centre */
 
 /* A quarter of the slots is the mean, so that a peak passes all of them. */
@@ -38,6 +39,7 @@
 		.nodes = 9,
 		.services = MEASURE_SERVICES,
 		.dcs = 3,
+		.threads = 1024, /* by the setting "threads" */
 		.hop = d->hop,
 		.end = 220 * SEAM_SEC,
 		.deadline = 10 * SEAM_SEC, /* default of a service */
@@ -65,6 +67,15 @@
 			   sim_wait_ms(plain, 50), sim_wait_ms(ours, 50));
 	seam_measure_print(d, "wait for a slot p99", "ms", NO_AIM,
 			   sim_wait_ms(plain, 99), sim_wait_ms(ours, 99));
+	plan.threads = THREADS_DEFAULT;
+	sim_close(plain);
+	sim_close(ours);
+	sim_run(plain, &plan, RANDOM);
+	sim_run(ours, &plan, TWO_CHOICES);
+	seam_measure_print(d, "the same with 128 threads", "% of requests",
+			   NO_AIM, lost(plain), lost(ours));
+	sim_close(plain);
+	sim_close(ours);
 	free(plain);
 	free(ours);
 }
--- a/bench/route_bench.c
+++ b/bench/route_bench.c
@@ -84,6 +84,7 @@
 	       100.0 * (double)s.refused / (double)s.offered,
 	       100.0 * (double)s.failed / (double)s.offered,
 	       100.0 * (double)s.retries / (double)s.offered);
+	sim_close(&s);
 }
 
 int main(void)
--- a/bench/route_sim.h
+++ b/bench/route_sim.h
@@ -7,188 +7,7 @@
  * its own outstanding exactly and that of others once a second.
  */
 
-#include <glib.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include "bench/measure.h"
-#include "request/route.h"
-
-#define SIM_NODES 9
-#define SIM_SERVICES 5
-#define SIM_TARGETS 12
-#define SLOTS 8
-#define TICK (1 * SEAM_MSEC)
-#define RUN_MS 40 /* mean run time of a request */
-#define LOAD_PERIOD_MS 1000 /* peers tell their load once a second */
-
-enum policy { TWO_CHOICES, RANDOM, LEAST };
-
-/* What is simulated; data centre i % dcs has node or target i. */
-struct sim_plan {
-	int nodes;
-	int services;
-	int targets[SIM_SERVICES];
-	int dcs;
-	seam_time hop; /* one way between data centres */
-	seam_time end;
-	seam_time deadline; /* from arrival */
-	double (*rate)(int service, int targets, seam_time now); /* a second */
-	bool (*fails)(int service, int target, seam_time now); /* at once */
-	bool (*out)(int dc, seam_time now); /* as the nodes are told */
-	seam_time from; /* counted: arrivals from here */
-	seam_time until;
-};
-
-/* One request in the simulation. */
-struct req {
-	seam_time arrived;
-	seam_time end;
-	int node;
-	int service;
-	int target;
-	int tries;
-	struct seam_waiter waiter;
-	char team[8];
-};
-
-/* What a node has for one service. */
-struct sim_lane {
-	struct seam_handle h[SIM_TARGETS];
-	struct seam_fair *queue;
-	struct seam_fair *again; /* refused as full */
-	struct seam_budget budget;
-	bool leaving[SIM_TARGETS];
-};
-
-struct sim {
-	const struct sim_plan *plan;
-	enum policy policy;
-	seam_time now;
-	struct seam_targets *ts[SIM_NODES];
-	struct sim_lane lane[SIM_NODES][SIM_SERVICES];
-	int running[SIM_SERVICES][SIM_TARGETS];
-	GPtrArray *in_flight;
-	GArray *wait; /* double, microseconds */
-	long offered;
-	long done;
-	long refused;
-	long retries;
-	long failed;
-};
-
-static const char *const sim_dc[] = {"dc-0", "dc-1", "dc-2"};
-
-static inline void sim_info(struct seam_target_info *t, int service, int i,
-			    int dcs)
-{
-	memset(t, 0, sizeof(*t));
-	snprintf(t->id, sizeof(t->id), "vm-%d", service * 1000000 + i);
-	snprintf(t->addr, sizeof(t->addr), "127.0.0.1:%d", 1 + i % 60000);
-	snprintf(t->dc, sizeof(t->dc), "dc-%d", i % dcs);
-	snprintf(t->service, sizeof(t->service), "s%d", service);
-	t->slots = SLOTS;
-	t->connections = 64;
-}
-
-static inline bool counted(const struct sim *s, const struct req *r)
-{
-	return r->arrived >= s->plan->from && r->arrived < s->plan->until;
-}
-
-static inline bool dc_out(const struct sim *s, int dc)
-{
-	return s->plan->out && s->plan->out(dc, s->now);
-}
-
-static inline struct seam_target *at(struct sim *s, int node, int service,
-				     int i)
-{
-	struct seam_table *t = seam_targets_lock(s->ts[node]);
-	struct seam_target *g = seam_table_get(t, s->lane[node][service].h[i]);
-
-	seam_targets_unlock(s->ts[node]);
-	return g;
-}
-
-static inline int sim_load(struct sim *s, int node, int service, int i)
-{
-	struct seam_target *g = at(s, node, service, i);
-
-	return g->outstanding + g->peer_load;
-}
-
-static inline int index_of(struct sim *s, const struct req *r,
-			   struct seam_handle h)
-{
-	int i;
-
-	for (i = 0; i < s->plan->targets[r->service]; i++)
-		if (seam_handle_eq(s->lane[r->node][r->service].h[i], h))
-			return i;
-	return -1;
-}
-
-static inline int take_by_route(struct sim *s, struct req *r)
-{
-	const char *region[3];
-	char name[8];
-	struct seam_near near = {sim_dc[r->node % s->plan->dcs], region, 0};
-	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_handle h;
-	int i;
-
-	for (i = 0; i < s->plan->dcs; i++)
-		if (i != r->node % s->plan->dcs)
-			region[near.n++] = sim_dc[i];
-	snprintf(name, sizeof(name), "s%d", r->service);
-	if (seam_route_take(s->ts[r->node], name, &near, NULL, s->now, &h, &e))
-		return -1;
-	return index_of(s, r, h);
-}
-
-/* Uniform over the targets that are not leaving. */
-static inline int take_random(struct sim *s, const struct req *r)
-{
-	const bool *leaving = s->lane[r->node][r->service].leaving;
-	int some[SIM_TARGETS];
-	int n = 0;
-	int i;
-
-	for (i = 0; i < s->plan->targets[r->service]; i++)
-		if (!leaving[i])
-			some[n++] = i;
-	return n ? some[rnd() % (uint64_t)n] : -1;
-}
-
-static inline int take_least(struct sim *s, const struct req *r)
-{
-	int best = -1;
-	int least = SLOTS;
-	int i;
-
-	for (i = 0; i < s->plan->targets[r->service]; i++) {
-		int l = sim_load(s, r->node, r->service, i);
-
-		if (s->lane[r->node][r->service].leaving[i] || l >= least)
-			continue;
-		best = i;
-		least = l;
-	}
-	return best;
-}
-
-static inline int choose(struct sim *s, struct req *r)
-{
-	int best;
-
-	if (s->policy == TWO_CHOICES)
-		return take_by_route(s, r);
-	best = s->policy == RANDOM ? take_random(s, r) : take_least(s, r);
-	if (best >= 0)
-		at(s, r->node, r->service, best)->outstanding++;
-	return best;
-}
+#include "bench/route_plan.h"
 
 static inline bool target_fails(const struct sim *s, int service, int target)
 {
@@ -216,10 +35,16 @@
 	return true;
 }
 
+static inline void end_req(struct sim *s, struct req *r)
+{
+	s->taken[r->node]--;
+	g_free(r);
+}
+
 static inline void refuse(struct sim *s, struct req *r)
 {
 	s->refused += counted(s, r);
-	g_free(r);
+	end_req(s, r);
 }
 
 static inline void shed(struct sim *s, struct seam_waiter *out)
@@ -296,6 +121,11 @@
 	r->node = node;
 	r->service = service;
 	s->offered += counted(s, r);
+	s->taken[node]++;
+	if (s->plan->threads && s->taken[node] > s->plan->threads) {
+		refuse(s, r);
+		return;
+	}
 	snprintf(r->team, sizeof(r->team), "t%d", (int)(rnd() % 6));
 	r->waiter.team = r->team;
 	r->waiter.share = 1;
@@ -312,7 +142,7 @@
 		return;
 	}
 	s->refused += !rc && counted(s, r);
-	g_free(r);
+	end_req(s, r);
 }
 
 /* One turn: false if the first waiter has to wait on. */
@@ -340,7 +170,7 @@
 	if (rc == 2 && wait_again(s, r))
 		return true;
 	s->refused += rc != -1 && counted(s, r);
-	g_free(r);
+	end_req(s, r);
 	return true;
 }
 
@@ -379,7 +209,7 @@
 		seam_fair_ran(l->queue, RUN_MS * SEAM_MSEC);
 		seam_fair_ran(l->again, RUN_MS * SEAM_MSEC);
 		g_ptr_array_remove_index_fast(s->in_flight, i--);
-		g_free(r);
+		end_req(s, r);
 	}
 }
 
@@ -460,6 +290,11 @@
 		find_handles(s, n);
 }
 
+static inline void sim_close(struct sim *s)
+{
+	g_array_free(s->wait, TRUE);
+}
+
 /* The load balancer sends nothing to nodes of a data centre that is out. */
 static inline int entry_node(struct sim *s)
 {
