--- a/bench/measure.h
+++ b/bench/measure.h
@@ -8,6 +8,31 @@
 #include <stdio.h>
 #include <time.h>
 
+/* The same random numbers in each run: xorshift64 (Marsaglia, 2003). */
+static uint64_t seed __attribute__((unused)) = 88172645463325252ull;
+
+static inline uint64_t rnd(void)
+{
+	seed ^= seed << 13;
+	seed ^= seed >> 7;
+	seed ^= seed << 17;
+	return seed >> 11;
+}
+
+static inline int by_double(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Of @n sorted values; 0 without any. */
+static inline double percentile(const double *v, size_t n, int percent)
+{
+	return n ? v[n * (size_t)percent / 100] : 0;
+}
+
 /* Processor time of this thread in nanoseconds. */
 static inline int64_t cpu_ns(void)
 {
