--- /dev/null
+++ b/tests/sim_check.h
@@ -0,0 +1,310 @@
+// The promises of the design page, asserted over the whole world.
+#ifndef SIM_CHECK_H
+#define SIM_CHECK_H
+
+#include "sim_world.h"
+
+#define SIM_SKEW (200 * SEAM_MSEC)
+
+// What the rows and the configuration in the store say, with times.
+struct sim_truth {
+	std::map<std::string, seam_pool_row> row;
+	std::map<std::string, seam_time> leaving; // not active since
+	std::map<std::string, seam_time> drain_until;
+	std::map<std::string, seam_time> withdrawn; // team to time
+	std::map<std::string, seam_time> out; // data centre to time
+	std::map<std::string, std::pair<std::string, int64_t>> seen_start;
+	uint64_t head = 0;
+
+	~sim_truth()
+	{
+		for (auto &r : row)
+			seam_pool_row_free(&r.second);
+	}
+};
+
+static seam_member *sim_member_of(sim_truth &t, const std::string &vm,
+				  std::string *pool = nullptr)
+{
+	for (auto &r : t.row)
+		if (seam_member *m = seam_pool_member(&r.second, vm.c_str())) {
+			if (pool)
+				*pool = r.first;
+			return m;
+		}
+	return nullptr;
+}
+
+// Data centres and keys as the newest version in the store has them.
+static void sim_watch_conf(sim_world &w, sim_truth &t)
+{
+	seam_err e = SEAM_ERR_INIT;
+	uint64_t head = 0;
+
+	if (seam_conf_head(w.s->mem, &head, SEAM_NEVER, &e) || head == t.head)
+		return;
+	SIM_CHECK(w, "P11", head > t.head, "head went from %lu to %lu",
+		  (unsigned long)t.head, (unsigned long)head);
+	t.head = head;
+	seam_conf *c = seam_conf_load(w.s->mem, SEAM_NEVER, &e);
+	for (const char *dc : sim_dcs) {
+		bool out = seam_conf_dc_out(c, dc);
+
+		if (out && !t.out.count(dc)) {
+			t.out[dc] = w.now();
+			seam_fake_workers_dc_out(w.workers, dc, w.now());
+		}
+		if (!out && t.out.erase(dc))
+			seam_fake_workers_dc_out(w.workers, dc, 0);
+	}
+	for (const char *team : sim_teams) {
+		std::string text = std::string("key-") + team;
+
+		if (seam_conf_key(c, text.c_str(), &e))
+			t.withdrawn.erase(team);
+		else
+			t.withdrawn.emplace(team, w.now());
+		seam_err_clear(&e);
+	}
+	seam_conf_drop(c);
+}
+
+// P1: a commit that begins planned work leaves the pool within its budget.
+static void sim_check_budget(sim_world &w, const seam_pool_row &was,
+			     const seam_pool_row &is)
+{
+	seam_pool_tally a = seam_pool_count(&was);
+	seam_pool_tally b = seam_pool_count(&is);
+
+	for (int k = 0; k < 3; k++)
+		if (!strcmp(is.name, sim_pools[k]))
+			SIM_CHECK(w, "P1",
+				  b.planned <= a.planned ||
+					  b.unavailable <= sim_budget[k],
+				  "pool %s: %lld planned after %lld, %lld "
+				  "unavailable, budget %lld",
+				  is.name, (long long)b.planned,
+				  (long long)a.planned,
+				  (long long)b.unavailable,
+				  (long long)sim_budget[k]);
+}
+
+static void sim_watch_members(sim_world &w, sim_truth &t)
+{
+	std::map<std::string, std::string> where;
+
+	for (auto &r : t.row)
+		for (size_t i = 0; i < r.second.n; i++) {
+			const seam_member &m = r.second.member[i];
+
+			SIM_CHECK(w, "P2", where.emplace(m.vm, r.first).second,
+				  "VM %s is in %s and %s", m.vm,
+				  where[m.vm].c_str(), r.first.c_str());
+			if (m.state == SEAM_MEMBER_ACTIVE) {
+				t.leaving.erase(m.vm);
+				t.drain_until.erase(m.vm);
+			} else {
+				t.leaving.emplace(m.vm, w.now());
+			}
+			if (m.state == SEAM_MEMBER_DRAINING)
+				t.drain_until[m.vm] = m.until;
+		}
+	seam_rows rows = {};
+	seam_store_scan(w.s->mem, "vm/", nullptr, 1000, &rows, SEAM_NEVER,
+			&w.e);
+	for (size_t i = 0; i < rows.n; i++) {
+		auto x = where.find(rows.row[i].key + 3);
+		bool same = x != where.end() &&
+			    strstr(rows.row[i].data,
+				   ("\"" + x->second + "\"").c_str());
+
+		SIM_CHECK(w, "P2", same, "row %s is %s, member of %s",
+			  rows.row[i].key, rows.row[i].data,
+			  x == where.end() ? "none" : x->second.c_str());
+	}
+	SIM_CHECK(w, "P2", rows.n == where.size(),
+		  "%zu rows vm/, %zu members", rows.n, where.size());
+	seam_rows_free(&rows);
+}
+
+// Reads the pool rows that changed; P1 and P2.
+static void sim_watch_rows(sim_world &w, sim_truth &t)
+{
+	seam_rows rows = {};
+	bool changed = false;
+
+	seam_store_scan(w.s->mem, "pool/", nullptr, 1000, &rows, SEAM_NEVER,
+			&w.e);
+	for (size_t i = 0; i < rows.n; i++) {
+		seam_pool_row r = {};
+		seam_pool_row &old = t.row[rows.row[i].key + 5];
+
+		if (old.version == rows.row[i].version)
+			continue;
+		seam_pool_row_read(rows.row[i].data, &r, &w.e);
+		r.version = rows.row[i].version;
+		if (old.version)
+			sim_check_budget(w, old, r);
+		seam_pool_row_free(&old);
+		old = r;
+		changed = true;
+	}
+	seam_rows_free(&rows);
+	if (changed)
+		sim_watch_members(w, t);
+}
+
+// Units of a team that truly run: requests at targets, leased tasks.
+static int64_t sim_in_use(sim_world &w, const char *team)
+{
+	GHashTableIter wi;
+	GHashTableIter ri;
+	gpointer v;
+	int64_t n = 0;
+
+	for (auto &r : w.requests)
+		n += !strcmp(sim_teams[r.team], team) && !r.broken &&
+		     r.end > w.now();
+	g_hash_table_iter_init(&wi, w.workers->workers);
+	while (g_hash_table_iter_next(&wi, NULL, &v)) {
+		struct worker *x = (struct worker *)v;
+
+		g_hash_table_iter_init(&ri, x->recs);
+		while (g_hash_table_iter_next(&ri, NULL, &v)) {
+			struct rec *r = (struct rec *)v;
+
+			n += r->say == SEAM_SAY_RUNNING &&
+			     r->lease_until >= w.now() &&
+			     r->task[0] == team[0] && r->task[1] == '~';
+		}
+	}
+	return n;
+}
+
+// P4, at any moment.
+static void sim_check_limit(sim_world &w, const char *team)
+{
+	std::string key = std::string("team/") + team;
+	seam_row row = {};
+	seam_ledger l = {};
+
+	if (seam_store_get(w.s->mem, key.c_str(), &row, SEAM_NEVER, &w.e) ||
+	    seam_ledger_read(&row, team, &l, &w.e)) {
+		seam_err_clear(&w.e);
+		return;
+	}
+	int64_t n = sim_in_use(w, team);
+	int64_t sum = seam_ledger_sum(&l);
+	SIM_CHECK(w, "P4", n <= l.ceiling && sum <= l.ceiling,
+		  "team %s: %lld units run, %lld granted, limit %lld, in "
+		  "force %lld: %s",
+		  team, (long long)n, (long long)sum, (long long)l.limit,
+		  (long long)l.ceiling, row.data);
+	seam_ledger_free(&l);
+	seam_row_free(&row);
+}
+
+// P9 for tasks: an attempt that started since the last look. P5, P8 and the
+// leases are asserted by the fake workers at the start itself.
+static void sim_check_starts(sim_world &w, sim_truth &t)
+{
+	GHashTableIter wi;
+	GHashTableIter ri;
+	gpointer v;
+
+	g_hash_table_iter_init(&wi, w.workers->workers);
+	while (g_hash_table_iter_next(&wi, NULL, &v)) {
+		struct worker *x = (struct worker *)v;
+		auto gone = t.leaving.find(x->vm.id);
+
+		g_hash_table_iter_init(&ri, x->recs);
+		while (g_hash_table_iter_next(&ri, NULL, &v)) {
+			struct rec *r = (struct rec *)v;
+			std::pair<std::string, int64_t> at(x->vm.id,
+							   r->attempt);
+
+			if (r->say != SEAM_SAY_RUNNING ||
+			    t.seen_start[r->task] == at)
+				continue;
+			t.seen_start[r->task] = at;
+			w.count["task starts"]++;
+			SIM_CHECK(w, "P9",
+				  gone == t.leaving.end() ||
+					  w.now() - gone->second <=
+						  5 * SEAM_SEC + SIM_SKEW,
+				  "task %s starts on VM %s, leaving for %lld us",
+				  r->task, x->vm.id,
+				  (long long)(w.now() - gone->second));
+		}
+	}
+}
+
+// P11: versions of a node only grow, and a node that had the store, or has
+// been running, for 10 s has every change that was accepted 10 s ago.
+static void sim_check_versions(sim_world &w, int i)
+{
+	sim_parts &p = w.parts[i];
+	uint64_t v = w.s->nodes[i]->version();
+	seam_time bound = w.now() - 10 * SEAM_SEC - SIM_SKEW;
+
+	SIM_CHECK(w, "P11", v >= p.seen_version, "n%d went from %lu to %lu", i,
+		  (unsigned long)p.seen_version, (unsigned long)v);
+	p.seen_version = v;
+	if (p.steady_since > bound || p.reach_since > bound)
+		return;
+	for (uint64_t k = v + 1; k < w.s->accepted.size(); k++)
+		SIM_CHECK(w, "P11", w.s->accepted[k] > bound,
+			  "n%d has %lu, not %lu of %lld us ago", i,
+			  (unsigned long)v, (unsigned long)k,
+			  (long long)(w.now() - w.s->accepted[k]));
+}
+
+static void sim_check_all(sim_world &w, sim_truth &t)
+{
+	seam_fake_workers_tick(w.workers, w.now());
+	sim_watch_conf(w, t);
+	sim_watch_rows(w, t);
+	sim_check_starts(w, t);
+	for (const char *team : sim_teams)
+		sim_check_limit(w, team);
+	for (int i = 0; i < SIM_NODES; i++)
+		if (w.runs(i)) {
+			sim_check_versions(w, i);
+			w.s->check(*w.s->nodes[i]);
+		}
+}
+
+// P10: called when the platform begins a reboot.
+static void sim_check_reboot(sim_world &w, sim_truth &t, const std::string &vm)
+{
+	int busy = 0;
+	GHashTableIter it;
+	gpointer v;
+	struct worker *x = (struct worker *)g_hash_table_lookup(
+		w.workers->workers, vm.c_str());
+
+	sim_watch_rows(w, t);
+	seam_member *m = sim_member_of(t, vm);
+	bool planned = !m || m->why != SEAM_WHY_FAILED;
+	auto d = t.drain_until.find(vm);
+	bool over = d != t.drain_until.end() &&
+		    d->second <= w.now() + SIM_SKEW;
+
+	for (auto &r : w.requests)
+		busy += r.vm == vm && !r.broken && r.end > w.now();
+	if (x) {
+		g_hash_table_iter_init(&it, x->recs);
+		while (g_hash_table_iter_next(&it, NULL, &v))
+			busy += ((struct rec *)v)->say == SEAM_SAY_RUNNING &&
+				((struct rec *)v)->lease_until >= w.now();
+	}
+	SIM_CHECK(w, "P10",
+		  !planned || (d != t.drain_until.end() && (!busy || over)),
+		  "VM %s reboots: drained %d, deadline over %d, %d at work, "
+		  "why %d",
+		  vm.c_str(), d != t.drain_until.end(), over, busy,
+		  m ? m->why : -1);
+	w.count["reboots"]++;
+}
+
+#endif
--- /dev/null
+++ b/tests/sim_run.h
@@ -0,0 +1,328 @@
+// One run: passes of all parts in an order and at times from the seed, then
+// the faults stop and the state must settle.
+#ifndef SIM_RUN_H
+#define SIM_RUN_H
+
+#include <gtest/gtest.h>
+
+#include "sim_events.h"
+
+// Bounds of settling, from the design page: P11; list lag, longest request and
+// skew until units of dead nodes are free, and a want; drain and reboot limits.
+#define SIM_AGREE_BOUND (10 * SEAM_SEC + SIM_SKEW)
+#define SIM_UNITS_BOUND (70 * SEAM_SEC + 2 * SIM_SKEW)
+#define SIM_WORK_BOUND (SEAM_DRAIN_TASKS + SEAM_REBOOT_LIMIT)
+
+inline void sim_world::rebooted(const std::string &vm)
+{
+	if (truth)
+		sim_check_reboot(*this, *truth, vm);
+	seam_fake_workers_del(workers, vm.c_str());
+	back_at[vm] = now() + 20 * SEAM_SEC;
+	for (auto &r : requests)
+		if (r.vm == vm)
+			r.broken = true;
+}
+
+struct sim_run {
+	uint64_t seed;
+	sim_world w;
+	sim_truth t;
+	sim_load load;
+	sim_events events;
+	seam_time settled[4] = {};
+
+	explicit sim_run(uint64_t s, sim_broken b = {})
+		: seed(s), w(s), load{w, t}, events{w, load}
+	{
+		w.broken = b;
+		w.truth = &t;
+		w.change(0, sim_first_conf, 0);
+		for (const char *team : sim_teams)
+			w.change(0, sim_key_put(team, true),
+				 w.s->nodes[0]->version());
+		sim_watch_conf(w, t);
+		load.on = false;
+		run(15 * SEAM_SEC, false);
+		load.on = true;
+	}
+	void pass(int i, int part)
+	{
+		sim_node &n = *w.s->nodes[i];
+		sim_parts &p = w.parts[i];
+		seam_time at = n.now();
+
+		if (part == 0 && at >= n.member_at)
+			n.member_at = seam_members_pass(n.members, at);
+		if (part == 1 && at >= n.version_at &&
+		    !(w.broken.versions && i == 4))
+			n.version_at = seam_versions_pass(n.versions, at);
+		if (!p.made)
+			return;
+		if (part == 2 && at >= p.list_at) {
+			if (!(w.broken.view && t.head > 3))
+				w.inventory(i);
+			p.list_at = at + SEAM_SEC;
+		}
+		if (part == 3 && at >= p.teams_at)
+			w.pass_teams(i);
+		if (part == 4 && at >= p.tasks_at)
+			p.tasks_at = seam_tasks_pass(p.tasks, at);
+		if (part == 5 && at >= p.pools_at) {
+			p.pools_at = seam_pools_pass(p.pools, at);
+			sim_watch_rows(w, t);
+		}
+		if (part == 6 && at >= p.once_at)
+			p.once_at = seam_once_pass(p.once, at, i == 0);
+	}
+	// A store that answers slowly stops the one thread of the run, and so
+	// every node: that is a pause of all of them.
+	void pass_all(int i)
+	{
+		int first = (int)w.below(7);
+
+		for (int k = 0; k < 7; k++) {
+			seam_time was = w.now();
+
+			if (!w.one_in(10))
+				pass(i, (first + k * 3) % 7);
+			if (w.now() - was > SEAM_SEC) {
+				w.count["stalls over 1 s"]++;
+				for (auto &p : w.parts)
+					p.reach_since = p.steady_since =
+						w.now();
+			}
+		}
+		w.s->record();
+	}
+	void step(seam_time dt, bool faults)
+	{
+		int first = (int)w.below(SIM_NODES);
+		int stride = w.one_in(2) ? 2 : 4;
+
+		if (faults)
+			events.step();
+		events.apply();
+		load.step();
+		for (int k = 0; k < SIM_NODES; k++) {
+			int i = (first + k * stride) % SIM_NODES;
+
+			if (!w.runs(i))
+				continue;
+			if (!w.parts[i].made &&
+			    seam_members_inc(w.s->nodes[i]->members))
+				w.make_parts(i);
+			pass_all(i);
+		}
+		seam_hub_pump(w.s->hub);
+		sim_check_all(w, t);
+		seam_fake_set(&w.s->clock, w.now() + dt);
+	}
+	void run(seam_time span, bool faults)
+	{
+		seam_time end = w.now() + span;
+
+		while (w.now() < end)
+			step((20 + (seam_time)w.below(80)) * SEAM_MSEC, faults);
+	}
+	void chaos(int steps)
+	{
+		for (int k = 0; k < steps; k++)
+			step((20 + (seam_time)w.below(80)) * SEAM_MSEC, true);
+	}
+	std::string task_state(const std::string &id, const char *member)
+	{
+		char key[SEAM_KEY_MAX];
+		seam_row row = {};
+		std::string out;
+
+		if (seam_bucket_key(id.c_str(), key) ||
+		    seam_store_get(w.s->mem, key, &row, SEAM_NEVER, &w.e))
+			return "";
+		json_object *o = json_tokener_parse(row.data);
+		json_object *a = json_object_object_get(o, "tasks");
+		for (size_t j = 0; j < json_object_array_length(a); j++) {
+			json_object *x = json_object_array_get_idx(a, j);
+
+			if (id.substr(id.size() - 16) ==
+			    seam_json_str(x, "id", ""))
+				out = seam_json_str(x, member, "");
+		}
+		json_object_put(o);
+		seam_row_free(&row);
+		return out;
+	}
+	// An ended task leaves its row for new ones.
+	int open_tasks(bool print)
+	{
+		int n = 0;
+
+		for (auto &id : w.tasks) {
+			std::string s = task_state(id, "state");
+
+			if (s != "queued" && s != "running" && s != "stopping")
+				continue;
+			n++;
+			if (print)
+				fprintf(stderr, "%s %s: %s\n", id.c_str(),
+					s.c_str(),
+					task_state(id, "reason").c_str());
+		}
+		return n;
+	}
+	// Units that holders which are gone still have.
+	int64_t dead_units(const char *team)
+	{
+		std::string key = std::string("team/") + team;
+		std::set<std::string> live;
+		seam_row row = {};
+		seam_ledger l = {};
+		int64_t n = 0;
+
+		for (int i = 0; i < SIM_NODES; i++)
+			live.insert("node:" + w.s->nodes[i]->name + "#" +
+				    std::to_string(seam_members_inc(
+					    w.s->nodes[i]->members)));
+		if (seam_store_get(w.s->mem, key.c_str(), &row, SEAM_NEVER,
+				   &w.e) ||
+		    seam_ledger_read(&row, team, &l, &w.e))
+			return 0;
+		for (size_t j = 0; j < l.n; j++)
+			if (!strncmp(l.grant[j].holder, "node:", 5) &&
+			    !live.count(l.grant[j].holder))
+				n += l.grant[j].units;
+		seam_ledger_free(&l);
+		seam_row_free(&row);
+		return n;
+	}
+	bool pools_whole(bool print)
+	{
+		for (auto &v : w.vms) {
+			seam_member *m = sim_member_of(t, v.first);
+
+			if (m && m->state != SEAM_MEMBER_FAILED)
+				continue;
+			if (print)
+				fprintf(stderr, "VM %s: %s\n", v.first.c_str(),
+					m ? "failed" : "in no pool");
+			return false;
+		}
+		return true;
+	}
+	void normal()
+	{
+		std::string text = "{\"put\":[";
+
+		for (const char *dc : sim_dcs)
+			text += std::string("{\"kind\":\"data_centre\","
+					    "\"object\":{\"name\":\"") +
+				dc + "\",\"region\":\"r\"}},";
+		text += "{\"kind\":\"team\",\"object\":{\"name\":\"t\","
+			"\"limit\":24}},{\"kind\":\"team\",\"object\":{"
+			"\"name\":\"u\",\"limit\":16}}]}";
+		for (int k = 0; k < 20; k++) {
+			run(SEAM_SEC, false);
+			if (w.change(k % SIM_NODES, text, t.head))
+				break;
+		}
+		for (const char *team : sim_teams)
+			for (int k = 0; k < 20; k++) {
+				run(SEAM_SEC, false);
+				sim_watch_conf(w, t);
+				if (w.change(k % SIM_NODES,
+					     sim_key_put(team, true), t.head))
+					break;
+			}
+		sim_watch_conf(w, t);
+	}
+	bool until(seam_time bound, bool (sim_run::*done)(), seam_time *took)
+	{
+		seam_time begin = w.now();
+
+		while (!(this->*done)() && w.now() < begin + bound)
+			step(100 * SEAM_MSEC, false);
+		*took = w.now() - begin;
+		return (this->*done)();
+	}
+	bool agreed()
+	{
+		return w.s->agreed();
+	}
+	bool units_free()
+	{
+		return !dead_units("t") && !dead_units("u");
+	}
+	bool work_done()
+	{
+		return w.requests.empty() && !open_tasks(false);
+	}
+	bool whole()
+	{
+		return pools_whole(false);
+	}
+	void settle()
+	{
+		load.on = false;
+		events.heal();
+		normal();
+		EXPECT_TRUE(until(SIM_AGREE_BOUND, &sim_run::agreed,
+				  &settled[0]));
+		EXPECT_TRUE(until(SIM_UNITS_BOUND, &sim_run::units_free,
+				  &settled[1]))
+			<< dead_units("t") << " and " << dead_units("u");
+		EXPECT_TRUE(until(SIM_WORK_BOUND, &sim_run::work_done,
+				  &settled[2]))
+			<< open_tasks(true) << " tasks, " << w.requests.size()
+			<< " requests";
+		EXPECT_TRUE(
+			until(SIM_WORK_BOUND, &sim_run::whole, &settled[3]))
+			<< pools_whole(true);
+		for (auto &id : w.never) {
+			std::string s = task_state(id, "state");
+
+			EXPECT_TRUE(s == "never_runs" || s == "cancelled" ||
+				    s.empty())
+				<< id << " " << s;
+		}
+		floors();
+	}
+	// Every data centre can run its floor of each team again.
+	void floors()
+	{
+		const int64_t floor[2] = {24 / 6, 16 / 6};
+
+		for (int team = 0; team < 2; team++)
+			for (int dc = 0; dc < 3; dc++) {
+				int64_t got = 0;
+
+				for (int k = 0; k < 400 && got < floor[team];
+				     k++) {
+					seam_admit *a = seam_teams_admit(
+						w.parts[dc * 3 + k % 3].teams);
+					got += !a->ops->take(
+						a, sim_teams[team], 1, w.now(),
+						&w.e);
+					seam_err_clear(&w.e);
+					step(50 * SEAM_MSEC, false);
+				}
+				EXPECT_GE(got, floor[team])
+					<< sim_teams[team] << " in "
+					<< sim_dcs[dc];
+			}
+	}
+	// Two runs of one seed agree in this.
+	std::string digest()
+	{
+		seam_store_use u = seam_store_mem_use(w.s->mem);
+		std::string out = std::to_string(w.now()) + " " +
+				  std::to_string(u.commits) + " " +
+				  std::to_string(u.rows_written) + " " +
+				  std::to_string(sim_bytes_state);
+
+		for (auto &c : w.count)
+			out += ", " + c.first + " " + std::to_string(c.second);
+		return out;
+	}
+};
+
+#endif
