task: idle buckets release their units

A bucket without tasks now keeps nothing, and one with tasks keeps no slack while another holder has a want in the row. Task.IdleBucketReleasesItsUnits fails without the change.

--- a/process/task_team.c
+++ b/process/task_team.c
@@ -7,7 +7,8 @@
 #include <string.h>
 
 /* Units kept unused in a bucket's grant, so that not each start and end of a
- * task writes the team's row. */
+ * task writes the team's row. A bucket without running tasks keeps none, nor
+ * does one while others want units: 16 buckets would hold a small limit. */
 #define SLACK_UNITS 4
 #define READ_TIMEOUT (1 * SEAM_SEC)
 #define ROW_AGE (2 * SEAM_SEC)
@@ -78,11 +79,17 @@
 }
 
 /*
- * Reads the units of @holder and whether the grants sum to more than the limit:
- * then nothing starts until holders have released enough.
+ * What the row says for a bucket. While the grants sum to more than the limit,
+ * nothing starts until holders have released enough.
  */
+struct granted {
+	int64_t units;
+	bool over;
+	bool wanted; /* by other holders */
+};
+
 static int granted(struct entry *t, const struct seam_team_terms *terms,
-		   const char *holder, int64_t *units, bool *over,
+		   const char *holder, seam_time now, struct granted *out,
 		   struct seam_err *e)
 {
 	struct seam_ledger ledger;
@@ -92,8 +99,9 @@
 			     e))
 		return -1;
 	g = seam_ledger_find(&ledger, holder);
-	*units = g ? g->units : 0;
-	*over = seam_ledger_sum(&ledger) > terms->limit;
+	out->units = g ? g->units : 0;
+	out->over = seam_ledger_sum(&ledger) > terms->limit;
+	out->wanted = seam_ledger_wanted(&ledger, holder, NULL, now) > 0;
 	seam_ledger_free(&ledger);
 	return 0;
 }
@@ -132,14 +140,13 @@
 
 static int change(struct limit *l, struct entry *t,
 		  const struct seam_team_terms *terms, const char *holder,
-		  int64_t units, bool over, seam_time now, struct seam_write *w,
-		  struct seam_err *e)
+		  int64_t units, int64_t slack, seam_time now,
+		  struct seam_write *w, struct seam_err *e)
 {
 	const struct seam_row *row = t->row.data ? &t->row : NULL;
 
-	int64_t more = units && !over ? units + SLACK_UNITS / 2 : units;
-
-	if (seam_team_prepare(row, terms, holder, more, now, &t->put, e)) {
+	if (seam_team_prepare(row, terms, holder, units + slack / 2, now,
+			      &t->put, e)) {
 		seam_err_clear(e);
 		if (seam_team_prepare(row, terms, holder, units, now, &t->put,
 				      e)) {
@@ -173,8 +180,8 @@
 	const struct seam_team_terms *terms;
 	char holder[SEAM_HOLDER_MAX];
 	struct seam_team_terms deleted = {.limit = 0};
-	int64_t have;
-	bool over;
+	struct granted have;
+	int64_t slack;
 
 	w->key = NULL;
 	l->asked = units;
@@ -186,15 +193,16 @@
 		terms = &deleted;
 	}
 	if (read_row(l, t, team, now, e) ||
-	    granted(t, terms, holder, &have, &over, e))
+	    granted(t, terms, holder, now, &have, e))
 		return -1;
-	if (over && units > running_before(l, key, have))
+	if (have.over && units > running_before(l, key, have.units))
 		return seam_fail(e, SEAM_OVER_LIMIT,
 				 "team %s: more is granted than the limit %lld",
 				 team, (long long)terms->limit);
-	if (units <= have && have - units <= (over ? 0 : SLACK_UNITS))
+	slack = units && !have.over && !have.wanted ? SLACK_UNITS : 0;
+	if (units <= have.units && have.units - units <= slack)
 		return 0;
-	return change(l, t, terms, holder, units, over, now, w, e);
+	return change(l, t, terms, holder, units, slack, now, w, e);
 }
 
 static void limit_done(struct seam_task_limit *base, const char *team,
--- a/tests/task_test.cc
+++ b/tests/task_test.cc
@@ -1,4 +1,5 @@
 // Tasks on workers: single failures and pairs of failures.
+#include "process/team.h"
 #include "task_chaos.h"
 
 // Guards the plain path: accepted, started, done, resources given back.
@@ -465,3 +466,33 @@
 	seam_invariant_abort(true);
 	l->ops->free(l);
 }
+
+// A bucket whose tasks have ended must not keep units: 16 of them held a whole
+// limit, and the tasks of the other buckets waited for ever.
+TEST(Task, IdleBucketReleasesItsUnits)
+{
+	sim s(1);
+	s.start(0);
+	seam_task_limit *l = seam_task_limit_teams(
+		&s.clock.clock, s.node[0].store, &s.node[0].conf);
+	seam_ledger left = {};
+	seam_row row = {};
+
+	for (int units : {1, 0}) {
+		seam_write w = {};
+
+		ASSERT_EQ(l->ops->write(l, "t", "queue/t/q/1", units,
+					s.clock.time, &w, &s.e),
+			  0);
+		ASSERT_NE(w.key, nullptr) << units;
+		seam_commit c = {&w, 1, 1, 0};
+		ASSERT_EQ(seam_store_commit(s.store, &c, SEAM_NEVER, &s.e), 0);
+		l->ops->done(l, "t", "queue/t/q/1", true, c.version);
+	}
+	ASSERT_EQ(seam_store_get(s.store, "team/t", &row, SEAM_NEVER, &s.e), 0);
+	ASSERT_EQ(seam_ledger_read(&row, "t", &left, &s.e), 0);
+	EXPECT_EQ(seam_ledger_sum(&left), 0);
+	seam_ledger_free(&left);
+	seam_row_free(&row);
+	l->ops->free(l);
+}
