pool, tests: one meaning for struct seam_member; admission of a fixture

Two headers defined struct seam_member, so no file could include both; the member of a pool is struct seam_pool_vm now. The fixture of the request tests set its admission before the start, where the part of the teams replaced it; Requests.LateAnswer failed for that.

--- a/process/part_pools.c
+++ b/process/part_pools.c
@@ -176,7 +176,7 @@
 	json_object_object_add(o, "wave", x);
 }
 
-static struct json_object *member_json(const struct seam_member *m)
+static struct json_object *member_json(const struct seam_pool_vm *m)
 {
 	struct json_object *o = json_object_new_object();
 
@@ -219,7 +219,7 @@
 	struct seam_pool_row r;
 	struct seam_pool_rules rules;
 	struct seam_wave_order w;
-	struct seam_member *m;
+	struct seam_pool_vm *m;
 	char vm[SEAM_NAME_MAX];
 	struct json_object *o;
 
--- a/process/pool.c
+++ b/process/pool.c
@@ -45,8 +45,8 @@
 	return lo;
 }
 
-struct seam_member *seam_pool_member(const struct seam_pool_row *r,
-				     const char *vm)
+struct seam_pool_vm *seam_pool_member(const struct seam_pool_row *r,
+				      const char *vm)
 {
 	bool found;
 	size_t i = place(r, vm, &found);
@@ -54,10 +54,10 @@
 	return found ? &r->member[i] : NULL;
 }
 
-struct seam_member *seam_pool_add(struct seam_pool_row *r,
-				  const struct seam_member *m)
+struct seam_pool_vm *seam_pool_add(struct seam_pool_row *r,
+				   const struct seam_pool_vm *m)
 {
-	struct seam_member *more;
+	struct seam_pool_vm *more;
 	bool found;
 	size_t i = place(r, m->vm, &found);
 
@@ -85,7 +85,7 @@
 		(r->n - i) * sizeof(*r->member));
 }
 
-static bool planned(const struct seam_member *m)
+static bool planned(const struct seam_pool_vm *m)
 {
 	if (m->why == SEAM_WHY_MAINTENANCE)
 		return m->state != SEAM_MEMBER_ACTIVE;
@@ -99,7 +99,7 @@
 	size_t i;
 
 	for (i = 0; i < r->n; i++) {
-		const struct seam_member *m = &r->member[i];
+		const struct seam_pool_vm *m = &r->member[i];
 
 		t.out += m->out;
 		t.planned += planned(m);
@@ -126,7 +126,7 @@
 }
 
 enum seam_refusal seam_pool_may_take(const struct seam_pool_row *r,
-				     const struct seam_member *m,
+				     const struct seam_pool_vm *m,
 				     const struct seam_pool_rules *rules)
 {
 	struct seam_pool_tally t = seam_pool_count(r);
--- a/process/pool.h
+++ b/process/pool.h
@@ -29,7 +29,7 @@
 };
 
 /**
- * struct seam_member - a VM in its pool
+ * struct seam_pool_vm - a VM in its pool
  * @vm: id of the VM
  * @rack: rack
  * @dc: data centre
@@ -44,7 +44,7 @@
  * @boot: boot number; while rebooting, the one that must be exceeded
  * @out: operators took its data centre out; from the configuration, not stored
  */
-struct seam_member {
+struct seam_pool_vm {
 	char vm[64];
 	char rack[64];
 	char dc[64];
@@ -71,7 +71,7 @@
  */
 struct seam_pool_row {
 	char name[64];
-	struct seam_member *member;
+	struct seam_pool_vm *member;
 	size_t n;
 	struct seam_forecast forecast;
 	seam_time saved_at;
@@ -94,12 +94,12 @@
 		       struct seam_err *e);
 
 /** seam_pool_member() - member by VM, or NULL */
-struct seam_member *seam_pool_member(const struct seam_pool_row *r,
-				     const char *vm);
+struct seam_pool_vm *seam_pool_member(const struct seam_pool_row *r,
+				      const char *vm);
 
 /** seam_pool_add() - insert a member; NULL if full or out of memory */
-struct seam_member *seam_pool_add(struct seam_pool_row *r,
-				  const struct seam_member *m);
+struct seam_pool_vm *seam_pool_add(struct seam_pool_row *r,
+				   const struct seam_pool_vm *m);
 
 /** seam_pool_remove() - remove a member */
 void seam_pool_remove(struct seam_pool_row *r, const char *vm);
@@ -185,35 +185,35 @@
 
 /** seam_pool_may_take() - whether one more active member may be taken out */
 enum seam_refusal seam_pool_may_take(const struct seam_pool_row *r,
-				     const struct seam_member *m,
+				     const struct seam_pool_vm *m,
 				     const struct seam_pool_rules *rules);
 
 /** seam_wave_may_begin() - whether maintenance of @m may begin now */
 enum seam_refusal seam_wave_may_begin(const struct seam_pool_row *r,
-				      const struct seam_member *m,
+				      const struct seam_pool_vm *m,
 				      const struct seam_pool_rules *rules,
 				      const struct seam_wave_order *w,
 				      seam_time now);
 
 /** seam_wave_next() - the member to maintain next, or NULL */
-struct seam_member *seam_wave_next(const struct seam_pool_row *r,
-				   const struct seam_pool_rules *rules,
-				   const struct seam_wave_order *w,
-				   seam_time now);
+struct seam_pool_vm *seam_wave_next(const struct seam_pool_row *r,
+				    const struct seam_pool_rules *rules,
+				    const struct seam_wave_order *w,
+				    seam_time now);
 
 /**
  * seam_wave_due() - when maintenance of a member of a pool of @n may begin
  *
  * Early enough that @n members, one after the other, end by their deadlines.
  */
-seam_time seam_wave_due(const struct seam_member *m, size_t n);
+seam_time seam_wave_due(const struct seam_pool_vm *m, size_t n);
 
 /** seam_wave_must_stop() - drains of planned work must be undone */
 bool seam_wave_must_stop(const struct seam_pool_row *r,
 			 const struct seam_pool_rules *rules);
 
 /** seam_member_drain() - begin planned work on @m */
-void seam_member_drain(struct seam_member *m, int why, seam_time now,
+void seam_member_drain(struct seam_pool_vm *m, int why, seam_time now,
 		       seam_time limit);
 
 /** seam_maintain_first() - first maintenance deadline of an adopted VM */
@@ -239,7 +239,7 @@
 enum seam_step { SEAM_STEP_NONE, SEAM_STEP_CHANGED, SEAM_STEP_REMOVE };
 
 /** seam_member_step() - next state of @m, which it changes */
-enum seam_step seam_member_step(struct seam_member *m,
+enum seam_step seam_member_step(struct seam_pool_vm *m,
 				const struct seam_sight *s, seam_time now);
 
 struct seam_drain;
--- a/process/pool_check.c
+++ b/process/pool_check.c
@@ -1,7 +1,7 @@
 #include "process/pool_impl.h"
 #include "base/log.h"
 
-static bool planned_out(const struct seam_member *m)
+static bool planned_out(const struct seam_pool_vm *m)
 {
 	return m->state == SEAM_MEMBER_DRAINING &&
 	       (m->why == SEAM_WHY_MAINTENANCE || m->why == SEAM_WHY_MOVE);
@@ -11,9 +11,9 @@
 			 const struct seam_pool_row *next,
 			 const struct seam_pool_rules *rules,
 			 const struct seam_pool_tally *t,
-			 const struct seam_member *m)
+			 const struct seam_pool_vm *m)
 {
-	const struct seam_member *was = seam_pool_member(old, m->vm);
+	const struct seam_pool_vm *was = seam_pool_member(old, m->vm);
 	bool begins = planned_out(m) && (!was || !planned_out(was));
 
 	SEAM_INVARIANT(!begins || t->unavailable <= rules->budget, "pool",
--- a/process/pool_list.c
+++ b/process/pool_list.c
@@ -78,7 +78,7 @@
  */
 struct entry {
 	const struct seam_pool *pool;
-	const struct seam_member *member;
+	const struct seam_pool_vm *member;
 };
 
 static void index_row(GHashTable *t, GArray *moving, const struct seam_pool *p)
@@ -86,7 +86,7 @@
 	size_t i;
 
 	for (i = 0; i < p->row.n; i++) {
-		const struct seam_member *m = &p->row.member[i];
+		const struct seam_pool_vm *m = &p->row.member[i];
 		struct entry *old = g_hash_table_lookup(t, m->vm);
 
 		if (*m->to) {
--- a/process/pool_move.c
+++ b/process/pool_move.c
@@ -47,7 +47,7 @@
 
 static void adopt_one(struct seam_pool_work *w, const struct seam_vm *vm)
 {
-	struct seam_member m = {
+	struct seam_pool_vm m = {
 		.state = SEAM_MEMBER_ACTIVE,
 		.until = SEAM_NEVER,
 		.maintain_by = seam_maintain_first(vm->rack, w->now),
@@ -125,11 +125,11 @@
 }
 
 static int arrive(struct seam_pool_work *w, const struct seam_moving *v,
-		  struct seam_pool_row *from, struct seam_member *m,
+		  struct seam_pool_row *from, struct seam_pool_vm *m,
 		  const struct seam_vm *vm)
 {
 	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_member in = *m;
+	struct seam_pool_vm in = *m;
 	struct seam_batch b;
 	uint64_t version = 0;
 	int64_t move = 0;
@@ -169,7 +169,7 @@
 	const struct seam_vm *vm = seam_vm_list_find(w->list, v->vm);
 	struct seam_pool *fp = seam_pools_get(w->ps, v->from);
 	struct seam_pool_row from;
-	struct seam_member *m;
+	struct seam_pool_vm *m;
 	int rc = 0;
 
 	if (!vm || vm->state == SEAM_VM_LEAVING || !fp ||
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -40,7 +40,7 @@
  * Told again before it is asked: the owner that committed the drain may have
  * ended before it told anybody.
  */
-static bool idle(const struct seam_pool_work *w, const struct seam_member *m)
+static bool idle(const struct seam_pool_work *w, const struct seam_pool_vm *m)
 {
 	struct seam_drain *d = seam_pool_drain(w);
 
@@ -52,7 +52,7 @@
 	return d->ops->idle(d, m->vm);
 }
 
-static void drop_member(struct seam_pool_work *w, struct seam_member *m)
+static void drop_member(struct seam_pool_work *w, struct seam_pool_vm *m)
 {
 	seam_log(SEAM_INFO, "pool", "VM %s left the list and pool %s.", m->vm,
 		 w->next.name);
@@ -68,7 +68,7 @@
 	size_t i = 0;
 
 	while (i < w->next.n) {
-		struct seam_member *m = &w->next.member[i];
+		struct seam_pool_vm *m = &w->next.member[i];
 		struct seam_sight s = {
 			.vm = seam_vm_list_find(w->list, m->vm),
 			.as_of = w->list ? w->list->vms.as_of : 0,
@@ -91,7 +91,7 @@
 	}
 }
 
-static void undo(struct seam_pool_work *w, struct seam_member *m)
+static void undo(struct seam_pool_work *w, struct seam_pool_vm *m)
 {
 	m->state = SEAM_MEMBER_ACTIVE;
 	m->why = SEAM_WHY_NONE;
@@ -108,7 +108,7 @@
 	size_t i;
 
 	for (i = 0; i < w->next.n; i++) {
-		struct seam_member *m = &w->next.member[i];
+		struct seam_pool_vm *m = &w->next.member[i];
 		bool wave = m->why == SEAM_WHY_MAINTENANCE;
 
 		if (m->state != SEAM_MEMBER_DRAINING ||
@@ -123,7 +123,7 @@
 
 static void begin_wave(struct seam_pool_work *w)
 {
-	struct seam_member *m;
+	struct seam_pool_vm *m;
 
 	while (w->pc &&
 	       (m = seam_wave_next(&w->next, &w->rules, &w->wave, w->now))) {
@@ -162,7 +162,7 @@
 	return 0;
 }
 
-static void begin_drain(struct seam_pool_work *w, const struct seam_member *m)
+static void begin_drain(struct seam_pool_work *w, const struct seam_pool_vm *m)
 {
 	struct seam_drain *d = seam_pool_drain(w);
 
@@ -170,17 +170,17 @@
 		d->ops->begin(d, m->vm, m->until);
 }
 
-static void end_drain(struct seam_pool_work *w, const struct seam_member *m)
+static void end_drain(struct seam_pool_work *w, const struct seam_pool_vm *m)
 {
 	struct seam_drain *d = seam_pool_drain(w);
-	const struct seam_member *old = seam_pool_member(&w->old, m->vm);
+	const struct seam_pool_vm *old = seam_pool_member(&w->old, m->vm);
 
 	if (d && d->ops->end && old && old->state == SEAM_MEMBER_DRAINING)
 		d->ops->end(d, m->vm);
 }
 
 /* A repeat does not reboot twice: the platform compares the boot number. */
-static int ask_reboot(struct seam_pool_work *w, const struct seam_member *m)
+static int ask_reboot(struct seam_pool_work *w, const struct seam_pool_vm *m)
 {
 	const struct seam_vm *vm = seam_vm_list_find(w->list, m->vm);
 	struct seam_platform *p = w->ps->env.platform;
@@ -200,7 +200,7 @@
  * the deadline, is asked for again; the member stays failed until then.
  */
 static bool wants_reboot(const struct seam_pool_work *w,
-			 const struct seam_member *m)
+			 const struct seam_pool_vm *m)
 {
 	if (m->state == SEAM_MEMBER_REBOOTING)
 		return true;
@@ -214,7 +214,7 @@
 	size_t i;
 
 	for (i = 0; i < w->next.n; i++) {
-		const struct seam_member *m = &w->next.member[i];
+		const struct seam_pool_vm *m = &w->next.member[i];
 
 		if (m->state == SEAM_MEMBER_DRAINING)
 			begin_drain(w, m);
@@ -265,8 +265,8 @@
 
 	pthread_mutex_lock(&w->ps->lock);
 	for (i = 0; w->began && i < w->next.n; i++) {
-		const struct seam_member *m = &w->next.member[i];
-		const struct seam_member *old =
+		const struct seam_pool_vm *m = &w->next.member[i];
+		const struct seam_pool_vm *old =
 			seam_pool_member(&w->old, m->vm);
 		struct seam_moving v = {.from = ""};
 
--- a/process/pool_row.c
+++ b/process/pool_row.c
@@ -33,18 +33,18 @@
 };
 
 static const struct seam_json_field member_fields[] = {
-	FIELD(seam_member, vm, SEAM_JSON_TEXT, .required = true),
-	FIELD(seam_member, rack, SEAM_JSON_TEXT),
-	FIELD(seam_member, dc, SEAM_JSON_TEXT),
-	FIELD(seam_member, to, SEAM_JSON_TEXT),
-	FIELD(seam_member, state, SEAM_JSON_CHOICE, .choices = states,
+	FIELD(seam_pool_vm, vm, SEAM_JSON_TEXT, .required = true),
+	FIELD(seam_pool_vm, rack, SEAM_JSON_TEXT),
+	FIELD(seam_pool_vm, dc, SEAM_JSON_TEXT),
+	FIELD(seam_pool_vm, to, SEAM_JSON_TEXT),
+	FIELD(seam_pool_vm, state, SEAM_JSON_CHOICE, .choices = states,
 	      .required = true),
-	FIELD(seam_member, why, SEAM_JSON_CHOICE, .choices = whys),
-	INT(seam_member, until),
-	INT(seam_member, drain_from),
-	INT(seam_member, maintain_by),
-	INT(seam_member, maintained),
-	INT(seam_member, boot),
+	FIELD(seam_pool_vm, why, SEAM_JSON_CHOICE, .choices = whys),
+	INT(seam_pool_vm, until),
+	INT(seam_pool_vm, drain_from),
+	INT(seam_pool_vm, maintain_by),
+	INT(seam_pool_vm, maintained),
+	INT(seam_pool_vm, boot),
 };
 
 static const struct seam_json_field row_fields[] = {
@@ -91,7 +91,7 @@
 	return text;
 }
 
-static struct json_object *member_json(const struct seam_member *m)
+static struct json_object *member_json(const struct seam_pool_vm *m)
 {
 	struct json_object *o = json_object_new_object();
 
@@ -166,7 +166,7 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct seam_member m = {.until = SEAM_NEVER};
+		struct seam_pool_vm m = {.until = SEAM_NEVER};
 		char path[48];
 
 		snprintf(path, sizeof(path), "members[%zu]", i);
--- a/process/pool_size.c
+++ b/process/pool_size.c
@@ -18,7 +18,7 @@
 	int64_t lacks;
 };
 
-static bool stays(const struct seam_member *m)
+static bool stays(const struct seam_pool_vm *m)
 {
 	return m->state != SEAM_MEMBER_FAILED && m->why != SEAM_WHY_LEAVING &&
 	       !*m->to && !m->out;
@@ -97,14 +97,14 @@
 }
 
 /* The member whose maintenance is nearest: the reboot of its move counts. */
-static struct seam_member *giveable(struct seam_pool_work *w,
-				    const struct seam_pool_conf *to)
+static struct seam_pool_vm *giveable(struct seam_pool_work *w,
+				     const struct seam_pool_conf *to)
 {
-	struct seam_member *best = NULL;
+	struct seam_pool_vm *best = NULL;
 	size_t i;
 
 	for (i = 0; i < w->next.n; i++) {
-		struct seam_member *m = &w->next.member[i];
+		struct seam_pool_vm *m = &w->next.member[i];
 
 		if (m->state == SEAM_MEMBER_ACTIVE && allowed(to, m->dc) &&
 		    (!best || m->maintain_by < best->maintain_by))
@@ -128,7 +128,7 @@
 
 static bool give(struct seam_pool_work *w, const struct seam_pool_conf *to)
 {
-	struct seam_member *m = giveable(w, to);
+	struct seam_pool_vm *m = giveable(w, to);
 
 	if (!m || moving_out(&w->next) >= w->ps->env.size->moves)
 		return false;
--- a/process/pool_step.c
+++ b/process/pool_step.c
@@ -1,6 +1,6 @@
 #include "process/pool.h"
 
-static enum seam_step to_state(struct seam_member *m, int state, int why,
+static enum seam_step to_state(struct seam_pool_vm *m, int state, int why,
 			       seam_time until)
 {
 	m->state = state;
@@ -13,7 +13,7 @@
 	return SEAM_STEP_CHANGED;
 }
 
-static enum seam_step rebooted(struct seam_member *m, const struct seam_vm *vm,
+static enum seam_step rebooted(struct seam_pool_vm *m, const struct seam_vm *vm,
 			       seam_time now)
 {
 	m->boot = vm->boot;
@@ -27,7 +27,7 @@
 }
 
 /* A list made before the VM was adopted cannot have it. */
-static bool missing(const struct seam_member *m, const struct seam_sight *s)
+static bool missing(const struct seam_pool_vm *m, const struct seam_sight *s)
 {
 	return !s->vm && s->list_ok && s->as_of > m->maintained;
 }
@@ -37,13 +37,13 @@
 	return s->vm && s->vm->state == SEAM_VM_LEAVING;
 }
 
-static bool came_back(const struct seam_member *m, const struct seam_sight *s)
+static bool came_back(const struct seam_pool_vm *m, const struct seam_sight *s)
 {
 	return s->vm && !leaves(s) && s->vm->boot > m->boot;
 }
 
-static enum seam_step step_up(struct seam_member *m, const struct seam_sight *s,
-			      seam_time now)
+static enum seam_step step_up(struct seam_pool_vm *m,
+			      const struct seam_sight *s, seam_time now)
 {
 	if (missing(m, s))
 		return to_state(m, SEAM_MEMBER_FAILED, SEAM_WHY_LEAVING,
@@ -57,7 +57,7 @@
 	return SEAM_STEP_NONE;
 }
 
-static enum seam_step step_draining(struct seam_member *m,
+static enum seam_step step_draining(struct seam_pool_vm *m,
 				    const struct seam_sight *s, seam_time now)
 {
 	if (missing(m, s))
@@ -81,7 +81,7 @@
 			now + SEAM_REBOOT_LIMIT);
 }
 
-static enum seam_step step_rebooting(struct seam_member *m,
+static enum seam_step step_rebooting(struct seam_pool_vm *m,
 				     const struct seam_sight *s, seam_time now)
 {
 	bool late = s->list_ok && s->as_of >= m->until;
@@ -96,7 +96,7 @@
 	return SEAM_STEP_NONE;
 }
 
-static enum seam_step step_failed(struct seam_member *m,
+static enum seam_step step_failed(struct seam_pool_vm *m,
 				  const struct seam_sight *s, seam_time now)
 {
 	if (came_back(m, s))
@@ -113,7 +113,7 @@
 	return SEAM_STEP_NONE;
 }
 
-enum seam_step seam_member_step(struct seam_member *m,
+enum seam_step seam_member_step(struct seam_pool_vm *m,
 				const struct seam_sight *s, seam_time now)
 {
 	switch (m->state) {
--- a/process/pool_wave.c
+++ b/process/pool_wave.c
@@ -19,17 +19,17 @@
 	return now + SEAM_MAINTAIN_PERIOD - (seam_time)(h % SPREAD);
 }
 
-seam_time seam_wave_due(const struct seam_member *m, size_t n)
+seam_time seam_wave_due(const struct seam_pool_vm *m, size_t n)
 {
 	return m->maintain_by - LEAD - (seam_time)n * LEAD_EACH;
 }
 
-static bool in_wave(const struct seam_member *m)
+static bool in_wave(const struct seam_pool_vm *m)
 {
 	return m->why == SEAM_WHY_MAINTENANCE && m->state != SEAM_MEMBER_ACTIVE;
 }
 
-static const struct seam_member *leader(const struct seam_pool_row *r)
+static const struct seam_pool_vm *leader(const struct seam_pool_row *r)
 {
 	size_t i;
 
@@ -40,9 +40,9 @@
 }
 
 static enum seam_refusal own(const struct seam_pool_row *r,
-			     const struct seam_member *m,
+			     const struct seam_pool_vm *m,
 			     const struct seam_wave_order *w,
-			     const struct seam_member *lead, seam_time now)
+			     const struct seam_pool_vm *lead, seam_time now)
 {
 	if (m->state != SEAM_MEMBER_ACTIVE)
 		return SEAM_NOT_ACTIVE;
@@ -59,7 +59,7 @@
 }
 
 enum seam_refusal seam_wave_may_begin(const struct seam_pool_row *r,
-				      const struct seam_member *m,
+				      const struct seam_pool_vm *m,
 				      const struct seam_pool_rules *rules,
 				      const struct seam_wave_order *w,
 				      seam_time now)
@@ -69,17 +69,17 @@
 	return why == SEAM_MAY_BEGIN ? seam_pool_may_take(r, m, rules) : why;
 }
 
-struct seam_member *seam_wave_next(const struct seam_pool_row *r,
-				   const struct seam_pool_rules *rules,
-				   const struct seam_wave_order *w,
-				   seam_time now)
+struct seam_pool_vm *seam_wave_next(const struct seam_pool_row *r,
+				    const struct seam_pool_rules *rules,
+				    const struct seam_wave_order *w,
+				    seam_time now)
 {
-	const struct seam_member *lead = leader(r);
-	struct seam_member *best = NULL;
+	const struct seam_pool_vm *lead = leader(r);
+	struct seam_pool_vm *best = NULL;
 	size_t i;
 
 	for (i = 0; i < r->n; i++) {
-		struct seam_member *m = &r->member[i];
+		struct seam_pool_vm *m = &r->member[i];
 
 		if ((!best || m->maintain_by < best->maintain_by) &&
 		    own(r, m, w, lead, now) == SEAM_MAY_BEGIN)
@@ -98,7 +98,7 @@
 	return t.out || t.unavailable > rules->budget;
 }
 
-void seam_member_drain(struct seam_member *m, int why, seam_time now,
+void seam_member_drain(struct seam_pool_vm *m, int why, seam_time now,
 		       seam_time limit)
 {
 	m->state = SEAM_MEMBER_DRAINING;
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -29,7 +29,7 @@
 {
 	seam_pool_row r = {};
 	seam_pool_row back;
-	seam_member m = {};
+	seam_pool_vm m = {};
 	seam_err e = SEAM_ERR_INIT;
 
 	strcpy(r.name, "web");
@@ -259,7 +259,7 @@
 
 	for (int state = 0; state <= SEAM_MEMBER_FAILED; state++) {
 		seam_pool_row r = {};
-		seam_member m = {};
+		seam_pool_vm m = {};
 
 		for (const char *id : {"v1", "v2", "v3", "v4"}) {
 			strcpy(m.vm, id);
@@ -283,7 +283,7 @@
 {
 	seam_pool_row r = {};
 	seam_pool_rules rules = {2, 2, true};
-	seam_member m = {};
+	seam_pool_vm m = {};
 
 	strcpy(m.vm, "v1");
 	seam_pool_add(&r, &m);
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -253,9 +253,9 @@
 		return r.version;
 	}
 	// Member of any pool as the store has it; pool "" if there is none.
-	seam_member member(const std::string &id, std::string *pool = nullptr)
+	seam_pool_vm member(const std::string &id, std::string *pool = nullptr)
 	{
-		seam_member found = {};
+		seam_pool_vm found = {};
 		seam_rows rows = {};
 
 		seam_store_scan(mem, "pool/", nullptr, 1000, &rows, SEAM_NEVER,
@@ -264,7 +264,8 @@
 			seam_pool_row r;
 
 			seam_pool_row_read(rows.row[i].data, &r, &e);
-			if (seam_member *m = seam_pool_member(&r, id.c_str())) {
+			if (seam_pool_vm *m =
+				    seam_pool_member(&r, id.c_str())) {
 				found = *m;
 				if (pool)
 					*pool = r.name;
@@ -336,7 +337,7 @@
 			       "pool %s: %lld planned", r.name,
 			       (long long)t.planned);
 		for (size_t i = 0; i < r.n; i++) {
-			const seam_member &m = r.member[i];
+			const seam_pool_vm &m = r.member[i];
 			std::string rack = std::string(m.dc) + "/" + m.rack;
 
 			SEAM_INVARIANT(where->emplace(m.vm, r.name).second,
@@ -396,7 +397,7 @@
 static inline seam_pool_row states(const char *text)
 {
 	seam_pool_row r = {};
-	seam_member m = {};
+	seam_pool_vm m = {};
 
 	for (int i = 0; text[i]; i++) {
 		m = {};
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -171,8 +171,9 @@
 				&s, clock, view[i],
 				seam_fake_platform_base(platform), &e);
 			ASSERT_NE(node[i], nullptr) << e.text;
-			node[i]->admit = &admit.admit;
 			ASSERT_EQ(seam_node_start(node[i], &e), 0) << e.text;
+			// The part of the teams sets its own at the start.
+			node[i]->admit = &admit.admit;
 		}
 	}
 
--- a/tests/sim_check.h
+++ b/tests/sim_check.h
@@ -23,11 +23,11 @@
 	}
 };
 
-static seam_member *sim_member_of(sim_truth &t, const std::string &vm,
-				  std::string *pool = nullptr)
+static seam_pool_vm *sim_member_of(sim_truth &t, const std::string &vm,
+				   std::string *pool = nullptr)
 {
 	for (auto &r : t.row)
-		if (seam_member *m = seam_pool_member(&r.second, vm.c_str())) {
+		if (seam_pool_vm *m = seam_pool_member(&r.second, vm.c_str())) {
 			if (pool)
 				*pool = r.first;
 			return m;
@@ -95,7 +95,7 @@
 
 	for (auto &r : t.row)
 		for (size_t i = 0; i < r.second.n; i++) {
-			const seam_member &m = r.second.member[i];
+			const seam_pool_vm &m = r.second.member[i];
 
 			SIM_CHECK(w, "P2", where.emplace(m.vm, r.first).second,
 				  "VM %s is in %s and %s", m.vm,
@@ -217,7 +217,7 @@
 static std::string sim_describe(sim_world &w, sim_truth &t, const char *vm)
 {
 	std::string pool;
-	seam_member *m = sim_member_of(t, vm, &pool);
+	seam_pool_vm *m = sim_member_of(t, vm, &pool);
 	std::string out = m ? std::string(seam_member_state_name(m->state)) +
 					  " (" + seam_member_why_name(m->why) +
 					  ") in pool " + pool :
@@ -327,7 +327,7 @@
 		w.workers->workers, vm.c_str());
 
 	sim_watch_rows(w, t);
-	seam_member *m = sim_member_of(t, vm);
+	seam_pool_vm *m = sim_member_of(t, vm);
 	bool planned = !m || m->why != SEAM_WHY_FAILED;
 	auto d = t.drain_until.find(vm);
 	bool over = d != t.drain_until.end() && d->second <= w.now() + SIM_SKEW;
--- a/tests/sim_run.h
+++ b/tests/sim_run.h
@@ -214,7 +214,7 @@
 	bool pools_whole(bool print)
 	{
 		for (auto &v : w.vms) {
-			seam_member *m = sim_member_of(t, v.first);
+			seam_pool_vm *m = sim_member_of(t, v.first);
 
 			if (m && m->state != SEAM_MEMBER_FAILED)
 				continue;
--- a/tests/sim_test.cc
+++ b/tests/sim_test.cc
@@ -89,7 +89,7 @@
 {
 	sim_run r(1);
 	seam_pool_row was = {}, is = {};
-	seam_member m = {};
+	seam_pool_vm m = {};
 
 	strcpy(was.name, "web");
 	strcpy(is.name, "web");
--- a/tests/sim_world.h
+++ b/tests/sim_world.h
@@ -3,10 +3,7 @@
 #ifndef SIM_WORLD_H
 #define SIM_WORLD_H
 
-// process/member.h and process/pool.h both define struct seam_member.
-#define seam_member seam_node_member
 #include "fleet.h"
-#undef seam_member
 
 #include <map>
 #include <set>
--- a/tests/wave_test.cc
+++ b/tests/wave_test.cc
@@ -298,7 +298,7 @@
 	seam_pool_row r = {};
 	seam_pool_rules rules = {0, 1, true};
 	seam_wave_order order = {};
-	seam_member m = {};
+	seam_pool_vm m = {};
 	seam_time now = 100;
 
 	m.maintain_by = now;
