--- a/base/json.c
+++ b/base/json.c
@@ -324,3 +324,13 @@
 		return def;
 	return json_object_get_int64(v);
 }
+
+void seam_json_add_str(struct json_object *o, const char *name, const char *v)
+{
+	json_object_object_add(o, name, json_object_new_string(v));
+}
+
+void seam_json_add_int(struct json_object *o, const char *name, int64_t v)
+{
+	json_object_object_add(o, name, json_object_new_int64(v));
+}
--- a/base/json.h
+++ b/base/json.h
@@ -107,6 +107,12 @@
 /** seam_json_int() - integer member @name of @o, or @def */
 int64_t seam_json_int(struct json_object *o, const char *name, int64_t def);
 
+/** seam_json_add_str() - set a text member */
+void seam_json_add_str(struct json_object *o, const char *name, const char *v);
+
+/** seam_json_add_int() - set an integer member */
+void seam_json_add_int(struct json_object *o, const char *name, int64_t v);
+
 #ifdef __cplusplus
 }
 #endif
--- a/cmd/embedded.c
+++ b/cmd/embedded.c
@@ -155,33 +155,6 @@
 	return seam_fake_platform_base(m->platform);
 }
 
-int seam_embedded_config(struct seam_embedded *m, struct seam_clock *k,
-			 const char *file, struct seam_err *e)
-{
-	struct seam_problems p = {.file = file};
-	struct json_object *doc = seam_json_file(file, &p);
-	struct seam_conf *first = doc ? seam_conf_parse(doc, 1, &p) : NULL;
-	struct seam_conf *empty = seam_conf_empty();
-	struct seam_conf *done = NULL;
-	struct seam_change ch = {.reason = "first configuration",
-				 .operator_name = "embedded"};
-
-	if (first) {
-		ch.change = seam_conf_diff(empty, first);
-		done = seam_conf_commit(m->store, k, &ch,
-					seam_now(k) + 5 * SEAM_SEC, e);
-		json_object_put(ch.change);
-	} else {
-		seam_problems_err(&p, SEAM_BAD_CONFIG, e);
-	}
-	seam_problems_free(&p);
-	json_object_put(doc);
-	seam_conf_drop(first);
-	seam_conf_drop(empty);
-	seam_conf_drop(done);
-	return done ? 0 : -1;
-}
-
 static void stop_ticks(struct seam_embedded *m)
 {
 	if (!m->ticks)
--- a/cmd/embedded.h
+++ b/cmd/embedded.h
@@ -20,10 +20,6 @@
 /** seam_embedded_platform() - its VM list */
 struct seam_platform *seam_embedded_platform(struct seam_embedded *m);
 
-/** seam_embedded_config() - write a first configuration from a file */
-int seam_embedded_config(struct seam_embedded *m, struct seam_clock *k,
-			 const char *file, struct seam_err *e);
-
 /** seam_embedded_free() - stop targets and workers, and free */
 void seam_embedded_free(struct seam_embedded *m);
 
--- a/cmd/seamd.c
+++ b/cmd/seamd.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "cmd/common.h"
 #include "cmd/embedded.h"
 #include "process/node.h"
 
@@ -110,7 +111,8 @@
 	struct seam_node *n = NULL;
 	int rc = EXIT_START;
 
-	if (m && !seam_embedded_config(m, k, config, &e))
+	if (m &&
+	    !cmd_first_config(seam_embedded_store(m), config, "embedded", &e))
 		n = seam_node_new(s, k, seam_embedded_store(m),
 				  seam_embedded_platform(m), &e);
 	if (n)
@@ -159,13 +161,7 @@
 	if (a.check)
 		return 0;
 	seam_log_level((enum seam_level)s.log_level);
-	/* Blocked before any thread starts, so that only sigwait() sees them.
-	 */
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
+	cmd_block_signals(&set);
 	if (a.embedded)
 		return run_embedded(&s, a.embedded, &set);
 	if (!strcmp(s.store, "memory")) {
--- a/cmd/seamplatform.c
+++ b/cmd/seamplatform.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 
 #include "base/json.h"
+#include "cmd/common.h"
 #include "cmd/vmlist.h"
 #include "fake/fake.h"
 #include "version/conf.h"
@@ -78,34 +79,6 @@
 	return 0;
 }
 
-static int load_config(struct seam_store *s, const char *file,
-		       struct seam_err *e)
-{
-	struct seam_clock *k = seam_clock_real();
-	struct seam_problems p = {.file = file};
-	struct json_object *doc = seam_json_file(file, &p);
-	struct seam_conf *first = doc ? seam_conf_parse(doc, 1, &p) : NULL;
-	struct seam_conf *empty = seam_conf_empty();
-	struct seam_conf *done = NULL;
-	struct seam_change ch = {.reason = "first configuration",
-				 .operator_name = "seamplatform"};
-
-	if (first) {
-		ch.change = seam_conf_diff(empty, first);
-		done = seam_conf_commit(s, k, &ch, seam_now(k) + 5 * SEAM_SEC,
-					e);
-		json_object_put(ch.change);
-	} else {
-		seam_problems_err(&p, SEAM_BAD_CONFIG, e);
-	}
-	seam_problems_free(&p);
-	json_object_put(doc);
-	seam_conf_drop(first);
-	seam_conf_drop(empty);
-	seam_conf_drop(done);
-	return done ? 0 : -1;
-}
-
 static int run(const struct args *a, struct seam_store *mem,
 	       struct seam_fake_platform *vms, const sigset_t *set)
 {
@@ -113,7 +86,8 @@
 	struct seam_fake_server *s;
 	int sig;
 
-	if ((a->config && load_config(mem, a->config, &e)) ||
+	if ((a->config &&
+	     cmd_first_config(mem, a->config, "seamplatform", &e)) ||
 	    (a->vms && load_vms(vms, a->vms, &e))) {
 		fprintf(stderr, "seamplatform: %s\n", e.text);
 		return EXIT_START;
@@ -140,12 +114,7 @@
 
 	argp_err_exit_status = EXIT_USAGE;
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
-	/* Blocked before any thread starts, so that only sigwait() sees it. */
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
+	cmd_block_signals(&set);
 	mem = seam_store_mem_new(seam_clock_real());
 	vms = seam_fake_platform_new(seam_clock_real());
 	rc = run(&a, mem, vms, &set);
--- a/cmd/seamtargets.c
+++ b/cmd/seamtargets.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cmd/common.h"
 #include "cmd/vmlist.h"
 #include "fake/fake.h"
 
@@ -135,12 +136,7 @@
 
 	argp_err_exit_status = EXIT_USAGE;
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
-	/* Blocked before any thread starts, so that only sigwait() sees it. */
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
+	cmd_block_signals(&set);
 	s->workers = seam_fake_workers_new(seam_clock_real(), 1);
 	rc = serve_all(s, &a);
 	if (!rc)
--- a/process/part_members.c
+++ b/process/part_members.c
@@ -1,3 +1,4 @@
+#include "base/json.h"
 #include "process/member.h"
 
 #include <stdlib.h>
@@ -11,33 +12,23 @@
 	bool started;
 };
 
-static void add_text(struct json_object *o, const char *name, const char *v)
-{
-	json_object_object_add(o, name, json_object_new_string(v));
-}
-
-static void add_int(struct json_object *o, const char *name, int64_t v)
-{
-	json_object_object_add(o, name, json_object_new_int64(v));
-}
-
 static struct json_object *member_object(const struct seam_member *b,
 					 seam_time now)
 {
 	struct json_object *o = json_object_new_object();
 
-	add_text(o, "node", b->node);
-	add_text(o, "vm", b->vm);
-	add_text(o, "data_centre", b->dc);
-	add_text(o, "region", b->region);
-	add_text(o, "listen", b->listen);
-	add_text(o, "peer", b->peer);
-	add_int(o, "incarnation", (int64_t)b->inc);
+	seam_json_add_str(o, "node", b->node);
+	seam_json_add_str(o, "vm", b->vm);
+	seam_json_add_str(o, "data_centre", b->dc);
+	seam_json_add_str(o, "region", b->region);
+	seam_json_add_str(o, "listen", b->listen);
+	seam_json_add_str(o, "peer", b->peer);
+	seam_json_add_int(o, "incarnation", (int64_t)b->inc);
 	json_object_object_add(o, "suspected",
 			       json_object_new_boolean(now >= b->suspect_at));
-	add_int(o, "version", (int64_t)b->last.version);
-	add_int(o, "confirmed_at_us", b->last.confirmed_at);
-	add_int(o, "store_at_us", b->last.store_at);
+	seam_json_add_int(o, "version", (int64_t)b->last.version);
+	seam_json_add_int(o, "confirmed_at_us", b->last.confirmed_at);
+	seam_json_add_int(o, "store_at_us", b->last.store_at);
 	return o;
 }
 
@@ -48,13 +39,14 @@
 	struct json_object *o = json_object_new_object();
 	seam_time at = __atomic_load_n(&n->confirmed_at, __ATOMIC_ACQUIRE);
 
-	add_text(o, "node", n->settings.node);
-	add_text(o, "data_centre", n->settings.data_centre);
-	add_int(o, "incarnation", (int64_t)seam_members_inc(n->members));
-	add_int(o, "version", (int64_t)seam_conf_version(c));
-	add_int(o, "confirmed_age_ms",
-		at ? (seam_now(n->clock) - at) / SEAM_MSEC : -1);
-	add_int(o, "store_at_us", st.last_ok);
+	seam_json_add_str(o, "node", n->settings.node);
+	seam_json_add_str(o, "data_centre", n->settings.data_centre);
+	seam_json_add_int(o, "incarnation",
+			  (int64_t)seam_members_inc(n->members));
+	seam_json_add_int(o, "version", (int64_t)seam_conf_version(c));
+	seam_json_add_int(o, "confirmed_age_ms",
+			  at ? (seam_now(n->clock) - at) / SEAM_MSEC : -1);
+	seam_json_add_int(o, "store_at_us", st.last_ok);
 	json_object_object_add(o, "store_down",
 			       json_object_new_boolean(st.open));
 	json_object_object_add(o, "change_unsettled",
--- a/process/part_pools.c
+++ b/process/part_pools.c
@@ -1,3 +1,4 @@
+#include "base/json.h"
 #include "process/node.h"
 #include "process/pool.h"
 
@@ -17,16 +18,6 @@
 	struct seam_loop loop;
 };
 
-static void add_text(struct json_object *o, const char *name, const char *v)
-{
-	json_object_object_add(o, name, json_object_new_string(v));
-}
-
-static void add_int(struct json_object *o, const char *name, int64_t v)
-{
-	json_object_object_add(o, name, json_object_new_int64(v));
-}
-
 static void reply_json(struct seam_call *c, struct json_object *o)
 {
 	seam_reply_text(
@@ -53,17 +44,17 @@
 	struct seam_pool_rules rules;
 
 	seam_pool_rules_of(ps, r->name, now, &rules);
-	add_text(o, "name", r->name);
-	add_int(o, "members", (int64_t)r->n);
-	add_int(o, "active", t.active);
-	add_int(o, "unavailable", t.unavailable);
-	add_int(o, "planned", t.planned);
-	add_int(o, "data_centre_out", t.out);
-	add_int(o, "budget", rules.budget);
-	add_int(o, "min", rules.min);
-	add_int(o, "wants", r->forecast.want);
-	add_int(o, "overdue", overdue(r, now));
-	add_text(o, "size", r->note);
+	seam_json_add_str(o, "name", r->name);
+	seam_json_add_int(o, "members", (int64_t)r->n);
+	seam_json_add_int(o, "active", t.active);
+	seam_json_add_int(o, "unavailable", t.unavailable);
+	seam_json_add_int(o, "planned", t.planned);
+	seam_json_add_int(o, "data_centre_out", t.out);
+	seam_json_add_int(o, "budget", rules.budget);
+	seam_json_add_int(o, "min", rules.min);
+	seam_json_add_int(o, "wants", r->forecast.want);
+	seam_json_add_int(o, "overdue", overdue(r, now));
+	seam_json_add_str(o, "size", r->note);
 	return o;
 }
 
@@ -159,7 +150,7 @@
 	}
 	seam_loop_wake(&p->loop);
 	o = json_object_new_object();
-	add_int(o, "version", (int64_t)w.version);
+	seam_json_add_int(o, "version", (int64_t)w.version);
 	reply_json(c, o);
 }
 
@@ -168,11 +159,11 @@
 	struct json_object *x = json_object_new_object();
 	static const char *const orders[] = {"none", "start", "halt"};
 
-	add_text(x, "order", orders[w->order]);
-	add_text(x, "reason", w->reason);
-	add_text(x, "operator", w->operator_name);
-	add_int(x, "given", w->given);
-	add_int(x, "version", (int64_t)w->version);
+	seam_json_add_str(x, "order", orders[w->order]);
+	seam_json_add_str(x, "reason", w->reason);
+	seam_json_add_str(x, "operator", w->operator_name);
+	seam_json_add_int(x, "given", w->given);
+	seam_json_add_int(x, "version", (int64_t)w->version);
 	json_object_object_add(o, "wave", x);
 }
 
@@ -180,16 +171,16 @@
 {
 	struct json_object *o = json_object_new_object();
 
-	add_text(o, "vm", m->vm);
-	add_text(o, "rack", m->rack);
-	add_text(o, "data_centre", m->dc);
-	add_text(o, "state", seam_member_state_name(m->state));
-	add_text(o, "why", seam_member_why_name(m->why));
-	add_text(o, "moves_to", m->to);
-	add_int(o, "until", m->until == SEAM_NEVER ? 0 : m->until);
-	add_int(o, "maintain_by", m->maintain_by);
-	add_int(o, "maintained", m->maintained);
-	add_int(o, "boot", m->boot);
+	seam_json_add_str(o, "vm", m->vm);
+	seam_json_add_str(o, "rack", m->rack);
+	seam_json_add_str(o, "data_centre", m->dc);
+	seam_json_add_str(o, "state", seam_member_state_name(m->state));
+	seam_json_add_str(o, "why", seam_member_why_name(m->why));
+	seam_json_add_str(o, "moves_to", m->to);
+	seam_json_add_int(o, "until", m->until == SEAM_NEVER ? 0 : m->until);
+	seam_json_add_int(o, "maintain_by", m->maintain_by);
+	seam_json_add_int(o, "maintained", m->maintained);
+	seam_json_add_int(o, "boot", m->boot);
 	return o;
 }
 
@@ -236,16 +227,17 @@
 	m = seam_pool_member(&r, vm);
 	seam_pool_rules_of(ps, r.name, c->arrived, &rules);
 	o = member_json(m);
-	add_text(o, "pool", r.name);
+	seam_json_add_str(o, "pool", r.name);
 	if (seam_wave_get(ps, r.name, &w, c->arrived, &e)) {
-		add_text(o, "maintenance", "not known: the store is down");
+		seam_json_add_str(o, "maintenance",
+				  "not known: the store is down");
 	} else {
-		add_text(o, "maintenance",
-			 seam_refusal_text(seam_wave_may_begin(
-				 &r, m, &rules, &w, c->arrived)));
+		seam_json_add_str(o, "maintenance",
+				  seam_refusal_text(seam_wave_may_begin(
+					  &r, m, &rules, &w, c->arrived)));
 		add_wave(o, &w);
 	}
-	add_int(o, "due", seam_wave_due(m, r.n));
+	seam_json_add_int(o, "due", seam_wave_due(m, r.n));
 	json_object_object_add(o, "pool_state", pool_json(ps, &r, c->arrived));
 	seam_pool_row_free(&r);
 	reply_json(c, o);
@@ -260,7 +252,8 @@
 	json_object_object_add(x, "peak", json_object_new_double(f->peak));
 	json_object_object_add(x, "burst",
 			       json_object_new_double(seam_forecast_burst(f)));
-	add_int(x, "shrink_at", f->shrink_at == SEAM_NEVER ? 0 : f->shrink_at);
+	seam_json_add_int(x, "shrink_at",
+			  f->shrink_at == SEAM_NEVER ? 0 : f->shrink_at);
 	json_object_object_add(o, "forecast", x);
 }
 
--- a/process/part_teams.c
+++ b/process/part_teams.c
@@ -1,3 +1,4 @@
+#include "base/json.h"
 #include "base/log.h"
 #include "process/member.h"
 #include "process/node.h"
@@ -65,21 +66,16 @@
 	return seam_teams_pass(p->teams, now);
 }
 
-static void add_int(struct json_object *o, const char *name, int64_t v)
-{
-	json_object_object_add(o, name, json_object_new_int64(v));
-}
-
 static struct json_object *here_json(const struct seam_team_info *i)
 {
 	struct json_object *o = json_object_new_object();
 
-	add_int(o, "granted", i->units);
-	add_int(o, "usable", i->cap);
-	add_int(o, "running", i->running);
-	add_int(o, "held", i->held);
-	add_int(o, "peak", i->peak);
-	add_int(o, "refused", i->refused);
+	seam_json_add_int(o, "granted", i->units);
+	seam_json_add_int(o, "usable", i->cap);
+	seam_json_add_int(o, "running", i->running);
+	seam_json_add_int(o, "held", i->held);
+	seam_json_add_int(o, "peak", i->peak);
+	seam_json_add_int(o, "refused", i->refused);
 	json_object_object_add(o, "row_damaged",
 			       json_object_new_boolean(i->damaged));
 	return o;
@@ -129,7 +125,7 @@
 
 		json_object_object_add(o, "team",
 				       json_object_new_string(info[i].name));
-		add_int(o, "limit", info[i].limit);
+		seam_json_add_int(o, "limit", info[i].limit);
 		json_object_object_add(o, "this_node", here_json(&info[i]));
 		json_object_object_add(o, "ledger",
 				       row_json(&rows, info[i].name));
--- a/process/team_row.c
+++ b/process/team_row.c
@@ -1,3 +1,4 @@
+#include "base/json.h"
 #include "base/log.h"
 #include "process/team.h"
 
@@ -8,26 +9,21 @@
 
 /* JSON of the row team/NAME. */
 
-static void add_int(struct json_object *o, const char *name, int64_t v)
-{
-	json_object_object_add(o, name, json_object_new_int64(v));
-}
-
 static struct json_object *grant_json(const struct seam_grant *g)
 {
 	struct json_object *o = json_object_new_object();
 
-	add_int(o, "units", g->units);
+	seam_json_add_int(o, "units", g->units);
 	if (*g->dc)
 		json_object_object_add(o, "dc", json_object_new_string(g->dc));
 	if (*g->vm)
 		json_object_object_add(o, "vm", json_object_new_string(g->vm));
 	if (g->want) {
-		add_int(o, "want", g->want);
-		add_int(o, "want_until", g->want_until);
+		seam_json_add_int(o, "want", g->want);
+		seam_json_add_int(o, "want_until", g->want_until);
 	}
 	if (g->reclaim_at)
-		add_int(o, "reclaim_at", g->reclaim_at);
+		seam_json_add_int(o, "reclaim_at", g->reclaim_at);
 	return o;
 }
 
@@ -38,9 +34,9 @@
 	size_t i;
 
 	json_object_object_add(o, "team", json_object_new_string(l->team));
-	add_int(o, "limit", l->limit);
-	add_int(o, "ceiling", l->ceiling);
-	add_int(o, "conf", (int64_t)l->conf);
+	seam_json_add_int(o, "limit", l->limit);
+	seam_json_add_int(o, "ceiling", l->ceiling);
+	seam_json_add_int(o, "conf", (int64_t)l->conf);
 	for (i = 0; i < l->n; i++)
 		json_object_object_add(grants, l->grant[i].holder,
 				       grant_json(&l->grant[i]));
--- a/request/once_row.c
+++ b/request/once_row.c
@@ -53,26 +53,16 @@
 	r->answer.len = a->len;
 }
 
-static void add_text(struct json_object *o, const char *name, const char *v)
-{
-	json_object_object_add(o, name, json_object_new_string(v));
-}
-
-static void add_int(struct json_object *o, const char *name, int64_t v)
-{
-	json_object_object_add(o, name, json_object_new_int64(v));
-}
-
 /* Text stays readable for operators; other bytes go as base64. */
 static void add_answer(struct json_object *o, const struct seam_once_row *r)
 {
 	const struct seam_answer *a = &r->answer;
 
-	add_int(o, "status", a->status);
-	add_text(o, "type", a->type);
-	add_text(o, "target", a->target);
-	add_int(o, "length", (int64_t)r->len);
-	add_text(o, "sha256", r->sha256);
+	seam_json_add_int(o, "status", a->status);
+	seam_json_add_str(o, "type", a->type);
+	seam_json_add_str(o, "target", a->target);
+	seam_json_add_int(o, "length", (int64_t)r->len);
+	seam_json_add_str(o, "sha256", r->sha256);
 	if (!a->body)
 		return;
 	if (g_utf8_validate(a->body, (gssize)a->len, NULL)) {
@@ -82,7 +72,7 @@
 	} else {
 		char *b = g_base64_encode((const guchar *)a->body, a->len);
 
-		add_text(o, "body_base64", b);
+		seam_json_add_str(o, "body_base64", b);
 		g_free(b);
 	}
 }
@@ -92,12 +82,12 @@
 	struct json_object *o = json_object_new_object();
 	char *text;
 
-	add_text(o, "state", names[r->state]);
-	add_int(o, "claim", (int64_t)r->claim);
-	add_text(o, "node", r->node);
-	add_int(o, "deadline", r->deadline);
-	add_int(o, "expires", r->expires);
-	add_text(o, "request", r->request);
+	seam_json_add_str(o, "state", names[r->state]);
+	seam_json_add_int(o, "claim", (int64_t)r->claim);
+	seam_json_add_str(o, "node", r->node);
+	seam_json_add_int(o, "deadline", r->deadline);
+	seam_json_add_int(o, "expires", r->expires);
+	seam_json_add_str(o, "request", r->request);
 	if (r->state == SEAM_ONCE_DONE)
 		add_answer(o, r);
 	text = strdup(
