--- a/process/settings.c
+++ b/process/settings.c
@@ -44,7 +44,7 @@
 void seam_settings_default(struct seam_settings *s)
 {
 	memset(s, 0, sizeof(*s));
-	s->threads = 128;
+	s->threads = 1024;
 	s->drain_ms = 30000;
 	s->stale_serve_ms = 300000;
 	s->stale_key_ms = 10000;
--- a/tests/fresh_test.cc
+++ b/tests/fresh_test.cc
@@ -89,6 +89,7 @@
 		view = seam_store_view_new(store);
 		platform = seam_fake_platform_new(&clock.clock);
 		seam_settings_default(&s);
+		s.threads = 128; // sanitizers are slow with a thousand
 		snprintf(s.node, sizeof(s.node), "n1");
 		node = seam_node_new(&s, &clock.clock, view,
 				     seam_fake_platform_base(platform), &e);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -119,6 +119,7 @@
 		add_target(1);
 		configure();
 		seam_settings_default(&s);
+		s.threads = 128; // sanitizers are slow with a thousand
 		snprintf(s.node, sizeof(s.node), "n1");
 		snprintf(s.data_centre, sizeof(s.data_centre), "a");
 		snprintf(s.listen, sizeof(s.listen), "127.0.0.1:18480");
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -399,6 +399,7 @@
 		strcpy(vm.pool, "web");
 		seam_fake_platform_put(platform, &vm);
 		seam_settings_default(&s);
+		s.threads = 128; // sanitizers are slow with a thousand
 		strcpy(s.node, "n1");
 		strcpy(s.data_centre, "a");
 		strcpy(s.listen, "127.0.0.1:23010");
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -160,6 +160,7 @@
 			seam_settings s;
 
 			seam_settings_default(&s);
+			s.threads = 128; // sanitizers are slow with a thousand
 			snprintf(s.node, sizeof(s.node), "n%d", i);
 			snprintf(s.data_centre, sizeof(s.data_centre), "a");
 			snprintf(s.listen, sizeof(s.listen), "127.0.0.1:%d",
--- a/tests/worker_test.cc
+++ b/tests/worker_test.cc
@@ -123,6 +123,7 @@
 		add_worker(1);
 		configure();
 		seam_settings_default(&s);
+		s.threads = 128; // sanitizers are slow with a thousand
 		snprintf(s.node, sizeof(s.node), "n1");
 		snprintf(s.data_centre, sizeof(s.data_centre), "a");
 		snprintf(s.listen, sizeof(s.listen), "127.0.0.1:22080");
