tests: read state of the fleet from the daemons' paths

Three fleet tests parsed the output of seamctl, whose form changed to tables and a document with a comment. They read /v1/config and /v1/nodes now; the checks are the same.

--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from fleet import DCS, PLATFORM, Fleet, fetch, wait_for  # noqa: E402
+from fleet import DCS, OPERATOR, PLATFORM, Fleet, fetch, wait_for  # noqa: E402
 
 
 def error(text: str) -> dict:
@@ -34,6 +34,15 @@
         """A request at this node gets its answer."""
         return self.fleet.call(name, "GET", "/v1/services/reserve/x", **kw)[0] == 200
 
+    def version(self, name: str) -> int:
+        """Version of the configuration in force at this node."""
+        return json.loads(self.fleet.call(name, "GET", "/v1/config", key=OPERATOR)[1])["version"]
+
+    def suspects(self, name: str) -> bool:
+        """This node suspects a member."""
+        members = json.loads(self.fleet.call(name, "GET", "/v1/nodes", key=OPERATOR)[1])["members"]
+        return any(m["suspected"] for m in members)
+
     def test_every_node_serves(self):
         """Guards the whole path: each node answers with its caller's own body."""
         for name in self.fleet.urls:
@@ -114,7 +123,7 @@
         proc = self.fleet.procs["entry-12"]
         proc.send_signal(signal.SIGSTOP)
         try:
-            wait_for(lambda: "suspect" in self.fleet.ctl("entry-00", "nodes").stdout, "suspicion")
+            wait_for(lambda: self.suspects("entry-00"), "suspicion")
             self.assertTrue(self.served("entry-10"))
         finally:
             proc.send_signal(signal.SIGCONT)
@@ -122,7 +131,7 @@
 
     def test_operators_race(self):
         """Guards against a lost change: of nine operators at one version one wins."""
-        version = json.loads(self.fleet.ctl("entry-00", "show").stdout)["version"]
+        version = self.version("entry-00")
 
         def change(name):
             return self.fleet.ctl(name, "dc", "in", DCS[0], "-m", f"race at {name}", "-x", str(version))
@@ -131,14 +140,14 @@
             codes = [out.returncode for out in pool.map(change, self.fleet.urls)]
         self.assertEqual(sorted(codes), [0] + [1] * 8)
         for name in self.fleet.urls:
-            wait_for(lambda n=name: json.loads(self.fleet.ctl(n, "show").stdout)["version"] == version + 1,
+            wait_for(lambda n=name: self.version(n) == version + 1,
                      f"version at {name}")
 
     def test_lost_answers(self):
         """Guards against changes told wrongly and repeated runs when the store loses answers."""
         self.fleet.faults(lose_answers=300)
         try:
-            before = json.loads(self.fleet.ctl("entry-00", "show").stdout)["version"]
+            before = self.version("entry-00")
             done = 0
             for i in range(10):
                 out = self.fleet.ctl("entry-00", "dc", "in", DCS[i % 3], "-m", f"lost {i}")
@@ -147,7 +156,7 @@
                                        headers={"Idempotency-Key": f"lost-{os.getpid()}"}) for _ in range(5)]
         finally:
             self.fleet.faults()
-        after = json.loads(self.fleet.ctl("entry-00", "show").stdout)["version"]
+        after = self.version("entry-00")
         self.assertEqual(after - before, done)
         runs = {json.loads(body)["runs"] for status, body in answers if status == 200}
         self.assertLessEqual(len(runs), 1, answers)
