tests: an address for each program and checkout; publish versions by atomics

The reader takes the pointer with rcu_dereference(), a volatile access whose order the sanitizer does not see. The pointer is now stored with release and loaded with acquire order; readers still hold the read lock until they have their reference.

Test programs shared 127.0.0.1, so two runs on one machine collided and tests/run could start only one program at a time.

--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -15,6 +15,7 @@
 import time
 import urllib.error
 import urllib.request
+import zlib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "ops"))
@@ -23,7 +24,9 @@
 
 DCS = ("kol-a", "kol-b", "sil-a")
 NODES_PER_DC = 3
-PLATFORM = "127.0.0.1:25000"
+# An address of its own for each checkout: fleets of two checkouts don't collide.
+NET = f"127.{1 + zlib.crc32(str(ROOT).encode()) % 250}"
+PLATFORM = f"{NET}.0.1:25000"
 OPERATOR = "operator-test"
 
 
@@ -50,12 +53,12 @@
     for d, dc in enumerate(DCS):
         for i in range(2):
             vms.append({"id": f"web-{d}{i}", "data_centre": dc, "rack": f"r{d}{i}", "pool": "web",
-                        "addr": f"127.0.{d + 1}.1:{25100 + i}", "cpu_milli": 4000, "memory_mb": 16384})
+                        "addr": f"{NET}.{d + 1}.1:{25100 + i}", "cpu_milli": 4000, "memory_mb": 16384})
             vms.append({"id": f"batch-{d}{i}", "data_centre": dc, "rack": f"r{d}{i}", "pool": "batch",
-                        "addr": f"127.0.{d + 1}.1:{25200 + i}", "cpu_milli": 64000, "memory_mb": 131072})
+                        "addr": f"{NET}.{d + 1}.1:{25200 + i}", "cpu_milli": 64000, "memory_mb": 131072})
         for i in range(NODES_PER_DC):
             vms.append({"id": f"entry-{d}{i}", "data_centre": dc, "rack": f"e{d}{i}",
-                        "addr": f"127.0.{d + 1}.{10 + i}:25300"})
+                        "addr": f"{NET}.{d + 1}.{10 + i}:25300"})
     return vms
 
 
@@ -106,8 +109,8 @@
     def start_node(self, d: int, dc: str, i: int) -> None:
         """Start or replace a daemon."""
         name = f"entry-{d}{i}"
-        settings = {"node": name, "data_centre": dc, "listen": f"127.0.{d + 1}.{10 + i}:25300",
-                    "peer": f"127.0.{d + 1}.{10 + i}:25400", "store": f"http://{PLATFORM}",
+        settings = {"node": name, "data_centre": dc, "listen": f"{NET}.{d + 1}.{10 + i}:25300",
+                    "peer": f"{NET}.{d + 1}.{10 + i}:25400", "store": f"http://{PLATFORM}",
                     "operator_sha256": key_hash(OPERATOR), "cluster_key": "fleet-test", "threads": 24}
         self.path(f"{name}.json").write_text(json.dumps(settings))
         self.urls[name] = f"http://{settings['listen']}"
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -1,6 +1,7 @@
 // The row of a team and what operators are told about it.
 #include <curl/curl.h>
 
+#include "tests/addr.h"
 #include "fake/fake.h"
 #include "process/node.h"
 #include "tests/team_fleet.h"
@@ -172,7 +173,7 @@
 
 static long get(const char *path, const char *key, std::string *body)
 {
-	std::string url = std::string("http://127.0.0.1:21000") + path;
+	std::string url = test_url(21000) + path;
 	std::string auth = std::string("Authorization: Bearer ") + key;
 	curl_slist *list = curl_slist_append(nullptr, auth.c_str());
 	CURL *c = curl_easy_init();
@@ -218,8 +219,8 @@
 	snprintf(s.node, sizeof(s.node), "n1");
 	snprintf(s.vm, sizeof(s.vm), "n1");
 	snprintf(s.data_centre, sizeof(s.data_centre), "a");
-	snprintf(s.listen, sizeof(s.listen), "127.0.0.1:21000");
-	snprintf(s.peer, sizeof(s.peer), "127.0.0.1:21001");
+	snprintf(s.listen, sizeof(s.listen), "%s:21000", test_host());
+	snprintf(s.peer, sizeof(s.peer), "%s:21001", test_host());
 	seam_sha256_hex("op", s.operator_sha256);
 	seam_node *n = seam_node_new(&s, k, store,
 				     seam_fake_platform_base(platform), &e);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -9,6 +9,7 @@
 
 #include <string>
 
+#include "tests/addr.h"
 #include "fake/fake.h"
 #include "process/node.h"
 
@@ -58,7 +59,7 @@
 	seam_fake_target *target[2] = {};
 	seam_node *node = nullptr;
 	seam_err e = SEAM_ERR_INIT;
-	const std::string url = "http://127.0.0.1:18480";
+	const std::string url = test_url(18480);
 
 	void configure()
 	{
@@ -101,7 +102,8 @@
 		snprintf(vm.id, sizeof(vm.id), "vm-%d", i);
 		snprintf(vm.dc, sizeof(vm.dc), "a");
 		snprintf(vm.rack, sizeof(vm.rack), "r%d", i);
-		snprintf(vm.addr, sizeof(vm.addr), "127.0.0.1:%d", 18481 + i);
+		snprintf(vm.addr, sizeof(vm.addr), "%s:%d", test_host(),
+			 18481 + i);
 		snprintf(vm.pool, sizeof(vm.pool), "web");
 		target[i] = seam_fake_target_new(vm.id, vm.addr, 32);
 		ASSERT_NE(target[i], nullptr);
@@ -122,8 +124,8 @@
 		s.threads = 128; // sanitizers are slow with a thousand
 		snprintf(s.node, sizeof(s.node), "n1");
 		snprintf(s.data_centre, sizeof(s.data_centre), "a");
-		snprintf(s.listen, sizeof(s.listen), "127.0.0.1:18480");
-		snprintf(s.peer, sizeof(s.peer), "127.0.0.1:18490");
+		snprintf(s.listen, sizeof(s.listen), "%s:18480", test_host());
+		snprintf(s.peer, sizeof(s.peer), "%s:18490", test_host());
 		seam_sha256_hex("op", s.operator_sha256);
 		node = seam_node_new(&s, clock, store,
 				     seam_fake_platform_base(platform), &e);
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <thread>
 
+#include "tests/addr.h"
 #include "connection/peer.h"
 
 static seam_msg sample()
@@ -133,27 +134,28 @@
 {
 	std::atomic<size_t> a{0}, b{0};
 	seam_err e = SEAM_ERR_INIT;
-	seam_bus *x = seam_bus_zmq_new("127.0.0.1:24101", count, &a, &e);
-	seam_bus *y = seam_bus_zmq_new("127.0.0.1:24102", count, &b, &e);
+	seam_bus *x = seam_bus_zmq_new(test_addr(24101).c_str(), count, &a, &e);
+	seam_bus *y = seam_bus_zmq_new(test_addr(24102).c_str(), count, &b, &e);
 
 	ASSERT_TRUE(x && y) << e.text;
-	EXPECT_EQ(seam_bus_zmq_new("127.0.0.1:24101", count, &a, &e), nullptr);
+	EXPECT_EQ(seam_bus_zmq_new(test_addr(24101).c_str(), count, &a, &e),
+		  nullptr);
 	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
-	x->ops->send(x, "127.0.0.1:24102", "12345", 5);
+	x->ops->send(x, test_addr(24102).c_str(), "12345", 5);
 	EXPECT_TRUE(reaches(b, 5));
 	seam_bus_close(y);
-	y = seam_bus_zmq_new("127.0.0.1:24102", count, &b, &e);
+	y = seam_bus_zmq_new(test_addr(24102).c_str(), count, &b, &e);
 	ASSERT_TRUE(y) << e.text;
 	for (int i = 0; i < 50 && b < 10; i++) {
-		x->ops->send(x, "127.0.0.1:24102", "12345", 5);
+		x->ops->send(x, test_addr(24102).c_str(), "12345", 5);
 		std::this_thread::sleep_for(std::chrono::milliseconds(100));
 	}
 	EXPECT_GE(b, 10u);
 	x->ops->keep(x, nullptr, 0);
-	x->ops->send(x, "127.0.0.1:24102", "1", 1);
+	x->ops->send(x, test_addr(24102).c_str(), "1", 1);
 	size_t before = b;
 	EXPECT_TRUE(reaches(b, before + 1));
-	x->ops->send(x, "127.0.0.1:24103", "away", 4);
+	x->ops->send(x, test_addr(24103).c_str(), "away", 4);
 	seam_bus_close(x);
 	seam_bus_close(y);
 }
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -1,4 +1,5 @@
 // Pools: one pool for each VM, moves in stages, the availability budget.
+#include "tests/addr.h"
 #include "pool_world.h"
 
 #include <curl/curl.h>
@@ -351,8 +352,7 @@
 	long status = 0;
 
 	out->clear();
-	curl_easy_setopt(c, CURLOPT_URL,
-			 ("http://127.0.0.1:23010" + path).c_str());
+	curl_easy_setopt(c, CURLOPT_URL, (test_url(23010) + path).c_str());
 	curl_easy_setopt(c, CURLOPT_PROXY, "");
 	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, 10000L);
 	curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
@@ -402,8 +402,8 @@
 		s.threads = 128; // sanitizers are slow with a thousand
 		strcpy(s.node, "n1");
 		strcpy(s.data_centre, "a");
-		strcpy(s.listen, "127.0.0.1:23010");
-		strcpy(s.peer, "127.0.0.1:23011");
+		snprintf(s.listen, sizeof(s.listen), "%s:23010", test_host());
+		snprintf(s.peer, sizeof(s.peer), "%s:23011", test_host());
 		seam_sha256_hex("op", s.operator_sha256);
 		node = seam_node_new(&s, clock, store,
 				     seam_fake_platform_base(platform), &e);
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "tests/addr.h"
 #include "base/count.h"
 #include "base/log.h"
 #include "fake/fake.h"
@@ -127,7 +128,8 @@
 
 		snprintf(vm.id, sizeof(vm.id), "vm-%d", i);
 		snprintf(vm.dc, sizeof(vm.dc), "a");
-		snprintf(vm.addr, sizeof(vm.addr), "127.0.0.1:%d", 20110 + i);
+		snprintf(vm.addr, sizeof(vm.addr), "%s:%d", test_host(),
+			 20110 + i);
 		snprintf(vm.pool, sizeof(vm.pool), "web");
 		target[i] = seam_fake_target_new(vm.id, vm.addr, 24);
 		ASSERT_NE(target[i], nullptr);
@@ -163,9 +165,9 @@
 			s.threads = 128; // sanitizers are slow with a thousand
 			snprintf(s.node, sizeof(s.node), "n%d", i);
 			snprintf(s.data_centre, sizeof(s.data_centre), "a");
-			snprintf(s.listen, sizeof(s.listen), "127.0.0.1:%d",
-				 20100 + i);
-			snprintf(s.peer, sizeof(s.peer), "127.0.0.1:%d",
+			snprintf(s.listen, sizeof(s.listen), "%s:%d",
+				 test_host(), 20100 + i);
+			snprintf(s.peer, sizeof(s.peer), "%s:%d", test_host(),
 				 20105 + i);
 			view[i] = seam_store_view_new(store);
 			node[i] = seam_node_new(
@@ -208,9 +210,7 @@
 		CURL *c = curl_easy_init();
 		curl_slist *l = nullptr;
 		reply r;
-		std::string url =
-			"http://127.0.0.1:" + std::to_string(20100 + n) +
-			"/v1/services/s" + path;
+		std::string url = test_url(20100 + n) + "/v1/services/s" + path;
 
 		l = curl_slist_append(l, "Authorization: Bearer lender");
 		l = curl_slist_append(
--- a/tests/store_http_test.cc
+++ b/tests/store_http_test.cc
@@ -8,10 +8,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "tests/addr.h"
 #include "fake/fake.h"
 #include "process/store.h"
 
-static const char *addr = "127.0.0.1:24010";
+static const std::string addr = test_addr(24010);
 
 class StoreHttp : public ::testing::Test
 {
@@ -20,8 +21,8 @@
 	seam_store *mem = seam_store_mem_new(k);
 	seam_fake_platform *vms = seam_fake_platform_new(k);
 	seam_fake_server *server = seam_fake_server_new(
-		k, addr, mem, seam_fake_platform_base(vms));
-	seam_store *s = seam_store_http_new(k, "http://127.0.0.1:24010");
+		k, addr.c_str(), mem, seam_fake_platform_base(vms));
+	seam_store *s = seam_store_http_new(k, test_url(24010).c_str());
 	seam_err e = SEAM_ERR_INIT;
 
 	~StoreHttp() override
@@ -125,7 +126,7 @@
 TEST_F(StoreHttp, DownAndRateBoundAreNotApplied)
 {
 	seam_fake_server_faults f = {};
-	seam_store *gone = seam_store_http_new(k, "http://127.0.0.1:24011");
+	seam_store *gone = seam_store_http_new(k, test_url(24011).c_str());
 	seam_write w = {SEAM_PUT, "a", SEAM_ABSENT, "", 0};
 	seam_commit c = {&w, 1, 7, 0};
 
@@ -181,8 +182,7 @@
 	ASSERT_EQ(bind(fd, (sockaddr *)&a, sizeof(a)), 0);
 	ASSERT_EQ(listen(fd, 4), 0);
 	for (const char *text : answers) {
-		seam_store *b =
-			seam_store_http_new(k, "http://127.0.0.1:24012");
+		seam_store *b = seam_store_http_new(k, test_url(24012).c_str());
 		seam_write w = {SEAM_PUT, "a", SEAM_ABSENT, "", 0};
 		seam_commit c = {&w, 1, 7, 0};
 		std::thread t(answer_with, fd, text, 1);
@@ -199,7 +199,7 @@
 // Guards against a reboot that is done twice for one boot number.
 TEST_F(StoreHttp, PlatformListAndReboot)
 {
-	seam_platform *p = seam_platform_http_new(k, "http://127.0.0.1:24010");
+	seam_platform *p = seam_platform_http_new(k, test_url(24010).c_str());
 	seam_vm vm = {};
 	seam_vms list = {};
 
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "tests/addr.h"
 #include "fake/fake.h"
 #include "connection/target.h"
 
@@ -27,11 +28,12 @@
 	{
 		seam_target_info t = {};
 
-		fake = seam_fake_target_new("vm-1", "127.0.0.1:20010", 8);
+		fake = seam_fake_target_new("vm-1", test_addr(20010).c_str(),
+					    8);
 		ASSERT_NE(fake, nullptr);
 		ts = seam_targets_new(clock);
 		snprintf(t.id, sizeof(t.id), "vm-1");
-		snprintf(t.addr, sizeof(t.addr), "127.0.0.1:20010");
+		snprintf(t.addr, sizeof(t.addr), "%s:20010", test_host());
 		snprintf(t.dc, sizeof(t.dc), "a");
 		snprintf(t.service, sizeof(t.service), "s");
 		t.slots = 8;
--- a/tests/worker_test.cc
+++ b/tests/worker_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "tests/addr.h"
 #include "fake/fake.h"
 #include "process/node.h"
 
@@ -60,7 +61,7 @@
 	seam_fake_worker_http *http[2] = {};
 	seam_node *node = nullptr;
 	seam_err e = SEAM_ERR_INIT;
-	const std::string url = "http://127.0.0.1:22080";
+	const std::string url = test_url(22080);
 
 	static std::string key(const char *name, const char *team)
 	{
@@ -101,7 +102,8 @@
 		snprintf(vm.id, sizeof(vm.id), "w%d", i);
 		snprintf(vm.dc, sizeof(vm.dc), "a");
 		snprintf(vm.rack, sizeof(vm.rack), "r%d", i);
-		snprintf(vm.addr, sizeof(vm.addr), "127.0.0.1:%d", 22090 + i);
+		snprintf(vm.addr, sizeof(vm.addr), "%s:%d", test_host(),
+			 22090 + i);
 		snprintf(vm.pool, sizeof(vm.pool), "p");
 		vm.cpu_milli = 4000;
 		vm.memory_mb = 4096;
@@ -126,8 +128,8 @@
 		s.threads = 128; // sanitizers are slow with a thousand
 		snprintf(s.node, sizeof(s.node), "n1");
 		snprintf(s.data_centre, sizeof(s.data_centre), "a");
-		snprintf(s.listen, sizeof(s.listen), "127.0.0.1:22080");
-		snprintf(s.peer, sizeof(s.peer), "127.0.0.1:22081");
+		snprintf(s.listen, sizeof(s.listen), "%s:22080", test_host());
+		snprintf(s.peer, sizeof(s.peer), "%s:22081", test_host());
 		seam_sha256_hex("op", s.operator_sha256);
 		node = seam_node_new(&s, clock, store,
 				     seam_fake_platform_base(platform), &e);
--- a/version/conf.c
+++ b/version/conf.c
@@ -149,7 +149,8 @@
 	struct seam_conf *c;
 
 	urcu_bp_read_lock();
-	c = seam_conf_hold(rcu_dereference(cell->current));
+	/* The thread sanitizer does not see the order in rcu_dereference(). */
+	c = seam_conf_hold(__atomic_load_n(&cell->current, __ATOMIC_ACQUIRE));
 	urcu_bp_read_unlock();
 	return c;
 }
@@ -163,7 +164,7 @@
 	old = cell->current;
 	newer = c->version > old->version;
 	if (newer)
-		rcu_assign_pointer(cell->current, c);
+		__atomic_store_n(&cell->current, c, __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&cell->lock);
 	if (!newer) {
 		seam_conf_drop(c);
