member: hints about rows between nodes

Cause: a node learns of rows that other nodes write only by scanning them: a want of a team, a task for a bucket, a changed pool row. At the target size the scans cost most of a node's bytes.

A hint is a message with the key of a row, to the owner of a name or to all peers. Parts take hints by prefix. At most 32 a second leave a node, about 8 KB/s; the rest is dropped and counted, since a hint only saves time.

--- a/connection/peer.h
+++ b/connection/peer.h
@@ -23,6 +23,7 @@
 	SEAM_MSG_CHANGE,
 	SEAM_MSG_SNAPSHOT_GET,
 	SEAM_MSG_SNAPSHOT,
+	SEAM_MSG_HINT,
 	SEAM_MSG_KINDS
 };
 
@@ -48,7 +49,8 @@
  * @next: version that @text leads to or is; older than @version if the sender
  *        adopted another one meanwhile
  * @addr: SEAM_MSG_SNAPSHOT_GET: peer address of the sender
- * @text: change or whole document as JSON; owned by the message; may be NULL
+ * @text: change or whole document as JSON, or the key of the row that a
+ *        SEAM_MSG_HINT is about; owned by the message; may be NULL
  * @load: requests on targets, a delta
  * @loads: their number
  */
--- a/connection/peer_code.c
+++ b/connection/peer_code.c
@@ -8,8 +8,8 @@
 #define HEAD_BYTES 512 /* all that is not text or load */
 #define LOAD_BYTES 80 /* one entry of the load */
 
-static const char *const kinds[SEAM_MSG_KINDS] = {"beat", "change",
-						  "snapshot_get", "snapshot"};
+static const char *const kinds[SEAM_MSG_KINDS] = {
+	"beat", "change", "snapshot_get", "snapshot", "hint"};
 
 void seam_msg_free(struct seam_msg *m)
 {
--- a/process/member.h
+++ b/process/member.h
@@ -11,6 +11,7 @@
 
 #define SEAM_BEAT_PERIOD (1 * SEAM_SEC)
 #define SEAM_SUSPECT_AFTER (3 * SEAM_SEC)
+#define SEAM_HINTS_PER_SEC 32 /* of 250 bytes: 8 KB/s when all are used */
 #define SEAM_BEAT_BYTES_PER_SEC 10240 /* to all peers together */
 
 /**
@@ -53,6 +54,9 @@
 /** typedef seam_member_fn - receives accepted messages that are not beats */
 typedef void (*seam_member_fn)(void *arg, const struct seam_msg *m);
 
+/** typedef seam_hint_fn - receives the key of a row; must not wait */
+typedef void (*seam_hint_fn)(void *arg, const char *key);
+
 /**
  * seam_members_new() - members of @n's fleet; sets n->owner
  * @n: node; not owned
@@ -66,6 +70,30 @@
 /** seam_members_handler() - who receives changes and snapshots */
 void seam_members_handler(struct seam_members *m, seam_member_fn fn, void *arg);
 
+/**
+ * seam_members_on_hint() - who receives hints about rows
+ * @m: members
+ * @prefix: start of the keys; not copied
+ * @fn: called by the receiving thread; NULL ends it, and no call is in progress
+ *      once this returns
+ * @arg: passed to it
+ */
+void seam_members_on_hint(struct seam_members *m, const char *prefix,
+			  seam_hint_fn fn, void *arg);
+
+/**
+ * seam_members_hint() - tell peers that a row changed or is wanted
+ * @m: members
+ * @key: key of the row
+ * @name: name that decides the owner, who is told; NULL tells all peers
+ *
+ * Hints save time only: they can be lost, and past SEAM_HINTS_PER_SEC they are
+ * dropped and counted. The reader has to find the row without them as well.
+ * Nothing is sent if this node is the owner of @name.
+ */
+void seam_members_hint(struct seam_members *m, const char *key,
+		       const char *name);
+
 /** seam_members_wire() - receive the bytes of a message; a seam_bus_fn */
 void seam_members_wire(void *arg, const char *bytes, size_t len);
 
--- a/process/member_beat.c
+++ b/process/member_beat.c
@@ -227,7 +227,8 @@
 	if (b && msg->inc && !accept(m, b, msg)) {
 		seam_count_add(&refused_old, 1);
 		ok = false;
-	} else if (!b && msg->kind == SEAM_MSG_BEAT) {
+	} else if (!b &&
+		   (msg->kind == SEAM_MSG_BEAT || msg->kind == SEAM_MSG_HINT)) {
 		seam_count_add(&refused_unknown, 1);
 		ok = false;
 	}
@@ -249,7 +250,9 @@
 	if (take(m, &msg)) {
 		seam_count_add(&received, 1);
 		pthread_mutex_lock(&m->fn_lock);
-		if (m->fn && msg.kind != SEAM_MSG_BEAT)
+		if (msg.kind == SEAM_MSG_HINT)
+			seam_member_take_hint(m, &msg);
+		else if (m->fn && msg.kind != SEAM_MSG_BEAT)
 			m->fn(m->arg, &msg);
 		pthread_mutex_unlock(&m->fn_lock);
 		seam_members_confirm(m, seam_now(m->node->clock));
--- /dev/null
+++ b/process/member_hint.c
@@ -0,0 +1,126 @@
+#include "base/count.h"
+#include "process/member_impl.h"
+
+#include <string.h>
+
+#define TOKEN 1000 /* one hint */
+
+SEAM_COUNT(sent, "seam_hints_sent_total", "Hints about rows sent to peers.");
+SEAM_COUNT(dropped, "seam_hints_dropped_total",
+	   "Hints not sent because the rate was used up.");
+SEAM_COUNT(taken, "seam_hints_received_total", "Hints received.");
+
+void seam_members_on_hint(struct seam_members *m, const char *prefix,
+			  seam_hint_fn fn, void *arg)
+{
+	int i;
+
+	pthread_mutex_lock(&m->fn_lock);
+	for (i = 0; i < m->hints; i++)
+		if (!strcmp(m->hint[i].prefix, prefix))
+			break;
+	if (i < SEAM_HINT_HANDLERS)
+		m->hint[i] = (struct seam_hint_handler){prefix, fn, arg};
+	if (i == m->hints && i < SEAM_HINT_HANDLERS)
+		m->hints++;
+	pthread_mutex_unlock(&m->fn_lock);
+}
+
+void seam_member_take_hint(struct seam_members *m, const struct seam_msg *msg)
+{
+	int i;
+
+	if (!msg->text)
+		return;
+	seam_count_add(&taken, 1);
+	for (i = 0; i < m->hints; i++) {
+		const struct seam_hint_handler *h = &m->hint[i];
+
+		if (h->fn && g_str_has_prefix(msg->text, h->prefix))
+			h->fn(h->arg, msg->text);
+	}
+}
+
+/* The lock is held. Takes a token for each of @n messages. */
+static bool allowed(struct seam_members *m, int n, seam_time now)
+{
+	int64_t added =
+		(now - m->hint_at) * SEAM_HINTS_PER_SEC * TOKEN / SEAM_SEC;
+
+	if (added > 0) {
+		m->hint_tokens += added;
+		m->hint_at = now;
+	}
+	if (m->hint_tokens > SEAM_HINTS_PER_SEC * TOKEN)
+		m->hint_tokens = SEAM_HINTS_PER_SEC * TOKEN;
+	/* More peers than the rate: the bucket goes into debt. */
+	if (m->hint_tokens < TOKEN)
+		return false;
+	m->hint_tokens -= (int64_t)n * TOKEN;
+	return true;
+}
+
+/* The lock is held. The live member that owns @name; NULL for this node. */
+static struct seam_member *owner_of(struct seam_members *m, const char *name,
+				    seam_time now)
+{
+	uint64_t best = seam_member_weight(m->node->settings.node, name);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_member *owner = NULL;
+	struct seam_member *b;
+
+	while ((b = seam_table_next(m->table, &h))) {
+		uint64_t w = seam_member_weight(b->node, name);
+
+		if (seam_member_suspected(b, now) || w < best)
+			continue;
+		best = w;
+		owner = b;
+	}
+	return owner;
+}
+
+/* The lock is held. Peer addresses to tell, one after the other; g_free(). */
+static char (*receivers(struct seam_members *m, const char *name, seam_time now,
+			int *n))[64]
+{
+	char(*addr)[64] = g_malloc0_n(seam_table_count(m->table) + 1, 64);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_member *b;
+
+	*n = 0;
+	if (name) {
+		b = owner_of(m, name, now);
+		if (b)
+			memcpy(addr[(*n)++], b->peer, 64);
+		return addr;
+	}
+	while ((b = seam_table_next(m->table, &h)))
+		if (!seam_member_suspected(b, now))
+			memcpy(addr[(*n)++], b->peer, 64);
+	return addr;
+}
+
+void seam_members_hint(struct seam_members *m, const char *key,
+		       const char *name)
+{
+	struct seam_msg msg = {.kind = SEAM_MSG_HINT};
+	seam_time now = seam_now(m->node->clock);
+	char(*addr)[64];
+	int n;
+	int i;
+
+	pthread_mutex_lock(&m->lock);
+	addr = receivers(m, name, now, &n);
+	if (n && !allowed(m, n, now)) {
+		seam_count_add(&dropped, n);
+		n = 0;
+	}
+	pthread_mutex_unlock(&m->lock);
+	msg.text = g_strdup(key);
+	for (i = 0; i < n; i++)
+		seam_members_send(m, addr[i], &msg);
+	seam_count_add(&sent, n);
+	seam_msg_free(&msg);
+	g_free(addr);
+}
--- a/process/member_impl.h
+++ b/process/member_impl.h
@@ -7,6 +7,15 @@
 
 #include "process/member.h"
 
+#define SEAM_HINT_HANDLERS 8
+
+/* Who receives hints about rows whose key begins with @prefix. */
+struct seam_hint_handler {
+	const char *prefix;
+	seam_hint_fn fn;
+	void *arg;
+};
+
 struct seam_members {
 	struct seam_owner owner; /* first, so that the owner is the object */
 	struct seam_node *node;
@@ -27,6 +36,10 @@
 	pthread_mutex_t fn_lock; /* held while @fn runs */
 	seam_member_fn fn;
 	void *arg;
+	struct seam_hint_handler hint[SEAM_HINT_HANDLERS];
+	int hints;
+	int64_t hint_tokens; /* in thousandths of a hint */
+	seam_time hint_at; /* when the tokens were last added up */
 };
 
 /* The lock is held by the caller of these. */
@@ -41,6 +54,12 @@
 void seam_member_beat(struct seam_members *m, seam_time now);
 void seam_member_loads(struct seam_members *m, seam_time now);
 
+/* @fn_lock is held: hands a hint to its handler. */
+void seam_member_take_hint(struct seam_members *m, const struct seam_msg *msg);
+
+/* Weight of a node in rendezvous hashing; the highest owns the name. */
+uint64_t seam_member_weight(const char *node, const char *name);
+
 const struct seam_owner_ops *seam_member_owner_ops(void);
 
 #endif
--- a/process/member_owner.c
+++ b/process/member_owner.c
@@ -4,7 +4,7 @@
 #include <xxhash.h>
 
 /* Rendezvous hashing: the node with the highest weight for a name owns it. */
-static uint64_t weight(const char *node, const char *name)
+uint64_t seam_member_weight(const char *node, const char *name)
 {
 	return XXH3_64bits_withSeed(name, strlen(name),
 				    XXH3_64bits(node, strlen(node)));
@@ -13,7 +13,7 @@
 static bool mine(struct seam_owner *o, const char *name, seam_time now)
 {
 	struct seam_members *m = (struct seam_members *)o;
-	uint64_t own = weight(m->node->settings.node, name);
+	uint64_t own = seam_member_weight(m->node->settings.node, name);
 	struct seam_handle h = SEAM_NONE;
 	struct seam_member *b;
 	bool first;
@@ -23,7 +23,7 @@
 	first = now - m->passed_at < SEAM_SUSPECT_AFTER;
 	while (first && (b = seam_table_next(m->table, &h)))
 		if (!seam_member_suspected(b, now))
-			first = weight(b->node, name) < own;
+			first = seam_member_weight(b->node, name) < own;
 	pthread_mutex_unlock(&m->lock);
 	return first;
 }
--- /dev/null
+++ b/tests/hint_test.cc
@@ -0,0 +1,74 @@
+// Hints between nodes about rows, under a simulated clock.
+#include <gtest/gtest.h>
+
+#include "tests/fleet.h"
+
+struct heard {
+	std::vector<std::string> keys;
+};
+
+static void on_hint(void *arg, const char *key)
+{
+	((heard *)arg)->keys.push_back(key);
+}
+
+// Guards against a hint that goes to a node other than the owner, or to parts
+// that did not ask for its rows.
+TEST(Hint, ReachesOwnerOnly)
+{
+	auto s = sim::fleet(1);
+	std::vector<heard> got(9);
+	std::vector<heard> other(9);
+	seam_time now = s->nodes[0]->now();
+	int owners = 0;
+
+	for (int i = 0; i < 9; i++) {
+		seam_members *m = s->nodes[i]->members;
+		seam_members_on_hint(m, "team/", on_hint, &got[i]);
+		seam_members_on_hint(m, "pool/", on_hint, &other[i]);
+	}
+	seam_members_hint(s->nodes[0]->members, "team/t", "team/t");
+	s->run(1 * SEAM_SEC);
+	for (int i = 0; i < 9; i++) {
+		seam_owner *o = s->nodes[i]->node->owner;
+		bool mine = o->ops->mine(o, "team/t", now + SEAM_SEC);
+
+		owners += mine;
+		EXPECT_EQ(got[i].keys.size(), mine && i ? 1u : 0u);
+		EXPECT_TRUE(other[i].keys.empty());
+	}
+	EXPECT_EQ(owners, 1);
+}
+
+// Guards against hints that exceed the budget of bytes between nodes, and
+// against a rate that is not refilled.
+TEST(Hint, RateIsBounded)
+{
+	auto s = sim::fleet(2);
+	heard got;
+
+	seam_members_on_hint(s->nodes[1]->members, "pool/", on_hint, &got);
+	for (int i = 0; i < 1000; i++)
+		seam_members_hint(s->nodes[0]->members, "pool/p", nullptr);
+	s->run(1 * SEAM_SEC);
+	EXPECT_GE(got.keys.size(), SEAM_HINTS_PER_SEC / 8u);
+	EXPECT_LE(got.keys.size(), SEAM_HINTS_PER_SEC / 8u + 1);
+	s->run(5 * SEAM_SEC);
+	got.keys.clear();
+	seam_members_hint(s->nodes[0]->members, "pool/p", nullptr);
+	s->run(1 * SEAM_SEC);
+	EXPECT_EQ(got.keys.size(), 1u);
+}
+
+// Guards against a part that is called after it has stopped.
+TEST(Hint, EndsWithItsHandler)
+{
+	auto s = sim::fleet(3);
+	heard got;
+
+	seam_members_on_hint(s->nodes[1]->members, "pool/", on_hint, &got);
+	seam_members_on_hint(s->nodes[1]->members, "pool/", nullptr, nullptr);
+	seam_members_hint(s->nodes[0]->members, "pool/p", nullptr);
+	s->run(1 * SEAM_SEC);
+	EXPECT_TRUE(got.keys.empty());
+}
