--- a/tests/store_http_test.cc
+++ b/tests/store_http_test.cc
@@ -177,7 +177,7 @@
 
 	a.sin_family = AF_INET;
 	a.sin_port = htons(24012);
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	inet_pton(AF_INET, test_host(), &a.sin_addr);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	ASSERT_EQ(bind(fd, (sockaddr *)&a, sizeof(a)), 0);
 	ASSERT_EQ(listen(fd, 4), 0);
