node, task: one check of freshness; no unused clock

seam_node_fresh() compared ages itself, beside seam_fresh_check(). It now calls it, and the parts pass the class of the action, so that the table of process/fresh.c is the only place with the bounds. The adapter of team limits kept a clock that it did not use.

--- a/process/node.c
+++ b/process/node.c
@@ -110,18 +110,14 @@
 	return __atomic_load_n(&n->confirmed_at, __ATOMIC_ACQUIRE);
 }
 
-int seam_node_fresh(struct seam_node *n, seam_time confirmed, int64_t max_ms,
-		    struct seam_err *e)
+int seam_node_fresh(struct seam_node *n, enum seam_fresh_class class_,
+		    seam_time confirmed, struct seam_err *e)
 {
-	seam_time age = seam_now(n->clock) - confirmed;
-
-	if (confirmed && age <= max_ms * SEAM_MSEC)
-		return 0;
-	if (!confirmed)
-		return seam_fail(e, SEAM_STALE, "no configuration yet");
-	return seam_fail(e, SEAM_STALE,
-			 "configuration was confirmed %lld ms ago, limit %lld",
-			 (long long)(age / SEAM_MSEC), (long long)max_ms);
+	const struct seam_settings *s = &n->settings;
+	struct seam_fresh_bounds b = {s->stale_serve_ms, s->stale_key_ms,
+				      s->vm_list_ms, s->clock_skew_ms};
+
+	return seam_fresh_check(class_, confirmed, seam_now(n->clock), &b, e);
 }
 
 bool seam_node_operator(struct seam_node *n, struct seam_call *c,
--- a/process/node.h
+++ b/process/node.h
@@ -7,6 +7,7 @@
 #include "process/admit.h"
 #include "process/fleet.h"
 #include "process/http.h"
+#include "process/fresh.h"
 #include "process/owner.h"
 #include "process/platform.h"
 #include "process/settings.h"
@@ -123,14 +124,14 @@
 seam_time seam_node_confirmed(struct seam_node *n);
 
 /**
- * seam_node_fresh() - check the age of the configuration
+ * seam_node_fresh() - seam_fresh_check() of the configuration, now
  * @n: node
+ * @class_: class of the action
  * @confirmed: from seam_node_confirmed()
- * @max_ms: greatest age in milliseconds
  * @e: SEAM_STALE with the age
  */
-int seam_node_fresh(struct seam_node *n, seam_time confirmed, int64_t max_ms,
-		    struct seam_err *e);
+int seam_node_fresh(struct seam_node *n, enum seam_fresh_class class_,
+		    seam_time confirmed, struct seam_err *e);
 
 /** seam_node_operator() - true if @c carries the operators' key */
 bool seam_node_operator(struct seam_node *n, struct seam_call *c,
--- a/process/part_admin.c
+++ b/process/part_admin.c
@@ -28,8 +28,8 @@
 
 	if (seam_http_draining(a->node->http))
 		seam_reply_text(c, 503, "text/plain", "draining\n");
-	else if (seam_node_fresh(a->node, seam_node_confirmed(a->node),
-				 a->node->settings.stale_serve_ms, &e))
+	else if (seam_node_fresh(a->node, SEAM_FRESH_IDEMPOTENT,
+				 seam_node_confirmed(a->node), &e))
 		seam_reply_text(c, 503, "text/plain", "no configuration\n");
 	else
 		seam_reply_text(c, 200, "text/plain", "ready\n");
--- a/process/part_requests.c
+++ b/process/part_requests.c
@@ -88,8 +88,7 @@
 {
 	struct seam_node *n = q->r->node;
 	const char *text = seam_call_key(q->call);
-	int64_t max_age = q->idempotent ? n->settings.stale_serve_ms :
-					  n->settings.stale_key_ms;
+	enum seam_fresh_class fresh = SEAM_FRESH_IDEMPOTENT;
 
 	if (!text)
 		seam_fail(e, SEAM_UNAUTHENTICATED, "a key is required");
@@ -102,7 +101,11 @@
 			  q->key->team, q->service->name);
 		return false;
 	}
-	return !seam_node_fresh(n, q->confirmed, max_age, e);
+	if (!q->idempotent)
+		fresh = seam_call_header(q->call, "Idempotency-Key") ?
+				SEAM_FRESH_KEYED :
+				SEAM_FRESH_NON_IDEMPOTENT;
+	return !seam_node_fresh(n, fresh, q->confirmed, e);
 }
 
 /* Data centres of the region of @own; returns their number. */
--- a/process/part_tasks.c
+++ b/process/part_tasks.c
@@ -75,8 +75,7 @@
 		return NULL;
 	}
 	key = seam_conf_key(c, text, e);
-	if (!key || seam_node_fresh(p->node, confirmed,
-				    p->node->settings.stale_key_ms, e))
+	if (!key || seam_node_fresh(p->node, SEAM_FRESH_PUT_TASK, confirmed, e))
 		return NULL;
 	return key;
 }
@@ -305,7 +304,7 @@
 	c->placer = seam_placer_best_fit();
 	c->sizes = seam_sizes_new();
 	c->order = seam_task_order_weighted(&n->conf);
-	c->limit = seam_task_limit_teams(n->clock, n->store, &n->conf);
+	c->limit = seam_task_limit_teams(n->store, &n->conf);
 	c->lease = n->settings.lease_ms * SEAM_MSEC;
 	c->skew = n->settings.clock_skew_ms * SEAM_MSEC;
 	if (!c->workers || !c->placer || !c->sizes || !c->order)
--- a/process/task.h
+++ b/process/task.h
@@ -195,8 +195,7 @@
  * and the running tasks agree at every version. A few units stay granted
  * unused, which saves a write for most starts and ends.
  */
-struct seam_task_limit *seam_task_limit_teams(struct seam_clock *k,
-					      struct seam_store *s,
+struct seam_task_limit *seam_task_limit_teams(struct seam_store *s,
 					      struct seam_conf_cell *conf);
 
 /**
--- a/process/task_team.c
+++ b/process/task_team.c
@@ -27,7 +27,6 @@
 /* Grants of buckets in the rows of teams; called by the thread of the pass. */
 struct limit {
 	struct seam_task_limit base;
-	struct seam_clock *clock;
 	struct seam_store *store;
 	struct seam_conf_cell *conf;
 	GHashTable *teams; /* name to struct entry */
@@ -246,14 +245,12 @@
 	.free = limit_free,
 };
 
-struct seam_task_limit *seam_task_limit_teams(struct seam_clock *k,
-					      struct seam_store *s,
+struct seam_task_limit *seam_task_limit_teams(struct seam_store *s,
 					      struct seam_conf_cell *conf)
 {
 	struct limit *l = g_new0(struct limit, 1);
 
 	l->base.ops = &ops;
-	l->clock = k;
 	l->store = s;
 	l->conf = conf;
 	l->running =
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -62,8 +62,8 @@
 	bool fresh()
 	{
 		seam_err e = SEAM_ERR_INIT;
-		return !seam_node_fresh(node, seam_node_confirmed(node),
-					node->settings.stale_key_ms, &e);
+		return !seam_node_fresh(node, SEAM_FRESH_KEYED,
+					seam_node_confirmed(node), &e);
 	}
 };
 
--- a/tests/sim_world.h
+++ b/tests/sim_world.h
@@ -337,8 +337,7 @@
 	p.ctx.sizes = seam_sizes_new();
 	p.ctx.order = seam_task_order_weighted(&d->conf);
 	p.ctx.limit = broken.limit ? nullptr :
-				     seam_task_limit_teams(d->clock, d->store,
-							   &d->conf);
+				     seam_task_limit_teams(d->store, &d->conf);
 	p.ctx.lease = 15 * SEAM_SEC;
 	p.ctx.skew = self.skew;
 	p.tasks = seam_tasks_new(&p.ctx);
--- a/tests/task_test.cc
+++ b/tests/task_test.cc
@@ -524,8 +524,8 @@
 {
 	sim s(1);
 	s.start(0);
-	seam_task_limit *l = seam_task_limit_teams(
-		&s.clock.clock, s.node[0].store, &s.node[0].conf);
+	seam_task_limit *l =
+		seam_task_limit_teams(s.node[0].store, &s.node[0].conf);
 	seam_ledger left = {};
 	seam_row row = {};
 
