target: keep connections for non-idempotent requests

Cause: a POST opened a connection each time, because curl sends a request again when a reused connection is closed before any byte of the answer, and that cannot be turned off. It can be stopped: the callback before each start of a request ends the transfer at its second start. Ruled out: counting sends after the fact, which is too late. Connections idle for over 2 s are not reused for such requests, since the target may be closing them.

Two faults found by the new tests. Without the callback the target read a POST twice. And an idempotent request that was read by the target, whose connection then closed and whose second connect was refused, was answered as not run.

bench/requests_bench had not set the peer address and did not start.

--- a/bench/requests_bench.c
+++ b/bench/requests_bench.c
@@ -15,6 +15,7 @@
 #include "process/node.h"
 
 #define NODE_ADDR "127.0.0.1:20500"
+#define NODE_PEER "127.0.0.1:20501"
 #define TARGET_PORT 20510
 #define INSTANCES 50
 #define CONNECTIONS SEAM_FAKE_HOLD
@@ -311,6 +312,7 @@
 	snprintf(s.node, sizeof(s.node), "n1");
 	snprintf(s.data_centre, sizeof(s.data_centre), "a");
 	snprintf(s.listen, sizeof(s.listen), NODE_ADDR);
+	snprintf(s.peer, sizeof(s.peer), NODE_PEER);
 	n = seam_node_new(&s, k, store, seam_fake_platform_base(p), &e);
 	if (!n || seam_node_start(n, &e)) {
 		fprintf(stderr, "node: %s\n", e.text);
--- a/connection/target.c
+++ b/connection/target.c
@@ -15,6 +15,13 @@
  */
 #define CONNECT_TIMEOUT_MS 500L
 
+/*
+ * A connection that was idle for longer may be closed by the target in the
+ * moment of the send, which would make the outcome of a non-idempotent request
+ * unknown. Servers keep idle connections for at least 5 s as a rule.
+ */
+#define REUSE_SECONDS 2L
+
 SEAM_COUNT(conns_opened, "seam_target_connections_opened_total",
 	   "Connections opened to targets.");
 SEAM_COUNT(conns_closed, "seam_target_connections_closed_total",
@@ -31,6 +38,8 @@
 	size_t cap;
 	bool too_large;
 	bool not_run;
+	bool once; /* the request may be sent one time only */
+	bool sent; /* it is about to be sent, or was */
 };
 
 void seam_target_close_idle(struct seam_target *t)
@@ -142,6 +151,25 @@
 	return len;
 }
 
+/*
+ * curl sends a request again by itself when a reused connection is closed
+ * before any byte of the answer. A non-idempotent request could then run twice,
+ * so its second start ends the transfer.
+ */
+static int on_start(void *arg, char *ip, char *local_ip, int port,
+		    int local_port)
+{
+	struct reading *r = arg;
+	bool again = r->sent;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	r->sent = true;
+	return r->once && again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static struct curl_slist *copy_header(struct curl_slist *list,
 				      struct seam_call *c, const char *name)
 {
@@ -194,12 +222,10 @@
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(curl, CURLOPT_HEADERDATA, r);
-	/*
-	 * curl sends a request again when a reused connection was closed by
-	 * the other side. That could run a non-idempotent request twice, so
-	 * such a request gets a connection of its own.
-	 */
-	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, s->idempotent ? 0L : 1L);
+	curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, on_start);
+	curl_easy_setopt(curl, CURLOPT_PREREQDATA, r);
+	if (!s->idempotent)
+		curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, REUSE_SECONDS);
 	if (s->call->len) {
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, s->call->body);
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -219,7 +245,7 @@
 	long sent = 0;
 
 	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
-	if (rc == CURLE_COULDNT_CONNECT || !sent)
+	if (!r->sent && (rc == CURLE_COULDNT_CONNECT || !sent))
 		return seam_fail(e, SEAM_TARGET_REFUSED,
 				 "target %s: cannot connect", id);
 	if (r->too_large)
@@ -229,6 +255,9 @@
 	if (rc == CURLE_OPERATION_TIMEDOUT)
 		return seam_fail(e, SEAM_OUTCOME_UNKNOWN,
 				 "target %s: no whole answer in time", id);
+	if (rc == CURLE_ABORTED_BY_CALLBACK)
+		return seam_fail(e, SEAM_TARGET_FAILED,
+				 "target %s: closed without an answer", id);
 	return seam_fail(e, SEAM_TARGET_FAILED, "target %s: %s", id,
 			 curl_easy_strerror(rc));
 }
@@ -237,7 +266,7 @@
 		   const struct seam_send *s, const char *addr, const char *id,
 		   struct seam_answer *a, struct seam_err *e)
 {
-	struct reading r = {.answer = a};
+	struct reading r = {.answer = a, .once = !s->idempotent};
 	struct curl_slist *list = headers(s);
 	char url[2300];
 	const char *type = NULL;
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -1,7 +1,13 @@
 // Connections to one target: what each kind of failure says about the run.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <string>
+#include <thread>
 
 #include "tests/addr.h"
 #include "fake/fake.h"
@@ -26,29 +32,37 @@
 
 	void SetUp() override
 	{
-		seam_target_info t = {};
-
 		fake = seam_fake_target_new("vm-1", test_addr(20010).c_str(),
 					    8);
 		ASSERT_NE(fake, nullptr);
 		ts = seam_targets_new(clock);
-		snprintf(t.id, sizeof(t.id), "vm-1");
-		snprintf(t.addr, sizeof(t.addr), "%s:20010", test_host());
+		use(20010);
+	}
+
+	void TearDown() override
+	{
+		seam_targets_free(ts);
+		seam_fake_target_free(fake);
+	}
+
+	// Sends go to a target at @port from now on.
+	void use(int port)
+	{
+		seam_target_info t = {};
+
+		snprintf(t.id, sizeof(t.id), "vm-%d", port);
+		snprintf(t.addr, sizeof(t.addr), "%s:%d", test_host(), port);
 		snprintf(t.dc, sizeof(t.dc), "a");
 		snprintf(t.service, sizeof(t.service), "s");
 		t.slots = 8;
 		t.connections = 2;
+		seam_targets_set(ts, nullptr, 0);
 		seam_targets_set(ts, &t, 1);
+		h = SEAM_NONE;
 		seam_table_next(seam_targets_lock(ts), &h);
 		seam_targets_unlock(ts);
 	}
 
-	void TearDown() override
-	{
-		seam_targets_free(ts);
-		seam_fake_target_free(fake);
-	}
-
 	void set(int delay, bool refuse, bool drop)
 	{
 		seam_fake_target_faults f = {};
@@ -123,6 +137,101 @@
 	seam_answer_free(&a);
 }
 
+// Answers the first request of each connection and closes the connection when
+// it has read the second, as a target does that dies while it runs a request.
+class ClosesSecond
+{
+      public:
+	ClosesSecond(int port, bool leaves)
+	    : leaves(leaves), fd(socket(AF_INET, SOCK_STREAM, 0))
+	{
+		int one = 1;
+		sockaddr_in a = {};
+
+		a.sin_family = AF_INET;
+		a.sin_port = htons((uint16_t)port);
+		inet_pton(AF_INET, test_host(), &a.sin_addr);
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		ok = !bind(fd, (sockaddr *)&a, sizeof(a)) && !listen(fd, 4);
+		thread = std::thread(&ClosesSecond::serve, this);
+	}
+	~ClosesSecond()
+	{
+		shutdown(fd, SHUT_RDWR);
+		thread.join();
+		close(fd);
+	}
+	std::atomic<int> requests{0};
+	bool ok;
+
+      private:
+	bool read_request(int c)
+	{
+		std::string got;
+		char b[4096];
+		ssize_t n;
+
+		// The body "b" is the last byte of each request.
+		while ((n = recv(c, b, sizeof(b), 0)) > 0) {
+			got.append(b, (size_t)n);
+			if (got.find("\r\n\r\nb") != std::string::npos)
+				return ++requests;
+		}
+		return false;
+	}
+	void serve()
+	{
+		const char ok_text[] =
+			"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+		timeval wait = {2, 0};
+		int c;
+
+		while ((c = accept(fd, nullptr, nullptr)) >= 0) {
+			setsockopt(c, SOL_SOCKET, SO_RCVTIMEO, &wait,
+				   sizeof(wait));
+			if (read_request(c)) {
+				send(c, ok_text, sizeof(ok_text) - 1, 0);
+				if (read_request(c) && leaves)
+					shutdown(fd, SHUT_RDWR);
+			}
+			close(c);
+		}
+	}
+	bool leaves; // accepts nothing after the second request
+	int fd;
+	std::thread thread;
+};
+
+// Guards P8: curl sends a request again when the reused connection closes
+// before any byte of the answer.
+TEST_F(Target, ClosedConnectionIsNotSentAgain)
+{
+	ClosesSecond server(20011, false);
+
+	ASSERT_TRUE(server.ok);
+	use(20011);
+	ASSERT_EQ(send("POST", "/one", "b", 5000), 0) << e.text;
+	EXPECT_EQ(send("POST", "/two", "b", 5000), -1);
+	EXPECT_EQ(e.kind, SEAM_TARGET_FAILED);
+	EXPECT_EQ(server.requests, 2);
+}
+
+// Guards P7: the request was read, although the last thing that failed was a
+// connect.
+TEST_F(Target, ConnectRefusedAfterTheSendIsNotNotRun)
+{
+	for (const char *method : {"POST", "GET"}) {
+		ClosesSecond server(20011, true);
+
+		ASSERT_TRUE(server.ok);
+		use(20011);
+		ASSERT_EQ(send(method, "/one", "b", 5000), 0) << e.text;
+		EXPECT_EQ(send(method, "/two", "b", 5000), -1);
+		EXPECT_EQ(e.kind, SEAM_TARGET_FAILED);
+		EXPECT_EQ(server.requests, 2);
+	}
+}
+
 TEST_F(Target, GoneTargetIsNotFound)
 {
 	seam_targets_set(ts, nullptr, 0);
