--- a/base/json.c
+++ b/base/json.c
@@ -75,7 +75,10 @@
 	if (!tok)
 		return NULL;
 	o = json_tokener_parse_ex(tok, text, -1);
+	/* json-c counts the NUL where it ends a number or a comment. */
 	end = json_tokener_get_parse_end(tok);
+	if (end > strlen(text))
+		end = strlen(text);
 	if (!o) {
 		enum json_tokener_error err = json_tokener_get_error(tok);
 		char where[32];
--- a/tests/json_test.cc
+++ b/tests/json_test.cc
@@ -1,6 +1,7 @@
 // Checked JSON: comments, duplicate names, problems with their place.
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <string>
 
 #include "base/json.h"
@@ -66,3 +67,17 @@
 	json_object_put(o);
 	seam_problems_free(&p);
 }
+
+// Guards against a read past the end: json-c counts the NUL where it ends the
+// document. The address sanitizer sees it on a text of exact size.
+TEST(Json, EndsAtTheNul)
+{
+	for (const char *text : {"1", "12", "-0.5", "{} /", "{} /*", "{} //",
+				 "{} // x", "{} /* x", "null", "tru", ""}) {
+		char *exact = strdup(text);
+
+		problems(exact);
+		free(exact);
+	}
+	EXPECT_EQ(problems("17"), "");
+}
