store: pool and member rows are read as early as the configuration

Change: reads of member/, pool-version/, pool/ and wave/ take the class of the configuration. The class of writes is unchanged.

--- a/process/store.h
+++ b/process/store.h
@@ -230,7 +230,12 @@
 	SEAM_CLASSES
 };
 
-/** seam_store_class_of() - class of a key, by its prefix */
+/**
+ * seam_store_class_of() - class of a key, by its prefix
+ *
+ * The budget takes reads of members and of the pools' rows as SEAM_CLASS_CONFIG
+ * whatever the class of writes to them.
+ */
 enum seam_store_class seam_store_class_of(const char *key);
 
 /**
--- a/process/store_budget.c
+++ b/process/store_budget.c
@@ -76,6 +76,24 @@
 	return SEAM_CLASS_OTHER;
 }
 
+/*
+ * Members and the state of VMs are read as early as the configuration: requests
+ * go to leaving targets, and drains end too early, on a node that does not read
+ * them. These are few reads, which lesser classes would else starve while the
+ * rate grows after an outage.
+ */
+static enum seam_store_class read_class(const char *key)
+{
+	static const char *const view[] = {"member/", "pool-version/", "pool/",
+					   "wave/"};
+	size_t i;
+
+	for (i = 0; i < sizeof(view) / sizeof(*view); i++)
+		if (!strncmp(key, view[i], strlen(view[i])))
+			return SEAM_CLASS_CONFIG;
+	return seam_store_class_of(key);
+}
+
 static double share(struct budget *b, seam_time now)
 {
 	double left;
@@ -212,7 +230,7 @@
 	seam_time begun = seam_now(b->clock);
 	int rc;
 
-	if (admit(b, &b->reads, seam_store_class_of(key), 1, e))
+	if (admit(b, &b->reads, read_class(key), 1, e))
 		return -1;
 	seam_count_add(&reads_total, 1);
 	rc = seam_store_get(b->inner, key, row, deadline, e);
@@ -232,7 +250,7 @@
 
 	rows->row = NULL;
 	rows->n = 0;
-	if (admit(b, &b->reads, seam_store_class_of(prefix), 1, e))
+	if (admit(b, &b->reads, read_class(prefix), 1, e))
 		return -1;
 	seam_count_add(&reads_total, 1);
 	rc = seam_store_scan(b->inner, prefix, after, max, rows, deadline, e);
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -104,6 +104,24 @@
 	EXPECT_LT(done[5], 20);
 }
 
+// Guards against a node that sends to leaving targets after an outage, because
+// its reads of the pools are shed for as long as tasks use up the budget.
+TEST_F(Budget, TasksDoNotStarveTheViewOfThePools)
+{
+	faults(true);
+	for (int i = 0; i < 6; i++)
+		read("config/head");
+	faults(false);
+	pass(3000);
+	ASSERT_TRUE(read("config/head"));
+	for (int i = 0; i < 9; i++) {
+		pass(1000);
+		while (read("queue/t/q/0"))
+			;
+		EXPECT_TRUE(read(i == 5 ? "member/n" : "pool-version/p")) << i;
+	}
+}
+
 // Guards against a store that is down and gets the full load of retries, and
 // against recovery that takes longer than the probe bound.
 TEST_F(Budget, BreakerProbesAndRecovers)
