task: a scan does not put off a read that is due

Before the next pass got to it, the scan of queue/ found the row at the known version and set the next read to one second later. Scans come each 500 ms, so the read never came: 2,689 scans put it off over 1,500 s, and the two tasks of the bucket stayed open. No other node can help, as n8 owns the bucket. Change: see_row() leaves the time alone while a read is due.

--- a/process/task_pass.c
+++ b/process/task_pass.c
@@ -151,7 +151,9 @@
 	if (row->version != b->version) {
 		b->reload = true;
 		b->read_at = 0;
-	} else {
+	} else if (!b->reload) {
+		/* A read that is due, for example after a worker's refusal,
+		 * would be put off again by each scan. */
 		b->read_at = now + SEAM_TASK_READ_GAP;
 	}
 }
