member: without the store, an unknown node on the VM list stops confirmation

Cause (Member.NewNodeDuringOutage): nodes without the store confirmed version 1 because every member of the last list read was heard, while a node that had registered later, unknown to them, accepted version 2. Change: confirmation by peers without the store holds up to the time of the last list of VMs, and only while every listed VM of no pool has a known member. A VM without one, or lists missing for vm_list_ms, ends it until the member rows are read.

--- a/process/member.c
+++ b/process/member.c
@@ -127,6 +127,7 @@
 		seam_member_loads(m, now);
 		m->beat_at = now + SEAM_BEAT_PERIOD;
 	}
+	seam_member_watch(m, now);
 	seam_members_confirm(m, now);
 	seam_store_budget_members(m->node->store, seam_members_live(m, now));
 	next = m->beat_at < m->scan_at ? m->beat_at : m->scan_at;
--- a/process/member_beat.c
+++ b/process/member_beat.c
@@ -319,6 +319,7 @@
 	pthread_mutex_lock(&m->lock);
 	s.store_at = m->store_at > st.last_ok ? m->store_at : st.last_ok;
 	s.registered = m->listed && m->inc;
+	s.watched = m->unknown ? 0 : m->watched;
 	p = peers(m, now, &s.peers);
 	pthread_mutex_unlock(&m->lock);
 	if (!p)
--- a/process/member_impl.h
+++ b/process/member_impl.h
@@ -32,6 +32,8 @@
 	seam_time beat_at;
 	seam_time passed_at;
 	seam_time store_at;
+	seam_time watched; /* later nodes are not known; 0: no rows read */
+	bool unknown; /* a node may have registered unseen since then */
 	GHashTable *told; /* target to struct told, see member_beat.c */
 	pthread_mutex_t fn_lock; /* held while @fn runs */
 	seam_member_fn fn;
@@ -48,11 +50,15 @@
 seam_time seam_member_jitter(struct seam_members *m, seam_time period);
 void seam_member_del(struct seam_members *m, struct seam_handle h);
 
+/* The rows that were read had every node that registered before @now. */
+void seam_member_watched(struct seam_members *m, seam_time now);
+
 /* Not held: these call the store or the transport. */
 void seam_member_register(struct seam_members *m, seam_time now);
 void seam_member_scan(struct seam_members *m, seam_time now);
 void seam_member_beat(struct seam_members *m, seam_time now);
 void seam_member_loads(struct seam_members *m, seam_time now);
+void seam_member_watch(struct seam_members *m, seam_time now);
 
 /* @fn_lock is held: hands a hint to its handler. */
 void seam_member_take_hint(struct seam_members *m, const struct seam_msg *msg);
--- a/process/member_rows.c
+++ b/process/member_rows.c
@@ -169,6 +169,7 @@
 
 	pthread_mutex_lock(&m->lock);
 	m->listed = in_rows(rows, self);
+	seam_member_watched(m, now);
 	for (i = 0; i < rows->n; i++)
 		if (strcmp(rows->row[i].key + strlen("member/"), self))
 			take_row(m, &rows->row[i], now);
--- /dev/null
+++ b/tests/member_join_test.cc
@@ -0,0 +1,183 @@
+// Nodes that come and go while others are without the store.
+#include <gtest/gtest.h>
+
+#include "fleet.h"
+
+static void cut_off(sim &s, sim_node &n, bool on)
+{
+	for (auto &o : s.nodes)
+		if (o.get() != &n)
+			s.cut(*o, n, on);
+}
+
+static sim_node &join(sim &s, const std::string &name)
+{
+	sim_node &n = s.add(name, "c");
+
+	s.start(n);
+	cut_off(s, n, true);
+	return n;
+}
+
+static void store_down(sim &s, bool down)
+{
+	for (auto &n : s.nodes)
+		s.store_down(*n, down);
+}
+
+static void list_lag(sim &s, seam_time lag, bool down = false)
+{
+	seam_fake_platform_faults f = {};
+
+	f.lag = lag;
+	f.down = down;
+	f.seed = 1;
+	seam_fake_platform_set(s.platform, &f);
+}
+
+// Guards against a fleet that confirms its version again once the VM of the
+// unknown node has left the list: its change stays.
+TEST(MemberJoin, NodeThatLeftAgain)
+{
+	auto s = sim::fleet(31);
+
+	store_down(*s, true);
+	s->run(8 * SEAM_SEC);
+	sim_node &f = join(*s, "fresh");
+	s->run(3 * SEAM_SEC);
+	ASSERT_TRUE(s->change(f));
+	s->stop(f);
+	seam_fake_platform_del(s->platform, "fresh");
+	s->run(60 * SEAM_SEC);
+	EXPECT_FALSE(s->nodes[0]->fresh());
+	store_down(*s, false);
+	s->run(10 * SEAM_SEC);
+	EXPECT_TRUE(s->agreed());
+	EXPECT_TRUE(s->nodes[0]->fresh());
+}
+
+// Guards against confirmation past the time of the last list of VMs.
+TEST(MemberJoin, ListOfVmsNotRead)
+{
+	auto s = sim::fleet(32);
+
+	store_down(*s, true);
+	s->run(8 * SEAM_SEC);
+	EXPECT_TRUE(s->nodes[0]->fresh());
+	seam_fake_platform_down(s->platform, true);
+	s->run(12 * SEAM_SEC);
+	EXPECT_FALSE(s->nodes[0]->fresh());
+	seam_fake_platform_down(s->platform, false);
+	s->run(3 * SEAM_SEC);
+	EXPECT_TRUE(s->nodes[0]->fresh());
+	/* Longer than a VM may live unseen: only the rows can tell. */
+	seam_fake_platform_down(s->platform, true);
+	s->run(40 * SEAM_SEC);
+	seam_fake_platform_down(s->platform, false);
+	s->run(5 * SEAM_SEC);
+	EXPECT_FALSE(s->nodes[0]->fresh());
+	store_down(*s, false);
+	s->run(10 * SEAM_SEC);
+	EXPECT_TRUE(s->nodes[0]->fresh());
+}
+
+// Guards against a list that lags for some seconds and makes the fleet stop
+// confirming.
+TEST(MemberJoin, ListThatLags)
+{
+	auto s = sim::fleet(33);
+
+	list_lag(*s, 6 * SEAM_SEC);
+	store_down(*s, true);
+	for (int i = 0; i < 60; i++) {
+		s->run(1 * SEAM_SEC);
+		EXPECT_TRUE(s->nodes[0]->fresh()) << i;
+	}
+}
+
+// What comes and goes in the random runs; a VM lives for longer than a list
+// may lag.
+struct joins {
+	sim &s;
+	int serial = 0;
+	std::vector<std::pair<sim_node *, seam_time>> guests;
+
+	void begin()
+	{
+		if (guests.size() < 3)
+			guests.emplace_back(
+				&join(s, "g" + std::to_string(serial++)),
+				s.clock.time);
+	}
+	void end()
+	{
+		if (guests.empty() ||
+		    s.clock.time - guests[0].second < 31 * (seam_time)SEAM_SEC)
+			return;
+		s.stop(*guests[0].first);
+		seam_fake_platform_del(s.platform,
+				       guests[0].first->name.c_str());
+		guests.erase(guests.begin());
+	}
+	void event()
+	{
+		size_t k = s.random(9);
+		sim_node &n = *s.nodes[k];
+
+		switch (s.random(8)) {
+		case 0:
+			begin();
+			break;
+		case 1:
+			end();
+			break;
+		case 2:
+			for (size_t i = 0; i < 9; i++)
+				s.store_down(*s.nodes[i], s.random(8));
+			break;
+		case 3:
+			s.store_down(n, s.random(2));
+			break;
+		case 4:
+			list_lag(s, (seam_time)s.random(8) * SEAM_SEC,
+				 s.random(4) == 0);
+			break;
+		case 5:
+			if (!guests.empty())
+				cut_off(s, *guests[0].first, s.random(2));
+			break;
+		case 6:
+			s.change(n);
+			break;
+		default:
+			for (auto &g : guests)
+				s.change(*g.first);
+		}
+	}
+};
+
+class MemberJoinRandom : public ::testing::TestWithParam<int>
+{
+};
+
+// Guards against freshness that is claimed while a node that is not known has
+// changed the configuration: the invariants of fleet.h check each step.
+TEST_P(MemberJoinRandom, ConfirmedVersionsAreTheNewest)
+{
+	auto s = sim::fleet((uint64_t)GetParam());
+	joins j{*s};
+
+	for (int i = 0; i < 120; i++) {
+		j.event();
+		s->run((seam_time)(200 + s->random(5000)) * SEAM_MSEC);
+	}
+	list_lag(*s, 0);
+	store_down(*s, false);
+	for (auto &g : j.guests)
+		cut_off(*s, *g.first, false);
+	s->run(12 * SEAM_SEC);
+	for (auto &n : s->nodes)
+		EXPECT_TRUE(!n->node || n->version() + 1 == s->accepted.size());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, MemberJoinRandom, ::testing::Range(1, 21));
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -16,10 +16,12 @@
 static seam_time absence(const std::vector<seam_spread_peer> &p,
 			 uint64_t version = 5, bool unsettled = false,
 			 bool registered = true,
-			 seam_time store_at = T - 60 * SEAM_SEC)
+			 seam_time store_at = T - 60 * SEAM_SEC,
+			 seam_time watched = T + SKEW)
 {
-	seam_spread_state s = {T,	   version, store_at, unsettled,
-			       registered, SKEW,    p.data(), p.size()};
+	seam_spread_state s = {T,	  version,    store_at,
+			       unsettled, registered, watched,
+			       SKEW,	  p.data(),   p.size()};
 
 	return seam_spread_by_absence(&s);
 }
@@ -66,9 +68,20 @@
 	EXPECT_EQ(absence(p, 0), 0) << "no version";
 	EXPECT_EQ(absence(p, 5, false, true, T - SEAM_SEC), 0)
 		<< "this node had the store a moment ago";
+	EXPECT_EQ(absence(p, 5, false, true, T - 60 * SEAM_SEC, 0), 0)
+		<< "a node may be missing from the list";
 	EXPECT_GT(absence(p), 0);
 }
 
+// Guards against a change of a node that started after the last list of VMs.
+TEST(Spread, AbsenceHoldsUpToTheListOfVms)
+{
+	seam_time listed = T - 5 * SEAM_SEC;
+
+	EXPECT_EQ(absence({peer(5)}, 5, false, true, T - 60 * SEAM_SEC, listed),
+		  listed - SKEW);
+}
+
 // Guards against a change that is applied to another version than its base.
 TEST(Spread, OnChange)
 {
--- a/version/spread.c
+++ b/version/spread.c
@@ -21,9 +21,11 @@
 	seam_time oldest = s->now;
 	size_t i;
 
-	if (!s->version || !s->registered || s->unsettled ||
+	if (!s->version || !s->registered || s->unsettled || !s->watched ||
 	    s->now - s->store_at < SEAM_STORE_GONE)
 		return 0;
+	if (s->watched - s->skew < oldest)
+		oldest = s->watched - s->skew;
 	for (i = 0; i < s->peers; i++) {
 		seam_time sent = s->peer[i].sent_at - s->skew;
 
--- a/version/spread.h
+++ b/version/spread.h
@@ -42,6 +42,8 @@
  * @store_at: latest time at which the store answered this node
  * @unsettled: this node has a change whose outcome is not known
  * @registered: own member row is in the list of members
+ * @watched: @peer has every node that can have registered before this time; 0
+ *           if nodes may be missing
  * @skew: greatest difference between two clocks
  * @peer: every other registered member
  * @peers: their number
@@ -52,6 +54,7 @@
 	seam_time store_at;
 	bool unsettled;
 	bool registered;
+	seam_time watched;
 	seam_time skew;
 	const struct seam_spread_peer *peer;
 	size_t peers;
@@ -77,7 +80,8 @@
  * and none has a higher version. Each message vouches for the time at which it
  * was sent, so the result is the oldest of these times minus the skew. A
  * member that had the store a moment ago makes the rule wait: its last success
- * must be SEAM_STORE_GONE before its message.
+ * must be SEAM_STORE_GONE before its message. A node that this one does not
+ * know can accept a change, so the result is also bounded by @watched.
  *
  * Return: a time of the own clock, or 0 if the rule does not hold.
  */
