base, inventory, version: log the start and the end of an outage

Cause: the inventory wrote a warning for each failed read of the pool rows and of the VM list, that is one each second and list. The version part logged only changes of the state, but once for each failure of a store that answers now and then, and it did not log the end. Polls that failed are counted: seam_config_poll_errors_total (new), seam_pool_poll_errors_total (now also those of the inventory), seam_pool_vm_list_errors_total.

--- a/process/part_inventory.c
+++ b/process/part_inventory.c
@@ -1,4 +1,4 @@
-#include "base/log.h"
+#include "base/outage.h"
 #include "process/member.h"
 #include "process/node.h"
 #include "process/pool.h"
@@ -18,6 +18,8 @@
 	struct seam_loop loop;
 	struct seam_target_drain drain;
 	struct seam_task_drain drain_tasks;
+	struct seam_outage list;
+	struct seam_outage rows;
 };
 
 static const struct seam_service *service_of(const struct seam_conf *c,
@@ -82,14 +84,13 @@
 	struct inventory *v = arg;
 	struct seam_node *n = v->node;
 	struct seam_err e = SEAM_ERR_INIT;
+	int rc;
 
-	if (seam_pools_list(n->pools, now, &e))
-		seam_log(SEAM_WARN, "inventory", "VM list not read: %s.",
-			 e.text);
+	rc = seam_pools_list(n->pools, now, &e);
+	seam_outage_note(&v->list, rc ? &e : NULL, now);
 	seam_err_clear(&e);
-	if (seam_pools_poll(n->pools, now, &e))
-		seam_log(SEAM_WARN, "inventory", "Pool rows not read: %s.",
-			 e.text);
+	rc = seam_pools_poll(n->pools, now, &e);
+	seam_outage_note(&v->rows, rc ? &e : NULL, now);
 	seam_pools_publish(n->pools);
 	set_targets(n);
 	return now + LIST_PERIOD;
@@ -165,6 +166,9 @@
 		return NULL;
 	v->part.ops = &ops;
 	v->node = n;
+	v->list = (struct seam_outage){.part = "inventory", .what = "VM list"};
+	v->rows =
+		(struct seam_outage){.part = "inventory", .what = "Pool rows"};
 	make_pools(v);
 	return &v->part;
 }
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -20,8 +20,6 @@
 	   "Members past their maintenance deadline in the owned pools.");
 SEAM_COUNT(over_budget, "seam_pool_over_budget",
 	   "Owned pools with more unavailable members than their budget.");
-SEAM_COUNT(poll_errors, "seam_pool_poll_errors_total",
-	   "Polls of the pool rows that failed.");
 
 seam_time seam_pool_drain_limit(const struct seam_pool_work *w)
 {
@@ -389,10 +387,8 @@
 	bool recent = seam_pools_polled(ps, now);
 	bool store = recent || !seam_pools_poll(ps, now, &e);
 
-	if (!store) {
-		seam_count_add(&poll_errors, 1);
+	if (!store)
 		seam_log(SEAM_DEBUG, "pool", "Rows not polled: %s.", e.text);
-	}
 	/* The thread that polled has published too. */
 	if (!recent)
 		seam_pools_publish(ps);
--- a/process/pools.c
+++ b/process/pools.c
@@ -17,6 +17,8 @@
 	   "Pool and wave rows read because their version changed.");
 SEAM_COUNT(bad_rows, "seam_pool_bad_rows_total",
 	   "Pool and wave rows that could not be decoded.");
+SEAM_COUNT(poll_errors, "seam_pool_poll_errors_total",
+	   "Polls of the pool rows that failed.");
 
 static void free_pool(gpointer arg)
 {
@@ -187,7 +189,7 @@
 	return 0;
 }
 
-int seam_pools_poll(struct seam_pools *ps, seam_time now, struct seam_err *e)
+static int poll_all(struct seam_pools *ps, seam_time now, struct seam_err *e)
 {
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows = {.row = NULL};
@@ -210,6 +212,15 @@
 	return rc;
 }
 
+int seam_pools_poll(struct seam_pools *ps, seam_time now, struct seam_err *e)
+{
+	int rc = poll_all(ps, now, e);
+
+	if (rc)
+		seam_count_add(&poll_errors, 1);
+	return rc;
+}
+
 bool seam_pools_polled(struct seam_pools *ps, seam_time now)
 {
 	seam_time at = __atomic_load_n(&ps->polled_at, __ATOMIC_ACQUIRE);
--- a/process/versions.c
+++ b/process/versions.c
@@ -1,5 +1,6 @@
 #include "base/count.h"
 #include "base/log.h"
+#include "base/outage.h"
 #include "process/member.h"
 
 #include <glib.h>
@@ -14,6 +15,8 @@
 SEAM_COUNT(version_gauge, "seam_config_version", "Version in force.");
 SEAM_COUNT(confirmed_age, "seam_config_confirmed_age_ms",
 	   "Time since the version was known to be the newest.");
+SEAM_COUNT(poll_errors, "seam_config_poll_errors_total",
+	   "Polls of the configuration that failed.");
 SEAM_COUNT(pushed_total, "seam_config_pushed_total",
 	   "Changes pushed to peers, one for each peer.");
 SEAM_COUNT(from_peers_total, "seam_config_from_peers_total",
@@ -33,7 +36,7 @@
 	int asked; /* snapshots still to come */
 	seam_time collect_until;
 	uint64_t seen; /* highest version observed, for the invariant */
-	bool store_down;
+	struct seam_outage outage; /* of the polls */
 };
 
 static uint64_t own_version(struct seam_node *n)
@@ -71,13 +74,11 @@
 	return true;
 }
 
-static void store_state(struct seam_versions *v, bool down,
-			const struct seam_err *e)
+static void poll_failed(struct seam_versions *v, const struct seam_err *e,
+			seam_time now)
 {
-	if (down && !v->store_down)
-		seam_log(SEAM_WARN, "version", "Store did not answer: %s.",
-			 e->text);
-	v->store_down = down;
+	seam_count_add(&poll_errors, 1);
+	seam_outage_note(&v->outage, e, now);
 }
 
 /* The time of confirmation is that before the read: it may have been slow. */
@@ -89,18 +90,18 @@
 	uint64_t head;
 
 	if (seam_conf_head(n->store, &head, now + POLL_TIMEOUT, &e)) {
-		store_state(v, true, &e);
+		poll_failed(v, &e, now);
 		return false;
 	}
 	if (head > own_version(n)) {
 		c = newer(n, head, now + POLL_TIMEOUT, &e);
 		if (!c) {
-			store_state(v, true, &e);
+			poll_failed(v, &e, now);
 			return false;
 		}
 		adopt(v, c, "store");
 	}
-	store_state(v, false, &e);
+	seam_outage_note(&v->outage, NULL, now);
 	if (v->members)
 		seam_members_store_ok(v->members, now);
 	seam_node_confirm(n, now);
@@ -385,6 +386,8 @@
 		return NULL;
 	v->node = n;
 	v->members = m;
+	v->outage.part = "version";
+	v->outage.what = "Configuration";
 	v->pushed = seam_conf_empty();
 	pthread_mutex_init(&v->lock, NULL);
 	if (m)
