member, pool: drains wait for requests of a node's earlier process

A node that starts does not know the loads told before either, and a member that was listed but not heard counted as current for 3 s. Change: seam_members_all_current() also needs a message of each member's current incarnation, and 30 s (the longest request) since each start of a process.

--- a/process/member.c
+++ b/process/member.c
@@ -24,6 +24,7 @@
 	/* Numbers of a process that is not registered grow over restarts. */
 	m->seq = (uint64_t)seam_now(n->clock);
 	m->passed_at = seam_now(n->clock);
+	m->quiet_at = m->passed_at + SEAM_REQUESTS_END;
 	pthread_mutex_init(&m->lock, NULL);
 	pthread_mutex_init(&m->fn_lock, NULL);
 	seam_msg_key_init(&m->key, n->settings.cluster_key);
@@ -169,18 +170,25 @@
 	return live;
 }
 
+static bool current(const struct seam_member *b, seam_time now)
+{
+	return b->last.heard && !seam_member_suspected(b, now) &&
+	       now >= b->quiet_at &&
+	       b->last.sent_at - b->last.store_at < SEAM_STORE_GONE;
+}
+
 bool seam_members_all_current(struct seam_members *m, seam_time now)
 {
 	struct seam_handle h = SEAM_NONE;
 	struct seam_member *b;
-	bool current = true;
+	bool all;
 
 	pthread_mutex_lock(&m->lock);
+	all = now >= m->quiet_at;
 	while ((b = seam_table_next(m->table, &h)))
-		current = current && !seam_member_suspected(b, now) &&
-			  b->last.sent_at - b->last.store_at < SEAM_STORE_GONE;
+		all = all && current(b, now);
 	pthread_mutex_unlock(&m->lock);
-	return current;
+	return all;
 }
 
 void seam_members_store_ok(struct seam_members *m, seam_time at)
--- a/process/member.h
+++ b/process/member.h
@@ -11,6 +11,7 @@
 
 #define SEAM_BEAT_PERIOD (1 * SEAM_SEC)
 #define SEAM_SUSPECT_AFTER (3 * SEAM_SEC)
+#define SEAM_REQUESTS_END (30 * SEAM_SEC) /* longest request */
 #define SEAM_HINTS_PER_SEC 32 /* of 250 bytes: 8 KB/s when all are used */
 #define SEAM_BEAT_BYTES_PER_SEC 10240 /* to all peers together */
 
@@ -27,6 +28,7 @@
  * @heard_inc: incarnation of the last message accepted
  * @seq: sequence number of the last message accepted
  * @suspect_at: suspected from then on
+ * @quiet_at: requests of its earlier processes have ended by then
  * @missing_at: its row may be dropped from then on; 0 while its VM is listed
  * @last: what the last message said
  * @load: target to its last load there, private
@@ -43,6 +45,7 @@
 	uint64_t heard_inc;
 	uint64_t seq;
 	seam_time suspect_at;
+	seam_time quiet_at;
 	seam_time missing_at;
 	struct seam_spread_peer last;
 	void *load;
@@ -111,10 +114,16 @@
 uint64_t seam_members_inc(struct seam_members *m);
 
 /**
- * seam_members_all_current() - every member reads the rows of the store
+ * seam_members_all_current() - the loads told are those of all requests, and
+ * every member reads the rows of the store
  *
- * Return: true if no member is suspected at @now and each one said in its last
- * message that the store had answered it lately.
+ * A request goes on at its target after its node has ended, and the node's next
+ * process does not know of it, nor does this one know what was told before it
+ * started. So this waits for SEAM_REQUESTS_END after each start of a process.
+ *
+ * Return: true if no member is suspected at @now, each one said in its last
+ * message that the store had answered it lately, and no request of an earlier
+ * process can still run.
  */
 bool seam_members_all_current(struct seam_members *m, seam_time now);
 
--- a/process/member_beat.c
+++ b/process/member_beat.c
@@ -186,6 +186,14 @@
 	}
 }
 
+static void new_process(struct seam_member *b, seam_time now)
+{
+	if (b->load)
+		g_hash_table_destroy(b->load);
+	b->load = NULL;
+	b->quiet_at = now + SEAM_REQUESTS_END;
+}
+
 /* The lock is held. False if the message is old. */
 static bool accept(struct seam_members *m, struct seam_member *b,
 		   const struct seam_msg *msg)
@@ -195,10 +203,8 @@
 	if (msg->inc < b->inc || msg->inc < b->heard_inc ||
 	    (msg->inc == b->heard_inc && msg->seq <= b->seq))
 		return false;
-	if (msg->inc > b->heard_inc && b->load) {
-		g_hash_table_destroy(b->load);
-		b->load = NULL;
-	}
+	if (msg->inc > b->heard_inc)
+		new_process(b, now);
 	b->heard_inc = msg->inc;
 	b->seq = msg->seq;
 	b->suspect_at = now + SEAM_SUSPECT_AFTER;
--- a/tests/member_join_test.cc
+++ b/tests/member_join_test.cc
@@ -95,6 +95,28 @@
 	}
 }
 
+// Guards against a drain that ends early because the next process of a node
+// does not know of the requests that its earlier one has sent.
+TEST(MemberJoin, RequestsOfAnEarlierProcessMayStillRun)
+{
+	auto s = sim::fleet(34);
+	sim_node &owner = *s->nodes[0], &other = *s->nodes[4];
+	auto current = [&] {
+		return seam_members_all_current(owner.members, owner.now());
+	};
+
+	for (sim_node *n : {&other, &owner}) {
+		s->run(31 * SEAM_SEC);
+		EXPECT_TRUE(current());
+		s->stop(*n);
+		s->start(*n);
+		s->run(29 * SEAM_SEC);
+		EXPECT_FALSE(current()) << n->name;
+	}
+	s->run(3 * SEAM_SEC);
+	EXPECT_TRUE(current());
+}
+
 // What comes and goes in the random runs; a VM lives for longer than a list
 // may lag.
 struct joins {
