inventory: read changes of the VM list; build the fleet on changes

Each node read and parsed the platform's whole VM list each second, built the fleet from it and took all targets over, whether or not anything had changed.

The platform interface gets a read of the changes since a cursor (GET /vms?since=CURSOR). The node keeps the list in a table and applies changes to it; it reads a whole list when the cursor is unknown or too old, when the platform has no cursors, or when the length of its table differs from the platform's. An unchanged answer moves as_of only. The fleet is built and the targets are taken over only when the list, a pool row, the configuration or the fleet itself has changed. A target that left with requests under way keeps the targets due until they have ended.

--- a/cmd/seamplatform.c
+++ b/cmd/seamplatform.c
@@ -61,7 +61,9 @@
 static const struct argp argp = {
 	.options = options,
 	.parser = parse,
-	.doc = "Runs a stand-in for the platform. PUT /faults sets down, "
+	.doc = "Runs a stand-in for the platform. GET /vms?since=CURSOR "
+	       "answers with changes of the VM list; a cursor of an earlier "
+	       "run gets the whole list. PUT /faults sets down, "
 	       "delay_ms, lose_answers, writes_per_sec, reads_per_sec.",
 };
 
--- a/connection/target.h
+++ b/connection/target.h
@@ -133,9 +133,12 @@
  * @n: their number
  *
  * Targets that are not listed any more stop taking work at once and are
- * removed when their last request has ended. State of known ones stays.
+ * removed by the next call after their last request has ended. State of known
+ * ones stays.
+ *
+ * Return: true if a target that is not listed is still there; call again.
  */
-void seam_targets_set(struct seam_targets *ts,
+bool seam_targets_set(struct seam_targets *ts,
 		      const struct seam_target_info *info, size_t n);
 
 /** seam_targets_lock() - lock the table and return it */
--- a/connection/target_set.c
+++ b/connection/target_set.c
@@ -110,10 +110,11 @@
 	seam_target_place(t);
 }
 
-void seam_targets_set(struct seam_targets *ts,
+bool seam_targets_set(struct seam_targets *ts,
 		      const struct seam_target_info *info, size_t n)
 {
 	struct seam_table *table = seam_targets_lock(ts);
+	bool remains = false;
 	struct seam_handle h = SEAM_NONE;
 	struct seam_target *t;
 	size_t i;
@@ -133,10 +134,13 @@
 		if (t->round == ts->round)
 			continue;
 		set_leaving(t);
-		if (!t->outstanding)
+		if (t->outstanding)
+			remains = true;
+		else
 			drop(ts, t);
 	}
 	seam_targets_unlock(ts);
+	return remains;
 }
 
 bool seam_targets_peer_load(struct seam_targets *ts, const char *id, int load)
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -91,6 +91,9 @@
 /** seam_fake_platform_del() - remove a VM */
 void seam_fake_platform_del(struct seam_fake_platform *p, const char *id);
 
+/** seam_fake_platform_restart() - forget the changes; cursors are unknown */
+void seam_fake_platform_restart(struct seam_fake_platform *p);
+
 /** seam_fake_platform_down() - let every call fail, or work again */
 void seam_fake_platform_down(struct seam_fake_platform *p, bool down);
 
@@ -102,6 +105,8 @@
  * @lose_answers: of 1,000 reboots, how many begin but answer an error
  * @fail_reboots: of 1,000 reboots, how many never come back
  * @seed: seed of the random choice
+ * @log_max: changes of the list kept; older cursors get a whole list; 0 is
+ *           4,096
  */
 struct seam_fake_platform_faults {
 	bool down;
@@ -110,6 +115,7 @@
 	int lose_answers;
 	int fail_reboots;
 	uint64_t seed;
+	int log_max;
 };
 
 /** seam_fake_platform_set() - set the faults */
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -30,41 +30,51 @@
 	free(f);
 }
 
-/* Takes the time over if the content is the same. */
-static bool same(struct seam_fleet *f, const struct seam_fleet_vm *vm, size_t n,
-		 seam_time as_of)
+/* The lock is held. */
+static bool same(const struct seam_fleet *f, const struct seam_fleet_vm *vm,
+		 size_t n)
 {
-	bool equal;
+	return n == f->n && n && !memcmp(vm, f->vm, n * sizeof(*vm));
+}
+
+uint64_t seam_fleet_give(struct seam_fleet *f, struct seam_fleet_vm *vm,
+			 size_t n, seam_time as_of)
+{
+	uint64_t changes;
 
 	pthread_mutex_lock(&f->lock);
-	equal = n == f->n && n && !memcmp(vm, f->vm, n * sizeof(*vm));
-	if (equal)
-		f->as_of = as_of;
+	f->as_of = as_of;
+	if (!same(f, vm, n)) {
+		struct seam_fleet_vm *old = f->vm;
+
+		f->vm = vm;
+		f->n = n;
+		f->changes++;
+		vm = old;
+	}
+	changes = f->changes;
 	pthread_mutex_unlock(&f->lock);
-	return equal;
+	free(vm);
+	return changes;
 }
 
 void seam_fleet_set(struct seam_fleet *f, const struct seam_fleet_vm *vm,
 		    size_t n, seam_time as_of)
 {
-	struct seam_fleet_vm *copy;
-	struct seam_fleet_vm *old;
+	struct seam_fleet_vm *copy = calloc(n + 1, sizeof(*copy));
 
-	if (same(f, vm, n, as_of))
-		return;
-	copy = calloc(n + 1, sizeof(*copy));
 	if (!copy)
 		return;
 	if (n)
 		memcpy(copy, vm, n * sizeof(*copy));
+	seam_fleet_give(f, copy, n, as_of);
+}
+
+void seam_fleet_confirm(struct seam_fleet *f, seam_time as_of)
+{
 	pthread_mutex_lock(&f->lock);
-	old = f->vm;
-	f->vm = copy;
-	f->n = n;
 	f->as_of = as_of;
-	f->changes++;
 	pthread_mutex_unlock(&f->lock);
-	free(old);
 }
 
 uint64_t seam_fleet_changes(struct seam_fleet *f, seam_time *as_of)
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -45,6 +45,21 @@
 void seam_fleet_set(struct seam_fleet *f, const struct seam_fleet_vm *vm,
 		    size_t n, seam_time as_of);
 
+/**
+ * seam_fleet_give() - seam_fleet_set() without a copy
+ * @f: fleet
+ * @vm: array that the fleet takes over and frees with free()
+ * @n: its length
+ * @as_of: time of the list
+ *
+ * Return: as seam_fleet_changes() afterwards.
+ */
+uint64_t seam_fleet_give(struct seam_fleet *f, struct seam_fleet_vm *vm,
+			 size_t n, seam_time as_of);
+
+/** seam_fleet_confirm() - the content is still right at the time @as_of */
+void seam_fleet_confirm(struct seam_fleet *f, seam_time as_of);
+
 /**
  * seam_fleet_changes() - how often seam_fleet_set() brought another content
  * @f: fleet
--- a/process/part_inventory.c
+++ b/process/part_inventory.c
@@ -4,6 +4,7 @@
 #include "process/pool.h"
 #include "process/task.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,18 +19,22 @@
 	struct seam_loop loop;
 	struct seam_target_drain drain;
 	struct seam_task_drain drain_tasks;
+	uint64_t fleet_changes; /* what the targets were taken from */
+	uint64_t conf;
+	bool again; /* a target that left the fleet has requests */
 };
 
-static const struct seam_service *service_of(const struct seam_conf *c,
-					     const char *pool)
+/* Pool to the first service that runs on it. */
+static GHashTable *services(const struct seam_conf *c)
 {
+	GHashTable *t = g_hash_table_new(g_str_hash, g_str_equal);
 	struct seam_handle h = SEAM_NONE;
 	const struct seam_service *s;
 
 	while ((s = seam_conf_next(c, SEAM_CONF_SERVICE, &h)))
-		if (!strcmp(s->pool, pool))
-			return s;
-	return NULL;
+		if (!g_hash_table_contains(t, s->pool))
+			g_hash_table_insert(t, (gpointer)s->pool, (gpointer)s);
+	return t;
 }
 
 static void fill(struct seam_target_info *t, const struct seam_fleet_vm *f,
@@ -49,27 +54,48 @@
 		     seam_conf_dc_out(c, vm->dc);
 }
 
-static void set_targets(struct seam_node *n)
+static bool take_targets(struct seam_node *n, const struct seam_conf *c)
 {
-	struct seam_conf *c = seam_conf_current(&n->conf);
 	struct seam_target_info *t;
 	struct seam_fleet_vm *vm;
+	GHashTable *by_pool;
+	bool remains = true;
 	size_t count = 0;
 	size_t vms;
 	size_t i;
 
 	vm = seam_fleet_copy(n->fleet, NULL, &vms, NULL);
 	t = calloc(vms + 1, sizeof(*t));
+	by_pool = services(c);
 	for (i = 0; t && i < vms; i++) {
-		const struct seam_service *s = service_of(c, vm[i].vm.pool);
+		const struct seam_service *s =
+			g_hash_table_lookup(by_pool, vm[i].vm.pool);
 
 		if (s)
 			fill(&t[count++], &vm[i], s, c);
 	}
 	if (t)
-		seam_targets_set(n->targets, t, count);
+		remains = seam_targets_set(n->targets, t, count);
+	g_hash_table_destroy(by_pool);
 	free(t);
 	free(vm);
+	return remains;
+}
+
+/* The count is read before the fleet: a later change is taken next time. */
+static void set_targets(struct inventory *v)
+{
+	struct seam_node *n = v->node;
+	struct seam_conf *c = seam_conf_current(&n->conf);
+	seam_time as_of;
+	uint64_t changes = seam_fleet_changes(n->fleet, &as_of);
+
+	if (v->again || changes != v->fleet_changes ||
+	    seam_conf_version(c) != v->conf) {
+		v->again = take_targets(n, c);
+		v->fleet_changes = changes;
+		v->conf = seam_conf_version(c);
+	}
 	seam_conf_drop(c);
 }
 
@@ -91,7 +117,7 @@
 		seam_log(SEAM_WARN, "inventory", "Pool rows not read: %s.",
 			 e.text);
 	seam_pools_publish(n->pools);
-	set_targets(n);
+	set_targets(v);
 	return now + LIST_PERIOD;
 }
 
--- a/process/platform_http.c
+++ b/process/platform_http.c
@@ -32,26 +32,70 @@
 	vm->boot = seam_json_int(o, "boot", 0);
 }
 
-static int read_list(const char *body, struct seam_vms *out, struct seam_err *e)
+static int read_vms(struct json_object *list, struct seam_vms *out)
+{
+	size_t i;
+
+	if (!json_object_is_type(list, json_type_array))
+		return -1;
+	out->n = json_object_array_length(list);
+	out->vm = calloc(out->n + 1, sizeof(*out->vm));
+	for (i = 0; out->vm && i < out->n; i++) {
+		read_vm(json_object_array_get_idx(list, i), &out->vm[i]);
+		if (!*out->vm[i].id)
+			return -1;
+	}
+	return out->vm ? 0 : -1;
+}
+
+static int read_gone(struct json_object *list, struct seam_vms *out)
+{
+	size_t i;
+
+	if (!json_object_is_type(list, json_type_array))
+		return -1;
+	out->gone_n = json_object_array_length(list);
+	out->gone = calloc(out->gone_n + 1, sizeof(*out->gone));
+	for (i = 0; out->gone && i < out->gone_n; i++) {
+		const char *id = json_object_get_string(
+			json_object_array_get_idx(list, i));
+
+		snprintf(out->gone[i], sizeof(out->gone[i]), "%s",
+			 id ? id : "");
+	}
+	return out->gone ? 0 : -1;
+}
+
+/*
+ * A change repeats the cursor that it is based on. An answer without it is a
+ * whole list: so answers a platform that does not know the parameter.
+ */
+static int read_list(const char *body, const char *since, struct seam_vms *out,
+		     struct seam_err *e)
 {
 	struct json_object *o = json_tokener_parse(body);
+	const char *base = seam_json_str(o, "since", "");
 	struct json_object *list = NULL;
-	size_t i;
+	int rc;
 
 	json_object_object_get_ex(o, "vms", &list);
-	if (json_object_is_type(list, json_type_array))
-		out->vm = calloc(json_object_array_length(list) + 1,
-				 sizeof(*out->vm));
-	if (!out->vm) {
-		json_object_put(o);
-		return seam_fail(e, SEAM_UNAVAILABLE, "platform: broken list");
-	}
-	out->n = json_object_array_length(list);
+	rc = read_vms(list, out);
 	out->as_of = seam_json_int(o, "as_of", 0);
-	for (i = 0; i < out->n; i++)
-		read_vm(json_object_array_get_idx(list, i), &out->vm[i]);
+	out->total = (size_t)seam_json_int(o, "total", 0);
+	out->change = *base != '\0';
+	list = NULL;
+	json_object_object_get_ex(o, "gone", &list);
+	if (!rc && out->change)
+		rc = strcmp(base, since) ? -1 : read_gone(list, out);
+	if ((size_t)snprintf(out->cursor, sizeof(out->cursor), "%s",
+			     seam_json_str(o, "cursor", "")) >=
+	    sizeof(out->cursor))
+		out->cursor[0] = '\0';
 	json_object_put(o);
-	return 0;
+	if (!rc)
+		return 0;
+	seam_vms_free(out);
+	return seam_fail(e, SEAM_UNAVAILABLE, "platform: broken list");
 }
 
 static int answered(int status, struct seam_err *e)
@@ -63,28 +107,44 @@
 	return seam_fail(e, SEAM_UNAVAILABLE, "platform: status %d", status);
 }
 
-static int list(struct seam_platform *base, struct seam_vms *out,
-		seam_time deadline, struct seam_err *e)
+static int get(struct platform_http *p, const char *path, const char *since,
+	       struct seam_vms *out, seam_time deadline, struct seam_err *e)
 {
-	struct platform_http *p = (struct platform_http *)base;
 	struct seam_rest_call c = {
-		.method = "GET", .path = "/vms", .deadline = deadline};
+		.method = "GET", .path = path, .deadline = deadline};
 	struct seam_rest_answer a;
 	int rc;
 
-	out->vm = NULL;
-	out->n = 0;
+	memset(out, 0, sizeof(*out));
 	if (seam_rest_do(p->rest, &c, &a, e)) {
 		e->kind = SEAM_UNAVAILABLE;
 		return -1;
 	}
 	rc = answered(a.status, e);
 	if (!rc)
-		rc = read_list(a.body ? a.body : "", out, e);
+		rc = read_list(a.body ? a.body : "", since, out, e);
 	free(a.body);
 	return rc;
 }
 
+static int list(struct seam_platform *base, struct seam_vms *out,
+		seam_time deadline, struct seam_err *e)
+{
+	struct platform_http *p = (struct platform_http *)base;
+
+	return get(p, "/vms", "", out, deadline, e);
+}
+
+static int changes(struct seam_platform *base, const char *since,
+		   struct seam_vms *out, seam_time deadline, struct seam_err *e)
+{
+	struct platform_http *p = (struct platform_http *)base;
+	char path[16 + 3 * SEAM_CURSOR_MAX] = "/vms?since=";
+
+	seam_rest_escape(path, sizeof(path), since);
+	return get(p, path, since, out, deadline, e);
+}
+
 static int reboot(struct seam_platform *base, const char *vm, int64_t boot,
 		  seam_time deadline, struct seam_err *e)
 {
@@ -116,6 +176,7 @@
 static const struct seam_platform_ops ops = {
 	.vms = list,
 	.reboot = reboot,
+	.changes = changes,
 };
 
 struct seam_platform *seam_platform_http_new(struct seam_clock *k,
--- a/process/pool_impl.h
+++ b/process/pool_impl.h
@@ -1,6 +1,7 @@
 #ifndef SEAM_POOL_IMPL_H
 #define SEAM_POOL_IMPL_H
 
+#include "base/table.h"
 #include "process/pool.h"
 
 #include <glib.h>
@@ -11,11 +12,16 @@
 
 #define SEAM_POOL_TIMEOUT (3 * SEAM_SEC)
 
-/* One VM list, shared by passes and readers; counted references. */
+/*
+ * The VM list, shared by passes and readers; counted references. Its content
+ * changes under the lock of the pools, and only while nobody else holds it.
+ */
 struct seam_vm_list {
 	int refs;
-	struct seam_vms vms;
-	GHashTable *index; /* id to struct seam_vm in vms */
+	seam_time as_of;
+	char cursor[SEAM_CURSOR_MAX]; /* empty: read the whole list */
+	struct seam_table *table; /* struct seam_vm */
+	GHashTable *by_id; /* id, in the entry, to the bits of its handle */
 };
 
 /* A member on its way to another pool. */
@@ -38,6 +44,13 @@
 	pthread_mutex_t lock;
 	GHashTable *pool; /* name to struct seam_pool */
 	struct seam_vm_list *list;
+	uint64_t changes; /* of the list's content and of pool rows */
+	pthread_mutex_t publish_lock; /* taken before the lock */
+	struct {
+		uint64_t changes;
+		uint64_t conf;
+		uint64_t fleet;
+	} published; /* what the fleet was last built from, and its count */
 	GArray *orphans; /* struct seam_vm without a pool row; .pool decided */
 	GArray *moving; /* struct seam_moving */
 	seam_time polled_at; /* latest poll that read all changed rows */
@@ -80,6 +93,9 @@
 
 struct seam_vm_list *seam_vm_list_hold(struct seam_pools *ps);
 void seam_vm_list_drop(struct seam_vm_list *l);
+
+/* Time of the list; 0 for NULL. */
+seam_time seam_vm_list_as_of(const struct seam_vm_list *l);
 const struct seam_vm *seam_vm_list_find(const struct seam_vm_list *l,
 					const char *vm);
 
--- a/process/pool_list.c
+++ b/process/pool_list.c
@@ -7,17 +7,18 @@
 
 SEAM_COUNT(list_errors, "seam_pool_vm_list_errors_total",
 	   "Reads of the VM list that failed.");
+SEAM_COUNT(whole_lists, "seam_pool_vm_lists_whole_total",
+	   "Reads of the VM list that brought the whole list.");
+SEAM_COUNT(list_changes, "seam_pool_vm_list_changes_total",
+	   "VMs that were new, different or gone in changes of the list.");
 
-static struct seam_vm_list *list_new(struct seam_vms *vms)
+static struct seam_vm_list *list_new(void)
 {
 	struct seam_vm_list *l = g_new0(struct seam_vm_list, 1);
-	size_t i;
 
 	l->refs = 1;
-	l->vms = *vms;
-	l->index = g_hash_table_new(g_str_hash, g_str_equal);
-	for (i = 0; i < vms->n; i++)
-		g_hash_table_insert(l->index, l->vms.vm[i].id, &l->vms.vm[i]);
+	l->table = seam_table_new(sizeof(struct seam_vm));
+	l->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	return l;
 }
 
@@ -37,148 +38,184 @@
 {
 	if (!l || __atomic_sub_fetch(&l->refs, 1, __ATOMIC_ACQ_REL))
 		return;
-	g_hash_table_destroy(l->index);
-	seam_vms_free(&l->vms);
+	g_hash_table_destroy(l->by_id);
+	seam_table_free(l->table);
 	g_free(l);
 }
 
+static struct seam_handle handle_of(const struct seam_vm_list *l,
+				    const char *vm)
+{
+	return (struct seam_handle){
+		GPOINTER_TO_UINT(g_hash_table_lookup(l->by_id, vm))};
+}
+
 const struct seam_vm *seam_vm_list_find(const struct seam_vm_list *l,
 					const char *vm)
 {
-	return l ? g_hash_table_lookup(l->index, vm) : NULL;
+	return l ? seam_table_get(l->table, handle_of(l, vm)) : NULL;
 }
 
-int seam_pools_list(struct seam_pools *ps, seam_time now, struct seam_err *e)
+seam_time seam_vm_list_as_of(const struct seam_vm_list *l)
 {
-	struct seam_platform *p = ps->env.platform;
-	struct seam_vms vms = {.vm = NULL};
-	struct seam_vm_list *old = NULL;
-	struct seam_vm_list *l;
+	return l ? __atomic_load_n(&l->as_of, __ATOMIC_ACQUIRE) : 0;
+}
 
-	if (p->ops->vms(p, &vms, now + SEAM_POOL_TIMEOUT, e)) {
-		seam_count_add(&list_errors, 1);
-		return -1;
-	}
-	l = list_new(&vms);
-	pthread_mutex_lock(&ps->lock);
-	if (!ps->list || l->vms.as_of >= ps->list->vms.as_of) {
-		old = ps->list;
-		ps->list = l;
-		l = NULL;
+static int put(struct seam_vm_list *l, const struct seam_vm *vm)
+{
+	struct seam_handle h = handle_of(l, vm->id);
+	struct seam_vm *at = seam_table_get(l->table, h);
+
+	if (at) {
+		*at = *vm;
+		return 0;
 	}
-	pthread_mutex_unlock(&ps->lock);
-	seam_vm_list_drop(old);
-	seam_vm_list_drop(l);
+	at = seam_table_add(l->table, &h);
+	if (!at)
+		return -1;
+	*at = *vm;
+	g_hash_table_insert(l->by_id, at->id, GUINT_TO_POINTER(h.bits));
 	return 0;
 }
 
-/*
- * Member by VM over all rows read. A VM that is in two of them was read around
- * a move; the row with the higher version is the newer one.
- */
-struct entry {
-	const struct seam_pool *pool;
-	const struct seam_pool_vm *member;
-};
+static void drop(struct seam_vm_list *l, const char *id)
+{
+	struct seam_handle h = handle_of(l, id);
+
+	/* The key is part of the entry. */
+	g_hash_table_remove(l->by_id, id);
+	seam_table_del(l->table, h);
+}
 
-static void index_row(GHashTable *t, GArray *moving, const struct seam_pool *p)
+static struct seam_vm_list *list_copy(const struct seam_vm_list *from)
 {
-	size_t i;
+	struct seam_vm_list *l = list_new();
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_vm *vm;
+
+	l->as_of = from->as_of;
+	memcpy(l->cursor, from->cursor, sizeof(l->cursor));
+	while ((vm = seam_table_next(from->table, &h)))
+		if (put(l, vm)) {
+			seam_vm_list_drop(l);
+			return NULL;
+		}
+	return l;
+}
 
-	for (i = 0; i < p->row.n; i++) {
-		const struct seam_pool_vm *m = &p->row.member[i];
-		struct entry *old = g_hash_table_lookup(t, m->vm);
+static bool same(const struct seam_vm_list *l, const struct seam_vms *vms)
+{
+	size_t i;
 
-		if (*m->to) {
-			struct seam_moving v = {.from = ""};
+	if (seam_table_count(l->table) != vms->n)
+		return false;
+	for (i = 0; i < vms->n; i++) {
+		const struct seam_vm *vm = seam_vm_list_find(l, vms->vm[i].id);
 
-			g_strlcpy(v.from, p->name, sizeof(v.from));
-			memcpy(v.to, m->to, sizeof(v.to));
-			memcpy(v.vm, m->vm, sizeof(v.vm));
-			g_array_append_val(moving, v);
-		}
-		if (old && old->pool->row.version > p->row.version)
-			continue;
-		old = g_new(struct entry, 1);
-		old->pool = p;
-		old->member = m;
-		g_hash_table_replace(t, (gpointer)m->vm, old);
+		if (!vm || !seam_vm_equal(vm, &vms->vm[i]))
+			return false;
 	}
+	return true;
 }
 
-static GHashTable *index_all(struct seam_pools *ps)
+/* The lock is held. The content stays: readers may hold the list. */
+static void confirm(struct seam_vm_list *l, const struct seam_vms *vms)
 {
-	GHashTable *t =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	GHashTableIter it;
-	gpointer p;
-
-	g_array_set_size(ps->moving, 0);
-	g_hash_table_iter_init(&it, ps->pool);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		index_row(t, ps->moving, p);
-	return t;
+	memcpy(l->cursor, vms->cursor, sizeof(l->cursor));
+	__atomic_store_n(&l->as_of, vms->as_of, __ATOMIC_RELEASE);
 }
 
-/*
- * A VM without a row counts for the pool that it was made for. One that was
- * made for none is not ours to move or reboot: the entry VMs are such.
- */
-static void place_orphan(struct seam_pools *ps, struct seam_fleet_vm *f,
-			 const struct seam_conf *c)
+static int take_whole(struct seam_pools *ps, const struct seam_vms *vms)
 {
-	const struct seam_pool_conf *spare = seam_pool_spare(c);
+	struct seam_vm_list *l;
+	size_t i;
 
-	if (!*f->vm.pool)
-		return;
-	if (!seam_conf_named(c, SEAM_CONF_POOL, f->vm.pool)) {
-		if (!spare)
-			return;
-		memcpy(f->vm.pool, spare->name, sizeof(f->vm.pool));
+	seam_count_add(&whole_lists, 1);
+	if (ps->list && same(ps->list, vms)) {
+		confirm(ps->list, vms);
+		return 0;
 	}
-	g_array_append_val(ps->orphans, f->vm);
+	l = list_new();
+	for (i = 0; i < vms->n; i++)
+		if (put(l, &vms->vm[i])) {
+			seam_vm_list_drop(l);
+			return -1;
+		}
+	confirm(l, vms);
+	seam_vm_list_drop(ps->list);
+	ps->list = l;
+	ps->changes++;
+	return 0;
 }
 
-static struct seam_fleet_vm *build(struct seam_pools *ps,
-				   const struct seam_conf *c, size_t *n)
+/* The lock is held, so that nobody begins to hold the list meanwhile. */
+static int take_change(struct seam_pools *ps, const struct seam_vms *vms)
 {
-	GHashTable *t = index_all(ps);
-	struct seam_fleet_vm *f = NULL;
+	struct seam_vm_list *l = ps->list;
+	int rc = 0;
 	size_t i;
 
-	*n = ps->list ? ps->list->vms.n : 0;
-	g_array_set_size(ps->orphans, 0);
-	f = calloc(*n + 1, sizeof(*f));
-	for (i = 0; f && i < *n; i++) {
-		struct entry *x;
-
-		f[i].vm = ps->list->vms.vm[i];
-		x = g_hash_table_lookup(t, f[i].vm.id);
-		if (!x) {
-			place_orphan(ps, &f[i], c);
-			continue;
-		}
-		memcpy(f[i].vm.pool, x->pool->name, sizeof(f[i].vm.pool));
-		f[i].member = x->member->state;
-		f[i].pool_version = x->pool->row.version;
+	if (vms->n + vms->gone_n &&
+	    __atomic_load_n(&l->refs, __ATOMIC_ACQUIRE) > 1) {
+		l = list_copy(ps->list);
+		if (!l)
+			return -1;
+		seam_vm_list_drop(ps->list);
+		ps->list = l;
 	}
-	g_hash_table_destroy(t);
-	return f;
+	for (i = 0; i < vms->gone_n; i++)
+		drop(l, vms->gone[i]);
+	for (i = 0; i < vms->n && !rc; i++)
+		rc = put(l, &vms->vm[i]);
+	if (vms->n + vms->gone_n)
+		ps->changes++;
+	seam_count_add(&list_changes, (int64_t)(vms->n + vms->gone_n));
+	confirm(l, vms);
+	/* A list that is not what the platform counts is read whole next. */
+	if (rc || (vms->total && seam_table_count(l->table) != vms->total))
+		l->cursor[0] = '\0';
+	return rc;
 }
 
-void seam_pools_publish(struct seam_pools *ps)
+/*
+ * An answer that is older than the list held, or based on another state of it,
+ * came late: another thread has taken a newer one.
+ */
+static int take(struct seam_pools *ps, const char *since,
+		const struct seam_vms *vms)
 {
-	struct seam_conf *c = seam_conf_current(ps->env.conf);
-	struct seam_fleet_vm *f;
-	seam_time as_of;
-	size_t n;
+	int rc = 0;
 
 	pthread_mutex_lock(&ps->lock);
-	f = build(ps, c, &n);
-	as_of = ps->list ? ps->list->vms.as_of : 0;
+	if (ps->list && vms->as_of < ps->list->as_of)
+		rc = 0;
+	else if (!vms->change)
+		rc = take_whole(ps, vms);
+	else if (ps->list && !strcmp(ps->list->cursor, since))
+		rc = take_change(ps, vms);
 	pthread_mutex_unlock(&ps->lock);
-	if (f && ps->env.fleet)
-		seam_fleet_set(ps->env.fleet, f, n, as_of);
-	free(f);
-	seam_conf_drop(c);
+	return rc;
+}
+
+int seam_pools_list(struct seam_pools *ps, seam_time now, struct seam_err *e)
+{
+	struct seam_platform *p = ps->env.platform;
+	seam_time until = now + SEAM_POOL_TIMEOUT;
+	char since[SEAM_CURSOR_MAX] = "";
+	struct seam_vms vms = {.vm = NULL};
+	int rc;
+
+	pthread_mutex_lock(&ps->lock);
+	if (ps->list)
+		memcpy(since, ps->list->cursor, sizeof(since));
+	pthread_mutex_unlock(&ps->lock);
+	rc = p->ops->changes ? p->ops->changes(p, since, &vms, until, e) :
+			       p->ops->vms(p, &vms, until, e);
+	if (rc) {
+		seam_count_add(&list_errors, 1);
+		return -1;
+	}
+	rc = take(ps, since, &vms);
+	seam_vms_free(&vms);
+	return rc ? seam_fail(e, SEAM_NO_MEMORY, NULL) : 0;
 }
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -71,7 +71,7 @@
 		struct seam_pool_vm *m = &w->next.member[i];
 		struct seam_sight s = {
 			.vm = seam_vm_list_find(w->list, m->vm),
-			.as_of = w->list ? w->list->vms.as_of : 0,
+			.as_of = seam_vm_list_as_of(w->list),
 			.list_ok = w->rules.list_ok,
 			.lag = w->ps->env.vm_list_ms * SEAM_MSEC,
 			.idle = idle(w, m),
--- /dev/null
+++ b/process/pool_publish.c
@@ -0,0 +1,160 @@
+#include "process/pool_impl.h"
+#include "base/count.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+SEAM_COUNT(publications, "seam_pool_publications_total",
+	   "Times that the fleet was built anew from the list and the rows.");
+
+/*
+ * Member by VM over all rows read. A VM that is in two of them was read around
+ * a move; the row with the higher version is the newer one.
+ */
+struct entry {
+	const struct seam_pool *pool;
+	const struct seam_pool_vm *member;
+};
+
+static void index_row(GHashTable *t, struct entry **next, GArray *moving,
+		      const struct seam_pool *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->row.n; i++) {
+		const struct seam_pool_vm *m = &p->row.member[i];
+		struct entry *old = g_hash_table_lookup(t, m->vm);
+
+		if (*m->to) {
+			struct seam_moving v = {.from = ""};
+
+			g_strlcpy(v.from, p->name, sizeof(v.from));
+			memcpy(v.to, m->to, sizeof(v.to));
+			memcpy(v.vm, m->vm, sizeof(v.vm));
+			g_array_append_val(moving, v);
+		}
+		if (old && old->pool->row.version > p->row.version)
+			continue;
+		old = (*next)++;
+		old->pool = p;
+		old->member = m;
+		g_hash_table_replace(t, (gpointer)m->vm, old);
+	}
+}
+
+/* The entries are in @all, which the caller frees after the table. */
+static GHashTable *index_all(struct seam_pools *ps, struct entry **all)
+{
+	GHashTable *t = g_hash_table_new(g_str_hash, g_str_equal);
+	struct entry *next;
+	GHashTableIter it;
+	gpointer p;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, ps->pool);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		n += ((struct seam_pool *)p)->row.n;
+	*all = next = g_new(struct entry, n + 1);
+	g_array_set_size(ps->moving, 0);
+	g_hash_table_iter_init(&it, ps->pool);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		index_row(t, &next, ps->moving, p);
+	return t;
+}
+
+/*
+ * A VM without a row counts for the pool that it was made for. One that was
+ * made for none is not ours to move or reboot: the entry VMs are such.
+ */
+static void place_orphan(struct seam_pools *ps, struct seam_fleet_vm *f,
+			 const struct seam_conf *c)
+{
+	const struct seam_pool_conf *spare = seam_pool_spare(c);
+
+	if (!*f->vm.pool)
+		return;
+	if (!seam_conf_named(c, SEAM_CONF_POOL, f->vm.pool)) {
+		if (!spare)
+			return;
+		memcpy(f->vm.pool, spare->name, sizeof(f->vm.pool));
+	}
+	g_array_append_val(ps->orphans, f->vm);
+}
+
+static struct seam_fleet_vm *build(struct seam_pools *ps,
+				   const struct seam_conf *c, size_t *n)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct entry *all;
+	GHashTable *t = index_all(ps, &all);
+	struct seam_fleet_vm *f;
+	const struct seam_vm *vm;
+
+	*n = 0;
+	g_array_set_size(ps->orphans, 0);
+	f = calloc(ps->list ? seam_table_count(ps->list->table) + 1 : 1,
+		   sizeof(*f));
+	while (f && ps->list && (vm = seam_table_next(ps->list->table, &h))) {
+		struct seam_fleet_vm *x = &f[(*n)++];
+		struct entry *in = g_hash_table_lookup(t, vm->id);
+
+		x->vm = *vm;
+		if (!in) {
+			place_orphan(ps, x, c);
+			continue;
+		}
+		memcpy(x->vm.pool, in->pool->name, sizeof(x->vm.pool));
+		x->member = in->member->state;
+		x->pool_version = in->pool->row.version;
+	}
+	g_hash_table_destroy(t);
+	g_free(all);
+	return f;
+}
+
+/* Nothing that the content is made of has changed, and nobody replaced it. */
+static bool is_current(struct seam_pools *ps, const struct seam_conf *c)
+{
+	seam_time as_of;
+
+	return ps->published.changes == ps->changes &&
+	       ps->published.conf == seam_conf_version(c) &&
+	       (!ps->env.fleet ||
+		ps->published.fleet ==
+			seam_fleet_changes(ps->env.fleet, &as_of));
+}
+
+/*
+ * Two threads publish. One after the other, so that the older content cannot
+ * replace the newer one.
+ */
+void seam_pools_publish(struct seam_pools *ps)
+{
+	struct seam_conf *c = seam_conf_current(ps->env.conf);
+	struct seam_fleet_vm *f = NULL;
+	seam_time as_of;
+	size_t n = 0;
+	bool keep;
+
+	pthread_mutex_lock(&ps->publish_lock);
+	pthread_mutex_lock(&ps->lock);
+	as_of = seam_vm_list_as_of(ps->list);
+	keep = is_current(ps, c);
+	if (!keep)
+		f = build(ps, c, &n);
+	if (f) {
+		seam_count_add(&publications, 1);
+		ps->published.changes = ps->changes;
+		ps->published.conf = seam_conf_version(c);
+	}
+	pthread_mutex_unlock(&ps->lock);
+	if (ps->env.fleet && keep)
+		seam_fleet_confirm(ps->env.fleet, as_of);
+	else if (ps->env.fleet && f)
+		ps->published.fleet =
+			seam_fleet_give(ps->env.fleet, f, n, as_of);
+	else
+		free(f);
+	pthread_mutex_unlock(&ps->publish_lock);
+	seam_conf_drop(c);
+}
--- a/process/pools.c
+++ b/process/pools.c
@@ -32,6 +32,8 @@
 
 	ps->env = *env;
 	pthread_mutex_init(&ps->lock, NULL);
+	pthread_mutex_init(&ps->publish_lock, NULL);
+	ps->changes = 1; /* the first publication is never skipped */
 	ps->pool =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	ps->orphans = g_array_new(FALSE, TRUE, sizeof(struct seam_vm));
@@ -48,6 +50,7 @@
 	g_array_free(ps->orphans, TRUE);
 	g_array_free(ps->moving, TRUE);
 	pthread_mutex_destroy(&ps->lock);
+	pthread_mutex_destroy(&ps->publish_lock);
 	g_free(ps);
 }
 
@@ -87,6 +90,7 @@
 		return;
 	pthread_mutex_lock(&p->ps->lock);
 	if (copy.version >= p->row.version) {
+		p->ps->changes += copy.version > p->row.version;
 		if (copy.forecast.at < p->row.forecast.at)
 			copy.forecast = p->row.forecast;
 		seam_pool_row_free(&p->row);
@@ -286,8 +290,8 @@
 	/* A pool that was deleted is emptied one VM at a time. */
 	out->min = pc ? pc->min : 0;
 	out->budget = pc ? pc->budget : 1;
-	out->list_ok =
-		l && now - l->vms.as_of <= ps->env.vm_list_ms * SEAM_MSEC;
+	out->list_ok = l && now - seam_vm_list_as_of(l) <=
+				    ps->env.vm_list_ms * SEAM_MSEC;
 	seam_vm_list_drop(l);
 	seam_conf_drop(c);
 	return pc;
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -127,3 +127,37 @@
 	reply r = send("GET", url + "/v1/services/s/", "lender", "");
 	EXPECT_NE(r.body.find("\"draining\""), std::string::npos) << r.body;
 }
+
+// Guards against a target that left the list during a request and that stays
+// in the routing table, because nothing changed after the request ended.
+TEST_F(Node, TargetGoesWithItsLastRequest)
+{
+	seam_fake_target_faults slow = {};
+	auto targets = [&] {
+		size_t n = seam_table_count(seam_targets_lock(node->targets));
+
+		seam_targets_unlock(node->targets);
+		return n;
+	};
+	auto wait_for = [&](size_t n) {
+		for (int i = 0; i < 100 && targets() != n; i++)
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(100));
+		return targets() == n;
+	};
+	reply r;
+
+	ASSERT_TRUE(wait_for(2));
+	slow.delay_ms = 3000;
+	seam_fake_target_set(target[0], &slow);
+	seam_fake_platform_del(platform, "vm-1");
+	ASSERT_TRUE(wait_for(1));
+	std::thread t([&] {
+		r = send("POST", url + "/v1/services/s/x", "lender", "x");
+	});
+	std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	seam_fake_platform_del(platform, "vm-0");
+	t.join();
+	EXPECT_EQ(r.status, 200) << r.body;
+	EXPECT_TRUE(wait_for(0));
+}
--- a/tests/store_http_test.cc
+++ b/tests/store_http_test.cc
@@ -222,3 +222,83 @@
 	EXPECT_EQ(e.kind, SEAM_NOT_FOUND);
 	seam_platform_http_free(p);
 }
+
+// Guards against a VM list whose changes are read with their deletions missed,
+// and against a platform without cursors.
+TEST_F(StoreHttp, PlatformChanges)
+{
+	seam_platform *p = seam_platform_http_new(k, test_url(24010).c_str());
+	seam_vm vm = {};
+	seam_vms first = {};
+	seam_vms next = {};
+
+	for (const char *id : {"vm-1", "vm 2"}) {
+		snprintf(vm.id, sizeof(vm.id), "%s", id);
+		seam_fake_platform_put(vms, &vm);
+	}
+	ASSERT_EQ(p->ops->changes(p, "", &first, in(2000), &e), 0) << e.text;
+	EXPECT_FALSE(first.change);
+	EXPECT_EQ(first.n, 2u);
+	ASSERT_STRNE(first.cursor, "");
+	ASSERT_EQ(p->ops->changes(p, first.cursor, &next, in(2000), &e), 0);
+	EXPECT_TRUE(next.change);
+	EXPECT_EQ(next.n + next.gone_n, 0u);
+	EXPECT_EQ(next.total, 2u);
+	EXPECT_GE(next.as_of, first.as_of);
+	seam_vms_free(&next);
+	seam_fake_platform_del(vms, "vm 2");
+	vm.boot = 7;
+	snprintf(vm.id, sizeof(vm.id), "vm-1");
+	seam_fake_platform_put(vms, &vm);
+	ASSERT_EQ(p->ops->changes(p, first.cursor, &next, in(2000), &e), 0);
+	ASSERT_EQ(next.n, 1u);
+	EXPECT_EQ(next.vm[0].boot, 7);
+	ASSERT_EQ(next.gone_n, 1u);
+	EXPECT_STREQ(next.gone[0], "vm 2");
+	EXPECT_STRNE(next.cursor, first.cursor);
+	seam_vms_free(&next);
+	ASSERT_EQ(p->ops->changes(p, "no cursor/&", &next, in(2000), &e), 0);
+	EXPECT_FALSE(next.change);
+	EXPECT_EQ(next.n, 1u);
+	seam_vms_free(&next);
+	seam_vms_free(&first);
+	seam_platform_http_free(p);
+}
+
+// Guards against changes based on another cursor than the one asked for, and
+// against answers that would empty the list.
+TEST_F(StoreHttp, BrokenChangesAreRefused)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+	sockaddr_in a = {};
+
+	a.sin_family = AF_INET;
+	a.sin_port = htons(24013);
+	inet_pton(AF_INET, test_host(), &a.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ASSERT_EQ(bind(fd, (sockaddr *)&a, sizeof(a)), 0);
+	ASSERT_EQ(listen(fd, 4), 0);
+	for (const char *body :
+	     {"{\"as_of\":5,\"since\":\"1.8\",\"vms\":[],\"gone\":[]}",
+	      "{\"as_of\":5,\"since\":\"1.7\",\"vms\":[]}",
+	      "{\"as_of\":5,\"vms\":[{\"boot\":1}]}", "{\"as_of\":5}",
+	      "{\"as_of\":5,\"vms\":[", ""}) {
+		seam_platform *p =
+			seam_platform_http_new(k, test_url(24013).c_str());
+		std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+				   std::to_string(strlen(body)) + "\r\n\r\n" +
+				   body;
+		std::thread t(answer_with, fd, text.c_str(), 1);
+		seam_vms out = {};
+
+		seam_err_clear(&e);
+		EXPECT_EQ(p->ops->changes(p, "1.7", &out, in(1000), &e), -1)
+			<< body;
+		EXPECT_EQ(e.kind, SEAM_UNAVAILABLE) << body;
+		EXPECT_EQ(out.vm, nullptr);
+		t.join();
+		seam_platform_http_free(p);
+	}
+	close(fd);
+}
