pool: store forecasts in rows of their own

The forecast is stored in pool-forecast/NAME, for all owned pools in one commit a minute. A new owner reads it before it changes the pool's size, and the owner of the spare pool reads all of them once a minute, because it sizes the spare by them. The pool row keeps the size that the pool wants, which the owners of other pools use. Rows of earlier versions that hold the whole forecast are still read.

--- a/bench/pool_bench.c
+++ b/bench/pool_bench.c
@@ -317,14 +317,26 @@
 		struct bench *b = bench_new(conf, seam_size_ready());
 		struct seam_store_use before;
 		struct seam_store_use use;
+		struct seam_store_use seen = {.reads = 0};
+		struct seam_pools_env env = {.clock = &b->clock.clock,
+					     .conf = &b->conf};
+		struct seam_err e = SEAM_ERR_INIT;
+		struct seam_pools *other;
 		int i;
 		int j;
 
+		/* A node that owns nothing and follows the rows. */
+		env.store = seam_store_view_new(b->store);
+		other = seam_pools_new(&env);
+
 		for (i = 0; i < counts[k] * 8; i++)
 			put_worker(b, i, counts[k], 1);
 		for (i = 0; i < 10; i++)
 			step(b, SEC);
+		for (i = 0; i < 4; i++)
+			seam_pools_poll(other, b->clock.time + i * SEC, &e);
 		before = seam_store_mem_use(b->store);
+		seen = seam_store_mem_use(env.store);
 		for (i = 0; i < 300; i++) {
 			for (j = 0; j < counts[k]; j++) {
 				struct seam_demand_report r = {
@@ -338,12 +350,18 @@
 				seam_demand_set(b->demand, name, "n", &r);
 			}
 			step(b, SEC);
+			seam_pools_poll(other, b->clock.time, &e);
 		}
 		use = seam_store_mem_use(b->store);
 		printf("store: %d pools, one owner: %.2f reads/s, %.2f rows "
-		       "written/s\n",
+		       "written/s; another node: %.2f reads/s\n",
 		       counts[k], (double)(use.reads - before.reads) / 300,
-		       (double)(use.rows_written - before.rows_written) / 300);
+		       (double)(use.rows_written - before.rows_written) / 300,
+		       (double)(seam_store_mem_use(env.store).reads -
+				seen.reads) /
+			       300);
+		seam_pools_free(other);
+		seam_store_close(env.store);
 		bench_free(b);
 		g_free(conf);
 	}
--- a/process/pool.h
+++ b/process/pool.h
@@ -64,7 +64,8 @@
  * @name: pool
  * @member: members, sorted by VM
  * @n: their number
- * @forecast: expected demand
+ * @forecast: expected demand; the row has @forecast.want only, the rest is in
+ *            pool-forecast/NAME and known to the owner
  * @saved_at: time of the latest write
  * @note: the latest decision on the size, for operators
  * @version: version of the row; SEAM_ABSENT before the first write
@@ -93,6 +94,13 @@
 int seam_pool_row_read(const char *text, struct seam_pool_row *r,
 		       struct seam_err *e);
 
+/** seam_pool_forecast_write() - row pool-forecast/NAME; free it with free() */
+char *seam_pool_forecast_write(const struct seam_forecast *f);
+
+/** seam_pool_forecast_read() - read JSON text */
+int seam_pool_forecast_read(const char *text, struct seam_forecast *f,
+			    struct seam_err *e);
+
 /** seam_pool_member() - member by VM, or NULL */
 struct seam_pool_vm *seam_pool_member(const struct seam_pool_row *r,
 				      const char *vm);
--- a/process/pool_impl.h
+++ b/process/pool_impl.h
@@ -36,6 +36,8 @@
 	char name[64];
 	struct seam_pool_row row;
 	struct seam_wave_order wave;
+	bool forecast_known; /* pool-forecast/NAME was read as its owner */
+	seam_time forecast_saved; /* time of the stored forecast */
 	bool check_new; /* a commit with new VMs conflicted: read vm/ID first */
 };
 
@@ -53,6 +55,9 @@
 	} published; /* what the fleet was last built from, and its count */
 	GArray *orphans; /* struct seam_vm without a pool row; .pool decided */
 	GArray *moving; /* struct seam_moving */
+	seam_time
+		forecasts_read_at; /* next read of all, as the spare's owner */
+	seam_time forecasts_save_at;
 	seam_time polled_at; /* latest poll that read all changed rows */
 };
 
@@ -102,6 +107,17 @@
 /* The pool of kind spare, or NULL. */
 const struct seam_pool_conf *seam_pool_spare(const struct seam_conf *c);
 
+/* Reads the forecast of a pool that this node has begun to own. */
+int seam_pool_forecast_load(struct seam_pool *p, seam_time now);
+
+/* The owner of the spare pool sizes it by the forecasts of all pools. */
+void seam_forecasts_refresh(struct seam_pools *ps, const GPtrArray *own,
+			    seam_time now);
+
+/* Stores the forecasts of the owned pools, once a minute. */
+void seam_forecasts_save(struct seam_pools *ps, const GPtrArray *own,
+			 seam_time now);
+
 void seam_pool_mark_out(struct seam_pool_row *r, const struct seam_conf *c);
 void seam_pool_adopt(struct seam_pool_work *w);
 int seam_pool_arrivals(struct seam_pool_work *w);
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -284,8 +284,12 @@
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_pool_work w;
-	int rc = work_init(&w, p, now);
+	int rc;
 
+	/* Without it the pool keeps its size in this pass. */
+	if (p->ps->env.size)
+		seam_pool_forecast_load(p, now);
+	rc = work_init(&w, p, now);
 	if (!rc)
 		rc = seam_pool_arrivals(&w);
 	if (!rc) {
@@ -341,10 +345,13 @@
 		char name[80];
 
 		g_snprintf(name, sizeof(name), "pool/%s", x->name);
-		if (seam_owner_mine(ps->env.owner, name, now))
+		if (seam_owner_mine(ps->env.owner, name, now)) {
 			i++;
-		else
+		} else {
+			/* Another owner changes it meanwhile. */
+			x->forecast_known = false;
 			g_ptr_array_remove_index_fast(out, i);
+		}
 	}
 	return out;
 }
@@ -396,6 +403,8 @@
 	/* The thread that polled has published too. */
 	if (!recent)
 		seam_pools_publish(ps);
+	if (store)
+		seam_forecasts_refresh(ps, own, now);
 	for (guint i = 0; i < own->len && configured(ps); i++) {
 		struct seam_pool *p = g_ptr_array_index(own, i);
 
@@ -404,6 +413,8 @@
 		else
 			effects_only(p, now);
 	}
+	if (store)
+		seam_forecasts_save(ps, own, now);
 	gauges(ps, own, now);
 	g_ptr_array_free(own, TRUE);
 	return now + PASS_PERIOD;
--- a/process/pool_row.c
+++ b/process/pool_row.c
@@ -128,13 +128,15 @@
 {
 	struct json_object *o = json_object_new_object();
 	struct json_object *list = json_object_new_array_ext((int)r->n + 1);
+	struct json_object *forecast = json_object_new_object();
 	size_t i;
 
 	for (i = 0; i < r->n; i++)
 		json_object_array_add(list, member_json(&r->member[i]));
 	put_text(o, "name", r->name);
 	json_object_object_add(o, "members", list);
-	json_object_object_add(o, "forecast", forecast_json(&r->forecast));
+	put_int(forecast, "want", r->forecast.want);
+	json_object_object_add(o, "forecast", forecast);
 	put_text(o, "note", r->note);
 	put_int(o, "saved_at", r->saved_at);
 	return text_of(o);
@@ -157,6 +159,27 @@
 	f->shrink_at = s.shrink_at;
 }
 
+char *seam_pool_forecast_write(const struct seam_forecast *f)
+{
+	return text_of(forecast_json(f));
+}
+
+int seam_pool_forecast_read(const char *text, struct seam_forecast *f,
+			    struct seam_err *e)
+{
+	struct seam_problems p = {.file = "forecast row"};
+	struct json_object *o = seam_json_parse(text, &p);
+	int rc = 0;
+
+	memset(f, 0, sizeof(*f));
+	read_forecast(o, f, &p);
+	if (!o || p.n)
+		rc = seam_problems_err(&p, SEAM_BAD_CONFIG, e);
+	json_object_put(o);
+	seam_problems_free(&p);
+	return rc;
+}
+
 static void read_members(struct json_object *list, struct seam_pool_row *r,
 			 struct seam_problems *p)
 {
--- a/process/pool_size.c
+++ b/process/pool_size.c
@@ -6,9 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A forecast that a new owner starts from is at most this old. */
-#define SAVE_PERIOD (60LL * SEAM_SEC)
-
 SEAM_COUNT(moves_begun, "seam_pool_moves_begun_total",
 	   "Moves of a VM to another pool that began.");
 
@@ -272,7 +269,7 @@
 	int64_t before = w->old.forecast.want;
 	int64_t now_needed;
 
-	if (!w->ps->env.size)
+	if (!w->ps->env.size || !w->p->forecast_known)
 		return;
 	now_needed = decide(w, n);
 	if (f->want != before) {
@@ -283,8 +280,6 @@
 			 f->peak, seam_forecast_burst(f));
 		w->changed = true;
 	}
-	if (f->at > w->next.saved_at && w->now - w->next.saved_at > SAVE_PERIOD)
-		w->changed = true;
 	/* The hold time must not keep VMs from a pool that lacks them now. */
 	if (n > now_needed)
 		give_needed(w, n - now_needed);
--- a/process/pools.c
+++ b/process/pools.c
@@ -81,7 +81,10 @@
 	return p;
 }
 
-/* The forecast of the cached row goes on in memory between writes. */
+/*
+ * The owner's forecast goes on in memory; rows of earlier versions have it too.
+ * What the pool wants is always that of the newest row.
+ */
 void seam_pool_keep(struct seam_pool *p, const struct seam_pool_row *r)
 {
 	struct seam_pool_row copy;
@@ -91,8 +94,10 @@
 	pthread_mutex_lock(&p->ps->lock);
 	if (copy.version >= p->row.version) {
 		p->ps->changes += copy.version > p->row.version;
-		if (copy.forecast.at < p->row.forecast.at)
+		if (copy.forecast.at < p->row.forecast.at) {
 			copy.forecast = p->row.forecast;
+			copy.forecast.want = r->forecast.want;
+		}
 		seam_pool_row_free(&p->row);
 		p->row = copy;
 		copy.member = NULL;
--- a/tests/pool_sync_test.cc
+++ b/tests/pool_sync_test.cc
@@ -53,3 +53,151 @@
 	w.pass();
 	EXPECT_EQ(metric(built), before + 1);
 }
+
+static void ask(world &w, const char *pool, int64_t vms)
+{
+	seam_demand_report r = {vms, 0, 1, SEAM_NEVER};
+
+	seam_demand_set(w.demand, pool, "test", &r);
+}
+
+static seam_forecast forecast(seam_pools *ps, const char *pool)
+{
+	seam_pool_row r = {};
+	seam_forecast f;
+
+	EXPECT_EQ(seam_pool_peek(ps, pool, &r), 0);
+	f = r.forecast;
+	seam_pool_row_free(&r);
+	return f;
+}
+
+static void web_of_two(world &w)
+{
+	w.vm("v1", "a", "r1", "web");
+	w.vm("v2", "b", "r2", "web");
+	w.vm("v3", "c", "r3", "spare");
+	ask(w, "web", 2);
+}
+
+// Guards against a forecast that the next owner reads differently.
+TEST(PoolSync, ForecastSurvivesEncoding)
+{
+	seam_forecast f = {2.5, 4.25, 0.125, 3, 99, 4, SEAM_NEVER};
+	seam_err e = SEAM_ERR_INIT;
+	seam_forecast back;
+
+	for (seam_time shrink_at : {(seam_time)SEAM_NEVER, (seam_time)77}) {
+		f.shrink_at = shrink_at;
+		char *text = seam_pool_forecast_write(&f);
+		ASSERT_EQ(seam_pool_forecast_read(text, &back, &e), 0);
+		EXPECT_DOUBLE_EQ(back.mean, f.mean);
+		EXPECT_DOUBLE_EQ(back.peak, f.peak);
+		EXPECT_DOUBLE_EQ(back.duty, f.duty);
+		EXPECT_DOUBLE_EQ(back.last, f.last);
+		EXPECT_EQ(back.at, f.at);
+		EXPECT_EQ(back.want, f.want);
+		EXPECT_EQ(back.shrink_at, f.shrink_at);
+		free(text);
+	}
+	for (const char *text :
+	     {"", "{", "[]", "{\"mean\":\"x\"}", "{\"peak\":-1}"}) {
+		EXPECT_EQ(seam_pool_forecast_read(text, &back, &e), -1) << text;
+		EXPECT_EQ(e.kind, SEAM_BAD_CONFIG);
+	}
+}
+
+// Guards against pool rows that change with each forecast: every node reads
+// each changed row.
+TEST(PoolSync, ForecastsLeaveTheRowAlone)
+{
+	world w(two);
+	seam_row row = {};
+	uint64_t before;
+
+	web_of_two(w);
+	w.run(130 * SEC);
+	before = w.row_version("web");
+	w.run(600 * SEC);
+	EXPECT_EQ(w.row_version("web"), before);
+	ASSERT_EQ(seam_store_get(w.mem, "pool-forecast/web", &row, SEAM_NEVER,
+				 &w.e),
+		  0);
+	seam_forecast f;
+	ASSERT_EQ(seam_pool_forecast_read(row.data, &f, &w.e), 0);
+	EXPECT_GT(f.at, w.clock.time - 70 * SEC);
+	EXPECT_NEAR(f.mean, 2, 0.1);
+	seam_row_free(&row);
+}
+
+// Guards against a new owner that starts without the forecast, or with the one
+// that it had when it last owned the pool.
+TEST(PoolSync, NewOwnerGoesOnWithTheForecast)
+{
+	world w(two, 2);
+
+	w.owner[1].alive = false;
+	web_of_two(w);
+	w.run(100 * SEC);
+	ask(w, "web", 1);
+	w.run(70 * SEC);
+	w.owner[0].alive = false;
+	w.owner[1].alive = true;
+	w.run(3 * SEC);
+	EXPECT_GT(forecast(w.node[1], "web").peak, 1.9);
+	ask(w, "web", 3);
+	w.run(70 * SEC);
+	ask(w, "web", 1);
+	w.run(70 * SEC);
+	w.owner[0].alive = true;
+	w.owner[1].alive = false;
+	w.run(3 * SEC);
+	EXPECT_GT(forecast(w.node[0], "web").peak, 2.9);
+}
+
+// Guards against a spare pool that is sized without the forecasts of pools
+// that other nodes own.
+TEST(PoolSync, SpareCountsForecastsOfOtherOwners)
+{
+	int64_t want[2];
+
+	for (int split = 0; split < 2; split++) {
+		world w(two, 2);
+
+		w.owner[1].alive = split;
+		w.owner[0].but = split ? "pool/spare" : "";
+		w.owner[1].only = "pool/spare";
+		web_of_two(w);
+		ask(w, "web", 3);
+		w.run(150 * SEC);
+		ask(w, "web", 1);
+		w.run(150 * SEC);
+		want[split] = forecast(w.node[split], "spare").want;
+	}
+	EXPECT_GT(want[0], 0);
+	EXPECT_EQ(want[1], want[0]);
+}
+
+// Guards against rows of earlier versions, which hold the whole forecast.
+TEST(PoolSync, ForecastOfAnOldRowIsTaken)
+{
+	world w(two);
+	std::string text = "{\"name\":\"web\",\"members\":[],\"forecast\":{"
+			   "\"mean\":2000,\"peak\":9000,\"want\":3,\"at\":" +
+			   std::to_string(w.clock.time - SEC) + "}}";
+	seam_write rows[] = {
+		{SEAM_PUT, "pool/web", SEAM_ABSENT, text.data(), text.size()},
+		{SEAM_PUT, "pool-version/web", SEAM_ABSENT, "", 0},
+	};
+	seam_commit c = {rows, 2, 1, 0};
+
+	ASSERT_EQ(seam_store_commit(w.mem, &c, SEAM_NEVER, &w.e), 0);
+	web_of_two(w);
+	w.run(5 * SEC);
+	EXPECT_GT(forecast(w.node[0], "web").peak, 8.9);
+	EXPECT_EQ(forecast(w.node[0], "web").want, 3);
+	w.owner[0].alive = false;
+	w.add_node();
+	w.run(5 * SEC);
+	EXPECT_GT(forecast(w.node[1], "web").peak, 8.9);
+}
