--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -69,7 +69,7 @@
 		struct seam_pool_vm *m = &w->next.member[i];
 		struct seam_sight s = {
 			.vm = seam_vm_list_find(w->list, m->vm),
-			.as_of = w->list ? w->list->vms.as_of : 0,
+			.as_of = seam_vm_list_as_of(w->list),
 			.list_ok = w->rules.list_ok,
 			.lag = w->ps->env.vm_list_ms * SEAM_MSEC,
 			.idle = idle(w, m),
@@ -282,8 +282,12 @@
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_pool_work w;
-	int rc = work_init(&w, p, now);
+	int rc;
 
+	/* Without it the pool keeps its size in this pass. */
+	if (p->ps->env.size)
+		seam_pool_forecast_load(p, now);
+	rc = work_init(&w, p, now);
 	if (!rc)
 		rc = seam_pool_arrivals(&w);
 	if (!rc) {
@@ -339,10 +343,13 @@
 		char name[80];
 
 		g_snprintf(name, sizeof(name), "pool/%s", x->name);
-		if (seam_owner_mine(ps->env.owner, name, now))
+		if (seam_owner_mine(ps->env.owner, name, now)) {
 			i++;
-		else
+		} else {
+			/* Another owner changes it meanwhile. */
+			x->forecast_known = false;
 			g_ptr_array_remove_index_fast(out, i);
+		}
 	}
 	return out;
 }
@@ -392,6 +399,8 @@
 	/* The thread that polled has published too. */
 	if (!recent)
 		seam_pools_publish(ps);
+	if (store)
+		seam_forecasts_refresh(ps, own, now);
 	for (guint i = 0; i < own->len && configured(ps); i++) {
 		struct seam_pool *p = g_ptr_array_index(own, i);
 
@@ -400,6 +409,8 @@
 		else
 			effects_only(p, now);
 	}
+	if (store)
+		seam_forecasts_save(ps, own, now);
 	gauges(ps, own, now);
 	g_ptr_array_free(own, TRUE);
 	return now + PASS_PERIOD;
--- a/process/pools.c
+++ b/process/pools.c
@@ -34,6 +34,8 @@
 
 	ps->env = *env;
 	pthread_mutex_init(&ps->lock, NULL);
+	pthread_mutex_init(&ps->publish_lock, NULL);
+	ps->changes = 1; /* the first publication is never skipped */
 	ps->pool =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	ps->orphans = g_array_new(FALSE, TRUE, sizeof(struct seam_vm));
@@ -50,6 +52,7 @@
 	g_array_free(ps->orphans, TRUE);
 	g_array_free(ps->moving, TRUE);
 	pthread_mutex_destroy(&ps->lock);
+	pthread_mutex_destroy(&ps->publish_lock);
 	g_free(ps);
 }
 
@@ -80,7 +83,10 @@
 	return p;
 }
 
-/* The forecast of the cached row goes on in memory between writes. */
+/*
+ * The owner's forecast goes on in memory; rows of earlier versions have it too.
+ * What the pool wants is always that of the newest row.
+ */
 void seam_pool_keep(struct seam_pool *p, const struct seam_pool_row *r)
 {
 	struct seam_pool_row copy;
@@ -89,8 +95,11 @@
 		return;
 	pthread_mutex_lock(&p->ps->lock);
 	if (copy.version >= p->row.version) {
-		if (copy.forecast.at < p->row.forecast.at)
+		p->ps->changes += copy.version > p->row.version;
+		if (copy.forecast.at < p->row.forecast.at) {
 			copy.forecast = p->row.forecast;
+			copy.forecast.want = r->forecast.want;
+		}
 		seam_pool_row_free(&p->row);
 		p->row = copy;
 		copy.member = NULL;
@@ -297,8 +306,8 @@
 	/* A pool that was deleted is emptied one VM at a time. */
 	out->min = pc ? pc->min : 0;
 	out->budget = pc ? pc->budget : 1;
-	out->list_ok =
-		l && now - l->vms.as_of <= ps->env.vm_list_ms * SEAM_MSEC;
+	out->list_ok = l && now - seam_vm_list_as_of(l) <=
+				    ps->env.vm_list_ms * SEAM_MSEC;
 	seam_vm_list_drop(l);
 	seam_conf_drop(c);
 	return pc;
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -36,6 +36,8 @@
 struct test_owner {
 	seam_owner base;
 	bool alive = true;
+	std::string only; // the one shard that it owns
+	std::string but; // the one that it does not own
 };
 
 struct world {
@@ -56,9 +58,12 @@
 	uint64_t checked = 0;
 	seam_err e = SEAM_ERR_INIT;
 
-	static bool mine(seam_owner *o, const char *, seam_time)
+	static bool mine(seam_owner *base, const char *name, seam_time)
 	{
-		return ((test_owner *)o)->alive;
+		test_owner *o = (test_owner *)base;
+
+		return o->alive && (o->only.empty() || o->only == name) &&
+		       o->but != name;
 	}
 	static void drain_begin(seam_drain *d, const char *vm, seam_time until)
 	{
@@ -80,6 +85,13 @@
 			((watched_platform *)p)->w->fake);
 		return f->ops->vms(f, out, until, e);
 	}
+	static int changes(seam_platform *p, const char *since, seam_vms *out,
+			   seam_time until, seam_err *e)
+	{
+		seam_platform *f = seam_fake_platform_base(
+			((watched_platform *)p)->w->fake);
+		return f->ops->changes(f, since, out, until, e);
+	}
 	static int reboot(seam_platform *p, const char *vm, int64_t boot,
 			  seam_time until, seam_err *e)
 	{
@@ -110,7 +122,8 @@
 		static const seam_owner_ops owner_ops = {mine};
 		static const seam_drain_ops drain_ops = {drain_begin,
 							 drain_idle, drain_end};
-		static const seam_platform_ops platform_ops = {list, reboot};
+		static const seam_platform_ops platform_ops = {list, reboot,
+							       changes};
 
 		seam_fake_init(&clock, 1000000LL * SEC);
 		mem = seam_store_mem_new(&clock.clock);
