task: a lost worker is no failure of its task

Cause: a lease that ended was recorded like a failure, so an idempotent task ended as failed after its third lost lease, although the design counts only failures on healthy workers. On the other hand, a task whose worker was rebooted within the lease was never counted and could go on without bound.

Change: losses are kept apart from failures.

--- a/process/task.h
+++ b/process/task.h
@@ -25,7 +25,7 @@
 
 #define SEAM_BUCKETS 16 /* buckets of one queue and team */
 #define SEAM_BUCKET_TASKS 64
-#define SEAM_TASK_FAILS 8
+#define SEAM_TASK_FAILS 10 /* 5 failures and 4 crashes end no task */
 #define SEAM_TASK_PAYLOAD_MAX 4096
 
 /** enum seam_task_state - state of a task in its row */
@@ -49,8 +49,18 @@
 	SEAM_STOP_DC_OUT
 };
 
-/** struct seam_task_fail - a failed attempt */
+/**
+ * enum seam_fail_what - how an attempt ended early
+ * @SEAM_FAIL_TASK: the worker said that it failed
+ * @SEAM_FAIL_LOST: the worker was lost; this says nothing about the task
+ * @SEAM_FAIL_CRASH: the worker was lost shortly after the start, for a cause of
+ *                   its own
+ */
+enum seam_fail_what { SEAM_FAIL_TASK, SEAM_FAIL_LOST, SEAM_FAIL_CRASH };
+
+/** struct seam_task_fail - an attempt that failed or lost its worker */
 struct seam_task_fail {
+	int what;
 	char worker[64];
 	char rack[64];
 	seam_time at;
@@ -80,7 +90,7 @@
  * @submitted: when it was accepted
  * @started_at: start of the last attempt
  * @ended_at: when it ended
- * @fail: failed attempts
+ * @fail: attempts that failed or lost their worker
  * @fails: their number
  * @reason: why it ended, or waits, in words
  *
@@ -88,6 +98,7 @@
  * @confirmed: the worker has stated that the attempt runs
  * @heard: the worker answered since the last renewal; only then the next one
  *         prolongs the lease, so that the lease of a lost worker ends
+ * @heard_at: last statement of the worker that the attempt runs
  * @inherited: started by an earlier owner, which may still renew its lease
  * @launch: send the start command after the commit
  * @renew_at: next renewal
@@ -122,6 +133,7 @@
 	char reason[160];
 	bool confirmed;
 	bool heard;
+	seam_time heard_at;
 	bool inherited;
 	bool launch;
 	seam_time renew_at;
--- a/process/task_bucket.c
+++ b/process/task_bucket.c
@@ -221,6 +221,7 @@
 	t->launch = false;
 	t->confirmed = false;
 	t->heard = false;
+	t->heard_at = 0;
 	t->inherited = false;
 	t->ask_at = 0;
 	t->over_since = 0;
@@ -270,6 +271,7 @@
 	to->lease_until = MAX(to->lease_until, from->lease_until);
 	to->confirmed = from->confirmed;
 	to->heard = from->heard;
+	to->heard_at = from->heard_at;
 	to->inherited = from->inherited;
 	to->renew_at = from->renew_at;
 	to->ask_at = from->ask_at;
--- a/process/task_json.c
+++ b/process/task_json.c
@@ -9,6 +9,9 @@
 static const char *const stops[] = {"",	       "cancel", "preempt",
 				    "overuse", "dc_out", NULL};
 
+/* A failure of the task itself has no word, as in older rows. */
+static const char *const whats[] = {"", "lost", "crash", NULL};
+
 const char *seam_task_state_name(int state)
 {
 	return states[state];
@@ -86,6 +89,7 @@
 		put_str(o, "worker", t->fail[i].worker);
 		put_str(o, "rack", t->fail[i].rack);
 		put_int(o, "at", t->fail[i].at);
+		put_str(o, "what", whats[t->fail[i].what]);
 		json_object_array_add(a, o);
 	}
 	return a;
@@ -102,6 +106,8 @@
 		get_str(o, "worker", t->fail[i].worker, 64);
 		get_str(o, "rack", t->fail[i].rack, 64);
 		t->fail[i].at = seam_json_int(o, "at", 0);
+		t->fail[i].what =
+			MAX(0, index_of(whats, seam_json_str(o, "what", "")));
 	}
 	t->fails = (int)i;
 }
--- a/process/task_start.c
+++ b/process/task_start.c
@@ -262,9 +262,15 @@
 	int i;
 
 	for (i = 0; i < t->fails; i++)
-		avoid[i] = t->fail[i].worker;
+		if (t->fail[i].what != SEAM_FAIL_LOST ||
+		    now - t->fail[i].at < SEAM_TASK_AVOID_LOST)
+			avoid[a.avoids++] = t->fail[i].worker;
 	a.avoid = avoid;
-	a.avoids = (size_t)t->fails;
+	if (now < seam_task_pause_until(t)) {
+		wait_because(b, t,
+			     "pauses: workers were lost after its starts");
+		return;
+	}
 	/* A data centre that is out may come back with a larger worker. */
 	a.dcs = q->data_centres;
 	if (fit_need(b, t, &a, now))
