--- a/process/task.h
+++ b/process/task.h
@@ -25,7 +25,7 @@
 
 #define SEAM_BUCKETS 16 /* buckets of one queue and team */
 #define SEAM_BUCKET_TASKS 64
-#define SEAM_TASK_FAILS 8
+#define SEAM_TASK_FAILS 10 /* 5 failures and 4 crashes end no task */
 #define SEAM_TASK_PAYLOAD_MAX 4096
 
 /** enum seam_task_state - state of a task in its row */
@@ -49,8 +49,18 @@
 	SEAM_STOP_DC_OUT
 };
 
-/** struct seam_task_fail - a failed attempt */
+/**
+ * enum seam_fail_what - how an attempt ended early
+ * @SEAM_FAIL_TASK: the worker said that it failed
+ * @SEAM_FAIL_LOST: the worker was lost; this says nothing about the task
+ * @SEAM_FAIL_CRASH: the worker was lost shortly after the start, for a cause of
+ *                   its own
+ */
+enum seam_fail_what { SEAM_FAIL_TASK, SEAM_FAIL_LOST, SEAM_FAIL_CRASH };
+
+/** struct seam_task_fail - an attempt that failed or lost its worker */
 struct seam_task_fail {
+	int what;
 	char worker[64];
 	char rack[64];
 	seam_time at;
@@ -80,7 +90,7 @@
  * @submitted: when it was accepted
  * @started_at: start of the last attempt
  * @ended_at: when it ended
- * @fail: failed attempts
+ * @fail: attempts that failed or lost their worker
  * @fails: their number
  * @reason: why it ended, or waits, in words
  *
@@ -88,6 +98,7 @@
  * @confirmed: the worker has stated that the attempt runs
  * @heard: the worker answered since the last renewal; only then the next one
  *         prolongs the lease, so that the lease of a lost worker ends
+ * @heard_at: last statement of the worker that the attempt runs
  * @inherited: started by an earlier owner, which may still renew its lease
  * @launch: send the start command after the commit
  * @renew_at: next renewal
@@ -122,6 +133,7 @@
 	char reason[160];
 	bool confirmed;
 	bool heard;
+	seam_time heard_at;
 	bool inherited;
 	bool launch;
 	seam_time renew_at;
@@ -229,9 +241,11 @@
  * @limit: limits; NULL is none
  * @lease: lease of a task, microseconds
  * @skew: greatest difference between clocks, microseconds
- * @impl: private to the task library
+ * @hint: tell the owner of a bucket that another node changed its row; may be
+ *        lost; NULL tells nobody
+ * @hint_arg: passed to @hint
  *
- * The caller fills in all members but @impl before seam_tasks_new() and owns
+ * The caller fills in all members before seam_tasks_new() and owns
  * what they point to.
  */
 struct seam_task_ctx {
@@ -248,6 +262,8 @@
 	struct seam_task_limit *limit;
 	seam_time lease;
 	seam_time skew;
+	void (*hint)(void *arg, const char *key);
+	void *hint_arg;
 };
 
 struct seam_tasks;
@@ -262,8 +278,8 @@
 /**
  * seam_tasks_pass() - one pass over the fleet and all buckets of this node
  *
- * Finds buckets by scans of the store, updates the placement from the fleet,
- * and runs seam_bucket_pass() for each owned one, urgent ones first.
+ * Finds buckets by hints, marks and scans, updates the placement from the
+ * fleet, and runs seam_bucket_pass() for each owned one, urgent ones first.
  *
  * Return: time of the next pass.
  */
@@ -280,6 +296,14 @@
  */
 seam_time seam_bucket_pass(struct seam_bucket *b, seam_time now);
 
+/**
+ * seam_tasks_hint() - another node changed the row @key of a bucket
+ *
+ * May be called by any thread; the next pass reads the row if this node owns
+ * it.
+ */
+void seam_tasks_hint(struct seam_tasks *ts, const char *key);
+
 /** seam_bucket_get() - bucket of a row key, made if absent; for tests */
 struct seam_bucket *seam_bucket_get(struct seam_tasks *ts, const char *key);
 
@@ -322,7 +346,9 @@
  *     bucket is full, SEAM_UNAVAILABLE, SEAM_COMMIT_UNKNOWN
  *
  * Writes the bucket row itself by compare-and-set, whether this node owns the
- * bucket or not; the owner reads it again when its next commit conflicts.
+ * bucket or not, and tells the owner by a hint. A task whose hint is lost is
+ * found by a mark in the same commit (urgent tasks, new buckets), or when the
+ * owner reads its row again.
  */
 int seam_tasks_put(struct seam_tasks *ts, const struct seam_task_ask *a,
 		   char id[SEAM_TASK_ID], seam_time deadline,
