team_bench: time until a node without units has its first

Demand moves between nodes, and the bench did not show how long a node that has no units of a team waits. A refused request now wakes the node's pass as in the daemon.

--- a/bench/team_bench.c
+++ b/bench/team_bench.c
@@ -1,4 +1,5 @@
-/* usage: team_bench [large]
+/* usage: team_bench [large | run NODES TEAMS WARM STEPS [hints]]
+ * WARM and STEPS are steps of 100 ms.
  * Upper limits: usable part of a limit under moving demand and load on the
  * store. Simulated clock. */
 #include <stdio.h>
@@ -13,6 +14,7 @@
 #define PHASE 200 /* steps for which demand stays where it is */
 #define NODES_MAX 72
 #define TEAMS_MAX 710
+#define WAITS_MAX 600 /* steps; longer waits count as this long */
 
 static const char dcs[3][SEAM_TEAM_NAME] = {"a", "b", "c"};
 static uint64_t rnd_state = 88172645463325252ull;
@@ -33,6 +35,13 @@
 	return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
 }
 
+struct sim;
+
+struct from {
+	struct sim *sim;
+	int node;
+};
+
 struct sim {
 	struct seam_fake_clock clock;
 	struct seam_store *store;
@@ -46,6 +55,13 @@
 	int (*running)[NODES_MAX];
 	int (*want)[NODES_MAX];
 	bool hints;
+	struct from from[NODES_MAX];
+	/* Step from which a node without units has waited for its first, + 1.
+	 */
+	int (*since)[NODES_MAX];
+	int step;
+	int waits[WAITS_MAX + 1]; /* by length in steps */
+	int gave_up; /* the demand moved away before the first unit */
 };
 
 /* Stands for the heartbeats, which carry wants to all peers. */
@@ -58,6 +74,14 @@
 		seam_teams_hint(s->t[i], team);
 }
 
+/* A refused request wakes the loop of its node, as in the daemon. */
+static void wake(void *arg)
+{
+	struct from *f = arg;
+
+	f->sim->next[f->node] = f->sim->clock.time;
+}
+
 static void start_node(struct sim *s, int i)
 {
 	struct seam_teams_self self;
@@ -88,6 +112,8 @@
 	s->t[i] = seam_teams_new(&self);
 	if (s->hints)
 		seam_teams_on_want(s->t[i], hint_all, s);
+	s->from[i] = (struct from){s, i};
+	seam_teams_on_demand(s->t[i], wake, &s->from[i]);
 	seam_teams_configure(s->t[i], 1, s->terms, (size_t)s->teams);
 	s->next[i] = s->clock.time + (seam_time)(rnd() % SEAM_SEC);
 }
@@ -107,6 +133,7 @@
 	s->terms = calloc((size_t)teams, sizeof(*s->terms));
 	s->running = calloc((size_t)teams, sizeof(*s->running));
 	s->want = calloc((size_t)teams, sizeof(*s->want));
+	s->since = calloc((size_t)teams, sizeof(*s->since));
 	for (i = 0; i < teams; i++) {
 		struct seam_team_terms *t = &s->terms[i];
 
@@ -133,6 +160,7 @@
 	free(s->terms);
 	free(s->running);
 	free(s->want);
+	free(s->since);
 }
 
 /* Teams peak in turn at the whole limit, five times their mean; the demand
@@ -150,11 +178,50 @@
 		if (all < 1)
 			all = 1;
 		memset(s->want[team], 0, sizeof(s->want[team]));
+		for (i = 0; i < s->nodes; i++) {
+			s->gave_up += s->since[team][i] != 0;
+			s->since[team][i] = 0;
+		}
 		for (i = 0; i < all; i++)
 			s->want[team][(at + i % width) % s->nodes]++;
 	}
 }
 
+static void note_wait(struct sim *s, int team, int i)
+{
+	struct seam_team_info info;
+	int *since = &s->since[team][i];
+	int steps;
+
+	if (!s->want[team][i] || (!*since && s->running[team][i]))
+		return;
+	if (!seam_teams_info(s->t[i], s->terms[team].name, &info))
+		return;
+	if (!info.cap && !*since) {
+		*since = s->step + 1;
+	} else if (info.cap && *since) {
+		steps = s->step + 1 - *since;
+		s->waits[steps < WAITS_MAX ? steps : WAITS_MAX]++;
+		*since = 0;
+	}
+}
+
+static double wait_at(const struct sim *s, double part)
+{
+	int64_t all = 0;
+	int64_t n = 0;
+	int i;
+
+	for (i = 0; i <= WAITS_MAX; i++)
+		all += s->waits[i];
+	for (i = 0; i <= WAITS_MAX; i++) {
+		n += s->waits[i];
+		if ((double)n >= part * (double)all)
+			break;
+	}
+	return i * 0.1;
+}
+
 /* Requests last about a second: a tenth of them ends in each step. */
 static void serve(struct sim *s, int team, int i)
 {
@@ -167,6 +234,7 @@
 	if (ends)
 		a->ops->release(a, name, ends, s->clock.time);
 	*run -= ends;
+	note_wait(s, team, i);
 	while (*run < s->want[team][i] &&
 	       !a->ops->take(a, name, 1, s->clock.time, &e))
 		(*run)++;
@@ -201,6 +269,7 @@
 	int i;
 
 	for (step = 0; step < steps; step++) {
+		s->step = step;
 		if (step % PHASE == 0)
 			move_demand(s, step / PHASE);
 		seam_fake_set(&s->clock, s->clock.time + STEP);
@@ -252,6 +321,9 @@
 		rows -= u.rows_written;
 	}
 	memset(&r, 0, sizeof(r));
+	memset(s.waits, 0, sizeof(s.waits));
+	memset(s.since, 0, (size_t)teams * sizeof(*s.since));
+	s.gave_up = 0;
 	wall = seconds();
 	run(&s, steps, &r);
 	wall = seconds() - wall;
@@ -269,6 +341,9 @@
 	       (double)commits / secs, (double)rows / secs,
 	       100 * r.served / r.offered, 100 * r.fixed / r.offered,
 	       wall * 1e3 / nodes / secs);
+	printf("  first unit of a node without: p50 %.1f s, p99 %.1f s; "
+	       "%d moved away before\n",
+	       wait_at(&s, 0.5), wait_at(&s, 0.99), s.gave_up);
 	close_sim(&s);
 }
 
@@ -279,6 +354,11 @@
 		load(72, 710, 1500, 300, true);
 		return 0;
 	}
+	if (argc > 5 && !strcmp(argv[1], "run")) {
+		load(atoi(argv[2]), atoi(argv[3]), atoi(argv[4]), atoi(argv[5]),
+		     argc > 6);
+		return 0;
+	}
 	usable();
 	load(9, 6, 300, 1200, false);
 	load(9, 6, 300, 1200, true);
