teams: tell holders of wants, releases and lowered limits

Now the writer of a want tells the row's owner and the four holders most likely to have units; a release tells those who want; a lowered limit that is below the grants tells the holders. After its limit was lowered a node starts nothing until it has read the row again: limit_test LoweredWithAnOldRow had 10 units of new work above the limit. Due rows are read for teams without units first, then in turn: those at the end of the table were never read with hundreds of teams. Wants are polled each 2 s while the budget of bytes is short. A decision that needs a fresh row no longer waits for the next pass.

team_test LimitLoweredWhileAllIsRunning expected no new work 1 s after the limit fell although most of the work had ended by then: a trace shows 4 units in use, row and limit at 20, so the start was allowed. The test now ends that work before and requires all of it to run at the check.

--- a/bench/team_bench.c
+++ b/bench/team_bench.c
@@ -14,6 +14,7 @@
 #define PHASE 200 /* steps for which demand stays where it is */
 #define NODES_MAX 72
 #define TEAMS_MAX 710
+#define HINTS_PER_SEC 32 /* SEAM_HINTS_PER_SEC */
 #define WAITS_MAX 600 /* steps; longer waits count as this long */
 
 static const char dcs[3][SEAM_TEAM_NAME] = {"a", "b", "c"};
@@ -40,6 +41,8 @@
 struct from {
 	struct sim *sim;
 	int node;
+	int64_t tokens; /* of hints, in millionths */
+	seam_time at;
 };
 
 struct sim {
@@ -64,14 +67,24 @@
 	int gave_up; /* the demand moved away before the first unit */
 };
 
-/* Stands for the heartbeats, which carry wants to all peers. */
-static void hint_all(void *arg, const char *team)
+/* Stands for seam_members_hint(), with its rate. Every node owns every row
+ * here, so the owner is not told. */
+static void tell(void *arg, const char *team, const char *holder)
 {
-	struct sim *s = arg;
+	struct from *f = arg;
+	struct sim *s = f->sim;
+	int64_t most = HINTS_PER_SEC * SEAM_SEC;
 	int i;
 
-	for (i = 0; i < s->nodes; i++)
-		seam_teams_hint(s->t[i], team);
+	f->tokens += (s->clock.time - f->at) * HINTS_PER_SEC;
+	f->tokens = f->tokens < most ? f->tokens : most;
+	f->at = s->clock.time;
+	if (!holder || f->tokens < SEAM_SEC)
+		return;
+	f->tokens -= SEAM_SEC;
+	i = atoi(holder + strlen("node:n"));
+	seam_teams_hint(s->t[i], team);
+	s->next[i] = s->clock.time;
 }
 
 /* A refused request wakes the loop of its node, as in the daemon. */
@@ -110,9 +123,9 @@
 	w.len = strlen(row);
 	seam_store_commit(s->store, &c, SEAM_NEVER, &e);
 	s->t[i] = seam_teams_new(&self);
+	s->from[i] = (struct from){.sim = s, .node = i};
 	if (s->hints)
-		seam_teams_on_want(s->t[i], hint_all, s);
-	s->from[i] = (struct from){s, i};
+		seam_teams_on_want(s->t[i], tell, &s->from[i]);
 	seam_teams_on_demand(s->t[i], wake, &s->from[i]);
 	seam_teams_configure(s->t[i], 1, s->terms, (size_t)s->teams);
 	s->next[i] = s->clock.time + (seam_time)(rnd() % SEAM_SEC);
--- a/process/member.h
+++ b/process/member.h
@@ -94,6 +94,17 @@
 void seam_members_hint(struct seam_members *m, const char *key,
 		       const char *name);
 
+/**
+ * seam_members_hint_node() - tell one node that a row changed or is wanted
+ * @m: members
+ * @key: key of the row
+ * @node: name of a live member; nothing is sent to others
+ *
+ * Limits are those of seam_members_hint().
+ */
+void seam_members_hint_node(struct seam_members *m, const char *key,
+			    const char *node);
+
 /** seam_members_wire() - receive the bytes of a message; a seam_bus_fn */
 void seam_members_wire(void *arg, const char *bytes, size_t len);
 
--- a/process/member_hint.c
+++ b/process/member_hint.c
@@ -101,6 +101,31 @@
 	return addr;
 }
 
+void seam_members_hint_node(struct seam_members *m, const char *key,
+			    const char *node)
+{
+	struct seam_msg msg = {.kind = SEAM_MSG_HINT};
+	seam_time now = seam_now(m->node->clock);
+	char addr[64] = "";
+	struct seam_member *b;
+
+	pthread_mutex_lock(&m->lock);
+	b = seam_member_find(m, node);
+	if (b && !seam_member_suspected(b, now)) {
+		if (allowed(m, 1, now))
+			memcpy(addr, b->peer, sizeof(addr));
+		else
+			seam_count_add(&dropped, 1);
+	}
+	pthread_mutex_unlock(&m->lock);
+	if (!*addr)
+		return;
+	msg.text = g_strdup(key);
+	seam_members_send(m, addr, &msg);
+	seam_count_add(&sent, 1);
+	seam_msg_free(&msg);
+}
+
 void seam_members_hint(struct seam_members *m, const char *key,
 		       const char *name)
 {
--- a/process/part_tasks.c
+++ b/process/part_tasks.c
@@ -305,6 +305,7 @@
 	c->sizes = seam_sizes_new();
 	c->order = seam_task_order_weighted(&n->conf);
 	c->limit = seam_task_limit_teams(n->store, &n->conf);
+	seam_task_limit_tell(c->limit, seam_node_tell_team, n);
 	c->lease = n->settings.lease_ms * SEAM_MSEC;
 	c->skew = n->settings.clock_skew_ms * SEAM_MSEC;
 	if (!c->workers || !c->placer || !c->sizes || !c->order)
--- a/process/part_teams.c
+++ b/process/part_teams.c
@@ -4,10 +4,14 @@
 #include "process/node.h"
 #include "process/team.h"
 
+#include <glib.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define PATH_EXPLAIN "/v1/explain/team/"
+#define BUCKET "bucket:"
+#define PREFIX "team/"
 #define ROWS_MAX 1000
 
 /* Holds this node's units of the teams' limits. */
@@ -192,6 +196,25 @@
 	}
 }
 
+/* The owner of a bucket's row holds the grant of the bucket. */
+void seam_node_tell_team(void *arg, const char *team, const char *holder)
+{
+	struct seam_node *n = arg;
+	char node[SEAM_TEAM_NAME];
+	char key[SEAM_KEY_MAX];
+	char row[SEAM_KEY_MAX];
+
+	seam_team_key(team, key);
+	if (!holder) {
+		seam_members_hint(n->members, key, key);
+	} else if (seam_holder_node(holder, node)) {
+		seam_members_hint_node(n->members, key, node);
+	} else if (g_str_has_prefix(holder, BUCKET)) {
+		snprintf(row, sizeof(row), "queue/%s", holder + strlen(BUCKET));
+		seam_members_hint(n->members, key, row);
+	}
+}
+
 static void on_demand(void *arg)
 {
 	struct part_teams *p = arg;
@@ -199,6 +222,15 @@
 	seam_loop_wake(&p->loop);
 }
 
+/* Receives hints; called by the threads of peers. */
+static void on_hint(void *arg, const char *key)
+{
+	struct part_teams *p = arg;
+
+	seam_teams_hint(p->teams, key + strlen(PREFIX));
+	seam_loop_wake(&p->loop);
+}
+
 static void fill_self(struct seam_node *n, struct seam_teams_self *s)
 {
 	memset(s, 0, sizeof(*s));
@@ -225,11 +257,13 @@
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
 	seam_http_route(n->http, "GET", "/v1/teams", on_teams, p);
 	seam_http_route(n->http, "GET", PATH_EXPLAIN, on_explain, p);
+	seam_teams_on_want(p->teams, seam_node_tell_team, n);
 	/* The first requests find units granted. */
 	pass(p, seam_now(n->clock));
 	if (seam_loop_start(&p->loop, n->clock, pass, p, e))
 		return -1;
 	seam_teams_on_demand(p->teams, on_demand, p);
+	seam_members_on_hint(n->members, PREFIX, on_hint, p);
 	n->admit = seam_teams_admit(p->teams);
 	return 0;
 }
@@ -240,6 +274,7 @@
 
 	if (p->node->admit) {
 		p->node->admit = NULL;
+		seam_members_on_hint(p->node->members, PREFIX, NULL, NULL);
 		seam_loop_stop(&p->loop);
 	}
 	seam_teams_free(p->teams);
--- a/process/task.h
+++ b/process/task.h
@@ -17,6 +17,7 @@
 #include "process/pool.h"
 #include "process/size.h"
 #include "process/store.h"
+#include "process/team.h"
 #include "version/conf.h"
 
 #ifdef __cplusplus
@@ -198,6 +199,15 @@
 struct seam_task_limit *seam_task_limit_teams(struct seam_store *s,
 					      struct seam_conf_cell *conf);
 
+/**
+ * seam_task_limit_tell() - tell holders of units of a bucket's recorded want
+ * @l: made by seam_task_limit_teams()
+ * @fn: called by the thread of the pass
+ * @arg: passed to it
+ */
+void seam_task_limit_tell(struct seam_task_limit *l, seam_team_tell_fn fn,
+			  void *arg);
+
 /**
  * struct seam_task_drain - drain of workers by what their rows have committed
  * @drain: the vtable; first member
--- a/process/task_team.c
+++ b/process/task_team.c
@@ -1,5 +1,4 @@
 #include "process/task.h"
-#include "process/team.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -32,6 +31,8 @@
 	GHashTable *teams; /* name to struct entry */
 	GHashTable *running; /* bucket row key to units in its last commit */
 	struct seam_team_set *set; /* terms of the version last seen */
+	seam_team_tell_fn tell; /* NULL if nobody is told of wants */
+	void *tell_arg;
 	int64_t asked; /* units of the commit being prepared */
 };
 
@@ -105,6 +106,20 @@
 	return 0;
 }
 
+/* The row as it was before the want: who holds units has not changed. */
+static void tell_want(struct limit *l, struct entry *t,
+		      const struct seam_team_terms *terms, const char *holder,
+		      seam_time now)
+{
+	struct seam_ledger ledger;
+
+	if (!l->tell || seam_ledger_read(t->row.data ? &t->row : NULL,
+					 terms->name, &ledger, NULL))
+		return;
+	seam_team_tell_want(&ledger, holder, now, l->tell, l->tell_arg);
+	seam_ledger_free(&ledger);
+}
+
 static void record_want(struct limit *l, struct entry *t,
 			const struct seam_team_terms *terms, const char *holder,
 			int64_t units, seam_time now)
@@ -122,7 +137,8 @@
 	c.write = &put.write;
 	c.token = seam_store_token();
 	/* A lost answer or a conflict only delays the want by a period. */
-	seam_store_commit(l->store, &c, now + READ_TIMEOUT, &e);
+	if (!seam_store_commit(l->store, &c, now + READ_TIMEOUT, &e))
+		tell_want(l, t, terms, holder, now);
 	seam_team_put_free(&put);
 	t->known = false;
 }
@@ -259,3 +275,12 @@
 					 free_entry);
 	return &l->base;
 }
+
+void seam_task_limit_tell(struct seam_task_limit *base, seam_team_tell_fn fn,
+			  void *arg)
+{
+	struct limit *l = (struct limit *)base;
+
+	l->tell = fn;
+	l->tell_arg = arg;
+}
--- a/process/team.c
+++ b/process/team.c
@@ -10,7 +10,6 @@
 #define PASS_PERIOD (500 * SEAM_MSEC)
 /* A node's part of the 10 KB/s that it may spend on control. */
 #define BYTES_PER_SEC 3000
-#define BYTES_BURST 16000
 #define SWEEP_BYTES_PER_SEC 4000
 #define SWEEP_BURST 8000
 /* Rows written a second for all nodes together: half of the store's rate. */
@@ -59,7 +58,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->vm = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->batch = SEAM_TEAM_ROWS_MAX;
-	t->bytes = BYTES_BURST;
+	t->bytes = SEAM_TEAM_BYTES_BURST;
 	t->sweep_bytes = SWEEP_BURST;
 	t->row_bytes = 256;
 	t->rows = ROWS_BURST * 1000;
@@ -70,6 +69,14 @@
 	return NULL;
 }
 
+struct seam_team_slot *seam_teams_next(struct seam_teams *t,
+				       struct seam_handle *h)
+{
+	struct seam_team_slot *s = seam_table_next(t->table, h);
+
+	return s ? s : seam_table_next(t->table, h);
+}
+
 static void free_slot(struct seam_team_slot *s)
 {
 	seam_row_free(&s->row);
@@ -107,8 +114,7 @@
 	t->demand_arg = arg;
 }
 
-void seam_teams_on_want(struct seam_teams *t,
-			void (*fn)(void *arg, const char *team), void *arg)
+void seam_teams_on_want(struct seam_teams *t, seam_team_tell_fn fn, void *arg)
 {
 	t->want = fn;
 	t->want_arg = arg;
@@ -152,20 +158,19 @@
 	return true;
 }
 
-/* Under a lowered limit nothing starts from now on, even if the store does not
- * answer; the next decision opens admission again. */
-static void stop_if_over(struct seam_team_slot *s)
+/*
+ * Under a lowered limit nothing starts until the row was read again, even if
+ * the store does not answer: the copy here may be older than units that others
+ * were granted since.
+ */
+static void stop_until_read(struct seam_team_slot *s)
 {
-	struct seam_ledger l;
-
-	if (seam_ledger_read(&s->row, s->name, &l, NULL))
+	if (!s->units)
 		return;
-	seam_ledger_terms(&l, &s->terms);
-	if (!seam_ledger_open(&l)) {
-		s->lower = 0;
-		s->cap = seam_slot_safe_cap(s);
-	}
-	seam_ledger_free(&l);
+	s->lower = 0;
+	s->unread = true;
+	s->cap = seam_slot_safe_cap(s);
+	s->read_at = 0;
 }
 
 static void set_terms(struct seam_team_slot *s,
@@ -178,7 +183,7 @@
 	s->terms = *terms;
 	s->gone = false;
 	if (lowered)
-		stop_if_over(s);
+		stop_until_read(s);
 }
 
 static void mark_gone(struct seam_teams *t, uint64_t conf)
@@ -196,7 +201,7 @@
 		s->terms.conf = conf;
 		s->gone = true;
 		s->plan_at = 0;
-		stop_if_over(s);
+		stop_until_read(s);
 	}
 }
 
@@ -234,8 +239,7 @@
 			s->peak[0] = s->running;
 		}
 		s->burst = 0;
-		/* Only a node that holds units can release some. */
-		if (s->hinted && s->units && s->read_at > now)
+		if (s->hinted && s->read_at > now)
 			s->read_at = now;
 		s->hinted = false;
 		if (s->gone && s->known && !s->row.data && !s->running) {
@@ -262,7 +266,7 @@
 	if (us < 0 || us > REFILL_MAX)
 		us = REFILL_MAX;
 	t->tokens_at = now;
-	t->bytes = grow(t->bytes, us, BYTES_PER_SEC, BYTES_BURST);
+	t->bytes = grow(t->bytes, us, BYTES_PER_SEC, SEAM_TEAM_BYTES_BURST);
 	t->sweep_bytes =
 		grow(t->sweep_bytes, us, SWEEP_BYTES_PER_SEC, SWEEP_BURST);
 	t->rows += us * ROWS_PER_SEC / nodes / SEAM_MSEC;
@@ -294,7 +298,12 @@
 	refill(t, now);
 	g_hash_table_foreach_remove(t->vm, forgotten, t);
 	seam_teams_read(t, now);
+	t->stale = false;
 	more = seam_teams_write(t, now);
+	if (t->stale) {
+		seam_teams_read(t, now);
+		more |= seam_teams_write(t, now);
+	}
 	pthread_mutex_lock(&t->lock);
 	pthread_cond_broadcast(&t->granted);
 	pthread_mutex_unlock(&t->lock);
--- a/process/team.h
+++ b/process/team.h
@@ -235,6 +235,31 @@
 			   const char *holder, int64_t want, seam_time now,
 			   struct seam_team_put *p, struct seam_err *e);
 
+/**
+ * typedef seam_team_tell_fn - tells another holder to read the row of @team
+ *
+ * @holder is a holder of the row, or NULL for the owner of the row. The
+ * receiver calls seam_teams_hint(). A call that is lost costs time only.
+ */
+typedef void (*seam_team_tell_fn)(void *arg, const char *team,
+				  const char *holder);
+
+/** seam_team_tell_want() - tell who can meet the want that @holder recorded */
+void seam_team_tell_want(const struct seam_ledger *l, const char *holder,
+			 seam_time now, seam_team_tell_fn fn, void *arg);
+
+/**
+ * seam_team_tell_room() - tell of the row that @holder wrote
+ *
+ * Tells those who want units, or, while more is granted than the limit, those
+ * who have some.
+ */
+void seam_team_tell_room(const struct seam_ledger *l, const char *holder,
+			 seam_time now, seam_team_tell_fn fn, void *arg);
+
+/** seam_holder_node() - node of "node:ID#INCARNATION"; false for others */
+bool seam_holder_node(const char *holder, char node[SEAM_TEAM_NAME]);
+
 /**
  * struct seam_teams_self - the node that holds grants
  * @node: name of the node
@@ -312,15 +337,15 @@
 		    seam_time as_of);
 
 /**
- * seam_teams_on_want() - call @fn when a want of this node was recorded
+ * seam_teams_on_want() - call @fn when a row changed so that others should act
  *
- * The caller tells the other nodes, which call seam_teams_hint(). Without it
- * they learn of the want when their sweep reaches the row.
+ * That is when a want of this node was recorded, when wanted units were
+ * released and when a limit was lowered below the grants. Without it the
+ * others learn of it when their sweep reaches the row.
  */
-void seam_teams_on_want(struct seam_teams *t,
-			void (*fn)(void *arg, const char *team), void *arg);
+void seam_teams_on_want(struct seam_teams *t, seam_team_tell_fn fn, void *arg);
 
-/** seam_teams_hint() - a peer says that it wants units of @team */
+/** seam_teams_hint() - a peer says that the row of @team is worth a read */
 void seam_teams_hint(struct seam_teams *t, const char *team);
 
 /**
--- a/process/team_hold.c
+++ b/process/team_hold.c
@@ -45,6 +45,8 @@
 {
 	int64_t cap = s->row_cap < s->units ? s->row_cap : s->units;
 
+	if (s->unread)
+		return 0;
 	if (s->lower < cap)
 		cap = s->lower;
 	if (s->pending && s->pending_units < cap)
--- a/process/team_impl.h
+++ b/process/team_impl.h
@@ -15,6 +15,7 @@
 
 /* Life of a want in the row; it is renewed at half of it. */
 #define SEAM_WANT_LIFE (10 * SEAM_SEC)
+#define SEAM_TEAM_BYTES_BURST 16000 /* of single rows read */
 /* Longest time that a request can run: SEAM_TIMEOUT_MS_MAX. */
 #define SEAM_REQUEST_MAX (30 * SEAM_SEC)
 
@@ -43,6 +44,7 @@
 	uint64_t pending_version;
 	int64_t pending_units;
 
+	bool unread; /* the limit was lowered since the row was read */
 	bool damaged;
 	bool hinted; /* a peer says that the row changed */
 	int64_t units; /* in the row */
@@ -69,7 +71,7 @@
 	GHashTable *index; /* name to handle bits */
 	void (*demand)(void *arg);
 	void *demand_arg;
-	void (*want)(void *arg, const char *team);
+	seam_team_tell_fn want;
 	void *want_arg;
 	uint64_t random;
 
@@ -88,8 +90,10 @@
 	int64_t rows; /* may be written now, in thousandths */
 	size_t batch;
 	struct seam_handle start; /* the next batch begins after it */
+	struct seam_handle read_start; /* so do the reads of due rows */
 	int64_t nodes;
 	int64_t dc_nodes;
+	bool stale; /* a decision waits for a row that is read again */
 	GHashTable *member; /* node to incarnation, int64_t * */
 	GHashTable *vm; /* VM to time when it was first missing, 0 if listed */
 	seam_time vms_as_of;
@@ -128,6 +132,10 @@
 int64_t seam_slot_safe_cap(const struct seam_team_slot *s);
 extern const struct seam_admit_ops seam_teams_admit_ops;
 
+/* The slot after @h, the first one after the last; NULL without teams. */
+struct seam_team_slot *seam_teams_next(struct seam_teams *t,
+				       struct seam_handle *h);
+
 /* Reading: due rows, then a part of the sweep, then the members. */
 void seam_teams_read(struct seam_teams *t, seam_time now);
 void seam_teams_absorb(struct seam_teams *t, struct seam_team_slot *s,
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -54,6 +54,10 @@
 	struct seam_ledger l;
 	bool bad;
 
+	/* @lower is 0 until the decision about the row that was read now. */
+	pthread_mutex_lock(&t->lock);
+	s->unread = false;
+	pthread_mutex_unlock(&t->lock);
 	if (row->data && s->known && !s->damaged &&
 	    row->version == s->row.version) {
 		s->read_at = SEAM_NEVER;
@@ -102,18 +106,38 @@
 	return true;
 }
 
+/* A team that is refused here for lack of any unit. */
+static bool needy(const struct seam_team_slot *s)
+{
+	return !s->cap && seam_slot_peak(s) > 0;
+}
+
+/*
+ * Teams without units come first: with hundreds of teams the budget does not
+ * cover all rows that are due. The others go on where the last pass stopped,
+ * because those at the end of the table would never be read.
+ */
 static void read_due(struct seam_teams *t, seam_time now)
 {
-	struct seam_handle h = SEAM_NONE;
+	size_t teams = seam_table_count(t->table);
 	struct seam_team_slot *s;
 	int left = GETS_MAX;
+	int round;
+	size_t i;
 
-	while (left && t->bytes > 0 && (s = seam_table_next(t->table, &h))) {
-		if (s->read_at > now)
-			continue;
-		if (!read_one(t, s, now))
-			return;
-		left--;
+	for (round = 0; round < 2; round++) {
+		struct seam_handle h = t->read_start;
+
+		for (i = 0; i < teams && left && t->bytes > 0; i++) {
+			s = seam_teams_next(t, &h);
+			if (s->read_at > now || (!round && !needy(s)))
+				continue;
+			if (!read_one(t, s, now))
+				return;
+			left--;
+		}
+		if (round)
+			t->read_start = h;
 	}
 }
 
--- a/process/team_write.c
+++ b/process/team_write.c
@@ -12,6 +12,9 @@
 #define HUNGRY_PERIOD (1 * SEAM_SEC)
 /* A node that wants units looks for released ones so often. */
 #define WANT_READ (300 * SEAM_MSEC)
+/* The same while the budget of bytes is short: with hundreds of teams these
+ * reads would take what the rows of other teams need. */
+#define WANT_READ_SHORT (2 * SEAM_SEC)
 /* An older copy of a row is read again before a write: one stale row makes the
  * store refuse the whole commit. */
 #define SEEN_MAX (2 * SEAM_SEC)
@@ -32,6 +35,7 @@
 	struct seam_team_put put;
 	int64_t units;
 	bool want;
+	bool room; /* others can raise, or must release */
 };
 
 static bool hungry(const struct seam_team_slot *s)
@@ -68,6 +72,7 @@
 				   .base = base_of(t, s),
 				   .release_at = s->release_at,
 				   .now = now};
+	seam_time wait;
 
 	pthread_mutex_lock(&t->lock);
 	c.running = s->running;
@@ -77,9 +82,11 @@
 	s->release_at = p->release_at;
 	s->plan_at = now + PLAN_PERIOD;
 	s->hungry_at = p->units > s->units ? 0 : now + HUNGRY_PERIOD;
+	wait = t->bytes > SEAM_TEAM_BYTES_BURST / 2 ? WANT_READ :
+						      WANT_READ_SHORT;
 	if ((p->want || !seam_ledger_open(l)) && s->read_at == SEAM_NEVER)
-		s->read_at = now + WANT_READ +
-			     (seam_time)(seam_teams_random(t) % WANT_READ);
+		s->read_at = now + wait +
+			     (seam_time)(seam_teams_random(t) % (uint64_t)wait);
 }
 
 /*
@@ -124,6 +131,7 @@
 	struct seam_ledger *l = &j->ledger;
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_team_plan p;
+	int64_t sum = seam_ledger_sum(l);
 	bool mine = seam_owner_mine(t->self.owner, j->put.key, now);
 	bool owner_change = seam_ledger_terms(l, &s->terms);
 	bool write;
@@ -146,6 +154,8 @@
 	if (j->want || (write && seam_ledger_find(l, g.holder)))
 		seam_ledger_want(l, &g, p.want, now + SEAM_WANT_LIFE, &e);
 	seam_ledger_trim(l, now);
+	j->room = seam_ledger_sum(l) < sum ||
+		  (owner_change && !seam_ledger_open(l));
 	return write || j->want || (mine && s->gone && s->row.data && !l->n);
 }
 
@@ -155,10 +165,12 @@
 	seam_team_put_free(&j->put);
 }
 
-static bool recent(struct seam_team_slot *s, seam_time now)
+static bool recent(struct seam_teams *t, struct seam_team_slot *s,
+		   seam_time now)
 {
 	if (now - s->seen_at <= SEEN_MAX)
 		return true;
+	t->stale = true;
 	s->read_at = now;
 	s->plan_at = 0;
 	return false;
@@ -173,7 +185,7 @@
 	if (seam_ledger_read(&s->row, s->name, &j->ledger, &e))
 		return false;
 	seam_team_key(s->name, j->put.key);
-	if (!change(t, j, now) || !recent(s, now) ||
+	if (!change(t, j, now) || !recent(t, s, now) ||
 	    seam_team_encode(&j->ledger, row_version(s), &j->put, &e)) {
 		end_job(j);
 		return false;
@@ -205,7 +217,11 @@
 	s->seen_at = now;
 	s->plan_at = now + PLAN_PERIOD;
 	if (j->want && t->want)
-		t->want(t->want_arg, s->name);
+		seam_team_tell_want(&j->ledger, t->grant.holder, now, t->want,
+				    t->want_arg);
+	if (j->room && t->want)
+		seam_team_tell_room(&j->ledger, t->grant.holder, now, t->want,
+				    t->want_arg);
 }
 
 static void unknown(struct seam_teams *t, struct job *j, seam_time now)
@@ -279,14 +295,6 @@
 	}
 }
 
-static struct seam_team_slot *next_slot(struct seam_teams *t,
-					struct seam_handle *h)
-{
-	struct seam_team_slot *s = seam_table_next(t->table, h);
-
-	return s ? s : seam_table_next(t->table, h);
-}
-
 bool seam_teams_write(struct seam_teams *t, seam_time now)
 {
 	struct job *job = calloc(SEAM_TEAM_ROWS_MAX, sizeof(*job));
@@ -296,7 +304,7 @@
 
 	while (job && left-- && n < t->batch &&
 	       t->rows >= (int64_t)(n + 1) * 1000) {
-		struct seam_team_slot *s = next_slot(t, &h);
+		struct seam_team_slot *s = seam_teams_next(t, &h);
 		bool go;
 
 		pthread_mutex_lock(&t->lock);
--- /dev/null
+++ b/tests/limit_test.cc
@@ -0,0 +1,72 @@
+// Limits of teams where what a node knows of the row is old.
+#include "tests/team_fleet.h"
+
+// Guards P4 when a limit is lowered and a node that does not reach the store
+// has a copy of the row from before others were granted units.
+TEST(Limit, LoweredWithAnOldRow)
+{
+	fleet f(3, 1, 60);
+
+	f.run(5 * SEAM_SEC);
+	f.faults(1, true, 0, 0);
+	f.press({0, 2}, 0, 20 * SEAM_SEC);
+	ASSERT_GE(f.units(1, 0), 5);
+	ASSERT_GE(f.units(0, 0) + f.units(2, 0), 40);
+	f.set_limit(0, 35);
+	EXPECT_EQ(f.fill(1, 0, 50), 0) << "new work above the new limit";
+	f.run(5 * SEAM_SEC);
+	EXPECT_EQ(f.fill(1, 0, 50), 0);
+	f.faults(1, false, 0, 0);
+	f.run(20 * SEAM_SEC);
+	EXPECT_GE(f.press({0, 1, 2}, 0, 20 * SEAM_SEC), 31);
+}
+
+static void on_tell(void *arg, const char *, const char *holder)
+{
+	((std::vector<std::string> *)arg)->push_back(holder ? holder : "owner");
+}
+
+// Guards against a want that is told to nodes that have no units to spare, to
+// the dead or to itself, while those with units are not told.
+TEST(Limit, WantIsToldToThoseWithUnits)
+{
+	seam_grant g[] = {
+		{"node:n0#1", "a", "v0", 0, 5, 100},
+		{"node:n1#1", "a", "v1", 9, 5, 100},
+		{"node:n2#1", "b", "v2", 4, 0, 0},
+		{"node:n3#1", "b", "v3", 8, 0, 0},
+		{"node:n4#1", "b", "v4", 20, 0, 0, 70},
+		{"bucket:t/q/3", "", "", 2, 0, 0},
+	};
+	seam_ledger l = {"t", 60, 60, 1, g, 6};
+	std::vector<std::string> to;
+
+	seam_team_tell_want(&l, "node:n0#1", 50, on_tell, &to);
+	EXPECT_EQ(to,
+		  (std::vector<std::string>{"owner", "node:n3#1", "node:n2#1",
+					    "bucket:t/q/3", "node:n1#1"}));
+	to.clear();
+	seam_team_tell_room(&l, "node:n3#1", 50, on_tell, &to);
+	EXPECT_EQ(to, (std::vector<std::string>{"node:n0#1", "node:n1#1"}));
+	to.clear();
+	seam_team_tell_room(&l, "node:n3#1", 100, on_tell, &to);
+	EXPECT_TRUE(to.empty());
+	// Above a lowered limit those who have units must release some.
+	l.limit = 30;
+	seam_team_tell_room(&l, "node:n3#1", 50, on_tell, &to);
+	EXPECT_EQ(to, (std::vector<std::string>{"node:n1#1", "node:n2#1",
+						"bucket:t/q/3"}));
+}
+
+// Guards against holders of other kinds taken for nodes.
+TEST(Limit, NodeOfAHolder)
+{
+	char node[SEAM_TEAM_NAME] = "";
+
+	EXPECT_TRUE(seam_holder_node("node:n1#17", node));
+	EXPECT_STREQ(node, "n1");
+	EXPECT_FALSE(seam_holder_node("bucket:t/q/1", node));
+	EXPECT_FALSE(seam_holder_node("node:#1", node));
+	EXPECT_FALSE(seam_holder_node(
+		("node:" + std::string(80, 'x') + "#1").c_str(), node));
+}
--- a/tests/team_test.cc
+++ b/tests/team_test.cc
@@ -169,12 +169,16 @@
 	fleet f(3, 1, 60);
 
 	f.press({0, 1, 2}, 0, 20 * SEAM_SEC);
+	// Work of the press has ended, so that none of it ends below: units
+	// that it frees may be used once the row is within the new limit.
+	f.run(2 * SEAM_SEC);
 	for (int i = 0; i < 3; i++)
 		f.fill(i, 0, 100, 20 * SEAM_SEC);
 	ASSERT_GE(f.in_use(0), 50);
 	f.set_limit(0, 20);
 	f.step();
 	f.run(SEAM_SEC);
+	ASSERT_GE(f.in_use(0), 50);
 	int more = 0;
 	for (int i = 0; i < 3; i++)
 		more += f.fill(i, 0, 1);
