teams: the owner of a row writes the first grants of all members

48 nodes x 710 teams were 34,080 rows of one grant each, at a rate that all nodes share, and a team's first request on a node was refused until then. Now the owner of the row grants each listed member without a grant its part of the floor in one write; others leave it 10 s to do so unless they have demand. The owner reads the rows that it has to make before others, and a quarter of the bytes is kept for teams whose requests wait.

--- a/process/team_dead.c
+++ b/process/team_dead.c
@@ -58,13 +58,13 @@
 	const char *id = holder + strlen(NODE_PREFIX);
 	const char *hash = strrchr(id, '#');
 	char node[SEAM_TEAM_NAME];
-	int64_t *newest;
+	struct seam_team_member *newest;
 
 	if (!hash || (size_t)(hash - id) >= sizeof(node))
 		return false;
 	snprintf(node, sizeof(node), "%.*s", (int)(hash - id), id);
 	newest = g_hash_table_lookup(t->member, node);
-	return newest && *newest > strtoll(hash + 1, NULL, 10);
+	return newest && newest->incarnation > strtoll(hash + 1, NULL, 10);
 }
 
 static bool dead(struct seam_teams *t, const struct seam_grant *g)
--- a/process/team_impl.h
+++ b/process/team_impl.h
@@ -38,6 +38,7 @@
 	seam_time read_at; /* read the row by then; SEAM_NEVER if not due */
 	seam_time seen_at; /* when the row was last read or written */
 	seam_time release_at; /* surplus is given back then; 0 without */
+	seam_time seed_by; /* the owner of the row grants the first units */
 	seam_time plan_at; /* decide again by then */
 	seam_time hungry_at; /* a raise that did not fit is tried again */
 	bool pending; /* a commit on version pending_version may still apply */
@@ -60,6 +61,13 @@
 	size_t holds;
 };
 
+/* Another registered node, as its row says. */
+struct seam_team_member {
+	int64_t incarnation;
+	char dc[SEAM_TEAM_NAME];
+	char vm[SEAM_TEAM_NAME];
+};
+
 struct seam_teams {
 	struct seam_admit admit;
 	struct seam_teams_self self;
@@ -94,7 +102,7 @@
 	int64_t nodes;
 	int64_t dc_nodes;
 	bool stale; /* a decision waits for a row that is read again */
-	GHashTable *member; /* node to incarnation, int64_t * */
+	GHashTable *member; /* node to struct seam_team_member */
 	GHashTable *vm; /* VM to time when it was first missing, 0 if listed */
 	seam_time vms_as_of;
 };
@@ -148,6 +156,13 @@
 bool seam_teams_bury(struct seam_teams *t, struct seam_ledger *l,
 		     seam_time now);
 
+/* Takes over a row of member/. */
+void seam_teams_add_member(struct seam_teams *t, const struct seam_row *row);
+
+/* Grants members without a grant their part of the floor; true if any. */
+bool seam_teams_seed(struct seam_teams *t, struct seam_ledger *l,
+		     const struct seam_team_terms *terms, seam_time now);
+
 uint64_t seam_teams_random(struct seam_teams *t);
 
 #ifdef __cplusplus
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -1,5 +1,4 @@
 #include "base/count.h"
-#include "base/json.h"
 #include "base/log.h"
 #include "process/team_impl.h"
 
@@ -13,6 +12,9 @@
 #define SWEEP_ROWS_MAX 64
 #define GETS_MAX 16 /* single rows in one pass */
 #define MEMBERS_MAX 1024
+/* A node without demand leaves its first units to the owner of the row for two
+ * periods of decisions; then it writes them itself. */
+#define SEED_WAIT (10 * SEAM_SEC)
 
 SEAM_COUNT(damaged_rows, "seam_team_rows_damaged_total",
 	   "Rows of teams that could not be read.");
@@ -82,6 +84,8 @@
 	}
 	seam_row_free(&s->row);
 	s->row = *row;
+	if (!s->known)
+		s->seed_by = t->tokens_at + SEED_WAIT;
 	s->known = true;
 	adopt(t, s, &l);
 	seam_ledger_free(&l);
@@ -112,10 +116,23 @@
 	return !s->cap && seam_slot_peak(s) > 0;
 }
 
+/* A row that this node may have to make, with the first grants of all nodes. */
+static bool unmade(struct seam_teams *t, const struct seam_team_slot *s,
+		   seam_time now)
+{
+	char key[SEAM_KEY_MAX];
+
+	if (s->known)
+		return false;
+	seam_team_key(s->name, key);
+	return seam_owner_mine(t->self.owner, key, now);
+}
+
 /*
- * Teams without units come first: with hundreds of teams the budget does not
- * cover all rows that are due. The others go on where the last pass stopped,
- * because those at the end of the table would never be read.
+ * Teams without units come first, then rows to make: with hundreds of teams
+ * the budget does not cover all rows that are due. The others go on where the
+ * last pass stopped, because those at the end of the table would never be read,
+ * and leave bytes for a row or two that a request may wait for.
  */
 static void read_due(struct seam_teams *t, seam_time now)
 {
@@ -125,18 +142,20 @@
 	int round;
 	size_t i;
 
-	for (round = 0; round < 2; round++) {
+	for (round = 0; round < 3; round++) {
 		struct seam_handle h = t->read_start;
+		int64_t keep = round ? SEAM_TEAM_BYTES_BURST / 4 : 0;
 
-		for (i = 0; i < teams && left && t->bytes > 0; i++) {
+		for (i = 0; i < teams && left && t->bytes > keep; i++) {
 			s = seam_teams_next(t, &h);
-			if (s->read_at > now || (!round && !needy(s)))
+			if (s->read_at > now || (round == 0 && !needy(s)) ||
+			    (round == 1 && !unmade(t, s, now)))
 				continue;
 			if (!read_one(t, s, now))
 				return;
 			left--;
 		}
-		if (round)
+		if (round == 2)
 			t->read_start = h;
 	}
 }
@@ -220,25 +239,6 @@
 	seam_rows_free(&rows);
 }
 
-static void add_member(struct seam_teams *t, const struct seam_row *row)
-{
-	struct json_object *o = json_tokener_parse(row->data);
-	int64_t incarnation = seam_json_int(o, "incarnation", 0);
-	int64_t *value;
-
-	if (incarnation > 0) {
-		value = g_new(int64_t, 1);
-		*value = incarnation;
-		g_hash_table_replace(t->member,
-				     g_strdup(row->key + strlen("member/")),
-				     value);
-		t->nodes++;
-		t->dc_nodes += !strcmp(seam_json_str(o, "data_centre", ""),
-				       t->self.dc);
-	}
-	json_object_put(o);
-}
-
 static void read_members(struct seam_teams *t, seam_time now)
 {
 	struct seam_rows rows = {.row = NULL};
@@ -254,7 +254,7 @@
 	t->nodes = 0;
 	t->dc_nodes = 0;
 	for (i = 0; i < rows.n; i++)
-		add_member(t, &rows.row[i]);
+		seam_teams_add_member(t, &rows.row[i]);
 	seam_rows_free(&rows);
 }
 
--- a/process/team_write.c
+++ b/process/team_write.c
@@ -63,7 +63,7 @@
 }
 
 static void decide(struct seam_teams *t, struct seam_team_slot *s,
-		   const struct seam_ledger *l, seam_time now,
+		   const struct seam_ledger *l, bool mine, seam_time now,
 		   struct seam_team_plan *p)
 {
 	struct seam_team_case c = {.ledger = l,
@@ -81,6 +81,10 @@
 	seam_team_plan(&c, p);
 	s->release_at = p->release_at;
 	s->plan_at = now + PLAN_PERIOD;
+	/* The owner of the row is about to grant them, for all nodes at once.
+	 */
+	if (p->units > s->units && !mine && now < s->seed_by && !c.peak)
+		p->units = p->cap = s->units;
 	s->hungry_at = p->units > s->units ? 0 : now + HUNGRY_PERIOD;
 	wait = t->bytes > SEAM_TEAM_BYTES_BURST / 2 ? WANT_READ :
 						      WANT_READ_SHORT;
@@ -139,9 +143,11 @@
 	if (mine)
 		owner_change |= seam_teams_bury(t, l, now);
 	write = mine && owner_change && s->row.data;
+	if (mine)
+		write |= seam_teams_seed(t, l, &s->terms, now);
 	/* Any commit on this version ends the doubt about an earlier one. */
 	write |= s->pending && s->pending_version == row_version(s);
-	decide(t, s, l, now, &p);
+	decide(t, s, l, mine, now, &p);
 	j->units = s->units;
 	j->want = renew_want(l, g.holder, p.want, now);
 	if (lower_first(t, s, &p) && p.units != s->units) {
