--- a/process/team_impl.h
+++ b/process/team_impl.h
@@ -15,6 +15,7 @@
 
 /* Life of a want in the row; it is renewed at half of it. */
 #define SEAM_WANT_LIFE (10 * SEAM_SEC)
+#define SEAM_TEAM_BYTES_BURST 16000 /* of single rows read */
 /* Longest time that a request can run: SEAM_TIMEOUT_MS_MAX. */
 #define SEAM_REQUEST_MAX (30 * SEAM_SEC)
 
@@ -37,12 +38,14 @@
 	seam_time read_at; /* read the row by then; SEAM_NEVER if not due */
 	seam_time seen_at; /* when the row was last read or written */
 	seam_time release_at; /* surplus is given back then; 0 without */
+	seam_time seed_by; /* the owner of the row grants the first units */
 	seam_time plan_at; /* decide again by then */
 	seam_time hungry_at; /* a raise that did not fit is tried again */
 	bool pending; /* a commit on version pending_version may still apply */
 	uint64_t pending_version;
 	int64_t pending_units;
 
+	bool unread; /* the limit was lowered since the row was read */
 	bool damaged;
 	bool hinted; /* a peer says that the row changed */
 	int64_t units; /* in the row */
@@ -58,6 +61,13 @@
 	size_t holds;
 };
 
+/* Another registered node, as its row says. */
+struct seam_team_member {
+	int64_t incarnation;
+	char dc[SEAM_TEAM_NAME];
+	char vm[SEAM_TEAM_NAME];
+};
+
 struct seam_teams {
 	struct seam_admit admit;
 	struct seam_teams_self self;
@@ -69,7 +79,7 @@
 	GHashTable *index; /* name to handle bits */
 	void (*demand)(void *arg);
 	void *demand_arg;
-	void (*want)(void *arg, const char *team);
+	seam_team_tell_fn want;
 	void *want_arg;
 	uint64_t random;
 
@@ -88,9 +98,11 @@
 	int64_t rows; /* may be written now, in thousandths */
 	size_t batch;
 	struct seam_handle start; /* the next batch begins after it */
+	struct seam_handle read_start; /* so do the reads of due rows */
 	int64_t nodes;
 	int64_t dc_nodes;
-	GHashTable *member; /* node to incarnation, int64_t * */
+	bool stale; /* a decision waits for a row that is read again */
+	GHashTable *member; /* node to struct seam_team_member */
 	GHashTable *vm; /* VM to time when it was first missing, 0 if listed */
 	seam_time vms_as_of;
 };
@@ -128,6 +140,10 @@
 int64_t seam_slot_safe_cap(const struct seam_team_slot *s);
 extern const struct seam_admit_ops seam_teams_admit_ops;
 
+/* The slot after @h, the first one after the last; NULL without teams. */
+struct seam_team_slot *seam_teams_next(struct seam_teams *t,
+				       struct seam_handle *h);
+
 /* Reading: due rows, then a part of the sweep, then the members. */
 void seam_teams_read(struct seam_teams *t, seam_time now);
 void seam_teams_absorb(struct seam_teams *t, struct seam_team_slot *s,
@@ -140,6 +156,13 @@
 bool seam_teams_bury(struct seam_teams *t, struct seam_ledger *l,
 		     seam_time now);
 
+/* Takes over a row of member/. */
+void seam_teams_add_member(struct seam_teams *t, const struct seam_row *row);
+
+/* Grants members without a grant their part of the floor; true if any. */
+bool seam_teams_seed(struct seam_teams *t, struct seam_ledger *l,
+		     const struct seam_team_terms *terms, seam_time now);
+
 uint64_t seam_teams_random(struct seam_teams *t);
 
 #ifdef __cplusplus
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -1,5 +1,4 @@
 #include "base/count.h"
-#include "base/json.h"
 #include "base/log.h"
 #include "process/team_impl.h"
 
@@ -13,6 +12,9 @@
 #define SWEEP_ROWS_MAX 64
 #define GETS_MAX 16 /* single rows in one pass */
 #define MEMBERS_MAX 1024
+/* A node without demand leaves its first units to the owner of the row for two
+ * periods of decisions; then it writes them itself. */
+#define SEED_WAIT (10 * SEAM_SEC)
 
 SEAM_COUNT(damaged_rows, "seam_team_rows_damaged_total",
 	   "Rows of teams that could not be read.");
@@ -54,6 +56,10 @@
 	struct seam_ledger l;
 	bool bad;
 
+	/* @lower is 0 until the decision about the row that was read now. */
+	pthread_mutex_lock(&t->lock);
+	s->unread = false;
+	pthread_mutex_unlock(&t->lock);
 	if (row->data && s->known && !s->damaged &&
 	    row->version == s->row.version) {
 		s->read_at = SEAM_NEVER;
@@ -78,6 +84,8 @@
 	}
 	seam_row_free(&s->row);
 	s->row = *row;
+	if (!s->known)
+		s->seed_by = t->tokens_at + SEED_WAIT;
 	s->known = true;
 	adopt(t, s, &l);
 	seam_ledger_free(&l);
@@ -102,18 +110,53 @@
 	return true;
 }
 
+/* A team that is refused here for lack of any unit. */
+static bool needy(const struct seam_team_slot *s)
+{
+	return !s->cap && seam_slot_peak(s) > 0;
+}
+
+/* A row that this node may have to make, with the first grants of all nodes. */
+static bool unmade(struct seam_teams *t, const struct seam_team_slot *s,
+		   seam_time now)
+{
+	char key[SEAM_KEY_MAX];
+
+	if (s->known)
+		return false;
+	seam_team_key(s->name, key);
+	return seam_owner_mine(t->self.owner, key, now);
+}
+
+/*
+ * Teams without units come first, then rows to make: with hundreds of teams
+ * the budget does not cover all rows that are due. The others go on where the
+ * last pass stopped, because those at the end of the table would never be read,
+ * and leave bytes for a row or two that a request may wait for.
+ */
 static void read_due(struct seam_teams *t, seam_time now)
 {
-	struct seam_handle h = SEAM_NONE;
+	size_t teams = seam_table_count(t->table);
 	struct seam_team_slot *s;
 	int left = GETS_MAX;
+	int round;
+	size_t i;
 
-	while (left && t->bytes > 0 && (s = seam_table_next(t->table, &h))) {
-		if (s->read_at > now)
-			continue;
-		if (!read_one(t, s, now))
-			return;
-		left--;
+	for (round = 0; round < 3; round++) {
+		struct seam_handle h = t->read_start;
+		int64_t keep = round ? SEAM_TEAM_BYTES_BURST / 4 : 0;
+
+		for (i = 0; i < teams && left && t->bytes > keep; i++) {
+			s = seam_teams_next(t, &h);
+			if (s->read_at > now || (round == 0 && !needy(s)) ||
+			    (round == 1 && !unmade(t, s, now)))
+				continue;
+			if (!read_one(t, s, now))
+				return;
+			left--;
+		}
+		if (round == 2)
+			t->read_start = h;
 	}
 }
 
@@ -196,25 +239,6 @@
 	seam_rows_free(&rows);
 }
 
-static void add_member(struct seam_teams *t, const struct seam_row *row)
-{
-	struct json_object *o = json_tokener_parse(row->data);
-	int64_t incarnation = seam_json_int(o, "incarnation", 0);
-	int64_t *value;
-
-	if (incarnation > 0) {
-		value = g_new(int64_t, 1);
-		*value = incarnation;
-		g_hash_table_replace(t->member,
-				     g_strdup(row->key + strlen("member/")),
-				     value);
-		t->nodes++;
-		t->dc_nodes += !strcmp(seam_json_str(o, "data_centre", ""),
-				       t->self.dc);
-	}
-	json_object_put(o);
-}
-
 static void read_members(struct seam_teams *t, seam_time now)
 {
 	struct seam_rows rows = {.row = NULL};
@@ -230,7 +254,7 @@
 	t->nodes = 0;
 	t->dc_nodes = 0;
 	for (i = 0; i < rows.n; i++)
-		add_member(t, &rows.row[i]);
+		seam_teams_add_member(t, &rows.row[i]);
 	seam_rows_free(&rows);
 }
 
