route: a refusal shows that a target is full; open targets when peers tell

Loads of peers are a second old. A target that other nodes filled meanwhile looked idle, refused three times and was ejected for 1 s and in the slow start for 10 s: at the start of a peak 33 of 72 pairs of node and target were out. A refusal now closes the target in the node's view until an own request ends or peers tell again, so only a target that refuses after it was told to be idle counts as failing. Loads of peers were also written without moving the target in the index, so that a target closed by them could stay closed for good.

--- a/connection/target.h
+++ b/connection/target.h
@@ -80,6 +80,8 @@
  * @info: from the pool rows and the VM list
  * @outstanding: requests of this process on it
  * @peer_load: requests of other nodes on it; see seam_targets_peer_load()
+ * @learned: what own attempts showed of the load of other nodes since it was
+ *           told, added to @peer_load
  * @full_until: it refused as full: not chosen before this time
  * @fails: consecutive failures
  * @ejections: ejections since it last worked at full weight
@@ -98,6 +100,7 @@
 	struct seam_target_info info;
 	int outstanding;
 	int peer_load;
+	int learned;
 	seam_time full_until;
 	int fails;
 	int ejections;
@@ -160,6 +163,15 @@
  */
 void seam_target_place(struct seam_target *t);
 
+/** seam_target_load() - requests of all nodes on it, as far as known */
+static inline int seam_target_load(const struct seam_target *t)
+{
+	return t->outstanding + t->peer_load + t->learned;
+}
+
+/** seam_target_told() - peers told that they have @load on it; lock held */
+void seam_target_told(struct seam_target *t, int load);
+
 /** seam_target_away() - eject a target until @until; lock held */
 void seam_target_away(struct seam_target *t, seam_time until);
 
--- a/connection/target_index.c
+++ b/connection/target_index.c
@@ -121,7 +121,7 @@
 void seam_target_place(struct seam_target *t)
 {
 	bool open = t->group && !t->info.leaving && !t->ejected &&
-		    t->outstanding + t->peer_load < t->info.slots;
+		    seam_target_load(t) < t->info.slots;
 
 	if (open && !t->open_at)
 		enter_open(t);
@@ -129,6 +129,13 @@
 		leave_open(t);
 }
 
+void seam_target_told(struct seam_target *t, int load)
+{
+	t->peer_load = load;
+	t->learned = 0;
+	seam_target_place(t);
+}
+
 void seam_target_away(struct seam_target *t, seam_time until)
 {
 	struct seam_target_service *s = t->service;
--- a/connection/target_set.c
+++ b/connection/target_set.c
@@ -145,10 +145,8 @@
 
 	seam_targets_lock(ts);
 	t = g_hash_table_lookup(ts->by_id, id);
-	if (t) {
-		t->peer_load = load;
-		seam_target_place(t);
-	}
+	if (t)
+		seam_target_told(t, load);
 	seam_targets_unlock(ts);
 	return t != NULL;
 }
--- a/process/member_beat.c
+++ b/process/member_beat.c
@@ -272,13 +272,13 @@
 	while ((g = seam_table_next(t, &h))) {
 		struct seam_handle i = SEAM_NONE;
 		struct seam_member *b;
+		int load = 0;
 
-		g->peer_load = 0;
 		while ((b = seam_table_next(m->table, &i)))
 			if (b->load && !seam_member_suspected(b, now))
-				g->peer_load +=
-					GPOINTER_TO_INT(g_hash_table_lookup(
-						b->load, g->info.id));
+				load += GPOINTER_TO_INT(g_hash_table_lookup(
+					b->load, g->info.id));
+		seam_target_told(g, load);
 	}
 	seam_targets_unlock(m->node->targets);
 	pthread_mutex_unlock(&m->lock);
--- a/request/route.c
+++ b/request/route.c
@@ -24,11 +24,6 @@
 	return (*x * 0x2545f4914f6cdd1dull) >> 32;
 }
 
-static int load(const struct seam_target *t)
-{
-	return t->outstanding + t->peer_load;
-}
-
 int seam_route_weight(const struct seam_target *t, seam_time now)
 {
 	seam_time left = t->full_weight_at - now;
@@ -49,7 +44,7 @@
 	int64_t part = (slots * seam_route_weight(t, now) + WEIGHT_FULL - 1) /
 		       WEIGHT_FULL;
 
-	return load(t) < part;
+	return seam_target_load(t) < part;
 }
 
 static bool lighter(const struct seam_target *a, const struct seam_target *b,
@@ -58,7 +53,7 @@
 	int64_t wa = (int64_t)a->info.slots * seam_route_weight(a, now);
 	int64_t wb = (int64_t)b->info.slots * seam_route_weight(b, now);
 
-	return (load(a) + 1) * wb < (load(b) + 1) * wa;
+	return (seam_target_load(a) + 1) * wb < (seam_target_load(b) + 1) * wa;
 }
 
 static bool left_out(const struct seam_tried *tried, struct seam_handle h)
@@ -194,9 +189,10 @@
 	if (t) {
 		*h = t->self;
 		t->outstanding++;
-		SEAM_INVARIANT(load(t) <= t->info.slots && !t->info.leaving,
+		SEAM_INVARIANT(seam_target_load(t) <= t->info.slots &&
+				       !t->info.leaving,
 			       "request", "Target %s has %d of %d slots.",
-			       t->info.id, load(t), t->info.slots);
+			       t->info.id, seam_target_load(t), t->info.slots);
 		seam_target_place(t);
 	}
 	seam_targets_unlock(ts);
--- a/request/route_eject.c
+++ b/request/route_eject.c
@@ -5,7 +5,7 @@
 #define FAILS_TO_EJECT 3
 #define EJECT_FIRST (1 * SEAM_SEC)
 #define EJECT_LONGEST (60 * SEAM_SEC)
-/* The load that peers told is older than this; a slot frees up sooner. */
+/* A slot of a full target frees up about once in this time. */
 #define FULL_PAUSE (20 * SEAM_MSEC)
 #define SLOW_START (10 * SEAM_SEC)
 
@@ -40,7 +40,19 @@
  */
 static bool refuses_idle(const struct seam_target *t)
 {
-	return (t->outstanding + t->peer_load) * 2 <= t->info.slots;
+	return seam_target_load(t) * 2 <= t->info.slots;
+}
+
+/*
+ * A target that refuses has all its slots taken, whatever peers told up to a
+ * second ago. The view says so until a slot here ends or peers tell again.
+ * The refused attempt still counts as outstanding.
+ */
+static void on_full(struct seam_target *t, seam_time now)
+{
+	t->full_until = now + FULL_PAUSE;
+	t->learned = t->info.slots - (t->outstanding - 1) - t->peer_load;
+	seam_target_place(t);
 }
 
 static void on_failure(struct seam_target *t, seam_time now)
@@ -68,11 +80,13 @@
 	struct seam_table *table = seam_targets_lock(ts);
 	struct seam_target *t = seam_table_get(table, h);
 
-	if (t && result == SEAM_ROUTE_FULL)
-		t->full_until = now + FULL_PAUSE;
-	if (t && t->service &&
-	    (result == SEAM_ROUTE_FAILED ||
-	     (result == SEAM_ROUTE_FULL && refuses_idle(t)))) {
+	bool failed = result == SEAM_ROUTE_FAILED;
+
+	if (t && result == SEAM_ROUTE_FULL) {
+		failed = refuses_idle(t);
+		on_full(t, now);
+	}
+	if (t && t->service && failed) {
 		on_failure(t, now);
 	} else if (t && result == SEAM_ROUTE_WORKED) {
 		t->fails = 0;
