route: divide the slots of a service between nodes by their requests

A slot that ended was taken again by the node that had it, so nodes kept what they got at the begin of a peak: nodes with 4 slots and 1,000 waiting requests refused new ones while others with 23 slots had none waiting. Beats now carry the requests of each service on the node, waiting ones included, under the key service/NAME of the loads. While they exceed the slots, each node uses its part of every target, rounded at the same places by all nodes.

--- a/bench/route_plan.h
+++ b/bench/route_plan.h
@@ -56,6 +56,9 @@
 	struct seam_fair *again; /* refused as full */
 	struct seam_budget budget;
 	bool leaving[SIM_TARGETS];
+	int told[SIM_TARGETS]; /* last, of the own outstanding */
+	int own; /* last, of the own requests */
+	int before; /* the one before it */
 };
 
 struct sim {
@@ -75,6 +78,7 @@
 	long failed;
 };
 
+static const char *const sim_service[] = {"s0", "s1", "s2", "s3", "s4"};
 static const char *const sim_dc[] = {"dc-0", "dc-1", "dc-2"};
 
 static inline void sim_info(struct seam_target_info *t, int service, int i,
--- a/bench/route_sim.h
+++ b/bench/route_sim.h
@@ -213,26 +213,64 @@
 	}
 }
 
-/* Each node tells the others; for the plain policies too. */
-static inline void tell_load(struct sim *s)
+static inline void tell(struct sim *s, int n)
 {
-	char id[16];
-	int n;
 	int v;
 	int i;
 
-	for (v = 0; v < s->plan->services; v++)
-		for (i = 0; i < s->plan->targets[v]; i++) {
-			int all = 0;
+	for (v = 0; v < s->plan->services; v++) {
+		struct sim_lane *l = &s->lane[n][v];
 
-			snprintf(id, sizeof(id), "vm-%d", v * 1000000 + i);
-			for (n = 0; n < s->plan->nodes; n++)
-				all += at(s, n, v, i)->outstanding;
-			for (n = 0; n < s->plan->nodes; n++)
-				seam_targets_peer_load(
-					s->ts[n], id,
-					all - at(s, n, v, i)->outstanding);
+		l->before = l->own;
+		l->own = seam_fair_count(l->queue) + seam_fair_count(l->again);
+		for (i = 0; i < s->plan->targets[v]; i++) {
+			l->told[i] = at(s, n, v, i)->outstanding;
+			l->own += l->told[i];
 		}
+	}
+}
+
+/* What all nodes told last of the targets of a service. */
+static inline void hear(struct sim *s, int n, int v)
+{
+	const struct sim_lane *l = &s->lane[n][v];
+	struct seam_target_demand d = {.own = (l->own + l->before) / 2};
+	struct seam_target_service *service;
+	int m;
+	int i;
+
+	d.all = d.own;
+	for (m = 0; m < s->plan->nodes; m++) {
+		d.all += m != n ? s->lane[m][v].own : 0;
+		d.before += m < n ? s->lane[m][v].own : 0;
+	}
+	seam_targets_lock(s->ts[n]);
+	service = seam_targets_service(s->ts[n], sim_service[v]);
+	seam_target_divide(service, &d);
+	seam_targets_unlock(s->ts[n]);
+	for (i = 0; i < s->plan->targets[v]; i++) {
+		int all = -s->lane[n][v].told[i];
+
+		for (m = 0; m < s->plan->nodes; m++)
+			all += s->lane[m][v].told[i];
+		seam_target_told(at(s, n, v, i), all);
+	}
+}
+
+/* Nodes tell their load one after the other, each once in a period. */
+static inline void tell_load(struct sim *s)
+{
+	int n;
+	int v;
+
+	for (n = 0; n < s->plan->nodes; n++) {
+		if (s->now / SEAM_MSEC % LOAD_PERIOD_MS !=
+		    n * LOAD_PERIOD_MS / s->plan->nodes)
+			continue;
+		tell(s, n);
+		for (v = 0; v < s->plan->services; v++)
+			hear(s, n, v);
+	}
 }
 
 /* The list of targets, as the nodes' configuration has it. */
@@ -324,10 +362,9 @@
 	sim_open(s, &k.clock);
 	for (; s->now < plan->end; s->now += TICK) {
 		finish(s);
-		if (s->now / SEAM_MSEC % LOAD_PERIOD_MS == 0) {
+		if (s->now / SEAM_MSEC % LOAD_PERIOD_MS == 0)
 			list_targets(s);
-			tell_load(s);
-		}
+		tell_load(s);
 		serve_queues(s);
 		for (v = 0; v < plan->services; v++) {
 			due[v] += plan->rate(v, plan->targets[v], s->now) *
--- a/connection/target.h
+++ b/connection/target.h
@@ -62,6 +62,11 @@
  * @ejected: their number
  * @away_cap: allocated length of @away
  * @return_at: the earliest end of an ejection
+ * @slots: slots of the targets that are not leaving
+ * @own: requests of this process that wait for a slot or have one
+ * @divided: more requests than slots are known: each node has a part
+ * @from: begin of this node's part of the slots, 0 to 1
+ * @to: its end
  */
 struct seam_target_service {
 	char name[64];
@@ -73,6 +78,11 @@
 	int ejected;
 	int away_cap;
 	seam_time return_at;
+	int64_t slots;
+	int own;
+	bool divided;
+	double from;
+	double to;
 };
 
 /**
@@ -91,6 +101,7 @@
  * @self: its handle
  * @service: index that it is in; NULL until it is listed
  * @group: group that it is in
+ * @phase: where the parts of nodes are rounded, the same on all nodes, 0 to 1
  * @open_at: position in @group->open, from 1; 0 if it is not open
  * @round: number of the last list that named it
  * @idle: idle connections, private to target.c
@@ -110,6 +121,7 @@
 	struct seam_handle self;
 	struct seam_target_service *service;
 	struct seam_target_group *group;
+	double phase;
 	int open_at;
 	uint64_t round;
 	struct seam_conn *idle;
@@ -169,6 +181,48 @@
 	return t->outstanding + t->peer_load + t->learned;
 }
 
+/**
+ * struct seam_target_demand - requests of a service on all nodes
+ * @before: of the nodes that come before this one in an order all nodes share
+ * @own: of this node, as it told the others
+ * @all: of all nodes
+ */
+struct seam_target_demand {
+	int64_t before;
+	int64_t own;
+	int64_t all;
+};
+
+/**
+ * seam_target_divide() - divide the slots of a service between the nodes
+ * @s: service
+ * @d: demand; while it is not above the slots, nothing is divided
+ *
+ * While requests wait on several nodes, a slot that ends is taken again by the
+ * node that had it, so nodes keep what they got at the begin of a peak. Each
+ * node gets the part of its requests in all of them instead, so that all
+ * queues end together. The lock is held; seam_target_told() is to be called
+ * for the targets afterwards.
+ */
+void seam_target_divide(struct seam_target_service *s,
+			const struct seam_target_demand *d);
+
+/** seam_target_room() - slots that this process may use now; lock held */
+int seam_target_room(const struct seam_target *t);
+
+/**
+ * seam_targets_own() - add to the requests of @service in this process
+ *
+ * Return: false if the service has no targets; nothing is counted then.
+ */
+bool seam_targets_own(struct seam_targets *ts, const char *service, int more);
+
+/** seam_targets_each_service() - call @fn for all services; lock held */
+void seam_targets_each_service(struct seam_targets *ts,
+			       void (*fn)(void *arg,
+					  struct seam_target_service *s),
+			       void *arg);
+
 /** seam_target_told() - peers told that they have @load on it; lock held */
 void seam_target_told(struct seam_target *t, int load);
 
--- a/connection/target_impl.h
+++ b/connection/target_impl.h
@@ -23,6 +23,9 @@
 bool seam_target_attach(struct seam_targets *ts, struct seam_target *t);
 void seam_target_detach(struct seam_target *t);
 
+void seam_target_member(struct seam_target *t, int by);
+double seam_target_phase(const char *id);
+
 void seam_target_service_free(void *service);
 
 #endif
--- a/connection/target_index.c
+++ b/connection/target_index.c
@@ -75,6 +75,15 @@
 	return g;
 }
 
+/* @by: 1 or -1; counts a target that is not leaving */
+void seam_target_member(struct seam_target *t, int by)
+{
+	if (t->info.leaving)
+		return;
+	t->service->members += by;
+	t->service->slots += (int64_t)by * t->info.slots;
+}
+
 bool seam_target_attach(struct seam_targets *ts, struct seam_target *t)
 {
 	t->service = need_service(ts, t->info.service);
@@ -83,7 +92,8 @@
 		t->service = NULL;
 		return false;
 	}
-	t->service->members += !t->info.leaving;
+	seam_target_member(t, 1);
+	t->phase = seam_target_phase(t->info.id);
 	seam_target_place(t);
 	return true;
 }
@@ -121,7 +131,7 @@
 void seam_target_place(struct seam_target *t)
 {
 	bool open = t->group && !t->info.leaving && !t->ejected &&
-		    seam_target_load(t) < t->info.slots;
+		    seam_target_room(t) > 0;
 
 	if (open && !t->open_at)
 		enter_open(t);
@@ -180,7 +190,7 @@
 	seam_target_back(t);
 	if (t->open_at)
 		leave_open(t);
-	t->service->members -= !t->info.leaving;
+	seam_target_member(t, -1);
 	t->service = NULL;
 	t->group = NULL;
 }
--- a/connection/target_set.c
+++ b/connection/target_set.c
@@ -78,7 +78,7 @@
 		       const struct seam_target_info *info)
 {
 	return t->info.leaving == info->leaving &&
-	       !strcmp(t->info.dc, info->dc) &&
+	       t->info.slots == info->slots && !strcmp(t->info.dc, info->dc) &&
 	       !strcmp(t->info.service, info->service);
 }
 
@@ -103,7 +103,7 @@
 	if (t->info.leaving)
 		return;
 	if (t->service)
-		t->service->members--;
+		seam_target_member(t, -1);
 	t->info.leaving = true;
 	if (t->service)
 		seam_target_back(t);
--- a/process/member_beat.c
+++ b/process/member_beat.c
@@ -18,12 +18,6 @@
 SEAM_COUNT(refused_unknown, "seam_peer_refused_unknown_total",
 	   "Messages refused: sender is not a member.");
 
-/* What peers were last told of the load on a target. */
-struct told {
-	uint32_t load;
-	uint64_t beat; /* when, to repeat the oldest */
-};
-
 /* One candidate for a beat. */
 struct delta {
 	struct seam_load load;
@@ -31,6 +25,11 @@
 	uint64_t beat;
 };
 
+struct deltas {
+	struct seam_members *m;
+	GArray *list; /* struct delta */
+};
+
 /* Most changed first; among equals the one told longest ago. */
 static int by_change(const void *x, const void *y)
 {
@@ -44,29 +43,41 @@
 	return strcmp(a->load.target, b->load.target);
 }
 
-static struct delta *deltas(struct seam_members *m, size_t *n)
+static void add_delta(struct deltas *d, const char *key, uint32_t now)
+{
+	const struct told *old = g_hash_table_lookup(d->m->told, key);
+	uint32_t was = old ? old->load : 0;
+	struct delta x = {.load.load = now};
+
+	if (!now && !old)
+		return;
+	g_strlcpy(x.load.target, key, sizeof(x.load.target));
+	x.change = now > was ? now - was : was - now;
+	x.beat = old ? old->beat : 0;
+	g_array_append_val(d->list, x);
+}
+
+static void add_service(void *arg, struct seam_target_service *s)
+{
+	char key[SEAM_LOAD_KEY];
+
+	if (seam_member_service_key(s->name, key))
+		add_delta(arg, key, (uint32_t)s->own);
+}
+
+static GArray *deltas(struct seam_members *m)
 {
 	struct seam_table *t = seam_targets_lock(m->node->targets);
-	struct delta *d = calloc(seam_table_count(t) + 1, sizeof(*d));
+	struct deltas d = {m, g_array_new(FALSE, TRUE, sizeof(struct delta))};
 	struct seam_handle h = SEAM_NONE;
 	struct seam_target *g;
 
-	*n = 0;
-	while (d && (g = seam_table_next(t, &h))) {
-		struct told *old = g_hash_table_lookup(m->told, g->info.id);
-		uint32_t now = (uint32_t)g->outstanding;
-		uint32_t was = old ? old->load : 0;
-
-		if (!now && !old)
-			continue;
-		memcpy(d[*n].load.target, g->info.id, sizeof(g->info.id));
-		d[*n].load.load = now;
-		d[*n].change = now > was ? now - was : was - now;
-		d[*n].beat = old ? old->beat : 0;
-		(*n)++;
-	}
+	while ((g = seam_table_next(t, &h)))
+		add_delta(&d, g->info.id, (uint32_t)g->outstanding);
+	seam_targets_each_service(m->node->targets, add_service, &d);
 	seam_targets_unlock(m->node->targets);
-	return d;
+	g_array_sort(d.list, by_change);
+	return d.list;
 }
 
 static void remember(struct seam_members *m, const struct seam_load *l)
@@ -77,6 +88,7 @@
 		t = g_new0(struct told, 1);
 		g_hash_table_insert(m->told, g_strdup(l->target), t);
 	}
+	t->before = t->load;
 	t->load = l->load;
 	t->beat = m->seq;
 }
@@ -85,22 +97,20 @@
 static void add_loads(struct seam_members *m, struct seam_msg *msg, int peers)
 {
 	long left = SEAM_BEAT_BYTES_PER_SEC / (peers ? peers : 1) - BEAT_BYTES;
-	size_t n;
-	struct delta *d = deltas(m, &n);
-	size_t i;
+	GArray *list = deltas(m);
+	guint i;
 
-	if (!d)
-		return;
-	qsort(d, n, sizeof(*d), by_change);
-	msg->load = calloc(n + 1, sizeof(*msg->load));
-	for (i = 0; msg->load && i < n && i < SEAM_LOADS_MAX; i++) {
-		left -= (long)strlen(d[i].load.target) + LOAD_OVERHEAD;
+	msg->load = calloc(list->len + 1, sizeof(*msg->load));
+	for (i = 0; msg->load && i < list->len && i < SEAM_LOADS_MAX; i++) {
+		const struct delta *d = &g_array_index(list, struct delta, i);
+
+		left -= (long)strlen(d->load.target) + LOAD_OVERHEAD;
 		if (left < 0)
 			break;
-		msg->load[msg->loads++] = d[i].load;
-		remember(m, &d[i].load);
+		msg->load[msg->loads++] = d->load;
+		remember(m, &d->load);
 	}
-	free(d);
+	g_array_free(list, TRUE);
 }
 
 /*
@@ -260,30 +270,6 @@
 	seam_msg_free(&msg);
 }
 
-/* Sets the load by peers of each target from the members not suspected. */
-void seam_member_loads(struct seam_members *m, seam_time now)
-{
-	struct seam_table *t;
-	struct seam_handle h = SEAM_NONE;
-	struct seam_target *g;
-
-	pthread_mutex_lock(&m->lock);
-	t = seam_targets_lock(m->node->targets);
-	while ((g = seam_table_next(t, &h))) {
-		struct seam_handle i = SEAM_NONE;
-		struct seam_member *b;
-		int load = 0;
-
-		while ((b = seam_table_next(m->table, &i)))
-			if (b->load && !seam_member_suspected(b, now))
-				load += GPOINTER_TO_INT(g_hash_table_lookup(
-					b->load, g->info.id));
-		seam_target_told(g, load);
-	}
-	seam_targets_unlock(m->node->targets);
-	pthread_mutex_unlock(&m->lock);
-}
-
 /* The lock is held. */
 static struct seam_spread_peer *peers(struct seam_members *m, seam_time now,
 				      size_t *n)
--- a/process/member_impl.h
+++ b/process/member_impl.h
@@ -16,6 +16,13 @@
 	void *arg;
 };
 
+/* What peers were last told of a load. */
+struct told {
+	uint32_t load;
+	uint32_t before; /* the time before */
+	uint64_t beat; /* when, to repeat the oldest */
+};
+
 struct seam_members {
 	struct seam_owner owner; /* first, so that the owner is the object */
 	struct seam_node *node;
@@ -32,7 +39,7 @@
 	seam_time beat_at;
 	seam_time passed_at;
 	seam_time store_at;
-	GHashTable *told; /* target to struct told, see member_beat.c */
+	GHashTable *told; /* key of a load to struct told */
 	pthread_mutex_t fn_lock; /* held while @fn runs */
 	seam_member_fn fn;
 	void *arg;
@@ -52,6 +59,12 @@
 void seam_member_register(struct seam_members *m, seam_time now);
 void seam_member_scan(struct seam_members *m, seam_time now);
 void seam_member_beat(struct seam_members *m, seam_time now);
+#define SEAM_LOAD_KEY 64
+/*
+ * Loads are told by the id of the target, and requests of a service, waiting
+ * ones included, by this key; false if the name is too long for it.
+ */
+bool seam_member_service_key(const char *service, char key[SEAM_LOAD_KEY]);
 void seam_member_loads(struct seam_members *m, seam_time now);
 
 /* @fn_lock is held: hands a hint to its handler. */
--- a/request/route.c
+++ b/request/route.c
@@ -44,7 +44,7 @@
 	int64_t part = (slots * seam_route_weight(t, now) + WEIGHT_FULL - 1) /
 		       WEIGHT_FULL;
 
-	return seam_target_load(t) < part;
+	return seam_target_room(t) > slots - part;
 }
 
 static bool lighter(const struct seam_target *a, const struct seam_target *b,
@@ -189,8 +189,7 @@
 	if (t) {
 		*h = t->self;
 		t->outstanding++;
-		SEAM_INVARIANT(seam_target_load(t) <= t->info.slots &&
-				       !t->info.leaving,
+		SEAM_INVARIANT(seam_target_room(t) >= 0 && !t->info.leaving,
 			       "request", "Target %s has %d of %d slots.",
 			       t->info.id, seam_target_load(t), t->info.slots);
 		seam_target_place(t);
--- a/request/route_run.c
+++ b/request/route_run.c
@@ -290,16 +290,20 @@
 static int attempt(struct attempt *t, struct seam_answer *a, bool *started,
 		   struct seam_err *e)
 {
+	bool counted;
 	int rc;
 
 	*started = false;
 	if (take_unit(t, e))
 		return -1;
+	counted = seam_targets_own(t->router->targets, t->job->service, 1);
 	rc = get_slot(t, e);
 	if (!rc) {
 		*started = true;
 		rc = send_once(t, a, e);
 	}
+	if (counted)
+		seam_targets_own(t->router->targets, t->job->service, -1);
 	give_unit(t, rc, e);
 	return rc;
 }
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -1,6 +1,8 @@
 // Load of targets as a node knows it: told by peers, learned from refusals.
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "request/route.h"
 #include "tests/fleet.h"
 
@@ -146,3 +148,53 @@
 	set(0);
 	EXPECT_EQ(take(&h), 0);
 }
+
+// Guards against nodes that keep the slots which they got first while the
+// requests of others wait, and against parts that exceed a target's slots.
+TEST(LoadOfPeers, DividesSlotsByDemand)
+{
+	auto s = sim::fleet(13);
+	seam_near near = {"a", nullptr, 0};
+	seam_target_info info[5] = {};
+	seam_err e = SEAM_ERR_INIT;
+	std::map<int, int> on, by;
+	seam_handle h;
+	auto own = [&](int i, int n) {
+		seam_targets_own(s->nodes[i]->node->targets, "s", n);
+	};
+	auto fill = [&] {
+		on.clear();
+		by.clear();
+		for (int i = 0; i < 9; i++) {
+			auto *ts = s->nodes[i]->node->targets;
+			while (!seam_route_take(ts, "s", &near, nullptr,
+						s->nodes[i]->now(), &h, &e)) {
+				on[(int)h.bits]++;
+				by[i]++;
+			}
+		}
+	};
+
+	for (int i = 0; i < 5; i++) {
+		snprintf(info[i].id, sizeof(info[i].id), "vm-%d", i);
+		snprintf(info[i].service, sizeof(info[i].service), "s");
+		info[i].slots = 8;
+	}
+	for (auto &x : s->nodes)
+		seam_targets_set(x->node->targets, info, 5);
+	own(0, 300);
+	own(1, 100);
+	s->run(4 * SEAM_SEC);
+	fill();
+	EXPECT_EQ(by[0], 30);
+	EXPECT_EQ(by[1], 10);
+	for (auto &x : on)
+		EXPECT_EQ(x.second, 8);
+	// While the first node's requests run, its part goes to the second.
+	own(0, -300);
+	own(1, 300);
+	s->run(4 * SEAM_SEC);
+	fill();
+	EXPECT_EQ(by[0], 0);
+	EXPECT_EQ(by[1], 30);
+}
