--- a/connection/target_index.c
+++ b/connection/target_index.c
@@ -75,6 +75,15 @@
 	return g;
 }
 
+/* @by: 1 or -1; counts a target that is not leaving */
+void seam_target_member(struct seam_target *t, int by)
+{
+	if (t->info.leaving)
+		return;
+	t->service->members += by;
+	t->service->slots += (int64_t)by * t->info.slots;
+}
+
 bool seam_target_attach(struct seam_targets *ts, struct seam_target *t)
 {
 	t->service = need_service(ts, t->info.service);
@@ -83,7 +92,8 @@
 		t->service = NULL;
 		return false;
 	}
-	t->service->members += !t->info.leaving;
+	seam_target_member(t, 1);
+	t->phase = seam_target_phase(t->info.id);
 	seam_target_place(t);
 	return true;
 }
@@ -121,7 +131,7 @@
 void seam_target_place(struct seam_target *t)
 {
 	bool open = t->group && !t->info.leaving && !t->ejected &&
-		    t->outstanding + t->peer_load < t->info.slots;
+		    seam_target_room(t) > 0;
 
 	if (open && !t->open_at)
 		enter_open(t);
@@ -129,6 +139,13 @@
 		leave_open(t);
 }
 
+void seam_target_told(struct seam_target *t, int load)
+{
+	t->peer_load = load;
+	t->learned = 0;
+	seam_target_place(t);
+}
+
 void seam_target_away(struct seam_target *t, seam_time until)
 {
 	struct seam_target_service *s = t->service;
@@ -173,7 +190,7 @@
 	seam_target_back(t);
 	if (t->open_at)
 		leave_open(t);
-	t->service->members -= !t->info.leaving;
+	seam_target_member(t, -1);
 	t->service = NULL;
 	t->group = NULL;
 }
--- a/process/member_impl.h
+++ b/process/member_impl.h
@@ -16,6 +16,13 @@
 	void *arg;
 };
 
+/* What peers were last told of a load. */
+struct told {
+	uint32_t load;
+	uint32_t before; /* the time before */
+	uint64_t beat; /* when, to repeat the oldest */
+};
+
 struct seam_members {
 	struct seam_owner owner; /* first, so that the owner is the object */
 	struct seam_node *node;
@@ -35,7 +42,7 @@
 	seam_time store_at;
 	seam_time watched; /* later nodes are not known; 0: no rows read */
 	bool unknown; /* a node may have registered unseen since then */
-	GHashTable *told; /* target to struct told, see member_beat.c */
+	GHashTable *told; /* key of a load to struct told */
 	pthread_mutex_t fn_lock; /* held while @fn runs */
 	seam_member_fn fn;
 	void *arg;
@@ -58,6 +65,12 @@
 void seam_member_register(struct seam_members *m, seam_time now);
 void seam_member_scan(struct seam_members *m, seam_time now);
 void seam_member_beat(struct seam_members *m, seam_time now);
+#define SEAM_LOAD_KEY 64
+/*
+ * Loads are told by the id of the target, and requests of a service, waiting
+ * ones included, by this key; false if the name is too long for it.
+ */
+bool seam_member_service_key(const char *service, char key[SEAM_LOAD_KEY]);
 void seam_member_loads(struct seam_members *m, seam_time now);
 void seam_member_watch(struct seam_members *m, seam_time now);
 
