member, pool: a drain's owner needs read rows and heard members

Change: seam_members_all_current() needs member rows read within 8 s and a message of each member. It also waits 8 s after a member has the store again or is heard again, and after a pause of its own: such a node sends by its old view.

--- a/process/member.c
+++ b/process/member.c
@@ -89,6 +89,7 @@
 
 	if (now - m->passed_at < SEAM_SUSPECT_AFTER)
 		return;
+	m->quiet_at = MAX(m->quiet_at, now + SEAM_VIEW_SETTLES);
 	while ((b = seam_table_next(m->table, &h)))
 		if (!seam_member_suspected(b, m->passed_at))
 			b->suspect_at = now + SEAM_SUSPECT_AFTER;
@@ -184,7 +185,8 @@
 	bool all;
 
 	pthread_mutex_lock(&m->lock);
-	all = now >= m->quiet_at;
+	all = now >= m->quiet_at && m->listed &&
+	      now - m->rows_at < SEAM_VIEW_SETTLES;
 	while ((b = seam_table_next(m->table, &h)))
 		all = all && current(b, now);
 	pthread_mutex_unlock(&m->lock);
--- a/process/member.h
+++ b/process/member.h
@@ -12,6 +12,7 @@
 #define SEAM_BEAT_PERIOD (1 * SEAM_SEC)
 #define SEAM_SUSPECT_AFTER (3 * SEAM_SEC)
 #define SEAM_REQUESTS_END (30 * SEAM_SEC) /* longest request */
+#define SEAM_VIEW_SETTLES (8 * SEAM_SEC) /* read the rows, tell the loads */
 #define SEAM_HINTS_PER_SEC 32 /* of 250 bytes: 8 KB/s when all are used */
 #define SEAM_BEAT_BYTES_PER_SEC 10240 /* to all peers together */
 
@@ -28,7 +29,8 @@
  * @heard_inc: incarnation of the last message accepted
  * @seq: sequence number of the last message accepted
  * @suspect_at: suspected from then on
- * @quiet_at: requests of its earlier processes have ended by then
+ * @quiet_at: by then its view is current again, and requests of its earlier
+ *            processes have ended
  * @missing_at: its row may be dropped from then on; 0 while its VM is listed
  * @last: what the last message said
  * @load: target to its last load there, private
@@ -119,11 +121,13 @@
  *
  * A request goes on at its target after its node has ended, and the node's next
  * process does not know of it, nor does this one know what was told before it
- * started. So this waits for SEAM_REQUESTS_END after each start of a process.
+ * started. So this waits for SEAM_REQUESTS_END after each start of a process. A
+ * node that reaches the store or its peers again sends by its old view for some
+ * seconds, so this waits for SEAM_VIEW_SETTLES after each such gap.
  *
- * Return: true if no member is suspected at @now, each one said in its last
- * message that the store had answered it lately, and no request of an earlier
- * process can still run.
+ * Return: true if the member rows were read lately, every member was heard and
+ * is not suspected at @now, each one said in its last message that the store
+ * had answered it lately, and both waits are over.
  */
 bool seam_members_all_current(struct seam_members *m, seam_time now);
 
--- a/process/member_beat.c
+++ b/process/member_beat.c
@@ -205,6 +205,9 @@
 		return false;
 	if (msg->inc > b->heard_inc)
 		new_process(b, now);
+	if (seam_member_suspected(b, now) ||
+	    msg->sent_at - msg->store_at >= SEAM_STORE_GONE)
+		b->quiet_at = MAX(b->quiet_at, now + SEAM_VIEW_SETTLES);
 	b->heard_inc = msg->inc;
 	b->seq = msg->seq;
 	b->suspect_at = now + SEAM_SUSPECT_AFTER;
--- a/process/member_impl.h
+++ b/process/member_impl.h
@@ -33,6 +33,7 @@
 	seam_time passed_at;
 	seam_time quiet_at; /* as in struct seam_member, for this node */
 	seam_time store_at;
+	seam_time rows_at; /* when the rows were last read */
 	seam_time watched; /* later nodes are not known; 0: no rows read */
 	bool unknown; /* a node may have registered unseen since then */
 	GHashTable *told; /* target to struct told, see member_beat.c */
--- a/process/member_watch.c
+++ b/process/member_watch.c
@@ -80,6 +80,7 @@
 
 void seam_member_watched(struct seam_members *m, seam_time now)
 {
+	m->rows_at = now;
 	m->watched = now;
 	m->unknown = false;
 	seam_count_set(&unknown_vms, 0);
--- a/tests/member_join_test.cc
+++ b/tests/member_join_test.cc
@@ -117,6 +117,44 @@
 	EXPECT_TRUE(current());
 }
 
+// Guards against a drain that ends early because its owner, which has started
+// without the store, knows no members whose loads it would have to hear.
+TEST(MemberJoin, OwnerThatHasReadNoRows)
+{
+	auto s = sim::fleet(35);
+	sim_node &owner = *s->nodes[0];
+
+	s->stop(owner);
+	s->store_down(owner, true);
+	s->start(owner);
+	s->run(40 * SEAM_SEC);
+	EXPECT_FALSE(seam_members_all_current(owner.members, owner.now()));
+	s->store_down(owner, false);
+	s->step();
+	EXPECT_FALSE(seam_members_all_current(owner.members, owner.now()));
+	s->run(40 * SEAM_SEC);
+	EXPECT_TRUE(seam_members_all_current(owner.members, owner.now()));
+}
+
+// Guards against a drain that ends early because a node has the store again but
+// still sends by the view that it had before.
+TEST(MemberJoin, NodeThatHasTheStoreAgain)
+{
+	auto s = sim::fleet(36);
+	sim_node &owner = *s->nodes[0], &other = *s->nodes[4];
+
+	s->run(31 * SEAM_SEC);
+	ASSERT_TRUE(seam_members_all_current(owner.members, owner.now()));
+	s->store_down(other, true);
+	s->run(10 * SEAM_SEC);
+	EXPECT_FALSE(seam_members_all_current(owner.members, owner.now()));
+	s->store_down(other, false);
+	s->run(6 * SEAM_SEC);
+	EXPECT_FALSE(seam_members_all_current(owner.members, owner.now()));
+	s->run(6 * SEAM_SEC);
+	EXPECT_TRUE(seam_members_all_current(owner.members, owner.now()));
+}
+
 // What comes and goes in the random runs; a VM lives for longer than a list
 // may lag.
 struct joins {
