pool: owners notice rows that were changed past the polls

Cause: polls compare the versions of pool-version/ rows only. A pool row that was damaged, deleted or repaired by hand without that row was never read: commits of its owner conflicted in each pass, and neither a metric nor the log said why. A damaged row that was written together with its version row was read and logged by every node each second. Change: the owner reads its rows each 60 s and after a conflict. A damaged row is read, counted and logged once for each version; its pool begins and commits nothing, seam_pool_damaged and /v1/pools say so. A repaired row is taken over and written again with its version row, so that all nodes read it. After: noticed and taken back within 61 s of simulated time, no read a second by other nodes.

--- a/process/part_pools.c
+++ b/process/part_pools.c
@@ -55,6 +55,9 @@
 	seam_json_add_int(o, "wants", r->forecast.want);
 	seam_json_add_int(o, "overdue", overdue(r, now));
 	seam_json_add_str(o, "size", r->note);
+	json_object_object_add(
+		o, "damaged",
+		json_object_new_boolean(seam_pool_damaged(ps, r->name)));
 	return o;
 }
 
--- a/process/pool.h
+++ b/process/pool.h
@@ -332,6 +332,15 @@
 /** seam_pools_pass() - poll, then a pass for each pool that is owned */
 seam_time seam_pools_pass(struct seam_pools *ps, seam_time now);
 
+/**
+ * seam_pool_damaged() - a row of the pool can't be read
+ *
+ * The row read before stays in force; its owner begins and commits nothing.
+ * True on nodes that have tried to read the row: the owner, and all nodes if
+ * the row was written together with the one that polls see.
+ */
+bool seam_pool_damaged(struct seam_pools *ps, const char *name);
+
 /** seam_pools_get() - pool by name, made when the configuration has it */
 struct seam_pool *seam_pools_get(struct seam_pools *ps, const char *name);
 
--- a/process/pool_impl.h
+++ b/process/pool_impl.h
@@ -25,11 +25,22 @@
 	char vm[64];
 };
 
+/* A row that could not be read; the one read before stays in force. */
+struct seam_pool_bad {
+	bool damaged;
+	uint64_t version; /* SEAM_ABSENT if the row is gone */
+};
+
 struct seam_pool {
 	struct seam_pools *ps;
 	char name[64];
 	struct seam_pool_row row;
 	struct seam_wave_order wave;
+	struct seam_pool_bad bad[2]; /* of the row, of the wave row */
+	uint64_t indexed; /* version that polls have seen or this node wrote */
+	seam_time verify_at; /* as owner: read the row itself */
+	bool conflict; /* read both rows now */
+	bool rewrite; /* the row was written without the one that polls see */
 	bool check_new; /* a commit with new VMs conflicted: read vm/ID first */
 };
 
@@ -95,6 +106,16 @@
 			  const struct seam_pool_row *next,
 			  const struct seam_pool_rules *rules);
 void seam_pool_keep(struct seam_pool *p, const struct seam_pool_row *r);
+
+/* The lock is held. */
+struct seam_pool *seam_pools_get_locked(struct seam_pools *ps,
+					const char *name);
+
+/* This node wrote the row and the one that polls see, at @version. */
+void seam_pool_indexed(struct seam_pool *p, uint64_t version);
+
+/* Called by the owner: reads the row itself, when it is due. */
+void seam_pool_verify(struct seam_pool *p, seam_time now);
 seam_time seam_pool_drain_limit(const struct seam_pool_work *w);
 struct seam_drain *seam_pool_drain(const struct seam_pool_work *w);
 
--- a/process/pool_pass.c
+++ b/process/pool_pass.c
@@ -18,6 +18,8 @@
 	   "Reboots asked of the platform, with repeats.");
 SEAM_COUNT(overdue, "seam_pool_overdue",
 	   "Members past their maintenance deadline in the owned pools.");
+SEAM_COUNT(damaged, "seam_pool_damaged",
+	   "Owned pools with a row that can't be read.");
 SEAM_COUNT(over_budget, "seam_pool_over_budget",
 	   "Owned pools with more unavailable members than their budget.");
 
@@ -153,8 +155,10 @@
 	if (seam_batch_commit(w->ps, &head, &w->next.version, w->now, e)) {
 		seam_batch_free(&head);
 		w->p->check_new = w->adopted;
+		w->p->conflict = e->kind == SEAM_CONFLICT;
 		return -1;
 	}
+	w->p->rewrite = false;
 	seam_batch_free(&head);
 	seam_pool_invariants(&w->old, &w->next, &w->rules);
 	return 0;
@@ -242,6 +246,7 @@
 	     seam_pool_row_copy(&w->next, &p->row);
 	w->wave = p->wave;
 	pthread_mutex_unlock(&p->ps->lock);
+	w->changed = p->rewrite;
 	seam_pool_mark_out(&w->old, w->conf);
 	seam_pool_mark_out(&w->next, w->conf);
 	return rc ? -1 : 0;
@@ -300,6 +305,8 @@
 	}
 	if (!rc) {
 		seam_pool_keep(p, &w.next);
+		if (w.changed)
+			seam_pool_indexed(p, w.next.version);
 		note_moves(&w);
 		seam_pool_effects(&w);
 	}
@@ -351,12 +358,14 @@
 {
 	int64_t late = 0;
 	int64_t over = 0;
+	int64_t bad = 0;
 
 	for (guint i = 0; i < own->len; i++) {
 		struct seam_pool *p = g_ptr_array_index(own, i);
 		struct seam_pool_rules rules;
 		struct seam_pool_row r;
 
+		bad += seam_pool_damaged(ps, p->name);
 		if (seam_pool_peek(ps, p->name, &r))
 			continue;
 		seam_pool_rules_of(ps, p->name, now, &rules);
@@ -367,6 +376,7 @@
 	}
 	seam_count_set(&overdue, late);
 	seam_count_set(&over_budget, over);
+	seam_count_set(&damaged, bad);
 }
 
 /* Without a configuration every pool looks deleted and every data centre out.
@@ -396,6 +406,8 @@
 		struct seam_pool *p = g_ptr_array_index(own, i);
 
 		if (store)
+			seam_pool_verify(p, now);
+		if (store && !seam_pool_damaged(ps, p->name))
 			seam_pool_pass(p, now);
 		else
 			effects_only(p, now);
--- /dev/null
+++ b/tests/pool_damage_test.cc
@@ -0,0 +1,130 @@
+// Pool rows that were changed past the nodes, for example by hand.
+#include "pool_world.h"
+
+static const char *const one_pool =
+	"[{\"name\":\"web\",\"kind\":\"service\",\"budget\":2}]";
+
+struct PoolDamage : ::testing::Test {
+	world w{one_pool, 2};
+	std::string good;
+
+	PoolDamage()
+	{
+		w.vm("v1", "a", "r1", "web");
+		w.vm("v2", "b", "r2", "web");
+		w.owner[1].alive = false;
+		run(150 * SEC);
+		good = text();
+	}
+	// All nodes; the world's own check does not read damaged rows.
+	void run(seam_time span)
+	{
+		seam_time end = w.clock.time + span;
+
+		for (; w.clock.time < end;
+		     seam_fake_set(&w.clock, w.clock.time + SEC))
+			for (size_t i = 0; i < 2; i++)
+				w.pass(i);
+	}
+	std::string text()
+	{
+		seam_row r = {};
+
+		seam_store_get(w.mem, "pool/web", &r, SEAM_NEVER, &w.e);
+		std::string out = r.data ? r.data : "";
+		seam_row_free(&r);
+		return out;
+	}
+	void write(const std::string &data, bool index = false)
+	{
+		seam_write x[2] = {{SEAM_PUT, "pool/web", SEAM_ANY_VERSION,
+				    data.c_str(), data.size()},
+				   {SEAM_PUT, "pool-version/web",
+				    SEAM_ANY_VERSION, "", 0}};
+		seam_commit c = {x, index ? 2u : 1u, 1, 0};
+
+		ASSERT_EQ(seam_store_commit(w.mem, &c, SEAM_NEVER, &w.e), 0);
+	}
+	size_t members(int i)
+	{
+		seam_pool_row r = {};
+		size_t n = 0;
+
+		if (!seam_pool_peek(w.node[i], "web", &r))
+			n = r.n;
+		seam_pool_row_free(&r);
+		return n;
+	}
+};
+
+// Guards against a damaged row that no node notices, as polls read versions
+// only; it is kept for an operator, and the last good one stays in force.
+TEST_F(PoolDamage, OwnerNoticesWithinAMinute)
+{
+	write("{\"name\":\"web\",\"members\":[{\"v");
+	std::string bad = text();
+	run(61 * SEC);
+	EXPECT_TRUE(seam_pool_damaged(w.node[0], "web"));
+	w.order("web", SEAM_ORDER_START);
+	run(120 * SEC);
+	EXPECT_EQ(text(), bad) << "may hide what was written before it";
+	EXPECT_EQ(members(0), 2u);
+	EXPECT_EQ(members(1), 2u);
+	EXPECT_EQ(seam_fake_platform_reboots(w.fake), 0);
+	write(good);
+	run(61 * SEC);
+	EXPECT_FALSE(seam_pool_damaged(w.node[0], "web"));
+	run(200 * SEC);
+	EXPECT_GT(seam_fake_platform_reboots(w.fake), 0) << "the wave goes on";
+}
+
+// Guards against a row repaired by hand that only its owner reads.
+TEST_F(PoolDamage, RepairReachesTheOtherNodes)
+{
+	std::string less = good;
+	size_t at = less.find("{\"vm\":\"v2\"");
+
+	ASSERT_NE(at, std::string::npos);
+	size_t end = less.find('}', at) + 1;
+	at -= less[at - 1] == ',';
+	end += less[at] != ',' && less[end] == ',';
+	less.erase(at, end - at);
+	seam_fake_platform_del(w.fake, "v2");
+	write(less);
+	w.owner[0].alive = true;
+	run(63 * SEC);
+	EXPECT_EQ(members(0), 1u);
+	EXPECT_EQ(members(1), 1u);
+}
+
+// Guards against a read of the damaged row, and a line in the log, each second.
+TEST_F(PoolDamage, ReadOnceByEachNode)
+{
+	write("{", true);
+	run(5 * SEC);
+	EXPECT_TRUE(seam_pool_damaged(w.node[0], "web"));
+	EXPECT_TRUE(seam_pool_damaged(w.node[1], "web"));
+	seam_store_use was = seam_store_mem_use(w.view[1]);
+	run(20 * SEC);
+	seam_store_use is = seam_store_mem_use(w.view[1]);
+	EXPECT_EQ(is.reads - was.reads, 20) << "the scans of the versions";
+	write(good, true);
+	run(2 * SEC);
+	EXPECT_FALSE(seam_pool_damaged(w.node[1], "web"));
+}
+
+// Guards against a row that was deleted: its owner must not begin an empty one.
+TEST_F(PoolDamage, RowThatIsGone)
+{
+	seam_write x = {SEAM_DELETE, "pool/web", SEAM_ANY_VERSION, nullptr, 0};
+	seam_commit c = {&x, 1, 1, 0};
+
+	ASSERT_EQ(seam_store_commit(w.mem, &c, SEAM_NEVER, &w.e), 0);
+	run(130 * SEC);
+	EXPECT_TRUE(seam_pool_damaged(w.node[0], "web"));
+	EXPECT_EQ(text(), "");
+	EXPECT_EQ(members(0), 2u);
+	write(good);
+	run(61 * SEC);
+	EXPECT_FALSE(seam_pool_damaged(w.node[0], "web"));
+}
