pool: peers tell which rows changed; the index is read each 30 s

Each node read the index of versions each second: 23 KB/s and one read/s at 332 pools.

The writer of a pool or wave row gives all peers a hint, and they read that row in their next poll. Hints to all peers are numbered, also those that the rate drops, and each beat tells the latest number. The index is read at once when a number, a silent or unknown member, a failed commit, a pause or a recent start shows that a hint may be missing, and each 30 s otherwise. A node that finds members at its start changes no pool rows for 7 s: those that do not know it yet would notice neither a lost hint nor its silence.

--- a/bench/pool_bench.c
+++ b/bench/pool_bench.c
@@ -319,7 +319,8 @@
 		struct seam_store_use use;
 		struct seam_store_use seen = {.reads = 0};
 		struct seam_pools_env env = {.clock = &b->clock.clock,
-					     .conf = &b->conf};
+					     .conf = &b->conf,
+					     .gaps = bench_gaps};
 		struct seam_err e = SEAM_ERR_INIT;
 		struct seam_pools *other;
 		int i;
@@ -327,13 +328,13 @@
 
 		/* A node that owns nothing and follows the rows. */
 		env.store = seam_store_view_new(b->store);
-		other = seam_pools_new(&env);
+		other = b->other = seam_pools_new(&env);
 
 		for (i = 0; i < counts[k] * 8; i++)
 			put_worker(b, i, counts[k], 1);
-		for (i = 0; i < 10; i++)
+		for (i = 0; i < 12; i++)
 			step(b, SEC);
-		for (i = 0; i < 4; i++)
+		for (i = 0; i < 12; i++)
 			seam_pools_poll(other, b->clock.time + i * SEC, &e);
 		before = seam_store_mem_use(b->store);
 		seen = seam_store_mem_use(env.store);
@@ -360,6 +361,7 @@
 		       (double)(seam_store_mem_use(env.store).reads -
 				seen.reads) /
 			       300);
+		b->other = NULL;
 		seam_pools_free(other);
 		seam_store_close(env.store);
 		bench_free(b);
--- a/bench/pool_fleet.h
+++ b/bench/pool_fleet.h
@@ -23,6 +23,7 @@
 	struct seam_demand *demand;
 	struct seam_fleet *fleet;
 	struct seam_pools *ps;
+	struct seam_pools *other; /* is told which rows changed; may be NULL */
 	struct seam_drain drain;
 	GHashTable *since; /* VM to when its drain began */
 	seam_time work; /* time for which a drained VM still works */
@@ -82,6 +83,22 @@
 	g_string_free(doc, TRUE);
 }
 
+static inline void bench_tell(void *arg, const char *key)
+{
+	struct bench *b = arg;
+
+	if (b->other)
+		seam_pools_hint(b->other, key);
+}
+
+/* No hint is missed. */
+static inline uint64_t bench_gaps(void *arg, seam_time now)
+{
+	(void)arg;
+	(void)now;
+	return 0;
+}
+
 static inline struct bench *bench_new(const char *pools,
 				      const struct seam_size_policy *size)
 {
@@ -109,6 +126,9 @@
 	env.drain_tasks = &b->drain;
 	env.demand = b->demand;
 	env.fleet = b->fleet;
+	env.tell = bench_tell;
+	env.gaps = bench_gaps;
+	env.told_arg = b;
 	b->ps = seam_pools_new(&env);
 	return b;
 }
--- a/connection/peer.h
+++ b/connection/peer.h
@@ -45,7 +45,9 @@
  * @sent_at: time of sending, by the clock of the sender
  * @store_at: latest time at which the store answered the sender
  * @unsettled: the sender has a change whose outcome is not known
- * @base: SEAM_MSG_CHANGE: version that @text applies to
+ * @base: SEAM_MSG_CHANGE: version that @text applies to; SEAM_MSG_BEAT and
+ *        SEAM_MSG_HINT: number of the latest hint to all peers, 0 in a hint to
+ *        one peer
  * @next: version that @text leads to or is; older than @version if the sender
  *        adopted another one meanwhile
  * @addr: SEAM_MSG_SNAPSHOT_GET: peer address of the sender
--- a/process/member.h
+++ b/process/member.h
@@ -28,6 +28,7 @@
  * @seq: sequence number of the last message accepted
  * @suspect_at: suspected from then on
  * @missing_at: its row may be dropped from then on; 0 while its VM is listed
+ * @hint_no: number of its latest hint to all peers
  * @last: what the last message said
  * @load: target to its last load there, private
  */
@@ -44,6 +45,7 @@
 	uint64_t seq;
 	seam_time suspect_at;
 	seam_time missing_at;
+	uint64_t hint_no;
 	struct seam_spread_peer last;
 	void *load;
 };
@@ -94,6 +96,18 @@
 void seam_members_hint(struct seam_members *m, const char *key,
 		       const char *name);
 
+/**
+ * seam_members_hint_gaps() - how often a hint to all peers may have been missed
+ * @m: members
+ * @now: time
+ *
+ * Hints to all peers are numbered, and each beat tells the latest number. While
+ * the result stays the same, every row that another member gave such a hint
+ * about, up to two beats ago, was told to this node. It grows with each call
+ * while a member is suspected or has not been heard.
+ */
+uint64_t seam_members_hint_gaps(struct seam_members *m, seam_time now);
+
 /** seam_members_wire() - receive the bytes of a message; a seam_bus_fn */
 void seam_members_wire(void *arg, const char *bytes, size_t len);
 
--- a/process/member_beat.c
+++ b/process/member_beat.c
@@ -156,6 +156,9 @@
 		return;
 	b = seam_members_copy(m, &n);
 	add_loads(m, &msg, (int)n);
+	pthread_mutex_lock(&m->lock);
+	msg.base = m->hint_no;
+	pthread_mutex_unlock(&m->lock);
 	addr = calloc(n + 1, sizeof(*addr));
 	for (i = 0; addr && i < n; i++) {
 		addr[i] = b[i].peer;
@@ -195,6 +198,8 @@
 	if (msg->inc < b->inc || msg->inc < b->heard_inc ||
 	    (msg->inc == b->heard_inc && msg->seq <= b->seq))
 		return false;
+	if (msg->inc > b->heard_inc)
+		b->hint_no = 0;
 	if (msg->inc > b->heard_inc && b->load) {
 		g_hash_table_destroy(b->load);
 		b->load = NULL;
@@ -209,6 +214,7 @@
 	b->last.store_at = msg->store_at;
 	b->last.unsettled = msg->unsettled;
 	take_loads(b, msg);
+	seam_member_count_hints(m, b, msg);
 	return true;
 }
 
@@ -230,6 +236,7 @@
 	} else if (!b &&
 		   (msg->kind == SEAM_MSG_BEAT || msg->kind == SEAM_MSG_HINT)) {
 		seam_count_add(&refused_unknown, 1);
+		m->hint_gaps++;
 		ok = false;
 	}
 	pthread_mutex_unlock(&m->lock);
--- a/process/member_hint.c
+++ b/process/member_hint.c
@@ -8,6 +8,8 @@
 SEAM_COUNT(sent, "seam_hints_sent_total", "Hints about rows sent to peers.");
 SEAM_COUNT(dropped, "seam_hints_dropped_total",
 	   "Hints not sent because the rate was used up.");
+SEAM_COUNT(missed, "seam_hints_missed_total",
+	   "Times that the number told by a peer showed a hint as missed.");
 SEAM_COUNT(taken, "seam_hints_received_total", "Hints received.");
 
 void seam_members_on_hint(struct seam_members *m, const char *prefix,
@@ -26,6 +28,43 @@
 	pthread_mutex_unlock(&m->fn_lock);
 }
 
+/* A number that is too high for one more hint shows that one was missed. */
+void seam_member_count_hints(struct seam_members *m, struct seam_member *b,
+			     const struct seam_msg *msg)
+{
+	uint64_t expected = b->hint_no;
+
+	if (msg->kind != SEAM_MSG_BEAT && msg->kind != SEAM_MSG_HINT)
+		return;
+	if (msg->kind == SEAM_MSG_HINT && msg->base)
+		expected++;
+	if (msg->base <= b->hint_no)
+		return;
+	b->hint_no = msg->base;
+	if (msg->base > expected) {
+		m->hint_gaps++;
+		seam_count_add(&missed, 1);
+	}
+}
+
+uint64_t seam_members_hint_gaps(struct seam_members *m, seam_time now)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_member *b;
+	bool heard = true;
+	uint64_t gaps;
+
+	pthread_mutex_lock(&m->lock);
+	while ((b = seam_table_next(m->table, &h)))
+		heard = heard && b->heard_inc && b->heard_inc >= b->inc &&
+			!seam_member_suspected(b, now);
+	if (!heard)
+		m->hint_gaps++;
+	gaps = m->hint_gaps;
+	pthread_mutex_unlock(&m->lock);
+	return gaps;
+}
+
 void seam_member_take_hint(struct seam_members *m, const struct seam_msg *msg)
 {
 	int i;
@@ -111,6 +150,9 @@
 	int i;
 
 	pthread_mutex_lock(&m->lock);
+	/* One that is not sent counts too, so that peers know of it. */
+	if (!name)
+		msg.base = ++m->hint_no;
 	addr = receivers(m, name, now, &n);
 	if (n && !allowed(m, n, now)) {
 		seam_count_add(&dropped, n);
--- a/process/member_impl.h
+++ b/process/member_impl.h
@@ -39,6 +39,8 @@
 	struct seam_hint_handler hint[SEAM_HINT_HANDLERS];
 	int hints;
 	int64_t hint_tokens; /* in thousandths of a hint */
+	uint64_t hint_no; /* of the latest hint to all peers */
+	uint64_t hint_gaps;
 	seam_time hint_at; /* when the tokens were last added up */
 };
 
@@ -54,6 +56,10 @@
 void seam_member_beat(struct seam_members *m, seam_time now);
 void seam_member_loads(struct seam_members *m, seam_time now);
 
+/* The lock is held: compares the number of hints with those received. */
+void seam_member_count_hints(struct seam_members *m, struct seam_member *b,
+			     const struct seam_msg *msg);
+
 /* @fn_lock is held: hands a hint to its handler. */
 void seam_member_take_hint(struct seam_members *m, const struct seam_msg *msg);
 
--- a/process/part_inventory.c
+++ b/process/part_inventory.c
@@ -134,6 +134,32 @@
 	return seam_members_all_current(n->members, seam_now(n->clock));
 }
 
+static void tell(void *arg, const char *key)
+{
+	struct seam_node *n = arg;
+
+	if (n->members)
+		seam_members_hint(n->members, key, NULL);
+}
+
+static uint64_t gaps(void *arg, seam_time now)
+{
+	struct seam_node *n = arg;
+
+	return seam_members_hint_gaps(n->members, now);
+}
+
+static void on_hint(void *arg, const char *key)
+{
+	seam_pools_hint(arg, key);
+}
+
+static void listen_to_hints(struct seam_node *n, seam_hint_fn fn)
+{
+	seam_members_on_hint(n->members, "pool/", fn, n->pools);
+	seam_members_on_hint(n->members, "wave/", fn, n->pools);
+}
+
 static void make_pools(struct inventory *v)
 {
 	struct seam_node *n = v->node;
@@ -147,6 +173,9 @@
 		.drain_tasks = &v->drain_tasks.drain,
 		.size = size_policy(n->settings.sizing),
 		.fleet = n->fleet,
+		.tell = tell,
+		.gaps = gaps,
+		.told_arg = n,
 		.vm_list_ms = n->settings.vm_list_ms,
 	};
 
@@ -161,6 +190,7 @@
 {
 	struct inventory *v = (struct inventory *)p;
 
+	listen_to_hints(v->node, on_hint);
 	pass(v, seam_now(v->node->clock));
 	return seam_loop_start(&v->loop, v->node->clock, pass, v, e);
 }
@@ -170,6 +200,7 @@
 	struct inventory *v = (struct inventory *)p;
 
 	seam_loop_stop(&v->loop);
+	listen_to_hints(v->node, NULL);
 	seam_pools_free(v->node->pools);
 	seam_demand_free(v->node->demand);
 	v->node->pools = NULL;
--- a/process/part_pools.c
+++ b/process/part_pools.c
@@ -1,4 +1,5 @@
 #include "base/json.h"
+#include "process/member.h"
 #include "process/node.h"
 #include "process/pool.h"
 
@@ -7,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Members read the rows of the others every 3.75 to 6.25 s. */
+#define KNOWN_AFTER (7 * SEAM_SEC)
 #define POOLS_PATH "/v1/pools/"
 #define EXPLAIN_VM "/v1/explain/vm/"
 #define EXPLAIN_POOL "/v1/explain/pool/"
@@ -16,6 +19,8 @@
 	struct seam_part part;
 	struct seam_node *node;
 	struct seam_loop loop;
+	seam_time
+		known_at; /* every member that has the store knows this node */
 };
 
 static void reply_json(struct seam_call *c, struct json_object *o)
@@ -291,10 +296,27 @@
 	reply_json(c, o);
 }
 
+/*
+ * Members that do not know this node yet would notice neither a lost hint nor
+ * its silence, so it changes no pool rows until they have read its row.
+ */
+static bool is_known(struct pools_part *p, seam_time now)
+{
+	size_t others;
+
+	if (!p->known_at && seam_members_inc(p->node->members)) {
+		free(seam_members_copy(p->node->members, &others));
+		p->known_at = others ? now + KNOWN_AFTER : now;
+	}
+	return p->known_at && now >= p->known_at;
+}
+
 static seam_time pass(void *arg, seam_time now)
 {
 	struct pools_part *p = arg;
 
+	if (!is_known(p, now))
+		return now + SEAM_SEC;
 	return seam_pools_pass(p->node->pools, now);
 }
 
--- a/process/pool.h
+++ b/process/pool.h
@@ -282,6 +282,10 @@
  * @demand: reported demand; NULL keeps sizes
  * @size: sizing policy; NULL keeps sizes
  * @fleet: receives VMs with pools and states; may be NULL
+ * @tell: tell all other nodes that a row changed; NULL without others
+ * @gaps: a number that has grown if @tell of another node may have been missed;
+ *        NULL if nothing is told: then the index is read in each poll
+ * @told_arg: passed to both
  * @vm_list_ms: age of the VM list up to which VMs are moved or maintained
  */
 struct seam_pools_env {
@@ -295,6 +299,9 @@
 	struct seam_demand *demand;
 	const struct seam_size_policy *size;
 	struct seam_fleet *fleet;
+	void (*tell)(void *arg, const char *key);
+	uint64_t (*gaps)(void *arg, seam_time now);
+	void *told_arg;
 	int64_t vm_list_ms;
 };
 
@@ -327,13 +334,22 @@
  */
 int seam_pools_list(struct seam_pools *ps, seam_time now, struct seam_err *e);
 
+/* Age of the index of versions while no hint was missed; see docs/pools.md. */
+#define SEAM_POOL_INDEX_PERIOD (30 * SEAM_SEC)
+
 /**
  * seam_pools_poll() - read the rows whose version changed
  *
- * One scan of the small rows pool-version/ tells which rows changed.
+ * These are the rows that other nodes gave a hint about. If a hint may have
+ * been missed, a commit failed or SEAM_POOL_INDEX_PERIOD has passed, one scan
+ * of the small rows pool-version/ tells which rows changed.
  */
 int seam_pools_poll(struct seam_pools *ps, seam_time now, struct seam_err *e);
 
+/** seam_pools_hint() - another node says that row @key changed; reads nothing
+ */
+void seam_pools_hint(struct seam_pools *ps, const char *key);
+
 /** seam_pools_publish() - give the fleet VMs with their pools and states */
 void seam_pools_publish(struct seam_pools *ps);
 
--- a/process/pool_batch.c
+++ b/process/pool_batch.c
@@ -10,6 +10,21 @@
 SEAM_COUNT(failures, "seam_pool_commit_failures_total",
 	   "Commits of pool rows that the store did not confirm.");
 
+/* Commits whose outcome is not known count as changes. */
+static void tell(struct seam_pools *ps, const struct seam_batch *b)
+{
+	guint i;
+
+	for (i = 0; ps->env.tell && i < b->write->len; i++) {
+		const struct seam_write *w =
+			&g_array_index(b->write, struct seam_write, i);
+
+		if (w->op == SEAM_PUT && (g_str_has_prefix(w->key, "pool/") ||
+					  g_str_has_prefix(w->key, "wave/")))
+			ps->env.tell(ps->env.told_arg, w->key);
+	}
+}
+
 void seam_batch_init(struct seam_batch *b)
 {
 	b->write = g_array_new(FALSE, TRUE, sizeof(struct seam_write));
@@ -51,9 +66,14 @@
 				   now + SEAM_POOL_TIMEOUT, e)) {
 		seam_count_add(
 			e->kind == SEAM_CONFLICT ? &conflicts : &failures, 1);
+		if (e->kind == SEAM_COMMIT_UNKNOWN)
+			tell(ps, b);
+		/* The rows that it lost to are newer than those held. */
+		__atomic_store_n(&ps->index_at, 0, __ATOMIC_RELEASE);
 		return -1;
 	}
 	seam_count_add(&commits, 1);
+	tell(ps, b);
 	*version = c.version;
 	return 0;
 }
--- a/process/pool_forecast.c
+++ b/process/pool_forecast.c
@@ -175,8 +175,10 @@
 	for (i = 0; i < own->len && !rc; i++) {
 		struct seam_pool *p = g_ptr_array_index(own, i);
 
+		pthread_mutex_lock(&ps->lock);
 		if (p->forecast_known && p->row.forecast.at > p->forecast_saved)
 			g_ptr_array_add(due, p);
+		pthread_mutex_unlock(&ps->lock);
 		if (due->len == SEAM_COMMIT_MAX ||
 		    (due->len && i + 1 == own->len)) {
 			rc = save(ps, due, now);
--- a/process/pool_impl.h
+++ b/process/pool_impl.h
@@ -38,6 +38,8 @@
 	struct seam_wave_order wave;
 	bool forecast_known; /* pool-forecast/NAME was read as its owner */
 	seam_time forecast_saved; /* time of the stored forecast */
+	bool hinted; /* another node changed the row */
+	bool wave_hinted;
 	bool check_new; /* a commit with new VMs conflicted: read vm/ID first */
 };
 
@@ -58,6 +60,10 @@
 	seam_time
 		forecasts_read_at; /* next read of all, as the spare's owner */
 	seam_time forecasts_save_at;
+	seam_time index_at; /* the index is read from then on; 0: at once */
+	uint64_t gaps; /* when the index was last read */
+	seam_time first_poll;
+	seam_time polling_at; /* latest poll */
 	seam_time polled_at; /* latest poll that read all changed rows */
 };
 
@@ -93,6 +99,10 @@
 	bool adopted;
 };
 
+/* The lock is held. */
+struct seam_pool *seam_pools_get_locked(struct seam_pools *ps,
+					const char *name);
+
 /* True if another thread of the process polled just now. */
 bool seam_pools_polled(struct seam_pools *ps, seam_time now);
 
--- a/process/pools.c
+++ b/process/pools.c
@@ -1,23 +1,8 @@
 #include "process/pool_impl.h"
-#include "base/count.h"
-#include "base/log.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define INDEX "pool-version/"
-#define SCAN_PAGE 512
-/* Rows read in one poll; the next poll goes on. */
-#define POLL_ROWS 128
-/* Two threads of a process poll; one scan serves both. */
-#define POLL_MIN (500 * SEAM_MSEC)
-
-SEAM_COUNT(rows_read, "seam_pool_rows_read_total",
-	   "Pool and wave rows read because their version changed.");
-SEAM_COUNT(bad_rows, "seam_pool_bad_rows_total",
-	   "Pool and wave rows that could not be decoded.");
-
 static void free_pool(gpointer arg)
 {
 	struct seam_pool *p = arg;
@@ -54,7 +39,7 @@
 	g_free(ps);
 }
 
-static struct seam_pool *get_locked(struct seam_pools *ps, const char *name)
+struct seam_pool *seam_pools_get_locked(struct seam_pools *ps, const char *name)
 {
 	struct seam_pool *p = g_hash_table_lookup(ps->pool, name);
 
@@ -76,7 +61,7 @@
 	struct seam_pool *p;
 
 	pthread_mutex_lock(&ps->lock);
-	p = get_locked(ps, name);
+	p = seam_pools_get_locked(ps, name);
 	pthread_mutex_unlock(&ps->lock);
 	return p;
 }
@@ -106,126 +91,6 @@
 	free(copy.member);
 }
 
-static void keep_wave(struct seam_pool *p, const struct seam_wave_order *w)
-{
-	pthread_mutex_lock(&p->ps->lock);
-	if (w->version > p->wave.version)
-		p->wave = *w;
-	pthread_mutex_unlock(&p->ps->lock);
-}
-
-static int decode(struct seam_pool *p, const struct seam_row *row, bool wave,
-		  struct seam_err *e)
-{
-	struct seam_pool_row r;
-	struct seam_wave_order w;
-
-	if (wave) {
-		if (seam_wave_read(row->data, &w, e))
-			return -1;
-		w.version = row->version;
-		keep_wave(p, &w);
-		return 0;
-	}
-	if (seam_pool_row_read(row->data, &r, e))
-		return -1;
-	r.version = row->version;
-	seam_pool_keep(p, &r);
-	seam_pool_row_free(&r);
-	return 0;
-}
-
-static int fetch(struct seam_pools *ps, struct seam_pool *p, bool wave,
-		 seam_time now, struct seam_err *e)
-{
-	struct seam_err bad = SEAM_ERR_INIT;
-	struct seam_row row = {.data = NULL};
-	char key[SEAM_KEY_MAX];
-
-	snprintf(key, sizeof(key), "%s/%s", wave ? "wave" : "pool", p->name);
-	if (seam_store_get(ps->env.store, key, &row, now + SEAM_POOL_TIMEOUT,
-			   e)) {
-		if (e->kind != SEAM_NOT_FOUND)
-			return -1;
-		seam_err_clear(e);
-		return 0;
-	}
-	seam_count_add(&rows_read, 1);
-	if (decode(p, &row, wave, &bad)) {
-		seam_count_add(&bad_rows, 1);
-		seam_log(SEAM_ERROR, "pool", "Row %s not read: %s.", key,
-			 bad.text);
-	}
-	seam_row_free(&row);
-	return 0;
-}
-
-static bool is_newer(struct seam_pools *ps, const char *name, bool wave,
-		     uint64_t version, struct seam_pool **p)
-{
-	bool newer;
-
-	pthread_mutex_lock(&ps->lock);
-	*p = get_locked(ps, name);
-	newer = *p && version > (wave ? (*p)->wave.version : (*p)->row.version);
-	pthread_mutex_unlock(&ps->lock);
-	return newer;
-}
-
-static int poll_page(struct seam_pools *ps, const struct seam_rows *rows,
-		     int *left, seam_time now, struct seam_err *e)
-{
-	size_t i;
-
-	for (i = 0; i < rows->n && *left; i++) {
-		char name[SEAM_KEY_MAX];
-		struct seam_pool *p;
-		char *slash;
-
-		g_strlcpy(name, rows->row[i].key + strlen(INDEX), sizeof(name));
-		slash = strchr(name, '/');
-		if (slash)
-			*slash = '\0';
-		if (strlen(name) >= SEAM_NAME_MAX ||
-		    !is_newer(ps, name, slash, rows->row[i].version, &p))
-			continue;
-		(*left)--;
-		if (fetch(ps, p, slash, now, e))
-			return -1;
-	}
-	return 0;
-}
-
-int seam_pools_poll(struct seam_pools *ps, seam_time now, struct seam_err *e)
-{
-	char after[SEAM_KEY_MAX] = "";
-	struct seam_rows rows = {.row = NULL};
-	int left = POLL_ROWS;
-	size_t n;
-	int rc;
-
-	do {
-		if (seam_store_scan(ps->env.store, INDEX, after, SCAN_PAGE,
-				    &rows, now + SEAM_POOL_TIMEOUT, e))
-			return -1;
-		n = rows.n;
-		if (n)
-			memcpy(after, rows.row[n - 1].key, sizeof(after));
-		rc = poll_page(ps, &rows, &left, now, e);
-		seam_rows_free(&rows);
-	} while (!rc && n == SCAN_PAGE && left);
-	if (!rc && left)
-		__atomic_store_n(&ps->polled_at, now, __ATOMIC_RELEASE);
-	return rc;
-}
-
-bool seam_pools_polled(struct seam_pools *ps, seam_time now)
-{
-	seam_time at = __atomic_load_n(&ps->polled_at, __ATOMIC_ACQUIRE);
-
-	return at && now - at < POLL_MIN;
-}
-
 void seam_pools_drain_tasks(struct seam_pools *ps, struct seam_drain *d)
 {
 	ps->env.drain_tasks = d;
--- a/tests/hint_test.cc
+++ b/tests/hint_test.cc
@@ -72,3 +72,54 @@
 	s->run(1 * SEAM_SEC);
 	EXPECT_TRUE(got.keys.empty());
 }
+
+// Guards against a lost hint that the receiver does not notice, and against
+// gaps that are seen where nothing was lost.
+TEST(Hint, GapsAreNoticed)
+{
+	auto s = sim::fleet(4);
+	seam_members *m = s->nodes[1]->members;
+	auto gaps = [&] {
+		return seam_members_hint_gaps(m, s->nodes[1]->now());
+	};
+	uint64_t before;
+
+	s->run(10 * SEAM_SEC);
+	before = gaps();
+	seam_members_hint(s->nodes[0]->members, "pool/p", nullptr);
+	seam_members_hint(s->nodes[0]->members, "team/t", "team/t");
+	s->run(10 * SEAM_SEC);
+	EXPECT_EQ(gaps(), before);
+	// Most of these are dropped by the sender.
+	for (int i = 0; i < 100; i++)
+		seam_members_hint(s->nodes[0]->members, "pool/p", nullptr);
+	s->run(2 * SEAM_SEC);
+	EXPECT_GT(gaps(), before);
+	before = gaps();
+	s->run(10 * SEAM_SEC);
+	EXPECT_EQ(gaps(), before);
+}
+
+// Guards against the silence of a member that is taken for "nothing changed".
+TEST(Hint, SilenceIsAGap)
+{
+	auto s = sim::fleet(5);
+	seam_members *m = s->nodes[1]->members;
+	auto gaps = [&] {
+		return seam_members_hint_gaps(m, s->nodes[1]->now());
+	};
+	uint64_t before;
+
+	s->run(10 * SEAM_SEC);
+	before = gaps();
+	s->stop(*s->nodes[0]);
+	s->run(4 * SEAM_SEC);
+	EXPECT_GT(gaps(), before);
+	before = gaps();
+	EXPECT_GT(gaps(), before);
+	s->start(*s->nodes[0]);
+	s->run(10 * SEAM_SEC);
+	before = gaps();
+	s->run(5 * SEAM_SEC);
+	EXPECT_EQ(gaps(), before);
+}
--- a/tests/pool_sync_test.cc
+++ b/tests/pool_sync_test.cc
@@ -201,3 +201,149 @@
 	w.run(5 * SEC);
 	EXPECT_GT(forecast(w.node[1], "web").peak, 8.9);
 }
+
+static int active(seam_pools *ps, const char *pool)
+{
+	seam_pool_row r = {};
+	int n;
+
+	EXPECT_EQ(seam_pool_peek(ps, pool, &r), 0);
+	n = (int)seam_pool_count(&r).active;
+	seam_pool_row_free(&r);
+	return n;
+}
+
+// Node 1 follows the rows that node 0 writes.
+struct followed : world {
+	long reads = 0;
+
+	followed() : world(two, 2, true)
+	{
+		owner[1].alive = false;
+		web_of_two(*this);
+		go(15);
+		reads = metric("seam_pool_index_reads_total");
+	}
+	void go(int seconds)
+	{
+		for (int i = 0; i < seconds; i++) {
+			pass(0);
+			follow();
+			seam_fake_set(&clock, clock.time + SEC);
+		}
+	}
+	void follow()
+	{
+		EXPECT_EQ(seam_pools_poll(node[1], clock.time, &e), 0);
+	}
+	// A VM leaves: node 0 writes that it is draining.
+	void leave(const char *id, const char *dc)
+	{
+		vm(id, dc, "r9", "web", SEAM_VM_LEAVING);
+		drain.busy_until[id] = SEAM_NEVER;
+	}
+	void begin_drain()
+	{
+		leave("v1", "a");
+		pass(0);
+		EXPECT_EQ(active(node[0], "web"), 1);
+	}
+	long index_reads()
+	{
+		return metric("seam_pool_index_reads_total") - reads;
+	}
+};
+
+// Guards P9 against a change that waits for the index although its hint came,
+// and against an index that is read each second all the same.
+TEST(PoolSync, HintsReplaceTheIndex)
+{
+	followed w;
+
+	w.begin_drain();
+	EXPECT_EQ(active(w.node[1], "web"), 2);
+	w.follow();
+	EXPECT_EQ(active(w.node[1], "web"), 1);
+	EXPECT_EQ(w.index_reads(), 0);
+	w.go(60);
+	EXPECT_LE(w.index_reads(), 2 * 60 / 30);
+}
+
+// Guards P9 against a hint that is lost: a gap in the numbers is enough to read
+// the index at once.
+TEST(PoolSync, GapReadsTheIndex)
+{
+	followed w;
+
+	w.lose_hints = true;
+	w.begin_drain();
+	w.follow();
+	EXPECT_EQ(active(w.node[1], "web"), 2);
+	w.gaps++;
+	w.follow();
+	EXPECT_EQ(active(w.node[1], "web"), 1);
+	EXPECT_GE(w.index_reads(), 1);
+}
+
+// Guards against a lost hint that nobody notices: the age of the index is
+// bounded all the same.
+TEST(PoolSync, IndexHasABoundedAge)
+{
+	followed w;
+
+	w.lose_hints = true;
+	w.begin_drain();
+	for (int i = 0; i <= SEAM_POOL_INDEX_PERIOD / SEC; i++) {
+		w.follow();
+		seam_fake_set(&w.clock, w.clock.time + SEC);
+	}
+	EXPECT_EQ(active(w.node[1], "web"), 1);
+}
+
+// Guards against an owner that loses each commit until the index is due.
+TEST(PoolSync, ConflictReadsTheIndex)
+{
+	followed w;
+
+	w.lose_hints = true;
+	w.begin_drain();
+	w.leave("v2", "b");
+	seam_pools_list(w.node[1], w.clock.time, &w.e);
+	EXPECT_EQ(
+		seam_pool_pass(seam_pools_get(w.node[1], "web"), w.clock.time),
+		-1);
+	w.follow();
+	EXPECT_EQ(active(w.node[1], "web"), 1);
+}
+
+// Guards against an outage in which a read of a hinted row failed: the change
+// is read as soon as the store is back.
+TEST(PoolSync, OutageReadsTheIndex)
+{
+	followed w;
+
+	w.store_faults(1, true);
+	w.begin_drain();
+	EXPECT_EQ(seam_pools_poll(w.node[1], w.clock.time, &w.e), -1);
+	seam_fake_set(&w.clock, w.clock.time + SEC);
+	EXPECT_EQ(seam_pools_poll(w.node[1], w.clock.time, &w.e), -1);
+	w.store_faults(1, false);
+	w.follow();
+	EXPECT_EQ(active(w.node[1], "web"), 1);
+}
+
+// Guards against an operators' order that the owner sees with the index only.
+TEST(PoolSync, OrdersAreTold)
+{
+	followed w;
+	seam_wave_order o = {};
+
+	o.order = SEAM_ORDER_START;
+	o.version = SEAM_ANY_VERSION;
+	strcpy(o.reason, "test");
+	strcpy(o.operator_name, "op");
+	ASSERT_EQ(seam_wave_give(w.node[1], "web", &o, w.clock.time, &w.e), 0);
+	w.go(2);
+	EXPECT_EQ(w.count("web", SEAM_MEMBER_ACTIVE), 1);
+	EXPECT_EQ(w.index_reads(), 0);
+}
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -54,6 +54,9 @@
 	seam_demand *demand;
 	std::string pools;
 	std::map<std::string, bool> dc_out;
+	bool hints; // nodes tell each other which rows changed
+	bool lose_hints = false;
+	uint64_t gaps = 0; // hints that the nodes know to be missing
 	uint64_t version = 0;
 	uint64_t checked = 0;
 	seam_err e = SEAM_ERR_INIT;
@@ -117,7 +120,21 @@
 		drain.begun.erase(vm);
 	}
 
-	explicit world(const char *pool_list, int nodes = 1) : pools(pool_list)
+	static void tell(void *arg, const char *key)
+	{
+		world *w = (world *)arg;
+
+		for (auto *n : w->node)
+			if (!w->lose_hints)
+				seam_pools_hint(n, key);
+	}
+	static uint64_t count_gaps(void *arg, seam_time)
+	{
+		return ((world *)arg)->gaps;
+	}
+	explicit world(const char *pool_list, int nodes = 1,
+		       bool with_hints = false)
+	    : pools(pool_list), hints(with_hints)
 	{
 		static const seam_owner_ops owner_ops = {mine};
 		static const seam_drain_ops drain_ops = {drain_begin,
@@ -169,6 +186,9 @@
 		env.size = seam_size_thrifty();
 		env.fleet = fleet;
 		env.vm_list_ms = 30000;
+		env.tell = hints ? tell : nullptr;
+		env.gaps = hints ? count_gaps : nullptr;
+		env.told_arg = this;
 		view.push_back(v);
 		node.push_back(seam_pools_new(&env));
 	}
--- a/tests/sim_world.h
+++ b/tests/sim_world.h
@@ -330,8 +330,22 @@
 	env.demand = p.demand = seam_demand_new();
 	env.size = seam_size_thrifty();
 	env.fleet = d->fleet;
+	env.tell = [](void *arg, const char *key) {
+		seam_members_hint(((sim_node *)arg)->members, key, nullptr);
+	};
+	env.gaps = [](void *arg, seam_time at) {
+		return seam_members_hint_gaps(((sim_node *)arg)->members, at);
+	};
+	env.told_arg = &n;
 	env.vm_list_ms = d->settings.vm_list_ms;
 	p.pools = d->pools = seam_pools_new(&env);
+	for (const char *rows : {"pool/", "wave/"})
+		seam_members_on_hint(
+			n.members, rows,
+			[](void *arg, const char *key) {
+				seam_pools_hint((seam_pools *)arg, key);
+			},
+			p.pools);
 
 	snprintf(p.ctx.node, sizeof(p.ctx.node), "%s#%lld", n.name.c_str(),
 		 (long long)self.incarnation);
@@ -354,6 +368,9 @@
 	once.skew = self.skew;
 	p.once = seam_once_new(d->store, d->clock, &once);
 	p.teams_at = p.tasks_at = p.pools_at = p.list_at = p.once_at = 0;
+	// As the daemon does: members have to know a node that plans.
+	if (p.life)
+		p.pools_at = n.now() + 7 * SEAM_SEC;
 	p.link_cut = false;
 	p.life++;
 	p.made = true;
@@ -379,6 +396,9 @@
 		p.ctx.limit->ops->free(p.ctx.limit);
 	seam_sizes_free(p.ctx.sizes);
 	seam_once_free(p.once);
+	for (const char *rows : {"pool/", "wave/"})
+		seam_members_on_hint(s->nodes[i]->members, rows, nullptr,
+				     nullptr);
 	seam_pools_free(p.pools);
 	seam_demand_free(p.demand);
 	seam_teams_free(p.teams);
