store budget: pool-version/ and wave/ are of the class of pools

Reads of the index of pool rows and commits of operators' orders had the least important class, so they were refused first when the budget was short, although P9 and halts of waves depend on them. Found by reading the table of classes; budget_test covers it.

--- a/process/store_budget.c
+++ b/process/store_budget.c
@@ -63,10 +63,15 @@
 		const char *prefix;
 		enum seam_store_class class;
 	} list[] = {
-		{"config/", SEAM_CLASS_CONFIG}, {"once/", SEAM_CLASS_CLAIM},
-		{"queue/", SEAM_CLASS_TASK},	{"worker/", SEAM_CLASS_TASK},
-		{"team/", SEAM_CLASS_TEAM},	{"pool/", SEAM_CLASS_POOL},
+		{"config/", SEAM_CLASS_CONFIG},
+		{"once/", SEAM_CLASS_CLAIM},
+		{"queue/", SEAM_CLASS_TASK},
+		{"worker/", SEAM_CLASS_TASK},
+		{"team/", SEAM_CLASS_TEAM},
+		{"pool/", SEAM_CLASS_POOL},
 		{"vm/", SEAM_CLASS_POOL},
+		{"wave/", SEAM_CLASS_POOL},
+		{"pool-version/", SEAM_CLASS_POOL},
 	};
 	size_t i;
 
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -165,3 +165,13 @@
 	EXPECT_TRUE(write("config/head", 1));
 	EXPECT_FALSE(seam_store_budget_state(s).unsettled);
 }
+
+// Guards P9 against reads of the index of pool rows, and P1 against orders to
+// halt a wave, that are refused first when the budget is short.
+TEST_F(Budget, PoolRowsAreOfOneClass)
+{
+	for (const char *key : {"pool/web", "pool-version/web", "pool-version/",
+				"wave/web", "vm/v1"})
+		EXPECT_EQ(seam_store_class_of(key), SEAM_CLASS_POOL) << key;
+	EXPECT_EQ(seam_store_class_of("pool-forecast/web"), SEAM_CLASS_OTHER);
+}
