--- a/process/pool_impl.h
+++ b/process/pool_impl.h
@@ -49,6 +49,8 @@
 	seam_time verify_at; /* as owner: read the row itself */
 	bool conflict; /* read both rows now */
 	bool rewrite; /* the row was written without the one that polls see */
+	bool hinted; /* another node changed the row */
+	bool wave_hinted;
 	bool check_new; /* a commit with new VMs conflicted: read vm/ID first */
 };
 
@@ -69,6 +71,10 @@
 	seam_time
 		forecasts_read_at; /* next read of all, as the spare's owner */
 	seam_time forecasts_save_at;
+	seam_time index_at; /* the index is read from then on; 0: at once */
+	uint64_t gaps; /* when the index was last read */
+	seam_time first_poll;
+	seam_time polling_at; /* latest poll */
 	seam_time polled_at; /* latest poll that read all changed rows */
 };
 
@@ -146,6 +152,14 @@
 /* This node wrote the row and the one that polls see, at @version. */
 void seam_pool_indexed(struct seam_pool *p, uint64_t version);
 
+/* Reads the row, or the wave row; a damaged one is noted and is no error. */
+int seam_pool_fetch(struct seam_pools *ps, struct seam_pool *p, bool wave,
+		    seam_time now, struct seam_err *e);
+
+/* True if the index has a later version than this node; finds the pool. */
+bool seam_pool_newer(struct seam_pools *ps, const char *name, bool wave,
+		     uint64_t version, struct seam_pool **p);
+
 /* Called by the owner: reads the row itself, when it is due. */
 void seam_pool_verify(struct seam_pool *p, seam_time now);
 seam_time seam_pool_drain_limit(const struct seam_pool_work *w);
--- a/process/pool_read.c
+++ b/process/pool_read.c
@@ -5,12 +5,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define INDEX "pool-version/"
-#define SCAN_PAGE 512
-/* Rows read in one poll; the next poll goes on. */
-#define POLL_ROWS 128
-/* Two threads of a process poll; one scan serves both. */
-#define POLL_MIN (500 * SEAM_MSEC)
 /* Polls see the versions only, so an owner reads its rows in this period. */
 #define VERIFY_PERIOD (60 * SEAM_SEC)
 
@@ -18,8 +12,6 @@
 	   "Pool and wave rows read because their version changed.");
 SEAM_COUNT(bad_rows, "seam_pool_bad_rows_total",
 	   "Pool and wave rows that could not be decoded.");
-SEAM_COUNT(poll_errors, "seam_pool_poll_errors_total",
-	   "Polls of the pool rows that failed.");
 
 static void keep_wave(struct seam_pool *p, const struct seam_wave_order *w)
 {
@@ -92,8 +84,8 @@
 	return v;
 }
 
-static int fetch(struct seam_pools *ps, struct seam_pool *p, bool wave,
-		 seam_time now, struct seam_err *e)
+int seam_pool_fetch(struct seam_pools *ps, struct seam_pool *p, bool wave,
+		    seam_time now, struct seam_err *e)
 {
 	struct seam_err bad = SEAM_ERR_INIT;
 	struct seam_row row = {.data = NULL};
@@ -119,8 +111,8 @@
 }
 
 /*
- * A row that was written by hand has a version that its row under INDEX lacks:
- * the owner writes both again, so that all nodes read it.
+ * A row that was written by hand has a version that its row under pool-version/
+ * lacks: the owner writes both again, so that all nodes read it.
  */
 void seam_pool_verify(struct seam_pool *p, seam_time now)
 {
@@ -134,8 +126,8 @@
 		p->verify_at = now + g_str_hash(p->name) % 60 * SEAM_SEC;
 		return;
 	}
-	if (fetch(p->ps, p, false, now, &e) ||
-	    (conflict && fetch(p->ps, p, true, now, &e)))
+	if (seam_pool_fetch(p->ps, p, false, now, &e) ||
+	    (conflict && seam_pool_fetch(p->ps, p, true, now, &e)))
 		return;
 	p->conflict = false;
 	p->verify_at = now + VERIFY_PERIOD;
@@ -164,7 +156,7 @@
 	return damaged;
 }
 
-static bool is_newer(struct seam_pools *ps, const char *name, bool wave,
+bool seam_pool_newer(struct seam_pools *ps, const char *name, bool wave,
 		     uint64_t version, struct seam_pool **p)
 {
 	bool newer;
@@ -179,66 +171,3 @@
 	pthread_mutex_unlock(&ps->lock);
 	return newer;
 }
-
-static int poll_page(struct seam_pools *ps, const struct seam_rows *rows,
-		     int *left, seam_time now, struct seam_err *e)
-{
-	size_t i;
-
-	for (i = 0; i < rows->n && *left; i++) {
-		char name[SEAM_KEY_MAX];
-		struct seam_pool *p;
-		char *slash;
-
-		g_strlcpy(name, rows->row[i].key + strlen(INDEX), sizeof(name));
-		slash = strchr(name, '/');
-		if (slash)
-			*slash = '\0';
-		if (strlen(name) >= SEAM_NAME_MAX ||
-		    !is_newer(ps, name, slash, rows->row[i].version, &p))
-			continue;
-		(*left)--;
-		if (fetch(ps, p, slash, now, e))
-			return -1;
-	}
-	return 0;
-}
-
-static int poll_all(struct seam_pools *ps, seam_time now, struct seam_err *e)
-{
-	char after[SEAM_KEY_MAX] = "";
-	struct seam_rows rows = {.row = NULL};
-	int left = POLL_ROWS;
-	size_t n;
-	int rc;
-
-	do {
-		if (seam_store_scan(ps->env.store, INDEX, after, SCAN_PAGE,
-				    &rows, now + SEAM_POOL_TIMEOUT, e))
-			return -1;
-		n = rows.n;
-		if (n)
-			memcpy(after, rows.row[n - 1].key, sizeof(after));
-		rc = poll_page(ps, &rows, &left, now, e);
-		seam_rows_free(&rows);
-	} while (!rc && n == SCAN_PAGE && left);
-	if (!rc && left)
-		__atomic_store_n(&ps->polled_at, now, __ATOMIC_RELEASE);
-	return rc;
-}
-
-int seam_pools_poll(struct seam_pools *ps, seam_time now, struct seam_err *e)
-{
-	int rc = poll_all(ps, now, e);
-
-	if (rc)
-		seam_count_add(&poll_errors, 1);
-	return rc;
-}
-
-bool seam_pools_polled(struct seam_pools *ps, seam_time now)
-{
-	seam_time at = __atomic_load_n(&ps->polled_at, __ATOMIC_ACQUIRE);
-
-	return at && now - at < POLL_MIN;
-}
--- a/process/pools.c
+++ b/process/pools.c
@@ -1,6 +1,5 @@
 #include "process/pool_impl.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
