task, workerlink: renewals of a worker in one call, listings after changes

Cause: one command a task each 5 s and one listing a worker each second.

Change: all tasks that a node has on a worker are renewed at the same time, in one call (POST /renew_all); a worker that answers 404 gets single renewals. Answers to renewals carry the states, so a worker is listed a second after a start, 250 ms after a stop, then ever less often, and once in 50 s while renewals are answered. The schedule is a plain function that the fake link uses too. Before, the fake link listed all workers each second, so tests saw ends sooner than the link over HTTP tells them.

--- a/connection/workerlink.c
+++ b/connection/workerlink.c
@@ -11,7 +11,8 @@
 #define QUEUE_MAX 512 /* commands that wait for one worker */
 /* A worker that answers late must not hold up starts behind it for long. */
 #define CALL_TIMEOUT_MS 500L
-#define LIST_GAP (1 * SEAM_SEC)
+#define RENEW_WAIT (100 * SEAM_MSEC) /* buckets of a pass send one by one */
+#define RENEWALS_MAX 64 /* in one call */
 #define IDLE_END (60 * SEAM_SEC) /* a link without commands ends */
 #define BODY_MAX (4u << 20) /* a listing */
 #define REPORTS_MAX 1024 /* of one bucket, not taken yet */
@@ -30,12 +31,15 @@
 	char worker[64];
 	char addr[64];
 	GQueue cmds; /* struct seam_worker_cmd, payload owned */
+	GQueue renewals; /* the same, sent together */
+	seam_time renew_at;
+	bool single; /* the worker knows no call with several renewals */
 	pthread_cond_t wake;
 	pthread_t thread;
 	bool running;
 	bool ended;
 	seam_time last_cmd;
-	seam_time list_at;
+	struct seam_worker_pace pace;
 	CURL *curl;
 };
 
@@ -82,14 +86,15 @@
 
 /* Returns the parsed answer, or NULL. @body is NULL for a GET. */
 static struct json_object *call(struct link *l, const char *addr,
-				const char *path, const char *body)
+				const char *path, const char *body,
+				long *status)
 {
 	struct curl_slist *list = curl_slist_append(NULL, l->all->auth);
 	GString *out = g_string_new(NULL);
 	struct json_object *o = NULL;
 	char url[160];
-	long status = 0;
 
+	*status = 0;
 	g_snprintf(url, sizeof(url), "http://%s/%s", addr, path);
 	list = curl_slist_append(list, "Content-Type: application/json");
 	list = curl_slist_append(list, "Expect:");
@@ -106,8 +111,8 @@
 	if (body)
 		curl_easy_setopt(l->curl, CURLOPT_POSTFIELDS, body);
 	if (curl_easy_perform(l->curl) == CURLE_OK)
-		curl_easy_getinfo(l->curl, CURLINFO_RESPONSE_CODE, &status);
-	if (status == 200)
+		curl_easy_getinfo(l->curl, CURLINFO_RESPONSE_CODE, status);
+	if (*status == 200)
 		o = json_tokener_parse(out->str);
 	curl_slist_free_all(list);
 	g_string_free(out, TRUE);
@@ -158,8 +163,11 @@
 static void run_cmd(struct link *l, const struct seam_worker_cmd *c)
 {
 	struct json_object *body = seam_worker_cmd_json(c);
-	struct json_object *o = call(l, c->addr, seam_worker_do_name(c->what),
-				     json_object_to_json_string(body));
+	long status;
+	struct json_object *o = call(
+		l, c->addr, seam_worker_do_name(c->what),
+		json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN),
+		&status);
 
 	seam_count_add(&sent, 1);
 	if (o)
@@ -170,17 +178,73 @@
 	json_object_put(body);
 }
 
-static void list_tasks(struct link *l, const char *addr)
+static bool add_reports(struct link *l, struct json_object *o)
 {
-	struct json_object *o = call(l, addr, "tasks", NULL);
-	size_t n = json_object_is_type(o, json_type_array) ?
-			   json_object_array_length(o) :
-			   0;
+	size_t n;
 	size_t i;
 
+	if (!json_object_is_type(o, json_type_array))
+		return false;
+	n = json_object_array_length(o);
 	for (i = 0; i < n; i++)
 		add_report(l, json_object_array_get_idx(o, i));
+	return true;
+}
+
+static void list_tasks(struct link *l, const char *addr)
+{
+	long status;
+	struct json_object *o = call(l, addr, "tasks", NULL, &status);
+
+	if (!add_reports(l, o))
+		seam_count_add(&unanswered, 1);
+	json_object_put(o);
+}
+
+/* True if the worker answered with the states of all. */
+static bool renew_together(struct link *l, struct seam_worker_cmd **c, size_t n)
+{
+	struct json_object *body = seam_worker_renewals_json(c, n);
+	long status;
+	struct json_object *o = call(
+		l, c[0]->addr, "renew_all",
+		json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN),
+		&status);
+	bool ok = add_reports(l, o);
+
+	seam_count_add(&sent, 1);
+	if (!ok && status != 404)
+		seam_count_add(&unanswered, 1);
+	l->single = status == 404;
 	json_object_put(o);
+	json_object_put(body);
+	return ok;
+}
+
+/* Called and returns with the lock held. */
+static void serve_renewals(struct link *l)
+{
+	struct seam_worker_cmd *c[RENEWALS_MAX];
+	struct links *all = l->all;
+	bool ok = false;
+	size_t n = 0;
+	size_t i;
+
+	while (n < RENEWALS_MAX && l->renewals.length)
+		c[n++] = g_queue_pop_head(&l->renewals);
+	pthread_mutex_unlock(&all->lock);
+	if (!l->single)
+		ok = renew_together(l, c, n);
+	for (i = 0; i < n; i++) {
+		if (l->single)
+			run_cmd(l, c[i]);
+		cmd_free(c[i]);
+	}
+	if (all->wake)
+		all->wake(all->arg);
+	pthread_mutex_lock(&all->lock);
+	if (ok)
+		seam_worker_pace_states(&l->pace, false, seam_now(all->clock));
 }
 
 /* Called and returns with the lock held. */
@@ -201,7 +265,7 @@
 		all->wake(all->arg);
 	pthread_mutex_lock(&all->lock);
 	if (!c)
-		l->list_at = seam_now(all->clock) + LIST_GAP;
+		seam_worker_pace_states(&l->pace, true, seam_now(all->clock));
 }
 
 static void *run(void *arg)
@@ -213,14 +277,20 @@
 	pthread_mutex_lock(&all->lock);
 	while (!all->stop && l->curl) {
 		seam_time now = seam_now(all->clock);
-		struct seam_worker_cmd *c = g_queue_pop_head(&l->cmds);
-
-		if (c || now >= l->list_at)
-			serve(l, c);
+		seam_time next = seam_worker_pace_next(&l->pace, now);
+
+		/* In order: a later token would fence the renewals. */
+		if (l->renewals.length &&
+		    (now >= l->renew_at || l->cmds.length))
+			serve_renewals(l);
+		else if (l->cmds.length || now >= next)
+			serve(l, g_queue_pop_head(&l->cmds));
 		else if (now - l->last_cmd > IDLE_END)
 			break;
 		else
-			seam_wait(all->clock, &l->wake, &all->lock, l->list_at);
+			seam_wait(all->clock, &l->wake, &all->lock,
+				  l->renewals.length ? MIN(next, l->renew_at) :
+						       next);
 	}
 	l->ended = true;
 	pthread_mutex_unlock(&all->lock);
@@ -240,6 +310,7 @@
 	l->all = all;
 	g_strlcpy(l->worker, worker, sizeof(l->worker));
 	g_queue_init(&l->cmds);
+	g_queue_init(&l->renewals);
 	seam_cond_init(&l->wake);
 	g_hash_table_insert(all->link, l->worker, l);
 	return l;
@@ -258,9 +329,21 @@
 	if (pthread_create(&l->thread, NULL, run, l))
 		return seam_fail(e, SEAM_NO_MEMORY, "cannot start a thread");
 	l->running = true;
+	l->single = false;
 	return 0;
 }
 
+static void enqueue(struct link *l, struct seam_worker_cmd *c)
+{
+	if (c->what != SEAM_DO_RENEW) {
+		g_queue_push_tail(&l->cmds, c);
+		return;
+	}
+	if (!l->renewals.length)
+		l->renew_at = l->last_cmd + RENEW_WAIT;
+	g_queue_push_tail(&l->renewals, c);
+}
+
 static int http_send(struct seam_workers *w, const struct seam_worker_cmd *c,
 		     struct seam_err *e)
 {
@@ -275,7 +358,7 @@
 	if (!l || !*l->addr) {
 		seam_fail(e, SEAM_NOT_FOUND, "no address of worker %s",
 			  c->worker);
-	} else if (l->cmds.length >= QUEUE_MAX) {
+	} else if (l->cmds.length + l->renewals.length >= QUEUE_MAX) {
 		seam_count_add(&dropped, 1);
 		seam_fail(e, SEAM_BUSY, "worker %s: %d commands wait",
 			  c->worker, QUEUE_MAX);
@@ -284,9 +367,10 @@
 
 		if (copy)
 			g_strlcpy(copy->addr, l->addr, sizeof(copy->addr));
-		if (copy)
-			g_queue_push_tail(&l->cmds, copy);
 		l->last_cmd = seam_now(all->clock);
+		seam_worker_pace_cmd(&l->pace, c->what, l->last_cmd);
+		if (copy)
+			enqueue(l, copy);
 		rc = ensure_thread(l, e);
 		pthread_cond_signal(&l->wake);
 	}
@@ -331,6 +415,7 @@
 		if (l->running)
 			pthread_join(l->thread, NULL);
 		g_queue_clear_full(&l->cmds, cmd_free);
+		g_queue_clear_full(&l->renewals, cmd_free);
 		pthread_cond_destroy(&l->wake);
 		free(l);
 	}
--- a/connection/workerlink.h
+++ b/connection/workerlink.h
@@ -104,6 +104,34 @@
 	char reason[96];
 };
 
+/**
+ * struct seam_worker_pace - when a worker's tasks are listed
+ * @news_at: last command that starts or stops something
+ * @least: shortest time between listings after it
+ * @states_at: last answer with the states of all its tasks
+ * @listed_at: last listing
+ *
+ * Answers to renewals carry the states of running tasks. Listings tell of ends
+ * sooner: the more often, the later the last start or stop was sent.
+ */
+struct seam_worker_pace {
+	seam_time news_at;
+	seam_time least;
+	seam_time states_at;
+	seam_time listed_at;
+};
+
+/** seam_worker_pace_cmd() - a command was sent; @what is enum seam_worker_do */
+void seam_worker_pace_cmd(struct seam_worker_pace *p, int what, seam_time now);
+
+/** seam_worker_pace_states() - a listing or all renewals were answered */
+void seam_worker_pace_states(struct seam_worker_pace *p, bool listing,
+			     seam_time now);
+
+/** seam_worker_pace_next() - time of the next listing */
+seam_time seam_worker_pace_next(const struct seam_worker_pace *p,
+				seam_time now);
+
 struct seam_workers;
 
 /**
@@ -138,7 +166,9 @@
  * @arg: passed to @wake
  *
  * Each worker that gets a command has one thread, which sends commands in
- * order and lists the worker's tasks each second while it knows of any.
+ * order and lists the worker's tasks as struct seam_worker_pace says. Renewals
+ * that arrive within 100 ms go in one call; a worker that does not know that
+ * call gets them one by one.
  */
 struct seam_workers *seam_workerlink_new(struct seam_clock *k, const char *key,
 					 void (*wake)(void *arg), void *arg);
@@ -146,6 +176,10 @@
 /** seam_worker_cmd_json() - body of a command; caller puts it */
 struct json_object *seam_worker_cmd_json(const struct seam_worker_cmd *c);
 
+/** seam_worker_renewals_json() - body of one call with @n renewals */
+struct json_object *seam_worker_renewals_json(struct seam_worker_cmd *const *c,
+					      size_t n);
+
 /** seam_worker_cmd_read() - read a body; @c->payload points into @o */
 void seam_worker_cmd_read(struct json_object *o, struct seam_worker_cmd *c);
 
--- a/connection/workerlink_json.c
+++ b/connection/workerlink_json.c
@@ -78,6 +78,26 @@
 	return o;
 }
 
+struct json_object *seam_worker_renewals_json(struct seam_worker_cmd *const *c,
+					      size_t n)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *a = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		struct json_object *t = json_object_new_object();
+
+		put_str(t, "task", c[i]->task);
+		put_int(t, "attempt", c[i]->attempt);
+		put_int(t, "token", (int64_t)c[i]->token);
+		put_int(t, "lease_until", c[i]->lease_until);
+		json_object_array_add(a, t);
+	}
+	json_object_object_add(o, "tasks", a);
+	return o;
+}
+
 void seam_worker_cmd_read(struct json_object *o, struct seam_worker_cmd *c)
 {
 	memset(c, 0, sizeof(*c));
@@ -105,7 +125,8 @@
 	put_int(o, "boot", r->boot);
 	put_need(o, &r->usage);
 	put_int(o, "usage_at", r->usage_at);
-	put_str(o, "reason", r->reason);
+	if (*r->reason)
+		put_str(o, "reason", r->reason);
 	return o;
 }
 
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -169,6 +169,7 @@
  * @lose_answers: of 1,000 commands, how many are done without an answer
  * @usage_lag: usage is reported as of this many microseconds ago
  * @no_listing: nothing is told but the answers to commands
+ * @single: does not know the call with several renewals
  */
 struct seam_fake_worker_faults {
 	bool paused;
@@ -177,6 +178,7 @@
 	int lose_answers;
 	seam_time usage_lag;
 	bool no_listing;
+	bool single;
 };
 
 /**
@@ -235,6 +237,9 @@
 seam_fake_worker_http_new(struct seam_fake_workers *f, const char *id,
 			  const char *addr);
 
+/** seam_fake_worker_http_calls() - calls that it got */
+int seam_fake_worker_http_calls(struct seam_fake_worker_http *h);
+
 /** seam_fake_worker_http_free() - stop serving */
 void seam_fake_worker_http_free(struct seam_fake_worker_http *h);
 
--- a/fake/worker_impl.h
+++ b/fake/worker_impl.h
@@ -47,6 +47,9 @@
 		 const struct seam_worker_cmd *c,
 		 struct seam_worker_report *out);
 
+/* The worker knows no call with several renewals. */
+bool seam_fake_single(struct seam_fake_workers *f, const char *id);
+
 /* Appends a struct seam_worker_report for each task that worker @id lists. */
 void seam_fake_list(struct seam_fake_workers *f, const char *id, GArray *out);
 
--- a/process/task_lease.c
+++ b/process/task_lease.c
@@ -37,6 +37,16 @@
 	c->payload = t->payload;
 }
 
+/* The same for all tasks of a worker, so that one call renews them. */
+static seam_time next_renewal(const struct seam_bucket *b, const char *worker,
+			      seam_time now)
+{
+	seam_time period = b->ts->c.lease / 3;
+	seam_time phase = (seam_time)g_str_hash(worker) * SEAM_MSEC % period;
+
+	return now + period - (now - phase) % period;
+}
+
 int seam_task_send(struct seam_bucket *b, struct seam_task *t, int what,
 		   seam_time now)
 {
@@ -47,7 +57,7 @@
 
 	fill(b, t, what, &c);
 	if (what == SEAM_DO_START || what == SEAM_DO_RENEW)
-		t->renew_at = now + lease / 3;
+		t->renew_at = next_renewal(b, t->worker, now);
 	if (what == SEAM_DO_RENEW && t->heard) {
 		/* Even if the command is lost: the worker may have got it. */
 		t->lease_until = MAX(t->lease_until, now + lease);
