task, seamctl: list the tasks of a queue

GET /v1/queues/QUEUE/tasks gives a page of at most 100 tasks and reads at most 16 rows for it; the token names the last task, so that a page begins after it whatever was added or ended meanwhile. A team's key lists its own tasks, operators list those of all teams. seamctl tasks QUEUE prints all pages.

--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -104,6 +104,7 @@
 int ctl_list(struct ctl *a);
 int ctl_wave(struct ctl *a);
 int ctl_task(struct ctl *a);
+int ctl_tasks(struct ctl *a);
 int ctl_explain(struct ctl *a);
 
 #endif
--- a/cmd/seamctl.c
+++ b/cmd/seamctl.c
@@ -32,6 +32,7 @@
 	"  nodes                 the node asked and what it knows of others\n"
 	"  workers               cores and GB in use, quarantine\n"
 	"  task ID               show a task\n"
+	"  tasks QUEUE           list the tasks of a queue\n"
 	"  explain KIND NAME     say why: task ID, vm ID, pool NAME, team NAME\n"
 	"Orders:\n"
 	"  wave start POOL       start a maintenance wave; needs --message\n"
@@ -60,13 +61,14 @@
 	bool reason;
 	int (*run)(struct ctl *a);
 } commands[] = {
-	{"check", 2, false, ctl_check},	 {"show", 1, false, ctl_show},
-	{"diff", 2, false, ctl_diff},	 {"apply", 2, true, ctl_apply},
-	{"log", 1, false, ctl_log},	 {"dc", 3, true, ctl_dc},
-	{"key", 3, true, ctl_key},	 {"pools", 1, false, ctl_list},
-	{"teams", 1, false, ctl_list},	 {"nodes", 1, false, ctl_list},
-	{"workers", 1, false, ctl_list}, {"task", 2, false, ctl_task},
-	{"wave", 3, true, ctl_wave},	 {"explain", 3, false, ctl_explain},
+	{"check", 2, false, ctl_check},	    {"show", 1, false, ctl_show},
+	{"diff", 2, false, ctl_diff},	    {"apply", 2, true, ctl_apply},
+	{"log", 1, false, ctl_log},	    {"dc", 3, true, ctl_dc},
+	{"key", 3, true, ctl_key},	    {"pools", 1, false, ctl_list},
+	{"teams", 1, false, ctl_list},	    {"nodes", 1, false, ctl_list},
+	{"workers", 1, false, ctl_list},    {"task", 2, false, ctl_task},
+	{"tasks", 2, false, ctl_tasks},	    {"wave", 3, true, ctl_wave},
+	{"explain", 3, false, ctl_explain},
 };
 
 static void parse_expect(struct ctl *a, const char *arg,
--- a/process/part_tasks.c
+++ b/process/part_tasks.c
@@ -100,10 +100,10 @@
 		seam_fail(e, SEAM_NOT_FOUND, "no queue at %s", path);
 		return NULL;
 	}
-	if (!q->open && strcmp(q->team, key->team)) {
-		seam_fail(e, SEAM_FORBIDDEN,
-			  "team %s may not put tasks into queue %s", key->team,
-			  q->name);
+	/* Operators have no key of a team. */
+	if (key && !q->open && strcmp(q->team, key->team)) {
+		seam_fail(e, SEAM_FORBIDDEN, "team %s may not use queue %s",
+			  key->team, q->name);
 		return NULL;
 	}
 	return q;
@@ -200,19 +200,6 @@
 	seam_conf_drop(c);
 }
 
-/* A key opens only tasks that count for its own team. */
-static const char *own_task(struct seam_call *call, const struct seam_key *key,
-			    struct seam_err *e)
-{
-	const char *id = call->path + strlen(TASKS);
-	size_t n = strlen(key->team);
-
-	if (!strncmp(id, key->team, n) && id[n] == '~')
-		return id;
-	seam_fail(e, SEAM_NOT_FOUND, "team %s has no such task", key->team);
-	return NULL;
-}
-
 static void reply_task(struct seam_call *call, struct json_object *o,
 		       const struct seam_err *e)
 {
@@ -226,6 +213,92 @@
 	json_object_put(o);
 }
 
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* A key lists its own team's tasks; operators list those of all teams. */
+static GPtrArray *teams_of(const struct seam_conf *c,
+			   const struct seam_key *key,
+			   const struct seam_queue *q)
+{
+	GPtrArray *a = g_ptr_array_new();
+	struct seam_handle h = SEAM_NONE;
+	const struct seam_team *t;
+
+	if (key)
+		g_ptr_array_add(a, (gpointer)key->team);
+	else if (!q->open)
+		g_ptr_array_add(a, (gpointer)q->team);
+	else
+		while ((t = seam_conf_next(c, SEAM_CONF_TEAM, &h)))
+			g_ptr_array_add(a, (gpointer)t->name);
+	g_ptr_array_sort(a, by_name);
+	return a;
+}
+
+static struct json_object *list(struct tasks *p, struct seam_call *call,
+				const struct seam_conf *c,
+				const struct seam_key *key,
+				const struct seam_queue *q, struct seam_err *e)
+{
+	struct seam_task_list a = {.queue = q->name};
+	GPtrArray *teams = teams_of(c, key, q);
+	struct json_object *o = NULL;
+
+	a.teams = (const char *const *)teams->pdata;
+	a.n_teams = teams->len;
+	if (!seam_task_list_read(call->query, &a, e))
+		o = seam_tasks_list(p->tasks, &a, call->deadline, e);
+	g_ptr_array_free(teams, TRUE);
+	return o;
+}
+
+static void on_list(struct seam_call *call, void *arg)
+{
+	struct tasks *p = arg;
+	seam_time confirmed = seam_node_confirmed(p->node);
+	struct seam_conf *c = seam_conf_current(&p->node->conf);
+	struct seam_err e = SEAM_ERR_INIT;
+	const struct seam_key *key = NULL;
+	const struct seam_queue *q = NULL;
+	struct json_object *o = NULL;
+
+	if (seam_node_operator(p->node, call, &e)) {
+		q = find_queue(c, NULL, call->path, &e);
+	} else {
+		seam_err_clear(&e);
+		key = caller(p, c, confirmed, call, &e);
+		q = key ? find_queue(c, key, call->path, &e) : NULL;
+	}
+	if (q)
+		o = list(p, call, c, key, q, &e);
+	reply_task(call, o, &e);
+	seam_conf_drop(c);
+}
+
+static void on_queue(struct seam_call *call, void *arg)
+{
+	if (!strcmp(call->method, "POST"))
+		on_put(call, arg);
+	else
+		on_list(call, arg);
+}
+
+/* A key opens only tasks that count for its own team. */
+static const char *own_task(struct seam_call *call, const struct seam_key *key,
+			    struct seam_err *e)
+{
+	const char *id = call->path + strlen(TASKS);
+	size_t n = strlen(key->team);
+
+	if (!strncmp(id, key->team, n) && id[n] == '~')
+		return id;
+	seam_fail(e, SEAM_NOT_FOUND, "team %s has no such task", key->team);
+	return NULL;
+}
+
 static void on_task(struct seam_call *call, void *arg)
 {
 	struct tasks *p = arg;
@@ -343,7 +416,7 @@
 
 	if (make(p, e))
 		return -1;
-	seam_http_route(h, "POST", QUEUES, on_put, p);
+	seam_http_route(h, "GET|POST", QUEUES, on_queue, p);
 	seam_http_route(h, "GET|DELETE", TASKS, on_task, p);
 	seam_http_route(h, "GET", "/v1/workers", on_workers, p);
 	seam_http_route(h, "GET", EXPLAIN, on_explain, p);
--- a/process/task.h
+++ b/process/task.h
@@ -148,6 +148,9 @@
 /** seam_task_state_name() - "queued", "running", ... */
 const char *seam_task_state_name(int state);
 
+/** seam_task_state_of() - state by its name, -1 if unknown */
+int seam_task_state_of(const char *name);
+
 struct seam_task_order;
 
 /**
@@ -370,6 +373,47 @@
 struct json_object *seam_tasks_get(struct seam_tasks *ts, const char *id,
 				   seam_time deadline, struct seam_err *e);
 
+#define SEAM_LIST_MAX 100 /* tasks on one page */
+
+/**
+ * struct seam_task_list - which tasks to list
+ * @queue: queue
+ * @teams: teams whose tasks are listed, in order of their names
+ * @n_teams: their number
+ * @state: enum seam_task_state, or -1 for all
+ * @limit: most tasks on the page
+ * @after: token of the page before, "" for the first one
+ */
+struct seam_task_list {
+	const char *queue;
+	const char *const *teams;
+	size_t n_teams;
+	int state;
+	int limit;
+	char after[SEAM_TASK_ID];
+};
+
+/**
+ * seam_task_list_read() - members from a query: state, limit (50), after
+ *
+ * Return: -1 with SEAM_BAD_REQUEST for a wrong value or an unknown name.
+ */
+int seam_task_list_read(const char *query, struct seam_task_list *a,
+			struct seam_err *e);
+
+/**
+ * seam_tasks_list() - a page of the tasks of a queue, from their rows
+ *
+ * At most 16 rows are read, so a page can hold fewer tasks than its limit, or
+ * none, and still have a next one.
+ *
+ * Return: JSON object with "tasks" and, unless it is the last page, "next";
+ * NULL with SEAM_BAD_REQUEST for a bad token or SEAM_UNAVAILABLE.
+ */
+struct json_object *seam_tasks_list(struct seam_tasks *ts,
+				    const struct seam_task_list *ask,
+				    seam_time deadline, struct seam_err *e);
+
 /**
  * seam_tasks_explain() - why a task waits, for operators
  *
--- a/process/task_impl.h
+++ b/process/task_impl.h
@@ -214,6 +214,8 @@
 void seam_bucket_finish(struct seam_bucket *b, seam_time now);
 struct seam_bucket *seam_bucket_new(struct seam_tasks *ts, const char *key);
 void seam_bucket_free(void *p);
+int seam_bucket_copy(struct seam_bucket *b, seam_time deadline,
+		     struct seam_err *e);
 void seam_bucket_forget(struct seam_bucket *b, struct seam_handle h);
 void seam_bucket_inbox(struct seam_bucket *b, seam_time now);
 void seam_bucket_answer(struct seam_bucket *b, bool committed);
--- a/process/task_json.c
+++ b/process/task_json.c
@@ -12,11 +12,6 @@
 /* A failure of the task itself has no word, as in older rows. */
 static const char *const whats[] = {"", "lost", "crash", NULL};
 
-const char *seam_task_state_name(int state)
-{
-	return states[state];
-}
-
 static int index_of(const char *const *names, const char *name)
 {
 	int i;
@@ -27,6 +22,16 @@
 	return -1;
 }
 
+const char *seam_task_state_name(int state)
+{
+	return states[state];
+}
+
+int seam_task_state_of(const char *name)
+{
+	return index_of(states, name);
+}
+
 static void put_str(struct json_object *o, const char *name, const char *v)
 {
 	if (*v)
--- a/process/task_put.c
+++ b/process/task_put.c
@@ -185,8 +185,8 @@
 	return rc;
 }
 
-static int read_bucket(struct seam_bucket *b, seam_time deadline,
-		       struct seam_err *e)
+int seam_bucket_copy(struct seam_bucket *b, seam_time deadline,
+		     struct seam_err *e)
 {
 	struct seam_row row = {.data = NULL};
 	int rc;
@@ -242,7 +242,7 @@
 		seam_err_clear(e);
 		seam_bucket_clear(b);
 		b->dirty = false;
-		rc = read_bucket(b, deadline, e);
+		rc = seam_bucket_copy(b, deadline, e);
 		if (!rc)
 			rc = apply(b, k, seam_now(ts->c.clock), e);
 		if (rc)
@@ -346,7 +346,7 @@
 		return NULL;
 	}
 	b = seam_bucket_new(ts, key);
-	if (b && !read_bucket(b, deadline, e)) {
+	if (b && !seam_bucket_copy(b, deadline, e)) {
 		t = seam_bucket_find(b, last + 1);
 		if (t) {
 			o = seam_task_json(t, false);
--- /dev/null
+++ b/process/task_query.c
@@ -0,0 +1,58 @@
+#include "process/task.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIMIT 50
+
+static int read_limit(const char *text, int *limit, struct seam_err *e)
+{
+	char *end;
+	long n = strtol(text, &end, 10);
+
+	if (end == text || *end || n < 1 || n > SEAM_LIST_MAX)
+		return seam_fail(e, SEAM_BAD_REQUEST, "limit: 1 to %d",
+				 SEAM_LIST_MAX);
+	*limit = (int)n;
+	return 0;
+}
+
+static int read_one(const char *name, const char *value,
+		    struct seam_task_list *a, struct seam_err *e)
+{
+	if (!strcmp(name, "limit"))
+		return read_limit(value, &a->limit, e);
+	if (!strcmp(name, "after") && strlen(value) < sizeof(a->after)) {
+		g_strlcpy(a->after, value, sizeof(a->after));
+		return 0;
+	}
+	if (!strcmp(name, "state")) {
+		a->state = seam_task_state_of(value);
+		if (a->state >= 0)
+			return 0;
+	}
+	return seam_fail(e, SEAM_BAD_REQUEST, "query: bad %s", name);
+}
+
+int seam_task_list_read(const char *query, struct seam_task_list *a,
+			struct seam_err *e)
+{
+	GHashTable *v =
+		g_uri_parse_params(query, -1, "&", G_URI_PARAMS_NONE, NULL);
+	GHashTableIter it;
+	gpointer name;
+	gpointer value;
+	int rc = 0;
+
+	a->state = -1;
+	a->limit = LIMIT;
+	*a->after = '\0';
+	if (!v)
+		return seam_fail(e, SEAM_BAD_REQUEST, "query: malformed");
+	g_hash_table_iter_init(&it, v);
+	while (!rc && g_hash_table_iter_next(&it, &name, &value))
+		rc = read_one(name, value, a, e);
+	g_hash_table_destroy(v);
+	return rc;
+}
--- /dev/null
+++ b/tests/ctl_tasks_test.cc
@@ -0,0 +1,72 @@
+// seamctl tasks QUEUE against a running daemon.
+#include <unistd.h>
+
+#include "tests/node_fixture.h"
+
+extern "C" {
+#include "cmd/ctl.h"
+}
+
+class CtlTasks : public NodeFixture
+{
+      protected:
+	std::string out;
+
+	void SetUp() override
+	{
+		NodeFixture::SetUp();
+		json_object *o = json_tokener_parse(
+			"{\"put\":[{\"kind\":\"pool\",\"object\":{\"name\":"
+			"\"p\",\"kind\":\"tasks\"}},{\"kind\":\"queue\","
+			"\"object\":{\"name\":\"q\",\"team\":\"t\",\"pool\":"
+			"\"p\"}}]}");
+		seam_change ch = {o, "test", "test", 1};
+		seam_conf *c = seam_conf_commit(
+			store, clock, &ch, seam_now(clock) + 5 * SEAM_SEC, &e);
+		ASSERT_NE(c, nullptr) << e.text;
+		seam_conf_drop(c);
+		json_object_put(o);
+		// The daemon polls each second.
+		for (int i = 0; i < 100 && run("q") != CTL_DONE; i++)
+			usleep(50000);
+	}
+	int run(std::string queue, bool json = false)
+	{
+		char word[] = "tasks";
+		ctl a = {};
+
+		a.client.url = url.c_str();
+		a.client.key = "op";
+		a.json = json;
+		a.word[0] = word;
+		a.word[1] = &queue[0];
+		a.words = 2;
+		testing::internal::CaptureStdout();
+		int rc = ctl_tasks(&a);
+		out = testing::internal::GetCapturedStdout();
+		return rc;
+	}
+};
+
+// Guards against a list that ends with the first page, and JSON where operators
+// read a table.
+TEST_F(CtlTasks, ListsAllPages)
+{
+	EXPECT_EQ(run("q"), CTL_DONE);
+	EXPECT_EQ(out, "Queue q has no tasks.\n");
+	for (int i = 0; i < 120; i++) {
+		reply r = send("POST", url + "/v1/queues/q/tasks", "lender",
+			       "{\"kind\":\"k\",\"cpu_milli\":100,"
+			       "\"memory_mb\":10}");
+		ASSERT_EQ(r.status, 202) << r.body;
+	}
+	EXPECT_EQ(run("q"), CTL_DONE);
+	EXPECT_EQ(out.find("TASK "), 0u) << out;
+	EXPECT_EQ(std::count(out.begin(), out.end(), '\n'), 121) << out;
+	EXPECT_EQ(out.find('{'), std::string::npos) << out;
+	EXPECT_EQ(run("q", true), CTL_DONE);
+	json_object *o = json_tokener_parse(out.c_str());
+	EXPECT_EQ(json_object_array_length(o), 120u);
+	json_object_put(o);
+	EXPECT_EQ(run("none"), CTL_REFUSED);
+}
--- a/tests/worker_test.cc
+++ b/tests/worker_test.cc
@@ -248,3 +248,38 @@
 	EXPECT_TRUE(until(id, "kt", "cancelled"));
 	EXPECT_EQ(seam_fake_workers_running(workers), 0);
 }
+
+// Guards P3 for lists: a key sees its own team's tasks only, operators those of
+// all teams.
+TEST_F(Worker, ListsOfAQueue)
+{
+	std::string list = url + "/v1/queues/o/tasks";
+	std::string mine = put("kt", "", "o");
+	std::string theirs = put("ku", "", "o");
+
+	reply r = send("GET", list, "ku");
+	EXPECT_EQ(r.status, 200) << r.body;
+	EXPECT_NE(r.body.find(theirs), std::string::npos) << r.body;
+	EXPECT_EQ(r.body.find(mine), std::string::npos) << r.body;
+	std::string after;
+	std::string pages;
+	do {
+		r = send("GET", list + after, "op");
+		ASSERT_EQ(r.status, 200) << r.body;
+		pages += r.body;
+		size_t at = r.body.find("\"next\":\"");
+		after = "";
+		if (at == std::string::npos)
+			break;
+		at += strlen("\"next\":\"");
+		after = "?after=" +
+			r.body.substr(at, r.body.find('"', at) - at);
+	} while (pages.size() < 100000);
+	EXPECT_TRUE(after.empty()) << "no last page";
+	EXPECT_NE(pages.find(mine), std::string::npos) << pages;
+	EXPECT_NE(pages.find(theirs), std::string::npos) << pages;
+	EXPECT_EQ(send("GET", list, "nokey").status, 401);
+	EXPECT_EQ(send("GET", url + "/v1/queues/q/tasks", "ku").status, 403);
+	EXPECT_EQ(send("GET", url + "/v1/queues/none/tasks", "op").status, 404);
+	EXPECT_EQ(send("GET", list + "?limit=0", "op").status, 400);
+}
