--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,6 +6,7 @@
 and of conf_bench; programs whose output is missing are run first. NAME=VALUE
 changes an assumption.
 """
+import math
 import os
 import re
 import subprocess
@@ -132,21 +133,34 @@
                  cpu=self.fit("store scan, worker rows", "us", 500) +
                  self.fit("scan of worker rows", "us/s", WORKERS),
                  kb=self.fit("store scan, worker rows", "bytes", 500) / 1e3)
-        queue = self.slope("running tasks, bytes read", "B/s") * a["running"]
-        buckets = a["running"] / 48  # 768 tasks in 16 buckets
-        self.add("task owner", "scan of all buckets, twice a second",
-                 reads=2 * max(1, buckets / 200), kb=queue / 1e3,
-                 cpu=queue * self.slope("store get", "us"))
+        row = 415 * 48  # bytes a task, 768 tasks in 16 buckets
+        get = self.fit("store get", "us", row)
+        own = a["running"] / 48 / n
+        self.add("task owner", "marks, twice a second", reads=2,
+                 cpu=2 * self.fit("store scan, index rows", "us", 1))
+        self.add("task owner", "own buckets read each 30 s", reads=own / 30,
+                 kb=own / 30 * row / 1e3, cpu=own / 30 * get)
+        self.add("task owner", "buckets read after a hint",
+                 reads=a["rate"] / n, kb=a["rate"] / n * row / 1e3,
+                 cpu=a["rate"] / n * get)
+        self.add("task owner", "scan of all buckets, once an hour",
+                 kb=row * a["running"] / 48 / 3600 / 1e3)
         # Workers that run at least one task of this node's buckets.
         each = a["running"] / WORKERS
         links = WORKERS * (1 - (1 - 1 / n) ** each)
         self.add("task owner", "passes over running tasks",
                  cpu=self.slope("running tasks, all owned", "us/s") * per_node,
                  mb=self.slope("running tasks heap", "bytes") * per_node / 1e6)
-        self.add("task owner", "renewals", cpu=per_node * 0.2 * 100,
-                 kb=per_node * 0.2 * 489 / 1e3)
-        self.add("task owner", "links and listings", cpu=links * 100,
-                 kb=links * 241 * max(1, each) / 1e3,
+        calls = links * 0.2
+        per_call = per_node / links
+        self.add("task owner", "renewals",
+                 cpu=calls * self.fit("renewals in one call", "us", per_call),
+                 kb=calls * self.fit("renewals in one call", "bytes",
+                                     per_call) / 1e3)
+        # 1 s apart for 16 s after a start, then a sixteenth of the age.
+        lists = (16 + 16 * math.log(6)) * a["rate"] / n + links / 50
+        self.add("task owner", "links and listings", cpu=lists * 100,
+                 kb=lists * 227 * max(1, each) / 1e3,
                  mb=links * self.slope("links to workers", "KB") / 1e3)
         self.add("task owner", "commits", rows=ROWS_TASK * a["rate"] / n,
                  reads=a["rate"] / n, cpu=1.3 * a["rate"] / n *
