--- a/bench/urgent_bench.c
+++ b/bench/urgent_bench.c
@@ -139,7 +139,7 @@
 	rc = put(&w->fleet, "v", 32000, 30000, 5000, true, id);
 	w->fleet.tasks = own;
 	if (rc)
-		return WAIT_MAX / SEAM_SEC;
+		return (double)WAIT_MAX / SEAM_SEC;
 	while (!seam_fake_workers_starts(w->fleet.workers, id) &&
 	       w->fleet.clock.time < at + WAIT_MAX)
 		both(w);
--- a/process/task_list.c
+++ b/process/task_list.c
@@ -64,7 +64,7 @@
 		if ((p->ask->state < 0 || t->state == p->ask->state) &&
 		    strcmp(t->id, p->at.task) > 0)
 			order[n++] = t;
-	qsort(order, (size_t)n, sizeof(*order), by_id);
+	qsort(order, (size_t)n, sizeof(void *), by_id);
 	for (i = 0; i < n; i++) {
 		if ((int)json_object_array_length(p->tasks) >= p->ask->limit) {
 			p->more = true;
