--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -108,6 +108,7 @@
 int ctl_list(struct ctl *a);
 int ctl_wave(struct ctl *a);
 int ctl_task(struct ctl *a);
+int ctl_tasks(struct ctl *a);
 int ctl_explain(struct ctl *a);
 
 #endif
