docs, share_bench: shares by the loads of the fleet

share_bench and the shares line of make measures use the daemon's order with the loads of the fleet.

--- a/bench/share_run.h
+++ b/bench/share_run.h
@@ -159,6 +159,29 @@
 	}
 }
 
+/* The loads that each owner of buckets reads once a second. */
+static inline void share_loads(struct share_sim *s)
+{
+	struct seam_task_room room = {.all = {s->run->slots * 1000, 1, 1}};
+	struct seam_task_load load[SHARERS];
+	int i;
+
+	if (!s->order->ops->loads)
+		return;
+	memset(load, 0, sizeof(load));
+	for (i = 0; i < SHARERS; i++) {
+		struct line *l = &s->l[i];
+
+		memcpy(load[i].team, l->name, sizeof(l->name));
+		load[i].running.cpu = l->running * 1000;
+		load[i].waiting.cpu = l->waiting * 1000;
+		load[i].first.cpu = 1000;
+		load[i].runs = l->running;
+		load[i].waits = l->waiting;
+	}
+	s->order->ops->loads(s->order, &room, 1, load, SHARERS);
+}
+
 static inline void share_tell(struct share_sim *s, const int64_t *before)
 {
 	int i;
@@ -172,6 +195,7 @@
 		seam_share_demand(s->share, l->workspace, &d);
 	}
 	seam_share_compute(s->share);
+	share_loads(s);
 }
 
 static inline void share_open(struct share_sim *s)
@@ -202,7 +226,7 @@
 	seam_conf_cell_init(&s->conf);
 	seam_conf_publish(&s->conf, seam_conf_parse(doc, 1, &p));
 	json_object_put(doc);
-	s->order = seam_task_order_weighted(&s->conf);
+	s->order = seam_task_order_fair(&s->conf);
 }
 
 static inline double share_distance(struct share_sim *s)
