--- a/bench/measures.h
+++ b/bench/measures.h
@@ -31,6 +31,9 @@
 /* Instances of the five services: 50 in all. */
 extern const int seam_measure_instances[MEASURE_SERVICES];
 
+/* Seed of the random numbers of the data centre change. */
+extern uint64_t seam_measure_seed;
+
 /* Rate of a queue against its mean at @now: queues peak in turn. */
 double seam_measure_peak(int queue, seam_time now);
 
--- a/bench/measures_bench.c
+++ b/bench/measures_bench.c
@@ -1,10 +1,11 @@
 /*
  * The users' measures for both deployments, beside plain baselines in the same
  * run; simulated clock, fixed seed. bench/measures.py prints and draws them.
- * usage: measures_bench [buffers|waves|shares|dc|urgent]
+ * usage: measures_bench [buffers|waves|shares|dc|urgent [SEED]]
  */
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -14,6 +15,8 @@
 
 const int seam_measure_instances[MEASURE_SERVICES] = {8, 9, 10, 11, 12};
 
+uint64_t seam_measure_seed = 88172645463325252ull;
+
 double seam_measure_peak(int queue, seam_time now)
 {
 	return now / PEAK % MEASURE_SERVICES == queue ? 5 : 1 / 20.0;
@@ -57,6 +60,8 @@
 	size_t d;
 	size_t m;
 
+	if (argc > 2)
+		seam_measure_seed = strtoull(argv[2], NULL, 10);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	seam_log_level(SEAM_ERROR);
 	for (d = 0; d < sizeof(deployments) / sizeof(*deployments); d++)
--- a/bench/measures_dc.c
+++ b/bench/measures_dc.c
@@ -103,6 +103,7 @@
 		.hop = d->hop,
 		.end = 220 * SEAM_SEC,
 		.deadline = 10 * SEAM_SEC, /* default of a service */
+		.seed = seam_measure_seed,
 		.rate = rate,
 		.fails = off,
 		.out = out,
--- a/bench/route_plan.h
+++ b/bench/route_plan.h
@@ -33,6 +33,7 @@
 	double (*rate)(int service, int targets, seam_time now); /* a second */
 	bool (*fails)(int service, int target, seam_time now); /* at once */
 	bool (*out)(int dc, seam_time now); /* as the nodes are told */
+	uint64_t seed; /* not 0; 0 stands for a fixed one */
 	seam_time from; /* counted: arrivals from here */
 	seam_time until;
 };
--- a/bench/route_sim.h
+++ b/bench/route_sim.h
@@ -356,7 +356,7 @@
 	s->plan = plan;
 	s->policy = p;
 	s->now = 1 * SEAM_SEC;
-	seed = 88172645463325252ull;
+	seed = plan->seed ? plan->seed : 88172645463325252ull;
 	seam_route_seed(seed);
 	seam_fake_init(&k, s->now);
 	sim_open(s, &k.clock);
