--- a/ops/seamops.py
+++ b/ops/seamops.py
@@ -127,9 +127,12 @@
     def queue(self, name: str, team: str, pool: str, priority: str = "normal",
               open_to_all: bool = False, idempotent: bool = False,
               finish_at: Optional[str] = None,
-              data_centres: Optional[List[str]] = None) -> str:
+              data_centres: Optional[List[str]] = None,
+              workspace: Optional[str] = None) -> str:
         """A queue of tasks; finish_at is "HH:MM" in UTC."""
         self._known("teams", "team", team, f"queue {name!r}")
+        if workspace is not None:
+            self._known("workspaces", "workspace", workspace, f"queue {name!r}")
         self._pool_of("tasks", pool, f"queue {name!r}")
         if priority not in ("normal", "urgent"):
             raise ConfigError(f"queue {name!r}: priority must be 'normal' or 'urgent'")
@@ -145,7 +148,8 @@
                          {"name": name, "team": team, "pool": pool, "priority": priority,
                           "open": _bool(f"queue {name!r} open_to_all", open_to_all),
                           "idempotent": _bool(f"queue {name!r} idempotent", idempotent),
-                          "finish_at": minute, "data_centres": data_centres})
+                          "finish_at": minute, "data_centres": data_centres,
+                          "workspace": workspace})
 
     def key(self, name: str, team: str, sha256: str, withdrawn: bool = False) -> str:
         """A caller's key; pass key_hash(text), never the text itself."""
