--- a/bench/team_bench.c
+++ b/bench/team_bench.c
@@ -186,7 +186,7 @@
 	for (team = 0; team < s->teams; team++) {
 		int64_t all = (team + phase) % 6 ? s->limit / 25 : s->limit;
 		int at = (int)(rnd() % (uint64_t)s->nodes);
-		int width = s->nodes / 3;
+		int width = s->nodes < 3 ? 1 : s->nodes / 3;
 
 		if (all < 1)
 			all = 1;
--- a/bench/team_first_bench.c
+++ b/bench/team_first_bench.c
@@ -137,8 +137,8 @@
 	seam_fake_init(&s->clock, INT64_C(1000000) * SEAM_SEC);
 	s->store = seam_store_mem_new(&s->clock.clock);
 	s->terms = calloc((size_t)teams, sizeof(*s->terms));
-	s->probed = calloc((size_t)(teams * nodes), sizeof(*s->probed));
-	s->open = calloc((size_t)(teams * nodes), sizeof(*s->open));
+	s->probed = calloc((size_t)teams * (size_t)nodes, sizeof(*s->probed));
+	s->open = calloc((size_t)teams * (size_t)nodes, sizeof(*s->open));
 	for (i = 0; i < DCS; i++)
 		snprintf(s->dc[i], sizeof(s->dc[i]), "dc-%d", i);
 	for (i = 0; i < teams; i++) {
--- a/process/task.h
+++ b/process/task.h
@@ -280,11 +280,11 @@
 
 /**
  * seam_task_limit_tell() - tell holders of units of a bucket's recorded want
- * @l: made by seam_task_limit_teams()
+ * @base: made by seam_task_limit_teams()
  * @fn: called by the thread of the pass
  * @arg: passed to it
  */
-void seam_task_limit_tell(struct seam_task_limit *l, seam_team_tell_fn fn,
+void seam_task_limit_tell(struct seam_task_limit *base, seam_team_tell_fn fn,
 			  void *arg);
 
 /**
--- a/process/team_tell.c
+++ b/process/team_tell.c
@@ -47,7 +47,7 @@
 void seam_team_tell_want(const struct seam_ledger *l, const char *holder,
 			 seam_time now, seam_team_tell_fn fn, void *arg)
 {
-	size_t told[TELL_WANT_MAX];
+	size_t told[TELL_WANT_MAX] = {0};
 	size_t n;
 
 	fn(arg, l->team, NULL);
