member: hints are limited by a rate that does not overflow

The bucket of tokens then stayed empty or full by chance, so hints were lost in a real process; the simulated clocks start too early to show it.

--- a/bench/capacity_work_bench.c
+++ b/bench/capacity_work_bench.c
@@ -175,7 +175,7 @@
 	w->c.workers = &w->link.workers;
 	w->c.placer = seam_placer_best_fit();
 	w->c.sizes = seam_sizes_new();
-	w->c.order = seam_task_order_fair(&w->conf);
+	w->c.order = seam_task_order_weighted(&w->conf);
 	w->c.lease = 15 * SEAM_SEC;
 	w->c.skew = 200 * SEAM_MSEC;
 	w->tasks = seam_tasks_new(&w->c);
--- a/bench/task_fleet.h
+++ b/bench/task_fleet.h
@@ -83,7 +83,7 @@
 	b->c.workers = seam_fake_workers_link(b->workers);
 	b->c.placer = seam_placer_best_fit();
 	b->c.sizes = seam_sizes_new();
-	b->c.order = seam_task_order_fair(&b->conf);
+	b->c.order = seam_task_order_weighted(&b->conf);
 	b->c.lease = 15 * SEAM_SEC;
 	b->c.skew = 200 * SEAM_MSEC;
 	b->tasks = seam_tasks_new(&b->c);
--- a/process/member_hint.c
+++ b/process/member_hint.c
@@ -83,11 +83,12 @@
 /* The lock is held. Takes a token for each of @n messages. */
 static bool allowed(struct seam_members *m, int n, seam_time now)
 {
-	int64_t added =
-		(now - m->hint_at) * SEAM_HINTS_PER_SEC * TOKEN / SEAM_SEC;
+	/* The bucket is full after a second; the first call comes long after
+	 * time 0, which would not fit. */
+	seam_time since = MIN(now - m->hint_at, SEAM_SEC);
 
-	if (added > 0) {
-		m->hint_tokens += added;
+	if (since > 0) {
+		m->hint_tokens += since * SEAM_HINTS_PER_SEC * TOKEN / SEAM_SEC;
 		m->hint_at = now;
 	}
 	if (m->hint_tokens > SEAM_HINTS_PER_SEC * TOKEN)
