tests: one HTTP call, one change of the configuration, one set of settings

Five programs had their own call over libcurl, ten their own commit of a change, and five the same settings of a node. tests/http.h, tests/change.h and tests/node.h have them once.

--- a/tests/ctl_tasks_test.cc
+++ b/tests/ctl_tasks_test.cc
@@ -15,17 +15,13 @@
 	void SetUp() override
 	{
 		NodeFixture::SetUp();
-		json_object *o = json_tokener_parse(
+		commit_change(
+			store, clock,
 			"{\"put\":[{\"kind\":\"pool\",\"object\":{\"name\":"
 			"\"p\",\"kind\":\"tasks\"}},{\"kind\":\"queue\","
 			"\"object\":{\"name\":\"q\",\"team\":\"t\",\"pool\":"
-			"\"p\"}}]}");
-		seam_change ch = {o, "test", "test", 1};
-		seam_conf *c = seam_conf_commit(
-			store, clock, &ch, seam_now(clock) + 5 * SEAM_SEC, &e);
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+			"\"p\"}}]}",
+			1);
 		// The daemon polls each second.
 		for (int i = 0; i < 100 && run("q") != CTL_DONE; i++)
 			usleep(50000);
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -31,14 +31,7 @@
 	// A change by another node, which this one learns of by its next poll.
 	void commit(const char *text)
 	{
-		json_object *o = json_tokener_parse(text);
-		seam_change ch = {o, "other", "other", 1};
-		seam_conf *c = seam_conf_commit(
-			store, clock, &ch, seam_now(clock) + 5 * SEAM_SEC, &e);
-
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+		commit_change(store, clock, text, 1, "other");
 	}
 };
 
--- a/tests/fresh_test.cc
+++ b/tests/fresh_test.cc
@@ -6,6 +6,7 @@
 #include "fake/fake.h"
 #include "process/fresh.h"
 #include "process/node.h"
+#include "tests/change.h"
 
 static const seam_fresh_bounds bounds = {300000, 10000, 30000, 200};
 static const seam_time T = 1000000 * (seam_time)SEAM_SEC;
@@ -113,13 +114,7 @@
 				    "\"object\":{\"name\":\"k\",\"team\":\"t\","
 				    "\"sha256\":\"") +
 			hash + "\",\"state\":\"" + state + "\"}}]}";
-		json_object *o = json_tokener_parse(doc.c_str());
-		seam_change ch = {o, "test", "test", expected};
-		seam_conf *c = seam_conf_commit(store, &clock.clock, &ch,
-						clock.time + SEAM_SEC, &e);
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+		commit_change(store, &clock.clock, doc, expected);
 	}
 	// What the part "version" does once a second.
 	bool poll()
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -1,9 +1,8 @@
 // The row of a team and what operators are told about it.
-#include <curl/curl.h>
-
-#include "tests/addr.h"
 #include "fake/fake.h"
-#include "process/node.h"
+#include "tests/change.h"
+#include "tests/http.h"
+#include "tests/node.h"
 #include "tests/team_fleet.h"
 
 // Guards against a floor that a far data centre's demand uses up.
@@ -165,32 +164,12 @@
 	EXPECT_NE(strstr(text, "limit 0"), nullptr) << text;
 }
 
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	((std::string *)arg)->append(data, size * n);
-	return size * n;
-}
-
 static long get(const char *path, const char *key, std::string *body)
 {
-	std::string url = test_url(21000) + path;
-	std::string auth = std::string("Authorization: Bearer ") + key;
-	curl_slist *list = curl_slist_append(nullptr, auth.c_str());
-	CURL *c = curl_easy_init();
-	long status = 0;
-
-	body->clear();
-	curl_easy_setopt(c, CURLOPT_URL, url.c_str());
-	curl_easy_setopt(c, CURLOPT_PROXY, "");
-	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, 10000L);
-	curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(c, CURLOPT_WRITEDATA, body);
-	curl_easy_perform(c);
-	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
-	curl_slist_free_all(list);
-	curl_easy_cleanup(c);
-	return status;
+	reply r = http("GET", test_url(21000) + path, {bearer(key)});
+
+	*body = r.body;
+	return r.status;
 }
 
 // Guards the operators' paths and their key, and that a daemon that has just
@@ -201,27 +180,18 @@
 	seam_store *store = seam_store_mem_new(k);
 	seam_fake_platform *platform = seam_fake_platform_new(k);
 	seam_err e = SEAM_ERR_INIT;
-	seam_settings s;
-	json_object *o = json_tokener_parse(
-		"{\"put\":[{\"kind\":\"data_centre\",\"object\":{"
-		"\"name\":\"a\",\"region\":\"r\"}},{\"kind\":\"pool\","
-		"\"object\":{\"name\":\"web\",\"kind\":\"service\"}},{"
-		"\"kind\":\"service\",\"object\":{\"name\":\"s\","
-		"\"pool\":\"web\"}},{\"kind\":\"team\",\"object\":{"
-		"\"name\":\"t\",\"limit\":30}}]}");
-	seam_change ch = {o, "test", "test", 0};
+	seam_settings s = test_settings("n1", 21000, 21001);
 	std::string body;
 
-	seam_conf_drop(seam_conf_commit(store, k, &ch,
-					seam_now(k) + 5 * SEAM_SEC, &e));
-	json_object_put(o);
-	seam_settings_default(&s);
-	snprintf(s.node, sizeof(s.node), "n1");
+	commit_change(store, k,
+		      "{\"put\":[{\"kind\":\"data_centre\",\"object\":{"
+		      "\"name\":\"a\",\"region\":\"r\"}},{\"kind\":\"pool\","
+		      "\"object\":{\"name\":\"web\",\"kind\":\"service\"}},{"
+		      "\"kind\":\"service\",\"object\":{\"name\":\"s\","
+		      "\"pool\":\"web\"}},{\"kind\":\"team\",\"object\":{"
+		      "\"name\":\"t\",\"limit\":30}}]}",
+		      0);
 	snprintf(s.vm, sizeof(s.vm), "n1");
-	snprintf(s.data_centre, sizeof(s.data_centre), "a");
-	snprintf(s.listen, sizeof(s.listen), "%s:21000", test_host());
-	snprintf(s.peer, sizeof(s.peer), "%s:21001", test_host());
-	seam_sha256_hex("op", s.operator_sha256);
 	seam_node *n = seam_node_new(&s, k, store,
 				     seam_fake_platform_base(platform), &e);
 	ASSERT_EQ(seam_node_start(n, &e), 0) << e.text;
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -1,10 +1,9 @@
 // Pools: one pool for each VM, moves in stages, the availability budget.
-#include "tests/addr.h"
 #include "pool_world.h"
 
-#include <curl/curl.h>
-
-#include "process/node.h"
+#include "tests/change.h"
+#include "tests/http.h"
+#include "tests/node.h"
 
 static const char *const two =
 	"[{\"name\":\"web\",\"kind\":\"service\",\"min\":1,\"budget\":2},"
@@ -334,35 +333,14 @@
 	EXPECT_EQ(w.row_version("spare"), before);
 }
 
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	((std::string *)arg)->append(data, size * n);
-	return size * n;
-}
-
-static long http(const char *method, const std::string &path, const char *key,
+static long call(const char *method, const std::string &path, const char *key,
 		 const char *body, std::string *out)
 {
-	CURL *c = curl_easy_init();
-	curl_slist *list = curl_slist_append(
-		nullptr, (std::string("Authorization: Bearer ") + key).c_str());
-	long status = 0;
-
-	out->clear();
-	curl_easy_setopt(c, CURLOPT_URL, (test_url(23010) + path).c_str());
-	curl_easy_setopt(c, CURLOPT_PROXY, "");
-	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, 10000L);
-	curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(c, CURLOPT_WRITEDATA, out);
-	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
-	if (body)
-		curl_easy_setopt(c, CURLOPT_COPYPOSTFIELDS, body);
-	curl_easy_perform(c);
-	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
-	curl_slist_free_all(list);
-	curl_easy_cleanup(c);
-	return status;
+	reply r = http(method, test_url(23010) + path, {bearer(key)},
+		       body ? body : "");
+
+	*out = r.body;
+	return r.status;
 }
 
 class Paths : public ::testing::Test
@@ -377,36 +355,24 @@
 
 	void SetUp() override
 	{
-		json_object *o = json_tokener_parse(
-			"{\"put\":[{\"kind\":\"data_centre\",\"object\":"
-			"{\"name\":\"a\",\"region\":\"r\"}},"
-			"{\"kind\":\"pool\",\"object\":{\"name\":\"web\","
-			"\"kind\":\"service\",\"budget\":0}}]}");
-		seam_change ch = {o, "test", "test", 0};
-		seam_conf *c = seam_conf_commit(store, clock, &ch,
-						seam_now(clock) + 5 * SEC, &e);
-		seam_settings s;
+		seam_settings s = test_settings("n1", 23010, 23011);
 		seam_vm vm = {};
 
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+		commit_change(store, clock,
+			      "{\"put\":[{\"kind\":\"data_centre\",\"object\":"
+			      "{\"name\":\"a\",\"region\":\"r\"}},"
+			      "{\"kind\":\"pool\",\"object\":{\"name\":\"web\","
+			      "\"kind\":\"service\",\"budget\":0}}]}",
+			      0);
 		strcpy(vm.id, "v1");
 		strcpy(vm.dc, "a");
 		strcpy(vm.pool, "web");
 		seam_fake_platform_put(platform, &vm);
-		seam_settings_default(&s);
-		s.threads = 128; // sanitizers are slow with a thousand
-		strcpy(s.node, "n1");
-		strcpy(s.data_centre, "a");
-		snprintf(s.listen, sizeof(s.listen), "%s:23010", test_host());
-		snprintf(s.peer, sizeof(s.peer), "%s:23011", test_host());
-		seam_sha256_hex("op", s.operator_sha256);
 		node = seam_node_new(&s, clock, store,
 				     seam_fake_platform_base(platform), &e);
 		ASSERT_EQ(seam_node_start(node, &e), 0) << e.text;
 		for (int i = 0; i < 200; i++) {
-			http("GET", "/v1/explain/vm/v1", "op", nullptr, &out);
+			call("GET", "/v1/explain/vm/v1", "op", nullptr, &out);
 			if (out.find("\"vm\"") != std::string::npos)
 				break;
 			usleep(50000);
@@ -427,23 +393,23 @@
 	const char *start = "{\"order\":\"start\",\"reason\":\"kernel\","
 			    "\"operator\":\"ana\",\"expected\":0}";
 
-	EXPECT_EQ(http("GET", "/v1/pools", "no", nullptr, &out), 401);
-	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "no", start, &out), 401);
-	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "op",
+	EXPECT_EQ(call("GET", "/v1/pools", "no", nullptr, &out), 401);
+	EXPECT_EQ(call("POST", "/v1/pools/web/wave", "no", start, &out), 401);
+	EXPECT_EQ(call("POST", "/v1/pools/web/wave", "op",
 		       "{\"order\":\"start\",\"operator\":\"ana\"}", &out),
 		  400);
-	EXPECT_EQ(http("POST", "/v1/pools/none/wave", "op", start, &out), 404);
-	EXPECT_EQ(http("GET", "/v1/explain/vm/v1", "op", nullptr, &out), 200);
+	EXPECT_EQ(call("POST", "/v1/pools/none/wave", "op", start, &out), 404);
+	EXPECT_EQ(call("GET", "/v1/explain/vm/v1", "op", nullptr, &out), 200);
 	EXPECT_NE(out.find("not due"), std::string::npos) << out;
-	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "op", start, &out), 200);
-	EXPECT_EQ(http("POST", "/v1/pools/web/wave", "op", start, &out), 409);
-	EXPECT_EQ(http("GET", "/v1/explain/vm/v1", "op", nullptr, &out), 200);
+	EXPECT_EQ(call("POST", "/v1/pools/web/wave", "op", start, &out), 200);
+	EXPECT_EQ(call("POST", "/v1/pools/web/wave", "op", start, &out), 409);
+	EXPECT_EQ(call("GET", "/v1/explain/vm/v1", "op", nullptr, &out), 200);
 	EXPECT_NE(out.find("budget is used up"), std::string::npos) << out;
 	EXPECT_NE(out.find("kernel"), std::string::npos) << out;
-	EXPECT_EQ(http("GET", "/v1/explain/pool/web", "op", nullptr, &out),
+	EXPECT_EQ(call("GET", "/v1/explain/pool/web", "op", nullptr, &out),
 		  200);
 	EXPECT_NE(out.find("\"forecast\""), std::string::npos) << out;
-	EXPECT_EQ(http("GET", "/v1/pools", "op", nullptr, &out), 200);
+	EXPECT_EQ(call("GET", "/v1/pools", "op", nullptr, &out), 200);
 	EXPECT_NE(out.find("\"web\""), std::string::npos) << out;
 }
 
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -1,8 +1,6 @@
 // Requests end to end: two nodes over one store, real callers and targets.
 #include <gtest/gtest.h>
 
-#include <curl/curl.h>
-
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -11,30 +9,12 @@
 #include <thread>
 #include <vector>
 
-#include "tests/addr.h"
 #include "base/count.h"
 #include "base/log.h"
 #include "fake/fake.h"
-#include "process/node.h"
-
-struct reply {
-	long status = 0;
-	std::string body;
-	bool has(const char *s) const
-	{
-		return body.find(s) != std::string::npos;
-	}
-	bool not_run() const
-	{
-		return has("\"run\":\"not_run\"");
-	}
-};
-
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	((std::string *)arg)->append(data, size * n);
-	return size * n;
-}
+#include "tests/change.h"
+#include "tests/http.h"
+#include "tests/node.h"
 
 static long metric(const std::string &name)
 {
@@ -113,24 +93,14 @@
 			{"kind":"key","object":{"name":"k","team":"t",
 			 "sha256":")") +
 				  key + "\"}}]}";
-		json_object *o = json_tokener_parse(doc.c_str());
-		seam_change ch = {o, "test", "test", 0};
-		seam_conf *c = seam_conf_commit(
-			store, clock, &ch, seam_now(clock) + 5 * SEAM_SEC, &e);
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+		commit_change(store, clock, doc, 0);
 	}
 
 	void add_target(int i)
 	{
-		seam_vm vm = {};
+		seam_vm vm =
+			test_vm("vm-" + std::to_string(i), "web", 20110 + i);
 
-		snprintf(vm.id, sizeof(vm.id), "vm-%d", i);
-		snprintf(vm.dc, sizeof(vm.dc), "a");
-		snprintf(vm.addr, sizeof(vm.addr), "%s:%d", test_host(),
-			 20110 + i);
-		snprintf(vm.pool, sizeof(vm.pool), "web");
 		target[i] = seam_fake_target_new(vm.id, vm.addr, 24);
 		ASSERT_NE(target[i], nullptr);
 		seam_fake_platform_put(platform, &vm);
@@ -159,16 +129,9 @@
 			add_target(i);
 		configure();
 		for (int i = 0; i < 2; i++) {
-			seam_settings s;
-
-			seam_settings_default(&s);
-			s.threads = 128; // sanitizers are slow with a thousand
-			snprintf(s.node, sizeof(s.node), "n%d", i);
-			snprintf(s.data_centre, sizeof(s.data_centre), "a");
-			snprintf(s.listen, sizeof(s.listen), "%s:%d",
-				 test_host(), 20100 + i);
-			snprintf(s.peer, sizeof(s.peer), "%s:%d", test_host(),
-				 20105 + i);
+			seam_settings s = test_settings("n" + std::to_string(i),
+							20100 + i, 20105 + i);
+
 			view[i] = seam_store_view_new(store);
 			node[i] = seam_node_new(
 				&s, clock, view[i],
@@ -207,33 +170,15 @@
 		   const std::string &key = "", int ms = 8000,
 		   const std::string &body = "x")
 	{
-		CURL *c = curl_easy_init();
-		curl_slist *l = nullptr;
-		reply r;
-		std::string url = test_url(20100 + n) + "/v1/services/s" + path;
-
-		l = curl_slist_append(l, "Authorization: Bearer lender");
-		l = curl_slist_append(
-			l, ("X-Request-Timeout-Ms: " + std::to_string(ms))
-				   .c_str());
+		std::vector<std::string> headers = {bearer("lender"),
+						    "X-Request-Timeout-Ms: " +
+							    std::to_string(ms)};
+
 		if (!key.empty())
-			l = curl_slist_append(
-				l, ("Idempotency-Key: " + key).c_str());
-		curl_easy_setopt(c, CURLOPT_URL, url.c_str());
-		curl_easy_setopt(c, CURLOPT_PROXY, "");
-		curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, 20000L);
-		curl_easy_setopt(c, CURLOPT_HTTPHEADER, l);
-		curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
-		curl_easy_setopt(c, CURLOPT_WRITEDATA, &r.body);
-		if (strcmp(method, "GET"))
-			curl_easy_setopt(c, CURLOPT_COPYPOSTFIELDS,
-					 body.c_str());
-		curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
-		curl_easy_perform(c);
-		curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &r.status);
-		curl_slist_free_all(l);
-		curl_easy_cleanup(c);
-		return r;
+			headers.push_back("Idempotency-Key: " + key);
+		return http(method,
+			    test_url(20100 + n) + "/v1/services/s" + path,
+			    headers, strcmp(method, "GET") ? body : "");
 	}
 
 	int path_runs(const std::string &path)
--- a/tests/task_sim.h
+++ b/tests/task_sim.h
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "fake/fake.h"
 #include "process/task.h"
+#include "tests/change.h"
 #include "tests/random.h"
 
 struct sim;
@@ -81,18 +82,7 @@
 
 	void change(const std::string &text)
 	{
-		json_object *o = json_tokener_parse(text.c_str());
-		uint64_t head = 0;
-
-		if (seam_conf_head(store, &head, clock.time + SEAM_SEC, &e))
-			head = 0;
-		seam_err_clear(&e);
-		seam_change ch = {o, "test", "test", head};
-		seam_conf *c = seam_conf_commit(store, &clock.clock, &ch,
-						clock.time + 5 * SEAM_SEC, &e);
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+		commit_next(store, &clock.clock, text);
 	}
 
 	void row(const std::string &key, const std::string &text)
--- a/tests/tell_test.cc
+++ b/tests/tell_test.cc
@@ -11,8 +11,8 @@
 #include "base/log.h"
 #include "fake/fake.h"
 #include "process/member.h"
-#include "process/node.h"
-#include "tests/addr.h"
+#include "tests/change.h"
+#include "tests/node.h"
 
 static const int TEAMS = 15;
 static const char dcs[3] = {'a', 'b', 'c'};
@@ -29,17 +29,7 @@
 
 	void change(const std::string &doc)
 	{
-		json_object *o = json_tokener_parse(doc.c_str());
-		seam_change ch = {o, "test", "test", SEAM_ANY_VERSION};
-		uint64_t head = 0;
-
-		seam_conf_head(store, &head, seam_now(clock) + SEAM_SEC, &e);
-		ch.expected = head;
-		seam_conf *c = seam_conf_commit(
-			store, clock, &ch, seam_now(clock) + 5 * SEAM_SEC, &e);
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+		commit_next(store, clock, doc);
 	}
 	// Sets the limit of teams t0, t1, ...
 	void limit(int teams, int n)
@@ -55,18 +45,13 @@
 	}
 	void start(int i)
 	{
-		seam_settings s;
+		seam_settings s = test_settings("n" + std::to_string(i),
+						18480 + i, 18490 + i);
 		seam_vm vm = {};
 
-		seam_settings_default(&s);
 		s.threads = 16;
-		snprintf(s.node, sizeof(s.node), "n%d", i);
 		snprintf(s.vm, sizeof(s.vm), "v%d", i);
 		snprintf(s.data_centre, sizeof(s.data_centre), "%c", dcs[i]);
-		snprintf(s.listen, sizeof(s.listen), "%s:%d", test_host(),
-			 18480 + i);
-		snprintf(s.peer, sizeof(s.peer), "%s:%d", test_host(),
-			 18490 + i);
 		snprintf(s.cluster_key, sizeof(s.cluster_key), "key");
 		snprintf(vm.id, sizeof(vm.id), "v%d", i);
 		seam_fake_platform_put(platform, &vm);
--- a/tests/worker_test.cc
+++ b/tests/worker_test.cc
@@ -1,54 +1,24 @@
 // Tasks over HTTP: callers, a node, links and fake workers.
 #include <gtest/gtest.h>
 
-#include <curl/curl.h>
-
 #include <cstring>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "tests/addr.h"
 #include "fake/fake.h"
-#include "process/node.h"
-
-struct reply {
-	long status = 0;
-	std::string body;
-};
-
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	((std::string *)arg)->append(data, size * n);
-	return size * n;
-}
+#include "tests/change.h"
+#include "tests/http.h"
+#include "tests/node.h"
 
 static reply send(const char *method, const std::string &url, const char *key,
 		  const std::string &body = "", const char *idem = nullptr)
 {
-	CURL *c = curl_easy_init();
-	curl_slist *list = curl_slist_append(
-		nullptr, (std::string("Authorization: Bearer ") + key).c_str());
-	reply r;
+	std::vector<std::string> headers = {bearer(key)};
 
 	if (idem)
-		list = curl_slist_append(
-			list,
-			(std::string("Idempotency-Key: ") + idem).c_str());
-	curl_easy_setopt(c, CURLOPT_URL, url.c_str());
-	curl_easy_setopt(c, CURLOPT_PROXY, "");
-	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, 20000L);
-	curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(c, CURLOPT_WRITEDATA, &r.body);
-	if (!body.empty())
-		curl_easy_setopt(c, CURLOPT_COPYPOSTFIELDS, body.c_str());
-	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
-	curl_easy_perform(c);
-	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &r.status);
-	curl_slist_free_all(list);
-	curl_easy_cleanup(c);
-	return r;
+		headers.push_back(std::string("Idempotency-Key: ") + idem);
+	return http(method, url, headers, body);
 }
 
 class Worker : public ::testing::Test
@@ -87,24 +57,12 @@
 			"{\"kind\":\"queue\",\"object\":{\"name\":\"o\","
 			"\"team\":\"t\",\"pool\":\"p\",\"open\":true}}," +
 			key("kt", "t") + "," + key("ku", "u") + "]}";
-		json_object *o = json_tokener_parse(doc.c_str());
-		seam_change ch = {o, "test", "test", 0};
-		seam_conf *c = seam_conf_commit(
-			store, clock, &ch, seam_now(clock) + 5 * SEAM_SEC, &e);
-		ASSERT_NE(c, nullptr) << e.text;
-		seam_conf_drop(c);
-		json_object_put(o);
+		commit_change(store, clock, doc, 0);
 	}
 	void add_worker(int i)
 	{
-		seam_vm vm = {};
+		seam_vm vm = test_vm("w" + std::to_string(i), "p", 22090 + i);
 
-		snprintf(vm.id, sizeof(vm.id), "w%d", i);
-		snprintf(vm.dc, sizeof(vm.dc), "a");
-		snprintf(vm.rack, sizeof(vm.rack), "r%d", i);
-		snprintf(vm.addr, sizeof(vm.addr), "%s:%d", test_host(),
-			 22090 + i);
-		snprintf(vm.pool, sizeof(vm.pool), "p");
 		vm.cpu_milli = 4000;
 		vm.memory_mb = 4096;
 		vm.boot = 1;
@@ -115,7 +73,7 @@
 	}
 	void SetUp() override
 	{
-		seam_settings s;
+		seam_settings s = test_settings("n1", 22080, 22081);
 
 		curl_global_init(CURL_GLOBAL_DEFAULT);
 		store = seam_store_mem_new(clock);
@@ -124,13 +82,6 @@
 		add_worker(0);
 		add_worker(1);
 		configure();
-		seam_settings_default(&s);
-		s.threads = 128; // sanitizers are slow with a thousand
-		snprintf(s.node, sizeof(s.node), "n1");
-		snprintf(s.data_centre, sizeof(s.data_centre), "a");
-		snprintf(s.listen, sizeof(s.listen), "%s:22080", test_host());
-		snprintf(s.peer, sizeof(s.peer), "%s:22081", test_host());
-		seam_sha256_hex("op", s.operator_sha256);
 		node = seam_node_new(&s, clock, store,
 				     seam_fake_platform_base(platform), &e);
 		ASSERT_NE(node, nullptr) << e.text;
