base: one reading of HTTP answers for targets and the platform

connection/target.c and process/rest.c each grew a buffer for the answer, set the same options, and judged from the error whether a request can have arrived. The guard against a second send, added to the first only, is now part of the shared piece. Commits keep their new connection each time. The judgement of rest.c after a reused connection follows its documentation now; all callers that may reuse one map both kinds to unavailable.

--- /dev/null
+++ b/base/recv.c
@@ -0,0 +1,72 @@
+#include "base/recv.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_BYTES 4096
+
+static bool grow(struct seam_recv *r, size_t need)
+{
+	size_t cap = r->cap ? r->cap * 2 : FIRST_BYTES;
+	char *body;
+
+	while (cap < need)
+		cap *= 2;
+	body = realloc(r->body, cap);
+	if (!body)
+		return false;
+	r->body = body;
+	r->cap = cap;
+	return true;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct seam_recv *r = arg;
+	size_t more = size * n;
+	size_t need = r->len + more + 1;
+
+	if (need > r->max) {
+		r->too_large = true;
+		return 0;
+	}
+	if (need > r->cap && !grow(r, need))
+		return 0;
+	memcpy(r->body + r->len, data, more);
+	r->len += more;
+	r->body[r->len] = '\0';
+	return more;
+}
+
+static int on_start(void *arg, char *ip, char *local_ip, int port,
+		    int local_port)
+{
+	struct seam_recv *r = arg;
+	bool again = r->sent;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	r->sent = true;
+	return r->once && again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+void seam_recv_set(CURL *h, struct seam_recv *r)
+{
+	curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h, CURLOPT_PROXY, "");
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, r);
+	curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, on_start);
+	curl_easy_setopt(h, CURLOPT_PREREQDATA, r);
+}
+
+bool seam_recv_unsent(CURL *h, const struct seam_recv *r, CURLcode rc)
+{
+	long sent = 0;
+
+	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &sent);
+	return !r->sent && (rc == CURLE_COULDNT_CONNECT || !sent);
+}
--- /dev/null
+++ b/base/recv.h
@@ -0,0 +1,46 @@
+#ifndef SEAM_RECV_H
+#define SEAM_RECV_H
+
+#include <curl/curl.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+/**
+ * struct seam_recv - body of an HTTP answer as libcurl reads it
+ * @max: most bytes, with the NUL
+ * @once: the request may be sent one time only
+ * @body: body with a NUL, or NULL if it is empty; the caller frees it
+ * @len: its length in bytes
+ * @cap: bytes allocated, private
+ * @too_large: the transfer was ended because of @max
+ * @sent: the request is about to be sent, or was
+ */
+struct seam_recv {
+	size_t max;
+	bool once;
+	char *body;
+	size_t len;
+	size_t cap;
+	bool too_large;
+	bool sent;
+};
+
+/**
+ * seam_recv_set() - options of a call of this project to an HTTP server
+ * @h: handle, reset before
+ * @r: receives the body of the next transfer
+ *
+ * curl sends a request again by itself when a reused connection is closed
+ * before any byte of the answer. With @r->once the second start ends the
+ * transfer with CURLE_ABORTED_BY_CALLBACK.
+ */
+void seam_recv_set(CURL *h, struct seam_recv *r);
+
+/**
+ * seam_recv_unsent() - the request of a failed transfer cannot have arrived
+ *
+ * A connect that failed says so only if no reused connection had been tried.
+ */
+bool seam_recv_unsent(CURL *h, const struct seam_recv *r, CURLcode rc);
+
+#endif
--- a/connection/target.c
+++ b/connection/target.c
@@ -1,5 +1,6 @@
 #include "connection/target_impl.h"
 #include "base/count.h"
+#include "base/recv.h"
 
 #include <curl/curl.h>
 #include <stdio.h>
@@ -34,12 +35,8 @@
 };
 
 struct reading {
-	struct seam_answer *answer;
-	size_t cap;
-	bool too_large;
+	struct seam_recv recv;
 	bool not_run;
-	bool once; /* the request may be sent one time only */
-	bool sent; /* it is about to be sent, or was */
 };
 
 void seam_target_close_idle(struct seam_target *t)
@@ -111,34 +108,6 @@
 		close_conn(c);
 }
 
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	struct reading *r = arg;
-	size_t more = size * n;
-	size_t need = r->answer->len + more + 1;
-
-	if (need > ANSWER_BYTES_MAX) {
-		r->too_large = true;
-		return 0;
-	}
-	if (need > r->cap) {
-		size_t cap = r->cap ? r->cap * 2 : 4096;
-		char *body;
-
-		while (cap < need)
-			cap *= 2;
-		body = realloc(r->answer->body, cap);
-		if (!body)
-			return 0;
-		r->answer->body = body;
-		r->cap = cap;
-	}
-	memcpy(r->answer->body + r->answer->len, data, more);
-	r->answer->len += more;
-	r->answer->body[r->answer->len] = '\0';
-	return more;
-}
-
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
 	static const char mark[] = "X-Seam-Run: not_run";
@@ -151,25 +120,6 @@
 	return len;
 }
 
-/*
- * curl sends a request again by itself when a reused connection is closed
- * before any byte of the answer. A non-idempotent request could then run twice,
- * so its second start ends the transfer.
- */
-static int on_start(void *arg, char *ip, char *local_ip, int port,
-		    int local_port)
-{
-	struct reading *r = arg;
-	bool again = r->sent;
-
-	(void)ip;
-	(void)local_ip;
-	(void)port;
-	(void)local_port;
-	r->sent = true;
-	return r->once && again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
-}
-
 static struct curl_slist *copy_header(struct curl_slist *list,
 				      struct seam_call *c, const char *name)
 {
@@ -209,21 +159,15 @@
 	long left = (long)((s->deadline - now) / SEAM_MSEC);
 
 	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	seam_recv_set(curl, &r->recv);
 	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, left > 0 ? left : 1L);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	/* One connection for each handle, so that info.connections holds. */
 	curl_easy_setopt(curl, CURLOPT_MAXCONNECTS, 1L);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(curl, CURLOPT_HEADERDATA, r);
-	curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, on_start);
-	curl_easy_setopt(curl, CURLOPT_PREREQDATA, r);
 	if (!s->idempotent)
 		curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, REUSE_SECONDS);
 	if (s->call->len) {
@@ -242,13 +186,10 @@
 static int failed(CURLcode rc, CURL *curl, const struct reading *r,
 		  const char *id, struct seam_err *e)
 {
-	long sent = 0;
-
-	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
-	if (!r->sent && (rc == CURLE_COULDNT_CONNECT || !sent))
+	if (seam_recv_unsent(curl, &r->recv, rc))
 		return seam_fail(e, SEAM_TARGET_REFUSED,
 				 "target %s: cannot connect", id);
-	if (r->too_large)
+	if (r->recv.too_large)
 		return seam_fail(e, SEAM_TARGET_FAILED,
 				 "target %s: answer over %u bytes", id,
 				 ANSWER_BYTES_MAX);
@@ -266,7 +207,8 @@
 		   const struct seam_send *s, const char *addr, const char *id,
 		   struct seam_answer *a, struct seam_err *e)
 {
-	struct reading r = {.answer = a, .once = !s->idempotent};
+	struct reading r = {
+		.recv = {.max = ANSWER_BYTES_MAX, .once = !s->idempotent}};
 	struct curl_slist *list = headers(s);
 	char url[2300];
 	const char *type = NULL;
@@ -279,18 +221,20 @@
 	rc = curl_easy_perform(c->curl);
 	curl_slist_free_all(list);
 	if (rc != CURLE_OK) {
-		seam_answer_free(a);
+		free(r.recv.body);
 		return failed(rc, c->curl, &r, id, e);
 	}
 	curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(c->curl, CURLINFO_CONTENT_TYPE, &type);
 	if (status == 503 && r.not_run) {
-		seam_answer_free(a);
+		free(r.recv.body);
 		a->status = 503;
 		return seam_fail(e, SEAM_TARGET_REFUSED,
 				 "target %s: refused, not run", id);
 	}
 	a->status = (int)status;
+	a->body = r.recv.body;
+	a->len = r.recv.len;
 	snprintf(a->type, sizeof(a->type), "%s", type ? type : "");
 	snprintf(a->target, sizeof(a->target), "%s", id);
 	return 0;
--- a/process/rest.c
+++ b/process/rest.c
@@ -1,4 +1,5 @@
 #include "process/rest.h"
+#include "base/recv.h"
 
 #include <ctype.h>
 #include <curl/curl.h>
@@ -18,11 +19,6 @@
 	int idle_count;
 };
 
-struct reading {
-	struct seam_rest_answer *answer;
-	size_t cap;
-};
-
 struct seam_rest *seam_rest_new(struct seam_clock *k, const char *url)
 {
 	struct seam_rest *r = calloc(1, sizeof(*r));
@@ -69,38 +65,11 @@
 	curl_easy_cleanup(c);
 }
 
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	struct reading *r = arg;
-	size_t more = size * n;
-	size_t need = r->answer->len + more + 1;
-
-	if (need > ANSWER_BYTES_MAX)
-		return 0;
-	if (need > r->cap) {
-		size_t cap = need < 4096 ? 4096 : need * 2;
-		char *body = realloc(r->answer->body, cap);
-
-		if (!body)
-			return 0;
-		r->answer->body = body;
-		r->cap = cap;
-	}
-	memcpy(r->answer->body + r->answer->len, data, more);
-	r->answer->len += more;
-	r->answer->body[r->answer->len] = '\0';
-	return more;
-}
-
 static void set_options(CURL *h, const struct seam_rest_call *c,
-			struct reading *rd, long left)
+			struct seam_recv *in, long left)
 {
-	curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(h, CURLOPT_PROXY, "");
+	seam_recv_set(h, in);
 	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, left);
-	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(h, CURLOPT_WRITEDATA, rd);
 	/*
 	 * curl repeats a request whose reused connection was closed by the
 	 * server. A repeated commit would report its own first run as a
@@ -119,11 +88,10 @@
 		   struct seam_rest_answer *a, struct seam_err *e)
 {
 	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
-	struct reading rd = {.answer = a};
+	struct seam_recv in = {.max = ANSWER_BYTES_MAX, .once = c->once};
 	seam_time left = (c->deadline - seam_now(r->clock)) / SEAM_MSEC;
 	char url[1024];
 	long status = 0;
-	long sent = 0;
 	CURLcode rc;
 
 	snprintf(url, sizeof(url), "%s%s", r->url, c->path);
@@ -133,19 +101,19 @@
 	curl_easy_reset(h);
 	curl_easy_setopt(h, CURLOPT_URL, url);
 	curl_easy_setopt(h, CURLOPT_HTTPHEADER, list);
-	set_options(h, c, &rd, (long)left);
+	set_options(h, c, &in, (long)left);
 	rc = curl_easy_perform(h);
 	curl_slist_free_all(list);
-	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &sent);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
-	a->status = (int)status;
-	if (rc == CURLE_OK)
+	if (rc == CURLE_OK) {
+		*a = (struct seam_rest_answer){(int)status, in.body, in.len};
 		return 0;
-	if (rc == CURLE_COULDNT_CONNECT || !sent)
-		return seam_fail(e, SEAM_UNAVAILABLE, "platform: %s",
-				 curl_easy_strerror(rc));
-	return seam_fail(e, SEAM_COMMIT_UNKNOWN, "platform: %s",
-			 curl_easy_strerror(rc));
+	}
+	free(in.body);
+	return seam_fail(e,
+			 seam_recv_unsent(h, &in, rc) ? SEAM_UNAVAILABLE :
+							SEAM_COMMIT_UNKNOWN,
+			 "platform: %s", curl_easy_strerror(rc));
 }
 
 int seam_rest_do(struct seam_rest *r, const struct seam_rest_call *c,
@@ -162,13 +130,10 @@
 	if (!h)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
 	rc = perform(r, h, c, a, e);
-	if (rc) {
+	if (rc)
 		curl_easy_cleanup(h);
-		free(a->body);
-		memset(a, 0, sizeof(*a));
-	} else {
+	else
 		give_back(r, h);
-	}
 	return rc;
 }
 
