seamctl: one search of objects, one macro for tables

ctl_change.c and ctl_object.c each looked for an object in a configuration, the second with the name of the array beside that of the kind. The macro for a table stood in two files, and a third wrote it out.

--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -58,6 +58,10 @@
 /** ctl_table() - print an array of objects; @n is at most CTL_COLUMNS */
 void ctl_table(struct json_object *rows, const struct ctl_column *col, int n);
 
+/** CTL_TABLE() - ctl_table() with all columns of an array */
+#define CTL_TABLE(rows, columns) \
+	ctl_table((rows), (columns), sizeof(columns) / sizeof(*(columns)))
+
 /** ctl_line() - print one named member, or nothing if it is absent or empty */
 void ctl_line(const char *name, struct json_object *o, const char *path,
 	      enum ctl_format format);
@@ -78,6 +82,10 @@
 void ctl_path(char *out, size_t size, const char *prefix, const char *word,
 	      const char *suffix);
 
+/** ctl_find() - object of a configuration by kind and name, or NULL */
+struct json_object *ctl_find(struct json_object *doc, const char *kind,
+			     const char *name);
+
 /** ctl_print_change() - print a change of @doc, one object a line */
 void ctl_print_change(struct json_object *change, struct json_object *doc);
 
--- a/cmd/ctl_change.c
+++ b/cmd/ctl_change.c
@@ -3,8 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
-static struct json_object *find(struct json_object *doc, const char *kind,
-				const char *name)
+struct json_object *ctl_find(struct json_object *doc, const char *kind,
+			     const char *name)
 {
 	struct json_object *list;
 	char array[64];
@@ -64,7 +64,7 @@
 	struct json_object *o = ctl_at(entry, "object");
 	const char *kind = ctl_str(entry, "kind");
 	const char *name = ctl_str(o, "name");
-	struct json_object *was = find(doc, kind, name);
+	struct json_object *was = ctl_find(doc, kind, name);
 
 	printf("%s %s %s\n", was ? "change" : "add", kind, name);
 	if (was)
--- a/cmd/ctl_explain.c
+++ b/cmd/ctl_explain.c
@@ -6,9 +6,6 @@
 
 #include "base/clock.h"
 
-#define TABLE(rows, columns) \
-	ctl_table((rows), (columns), sizeof(columns) / sizeof(*(columns)))
-
 static const struct ctl_column member_columns[] = {
 	{"VM", "vm", CTL_TEXT},
 	{"RACK", "rack", CTL_TEXT},
@@ -176,7 +173,7 @@
 	if (!ctl_int(o, "members"))
 		return;
 	puts("");
-	TABLE(ctl_at(o, "members_list"), member_columns);
+	CTL_TABLE(ctl_at(o, "members_list"), member_columns);
 }
 
 /* The ledger's object of holders as rows with their name. */
@@ -215,7 +212,7 @@
 							"; nobody holds any.");
 	if (json_object_array_length(rows)) {
 		puts("");
-		TABLE(rows, grant_columns);
+		CTL_TABLE(rows, grant_columns);
 	}
 	json_object_put(rows);
 }
--- a/cmd/ctl_object.c
+++ b/cmd/ctl_object.c
@@ -8,23 +8,6 @@
 #define TRIES_MAX 5
 #define RETRY_GAP_MS 400
 
-static struct json_object *find_named(struct json_object *config,
-				      const char *array, const char *name)
-{
-	struct json_object *list;
-	size_t i;
-
-	if (!json_object_object_get_ex(config, array, &list))
-		return NULL;
-	for (i = 0; i < json_object_array_length(list); i++) {
-		struct json_object *o = json_object_array_get_idx(list, i);
-
-		if (!strcmp(seam_json_str(o, "name", ""), name))
-			return o;
-	}
-	return NULL;
-}
-
 static struct json_object *put_of(const char *kind, struct json_object *o)
 {
 	struct json_object *entry = json_object_new_object();
@@ -44,8 +27,8 @@
 	struct json_object *object; /* owned by @answer */
 };
 
-static int read_object(struct ctl *a, const char *kind, const char *array,
-		       struct reading *r, struct seam_err *e)
+static int read_object(struct ctl *a, const char *kind, struct reading *r,
+		       struct seam_err *e)
 {
 	struct json_object *config = NULL;
 
@@ -54,7 +37,7 @@
 	if (!r->answer)
 		return -1;
 	if (json_object_object_get_ex(r->answer, "config", &config))
-		r->object = find_named(config, array, a->word[2]);
+		r->object = ctl_find(config, kind, a->word[2]);
 	if (r->object)
 		return 0;
 	json_object_put(r->answer);
@@ -79,7 +62,6 @@
 /* What is to be set, and the object as it was read first. */
 struct setting {
 	const char *kind;
-	const char *array;
 	const char *member;
 	const char *value;
 	struct json_object *first;
@@ -93,7 +75,7 @@
 	struct reading r;
 	int rc;
 
-	if (read_object(a, s->kind, s->array, &r, &now)) {
+	if (read_object(a, s->kind, &r, &now)) {
 		*e = now;
 		return -1;
 	}
@@ -115,10 +97,10 @@
 }
 
 /* Sets one text member of one object; everything else stays as it is. */
-static int set_member(struct ctl *a, const char *kind, const char *array,
-		      const char *member, const char *value)
+static int set_member(struct ctl *a, const char *kind, const char *member,
+		      const char *value)
 {
-	struct setting s = {kind, array, member, value, NULL};
+	struct setting s = {kind, member, value, NULL};
 	struct seam_err e = SEAM_ERR_INIT;
 	int tries = 0;
 	int rc;
@@ -136,16 +118,15 @@
 		fprintf(stderr, "seamctl: dc takes out or in\n");
 		return CTL_USAGE;
 	}
-	return set_member(a, "data_centre", "data_centres", "state",
-			  a->word[1]);
+	return set_member(a, "data_centre", "state", a->word[1]);
 }
 
 int ctl_key(struct ctl *a)
 {
 	if (!strcmp(a->word[1], "withdraw"))
-		return set_member(a, "key", "keys", "state", "withdrawn");
+		return set_member(a, "key", "state", "withdrawn");
 	if (!strcmp(a->word[1], "grant"))
-		return set_member(a, "key", "keys", "state", "granted");
+		return set_member(a, "key", "state", "granted");
 	fprintf(stderr, "seamctl: key takes withdraw or grant\n");
 	return CTL_USAGE;
 }
--- a/cmd/ctl_state.c
+++ b/cmd/ctl_state.c
@@ -55,9 +55,6 @@
 	{"CONFIRMED", "confirmed_at_us", CTL_UTC},
 };
 
-#define TABLE(rows, columns) \
-	ctl_table((rows), (columns), sizeof(columns) / sizeof(*(columns)))
-
 /* Sums the grants of each team over all holders. */
 static void add_sums(struct json_object *teams)
 {
@@ -105,7 +102,7 @@
 	if (json_object_get_boolean(ctl_at(self, "change_unsettled")))
 		puts("A change that it sent to the store is not settled yet.");
 	if (members && json_object_array_length(members))
-		TABLE(members, node_columns);
+		CTL_TABLE(members, node_columns);
 	else
 		puts("It knows no other node.");
 }
@@ -113,7 +110,7 @@
 static void print_workers(struct json_object *o)
 {
 	if (json_object_array_length(o))
-		TABLE(o, worker_columns);
+		CTL_TABLE(o, worker_columns);
 	else
 		puts("No worker has run a task yet.");
 }
@@ -121,10 +118,10 @@
 static void print_list(const char *name, struct json_object *o)
 {
 	if (!strcmp(name, "pools")) {
-		TABLE(o, pool_columns);
+		CTL_TABLE(o, pool_columns);
 	} else if (!strcmp(name, "teams")) {
 		add_sums(o);
-		TABLE(o, team_columns);
+		CTL_TABLE(o, team_columns);
 	} else if (!strcmp(name, "workers")) {
 		print_workers(o);
 	} else {
--- a/cmd/ctl_tasks.c
+++ b/cmd/ctl_tasks.c
@@ -67,8 +67,7 @@
 	else if (a->json)
 		ctl_print(all);
 	else if (json_object_array_length(all))
-		ctl_table(all, task_columns,
-			  sizeof(task_columns) / sizeof(*task_columns));
+		CTL_TABLE(all, task_columns);
 	else
 		printf("Queue %s has no tasks.\n", a->word[1]);
 	json_object_put(all);
