teams, member: the fleet is copied for a new VM list only

The part for teams copied all VMs in each pass, up to ten a second, and dropped the copy unless the list was newer; without the store, membership did so in each of its passes. Both look at the time of the list first. At 26,000 VMs of 376 bytes a copy is 10 MB. What they do with a new list is unchanged.

--- a/process/member_watch.c
+++ b/process/member_watch.c
@@ -65,10 +65,17 @@
 	struct seam_budget_state st = seam_store_budget_state(m->node->store);
 	struct seam_fleet_vm *vm;
 	seam_time as_of = 0;
+	bool newer;
 	size_t n;
 
 	if (now - st.last_ok < SEAM_STORE_GONE)
 		return;
+	seam_fleet_changes(m->node->fleet, &as_of);
+	pthread_mutex_lock(&m->lock);
+	newer = m->watched && as_of > m->watched;
+	pthread_mutex_unlock(&m->lock);
+	if (!newer)
+		return;
 	vm = seam_fleet_copy(m->node->fleet, NULL, &n, &as_of);
 	pthread_mutex_lock(&m->lock);
 	/* An empty list is more likely a fault of the platform. */
--- a/process/part_teams.c
+++ b/process/part_teams.c
@@ -20,7 +20,9 @@
 	struct seam_node *node;
 	struct seam_teams *teams;
 	struct seam_loop loop;
-	struct seam_team_set *set; /* terms in force, used by the pass only */
+	/* Used by the pass only. */
+	struct seam_team_set *set; /* terms in force */
+	seam_time vms_as_of; /* of the VM list taken over last */
 };
 
 static void configure(struct part_teams *p)
@@ -42,19 +44,26 @@
 	p->set = set;
 }
 
+/* The list comes each second and passes are more frequent. */
 static void list_vms(struct part_teams *p)
 {
+	struct seam_fleet_vm *vm;
+	const char **id;
 	seam_time as_of;
 	size_t n;
 	size_t i;
-	struct seam_fleet_vm *vm =
-		seam_fleet_copy(p->node->fleet, NULL, &n, &as_of);
-	const char **id = calloc(n + 1, sizeof(*id));
 
+	seam_fleet_changes(p->node->fleet, &as_of);
+	if (as_of == p->vms_as_of)
+		return;
+	vm = seam_fleet_copy(p->node->fleet, NULL, &n, &as_of);
+	id = calloc(n + 1, sizeof(*id));
 	for (i = 0; id && i < n; i++)
 		id[i] = vm[i].vm.id;
-	if (id)
+	if (id) {
 		seam_teams_vms(p->teams, id, n, as_of);
+		p->vms_as_of = as_of;
+	}
 	free(id);
 	free(vm);
 }
