fake, connection, cmd: shared start of HTTP servers and reading of answers

Three fakes had the same options for CivetWeb, and the links to workers and the client of seamctl their own buffer for an answer. The limit of a listing is the same but for one byte.

--- a/cmd/client.c
+++ b/cmd/client.c
@@ -1,32 +1,15 @@
 #include "cmd/client.h"
 #include "base/json.h"
+#include "base/recv.h"
 
 #include <curl/curl.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define TIMEOUT_MS 12000L
 
-struct text {
-	char *data;
-	size_t len;
-};
-
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	struct text *t = arg;
-	char *more = realloc(t->data, t->len + size * n + 1);
-
-	if (!more)
-		return 0;
-	t->data = more;
-	memcpy(t->data + t->len, data, size * n);
-	t->len += size * n;
-	t->data[t->len] = '\0';
-	return size * n;
-}
-
 static enum seam_kind kind_of(const char *name)
 {
 	int k;
@@ -37,10 +20,10 @@
 	return SEAM_INTERNAL;
 }
 
-static struct json_object *read_answer(struct text *t, long status,
+static struct json_object *read_answer(const char *text, long status,
 				       struct seam_err *e)
 {
-	struct json_object *o = t->data ? json_tokener_parse(t->data) : NULL;
+	struct json_object *o = text ? json_tokener_parse(text) : NULL;
 	struct json_object *err;
 
 	if (status < 400 && o)
@@ -61,7 +44,7 @@
 {
 	CURL *curl = curl_easy_init();
 	struct curl_slist *list = NULL;
-	struct text t = {NULL, 0};
+	struct seam_recv in = {.max = SIZE_MAX};
 	struct json_object *o = NULL;
 	char url[1024];
 	char auth[512];
@@ -74,11 +57,9 @@
 	list = curl_slist_append(list, "Content-Type: application/json");
 	list = curl_slist_append(list, "Expect:");
 	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	seam_recv_set(curl, &in);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &t);
 	if (body)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
 	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
@@ -88,9 +69,9 @@
 		seam_fail(e, SEAM_UNAVAILABLE, "%s: %s", c->url,
 			  curl_easy_strerror(rc));
 	else
-		o = read_answer(&t, status, e);
+		o = read_answer(in.body, status, e);
 	curl_slist_free_all(list);
 	curl_easy_cleanup(curl);
-	free(t.data);
+	free(in.body);
 	return o;
 }
--- a/connection/workerlink.c
+++ b/connection/workerlink.c
@@ -7,6 +7,7 @@
 
 #include "base/count.h"
 #include "base/log.h"
+#include "base/recv.h"
 
 #define QUEUE_MAX 512 /* commands that wait for one worker */
 /* A worker that answers late must not hold up starts behind it for long. */
@@ -74,23 +75,13 @@
 	return n;
 }
 
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
-{
-	GString *s = arg;
-
-	if (s->len + size * n > BODY_MAX)
-		return 0;
-	g_string_append_len(s, data, (gssize)(size * n));
-	return size * n;
-}
-
 /* Returns the parsed answer, or NULL. @body is NULL for a GET. */
 static struct json_object *call(struct link *l, const char *addr,
 				const char *path, const char *body,
 				long *status)
 {
 	struct curl_slist *list = curl_slist_append(NULL, l->all->auth);
-	GString *out = g_string_new(NULL);
+	struct seam_recv in = {.max = BODY_MAX};
 	struct json_object *o = NULL;
 	char url[160];
 
@@ -100,22 +91,18 @@
 	list = curl_slist_append(list, "Expect:");
 	curl_easy_reset(l->curl);
 	curl_easy_setopt(l->curl, CURLOPT_URL, url);
-	curl_easy_setopt(l->curl, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(l->curl, CURLOPT_NOSIGNAL, 1L);
+	seam_recv_set(l->curl, &in);
 	curl_easy_setopt(l->curl, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(l->curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(l->curl, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
 	curl_easy_setopt(l->curl, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(l->curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(l->curl, CURLOPT_WRITEDATA, out);
 	if (body)
 		curl_easy_setopt(l->curl, CURLOPT_POSTFIELDS, body);
 	if (curl_easy_perform(l->curl) == CURLE_OK)
 		curl_easy_getinfo(l->curl, CURLINFO_RESPONSE_CODE, status);
-	if (*status == 200)
-		o = json_tokener_parse(out->str);
+	if (*status == 200 && in.body)
+		o = json_tokener_parse(in.body);
 	curl_slist_free_all(list);
-	g_string_free(out, TRUE);
+	free(in.body);
 	return o;
 }
 
--- a/fake/store_server.c
+++ b/fake/store_server.c
@@ -1,5 +1,6 @@
 #include "base/json.h"
 #include "fake/fake.h"
+#include "fake/http_impl.h"
 
 #include <civetweb.h>
 #include <glib.h>
@@ -8,7 +9,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define THREADS "64"
+#define THREADS 64
 #define CALL_TIMEOUT (5 * SEAM_SEC)
 #define BODY_MAX (64u << 20)
 
@@ -397,17 +398,6 @@
 					      struct seam_store *mem,
 					      struct seam_platform *vms)
 {
-	const char *options[] = {"listening_ports",
-				 addr,
-				 "num_threads",
-				 THREADS,
-				 "enable_keep_alive",
-				 "yes",
-				 "keep_alive_timeout_ms",
-				 "20000",
-				 "tcp_nodelay",
-				 "1",
-				 NULL};
 	struct seam_fake_server *s = g_new0(struct seam_fake_server, 1);
 
 	s->clock = k;
@@ -416,12 +406,9 @@
 	s->objects =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pthread_mutex_init(&s->lock, NULL);
-	mg_init_library(0);
-	s->ctx = mg_start(NULL, s, options);
-	if (s->ctx) {
-		mg_set_request_handler(s->ctx, "/", on_request, s);
+	s->ctx = seam_fake_http_start(addr, THREADS, on_request, s);
+	if (s->ctx)
 		return s;
-	}
 	seam_fake_server_free(s);
 	return NULL;
 }
@@ -446,8 +433,7 @@
 	if (!s)
 		return;
 	if (s->ctx)
-		mg_stop(s->ctx);
-	mg_exit_library();
+		seam_fake_http_stop(s->ctx);
 	seam_store_close(s->view);
 	g_hash_table_destroy(s->objects);
 	pthread_mutex_destroy(&s->lock);
--- a/fake/target.c
+++ b/fake/target.c
@@ -1,4 +1,5 @@
 #include "fake/fake.h"
+#include "fake/http_impl.h"
 
 #include <civetweb.h>
 #include <glib.h>
@@ -138,36 +139,20 @@
 struct seam_fake_target *seam_fake_target_new(const char *id, const char *addr,
 					      int threads)
 {
-	char n[16];
-	const char *options[] = {"listening_ports",
-				 addr,
-				 "num_threads",
-				 n,
-				 "enable_keep_alive",
-				 "yes",
-				 "keep_alive_timeout_ms",
-				 "20000",
-				 "tcp_nodelay",
-				 "1",
-				 NULL};
 	struct seam_fake_target *t = calloc(1, sizeof(*t));
 
 	if (!t)
 		return NULL;
 	snprintf(t->id, sizeof(t->id), "%s", id);
-	snprintf(n, sizeof(n), "%d", threads);
 	pthread_mutex_init(&t->lock, NULL);
 	t->by_path =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	mg_init_library(0);
-	t->ctx = mg_start(NULL, t, options);
+	t->ctx = seam_fake_http_start(addr, threads, on_request, t);
 	if (!t->ctx) {
-		mg_exit_library();
 		g_hash_table_destroy(t->by_path);
 		free(t);
 		return NULL;
 	}
-	mg_set_request_handler(t->ctx, "/", on_request, t);
 	return t;
 }
 
@@ -203,8 +188,7 @@
 {
 	if (!t)
 		return;
-	mg_stop(t->ctx);
-	mg_exit_library();
+	seam_fake_http_stop(t->ctx);
 	g_hash_table_destroy(t->by_path);
 	pthread_mutex_destroy(&t->lock);
 	free(t);
--- a/fake/worker_http.c
+++ b/fake/worker_http.c
@@ -1,9 +1,12 @@
+#include "fake/http_impl.h"
 #include "fake/worker_impl.h"
 
 #include <civetweb.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define THREADS 8
+
 struct seam_fake_worker_http {
 	struct seam_fake_workers *workers;
 	char id[64];
@@ -142,31 +145,17 @@
 seam_fake_worker_http_new(struct seam_fake_workers *f, const char *id,
 			  const char *addr)
 {
-	const char *options[] = {"listening_ports",
-				 addr,
-				 "num_threads",
-				 "8",
-				 "enable_keep_alive",
-				 "yes",
-				 "keep_alive_timeout_ms",
-				 "20000",
-				 "tcp_nodelay",
-				 "1",
-				 NULL};
 	struct seam_fake_worker_http *h = calloc(1, sizeof(*h));
 
 	if (!h)
 		return NULL;
 	h->workers = f;
 	g_strlcpy(h->id, id, sizeof(h->id));
-	mg_init_library(0);
-	h->ctx = mg_start(NULL, h, options);
+	h->ctx = seam_fake_http_start(addr, THREADS, on_request, h);
 	if (!h->ctx) {
-		mg_exit_library();
 		free(h);
 		return NULL;
 	}
-	mg_set_request_handler(h->ctx, "/", on_request, h);
 	return h;
 }
 
@@ -179,7 +168,6 @@
 {
 	if (!h)
 		return;
-	mg_stop(h->ctx);
-	mg_exit_library();
+	seam_fake_http_stop(h->ctx);
 	free(h);
 }
