--- a/bench/capacity_http_bench.c
+++ b/bench/capacity_http_bench.c
@@ -11,7 +11,6 @@
 #include "base/log.h"
 #include "bench/measure.h"
 #include "fake/fake.h"
-#include "process/rest.h"
 
 #define START ((seam_time)1000000 * SEAM_SEC)
 #define DCS 16
@@ -20,54 +19,13 @@
 #define NOBODY "127.0.0.1:24812" /* nothing listens there */
 #define CHANGES 200
 
-static seam_time soon(void)
-{
-	return seam_now(seam_clock_real()) + 20 * SEAM_SEC;
-}
-
-static void put_row(struct seam_store *s, const char *key, const char *text)
-{
-	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
-			       strlen(text)};
-	struct seam_commit c = {&w, 1, 1, 0};
-	struct seam_err e = SEAM_ERR_INIT;
-
-	if (seam_store_commit(s, &c, SEAM_NEVER, &e))
-		abort();
-}
+#include "bench/capacity_http.h"
 
 /* ---- the platform over HTTP ---- */
 
 static struct seam_store *mem;
 static struct seam_fake_platform *vms;
 
-/* The body of the answer, to be freed with free(). */
-static char *fetch(const char *path, size_t *len)
-{
-	struct seam_rest *r =
-		seam_rest_new(seam_clock_real(), "http://" SERVER);
-	struct seam_rest_call c = {
-		.method = "GET", .path = path, .deadline = soon()};
-	struct seam_rest_answer a;
-	struct seam_err e = SEAM_ERR_INIT;
-
-	if (seam_rest_do(r, &c, &a, &e) || a.status != 200) {
-		fprintf(stderr, "capacity: %s %s\n", path, e.text);
-		exit(1);
-	}
-	seam_rest_free(r);
-	*len = a.len;
-	return a.body;
-}
-
-static size_t body_bytes(const char *path)
-{
-	size_t len;
-
-	free(fetch(path, &len));
-	return len;
-}
-
 static void time_get(struct seam_store *s, int bytes, struct fit *f)
 {
 	char *data = g_strnfill((gsize)bytes, 'x');
--- a/bench/capacity_list_bench.c
+++ b/bench/capacity_list_bench.c
@@ -12,46 +12,15 @@
 #include "bench/measure.h"
 #include "fake/fake.h"
 #include "process/pool.h"
-#include "process/rest.h"
 
 #define DCS 16
 #define SERVER "127.0.0.1:24813"
 #define LIST_VMS 26000
 #define CHANGE_ROUNDS 20
 
-static struct seam_fake_platform *vms;
-
-static seam_time soon(void)
-{
-	return seam_now(seam_clock_real()) + 20 * SEAM_SEC;
-}
+#include "bench/capacity_http.h"
 
-/* The body of the answer, to be freed with free(). */
-static char *fetch(const char *path, size_t *len)
-{
-	struct seam_rest *r =
-		seam_rest_new(seam_clock_real(), "http://" SERVER);
-	struct seam_rest_call c = {
-		.method = "GET", .path = path, .deadline = soon()};
-	struct seam_rest_answer a;
-	struct seam_err e = SEAM_ERR_INIT;
-
-	if (seam_rest_do(r, &c, &a, &e) || a.status != 200) {
-		fprintf(stderr, "capacity: %s %s\n", path, e.text);
-		exit(1);
-	}
-	seam_rest_free(r);
-	*len = a.len;
-	return a.body;
-}
-
-static size_t body_bytes(const char *path)
-{
-	size_t len;
-
-	free(fetch(path, &len));
-	return len;
-}
+static struct seam_fake_platform *vms;
 
 /* What json-c holds while the answer is read. */
 static double parsed_bytes(const char *path)
--- a/bench/capacity_team_bench.c
+++ b/bench/capacity_team_bench.c
@@ -10,6 +10,7 @@
 
 #include "base/log.h"
 #include "bench/capacity_store.h"
+#include "bench/capacity_rows.h"
 #include "bench/measure.h"
 #include "process/team.h"
 
@@ -17,17 +18,6 @@
 #define STEP (100 * SEAM_MSEC)
 #define DCS 16
 
-static void put_row(struct seam_store *s, const char *key, const char *text)
-{
-	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
-			       strlen(text)};
-	struct seam_commit c = {&w, 1, 1, 0};
-	struct seam_err e = SEAM_ERR_INIT;
-
-	if (seam_store_commit(s, &c, SEAM_NEVER, &e))
-		abort();
-}
-
 static char team_dc[DCS][SEAM_TEAM_NAME];
 
 /* Rows as they are once each of @nodes has a grant of each team. */
--- a/bench/capacity_version_bench.c
+++ b/bench/capacity_version_bench.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "bench/capacity_store.h"
+#include "bench/capacity_rows.h"
 #include "bench/measure.h"
 #include "fake/fake.h"
 #include "process/member.h"
@@ -16,22 +17,6 @@
 #define START ((seam_time)1000000 * SEAM_SEC)
 #define DCS 16
 
-static seam_time soon(void)
-{
-	return seam_now(seam_clock_real()) + 20 * SEAM_SEC;
-}
-
-static void put_row(struct seam_store *s, const char *key, const char *text)
-{
-	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
-			       strlen(text)};
-	struct seam_commit c = {&w, 1, 1, 0};
-	struct seam_err e = SEAM_ERR_INIT;
-
-	if (seam_store_commit(s, &c, SEAM_NEVER, &e))
-		abort();
-}
-
 /* ---- members ---- */
 
 static void member_rows(struct seam_store *s, int n)
--- a/bench/capacity_work_bench.c
+++ b/bench/capacity_work_bench.c
@@ -10,6 +10,7 @@
 
 #include "base/log.h"
 #include "bench/capacity_store.h"
+#include "bench/capacity_rows.h"
 #include "bench/measure.h"
 #include "fake/fake.h"
 #include "process/task.h"
@@ -22,17 +23,6 @@
 #define SECONDS 10
 #define NODES 48
 
-static void put_row(struct seam_store *s, const char *key, const char *text)
-{
-	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
-			       strlen(text)};
-	struct seam_commit c = {&w, 1, 1, 0};
-	struct seam_err e = SEAM_ERR_INIT;
-
-	if (seam_store_commit(s, &c, SEAM_NEVER, &e))
-		abort();
-}
-
 /* ---- tasks and workers ---- */
 
 /* Takes the time of the fake workers out, and counts the commands. */
