http: a small answer is one write

Cause: tests/fleet failed once in a rolling replacement: a caller got the head of a refusal ("draining") without its body. Refusals while draining do not hold up the end of the process, head and body were two writes, and the process ended between them. Ruled out: requests that run, which the drain waits for.

--- a/process/http.c
+++ b/process/http.c
@@ -9,6 +9,7 @@
 
 #define ROUTES_MAX 64
 #define HEADER_BYTES_MAX "16384"
+#define ONE_WRITE_MAX 8192 /* bytes of head and body */
 
 SEAM_COUNT(requests, "seam_http_requests_total", "Requests read.");
 SEAM_COUNT(errors, "seam_http_errors_total", "Answers with status 5xx.");
@@ -44,6 +45,27 @@
 	return mg_get_header(((struct http_call *)c)->conn, name);
 }
 
+/*
+ * A small answer goes out in one write: a process that ends may cut the second,
+ * and the caller of a drained node got the head of a refusal without its body.
+ */
+static int write_answer(struct mg_connection *conn, const char *head, size_t n,
+			const struct seam_answer *a)
+{
+	char both[ONE_WRITE_MAX];
+
+	if (n + a->len > sizeof(both)) {
+		if (mg_write(conn, head, n) != (int)n)
+			return -1;
+		return mg_write(conn, a->body, a->len) == (int)a->len ? 0 : -1;
+	}
+	memcpy(both, head, n);
+	if (a->len)
+		memcpy(both + n, a->body, a->len);
+	n += a->len;
+	return mg_write(conn, both, n) == (int)n ? 0 : -1;
+}
+
 static int call_reply(struct seam_call *c, const struct seam_answer *a)
 {
 	struct http_call *hc = (struct http_call *)c;
@@ -61,11 +83,7 @@
 		     trace, *a->target ? "X-Seam-Target: " : "", a->target,
 		     *a->target ? "\r\n" : "",
 		     hc->close ? "close" : "keep-alive");
-	if (mg_write(hc->conn, head, (size_t)n) != n)
-		return -1;
-	if (a->len && mg_write(hc->conn, a->body, a->len) != (int)a->len)
-		return -1;
-	return 0;
+	return write_answer(hc->conn, head, (size_t)n, a);
 }
 
 static const struct seam_call_ops call_ops = {
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -1,4 +1,8 @@
 // One node end to end: a real HTTP client, targets and a configuration.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <thread>
 #include <vector>
@@ -161,3 +165,30 @@
 	EXPECT_EQ(r.status, 200) << r.body;
 	EXPECT_TRUE(wait_for(0));
 }
+
+// Guards against an answer that a process writes in part when it ends: the
+// head of a refusal came without its body.
+TEST_F(Node, SmallAnswerIsOneWrite)
+{
+	const std::string ask = "GET /v1/services/s/x HTTP/1.1\r\nHost: n\r\n"
+				"Connection: close\r\n\r\n";
+
+	for (int i = 0; i < 50; i++) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		sockaddr_in a = {};
+		char b[4096];
+
+		a.sin_family = AF_INET;
+		a.sin_port = htons(18480);
+		inet_pton(AF_INET, test_host(), &a.sin_addr);
+		ASSERT_EQ(connect(fd, (sockaddr *)&a, sizeof(a)), 0);
+		ASSERT_GT(::send(fd, ask.data(), ask.size(), 0), 0);
+		ssize_t n = recv(fd, b, sizeof(b), 0);
+		close(fd);
+		ASSERT_GT(n, 0);
+		std::string got(b, (size_t)n);
+		EXPECT_NE(got.find("HTTP/1.1 401"), std::string::npos) << got;
+		EXPECT_NE(got.find("\"run\":\"not_run\""), std::string::npos)
+			<< got;
+	}
+}
