base: clock that counts suspended time; kind of a job that is gone

Cause: on the users' platform a machine may be suspended; the monotonic clock does not count that time, and the wall clock jumps by seconds. Change: seam_clock_boot() reads CLOCK_BOOTTIME. SEAM_GONE answers 410.

--- a/base/clock.c
+++ b/base/clock.c
@@ -16,6 +16,12 @@
 	return read_clock(CLOCK_REALTIME);
 }
 
+static seam_time boot_now(struct seam_clock *k)
+{
+	(void)k;
+	return read_clock(CLOCK_BOOTTIME);
+}
+
 static bool real_wait(struct seam_clock *k, pthread_cond_t *c,
 		      pthread_mutex_t *m, seam_time deadline)
 {
@@ -26,7 +32,7 @@
 		pthread_cond_wait(c, m);
 		return true;
 	}
-	mono = read_clock(CLOCK_MONOTONIC) + deadline - real_now(k);
+	mono = read_clock(CLOCK_MONOTONIC) + deadline - seam_now(k);
 	if (mono < 0)
 		mono = 0;
 	ts.tv_sec = mono / SEAM_SEC;
@@ -46,6 +52,18 @@
 	return &real;
 }
 
+static const struct seam_clock_ops boot_ops = {
+	.now = boot_now,
+	.wait = real_wait,
+};
+
+struct seam_clock *seam_clock_boot(void)
+{
+	static struct seam_clock boot = {&boot_ops};
+
+	return &boot;
+}
+
 void seam_cond_init(pthread_cond_t *c)
 {
 	pthread_condattr_t a;
--- a/base/clock.h
+++ b/base/clock.h
@@ -9,7 +9,7 @@
 extern "C" {
 #endif
 
-/** typedef seam_time - a point in time, microseconds since the Unix epoch */
+/** typedef seam_time - a point in time, microseconds since the clock's epoch */
 typedef int64_t seam_time;
 
 #define SEAM_USEC 1
@@ -45,6 +45,15 @@
  */
 struct seam_clock *seam_clock_real(void);
 
+/**
+ * seam_clock_boot() - time since the start of the machine
+ *
+ * Counts the time for which the machine is suspended and does not follow steps
+ * of the wall clock, so leases are measured with it. Its times mean nothing on
+ * another machine.
+ */
+struct seam_clock *seam_clock_boot(void);
+
 /** seam_cond_init() - condition variable for seam_wait() */
 void seam_cond_init(pthread_cond_t *c);
 
--- a/base/err.c
+++ b/base/err.c
@@ -15,6 +15,7 @@
 			    SEAM_NOT_RUN, false},
 	[SEAM_NOT_FOUND] = {"not_found", "no such object", 404, SEAM_NOT_RUN,
 			    false},
+	[SEAM_GONE] = {"gone", "no such job", 410, SEAM_NOT_RUN, false},
 	[SEAM_CONFLICT] = {"conflict", "version conflict", 409, SEAM_NOT_RUN,
 			   false},
 	[SEAM_IN_PROGRESS] = {"in_progress", "request with this key is running",
