http: refuse two body lengths; honour Connection: close; Retry-After

A request with Connection: close was answered as keep-alive. A server can be told to close connections after their next answer, for a drain. Refusals can carry Retry-After.

--- a/process/http.c
+++ b/process/http.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #define ROUTES_MAX 64
 #define HEADER_BYTES_MAX "16384"
@@ -24,6 +25,7 @@
 
 struct seam_http {
 	struct seam_clock *clock;
+	bool closing;
 	struct mg_context *ctx;
 	struct route route[ROUTES_MAX];
 	int routes;
@@ -71,17 +73,21 @@
 	struct http_call *hc = (struct http_call *)c;
 	char trace[SEAM_TRACEPARENT_LEN];
 	char head[768];
+	char retry[48] = "";
 	int n;
 
 	seam_trace_header(&c->trace, trace);
+	if (a->retry_ms) /* whole seconds, rounded up: RFC 9110, 10.2.3 */
+		snprintf(retry, sizeof(retry), "Retry-After: %lld\r\n",
+			 (long long)((a->retry_ms + 999) / 1000));
 	n = snprintf(head, sizeof(head),
 		     "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
 		     "Content-Length: %zu\r\ntraceparent: %s\r\n"
-		     "%s%s%sConnection: %s\r\n\r\n",
+		     "%s%s%s%sConnection: %s\r\n\r\n",
 		     a->status, mg_get_response_code_text(hc->conn, a->status),
 		     *a->type ? a->type : "application/octet-stream", a->len,
-		     trace, *a->target ? "X-Seam-Target: " : "", a->target,
-		     *a->target ? "\r\n" : "",
+		     trace, retry, *a->target ? "X-Seam-Target: " : "",
+		     a->target, *a->target ? "\r\n" : "",
 		     hc->close ? "close" : "keep-alive");
 	return write_answer(hc->conn, head, (size_t)n, a);
 }
@@ -91,6 +97,36 @@
 	.reply = call_reply,
 };
 
+/*
+ * Two lengths, or a length beside a transfer coding, let a balancer and this
+ * server see different ends of a request (RFC 9112, 6.3).
+ */
+static int check_framing(const struct mg_request_info *ri, struct seam_err *e)
+{
+	int lengths = 0;
+	int codings = 0;
+	int i;
+
+	for (i = 0; i < ri->num_headers; i++) {
+		const char *name = ri->http_headers[i].name;
+
+		lengths += !strcasecmp(name, "Content-Length");
+		codings += !strcasecmp(name, "Transfer-Encoding");
+	}
+	if (lengths > 1 || (lengths && codings))
+		return seam_fail(e, SEAM_BAD_REQUEST,
+				 "body: more than one length");
+	return 0;
+}
+
+static bool wants_close(struct seam_http *h, struct http_call *hc)
+{
+	const char *v = call_header(&hc->call, "Connection");
+
+	return __atomic_load_n(&h->closing, __ATOMIC_RELAXED) ||
+	       (v && !strcasecmp(v, "close"));
+}
+
 static int read_body(struct http_call *hc, const struct mg_request_info *ri,
 		     struct seam_err *e)
 {
@@ -236,7 +272,9 @@
 	struct seam_err e = SEAM_ERR_INIT;
 	const struct route *r = NULL;
 
-	if (!read_deadline(hc, &e) && !read_body(hc, ri, &e))
+	hc->close = wants_close(h, hc);
+	if (!check_framing(ri, &e) && !read_deadline(hc, &e) &&
+	    !read_body(hc, ri, &e))
 		r = find_route(h, &hc->call, &e);
 	if (r) {
 		r->fn(&hc->call, r->arg);
@@ -277,6 +315,8 @@
 	if (hc.call.status >= 500)
 		seam_count_add(&errors, 1);
 	free(hc.call.body);
+	if (hc.close)
+		mg_disable_connection_keep_alive(conn);
 	return hc.call.status;
 }
 
@@ -358,6 +398,11 @@
 	return idle;
 }
 
+void seam_http_close_after(struct seam_http *h)
+{
+	__atomic_store_n(&h->closing, true, __ATOMIC_RELAXED);
+}
+
 bool seam_http_draining(struct seam_http *h)
 {
 	bool draining;
--- a/process/http.h
+++ b/process/http.h
@@ -58,6 +58,9 @@
  */
 bool seam_http_drain(struct seam_http *h, seam_time deadline);
 
+/** seam_http_close_after() - close each connection after its next answer */
+void seam_http_close_after(struct seam_http *h);
+
 /** seam_http_draining() - whether the drain has begun */
 bool seam_http_draining(struct seam_http *h);
 
--- a/request/call.h
+++ b/request/call.h
@@ -2,6 +2,7 @@
 #define SEAM_CALL_H
 
 #include <stddef.h>
+#include <stdint.h>
 
 #include "base/clock.h"
 #include "base/err.h"
@@ -23,6 +24,7 @@
  * @body: content, owned by the answer; free with seam_answer_free()
  * @len: length in bytes
  * @target: id of the VM that gave it, or ""
+ * @retry_ms: when a refused caller may come back, 0 is not told
  */
 struct seam_answer {
 	int status;
@@ -30,6 +32,7 @@
 	char *body;
 	size_t len;
 	char target[64];
+	int64_t retry_ms;
 };
 
 /**
