store, rest: watch for changed rows; further header lines

Cause: the platform's table service has a feed of changes, which replaces polls. Change: seam_store_ops has a watch call, and a scan tells the version that it shows. seam_rest_call takes header lines.

--- a/process/rest.c
+++ b/process/rest.c
@@ -91,11 +91,14 @@
 	struct seam_recv in = {.max = ANSWER_BYTES_MAX, .once = c->once};
 	seam_time left = (c->deadline - seam_now(r->clock)) / SEAM_MSEC;
 	char url[1024];
+	const char *const *line;
 	long status = 0;
 	CURLcode rc;
 
 	snprintf(url, sizeof(url), "%s%s", r->url, c->path);
 	list = curl_slist_append(list, "Content-Type: application/json");
+	for (line = c->header; line && *line; line++)
+		list = curl_slist_append(list, *line);
 	if (c->once)
 		list = curl_slist_append(list, "Connection: close");
 	curl_easy_reset(h);
--- a/process/rest.h
+++ b/process/rest.h
@@ -19,6 +19,7 @@
  * @method: HTTP method
  * @path: path and query, escaped
  * @body: JSON text, or NULL
+ * @header: further header lines, NULL-terminated; may be NULL
  * @once: never sent again by the client on another connection
  * @deadline: end of the request
  */
@@ -26,6 +27,7 @@
 	const char *method;
 	const char *path;
 	const char *body;
+	const char *const *header;
 	bool once;
 	seam_time deadline;
 };
--- a/process/store.h
+++ b/process/store.h
@@ -35,10 +35,17 @@
 	uint64_t writer;
 };
 
-/** struct seam_rows - result of a scan; free with seam_rows_free() */
+/**
+ * struct seam_rows - result of a scan; free with seam_rows_free()
+ * @row: rows
+ * @n: their number
+ * @version: version of the store that a scan shows, to watch from; 0 if the
+ *           store has none
+ */
 struct seam_rows {
 	struct seam_row *row;
 	size_t n;
+	uint64_t version;
 };
 
 enum seam_op { SEAM_PUT, SEAM_DELETE, SEAM_CHECK };
@@ -83,6 +90,11 @@
  * @commit: apply @c; SEAM_CONFLICT if an expected version differs,
  *          SEAM_UNAVAILABLE if nothing was applied, SEAM_COMMIT_UNKNOWN if it
  *          may have been applied
+ * @watch: rows under @prefix that changed after version @after, in order of
+ *         version; waits for the first change until @deadline. A row that was
+ *         deleted has no data. @after becomes the version to go on from.
+ *         SEAM_STALE if the store has forgotten changes after @after: scan
+ *         again. NULL if the store can't tell of changes
  * @close: free the store
  *
  * Calls block until @deadline at the latest and can be made from any thread.
@@ -95,6 +107,9 @@
 		    struct seam_err *e);
 	int (*commit)(struct seam_store *s, struct seam_commit *c,
 		      seam_time deadline, struct seam_err *e);
+	int (*watch)(struct seam_store *s, const char *prefix, uint64_t *after,
+		     struct seam_rows *rows, seam_time deadline,
+		     struct seam_err *e);
 	void (*close)(struct seam_store *s);
 };
 
@@ -124,6 +139,13 @@
 	return s->ops->commit(s, c, deadline, e);
 }
 
+static inline int seam_store_watch(struct seam_store *s, const char *prefix,
+				   uint64_t *after, struct seam_rows *rows,
+				   seam_time deadline, struct seam_err *e)
+{
+	return s->ops->watch(s, prefix, after, rows, deadline, e);
+}
+
 static inline void seam_store_close(struct seam_store *s)
 {
 	s->ops->close(s);
