--- /dev/null
+++ b/request/jobrow.c
@@ -0,0 +1,205 @@
+#include "request/jobrow.h"
+#include "base/json.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const states[] = {
+	[SEAM_JOB_QUEUED] = "queued",	    [SEAM_JOB_RUNNING] = "running",
+	[SEAM_JOB_COMPLETED] = "completed", [SEAM_JOB_FAILED] = "failed",
+	[SEAM_JOB_CANCELLED] = "cancelled",
+};
+
+void seam_jobrow_key(const char *id, char key[SEAM_KEY_MAX])
+{
+	snprintf(key, SEAM_KEY_MAX, SEAM_JOB_ROWS "%s", id);
+}
+
+int seam_jobrow_new_done(struct seam_jobrow *j)
+{
+	int i;
+
+	j->done = calloc((size_t)j->spec.steps + 1, sizeof(*j->done));
+	if (!j->done)
+		return -1;
+	for (i = 0; i < j->spec.steps; i++) {
+		j->done[i] = calloc((size_t)j->spec.step[i].tasks + 1, 1);
+		if (!j->done[i])
+			return -1;
+	}
+	return 0;
+}
+
+void seam_jobrow_free(struct seam_jobrow *j)
+{
+	int i;
+
+	for (i = 0; j->done && i < j->spec.steps; i++)
+		free(j->done[i]);
+	free(j->done);
+	free(j->failed);
+	j->done = NULL;
+	j->failed = NULL;
+	seam_jobspec_free(&j->spec);
+}
+
+bool seam_jobrow_add_failed(struct seam_jobrow *j,
+			    const struct seam_failed_run *f)
+{
+	struct seam_failed_run *more;
+	size_t i;
+
+	for (i = 0; i < j->failures; i++)
+		if (j->failed[i].step == f->step &&
+		    j->failed[i].task == f->task && j->failed[i].run == f->run)
+			return false;
+	more = realloc(j->failed, (j->failures + 1) * sizeof(*more));
+	if (!more)
+		return false;
+	more[j->failures++] = *f;
+	j->failed = more;
+	return true;
+}
+
+int seam_jobrow_failures(const struct seam_jobrow *j, int step, int task)
+{
+	int n = 0;
+	size_t i;
+
+	for (i = 0; i < j->failures; i++)
+		n += j->failed[i].step == step && j->failed[i].task == task;
+	return n;
+}
+
+/* Each step is a text with one character a task: "d" for done, "-" if not. */
+static void add_done(struct json_object *o, const struct seam_jobrow *j)
+{
+	struct json_object *list = json_object_new_array();
+	int64_t t;
+	int i;
+
+	for (i = 0; i < j->spec.steps; i++) {
+		int64_t n = j->spec.step[i].tasks;
+		char *text = malloc((size_t)n + 1);
+
+		if (!text)
+			break;
+		for (t = 0; t < n; t++)
+			text[t] = j->done[i][t] ? 'd' : '-';
+		json_object_array_add(list,
+				      json_object_new_string_len(text, (int)n));
+		free(text);
+	}
+	json_object_object_add(o, "done", list);
+}
+
+static void add_failed(struct json_object *o, const struct seam_jobrow *j)
+{
+	struct json_object *list = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < j->failures; i++) {
+		const struct seam_failed_run *f = &j->failed[i];
+
+		json_object_array_add(list, json_object_new_int(f->step));
+		json_object_array_add(list, json_object_new_int(f->task));
+		json_object_array_add(list, json_object_new_int64(f->run));
+	}
+	json_object_object_add(o, "failed", list);
+}
+
+char *seam_jobrow_text(const struct seam_jobrow *j)
+{
+	struct json_object *o = seam_jobspec_json(&j->spec);
+	char *text;
+
+	if (j->done)
+		add_done(o, j);
+	if (j->failures)
+		add_failed(o, j);
+	seam_json_add_str(o, "state", states[j->state]);
+	seam_json_add_int(o, "accepted_ms", j->accepted_ms);
+	if (j->ended_ms)
+		seam_json_add_int(o, "ended_ms", j->ended_ms);
+	text = strdup(
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+	return text;
+}
+
+static int state_of(const char *word)
+{
+	int i;
+
+	for (i = 0; i <= SEAM_JOB_CANCELLED; i++)
+		if (!strcmp(states[i], word))
+			return i;
+	return -1;
+}
+
+static void read_done(struct json_object *o, struct seam_jobrow *j)
+{
+	struct json_object *list = NULL;
+	int64_t t;
+	int i;
+
+	if (!json_object_object_get_ex(o, "done", &list))
+		return;
+	for (i = 0; i < j->spec.steps; i++) {
+		const char *text = json_object_get_string(
+			json_object_array_get_idx(list, (size_t)i));
+
+		for (t = 0; text && t < j->spec.step[i].tasks && text[t]; t++)
+			j->done[i][t] = text[t] == 'd';
+	}
+}
+
+static int64_t number_at(struct json_object *list, size_t i)
+{
+	return json_object_get_int64(json_object_array_get_idx(list, i));
+}
+
+static void read_failed(struct json_object *o, struct seam_jobrow *j)
+{
+	struct json_object *list = NULL;
+	size_t i;
+
+	if (!json_object_object_get_ex(o, "failed", &list))
+		return;
+	for (i = 0; i + 2 < json_object_array_length(list); i += 3) {
+		struct seam_failed_run f = {(int)number_at(list, i),
+					    (int)number_at(list, i + 1),
+					    number_at(list, i + 2)};
+
+		seam_jobrow_add_failed(j, &f);
+	}
+}
+
+int seam_jobrow_read(const struct seam_row *row, struct seam_jobrow *j,
+		     struct seam_err *e)
+{
+	struct json_object *o =
+		row->data ? json_tokener_parse(row->data) : NULL;
+	int rc = -1;
+
+	memset(j, 0, sizeof(*j));
+	snprintf(j->spec.id, sizeof(j->spec.id), "%s",
+		 row->key + strlen(SEAM_JOB_ROWS));
+	if (o && !seam_jobspec_read(o, &j->spec, e)) {
+		j->state = state_of(seam_json_str(o, "state", ""));
+		j->accepted_ms = seam_json_int(o, "accepted_ms", 0);
+		j->ended_ms = seam_json_int(o, "ended_ms", 0);
+		rc = j->state < 0 || seam_jobrow_new_done(j) ? -1 : 0;
+	}
+	if (rc) {
+		seam_jobrow_free(j);
+	} else {
+		read_done(o, j);
+		read_failed(o, j);
+	}
+	json_object_put(o);
+	return rc ? seam_fail(e, SEAM_BAD_REQUEST, "%s: damaged row",
+			      row->key) :
+		    0;
+}
--- /dev/null
+++ b/request/submit.c
@@ -0,0 +1,330 @@
+#include "request/submit.h"
+#include "base/count.h"
+#include "base/json.h"
+#include "base/log.h"
+#include "request/jobrow.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+/* Left of a caller's time for the answer after the store's last attempt. */
+#define ANSWER_MARGIN (150 * SEAM_MSEC)
+/* A caller that meets a store without answers comes back after an outage. */
+#define RETRY_OUTAGE_MS 1000
+#define CANCEL_ATTEMPTS 8 /* each lost only to another writer of the row */
+
+SEAM_COUNT(accepted, "seam_jobs_accepted_total", "Jobs accepted and stored.");
+SEAM_COUNT(repeated, "seam_jobs_repeated_total",
+	   "Jobs handed in again after they were accepted.");
+SEAM_COUNT(refused, "seam_jobs_refused_total", "Calls answered by an error.");
+SEAM_COUNT(cancelled, "seam_jobs_cancelled_total", "Jobs cancelled.");
+
+/*
+ * struct request - one caller's call
+ * @queue: copy of its queue, as the version may change meanwhile
+ * @workspace: workspace of its key, or ""
+ * @id: job, or "" for the queue itself
+ */
+struct request {
+	struct seam_submit *front;
+	struct seam_call *call;
+	struct seam_job_queue queue;
+	uint64_t version;
+	char workspace[SEAM_NAME];
+	char id[SEAM_JOB_ID];
+	seam_time deadline;
+};
+
+static int64_t wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void refuse(struct request *r, const struct seam_err *e,
+		   int64_t retry_ms)
+{
+	seam_count_add(&refused, 1);
+	seam_log(SEAM_INFO, "submit",
+		 "event=refused method=%s job=%s queue=%s version=%llu "
+		 "kind=%s run=%s why=\"%s\"",
+		 r->call->method, r->id, r->queue.name,
+		 (unsigned long long)r->version, seam_kind_info(e->kind)->name,
+		 seam_run_name(seam_kind_info(e->kind)->run), e->text);
+	r->front->front->refuse(r->call, e, retry_ms);
+}
+
+/* Finds queue, workspace and job of a call in the version in force. */
+static int resolve(struct request *r, const struct seam_catalog *c,
+		   struct seam_err *e)
+{
+	const struct seam_front_ops *f = r->front->front;
+	const char *key = f->key(r->call);
+	const struct seam_job_workspace *w = NULL;
+	const struct seam_job_queue *q;
+
+	if (!c)
+		return seam_fail(e, SEAM_STALE, "no configuration yet");
+	r->version = c->version;
+	q = seam_catalog_route(c, f->host(r->call), r->call->path);
+	if (!q)
+		return seam_fail(e, SEAM_NOT_FOUND, "no such queue");
+	r->queue = *q;
+	if (key)
+		w = seam_catalog_owner_of(c, key);
+	if (!w && !q->open)
+		return seam_fail(e, SEAM_UNAUTHENTICATED, NULL);
+	if (w)
+		snprintf(r->workspace, sizeof(r->workspace), "%s", w->name);
+	snprintf(r->id, sizeof(r->id), "%s", r->call->path + strlen(q->prefix));
+	return 0;
+}
+
+/* What is not built is refused: the answer has to be true. */
+static int check_supported(const struct request *r,
+			   const struct seam_jobspec *j, struct seam_err *e)
+{
+	int i;
+
+	if (r->queue.advised)
+		return seam_fail(e, SEAM_BUSY,
+				 "queues with placement advice are not "
+				 "supported");
+	if (j->repeats)
+		return seam_fail(e, SEAM_BUSY,
+				 "repeated jobs are not supported");
+	for (i = 0; i < j->steps; i++)
+		if (j->step[i].gang)
+			return seam_fail(e, SEAM_BUSY,
+					 "gangs are not supported");
+	return 0;
+}
+
+static int read_spec(struct request *r, struct seam_jobspec *j,
+		     struct seam_err *e)
+{
+	memset(j, 0, sizeof(*j));
+	if (r->front->front->spec(r->call->body, j, e))
+		return -1;
+	snprintf(j->id, sizeof(j->id), "%s", r->id);
+	snprintf(j->queue, sizeof(j->queue), "%s", r->queue.name);
+	snprintf(j->pool, sizeof(j->pool), "%s", r->queue.pool);
+	snprintf(j->workspace, sizeof(j->workspace), "%s", r->workspace);
+	j->attempts = r->queue.attempts;
+	if (seam_jobspec_check(j, e))
+		return -1;
+	return check_supported(r, j, e);
+}
+
+static int store_job(struct request *r, const struct seam_jobspec *spec,
+		     struct seam_err *e)
+{
+	struct seam_jobrow row = {.spec = *spec,
+				  .state = SEAM_JOB_QUEUED,
+				  .accepted_ms = wall_ms()};
+	char *text = seam_jobrow_text(&row);
+	char key[SEAM_KEY_MAX];
+	struct seam_write w = {SEAM_PUT, key, SEAM_ABSENT, text, 0};
+	struct seam_commit c = {&w, 1, 0, 0};
+	int rc;
+
+	if (!text)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	w.len = strlen(text);
+	seam_jobrow_key(spec->id, key);
+	rc = seam_store_commit_sure(r->front->store, r->front->clock, &c,
+				    r->deadline, e);
+	free(text);
+	return rc;
+}
+
+static void submit(struct request *r)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_jobspec j;
+	int64_t retry_ms = 0;
+
+	if (read_spec(r, &j, &e) ||
+	    (r->front->room && r->front->room(r->front->room_arg, &r->queue, &j,
+					      &retry_ms, &e))) {
+		refuse(r, &e, retry_ms);
+	} else if (!store_job(r, &j, &e)) {
+		seam_count_add(&accepted, 1);
+		seam_log(SEAM_INFO, "submit",
+			 "event=accepted job=%s queue=%s workspace=%s "
+			 "version=%llu steps=%d",
+			 r->id, r->queue.name, r->workspace,
+			 (unsigned long long)r->version, j.steps);
+		r->front->front->state(r->call, SEAM_JOB_QUEUED);
+	} else if (e.kind == SEAM_CONFLICT) {
+		seam_count_add(&repeated, 1);
+		r->front->front->state(r->call, SEAM_JOB_QUEUED);
+	} else {
+		refuse(r, &e, RETRY_OUTAGE_MS);
+	}
+	seam_jobspec_free(&j);
+}
+
+/* Reads the row of the job; a job of another workspace is not shown. */
+static int read_job(struct request *r, struct seam_row *row,
+		    struct seam_jobrow *j, struct seam_err *e)
+{
+	char key[SEAM_KEY_MAX];
+
+	memset(row, 0, sizeof(*row));
+	seam_jobrow_key(r->id, key);
+	if (seam_store_get(r->front->store, key, row, r->deadline, e)) {
+		if (e->kind == SEAM_NOT_FOUND)
+			e->kind = SEAM_GONE;
+		return -1;
+	}
+	if (seam_jobrow_read(row, j, e)) {
+		seam_row_free(row);
+		return -1;
+	}
+	if (!strcmp(j->spec.workspace, r->workspace) || r->queue.open)
+		return 0;
+	seam_jobrow_free(j);
+	seam_row_free(row);
+	return seam_fail(e, SEAM_GONE, "job of another workspace");
+}
+
+static void show(struct request *r)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_jobrow j;
+	struct seam_row row;
+
+	if (read_job(r, &row, &j, &e)) {
+		refuse(r, &e, 0);
+		return;
+	}
+	r->front->front->state(r->call, j.state);
+	seam_jobrow_free(&j);
+	seam_row_free(&row);
+}
+
+/* Writes the cancelled state over the version of the row that was read. */
+static int write_cancelled(struct request *r, const struct seam_row *row,
+			   struct seam_jobrow *j, struct seam_err *e)
+{
+	struct seam_write w = {SEAM_PUT, row->key, row->version, NULL, 0};
+	struct seam_commit c = {&w, 1, 0, 0};
+	char *text;
+	int rc;
+
+	j->state = SEAM_JOB_CANCELLED;
+	j->ended_ms = wall_ms();
+	text = seam_jobrow_text(j);
+	if (!text)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	w.data = text;
+	w.len = strlen(text);
+	rc = seam_store_commit_sure(r->front->store, r->front->clock, &c,
+				    r->deadline, e);
+	free(text);
+	return rc;
+}
+
+/* Returns 0 when the job is over, -1 with SEAM_CONFLICT to read it again. */
+static int try_cancel(struct request *r, enum seam_job_state *state,
+		      struct seam_err *e)
+{
+	struct seam_jobrow j;
+	struct seam_row row;
+	int rc = 0;
+
+	if (read_job(r, &row, &j, e))
+		return -1;
+	if (!seam_job_over(j.state)) {
+		rc = write_cancelled(r, &row, &j, e);
+		if (!rc)
+			seam_count_add(&cancelled, 1);
+	}
+	*state = (enum seam_job_state)j.state;
+	seam_jobrow_free(&j);
+	seam_row_free(&row);
+	return rc;
+}
+
+static void cancel(struct request *r)
+{
+	enum seam_job_state state = SEAM_JOB_CANCELLED;
+	struct seam_err e = SEAM_ERR_INIT;
+	int i;
+	int rc = -1;
+
+	for (i = 0; i < CANCEL_ATTEMPTS; i++) {
+		seam_err_clear(&e);
+		rc = try_cancel(r, &state, &e);
+		if (!rc || e.kind != SEAM_CONFLICT)
+			break;
+	}
+	if (rc) {
+		refuse(r, &e, 0);
+		return;
+	}
+	seam_log(SEAM_INFO, "submit", "event=cancelled job=%s queue=%s", r->id,
+		 r->queue.name);
+	r->front->front->state(r->call, state);
+}
+
+static void show_pending(struct request *r)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct json_object *o;
+	struct seam_row row;
+
+	if (seam_store_get(r->front->store, SEAM_PENDING_ROW, &row, r->deadline,
+			   &e)) {
+		if (e.kind == SEAM_NOT_FOUND)
+			r->front->front->pending(r->call, 0);
+		else
+			refuse(r, &e, 0);
+		return;
+	}
+	o = json_tokener_parse(row.data);
+	r->front->front->pending(r->call, seam_json_int(o, r->queue.name, 0));
+	json_object_put(o);
+	seam_row_free(&row);
+}
+
+static void serve(struct request *r)
+{
+	const char *method = r->call->method;
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (!strcmp(method, "GET") && !*r->id)
+		show_pending(r);
+	else if (!strcmp(method, "POST"))
+		submit(r);
+	else if (!strcmp(method, "GET"))
+		show(r);
+	else if (!strcmp(method, "DELETE"))
+		cancel(r);
+	else {
+		seam_fail(&e, SEAM_BAD_REQUEST, "method %s not accepted",
+			  method);
+		refuse(r, &e, 0);
+	}
+}
+
+void seam_submit_serve(struct seam_call *c, void *arg)
+{
+	struct seam_submit *s = arg;
+	struct request r = {.front = s, .call = c};
+	struct seam_err e = SEAM_ERR_INIT;
+	int rc;
+
+	r.deadline = s->front->deadline(c) - ANSWER_MARGIN;
+	rc = resolve(&r, seam_catalog_enter(s->catalog), &e);
+	seam_catalog_leave();
+	if (rc)
+		refuse(&r, &e, 0);
+	else
+		serve(&r);
+}
