--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 CXXFLAGS = -std=gnu++17 $(CXXWARN) $(BASE)
 LIBS = $(PKG_LIBS) -lcivetweb -lpthread -lm
 
-LIB_DIRS = base process version connection request fake
+LIB_DIRS = base process version connection request platform fake
 LIB_SRC = $(wildcard $(LIB_DIRS:%=%/*.c)) $(filter-out cmd/seam%.c,$(wildcard cmd/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libseam.a
