owner: commits within the service's bounds, jobs' rows over 16 parts

Commits of 60 rows had 121 entries where the service takes 100, were refused whole with 400 and sent again for ever. Change: at most 45 rows in a commit; the part of a row follows from the first digit of the job's id. Rows' versions are the only condition of a commit; what another owner or a caller wrote is merged.

--- a/process/board.h
+++ b/process/board.h
@@ -22,6 +22,7 @@
 extern "C" {
 #endif
 
+#define SEAM_BOARD_TOKENS 64 /* commits whose rows the feed may still tell */
 #define SEAM_COPIES 2 /* runs of a task at the same time, at most */
 
 /** enum seam_run_state - what the owner knows of a run */
@@ -239,6 +240,8 @@
  * @unlisted_until: a worker without a row may run tasks until then
  * @commit_wake: signals changes of rows
  * @pass_wake: signals that something may be started
+ * @token: tokens of the latest commits; rows with them are our own
+ * @tokens: number of commits
  * @pass_due: something may be started
  * @commit_due: a row changed
  * @jobs_version: version of the store up to which jobs were read
@@ -265,6 +268,8 @@
 	seam_time unlisted_until;
 	pthread_cond_t commit_wake;
 	pthread_cond_t pass_wake;
+	uint64_t token[SEAM_BOARD_TOKENS];
+	size_t tokens;
 	bool pass_due;
 	bool commit_due;
 	bool stop;
--- a/process/board_commit.c
+++ b/process/board_commit.c
@@ -5,7 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ROWS_MAX 60 /* jobs in one commit */
+/* Jobs in one commit: the service takes 100 entries, and a row that is put with
+ * its expected version counts twice. */
+#define ROWS_MAX 45
 #define GATHER_USEC 15000 /* ends that come together go in one commit */
 #define RETRY_USEC 100000
 #define COMMIT (1500 * SEAM_MSEC)
@@ -61,24 +63,27 @@
 	return n;
 }
 
+/*
+ * The rows' expected versions are the only condition: an owner whose term has
+ * ended can only add ends that workers told it, and the next one merges them.
+ */
 static int commit(struct seam_board *b, const struct item *item, size_t n,
 		  uint64_t *version, struct seam_err *e)
 {
-	struct seam_write w[ROWS_MAX + 1];
-	struct seam_commit c = {w, n + 1, 0, 0};
+	struct seam_write w[ROWS_MAX];
+	struct seam_commit c = {w, n, seam_store_token(), 0};
 	size_t i;
 	int rc;
 
-	/* First a row that is put: its token tells whether an attempt applied.
-	 */
 	for (i = 0; i < n; i++)
 		w[i] = (struct seam_write){SEAM_PUT, item[i].key,
 					   item[i].version, item[i].text,
 					   strlen(item[i].text)};
-	w[n] = (struct seam_write){SEAM_CHECK, SEAM_LEAD_ROW,
-				   b->lead->owner_version, NULL, 0};
-	rc = seam_store_commit_sure(b->ports->store, b->clock, &c,
-				    seam_now(b->clock) + COMMIT, e);
+	pthread_mutex_lock(&b->lock);
+	b->token[b->tokens++ % SEAM_BOARD_TOKENS] = c.token;
+	pthread_mutex_unlock(&b->lock);
+	rc = seam_store_commit(b->ports->store, &c, seam_now(b->clock) + COMMIT,
+			       e);
 	*version = c.version;
 	return rc;
 }
@@ -115,23 +120,17 @@
 static void read_back(struct seam_board *b, const struct item *item)
 {
 	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_jobrow r;
 	struct seam_row row;
 	struct seam_job *j;
 
 	if (seam_store_get(b->ports->store, item->key, &row,
 			   seam_now(b->clock) + STORE_CALL, &e))
 		return;
-	if (!seam_jobrow_read(&row, &r, &e)) {
-		pthread_mutex_lock(&b->lock);
-		j = board_job(b, item->job);
-		if (j && r.state == SEAM_JOB_CANCELLED)
-			board_job_cancel(b, j, &row);
-		else if (j)
-			j->version = row.version;
-		pthread_mutex_unlock(&b->lock);
-		seam_jobrow_free(&r);
-	}
+	pthread_mutex_lock(&b->lock);
+	j = board_job(b, item->job);
+	if (j)
+		board_job_merge(b, j, &row);
+	pthread_mutex_unlock(&b->lock);
 	seam_row_free(&row);
 }
 
@@ -158,7 +157,9 @@
 		pthread_mutex_lock(&b->lock);
 		committed(b, item, n, version);
 		pthread_mutex_unlock(&b->lock);
-	} else if (e.kind == SEAM_CONFLICT) {
+	} else if (e.kind == SEAM_CONFLICT || e.kind == SEAM_COMMIT_UNKNOWN) {
+		/* Without an answer it may have applied, wholly or not at all.
+		 */
 		seam_count_add(&conflicts, 1);
 		for (i = 0; i < n; i++)
 			read_back(b, &item[i]);
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -40,8 +40,10 @@
 void board_job_end(struct seam_board *b, struct seam_job *j, int state);
 void board_job_drop(struct seam_board *b, struct seam_job *j);
 bool board_job_droppable(const struct seam_job *j);
-void board_job_cancel(struct seam_board *b, struct seam_job *j,
-		      const struct seam_row *row);
+void board_job_settle(struct seam_board *b, struct seam_job *j,
+		      const struct seam_row *row, int state);
+void board_job_merge(struct seam_board *b, struct seam_job *j,
+		     const struct seam_row *row);
 void board_job_free(struct seam_job *j);
 
 /* board_workers.c */
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -51,11 +51,22 @@
 	board_wake_commit(b);
 }
 
-static int make_tasks(struct seam_job *j)
+static void count_left(struct seam_job *j)
 {
 	int64_t t;
 	int i;
 
+	for (i = 0; i < j->row.spec.steps; i++) {
+		j->left[i] = 0;
+		for (t = 0; t < j->row.spec.step[i].tasks; t++)
+			j->left[i] += !j->row.done[i][t];
+	}
+}
+
+static int make_tasks(struct seam_job *j)
+{
+	int i;
+
 	j->task = calloc((size_t)j->row.spec.steps + 1, sizeof(*j->task));
 	j->left = calloc((size_t)j->row.spec.steps + 1, sizeof(*j->left));
 	if (!j->task || !j->left)
@@ -66,9 +77,8 @@
 		j->task[i] = calloc((size_t)n + 1, sizeof(**j->task));
 		if (!j->task[i])
 			return -1;
-		for (t = 0; t < n; t++)
-			j->left[i] += !j->row.done[i][t];
 	}
+	count_left(j);
 	return 0;
 }
 
@@ -128,30 +138,52 @@
 	board_wake_pass(b);
 }
 
-int board_load_jobs(struct seam_board *b, struct seam_err *e)
+/* Reads the rows of one part and passes each page to @take. */
+static int read_part(struct seam_board *b, char part, uint64_t *version,
+		     void (*take)(struct seam_board *b,
+				  const struct seam_rows *rows),
+		     struct seam_err *e)
 {
+	char prefix[] = SEAM_JOB_ROWS "p/";
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows;
-	size_t i;
 	size_t n;
 
+	prefix[strlen(SEAM_JOB_ROWS)] = part;
 	do {
-		if (seam_store_scan(b->ports->store, SEAM_JOB_ROWS,
+		if (seam_store_scan(b->ports->store, prefix,
 				    *after ? after : NULL, PAGE, &rows,
 				    seam_now(b->clock) + READ, e))
 			return -1;
 		/* The feed goes on from the first page: a row that changes
 		 * while the others are read is told again. */
-		if (!b->jobs_version)
-			b->jobs_version = rows.version;
-		for (i = 0; i < rows.n; i++)
-			add_job(b, &rows.row[i], true);
+		if (!*version)
+			*version = rows.version;
+		take(b, &rows);
 		n = rows.n;
 		if (n)
 			snprintf(after, sizeof(after), "%s",
 				 rows.row[n - 1].key);
 		seam_rows_free(&rows);
-	} while (n);
+	} while (n == PAGE);
+	return 0;
+}
+
+static void add_old(struct seam_board *b, const struct seam_rows *rows)
+{
+	size_t i;
+
+	for (i = 0; i < rows->n; i++)
+		add_job(b, &rows->row[i], true);
+}
+
+int board_load_jobs(struct seam_board *b, struct seam_err *e)
+{
+	const char *part;
+
+	for (part = SEAM_JOB_PARTS; *part; part++)
+		if (read_part(b, *part, &b->jobs_version, add_old, e))
+			return -1;
 	return 0;
 }
 
@@ -205,13 +237,13 @@
 	board_job_changed(b, j);
 }
 
-void board_job_cancel(struct seam_board *b, struct seam_job *j,
-		      const struct seam_row *row)
+/* The row says that the job is over: @state is final and need not be written. */
+void board_job_settle(struct seam_board *b, struct seam_job *j,
+		      const struct seam_row *row, int state)
 {
-	seam_log(SEAM_INFO, "job",
-		 "event=stopping job=%s why=cancelled runs=%d", j->row.spec.id,
-		 j->runs);
-	j->row.state = SEAM_JOB_CANCELLED;
+	seam_log(SEAM_INFO, "job", "event=stopping job=%s state=%d runs=%d",
+		 j->row.spec.id, state, j->runs);
+	j->row.state = state;
 	j->version = row->version;
 	j->committed = j->changes; /* its row is final */
 	stop_all(b, j);
@@ -219,52 +251,69 @@
 		board_job_drop(b, j);
 }
 
-/* Whether a row says that its job was cancelled, without reading all of it. */
-static bool says_cancelled(const struct seam_row *row)
+/*
+ * Takes what another writer put into the row: a caller that cancels, or an
+ * owner before us whose commit was carried out late.
+ */
+void board_job_merge(struct seam_board *b, struct seam_job *j,
+		     const struct seam_row *row)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_jobrow r;
+
+	if (row->version <= j->version || seam_jobrow_read(row, &r, &e))
+		return;
+	if (seam_job_over(r.state)) {
+		board_job_settle(b, j, row, r.state);
+	} else {
+		j->version = row->version;
+		seam_jobrow_merge(&j->row, &r);
+		count_left(j);
+	}
+	seam_jobrow_free(&r);
+}
+
+static bool is_own(const struct seam_board *b, uint64_t token)
 {
-	return strstr(row->data, "\"state\":\"cancelled\"") != NULL;
+	size_t i;
+
+	for (i = 0; i < SEAM_BOARD_TOKENS; i++)
+		if (b->token[i] == token && token)
+			return true;
+	return false;
 }
 
 static void take_row(struct seam_board *b, const struct seam_row *row)
 {
-	struct seam_job *j =
-		board_find_job(b, row->key + strlen(SEAM_JOB_ROWS));
+	struct seam_job *j = board_find_job(b, seam_jobrow_id(row->key));
 
-	if (!row->data)
+	if (!row->data || is_own(b, row->writer))
 		return;
-	if (!j)
+	if (j)
+		board_job_merge(b, j, row);
+	else
 		add_job(b, row, false);
-	else if (row->version > j->version && !seam_job_over(j->row.state) &&
-		 says_cancelled(row))
-		board_job_cancel(b, j, row);
+}
+
+static void take_rows(struct seam_board *b, const struct seam_rows *rows)
+{
+	size_t i;
+
+	pthread_mutex_lock(&b->lock);
+	for (i = 0; i < rows->n; i++)
+		take_row(b, &rows->row[i]);
+	pthread_mutex_unlock(&b->lock);
 }
 
 /* History was lost: what the feed would have told is read again. */
 static int read_again(struct seam_board *b, struct seam_err *e)
 {
-	char after[SEAM_KEY_MAX] = "";
 	uint64_t version = 0;
-	struct seam_rows rows;
-	size_t i;
-	size_t n;
+	const char *part;
 
-	do {
-		if (seam_store_scan(b->ports->store, SEAM_JOB_ROWS,
-				    *after ? after : NULL, PAGE, &rows,
-				    seam_now(b->clock) + READ, e))
+	for (part = SEAM_JOB_PARTS; *part; part++)
+		if (read_part(b, *part, &version, take_rows, e))
 			return -1;
-		if (!version)
-			version = rows.version;
-		pthread_mutex_lock(&b->lock);
-		for (i = 0; i < rows.n; i++)
-			take_row(b, &rows.row[i]);
-		pthread_mutex_unlock(&b->lock);
-		n = rows.n;
-		if (n)
-			snprintf(after, sizeof(after), "%s",
-				 rows.row[n - 1].key);
-		seam_rows_free(&rows);
-	} while (n);
 	b->jobs_version = version;
 	return 0;
 }
@@ -272,15 +321,11 @@
 static int watch(struct seam_board *b, struct seam_err *e)
 {
 	struct seam_rows rows;
-	size_t i;
 
 	if (seam_store_watch(b->ports->store, SEAM_JOB_ROWS, &b->jobs_version,
 			     &rows, seam_now(b->clock) + WATCH, e))
 		return -1;
-	pthread_mutex_lock(&b->lock);
-	for (i = 0; i < rows.n; i++)
-		take_row(b, &rows.row[i]);
-	pthread_mutex_unlock(&b->lock);
+	take_rows(b, &rows);
 	seam_rows_free(&rows);
 	return 0;
 }
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -8,8 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define GATHER_USEC 8000 /* pause before a pass, for news that come together \
-			  */
+#define GATHER_USEC                                              \
+	8000 /* pause before a pass, for news that come together \
+	      */
 #define IDLE (100 * SEAM_MSEC) /* between passes without news */
 #define START_QUEUE \
 	(600 * SEAM_MSEC) /* a start that waits longer is placed anew */
--- a/process/site.c
+++ b/process/site.c
@@ -12,8 +12,9 @@
 #define LOOK_USEC 500000 /* between looks at another node's term */
 #define LOOK_SPREAD_USEC 200000
 #define RETRY_USEC 100000
-#define LAST_REQUESTS (1500 * SEAM_MSEC) /* for requests that run at the end \
-					  */
+#define LAST_REQUESTS                                          \
+	(1500 * SEAM_MSEC) /* for requests that run at the end \
+			    */
 
 SEAM_COUNT(takeovers, "seam_terms_total", "Terms that this node has owned.");
 SEAM_COUNT(owner, "seam_owner", "Whether this node is the owner.");
--- a/request/jobrow.c
+++ b/request/jobrow.c
@@ -1,6 +1,7 @@
 #include "request/jobrow.h"
 #include "base/json.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,7 +14,29 @@
 
 void seam_jobrow_key(const char *id, char key[SEAM_KEY_MAX])
 {
-	snprintf(key, SEAM_KEY_MAX, SEAM_JOB_ROWS "%s", id);
+	snprintf(key, SEAM_KEY_MAX, SEAM_JOB_ROWS "%c/%s", id[0], id);
+}
+
+const char *seam_jobrow_id(const char *key)
+{
+	const char *slash = strrchr(key, '/');
+
+	return slash ? slash + 1 : key;
+}
+
+void seam_jobrow_merge(struct seam_jobrow *j, const struct seam_jobrow *from)
+{
+	int64_t t;
+	size_t n;
+	int i;
+
+	for (i = 0; i < j->spec.steps && i < from->spec.steps; i++)
+		for (t = 0;
+		     t < j->spec.step[i].tasks && t < from->spec.step[i].tasks;
+		     t++)
+			j->done[i][t] |= from->done[i][t];
+	for (n = 0; n < from->failures; n++)
+		seam_jobrow_add_failed(j, &from->failed[n]);
 }
 
 int seam_jobrow_new_done(struct seam_jobrow *j)
@@ -184,8 +207,7 @@
 	int rc = -1;
 
 	memset(j, 0, sizeof(*j));
-	snprintf(j->spec.id, sizeof(j->spec.id), "%s",
-		 row->key + strlen(SEAM_JOB_ROWS));
+	g_strlcpy(j->spec.id, seam_jobrow_id(row->key), sizeof(j->spec.id));
 	if (o && !seam_jobspec_read(o, &j->spec, e)) {
 		j->state = state_of(seam_json_str(o, "state", ""));
 		j->accepted_ms = seam_json_int(o, "accepted_ms", 0);
--- a/request/jobrow.h
+++ b/request/jobrow.h
@@ -10,6 +10,9 @@
 #endif
 
 #define SEAM_JOB_ROWS "job/" /* prefix of the rows of jobs */
+/* Rows are spread over parts by the first digit of the id, because the service
+ * does the transactions of one part one after another. */
+#define SEAM_JOB_PARTS "0123456789abcdef"
 #define SEAM_PENDING_ROW "board/pending"
 
 /**
@@ -46,6 +49,12 @@
 /** seam_jobrow_key() - key of the row of job @id */
 void seam_jobrow_key(const char *id, char key[SEAM_KEY_MAX]);
 
+/** seam_jobrow_id() - id of the job whose row has @key */
+const char *seam_jobrow_id(const char *key);
+
+/** seam_jobrow_merge() - add what @from says of done tasks and failed runs */
+void seam_jobrow_merge(struct seam_jobrow *j, const struct seam_jobrow *from);
+
 /** seam_jobrow_text() - text of the row; free() it; NULL without memory */
 char *seam_jobrow_text(const struct seam_jobrow *j);
 
