owner: pools are sized by demand; waves are carried out

Change: vm_plan decides for all VMs: a pool that lacks VMs gets them from the standby pool and from pools that have more than they want; a VM that nobody wants goes to standby; VMs of a wave are taken where they are missed least. Leaving workers are emptied within the availability budgets. What a wave has done lasts in a row of its own.

--- a/process/board.c
+++ b/process/board.c
@@ -34,6 +34,12 @@
 	b->workers = seam_table_new(sizeof(struct seam_worker));
 	b->job_of =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->vm_orders =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->wave_done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->holds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->worker_of =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return b;
@@ -48,6 +54,9 @@
 		board_job_free(j);
 	g_hash_table_destroy(b->job_of);
 	g_hash_table_destroy(b->worker_of);
+	g_hash_table_destroy(b->vm_orders);
+	g_hash_table_destroy(b->wave_done);
+	g_hash_table_destroy(b->holds);
 	seam_table_free(b->jobs);
 	seam_table_free(b->workers);
 	pthread_mutex_destroy(&b->lock);
--- a/process/board.h
+++ b/process/board.h
@@ -152,6 +152,24 @@
 	uint64_t change;
 };
 
+/**
+ * struct seam_vm_order - the latest order for a VM
+ * @until: it is left alone until then
+ * @wave: it was maintained for this wave, or 0
+ * @pool: pool that it was sent to, or ""
+ */
+struct seam_vm_order {
+	seam_time until;
+	int64_t wave;
+	char pool[SEAM_NAME];
+};
+
+/** struct seam_pool_hold - VMs that a pool keeps until a time */
+struct seam_pool_hold {
+	int vms;
+	seam_time until;
+};
+
 struct seam_board;
 
 /**
@@ -209,11 +227,14 @@
 
 /**
  * struct seam_board_conf - bounds of an owner
+ * @vm_lease: no VM is ordered so soon after a takeover, as the owner before may
+ *            have sent its last order then
  * @lease_max: longest lease of a worker
  * @stop_max: longest time that a stop takes
  * @notice_max: a lasting task that is away for longer counts as missing
  */
 struct seam_board_conf {
+	seam_time vm_lease;
 	seam_time lease_max;
 	seam_time stop_max;
 	seam_time notice_max;
@@ -236,6 +257,14 @@
  * @worker_of: id to handle
  * @vm: the VM list as last read
  * @vms: its length
+ * @vm_orders: id of a VM to struct seam_vm_order
+ * @wave_number: wave under way, 0 without one
+ * @wave_done: VMs that it has maintained; set of ids
+ * @wave_reported: state of it that operators were told: 1 running, 2 completed
+ * @wave_completed: latest wave that is completed
+ * @wave_loaded: wave whose row has been read
+ * @wave_kept: number of VMs in its row
+ * @holds: pool to struct seam_pool_hold
  * @vms_read: the VM list was read in this term
  * @unlisted_until: a worker without a row may run tasks until then
  * @commit_wake: signals changes of rows
@@ -277,6 +306,14 @@
 	uint64_t workers_version;
 	struct seam_vm_info *vm;
 	size_t vms;
+	GHashTable *vm_orders;
+	int64_t wave_number;
+	GHashTable *wave_done;
+	int wave_reported;
+	int64_t wave_completed;
+	int64_t wave_loaded;
+	guint wave_kept;
+	GHashTable *holds;
 	pthread_t thread[6];
 	int threads;
 };
--- /dev/null
+++ b/process/board_demand.c
@@ -0,0 +1,82 @@
+#include "process/board_demand.h"
+
+#include <string.h>
+
+#define WINDOW SEAM_SEC /* jobs accepted within it count as arriving */
+
+static struct seam_pool_demand *demand_of(GArray *a, const char *pool)
+{
+	struct seam_pool_demand *d;
+	guint i;
+
+	for (i = 0; i < a->len; i++) {
+		d = &g_array_index(a, struct seam_pool_demand, i);
+		if (!strcmp(d->pool, pool))
+			return d;
+	}
+	g_array_set_size(a, a->len + 1);
+	d = &g_array_index(a, struct seam_pool_demand, a->len - 1);
+	memset(d, 0, sizeof(*d));
+	g_strlcpy(d->pool, pool, sizeof(d->pool));
+	return d;
+}
+
+static bool is_open(const struct seam_job *j, int step)
+{
+	uint64_t after = j->row.spec.step[step].after;
+	int i;
+
+	for (i = 0; i < step; i++)
+		if (after >> i & 1 && j->left[i])
+			return false;
+	return j->left[step] > 0;
+}
+
+static void add_step(struct seam_pool_demand *d, const struct seam_job *j,
+		     int step)
+{
+	const struct seam_step *s = &j->row.spec.step[step];
+	struct seam_amount need = board_step_need(s);
+	int64_t n = 0;
+	int64_t t;
+
+	for (t = 0; t < s->tasks; t++) {
+		int runs = board_task_runs(&j->task[step][t]);
+
+		/* A task that waits asks for one worker's room. */
+		n += runs || j->row.done[step][t] ? runs : 1;
+	}
+	d->load.cpu += n * need.cpu;
+	d->load.memory += n * need.memory;
+	d->load.gpu += n * need.gpu;
+	if (s->lasting && s->per_worker) {
+		int spread =
+			(int)((s->tasks + s->per_worker - 1) / s->per_worker);
+
+		if (spread > d->spread)
+			d->spread = spread;
+	}
+}
+
+GArray *board_demands(struct seam_board *b)
+{
+	GArray *a = g_array_new(FALSE, FALSE, sizeof(struct seam_pool_demand));
+	seam_time now = seam_now(b->clock);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_job *j;
+	int i;
+
+	while ((j = seam_table_next(b->jobs, &h))) {
+		struct seam_pool_demand *d = demand_of(a, j->row.spec.pool);
+
+		if (seam_job_over(j->row.state))
+			continue;
+		if (now - j->accepted_at < WINDOW)
+			d->arriving += seam_jobspec_work(&j->row.spec) *
+				       SEAM_MSEC / WINDOW;
+		for (i = 0; i < j->row.spec.steps; i++)
+			if (is_open(j, i))
+				add_step(d, j, i);
+	}
+	return a;
+}
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -84,4 +84,10 @@
 void *board_pass_loop(void *arg);
 void *board_vms_loop(void *arg);
 
+/* board_manage.c, called without the lock */
+void board_manage_vms(struct seam_board *b);
+
+/* board_leave.c */
+void board_empty_workers(struct seam_board *b);
+
 #endif
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -237,7 +237,8 @@
 	board_job_changed(b, j);
 }
 
-/* The row says that the job is over: @state is final and need not be written. */
+/* The row says that the job is over: @state is final and need not be written.
+ */
 void board_job_settle(struct seam_board *b, struct seam_job *j,
 		      const struct seam_row *row, int state)
 {
--- /dev/null
+++ b/process/board_leave.c
@@ -0,0 +1,91 @@
+/* Takes tasks off workers that leave, within the availability budgets. */
+#include "process/board_impl.h"
+#include "base/log.h"
+
+#define AT_WORK 100 /* percent of a lasting task that serves */
+#define SPARE_MS 300 /* a run that needs longer than a leaving worker has */
+
+static bool at_work(const struct seam_job_task *t)
+{
+	int i;
+
+	for (i = 0; i < SEAM_COPIES; i++)
+		if (t->run[i].state == SEAM_RUN_LIVE && !t->run[i].stop &&
+		    t->run[i].percent >= AT_WORK)
+			return true;
+	return false;
+}
+
+/* Whether one more task of a step may be away because of planned work. */
+static bool may_take_away(const struct seam_job *j, int step, int task)
+{
+	const struct seam_step *s = &j->row.spec.step[step];
+	int64_t away = 0;
+	int64_t t;
+
+	if (!s->may_miss)
+		return true;
+	for (t = 0; t < s->tasks; t++)
+		away += t != task && !at_work(&j->task[step][t]);
+	return away < s->may_miss;
+}
+
+static int64_t left_ms(const struct seam_step *s, const struct seam_run_slot *r)
+{
+	return s->estimate_ms * (100 - r->percent) / 100;
+}
+
+/* Whether a run is to be stopped because its worker leaves. */
+static bool must_stop(const struct seam_worker *w, const struct seam_job *j,
+		      int step, int task, const struct seam_run_slot *r)
+{
+	const struct seam_step *s = &j->row.spec.step[step];
+
+	if (s->lasting)
+		return w->info.draining || may_take_away(j, step, task);
+	/* A stop saves the work of a task that can. */
+	if (!s->checkpoints)
+		return false;
+	if (w->info.draining)
+		return left_ms(s, r) + SPARE_MS > w->info.leaves_ms;
+	return left_ms(s, r) > SPARE_MS;
+}
+
+static void empty_worker(struct seam_board *b, struct seam_worker *w)
+{
+	guint i;
+	int k;
+
+	for (i = w->ref->len; i-- > 0;) {
+		struct seam_task_ref ref =
+			g_array_index(w->ref, struct seam_task_ref, i);
+		struct seam_job *j = board_job(b, ref.job);
+
+		for (k = 0; j && k < SEAM_COPIES; k++) {
+			struct seam_run_slot *r =
+				&j->task[ref.step][ref.task].run[k];
+
+			if (r->state == SEAM_RUN_FREE || r->stop ||
+			    !seam_handle_eq(r->worker, w->self) ||
+			    !must_stop(w, j, ref.step, ref.task, r))
+				continue;
+			seam_log(
+				SEAM_INFO, "worker",
+				"event=task_taken_off worker=%s job=%s step=%d "
+				"task=%d run=%lld draining=%d",
+				w->info.id, j->row.spec.id, ref.step, ref.task,
+				(long long)r->number, w->info.draining);
+			board_run_stop(b, j, ref.step, ref.task, r);
+		}
+	}
+}
+
+void board_empty_workers(struct seam_board *b)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_worker *w;
+
+	while ((w = seam_table_next(b->workers, &h)))
+		if ((w->leaving || w->info.draining) && !w->dead)
+			empty_worker(b, w);
+}
--- /dev/null
+++ b/process/board_manage.c
@@ -0,0 +1,456 @@
+/* Carries out the plan for VMs: moves, maintenance and emptying before them. */
+#include "process/board_demand.h"
+#include "base/count.h"
+#include "base/json.h"
+#include "base/log.h"
+#include "process/vm_plan.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ORDER_CALL (1200 * SEAM_MSEC)
+/* The list shows what an order has done after this time at the latest. */
+#define SETTLE (900 * SEAM_MSEC)
+/* An order without an answer may be carried out so much later. */
+#define UNSURE (3 * SEAM_SEC)
+#define POOL_MIN 2 /* workers that a pool keeps without demand */
+#define FILL 0.92 /* part of a pool that tasks of uneven sizes can fill */
+/* Demand that a pool had is kept room for: a move costs as much as a worker in
+ * a pool for about a second, and takes longer than a job may wait. */
+#define HOLD (2500 * SEAM_MSEC)
+#define WAVE_ROWS "wave/" /* VMs that a wave has maintained */
+
+SEAM_COUNT(moves, "seam_vm_moves_total", "VMs moved to another pool.");
+SEAM_COUNT(upkeeps, "seam_vm_upkeeps_total", "VMs maintained.");
+SEAM_COUNT(wave_left, "seam_wave_vms_left", "VMs that a wave has left.");
+
+/* What one look at the VMs needs besides the plan. */
+struct look {
+	struct seam_board *board;
+	seam_time now;
+	struct seam_plan plan;
+	GPtrArray *pools; /* names */
+	GPtrArray *dcs; /* names */
+	struct seam_wave wave;
+	bool has_wave;
+};
+
+static int index_of(GPtrArray *names, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < names->len; i++)
+		if (!strcmp(g_ptr_array_index(names, i), name))
+			return (int)i;
+	g_ptr_array_add(names, g_strdup(name));
+	return (int)names->len - 1;
+}
+
+static struct seam_worker *worker_of(struct seam_board *b, const char *id)
+{
+	struct seam_handle *h =
+		*id ? g_hash_table_lookup(b->worker_of, id) : NULL;
+
+	return h ? board_worker(b, *h) : NULL;
+}
+
+static bool is_due(const struct look *l, const char *vm)
+{
+	size_t i;
+
+	for (i = 0; l->has_wave && i < l->wave.vms; i++)
+		if (!strcmp(l->wave.vm[i], vm))
+			return !g_hash_table_contains(l->board->wave_done, vm);
+	return false;
+}
+
+static void describe_vm(struct look *l, size_t i)
+{
+	const struct seam_vm_info *info = &l->board->vm[i];
+	struct seam_vm_order *o =
+		g_hash_table_lookup(l->board->vm_orders, info->vm);
+	struct seam_worker *w = worker_of(l->board, info->worker);
+	struct seam_plan_vm *v = &l->plan.vm[i];
+	bool out = seam_op_state_is_out(l->board->op_state, info->dc);
+
+	v->pool = index_of(l->pools, info->pool);
+	v->dc = index_of(l->dcs, info->dc);
+	v->up = info->state == SEAM_PHASE_UP && !(o && l->now < o->until);
+	v->due = is_due(l, info->vm);
+	if (w) {
+		v->runs = (int)w->ref->len + (int)w->orders.length;
+		v->leaving = w->leaving || w->info.draining;
+		v->usable = w->listed && w->heard && !w->info.draining && !out;
+		if (w->info.draining)
+			v->up = false;
+	}
+	if (o && info->state == SEAM_PHASE_MAINTAINED && o->wave)
+		g_hash_table_add(l->board->wave_done, g_strdup(info->vm));
+	if (info->state == SEAM_PHASE_MAINTAINED ||
+	    (o && o->wave && l->now < o->until))
+		l->plan.wave.away++;
+	/* The platform does not say where a moving VM goes; the order does. */
+	if (o && *o->pool && l->now < o->until)
+		v->pool = index_of(l->pools, o->pool);
+}
+
+static void read_wave(struct look *l)
+{
+	struct seam_board *b = l->board;
+	struct seam_wave w;
+	unsigned i;
+
+	l->plan.wave.left_s = 1e9;
+	for (i = 0; seam_op_state_wave(b->op_state, i, &w); i++) {
+		/* One wave at a time, in the order of their numbers. */
+		if (w.number <= b->wave_completed ||
+		    (l->has_wave && w.number > l->wave.number)) {
+			free(w.vm);
+			continue;
+		}
+		if (l->has_wave)
+			free(l->wave.vm);
+		l->wave = w;
+		l->has_wave = true;
+	}
+	if (!l->has_wave)
+		return;
+	l->plan.wave.at_once = l->wave.at_once;
+	l->plan.wave.left_s =
+		(double)(l->wave.deadline - l->now) / (double)SEAM_SEC;
+}
+
+/* Capacity of one worker of a pool, or of any if it has none. */
+static struct seam_amount unit_of(struct seam_board *b, const char *pool)
+{
+	struct seam_amount unit = {0, 0, 0};
+	struct seam_handle h = SEAM_NONE;
+	struct seam_worker *w;
+
+	while ((w = seam_table_next(b->workers, &h)))
+		if (!unit.cpu || !strcmp(w->info.pool, pool))
+			unit = w->info.capacity;
+	return unit;
+}
+
+static int vms_for(const struct seam_pool_demand *d,
+		   const struct seam_amount *unit)
+{
+	int64_t cpu = d->load.cpu > d->arriving ? d->load.cpu : d->arriving;
+	double n = POOL_MIN;
+
+	if (unit->cpu)
+		n = fmax(n, ceil((double)cpu / (FILL * (double)unit->cpu)));
+	if (unit->memory)
+		n = fmax(n, ceil((double)d->load.memory /
+				 (FILL * (double)unit->memory)));
+	return (int)fmax(n, d->spread);
+}
+
+/* Demand of a pool that was highest a short time ago. */
+static int held(struct seam_board *b, const char *pool, int want, seam_time now)
+{
+	struct seam_pool_hold *h = g_hash_table_lookup(b->holds, pool);
+
+	if (!h) {
+		h = g_new0(struct seam_pool_hold, 1);
+		g_hash_table_insert(b->holds, g_strdup(pool), h);
+	}
+	if (want >= h->vms || now >= h->until) {
+		h->vms = want;
+		h->until = now + HOLD;
+	}
+	return h->vms;
+}
+
+static void describe_pools(struct look *l)
+{
+	const struct seam_catalog *c = seam_catalog_enter(l->board->catalog);
+	GArray *demand = board_demands(l->board);
+	guint i;
+	guint k;
+
+	l->plan.pools = l->pools->len;
+	l->plan.pool = g_new0(struct seam_plan_pool, l->pools->len + 1);
+	for (i = 0; i < l->pools->len; i++) {
+		const char *name = g_ptr_array_index(l->pools, i);
+		const struct seam_pool_info *info =
+			c ? seam_catalog_pool(c, name) : NULL;
+		struct seam_plan_pool *p = &l->plan.pool[i];
+		struct seam_amount unit = unit_of(l->board, name);
+
+		p->standby = info && info->standby;
+		p->want = p->standby ? 0 : POOL_MIN;
+		for (k = 0; k < demand->len && !p->standby; k++) {
+			struct seam_pool_demand *d = &g_array_index(
+				demand, struct seam_pool_demand, k);
+
+			if (!strcmp(d->pool, name))
+				p->want = vms_for(d, &unit);
+		}
+		p->hold = held(l->board, name, p->want, l->now);
+	}
+	seam_catalog_leave();
+	g_array_free(demand, TRUE);
+}
+
+static void look_at_vms(struct look *l)
+{
+	size_t i;
+
+	read_wave(l);
+	l->plan.vms = l->board->vms;
+	l->plan.vm = g_new0(struct seam_plan_vm, l->board->vms + 1);
+	for (i = 0; i < l->board->vms; i++)
+		describe_vm(l, i);
+	describe_pools(l);
+	seam_vm_plan(&l->plan);
+}
+
+static void note_order(struct seam_board *b, const char *vm, int64_t wave,
+		       const char *pool, seam_time until)
+{
+	struct seam_vm_order *o = g_new0(struct seam_vm_order, 1);
+
+	o->until = until;
+	o->wave = wave;
+	g_strlcpy(o->pool, pool, sizeof(o->pool));
+	g_hash_table_replace(b->vm_orders, g_strdup(vm), o);
+}
+
+/* An order for a VM whose worker is empty; the lock is released meanwhile. */
+static void order_vm(struct look *l, const char *vm, const char *worker,
+		     const struct seam_plan_vm *v)
+{
+	struct seam_board *b = l->board;
+	struct seam_inventory *vms = b->ports->vms;
+	bool upkeep = v->action == SEAM_VM_MAINTAIN;
+	const char *pool = upkeep ? "" : g_ptr_array_index(l->pools, v->to);
+	struct seam_worker *w = worker_of(b, worker);
+	enum seam_vm_said said = SEAM_VM_INVALID;
+	struct seam_err e = SEAM_ERR_INIT;
+	seam_time now = seam_now(b->clock);
+	int rc;
+
+	if ((w && (w->ref->len || w->orders.length)) ||
+	    !seam_lead_valid(b->lead, now))
+		return;
+	if (w)
+		w->leaving = true;
+	note_order(b, vm, upkeep ? l->wave.number : 0, pool, now + UNSURE);
+	pthread_mutex_unlock(&b->lock);
+	if (upkeep)
+		rc = vms->ops->maintain(vms, vm, l->wave.number, b->term, &said,
+					now + ORDER_CALL, &e);
+	else
+		rc = vms->ops->move(vms, vm, pool, b->term, &said,
+				    now + ORDER_CALL, &e);
+	pthread_mutex_lock(&b->lock);
+	seam_log(
+		SEAM_INFO, "vms",
+		"event=%s vm=%s worker=%s pool=%s wave=%lld said=%d why=\"%s\"",
+		upkeep ? "maintain" : "move", vm, worker, pool,
+		(long long)(upkeep ? l->wave.number : 0), rc ? -1 : (int)said,
+		e.text);
+	if (rc)
+		return;
+	if (said != SEAM_VM_DONE) {
+		note_order(b, vm, 0, "", seam_now(b->clock) + SETTLE);
+		return;
+	}
+	seam_count_add(upkeep ? &upkeeps : &moves, 1);
+	note_order(b, vm, upkeep ? l->wave.number : 0, pool,
+		   seam_now(b->clock) + SETTLE);
+	if (upkeep)
+		g_hash_table_add(b->wave_done, g_strdup(vm));
+	w = worker_of(b, worker);
+	if (w) {
+		w->leaving = true;
+		w->answered = false;
+		board_worker_lost(b, w, upkeep ? "maintained" : "moved");
+	}
+}
+
+static void mark_leaving(struct look *l)
+{
+	size_t i;
+
+	for (i = 0; i < l->plan.vms; i++) {
+		struct seam_worker *w =
+			worker_of(l->board, l->board->vm[i].worker);
+
+		if (w && l->plan.vm[i].up)
+			w->leaving = l->plan.vm[i].action != SEAM_VM_KEEP;
+	}
+}
+
+/* Orders are sent from copies: the list may be read anew meanwhile. */
+static void carry_out(struct look *l)
+{
+	struct seam_board *b = l->board;
+	size_t n = l->plan.vms;
+	struct seam_vm_info *vm = g_memdup2(b->vm, n * sizeof(*vm));
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (l->plan.vm[i].action == SEAM_VM_MAINTAIN ||
+		    l->plan.vm[i].action == SEAM_VM_MOVE)
+			order_vm(l, vm[i].vm, vm[i].worker, &l->plan.vm[i]);
+	g_free(vm);
+}
+
+static bool wave_is_done(const struct look *l)
+{
+	size_t i;
+	size_t left = 0;
+
+	for (i = 0; i < l->board->vms; i++)
+		left += is_due(l, l->board->vm[i].vm);
+	seam_count_set(&wave_left, (int64_t)left);
+	return !left;
+}
+
+static int put(struct seam_board *b, const char *key, const char *text)
+{
+	struct seam_write w[] = {
+		{SEAM_PUT, key, SEAM_ANY_VERSION, text, strlen(text)},
+		{SEAM_CHECK, SEAM_LEAD_ROW, b->lead->owner_version, NULL, 0},
+	};
+	struct seam_commit c = {w, 2, seam_store_token(), 0};
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (!seam_store_commit(b->ports->store, &c,
+			       seam_now(b->clock) + STORE_CALL, &e))
+		return 0;
+	seam_log(SEAM_WARN, "upkeep", "event=row_unwritten row=%s why=\"%s\"",
+		 key, e.text);
+	return -1;
+}
+
+/* Tells operators where the wave stands; the lock is not held. */
+static void report_wave(struct look *l, bool done)
+{
+	struct seam_board *b = l->board;
+	int state = done ? 2 : 1;
+	char key[SEAM_KEY_MAX];
+	char *text;
+
+	if (b->wave_number == l->wave.number && b->wave_reported >= state)
+		return;
+	snprintf(key, sizeof(key), "%s%lld", b->ports->wave_status_rows,
+		 (long long)l->wave.number);
+	text = b->ports->wave_state(done);
+	if (text && !put(b, key, text)) {
+		b->wave_number = l->wave.number;
+		b->wave_reported = state;
+		if (done) {
+			seam_log(SEAM_INFO, "upkeep",
+				 "event=wave_completed wave=%lld left_ms=%lld",
+				 (long long)l->wave.number,
+				 (long long)(l->wave.deadline - l->now) /
+					 SEAM_MSEC);
+			b->wave_completed = l->wave.number;
+		}
+	}
+	free(text);
+}
+
+/* Keeps the VMs that were maintained, for the next owner. */
+static void keep_done(struct look *l)
+{
+	struct seam_board *b = l->board;
+	struct json_object *list = json_object_new_array();
+	struct json_object *o = json_object_new_object();
+	char key[SEAM_KEY_MAX];
+	GHashTableIter it;
+	gpointer vm;
+	guint n;
+
+	pthread_mutex_lock(&b->lock);
+	n = g_hash_table_size(b->wave_done);
+	g_hash_table_iter_init(&it, b->wave_done);
+	while (g_hash_table_iter_next(&it, &vm, NULL))
+		json_object_array_add(list, json_object_new_string(vm));
+	pthread_mutex_unlock(&b->lock);
+	json_object_object_add(o, "done", list);
+	snprintf(key, sizeof(key), WAVE_ROWS "%lld", (long long)l->wave.number);
+	if (n != b->wave_kept &&
+	    !put(b, key,
+		 json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN)))
+		b->wave_kept = n;
+	json_object_put(o);
+}
+
+/* Reads what owners before us have done for the wave. */
+static void load_done(struct look *l)
+{
+	struct seam_board *b = l->board;
+	struct json_object *list = NULL;
+	struct json_object *o;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_row row;
+	char key[SEAM_KEY_MAX];
+	size_t i;
+
+	snprintf(key, sizeof(key), WAVE_ROWS "%lld", (long long)l->wave.number);
+	if (seam_store_get(b->ports->store, key, &row,
+			   seam_now(b->clock) + STORE_CALL, &e)) {
+		if (e.kind == SEAM_NOT_FOUND)
+			b->wave_loaded = l->wave.number;
+		return;
+	}
+	o = json_tokener_parse(row.data);
+	json_object_object_get_ex(o, "done", &list);
+	pthread_mutex_lock(&b->lock);
+	g_hash_table_remove_all(b->wave_done);
+	for (i = 0; list && i < json_object_array_length(list); i++)
+		g_hash_table_add(b->wave_done,
+				 g_strdup(json_object_get_string(
+					 json_object_array_get_idx(list, i))));
+	b->wave_loaded = l->wave.number;
+	pthread_mutex_unlock(&b->lock);
+	json_object_put(o);
+	seam_row_free(&row);
+}
+
+static void free_look(struct look *l)
+{
+	g_free(l->plan.vm);
+	g_free(l->plan.pool);
+	g_ptr_array_free(l->pools, TRUE);
+	g_ptr_array_free(l->dcs, TRUE);
+	if (l->has_wave)
+		free(l->wave.vm);
+}
+
+void board_manage_vms(struct seam_board *b)
+{
+	struct look l = {.board = b, .now = seam_now(b->clock)};
+	bool done;
+
+	if (l.now < b->opened_at + b->conf.vm_lease ||
+	    !seam_lead_valid(b->lead, l.now))
+		return;
+	l.pools = g_ptr_array_new_with_free_func(g_free);
+	l.dcs = g_ptr_array_new_with_free_func(g_free);
+	pthread_mutex_lock(&b->lock);
+	look_at_vms(&l);
+	if (l.has_wave && b->wave_loaded != l.wave.number) {
+		pthread_mutex_unlock(&b->lock);
+		load_done(&l);
+		free_look(&l);
+		return;
+	}
+	mark_leaving(&l);
+	board_empty_workers(b);
+	carry_out(&l);
+	done = l.has_wave && wave_is_done(&l);
+	pthread_mutex_unlock(&b->lock);
+	if (l.has_wave) {
+		keep_done(&l);
+		report_wave(&l, done);
+	}
+	free_look(&l);
+}
--- a/process/board_vms.c
+++ b/process/board_vms.c
@@ -1,4 +1,4 @@
-/* VMs: their list, and what is published for other nodes. */
+/* VMs: their list, moves and maintenance; counts for other nodes. */
 #include "process/board_impl.h"
 #include "base/json.h"
 #include "base/log.h"
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PERIOD_USEC 500000
+#define PERIOD_USEC 300000
 #define LIST_CALL (1500 * SEAM_MSEC)
 
 static int read_vms(struct seam_board *b, struct seam_err *e)
@@ -81,6 +81,8 @@
 		int rc = read_vms(b, &e);
 
 		seam_outage_note(&outage, rc ? &e : NULL, seam_now(b->clock));
+		if (!rc)
+			board_manage_vms(b);
 		if (seam_lead_valid(b->lead, seam_now(b->clock)))
 			published = publish(b, published, pending_text(b));
 		g_usleep(PERIOD_USEC);
--- a/process/site.c
+++ b/process/site.c
@@ -49,6 +49,7 @@
 static void own(struct seam_site *n)
 {
 	struct seam_board_conf conf = {
+		.vm_lease = n->settings.vm_lease_ms * SEAM_MSEC,
 		.lease_max = n->settings.lease_max_ms * SEAM_MSEC,
 		.stop_max = n->settings.stop_max_ms * SEAM_MSEC,
 		.notice_max = n->settings.notice_max_ms * SEAM_MSEC};
--- /dev/null
+++ b/process/vm_plan.h
@@ -0,0 +1,96 @@
+#ifndef SEAM_VM_PLAN_H
+#define SEAM_VM_PLAN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** enum seam_vm_action - what happens to a VM next */
+enum seam_vm_action {
+	SEAM_VM_KEEP, /* it takes tasks */
+	SEAM_VM_EMPTY, /* it takes no more tasks */
+	SEAM_VM_MOVE, /* it moves to another pool now */
+	SEAM_VM_MAINTAIN /* it is maintained now */
+};
+
+/**
+ * struct seam_plan_vm - a VM as the plan sees it
+ * @pool: index of its pool
+ * @dc: index of its data centre
+ * @up: it is up and no order for it is under way
+ * @usable: its worker takes tasks
+ * @runs: runs on it
+ * @lasting: those of lasting tasks
+ * @leaving: it has been emptied for a while
+ * @due: its wave has not maintained it yet
+ * @action: result, enum seam_vm_action
+ * @to: result, pool that it moves to
+ */
+struct seam_plan_vm {
+	int pool;
+	int dc;
+	bool up;
+	bool usable;
+	int runs;
+	int lasting;
+	bool leaving;
+	bool due;
+	int action;
+	int to;
+};
+
+/**
+ * struct seam_plan_pool - a pool as the plan sees it
+ * @standby: its VMs are off
+ * @want: VMs that its demand needs now
+ * @hold: VMs that it keeps, as demand may return; at least @want
+ * @have: result, VMs that take its tasks
+ */
+struct seam_plan_pool {
+	bool standby;
+	int want;
+	int hold;
+	int have;
+};
+
+/**
+ * struct seam_plan_wave - the maintenance under way
+ * @at_once: VMs that may be away for it at the same time
+ * @away: VMs that are
+ * @left_s: seconds until it has to be done
+ */
+struct seam_plan_wave {
+	int at_once;
+	int away;
+	double left_s;
+};
+
+/**
+ * struct seam_plan - VMs, pools and the wave
+ */
+struct seam_plan {
+	struct seam_plan_vm *vm;
+	size_t vms;
+	struct seam_plan_pool *pool;
+	size_t pools;
+	struct seam_plan_wave wave;
+};
+
+/**
+ * seam_vm_plan() - decide for all VMs
+ *
+ * Answers demand that moves from pool to pool and maintenance beside it: a pool
+ * that lacks VMs gets them from the standby pool, then from pools that have
+ * more than they want; a VM that nobody wants goes to the standby pool. VMs of
+ * a wave are taken where they are missed least, as many at once as the time
+ * that is left asks for.
+ */
+void seam_vm_plan(struct seam_plan *p);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
