owner: VMs go to the pool that lacks the greatest part for jobs in time

Work that arrives was counted by the second, which for heavy jobs is noise. Change: demand of jobs that can meet their objective is apart from that of late ones; lacks are filled by the part that a pool lacks, late work last. A pool with more than such jobs need empties VMs without lasting tasks for others.

--- a/process/board.h
+++ b/process/board.h
@@ -264,6 +264,7 @@
  * @wave_completed: latest wave that is completed
  * @wave_loaded: wave whose row has been read
  * @wave_kept: number of VMs in its row
+ * @pools_logged_at: when the pools were last logged
  * @holds: pool to struct seam_pool_hold
  * @vms_read: the VM list was read in this term
  * @unlisted_until: a worker without a row may run tasks until then
@@ -313,6 +314,7 @@
 	int64_t wave_completed;
 	int64_t wave_loaded;
 	guint wave_kept;
+	seam_time pools_logged_at;
 	GHashTable *holds;
 	pthread_t thread[6];
 	int threads;
--- a/process/board_demand.c
+++ b/process/board_demand.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#define WINDOW SEAM_SEC /* jobs accepted within it count as arriving */
-
 static struct seam_pool_demand *demand_of(GArray *a, const char *pool)
 {
 	struct seam_pool_demand *d;
@@ -21,19 +19,8 @@
 	return d;
 }
 
-static bool is_open(const struct seam_job *j, int step)
-{
-	uint64_t after = j->row.spec.step[step].after;
-	int i;
-
-	for (i = 0; i < step; i++)
-		if (after >> i & 1 && j->left[i])
-			return false;
-	return j->left[step] > 0;
-}
-
-static void add_step(struct seam_pool_demand *d, const struct seam_job *j,
-		     int step)
+static void add_step(struct seam_pool_demand *d, struct seam_amount *load,
+		     const struct seam_job *j, int step)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 	struct seam_amount need = board_step_need(s);
@@ -46,9 +33,9 @@
 		/* A task that waits asks for one worker's room. */
 		n += runs || j->row.done[step][t] ? runs : 1;
 	}
-	d->load.cpu += n * need.cpu;
-	d->load.memory += n * need.memory;
-	d->load.gpu += n * need.gpu;
+	load->cpu += n * need.cpu;
+	load->memory += n * need.memory;
+	load->gpu += n * need.gpu;
 	if (s->lasting && s->per_worker) {
 		int spread =
 			(int)((s->tasks + s->per_worker - 1) / s->per_worker);
@@ -68,15 +55,16 @@
 
 	while ((j = seam_table_next(b->jobs, &h))) {
 		struct seam_pool_demand *d = demand_of(a, j->row.spec.pool);
+		struct seam_urgency u;
+		struct seam_amount *load;
 
 		if (seam_job_over(j->row.state))
 			continue;
-		if (now - j->accepted_at < WINDOW)
-			d->arriving += seam_jobspec_work(&j->row.spec) *
-				       SEAM_MSEC / WINDOW;
+		board_job_urgency(j, &u);
+		load = seam_urgency_late(&u, now) ? &d->late : &d->due;
 		for (i = 0; i < j->row.spec.steps; i++)
-			if (is_open(j, i))
-				add_step(d, j, i);
+			if (j->left[i] && board_step_open(j, i))
+				add_step(d, load, j, i);
 	}
 	return a;
 }
--- a/process/board_demand.h
+++ b/process/board_demand.h
@@ -6,14 +6,15 @@
 /**
  * struct seam_pool_demand - what a pool's jobs ask for
  * @pool: name
- * @load: reserved by runs and asked for by tasks that could run now
- * @arriving: cores, in thousandths, that the jobs of the last second keep busy
+ * @due: reserved by runs and asked for by tasks that could run now, of jobs
+ * that can meet their objective
+ * @late: the same of jobs that can't
  * @spread: workers that lasting tasks need because few may share one
  */
 struct seam_pool_demand {
 	char pool[SEAM_NAME];
-	struct seam_amount load;
-	int64_t arriving;
+	struct seam_amount due;
+	struct seam_amount late;
 	int spread;
 };
 
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -2,6 +2,7 @@
 #define SEAM_BOARD_IMPL_H
 
 #include "process/board.h"
+#include "process/urgency.h"
 
 /* Lease that is asked of a worker; longer than a takeover, so that work
  * outlives the loss of an owner. */
@@ -46,6 +47,9 @@
 		     const struct seam_row *row);
 void board_job_free(struct seam_job *j);
 
+bool board_step_open(const struct seam_job *j, int step);
+void board_job_urgency(const struct seam_job *j, struct seam_urgency *u);
+
 /* board_workers.c */
 int board_load_workers(struct seam_board *b, struct seam_err *e);
 void *board_follow_workers(void *arg);
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -349,3 +349,51 @@
 	}
 	return NULL;
 }
+
+bool board_step_open(const struct seam_job *j, int step)
+{
+	uint64_t after = j->row.spec.step[step].after;
+	int i;
+
+	for (i = 0; i < step; i++)
+		if (after >> i & 1 && j->left[i])
+			return false;
+	return true;
+}
+
+/* Run time of the longest chain of steps that are not done. */
+static int64_t left_ms(const struct seam_job *j)
+{
+	int64_t end[SEAM_STEPS_MAX];
+	int64_t longest = 0;
+	int i;
+	int k;
+
+	for (i = 0; i < j->row.spec.steps; i++) {
+		const struct seam_step *s = &j->row.spec.step[i];
+
+		end[i] = 0;
+		for (k = 0; k < i; k++)
+			if (s->after >> k & 1 && end[k] > end[i])
+				end[i] = end[k];
+		if (j->left[i] && !s->lasting)
+			end[i] += s->estimate_ms;
+		if (end[i] > longest)
+			longest = end[i];
+	}
+	return longest;
+}
+
+void board_job_urgency(const struct seam_job *j, struct seam_urgency *u)
+{
+	int i;
+
+	memset(u, 0, sizeof(*u));
+	for (i = 0; i < j->row.spec.steps; i++)
+		u->lasting = u->lasting || j->row.spec.step[i].lasting;
+	u->priority = j->priority;
+	u->begun = j->begun;
+	u->due_at = j->due_at;
+	u->left_ms = left_ms(j);
+	u->accepted_at = j->accepted_at;
+}
--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -16,6 +16,8 @@
 /* An order without an answer may be carried out so much later. */
 #define UNSURE (3 * SEAM_SEC)
 #define POOL_MIN 2 /* workers that a pool keeps without demand */
+#define HEADROOM 1 /* workers beyond demand, for the jobs of the next moment \
+		    */
 #define FILL 0.92 /* part of a pool that tasks of uneven sizes can fill */
 /* Demand that a pool had is kept room for: a move costs as much as a worker in
  * a pool for about a second, and takes longer than a job may wait. */
@@ -135,18 +137,32 @@
 	return unit;
 }
 
-static int vms_for(const struct seam_pool_demand *d,
-		   const struct seam_amount *unit)
+/* VMs that hold the reservations @a; tasks of uneven sizes leave gaps. */
+static int vms_for(const struct seam_amount *a, const struct seam_amount *unit)
 {
-	int64_t cpu = d->load.cpu > d->arriving ? d->load.cpu : d->arriving;
-	double n = POOL_MIN;
+	double n = 0;
 
 	if (unit->cpu)
-		n = fmax(n, ceil((double)cpu / (FILL * (double)unit->cpu)));
+		n = (double)a->cpu / (FILL * (double)unit->cpu);
 	if (unit->memory)
-		n = fmax(n, ceil((double)d->load.memory /
-				 (FILL * (double)unit->memory)));
-	return (int)fmax(n, d->spread);
+		n = fmax(n, (double)a->memory / (FILL * (double)unit->memory));
+	return (int)ceil(n);
+}
+
+static void set_wants(struct seam_plan_pool *p,
+		      const struct seam_pool_demand *d,
+		      const struct seam_amount *unit)
+{
+	struct seam_amount all = {d->due.cpu + d->late.cpu,
+				  d->due.memory + d->late.memory,
+				  d->due.gpu + d->late.gpu};
+
+	p->want = (int)fmax(vms_for(&d->due, unit) + HEADROOM, d->spread);
+	p->all = (int)fmax(vms_for(&all, unit) + HEADROOM, d->spread);
+	if (p->want < POOL_MIN)
+		p->want = POOL_MIN;
+	if (p->all < POOL_MIN)
+		p->all = POOL_MIN;
 }
 
 /* Demand of a pool that was highest a short time ago. */
@@ -159,6 +175,10 @@
 		g_hash_table_insert(b->holds, g_strdup(pool), h);
 	}
 	if (want >= h->vms || now >= h->until) {
+		if (want != h->vms)
+			seam_log(SEAM_INFO, "vms",
+				 "event=pool_wants pool=%s vms=%d was=%d", pool,
+				 want, h->vms);
 		h->vms = want;
 		h->until = now + HOLD;
 	}
@@ -183,14 +203,15 @@
 
 		p->standby = info && info->standby;
 		p->want = p->standby ? 0 : POOL_MIN;
+		p->all = p->want;
 		for (k = 0; k < demand->len && !p->standby; k++) {
 			struct seam_pool_demand *d = &g_array_index(
 				demand, struct seam_pool_demand, k);
 
 			if (!strcmp(d->pool, name))
-				p->want = vms_for(d, &unit);
+				set_wants(p, d, &unit);
 		}
-		p->hold = held(l->board, name, p->want, l->now);
+		p->hold = held(l->board, name, p->all, l->now);
 	}
 	seam_catalog_leave();
 	g_array_free(demand, TRUE);
@@ -425,6 +446,39 @@
 		free(l->wave.vm);
 }
 
+/* One line a second for each pool: what the plan had to go by. */
+static void log_pools(struct look *l)
+{
+	struct seam_board *b = l->board;
+	size_t i;
+	size_t k;
+
+	if (l->now < b->pools_logged_at + SEAM_SEC)
+		return;
+	b->pools_logged_at = l->now;
+	for (i = 0; i < l->plan.pools; i++) {
+		const struct seam_plan_pool *p = &l->plan.pool[i];
+		int vms = 0;
+		int empty = 0;
+		int due = 0;
+
+		for (k = 0; k < l->plan.vms; k++) {
+			const struct seam_plan_vm *v = &l->plan.vm[k];
+
+			if (v->pool != (int)i)
+				continue;
+			vms++;
+			empty += !v->runs;
+			due += v->due;
+		}
+		seam_log(SEAM_INFO, "vms",
+			 "event=pool pool=%s vms=%d empty=%d due=%d have=%d "
+			 "want=%d all=%d hold=%d",
+			 (char *)g_ptr_array_index(l->pools, i), vms, empty,
+			 due, p->have, p->want, p->all, p->hold);
+	}
+}
+
 void board_manage_vms(struct seam_board *b)
 {
 	struct look l = {.board = b, .now = seam_now(b->clock)};
@@ -443,6 +497,7 @@
 		free_look(&l);
 		return;
 	}
+	log_pools(&l);
 	mark_leaving(&l);
 	board_empty_workers(b);
 	carry_out(&l);
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -103,17 +103,6 @@
 	return a;
 }
 
-static bool step_open(const struct seam_job *j, int step)
-{
-	uint64_t after = j->row.spec.step[step].after;
-	int i;
-
-	for (i = 0; i < step; i++)
-		if (after >> i & 1 && j->left[i])
-			return false;
-	return true;
-}
-
 static bool task_waits(const struct seam_job *j, int step, int64_t t,
 		       seam_time now)
 {
@@ -124,7 +113,7 @@
 }
 
 /* Counts what a job has running and whether it has tasks to start. */
-static bool survey_job(struct pass *p, struct seam_job *j, bool *lasting)
+static bool survey_job(struct pass *p, struct seam_job *j)
 {
 	struct seam_amount *used = used_of(p, j->row.spec.workspace);
 	bool wants = false;
@@ -133,9 +122,8 @@
 
 	for (i = 0; i < j->row.spec.steps; i++) {
 		const struct seam_step *s = &j->row.spec.step[i];
-		bool open = step_open(j, i);
+		bool open = board_step_open(j, i);
 
-		*lasting = *lasting || s->lasting;
 		for (t = 0; t < s->tasks; t++) {
 			int n = board_task_runs(&j->task[i][t]);
 
@@ -151,29 +139,6 @@
 	return wants && !seam_job_over(j->row.state);
 }
 
-/* Run time of the longest chain of steps that are not done. */
-static int64_t left_ms(const struct seam_job *j)
-{
-	int64_t end[SEAM_STEPS_MAX];
-	int64_t longest = 0;
-	int i;
-	int k;
-
-	for (i = 0; i < j->row.spec.steps; i++) {
-		const struct seam_step *s = &j->row.spec.step[i];
-
-		end[i] = 0;
-		for (k = 0; k < i; k++)
-			if (s->after >> k & 1 && end[k] > end[i])
-				end[i] = end[k];
-		if (j->left[i] && !s->lasting)
-			end[i] += s->estimate_ms;
-		if (end[i] > longest)
-			longest = end[i];
-	}
-	return longest;
-}
-
 static void gather_jobs(struct pass *p)
 {
 	struct seam_handle h = SEAM_NONE;
@@ -182,13 +147,9 @@
 	while ((j = seam_table_next(p->board->jobs, &h))) {
 		struct entry e = {.job = j};
 
-		if (!survey_job(p, j, &e.urgency.lasting))
+		if (!survey_job(p, j))
 			continue;
-		e.urgency.priority = j->priority;
-		e.urgency.begun = j->begun;
-		e.urgency.due_at = j->due_at;
-		e.urgency.left_ms = left_ms(j);
-		e.urgency.accepted_at = j->accepted_at;
+		board_job_urgency(j, &e.urgency);
 		g_array_append_val(p->entries, e);
 	}
 }
@@ -369,7 +330,7 @@
 	if (j->old && !pool->settled)
 		return;
 	for (i = 0; i < j->row.spec.steps; i++)
-		if (j->left[i] && step_open(j, i))
+		if (j->left[i] && board_step_open(j, i))
 			start_step(p, pool, j, i);
 }
 
--- a/process/urgency.c
+++ b/process/urgency.c
@@ -1,6 +1,6 @@
 #include "process/urgency.h"
 
-static bool is_late(const struct seam_urgency *u, seam_time now)
+bool seam_urgency_late(const struct seam_urgency *u, seam_time now)
 {
 	return !u->lasting && now + u->left_ms * SEAM_MSEC > u->due_at;
 }
@@ -13,8 +13,8 @@
 int seam_urgency_before(const struct seam_urgency *a,
 			const struct seam_urgency *b, seam_time now)
 {
-	bool late_a = is_late(a, now);
-	bool late_b = is_late(b, now);
+	bool late_a = seam_urgency_late(a, now);
+	bool late_b = seam_urgency_late(b, now);
 
 	if (a->lasting != b->lasting)
 		return a->lasting ? -1 : 1;
--- a/process/urgency.h
+++ b/process/urgency.h
@@ -28,6 +28,9 @@
 	seam_time accepted_at;
 };
 
+/** seam_urgency_late() - whether it can't meet its objective any more */
+bool seam_urgency_late(const struct seam_urgency *u, seam_time now);
+
 /**
  * seam_urgency_before() - order in which jobs of a pool get room
  *
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -100,16 +100,27 @@
 	}
 }
 
-static int most_lacking(const struct seam_plan *p)
+static int wanted(const struct seam_plan_pool *pool, bool late)
 {
+	return late ? pool->all : pool->want;
+}
+
+/* The pool that lacks the greatest part of the VMs that it wants, or -1. */
+static int most_lacking(const struct seam_plan *p, bool late, const bool *skip)
+{
+	double most = 0;
 	int best = -1;
-	int most = 0;
 	size_t i;
 
 	for (i = 0; i < p->pools; i++) {
-		int lack = p->pool[i].want - p->pool[i].have;
+		const struct seam_plan_pool *pool = &p->pool[i];
+		int want = wanted(pool, late);
+		double lack;
 
-		if (!p->pool[i].standby && lack > most) {
+		if (pool->standby || skip[i] || want <= pool->have)
+			continue;
+		lack = (double)(want - pool->have) / want;
+		if (lack > most) {
 			most = lack;
 			best = (int)i;
 		}
@@ -132,8 +143,11 @@
 	return n;
 }
 
-/* A VM that pool @to may take: standby first, spread over data centres. */
-static struct seam_plan_vm *donor(struct seam_plan *p, int to)
+/*
+ * A VM that pool @to may take: from standby first, then from a pool with more
+ * than it wants, an empty one before one that runs tasks which are not lasting.
+ */
+static struct seam_plan_vm *donor(struct seam_plan *p, int to, bool late)
 {
 	struct seam_plan_vm *best = NULL;
 	int least = 0;
@@ -144,13 +158,14 @@
 		const struct seam_plan_pool *pool = &p->pool[v->pool];
 		int cost = count_in_dc(p, to, v->dc);
 
-		if (!v->up || v->runs || v->pool == to ||
-		    v->action != SEAM_VM_KEEP)
+		if (!v->up || v->pool == to || v->action != SEAM_VM_KEEP)
 			continue;
 		if (!pool->standby) {
-			if (pool->have <= pool->want)
+			if (pool->have <= wanted(pool, late) || v->lasting ||
+			    (late && v->runs))
 				continue;
-			cost += 1000;
+			cost += pool->have > pool->all ? 1000 : 2000;
+			cost += 10000 * v->runs;
 		}
 		/* It would have to leave again for its wave. */
 		if (v->due)
@@ -163,15 +178,21 @@
 	return best;
 }
 
-static void fill_lacks(struct seam_plan *p)
+static void fill_lacks(struct seam_plan *p, bool late)
 {
+	bool skip[SEAM_PLAN_POOLS] = {false};
 	struct seam_plan_vm *v;
 	int to;
 
-	while ((to = most_lacking(p)) >= 0 && (v = donor(p, to))) {
+	while ((to = most_lacking(p, late, skip)) >= 0) {
+		v = donor(p, to, late);
+		if (!v) {
+			skip[to] = true;
+			continue;
+		}
 		if (!p->pool[v->pool].standby && v->usable && !v->leaving)
 			p->pool[v->pool].have--;
-		v->action = SEAM_VM_MOVE;
+		v->action = v->runs ? SEAM_VM_EMPTY : SEAM_VM_MOVE;
 		v->to = to;
 		p->pool[to].have++;
 	}
@@ -234,6 +255,7 @@
 {
 	count(p);
 	plan_wave(p);
-	fill_lacks(p);
+	fill_lacks(p, false);
+	fill_lacks(p, true);
 	park_surplus(p);
 }
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -8,6 +8,8 @@
 extern "C" {
 #endif
 
+#define SEAM_PLAN_POOLS 1024 /* most pools in one plan */
+
 /** enum seam_vm_action - what happens to a VM next */
 enum seam_vm_action {
 	SEAM_VM_KEEP, /* it takes tasks */
@@ -45,13 +47,15 @@
 /**
  * struct seam_plan_pool - a pool as the plan sees it
  * @standby: its VMs are off
- * @want: VMs that its demand needs now
- * @hold: VMs that it keeps, as demand may return; at least @want
+ * @want: VMs that jobs need which can meet their objective
+ * @all: VMs that all its jobs need; at least @want
+ * @hold: VMs that it keeps, as demand may return; at least @all
  * @have: result, VMs that take its tasks
  */
 struct seam_plan_pool {
 	bool standby;
 	int want;
+	int all;
 	int hold;
 	int have;
 };
@@ -82,11 +86,13 @@
 /**
  * seam_vm_plan() - decide for all VMs
  *
- * Answers demand that moves from pool to pool and maintenance beside it: a pool
- * that lacks VMs gets them from the standby pool, then from pools that have
- * more than they want; a VM that nobody wants goes to the standby pool. VMs of
- * a wave are taken where they are missed least, as many at once as the time
- * that is left asks for.
+ * Answers demand that moves from pool to pool and maintenance beside it. Pools
+ * that lack VMs for jobs that can be in time come first, the one that lacks the
+ * greatest part before the others; they get VMs from the standby pool, then
+ * from pools that have more than such jobs need there. What is left goes to
+ * jobs that are late, and a VM that nobody wants to the standby pool. VMs of a
+ * wave are taken where they are missed least, as many at once as the time that
+ * is left asks for.
  */
 void seam_vm_plan(struct seam_plan *p);
 
