--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -21,7 +21,7 @@
 #define FILL 0.92 /* part of a pool that tasks of uneven sizes can fill */
 /* Demand that a pool had is kept room for: a move costs as much as a worker in
  * a pool for about a second, and takes longer than a job may wait. */
-#define HOLD (2500 * SEAM_MSEC)
+#define HOLD (1000 * SEAM_MSEC)
 #define WAVE_ROWS "wave/" /* VMs that a wave has maintained */
 
 SEAM_COUNT(moves, "seam_vm_moves_total", "VMs moved to another pool.");
