store: calls go through another node when the store turns this one away

Change: store_relay tries the store, then the other nodes' control addresses, which pass calls on to the store. Nodes register their addresses in rows. A node that reaches the store neither way is not ready. The JSON of the store's calls is one module for client, nodes and stand-in.

--- a/fake/store_server.c
+++ b/fake/store_server.c
@@ -1,6 +1,7 @@
 #include "base/json.h"
 #include "fake/fake.h"
 #include "fake/http_impl.h"
+#include "process/store_json.h"
 
 #include <civetweb.h>
 #include <glib.h>
@@ -84,21 +85,6 @@
 	return status;
 }
 
-static struct json_object *row_object(const struct seam_row *r)
-{
-	struct json_object *o = json_object_new_object();
-	char writer[24];
-
-	snprintf(writer, sizeof(writer), "%" PRIx64, r->writer);
-	json_object_object_add(o, "key", json_object_new_string(r->key));
-	json_object_object_add(o, "version",
-			       json_object_new_uint64(r->version));
-	json_object_object_add(o, "writer", json_object_new_string(writer));
-	json_object_object_add(
-		o, "data", json_object_new_string_len(r->data, (int)r->len));
-	return o;
-}
-
 static int on_row(struct seam_fake_server *s, struct mg_connection *conn,
 		  const char *key, seam_time deadline)
 {
@@ -108,7 +94,7 @@
 
 	if (seam_store_get(s->view, key, &row, deadline, &e))
 		return reply_err(conn, &e);
-	o = row_object(&row);
+	o = seam_store_row_json(&row);
 	seam_row_free(&row);
 	return reply_object(conn, o);
 }
@@ -120,72 +106,21 @@
 	char prefix[SEAM_KEY_MAX] = "";
 	char after[SEAM_KEY_MAX] = "";
 	char max[16] = "1000";
-	struct json_object *o = json_object_new_object();
-	struct json_object *list = json_object_new_array();
+	struct json_object *o;
 	struct seam_rows rows;
 	size_t n = strlen(query);
-	size_t i;
 
 	mg_get_var(query, n, "prefix", prefix, sizeof(prefix));
 	mg_get_var(query, n, "after", after, sizeof(after));
 	mg_get_var(query, n, "max", max, sizeof(max));
-	json_object_object_add(o, "rows", list);
 	if (seam_store_scan(s->view, prefix, after, strtoul(max, NULL, 10),
-			    &rows, deadline, &e)) {
-		json_object_put(o);
+			    &rows, deadline, &e))
 		return reply_err(conn, &e);
-	}
-	for (i = 0; i < rows.n; i++)
-		json_object_array_add(list, row_object(&rows.row[i]));
+	o = seam_store_rows_json(&rows);
 	seam_rows_free(&rows);
 	return reply_object(conn, o);
 }
 
-static bool read_write(struct json_object *o, struct seam_write *w)
-{
-	const char *op = seam_json_str(o, "op", "");
-	struct json_object *v = NULL;
-
-	w->key = seam_json_str(o, "key", NULL);
-	w->version = SEAM_ANY_VERSION;
-	if (json_object_object_get_ex(o, "version", &v))
-		w->version = json_object_get_uint64(v);
-	w->op = !strcmp(op, "put")    ? SEAM_PUT :
-		!strcmp(op, "delete") ? SEAM_DELETE :
-					SEAM_CHECK;
-	w->data = "";
-	w->len = 0;
-	if (json_object_object_get_ex(o, "data", &v)) {
-		w->data = json_object_get_string(v);
-		w->len = (size_t)json_object_get_string_len(v);
-	}
-	return w->key != NULL;
-}
-
-static int commit(struct seam_fake_server *s, struct json_object *o,
-		  struct seam_commit *c, seam_time deadline, struct seam_err *e)
-{
-	struct json_object *list = NULL;
-	struct seam_write *w;
-	int rc = 0;
-	size_t i;
-
-	json_object_object_get_ex(o, "writes", &list);
-	if (!json_object_is_type(list, json_type_array))
-		return seam_fail(e, SEAM_BAD_REQUEST, "writes: not a list");
-	c->n = json_object_array_length(list);
-	c->token = strtoull(seam_json_str(o, "token", "0"), NULL, 16);
-	w = g_new0(struct seam_write, c->n + 1);
-	c->write = w;
-	for (i = 0; i < c->n && !rc; i++)
-		if (!read_write(json_object_array_get_idx(list, i), &w[i]))
-			rc = seam_fail(e, SEAM_BAD_REQUEST, "key: missing");
-	if (!rc)
-		rc = seam_store_commit(s->view, c, deadline, e);
-	g_free(w);
-	return rc;
-}
-
 static int on_commit(struct seam_fake_server *s, struct mg_connection *conn,
 		     const char *body, seam_time deadline)
 {
@@ -193,8 +128,11 @@
 	struct json_object *o = json_tokener_parse(body);
 	struct seam_commit c = {.n = 0};
 	char text[64];
-	int rc = commit(s, o, &c, deadline, &e);
+	int rc = seam_store_commit_read(o, &c, &e);
 
+	if (!rc)
+		rc = seam_store_commit(s->view, &c, deadline, &e);
+	g_free((void *)c.write);
 	json_object_put(o);
 	if (rc)
 		return reply_err(conn, &e);
--- a/process/site.c
+++ b/process/site.c
@@ -2,14 +2,16 @@
 #include "base/count.h"
 #include "base/log.h"
 #include "process/board.h"
+#include "process/store_relay.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define CONTROL_THREADS 6
+#define CONTROL_THREADS 24 /* waits for changes that are passed on take one */
 #define PROBE_THREADS 2
 #define LOOK_USEC 500000 /* between looks at another node's term */
+#define REFRESH_USEC 3000000 /* between looks for other nodes */
 #define LOOK_SPREAD_USEC 200000
 #define RETRY_USEC 100000
 #define LAST_REQUESTS                                          \
@@ -25,6 +27,17 @@
 	       __atomic_load_n(&n->draining, __ATOMIC_ACQUIRE);
 }
 
+static void *refresh_loop(void *arg)
+{
+	struct seam_site *n = arg;
+
+	while (!stopping(n)) {
+		seam_store_relay_refresh(n->ports.store);
+		g_usleep(REFRESH_USEC);
+	}
+	return NULL;
+}
+
 /* Renews the term until it is lost or the node stops. */
 static void keep_term(struct seam_site *n)
 {
@@ -97,7 +110,8 @@
 static void serve_ready(struct seam_call *c, void *arg)
 {
 	struct seam_site *n = arg;
-	bool ready = seam_op_state_ready(&n->op_state) && !stopping(n);
+	bool ready = seam_op_state_ready(&n->op_state) && !stopping(n) &&
+		     !seam_store_relay_lost(n->ports.store);
 
 	seam_reply_text(c, ready ? 200 : 503, "text/plain",
 			ready ? "ready\n" : "not ready\n");
@@ -129,6 +143,7 @@
 	seam_http_route(n->front, "*", "/", seam_submit_serve, &n->submit);
 	seam_http_route(n->probes, "GET", "/", serve_ready, n);
 	seam_http_route(n->control, "GET", "/metrics", serve_metrics, n);
+	seam_store_relay_serve(n->ports.store, n->control);
 	if (seam_http_start(n->probes, n->settings.ready, PROBE_THREADS, e) ||
 	    seam_http_start(n->control, n->settings.control, CONTROL_THREADS,
 			    e))
@@ -141,9 +156,15 @@
 		    struct seam_clock *k, const struct seam_ports *p,
 		    const struct seam_front_ops *front, struct seam_err *e)
 {
+	struct seam_relay_conf relay = {
+		.node = s->node, .control = s->control, .seeds = s->seeds};
+
 	n->settings = *s;
 	n->clock = k;
 	n->ports = *p;
+	n->ports.store = seam_store_relay_new(p->store, k, &relay);
+	if (!n->ports.store)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
 	seam_log(SEAM_INFO, "node", "event=start node=%s data_centre=%s",
 		 s->node, s->data_centre);
 	if (seam_op_state_start(&n->op_state, &n->ports, k, e))
@@ -155,7 +176,8 @@
 	seam_lead_init(&n->lead, n->ports.store, k, s->node);
 	if (start_servers(n, e))
 		return -1;
-	if (pthread_create(&n->lead_thread, NULL, lead_loop, n))
+	if (pthread_create(&n->refresh_thread, NULL, refresh_loop, n) ||
+	    pthread_create(&n->lead_thread, NULL, lead_loop, n))
 		return seam_fail(e, SEAM_NO_MEMORY, "cannot start a thread");
 	return 0;
 }
@@ -183,6 +205,7 @@
 	seam_http_free(n->front);
 	seam_http_free(n->control);
 	seam_http_free(n->probes);
+	pthread_join(n->refresh_thread, NULL);
 	seam_op_state_stop(&n->op_state);
 	seam_log(SEAM_INFO, "node", "event=stop node=%s", n->settings.node);
 }
--- a/process/site.h
+++ b/process/site.h
@@ -22,6 +22,7 @@
  * @probes: server for the platform's probes
  * @control: server for other nodes and operators
  * @lead: this node's part in the choice of the owner
+ * @draining: callers leave; @stop: the threads end
  */
 struct seam_site {
 	struct seam_site_settings settings;
@@ -36,6 +37,7 @@
 	bool draining;
 	bool stop;
 	pthread_t lead_thread;
+	pthread_t refresh_thread;
 };
 
 /**
--- a/process/store_mem.c
+++ b/process/store_mem.c
@@ -163,8 +163,7 @@
 	GTreeNode *node;
 	int rc = 0;
 
-	rows->row = NULL;
-	rows->n = 0;
+	memset(rows, 0, sizeof(*rows));
 	if (admit(m, 1, 0, deadline, e))
 		return -1;
 	pthread_mutex_lock(&m->rows->lock);
--- /dev/null
+++ b/process/store_relay.c
@@ -0,0 +1,374 @@
+#include "process/store_relay.h"
+#include "base/count.h"
+#include "base/json.h"
+#include "base/log.h"
+#include "process/store_serve.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PEERS_MAX 64
+/* The first attempt of a call leaves time for one through another node. */
+#define DIRECT_PART 2
+#define DIRECT_MIN (250 * SEAM_MSEC)
+/* Between looks whether a store that refused us serves us again. */
+#define PROBE_GAP (400 * SEAM_MSEC)
+/* A peer that could not pass on a call is left alone for this time. */
+#define PEER_PAUSE (700 * SEAM_MSEC)
+#define PEER_CALL (900 * SEAM_MSEC)
+#define PEER_TRIES 3
+/* Without an answer for so long a node is better not asked for jobs. */
+#define LOST (700 * SEAM_MSEC)
+#define REFRESH_CALL (800 * SEAM_MSEC)
+
+SEAM_COUNT(relayed, "seam_store_relayed_total",
+	   "Calls to the store that went through another node.");
+SEAM_COUNT(refusals, "seam_store_refused_total",
+	   "Calls that the store did not answer for this node.");
+
+struct peer {
+	char addr[64];
+	struct seam_store *store;
+	seam_time pause_until;
+};
+
+/*
+ * @direct: the store
+ * @down: it did not serve the latest call
+ * @probe_at: when the next call tries it again
+ * @ok_at: when a call was answered last, directly or not
+ */
+struct relay {
+	struct seam_store store;
+	struct seam_store *direct;
+	struct seam_clock *clock;
+	char node[64];
+	char control[64];
+	pthread_mutex_t lock;
+	struct peer peer[PEERS_MAX];
+	int peers;
+	int next;
+	bool down;
+	seam_time probe_at;
+	seam_time ok_at;
+};
+
+/* One call to a store; returns as the call does. */
+struct call {
+	int (*run)(struct call *c, struct seam_store *s, seam_time deadline,
+		   struct seam_err *e);
+	const char *key;
+	const char *after;
+	size_t max;
+	uint64_t *version;
+	struct seam_row *row;
+	struct seam_rows *rows;
+	struct seam_commit *commit;
+};
+
+/* The store did not serve us; any other error is its answer. */
+static bool is_unserved(const struct seam_err *e)
+{
+	return e->kind == SEAM_UNAVAILABLE || e->kind == SEAM_COMMIT_UNKNOWN;
+}
+
+static bool may_try_direct(struct relay *r, seam_time now)
+{
+	bool may;
+
+	pthread_mutex_lock(&r->lock);
+	may = !r->down || now >= r->probe_at || !r->peers;
+	if (r->down && may)
+		r->probe_at = now + PROBE_GAP;
+	pthread_mutex_unlock(&r->lock);
+	return may;
+}
+
+static void note_direct(struct relay *r, bool served, const struct seam_err *e)
+{
+	seam_time now = seam_now(r->clock);
+	bool changed;
+
+	pthread_mutex_lock(&r->lock);
+	changed = r->down == served;
+	r->down = !served;
+	if (served)
+		r->ok_at = now;
+	else if (changed)
+		r->probe_at = now + PROBE_GAP;
+	pthread_mutex_unlock(&r->lock);
+	if (!served)
+		seam_count_add(&refusals, 1);
+	if (changed)
+		seam_log(served ? SEAM_INFO : SEAM_WARN, "store",
+			 "event=store_%s node=%s why=\"%s\"",
+			 served ? "regained" : "lost", r->node,
+			 served ? "" : e->text);
+}
+
+/* The next peer that may be asked, or -1. */
+static int pick_peer(struct relay *r, seam_time now)
+{
+	int found = -1;
+	int i;
+
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->peers && found < 0; i++) {
+		int k = (r->next + i) % r->peers;
+
+		if (now >= r->peer[k].pause_until)
+			found = k;
+	}
+	/* The peer that served a call is asked again. */
+	if (found >= 0)
+		r->next = found;
+	pthread_mutex_unlock(&r->lock);
+	return found;
+}
+
+static void pause_peer(struct relay *r, int i)
+{
+	pthread_mutex_lock(&r->lock);
+	r->peer[i].pause_until = seam_now(r->clock) + PEER_PAUSE;
+	pthread_mutex_unlock(&r->lock);
+}
+
+static int through_peers(struct relay *r, struct call *c, seam_time deadline,
+			 struct seam_err *e)
+{
+	int tries;
+
+	for (tries = 0; tries < PEER_TRIES; tries++) {
+		seam_time now = seam_now(r->clock);
+		seam_time end = now + PEER_CALL;
+		int i = pick_peer(r, now);
+		int rc;
+
+		if (i < 0 || now >= deadline)
+			return -1;
+		/* A wait for changes takes its whole time. */
+		if (end > deadline || c->version)
+			end = deadline;
+		seam_err_clear(e);
+		seam_count_add(&relayed, 1);
+		rc = c->run(c, r->peer[i].store, end, e);
+		if (!rc || !is_unserved(e)) {
+			pthread_mutex_lock(&r->lock);
+			r->ok_at = seam_now(r->clock);
+			pthread_mutex_unlock(&r->lock);
+			return rc;
+		}
+		pause_peer(r, i);
+	}
+	return -1;
+}
+
+static int call(struct relay *r, struct call *c, seam_time deadline,
+		struct seam_err *e)
+{
+	seam_time now = seam_now(r->clock);
+	struct seam_err first = SEAM_ERR_INIT;
+	seam_time end = now + (deadline - now) / DIRECT_PART;
+	int rc;
+
+	if (may_try_direct(r, now)) {
+		if (end < now + DIRECT_MIN || c->version)
+			end = deadline;
+		rc = c->run(c, r->direct, end, e);
+		note_direct(r, !rc || !is_unserved(e), e);
+		if (!rc || !is_unserved(e))
+			return rc;
+		first = *e;
+	}
+	rc = through_peers(r, c, deadline, e);
+	if (!rc || (e->kind != SEAM_OK && !is_unserved(e)))
+		return rc;
+	/* An attempt that may have applied decides what is known. */
+	if (first.kind == SEAM_COMMIT_UNKNOWN || e->kind == SEAM_OK)
+		*e = first;
+	if (e->kind == SEAM_OK)
+		seam_fail(e, SEAM_UNAVAILABLE, "store: not reached");
+	return -1;
+}
+
+static int run_get(struct call *c, struct seam_store *s, seam_time deadline,
+		   struct seam_err *e)
+{
+	return seam_store_get(s, c->key, c->row, deadline, e);
+}
+
+static int relay_get(struct seam_store *base, const char *key,
+		     struct seam_row *row, seam_time deadline,
+		     struct seam_err *e)
+{
+	struct call c = {.run = run_get, .key = key, .row = row};
+
+	return call((struct relay *)base, &c, deadline, e);
+}
+
+static int run_scan(struct call *c, struct seam_store *s, seam_time deadline,
+		    struct seam_err *e)
+{
+	return seam_store_scan(s, c->key, c->after, c->max, c->rows, deadline,
+			       e);
+}
+
+static int relay_scan(struct seam_store *base, const char *prefix,
+		      const char *after, size_t max, struct seam_rows *rows,
+		      seam_time deadline, struct seam_err *e)
+{
+	struct call c = {.run = run_scan,
+			 .key = prefix,
+			 .after = after,
+			 .max = max,
+			 .rows = rows};
+
+	return call((struct relay *)base, &c, deadline, e);
+}
+
+static int run_commit(struct call *c, struct seam_store *s, seam_time deadline,
+		      struct seam_err *e)
+{
+	return seam_store_commit(s, c->commit, deadline, e);
+}
+
+static int relay_commit(struct seam_store *base, struct seam_commit *commit,
+			seam_time deadline, struct seam_err *e)
+{
+	struct call c = {.run = run_commit, .commit = commit};
+
+	return call((struct relay *)base, &c, deadline, e);
+}
+
+static int run_watch(struct call *c, struct seam_store *s, seam_time deadline,
+		     struct seam_err *e)
+{
+	return seam_store_watch(s, c->key, c->version, c->rows, deadline, e);
+}
+
+static int relay_watch(struct seam_store *base, const char *prefix,
+		       uint64_t *after, struct seam_rows *rows,
+		       seam_time deadline, struct seam_err *e)
+{
+	struct call c = {.run = run_watch,
+			 .key = prefix,
+			 .version = after,
+			 .rows = rows};
+
+	return call((struct relay *)base, &c, deadline, e);
+}
+
+static void relay_close(struct seam_store *base)
+{
+	struct relay *r = (struct relay *)base;
+	int i;
+
+	for (i = 0; i < r->peers; i++)
+		seam_store_close(r->peer[i].store);
+	seam_store_close(r->direct);
+	pthread_mutex_destroy(&r->lock);
+	free(r);
+}
+
+static const struct seam_store_ops relay_ops = {
+	.get = relay_get,
+	.scan = relay_scan,
+	.commit = relay_commit,
+	.watch = relay_watch,
+	.close = relay_close,
+};
+
+/* Peers are never removed: one that is gone is paused after each call. */
+static void add_peer(struct relay *r, const char *addr)
+{
+	char url[128];
+	int i;
+
+	if (!*addr || !strcmp(addr, r->control))
+		return;
+	snprintf(url, sizeof(url), "http://%s/v1/store", addr);
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->peers; i++)
+		if (!strcmp(r->peer[i].addr, addr))
+			break;
+	if (i == r->peers && r->peers < PEERS_MAX) {
+		struct peer *p = &r->peer[r->peers];
+
+		snprintf(p->addr, sizeof(p->addr), "%s", addr);
+		p->store = seam_store_http_new(r->clock, url);
+		if (p->store)
+			r->peers++;
+	}
+	pthread_mutex_unlock(&r->lock);
+}
+
+struct seam_store *seam_store_relay_new(struct seam_store *direct,
+					struct seam_clock *k,
+					const struct seam_relay_conf *c)
+{
+	struct relay *r = calloc(1, sizeof(*r));
+	char **seed;
+	int i;
+
+	if (!r)
+		return NULL;
+	r->store.ops = &relay_ops;
+	r->direct = direct;
+	r->clock = k;
+	pthread_mutex_init(&r->lock, NULL);
+	snprintf(r->node, sizeof(r->node), "%s", c->node);
+	snprintf(r->control, sizeof(r->control), "%s", c->control);
+	seed = g_strsplit(c->seeds, ",", -1);
+	for (i = 0; seed[i]; i++)
+		add_peer(r, seed[i]);
+	g_strfreev(seed);
+	return &r->store;
+}
+
+void seam_store_relay_refresh(struct seam_store *base)
+{
+	struct relay *r = (struct relay *)base;
+	seam_time deadline = seam_now(r->clock) + REFRESH_CALL;
+	struct seam_err e = SEAM_ERR_INIT;
+	char key[SEAM_KEY_MAX];
+	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, r->control,
+			       strlen(r->control)};
+	struct seam_commit c = {&w, 1, seam_store_token(), 0};
+	struct seam_rows rows;
+	bool listed = false;
+	size_t i;
+
+	snprintf(key, sizeof(key), SEAM_NODE_ROWS "%s", r->node);
+	if (relay_scan(base, SEAM_NODE_ROWS, NULL, PEERS_MAX, &rows, deadline,
+		       &e))
+		return;
+	for (i = 0; i < rows.n; i++) {
+		add_peer(r, rows.row[i].data);
+		listed = listed || (!strcmp(rows.row[i].key, key) &&
+				    !strcmp(rows.row[i].data, r->control));
+	}
+	seam_rows_free(&rows);
+	if (!listed && relay_commit(base, &c, deadline, &e))
+		seam_log(SEAM_WARN, "store",
+			 "event=node_unregistered node=%s why=\"%s\"", r->node,
+			 e.text);
+}
+
+bool seam_store_relay_lost(struct seam_store *base)
+{
+	struct relay *r = (struct relay *)base;
+	bool lost;
+
+	pthread_mutex_lock(&r->lock);
+	lost = r->down && seam_now(r->clock) > r->ok_at + LOST;
+	pthread_mutex_unlock(&r->lock);
+	return lost;
+}
+
+void seam_store_relay_serve(struct seam_store *base, struct seam_http *h)
+{
+	seam_store_serve(((struct relay *)base)->direct,
+			 ((struct relay *)base)->clock, h);
+}
--- /dev/null
+++ b/process/store_relay.h
@@ -0,0 +1,59 @@
+#ifndef SEAM_STORE_RELAY_H
+#define SEAM_STORE_RELAY_H
+
+#include "process/http.h"
+#include "process/store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SEAM_NODE_ROWS "node/" /* rows with the control addresses of nodes */
+
+/**
+ * struct seam_relay_conf - how a node reaches the store
+ * @node: name of this node
+ * @control: its control address, at which it passes on calls of others
+ * @seeds: control addresses of other nodes, separated by commas
+ */
+struct seam_relay_conf {
+	const char *node;
+	const char *control;
+	const char *seeds;
+};
+
+/**
+ * seam_store_relay_new() - a store that can be reached through other nodes
+ * @direct: the store as this node reaches it; closed with the relay
+ * @k: clock
+ * @c: settings; copied
+ *
+ * Answers a store that turns some nodes away and serves the others: a call that
+ * gets no answer, or a refusal, goes through another node that the store
+ * serves. A commit may be sent twice so; its token and the expected versions
+ * let it apply once.
+ */
+struct seam_store *seam_store_relay_new(struct seam_store *direct,
+					struct seam_clock *k,
+					const struct seam_relay_conf *c);
+
+/** seam_store_relay_serve() - pass on other nodes' calls; before start only */
+void seam_store_relay_serve(struct seam_store *relay, struct seam_http *h);
+
+/**
+ * seam_store_relay_refresh() - register this node and read the others
+ *
+ * To be called every few seconds.
+ */
+void seam_store_relay_refresh(struct seam_store *relay);
+
+/**
+ * seam_store_relay_lost() - the store serves this node neither directly nor
+ * through another node, since a moment ago
+ */
+bool seam_store_relay_lost(struct seam_store *relay);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/process/store_serve.c
@@ -0,0 +1,175 @@
+#include "process/store_serve.h"
+#include "base/json.h"
+#include "process/store_json.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BASE "/v1/store"
+#define CALL (900 * SEAM_MSEC) /* one call for another node */
+#define SCAN_MAX 500
+/* Beyond the wait that another node asks for. */
+#define WATCH_MARGIN (700 * SEAM_MSEC)
+#define WAIT_MAX_MS 5000
+
+struct serve {
+	struct seam_store *store;
+	struct seam_clock *clock;
+};
+
+static void reply_object(struct seam_call *c, struct json_object *o)
+{
+	seam_reply_text(
+		c, 200, "application/json",
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+}
+
+/* An unknown outcome must not read as a refusal: any other status is one. */
+static void reply_err(struct seam_call *c, const struct seam_err *e)
+{
+	struct json_object *o = json_object_new_object();
+	int status = 504;
+
+	if (e->kind == SEAM_UNAVAILABLE)
+		status = 503;
+	else if (e->kind == SEAM_NOT_FOUND)
+		status = 404;
+	else if (e->kind == SEAM_CONFLICT)
+		status = 409;
+	else if (e->kind == SEAM_BAD_REQUEST)
+		status = 400;
+	else if (e->kind == SEAM_STALE)
+		status = 410;
+	seam_json_add_str(o, "error", e->text);
+	seam_reply_text(
+		c, status, "application/json",
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+}
+
+static void param(struct seam_call *c, const char *name, char *out, size_t size)
+{
+	char raw[3 * SEAM_KEY_MAX] = "";
+	char *text;
+
+	*out = '\0';
+	if (seam_call_param(c, name, raw, sizeof(raw)))
+		return;
+	text = g_uri_unescape_string(raw, NULL);
+	g_strlcpy(out, text ? text : "", size);
+	g_free(text);
+}
+
+static void serve_row(struct seam_call *c, void *arg)
+{
+	struct serve *s = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_row row = {.data = NULL};
+	struct json_object *o;
+
+	if (seam_store_get(s->store, c->path + strlen(BASE "/rows/"), &row,
+			   seam_now(s->clock) + CALL, &e)) {
+		reply_err(c, &e);
+		return;
+	}
+	o = seam_store_row_json(&row);
+	seam_row_free(&row);
+	reply_object(c, o);
+}
+
+static void serve_scan(struct seam_call *c, void *arg)
+{
+	struct serve *s = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+	char prefix[SEAM_KEY_MAX];
+	char after[SEAM_KEY_MAX];
+	char max[16];
+	struct seam_rows rows;
+	struct json_object *o;
+	size_t n;
+
+	param(c, "prefix", prefix, sizeof(prefix));
+	param(c, "after", after, sizeof(after));
+	param(c, "max", max, sizeof(max));
+	n = strtoul(max, NULL, 10);
+	if (seam_store_scan(s->store, prefix, *after ? after : NULL,
+			    n && n < SCAN_MAX ? n : SCAN_MAX, &rows,
+			    seam_now(s->clock) + CALL, &e)) {
+		reply_err(c, &e);
+		return;
+	}
+	o = seam_store_rows_json(&rows);
+	seam_rows_free(&rows);
+	reply_object(c, o);
+}
+
+static void serve_watch(struct seam_call *c, void *arg)
+{
+	struct serve *s = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+	char prefix[SEAM_KEY_MAX];
+	char after[24];
+	char wait[16];
+	struct seam_rows rows;
+	struct json_object *o;
+	uint64_t version;
+	int64_t ms;
+
+	param(c, "prefix", prefix, sizeof(prefix));
+	param(c, "after", after, sizeof(after));
+	param(c, "wait_ms", wait, sizeof(wait));
+	version = strtoull(after, NULL, 10);
+	ms = strtoll(wait, NULL, 10);
+	if (ms < 0 || ms > WAIT_MAX_MS)
+		ms = WAIT_MAX_MS;
+	if (seam_store_watch(s->store, prefix, &version, &rows,
+			     seam_now(s->clock) + ms * SEAM_MSEC + WATCH_MARGIN,
+			     &e)) {
+		reply_err(c, &e);
+		return;
+	}
+	rows.version = version;
+	o = seam_store_rows_json(&rows);
+	seam_rows_free(&rows);
+	reply_object(c, o);
+}
+
+static void serve_commit(struct seam_call *c, void *arg)
+{
+	struct serve *s = arg;
+	struct seam_err e = SEAM_ERR_INIT;
+	struct json_object *o = json_tokener_parse(c->body);
+	struct seam_commit commit = {.n = 0};
+	char text[64];
+	int rc = seam_store_commit_read(o, &commit, &e);
+
+	if (!rc)
+		rc = seam_store_commit(s->store, &commit,
+				       seam_now(s->clock) + CALL, &e);
+	g_free((void *)commit.write);
+	json_object_put(o);
+	if (rc) {
+		reply_err(c, &e);
+		return;
+	}
+	snprintf(text, sizeof(text), "{\"version\":%" PRIu64 "}",
+		 commit.version);
+	seam_reply_text(c, 200, "application/json", text);
+}
+
+void seam_store_serve(struct seam_store *s, struct seam_clock *k,
+		      struct seam_http *h)
+{
+	struct serve *v = g_new0(struct serve, 1);
+
+	v->store = s;
+	v->clock = k;
+	seam_http_route(h, "GET", BASE "/rows/", serve_row, v);
+	seam_http_route(h, "GET", BASE "/rows", serve_scan, v);
+	seam_http_route(h, "GET", BASE "/watch", serve_watch, v);
+	seam_http_route(h, "POST", BASE "/commit", serve_commit, v);
+}
