lead: shorter terms and leases; a restarted owner claims its term at once

Cause: a lost owner cost 2.4 s until the takeover, then 4.2 s in which tasks of old jobs waited for workers that did not answer, and 3 s without orders for VMs; tasks of dark workers waited for leases of 4 s. Change: terms of 1.7 s (valid for 1.3 s), leases of 3.2 s. A node that finds itself as the owner was restarted and claims at once. The waits count from when the owner before can have sent its last order. A renewal without an answer is read back.

--- a/process/board.c
+++ b/process/board.c
@@ -105,7 +105,7 @@
 	b->term = lead->term;
 	b->opened_at = seam_now(k);
 	/* What the owner before us ordered last has run out by then. */
-	b->unlisted_until = b->opened_at + board_lease(b) +
+	b->unlisted_until = lead->orders_until + board_lease(b) +
 			    board_lease(b) / CLOCK_SLOW + LEASE_MARGIN;
 	pthread_mutex_lock(&b->lock);
 	rc = board_load_jobs(b, e) || board_load_workers(b, e);
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -6,7 +6,7 @@
 
 /* Lease that is asked of a worker; longer than a takeover, so that work
  * outlives the loss of an owner. */
-#define LEASE (4 * SEAM_SEC)
+#define LEASE (3200 * SEAM_MSEC)
 /* A worker's clock may be slower than ours by this part. */
 #define CLOCK_SLOW 50 /* 1/50 is 2% */
 #define LEASE_MARGIN (100 * SEAM_MSEC)
--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -485,7 +485,7 @@
 	struct look l = {.board = b, .now = seam_now(b->clock)};
 	bool done;
 
-	if (l.now < b->opened_at + b->conf.vm_lease ||
+	if (l.now < b->lead->orders_until + b->conf.vm_lease ||
 	    !seam_lead_valid(b->lead, l.now))
 		return;
 	l.pools = g_ptr_array_new_with_free_func(g_free);
--- a/process/lead.c
+++ b/process/lead.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define RELEASED "released"
+#define ROWS 4 /* more than there are */
 
 void seam_lead_init(struct seam_lead *l, struct seam_store *s,
 		    struct seam_clock *k, const char *node)
@@ -14,6 +15,7 @@
 	memset(l, 0, sizeof(*l));
 	l->store = s;
 	l->clock = k;
+	l->started_at = seam_now(k);
 	snprintf(l->node, sizeof(l->node), "%s", node);
 }
 
@@ -27,39 +29,61 @@
 	__atomic_store_n(&l->valid_until, until, __ATOMIC_RELEASE);
 }
 
-static int read_row(struct seam_lead *l, const char *key, struct seam_row *row,
-		    struct seam_err *e)
+/* Reads both rows at once; a row that does not exist has no data. */
+static int read_rows(struct seam_lead *l, struct seam_rows *rows,
+		     struct seam_row *owner, struct seam_row *beat,
+		     struct seam_err *e)
 {
-	memset(row, 0, sizeof(*row));
-	if (!seam_store_get(l->store, key, row,
+	size_t i;
+
+	memset(owner, 0, sizeof(*owner));
+	memset(beat, 0, sizeof(*beat));
+	if (seam_store_scan(l->store, SEAM_LEAD_ROWS, NULL, ROWS, rows,
 			    seam_now(l->clock) + SEAM_LEAD_CALL, e))
-		return 0;
-	if (e->kind != SEAM_NOT_FOUND)
 		return -1;
-	seam_err_clear(e);
+	for (i = 0; i < rows->n; i++) {
+		if (!strcmp(rows->row[i].key, SEAM_LEAD_ROW))
+			*owner = rows->row[i];
+		if (!strcmp(rows->row[i].key, SEAM_LEAD_BEAT_ROW))
+			*beat = rows->row[i];
+	}
 	return 0;
 }
 
-/* Notes the rows; returns whether the term they show may be taken over. */
+/*
+ * Notes the rows; returns whether the term they show may be taken over. A node
+ * that finds itself as the owner was started again: the process that owned the
+ * term is gone.
+ */
 static bool is_free(struct seam_lead *l, const struct seam_row *owner,
 		    const struct seam_row *beat)
 {
 	seam_time now = seam_now(l->clock);
 	struct json_object *o =
 		owner->data ? json_tokener_parse(owner->data) : NULL;
-	bool released;
+	bool ours = !strcmp(seam_json_str(o, "node", ""), l->node);
 
-	l->term = (uint64_t)(o ? seam_json_int(o, "term", 0) : 0);
+	l->term = (uint64_t)seam_json_int(o, "term", 0);
 	json_object_put(o);
-	released =
-		!owner->data || (beat->data && !strcmp(beat->data, RELEASED));
 	if (owner->version != l->owner_version ||
 	    beat->version != l->beat_version || !l->beat_seen_at) {
 		l->owner_version = owner->version;
 		l->beat_version = beat->version;
 		l->beat_seen_at = now;
 	}
-	return released || now >= l->beat_seen_at + SEAM_LEAD_TAKEOVER;
+	l->orders_until = l->beat_seen_at;
+	if (!owner->data) {
+		l->orders_until = 0;
+		return true;
+	}
+	if (beat->data && !strcmp(beat->data, RELEASED))
+		return true;
+	if (ours) {
+		l->orders_until = l->started_at;
+		return true;
+	}
+	l->orders_until += SEAM_LEAD_VALID;
+	return now >= l->beat_seen_at + SEAM_LEAD_TAKEOVER;
 }
 
 static int claim(struct seam_lead *l, struct seam_err *e)
@@ -87,21 +111,33 @@
 
 bool seam_lead_try(struct seam_lead *l, struct seam_err *e)
 {
+	struct seam_rows rows;
 	struct seam_row owner;
 	struct seam_row beat;
-	bool ours = false;
+	bool ours;
 
-	if (read_row(l, SEAM_LEAD_ROW, &owner, e))
+	if (read_rows(l, &rows, &owner, &beat, e))
 		return false;
-	if (!read_row(l, SEAM_LEAD_BEAT_ROW, &beat, e)) {
-		if (is_free(l, &owner, &beat))
-			ours = !claim(l, e);
-		seam_row_free(&beat);
-	}
-	seam_row_free(&owner);
+	ours = is_free(l, &owner, &beat) && !claim(l, e);
+	seam_rows_free(&rows);
 	return ours;
 }
 
+/* Whether a renewal without an answer was done. */
+static bool was_renewed(struct seam_lead *l, uint64_t token)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_row row;
+	bool done;
+
+	if (seam_store_get(l->store, SEAM_LEAD_BEAT_ROW, &row,
+			   seam_now(l->clock) + SEAM_LEAD_CALL, &e))
+		return false;
+	done = row.writer == token;
+	seam_row_free(&row);
+	return done;
+}
+
 int seam_lead_renew(struct seam_lead *l, struct seam_err *e)
 {
 	seam_time now = seam_now(l->clock);
@@ -115,7 +151,8 @@
 	if (seam_store_commit(l->store, &c, now + SEAM_LEAD_CALL, e)) {
 		if (e->kind == SEAM_CONFLICT)
 			set_valid(l, 0);
-		return -1;
+		if (e->kind != SEAM_COMMIT_UNKNOWN || !was_renewed(l, c.token))
+			return -1;
 	}
 	/* A suspended owner whose term ran out meanwhile is still the owner,
 	 * as its row shows, so its term is valid again. */
--- a/process/lead.h
+++ b/process/lead.h
@@ -11,15 +11,17 @@
 extern "C" {
 #endif
 
+#define SEAM_LEAD_ROWS "lead/"
 #define SEAM_LEAD_ROW "lead/owner" /* changes with each term */
 #define SEAM_LEAD_BEAT_ROW "lead/beat" /* changes with each renewal */
 
-/* A term that was not renewed for so long is taken over. */
-#define SEAM_LEAD_TAKEOVER (2400 * SEAM_MSEC)
+/* A term that was not renewed for so long is taken over. A worker's lease has
+ * to outlive it, so it decides how long the tasks of a lost worker wait. */
+#define SEAM_LEAD_TAKEOVER (1700 * SEAM_MSEC)
 /* An owner stops before, so that two clocks that differ by 5% do no harm. */
-#define SEAM_LEAD_VALID (1900 * SEAM_MSEC)
-#define SEAM_LEAD_RENEW (400 * SEAM_MSEC)
-#define SEAM_LEAD_CALL (700 * SEAM_MSEC) /* one call to the store */
+#define SEAM_LEAD_VALID (1300 * SEAM_MSEC)
+#define SEAM_LEAD_RENEW (300 * SEAM_MSEC)
+#define SEAM_LEAD_CALL (600 * SEAM_MSEC) /* one call to the store */
 
 /**
  * struct seam_lead - a node's part in the choice of the owner
@@ -30,6 +32,8 @@
  * @owner_version: version of SEAM_LEAD_ROW
  * @beat_version: version of SEAM_LEAD_BEAT_ROW
  * @beat_seen_at: when @beat_version was first read
+ * @orders_until: the owner before us has sent no order since; 0 without one
+ * @started_at: when this process took part first
  * @valid_until: we decide until then; 0 if we are not the owner
  */
 struct seam_lead {
@@ -40,6 +44,8 @@
 	uint64_t owner_version;
 	uint64_t beat_version;
 	seam_time beat_seen_at;
+	seam_time orders_until;
+	seam_time started_at;
 	seam_time valid_until;
 };
 
--- a/process/site.c
+++ b/process/site.c
@@ -10,9 +10,9 @@
 
 #define CONTROL_THREADS 24 /* waits for changes that are passed on take one */
 #define PROBE_THREADS 2
-#define LOOK_USEC 500000 /* between looks at another node's term */
+#define LOOK_USEC 350000 /* between looks at another node's term */
 #define REFRESH_USEC 3000000 /* between looks for other nodes */
-#define LOOK_SPREAD_USEC 200000
+#define LOOK_SPREAD_USEC 100000
 #define RETRY_USEC 100000
 #define LAST_REQUESTS                                          \
 	(1500 * SEAM_MSEC) /* for requests that run at the end \
