store, lead: no refusal after a commit without an answer; release first

A draining owner released its term only when its threads had ended, up to 5 s later under a slow store. Change: one attempt that may apply makes the whole call unknown. The term is released first; parts are read side by side.

--- a/process/board.c
+++ b/process/board.c
@@ -107,8 +107,10 @@
 	/* What the owner before us ordered last has run out by then. */
 	b->unlisted_until = lead->orders_until + board_lease(b) +
 			    board_lease(b) / CLOCK_SLOW + LEASE_MARGIN;
+	rc = board_load_jobs(b, e);
 	pthread_mutex_lock(&b->lock);
-	rc = board_load_jobs(b, e) || board_load_workers(b, e);
+	if (!rc)
+		rc = board_load_workers(b, e);
 	pthread_mutex_unlock(&b->lock);
 	if (!rc)
 		rc = start_threads(b, e);
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -173,18 +173,57 @@
 {
 	size_t i;
 
+	pthread_mutex_lock(&b->lock);
 	for (i = 0; i < rows->n; i++)
 		add_job(b, &rows->row[i], true);
+	pthread_mutex_unlock(&b->lock);
+}
+
+/* One part that is read at the start of a term. */
+struct load {
+	struct seam_board *board;
+	char part;
+	uint64_t version;
+	int rc;
+	struct seam_err err;
+	pthread_t thread;
+};
+
+static void *load_part(void *arg)
+{
+	struct load *l = arg;
+
+	l->rc = read_part(l->board, l->part, &l->version, add_old, &l->err);
+	return NULL;
 }
 
+/* Reads the parts side by side: a slow store takes 0.2 s for each of them. */
 int board_load_jobs(struct seam_board *b, struct seam_err *e)
 {
-	const char *part;
+	struct load load[sizeof(SEAM_JOB_PARTS)] = {{0}};
+	size_t n;
+	size_t i;
+	int rc = 0;
 
-	for (part = SEAM_JOB_PARTS; *part; part++)
-		if (read_part(b, *part, &b->jobs_version, add_old, e))
-			return -1;
-	return 0;
+	for (n = 0; SEAM_JOB_PARTS[n]; n++) {
+		load[n].board = b;
+		load[n].part = SEAM_JOB_PARTS[n];
+		if (pthread_create(&load[n].thread, NULL, load_part, &load[n]))
+			break;
+	}
+	if (SEAM_JOB_PARTS[n])
+		rc = seam_fail(e, SEAM_NO_MEMORY, "cannot start a thread");
+	for (i = 0; i < n; i++) {
+		pthread_join(load[i].thread, NULL);
+		if (load[i].rc) {
+			*e = load[i].err;
+			rc = -1;
+		}
+		/* The feed goes on from the part that was read first. */
+		if (!b->jobs_version || load[i].version < b->jobs_version)
+			b->jobs_version = load[i].version;
+	}
+	return rc;
 }
 
 /* A slot that may still run keeps the job, as the stop is not confirmed. */
--- a/process/site.c
+++ b/process/site.c
@@ -84,9 +84,11 @@
 	}
 	seam_count_set(&owner, 1);
 	keep_term(n);
-	seam_board_close(b);
+	/* Released before the threads end, which may wait for a slow store: the
+	 * next owner's token fences what they still have under way. */
 	if (stopping(n))
 		seam_lead_release(&n->lead);
+	seam_board_close(b);
 	seam_count_set(&owner, 0);
 }
 
--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -135,8 +135,9 @@
 	pthread_mutex_unlock(&r->lock);
 }
 
+/* @unsure is set when an attempt ends that may still apply. */
 static int through_peers(struct relay *r, struct call *c, seam_time deadline,
-			 struct seam_err *e)
+			 bool *unsure, struct seam_err *e)
 {
 	int tries;
 
@@ -160,6 +161,7 @@
 			pthread_mutex_unlock(&r->lock);
 			return rc;
 		}
+		*unsure = *unsure || e->kind == SEAM_COMMIT_UNKNOWN;
 		pause_peer(r, i);
 	}
 	return -1;
@@ -169,8 +171,8 @@
 		struct seam_err *e)
 {
 	seam_time now = seam_now(r->clock);
-	struct seam_err first = SEAM_ERR_INIT;
 	seam_time end = now + (deadline - now) / DIRECT_PART;
+	bool unsure = false;
 	int rc;
 
 	if (may_try_direct(r, now)) {
@@ -180,14 +182,16 @@
 		note_direct(r, !rc || !is_unserved(e), e);
 		if (!rc || !is_unserved(e))
 			return rc;
-		first = *e;
+		unsure = e->kind == SEAM_COMMIT_UNKNOWN;
 	}
-	rc = through_peers(r, c, deadline, e);
+	rc = through_peers(r, c, deadline, &unsure, e);
 	if (!rc || (e->kind != SEAM_OK && !is_unserved(e)))
 		return rc;
-	/* An attempt that may have applied decides what is known. */
-	if (first.kind == SEAM_COMMIT_UNKNOWN || e->kind == SEAM_OK)
-		*e = first;
+	/* One attempt that may apply keeps the whole call from being a refusal:
+	 * a job that was refused so was started all the same. */
+	if (unsure)
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN,
+				 "store: no answer to a commit");
 	if (e->kind == SEAM_OK)
 		seam_fail(e, SEAM_UNAVAILABLE, "store: not reached");
 	return -1;
