lead, submit: an owner stays valid while the store is away for all nodes

Callers waited out their time for a store that was known to be away. Change: an owner whose renewal fails asks the other nodes; if none of them reaches the store its term stays valid, as each would watch the term anew before it claims. A node that could not look for a second starts its watch again. Calls are refused at once while the store is away.

--- a/process/lead.c
+++ b/process/lead.c
@@ -66,11 +66,13 @@
 	l->term = (uint64_t)seam_json_int(o, "term", 0);
 	json_object_put(o);
 	if (owner->version != l->owner_version ||
-	    beat->version != l->beat_version || !l->beat_seen_at) {
+	    beat->version != l->beat_version || !l->beat_seen_at ||
+	    now > l->looked_at + SEAM_LEAD_GAP) {
 		l->owner_version = owner->version;
 		l->beat_version = beat->version;
 		l->beat_seen_at = now;
 	}
+	l->looked_at = now;
 	l->orders_until = l->beat_seen_at;
 	if (!owner->data) {
 		l->orders_until = 0;
@@ -160,6 +162,11 @@
 	return 0;
 }
 
+void seam_lead_extend(struct seam_lead *l, seam_time asked_at)
+{
+	set_valid(l, asked_at + SEAM_LEAD_VALID);
+}
+
 void seam_lead_release(struct seam_lead *l)
 {
 	struct seam_err e = SEAM_ERR_INIT;
--- a/process/lead.h
+++ b/process/lead.h
@@ -20,6 +20,8 @@
 #define SEAM_LEAD_TAKEOVER (1700 * SEAM_MSEC)
 /* An owner stops before, so that two clocks that differ by 5% do no harm. */
 #define SEAM_LEAD_VALID (1300 * SEAM_MSEC)
+/* A node that could not look for so long has not watched the term meanwhile. */
+#define SEAM_LEAD_GAP (1000 * SEAM_MSEC)
 #define SEAM_LEAD_RENEW (300 * SEAM_MSEC)
 #define SEAM_LEAD_CALL (600 * SEAM_MSEC) /* one call to the store */
 
@@ -32,6 +34,7 @@
  * @owner_version: version of SEAM_LEAD_ROW
  * @beat_version: version of SEAM_LEAD_BEAT_ROW
  * @beat_seen_at: when @beat_version was first read
+ * @looked_at: when the rows were last read
  * @orders_until: the owner before us has sent no order since; 0 without one
  * @started_at: when this process took part first
  * @valid_until: we decide until then; 0 if we are not the owner
@@ -44,6 +47,7 @@
 	uint64_t owner_version;
 	uint64_t beat_version;
 	seam_time beat_seen_at;
+	seam_time looked_at;
 	seam_time orders_until;
 	seam_time started_at;
 	seam_time valid_until;
@@ -68,6 +72,17 @@
  */
 int seam_lead_renew(struct seam_lead *l, struct seam_err *e);
 
+/**
+ * seam_lead_extend() - our term stays valid although the store is away
+ * @l: lead
+ * @asked_at: when the other nodes were asked
+ *
+ * To be called only when each of them has said that the store is away for it
+ * too: one that reaches it again watches for SEAM_LEAD_TAKEOVER before it
+ * claims.
+ */
+void seam_lead_extend(struct seam_lead *l, seam_time asked_at);
+
 /** seam_lead_release() - end our term so that another node need not wait */
 void seam_lead_release(struct seam_lead *l);
 
--- a/process/site.c
+++ b/process/site.c
@@ -12,6 +12,7 @@
 #define PROBE_THREADS 2
 #define LOOK_USEC 350000 /* between looks at another node's term */
 #define REFRESH_USEC 3000000 /* between looks for other nodes */
+#define STATE_CALL (400 * SEAM_MSEC) /* asking all other nodes */
 #define LOOK_SPREAD_USEC 100000
 #define RETRY_USEC 100000
 #define LAST_REQUESTS                                          \
@@ -42,6 +43,7 @@
 static void keep_term(struct seam_site *n)
 {
 	struct seam_err e = SEAM_ERR_INIT;
+	seam_time asked_at;
 
 	while (!stopping(n)) {
 		seam_err_clear(&e);
@@ -55,6 +57,10 @@
 			 seam_kind_info(e.kind)->name, e.text);
 		if (e.kind == SEAM_CONFLICT)
 			return;
+		asked_at = seam_now(n->clock);
+		if (seam_store_relay_all_lost(n->ports.store,
+					      asked_at + STATE_CALL))
+			seam_lead_extend(&n->lead, asked_at);
 		g_usleep(RETRY_USEC);
 	}
 }
@@ -175,6 +181,7 @@
 	n->submit.clock = k;
 	n->submit.store = n->ports.store;
 	n->submit.catalog = &n->op_state.catalog;
+	n->submit.lost = seam_store_relay_lost;
 	seam_lead_init(&n->lead, n->ports.store, k, s->node);
 	if (start_servers(n, e))
 		return -1;
--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -2,6 +2,7 @@
 #include "base/count.h"
 #include "base/json.h"
 #include "base/log.h"
+#include "process/rest.h"
 #include "process/store_serve.h"
 
 #include <glib.h>
@@ -28,10 +29,13 @@
 SEAM_COUNT(refusals, "seam_store_refused_total",
 	   "Calls that the store did not answer for this node.");
 
+/* @store: its store calls; @state: its /v1/state; @live: registered lately */
 struct peer {
 	char addr[64];
 	struct seam_store *store;
+	struct seam_rest *state;
 	seam_time pause_until;
+	bool live;
 };
 
 /*
@@ -50,6 +54,7 @@
 	struct peer peer[PEERS_MAX];
 	int peers;
 	int next;
+	GHashTable *seen; /* row of a node to its version at the last look */
 	bool down;
 	seam_time probe_at;
 	seam_time ok_at;
@@ -269,9 +274,12 @@
 	struct relay *r = (struct relay *)base;
 	int i;
 
-	for (i = 0; i < r->peers; i++)
+	for (i = 0; i < r->peers; i++) {
 		seam_store_close(r->peer[i].store);
+		seam_rest_free(r->peer[i].state);
+	}
 	seam_store_close(r->direct);
+	g_hash_table_destroy(r->seen);
 	pthread_mutex_destroy(&r->lock);
 	free(r);
 }
@@ -285,7 +293,7 @@
 };
 
 /* Peers are never removed: one that is gone is paused after each call. */
-static void add_peer(struct relay *r, const char *addr)
+static void add_peer(struct relay *r, const char *addr, bool live)
 {
 	char url[128];
 	int i;
@@ -302,9 +310,13 @@
 
 		snprintf(p->addr, sizeof(p->addr), "%s", addr);
 		p->store = seam_store_http_new(r->clock, url);
-		if (p->store)
+		snprintf(url, sizeof(url), "http://%s", addr);
+		p->state = seam_rest_new(r->clock, url);
+		if (p->store && p->state)
 			r->peers++;
 	}
+	if (i < r->peers)
+		r->peer[i].live = live;
 	pthread_mutex_unlock(&r->lock);
 }
 
@@ -322,15 +334,31 @@
 	r->direct = direct;
 	r->clock = k;
 	pthread_mutex_init(&r->lock, NULL);
+	r->seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	snprintf(r->node, sizeof(r->node), "%s", c->node);
 	snprintf(r->control, sizeof(r->control), "%s", c->control);
 	seed = g_strsplit(c->seeds, ",", -1);
 	for (i = 0; seed[i]; i++)
-		add_peer(r, seed[i]);
+		add_peer(r, seed[i], false);
 	g_strfreev(seed);
 	return &r->store;
 }
 
+/*
+ * A row is written again with each refresh. Its version tells whether it was
+ * since the last look, so that nodes that are gone are not waited for.
+ */
+static void take_node(struct relay *r, const struct seam_row *row)
+{
+	uint64_t *seen = g_hash_table_lookup(r->seen, row->key);
+	bool live = !seen || *seen != row->version;
+
+	g_hash_table_replace(r->seen, g_strdup(row->key),
+			     g_memdup2(&row->version, sizeof(row->version)));
+	add_peer(r, row->data, live);
+}
+
 void seam_store_relay_refresh(struct seam_store *base)
 {
 	struct relay *r = (struct relay *)base;
@@ -341,25 +369,57 @@
 			       strlen(r->control)};
 	struct seam_commit c = {&w, 1, seam_store_token(), 0};
 	struct seam_rows rows;
-	bool listed = false;
 	size_t i;
 
 	snprintf(key, sizeof(key), SEAM_NODE_ROWS "%s", r->node);
-	if (relay_scan(base, SEAM_NODE_ROWS, NULL, PEERS_MAX, &rows, deadline,
-		       &e))
-		return;
-	for (i = 0; i < rows.n; i++) {
-		add_peer(r, rows.row[i].data);
-		listed = listed || (!strcmp(rows.row[i].key, key) &&
-				    !strcmp(rows.row[i].data, r->control));
+	if (!relay_scan(base, SEAM_NODE_ROWS, NULL, PEERS_MAX, &rows, deadline,
+			&e)) {
+		for (i = 0; i < rows.n; i++)
+			take_node(r, &rows.row[i]);
+		seam_rows_free(&rows);
 	}
-	seam_rows_free(&rows);
-	if (!listed && relay_commit(base, &c, deadline, &e))
+	if (relay_commit(base, &c, deadline, &e))
 		seam_log(SEAM_WARN, "store",
 			 "event=node_unregistered node=%s why=\"%s\"", r->node,
 			 e.text);
 }
 
+/* Whether the peer says that the store is away for it. */
+static bool peer_lost(struct peer *p, seam_time deadline)
+{
+	struct seam_rest_call c = {
+		.method = "GET", .path = "/v1/state", .deadline = deadline};
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_rest_answer a;
+	bool lost;
+
+	if (seam_rest_do(p->state, &c, &a, &e))
+		return false;
+	lost = a.body && strstr(a.body, "\"store\":\"lost\"");
+	free(a.body);
+	return lost;
+}
+
+bool seam_store_relay_all_lost(struct seam_store *base, seam_time deadline)
+{
+	struct relay *r = (struct relay *)base;
+	int i;
+
+	for (i = 0; i < r->peers; i++)
+		if (r->peer[i].live && !peer_lost(&r->peer[i], deadline))
+			return false;
+	return true;
+}
+
+static void serve_state(struct seam_call *c, void *arg)
+{
+	bool lost = seam_store_relay_lost(arg);
+
+	seam_reply_text(c, 200, "application/json",
+			lost ? "{\"store\":\"lost\"}" :
+			       "{\"store\":\"reached\"}");
+}
+
 bool seam_store_relay_lost(struct seam_store *base)
 {
 	struct relay *r = (struct relay *)base;
@@ -375,4 +435,5 @@
 {
 	seam_store_serve(((struct relay *)base)->direct,
 			 ((struct relay *)base)->clock, h);
+	seam_http_route(h, "GET", "/v1/state", serve_state, base);
 }
--- a/process/store_relay.h
+++ b/process/store_relay.h
@@ -47,6 +47,14 @@
  */
 void seam_store_relay_refresh(struct seam_store *relay);
 
+/**
+ * seam_store_relay_all_lost() - whether no known node reaches the store
+ *
+ * Asks each node that has registered lately. One that does not answer may reach
+ * it, and so may one that was not asked for want of time.
+ */
+bool seam_store_relay_all_lost(struct seam_store *relay, seam_time deadline);
+
 /**
  * seam_store_relay_lost() - the store serves this node neither directly nor
  * through another node, since a moment ago
--- a/request/submit.c
+++ b/request/submit.c
@@ -323,8 +323,13 @@
 	r.deadline = s->front->deadline(c) - ANSWER_MARGIN;
 	rc = resolve(&r, seam_catalog_enter(s->catalog), &e);
 	seam_catalog_leave();
-	if (rc)
+	if (rc) {
 		refuse(&r, &e, 0);
-	else
+	} else if (s->lost && s->lost(s->store)) {
+		/* Waiting would only use up the caller's time. */
+		seam_fail(&e, SEAM_UNAVAILABLE, "the store is away");
+		refuse(&r, &e, RETRY_OUTAGE_MS);
+	} else {
 		serve(&r);
+	}
 }
--- a/request/submit.h
+++ b/request/submit.h
@@ -47,6 +47,7 @@
  * @clock: clock of deadlines
  * @store: the platform's store
  * @catalog: version in force
+ * @lost: whether the store is known to be away
  * @room: whether a queue can serve another job in time; SEAM_BUSY with the time
  *        to come back otherwise; NULL admits everything
  * @room_arg: passed to @room
@@ -56,6 +57,7 @@
 	struct seam_clock *clock;
 	struct seam_store *store;
 	struct seam_catalog_cell *catalog;
+	bool (*lost)(struct seam_store *s);
 	int (*room)(void *arg, const struct seam_job_queue *q,
 		    const struct seam_jobspec *j, int64_t *retry_ms,
 		    struct seam_err *e);
