owner: orders for VMs are recorded; jobs beyond a share and tight ones later

Jobs of a workspace beyond its weight competed with those of others, and jobs that would just be in time by their estimate mostly were not. Change: the VMs that are ordered are written down before, so that the next owner leaves only these alone. Over-share jobs come after others, begun jobs first, and a job needs a quarter of its run time as margin to count as in time.

--- a/process/board.c
+++ b/process/board.c
@@ -38,6 +38,9 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->wave_done =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->recent = g_array_new(FALSE, FALSE, sizeof(struct seam_recent_vm));
+	b->shares =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->holds =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->worker_of =
@@ -57,6 +60,8 @@
 	g_hash_table_destroy(b->vm_orders);
 	g_hash_table_destroy(b->wave_done);
 	g_hash_table_destroy(b->holds);
+	g_hash_table_destroy(b->shares);
+	g_array_free(b->recent, TRUE);
 	seam_table_free(b->jobs);
 	seam_table_free(b->workers);
 	pthread_mutex_destroy(&b->lock);
@@ -112,6 +117,8 @@
 	if (!rc)
 		rc = board_load_workers(b, e);
 	pthread_mutex_unlock(&b->lock);
+	if (!rc)
+		rc = board_load_orders(b, e);
 	if (!rc)
 		rc = start_threads(b, e);
 	if (!rc) {
--- a/process/board.h
+++ b/process/board.h
@@ -96,6 +96,7 @@
  * @due_at: end of its latency objective
  * @old: it was accepted before this term, so that an unknown worker may run its
  *       tasks
+ * @over_share: its workspace handed in more than its share at that moment
  * @begun: a task has been started
  * @changes: number of changes to @row
  * @committed: @changes that the store has
@@ -112,6 +113,7 @@
 	seam_time accepted_at;
 	seam_time due_at;
 	bool old;
+	bool over_share;
 	bool begun;
 	uint64_t changes;
 	uint64_t committed;
@@ -164,6 +166,22 @@
 	char pool[SEAM_NAME];
 };
 
+/**
+ * struct seam_share_meter - what a workspace handed in of late
+ * @spent: jobs of its share that are used up
+ * @at: when @spent was computed
+ */
+struct seam_share_meter {
+	double spent;
+	seam_time at;
+};
+
+/** struct seam_recent_vm - a VM that was ordered at a time */
+struct seam_recent_vm {
+	char vm[SEAM_NAME];
+	seam_time at;
+};
+
 /** struct seam_pool_hold - VMs that a pool keeps until a time */
 struct seam_pool_hold {
 	int vms;
@@ -266,6 +284,8 @@
  * @wave_kept: number of VMs in its row
  * @pools_logged_at: when the pools were last logged
  * @holds: pool to struct seam_pool_hold
+ * @shares: workspace to struct seam_share_meter
+ * @recent: VMs that were ordered a short time ago; struct seam_recent_vm
  * @vms_read: the VM list was read in this term
  * @unlisted_until: a worker without a row may run tasks until then
  * @commit_wake: signals changes of rows
@@ -316,6 +336,8 @@
 	guint wave_kept;
 	seam_time pools_logged_at;
 	GHashTable *holds;
+	GHashTable *shares;
+	GArray *recent;
 	pthread_t thread[6];
 	int threads;
 };
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -90,6 +90,7 @@
 
 /* board_manage.c, called without the lock */
 void board_manage_vms(struct seam_board *b);
+int board_load_orders(struct seam_board *b, struct seam_err *e);
 
 /* board_leave.c */
 void board_empty_workers(struct seam_board *b);
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -99,6 +99,37 @@
 		((int64_t)(stretch * (double)j->chain_ms) + extra) * SEAM_MSEC;
 }
 
+/*
+ * Whether a workspace hands in more than its weight in jobs a second. A
+ * second's worth may come at once.
+ */
+static bool meter_share(struct seam_board *b, const char *workspace)
+{
+	const struct seam_catalog *c = seam_catalog_enter(b->catalog);
+	const struct seam_job_workspace *w =
+		c ? seam_catalog_workspace(c, workspace) : NULL;
+	double share = w ? (double)w->weight : 0;
+	struct seam_share_meter *m = g_hash_table_lookup(b->shares, workspace);
+	seam_time now = seam_now(b->clock);
+
+	seam_catalog_leave();
+	if (!share)
+		return false;
+	if (!m) {
+		m = g_new0(struct seam_share_meter, 1);
+		m->at = now;
+		g_hash_table_insert(b->shares, g_strdup(workspace), m);
+	}
+	m->spent -= share * (double)(now - m->at) / SEAM_SEC;
+	m->at = now;
+	if (m->spent < 0)
+		m->spent = 0;
+	if (m->spent + 1 > share)
+		return true;
+	m->spent += 1;
+	return false;
+}
+
 /* Adds the job of a row; a job that is over is not kept. */
 static void add_job(struct seam_board *b, const struct seam_row *row, bool old)
 {
@@ -125,6 +156,7 @@
 	j->version = row->version;
 	j->self = h;
 	j->old = old;
+	j->over_share = !old && meter_share(b, r.spec.workspace);
 	j->accepted_at = seam_now(b->clock) - age;
 	set_objective(b, j);
 	if (make_tasks(j)) {
@@ -431,6 +463,7 @@
 	for (i = 0; i < j->row.spec.steps; i++)
 		u->lasting = u->lasting || j->row.spec.step[i].lasting;
 	u->priority = j->priority;
+	u->over_share = j->over_share;
 	u->begun = j->begun;
 	u->due_at = j->due_at;
 	u->left_ms = left_ms(j);
--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -23,6 +23,7 @@
 /* Demand that a pool had is kept room for: a move costs as much as a worker in
  * a pool for about a second, and takes longer than a job may wait. */
 #define HOLD (1000 * SEAM_MSEC)
+#define ORDERS_ROW "vm/orders" /* VMs that were ordered a short time ago */
 #define WAVE_ROWS "wave/" /* VMs that a wave has maintained */
 
 SEAM_COUNT(moves, "seam_vm_moves_total", "VMs moved to another pool.");
@@ -295,6 +296,102 @@
 	}
 }
 
+static int put(struct seam_board *b, const char *key, const char *text)
+{
+	struct seam_write w[] = {
+		{SEAM_PUT, key, SEAM_ANY_VERSION, text, strlen(text)},
+		{SEAM_CHECK, SEAM_LEAD_ROW, b->lead->owner_version, NULL, 0},
+	};
+	struct seam_commit c = {w, 2, seam_store_token(), 0};
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (!seam_store_commit(b->ports->store, &c,
+			       seam_now(b->clock) + STORE_CALL, &e))
+		return 0;
+	seam_log(SEAM_WARN, "upkeep", "event=row_unwritten row=%s why=\"%s\"",
+		 key, e.text);
+	return -1;
+}
+
+static void forget_recent(struct seam_board *b, seam_time now)
+{
+	guint i;
+
+	for (i = b->recent->len; i-- > 0;)
+		if (g_array_index(b->recent, struct seam_recent_vm, i).at +
+			    b->conf.vm_lease <
+		    now)
+			g_array_remove_index_fast(b->recent, i);
+}
+
+/*
+ * Writes down which VMs are ordered now, before they are: the next owner leaves
+ * them alone for a time, and may order all others at once.
+ */
+static int record_orders(struct look *l, const struct seam_vm_info *vm)
+{
+	struct seam_board *b = l->board;
+	struct json_object *list = json_object_new_array();
+	guint k;
+	size_t i;
+	int n = 0;
+	int rc = 0;
+
+	forget_recent(b, l->now);
+	for (i = 0; i < l->plan.vms; i++) {
+		struct seam_recent_vm r = {.at = l->now};
+
+		if (l->plan.vm[i].action != SEAM_VM_MAINTAIN &&
+		    l->plan.vm[i].action != SEAM_VM_MOVE)
+			continue;
+		g_strlcpy(r.vm, vm[i].vm, sizeof(r.vm));
+		g_array_append_val(b->recent, r);
+		n++;
+	}
+	for (k = 0; k < b->recent->len; k++)
+		json_object_array_add(
+			list, json_object_new_string(
+				      g_array_index(b->recent,
+						    struct seam_recent_vm, k)
+					      .vm));
+	if (n) {
+		pthread_mutex_unlock(&b->lock);
+		rc = put(b, ORDERS_ROW,
+			 json_object_to_json_string_ext(
+				 list, JSON_C_TO_STRING_PLAIN));
+		pthread_mutex_lock(&b->lock);
+	}
+	json_object_put(list);
+	return rc;
+}
+
+int board_load_orders(struct seam_board *b, struct seam_err *e)
+{
+	seam_time until = b->lead->orders_until + b->conf.vm_lease;
+	struct json_object *list;
+	struct seam_row row;
+	size_t i;
+
+	if (seam_store_get(b->ports->store, ORDERS_ROW, &row,
+			   seam_now(b->clock) + STORE_CALL, e)) {
+		if (e->kind != SEAM_NOT_FOUND)
+			return -1;
+		seam_err_clear(e);
+		return 0;
+	}
+	list = json_tokener_parse(row.data);
+	for (i = 0; json_object_is_type(list, json_type_array) &&
+		    i < json_object_array_length(list);
+	     i++)
+		note_order(b,
+			   json_object_get_string(
+				   json_object_array_get_idx(list, i)),
+			   0, "", until);
+	json_object_put(list);
+	seam_row_free(&row);
+	return 0;
+}
+
 static void mark_leaving(struct look *l)
 {
 	size_t i;
@@ -314,9 +411,10 @@
 	struct seam_board *b = l->board;
 	size_t n = l->plan.vms;
 	struct seam_vm_info *vm = g_memdup2(b->vm, n * sizeof(*vm));
+	int rc = record_orders(l, vm);
 	size_t i;
 
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n && !rc; i++)
 		if (l->plan.vm[i].action == SEAM_VM_MAINTAIN ||
 		    l->plan.vm[i].action == SEAM_VM_MOVE)
 			order_vm(l, vm[i].vm, vm[i].worker, &l->plan.vm[i]);
@@ -334,23 +432,6 @@
 	return !left;
 }
 
-static int put(struct seam_board *b, const char *key, const char *text)
-{
-	struct seam_write w[] = {
-		{SEAM_PUT, key, SEAM_ANY_VERSION, text, strlen(text)},
-		{SEAM_CHECK, SEAM_LEAD_ROW, b->lead->owner_version, NULL, 0},
-	};
-	struct seam_commit c = {w, 2, seam_store_token(), 0};
-	struct seam_err e = SEAM_ERR_INIT;
-
-	if (!seam_store_commit(b->ports->store, &c,
-			       seam_now(b->clock) + STORE_CALL, &e))
-		return 0;
-	seam_log(SEAM_WARN, "upkeep", "event=row_unwritten row=%s why=\"%s\"",
-		 key, e.text);
-	return -1;
-}
-
 /* Tells operators where the wave stands; the lock is not held. */
 static void report_wave(struct look *l, bool done)
 {
@@ -485,8 +566,7 @@
 	struct look l = {.board = b, .now = seam_now(b->clock)};
 	bool done;
 
-	if (l.now < b->lead->orders_until + b->conf.vm_lease ||
-	    !seam_lead_valid(b->lead, l.now))
+	if (!seam_lead_valid(b->lead, l.now))
 		return;
 	l.pools = g_ptr_array_new_with_free_func(g_free);
 	l.dcs = g_ptr_array_new_with_free_func(g_free);
--- a/process/urgency.c
+++ b/process/urgency.c
@@ -1,8 +1,16 @@
 #include "process/urgency.h"
 
+/* The longest of some uneven tasks takes this part more than the estimate. */
+#define UNEVEN_PART 4
+/* From a decision until a task runs, and from its end until that is known. */
+#define ORDER_DELAY (100 * SEAM_MSEC)
+
 bool seam_urgency_late(const struct seam_urgency *u, seam_time now)
 {
-	return !u->lasting && now + u->left_ms * SEAM_MSEC > u->due_at;
+	seam_time left = u->left_ms * SEAM_MSEC;
+
+	return !u->lasting &&
+	       now + left + left / UNEVEN_PART + ORDER_DELAY > u->due_at;
 }
 
 static int compare(int64_t a, int64_t b)
@@ -20,8 +28,12 @@
 		return a->lasting ? -1 : 1;
 	if (late_a != late_b)
 		return late_a ? 1 : -1;
+	if (a->over_share != b->over_share)
+		return a->over_share ? 1 : -1;
 	if (a->priority != b->priority)
 		return compare(a->priority, b->priority);
+	if (a->begun != b->begun)
+		return a->begun ? -1 : 1;
 	if (late_a)
 		return compare(a->accepted_at, b->accepted_at);
 	return compare(a->due_at - a->left_ms * SEAM_MSEC,
--- a/process/urgency.h
+++ b/process/urgency.h
@@ -14,6 +14,7 @@
  * struct seam_urgency - what decides when a job's tasks start
  * @priority: of its queue; 0 comes first
  * @lasting: it runs until it is cancelled
+ * @over_share: its workspace handed in more than its share at that moment
  * @begun: a task of it has been started
  * @due_at: end of its latency objective
  * @left_ms: run time of its longest chain that is left
@@ -22,22 +23,30 @@
 struct seam_urgency {
 	int priority;
 	bool lasting;
+	bool over_share;
 	bool begun;
 	seam_time due_at;
 	int64_t left_ms;
 	seam_time accepted_at;
 };
 
-/** seam_urgency_late() - whether it can't meet its objective any more */
+/**
+ * seam_urgency_late() - whether it will hardly meet its objective
+ *
+ * Run times are estimates and tasks of a step are uneven, so a job that would
+ * just be in time by its estimate is late.
+ */
 bool seam_urgency_late(const struct seam_urgency *u, seam_time now);
 
 /**
  * seam_urgency_before() - order in which jobs of a pool get room
  *
  * Answers a queue whose demand is above what its pool holds: first come jobs
- * that can still meet their objective, the one with the least slack first, and
- * of those that can't the oldest. A job that can't is worth little to its
- * caller, and room spent on it makes the next one late as well.
+ * that can still meet their objective, and of those that can't the oldest. A
+ * job that can't is worth little to its caller, and room spent on it makes the
+ * next one late as well. What a workspace hands in beyond its share comes after
+ * the others' jobs. Of equal jobs those that have begun are finished first,
+ * then the one with the least slack.
  *
  * Return: less than, equal to or greater than 0 as for qsort().
  */
