--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -16,6 +16,8 @@
 /* An order without an answer may be carried out so much later. */
 #define UNSURE (3 * SEAM_SEC)
 #define POOL_MIN 2 /* workers that a pool keeps without demand */
+#define CROWDED 1.3 /* demand in parts of the fleet from which it is crowded \
+		     */
 #define HEADROOM                                                    \
 	1 /* workers beyond demand, for the jobs of the next moment \
 	   */
@@ -219,6 +221,19 @@
 	g_array_free(demand, TRUE);
 }
 
+/* VMs on their way count: for a moment any peak asks for more than there are.
+ */
+static bool is_crowded(const struct look *l)
+{
+	int asked = 0;
+	size_t i;
+
+	for (i = 0; i < l->plan.pools; i++)
+		if (!l->plan.pool[i].standby)
+			asked += l->plan.pool[i].all;
+	return asked > CROWDED * (double)l->plan.vms;
+}
+
 static void look_at_vms(struct look *l)
 {
 	size_t i;
@@ -229,6 +244,7 @@
 	for (i = 0; i < l->board->vms; i++)
 		describe_vm(l, i);
 	describe_pools(l);
+	l->board->crowded = is_crowded(l);
 	seam_vm_plan(&l->plan);
 }
 
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -159,7 +159,8 @@
 	const struct pass *p = arg;
 
 	return seam_urgency_before(&((const struct entry *)a)->urgency,
-				   &((const struct entry *)b)->urgency, p->now);
+				   &((const struct entry *)b)->urgency, p->now,
+				   p->board->crowded);
 }
 
 static bool has_label(const struct seam_worker *w, const char *label)
--- a/process/urgency.c
+++ b/process/urgency.c
@@ -1,16 +1,22 @@
 #include "process/urgency.h"
 
-/* The longest of some uneven tasks takes this part more than the estimate. */
-#define UNEVEN_PART 4
 /* From a decision until a task runs, and from its end until that is known. */
 #define ORDER_DELAY (100 * SEAM_MSEC)
+/* The longest of some uneven tasks takes this part more than the estimate. */
+#define UNEVEN_PART 4
 
 bool seam_urgency_late(const struct seam_urgency *u, seam_time now)
 {
-	seam_time left = u->left_ms * SEAM_MSEC;
-
 	return !u->lasting &&
-	       now + left + left / UNEVEN_PART + ORDER_DELAY > u->due_at;
+	       now + u->left_ms * SEAM_MSEC + ORDER_DELAY > u->due_at;
+}
+
+/* Late by its estimate with a margin. */
+static bool is_tight(const struct seam_urgency *u, seam_time now)
+{
+	seam_time margin = u->left_ms * SEAM_MSEC / UNEVEN_PART;
+
+	return seam_urgency_late(u, now + margin);
 }
 
 static int compare(int64_t a, int64_t b)
@@ -19,10 +25,11 @@
 }
 
 int seam_urgency_before(const struct seam_urgency *a,
-			const struct seam_urgency *b, seam_time now)
+			const struct seam_urgency *b, seam_time now,
+			bool crowded)
 {
-	bool late_a = seam_urgency_late(a, now);
-	bool late_b = seam_urgency_late(b, now);
+	bool late_a = crowded ? is_tight(a, now) : seam_urgency_late(a, now);
+	bool late_b = crowded ? is_tight(b, now) : seam_urgency_late(b, now);
 
 	if (a->lasting != b->lasting)
 		return a->lasting ? -1 : 1;
@@ -32,7 +39,7 @@
 		return a->over_share ? 1 : -1;
 	if (a->priority != b->priority)
 		return compare(a->priority, b->priority);
-	if (a->begun != b->begun)
+	if (crowded && a->begun != b->begun)
 		return a->begun ? -1 : 1;
 	if (late_a)
 		return compare(a->accepted_at, b->accepted_at);
--- a/process/urgency.h
+++ b/process/urgency.h
@@ -30,28 +30,32 @@
 	seam_time accepted_at;
 };
 
-/**
- * seam_urgency_late() - whether it will hardly meet its objective
- *
- * Run times are estimates and tasks of a step are uneven, so a job that would
- * just be in time by its estimate is late.
- */
+/** seam_urgency_late() - it can't meet its objective by its estimate */
 bool seam_urgency_late(const struct seam_urgency *u, seam_time now);
 
 /**
  * seam_urgency_before() - order in which jobs of a pool get room
+ * @a: a job
+ * @b: another one
+ * @now: time
+ * @crowded: all VMs together hold less than what is asked for
+ *
+ * First come jobs that can still meet their objective, and of those that can't
+ * the oldest. A job that can't is worth little to its caller, and room spent on
+ * it makes the next one late as well. What a workspace hands in beyond its
+ * share comes after the others' jobs. Of equal jobs the one with the least
+ * slack comes first.
  *
- * Answers a queue whose demand is above what its pool holds: first come jobs
- * that can still meet their objective, and of those that can't the oldest. A
- * job that can't is worth little to its caller, and room spent on it makes the
- * next one late as well. What a workspace hands in beyond its share comes after
- * the others' jobs. Of equal jobs those that have begun are finished first,
- * then the one with the least slack.
+ * Answers a pool that is full for a moment, until VMs have come to it, and with
+ * @crowded a load above the whole fleet: then the least slack would start each
+ * job when it is just too late, so a job counts as late that has no margin for
+ * tasks longer than their estimate, and begun jobs are finished first.
  *
  * Return: less than, equal to or greater than 0 as for qsort().
  */
 int seam_urgency_before(const struct seam_urgency *a,
-			const struct seam_urgency *b, seam_time now);
+			const struct seam_urgency *b, seam_time now,
+			bool crowded);
 
 #ifdef __cplusplus
 }
