tests: owner, lead, plans and rows of jobs over an in-memory platform

Change: tests/world.h is the platform at the owner's interfaces: a store with a feed and lost answers, workers with leases, tokens and late orders, VMs.

--- /dev/null
+++ b/tests/jobrow_test.cc
@@ -0,0 +1,161 @@
+// Rows of jobs: what is kept, merged and refused.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "request/jobrow.h"
+
+struct Row : ::testing::Test {
+	seam_step step[2] = {};
+	seam_jobrow j = {};
+	seam_err e = SEAM_ERR_INIT;
+
+	void SetUp() override
+	{
+		snprintf(j.spec.id, sizeof(j.spec.id), "0123456789abcdef");
+		snprintf(j.spec.queue, SEAM_NAME, "q");
+		snprintf(j.spec.pool, SEAM_NAME, "p");
+		snprintf(j.spec.workspace, SEAM_NAME, "w");
+		j.spec.text = strdup("text \"quoted\" \xc3\xa9");
+		j.spec.step = (seam_step *)calloc(3, sizeof(seam_step));
+		j.spec.steps = 2;
+		j.spec.attempts = 3;
+		j.spec.step[0].tasks = 3;
+		j.spec.step[0].need.cpu = 500;
+		j.spec.step[0].estimate_ms = 700;
+		j.spec.step[1].tasks = 2;
+		j.spec.step[1].after = 1;
+		j.spec.step[1].estimate_ms = 100;
+		j.spec.step[1].speculative = true;
+		snprintf(j.spec.step[1].label, SEAM_NAME, "big");
+		ASSERT_EQ(seam_jobrow_new_done(&j), 0);
+	}
+	void TearDown() override
+	{
+		seam_jobrow_free(&j);
+	}
+	seam_jobrow back()
+	{
+		char *text = seam_jobrow_text(&j);
+		seam_row row = {};
+		seam_jobrow r = {};
+
+		seam_jobrow_key(j.spec.id, row.key);
+		row.data = text;
+		row.len = strlen(text);
+		EXPECT_EQ(seam_jobrow_read(&row, &r, &e), 0) << e.text;
+		free(text);
+		return r;
+	}
+};
+
+// Guards against members that are lost between two owners.
+TEST_F(Row, RoundTrip)
+{
+	seam_failed_run f = {0, 1, 70001};
+
+	j.done[0][2] = 1;
+	j.state = SEAM_JOB_RUNNING;
+	j.accepted_ms = 12345;
+	ASSERT_TRUE(seam_jobrow_add_failed(&j, &f));
+
+	seam_jobrow r = back();
+	EXPECT_STREQ(r.spec.id, j.spec.id);
+	EXPECT_STREQ(r.spec.text, j.spec.text);
+	EXPECT_STREQ(r.spec.pool, "p");
+	EXPECT_EQ(r.spec.attempts, 3);
+	EXPECT_EQ(r.spec.step[1].after, 1u);
+	EXPECT_TRUE(r.spec.step[1].speculative);
+	EXPECT_STREQ(r.spec.step[1].label, "big");
+	EXPECT_EQ(r.done[0][2], 1);
+	EXPECT_EQ(r.done[0][1], 0);
+	EXPECT_EQ(r.state, SEAM_JOB_RUNNING);
+	EXPECT_EQ(r.accepted_ms, 12345);
+	EXPECT_EQ(seam_jobrow_failures(&r, 0, 1), 1);
+	seam_jobrow_free(&r);
+}
+
+// Guards against an end that is listed again after a takeover and counted
+// twice, which failed a job before its attempts were used up.
+TEST_F(Row, FailedRunCountsOnce)
+{
+	seam_failed_run f = {0, 1, 70001};
+
+	EXPECT_TRUE(seam_jobrow_add_failed(&j, &f));
+	EXPECT_FALSE(seam_jobrow_add_failed(&j, &f));
+	f.run++;
+	EXPECT_TRUE(seam_jobrow_add_failed(&j, &f));
+	EXPECT_EQ(seam_jobrow_failures(&j, 0, 1), 2);
+	EXPECT_EQ(seam_jobrow_failures(&j, 0, 0), 0);
+}
+
+// Guards ends that the owner before committed late: they are kept.
+TEST_F(Row, MergeKeepsBoth)
+{
+	seam_jobrow other = back();
+	seam_failed_run f = {1, 0, 9};
+
+	j.done[0][0] = 1;
+	other.done[0][1] = 1;
+	seam_jobrow_add_failed(&other, &f);
+	seam_jobrow_merge(&j, &other);
+	EXPECT_EQ(j.done[0][0], 1);
+	EXPECT_EQ(j.done[0][1], 1);
+	EXPECT_EQ(j.done[0][2], 0);
+	EXPECT_EQ(seam_jobrow_failures(&j, 1, 0), 1);
+	seam_jobrow_free(&other);
+}
+
+// Guards against a crash or a leak on rows that are damaged.
+TEST_F(Row, DamagedRows)
+{
+	char *whole = seam_jobrow_text(&j);
+	std::string text = whole;
+
+	free(whole);
+	for (size_t n = 0; n < text.size(); n++) {
+		std::string cut = text.substr(0, n);
+		seam_row row = {};
+		seam_jobrow r;
+
+		seam_jobrow_key(j.spec.id, row.key);
+		row.data = &cut[0];
+		row.len = n;
+		EXPECT_EQ(seam_jobrow_read(&row, &r, &e), -1) << n;
+	}
+}
+
+// Guards the parts: one that is read must be one that is written to.
+TEST_F(Row, KeyNamesItsPart)
+{
+	char key[SEAM_KEY_MAX];
+
+	seam_jobrow_key("f123456789abcdef", key);
+	EXPECT_STREQ(key, "job/f/f123456789abcdef");
+	EXPECT_STREQ(seam_jobrow_id(key), "f123456789abcdef");
+	EXPECT_EQ(strlen(SEAM_JOB_PARTS), 16u);
+}
+
+// Guards the objective: chains go through the steps that wait for each other.
+TEST_F(Row, LongestChain)
+{
+	EXPECT_EQ(seam_jobspec_chain_ms(&j.spec), 800);
+	j.spec.step[1].after = 0;
+	EXPECT_EQ(seam_jobspec_chain_ms(&j.spec), 700);
+}
+
+// Guards against jobs that could never run, or name steps that are not there.
+TEST_F(Row, CheckRefuses)
+{
+	EXPECT_EQ(seam_jobspec_check(&j.spec, &e), 0);
+	j.spec.step[0].after = 1;
+	EXPECT_EQ(seam_jobspec_check(&j.spec, &e), -1);
+	j.spec.step[0].after = 0;
+	j.spec.step[1].tasks = 0;
+	EXPECT_EQ(seam_jobspec_check(&j.spec, &e), -1);
+	j.spec.step[1].tasks = 2;
+	snprintf(j.spec.id, sizeof(j.spec.id), "XYZ");
+	EXPECT_EQ(seam_jobspec_check(&j.spec, &e), -1);
+	EXPECT_EQ(e.kind, SEAM_BAD_REQUEST);
+}
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,779 @@
+#ifndef WORLD_H
+#define WORLD_H
+
+// The users' platform in memory, at the interfaces of the owner: a store with a
+// feed, workers with leases and tokens, and the list of VMs. Times are real.
+#include <condition_variable>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <unistd.h>
+
+#include "process/board.h"
+
+// Waits up to @ms until @done holds.
+static inline bool eventually(std::function<bool()> done, int ms = 8000)
+{
+	for (int i = 0; i < ms / 5; i++) {
+		if (done())
+			return true;
+		usleep(5000);
+	}
+	return done();
+}
+
+// A store with a feed of changes.
+struct FeedStore {
+	seam_store base;
+	std::mutex lock;
+	std::condition_variable changed;
+	struct Entry {
+		std::string data;
+		uint64_t version = 0;
+		uint64_t writer = 0;
+		bool gone = false;
+	};
+	std::map<std::string, Entry> rows;
+	uint64_t version = 0;
+	bool down = false;
+	int lose_answers =
+		0; // of the next commits, so many are done unanswered
+	int hold_commits =
+		0; // of the next ones, so many are not done, unanswered
+	int refuse_commits = 0;
+	uint64_t forgotten = 0; // watches from before are stale
+	int commits = 0;
+	size_t largest = 0;
+
+	FeedStore();
+
+	void put(const std::string &key, const std::string &data)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		rows[key] = {data, ++version, 0, false};
+		changed.notify_all();
+	}
+	void del(const std::string &key)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		rows[key] = {"", ++version, 0, true};
+		changed.notify_all();
+	}
+	std::string get(const std::string &key)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		auto it = rows.find(key);
+		return it == rows.end() || it->second.gone ? "" :
+							     it->second.data;
+	}
+	uint64_t version_of(const std::string &key)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		auto it = rows.find(key);
+		return it == rows.end() || it->second.gone ? 0 :
+							     it->second.version;
+	}
+	static void fill(seam_row *r, const std::string &key, const Entry &e)
+	{
+		memset(r, 0, sizeof(*r));
+		snprintf(r->key, sizeof(r->key), "%s", key.c_str());
+		r->version = e.version;
+		r->writer = e.writer;
+		if (e.gone)
+			return;
+		r->data = strdup(e.data.c_str());
+		r->len = e.data.size();
+	}
+};
+
+static inline FeedStore *feed_of(seam_store *s)
+{
+	return (FeedStore *)s; // its base is the first member
+}
+
+static int feed_scan(seam_store *s, const char *prefix, const char *after,
+		     size_t max, seam_rows *out, seam_time, seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::lock_guard<std::mutex> l(f->lock);
+
+	memset(out, 0, sizeof(*out));
+	if (f->down)
+		return seam_fail(e, SEAM_UNAVAILABLE, "down");
+	out->row = (seam_row *)calloc(f->rows.size() + 1, sizeof(seam_row));
+	out->version = f->version;
+	for (auto &r : f->rows)
+		if (!r.second.gone &&
+		    !r.first.compare(0, strlen(prefix), prefix) &&
+		    (!after || r.first > after) && out->n < max)
+			FeedStore::fill(&out->row[out->n++], r.first, r.second);
+	return 0;
+}
+
+static int feed_get(seam_store *s, const char *key, seam_row *row, seam_time,
+		    seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::lock_guard<std::mutex> l(f->lock);
+
+	if (f->down)
+		return seam_fail(e, SEAM_UNAVAILABLE, "down");
+	auto it = f->rows.find(key);
+	if (it == f->rows.end() || it->second.gone)
+		return seam_fail(e, SEAM_NOT_FOUND, "no row");
+	FeedStore::fill(row, key, it->second);
+	return 0;
+}
+
+static int feed_apply(FeedStore *f, seam_commit *c, seam_err *e)
+{
+	for (size_t i = 0; i < c->n; i++) {
+		const seam_write *w = &c->write[i];
+		auto it = f->rows.find(w->key);
+		uint64_t now = it == f->rows.end() || it->second.gone ?
+				       0 :
+				       it->second.version;
+
+		if (w->version != SEAM_ANY_VERSION && w->version != now)
+			return seam_fail(e, SEAM_CONFLICT, "%s", w->key);
+	}
+	c->version = ++f->version;
+	for (size_t i = 0; i < c->n; i++) {
+		const seam_write *w = &c->write[i];
+
+		if (w->op == SEAM_PUT)
+			f->rows[w->key] = {std::string(w->data, w->len),
+					   c->version, c->token, false};
+		else if (w->op == SEAM_DELETE)
+			f->rows[w->key] = {"", c->version, c->token, true};
+	}
+	f->changed.notify_all();
+	return 0;
+}
+
+static int feed_commit(seam_store *s, seam_commit *c, seam_time, seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::lock_guard<std::mutex> l(f->lock);
+	size_t entries = 0;
+
+	if (f->down)
+		return seam_fail(e, SEAM_UNAVAILABLE, "down");
+	if (f->refuse_commits > 0) {
+		f->refuse_commits--;
+		return seam_fail(e, SEAM_UNAVAILABLE, "refused");
+	}
+	// The service counts each expected version and each write.
+	for (size_t i = 0; i < c->n; i++)
+		entries += (c->write[i].version != SEAM_ANY_VERSION) +
+			   (c->write[i].op != SEAM_CHECK);
+	if (entries > 100)
+		return seam_fail(e, SEAM_BAD_REQUEST, "over 100 entries");
+	f->commits++;
+	f->largest = std::max(f->largest, entries);
+	if (f->hold_commits > 0) {
+		f->hold_commits--;
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
+	}
+	if (feed_apply(f, c, e))
+		return -1;
+	if (f->lose_answers > 0) {
+		f->lose_answers--;
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
+	}
+	return 0;
+}
+
+static int feed_watch(seam_store *s, const char *prefix, uint64_t *after,
+		      seam_rows *out, seam_time, seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::unique_lock<std::mutex> l(f->lock);
+	auto end = std::chrono::steady_clock::now() +
+		   std::chrono::milliseconds(200);
+
+	memset(out, 0, sizeof(*out));
+	for (;;) {
+		if (f->down)
+			return seam_fail(e, SEAM_UNAVAILABLE, "down");
+		if (*after < f->forgotten)
+			return seam_fail(e, SEAM_STALE, "forgotten");
+		free(out->row);
+		out->row = (seam_row *)calloc(f->rows.size() + 1,
+					      sizeof(seam_row));
+		for (auto &r : f->rows)
+			if (r.second.version > *after &&
+			    !r.first.compare(0, strlen(prefix), prefix))
+				FeedStore::fill(&out->row[out->n++], r.first,
+						r.second);
+		if (out->n ||
+		    f->changed.wait_until(l, end) == std::cv_status::timeout)
+			break;
+	}
+	*after = f->version;
+	return 0;
+}
+
+static void feed_close(seam_store *)
+{
+}
+
+static const seam_store_ops feed_ops = {feed_get, feed_scan, feed_commit,
+					feed_watch, feed_close};
+
+inline FeedStore::FeedStore()
+{
+	base.ops = &feed_ops;
+}
+
+// One worker with its runs; a run ends by itself after its text's milliseconds.
+struct FakeWorker {
+	std::mutex lock;
+	std::string id;
+	int64_t born = 1;
+	uint64_t token = 0;
+	int64_t clock_at_us = 0;
+	bool silent = false; // answers nothing
+	int lose_starts = 0; // so many starts are done without an answer
+	int late_starts = 0; // so many starts are kept and done by do_late()
+	bool fail_all = false;
+	int acked = 0;
+	int64_t lease = 0;
+	int64_t next_end = 1;
+	struct Run {
+		std::string task;
+		int64_t run;
+		int64_t until_us;
+		bool lasts;
+	};
+	struct End {
+		int64_t n;
+		std::string task;
+		int64_t run;
+		int how;
+	};
+	std::vector<Run> runs;
+	std::vector<End> ends;
+	std::map<std::string, int64_t> refused; // highest run stopped or ended
+	std::vector<seam_start> late;
+	std::vector<std::string> late_task;
+
+	static int64_t us()
+	{
+		timespec ts;
+
+		clock_gettime(CLOCK_MONOTONIC, &ts);
+		return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+	}
+	int64_t clock_ms()
+	{
+		if (!clock_at_us)
+			clock_at_us = us() - 5000000;
+		return (us() - clock_at_us) / 1000;
+	}
+	void end(size_t i, int how)
+	{
+		ends.push_back({next_end++, runs[i].task, runs[i].run, how});
+		refused[runs[i].task] =
+			std::max(refused[runs[i].task], runs[i].run);
+		runs.erase(runs.begin() + (long)i);
+	}
+	void tick()
+	{
+		bool lapsed = lease && clock_ms() > lease;
+
+		for (size_t i = runs.size(); i-- > 0;) {
+			if (lapsed)
+				end(i, SEAM_END_LAPSED);
+			else if (!runs[i].lasts && us() > runs[i].until_us)
+				end(i,
+				    fail_all ? SEAM_END_FAILED : SEAM_END_DONE);
+		}
+	}
+	enum seam_refusal begin(const std::string &task, int64_t run,
+				const std::string &text, uint64_t with,
+				int64_t until)
+	{
+		tick();
+		if (with < token)
+			return SEAM_ORDER_FENCED;
+		token = with;
+		if (until <= clock_ms())
+			return SEAM_ORDER_LATE;
+		lease = std::max(lease, until);
+		for (auto &r : runs)
+			if (r.task == task && r.run == run)
+				return SEAM_ORDER_DONE;
+		if (refused.count(task) && refused[task] >= run)
+			return SEAM_ORDER_OLD;
+		runs.push_back({task, run, us() + atoll(text.c_str()) * 1000,
+				text == "lasts"});
+		return SEAM_ORDER_DONE;
+	}
+	void restart()
+	{
+		std::lock_guard<std::mutex> l(lock);
+
+		runs.clear();
+		ends.clear();
+		refused.clear();
+		token = 0;
+		lease = 0;
+		next_end = 1;
+		clock_at_us = us();
+		born++;
+	}
+	size_t running(const std::string &task = "")
+	{
+		std::lock_guard<std::mutex> l(lock);
+		size_t n = 0;
+
+		tick();
+		for (auto &r : runs)
+			n += task.empty() || r.task == task;
+		return n;
+	}
+};
+
+struct World;
+
+struct FakeRunner {
+	seam_runner base;
+	FakeWorker *w;
+	World *world;
+};
+
+// All of it.
+struct World {
+	FeedStore store;
+	std::map<std::string, FakeWorker *> workers;
+	std::mutex lock;
+	std::map<std::string, int> starts; // task to runs that began
+	std::map<std::string, std::set<std::string>> live; // runs at this time
+	int twice = 0; // tasks that ran twice at the same time
+	seam_runners runners;
+	seam_inventory vms;
+	seam_ports ports = {};
+	std::vector<seam_vm_info> vm;
+	std::vector<std::string> orders; // "move VM POOL", "maintain VM"
+	seam_op_state ops = {};
+	seam_clock *clock = seam_clock_boot();
+
+	World();
+	~World();
+
+	FakeWorker *add_worker(const std::string &id,
+			       const std::string &pool = "p",
+			       int64_t cpu = 8000, const std::string &dc = "d1")
+	{
+		FakeWorker *w = new FakeWorker;
+		seam_vm_info v = {};
+
+		w->id = id;
+		workers[id] = w;
+		row(id, pool, cpu, dc, false);
+		snprintf(v.vm, SEAM_NAME, "vm-%s", id.c_str());
+		snprintf(v.pool, SEAM_NAME, "%s", pool.c_str());
+		snprintf(v.dc, SEAM_NAME, "%s", dc.c_str());
+		snprintf(v.worker, SEAM_NAME, "%s", id.c_str());
+		vm.push_back(v);
+		return w;
+	}
+	// A worker's row in the words of World::read_worker().
+	void row(const std::string &id, const std::string &pool, int64_t cpu,
+		 const std::string &dc, bool draining)
+	{
+		store.put("workers/" + id,
+			  pool + " " + std::to_string(cpu) + " " + dc + " " +
+				  std::to_string(workers[id]->born) + " " +
+				  (draining ? "1" : "0"));
+	}
+	void config(int64_t limit_cpu = 0)
+	{
+		store.put("op/config", std::to_string(++config_version) + " " +
+					       std::to_string(limit_cpu));
+	}
+	int config_version = 0;
+
+	// Puts the row of a job of @tasks tasks a step that run @text.
+	void job(const std::string &id, int tasks, const std::string &text,
+		 int steps = 1, std::function<void(seam_step *)> set = nullptr)
+	{
+		seam_jobrow j = {};
+
+		snprintf(j.spec.id, sizeof(j.spec.id), "%s", id.c_str());
+		snprintf(j.spec.queue, SEAM_NAME, "q");
+		snprintf(j.spec.pool, SEAM_NAME, "p");
+		snprintf(j.spec.workspace, SEAM_NAME, "w");
+		j.spec.attempts = 3;
+		j.spec.text = strdup(text.c_str());
+		j.spec.step = (seam_step *)calloc((size_t)steps + 1,
+						  sizeof(seam_step));
+		j.spec.steps = steps;
+		for (int i = 0; i < steps; i++) {
+			j.spec.step[i].tasks = tasks;
+			j.spec.step[i].need.cpu = 1000;
+			j.spec.step[i].estimate_ms = 100;
+			j.spec.step[i].lasting = text == "lasts";
+			if (i)
+				j.spec.step[i].after = UINT64_C(1) << (i - 1);
+			if (set)
+				set(&j.spec.step[i]);
+		}
+		seam_jobrow_new_done(&j);
+		char *row = seam_jobrow_text(&j);
+		char key[SEAM_KEY_MAX];
+
+		seam_jobrow_key(id.c_str(), key);
+		store.put(key, row);
+		free(row);
+		seam_jobrow_free(&j);
+	}
+	std::string state(const std::string &id)
+	{
+		char key[SEAM_KEY_MAX];
+
+		seam_jobrow_key(id.c_str(), key);
+		std::string row = store.get(key);
+		size_t at = row.find("\"state\":\"");
+		return at == std::string::npos ?
+			       "" :
+			       row.substr(at + 9,
+					  row.find('"', at + 9) - at - 9);
+	}
+	void began(const std::string &task, const std::string &worker)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		starts[task]++;
+		(void)worker;
+	}
+	int started(const std::string &task)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		return starts[task];
+	}
+	size_t running(const std::string &task = "")
+	{
+		size_t n = 0;
+
+		for (auto &w : workers)
+			n += w.second->running(task);
+		return n;
+	}
+};
+
+static int fake_start(seam_runner *r, const seam_start *s, seam_refusal *said,
+		      int64_t *clock_ms, seam_time, seam_err *e)
+{
+	FakeWorker *w = ((FakeRunner *)r)->w;
+	std::lock_guard<std::mutex> l(w->lock);
+
+	if (w->silent)
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "silent");
+	if (w->late_starts > 0) {
+		w->late_starts--;
+		w->late.push_back(*s);
+		w->late_task.push_back(s->task);
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
+	}
+	size_t before = w->runs.size();
+	*said = w->begin(s->task, s->run, s->text, s->token, s->lease_until);
+	*clock_ms = w->clock_ms();
+	if (w->runs.size() > before)
+		((FakeRunner *)r)->world->began(s->task, w->id);
+	if (w->lose_starts > 0) {
+		w->lose_starts--;
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
+	}
+	return 0;
+}
+
+static int fake_stop(seam_runner *r, const char *task, int64_t run,
+		     uint64_t token, seam_refusal *said, seam_time, seam_err *e)
+{
+	FakeWorker *w = ((FakeRunner *)r)->w;
+	std::lock_guard<std::mutex> l(w->lock);
+
+	if (w->silent)
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "silent");
+	w->tick();
+	*said = token < w->token ? SEAM_ORDER_FENCED : SEAM_ORDER_DONE;
+	if (*said != SEAM_ORDER_DONE)
+		return 0;
+	w->token = token;
+	w->refused[task] = std::max(w->refused[task], run);
+	for (size_t i = w->runs.size(); i-- > 0;)
+		if (w->runs[i].task == task && w->runs[i].run <= run)
+			w->end(i, SEAM_END_STOPPED);
+	return 0;
+}
+
+static int fake_hold(seam_runner *r, const seam_hold *h, seam_refusal *said,
+		     seam_listing *out, seam_time, seam_err *e)
+{
+	FakeWorker *w = ((FakeRunner *)r)->w;
+	std::unique_lock<std::mutex> l(w->lock);
+
+	memset(out, 0, sizeof(*out));
+	if (w->silent) {
+		l.unlock();
+		usleep(50000);
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "silent");
+	}
+	w->tick();
+	*said = h->token < w->token ? SEAM_ORDER_FENCED : SEAM_ORDER_DONE;
+	if (*said != SEAM_ORDER_DONE)
+		return 0;
+	w->token = h->token;
+	w->lease = std::max(w->lease, h->lease_until);
+	w->acked = std::max(w->acked, (int)h->acked);
+	while (!w->ends.empty() && w->ends[0].n <= h->acked)
+		w->ends.erase(w->ends.begin());
+	out->clock_ms = w->clock_ms();
+	out->born_ms = w->born;
+	out->run = (seam_listed_run *)calloc(w->runs.size() + 1,
+					     sizeof(seam_listed_run));
+	for (auto &x : w->runs) {
+		seam_listed_run *o = &out->run[out->runs++];
+
+		snprintf(o->task, sizeof(o->task), "%s", x.task.c_str());
+		o->run = x.run;
+		o->percent = x.lasts ? 100 : 50;
+	}
+	out->end = (seam_listed_end *)calloc(w->ends.size() + 1,
+					     sizeof(seam_listed_end));
+	for (auto &x : w->ends) {
+		seam_listed_end *o = &out->end[out->ends++];
+
+		o->number = x.n;
+		snprintf(o->task, sizeof(o->task), "%s", x.task.c_str());
+		o->run = x.run;
+		o->how = x.how;
+	}
+	return 0;
+}
+
+static int fake_pace(seam_runner *, const char *, int64_t, int, uint64_t,
+		     seam_refusal *said, seam_time, seam_err *)
+{
+	*said = SEAM_ORDER_DONE;
+	return 0;
+}
+
+static void fake_close(seam_runner *r)
+{
+	delete (FakeRunner *)r;
+}
+
+static const seam_runner_ops fake_runner_ops = {
+	fake_start, fake_stop, fake_hold, fake_pace, fake_close};
+
+static World *the_world; // of the running test
+
+static seam_runner *fake_open(seam_runners *, const char *id, const char *)
+{
+	FakeRunner *r = new FakeRunner;
+
+	r->base.ops = &fake_runner_ops;
+	r->world = the_world;
+	r->w = the_world->workers[id];
+	return &r->base;
+}
+
+static const seam_runners_ops fake_runners_ops = {fake_open};
+
+static int fake_list(seam_inventory *, seam_vm_info **vm, size_t *n, seam_time,
+		     seam_err *)
+{
+	std::lock_guard<std::mutex> l(the_world->lock);
+	size_t size = the_world->vm.size() * sizeof(seam_vm_info);
+
+	*n = the_world->vm.size();
+	*vm = (seam_vm_info *)malloc(size + 1);
+	memcpy(*vm, the_world->vm.data(), size);
+	return 0;
+}
+
+static int fake_move(seam_inventory *, const char *vm, const char *pool,
+		     uint64_t, seam_vm_said *said, seam_time, seam_err *)
+{
+	std::lock_guard<std::mutex> l(the_world->lock);
+
+	the_world->orders.push_back(std::string("move ") + vm + " " + pool);
+	*said = SEAM_VM_DONE;
+	return 0;
+}
+
+static int fake_maintain(seam_inventory *, const char *vm, int64_t, uint64_t,
+			 seam_vm_said *said, seam_time, seam_err *)
+{
+	std::lock_guard<std::mutex> l(the_world->lock);
+
+	the_world->orders.push_back(std::string("maintain ") + vm);
+	*said = SEAM_VM_DONE;
+	return 0;
+}
+
+static void fake_inventory_close(seam_inventory *)
+{
+}
+
+static const seam_inventory_ops fake_inventory_ops = {
+	fake_list, fake_move, fake_maintain, fake_inventory_close};
+
+static int read_worker(const char *key, const char *text, seam_worker_info *w,
+		       seam_err *e)
+{
+	int draining = 0;
+	long long cpu = 0;
+	long long born = 0;
+
+	memset(w, 0, sizeof(*w));
+	snprintf(w->id, SEAM_NAME, "%s", strrchr(key, '/') + 1);
+	snprintf(w->addr, SEAM_NAME, "%s", w->id);
+	snprintf(w->vm, SEAM_NAME, "vm-%.50s", w->id);
+	if (sscanf(text, "%63s %lld %63s %lld %d", w->pool, &cpu, w->dc, &born,
+		   &draining) != 5)
+		return seam_fail(e, SEAM_BAD_REQUEST, "broken row");
+	w->capacity = {cpu, 100000, 0};
+	w->born_ms = born;
+	w->draining = draining;
+	return 0;
+}
+
+static seam_catalog *read_config(const char *text, seam_err *)
+{
+	seam_catalog *c = (seam_catalog *)calloc(1, sizeof(*c));
+	long long version = 0;
+	long long limit = 0;
+
+	sscanf(text, "%lld %lld", &version, &limit);
+	c->version = (uint64_t)version;
+	c->queue = (seam_job_queue *)calloc(1, sizeof(*c->queue));
+	c->queues = 1;
+	snprintf(c->queue->name, SEAM_NAME, "q");
+	snprintf(c->queue->pool, SEAM_NAME, "p");
+	snprintf(c->queue->prefix, sizeof(c->queue->prefix), "/q/");
+	snprintf(c->queue->host, sizeof(c->queue->host), "host");
+	c->queue->attempts = 3;
+	c->queue->stretch = 2;
+	c->queue->target_ms = 1000;
+	c->pool = (seam_pool_info *)calloc(1, sizeof(*c->pool));
+	c->pools = 1;
+	snprintf(c->pool->name, SEAM_NAME, "p");
+	c->pool->guarded = true;
+	c->workspace = (seam_job_workspace *)calloc(1, sizeof(*c->workspace));
+	c->workspaces = 1;
+	snprintf(c->workspace->name, SEAM_NAME, "w");
+	c->workspace->weight = 1000;
+	c->workspace->limit.cpu = limit;
+	c->workspace->key = (char(*)[SEAM_NAME])calloc(1, SEAM_NAME);
+	c->workspace->keys = 1;
+	snprintf(c->workspace->key[0], SEAM_NAME, "key");
+	return c;
+}
+
+// "NUMBER AT_ONCE VM,VM"
+static int read_wave(const char *text, seam_wave *w, seam_time *left,
+		     seam_err *e)
+{
+	char list[1000] = "";
+	long long number = 0;
+
+	memset(w, 0, sizeof(*w));
+	if (sscanf(text, "%lld %d %999s", &number, &w->at_once, list) != 3)
+		return seam_fail(e, SEAM_BAD_CONFIG, "broken wave");
+	w->number = number;
+	*left = 20 * SEAM_SEC;
+	w->vm = (char(*)[SEAM_NAME])calloc(100, SEAM_NAME);
+	for (char *v = strtok(list, ","); v; v = strtok(nullptr, ","))
+		snprintf(w->vm[w->vms++], SEAM_NAME, "%s", v);
+	return 0;
+}
+
+static char *wave_state(bool completed)
+{
+	return strdup(completed ? "completed" : "running");
+}
+
+inline World::World()
+{
+	seam_err e = SEAM_ERR_INIT;
+
+	the_world = this;
+	runners.ops = &fake_runners_ops;
+	vms.ops = &fake_inventory_ops;
+	ports.store = &store.base;
+	ports.runners = &runners;
+	ports.vms = &vms;
+	ports.worker_rows = "workers/";
+	ports.worker = read_worker;
+	ports.op_rows = "op/";
+	ports.config_row = "op/config";
+	ports.config = read_config;
+	ports.evacuation_rows = "op/out/";
+	ports.wave_rows = "op/wave/";
+	ports.wave = read_wave;
+	ports.wave_status_rows = "status/wave/";
+	ports.wave_state = wave_state;
+	config();
+	seam_op_state_start(&ops, &ports, clock, &e);
+	eventually([&] { return seam_op_state_ready(&ops); });
+}
+
+inline World::~World()
+{
+	seam_op_state_stop(&ops);
+	seam_catalog_free(ops.catalog.now);
+	for (auto &w : workers)
+		delete w.second;
+}
+
+// A node that owns the term.
+struct Owner {
+	World *world;
+	seam_lead lead;
+	seam_board *board = nullptr;
+	seam_err e = SEAM_ERR_INIT;
+	std::thread renewals;
+	bool stop = false;
+
+	Owner(World *w, const char *name) : world(w)
+	{
+		seam_board_conf conf = {500 * SEAM_MSEC, 6 * SEAM_SEC, SEAM_SEC,
+					4 * SEAM_SEC};
+
+		seam_lead_init(&lead, &w->store.base, w->clock, name);
+		eventually([&] { return seam_lead_try(&lead, &e); });
+		board = seam_board_open(&conf, w->clock, &w->ports,
+					&w->ops.catalog, &w->ops, &lead, &e);
+	}
+	// Renewals go on until the test ends the owner.
+	void renew()
+	{
+		renewals = std::thread([this] {
+			seam_err err = SEAM_ERR_INIT;
+
+			while (!__atomic_load_n(&stop, __ATOMIC_ACQUIRE)) {
+				seam_lead_renew(&lead, &err);
+				usleep(100000);
+			}
+		});
+	}
+	~Owner()
+	{
+		__atomic_store_n(&stop, true, __ATOMIC_RELEASE);
+		if (renewals.joinable())
+			renewals.join();
+		if (board)
+			seam_board_close(board);
+	}
+};
+
+#endif
