owner: a wave counts its own maintenance; silent workers are missing

Change: the set of maintained VMs begins anew with each wave. A lasting task counts as at work only while its worker answers.

--- a/process/board_leave.c
+++ b/process/board_leave.c
@@ -5,19 +5,25 @@
 #define AT_WORK 100 /* percent of a lasting task that serves */
 #define SPARE_MS 300 /* a run that needs longer than a leaving worker has */
 
-static bool at_work(const struct seam_job_task *t)
+/* A worker that does not answer may be gone, so its tasks count as away. */
+static bool at_work(struct seam_board *b, const struct seam_job_task *t)
 {
 	int i;
 
-	for (i = 0; i < SEAM_COPIES; i++)
-		if (t->run[i].state == SEAM_RUN_LIVE && !t->run[i].stop &&
-		    t->run[i].percent >= AT_WORK)
+	for (i = 0; i < SEAM_COPIES; i++) {
+		const struct seam_run_slot *r = &t->run[i];
+		const struct seam_worker *w = board_worker(b, r->worker);
+
+		if (r->state == SEAM_RUN_LIVE && !r->stop &&
+		    r->percent >= AT_WORK && w && w->answered && w->listed)
 			return true;
+	}
 	return false;
 }
 
 /* Whether one more task of a step may be away because of planned work. */
-static bool may_take_away(const struct seam_job *j, int step, int task)
+static bool may_take_away(struct seam_board *b, const struct seam_job *j,
+			  int step, int task)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 	int64_t away = 0;
@@ -26,7 +32,7 @@
 	if (!s->may_miss)
 		return true;
 	for (t = 0; t < s->tasks; t++)
-		away += t != task && !at_work(&j->task[step][t]);
+		away += t != task && !at_work(b, &j->task[step][t]);
 	return away < s->may_miss;
 }
 
@@ -36,13 +42,14 @@
 }
 
 /* Whether a run is to be stopped because its worker leaves. */
-static bool must_stop(const struct seam_worker *w, const struct seam_job *j,
-		      int step, int task, const struct seam_run_slot *r)
+static bool must_stop(struct seam_board *b, const struct seam_worker *w,
+		      const struct seam_job *j, int step, int task,
+		      const struct seam_run_slot *r)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 
 	if (s->lasting)
-		return w->info.draining || may_take_away(j, step, task);
+		return w->info.draining || may_take_away(b, j, step, task);
 	/* A stop saves the work of a task that can. */
 	if (!s->checkpoints)
 		return false;
@@ -67,7 +74,7 @@
 
 			if (r->state == SEAM_RUN_FREE || r->stop ||
 			    !seam_handle_eq(r->worker, w->self) ||
-			    !must_stop(w, j, ref.step, ref.task, r))
+			    !must_stop(b, w, j, ref.step, ref.task, r))
 				continue;
 			seam_log(
 				SEAM_INFO, "worker",
--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -16,8 +16,9 @@
 /* An order without an answer may be carried out so much later. */
 #define UNSURE (3 * SEAM_SEC)
 #define POOL_MIN 2 /* workers that a pool keeps without demand */
-#define CROWDED 1.3 /* demand in parts of the fleet from which it is crowded \
-		     */
+#define CROWDED                                                      \
+	1.3 /* demand in parts of the fleet from which it is crowded \
+	     */
 #define HEADROOM                                                    \
 	1 /* workers beyond demand, for the jobs of the next moment \
 	   */
@@ -92,7 +93,8 @@
 		if (w->info.draining)
 			v->up = false;
 	}
-	if (o && info->state == SEAM_PHASE_MAINTAINED && o->wave)
+	if (o && info->state == SEAM_PHASE_MAINTAINED && l->has_wave &&
+	    o->wave == l->wave.number)
 		g_hash_table_add(l->board->wave_done, g_strdup(info->vm));
 	if (info->state == SEAM_PHASE_MAINTAINED ||
 	    (o && o->wave && l->now < o->until))
@@ -502,6 +504,16 @@
 	json_object_put(o);
 }
 
+/* What the wave before has maintained says nothing of this one. */
+static void begin_wave(struct seam_board *b, int64_t number)
+{
+	pthread_mutex_lock(&b->lock);
+	g_hash_table_remove_all(b->wave_done);
+	b->wave_kept = 0;
+	b->wave_loaded = number;
+	pthread_mutex_unlock(&b->lock);
+}
+
 /* Reads what owners before us have done for the wave. */
 static void load_done(struct look *l)
 {
@@ -517,18 +529,17 @@
 	if (seam_store_get(b->ports->store, key, &row,
 			   seam_now(b->clock) + STORE_CALL, &e)) {
 		if (e.kind == SEAM_NOT_FOUND)
-			b->wave_loaded = l->wave.number;
+			begin_wave(b, l->wave.number);
 		return;
 	}
 	o = json_tokener_parse(row.data);
 	json_object_object_get_ex(o, "done", &list);
+	begin_wave(b, l->wave.number);
 	pthread_mutex_lock(&b->lock);
-	g_hash_table_remove_all(b->wave_done);
 	for (i = 0; list && i < json_object_array_length(list); i++)
 		g_hash_table_add(b->wave_done,
 				 g_strdup(json_object_get_string(
 					 json_object_array_get_idx(list, i))));
-	b->wave_loaded = l->wave.number;
 	pthread_mutex_unlock(&b->lock);
 	json_object_put(o);
 	seam_row_free(&row);
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -418,3 +418,46 @@
 	EXPECT_NE(w.store.get("vm/orders").find("vm-a"), std::string::npos);
 	EXPECT_NE(w.store.get("wave/1").find("vm-a"), std::string::npos);
 }
+
+// Guards against a second wave that is said to be done by what the first did.
+TEST_F(Board, EachWaveMaintainsItsVms)
+{
+	auto orders = [&] {
+		std::lock_guard<std::mutex> l(w.lock);
+		return w.orders.size();
+	};
+
+	w.add_worker("a");
+	w.store.put("op/wave/1", "1 1 vm-a");
+	Owner o(&w, "n1");
+	o.renew();
+	EXPECT_TRUE(eventually(
+		[&] { return w.store.get("status/wave/1") == "completed"; }));
+	EXPECT_EQ(orders(), 1u);
+	w.store.put("op/wave/2", "2 1 vm-a");
+	EXPECT_TRUE(eventually(
+		[&] { return w.store.get("status/wave/2") == "completed"; }));
+	EXPECT_EQ(orders(), 2u);
+}
+
+// Guards the availability budget: a task on a worker that does not answer is
+// away, whatever it was when it was listed last.
+TEST_F(Board, BudgetCountsSilentWorkers)
+{
+	for (const char *id : {"a", "b", "c"})
+		w.add_worker(id);
+	Owner o(&w, "n1");
+	o.renew();
+	w.job(ID, 3, "lasts", 1, [](seam_step *s) {
+		s->per_worker = 1;
+		s->may_miss = 1;
+	});
+	EXPECT_TRUE(eventually([&] { return w.running() == 3; }));
+	usleep(200000);
+	w.workers["a"]->silent = true;
+	usleep(300000);
+	w.store.put("op/wave/1", "1 3 vm-b,vm-c");
+	usleep(1500000);
+	EXPECT_EQ(w.workers["b"]->running(), 1u);
+	EXPECT_EQ(w.workers["c"]->running(), 1u);
+}
