--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,155 @@
+// The store through other nodes, when it turns this one away.
+#include <gtest/gtest.h>
+
+#include "process/store_relay.h"
+#include "tests/addr.h"
+#include "tests/world.h"
+
+// A node with a store of its own view, which serves others at its address.
+struct Node {
+	FeedStore *view;
+	seam_http *http = nullptr;
+	seam_store *relay;
+
+	Node(FeedStore *v, const char *name, int port, const std::string &seeds)
+	    : view(v)
+	{
+		std::string control = test_addr(port);
+		seam_relay_conf c = {name, control.c_str(), seeds.c_str()};
+		seam_err e = SEAM_ERR_INIT;
+
+		relay = seam_store_relay_new(&v->base, seam_clock_boot(), &c);
+		http = seam_http_new(seam_clock_boot());
+		seam_store_relay_serve(relay, http);
+		seam_http_start(http, control.c_str(), 8, &e);
+	}
+	~Node()
+	{
+		seam_http_free(http);
+		seam_store_close(relay);
+	}
+};
+
+// Both nodes use one FeedStore; @near is what the first reaches itself.
+struct Relay : ::testing::Test {
+	FeedStore near;
+	FeedStore far;
+	Node a{&near, "a", 27010, test_addr(27011) + "," + test_addr(27012)};
+	Node b{&far, "b", 27011, ""};
+	seam_err e = SEAM_ERR_INIT;
+
+	seam_time in(int ms)
+	{
+		return seam_now(seam_clock_boot()) + ms * SEAM_MSEC;
+	}
+	int put(const char *key, uint64_t expect, int ms = 2000)
+	{
+		seam_write w = {SEAM_PUT, key, expect, "x", 1};
+		seam_commit c = {&w, 1, seam_store_token(), 0};
+
+		seam_err_clear(&e);
+		return seam_store_commit(a.relay, &c, in(ms), &e);
+	}
+};
+
+// Guards the plain way: no other node is asked while the store answers.
+TEST_F(Relay, DirectFirst)
+{
+	EXPECT_EQ(put("t/x", SEAM_ABSENT), 0);
+	EXPECT_EQ(near.get("t/x"), "x");
+	EXPECT_EQ(far.get("t/x"), "");
+	EXPECT_FALSE(seam_store_relay_lost(a.relay));
+}
+
+// Guards callers of a node that the store turns away.
+TEST_F(Relay, ThroughAnotherNode)
+{
+	seam_row row;
+	seam_rows rows;
+	uint64_t after = 0;
+
+	near.down = true;
+	EXPECT_EQ(put("t/x", SEAM_ABSENT), 0) << e.text;
+	EXPECT_EQ(far.get("t/x"), "x");
+	ASSERT_EQ(seam_store_get(a.relay, "t/x", &row, in(2000), &e), 0);
+	EXPECT_STREQ(row.data, "x");
+	seam_row_free(&row);
+	ASSERT_EQ(seam_store_scan(a.relay, "t/", nullptr, 10, &rows, in(2000),
+				  &e),
+		  0);
+	EXPECT_EQ(rows.n, 1u);
+	EXPECT_EQ(rows.version, 1u);
+	seam_rows_free(&rows);
+	ASSERT_EQ(seam_store_watch(a.relay, "t/", &after, &rows, in(2000), &e),
+		  0);
+	EXPECT_EQ(rows.n, 1u);
+	EXPECT_EQ(after, 1u);
+	seam_rows_free(&rows);
+	EXPECT_EQ(put("t/x", SEAM_ABSENT), -1);
+	EXPECT_EQ(e.kind, SEAM_CONFLICT);
+	EXPECT_EQ(seam_store_get(a.relay, "t/y", &row, in(2000), &e), -1);
+	EXPECT_EQ(e.kind, SEAM_NOT_FOUND);
+	EXPECT_FALSE(seam_store_relay_lost(a.relay));
+}
+
+// Guards deleted rows and a forgotten history over a second node.
+TEST_F(Relay, FeedThroughAnotherNode)
+{
+	seam_rows rows;
+	uint64_t after = 0;
+
+	near.down = true;
+	far.put("t/x", "1");
+	far.del("t/x");
+	ASSERT_EQ(seam_store_watch(a.relay, "t/", &after, &rows, in(2000), &e),
+		  0);
+	ASSERT_EQ(rows.n, 1u);
+	EXPECT_EQ(rows.row[0].data, nullptr);
+	seam_rows_free(&rows);
+	far.forgotten = 100;
+	EXPECT_EQ(seam_store_watch(a.relay, "t/", &after, &rows, in(2000), &e),
+		  -1);
+	EXPECT_EQ(e.kind, SEAM_STALE);
+}
+
+// Guards "not run": a commit that may have applied through one node must not be
+// told as refused because the next try was. Jobs that were refused so had run.
+TEST_F(Relay, UnknownIsNotRefused)
+{
+	near.hold_commits = 1;
+	far.down = true;
+	EXPECT_EQ(put("t/x", SEAM_ABSENT), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	near.down = true;
+	far.down = false;
+	far.hold_commits = 1;
+	usleep(800000); // a node that could not help is left alone so long
+	EXPECT_EQ(put("t/y", SEAM_ABSENT), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+}
+
+// Guards the state that callers and the owner go by.
+TEST_F(Relay, LostForAll)
+{
+	seam_store_relay_refresh(a.relay);
+	seam_store_relay_refresh(b.relay);
+	far.put("node/a", test_addr(27010));
+	near.put("node/b", test_addr(27011));
+	seam_store_relay_refresh(a.relay);
+	near.down = true;
+	EXPECT_EQ(put("t/x", SEAM_ABSENT), 0);
+	EXPECT_FALSE(seam_store_relay_all_lost(a.relay, in(1000)));
+	far.down = true;
+	EXPECT_TRUE(eventually([&] {
+		seam_err err = SEAM_ERR_INIT;
+		seam_row row;
+
+		put("t/z", SEAM_ABSENT, 300);
+		seam_store_get(b.relay, "t/z", &row, in(300), &err);
+		return seam_store_relay_lost(a.relay) &&
+		       seam_store_relay_all_lost(a.relay, in(1000));
+	}));
+	near.down = false;
+	EXPECT_TRUE(eventually([&] { return !put("t/w", SEAM_ANY_VERSION); }));
+	EXPECT_FALSE(seam_store_relay_lost(a.relay));
+}
--- /dev/null
+++ b/tests/rows_test.cc
@@ -0,0 +1,198 @@
+// The platform's table service as a store: no answer is taken for more than it
+// says.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "platform/rows.h"
+#include "tests/addr.h"
+#include "tests/rows_server.h"
+
+struct Rows : ::testing::Test {
+	RowsServer server{test_addr(26010)};
+	seam_clock *k = seam_clock_boot();
+	seam_store *s = seam_rows_store_new(k, test_url(26010).c_str());
+	seam_err e = SEAM_ERR_INIT;
+	uint64_t version = 0;
+
+	~Rows() override
+	{
+		seam_store_close(s);
+	}
+	seam_time in(int ms)
+	{
+		return seam_now(k) + ms * SEAM_MSEC;
+	}
+	int put(const char *key, const std::string &data, uint64_t expect,
+		uint64_t token = seam_store_token())
+	{
+		seam_write w = {SEAM_PUT, key, expect, data.data(),
+				data.size()};
+		seam_commit c = {&w, 1, token, 0};
+
+		seam_err_clear(&e);
+		int rc = seam_store_commit(s, &c, in(2000), &e);
+		version = c.version;
+		return rc;
+	}
+	std::string get(const char *key)
+	{
+		seam_row row = {};
+
+		seam_err_clear(&e);
+		if (seam_store_get(s, key, &row, in(2000), &e))
+			return "";
+		std::string data(row.data, row.len);
+		seam_row_free(&row);
+		return data;
+	}
+};
+
+// Guards against lost bytes and versions, in rows with a part and without.
+TEST_F(Rows, RoundTrip)
+{
+	std::string data = "{\"a\":\"\\u00e9 \\\"q\\\"\"}\n";
+
+	ASSERT_EQ(put("job/3/30", data, SEAM_ABSENT), 0) << e.text;
+	EXPECT_EQ(get("job/3/30"), data);
+	ASSERT_EQ(put("lead/owner", "x", SEAM_ABSENT), 0) << e.text;
+	EXPECT_EQ(get("lead/owner"), "x");
+	EXPECT_EQ(get("job/3/31"), "");
+	EXPECT_EQ(e.kind, SEAM_NOT_FOUND);
+	EXPECT_EQ(put("job/3/30", "y", SEAM_ABSENT), -1);
+	EXPECT_EQ(e.kind, SEAM_CONFLICT);
+}
+
+// Guards rows that others read: they carry no token of ours.
+TEST_F(Rows, PlainTables)
+{
+	ASSERT_EQ(put("status/wave/1", "{\"state\":\"running\"}",
+		      SEAM_ANY_VERSION),
+		  0);
+	EXPECT_EQ(get("status/wave/1"), "{\"state\":\"running\"}");
+	auto it = server.rows.find(RowsServer::Name("status", "", "wave/1"));
+	ASSERT_NE(it, server.rows.end());
+	EXPECT_EQ(it->second.value, "eyJzdGF0ZSI6InJ1bm5pbmcifQ==");
+}
+
+// Guards against a commit that applied, whose answer was lost, and that is then
+// reported as a conflict with itself.
+TEST_F(Rows, LostAnswerIsNotAConflict)
+{
+	uint64_t token = seam_store_token();
+
+	server.lose_answers = 1;
+	EXPECT_EQ(put("job/3/30", "x", SEAM_ABSENT, token), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	EXPECT_EQ(put("job/3/30", "x", SEAM_ABSENT, token), 0) << e.text;
+	EXPECT_EQ(version, 1u);
+	EXPECT_EQ(put("job/3/30", "x", SEAM_ABSENT), -1);
+	EXPECT_EQ(e.kind, SEAM_CONFLICT);
+}
+
+// Guards against a refusal that is taken for an unknown outcome, and the other
+// way round.
+TEST_F(Rows, Refusals)
+{
+	for (int status : {429, 503}) {
+		server.refuse = status;
+		EXPECT_EQ(put("job/3/30", "x", SEAM_ABSENT), -1);
+		EXPECT_EQ(e.kind, SEAM_UNAVAILABLE) << status;
+	}
+	server.refuse = 500;
+	EXPECT_EQ(put("job/3/30", "x", SEAM_ABSENT), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	server.refuse = 0;
+	EXPECT_EQ(get("job/3/30"), "");
+}
+
+// Guards commits over several parts: the service wants to be told.
+TEST_F(Rows, SeveralParts)
+{
+	seam_write w[] = {{SEAM_PUT, "job/1/10", SEAM_ABSENT, "a", 1},
+			  {SEAM_PUT, "job/2/20", SEAM_ABSENT, "b", 1},
+			  {SEAM_CHECK, "lead/owner", SEAM_ABSENT, nullptr, 0}};
+	seam_commit c = {w, 3, seam_store_token(), 0};
+
+	EXPECT_EQ(seam_store_commit(s, &c, in(2000), &e), 0) << e.text;
+	EXPECT_EQ(get("job/2/20"), "b");
+}
+
+// Guards against rows that a scan skips or repeats between its pages.
+TEST_F(Rows, ScanPages)
+{
+	seam_rows rows;
+
+	for (int i = 0; i < 5; i++)
+		ASSERT_EQ(put(("job/1/" + std::to_string(i)).c_str(), "x",
+			      SEAM_ABSENT),
+			  0);
+	ASSERT_EQ(put("job/2/0", "x", SEAM_ABSENT), 0);
+	ASSERT_EQ(seam_store_scan(s, "job/1/", nullptr, 3, &rows, in(2000), &e),
+		  0);
+	ASSERT_EQ(rows.n, 3u);
+	EXPECT_STREQ(rows.row[2].key, "job/1/2");
+	EXPECT_EQ(rows.version, 6u);
+	seam_rows_free(&rows);
+	ASSERT_EQ(
+		seam_store_scan(s, "job/1/", "job/1/2", 3, &rows, in(2000), &e),
+		0);
+	ASSERT_EQ(rows.n, 2u);
+	EXPECT_STREQ(rows.row[0].key, "job/1/3");
+	seam_rows_free(&rows);
+}
+
+// Guards the feed: changes come in order with what was deleted, and a forgotten
+// history is told.
+TEST_F(Rows, Watch)
+{
+	uint64_t after = 0;
+	seam_rows rows;
+	seam_write del = {SEAM_DELETE, "job/1/10", SEAM_ANY_VERSION, nullptr,
+			  0};
+	seam_commit c = {&del, 1, seam_store_token(), 0};
+
+	ASSERT_EQ(put("job/1/10", "x", SEAM_ABSENT), 0);
+	ASSERT_EQ(seam_store_watch(s, "job/", &after, &rows, in(2000), &e), 0);
+	ASSERT_EQ(rows.n, 1u);
+	EXPECT_STREQ(rows.row[0].key, "job/1/10");
+	EXPECT_EQ(after, 1u);
+	seam_rows_free(&rows);
+	ASSERT_EQ(seam_store_commit(s, &c, in(2000), &e), 0);
+	ASSERT_EQ(seam_store_watch(s, "job/", &after, &rows, in(2000), &e), 0);
+	ASSERT_EQ(rows.n, 1u);
+	EXPECT_EQ(rows.row[0].data, nullptr);
+	seam_rows_free(&rows);
+	ASSERT_EQ(seam_store_watch(s, "job/", &after, &rows, in(1000), &e), 0);
+	EXPECT_EQ(rows.n, 0u);
+	seam_rows_free(&rows);
+	server.oldest = 50;
+	EXPECT_EQ(seam_store_watch(s, "job/", &after, &rows, in(2000), &e), -1);
+	EXPECT_EQ(e.kind, SEAM_STALE);
+}
+
+// Guards a whole commit_sure() against answers that are lost at any step.
+TEST_F(Rows, CommitSure)
+{
+	for (int lost = 0; lost < 3; lost++)
+		for (int kept = 0; kept < 3; kept++) {
+			std::string key = "job/1/" + std::to_string(lost) +
+					  std::to_string(kept);
+			seam_write w = {SEAM_PUT, key.c_str(), SEAM_ABSENT, "x",
+					1};
+			seam_commit c = {&w, 1, 0, 0};
+
+			server.lose_answers = lost;
+			server.lost_before = kept;
+			seam_err_clear(&e);
+			EXPECT_EQ(
+				seam_store_commit_sure(s, k, &c, in(5000), &e),
+				0)
+				<< e.text;
+			EXPECT_EQ(get(key.c_str()), "x");
+			server.lose_answers = server.lost_before = 0;
+		}
+}
--- /dev/null
+++ b/tests/wire_test.cc
@@ -0,0 +1,181 @@
+// Messages of the platform: what the adapter makes of them.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "platform/callers.h"
+#include "platform/inventory.h"
+#include "platform/operator.h"
+
+static seam_err e = SEAM_ERR_INIT;
+
+// Guards the names of a configuration.
+TEST(Wire, Configuration)
+{
+	seam_catalog *c = seam_operator_catalog(
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+		"\"prefix\":\"/a/\",\"targetCompletionMs\":600,\"priority\":1,"
+		"\"service\":\"s\",\"attempts\":3,\"stretch\":1.6,"
+		"\"public\":true},{\"name\":\"r2\",\"host\":\"h.example\","
+		"\"prefix\":\"/a/b/\",\"service\":\"s\",\"advice\":{}}],"
+		"\"services\":[{\"name\":\"s\",\"rejectsOverload\":true},"
+		"{\"name\":\"off\",\"standby\":true}],"
+		"\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\",\"k2\"],"
+		"\"weight\":77,\"cap\":{\"cpu\":5000,\"memMb\":9,\"gpu\":0}}]}",
+		&e);
+
+	ASSERT_NE(c, nullptr);
+	EXPECT_EQ(c->version, 7u);
+	const seam_job_queue *q =
+		seam_catalog_route(c, "H.example:80", "/a/0123");
+	ASSERT_NE(q, nullptr);
+	EXPECT_STREQ(q->name, "r");
+	EXPECT_DOUBLE_EQ(q->stretch, 1.6);
+	EXPECT_EQ(q->target_ms, 600);
+	EXPECT_TRUE(q->open);
+	EXPECT_FALSE(q->advised);
+	/* The longest prefix decides; another host has no queue. */
+	EXPECT_STREQ(seam_catalog_route(c, "h.example", "/a/b/1")->name, "r2");
+	EXPECT_TRUE(seam_catalog_queue(c, "r2")->advised);
+	EXPECT_EQ(seam_catalog_route(c, "h.exampl", "/a/1"), nullptr);
+	EXPECT_EQ(seam_catalog_route(c, "h.example", "/b/1"), nullptr);
+	EXPECT_TRUE(seam_catalog_pool(c, "off")->standby);
+	EXPECT_TRUE(seam_catalog_pool(c, "s")->guarded);
+	ASSERT_NE(seam_catalog_owner_of(c, "k2"), nullptr);
+	EXPECT_EQ(seam_catalog_owner_of(c, "k2")->limit.cpu, 5000);
+	EXPECT_EQ(seam_catalog_owner_of(c, "k3"), nullptr);
+	seam_catalog_free(c);
+}
+
+// Guards against a node that drops a version for one it can't read.
+TEST(Wire, DamagedConfiguration)
+{
+	for (const char *text :
+	     {"", "{", "[]", "{}", "{\"version\":1}",
+	      "{\"version\":\"x\",\"routes\":[],\"services\":[]}",
+	      "{\"version\":0,\"routes\":[],\"services\":[]}"})
+		EXPECT_EQ(seam_operator_catalog(text, &e), nullptr) << text;
+}
+
+// Guards against an older version that comes after a newer one.
+TEST(Wire, VersionsNeverRevert)
+{
+	seam_catalog_cell cell = {};
+	auto make = [](const char *v) {
+		return seam_operator_catalog((std::string("{\"version\":") + v +
+					      ",\"routes\":[],\"services\":[]}")
+						     .c_str(),
+					     &e);
+	};
+
+	EXPECT_TRUE(seam_catalog_adopt(&cell, make("5")));
+	EXPECT_FALSE(seam_catalog_adopt(&cell, make("4")));
+	EXPECT_FALSE(seam_catalog_adopt(&cell, make("5")));
+	EXPECT_EQ(cell.now->version, 5u);
+	seam_catalog_free(cell.now);
+}
+
+static const char *const WORKER =
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	"\"state\":\"draining\",\"capacity\":{\"cpu\":16000,\"memMb\":32},"
+	"\"labels\":[\"a\",\"r1\"],\"machine\":\"m-1\",\"born\":1700000000123,"
+	"\"remainingMs\":900,\"coldRemainingMs\":5,\"sequence\":4}";
+
+// Guards the names of what a worker says of itself.
+TEST(Wire, Worker)
+{
+	seam_worker_info w;
+
+	ASSERT_EQ(seam_inventory_worker("servers/i-7", WORKER, &w, &e), 0);
+	EXPECT_STREQ(w.id, "i-7");
+	EXPECT_STREQ(w.pool, "s");
+	EXPECT_STREQ(w.vm, "m-1");
+	EXPECT_STREQ(w.dc, "z");
+	EXPECT_EQ(w.born_ms, 1700000000123);
+	EXPECT_EQ(w.capacity.cpu, 16000);
+	EXPECT_EQ(w.labels, 2);
+	EXPECT_TRUE(w.draining);
+	EXPECT_EQ(w.leaves_ms, 900);
+}
+
+// Guards against rows of other writers: fields that are missing or of another
+// type name no worker.
+TEST(Wire, ForeignWorkerRows)
+{
+	seam_worker_info w;
+	std::string whole = WORKER;
+	auto with = [&](const char *from, const char *to) {
+		std::string s = whole;
+
+		s.replace(s.find(from), strlen(from), to);
+		return s;
+	};
+
+	for (const std::string &s :
+	     {std::string("\x01\xff"), std::string("[]"),
+	      with("\"draining\"", "\"resting\""), with("\"z\"", "5"),
+	      with("\"10.0.0.1:80\"", "null"), with("16000", "\"16000\""),
+	      with("{\"cpu\":16000,\"memMb\":32}", "[]"),
+	      with("[\"a\",\"r1\"]", "\"a\""), with("\"r1\"", "7")})
+		EXPECT_EQ(
+			seam_inventory_worker("servers/i-7", s.c_str(), &w, &e),
+			-1)
+			<< s;
+}
+
+// Guards the names of a job, and fields that are left out.
+TEST(Wire, Job)
+{
+	seam_jobspec j = {};
+
+	ASSERT_EQ(seam_platform_front.spec(
+			  "{\"spec\":\"t\",\"steps\":[{\"count\":4,\"cpu\":500,"
+			  "\"memMb\":256,\"estimateMs\":900,"
+			  "\"affinity\":\"r1\"},{\"count\":2,\"after\":[0],"
+			  "\"checkpointing\":true,\"maxPerServer\":3,"
+			  "\"longRunning\":true,\"mayMiss\":1,\"targetMs\":80,"
+			  "\"fills\":true,\"speculative\":true,"
+			  "\"requirements\":\"big\",\"image\":\"i\"}],"
+			  "\"unknown\":1}",
+			  &j, &e),
+		  0);
+	ASSERT_EQ(j.steps, 2);
+	EXPECT_EQ(j.step[0].tasks, 4);
+	EXPECT_EQ(j.step[0].need.memory, 256);
+	EXPECT_STREQ(j.step[0].rack, "r1");
+	EXPECT_EQ(j.step[1].after, 1u);
+	EXPECT_EQ(j.step[1].per_worker, 3);
+	EXPECT_EQ(j.step[1].may_miss, 1);
+	EXPECT_EQ(j.step[1].target_ms, 80);
+	EXPECT_TRUE(j.step[1].checkpoints && j.step[1].lasting &&
+		    j.step[1].fills && j.step[1].speculative);
+	EXPECT_STREQ(j.step[1].label, "big");
+	seam_jobspec_free(&j);
+	for (const char *bad :
+	     {"", "{}", "{\"spec\":1,\"steps\":[]}", "{\"spec\":\"t\"}"}) {
+		seam_jobspec none = {};
+
+		EXPECT_EQ(seam_platform_front.spec(bad, &none, &e), -1) << bad;
+		seam_jobspec_free(&none);
+	}
+}
+
+// Guards a wave's list and bound.
+TEST(Wire, Wave)
+{
+	seam_wave w;
+	seam_time left = 0;
+
+	ASSERT_EQ(seam_operator_wave("{\"wave\":3,\"machines\":[\"m-1\","
+				     "\"m-2\"],\"durationS\":20,\"cap\":2}",
+				     &w, &left, &e),
+		  0);
+	EXPECT_EQ(w.number, 3);
+	EXPECT_EQ(w.vms, 2u);
+	EXPECT_STREQ(w.vm[1], "m-2");
+	EXPECT_EQ(w.at_once, 2);
+	EXPECT_EQ(left, 20 * SEAM_SEC);
+	free(w.vm);
+	EXPECT_EQ(seam_operator_wave("{}", &w, &left, &e), -1);
+}
