log: bounded lines on standard output that never wait

Cause: on the platform the log is all that is left of a failure; GLib's writer blocks on a full pipe and is not bounded. Change: seam_log_lines() writes NAME=VALUE lines, at most 300 a second in seamd, drops and counts lines that would wait.

--- a/base/log.c
+++ b/base/log.c
@@ -4,13 +4,19 @@
 #include "base/count.h"
 
 #include <glib.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
 
 SEAM_COUNT(violations, "seam_invariant_violations_total",
 	   "Invariants that did not hold.");
 
+SEAM_COUNT(dropped, "seam_log_dropped_total", "Log lines that were dropped.");
+
 static enum seam_level lowest = SEAM_INFO;
 #ifdef SEAM_INVARIANT_ABORT
 static bool abort_on_violation = true;
@@ -32,12 +38,90 @@
 	}
 }
 
+/* Lines to standard output, under @lock. */
+static struct {
+	pthread_mutex_t lock;
+	int per_second; /* 0: GLib's own writer is used */
+	time_t second;
+	int written;
+	int64_t dropped;
+} lines = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+#define LINE_MAX_BYTES 1024 /* less than a pipe takes at once */
+
+static const char *const level_names[] = {"debug", "info", "warning", "error"};
+
+/* Writes a line unless standard output would make us wait. */
+static bool put_line(const char *line, size_t n)
+{
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT))
+		return false;
+	return write(STDOUT_FILENO, line, n) == (ssize_t)n;
+}
+
+/* Begins another second; tells what the last one dropped. */
+static void begin_second(time_t now)
+{
+	char line[128];
+	int n;
+
+	lines.second = now;
+	lines.written = 0;
+	if (!lines.dropped)
+		return;
+	n = snprintf(line, sizeof(line),
+		     "time=%lld.000 level=warning part=log event=dropped "
+		     "lines=%lld\n",
+		     (long long)now, (long long)lines.dropped);
+	if (put_line(line, (size_t)n))
+		lines.dropped = 0;
+}
+
+static void write_line(enum seam_level level, const char *part,
+		       const char *text)
+{
+	struct timespec ts;
+	char line[LINE_MAX_BYTES];
+	int n;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	n = snprintf(line, sizeof(line),
+		     "time=%lld.%03ld level=%s part=%s %s\n",
+		     (long long)ts.tv_sec, ts.tv_nsec / 1000000,
+		     level_names[level], part, text);
+	if (n >= (int)sizeof(line)) {
+		n = sizeof(line) - 1;
+		line[n - 1] = '\n';
+	}
+	pthread_mutex_lock(&lines.lock);
+	if (ts.tv_sec != lines.second)
+		begin_second(ts.tv_sec);
+	if (lines.written < lines.per_second && put_line(line, (size_t)n)) {
+		lines.written++;
+	} else {
+		lines.dropped++;
+		seam_count_add(&dropped, 1);
+	}
+	pthread_mutex_unlock(&lines.lock);
+}
+
+void seam_log_lines(int per_second)
+{
+	lines.per_second = per_second;
+}
+
 static void vlog(enum seam_level level, const char *part, const char *fmt,
 		 va_list ap)
 {
 	char text[512];
 
 	vsnprintf(text, sizeof(text), fmt, ap);
+	if (lines.per_second) {
+		write_line(level, part, text);
+		return;
+	}
 	g_log_structured(G_LOG_DOMAIN, glib_level(level), "SEAM_PART", part,
 			 "MESSAGE", "%s: %s", part, text);
 }
--- a/base/log.h
+++ b/base/log.h
@@ -20,6 +20,15 @@
 /** seam_log_level() - drop messages below @level; the default is SEAM_INFO */
 void seam_log_level(enum seam_level level);
 
+/**
+ * seam_log_lines() - write the log as lines of NAME=VALUE to standard output
+ * @per_second: lines a second; those beyond are dropped and counted
+ *
+ * A line never waits: when the reader of standard output stands still, lines
+ * are dropped. Each second with dropped lines is told in one line.
+ */
+void seam_log_lines(int per_second);
+
 /**
  * SEAM_INVARIANT() - check a promise inside the program
  * @cond: must hold
--- a/cmd/seamd.c
+++ b/cmd/seamd.c
@@ -21,6 +21,8 @@
 #include "process/node.h"
 #include "process/site.h"
 
+#define LOG_LINES 300 /* a second; a crowded owner writes about 150 */
+
 enum { EXIT_DRAIN = 1, EXIT_USAGE, EXIT_SETTINGS, EXIT_START };
 
 const char *argp_program_version = "seamd 0.1";
@@ -128,6 +130,7 @@
 	if (a->check)
 		return 0;
 	seam_log_level((enum seam_level)s.log_level);
+	seam_log_lines(LOG_LINES);
 	cmd_block_signals(&set);
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGHUP, SIG_IGN);
--- /dev/null
+++ b/tests/log_test.cc
@@ -0,0 +1,98 @@
+// The log on standard output: bounded, and never waited for.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include <fcntl.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/log.h"
+
+// Standard output is a pipe while a test runs.
+struct Log : ::testing::Test {
+	int ends[2];
+	int saved = dup(STDOUT_FILENO);
+
+	Log()
+	{
+		fflush(stdout);
+		if (pipe(ends))
+			abort();
+		fcntl(ends[0], F_SETFL, O_NONBLOCK);
+		dup2(ends[1], STDOUT_FILENO);
+	}
+	~Log() override
+	{
+		seam_log_lines(0);
+		dup2(saved, STDOUT_FILENO);
+		close(saved);
+		close(ends[0]);
+		close(ends[1]);
+	}
+	std::string read_all()
+	{
+		std::string got;
+		char part[65536];
+		ssize_t n;
+
+		while ((n = read(ends[0], part, sizeof(part))) > 0)
+			got.append(part, (size_t)n);
+		return got;
+	}
+	static size_t count(const std::string &s, const char *what)
+	{
+		size_t n = 0;
+
+		for (size_t at = 0; (at = s.find(what, at)) != s.npos; at++)
+			n++;
+		return n;
+	}
+	static void next_second()
+	{
+		time_t now = time(nullptr);
+
+		while (time(nullptr) == now)
+			usleep(10000);
+	}
+};
+
+// Guards the shape of a line.
+TEST_F(Log, OneLine)
+{
+	seam_log_lines(100);
+	seam_log(SEAM_WARN, "part", "event=x job=%d", 5);
+	std::string s = read_all();
+	EXPECT_EQ(s.find("time="), 0u) << s;
+	EXPECT_NE(s.find(" level=warning part=part event=x job=5\n"),
+		  std::string::npos)
+		<< s;
+}
+
+// Guards the volume under load, and that what was dropped is told.
+TEST_F(Log, Bounded)
+{
+	seam_log_lines(20);
+	next_second();
+	for (int i = 0; i < 500; i++)
+		seam_log(SEAM_INFO, "p", "event=x");
+	EXPECT_LE(count(read_all(), "event=x"), 40u);
+	next_second();
+	seam_log(SEAM_INFO, "p", "event=y");
+	std::string s = read_all();
+	EXPECT_NE(s.find("event=dropped lines="), std::string::npos) << s;
+	EXPECT_NE(s.find("event=y"), std::string::npos);
+}
+
+// Guards requests against a reader of the log that stands still.
+TEST_F(Log, NeverWaits)
+{
+	time_t begin = time(nullptr);
+	std::string text(400, 'x');
+
+	seam_log_lines(1000000);
+	for (int i = 0; i < 20000; i++)
+		seam_log(SEAM_INFO, "p", "%s", text.c_str());
+	EXPECT_LE(time(nullptr) - begin, 5);
+	EXPECT_GT(count(read_all(), "part=p"), 50u);
+}
