--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -40,7 +40,7 @@
 
 	for (i = 0; j->task && i < j->row.spec.steps; i++)
 		free(j->task[i]);
-	free(j->task);
+	g_free(j->task);
 	free(j->left);
 	seam_jobrow_free(&j->row);
 }
@@ -67,9 +67,9 @@
 {
 	int i;
 
-	j->task = calloc((size_t)j->row.spec.steps + 1, sizeof(*j->task));
+	j->task = g_new0(struct seam_job_task *, j->row.spec.steps + 1);
 	j->left = calloc((size_t)j->row.spec.steps + 1, sizeof(*j->left));
-	if (!j->task || !j->left)
+	if (!j->left)
 		return -1;
 	for (i = 0; i < j->row.spec.steps; i++) {
 		int64_t n = j->row.spec.step[i].tasks;
--- a/process/store_relay.h
+++ b/process/store_relay.h
@@ -38,14 +38,14 @@
 					const struct seam_relay_conf *c);
 
 /** seam_store_relay_serve() - pass on other nodes' calls; before start only */
-void seam_store_relay_serve(struct seam_store *relay, struct seam_http *h);
+void seam_store_relay_serve(struct seam_store *base, struct seam_http *h);
 
 /**
  * seam_store_relay_refresh() - register this node and read the others
  *
  * To be called every few seconds.
  */
-void seam_store_relay_refresh(struct seam_store *relay);
+void seam_store_relay_refresh(struct seam_store *base);
 
 /**
  * seam_store_relay_all_lost() - whether no known node reaches the store
@@ -53,13 +53,13 @@
  * Asks each node that has registered lately. One that does not answer may reach
  * it, and so may one that was not asked for want of time.
  */
-bool seam_store_relay_all_lost(struct seam_store *relay, seam_time deadline);
+bool seam_store_relay_all_lost(struct seam_store *base, seam_time deadline);
 
 /**
  * seam_store_relay_lost() - the store serves this node neither directly nor
  * through another node, since a moment ago
  */
-bool seam_store_relay_lost(struct seam_store *relay);
+bool seam_store_relay_lost(struct seam_store *base);
 
 #ifdef __cplusplus
 }
