owner: a start without an answer is sent again; one lost answer is no silence

Change: a start is sent up to three times with the same run number, 0.35 s each; a worker takes it once. A worker is passed over after two missed holds.

--- a/process/board.h
+++ b/process/board.h
@@ -23,6 +23,9 @@
 #endif
 
 #define SEAM_BOARD_TOKENS 64 /* commits whose rows the feed may still tell */
+/* Holds without an answer from which a worker gets no tasks; one may be lost.
+ */
+#define SEAM_MISSED_MAX 2
 #define SEAM_COPIES 2 /* runs of a task at the same time, at most */
 
 /** enum seam_run_state - what the owner knows of a run */
@@ -199,6 +202,7 @@
  * @gone_at: since when its row is missing
  * @heard: it has answered in this term
  * @answered: it answered the latest hold
+ * @missed: holds since that it did not answer
  * @clock_ms: its clock at @clock_at of ours
  * @clock_at: when that answer came
  * @lease_end: its lease has certainly run out by then
@@ -224,6 +228,7 @@
 	seam_time gone_at;
 	bool heard;
 	bool answered;
+	int missed;
 	int64_t clock_ms;
 	seam_time clock_at;
 	seam_time lease_end;
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -6,13 +6,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ORDER_CALL (900 * SEAM_MSEC) /* longest time of one order */
-#define HOLD_MARGIN (800 * SEAM_MSEC) /* of a hold, beyond its wait */
+/* Longest time of one order: answers take a few milliseconds, and the orders
+ * behind one without an answer wait for it. */
+#define ORDER_CALL (350 * SEAM_MSEC)
+#define START_TRIES 3 /* of one start; a worker takes the same start once */
+#define HOLD_MARGIN (450 * SEAM_MSEC) /* of a hold, beyond its wait */
 #define HOLD_WAIT_MS 1000 /* of a worker with runs */
 #define HOLD_WAIT_IDLE_MS 1800
 #define HOLD_GAP_USEC 30000 /* lets ends that come together go in one look */
 #define HOLD_RETRY_USEC 150000
-#define SHUN_SILENT (1 * SEAM_SEC)
 #define SHUN_UNHEALTHY (1 * SEAM_SEC)
 #define FULL_PAUSE (150 * SEAM_MSEC)
 
@@ -52,6 +54,7 @@
 	struct seam_board *b = w->board;
 
 	w->answered = false;
+	w->missed = SEAM_MISSED_MAX;
 	if (said == SEAM_ORDER_WRONG_LIFE && w->ref->len)
 		board_worker_lost(b, w, "replaced");
 	if (said == SEAM_ORDER_FENCED)
@@ -79,6 +82,7 @@
 		board_wake_pass(b);
 	w->heard = true;
 	w->answered = true;
+	w->missed = 0;
 	note_clock(w, l->clock_ms, now);
 	board_take_listing(b, w, l, sent_at);
 }
@@ -112,11 +116,13 @@
 			seam_log(SEAM_WARN, "worker",
 				 "event=silent worker=%s runs=%u why=\"%s\"",
 				 w->info.id, w->ref->len, e.text);
+		w->missed++;
 		w->answered = false;
 		if (w->ref->len && seam_now(b->clock) > w->lease_end &&
 		    w->lease_end)
 			board_worker_lost(b, w, "lease_over");
-		return HOLD_RETRY_USEC;
+		return w->missed < SEAM_MISSED_MAX ? HOLD_GAP_USEC :
+						     HOLD_RETRY_USEC;
 	}
 	if (said != SEAM_ORDER_DONE) {
 		hold_refused(w, said);
@@ -195,7 +201,6 @@
 		return;
 	}
 	if (rc) {
-		w->shunned_until = now + SHUN_SILENT;
 		seam_log(SEAM_WARN, "worker",
 			 "event=start_unanswered worker=%s task=%s run=%lld "
 			 "why=\"%s\"",
@@ -227,8 +232,10 @@
 	struct seam_run_slot *r;
 	struct seam_job *j;
 	int64_t clock_ms = 0;
+	bool unknown = false;
 	char *text;
-	int rc;
+	int tries;
+	int rc = -1;
 
 	r = slot_of(w, o, &j);
 	if (!r || r->state != SEAM_RUN_SENT)
@@ -246,11 +253,23 @@
 	       sizeof(checkpoint));
 	s.text = text;
 	s.checkpoint = checkpoint;
-	s.lease_until = new_lease(w, now);
-	pthread_mutex_unlock(&b->lock);
-	rc = w->conn->ops->start(w->conn, &s, &said, &clock_ms,
-				 now + ORDER_CALL, &e);
-	pthread_mutex_lock(&b->lock);
+	for (tries = 0; tries < START_TRIES; tries++) {
+		now = seam_now(b->clock);
+		if (!seam_lead_valid(b->lead, now))
+			break;
+		s.lease_until = new_lease(w, now);
+		seam_err_clear(&e);
+		pthread_mutex_unlock(&b->lock);
+		rc = w->conn->ops->start(w->conn, &s, &said, &clock_ms,
+					 now + ORDER_CALL, &e);
+		pthread_mutex_lock(&b->lock);
+		unknown = unknown || (rc && e.kind == SEAM_COMMIT_UNKNOWN);
+		if (!rc || w->dead || b->stop)
+			break;
+	}
+	/* One attempt without an answer may still be carried out. */
+	if (rc && unknown)
+		e.kind = SEAM_COMMIT_UNKNOWN;
 	g_free(text);
 	start_answered(w, o, rc, said, &e);
 }
--- a/process/board_workers.c
+++ b/process/board_workers.c
@@ -19,8 +19,9 @@
 
 bool board_worker_usable(const struct seam_worker *w, seam_time now)
 {
-	return w->listed && w->heard && w->answered && !w->info.draining &&
-	       !w->leaving && !w->dead && now >= w->shunned_until;
+	return w->listed && w->heard && w->missed < SEAM_MISSED_MAX &&
+	       !w->info.draining && !w->leaving && !w->dead &&
+	       now >= w->shunned_until;
 }
 
 static void drop_orders(struct seam_worker *w)
@@ -78,6 +79,7 @@
 	w->lease_end = 0;
 	w->heard = false;
 	w->answered = false;
+	w->missed = 0;
 	w->failures = 0;
 	g_array_set_size(w->marks, 0);
 }
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -112,6 +112,24 @@
 	expect_starts(1, 3, 1);
 }
 
+// Guards jobs against a wait for seconds because of one lost answer: the same
+// start is sent again, which a worker takes once.
+TEST_F(Board, StartWithoutAnswerIsSentAgain)
+{
+	FakeWorker *a = w.add_worker("a");
+	Owner o(&w, "n1");
+
+	o.renew();
+	EXPECT_TRUE(eventually([&] {
+		std::lock_guard<std::mutex> l(a->lock);
+		return a->lease > 0;
+	}));
+	a->lose_starts = 3;
+	w.job(ID, 3, "300");
+	EXPECT_TRUE(becomes("completed", 1500));
+	expect_starts(1, 3, 1);
+}
+
 // Guards against an order that is carried out late: the task is stopped there
 // first, so that the late start is refused.
 TEST_F(Board, LateStartIsRefused)
