--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -198,6 +198,9 @@
 	guint i;
 	guint k;
 
+	/* Pools without a VM are planned for as well. */
+	for (i = 0; c && i < c->pools; i++)
+		index_of(l->pools, c->pool[i].name);
 	l->plan.pools = l->pools->len;
 	l->plan.pool = g_new0(struct seam_plan_pool, l->pools->len + 1);
 	for (i = 0; i < l->pools->len; i++) {
@@ -555,6 +558,23 @@
 		free(l->wave.vm);
 }
 
+/* Reserved part of the processors of a pool's usable workers, percent. */
+static int used_pct(struct seam_board *b, const char *pool)
+{
+	struct seam_handle h = SEAM_NONE;
+	struct seam_worker *w;
+	int64_t used = 0;
+	int64_t all = 0;
+
+	while ((w = seam_table_next(b->workers, &h)))
+		if (!strcmp(w->info.pool, pool) &&
+		    board_worker_usable(w, seam_now(b->clock))) {
+			used += w->used.cpu;
+			all += w->info.capacity.cpu;
+		}
+	return all ? (int)(100 * used / all) : 0;
+}
+
 /* One line a second for each pool: what the plan had to go by. */
 static void log_pools(struct look *l)
 {
@@ -567,6 +587,7 @@
 	b->pools_logged_at = l->now;
 	for (i = 0; i < l->plan.pools; i++) {
 		const struct seam_plan_pool *p = &l->plan.pool[i];
+		const char *name = g_ptr_array_index(l->pools, i);
 		int vms = 0;
 		int empty = 0;
 		int due = 0;
@@ -582,9 +603,9 @@
 		}
 		seam_log(SEAM_INFO, "vms",
 			 "event=pool pool=%s vms=%d empty=%d due=%d have=%d "
-			 "want=%d all=%d hold=%d",
-			 (char *)g_ptr_array_index(l->pools, i), vms, empty,
-			 due, p->have, p->want, p->all, p->hold);
+			 "want=%d all=%d hold=%d used_pct=%d",
+			 name, vms, empty, due, p->have, p->want, p->all,
+			 p->hold, used_pct(b, name));
 	}
 }
 
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -161,11 +161,13 @@
 		if (!v->up || v->pool == to || v->action != SEAM_VM_KEEP)
 			continue;
 		if (!pool->standby) {
-			if (pool->have <= wanted(pool, late) || v->lasting ||
-			    (late && v->runs))
+			/* One that is being emptied is not counted any more. */
+			if (!v->leaving && pool->have <= wanted(pool, late))
+				continue;
+			if (v->lasting || (late && v->runs))
 				continue;
 			cost += pool->have > pool->all ? 1000 : 2000;
-			cost += 10000 * v->runs;
+			cost += v->leaving ? 0 : 10000 * v->runs;
 		}
 		/* It would have to leave again for its wave. */
 		if (v->due)
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -124,6 +124,20 @@
 	EXPECT_EQ(vm[0].action, SEAM_VM_KEEP);
 }
 
+// Guards against VMs that are emptied by turns and never are empty: the one
+// that was begun with is taken on.
+TEST_F(Plan, EmptyingGoesOn)
+{
+	add(4, A, 2);
+	vm[2].leaving = true;
+	vm[2].runs = 3;
+	want(A, 1, 40);
+	want(B, 1);
+	plan();
+	EXPECT_EQ(count(SEAM_VM_EMPTY), 1);
+	EXPECT_EQ(vm[2].action, SEAM_VM_EMPTY);
+}
+
 // Guards the bound of a wave on VMs that are away at once.
 TEST_F(Plan, WaveKeepsItsBound)
 {
