--- a/process/board_leave.c
+++ b/process/board_leave.c
@@ -41,14 +41,6 @@
 	return s->estimate_ms * (100 - r->percent) / 100;
 }
 
-static bool is_late(struct seam_board *b, const struct seam_job *j)
-{
-	struct seam_urgency u;
-
-	board_job_urgency(j, &u);
-	return seam_urgency_late(&u, seam_now(b->clock));
-}
-
 /* Whether a run is to be stopped because its worker leaves. */
 static bool must_stop(struct seam_board *b, const struct seam_worker *w,
 		      const struct seam_job *j, int step, int task,
@@ -58,12 +50,6 @@
 
 	if (s->lasting)
 		return w->info.draining || may_take_away(b, j, step, task);
-	/*
-	 * Whoever the VM is emptied for gains more from it than a job that is
-	 * late loses by a task that begins again.
-	 */
-	if (w->leaving && !s->checkpoints && is_late(b, j))
-		return true;
 	/* A stop saves the work of a task that can. */
 	if (!s->checkpoints)
 		return false;
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -26,8 +26,6 @@
 	bool settled;
 	struct seam_amount failed; /* a task this large found no room */
 	bool full;
-	int64_t room; /* processors that are not reserved */
-	bool saving; /* room is kept for a job that waits for all its tasks */
 };
 
 /* A job that has tasks to start. */
@@ -89,10 +87,8 @@
 		if (!w->heard && p->now <= b->unlisted_until)
 			pool->settled = false;
 		if (board_worker_usable(w, p->now) && p->now >= w->full_until &&
-		    !seam_op_state_is_out(b->op_state, w->info.dc)) {
+		    !seam_op_state_is_out(b->op_state, w->info.dc))
 			g_ptr_array_add(pool->workers, w);
-			pool->room += w->info.capacity.cpu - w->used.cpu;
-		}
 	}
 }
 
@@ -320,7 +316,6 @@
 			return false;
 		}
 		start_task(p, w, j, step, (int)t);
-		pool->room -= board_step_need(s).cpu;
 		used->cpu += s->need.cpu;
 		used->memory += s->need.memory;
 		used->gpu += s->need.gpu;
@@ -328,48 +323,12 @@
 	return true;
 }
 
-/* Processors that the open steps of a job ask for. */
-static int64_t asked(const struct pass *p, const struct seam_job *j)
-{
-	int64_t cpu = 0;
-	int64_t t;
-	int i;
-
-	for (i = 0; i < j->row.spec.steps; i++) {
-		if (!j->left[i] || !board_step_open(j, i))
-			continue;
-		for (t = 0; t < j->row.spec.step[i].tasks; t++)
-			if (task_waits(j, i, t, p->now))
-				cpu += board_step_need(&j->row.spec.step[i])
-					       .cpu;
-	}
-	return cpu;
-}
-
-/*
- * In a crowded fleet a job begins when there is room for all its tasks: many
- * jobs of which a part runs are all late. The first that waits so keeps later
- * ones from taking its room, as else large jobs would never begin.
- */
-static bool may_begin(struct pass *p, struct pool *pool,
-		      const struct seam_job *j)
-{
-	if (!p->board->crowded || j->begun)
-		return true;
-	if (pool->saving)
-		return false;
-	if (asked(p, j) <= pool->room)
-		return true;
-	pool->saving = true;
-	return false;
-}
-
 static void start_job(struct pass *p, struct seam_job *j)
 {
 	struct pool *pool = pool_of(p, j->row.spec.pool);
 	int i;
 
-	if ((j->old && !pool->settled) || !may_begin(p, pool, j))
+	if (j->old && !pool->settled)
 		return;
 	for (i = 0; i < j->row.spec.steps; i++)
 		if (j->left[i] && board_step_open(j, i))
