--- a/process/board_listing.c
+++ b/process/board_listing.c
@@ -61,6 +61,12 @@
 	seam_time now = seam_now(b->clock);
 
 	seam_count_add(&ends_failed, 1);
+	seam_log(SEAM_INFO, "job",
+		 "event=run_failed worker=%s job=%s step=%d task=%d run=%lld "
+		 "failures=%d attempts=%lld",
+		 w->info.id, j->row.spec.id, step, task, (long long)run,
+		 seam_jobrow_failures(&j->row, step, task) + 1,
+		 (long long)j->row.spec.attempts);
 	t->avoid = w->self;
 	if (++w->failures >= FAILURES_MAX) {
 		w->shunned_until = now + SHUN_FAILING;
--- a/process/board_workers.c
+++ b/process/board_workers.c
@@ -50,9 +50,15 @@
 			struct seam_run_slot *r =
 				&j->task[ref.step][ref.task].run[k];
 
-			if (r->state != SEAM_RUN_FREE &&
-			    seam_handle_eq(r->worker, w->self))
-				board_run_drop(b, j, ref.step, ref.task, r);
+			if (r->state == SEAM_RUN_FREE ||
+			    !seam_handle_eq(r->worker, w->self))
+				continue;
+			seam_log(SEAM_INFO, "worker",
+				 "event=run_lost worker=%s job=%s step=%d "
+				 "task=%d run=%lld why=%s",
+				 w->info.id, j->row.spec.id, ref.step, ref.task,
+				 (long long)r->number, why);
+			board_run_drop(b, j, ref.step, ref.task, r);
 		}
 		if (j && board_job_droppable(j))
 			board_job_drop(b, j);
--- a/tests/rows_server.h
+++ b/tests/platform_rows_server.h
@@ -1,5 +1,5 @@
-#ifndef ROWS_SERVER_H
-#define ROWS_SERVER_H
+#ifndef PLATFORM_ROWS_SERVER_H
+#define PLATFORM_ROWS_SERVER_H
 
 // A stand-in for the platform's table service, by its published calls.
 #include <civetweb.h>
--- a/tests/rows_test.cc
+++ b/tests/platform_rows_test.cc
@@ -9,7 +9,7 @@
 
 #include "platform/rows.h"
 #include "tests/addr.h"
-#include "tests/rows_server.h"
+#include "tests/platform_rows_server.h"
 
 struct Rows : ::testing::Test {
 	RowsServer server{test_addr(26010)};
