owner, submit: refused repeats are no refusals; a thread for each open connection

The front end's 48 threads were all held by idle connections of callers, so that new ones waited (665 tries ended at their deadline); calls that came too late were then taken for a loss of the store. Change: after an attempt without an answer a refusal leaves the run unsure until it is stopped and listed. 512 connections of callers may be open. A call with less than 10 ms left says nothing of the store.

--- a/process/board.c
+++ b/process/board.c
@@ -139,7 +139,7 @@
 	int i;
 
 	pthread_mutex_lock(&b->lock);
-	b->stop = true;
+	__atomic_store_n(&b->stop, true, __ATOMIC_RELEASE);
 	pthread_cond_broadcast(&b->commit_wake);
 	pthread_cond_broadcast(&b->pass_wake);
 	pthread_mutex_unlock(&b->lock);
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -181,13 +181,16 @@
 		 w->info.id, o->name, (long long)o->run, said);
 }
 
-/* Takes the answer to a start; returns whether the run may be there. */
+/*
+ * Takes the answer to a start. With @unknown an attempt before it got none: a
+ * refusal then says nothing of that one, which may run, have ended, or begin
+ * later.
+ */
 static void start_answered(struct seam_worker *w, const struct seam_order *o,
-			   int rc, enum seam_refusal said,
+			   int rc, enum seam_refusal said, bool unknown,
 			   const struct seam_err *e)
 {
 	struct seam_board *b = w->board;
-	seam_time now = seam_now(b->clock);
 	struct seam_run_slot *r;
 	struct seam_job *j;
 
@@ -196,21 +199,20 @@
 		seam_count_add(&starts, 1);
 		if (r && r->state == SEAM_RUN_SENT) {
 			r->state = SEAM_RUN_LIVE;
-			r->live_at = now;
+			r->live_at = seam_now(b->clock);
 		}
 		return;
 	}
-	if (rc) {
+	if (rc)
 		seam_log(SEAM_WARN, "worker",
 			 "event=start_unanswered worker=%s task=%s run=%lld "
 			 "why=\"%s\"",
 			 w->info.id, o->name, (long long)o->run, e->text);
-	} else {
+	else
 		start_refused(w, said, o);
-	}
 	if (!r || r->state != SEAM_RUN_SENT)
 		return;
-	if (rc && e->kind == SEAM_COMMIT_UNKNOWN) {
+	if (unknown) {
 		seam_count_add(&unsure, 1);
 		r->state = SEAM_RUN_UNSURE;
 		return;
@@ -267,11 +269,8 @@
 		if (!rc || w->dead || b->stop)
 			break;
 	}
-	/* One attempt without an answer may still be carried out. */
-	if (rc && unknown)
-		e.kind = SEAM_COMMIT_UNKNOWN;
 	g_free(text);
-	start_answered(w, o, rc, said, &e);
+	start_answered(w, o, rc, said, unknown, &e);
 }
 
 static void send_stop(struct seam_worker *w, const struct seam_order *o)
--- a/process/site_settings.c
+++ b/process/site_settings.c
@@ -24,7 +24,7 @@
 	F(seeds, SEAM_JSON_TEXT),
 	F(store, SEAM_JSON_TEXT, .required = true),
 	F(vm_service, SEAM_JSON_TEXT, .required = true),
-	INT(threads, 2, 1024),
+	INT(threads, 2, 4096),
 	INT(grace_ms, 500, 600000),
 	INT(lease_max_ms, 1000, 600000),
 	INT(stop_max_ms, 10, 60000),
@@ -36,7 +36,7 @@
 static void set_defaults(struct seam_site_settings *s)
 {
 	memset(s, 0, sizeof(*s));
-	s->threads = 48;
+	s->threads = 512;
 	s->grace_ms = 6000;
 	s->lease_max_ms = 6000;
 	s->stop_max_ms = 1000;
--- a/process/site_settings.h
+++ b/process/site_settings.h
@@ -19,7 +19,8 @@
  * @seeds: control addresses of other nodes, separated by commas
  * @store: IP:PORT of the table service
  * @vm_service: IP:PORT of the VM list
- * @threads: connections of callers served at once
+ * @threads: connections of callers that may be open; each has a thread, also
+ *           while it is idle, and callers beyond them wait
  * @grace_ms: time from SIGTERM until the process is killed
  * @lease_max_ms: longest lease of a worker
  * @stop_max_ms: longest time that a worker takes to stop a task
--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -13,6 +13,7 @@
 #define PEERS_MAX 64
 /* The first attempt of a call leaves time for one through another node. */
 #define DIRECT_PART 2
+#define CALL_MIN (10 * SEAM_MSEC) /* less is not enough for an answer */
 #define DIRECT_MIN (250 * SEAM_MSEC)
 /* Between looks whether a store that refused us serves us again. */
 #define PROBE_GAP (400 * SEAM_MSEC)
@@ -180,6 +181,10 @@
 	bool unsure = false;
 	int rc;
 
+	/* A call that came too late says nothing of the store. */
+	if (deadline < now + CALL_MIN)
+		return seam_fail(e, SEAM_UNAVAILABLE,
+				 "no time left for a call to the store");
 	if (may_try_direct(r, now)) {
 		if (end < now + DIRECT_MIN || c->version)
 			end = deadline;
@@ -368,7 +373,7 @@
 	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, r->control,
 			       strlen(r->control)};
 	struct seam_commit c = {&w, 1, seam_store_token(), 0};
-	struct seam_rows rows;
+	struct seam_rows rows = {NULL, 0, 0};
 	size_t i;
 
 	snprintf(key, sizeof(key), SEAM_NODE_ROWS "%s", r->node);
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -70,7 +70,7 @@
 		return a->ends.size() >= 2;
 	}));
 	usleep(400000);
-	EXPECT_EQ(a->acked, 0);
+	EXPECT_EQ((int)a->acked, 0);
 	w.store.refuse_commits = 0;
 	EXPECT_TRUE(becomes("completed"));
 	EXPECT_TRUE(eventually([&] { return a->acked >= 4; }));
@@ -130,6 +130,20 @@
 	expect_starts(1, 3, 1);
 }
 
+// Guards against a second run of a task that has ended: the repeated start is
+// refused because of that end, which is listed a moment later.
+TEST_F(Board, RefusedRepeatIsNoRefusalOfTheFirst)
+{
+	FakeWorker *a = w.add_worker("a");
+	Owner o(&w, "n1");
+
+	o.renew();
+	a->lose_new = true;
+	w.job(ID, 20, "0");
+	EXPECT_TRUE(becomes("completed"));
+	expect_starts(1, 20, 1);
+}
+
 // Guards against an order that is carried out late: the task is stopped there
 // first, so that the late start is refused.
 TEST_F(Board, LateStartIsRefused)
@@ -305,7 +319,7 @@
 	/* As if it did not know that its term is over. */
 	seam_lead_extend(&old->lead, seam_now(w.clock) + 10 * SEAM_SEC);
 	usleep(1500000);
-	EXPECT_EQ(a->token, 2u);
+	EXPECT_EQ((uint64_t)a->token, 2u);
 	EXPECT_EQ(w.running(), 2u);
 	expect_starts(1, 2, 1);
 	delete old;
@@ -374,7 +388,7 @@
 	o.renew();
 	w.job(ID, 4, "50");
 	EXPECT_TRUE(becomes("completed"));
-	EXPECT_EQ(w.workers["a"]->next_end, 1);
+	EXPECT_EQ((int64_t)w.workers["a"]->next_end, 1);
 }
 
 // Guards a worker that leaves: it gets nothing new, and its lasting tasks are
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -128,6 +128,17 @@
 	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
 }
 
+// Guards against a node that takes the store for lost because a caller came
+// with no time left.
+TEST_F(Relay, LateCallSaysNothingOfTheStore)
+{
+	EXPECT_EQ(put("t/x", SEAM_ABSENT, 1), -1);
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+	far.down = true;
+	usleep(800000);
+	EXPECT_FALSE(seam_store_relay_lost(a.relay));
+}
+
 // Guards the state that callers and the owner go by.
 TEST_F(Relay, LostForAll)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -3,6 +3,7 @@
 
 // The users' platform in memory, at the interfaces of the owner: a store with a
 // feed, workers with leases and tokens, and the list of VMs. Times are real.
+#include <atomic>
 #include <condition_variable>
 #include <cstring>
 #include <functional>
@@ -41,15 +42,15 @@
 	};
 	std::map<std::string, Entry> rows;
 	uint64_t version = 0;
-	bool down = false;
+	std::atomic<bool> down{false};
 	int lose_answers =
 		0; // of the next commits, so many are done unanswered
 	int hold_commits =
 		0; // of the next ones, so many are not done, unanswered
-	int refuse_commits = 0;
-	uint64_t forgotten = 0; // watches from before are stale
+	std::atomic<int> refuse_commits{0};
+	std::atomic<uint64_t> forgotten{0}; // watches from before are stale
 	int commits = 0;
-	size_t largest = 0;
+	std::atomic<size_t> largest{0};
 
 	FeedStore();
 
@@ -176,7 +177,7 @@
 	if (entries > 100)
 		return seam_fail(e, SEAM_BAD_REQUEST, "over 100 entries");
 	f->commits++;
-	f->largest = std::max(f->largest, entries);
+	f->largest = std::max((size_t)f->largest, entries);
 	if (f->hold_commits > 0) {
 		f->hold_commits--;
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
@@ -236,16 +237,18 @@
 struct FakeWorker {
 	std::mutex lock;
 	std::string id;
-	int64_t born = 1;
-	uint64_t token = 0;
+	std::atomic<int64_t> born{1};
+	std::atomic<uint64_t> token{0};
 	int64_t clock_at_us = 0;
-	bool silent = false; // answers nothing
-	int lose_starts = 0; // so many starts are done without an answer
-	int late_starts = 0; // so many starts are kept and done by do_late()
-	bool fail_all = false;
-	int acked = 0;
+	std::atomic<bool> silent{false}; // answers nothing
+	std::atomic<int> lose_starts{
+		0}; // so many starts are done without an answer
+	std::atomic<int> late_starts{
+		0}; // so many starts are kept and done by do_late()
+	std::atomic<bool> fail_all{false};
+	std::atomic<int> acked{0};
 	int64_t lease = 0;
-	int64_t next_end = 1;
+	std::atomic<int64_t> next_end{1};
 	struct Run {
 		std::string task;
 		int64_t run;
@@ -258,6 +261,8 @@
 		int64_t run;
 		int how;
 	};
+	bool began = false; // the latest start was a new run
+	std::atomic<bool> lose_new{false}; // answers to new runs
 	std::vector<Run> runs;
 	std::vector<End> ends;
 	std::map<std::string, int64_t> refused; // highest run stopped or ended
@@ -314,6 +319,7 @@
 			return SEAM_ORDER_OLD;
 		runs.push_back({task, run, us() + atoll(text.c_str()) * 1000,
 				text == "lasts"});
+		began = true;
 		return SEAM_ORDER_DONE;
 	}
 	void restart()
@@ -382,6 +388,7 @@
 		snprintf(v.pool, SEAM_NAME, "%s", pool.c_str());
 		snprintf(v.dc, SEAM_NAME, "%s", dc.c_str());
 		snprintf(v.worker, SEAM_NAME, "%s", id.c_str());
+		std::lock_guard<std::mutex> l(lock);
 		vm.push_back(v);
 		return w;
 	}
@@ -484,11 +491,13 @@
 		w->late_task.push_back(s->task);
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	}
-	size_t before = w->runs.size();
+	w->began = false;
 	*said = w->begin(s->task, s->run, s->text, s->token, s->lease_until);
 	*clock_ms = w->clock_ms();
-	if (w->runs.size() > before)
+	if (w->began)
 		((FakeRunner *)r)->world->began(s->task, w->id);
+	if (w->lose_new && w->began)
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	if (w->lose_starts > 0) {
 		w->lose_starts--;
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
@@ -534,7 +543,7 @@
 		return 0;
 	w->token = h->token;
 	w->lease = std::max(w->lease, h->lease_until);
-	w->acked = std::max(w->acked, (int)h->acked);
+	w->acked = std::max((int)w->acked, (int)h->acked);
 	while (!w->ends.empty() && w->ends[0].n <= h->acked)
 		w->ends.erase(w->ends.begin());
 	out->clock_ms = w->clock_ms();
