--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -73,6 +73,12 @@
 	return false;
 }
 
+/* Until then a worker that has not answered may run what was started before. */
+static bool is_unheard(const struct look *l, const struct seam_worker *w)
+{
+	return (!w || !w->heard) && l->now <= l->board->unlisted_until;
+}
+
 static void describe_vm(struct look *l, size_t i)
 {
 	const struct seam_vm_info *info = &l->board->vm[i];
@@ -86,6 +92,8 @@
 	v->dc = index_of(l->dcs, info->dc);
 	v->up = info->state == SEAM_PHASE_UP && !(o && l->now < o->until);
 	v->due = is_due(l, info->vm);
+	if (*info->worker && is_unheard(l, w))
+		v->up = false;
 	if (w) {
 		v->runs = (int)w->ref->len + (int)w->orders.length;
 		v->leaving = w->leaving || w->info.draining;
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -509,3 +509,23 @@
 		       w.orders[0].find(" other") != std::string::npos;
 	}));
 }
+
+// Guards tasks over a takeover: a worker that the new owner has not heard yet
+// is not empty, so that its VM is not maintained or moved under them.
+TEST_F(Board, UnheardWorkerIsNotEmpty)
+{
+	FakeWorker *a = w.add_worker("a");
+	{
+		Owner o(&w, "n1");
+
+		o.renew();
+		w.job(ID, 2, "lasts");
+		EXPECT_TRUE(eventually([&] { return w.running() == 2; }));
+	}
+	a->silent = true;
+	w.store.put("op/wave/1", "1 1 vm-a");
+	Owner o(&w, "n2");
+	o.renew();
+	usleep(1500000);
+	EXPECT_TRUE(w.orders.empty());
+}
