--- a/base/clock.c
+++ b/base/clock.c
@@ -64,6 +64,11 @@
 	return &boot;
 }
 
+int64_t seam_wall_ms(void)
+{
+	return read_clock(CLOCK_REALTIME) / SEAM_MSEC;
+}
+
 void seam_cond_init(pthread_cond_t *c)
 {
 	pthread_condattr_t a;
--- a/base/clock.h
+++ b/base/clock.h
@@ -54,6 +54,9 @@
  */
 struct seam_clock *seam_clock_boot(void);
 
+/** seam_wall_ms() - time of day, milliseconds since 1970; it may jump */
+int64_t seam_wall_ms(void);
+
 /** seam_cond_init() - condition variable for seam_wait() */
 void seam_cond_init(pthread_cond_t *c);
 
--- a/connection/runner.h
+++ b/connection/runner.h
@@ -140,7 +140,6 @@
  * @start: order a start
  * @stop: stop a run; a run that is not there is refused from now on
  * @hold: renew the lease and list
- * @pace: let a run work at @percent of its speed
  * @close: close
  *
  * Orders return 0 when the worker answered, with @said set, and -1 with
@@ -157,9 +156,6 @@
 	int (*hold)(struct seam_runner *r, const struct seam_hold *h,
 		    enum seam_refusal *said, struct seam_listing *l,
 		    seam_time deadline, struct seam_err *e);
-	int (*pace)(struct seam_runner *r, const char *task, int64_t run,
-		    int percent, uint64_t token, enum seam_refusal *said,
-		    seam_time deadline, struct seam_err *e);
 	void (*close)(struct seam_runner *r);
 };
 
--- a/process/board.h
+++ b/process/board.h
@@ -44,10 +44,7 @@
  * @sent_at: when the order was queued
  * @live_at: when it was first known to run
  * @percent: progress as last listed
- * @percent_at: when @percent last changed
- * @level: as in struct seam_listed_run
  * @listed_at: when its worker last listed it as running
- * @pace: percent of its speed that was last ordered
  * @stop: it is to end
  * @stop_next: when the stop is sent again unless it was answered
  * @stopped_at: when the stop was answered; SEAM_NEVER before
@@ -59,10 +56,7 @@
 	seam_time sent_at;
 	seam_time live_at;
 	int percent;
-	seam_time percent_at;
-	int64_t level;
 	seam_time listed_at;
-	int pace;
 	bool stop;
 	seam_time stop_next;
 	seam_time stopped_at;
@@ -75,7 +69,6 @@
  * @starts: number of starts in this term
  * @avoid: worker on which it failed last
  * @not_before: not started again before
- * @away_at: since when it has not been at work; for lasting tasks
  */
 struct seam_job_task {
 	struct seam_run_slot run[SEAM_COPIES];
@@ -83,7 +76,6 @@
 	int starts;
 	struct seam_handle avoid;
 	seam_time not_before;
-	seam_time away_at;
 };
 
 /**
@@ -130,7 +122,7 @@
 	int task;
 };
 
-enum seam_order_kind { SEAM_ORDER_START, SEAM_ORDER_STOP, SEAM_ORDER_PACE };
+enum seam_order_kind { SEAM_ORDER_START, SEAM_ORDER_STOP };
 
 /**
  * struct seam_order - an order that waits for its worker's connection
@@ -138,7 +130,6 @@
  * @ref: task
  * @name: its name
  * @run: number of the run
- * @percent: pace
  * @deadline: not sent after it
  */
 struct seam_order {
@@ -146,7 +137,6 @@
 	struct seam_task_ref ref;
 	char name[SEAM_TASK_NAME];
 	int64_t run;
-	int percent;
 	seam_time deadline;
 };
 
@@ -253,14 +243,10 @@
  * @vm_lease: no VM is ordered so soon after a takeover, as the owner before may
  *            have sent its last order then
  * @lease_max: longest lease of a worker
- * @stop_max: longest time that a stop takes
- * @notice_max: a lasting task that is away for longer counts as missing
  */
 struct seam_board_conf {
 	seam_time vm_lease;
 	seam_time lease_max;
-	seam_time stop_max;
-	seam_time notice_max;
 };
 
 /**
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -55,6 +55,8 @@
 void *board_follow_workers(void *arg);
 void board_worker_lost(struct seam_board *b, struct seam_worker *w,
 		       const char *why);
+void board_worker_restarted(struct seam_board *b, struct seam_worker *w,
+			    int64_t born_ms);
 void board_workers_close(struct seam_board *b);
 void *board_hold_loop(void *arg);
 void *board_order_loop(void *arg);
@@ -91,6 +93,15 @@
 /* board_manage.c, called without the lock */
 void board_manage_vms(struct seam_board *b);
 int board_load_orders(struct seam_board *b, struct seam_err *e);
+int board_put_row(struct seam_board *b, const char *key, const char *text);
+
+/* board_wave.c, called without the lock but for board_wave_due() */
+bool board_wave_read(struct seam_board *b, struct seam_wave *w);
+void board_wave_load(struct seam_board *b, const struct seam_wave *w);
+bool board_wave_due(const struct seam_board *b, const struct seam_wave *w,
+		    const char *vm);
+void board_wave_report(struct seam_board *b, const struct seam_wave *w,
+		       bool done);
 
 /* board_leave.c */
 void board_empty_workers(struct seam_board *b);
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define PAGE 400 /* rows in one read */
 #define READ (2 * SEAM_SEC)
@@ -19,14 +18,6 @@
 SEAM_COUNT(failed, "seam_jobs_failed_total", "Jobs failed.");
 SEAM_COUNT(open_jobs, "seam_jobs_open", "Jobs that have not ended.");
 
-static int64_t wall_ms(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_REALTIME, &ts);
-	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 struct seam_job *board_find_job(struct seam_board *b, const char *id)
 {
 	struct seam_handle *h = g_hash_table_lookup(b->job_of, id);
@@ -149,7 +140,7 @@
 		seam_jobrow_free(&r);
 		return;
 	}
-	age = old ? (wall_ms() - r.accepted_ms) * SEAM_MSEC : 0;
+	age = old ? (seam_wall_ms() - r.accepted_ms) * SEAM_MSEC : 0;
 	if (age < 0 || age > OLD_MAX)
 		age = age < 0 ? 0 : OLD_MAX;
 	j->row = r;
@@ -294,7 +285,7 @@
 void board_job_end(struct seam_board *b, struct seam_job *j, int state)
 {
 	j->row.state = state;
-	j->row.ended_ms = wall_ms();
+	j->row.ended_ms = seam_wall_ms();
 	seam_count_add(state == SEAM_JOB_COMPLETED ? &completed : &failed, 1);
 	seam_log(SEAM_INFO, "job",
 		 "event=%s job=%s queue=%s workspace=%s age_ms=%lld "
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -69,15 +69,9 @@
 	struct seam_board *b = w->board;
 	seam_time now = seam_now(b->clock);
 
-	if (l->born_ms && w->info.born_ms && l->born_ms != w->info.born_ms) {
-		/* Its row follows; until then nothing is known of this life. */
-		board_worker_lost(b, w, "restarted");
-		w->info.born_ms = l->born_ms;
-		w->seen_end = 0;
-		w->acked = 0;
-		w->lease_end = 0;
-		g_array_set_size(w->marks, 0);
-	}
+	/* Its row follows; until then nothing is known of this life. */
+	if (l->born_ms && w->info.born_ms && l->born_ms != w->info.born_ms)
+		board_worker_restarted(b, w, l->born_ms);
 	if (!w->heard || !w->answered)
 		board_wake_pass(b);
 	w->heard = true;
@@ -291,31 +285,14 @@
 		r->stopped_at = seam_now(b->clock);
 }
 
-static void send_pace(struct seam_worker *w, const struct seam_order *o)
-{
-	struct seam_board *b = w->board;
-	enum seam_refusal said = SEAM_ORDER_INVALID;
-	struct seam_err e = SEAM_ERR_INIT;
-
-	pthread_mutex_unlock(&b->lock);
-	if (w->conn->ops->pace(w->conn, o->name, o->run, o->percent, b->term,
-			       &said, seam_now(b->clock) + ORDER_CALL, &e))
-		seam_log(SEAM_WARN, "worker",
-			 "event=pace_unanswered worker=%s task=%s why=\"%s\"",
-			 w->info.id, o->name, e.text);
-	pthread_mutex_lock(&b->lock);
-}
-
 static void send_order(struct seam_worker *w, const struct seam_order *o)
 {
 	if (o->kind == SEAM_ORDER_START)
 		send_start(w, o);
 	else if (!seam_lead_valid(w->board->lead, seam_now(w->board->clock)))
 		return;
-	else if (o->kind == SEAM_ORDER_STOP)
-		send_stop(w, o);
 	else
-		send_pace(w, o);
+		send_stop(w, o);
 }
 
 void *board_order_loop(void *arg)
--- a/process/board_listing.c
+++ b/process/board_listing.c
@@ -169,10 +169,7 @@
 	if (r->state != SEAM_RUN_LIVE)
 		r->live_at = now;
 	r->state = SEAM_RUN_LIVE;
-	if (r->percent != l->percent)
-		r->percent_at = now;
 	r->percent = l->percent;
-	r->level = l->level;
 	r->listed_at = now;
 	if (*l->checkpoint)
 		snprintf(j->task[step][task].checkpoint, SEAM_CHECKPOINT, "%s",
--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -27,7 +27,6 @@
  * a pool for about a second, and takes longer than a job may wait. */
 #define HOLD (1000 * SEAM_MSEC)
 #define ORDERS_ROW "vm/orders" /* VMs that were ordered a short time ago */
-#define WAVE_ROWS "wave/" /* VMs that a wave has maintained */
 
 SEAM_COUNT(moves, "seam_vm_moves_total", "VMs moved to another pool.");
 SEAM_COUNT(upkeeps, "seam_vm_upkeeps_total", "VMs maintained.");
@@ -63,16 +62,6 @@
 	return h ? board_worker(b, *h) : NULL;
 }
 
-static bool is_due(const struct look *l, const char *vm)
-{
-	size_t i;
-
-	for (i = 0; l->has_wave && i < l->wave.vms; i++)
-		if (!strcmp(l->wave.vm[i], vm))
-			return !g_hash_table_contains(l->board->wave_done, vm);
-	return false;
-}
-
 /* Until then a worker that has not answered may run what was started before. */
 static bool is_unheard(const struct look *l, const struct seam_worker *w)
 {
@@ -91,7 +80,7 @@
 	v->pool = index_of(l->pools, info->pool);
 	v->dc = index_of(l->dcs, info->dc);
 	v->up = info->state == SEAM_PHASE_UP && !(o && l->now < o->until);
-	v->due = is_due(l, info->vm);
+	v->due = l->has_wave && board_wave_due(l->board, &l->wave, info->vm);
 	if (*info->worker && is_unheard(l, w))
 		v->up = false;
 	if (w) {
@@ -112,32 +101,6 @@
 		v->pool = index_of(l->pools, o->pool);
 }
 
-static void read_wave(struct look *l)
-{
-	struct seam_board *b = l->board;
-	struct seam_wave w;
-	unsigned i;
-
-	l->plan.wave.left_s = 1e9;
-	for (i = 0; seam_op_state_wave(b->op_state, i, &w); i++) {
-		/* One wave at a time, in the order of their numbers. */
-		if (w.number <= b->wave_completed ||
-		    (l->has_wave && w.number > l->wave.number)) {
-			free(w.vm);
-			continue;
-		}
-		if (l->has_wave)
-			free(l->wave.vm);
-		l->wave = w;
-		l->has_wave = true;
-	}
-	if (!l->has_wave)
-		return;
-	l->plan.wave.at_once = l->wave.at_once;
-	l->plan.wave.left_s =
-		(double)(l->wave.deadline - l->now) / (double)SEAM_SEC;
-}
-
 /* Capacity of one worker of a pool, or of any if it has none. */
 static struct seam_amount unit_of(struct seam_board *b, const char *pool)
 {
@@ -251,7 +214,13 @@
 {
 	size_t i;
 
-	read_wave(l);
+	l->plan.wave.left_s = 1e9;
+	l->has_wave = board_wave_read(l->board, &l->wave);
+	if (l->has_wave) {
+		l->plan.wave.at_once = l->wave.at_once;
+		l->plan.wave.left_s =
+			(double)(l->wave.deadline - l->now) / (double)SEAM_SEC;
+	}
 	l->plan.vms = l->board->vms;
 	l->plan.vm = g_new0(struct seam_plan_vm, l->board->vms + 1);
 	for (i = 0; i < l->board->vms; i++)
@@ -325,7 +294,8 @@
 	}
 }
 
-static int put(struct seam_board *b, const char *key, const char *text)
+/* Writes a row while this node is the owner; the lock is not held. */
+int board_put_row(struct seam_board *b, const char *key, const char *text)
 {
 	struct seam_write w[] = {
 		{SEAM_PUT, key, SEAM_ANY_VERSION, text, strlen(text)},
@@ -385,9 +355,9 @@
 					      .vm));
 	if (n) {
 		pthread_mutex_unlock(&b->lock);
-		rc = put(b, ORDERS_ROW,
-			 json_object_to_json_string_ext(
-				 list, JSON_C_TO_STRING_PLAIN));
+		rc = board_put_row(b, ORDERS_ROW,
+				   json_object_to_json_string_ext(
+					   list, JSON_C_TO_STRING_PLAIN));
 		pthread_mutex_lock(&b->lock);
 	}
 	json_object_put(list);
@@ -456,106 +426,11 @@
 	size_t left = 0;
 
 	for (i = 0; i < l->board->vms; i++)
-		left += is_due(l, l->board->vm[i].vm);
+		left += board_wave_due(l->board, &l->wave, l->board->vm[i].vm);
 	seam_count_set(&wave_left, (int64_t)left);
 	return !left;
 }
 
-/* Tells operators where the wave stands; the lock is not held. */
-static void report_wave(struct look *l, bool done)
-{
-	struct seam_board *b = l->board;
-	int state = done ? 2 : 1;
-	char key[SEAM_KEY_MAX];
-	char *text;
-
-	if (b->wave_number == l->wave.number && b->wave_reported >= state)
-		return;
-	snprintf(key, sizeof(key), "%s%lld", b->ports->wave_status_rows,
-		 (long long)l->wave.number);
-	text = b->ports->wave_state(done);
-	if (text && !put(b, key, text)) {
-		b->wave_number = l->wave.number;
-		b->wave_reported = state;
-		if (done) {
-			seam_log(SEAM_INFO, "upkeep",
-				 "event=wave_completed wave=%lld left_ms=%lld",
-				 (long long)l->wave.number,
-				 (long long)(l->wave.deadline - l->now) /
-					 SEAM_MSEC);
-			b->wave_completed = l->wave.number;
-		}
-	}
-	free(text);
-}
-
-/* Keeps the VMs that were maintained, for the next owner. */
-static void keep_done(struct look *l)
-{
-	struct seam_board *b = l->board;
-	struct json_object *list = json_object_new_array();
-	struct json_object *o = json_object_new_object();
-	char key[SEAM_KEY_MAX];
-	GHashTableIter it;
-	gpointer vm;
-	guint n;
-
-	pthread_mutex_lock(&b->lock);
-	n = g_hash_table_size(b->wave_done);
-	g_hash_table_iter_init(&it, b->wave_done);
-	while (g_hash_table_iter_next(&it, &vm, NULL))
-		json_object_array_add(list, json_object_new_string(vm));
-	pthread_mutex_unlock(&b->lock);
-	json_object_object_add(o, "done", list);
-	snprintf(key, sizeof(key), WAVE_ROWS "%lld", (long long)l->wave.number);
-	if (n != b->wave_kept &&
-	    !put(b, key,
-		 json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN)))
-		b->wave_kept = n;
-	json_object_put(o);
-}
-
-/* What the wave before has maintained says nothing of this one. */
-static void begin_wave(struct seam_board *b, int64_t number)
-{
-	pthread_mutex_lock(&b->lock);
-	g_hash_table_remove_all(b->wave_done);
-	b->wave_kept = 0;
-	b->wave_loaded = number;
-	pthread_mutex_unlock(&b->lock);
-}
-
-/* Reads what owners before us have done for the wave. */
-static void load_done(struct look *l)
-{
-	struct seam_board *b = l->board;
-	struct json_object *list = NULL;
-	struct json_object *o;
-	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_row row;
-	char key[SEAM_KEY_MAX];
-	size_t i;
-
-	snprintf(key, sizeof(key), WAVE_ROWS "%lld", (long long)l->wave.number);
-	if (seam_store_get(b->ports->store, key, &row,
-			   seam_now(b->clock) + STORE_CALL, &e)) {
-		if (e.kind == SEAM_NOT_FOUND)
-			begin_wave(b, l->wave.number);
-		return;
-	}
-	o = json_tokener_parse(row.data);
-	json_object_object_get_ex(o, "done", &list);
-	begin_wave(b, l->wave.number);
-	pthread_mutex_lock(&b->lock);
-	for (i = 0; list && i < json_object_array_length(list); i++)
-		g_hash_table_add(b->wave_done,
-				 g_strdup(json_object_get_string(
-					 json_object_array_get_idx(list, i))));
-	pthread_mutex_unlock(&b->lock);
-	json_object_put(o);
-	seam_row_free(&row);
-}
-
 static void free_look(struct look *l)
 {
 	g_free(l->plan.vm);
@@ -630,7 +505,7 @@
 	look_at_vms(&l);
 	if (l.has_wave && b->wave_loaded != l.wave.number) {
 		pthread_mutex_unlock(&b->lock);
-		load_done(&l);
+		board_wave_load(b, &l.wave);
 		free_look(&l);
 		return;
 	}
@@ -640,9 +515,7 @@
 	carry_out(&l);
 	done = l.has_wave && wave_is_done(&l);
 	pthread_mutex_unlock(&b->lock);
-	if (l.has_wave) {
-		keep_done(&l);
-		report_wave(&l, done);
-	}
+	if (l.has_wave)
+		board_wave_report(b, &l.wave, done);
 	free_look(&l);
 }
--- a/process/board_runs.c
+++ b/process/board_runs.c
@@ -83,8 +83,6 @@
 					   .number = number,
 					   .sent_at = now,
 					   .live_at = now,
-					   .percent_at = now,
-					   .pace = 100,
 					   .stopped_at = SEAM_NEVER};
 	g_array_append_val(w->ref, ref);
 	w->used.cpu += need.cpu;
@@ -104,7 +102,6 @@
 
 	r->state = SEAM_RUN_FREE;
 	j->runs--;
-	j->task[step][task].away_at = seam_now(b->clock);
 	board_wake_pass(b);
 	if (!w)
 		return;
--- a/process/board_workers.c
+++ b/process/board_workers.c
@@ -74,8 +74,8 @@
 }
 
 /* The same worker has started again and knows nothing of before. */
-static void new_life(struct seam_board *b, struct seam_worker *w,
-		     int64_t born_ms)
+void board_worker_restarted(struct seam_board *b, struct seam_worker *w,
+			    int64_t born_ms)
 {
 	board_worker_lost(b, w, "restarted");
 	w->info.born_ms = born_ms;
@@ -159,7 +159,7 @@
 
 	w->listed = true;
 	if (info->born_ms && w->info.born_ms && info->born_ms > w->info.born_ms)
-		new_life(b, w, info->born_ms);
+		board_worker_restarted(b, w, info->born_ms);
 	if (strcmp(info->addr, w->info.addr)) {
 		board_worker_lost(b, w, "moved");
 		w->dead = true;
--- a/process/site.c
+++ b/process/site.c
@@ -69,9 +69,7 @@
 {
 	struct seam_board_conf conf = {
 		.vm_lease = n->settings.vm_lease_ms * SEAM_MSEC,
-		.lease_max = n->settings.lease_max_ms * SEAM_MSEC,
-		.stop_max = n->settings.stop_max_ms * SEAM_MSEC,
-		.notice_max = n->settings.notice_max_ms * SEAM_MSEC};
+		.lease_max = n->settings.lease_max_ms * SEAM_MSEC};
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_board *b;
 
--- a/process/site_settings.c
+++ b/process/site_settings.c
@@ -27,8 +27,6 @@
 	INT(threads, 2, 4096),
 	INT(grace_ms, 500, 600000),
 	INT(lease_max_ms, 1000, 600000),
-	INT(stop_max_ms, 10, 60000),
-	INT(notice_max_ms, 100, 600000),
 	INT(vm_lease_ms, 100, 600000),
 	F(log_level, SEAM_JSON_CHOICE, .choices = levels),
 };
@@ -39,8 +37,6 @@
 	s->threads = 512;
 	s->grace_ms = 6000;
 	s->lease_max_ms = 6000;
-	s->stop_max_ms = 1000;
-	s->notice_max_ms = 4500;
 	s->vm_lease_ms = 3000;
 	s->log_level = 1;
 }
--- a/process/site_settings.h
+++ b/process/site_settings.h
@@ -23,8 +23,6 @@
  *           while it is idle, and callers beyond them wait
  * @grace_ms: time from SIGTERM until the process is killed
  * @lease_max_ms: longest lease of a worker
- * @stop_max_ms: longest time that a worker takes to stop a task
- * @notice_max_ms: a lasting task that is away for longer counts as missing
  * @vm_lease_ms: a node that orders VMs after another waits so long
  * @log_level: index of debug, info, warning, error
  */
@@ -40,8 +38,6 @@
 	int64_t threads;
 	int64_t grace_ms;
 	int64_t lease_max_ms;
-	int64_t stop_max_ms;
-	int64_t notice_max_ms;
 	int64_t vm_lease_ms;
 	int log_level;
 };
--- a/request/submit.c
+++ b/request/submit.c
@@ -7,7 +7,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 /* Left of a caller's time for the answer after the store's last attempt. */
 #define ANSWER_MARGIN (150 * SEAM_MSEC)
@@ -37,14 +36,6 @@
 	seam_time deadline;
 };
 
-static int64_t wall_ms(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_REALTIME, &ts);
-	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 static void refuse(struct request *r, const struct seam_err *e,
 		   int64_t retry_ms)
 {
@@ -125,7 +116,7 @@
 {
 	struct seam_jobrow row = {.spec = *spec,
 				  .state = SEAM_JOB_QUEUED,
-				  .accepted_ms = wall_ms()};
+				  .accepted_ms = seam_wall_ms()};
 	char *text = seam_jobrow_text(&row);
 	char key[SEAM_KEY_MAX];
 	struct seam_write w = {SEAM_PUT, key, SEAM_ABSENT, text, 0};
@@ -218,7 +209,7 @@
 	int rc;
 
 	j->state = SEAM_JOB_CANCELLED;
-	j->ended_ms = wall_ms();
+	j->ended_ms = seam_wall_ms();
 	text = seam_jobrow_text(j);
 	if (!text)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
--- a/tests/world.h
+++ b/tests/world.h
@@ -578,20 +578,13 @@
 	return 0;
 }
 
-static int fake_pace(seam_runner *, const char *, int64_t, int, uint64_t,
-		     seam_refusal *said, seam_time, seam_err *)
-{
-	*said = SEAM_ORDER_DONE;
-	return 0;
-}
-
 static void fake_close(seam_runner *r)
 {
 	delete (FakeRunner *)r;
 }
 
-static const seam_runner_ops fake_runner_ops = {
-	fake_start, fake_stop, fake_hold, fake_pace, fake_close};
+static const seam_runner_ops fake_runner_ops = {fake_start, fake_stop,
+						fake_hold, fake_close};
 
 static World *the_world; // of the running test
 
@@ -766,8 +759,7 @@
 
 	Owner(World *w, const char *name) : world(w)
 	{
-		seam_board_conf conf = {500 * SEAM_MSEC, 6 * SEAM_SEC, SEAM_SEC,
-					4 * SEAM_SEC};
+		seam_board_conf conf = {500 * SEAM_MSEC, 6 * SEAM_SEC};
 
 		seam_lead_init(&lead, &w->store.base, w->clock, name);
 		eventually([&] { return seam_lead_try(&lead, &e); });
