--- a/process/board_wave.c
+++ b/process/board_wave.c
@@ -21,20 +21,22 @@
 /* The wave with the lowest number that is not completed; free @w->vm. */
 bool board_wave_read(struct seam_board *b, struct seam_wave *w)
 {
+	char(*kept)[SEAM_NAME] = NULL;
 	struct seam_wave next;
 	unsigned i;
 
 	memset(w, 0, sizeof(*w));
 	for (i = 0; seam_op_state_wave(b->op_state, i, &next); i++) {
 		if (next.number <= b->wave_completed ||
-		    (w->vm && next.number > w->number)) {
+		    (kept && next.number > w->number)) {
 			free(next.vm);
-		} else {
-			free(w->vm);
-			*w = next;
+			continue;
 		}
+		free(kept);
+		kept = next.vm;
+		*w = next;
 	}
-	return w->vm != NULL;
+	return kept != NULL;
 }
 
 bool board_wave_due(const struct seam_board *b, const struct seam_wave *w,
