--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -16,12 +16,10 @@
 /* An order without an answer may be carried out so much later. */
 #define UNSURE (3 * SEAM_SEC)
 #define POOL_MIN 2 /* workers that a pool keeps without demand */
-#define CROWDED                                                      \
-	1.3 /* demand in parts of the fleet from which it is crowded \
-	     */
-#define HEADROOM                                                    \
-	1 /* workers beyond demand, for the jobs of the next moment \
-	   */
+/* Demand, in parts of the fleet, from which it is crowded. */
+#define CROWDED 1.3
+/* Workers beyond demand, for the jobs of the next moment. */
+#define HEADROOM 1
 #define FILL 0.92 /* part of a pool that tasks of uneven sizes can fill */
 /* Demand that a pool had is kept room for: a move costs as much as a worker in
  * a pool for about a second, and takes longer than a job may wait. */
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -8,13 +8,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define GATHER_USEC                                              \
-	8000 /* pause before a pass, for news that come together \
-	      */
+/* Pause before a pass, for news that come together. */
+#define GATHER_USEC 8000
 #define IDLE (100 * SEAM_MSEC) /* between passes without news */
-#define START_QUEUE \
-	(600 * SEAM_MSEC) /* a start that waits longer is placed anew */
+/* A start that waits longer for its connection is placed anew. */
+#define START_QUEUE (600 * SEAM_MSEC)
 #define RUNS_PER_TERM 10000 /* run numbers grow with the term */
+/* A worker that stays slow for longer after its start is taken last. */
 #define SLOW_MIN_MS 200
 
 SEAM_COUNT(passes, "seam_passes_total", "Passes over the waiting tasks.");
--- a/process/site.c
+++ b/process/site.c
@@ -15,9 +15,8 @@
 #define STATE_CALL (400 * SEAM_MSEC) /* asking all other nodes */
 #define LOOK_SPREAD_USEC 100000
 #define RETRY_USEC 100000
-#define LAST_REQUESTS                                          \
-	(1500 * SEAM_MSEC) /* for requests that run at the end \
-			    */
+/* For requests that run at the end of a drain. */
+#define LAST_REQUESTS (1500 * SEAM_MSEC)
 
 SEAM_COUNT(takeovers, "seam_terms_total", "Terms that this node has owned.");
 SEAM_COUNT(owner, "seam_owner", "Whether this node is the owner.");
