relay: all known nodes are asked before a term is extended

It asks the other nodes whether the store is away for all, but left out nodes whose row had not changed between two looks, and looks are as far apart as writes; and before the first look it knew of no node and took that for a yes. Change: a node counts as gone after five looks without a change; without a look the answer is no. Result: relay_test AllKnownNodesAreAsked fails before and passes now.

--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -23,6 +23,7 @@
 #define PEER_TRIES 3
 /* Without an answer for so long a node is better not asked for jobs. */
 #define LOST (700 * SEAM_MSEC)
+#define GONE_LOOKS 5 /* looks without a change of a row: its node is gone */
 #define REFRESH_CALL (800 * SEAM_MSEC)
 
 SEAM_COUNT(relayed, "seam_store_relayed_total",
@@ -39,6 +40,12 @@
 	bool live;
 };
 
+/* A node's row: its version at the last look, and looks without a change. */
+struct seen {
+	uint64_t version;
+	int unchanged;
+};
+
 /*
  * @direct: the store
  * @down: it did not serve the latest call
@@ -55,7 +62,8 @@
 	struct peer peer[PEERS_MAX];
 	int peers;
 	int next;
-	GHashTable *seen; /* row of a node to its version at the last look */
+	GHashTable *seen; /* row of a node to struct seen */
+	bool looked; /* the nodes' rows were read */
 	bool down;
 	seam_time probe_at;
 	seam_time ok_at;
@@ -351,17 +359,21 @@
 }
 
 /*
- * A row is written again with each refresh. Its version tells whether it was
- * since the last look, so that nodes that are gone are not waited for.
+ * A row is written again with each refresh of its node. One that was not for
+ * several looks is of a node that is gone and need not be waited for. Nodes
+ * refresh as often as we look, so that a single look may find a row unchanged.
  */
 static void take_node(struct relay *r, const struct seam_row *row)
 {
-	uint64_t *seen = g_hash_table_lookup(r->seen, row->key);
-	bool live = !seen || *seen != row->version;
+	struct seen *s = g_hash_table_lookup(r->seen, row->key);
 
-	g_hash_table_replace(r->seen, g_strdup(row->key),
-			     g_memdup2(&row->version, sizeof(row->version)));
-	add_peer(r, row->data, live);
+	if (!s) {
+		s = g_new0(struct seen, 1);
+		g_hash_table_insert(r->seen, g_strdup(row->key), s);
+	}
+	s->unchanged = s->version == row->version ? s->unchanged + 1 : 0;
+	s->version = row->version;
+	add_peer(r, row->data, s->unchanged < GONE_LOOKS);
 }
 
 void seam_store_relay_refresh(struct seam_store *base)
@@ -381,6 +393,7 @@
 			&e)) {
 		for (i = 0; i < rows.n; i++)
 			take_node(r, &rows.row[i]);
+		__atomic_store_n(&r->looked, true, __ATOMIC_RELEASE);
 		seam_rows_free(&rows);
 	}
 	if (relay_commit(base, &c, deadline, &e))
@@ -410,6 +423,8 @@
 	struct relay *r = (struct relay *)base;
 	int i;
 
+	if (!__atomic_load_n(&r->looked, __ATOMIC_ACQUIRE))
+		return false;
 	for (i = 0; i < r->peers; i++)
 		if (r->peer[i].live && !peer_lost(&r->peer[i], deadline))
 			return false;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -128,6 +128,21 @@
 	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
 }
 
+// Guards against two owners behind a cut: a node that did not write its row
+// anew between two looks is still asked, and nothing is known before the first
+// look.
+TEST_F(Relay, AllKnownNodesAreAsked)
+{
+	near.put("node/b", test_addr(27011));
+	near.down = true;
+	EXPECT_FALSE(seam_store_relay_all_lost(a.relay, in(1000)));
+	near.down = false;
+	for (int i = 0; i < 3; i++)
+		seam_store_relay_refresh(a.relay);
+	near.down = true;
+	EXPECT_FALSE(seam_store_relay_all_lost(a.relay, in(1000)));
+}
+
 // Guards against a node that takes the store for lost because a caller came
 // with no time left.
 TEST_F(Relay, LateCallSaysNothingOfTheStore)
