relay, tests: what served the store is freed with the relay

Cause: under the address sanitizer relay_test leaked the handlers' argument, and the stand-in of the table service two lists. Change: the argument lives in the relay; the stand-in frees its lists.

--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -55,6 +55,7 @@
 struct relay {
 	struct seam_store store;
 	struct seam_store *direct;
+	struct seam_store_serve served;
 	struct seam_clock *clock;
 	char node[64];
 	char control[64];
@@ -453,7 +454,10 @@
 
 void seam_store_relay_serve(struct seam_store *base, struct seam_http *h)
 {
-	seam_store_serve(((struct relay *)base)->direct,
-			 ((struct relay *)base)->clock, h);
+	struct relay *r = (struct relay *)base;
+
+	r->served.store = r->direct;
+	r->served.clock = r->clock;
+	seam_store_serve(&r->served, h);
 	seam_http_route(h, "GET", "/v1/state", serve_state, base);
 }
--- a/process/store_serve.c
+++ b/process/store_serve.c
@@ -15,11 +15,6 @@
 #define WATCH_MARGIN (700 * SEAM_MSEC)
 #define WAIT_MAX_MS 5000
 
-struct serve {
-	struct seam_store *store;
-	struct seam_clock *clock;
-};
-
 static void reply_object(struct seam_call *c, struct json_object *o)
 {
 	seam_reply_text(
@@ -66,7 +61,7 @@
 
 static void serve_row(struct seam_call *c, void *arg)
 {
-	struct serve *s = arg;
+	struct seam_store_serve *s = arg;
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_row row = {.data = NULL};
 	struct json_object *o;
@@ -83,7 +78,7 @@
 
 static void serve_scan(struct seam_call *c, void *arg)
 {
-	struct serve *s = arg;
+	struct seam_store_serve *s = arg;
 	struct seam_err e = SEAM_ERR_INIT;
 	char prefix[SEAM_KEY_MAX];
 	char after[SEAM_KEY_MAX];
@@ -109,7 +104,7 @@
 
 static void serve_watch(struct seam_call *c, void *arg)
 {
-	struct serve *s = arg;
+	struct seam_store_serve *s = arg;
 	struct seam_err e = SEAM_ERR_INIT;
 	char prefix[SEAM_KEY_MAX];
 	char after[24];
@@ -140,7 +135,7 @@
 
 static void serve_commit(struct seam_call *c, void *arg)
 {
-	struct serve *s = arg;
+	struct seam_store_serve *s = arg;
 	struct seam_err e = SEAM_ERR_INIT;
 	struct json_object *o = json_tokener_parse(c->body);
 	struct seam_commit commit = {.n = 0};
@@ -161,13 +156,8 @@
 	seam_reply_text(c, 200, "application/json", text);
 }
 
-void seam_store_serve(struct seam_store *s, struct seam_clock *k,
-		      struct seam_http *h)
+void seam_store_serve(struct seam_store_serve *v, struct seam_http *h)
 {
-	struct serve *v = g_new0(struct serve, 1);
-
-	v->store = s;
-	v->clock = k;
 	seam_http_route(h, "GET", BASE "/rows/", serve_row, v);
 	seam_http_route(h, "GET", BASE "/rows", serve_scan, v);
 	seam_http_route(h, "GET", BASE "/watch", serve_watch, v);
--- a/tests/platform_rows_server.h
+++ b/tests/platform_rows_server.h
@@ -138,8 +138,10 @@
 		for (;;) {
 			json_object *list = json_object_new_array();
 
-			if (after < oldest)
+			if (after < oldest) {
+				json_object_put(list);
 				return answer(c, 410, "{}");
+			}
 			for (auto &r : rows)
 				if (std::get<0>(r.first) == table &&
 				    r.second.ver > after)
@@ -158,7 +160,6 @@
 		json_object *puts = nullptr;
 		json_object *drop = nullptr;
 		json_object *across = nullptr;
-		json_object *bad = json_object_new_array();
 		std::set<std::string> parts;
 		size_t i;
 
@@ -186,6 +187,7 @@
 				     "Content-Length: 100\r\n\r\n{");
 			return 200;
 		}
+		json_object *bad = json_object_new_array();
 		for (i = 0; i < json_object_array_length(when); i++) {
 			json_object *e = json_object_array_get_idx(when, i);
 			auto it = rows.find(name_of(e));
