--- a/version/catalog.c
+++ b/version/catalog.c
@@ -89,7 +89,7 @@
 const struct seam_catalog *seam_catalog_enter(struct seam_catalog_cell *cell)
 {
 	urcu_bp_read_lock();
-	return rcu_dereference(cell->now);
+	return __atomic_load_n(&cell->now, __ATOMIC_ACQUIRE);
 }
 
 void seam_catalog_leave(void)
@@ -105,7 +105,7 @@
 		seam_catalog_free(c);
 		return false;
 	}
-	rcu_assign_pointer(cell->now, c);
+	__atomic_store_n(&cell->now, c, __ATOMIC_RELEASE);
 	urcu_bp_synchronize_rcu();
 	seam_catalog_free(old);
 	return true;
