--- a/process/upkeep.h
+++ b/process/upkeep.h
@@ -12,8 +12,6 @@
 extern "C" {
 #endif
 
-#define SEAM_WAVE_VMS 4096
-
 /**
  * struct seam_wave - VMs that operators want maintained
  * @number: number that the platform checks with each order
--- /dev/null
+++ b/tests/fake_worker.h
@@ -0,0 +1,129 @@
+#ifndef FAKE_WORKER_H
+#define FAKE_WORKER_H
+
+// A worker of the users' platform in memory: leases, tokens, ends.
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <time.h>
+
+#include "connection/runner.h"
+
+// One worker with its runs; a run ends by itself after its text's milliseconds.
+struct FakeWorker {
+	std::mutex lock;
+	std::string id;
+	std::atomic<int64_t> born{1};
+	std::atomic<uint64_t> token{0};
+	int64_t clock_at_us = 0;
+	std::atomic<bool> silent{false}; // answers nothing
+	std::atomic<int> lose_starts{
+		0}; // so many starts are done without an answer
+	std::atomic<int> late_starts{
+		0}; // so many starts are kept and done by do_late()
+	std::atomic<bool> fail_all{false};
+	std::atomic<int> acked{0};
+	int64_t lease = 0;
+	std::atomic<int64_t> next_end{1};
+	struct Run {
+		std::string task;
+		int64_t run;
+		int64_t until_us;
+		bool lasts;
+	};
+	struct End {
+		int64_t n;
+		std::string task;
+		int64_t run;
+		int how;
+	};
+	bool began = false; // the latest start was a new run
+	std::atomic<bool> lose_new{false}; // answers to new runs
+	std::vector<Run> runs;
+	std::vector<End> ends;
+	std::map<std::string, int64_t> refused; // highest run stopped or ended
+	std::vector<seam_start> late;
+	std::vector<std::string> late_task;
+
+	static int64_t us()
+	{
+		timespec ts;
+
+		clock_gettime(CLOCK_MONOTONIC, &ts);
+		return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+	}
+	int64_t clock_ms()
+	{
+		if (!clock_at_us)
+			clock_at_us = us() - 5000000;
+		return (us() - clock_at_us) / 1000;
+	}
+	void end(size_t i, int how)
+	{
+		ends.push_back({next_end++, runs[i].task, runs[i].run, how});
+		refused[runs[i].task] =
+			std::max(refused[runs[i].task], runs[i].run);
+		runs.erase(runs.begin() + (long)i);
+	}
+	void tick()
+	{
+		bool lapsed = lease && clock_ms() > lease;
+
+		for (size_t i = runs.size(); i-- > 0;) {
+			if (lapsed)
+				end(i, SEAM_END_LAPSED);
+			else if (!runs[i].lasts && us() > runs[i].until_us)
+				end(i,
+				    fail_all ? SEAM_END_FAILED : SEAM_END_DONE);
+		}
+	}
+	enum seam_refusal begin(const std::string &task, int64_t run,
+				const std::string &text, uint64_t with,
+				int64_t until)
+	{
+		tick();
+		if (with < token)
+			return SEAM_ORDER_FENCED;
+		token = with;
+		if (until <= clock_ms())
+			return SEAM_ORDER_LATE;
+		lease = std::max(lease, until);
+		for (auto &r : runs)
+			if (r.task == task && r.run == run)
+				return SEAM_ORDER_DONE;
+		if (refused.count(task) && refused[task] >= run)
+			return SEAM_ORDER_OLD;
+		runs.push_back({task, run, us() + atoll(text.c_str()) * 1000,
+				text == "lasts"});
+		began = true;
+		return SEAM_ORDER_DONE;
+	}
+	void restart()
+	{
+		std::lock_guard<std::mutex> l(lock);
+
+		runs.clear();
+		ends.clear();
+		refused.clear();
+		token = 0;
+		lease = 0;
+		next_end = 1;
+		clock_at_us = us();
+		born++;
+	}
+	size_t running(const std::string &task = "")
+	{
+		std::lock_guard<std::mutex> l(lock);
+		size_t n = 0;
+
+		tick();
+		for (auto &r : runs)
+			n += task.empty() || r.task == task;
+		return n;
+	}
+};
+
+#endif
--- /dev/null
+++ b/tests/feed_store.h
@@ -0,0 +1,232 @@
+#ifndef FEED_STORE_H
+#define FEED_STORE_H
+
+// A store in memory with a feed of changes, lost answers and outages.
+#include <atomic>
+#include <condition_variable>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include <unistd.h>
+
+#include "process/store.h"
+
+// Waits up to @ms until @done holds.
+static inline bool eventually(std::function<bool()> done, int ms = 8000)
+{
+	for (int i = 0; i < ms / 5; i++) {
+		if (done())
+			return true;
+		usleep(5000);
+	}
+	return done();
+}
+
+// A store with a feed of changes.
+struct FeedStore {
+	seam_store base;
+	std::mutex lock;
+	std::condition_variable changed;
+	struct Entry {
+		std::string data;
+		uint64_t version = 0;
+		uint64_t writer = 0;
+		bool gone = false;
+	};
+	std::map<std::string, Entry> rows;
+	uint64_t version = 0;
+	std::atomic<bool> down{false};
+	int lose_answers =
+		0; // of the next commits, so many are done unanswered
+	int hold_commits =
+		0; // of the next ones, so many are not done, unanswered
+	std::atomic<int> refuse_commits{0};
+	std::atomic<uint64_t> forgotten{0}; // watches from before are stale
+	int commits = 0;
+	std::atomic<size_t> largest{0};
+
+	FeedStore();
+
+	void put(const std::string &key, const std::string &data)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		rows[key] = {data, ++version, 0, false};
+		changed.notify_all();
+	}
+	void del(const std::string &key)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		rows[key] = {"", ++version, 0, true};
+		changed.notify_all();
+	}
+	std::string get(const std::string &key)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		auto it = rows.find(key);
+		return it == rows.end() || it->second.gone ? "" :
+							     it->second.data;
+	}
+	uint64_t version_of(const std::string &key)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		auto it = rows.find(key);
+		return it == rows.end() || it->second.gone ? 0 :
+							     it->second.version;
+	}
+	static void fill(seam_row *r, const std::string &key, const Entry &e)
+	{
+		memset(r, 0, sizeof(*r));
+		snprintf(r->key, sizeof(r->key), "%s", key.c_str());
+		r->version = e.version;
+		r->writer = e.writer;
+		if (e.gone)
+			return;
+		r->data = strdup(e.data.c_str());
+		r->len = e.data.size();
+	}
+};
+
+static inline FeedStore *feed_of(seam_store *s)
+{
+	return (FeedStore *)s; // its base is the first member
+}
+
+static int feed_scan(seam_store *s, const char *prefix, const char *after,
+		     size_t max, seam_rows *out, seam_time, seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::lock_guard<std::mutex> l(f->lock);
+
+	memset(out, 0, sizeof(*out));
+	if (f->down)
+		return seam_fail(e, SEAM_UNAVAILABLE, "down");
+	out->row = (seam_row *)calloc(f->rows.size() + 1, sizeof(seam_row));
+	out->version = f->version;
+	for (auto &r : f->rows)
+		if (!r.second.gone &&
+		    !r.first.compare(0, strlen(prefix), prefix) &&
+		    (!after || r.first > after) && out->n < max)
+			FeedStore::fill(&out->row[out->n++], r.first, r.second);
+	return 0;
+}
+
+static int feed_get(seam_store *s, const char *key, seam_row *row, seam_time,
+		    seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::lock_guard<std::mutex> l(f->lock);
+
+	if (f->down)
+		return seam_fail(e, SEAM_UNAVAILABLE, "down");
+	auto it = f->rows.find(key);
+	if (it == f->rows.end() || it->second.gone)
+		return seam_fail(e, SEAM_NOT_FOUND, "no row");
+	FeedStore::fill(row, key, it->second);
+	return 0;
+}
+
+static int feed_apply(FeedStore *f, seam_commit *c, seam_err *e)
+{
+	for (size_t i = 0; i < c->n; i++) {
+		const seam_write *w = &c->write[i];
+		auto it = f->rows.find(w->key);
+		uint64_t now = it == f->rows.end() || it->second.gone ?
+				       0 :
+				       it->second.version;
+
+		if (w->version != SEAM_ANY_VERSION && w->version != now)
+			return seam_fail(e, SEAM_CONFLICT, "%s", w->key);
+	}
+	c->version = ++f->version;
+	for (size_t i = 0; i < c->n; i++) {
+		const seam_write *w = &c->write[i];
+
+		if (w->op == SEAM_PUT)
+			f->rows[w->key] = {std::string(w->data, w->len),
+					   c->version, c->token, false};
+		else if (w->op == SEAM_DELETE)
+			f->rows[w->key] = {"", c->version, c->token, true};
+	}
+	f->changed.notify_all();
+	return 0;
+}
+
+static int feed_commit(seam_store *s, seam_commit *c, seam_time, seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::lock_guard<std::mutex> l(f->lock);
+	size_t entries = 0;
+
+	if (f->down)
+		return seam_fail(e, SEAM_UNAVAILABLE, "down");
+	if (f->refuse_commits > 0) {
+		f->refuse_commits--;
+		return seam_fail(e, SEAM_UNAVAILABLE, "refused");
+	}
+	// The service counts each expected version and each write.
+	for (size_t i = 0; i < c->n; i++)
+		entries += (c->write[i].version != SEAM_ANY_VERSION) +
+			   (c->write[i].op != SEAM_CHECK);
+	if (entries > 100)
+		return seam_fail(e, SEAM_BAD_REQUEST, "over 100 entries");
+	f->commits++;
+	f->largest = std::max((size_t)f->largest, entries);
+	if (f->hold_commits > 0) {
+		f->hold_commits--;
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
+	}
+	if (feed_apply(f, c, e))
+		return -1;
+	if (f->lose_answers > 0) {
+		f->lose_answers--;
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
+	}
+	return 0;
+}
+
+static int feed_watch(seam_store *s, const char *prefix, uint64_t *after,
+		      seam_rows *out, seam_time, seam_err *e)
+{
+	FeedStore *f = feed_of(s);
+	std::unique_lock<std::mutex> l(f->lock);
+	auto end = std::chrono::steady_clock::now() +
+		   std::chrono::milliseconds(200);
+
+	memset(out, 0, sizeof(*out));
+	for (;;) {
+		if (f->down)
+			return seam_fail(e, SEAM_UNAVAILABLE, "down");
+		if (*after < f->forgotten)
+			return seam_fail(e, SEAM_STALE, "forgotten");
+		free(out->row);
+		out->row = (seam_row *)calloc(f->rows.size() + 1,
+					      sizeof(seam_row));
+		for (auto &r : f->rows)
+			if (r.second.version > *after &&
+			    !r.first.compare(0, strlen(prefix), prefix))
+				FeedStore::fill(&out->row[out->n++], r.first,
+						r.second);
+		if (out->n ||
+		    f->changed.wait_until(l, end) == std::cv_status::timeout)
+			break;
+	}
+	*after = f->version;
+	return 0;
+}
+
+static void feed_close(seam_store *)
+{
+}
+
+static const seam_store_ops feed_ops = {feed_get, feed_scan, feed_commit,
+					feed_watch, feed_close};
+
+inline FeedStore::FeedStore()
+{
+	base.ops = &feed_ops;
+}
+
+#endif
