owner: a larger node claims first, a small owner hands over

Change: nodes register the processor time that they may use. A node waits 0.9 s with its claim while a node with half as much again is registered; an owner with such a node beside it releases its term, at most once a minute.

--- a/base/json.c
+++ b/base/json.c
@@ -171,6 +171,21 @@
 	return true;
 }
 
+static int read_real(struct json_object *v, const struct seam_json_field *f,
+		     double *out, const char *path, struct seam_problems *p)
+{
+	double x = json_object_get_double(v);
+
+	if (!json_object_is_type(v, json_type_double) &&
+	    !json_object_is_type(v, json_type_int))
+		return seam_problem(p, path, "must be a number");
+	if (!(x >= (double)f->min && x <= (double)f->max))
+		return seam_problem(p, path, "must be from %lld to %lld",
+				    (long long)f->min, (long long)f->max);
+	*out = x;
+	return 0;
+}
+
 static int read_text(struct json_object *v, const struct seam_json_field *f,
 		     char *out, const char *path, struct seam_problems *p)
 {
@@ -262,6 +277,8 @@
 	switch (f->type) {
 	case SEAM_JSON_INT:
 		return read_int(v, f, (int64_t *)at, path, p);
+	case SEAM_JSON_REAL:
+		return read_real(v, f, (double *)at, path, p);
 	case SEAM_JSON_BOOL:
 		if (!json_object_is_type(v, json_type_boolean))
 			return seam_problem(p, path, "must be true or false");
--- a/base/json.h
+++ b/base/json.h
@@ -55,6 +55,7 @@
 
 enum seam_json_type {
 	SEAM_JSON_INT, /* int64_t */
+	SEAM_JSON_REAL, /* double */
 	SEAM_JSON_BOOL, /* bool */
 	SEAM_JSON_TEXT, /* char[size] */
 	SEAM_JSON_NAME, /* char[size], letters, digits, "-", "_", "." */
@@ -69,8 +70,8 @@
  * @type: its type, which fixes the C type at @off
  * @off: offset in the destination structure
  * @size: size of a text
- * @min: least value of an integer
- * @max: greatest value of an integer
+ * @min: least value of a number
+ * @max: greatest value of a number
  * @choices: NULL-terminated names of a choice
  * @required: absent is a problem
  */
--- a/process/lead.c
+++ b/process/lead.c
@@ -111,6 +111,12 @@
 	return 0;
 }
 
+/* A larger node that is there has had time for its own claim. */
+static bool may_claim(const struct seam_lead *l)
+{
+	return !l->yields || l->looked_at >= l->free_since + SEAM_LEAD_YIELD;
+}
+
 bool seam_lead_try(struct seam_lead *l, struct seam_err *e)
 {
 	struct seam_rows rows;
@@ -120,7 +126,12 @@
 
 	if (read_rows(l, &rows, &owner, &beat, e))
 		return false;
-	ours = is_free(l, &owner, &beat) && !claim(l, e);
+	ours = is_free(l, &owner, &beat);
+	if (!ours)
+		l->free_since = 0;
+	else if (!l->free_since)
+		l->free_since = l->looked_at;
+	ours = ours && may_claim(l) && !claim(l, e);
 	seam_rows_free(&rows);
 	return ours;
 }
--- a/process/lead.h
+++ b/process/lead.h
@@ -22,6 +22,8 @@
 #define SEAM_LEAD_VALID (1300 * SEAM_MSEC)
 /* A node that could not look for so long has not watched the term meanwhile. */
 #define SEAM_LEAD_GAP (1000 * SEAM_MSEC)
+/* A node waits so long before it claims while a larger one may: two looks. */
+#define SEAM_LEAD_YIELD (900 * SEAM_MSEC)
 #define SEAM_LEAD_RENEW (300 * SEAM_MSEC)
 #define SEAM_LEAD_CALL (600 * SEAM_MSEC) /* one call to the store */
 
@@ -37,6 +39,8 @@
  * @looked_at: when the rows were last read
  * @orders_until: the owner before us has sent no order since; 0 without one
  * @started_at: when this process took part first
+ * @yields: a larger node may claim, which comes first
+ * @free_since: since when a term was found that may be claimed; 0 if not
  * @valid_until: we decide until then; 0 if we are not the owner
  */
 struct seam_lead {
@@ -50,6 +54,8 @@
 	seam_time looked_at;
 	seam_time orders_until;
 	seam_time started_at;
+	bool yields;
+	seam_time free_since;
 	seam_time valid_until;
 };
 
--- a/process/site.c
+++ b/process/site.c
@@ -15,6 +15,9 @@
 #define STATE_CALL (400 * SEAM_MSEC) /* asking all other nodes */
 #define LOOK_SPREAD_USEC 100000
 #define RETRY_USEC 100000
+/* A small owner gives its term to a larger node only so often: each time costs
+ * about a second without starts. */
+#define HANDOVER_GAP (60 * SEAM_SEC)
 /* For requests that run at the end of a drain. */
 #define LAST_REQUESTS (1500 * SEAM_MSEC)
 
@@ -38,7 +41,20 @@
 	return NULL;
 }
 
-/* Renews the term until it is lost or the node stops. */
+/* Whether a larger node should decide; one that can't claim is given up on. */
+static bool should_hand_over(struct seam_site *n)
+{
+	seam_time now = seam_now(n->clock);
+
+	if (now < n->next_handover || !seam_store_relay_larger(n->ports.store))
+		return false;
+	n->next_handover = now + HANDOVER_GAP;
+	seam_log(SEAM_INFO, "owner", "event=handed_over term=%llu",
+		 (unsigned long long)n->lead.term);
+	return true;
+}
+
+/* Renews the term until it is lost, is given away or the node stops. */
 static void keep_term(struct seam_site *n)
 {
 	struct seam_err e = SEAM_ERR_INIT;
@@ -47,6 +63,10 @@
 	while (!stopping(n)) {
 		seam_err_clear(&e);
 		if (!seam_lead_renew(&n->lead, &e)) {
+			if (should_hand_over(n)) {
+				seam_lead_release(&n->lead);
+				return;
+			}
 			g_usleep(SEAM_LEAD_RENEW);
 			continue;
 		}
@@ -102,6 +122,7 @@
 
 	while (!stopping(n)) {
 		seam_err_clear(&e);
+		n->lead.yields = seam_store_relay_larger(n->ports.store);
 		if (seam_op_state_ready(&n->op_state) &&
 		    seam_lead_try(&n->lead, &e))
 			own(n);
@@ -162,7 +183,10 @@
 		    const struct seam_front_ops *front, struct seam_err *e)
 {
 	struct seam_relay_conf relay = {
-		.node = s->node, .control = s->control, .seeds = s->seeds};
+		.node = s->node,
+		.control = s->control,
+		.processor = (int)(s->cpu_share * s->cores * 1000),
+		.seeds = s->seeds};
 
 	n->settings = *s;
 	n->clock = k;
--- a/process/site.h
+++ b/process/site.h
@@ -21,6 +21,7 @@
  * @front: server for callers
  * @probes: server for the platform's probes
  * @control: server for other nodes and operators
+ * @next_handover: the term is not given to a larger node before
  * @lead: this node's part in the choice of the owner
  * @draining: callers leave; @stop: the threads end
  */
@@ -33,6 +34,7 @@
 	struct seam_http *front;
 	struct seam_http *probes;
 	struct seam_http *control;
+	seam_time next_handover;
 	struct seam_lead lead;
 	bool draining;
 	bool stop;
--- a/process/site_settings.c
+++ b/process/site_settings.c
@@ -12,6 +12,7 @@
 		__VA_ARGS__                                               \
 	}
 #define INT(member, lo, hi) F(member, SEAM_JSON_INT, .min = (lo), .max = (hi))
+#define REAL(member, lo, hi) F(member, SEAM_JSON_REAL, .min = (lo), .max = (hi))
 
 static const char *const levels[] = {"debug", "info", "warning", "error", NULL};
 
@@ -28,6 +29,8 @@
 	INT(grace_ms, 500, 600000),
 	INT(lease_max_ms, 1000, 600000),
 	INT(vm_lease_ms, 100, 600000),
+	REAL(cpu_share, 0, 1024),
+	REAL(cores, 0, 1024),
 	F(log_level, SEAM_JSON_CHOICE, .choices = levels),
 };
 
@@ -38,6 +41,8 @@
 	s->grace_ms = 6000;
 	s->lease_max_ms = 6000;
 	s->vm_lease_ms = 3000;
+	s->cpu_share = 1;
+	s->cores = 1;
 	s->log_level = 1;
 }
 
--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -31,13 +31,15 @@
 SEAM_COUNT(refusals, "seam_store_refused_total",
 	   "Calls that the store did not answer for this node.");
 
-/* @store: its store calls; @state: its /v1/state; @live: registered lately */
+/* @store: its store calls; @state: its /v1/state; @live: registered lately;
+ * @processor: thousandths of a core, 0 if it is not known */
 struct peer {
 	char addr[64];
 	struct seam_store *store;
 	struct seam_rest *state;
 	seam_time pause_until;
 	bool live;
+	int processor;
 };
 
 /* A node's row: its version at the last look, and looks without a change. */
@@ -59,6 +61,7 @@
 	struct seam_clock *clock;
 	char node[64];
 	char control[64];
+	int processor;
 	pthread_mutex_t lock;
 	struct peer peer[PEERS_MAX];
 	int peers;
@@ -307,7 +310,8 @@
 };
 
 /* Peers are never removed: one that is gone is paused after each call. */
-static void add_peer(struct relay *r, const char *addr, bool live)
+static void add_peer(struct relay *r, const char *addr, int processor,
+		     bool live)
 {
 	char url[128];
 	int i;
@@ -329,8 +333,10 @@
 		if (p->store && p->state)
 			r->peers++;
 	}
-	if (i < r->peers)
+	if (i < r->peers) {
 		r->peer[i].live = live;
+		r->peer[i].processor = processor;
+	}
 	pthread_mutex_unlock(&r->lock);
 }
 
@@ -352,9 +358,10 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	snprintf(r->node, sizeof(r->node), "%s", c->node);
 	snprintf(r->control, sizeof(r->control), "%s", c->control);
+	r->processor = c->processor;
 	seed = g_strsplit(c->seeds, ",", -1);
 	for (i = 0; seed[i]; i++)
-		add_peer(r, seed[i], false);
+		add_peer(r, seed[i], 0, false);
 	g_strfreev(seed);
 	return &r->store;
 }
@@ -367,6 +374,8 @@
 static void take_node(struct relay *r, const struct seam_row *row)
 {
 	struct seen *s = g_hash_table_lookup(r->seen, row->key);
+	char addr[64] = "";
+	int processor = 0;
 
 	if (!s) {
 		s = g_new0(struct seen, 1);
@@ -374,7 +383,8 @@
 	}
 	s->unchanged = s->version == row->version ? s->unchanged + 1 : 0;
 	s->version = row->version;
-	add_peer(r, row->data, s->unchanged < GONE_LOOKS);
+	sscanf(row->data, "%63s %d", addr, &processor);
+	add_peer(r, addr, processor, s->unchanged < GONE_LOOKS);
 }
 
 void seam_store_relay_refresh(struct seam_store *base)
@@ -383,8 +393,10 @@
 	seam_time deadline = seam_now(r->clock) + REFRESH_CALL;
 	struct seam_err e = SEAM_ERR_INIT;
 	char key[SEAM_KEY_MAX];
-	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, r->control,
-			       strlen(r->control)};
+	char text[96];
+	int n = snprintf(text, sizeof(text), "%s %d", r->control, r->processor);
+	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
+			       (size_t)n};
 	struct seam_commit c = {&w, 1, seam_store_token(), 0};
 	struct seam_rows rows = {NULL, 0, 0};
 	size_t i;
@@ -432,6 +444,21 @@
 	return true;
 }
 
+bool seam_store_relay_larger(struct seam_store *base)
+{
+	struct relay *r = (struct relay *)base;
+	bool larger = false;
+	int i;
+
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->peers; i++)
+		larger = larger ||
+			 (r->peer[i].live &&
+			  2 * r->peer[i].processor >= 3 * r->processor);
+	pthread_mutex_unlock(&r->lock);
+	return larger;
+}
+
 static void serve_state(struct seam_call *c, void *arg)
 {
 	bool lost = seam_store_relay_lost(arg);
--- a/process/store_relay.h
+++ b/process/store_relay.h
@@ -14,11 +14,13 @@
  * struct seam_relay_conf - how a node reaches the store
  * @node: name of this node
  * @control: its control address, at which it passes on calls of others
+ * @processor: thousandths of a core that it may use
  * @seeds: control addresses of other nodes, separated by commas
  */
 struct seam_relay_conf {
 	const char *node;
 	const char *control;
+	int processor;
 	const char *seeds;
 };
 
@@ -55,6 +57,12 @@
  */
 bool seam_store_relay_all_lost(struct seam_store *base, seam_time deadline);
 
+/**
+ * seam_store_relay_larger() - whether a node that registered lately may use
+ * half as much processor time again as this one, or more
+ */
+bool seam_store_relay_larger(struct seam_store *base);
+
 /**
  * seam_store_relay_lost() - the store serves this node neither directly nor
  * through another node, since a moment ago
--- a/tests/json_test.cc
+++ b/tests/json_test.cc
@@ -68,6 +68,31 @@
 	seam_problems_free(&p);
 }
 
+// Guards against a number that is cut to an integer, or a text taken as 0.
+TEST(Json, ReadsNumbers)
+{
+	static const seam_json_field f[] = {
+		{"x", SEAM_JSON_REAL, 0, 0, 0, 4, nullptr, true},
+	};
+	seam_problems p = {"f", nullptr, 0};
+	json_object *good = seam_json_parse("{\"x\":0.25}", &p);
+	json_object *bad = seam_json_parse("{\"x\":\"0.25\"}", &p);
+	json_object *far = seam_json_parse("{\"x\":4.5}", &p);
+	double x = 0;
+
+	EXPECT_EQ(seam_json_read(good, f, 1, &x, "", &p), 0);
+	EXPECT_EQ(x, 0.25);
+	EXPECT_EQ(seam_json_read(bad, f, 1, &x, "", &p), -1);
+	EXPECT_EQ(seam_json_read(far, f, 1, &x, "", &p), -1);
+	ASSERT_EQ(p.n, 2u);
+	EXPECT_STREQ(p.text[0], "f: x: must be a number");
+	EXPECT_STREQ(p.text[1], "f: x: must be from 0 to 4");
+	json_object_put(good);
+	json_object_put(bad);
+	json_object_put(far);
+	seam_problems_free(&p);
+}
+
 // Guards against a read past the end: json-c counts the NUL where it ends the
 // document. The address sanitizer sees it on a text of exact size.
 TEST(Json, EndsAtTheNul)
--- a/tests/lead_test.cc
+++ b/tests/lead_test.cc
@@ -102,6 +102,26 @@
 	EXPECT_FALSE(valid(0));
 }
 
+// Guards against an owner on a small VM beside larger ones: it could not keep
+// up with 350 workers on 0.12 of a core, and lost jobs.
+TEST_F(Lead, LargerNodeClaimsFirst)
+{
+	node[0].yields = true;
+	EXPECT_FALSE(attempt(0));
+	pass(300 * SEAM_MSEC);
+	EXPECT_FALSE(attempt(0));
+	EXPECT_TRUE(attempt(1));
+	pass(SEAM_LEAD_YIELD);
+	EXPECT_FALSE(attempt(0));
+}
+
+// Guards against a fleet without an owner because the larger nodes are gone.
+TEST_F(Lead, YieldEnds)
+{
+	node[0].yields = true;
+	EXPECT_TRUE(watch(0, 2 * SEAM_SEC));
+}
+
 // Guards against two seconds without an owner after a planned stop.
 TEST_F(Lead, ReleasedTermIsClaimedAtOnce)
 {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -11,11 +11,13 @@
 	seam_http *http = nullptr;
 	seam_store *relay;
 
-	Node(FeedStore *v, const char *name, int port, const std::string &seeds)
+	Node(FeedStore *v, const char *name, int port, const std::string &seeds,
+	     int processor = 250)
 	    : view(v)
 	{
 		std::string control = test_addr(port);
-		seam_relay_conf c = {name, control.c_str(), seeds.c_str()};
+		seam_relay_conf c = {name, control.c_str(), processor,
+				     seeds.c_str()};
 		seam_err e = SEAM_ERR_INIT;
 
 		relay = seam_store_relay_new(&v->base, seam_clock_boot(), &c);
@@ -179,3 +181,27 @@
 	EXPECT_TRUE(eventually([&] { return !put("t/w", SEAM_ANY_VERSION); }));
 	EXPECT_FALSE(seam_store_relay_lost(a.relay));
 }
+
+// Guards against an owner on a small VM beside larger ones.
+TEST(RelayNodes, LargerNodeIsKnown)
+{
+	FeedStore store;
+	Node small{&store, "small", 27020, "", 120};
+	Node other{&store, "other", 27021, "", 170};
+	Node large{&store, "large", 27022, "", 500};
+
+	for (int i = 0; i < 2; i++) {
+		seam_store_relay_refresh(small.relay);
+		seam_store_relay_refresh(other.relay);
+	}
+	EXPECT_FALSE(seam_store_relay_larger(small.relay));
+	seam_store_relay_refresh(large.relay);
+	seam_store_relay_refresh(small.relay);
+	EXPECT_TRUE(seam_store_relay_larger(small.relay));
+	seam_store_relay_refresh(large.relay);
+	EXPECT_FALSE(seam_store_relay_larger(large.relay));
+	/* It is gone: its row does not change any more. */
+	for (int i = 0; i < 8; i++)
+		seam_store_relay_refresh(small.relay);
+	EXPECT_FALSE(seam_store_relay_larger(small.relay));
+}
