owner: looks at workers are bounded over all of them

Change: the pause between two looks at a worker grows with the number of workers that have runs, from 30 to 120 ms; a module of its own.

--- a/process/board.h
+++ b/process/board.h
@@ -292,6 +292,7 @@
  * @pools_logged_at: when the pools were last logged
  * @holds: pool to struct seam_pool_hold
  * @shares: workspace to struct seam_share_meter
+ * @busy: workers with runs
  * @crowded: all VMs together hold less than what is asked for
  * @recent: VMs that were ordered a short time ago; struct seam_recent_vm
  * @vms_read: the VM list was read in this term
@@ -353,6 +354,7 @@
 	seam_time pools_logged_at;
 	GHashTable *holds;
 	GHashTable *shares;
+	size_t busy;
 	bool crowded;
 	GArray *recent;
 	pthread_t thread[SEAM_BOARD_THREADS];
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -2,6 +2,7 @@
 #include "process/board_impl.h"
 #include "base/count.h"
 #include "base/log.h"
+#include "process/look_gap.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -13,7 +14,7 @@
 #define HOLD_MARGIN (450 * SEAM_MSEC) /* of a hold, beyond its wait */
 #define HOLD_WAIT_MS 1000 /* of a worker with runs */
 #define HOLD_WAIT_IDLE_MS 1800
-#define HOLD_GAP_USEC 30000 /* lets ends that come together go in one look */
+#define HOLD_GAP_USEC 30000 /* after a hold without an answer */
 #define HOLD_RETRY_USEC 150000
 #define SHUN_UNHEALTHY (1 * SEAM_SEC)
 #define FULL_PAUSE (150 * SEAM_MSEC)
@@ -124,7 +125,7 @@
 	}
 	hold_answered(w, &l, now);
 	seam_listing_free(&l);
-	return HOLD_GAP_USEC;
+	return (unsigned)seam_look_gap(b->busy);
 }
 
 void *board_hold_loop(void *arg)
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -81,9 +81,11 @@
 		if (b->vm[i].state == SEAM_PHASE_UP && *b->vm[i].worker &&
 		    !g_hash_table_contains(b->worker_of, b->vm[i].worker))
 			pool_of(p, b->vm[i].pool)->settled = false;
+	b->busy = 0;
 	while ((w = seam_table_next(b->workers, &h))) {
 		struct pool *pool = pool_of(p, w->info.pool);
 
+		b->busy += w->ref->len > 0;
 		if (!w->heard && p->now <= b->unlisted_until)
 			pool->settled = false;
 		if (board_worker_usable(w, p->now) && p->now >= w->full_until &&
