owner: at most 64 starts wait for an answer

All tasks that fit were queued at the workers at once, and tasks of more urgent jobs queued behind them.

Change: the pass places no more while 64 starts of the last 0.3 s are not answered; the others keep their place in the order of urgency. Older ones are with workers that do not answer.

--- a/process/board_link.c
+++ b/process/board_link.c
@@ -196,6 +196,8 @@
 		if (r && r->state == SEAM_RUN_SENT) {
 			r->state = SEAM_RUN_LIVE;
 			r->live_at = seam_now(b->clock);
+			/* The next start may be sent. */
+			board_wake_pass(b);
 		}
 		return;
 	}
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -13,6 +13,11 @@
 #define IDLE (100 * SEAM_MSEC) /* between passes without news */
 /* A start that waits longer for its connection is placed anew. */
 #define START_QUEUE (600 * SEAM_MSEC)
+/* Starts that wait for an answer. More than the owner's processor can send only
+ * queue behind each other, where a more urgent one can't pass them. */
+#define STARTS_MAX 64
+/* A start that waits longer is with a worker that does not answer. */
+#define START_FRESH (300 * SEAM_MSEC)
 #define RUNS_PER_TERM 10000 /* run numbers grow with the term */
 /* A worker that stays slow for longer after its start is taken last. */
 #define SLOW_MIN_MS 200
@@ -41,6 +46,7 @@
 	GHashTable *used; /* workspace to struct seam_amount */
 	GArray *entries;
 	int64_t waiting;
+	int starting; /* starts that wait for an answer */
 };
 
 static void free_pool(void *arg)
@@ -114,6 +120,17 @@
 	       now >= task->not_before;
 }
 
+static int count_starting(const struct seam_job_task *t, seam_time now)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < SEAM_COPIES; i++)
+		n += t->run[i].state == SEAM_RUN_SENT &&
+		     now < t->run[i].sent_at + START_FRESH;
+	return n;
+}
+
 /* Counts what a job has running and whether it has tasks to start. */
 static bool survey_job(struct pass *p, struct seam_job *j)
 {
@@ -129,6 +146,7 @@
 		for (t = 0; t < s->tasks; t++) {
 			int n = board_task_runs(&j->task[i][t]);
 
+			p->starting += count_starting(&j->task[i][t], p->now);
 			used->cpu += n * s->need.cpu;
 			used->memory += n * s->need.memory;
 			used->gpu += n * s->need.gpu;
@@ -305,6 +323,8 @@
 
 		if (!task_waits(j, step, t, p->now))
 			continue;
+		if (p->starting >= STARTS_MAX)
+			return false;
 		if (pool->full && plain && seam_fits(&pool->failed, &s->need))
 			return false;
 		if (!within_limit(used, &s->need, &limit))
@@ -318,6 +338,7 @@
 			return false;
 		}
 		start_task(p, w, j, step, (int)t);
+		p->starting++;
 		used->cpu += s->need.cpu;
 		used->memory += s->need.memory;
 		used->gpu += s->need.gpu;
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -556,3 +556,18 @@
 	usleep(1000000);
 	EXPECT_EQ(w.started("00000000000000a2.0.0.0"), 1);
 }
+
+// Guards the order of urgency where the owner can't send starts as fast as it
+// places tasks: all were under way at once, and what came later queued behind.
+TEST_F(Board, StartsUnderWayAreBounded)
+{
+	for (int i = 0; i < 100; i++)
+		w.add_worker("w" + std::to_string(i), "p", 1000)->start_ms =
+			150;
+	Owner o(&w, "n1");
+	o.renew();
+	usleep(500000);
+	w.job(ID, 100, "9000");
+	EXPECT_TRUE(eventually([&] { return w.running() == 100; }));
+	EXPECT_LE(w.most_starting, 64);
+}
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -26,6 +26,7 @@
 	std::atomic<int> late_starts{
 		0}; // so many starts are kept and done by do_late()
 	std::atomic<bool> fail_all{false};
+	std::atomic<int> start_ms{0}; // time that a start takes
 	std::atomic<int> acked{0};
 	int64_t lease = 0;
 	std::atomic<int64_t> next_end{1};
--- a/tests/world.h
+++ b/tests/world.h
@@ -35,6 +35,8 @@
 	std::mutex lock;
 	std::map<std::string, int> starts; // task to runs that began
 	std::map<std::string, std::set<std::string>> live; // runs at this time
+	std::atomic<int> starting{0}; // starts under way, of slow workers
+	std::atomic<int> most_starting{0};
 	int twice = 0; // tasks that ran twice at the same time
 	seam_runners runners;
 	seam_inventory vms;
@@ -162,6 +164,16 @@
 		      int64_t *clock_ms, seam_time, seam_err *e)
 {
 	FakeWorker *w = ((FakeRunner *)r)->w;
+
+	if (w->start_ms) {
+		World *world = ((FakeRunner *)r)->world;
+		int now = ++world->starting;
+
+		if (now > world->most_starting)
+			world->most_starting = now;
+		usleep((useconds_t)w->start_ms * 1000);
+		world->starting--;
+	}
 	std::lock_guard<std::mutex> l(w->lock);
 
 	if (w->silent)
