owner: a late read of a job's row does not run the job again

Change: the owner remembers the ids of ended jobs for a minute, and takes no row of them. The test plays the late answer; it fails on the code before.

--- a/process/board.c
+++ b/process/board.c
@@ -37,6 +37,8 @@
 	b->workers = seam_table_new(sizeof(struct seam_worker));
 	b->job_of =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->ended =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->vm_orders =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->wave_done =
@@ -59,6 +61,7 @@
 	while ((j = seam_table_next(b->jobs, &h)))
 		board_job_free(j);
 	g_hash_table_destroy(b->job_of);
+	g_hash_table_destroy(b->ended);
 	g_hash_table_destroy(b->worker_of);
 	g_hash_table_destroy(b->vm_orders);
 	g_hash_table_destroy(b->wave_done);
--- a/process/board.h
+++ b/process/board.h
@@ -274,6 +274,8 @@
  * @opened_at: start of the term
  * @jobs: struct seam_job
  * @job_of: job id to its handle
+ * @ended: id of a job that has left @jobs to the time when, seam_time
+ * @ended_swept_at: when old entries were taken out of @ended
  * @workers: struct seam_worker
  * @worker_of: id to handle
  * @vm: the VM list as last read
@@ -323,6 +325,8 @@
 	seam_time opened_at;
 	struct seam_table *jobs;
 	GHashTable *job_of;
+	GHashTable *ended;
+	seam_time ended_swept_at;
 	struct seam_table *workers;
 	GHashTable *worker_of;
 	bool vms_read;
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -12,6 +12,9 @@
 /* One wait for new jobs; short, as the connection may have gone silent. */
 #define WATCH (1500 * SEAM_MSEC)
 #define RETRY_USEC 100000
+/* A read of a job's row may be answered so long after the job has ended: one of
+ * all parts, over a store that takes its whole time for each. */
+#define ENDED_KEPT (60 * SEAM_SEC)
 #define OLD_MAX (60 * SEAM_SEC) /* bounds the effect of a wrong wall clock */
 
 SEAM_COUNT(completed, "seam_jobs_completed_total", "Jobs completed.");
@@ -256,10 +259,30 @@
 	       !j->runs;
 }
 
+static gboolean is_forgotten(gpointer id, gpointer at, gpointer now)
+{
+	(void)id;
+	return *(seam_time *)at + ENDED_KEPT < *(seam_time *)now;
+}
+
+/* A row of it that is read from now on is older than its end. */
+static void remember_end(struct seam_board *b, const struct seam_job *j)
+{
+	seam_time now = seam_now(b->clock);
+
+	g_hash_table_replace(b->ended, g_strdup(j->row.spec.id),
+			     g_memdup2(&now, sizeof(now)));
+	if (now < b->ended_swept_at + SEAM_SEC)
+		return;
+	b->ended_swept_at = now;
+	g_hash_table_foreach_remove(b->ended, is_forgotten, &now);
+}
+
 void board_job_drop(struct seam_board *b, struct seam_job *j)
 {
 	struct seam_handle h = j->self;
 
+	remember_end(b, j);
 	g_hash_table_remove(b->job_of, j->row.spec.id);
 	board_job_free(j);
 	seam_table_del(b->jobs, h);
@@ -354,7 +377,7 @@
 		return;
 	if (j)
 		board_job_merge(b, j, row);
-	else
+	else if (!g_hash_table_contains(b->ended, seam_jobrow_id(row->key)))
 		add_job(b, row, false);
 }
 
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -571,3 +571,31 @@
 	EXPECT_TRUE(eventually([&] { return w.running() == 100; }));
 	EXPECT_LE(w.most_starting, 64);
 }
+
+// Guards against a job that runs again: a read of its row from before its end
+// was answered after it, over a slow store, and was taken as a new job.
+TEST_F(Board, LateReadDoesNotRunAJobAgain)
+{
+	char key[SEAM_KEY_MAX];
+
+	seam_jobrow_key(ID, key);
+	w.add_worker("a");
+	Owner o(&w, "n1");
+	o.renew();
+	w.job(ID, 1, "200");
+	FeedStore::Entry open;
+	{
+		std::lock_guard<std::mutex> l(w.store.lock);
+		open = w.store.rows[key];
+	}
+	EXPECT_TRUE(eventually([&] { return w.state(ID) == "completed"; }));
+	usleep(200000);
+	{
+		std::lock_guard<std::mutex> l(w.store.lock);
+		w.store.late[key] = open;
+		w.store.changed.notify_all();
+	}
+	usleep(700000);
+	EXPECT_TRUE(w.store.late.empty());
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+}
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -46,6 +46,7 @@
 	std::atomic<int> refuse_commits{0};
 	std::atomic<uint64_t> forgotten{0}; // watches from before are stale
 	int commits = 0;
+	std::map<std::string, Entry> late; // rows of an answer that was slow
 	std::atomic<size_t> largest{0};
 
 	FeedStore();
@@ -209,6 +210,15 @@
 			    !r.first.compare(0, strlen(prefix), prefix))
 				FeedStore::fill(&out->row[out->n++], r.first,
 						r.second);
+		if (!f->late.empty() && !out->n &&
+		    !f->late.begin()->first.compare(0, strlen(prefix),
+						    prefix)) {
+			auto row = f->late.begin();
+
+			FeedStore::fill(&out->row[out->n++], row->first,
+					row->second);
+			f->late.clear();
+		}
 		if (out->n ||
 		    f->changed.wait_until(l, end) == std::cv_status::timeout)
 			break;
