--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -596,6 +596,7 @@
 		w.store.changed.notify_all();
 	}
 	usleep(700000);
-	EXPECT_TRUE(w.store.late.empty());
 	EXPECT_EQ(w.started(task(0, 0)), 1);
+	std::lock_guard<std::mutex> l(w.store.lock);
+	EXPECT_TRUE(w.store.late.empty());
 }
