--- a/process/board_manage.c
+++ b/process/board_manage.c
@@ -180,6 +180,28 @@
 	g_array_free(demand, TRUE);
 }
 
+/*
+ * Marks the VMs of data centres that are cut off, as far as their workers show:
+ * VMs that are off have none.
+ */
+static void mark_silent_dcs(struct look *l)
+{
+	int *balance = g_new0(int, l->dcs->len + 1);
+	struct seam_handle h = SEAM_NONE;
+	struct seam_worker *w;
+	guint k;
+	size_t i;
+
+	while ((w = seam_table_next(l->board->workers, &h)))
+		for (k = 0; k < l->dcs->len && w->listed; k++)
+			if (!strcmp(g_ptr_array_index(l->dcs, k), w->info.dc))
+				balance[k] +=
+					w->missed < SEAM_MISSED_MAX ? 1 : -1;
+	for (i = 0; i < l->plan.vms; i++)
+		l->plan.vm[i].silent_dc = balance[l->plan.vm[i].dc] < 0;
+	g_free(balance);
+}
+
 /* VMs on their way count: for a moment any peak asks for more than there are.
  */
 static bool is_crowded(const struct look *l)
@@ -208,6 +230,7 @@
 	l->plan.vm = g_new0(struct seam_plan_vm, l->board->vms + 1);
 	for (i = 0; i < l->board->vms; i++)
 		describe_vm(l, i);
+	mark_silent_dcs(l);
 	describe_pools(l);
 	l->board->crowded = is_crowded(l);
 	seam_vm_plan(&l->plan);
--- a/process/site_settings.c
+++ b/process/site_settings.c
@@ -25,7 +25,7 @@
 	F(seeds, SEAM_JSON_TEXT),
 	F(store, SEAM_JSON_TEXT, .required = true),
 	F(vm_service, SEAM_JSON_TEXT, .required = true),
-	INT(threads, 2, 4096),
+	INT(threads, 0, 4096),
 	INT(grace_ms, 500, 600000),
 	INT(lease_max_ms, 1000, 600000),
 	INT(vm_lease_ms, 100, 600000),
@@ -35,10 +35,24 @@
 	F(log_level, SEAM_JSON_CHOICE, .choices = levels),
 };
 
+/* A quarter of a core serves so many callers that keep a connection. */
+#define THREADS_MAX 512
+#define THREADS_MIN 64
+#define THREADS_PER_CORE 2048
+
+/* All of them are started at once, so a small node has fewer. */
+static int64_t default_threads(const struct seam_site_settings *s)
+{
+	double n = THREADS_PER_CORE * s->cpu_share * s->cores;
+
+	if (n < THREADS_MIN)
+		return THREADS_MIN;
+	return n < THREADS_MAX ? (int64_t)n : THREADS_MAX;
+}
+
 static void set_defaults(struct seam_site_settings *s)
 {
 	memset(s, 0, sizeof(*s));
-	s->threads = 512;
 	s->grace_ms = 6000;
 	s->lease_max_ms = 6000;
 	s->vm_lease_ms = 3000;
@@ -68,6 +82,8 @@
 	set_defaults(s);
 	seam_json_read(o, fields, sizeof(fields) / sizeof(*fields), s, "", p);
 	json_object_put(o);
+	if (!s->threads)
+		s->threads = default_threads(s);
 	for (i = 0; i < sizeof(address) / sizeof(*address); i++)
 		if (*address[i].addr)
 			seam_settings_address(address[i].name, address[i].addr,
--- a/process/site_settings.h
+++ b/process/site_settings.h
@@ -20,7 +20,8 @@
  * @store: IP:PORT of the table service
  * @vm_service: IP:PORT of the VM list
  * @threads: connections of callers that may be open; each has a thread, also
- *           while it is idle, and callers beyond them wait
+ *           while it is idle, and callers beyond them wait; 0 goes by the
+ *           processor's share
  * @grace_ms: time from SIGTERM until the process is killed
  * @lease_max_ms: longest lease of a worker
  * @vm_lease_ms: a node that orders VMs after another waits so long
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -169,6 +169,9 @@
 			cost += pool->have > pool->all ? 1000 : 2000;
 			cost += v->leaving ? 0 : 10000 * v->runs;
 		}
+		/* Its worker may not be reached there. */
+		if (v->silent_dc)
+			cost += 5000;
 		/* It would have to leave again for its wave. */
 		if (v->due)
 			cost += 100;
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -26,6 +26,7 @@
  * @usable: its worker takes tasks
  * @arriving: it was moved or maintained a short time ago, and its worker has
  * not answered yet
+ * @silent_dc: most workers of its data centre do not answer
  * @runs: runs on it
  * @lasting: those of lasting tasks
  * @leaving: it has been emptied for a while
@@ -39,6 +40,7 @@
 	bool up;
 	bool usable;
 	bool arriving;
+	bool silent_dc;
 	int runs;
 	int lasting;
 	bool leaving;
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -105,6 +105,23 @@
 	EXPECT_EQ(count(SEAM_VM_MAINTAIN), 0);
 }
 
+// Guards a pool that lacks VMs while a data centre is cut off: 20 VMs of it
+// were turned on, whose workers could not be reached.
+TEST_F(Plan, SilentDataCentreIsTakenLast)
+{
+	add(9, STANDBY);
+	want(A, 6);
+	for (auto &v : vm)
+		v.silent_dc = v.dc == 1;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 6);
+	for (auto &v : vm)
+		EXPECT_EQ(v.action == SEAM_VM_MOVE, v.dc != 1);
+	want(A, 8);
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 8);
+}
+
 // Guards against a pool that waits for a worker that never answers.
 TEST_F(Plan, SilentVMsAreReplaced)
 {
