owner: a drain waits for a stop of its step that is under way

A draining worker's tasks were taken off without regard to a stop of the same step that the budget had allowed and that had no answer yet, or that the same look decided before.

Change: tasks on draining workers are taken off before those on leaving ones, and wait up to 1.1 s while a stop of their step on another worker is under way. The test has a slow stop; it fails on the code before.

--- a/process/board.h
+++ b/process/board.h
@@ -211,6 +211,7 @@
  * @full_until: it refused a task for want of room
  * @shunned_until: it gets no tasks, because it failed or did not answer
  * @failures: runs that failed there since one ended done
+ * @drains_at: when its row first said that it drains
  * @leaving: it is emptied for a move or for maintenance
  * @dead: this life is over
  * @wake: signals @orders and @dead
@@ -240,6 +241,7 @@
 	seam_time full_until;
 	seam_time shunned_until;
 	int failures;
+	seam_time drains_at;
 	bool leaving;
 	bool dead;
 	pthread_cond_t wake;
--- a/process/board_leave.c
+++ b/process/board_leave.c
@@ -3,6 +3,8 @@
 #include "base/log.h"
 
 #define AT_WORK 100 /* percent of a lasting task that serves */
+/* A stop that has no answer after three calls is not waited for. */
+#define DRAIN_WAIT (1100 * SEAM_MSEC)
 #define SPARE_MS 300 /* a run that needs longer than a leaving worker has */
 
 /* A worker that does not answer may be gone, so its tasks count as away. */
@@ -36,6 +38,39 @@
 	return away < s->may_miss;
 }
 
+/* Whether a run of the step on another worker that stays sound is to stop. */
+static bool stop_under_way(struct seam_board *b, const struct seam_worker *but,
+			   const struct seam_job *j, int step)
+{
+	int64_t t;
+	int i;
+
+	for (t = 0; t < j->row.spec.step[step].tasks; t++)
+		for (i = 0; i < SEAM_COPIES; i++) {
+			const struct seam_run_slot *r =
+				&j->task[step][t].run[i];
+			const struct seam_worker *w =
+				board_worker(b, r->worker);
+
+			if (r->state != SEAM_RUN_FREE && r->stop && w &&
+			    w != but && !w->info.draining)
+				return true;
+		}
+	return false;
+}
+
+/*
+ * A lasting task on a draining worker ends anyway, but not while a stop that
+ * the budget allowed is under way: it would come after this one.
+ */
+static bool may_drain(struct seam_board *b, const struct seam_worker *w,
+		      const struct seam_job *j, int step)
+{
+	return !j->row.spec.step[step].may_miss ||
+	       seam_now(b->clock) > w->drains_at + DRAIN_WAIT ||
+	       !stop_under_way(b, w, j, step);
+}
+
 static int64_t left_ms(const struct seam_step *s, const struct seam_run_slot *r)
 {
 	return s->estimate_ms * (100 - r->percent) / 100;
@@ -49,7 +84,8 @@
 	const struct seam_step *s = &j->row.spec.step[step];
 
 	if (s->lasting)
-		return w->info.draining || may_take_away(b, j, step, task);
+		return w->info.draining ? may_drain(b, w, j, step) :
+					  may_take_away(b, j, step, task);
 	/* A stop saves the work of a task that can. */
 	if (!s->checkpoints)
 		return false;
@@ -92,7 +128,12 @@
 	struct seam_handle h = SEAM_NONE;
 	struct seam_worker *w;
 
+	/* Draining ones first: what they take away counts for the others. */
+	while ((w = seam_table_next(b->workers, &h)))
+		if (w->info.draining && !w->dead)
+			empty_worker(b, w);
+	h = SEAM_NONE;
 	while ((w = seam_table_next(b->workers, &h)))
-		if ((w->leaving || w->info.draining) && !w->dead)
+		if (w->leaving && !w->info.draining && !w->dead)
 			empty_worker(b, w);
 }
--- a/process/board_workers.c
+++ b/process/board_workers.c
@@ -148,6 +148,7 @@
 	w->info = *info;
 	w->self = h;
 	w->listed = true;
+	w->drains_at = seam_now(b->clock);
 	w->conn = b->ports->runners->ops->open(b->ports->runners, info->id,
 					       info->addr);
 	w->marks = g_array_new(FALSE, FALSE, sizeof(struct seam_end_mark));
@@ -196,6 +197,7 @@
 	}
 	w->info = *info;
 	if (drains) {
+		w->drains_at = seam_now(b->clock);
 		seam_log(SEAM_INFO, "worker",
 			 "event=draining worker=%s left_ms=%lld runs=%u",
 			 info->id, (long long)info->leaves_ms, w->ref->len);
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -432,6 +432,33 @@
 	EXPECT_GE(least, 3u);
 }
 
+// Guards the availability budget: a stop before maintenance that was slow ended
+// its task after another one of the step had been taken off a draining worker.
+TEST_F(Board, DrainWaitsForAStopThatIsUnderWay)
+{
+	for (const char *id : {"a", "b", "c", "d", "e"})
+		w.add_worker(id);
+	Owner o(&w, "n1");
+	o.renew();
+	w.job(ID, 4, "lasts", 1, [](seam_step *s) {
+		s->per_worker = 1;
+		s->may_miss = 1;
+		s->target_ms = 500;
+	});
+	EXPECT_TRUE(eventually([&] { return w.running() == 4; }));
+	FakeWorker *first = nullptr;
+	FakeWorker *second = nullptr;
+	for (auto &x : w.workers)
+		if (x.second->running())
+			(first ? second : first) = x.second;
+	first->stop_ms = 700;
+	w.store.put("op/wave/1", "1 1 vm-" + first->id);
+	EXPECT_TRUE(eventually([&] { return first->stops > 0; }));
+	w.row(second->id, "p", 8000, "d1", true);
+	EXPECT_TRUE(eventually([&] { return second->running() == 0; }));
+	EXPECT_EQ(first->running(), 0u);
+}
+
 // Guards against a second owner that orders a VM so soon after the first.
 TEST_F(Board, NextOwnerLeavesOrderedVmsAlone)
 {
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -27,6 +27,8 @@
 		0}; // so many starts are kept and done by do_late()
 	std::atomic<bool> fail_all{false};
 	std::atomic<int> start_ms{0}; // time that a start takes
+	std::atomic<int> stop_ms{0}; // the same of a stop
+	std::atomic<int> stops{0}; // stops that came
 	std::atomic<int> acked{0};
 	int64_t lease = 0;
 	std::atomic<int64_t> next_end{1};
--- a/tests/world.h
+++ b/tests/world.h
@@ -202,6 +202,9 @@
 		     uint64_t token, seam_refusal *said, seam_time, seam_err *e)
 {
 	FakeWorker *w = ((FakeRunner *)r)->w;
+
+	w->stops++;
+	usleep((useconds_t)w->stop_ms * 1000);
 	std::lock_guard<std::mutex> l(w->lock);
 
 	if (w->silent)
