--- a/process/board_vm_orders.c
+++ b/process/board_vm_orders.c
@@ -54,8 +54,8 @@
 }
 
 /* Sends an order; the lock is released meanwhile. Returns as the call does. */
-static int send(struct seam_board *b, const struct seam_vm_task *t,
-		enum seam_vm_said *said, struct seam_err *e)
+static int send_order(struct seam_board *b, const struct seam_vm_task *t,
+		      enum seam_vm_said *said, struct seam_err *e)
 {
 	struct seam_inventory *vms = b->ports->vms;
 	seam_time deadline = seam_now(b->clock) + ORDER_CALL;
@@ -86,7 +86,7 @@
 		return;
 	}
 	note_order(b, t->vm, t->wave, t->pool, seam_now(b->clock) + UNSURE);
-	rc = send(b, t, &said, &e);
+	rc = send_order(b, t, &said, &e);
 	seam_log(
 		SEAM_INFO, "vms",
 		"event=%s vm=%s worker=%s pool=%s wave=%lld said=%d why=\"%s\"",
