tests: a change by another node comes right after a poll

The node polls as soon as it has started, and that first poll came after the other node's change (log: version 2 in force 8 ms after the start), so the operator's tool read the new version and its change was rightly accepted.

Change: the tests wait until a poll has taken a first change, and make theirs right after it, so that it is unknown for most of a second. What they check is unchanged.

--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -28,10 +28,29 @@
 		return fn(&a);
 	}
 
+	std::string shown()
+	{
+		testing::internal::CaptureStdout();
+		run(ctl_show, {"show"});
+		return testing::internal::GetCapturedStdout();
+	}
+
 	// A change by another node, which this one learns of by its next poll.
+	// It comes right after a poll: the first poll of a node can be as late
+	// as the test, which then found the change known.
 	void commit(const char *text)
 	{
-		commit_change(store, clock, text, 1, "other");
+		commit_change(store, clock,
+			      "{\"put\":[{\"kind\":\"team\",\"object\":{"
+			      "\"name\":\"polled\"}}]}",
+			      1, "other");
+		for (int i = 0; i < 1000; i++) {
+			if (shown().find("// version 2") == 0)
+				break;
+			usleep(5000);
+		}
+		ASSERT_EQ(shown().find("// version 2"), 0u);
+		commit_change(store, clock, text, 2, "other");
 	}
 };
 
