json: one function reads a boolean member

Cause: the readers of callers' and operators' messages each had a copy. Change: seam_json_flag() beside seam_json_str().

--- a/base/json.c
+++ b/base/json.c
@@ -324,6 +324,14 @@
 	return p->n == before ? 0 : -1;
 }
 
+bool seam_json_flag(struct json_object *o, const char *name)
+{
+	struct json_object *v = NULL;
+
+	json_object_object_get_ex(o, name, &v);
+	return json_object_get_boolean(v);
+}
+
 const char *seam_json_str(struct json_object *o, const char *name,
 			  const char *def)
 {
--- a/base/json.h
+++ b/base/json.h
@@ -101,6 +101,9 @@
 		   size_t n, void *out, const char *path,
 		   struct seam_problems *p);
 
+/** seam_json_flag() - a member of @o as a boolean; false if it is not there */
+bool seam_json_flag(struct json_object *o, const char *name);
+
 /** seam_json_str() - text member @name of @o, or @def */
 const char *seam_json_str(struct json_object *o, const char *name,
 			  const char *def);
