owner: a job's line tells what held it up, a line a second the load

On the grown site nobody could tell whether late jobs wanted room, a limit or the owner's own processor.

--- a/process/board.h
+++ b/process/board.h
@@ -82,6 +82,16 @@
 	seam_time not_before;
 };
 
+/** enum seam_held - why tasks of a job that could run were not started */
+enum seam_held {
+	SEAM_HELD_NONE,
+	SEAM_HELD_TURN, /* more urgent ones used up the starts under way */
+	SEAM_HELD_ROOM, /* no worker of its pool has room */
+	SEAM_HELD_LIMIT, /* its workspace runs as much as it may */
+	SEAM_HELD_UNHEARD, /* unknown workers may run them */
+	SEAM_HELD_REASONS
+};
+
 /**
  * struct seam_job - an open job
  * @row: what lasts
@@ -100,6 +110,10 @@
  * @changes: number of changes to @row
  * @committed: @changes that the store has
  * @runs: runs that are not known to have ended
+ * @first_start_at: when the first task was ordered; 0 before
+ * @held_by: enum seam_held of the latest pass
+ * @held_since: since when
+ * @held: time for each enum seam_held before that
  */
 struct seam_job {
 	struct seam_jobrow row;
@@ -117,6 +131,10 @@
 	uint64_t changes;
 	uint64_t committed;
 	int runs;
+	seam_time first_start_at;
+	enum seam_held held_by;
+	seam_time held_since;
+	seam_time held[SEAM_HELD_REASONS];
 };
 
 /** struct seam_task_ref - a task, by the handle of its job */
@@ -250,6 +268,24 @@
 	int loops;
 };
 
+/**
+ * struct seam_load_meter - what the owner did since its last line on it
+ * @since: when that line was written; 0 before the first
+ * @passes: passes over the waiting tasks
+ * @pass_time: time that they took, with the lock held
+ * @starts: starts that were answered
+ * @start_time: time from placing them to the answers, together
+ * @looks: holds that were sent
+ */
+struct seam_load_meter {
+	seam_time since;
+	int64_t passes;
+	seam_time pass_time;
+	int64_t starts;
+	seam_time start_time;
+	int64_t looks;
+};
+
 /**
  * struct seam_board_conf - bounds of an owner
  * @vm_lease: no VM is ordered so soon after a takeover, as the owner before may
@@ -314,6 +350,7 @@
  * @thread: threads
  * @threads: their number
  * @stop: the term ends
+ * @meter: its load
  */
 struct seam_board {
 	pthread_mutex_t lock;
@@ -365,6 +402,7 @@
 	GArray *recent;
 	pthread_t thread[SEAM_BOARD_THREADS];
 	int threads;
+	struct seam_load_meter meter;
 };
 
 /**
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -87,6 +87,12 @@
 			const struct seam_listing *l, seam_time sent_at);
 void board_settle_ends(struct seam_board *b, struct seam_worker *w);
 
+/* board_load.c; board_load_log() writes a line a second at most */
+void board_job_held(struct seam_job *j, enum seam_held by, seam_time now);
+void board_job_log(const struct seam_board *b, const struct seam_job *j,
+		   const char *event);
+void board_load_log(struct seam_board *b, int64_t waiting, int starting);
+
 /* board_commit.c, board_pass.c, board_vms.c */
 void *board_commit_loop(void *arg);
 void *board_pass_loop(void *arg);
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -310,14 +310,9 @@
 	j->row.state = state;
 	j->row.ended_ms = seam_wall_ms();
 	seam_count_add(state == SEAM_JOB_COMPLETED ? &completed : &failed, 1);
-	seam_log(SEAM_INFO, "job",
-		 "event=%s job=%s queue=%s workspace=%s age_ms=%lld "
-		 "objective_ms=%lld failures=%zu term=%llu",
-		 state == SEAM_JOB_COMPLETED ? "completed" : "failed",
-		 j->row.spec.id, j->row.spec.queue, j->row.spec.workspace,
-		 (long long)(seam_now(b->clock) - j->accepted_at) / SEAM_MSEC,
-		 (long long)(j->due_at - j->accepted_at) / SEAM_MSEC,
-		 j->row.failures, (unsigned long long)b->term);
+	board_job_held(j, SEAM_HELD_NONE, seam_now(b->clock));
+	board_job_log(b, j,
+		      state == SEAM_JOB_COMPLETED ? "completed" : "failed");
 	stop_all(b, j);
 	board_job_changed(b, j);
 }
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -102,6 +102,7 @@
 	if (renew)
 		h.wait_ms = w->ref->len ? HOLD_WAIT_MS : HOLD_WAIT_IDLE_MS;
 	deadline = now + h.wait_ms * SEAM_MSEC + HOLD_MARGIN;
+	b->meter.looks++;
 	pthread_mutex_unlock(&b->lock);
 	seam_count_add(&looks, 1);
 	rc = w->conn->ops->hold(w->conn, &h, &said, &l, deadline, &e);
@@ -191,6 +192,10 @@
 	struct seam_job *j;
 
 	r = slot_of(w, o, &j);
+	if (r) {
+		b->meter.starts++;
+		b->meter.start_time += seam_now(b->clock) - r->sent_at;
+	}
 	if (!rc && said == SEAM_ORDER_DONE) {
 		seam_count_add(&starts, 1);
 		if (r && r->state == SEAM_RUN_SENT) {
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -167,8 +167,10 @@
 	while ((j = seam_table_next(p->board->jobs, &h))) {
 		struct entry e = {.job = j};
 
-		if (!survey_job(p, j))
+		if (!survey_job(p, j)) {
+			board_job_held(j, SEAM_HELD_NONE, p->now);
 			continue;
+		}
 		board_job_urgency(j, &e.urgency);
 		g_array_append_val(p->entries, e);
 	}
@@ -308,9 +310,9 @@
 	board_order(w, &o);
 }
 
-/* Starts tasks of one step while there is room; false when the pool is full. */
-static bool start_step(struct pass *p, struct pool *pool, struct seam_job *j,
-		       int step)
+/* Starts tasks of one step; returns what holds up the first that waits. */
+static enum seam_held start_step(struct pass *p, struct pool *pool,
+				 struct seam_job *j, int step)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 	struct seam_amount *used = used_of(p, j->row.spec.workspace);
@@ -324,18 +326,18 @@
 		if (!task_waits(j, step, t, p->now))
 			continue;
 		if (p->starting >= STARTS_MAX)
-			return false;
+			return SEAM_HELD_TURN;
 		if (pool->full && plain && seam_fits(&pool->failed, &s->need))
-			return false;
+			return SEAM_HELD_ROOM;
 		if (!within_limit(used, &s->need, &limit))
-			return false;
+			return SEAM_HELD_LIMIT;
 		w = choose(p, pool, j, step, &j->task[step][t]);
 		if (!w) {
 			if (plain) {
 				pool->full = true;
 				pool->failed = s->need;
 			}
-			return false;
+			return SEAM_HELD_ROOM;
 		}
 		start_task(p, w, j, step, (int)t);
 		p->starting++;
@@ -343,19 +345,28 @@
 		used->memory += s->need.memory;
 		used->gpu += s->need.gpu;
 	}
-	return true;
+	return SEAM_HELD_NONE;
 }
 
 static void start_job(struct pass *p, struct seam_job *j)
 {
 	struct pool *pool = pool_of(p, j->row.spec.pool);
+	enum seam_held held = SEAM_HELD_NONE;
 	int i;
 
-	if (j->old && !pool->settled)
+	if (j->old && !pool->settled) {
+		board_job_held(j, SEAM_HELD_UNHEARD, p->now);
 		return;
-	for (i = 0; i < j->row.spec.steps; i++)
+	}
+	for (i = 0; i < j->row.spec.steps; i++) {
+		enum seam_held step = SEAM_HELD_NONE;
+
 		if (j->left[i] && board_step_open(j, i))
-			start_step(p, pool, j, i);
+			step = start_step(p, pool, j, i);
+		if (!held)
+			held = step;
+	}
+	board_job_held(j, held, p->now);
 }
 
 static void run_pass(struct seam_board *b)
@@ -374,6 +385,9 @@
 		start_job(&p, g_array_index(p.entries, struct entry, i).job);
 	seam_count_add(&passes, 1);
 	seam_count_set(&waiting, p.waiting);
+	b->meter.passes++;
+	b->meter.pass_time += seam_now(b->clock) - p.now;
+	board_load_log(b, p.waiting, p.starting);
 	g_array_free(p.entries, TRUE);
 	g_hash_table_destroy(p.used);
 	g_hash_table_destroy(p.pools);
--- a/process/board_runs.c
+++ b/process/board_runs.c
@@ -90,6 +90,8 @@
 	w->used.gpu += need.gpu;
 	j->runs++;
 	j->begun = true;
+	if (!j->first_start_at)
+		j->first_start_at = now;
 	return &t->run[i];
 }
 
--- a/tests/board_test.cc
+++ b/tests/board_test.cc
@@ -281,6 +281,34 @@
 	EXPECT_EQ(most, 3u);
 }
 
+// Guards against a late job whose line does not tell what held it up: on the
+// grown site nobody could say whether room, a limit or the owner was missing.
+TEST_F(Board, JobKnowsWhatHeldItUp)
+{
+	auto held = [&](Owner &o, const char *id, seam_held by) {
+		pthread_mutex_lock(&o.board->lock);
+		seam_handle *h =
+			(seam_handle *)g_hash_table_lookup(o.board->job_of, id);
+		seam_job *j =
+			h ? (seam_job *)seam_table_get(o.board->jobs, *h) :
+			    nullptr;
+		bool is = j && j->held_by == by;
+		pthread_mutex_unlock(&o.board->lock);
+		return is;
+	};
+
+	w.config(3000);
+	w.add_worker("a", "p", 2000);
+	Owner o(&w, "n1");
+	o.renew();
+	eventually([&] { return w.version_in_force() == 2; });
+	w.job(ID, 4, "600");
+	EXPECT_TRUE(eventually([&] { return held(o, ID, SEAM_HELD_ROOM); }));
+	w.add_worker("b", "p", 64000);
+	EXPECT_TRUE(eventually([&] { return held(o, ID, SEAM_HELD_LIMIT); }));
+	EXPECT_TRUE(becomes("completed"));
+}
+
 // Guards work in progress over the loss of an owner: the next one takes it over
 // from the workers, starts nothing twice, and ends count once.
 TEST_F(Board, TakeoverAdoptsRuns)
