--- a/tests/world.h
+++ b/tests/world.h
@@ -22,10 +22,27 @@
 
 struct World;
 
+// A node's way to the workers: its processor does one call at a time.
+struct FakeRunners {
+	seam_runners base;
+	std::mutex processor;
+	std::atomic<int> start_us{0}; // processor time of a start
+	std::atomic<int> look_us{0}; // the same of a hold
+
+	void use(int us)
+	{
+		if (!us)
+			return;
+		std::lock_guard<std::mutex> l(processor);
+		usleep((useconds_t)us);
+	}
+};
+
 struct FakeRunner {
 	seam_runner base;
 	FakeWorker *w;
 	World *world;
+	FakeRunners *node;
 };
 
 // All of it.
@@ -38,7 +55,8 @@
 	std::atomic<int> starting{0}; // starts under way, of slow workers
 	std::atomic<int> most_starting{0};
 	int twice = 0; // tasks that ran twice at the same time
-	seam_runners runners;
+	FakeRunners runners; // of the owner's node
+	std::vector<FakeRunners *> nodes; // of the others
 	seam_inventory vms;
 	seam_ports ports = {};
 	std::vector<seam_vm_info> vm;
@@ -49,6 +67,7 @@
 	World();
 	~World();
 
+	FakeRunners *add_node();
 	FakeWorker *add_worker(const std::string &id,
 			       const std::string &pool = "p",
 			       int64_t cpu = 8000, const std::string &dc = "d1")
@@ -165,6 +184,7 @@
 {
 	FakeWorker *w = ((FakeRunner *)r)->w;
 
+	((FakeRunner *)r)->node->use(((FakeRunner *)r)->node->start_us);
 	if (w->start_ms) {
 		World *world = ((FakeRunner *)r)->world;
 		int now = ++world->starting;
@@ -225,6 +245,8 @@
 		     seam_listing *out, seam_time, seam_err *e)
 {
 	FakeWorker *w = ((FakeRunner *)r)->w;
+
+	((FakeRunner *)r)->node->use(((FakeRunner *)r)->node->look_us);
 	std::unique_lock<std::mutex> l(w->lock);
 
 	memset(out, 0, sizeof(*out));
@@ -276,10 +298,11 @@
 
 static World *the_world; // of the running test
 
-static seam_runner *fake_open(seam_runners *, const char *id, const char *)
+static seam_runner *fake_open(seam_runners *s, const char *id, const char *)
 {
 	FakeRunner *r = new FakeRunner;
 
+	r->node = (FakeRunners *)s; // its base is the first member
 	r->base.ops = &fake_runner_ops;
 	r->world = the_world;
 	r->w = the_world->workers[id];
@@ -408,10 +431,10 @@
 	seam_err e = SEAM_ERR_INIT;
 
 	the_world = this;
-	runners.ops = &fake_runners_ops;
+	runners.base.ops = &fake_runners_ops;
 	vms.ops = &fake_inventory_ops;
 	ports.store = &store.base;
-	ports.runners = &runners;
+	ports.runners = &runners.base;
 	ports.vms = &vms;
 	ports.worker_rows = "workers/";
 	ports.worker = read_worker;
@@ -434,6 +457,18 @@
 	seam_catalog_free(ops.catalog.now);
 	for (auto &w : workers)
 		delete w.second;
+	for (auto *n : nodes)
+		delete n;
+}
+
+// Another node that reaches the workers.
+inline FakeRunners *World::add_node()
+{
+	FakeRunners *n = new FakeRunners;
+
+	n->base.ops = &fake_runners_ops;
+	nodes.push_back(n);
+	return n;
 }
 
 // A node that owns the term.
