--- a/process/dispatch.c
+++ b/process/dispatch.c
@@ -22,6 +22,9 @@
 #define HOLD_WAIT_IDLE_MS 1800
 #define HOLD_GAP_USEC 30000 /* after a hold without an answer */
 #define HOLD_RETRY_USEC 150000
+/* A worker answers a look at once while it lists ends that were not
+ * acknowledged, so the next one waits for that, as long as a commit takes. */
+#define ACK_WAIT (120 * SEAM_MSEC)
 /* A listing without news is told so seldom. */
 #define TELL_GAP (300 * SEAM_MSEC)
 /* An owner polls several times a second; one that has not is gone. */
@@ -43,6 +46,7 @@
  * @runs: runs that it listed last, and starts since
  * @told: hash of what the owner was told last; @told_at: when
  * @told_end: number of the latest end that the owner was told
+ * @acks: signals @acked and @dead
  * @orders: struct seam_lane_order
  * @dead: it is no longer served
  * @loops: threads that have not ended; the last one frees it
@@ -61,6 +65,7 @@
 	uint64_t told;
 	seam_time told_at;
 	int64_t told_end;
+	pthread_cond_t acks;
 	GQueue orders;
 	pthread_cond_t wake;
 	bool dead;
@@ -121,6 +126,7 @@
 {
 	p->dead = true;
 	pthread_cond_signal(&p->wake);
+	pthread_cond_signal(&p->acks);
 	g_hash_table_remove(p->dispatch->post_of, GUINT_TO_POINTER(p->key));
 }
 
@@ -171,6 +177,7 @@
 		free_order(o);
 	p->conn->ops->close(p->conn);
 	pthread_cond_destroy(&p->wake);
+	pthread_cond_destroy(&p->acks);
 	seam_table_del(d->posts, p->self);
 	seam_count_set(&served, (int64_t)seam_table_count(d->posts));
 	pthread_cond_broadcast(&d->ended);
@@ -331,6 +338,17 @@
 	return (unsigned)seam_look_gap(count_busy(d));
 }
 
+/* Waits until the ends that the worker has listed are acknowledged. */
+static void wait_for_acks(struct post *p)
+{
+	struct seam_clock *k = p->dispatch->clock;
+	seam_time until = seam_now(k) + ACK_WAIT;
+
+	while (!p->dead && p->answered && p->acked < p->told_end &&
+	       seam_now(k) < until)
+		seam_wait(k, &p->acks, &p->dispatch->lock, until);
+}
+
 static void *look_loop(void *arg)
 {
 	struct post *p = arg;
@@ -343,6 +361,7 @@
 		pthread_mutex_unlock(&d->lock);
 		g_usleep(pause);
 		pthread_mutex_lock(&d->lock);
+		wait_for_acks(p);
 	}
 	post_ended(p);
 	pthread_mutex_unlock(&d->lock);
@@ -487,6 +506,7 @@
 	p->conn = d->runners->ops->open(d->runners, w->id, w->addr);
 	g_queue_init(&p->orders);
 	seam_cond_init(&p->wake);
+	seam_cond_init(&p->acks);
 	g_hash_table_insert(d->post_of, GUINT_TO_POINTER(w->key), p);
 	seam_count_set(&served, (int64_t)seam_table_count(d->posts));
 	start_threads(p);
@@ -505,8 +525,10 @@
 			return;
 		if (w->lease_until > p->lease_until)
 			p->lease_until = w->lease_until;
-		if (w->acked > p->acked)
+		if (w->acked > p->acked) {
 			p->acked = w->acked;
+			pthread_cond_signal(&p->acks);
+		}
 	} else if (*w->id) {
 		add_post(d, w);
 	}
