--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -95,6 +95,7 @@
 int board_lanes_open(struct seam_board *b, struct seam_err *e);
 void board_lanes_close(struct seam_board *b);
 void board_lanes_attend(struct seam_board *b);
+void board_need_lane(struct seam_board *b);
 void board_lane_wake(struct seam_worker *w);
 void board_lane_update(struct seam_worker *w);
 void board_lane_leave(struct seam_worker *w);
--- a/process/board_lanes.c
+++ b/process/board_lanes.c
@@ -36,6 +36,13 @@
 	return w->lane < 0 ? NULL : &w->board->lane[w->lane];
 }
 
+/* A worker needs a lane, or no longer needs the one that it has. */
+void board_need_lane(struct seam_board *b)
+{
+	b->divide_due = true;
+	pthread_cond_signal(&b->reap_wake);
+}
+
 void board_lane_wake(struct seam_worker *w)
 {
 	struct seam_board_lane *l = lane_of(w);
@@ -97,8 +104,7 @@
 		return;
 	w->move_at = now + MOVE_GAP;
 	w->avoid = w->lane;
-	b->divide_due = true;
-	pthread_cond_signal(&b->reap_wake);
+	board_need_lane(b);
 }
 
 /* The session is over; the next batch opens another. */
@@ -132,8 +138,7 @@
 	while ((w = seam_table_next(b->workers, &h)))
 		if (w->lane == l->index)
 			take_back(w);
-	b->divide_due = true;
-	pthread_cond_signal(&b->reap_wake);
+	board_need_lane(b);
 }
 
 /* A row of the batch for @w: all of it, or what has changed. */
@@ -522,6 +527,12 @@
 		 (unsigned long long)b->term);
 }
 
+/* It has gone with its VM, and nothing is known to run there. */
+static bool is_left(const struct seam_worker *w)
+{
+	return !w->listed && !w->answered && !w->ref->len && !board_orders(w);
+}
+
 static void divide(struct seam_board *b)
 {
 	size_t m = seam_table_count(b->workers);
@@ -537,8 +548,10 @@
 	b->divide_due = false;
 	describe_lanes(b, n, dcs);
 	while ((w = seam_table_next(b->workers, &h))) {
-		if (w->dead)
+		if (w->dead || is_left(w)) {
+			board_lane_leave(w);
 			continue;
+		}
 		d[i] = (struct seam_divide_worker){w->lane, w->avoid,
 						   dc_index(dcs, w->info.dc)};
 		of[i++] = w;
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -90,7 +90,7 @@
 	if (w->ref->len && seam_now(b->clock) > w->lease_end && w->lease_end)
 		board_worker_lost(b, w, "lease_over");
 	/* Another node may reach it. */
-	if (w->missed >= SEAM_MISSED_MAX)
+	if (w->missed >= SEAM_MISSED_MAX && w->listed)
 		board_lane_move(w);
 }
 
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -16,6 +16,8 @@
 /* Starts of one node that wait for an answer. More than its processor can send
  * only queue behind each other, where a more urgent one can't pass them. */
 #define STARTS_MAX 64
+/* The same of all nodes: what the owner can take in a tenth of a second. */
+#define STARTS_ALL_MAX 256
 /* A start that waits longer is with a worker that does not answer. */
 #define START_FRESH (300 * SEAM_MSEC)
 #define RUNS_PER_TERM 10000 /* run numbers grow with the term */
@@ -342,6 +344,8 @@
 
 		if (!task_waits(j, step, t, p->now))
 			continue;
+		if (p->starting >= STARTS_ALL_MAX)
+			return SEAM_HELD_TURN;
 		if (pool->full && plain && seam_fits(&pool->failed, &s->need))
 			return SEAM_HELD_ROOM;
 		if (!within_limit(used, &s->need, &limit))
--- a/process/board_workers.c
+++ b/process/board_workers.c
@@ -145,8 +145,7 @@
 	g_hash_table_replace(b->worker_of, g_strdup(w->info.id),
 			     g_memdup2(&w->self, sizeof(w->self)));
 	seam_count_set(&known, (int64_t)seam_table_count(b->workers));
-	b->divide_due = true;
-	pthread_cond_signal(&b->reap_wake);
+	board_need_lane(b);
 }
 
 static struct seam_worker *find_worker(struct seam_board *b, const char *id)
@@ -162,6 +161,7 @@
 		return;
 	w->listed = false;
 	w->gone_at = seam_now(b->clock);
+	board_need_lane(b);
 	seam_log(SEAM_INFO, "worker",
 		 "event=row_gone worker=%s draining=%d answered=%d", w->info.id,
 		 w->info.draining, w->answered);
@@ -172,6 +172,8 @@
 {
 	bool drains = info->draining && !w->info.draining;
 
+	if (!w->listed)
+		board_need_lane(b);
 	w->listed = true;
 	if (info->born_ms && w->info.born_ms && info->born_ms > w->info.born_ms)
 		board_worker_restarted(b, w, info->born_ms,
--- a/process/divide.c
+++ b/process/divide.c
@@ -5,10 +5,9 @@
 /* Looks, renewals and starts of a busy worker, microseconds of a core a second:
  * eight calls of 150 us, and as much again in a peak. */
 #define WORKER_US 1500
-#define OWN_PART 2 /* of its processor, while it serves all workers */
-#define OTHER_PART 4 /* of another node's, beside its callers */
-/* A node keeps a quarter more than it would be given. */
-#define OVERFULL(room) ((room) + (room) / 4)
+#define PART 4 /* of a node's processor that workers may take */
+/* A node keeps half as many again as it would be given. */
+#define OVERFULL(room) ((room) + (room) / 2)
 #define NEAR 1000000 /* more than any node has room for */
 /* Of a node whose processor is not known, thousandths of a core. */
 #define PROCESSOR_LEAST 100
@@ -20,10 +19,10 @@
 	bool *chosen;
 };
 
-static int room_of(const struct seam_divide_node *n, int part)
+static int room_of(const struct seam_divide_node *n)
 {
 	int processor = n->processor > 0 ? n->processor : PROCESSOR_LEAST;
-	int room = processor * 1000 / part / WORKER_US;
+	int room = processor * 1000 / PART / WORKER_US;
 
 	return room > 0 ? room : 1;
 }
@@ -41,20 +40,35 @@
 	return best;
 }
 
+/* Whether the owner's node serves all workers. */
+static bool owner_suffices(const struct division *d,
+			   const struct seam_divide_worker *w, size_t n)
+{
+	size_t room = (size_t)room_of(&d->node[0]);
+	size_t i;
+
+	if (n > room)
+		for (i = 0; i < n; i++)
+			if (w[i].node > 0)
+				return false;
+	return n <= room || n < OVERFULL(room);
+}
+
 /* Chooses the nodes that are given workers. */
-static void choose_nodes(struct division *d, size_t workers)
+static void choose_nodes(struct division *d, const struct seam_divide_worker *w,
+			 size_t workers)
 {
 	size_t room = 0;
 	int i;
 
-	if ((size_t)room_of(&d->node[0], OWN_PART) >= workers) {
+	if (owner_suffices(d, w, workers)) {
 		d->chosen[0] = true;
 		d->room[0] = (int)workers;
 		return;
 	}
 	while (room < workers && (i = largest_unchosen(d)) >= 0) {
 		d->chosen[i] = true;
-		d->room[i] = room_of(&d->node[i], OTHER_PART);
+		d->room[i] = room_of(&d->node[i]);
 		room += (size_t)d->room[i];
 	}
 	if (room < workers) {
@@ -74,7 +88,7 @@
 	/* The owner's node is for what the others have no room for. */
 	if (w->node == 0)
 		return n->workers < d->room[0];
-	return n->usable && n->workers < OVERFULL(room_of(n, OTHER_PART));
+	return n->usable && n->workers < OVERFULL(room_of(n));
 }
 
 /* Room that counts for a worker: a near node with any comes first. */
@@ -87,15 +101,13 @@
 	return near && left > 0 ? left + NEAR : left;
 }
 
-static int pick(const struct division *d, const struct seam_divide_worker *w,
-		bool chosen)
+static int pick(const struct division *d, const struct seam_divide_worker *w)
 {
 	int best = -1;
 	size_t i;
 
 	for (i = 0; i < d->nodes; i++) {
-		if (!d->node[i].usable || d->chosen[i] != chosen ||
-		    (int)i == w->avoid)
+		if (!d->node[i].usable || !d->chosen[i] || (int)i == w->avoid)
 			continue;
 		if (best < 0 || room_for(d, (int)i, w) > room_for(d, best, w))
 			best = (int)i;
@@ -103,14 +115,16 @@
 	return best;
 }
 
+/*
+ * A worker that the chosen nodes don't reach goes to the largest of the others,
+ * always the same one: a worker that is gone would be tried by all in turn.
+ */
 static int place(const struct division *d, const struct seam_divide_worker *w)
 {
-	int i = pick(d, w, true);
+	int i = pick(d, w);
 
-	/* A node that was not chosen may reach a worker that the others don't.
-	 */
-	if (i < 0)
-		i = pick(d, w, false);
+	if (i < 0 && w->avoid == 0)
+		i = largest_unchosen(d);
 	return i < 0 ? 0 : i;
 }
 
@@ -124,7 +138,7 @@
 	d.chosen = g_new0(bool, n);
 	for (i = 0; i < n; i++)
 		node[i].workers = 0;
-	choose_nodes(&d, m);
+	choose_nodes(&d, worker, m);
 	for (i = 0; i < m; i++) {
 		if (may_stay(&d, &worker[i]))
 			node[worker[i].node].workers++;
--- a/process/divide.h
+++ b/process/divide.h
@@ -43,11 +43,11 @@
  *
  * Answers a fleet whose workers need more of the owner's processor than it has:
  * leases, looks and starts of a busy worker take about 1.5 ms of a core in a
- * second. While half of the owner's processor is enough, it serves all of them.
- * Otherwise the others do, the largest first and as few as have room, each with
- * up to a quarter of its processor; what they have no room for comes back to
- * the owner. A worker stays where it is while that node is usable and not
- * overfull, as a change costs a connection and a look.
+ * second. While a quarter of the owner's processor is enough, it serves all of
+ * them. Otherwise the others do, the largest first and as few as have room,
+ * each with up to a quarter of its processor; what they have no room for comes
+ * back to the owner. A worker stays where it is while that node is usable and
+ * not overfull, as a change costs a connection and a look.
  */
 void seam_divide(struct seam_divide_node *node, size_t n,
 		 struct seam_divide_worker *worker, size_t m);
--- a/tests/divide_test.cc
+++ b/tests/divide_test.cc
@@ -1,6 +1,7 @@
 // Which node serves which worker.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 #include "process/divide.h"
@@ -33,15 +34,43 @@
 	}
 };
 
-// Guards small deployments against calls between nodes that they don't need.
+// Guards small deployments against calls between nodes that they don't need,
+// also while the number of workers changes.
 TEST_F(Divide, OwnerServesFewWorkersItself)
 {
 	for (int i = 0; i < 9; i++)
 		node(250);
-	add(49);
+	add(30);
 	run();
-	EXPECT_EQ(nodes[0].workers, 49);
 	EXPECT_EQ(used(), 1u);
+	add(20);
+	run();
+	EXPECT_EQ(nodes[0].workers, 50);
+	EXPECT_EQ(used(), 1u);
+	add(40);
+	run();
+	EXPECT_EQ(nodes[0].workers, 0);
+	auto before = workers;
+	workers.resize(50);
+	run();
+	for (size_t i = 0; i < workers.size(); i++)
+		EXPECT_EQ(workers[i].node, before[i].node);
+}
+
+// Guards nodes against a worker that is gone: each of them tried it in turn.
+TEST_F(Divide, GoneWorkerIsTriedByFew)
+{
+	std::vector<bool> tried(34);
+
+	for (int i = 0; i < 34; i++)
+		node(500);
+	add(20);
+	for (int i = 0; i < 40; i++) {
+		run();
+		tried[(size_t)workers[0].node] = true;
+		workers[0].avoid = workers[0].node;
+	}
+	EXPECT_EQ(std::count(tried.begin(), tried.end(), true), 2);
 }
 
 // Guards the owner's processor against looks and starts that grow with the
