--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -38,7 +38,10 @@
 		snprintf(o.task, sizeof(o.task), "%s", task);
 		o.run = 1;
 		o.text = strdup("200");
-		o.lease_until = a->clock_ms() + 3000;
+		{
+			std::lock_guard<std::mutex> l(a->lock);
+			o.lease_until = a->clock_ms() + 3000;
+		}
 		o.send_by = seam_now(w.clock) + left;
 		o.repeat_by = o.send_by;
 		seam_err_clear(&e);
--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -240,7 +240,12 @@
 		std::lock_guard<std::mutex> l(w.lock);
 		return !w.orders.empty();
 	}));
-	std::string vm = w.orders[0].substr(5, w.orders[0].find(' ', 5) - 5);
+	std::string order;
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+		order = w.orders[0];
+	}
+	std::string vm = order.substr(5, order.find(' ', 5) - 5);
 	FakeWorker *gone = w.workers[vm.substr(3)];
 	gone->silent = true;
 	EXPECT_TRUE(eventually(
--- a/tests/world.h
+++ b/tests/world.h
@@ -474,12 +474,13 @@
 {
 	seam_op_state_stop(&ops);
 	seam_catalog_free(ops.catalog.now);
-	for (auto &w : workers)
-		delete w.second;
+	/* Their threads call the workers. */
 	for (auto *n : nodes) {
 		seam_dispatch_free(n->dispatch);
 		delete n;
 	}
+	for (auto &w : workers)
+		delete w.second;
 }
 
 // Another node that reaches the workers.
