--- a/process/urgency.c
+++ b/process/urgency.c
@@ -2,6 +2,8 @@
 
 /* From a decision until a task runs, and from its end until that is known. */
 #define ORDER_DELAY (100 * SEAM_MSEC)
+/* Objectives within which a late job is still of use to its caller. */
+#define USEFUL 3
 /* The longest of some uneven tasks takes this part more than the estimate. */
 #define UNEVEN_PART 4
 
@@ -11,6 +13,15 @@
 	       now + u->left_ms * SEAM_MSEC + ORDER_DELAY > u->due_at;
 }
 
+/* So late by its estimate that its caller has no use for it. */
+static bool is_useless(const struct seam_urgency *u, seam_time now)
+{
+	seam_time objective = u->due_at - u->accepted_at;
+
+	return !u->lasting && now + u->left_ms * SEAM_MSEC >
+				      u->accepted_at + USEFUL * objective;
+}
+
 /* Late by its estimate with a margin. */
 static bool is_tight(const struct seam_urgency *u, seam_time now)
 {
@@ -35,6 +46,8 @@
 		return a->lasting ? -1 : 1;
 	if (late_a != late_b)
 		return late_a ? 1 : -1;
+	if (is_useless(a, now) != is_useless(b, now))
+		return is_useless(a, now) ? 1 : -1;
 	if (a->over_share != b->over_share)
 		return a->over_share ? 1 : -1;
 	if (a->priority != b->priority)
--- a/process/urgency.h
+++ b/process/urgency.h
@@ -40,11 +40,12 @@
  * @now: time
  * @crowded: all VMs together hold less than what is asked for
  *
- * First come jobs that can still meet their objective, and of those that can't
- * the oldest. A job that can't is worth little to its caller, and room spent on
- * it makes the next one late as well. What a workspace hands in beyond its
- * share comes after the others' jobs. Of equal jobs the one with the least
- * slack comes first.
+ * First come jobs that can still meet their objective, then late ones that are
+ * still of use, within three times the objective, then all others; of late ones
+ * the oldest. A job that can't be in time is worth little to its caller, and
+ * room spent on it makes the next one late as well. What a workspace hands in
+ * beyond its share comes after the others' jobs. Of equal jobs the one with the
+ * least slack comes first.
  *
  * Answers a pool that is full for a moment, until VMs have come to it, and with
  * @crowded a load above the whole fleet: then the least slack would start each
