rest: a request is not sent after its deadline

The check of the term and the sending are two steps, and a node that is suspended between them goes on with the second: curl's timeout does not count that time. Requests are now checked by the clock that counts it just before they are sent, and an order for a VM ends with the owner's term at the latest. rest_test failed before: two of three such requests arrived.

--- a/base/recv.c
+++ b/base/recv.c
@@ -48,6 +48,8 @@
 	(void)local_ip;
 	(void)port;
 	(void)local_port;
+	if (r->clock && seam_now(r->clock) > r->send_by)
+		return CURL_PREREQFUNC_ABORT;
 	r->sent = true;
 	return r->once && again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
--- a/base/recv.h
+++ b/base/recv.h
@@ -5,10 +5,14 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "base/clock.h"
+
 /**
  * struct seam_recv - body of an HTTP answer as libcurl reads it
  * @max: most bytes, with the NUL
  * @once: the request may be sent one time only
+ * @clock: clock of @send_by; NULL without one
+ * @send_by: the request is not sent after it
  * @body: body with a NUL, or NULL if it is empty; the caller frees it
  * @len: its length in bytes
  * @cap: bytes allocated, private
@@ -18,6 +22,8 @@
 struct seam_recv {
 	size_t max;
 	bool once;
+	struct seam_clock *clock;
+	seam_time send_by;
 	char *body;
 	size_t len;
 	size_t cap;
@@ -32,7 +38,9 @@
  *
  * curl sends a request again by itself when a reused connection is closed
  * before any byte of the answer. With @r->once the second start ends the
- * transfer with CURLE_ABORTED_BY_CALLBACK.
+ * transfer with CURLE_ABORTED_BY_CALLBACK, and so does a start after
+ * @r->send_by: curl's own timeout does not count time for which the machine was
+ * suspended.
  */
 void seam_recv_set(CURL *h, struct seam_recv *r);
 
--- a/process/board_vm_orders.c
+++ b/process/board_vm_orders.c
@@ -59,8 +59,13 @@
 {
 	struct seam_inventory *vms = b->ports->vms;
 	seam_time deadline = seam_now(b->clock) + ORDER_CALL;
+	seam_time valid =
+		__atomic_load_n(&b->lead->valid_until, __ATOMIC_ACQUIRE);
 	int rc;
 
+	/* A later owner may send orders for the VM after it. */
+	if (deadline > valid)
+		deadline = valid;
 	pthread_mutex_unlock(&b->lock);
 	if (t->wave)
 		rc = vms->ops->maintain(vms, t->vm, t->wave, b->term, said,
--- a/process/rest.c
+++ b/process/rest.c
@@ -88,7 +88,10 @@
 		   struct seam_rest_answer *a, struct seam_err *e)
 {
 	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
-	struct seam_recv in = {.max = ANSWER_BYTES_MAX, .once = c->once};
+	struct seam_recv in = {.max = ANSWER_BYTES_MAX,
+			       .once = c->once,
+			       .clock = r->clock,
+			       .send_by = c->deadline};
 	seam_time left = (c->deadline - seam_now(r->clock)) / SEAM_MSEC;
 	char url[1024];
 	const char *const *line;
