dispatch: every order is answered

A node dropped an order for a worker that it did not serve, and one that had no thread for a worker told of it once: the owner would have waited for an answer for as long as the session lasts, with the task neither running nor free. Found by reading; dispatch_test OrderForUnknownWorkerIsAnswered.

--- a/process/board_link.c
+++ b/process/board_link.c
@@ -85,7 +85,9 @@
 		seam_log(SEAM_WARN, "worker",
 			 "event=silent worker=%s runs=%u lane=%d why=\"%s\"",
 			 w->info.id, w->ref->len, w->lane, v->why);
-	w->missed++;
+	/* A node without a thread for it does not look again. */
+	w->missed =
+		v->failed == SEAM_NO_MEMORY ? SEAM_MISSED_MAX : w->missed + 1;
 	w->answered = false;
 	if (w->ref->len && seam_now(b->clock) > w->lease_end && w->lease_end)
 		board_worker_lost(b, w, "lease_over");
--- a/process/dispatch.c
+++ b/process/dispatch.c
@@ -183,14 +183,14 @@
 	pthread_cond_broadcast(&d->ended);
 }
 
-static struct seam_lane_event *add_event(struct post *p, int kind)
+static struct seam_lane_event *add_event(struct seam_dispatch *d, uint32_t key,
+					 int kind)
 {
-	struct seam_dispatch *d = p->dispatch;
 	struct seam_lane_event *v = g_new0(struct seam_lane_event, 1);
 
 	v->number = ++d->numbered;
 	v->kind = kind;
-	v->key = p->key;
+	v->key = key;
 	g_queue_push_tail(&d->events, v);
 	pthread_cond_broadcast(&d->news);
 	return v;
@@ -219,11 +219,12 @@
 	       (l->ends && l->end[l->ends - 1].number > p->told_end);
 }
 
-static void tell_answer(struct post *p, const struct seam_lane_order *o, int rc,
+static void tell_answer(struct seam_dispatch *d,
+			const struct seam_lane_order *o, int rc,
 			enum seam_refusal said, bool unknown,
 			const struct seam_err *e)
 {
-	struct seam_lane_event *v = add_event(p, SEAM_LANE_ANSWERED);
+	struct seam_lane_event *v = add_event(d, o->key, SEAM_LANE_ANSWERED);
 
 	snprintf(v->task, sizeof(v->task), "%s", o->task);
 	v->run = o->run;
@@ -234,15 +235,23 @@
 	snprintf(v->why, sizeof(v->why), "%.60s", rc ? e->text : "");
 }
 
+/* Answers an order that is not sent. */
+static void tell_unsent(struct seam_dispatch *d,
+			const struct seam_lane_order *o, const char *why)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	int rc = seam_fail(&e, SEAM_UNAVAILABLE, "%s", why);
+
+	tell_answer(d, o, rc, SEAM_ORDER_INVALID, false, &e);
+}
+
 /* The worker has started again; orders and leases are of the life before. */
 static void forget_life(struct post *p)
 {
-	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_lane_order *o;
-	int rc = seam_fail(&e, SEAM_UNAVAILABLE, "the worker has restarted");
 
 	while ((o = g_queue_pop_head(&p->orders))) {
-		tell_answer(p, o, rc, SEAM_ORDER_INVALID, false, &e);
+		tell_unsent(p->dispatch, o, "the worker has restarted");
 		free_order(o);
 	}
 	p->lease_until = 0;
@@ -272,7 +281,7 @@
 	p->told_at = now;
 	if (l->ends)
 		p->told_end = l->end[l->ends - 1].number;
-	v = add_event(p, SEAM_LANE_LISTED);
+	v = add_event(p->dispatch, p->key, SEAM_LANE_LISTED);
 	v->listing = *l;
 	v->sent_at = sent_at;
 }
@@ -280,7 +289,8 @@
 static void look_failed(struct post *p, int rc, enum seam_refusal said,
 			const struct seam_err *e)
 {
-	struct seam_lane_event *v = add_event(p, SEAM_LANE_SILENT);
+	struct seam_lane_event *v =
+		add_event(p->dispatch, p->key, SEAM_LANE_SILENT);
 
 	p->answered = false;
 	v->failed = rc ? e->kind : SEAM_OK;
@@ -434,7 +444,7 @@
 		seam_count_add(&starts, 1);
 		p->runs++;
 	}
-	tell_answer(p, o, rc, said, unknown, &e);
+	tell_answer(p->dispatch, o, rc, said, unknown, &e);
 }
 
 static void *order_loop(void *arg)
@@ -540,8 +550,10 @@
 	struct post *p = find_post(d, from->key);
 	struct seam_lane_order *o;
 
-	if (!p)
+	if (!p) {
+		tell_unsent(d, from, "the worker is not served");
 		return;
+	}
 	o = g_memdup2(from, sizeof(*from));
 	from->text = NULL;
 	/* A stop frees room that a start may wait for. */
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -146,6 +146,25 @@
 	EXPECT_EQ(w.started("t"), 0);
 }
 
+// Guards tasks against a wait for ever: an order for a worker that the node
+// does not serve was dropped without an answer.
+TEST_F(Dispatch, OrderForUnknownWorkerIsAnswered)
+{
+	seam_lane_worker drop = {};
+	seam_lane_batch b = {{1, 1}, false, &drop, 1, nullptr, 0};
+	uint64_t seen = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	drop.key = 7;
+	drop.drop = true;
+	ASSERT_EQ(seam_dispatch_take(d, &b, &e), 0);
+	ASSERT_EQ(start(1, 1, "t"), 0);
+	seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+	ASSERT_NE(v, nullptr);
+	EXPECT_EQ(v->failed, SEAM_UNAVAILABLE);
+	EXPECT_EQ(w.started("t"), 0);
+}
+
 // Guards the ends of a worker that has started again: they are numbered anew,
 // and what the life before had told would make it forget them.
 TEST_F(Dispatch, RestartedWorkerIsNotToldOldNumbers)
