dispatch, lanes: two files each; names of the field

dispatch.c holds sessions and events, dispatch_worker.c the two threads of a worker; board_lanes.c the two threads of a lane, board_divide.c which node serves which worker.

--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -11,6 +11,7 @@
 #define CLOCK_SLOW 50 /* 1/50 is 2% */
 #define LEASE_MARGIN (100 * SEAM_MSEC)
 #define STORE_CALL (900 * SEAM_MSEC)
+#define BOARD_LANE_PAUSE (1 * SEAM_SEC) /* of a node that did not answer */
 
 static inline struct seam_job *board_job(struct seam_board *b,
 					 struct seam_handle h)
@@ -91,10 +92,13 @@
 bool board_order_stands(struct seam_worker *w, const struct seam_order *o,
 			struct seam_job **j);
 
-/* board_lanes.c */
+/* board_divide.c */
 int board_lanes_open(struct seam_board *b, struct seam_err *e);
 void board_lanes_close(struct seam_board *b);
 void board_lanes_attend(struct seam_board *b);
+
+/* board_lanes.c */
+int board_lane_start(struct seam_board_lane *l);
 void board_need_lane(struct seam_board *b);
 void board_lane_wake(struct seam_worker *w);
 void board_lane_update(struct seam_worker *w);
