--- a/process/board_lanes.c
+++ b/process/board_lanes.c
@@ -60,8 +60,9 @@
 	pthread_cond_broadcast(&l->wake);
 }
 
-/* What the node has not answered is sent again; it may have been sent. */
-static void take_back(struct seam_worker *w)
+/* What the node has not answered is sent again, as an order that the worker may
+ * have got. */
+static void requeue_sent(struct seam_worker *w)
 {
 	struct seam_order *o;
 
@@ -85,7 +86,7 @@
 		g_array_append_val(l->drops, key);
 		board_lane_wake(w);
 	}
-	take_back(w);
+	requeue_sent(w);
 	w->lane = -1;
 }
 
@@ -103,7 +104,7 @@
 }
 
 /* The session is over; the next batch opens another. */
-static void begin_anew(struct seam_board_lane *l)
+static void reset_session(struct seam_board_lane *l)
 {
 	l->number++;
 	l->opened = false;
@@ -127,12 +128,12 @@
 		 "failures=%d why=\"%s\"",
 		 l->info.addr, call, (unsigned long long)b->term,
 		 (unsigned long long)l->number, l->failures, e->text);
-	begin_anew(l);
+	reset_session(l);
 	l->failures++;
 	l->down_until = seam_now(b->clock) + (BOARD_LANE_PAUSE << pauses);
 	while ((w = seam_table_next(b->workers, &h)))
 		if (w->lane == l->index)
-			take_back(w);
+			requeue_sent(w);
 	board_need_lane(b);
 }
 
@@ -217,9 +218,8 @@
 	memset(m, 0, sizeof(*m));
 	m->session = (struct seam_lane_session){b->term, l->number};
 	m->first = !l->opened;
-	m->worker =
-		g_new0(struct seam_lane_worker,
-		       2 * seam_table_count(b->workers) + l->drops->len + 1);
+	m->worker = g_new0(struct seam_lane_worker,
+			   seam_table_count(b->workers) + l->drops->len + 1);
 	for (i = 0; i < l->drops->len; i++)
 		add_drop(m, g_array_index(l->drops, uint32_t, i));
 	g_array_set_size(l->drops, 0);
@@ -388,7 +388,7 @@
 		seam_time gap;
 
 		if (l->opened && !l->workers && !l->drops->len)
-			begin_anew(l);
+			reset_session(l);
 		if (!l->opened) {
 			seam_wait(b->clock, &l->wake, &b->lock, SEAM_NEVER);
 			continue;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -58,6 +58,7 @@
 	pthread_cond_broadcast(&d->ended);
 }
 
+/* The same for listings of the same runs in any order. */
 static uint64_t hash_of(const struct seam_listing *l)
 {
 	uint64_t h = 0;
