pool: a drain asks about the members without the targets locked

The members are asked before and after the loads are read, without the targets' lock. Drain.AsksAboutMembersWithoutTheTargetsLock failed before; pool_test (18) and sim_test (30) pass.

--- a/process/pool_drain.c
+++ b/process/pool_drain.c
@@ -10,19 +10,35 @@
 	(void)deadline;
 }
 
-static bool idle(struct seam_drain *d, const char *vm)
+static bool members_current(const struct seam_target_drain *t)
+{
+	return !t->all_current || t->all_current(t->arg);
+}
+
+static bool is_busy(struct seam_target_drain *t, const char *vm)
 {
-	struct seam_target_drain *t = (struct seam_target_drain *)d;
 	struct seam_handle h = SEAM_NONE;
 	struct seam_table *table = seam_targets_lock(t->targets);
 	struct seam_target *x;
-	bool busy = t->all_current && !t->all_current(t->arg);
+	bool busy = false;
 
 	while ((x = seam_table_next(table, &h)))
 		if (!strcmp(x->info.id, vm))
 			busy = busy || x->outstanding || x->peer_load;
 	seam_targets_unlock(t->targets);
-	return !busy;
+	return busy;
+}
+
+/*
+ * The members' lock comes before the targets' one, so the members are asked
+ * without it, before and after: a member that was silent when the loads were
+ * read has to be noticed.
+ */
+static bool idle(struct seam_drain *d, const char *vm)
+{
+	struct seam_target_drain *t = (struct seam_target_drain *)d;
+
+	return members_current(t) && !is_busy(t, vm) && members_current(t);
 }
 
 static const struct seam_drain_ops ops = {
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -1,6 +1,10 @@
 // Pools: one pool for each VM, moves in stages, the availability budget.
-#include "pool_world.h"
+#include <atomic>
+#include <thread>
+
+#include <unistd.h>
 
+#include "pool_world.h"
 #include "tests/change.h"
 #include "tests/http.h"
 #include "tests/node.h"
@@ -414,6 +418,37 @@
 }
 
 // Guards P10: a node that is not heard may have a request on the target, so its
+// Guards against a deadlock of a node: a drain asked about the members with the
+// targets locked, while the members' pass locked the targets.
+TEST(Drain, AsksAboutMembersWithoutTheTargetsLock)
+{
+	seam_targets *ts = seam_targets_new(seam_clock_real());
+	seam_target_drain d;
+	auto can_lock = [](void *arg) {
+		seam_targets *of = (seam_targets *)arg;
+		std::atomic<bool> locked{false};
+		std::thread other([&] {
+			seam_targets_lock(of);
+			locked = true;
+			seam_targets_unlock(of);
+		});
+
+		for (int i = 0; i < 200 && !locked; i++)
+			usleep(5000);
+		bool was = locked;
+		if (!was)
+			seam_targets_unlock(of);
+		other.join();
+		if (!was)
+			seam_targets_lock(of);
+		return was;
+	};
+
+	seam_target_drain_init(&d, ts, can_lock, ts);
+	EXPECT_TRUE(d.drain.ops->idle(&d.drain, "vm-1"));
+	seam_targets_free(ts);
+}
+
 // silence must not end a drain (found by seed 7 of sim_test).
 TEST(Pool, SilentNodesKeepATargetBusy)
 {
