lane: a broken row is refused

A batch or an answer whose row was no list ended the process: json-c asserts on it ('{"workers":[1],"orders":[]}' aborts on the commit before). Each row is now checked by its length, and the message refused with SEAM_BAD_REQUEST, which the dispatcher answers with 400 and the owner takes as a session that failed. dispatch_test BrokenMessagesAreRefused.

--- a/connection/lane_json.c
+++ b/connection/lane_json.c
@@ -136,35 +136,62 @@
 	return o;
 }
 
-static void read_worker(struct json_object *row, struct seam_lane_worker *w)
+static int read_worker(struct json_object *row, struct seam_lane_worker *w)
 {
+	size_t n = length(row);
+
+	if (n != 1 && n != 4 && n != 6)
+		return -1;
 	w->key = (uint32_t)int_at(row, 0);
-	w->drop = length(row) < 2;
+	w->drop = n == 1;
 	if (w->drop)
-		return;
+		return 0;
 	w->lease_until = int_at(row, 1);
 	w->acked = int_at(row, 2);
 	w->born_ms = int_at(row, 3);
-	if (length(row) < 6)
-		return;
+	if (n == 4)
+		return 0;
 	copy_at(w->id, sizeof(w->id), row, 4);
 	copy_at(w->addr, sizeof(w->addr), row, 5);
+	return 0;
 }
 
-static void read_order(struct json_object *row, seam_time now,
-		       struct seam_lane_order *o)
+static int read_order(struct json_object *row, seam_time now,
+		      struct seam_lane_order *o)
 {
+	size_t n = length(row);
+
+	if (n != 5 && n != 8)
+		return -1;
 	o->key = (uint32_t)int_at(row, 0);
 	copy_at(o->task, sizeof(o->task), row, 1);
 	o->run = int_at(row, 2);
 	o->send_by = now + int_at(row, 3);
 	o->repeat_by = now + int_at(row, 4);
-	o->stop = length(row) < 8;
+	o->stop = n == 5;
 	if (o->stop)
-		return;
+		return 0;
 	o->lease_until = int_at(row, 5);
 	copy_at(o->checkpoint, sizeof(o->checkpoint), row, 6);
 	o->text = strdup(text_at(row, 7));
+	return o->text ? 0 : -1;
+}
+
+/* Reads the rows of a batch; -1 if one is not of the form. */
+static int read_rows(struct json_object *workers, struct json_object *orders,
+		     seam_time now, struct seam_lane_batch *b)
+{
+	size_t i;
+
+	for (i = 0; i < length(workers); i++)
+		if (read_worker(json_object_array_get_idx(workers, i),
+				&b->worker[b->workers++]))
+			return -1;
+	for (i = 0; i < length(orders); i++)
+		if (read_order(json_object_array_get_idx(orders, i), now,
+			       &b->order[b->orders++]))
+			return -1;
+	return 0;
 }
 
 int seam_lane_batch_read(struct json_object *o, seam_time now,
@@ -172,7 +199,6 @@
 {
 	struct json_object *workers = member(o, "workers");
 	struct json_object *orders = member(o, "orders");
-	size_t i;
 
 	memset(b, 0, sizeof(*b));
 	if (!json_object_is_type(workers, json_type_array) ||
@@ -188,13 +214,11 @@
 		seam_lane_batch_free(b);
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
 	}
-	for (i = 0; i < length(workers); i++)
-		read_worker(json_object_array_get_idx(workers, i),
-			    &b->worker[b->workers++]);
-	for (i = 0; i < length(orders); i++)
-		read_order(json_object_array_get_idx(orders, i), now,
-			   &b->order[b->orders++]);
-	return 0;
+	if (!read_rows(workers, orders, now, b))
+		return 0;
+	seam_lane_batch_free(b);
+	return seam_fail(e, SEAM_BAD_REQUEST,
+			 "batch: a row of workers or orders is broken");
 }
 
 static struct json_object *runs_json(const struct seam_listing *l)
@@ -275,7 +299,7 @@
 	return o;
 }
 
-static void read_runs(struct json_object *list, struct seam_listing *l)
+static int read_runs(struct json_object *list, struct seam_listing *l)
 {
 	size_t n = length(list);
 	size_t i;
@@ -285,15 +309,18 @@
 		struct json_object *row = json_object_array_get_idx(list, i);
 		struct seam_listed_run *r = &l->run[l->runs++];
 
+		if (length(row) != 5)
+			return -1;
 		copy_at(r->task, sizeof(r->task), row, 0);
 		r->run = int_at(row, 1);
 		copy_at(r->checkpoint, sizeof(r->checkpoint), row, 2);
 		r->percent = (int)int_at(row, 3);
 		r->level = int_at(row, 4);
 	}
+	return l->run ? 0 : -1;
 }
 
-static void read_ends(struct json_object *list, struct seam_listing *l)
+static int read_ends(struct json_object *list, struct seam_listing *l)
 {
 	size_t n = length(list);
 	size_t i;
@@ -303,6 +330,8 @@
 		struct json_object *row = json_object_array_get_idx(list, i);
 		struct seam_listed_end *d = &l->end[l->ends++];
 
+		if (length(row) != 5)
+			return -1;
 		d->number = int_at(row, 0);
 		copy_at(d->task, sizeof(d->task), row, 1);
 		d->run = int_at(row, 2);
@@ -311,31 +340,46 @@
 			d->how = SEAM_END_STOPPED;
 		copy_at(d->checkpoint, sizeof(d->checkpoint), row, 4);
 	}
+	return l->end ? 0 : -1;
 }
 
-static void read_event(struct json_object *row, seam_time sent_after,
+static int read_listed(struct json_object *row, seam_time sent_after,
 		       struct seam_lane_event *v)
 {
+	if (length(row) != 8)
+		return -1;
+	v->sent_at = sent_after - int_at(row, 3);
+	v->listing.clock_ms = int_at(row, 4);
+	v->listing.born_ms = int_at(row, 5);
+	if (read_runs(json_object_array_get_idx(row, 6), &v->listing))
+		return -1;
+	return read_ends(json_object_array_get_idx(row, 7), &v->listing);
+}
+
+static int read_event(struct json_object *row, seam_time sent_after,
+		      struct seam_lane_event *v)
+{
+	size_t n = length(row);
+
+	if (n < 3)
+		return -1;
 	v->number = (uint64_t)int_at(row, 0);
 	v->kind = (int)int_at(row, 1);
 	v->key = (uint32_t)int_at(row, 2);
-	if (v->kind == SEAM_LANE_LISTED) {
-		v->sent_at = sent_after - int_at(row, 3);
-		v->listing.clock_ms = int_at(row, 4);
-		v->listing.born_ms = int_at(row, 5);
-		read_runs(json_object_array_get_idx(row, 6), &v->listing);
-		read_ends(json_object_array_get_idx(row, 7), &v->listing);
-		return;
-	}
+	if (v->kind == SEAM_LANE_LISTED)
+		return read_listed(row, sent_after, v);
+	if (n != 6 && n != 10)
+		return -1;
 	v->failed = (enum seam_kind)int_at(row, 3);
 	v->said = (enum seam_refusal)int_at(row, 4);
 	copy_at(v->why, sizeof(v->why), row, 5);
-	if (v->kind == SEAM_LANE_SILENT)
-		return;
+	if (n == 6)
+		return v->kind == SEAM_LANE_SILENT ? 0 : -1;
 	copy_at(v->task, sizeof(v->task), row, 6);
 	v->run = int_at(row, 7);
 	v->stop = int_at(row, 8);
 	v->unknown = int_at(row, 9);
+	return v->kind == SEAM_LANE_ANSWERED ? 0 : -1;
 }
 
 /*
@@ -357,7 +401,12 @@
 	if (!v->event)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
 	for (i = 0; i < length(list); i++)
-		read_event(json_object_array_get_idx(list, i), written,
-			   &v->event[v->n++]);
-	return 0;
+		if (read_event(json_object_array_get_idx(list, i), written,
+			       &v->event[v->n++]))
+			break;
+	if (i == length(list))
+		return 0;
+	seam_lane_events_free(v);
+	return seam_fail(e, SEAM_BAD_REQUEST,
+			 "answer to a poll: a row of events is broken");
 }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -278,6 +278,44 @@
 	EXPECT_EQ(seam_lane_batch_read(nullptr, 0, &got, &e), -1);
 }
 
+// Guards a node against a message that is damaged: a row that was no list ended
+// the process.
+TEST_F(Dispatch, BrokenMessagesAreRefused)
+{
+	const char *batches[] = {
+		"[]",
+		"{\"workers\":[1],\"orders\":[]}",
+		"{\"workers\":[[]],\"orders\":[]}",
+		"{\"workers\":[[1,2,3]],\"orders\":[]}",
+		"{\"workers\":[],\"orders\":[{}]}",
+		"{\"workers\":[],\"orders\":[[1,\"t\",1,5,5],null]}",
+		"{\"workers\":[],\"orders\":[[1,\"t\",1,5,5,6,\"\"]]}"};
+	const char *answers[] = {"{}",
+				 "{\"events\":[null]}",
+				 "{\"events\":[[1,0,7]]}",
+				 "{\"events\":[[1,0,7,0,0,0,[1],[]]]}",
+				 "{\"events\":[[1,0,7,0,0,0,[],[[1]]]]}",
+				 "{\"events\":[[1,2,7,0,0,\"\"]]}",
+				 "{\"events\":[[1,9,7,0,0,\"\"]]}"};
+	seam_lane_batch b;
+	seam_lane_events v;
+
+	for (const char *text : batches) {
+		json_object *o = json_tokener_parse(text);
+
+		EXPECT_EQ(seam_lane_batch_read(o, 0, &b, &e), -1) << text;
+		EXPECT_EQ(e.kind, SEAM_BAD_REQUEST) << text;
+		json_object_put(o);
+	}
+	for (const char *text : answers) {
+		json_object *o = json_tokener_parse(text);
+
+		EXPECT_EQ(seam_lane_events_read(o, 0, &v, &e), -1) << text;
+		EXPECT_EQ(e.kind, SEAM_BAD_REQUEST) << text;
+		json_object_put(o);
+	}
+}
+
 // Guards against a listing that counts as later than it is: a run that began
 // after it would be taken as vanished.
 TEST_F(Dispatch, LookIsNeverTakenAsLater)
