--- a/base/json.c
+++ b/base/json.c
@@ -353,6 +353,46 @@
 	return json_object_get_int64(v);
 }
 
+struct json_object *seam_json_member(struct json_object *o, const char *name)
+{
+	struct json_object *v = NULL;
+
+	json_object_object_get_ex(o, name, &v);
+	return v;
+}
+
+size_t seam_json_length(struct json_object *list)
+{
+	return json_object_is_type(list, json_type_array) ?
+		       json_object_array_length(list) :
+		       0;
+}
+
+/* json-c ends the process when it is asked for an element of no list. */
+static struct json_object *element(struct json_object *list, size_t i)
+{
+	return i < seam_json_length(list) ? json_object_array_get_idx(list, i) :
+					    NULL;
+}
+
+int64_t seam_json_int_at(struct json_object *list, size_t i)
+{
+	return json_object_get_int64(element(list, i));
+}
+
+const char *seam_json_str_at(struct json_object *list, size_t i)
+{
+	const char *s = json_object_get_string(element(list, i));
+
+	return s ? s : "";
+}
+
+void seam_json_copy_at(char *to, size_t size, struct json_object *list,
+		       size_t i)
+{
+	snprintf(to, size, "%s", seam_json_str_at(list, i));
+}
+
 void seam_json_add_str(struct json_object *o, const char *name, const char *v)
 {
 	json_object_object_add(o, name, json_object_new_string(v));
--- a/base/json.h
+++ b/base/json.h
@@ -111,6 +111,22 @@
 /** seam_json_int() - integer member @name of @o, or @def */
 int64_t seam_json_int(struct json_object *o, const char *name, int64_t def);
 
+/** seam_json_member() - member @name of @o, or NULL */
+struct json_object *seam_json_member(struct json_object *o, const char *name);
+
+/** seam_json_length() - elements of a list; 0 of anything else */
+size_t seam_json_length(struct json_object *list);
+
+/** seam_json_int_at() - element @i of a list; 0 if there is none */
+int64_t seam_json_int_at(struct json_object *list, size_t i);
+
+/** seam_json_str_at() - text at @i of a list; "" if there is none */
+const char *seam_json_str_at(struct json_object *list, size_t i);
+
+/** seam_json_copy_at() - copy the text at @i of a list, cut to @size */
+void seam_json_copy_at(char *to, size_t size, struct json_object *list,
+		       size_t i);
+
 /** seam_json_add_str() - set a text member */
 void seam_json_add_str(struct json_object *o, const char *name, const char *v);
 
--- a/connection/lane_json.c
+++ b/connection/lane_json.c
@@ -41,39 +41,6 @@
 	json_object_array_add(row, json_object_new_string(s));
 }
 
-static int64_t int_at(struct json_object *row, size_t i)
-{
-	return json_object_get_int64(json_object_array_get_idx(row, i));
-}
-
-static const char *text_at(struct json_object *row, size_t i)
-{
-	const char *s =
-		json_object_get_string(json_object_array_get_idx(row, i));
-
-	return s ? s : "";
-}
-
-static void copy_at(char *to, size_t size, struct json_object *row, size_t i)
-{
-	snprintf(to, size, "%s", text_at(row, i));
-}
-
-static size_t length(struct json_object *list)
-{
-	return json_object_is_type(list, json_type_array) ?
-		       json_object_array_length(list) :
-		       0;
-}
-
-static struct json_object *member(struct json_object *o, const char *name)
-{
-	struct json_object *v = NULL;
-
-	json_object_object_get_ex(o, name, &v);
-	return v;
-}
-
 /* Key; lease, end and life in a change; id and address of a new one. */
 static struct json_object *worker_row(const struct seam_lane_worker *w)
 {
@@ -138,42 +105,42 @@
 
 static int read_worker(struct json_object *row, struct seam_lane_worker *w)
 {
-	size_t n = length(row);
+	size_t n = seam_json_length(row);
 
 	if (n != 1 && n != 4 && n != 6)
 		return -1;
-	w->key = (uint32_t)int_at(row, 0);
+	w->key = (uint32_t)seam_json_int_at(row, 0);
 	w->drop = n == 1;
 	if (w->drop)
 		return 0;
-	w->lease_until = int_at(row, 1);
-	w->acked = int_at(row, 2);
-	w->born_ms = int_at(row, 3);
+	w->lease_until = seam_json_int_at(row, 1);
+	w->acked = seam_json_int_at(row, 2);
+	w->born_ms = seam_json_int_at(row, 3);
 	if (n == 4)
 		return 0;
-	copy_at(w->id, sizeof(w->id), row, 4);
-	copy_at(w->addr, sizeof(w->addr), row, 5);
+	seam_json_copy_at(w->id, sizeof(w->id), row, 4);
+	seam_json_copy_at(w->addr, sizeof(w->addr), row, 5);
 	return 0;
 }
 
 static int read_order(struct json_object *row, seam_time now,
 		      struct seam_lane_order *o)
 {
-	size_t n = length(row);
+	size_t n = seam_json_length(row);
 
 	if (n != 5 && n != 8)
 		return -1;
-	o->key = (uint32_t)int_at(row, 0);
-	copy_at(o->task, sizeof(o->task), row, 1);
-	o->run = int_at(row, 2);
-	o->send_by = now + int_at(row, 3);
-	o->repeat_by = now + int_at(row, 4);
+	o->key = (uint32_t)seam_json_int_at(row, 0);
+	seam_json_copy_at(o->task, sizeof(o->task), row, 1);
+	o->run = seam_json_int_at(row, 2);
+	o->send_by = now + seam_json_int_at(row, 3);
+	o->repeat_by = now + seam_json_int_at(row, 4);
 	o->stop = n == 5;
 	if (o->stop)
 		return 0;
-	o->lease_until = int_at(row, 5);
-	copy_at(o->checkpoint, sizeof(o->checkpoint), row, 6);
-	o->text = strdup(text_at(row, 7));
+	o->lease_until = seam_json_int_at(row, 5);
+	seam_json_copy_at(o->checkpoint, sizeof(o->checkpoint), row, 6);
+	o->text = strdup(seam_json_str_at(row, 7));
 	return o->text ? 0 : -1;
 }
 
@@ -183,11 +150,11 @@
 {
 	size_t i;
 
-	for (i = 0; i < length(workers); i++)
+	for (i = 0; i < seam_json_length(workers); i++)
 		if (read_worker(json_object_array_get_idx(workers, i),
 				&b->worker[b->workers++]))
 			return -1;
-	for (i = 0; i < length(orders); i++)
+	for (i = 0; i < seam_json_length(orders); i++)
 		if (read_order(json_object_array_get_idx(orders, i), now,
 			       &b->order[b->orders++]))
 			return -1;
@@ -197,8 +164,8 @@
 int seam_lane_batch_read(struct json_object *o, seam_time now,
 			 struct seam_lane_batch *b, struct seam_err *e)
 {
-	struct json_object *workers = member(o, "workers");
-	struct json_object *orders = member(o, "orders");
+	struct json_object *workers = seam_json_member(o, "workers");
+	struct json_object *orders = seam_json_member(o, "orders");
 
 	memset(b, 0, sizeof(*b));
 	if (!json_object_is_type(workers, json_type_array) ||
@@ -208,8 +175,8 @@
 	b->session.token = (uint64_t)seam_json_int(o, "token", 0);
 	b->session.number = (uint64_t)seam_json_int(o, "session", 0);
 	b->first = seam_json_int(o, "first", 0);
-	b->worker = calloc(length(workers) + 1, sizeof(*b->worker));
-	b->order = calloc(length(orders) + 1, sizeof(*b->order));
+	b->worker = calloc(seam_json_length(workers) + 1, sizeof(*b->worker));
+	b->order = calloc(seam_json_length(orders) + 1, sizeof(*b->order));
 	if (!b->worker || !b->order) {
 		seam_lane_batch_free(b);
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
@@ -301,7 +268,7 @@
 
 static int read_runs(struct json_object *list, struct seam_listing *l)
 {
-	size_t n = length(list);
+	size_t n = seam_json_length(list);
 	size_t i;
 
 	l->run = calloc(n + 1, sizeof(*l->run));
@@ -309,20 +276,20 @@
 		struct json_object *row = json_object_array_get_idx(list, i);
 		struct seam_listed_run *r = &l->run[l->runs++];
 
-		if (length(row) != 5)
+		if (seam_json_length(row) != 5)
 			return -1;
-		copy_at(r->task, sizeof(r->task), row, 0);
-		r->run = int_at(row, 1);
-		copy_at(r->checkpoint, sizeof(r->checkpoint), row, 2);
-		r->percent = (int)int_at(row, 3);
-		r->level = int_at(row, 4);
+		seam_json_copy_at(r->task, sizeof(r->task), row, 0);
+		r->run = seam_json_int_at(row, 1);
+		seam_json_copy_at(r->checkpoint, sizeof(r->checkpoint), row, 2);
+		r->percent = (int)seam_json_int_at(row, 3);
+		r->level = seam_json_int_at(row, 4);
 	}
 	return l->run ? 0 : -1;
 }
 
 static int read_ends(struct json_object *list, struct seam_listing *l)
 {
-	size_t n = length(list);
+	size_t n = seam_json_length(list);
 	size_t i;
 
 	l->end = calloc(n + 1, sizeof(*l->end));
@@ -330,15 +297,15 @@
 		struct json_object *row = json_object_array_get_idx(list, i);
 		struct seam_listed_end *d = &l->end[l->ends++];
 
-		if (length(row) != 5)
+		if (seam_json_length(row) != 5)
 			return -1;
-		d->number = int_at(row, 0);
-		copy_at(d->task, sizeof(d->task), row, 1);
-		d->run = int_at(row, 2);
-		d->how = (int)int_at(row, 3);
+		d->number = seam_json_int_at(row, 0);
+		seam_json_copy_at(d->task, sizeof(d->task), row, 1);
+		d->run = seam_json_int_at(row, 2);
+		d->how = (int)seam_json_int_at(row, 3);
 		if (d->how < 0 || d->how >= SEAM_ENDS)
 			d->how = SEAM_END_STOPPED;
-		copy_at(d->checkpoint, sizeof(d->checkpoint), row, 4);
+		seam_json_copy_at(d->checkpoint, sizeof(d->checkpoint), row, 4);
 	}
 	return l->end ? 0 : -1;
 }
@@ -346,11 +313,11 @@
 static int read_listed(struct json_object *row, seam_time sent_after,
 		       struct seam_lane_event *v)
 {
-	if (length(row) != 8)
+	if (seam_json_length(row) != 8)
 		return -1;
-	v->sent_at = sent_after - int_at(row, 3);
-	v->listing.clock_ms = int_at(row, 4);
-	v->listing.born_ms = int_at(row, 5);
+	v->sent_at = sent_after - seam_json_int_at(row, 3);
+	v->listing.clock_ms = seam_json_int_at(row, 4);
+	v->listing.born_ms = seam_json_int_at(row, 5);
 	if (read_runs(json_object_array_get_idx(row, 6), &v->listing))
 		return -1;
 	return read_ends(json_object_array_get_idx(row, 7), &v->listing);
@@ -359,26 +326,26 @@
 static int read_event(struct json_object *row, seam_time sent_after,
 		      struct seam_lane_event *v)
 {
-	size_t n = length(row);
+	size_t n = seam_json_length(row);
 
 	if (n < 3)
 		return -1;
-	v->number = (uint64_t)int_at(row, 0);
-	v->kind = (int)int_at(row, 1);
-	v->key = (uint32_t)int_at(row, 2);
+	v->number = (uint64_t)seam_json_int_at(row, 0);
+	v->kind = (int)seam_json_int_at(row, 1);
+	v->key = (uint32_t)seam_json_int_at(row, 2);
 	if (v->kind == SEAM_LANE_LISTED)
 		return read_listed(row, sent_after, v);
 	if (n != 6 && n != 10)
 		return -1;
-	v->failed = (enum seam_kind)int_at(row, 3);
-	v->said = (enum seam_refusal)int_at(row, 4);
-	copy_at(v->why, sizeof(v->why), row, 5);
+	v->failed = (enum seam_kind)seam_json_int_at(row, 3);
+	v->said = (enum seam_refusal)seam_json_int_at(row, 4);
+	seam_json_copy_at(v->why, sizeof(v->why), row, 5);
 	if (n == 6)
 		return v->kind == SEAM_LANE_SILENT ? 0 : -1;
-	copy_at(v->task, sizeof(v->task), row, 6);
-	v->run = int_at(row, 7);
-	v->stop = int_at(row, 8);
-	v->unknown = int_at(row, 9);
+	seam_json_copy_at(v->task, sizeof(v->task), row, 6);
+	v->run = seam_json_int_at(row, 7);
+	v->stop = seam_json_int_at(row, 8);
+	v->unknown = seam_json_int_at(row, 9);
 	return v->kind == SEAM_LANE_ANSWERED ? 0 : -1;
 }
 
@@ -389,7 +356,7 @@
 int seam_lane_events_read(struct json_object *o, seam_time asked_at,
 			  struct seam_lane_events *v, struct seam_err *e)
 {
-	struct json_object *list = member(o, "events");
+	struct json_object *list = seam_json_member(o, "events");
 	seam_time written = asked_at + seam_json_int(o, "held_us", 0);
 	size_t i;
 
@@ -397,14 +364,14 @@
 	if (!json_object_is_type(list, json_type_array))
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "answer to a poll: must have events");
-	v->event = calloc(length(list) + 1, sizeof(*v->event));
+	v->event = calloc(seam_json_length(list) + 1, sizeof(*v->event));
 	if (!v->event)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
-	for (i = 0; i < length(list); i++)
+	for (i = 0; i < seam_json_length(list); i++)
 		if (read_event(json_object_array_get_idx(list, i), written,
 			       &v->event[v->n++]))
 			break;
-	if (i == length(list))
+	if (i == seam_json_length(list))
 		return 0;
 	seam_lane_events_free(v);
 	return seam_fail(e, SEAM_BAD_REQUEST,
--- a/process/lane_http.c
+++ b/process/lane_http.c
@@ -1,13 +1,12 @@
 /* Lanes between nodes: HTTP on their control addresses. */
 #include "process/dispatch.h"
+#include "base/json.h"
 #include "process/rest.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/json.h"
-
 #define SEND_PATH "/v1/dispatch/batch"
 #define POLL_PATH "/v1/dispatch/events"
 #define WAIT_MAX_MS 2000
@@ -109,23 +108,6 @@
 	return NULL;
 }
 
-static void reply(struct seam_call *c, struct json_object *o)
-{
-	seam_reply_text(
-		c, 200, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
-	json_object_put(o);
-}
-
-static void reply_err(struct seam_call *c, const struct seam_err *e)
-{
-	int status = e->kind == SEAM_CONFLICT	 ? 409 :
-		     e->kind == SEAM_BAD_REQUEST ? 400 :
-						   503;
-
-	seam_reply_text(c, status, "text/plain", e->text);
-}
-
 static void serve_batch(struct seam_call *c, void *arg)
 {
 	struct seam_dispatch *d = arg;
@@ -140,9 +122,10 @@
 		seam_lane_batch_free(&b);
 	}
 	if (rc)
-		reply_err(c, &e);
+		seam_reply_err(c, &e);
 	else
-		reply(c, json_object_new_object());
+		seam_reply_json(c, 200, json_object_new_object(),
+				JSON_C_TO_STRING_PLAIN);
 }
 
 static void serve_events(struct seam_call *c, void *arg)
@@ -161,10 +144,11 @@
 	if (p.wait_ms < 0 || p.wait_ms > WAIT_MAX_MS)
 		p.wait_ms = WAIT_MAX_MS;
 	if (seam_dispatch_poll(d, &p, &v, &e)) {
-		reply_err(c, &e);
+		seam_reply_err(c, &e);
 		return;
 	}
-	reply(c, seam_lane_events_json(&v, c->arrived, seam_dispatch_now(d)));
+	o = seam_lane_events_json(&v, c->arrived, seam_dispatch_now(d));
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PLAIN);
 	seam_lane_events_free(&v);
 }
 
--- a/process/part_admin.c
+++ b/process/part_admin.c
@@ -69,14 +69,6 @@
 		reply_written(c, "application/json", seam_span_write);
 }
 
-static void reply_json(struct seam_call *c, struct json_object *o)
-{
-	seam_reply_text(
-		c, 200, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PRETTY));
-	json_object_put(o);
-}
-
 static void on_get_config(struct seam_call *c, void *arg)
 {
 	struct admin *a = arg;
@@ -95,7 +87,7 @@
 		json_object_new_int64((int64_t)seam_conf_version(conf)));
 	json_object_object_add(o, "config", seam_conf_doc(conf));
 	seam_conf_drop(conf);
-	reply_json(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PRETTY);
 }
 
 static void on_get_log(struct seam_call *c, void *arg)
@@ -118,7 +110,7 @@
 	for (i = 0; i < rows.n; i++)
 		json_object_array_add(o, json_tokener_parse(rows.row[i].data));
 	seam_rows_free(&rows);
-	reply_json(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PRETTY);
 }
 
 static int read_change(struct seam_call *c, struct json_object *o,
--- a/process/part_members.c
+++ b/process/part_members.c
@@ -79,10 +79,7 @@
 	free(b);
 	json_object_object_add(o, "self", self_object(n));
 	json_object_object_add(o, "members", list);
-	seam_reply_text(
-		c, 200, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PRETTY));
-	json_object_put(o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PRETTY);
 }
 
 static seam_time pass(void *arg, seam_time now)
--- a/process/part_pools.c
+++ b/process/part_pools.c
@@ -23,14 +23,6 @@
 		known_at; /* every member that has the store knows this node */
 };
 
-static void reply_json(struct seam_call *c, struct json_object *o)
-{
-	seam_reply_text(
-		c, 200, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PRETTY));
-	json_object_put(o);
-}
-
 static int64_t overdue(const struct seam_pool_row *r, seam_time now)
 {
 	int64_t n = 0;
@@ -90,7 +82,7 @@
 		seam_pool_row_free(&r);
 	}
 	g_strfreev(names);
-	reply_json(c, list);
+	seam_reply_json(c, 200, list, JSON_C_TO_STRING_PRETTY);
 }
 
 /* Name between @prefix and @suffix of the path. */
@@ -159,7 +151,7 @@
 	seam_loop_wake(&p->loop);
 	o = json_object_new_object();
 	seam_json_add_int(o, "version", (int64_t)w.version);
-	reply_json(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PRETTY);
 }
 
 static void add_wave(struct json_object *o, const struct seam_wave_order *w)
@@ -248,7 +240,7 @@
 	seam_json_add_int(o, "due", seam_wave_due(m, r.n));
 	json_object_object_add(o, "pool_state", pool_json(ps, &r, c->arrived));
 	seam_pool_row_free(&r);
-	reply_json(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PRETTY);
 }
 
 static void add_forecast(struct json_object *o, const struct seam_forecast *f)
@@ -296,7 +288,7 @@
 		json_object_array_add(list, member_json(&r.member[i]));
 	json_object_object_add(o, "members_list", list);
 	seam_pool_row_free(&r);
-	reply_json(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PRETTY);
 }
 
 /*
--- a/process/part_teams.c
+++ b/process/part_teams.c
@@ -94,14 +94,6 @@
 	return o;
 }
 
-static void reply_json(struct seam_call *c, struct json_object *o)
-{
-	seam_reply_text(
-		c, 200, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PRETTY));
-	json_object_put(o);
-}
-
 static struct json_object *row_json(const struct seam_rows *rows,
 				    const char *team)
 {
@@ -146,7 +138,7 @@
 	}
 	free(info);
 	seam_rows_free(&rows);
-	reply_json(c, all);
+	seam_reply_json(c, 200, all, JSON_C_TO_STRING_PRETTY);
 }
 
 static struct json_object *explain(struct part_teams *p, const char *name,
@@ -201,7 +193,8 @@
 		seam_fail(&e, SEAM_NOT_FOUND, "no team named in the path");
 		seam_reply_err(c, &e);
 	} else {
-		reply_json(c, explain(p, name, c->deadline));
+		seam_reply_json(c, 200, explain(p, name, c->deadline),
+				JSON_C_TO_STRING_PRETTY);
 	}
 }
 
--- a/process/store_serve.c
+++ b/process/store_serve.c
@@ -15,14 +15,6 @@
 #define WATCH_MARGIN (700 * SEAM_MSEC)
 #define WAIT_MAX_MS 5000
 
-static void reply_object(struct seam_call *c, struct json_object *o)
-{
-	seam_reply_text(
-		c, 200, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
-	json_object_put(o);
-}
-
 /* An unknown outcome must not read as a refusal: any other status is one. */
 static void reply_err(struct seam_call *c, const struct seam_err *e)
 {
@@ -40,10 +32,7 @@
 	else if (e->kind == SEAM_STALE)
 		status = 410;
 	seam_json_add_str(o, "error", e->text);
-	seam_reply_text(
-		c, status, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
-	json_object_put(o);
+	seam_reply_json(c, status, o, JSON_C_TO_STRING_PLAIN);
 }
 
 static void param(struct seam_call *c, const char *name, char *out, size_t size)
@@ -73,7 +62,7 @@
 	}
 	o = seam_store_row_json(&row);
 	seam_row_free(&row);
-	reply_object(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PLAIN);
 }
 
 static void serve_scan(struct seam_call *c, void *arg)
@@ -99,7 +88,7 @@
 	}
 	o = seam_store_rows_json(&rows);
 	seam_rows_free(&rows);
-	reply_object(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PLAIN);
 }
 
 static void serve_watch(struct seam_call *c, void *arg)
@@ -130,7 +119,7 @@
 	rows.version = version;
 	o = seam_store_rows_json(&rows);
 	seam_rows_free(&rows);
-	reply_object(c, o);
+	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PLAIN);
 }
 
 static void serve_commit(struct seam_call *c, void *arg)
--- a/request/call.c
+++ b/request/call.c
@@ -54,13 +54,22 @@
 	return seam_reply(c, &a);
 }
 
+int seam_reply_json(struct seam_call *c, int status, struct json_object *o,
+		    int style)
+{
+	int rc = seam_reply_text(c, status, "application/json",
+				 json_object_to_json_string_ext(o, style));
+
+	json_object_put(o);
+	return rc;
+}
+
 int seam_reply_err(struct seam_call *c, const struct seam_err *e)
 {
 	const struct seam_kind_info *info = seam_kind_info(e->kind);
 	struct json_object *o = json_object_new_object();
 	struct json_object *err = json_object_new_object();
 	const char *text = *e->text ? e->text : info->text;
-	int rc;
 
 	json_object_object_add(err, "kind", json_object_new_string(info->name));
 	json_object_object_add(
@@ -69,11 +78,7 @@
 			       json_object_new_boolean(info->retry));
 	json_object_object_add(err, "message", json_object_new_string(text));
 	json_object_object_add(o, "error", err);
-	rc = seam_reply_text(
-		c, info->status, "application/json",
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
-	json_object_put(o);
-	return rc;
+	return seam_reply_json(c, info->status, o, JSON_C_TO_STRING_PLAIN);
 }
 
 void seam_answer_free(struct seam_answer *a)
--- a/request/call.h
+++ b/request/call.h
@@ -35,6 +35,8 @@
 	int64_t retry_ms;
 };
 
+struct json_object;
+
 /**
  * struct seam_call_ops - what a front end offers to a request
  * @header: value of a request header, or NULL
@@ -99,6 +101,13 @@
 int seam_reply_text(struct seam_call *c, int status, const char *type,
 		    const char *text);
 
+/**
+ * seam_reply_json() - send an object, and release it
+ * @style: JSON_C_TO_STRING_PRETTY for people, JSON_C_TO_STRING_PLAIN else
+ */
+int seam_reply_json(struct seam_call *c, int status, struct json_object *o,
+		    int style);
+
 /** seam_reply_err() - send the JSON error form of @e */
 int seam_reply_err(struct seam_call *c, const struct seam_err *e);
 
--- a/tests/json_test.cc
+++ b/tests/json_test.cc
@@ -106,3 +106,28 @@
 	}
 	EXPECT_EQ(problems("17"), "");
 }
+
+// Guards against a message whose list is something else, or too short: json-c
+// ends the process when it is asked for an element of no list.
+TEST(Json, ListsThatAreNone)
+{
+	struct json_object *o = json_tokener_parse("{\"a\":[7,\"x\"],\"b\":1}");
+	struct json_object *a = seam_json_member(o, "a");
+	char text[2] = "";
+
+	EXPECT_EQ(seam_json_length(a), 2u);
+	EXPECT_EQ(seam_json_int_at(a, 0), 7);
+	EXPECT_STREQ(seam_json_str_at(a, 1), "x");
+	EXPECT_EQ(seam_json_int_at(a, 2), 0);
+	EXPECT_STREQ(seam_json_str_at(a, 2), "");
+	for (struct json_object *none :
+	     {o, seam_json_member(o, "b"), seam_json_member(o, "c"),
+	      (struct json_object *)nullptr}) {
+		EXPECT_EQ(seam_json_length(none), 0u);
+		EXPECT_EQ(seam_json_int_at(none, 0), 0);
+		EXPECT_STREQ(seam_json_str_at(none, 0), "");
+	}
+	seam_json_copy_at(text, sizeof(text), a, 0);
+	EXPECT_STREQ(text, "7");
+	json_object_put(o);
+}
