board: one walk over the runs of a worker

Losing, sweeping and emptying a worker each walked its runs with the same loop, and two of them with the same care for a job that is dropped meanwhile. It is board_each_run() now. A worker knows its board, so board_worker_lost() is not told it. A lane's send() may take the texts of orders, and says so by its type; the order of two jobs asks once whether the first is of use.

--- a/connection/lane.h
+++ b/connection/lane.h
@@ -153,7 +153,7 @@
 
 /**
  * struct seam_lane_ops - an owner's way to the dispatcher of a node
- * @send: tell it a batch
+ * @send: tell it a batch; texts of its orders may move out of it
  * @poll: take events
  * @close: end; the session is not continued
  *
@@ -161,7 +161,7 @@
  * error: it is not known what arrived.
  */
 struct seam_lane_ops {
-	int (*send)(struct seam_lane *l, const struct seam_lane_batch *b,
+	int (*send)(struct seam_lane *l, struct seam_lane_batch *b,
 		    seam_time deadline, struct seam_err *e);
 	int (*poll)(struct seam_lane *l, const struct seam_lane_poll *p,
 		    struct seam_lane_events *v, seam_time deadline,
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -55,10 +55,9 @@
 int board_load_workers(struct seam_board *b, struct seam_err *e);
 void *board_follow_workers(void *arg);
 void *board_reap_loop(void *arg);
-void board_worker_lost(struct seam_board *b, struct seam_worker *w,
-		       const char *why);
-void board_worker_restarted(struct seam_board *b, struct seam_worker *w,
-			    int64_t born_ms, seam_time by);
+void board_worker_lost(struct seam_worker *w, const char *why);
+void board_worker_restarted(struct seam_worker *w, int64_t born_ms,
+			    seam_time by);
 void board_workers_close(struct seam_board *b);
 bool board_worker_usable(const struct seam_worker *w, seam_time now);
 
@@ -72,6 +71,20 @@
 		    int task, struct seam_run_slot *r);
 struct seam_run_slot *board_run_find(struct seam_job *j, int step, int task,
 				     struct seam_handle worker, int64_t number);
+/* A run on a worker. */
+struct board_run_at {
+	struct seam_job *job;
+	int step;
+	int task;
+	struct seam_run_slot *run;
+};
+
+/* Calls @fn with each run on @w; it may drop the run. A job that is done with
+ * afterwards is dropped. */
+void board_each_run(struct seam_worker *w,
+		    void (*fn)(struct seam_worker *w,
+			       const struct board_run_at *at, void *arg),
+		    void *arg);
 void board_task_name(const struct seam_job *j, int step, int task,
 		     char name[SEAM_TASK_NAME]);
 bool board_task_parse(struct seam_board *b, const char *name,
--- a/process/board_leave.c
+++ b/process/board_leave.c
@@ -94,33 +94,21 @@
 	return left_ms(s, r) > SPARE_MS;
 }
 
-static void empty_worker(struct seam_board *b, struct seam_worker *w)
+static void empty_run(struct seam_worker *w, const struct board_run_at *at,
+		      void *arg)
 {
-	guint i;
-	int k;
-
-	for (i = w->ref->len; i-- > 0;) {
-		struct seam_task_ref ref =
-			g_array_index(w->ref, struct seam_task_ref, i);
-		struct seam_job *j = board_job(b, ref.job);
-
-		for (k = 0; j && k < SEAM_COPIES; k++) {
-			struct seam_run_slot *r =
-				&j->task[ref.step][ref.task].run[k];
-
-			if (r->state == SEAM_RUN_FREE || r->stop ||
-			    !seam_handle_eq(r->worker, w->self) ||
-			    !must_stop(b, w, j, ref.step, ref.task, r))
-				continue;
-			seam_log(
-				SEAM_INFO, "worker",
-				"event=task_taken_off worker=%s job=%s step=%d "
-				"task=%d run=%lld draining=%d",
-				w->info.id, j->row.spec.id, ref.step, ref.task,
-				(long long)r->number, w->info.draining);
-			board_run_stop(b, j, ref.step, ref.task, r);
-		}
-	}
+	struct seam_board *b = w->board;
+
+	(void)arg;
+	if (at->run->stop ||
+	    !must_stop(b, w, at->job, at->step, at->task, at->run))
+		return;
+	seam_log(SEAM_INFO, "worker",
+		 "event=task_taken_off worker=%s job=%s step=%d task=%d "
+		 "run=%lld draining=%d",
+		 w->info.id, at->job->row.spec.id, at->step, at->task,
+		 (long long)at->run->number, w->info.draining);
+	board_run_stop(b, at->job, at->step, at->task, at->run);
 }
 
 void board_empty_workers(struct seam_board *b)
@@ -131,9 +119,9 @@
 	/* Draining ones first: what they take away counts for the others. */
 	while ((w = seam_table_next(b->workers, &h)))
 		if (w->info.draining && !w->dead)
-			empty_worker(b, w);
+			board_each_run(w, empty_run, NULL);
 	h = SEAM_NONE;
 	while ((w = seam_table_next(b->workers, &h)))
 		if (w->leaving && !w->info.draining && !w->dead)
-			empty_worker(b, w);
+			board_each_run(w, empty_run, NULL);
 }
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -45,7 +45,7 @@
 	w->answered = false;
 	w->missed = SEAM_MISSED_MAX;
 	if (said == SEAM_ORDER_WRONG_LIFE && w->ref->len)
-		board_worker_lost(b, w, "replaced");
+		board_worker_lost(w, "replaced");
 	if (said == SEAM_ORDER_FENCED)
 		seam_log(SEAM_WARN, "worker",
 			 "event=hold_fenced worker=%s term=%llu", w->info.id,
@@ -62,7 +62,7 @@
 		return;
 	/* Its row follows. */
 	if (l->born_ms && w->info.born_ms && l->born_ms != w->info.born_ms)
-		board_worker_restarted(b, w, l->born_ms, sent_at);
+		board_worker_restarted(w, l->born_ms, sent_at);
 	if (!w->heard || !w->answered)
 		board_wake_pass(b);
 	w->heard = true;
@@ -90,7 +90,7 @@
 		v->failed == SEAM_NO_MEMORY ? SEAM_MISSED_MAX : w->missed + 1;
 	w->answered = false;
 	if (w->ref->len && seam_now(b->clock) > w->lease_end && w->lease_end)
-		board_worker_lost(b, w, "lease_over");
+		board_worker_lost(w, "lease_over");
 	/* Another node may reach it. */
 	if (w->missed >= SEAM_MISSED_MAX && w->listed)
 		board_lane_move(w);
--- a/process/board_listing.c
+++ b/process/board_listing.c
@@ -176,57 +176,45 @@
 			 l->checkpoint);
 }
 
+/* A listing: when it came, and when its look was sent at the earliest. */
+struct sweep {
+	seam_time now;
+	seam_time sent_at;
+};
+
 /* What the listing says of a run that it does not show. */
-static void missing_run(struct seam_board *b, struct seam_worker *w,
-			struct seam_job *j, const struct seam_task_ref *ref,
-			struct seam_run_slot *r, seam_time sent_at)
+static void missing_run(struct seam_worker *w, const struct board_run_at *at,
+			seam_time sent_at)
 {
+	struct seam_board *b = w->board;
+	struct seam_run_slot *r = at->run;
+
 	if (r->stopped_at < sent_at) {
-		board_run_drop(b, j, ref->step, ref->task, r);
+		board_run_drop(b, at->job, at->step, at->task, r);
 	} else if (r->state == SEAM_RUN_LIVE && r->live_at < sent_at &&
 		   r->listed_at < sent_at) {
 		seam_count_add(&vanished, 1);
 		seam_log(SEAM_WARN, "worker",
 			 "event=run_vanished worker=%s job=%s step=%d task=%d "
 			 "run=%lld",
-			 w->info.id, j->row.spec.id, ref->step, ref->task,
+			 w->info.id, at->job->row.spec.id, at->step, at->task,
 			 (long long)r->number);
-		board_run_drop(b, j, ref->step, ref->task, r);
+		board_run_drop(b, at->job, at->step, at->task, r);
 	} else if (r->state == SEAM_RUN_UNSURE) {
 		/* Only the answer to a stop tells that it will not start. */
-		board_run_stop(b, j, ref->step, ref->task, r);
+		board_run_stop(b, at->job, at->step, at->task, r);
 	}
 }
 
-static void sweep_runs(struct seam_board *b, struct seam_worker *w,
-		       seam_time sent_at, seam_time now)
+static void sweep_run(struct seam_worker *w, const struct board_run_at *at,
+		      void *arg)
 {
-	guint i;
-	int k;
-
-	for (i = w->ref->len; i-- > 0;) {
-		struct seam_task_ref ref;
-		struct seam_job *j;
+	const struct sweep *s = arg;
 
-		if (i >= w->ref->len)
-			continue;
-		ref = g_array_index(w->ref, struct seam_task_ref, i);
-		j = board_job(b, ref.job);
-		for (k = 0; j && k < SEAM_COPIES; k++) {
-			struct seam_run_slot *r =
-				&j->task[ref.step][ref.task].run[k];
-
-			if (r->state == SEAM_RUN_FREE ||
-			    !seam_handle_eq(r->worker, w->self))
-				continue;
-			if (r->stop && r->stopped_at == SEAM_NEVER)
-				board_run_stop(b, j, ref.step, ref.task, r);
-			if (r->listed_at != now)
-				missing_run(b, w, j, &ref, r, sent_at);
-		}
-		if (j && board_job_droppable(j))
-			board_job_drop(b, j);
-	}
+	if (at->run->stop && at->run->stopped_at == SEAM_NEVER)
+		board_run_stop(w->board, at->job, at->step, at->task, at->run);
+	if (at->run->listed_at != s->now)
+		missing_run(w, at, s->sent_at);
 }
 
 void board_settle_ends(struct seam_board *b, struct seam_worker *w)
@@ -259,6 +247,7 @@
 			const struct seam_listing *l, seam_time sent_at)
 {
 	seam_time now = seam_now(b->clock);
+	struct sweep s = {now, sent_at};
 	size_t i;
 
 	for (i = 0; i < l->ends; i++)
@@ -268,6 +257,6 @@
 		}
 	for (i = 0; i < l->runs; i++)
 		take_run(b, w, &l->run[i], now);
-	sweep_runs(b, w, sent_at, now);
+	board_each_run(w, sweep_run, &s);
 	board_settle_ends(b, w);
 }
--- a/process/board_runs.c
+++ b/process/board_runs.c
@@ -122,6 +122,38 @@
 	}
 }
 
+void board_each_run(struct seam_worker *w,
+		    void (*fn)(struct seam_worker *w,
+			       const struct board_run_at *at, void *arg),
+		    void *arg)
+{
+	struct seam_board *b = w->board;
+	guint i;
+	int k;
+
+	for (i = w->ref->len; i-- > 0;) {
+		struct seam_task_ref ref;
+		struct seam_job *j;
+
+		/* A job that is dropped takes several. */
+		if (i >= w->ref->len)
+			continue;
+		ref = g_array_index(w->ref, struct seam_task_ref, i);
+		j = board_job(b, ref.job);
+		for (k = 0; j && k < SEAM_COPIES; k++) {
+			struct board_run_at at = {
+				j, ref.step, ref.task,
+				&j->task[ref.step][ref.task].run[k]};
+
+			if (at.run->state != SEAM_RUN_FREE &&
+			    seam_handle_eq(at.run->worker, w->self))
+				fn(w, &at, arg);
+		}
+		if (j && board_job_droppable(j))
+			board_job_drop(b, j);
+	}
+}
+
 void board_order(struct seam_worker *w, const struct seam_order *o)
 {
 	struct seam_order *copy = g_memdup2(o, sizeof(*o));
--- a/process/board_vm_orders.c
+++ b/process/board_vm_orders.c
@@ -111,7 +111,7 @@
 	if (w) {
 		w->over = true;
 		w->answered = false;
-		board_worker_lost(b, w, t->wave ? "maintained" : "moved");
+		board_worker_lost(w, t->wave ? "maintained" : "moved");
 		board_need_lane(b);
 	}
 }
--- a/process/board_workers.c
+++ b/process/board_workers.c
@@ -27,54 +27,44 @@
 	       now >= w->shunned_until;
 }
 
-/* Drops the runs on @w that were known to run before @before. */
-static void lose_runs(struct seam_board *b, struct seam_worker *w,
-		      seam_time before, const char *why)
+/* Which runs of a worker are lost, and why: those that ran before @before. */
+struct loss {
+	seam_time before;
+	const char *why;
+};
+
+static void lose_run(struct seam_worker *w, const struct board_run_at *at,
+		     void *arg)
 {
-	guint i;
-	int k;
+	const struct loss *l = arg;
 
-	for (i = w->ref->len; i-- > 0;) {
-		struct seam_task_ref ref;
-		struct seam_job *j;
+	if (l->before != SEAM_NEVER &&
+	    (at->run->state != SEAM_RUN_LIVE || at->run->live_at >= l->before))
+		return;
+	seam_log(SEAM_INFO, "worker",
+		 "event=run_lost worker=%s job=%s step=%d task=%d run=%lld "
+		 "why=%s",
+		 w->info.id, at->job->row.spec.id, at->step, at->task,
+		 (long long)at->run->number, l->why);
+	board_run_drop(w->board, at->job, at->step, at->task, at->run);
+}
 
-		/* A job that is dropped takes several. */
-		if (i >= w->ref->len)
-			continue;
-		ref = g_array_index(w->ref, struct seam_task_ref, i);
-		j = board_job(b, ref.job);
-		for (k = 0; j && k < SEAM_COPIES; k++) {
-			struct seam_run_slot *r =
-				&j->task[ref.step][ref.task].run[k];
-
-			if (r->state == SEAM_RUN_FREE ||
-			    !seam_handle_eq(r->worker, w->self))
-				continue;
-			if (before != SEAM_NEVER &&
-			    (r->state != SEAM_RUN_LIVE || r->live_at >= before))
-				continue;
-			seam_log(SEAM_INFO, "worker",
-				 "event=run_lost worker=%s job=%s step=%d "
-				 "task=%d run=%lld why=%s",
-				 w->info.id, j->row.spec.id, ref.step, ref.task,
-				 (long long)r->number, why);
-			board_run_drop(b, j, ref.step, ref.task, r);
-		}
-		if (j && board_job_droppable(j))
-			board_job_drop(b, j);
-	}
+static void lose_runs(struct seam_worker *w, seam_time before, const char *why)
+{
+	struct loss l = {before, why};
+
+	board_each_run(w, lose_run, &l);
 	seam_count_add(&lost, 1);
-	board_wake_pass(b);
+	board_wake_pass(w->board);
 }
 
 /* Ends all runs on a life that is over. */
-void board_worker_lost(struct seam_board *b, struct seam_worker *w,
-		       const char *why)
+void board_worker_lost(struct seam_worker *w, const char *why)
 {
 	guint runs = w->ref->len;
 
 	board_drop_orders(w);
-	lose_runs(b, w, SEAM_NEVER, why);
+	lose_runs(w, SEAM_NEVER, why);
 	g_array_set_size(w->ref, 0);
 	memset(&w->used, 0, sizeof(w->used));
 	seam_log(SEAM_INFO, "worker",
@@ -86,13 +76,13 @@
  * The same worker has started again and knows nothing of before @by. A run that
  * was started after it may be on the new life; its listings tell.
  */
-void board_worker_restarted(struct seam_board *b, struct seam_worker *w,
-			    int64_t born_ms, seam_time by)
+void board_worker_restarted(struct seam_worker *w, int64_t born_ms,
+			    seam_time by)
 {
 	seam_log(SEAM_INFO, "worker",
 		 "event=restarted worker=%s pool=%s runs=%u", w->info.id,
 		 w->info.pool, w->ref->len);
-	lose_runs(b, w, by, "restarted");
+	lose_runs(w, by, "restarted");
 	w->info.born_ms = born_ms;
 	w->seen_end = 0;
 	w->acked = 0;
@@ -105,7 +95,7 @@
 	g_array_set_size(w->marks, 0);
 	w->restarted_at = by;
 	if (w->over)
-		board_need_lane(b);
+		board_need_lane(w->board);
 	w->over = false;
 }
 
@@ -179,10 +169,10 @@
 		board_need_lane(b);
 	w->listed = true;
 	if (info->born_ms && w->info.born_ms && info->born_ms > w->info.born_ms)
-		board_worker_restarted(b, w, info->born_ms,
+		board_worker_restarted(w, info->born_ms,
 				       seam_now(b->clock) - ROW_LAG);
 	if (strcmp(info->addr, w->info.addr)) {
-		board_worker_lost(b, w, "moved");
+		board_worker_lost(w, "moved");
 		retire(b, w);
 		add_worker(b, info);
 		return;
@@ -333,9 +323,9 @@
 	if (w->listed || w->dead)
 		return w->dead;
 	if (w->ref->len && w->info.draining && !w->answered)
-		board_worker_lost(b, w, "left");
+		board_worker_lost(w, "left");
 	if (w->ref->len && !w->answered && now > w->lease_end)
-		board_worker_lost(b, w, "gone");
+		board_worker_lost(w, "gone");
 	return !w->ref->len && now > w->gone_at + GONE_AFTER;
 }
 
@@ -350,7 +340,7 @@
 			retire(b, w);
 		if (!w->dead)
 			continue;
-		board_worker_lost(b, w, "closed");
+		board_worker_lost(w, "closed");
 		free_worker(w);
 		seam_table_del(b->workers, h);
 	}
--- a/process/lane_http.c
+++ b/process/lane_http.c
@@ -42,7 +42,7 @@
 			 "dispatcher: status %d", a.status);
 }
 
-static int http_send(struct seam_lane *base, const struct seam_lane_batch *b,
+static int http_send(struct seam_lane *base, struct seam_lane_batch *b,
 		     seam_time deadline, struct seam_err *e)
 {
 	struct http_lane *l = (struct http_lane *)base;
--- a/process/lane_local.c
+++ b/process/lane_local.c
@@ -9,15 +9,14 @@
 	struct seam_lane_session session;
 };
 
-static int local_send(struct seam_lane *base, const struct seam_lane_batch *b,
+static int local_send(struct seam_lane *base, struct seam_lane_batch *b,
 		      seam_time deadline, struct seam_err *e)
 {
 	struct local *l = (struct local *)base;
-	struct seam_lane_batch batch = *b;
 
 	(void)deadline;
 	l->session = b->session;
-	return seam_dispatch_take(l->dispatch, &batch, e);
+	return seam_dispatch_take(l->dispatch, b, e);
 }
 
 static int local_poll(struct seam_lane *base, const struct seam_lane_poll *p,
--- a/process/urgency.c
+++ b/process/urgency.c
@@ -41,13 +41,14 @@
 {
 	bool late_a = crowded ? is_tight(a, now) : seam_urgency_late(a, now);
 	bool late_b = crowded ? is_tight(b, now) : seam_urgency_late(b, now);
+	bool useless_a = is_useless(a, now);
 
 	if (a->lasting != b->lasting)
 		return a->lasting ? -1 : 1;
 	if (late_a != late_b)
 		return late_a ? 1 : -1;
-	if (is_useless(a, now) != is_useless(b, now))
-		return is_useless(a, now) ? 1 : -1;
+	if (useless_a != is_useless(b, now))
+		return useless_a ? 1 : -1;
 	if (a->over_share != b->over_share)
 		return a->over_share ? 1 : -1;
 	if (a->priority != b->priority)
--- a/tests/world.h
+++ b/tests/world.h
@@ -511,7 +511,7 @@
 	}
 };
 
-static int fake_lane_send(seam_lane *base, const seam_lane_batch *b,
+static int fake_lane_send(seam_lane *base, seam_lane_batch *b,
 			  seam_time deadline, seam_err *e)
 {
 	FakeLane *l = (FakeLane *)base;
