relay: a wait for changes does not probe a silent store

Only calls that are answered at once try the store now. relay_test WatchDoesNotProbeASilentStore failed before.

--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -94,12 +94,15 @@
 	return e->kind == SEAM_UNAVAILABLE || e->kind == SEAM_COMMIT_UNKNOWN;
 }
 
-static bool may_try_direct(struct relay *r, seam_time now)
+/* A wait for changes would try a silent store for the whole of its time, so
+ * that only calls that are answered at once find out whether it serves again.
+ */
+static bool may_try_direct(struct relay *r, const struct call *c, seam_time now)
 {
 	bool may;
 
 	pthread_mutex_lock(&r->lock);
-	may = !r->down || now >= r->probe_at || !r->peers;
+	may = !r->down || (!c->version && now >= r->probe_at) || !r->peers;
 	if (r->down && may)
 		r->probe_at = now + PROBE_GAP;
 	pthread_mutex_unlock(&r->lock);
@@ -199,7 +202,7 @@
 	if (deadline < now + CALL_MIN)
 		return seam_fail(e, SEAM_UNAVAILABLE,
 				 "no time left for a call to the store");
-	if (may_try_direct(r, now)) {
+	if (may_try_direct(r, c, now)) {
 		if (end < now + DIRECT_MIN || c->version)
 			end = deadline;
 		rc = c->run(c, r->direct, end, e);
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -39,6 +39,7 @@
 	std::map<std::string, Entry> rows;
 	uint64_t version = 0;
 	std::atomic<bool> down{false};
+	std::atomic<bool> silent{false}; // calls get no answer
 	int lose_answers =
 		0; // of the next commits, so many are done unanswered
 	int hold_commits =
@@ -95,10 +96,24 @@
 	return (FeedStore *)s; // its base is the first member
 }
 
+// Waits until @deadline if no call is answered.
+static bool feed_is_silent(FeedStore *f, seam_time deadline, seam_err *e)
+{
+	if (!f->silent)
+		return false;
+	while (seam_now(seam_clock_boot()) < deadline)
+		usleep(2000);
+	seam_fail(e, SEAM_COMMIT_UNKNOWN, "silent");
+	return true;
+}
+
 static int feed_scan(seam_store *s, const char *prefix, const char *after,
-		     size_t max, seam_rows *out, seam_time, seam_err *e)
+		     size_t max, seam_rows *out, seam_time deadline,
+		     seam_err *e)
 {
 	FeedStore *f = feed_of(s);
+	if (feed_is_silent(f, deadline, e))
+		return -1;
 	std::lock_guard<std::mutex> l(f->lock);
 
 	memset(out, 0, sizeof(*out));
@@ -114,10 +129,12 @@
 	return 0;
 }
 
-static int feed_get(seam_store *s, const char *key, seam_row *row, seam_time,
-		    seam_err *e)
+static int feed_get(seam_store *s, const char *key, seam_row *row,
+		    seam_time deadline, seam_err *e)
 {
 	FeedStore *f = feed_of(s);
+	if (feed_is_silent(f, deadline, e))
+		return -1;
 	std::lock_guard<std::mutex> l(f->lock);
 
 	if (f->down)
@@ -155,9 +172,12 @@
 	return 0;
 }
 
-static int feed_commit(seam_store *s, seam_commit *c, seam_time, seam_err *e)
+static int feed_commit(seam_store *s, seam_commit *c, seam_time deadline,
+		       seam_err *e)
 {
 	FeedStore *f = feed_of(s);
+	if (feed_is_silent(f, deadline, e))
+		return -1;
 	std::lock_guard<std::mutex> l(f->lock);
 	size_t entries = 0;
 
@@ -189,9 +209,11 @@
 }
 
 static int feed_watch(seam_store *s, const char *prefix, uint64_t *after,
-		      seam_rows *out, seam_time, seam_err *e)
+		      seam_rows *out, seam_time deadline, seam_err *e)
 {
 	FeedStore *f = feed_of(s);
+	if (feed_is_silent(f, deadline, e))
+		return -1;
 	std::unique_lock<std::mutex> l(f->lock);
 	auto end = std::chrono::steady_clock::now() +
 		   std::chrono::milliseconds(200);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -94,6 +94,40 @@
 	EXPECT_FALSE(seam_store_relay_lost(a.relay));
 }
 
+// Guards cancelled jobs, whose tasks began 4 s later: each wait for changes
+// tried a store that did not answer for the whole of its time.
+TEST_F(Relay, WatchDoesNotProbeASilentStore)
+{
+	seam_rows rows;
+	uint64_t after = 0;
+
+	near.silent = true;
+	EXPECT_EQ(put("t/x", SEAM_ABSENT), 0) << e.text;
+	for (int i = 0; i < 5; i++) {
+		/* By now the store may be tried again. */
+		usleep(500000);
+		far.put("t/y", std::to_string(i));
+		seam_err_clear(&e);
+		ASSERT_EQ(seam_store_watch(a.relay, "t/", &after, &rows,
+					   in(1500), &e),
+			  0)
+			<< i << ": " << e.text;
+		EXPECT_GE(rows.n, 1u);
+		seam_rows_free(&rows);
+	}
+	/* Short calls find out that it answers again, and waits follow them. */
+	near.silent = false;
+	near.put("t/z", "1");
+	EXPECT_TRUE(eventually([&] {
+		seam_row row;
+		bool got = !seam_store_get(a.relay, "t/z", &row, in(1000), &e);
+
+		if (got)
+			seam_row_free(&row);
+		return got;
+	}));
+}
+
 // Guards deleted rows and a forgotten history over a second node.
 TEST_F(Relay, FeedThroughAnotherNode)
 {
