--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <random>
 
-#include "tests/world.h"
+#include "tests/owner.h"
 
 struct Lanes : ::testing::Test {
 	World w;
--- /dev/null
+++ b/tests/owner.h
@@ -0,0 +1,169 @@
+#ifndef OWNER_H
+#define OWNER_H
+
+// An owner over the platform in memory, and the nodes that serve its workers.
+#include "tests/world.h"
+
+// A lane over the encoding between nodes, which the tests cut.
+struct FakeLane {
+	seam_lane base;
+	seam_lane *real;
+	FakeRunners *node;
+
+	bool is_cut(seam_err *e)
+	{
+		if (!node->cut)
+			return false;
+		usleep(100000);
+		seam_fail(e, SEAM_COMMIT_UNKNOWN, "cut");
+		return true;
+	}
+};
+
+static int fake_lane_send(seam_lane *base, seam_lane_batch *b,
+			  seam_time deadline, seam_err *e)
+{
+	FakeLane *l = (FakeLane *)base;
+
+	seam_time now = seam_now(seam_clock_boot());
+	json_object *o = seam_lane_batch_json(b, now);
+	seam_lane_batch read = {};
+	int rc = l->is_cut(e) || seam_lane_batch_read(o, now, &read, e) ||
+		 l->real->ops->send(l->real, &read, deadline, e);
+
+	json_object_put(o);
+	seam_lane_batch_free(&read);
+	if (rc)
+		return -1;
+	return l->node->cut_answers ?
+		       seam_fail(e, SEAM_COMMIT_UNKNOWN, "answer lost") :
+		       0;
+}
+
+static int fake_lane_poll(seam_lane *base, const seam_lane_poll *p,
+			  seam_lane_events *v, seam_time deadline, seam_err *e)
+{
+	FakeLane *l = (FakeLane *)base;
+
+	seam_time asked_at = seam_now(seam_clock_boot());
+	seam_lane_events told = {};
+
+	if (l->is_cut(e) || l->real->ops->poll(l->real, p, &told, deadline, e))
+		return -1;
+	json_object *o = seam_lane_events_json(&told, asked_at,
+					       seam_now(seam_clock_boot()));
+	int rc = seam_lane_events_read(o, asked_at, v, e);
+
+	json_object_put(o);
+	seam_lane_events_free(&told);
+	if (rc || !l->node->cut_answers)
+		return rc;
+	seam_lane_events_free(v);
+	return seam_fail(e, SEAM_COMMIT_UNKNOWN, "answer lost");
+}
+
+static void fake_lane_close(seam_lane *base)
+{
+	FakeLane *l = (FakeLane *)base;
+
+	l->real->ops->close(l->real);
+	delete l;
+}
+
+static const seam_lane_ops fake_lane_ops = {fake_lane_send, fake_lane_poll,
+					    fake_lane_close};
+
+// The nodes as one owner sees them; each owner has a dispatcher of its own.
+struct FakeNodes {
+	seam_nodes base;
+	World *world;
+	FakeRunners *own;
+	seam_dispatch *dispatch;
+	int processor = 500; // of each node
+};
+
+static size_t fake_nodes_list(seam_nodes *base, seam_node_info *info,
+			      size_t max)
+{
+	FakeNodes *n = (FakeNodes *)base;
+	size_t count = 0;
+
+	memset(info, 0, max * sizeof(*info));
+	info[count].processor = n->processor;
+	info[count++].live = true;
+	for (auto *x : n->world->nodes) {
+		snprintf(info[count].addr, sizeof(info[count].addr), "%s",
+			 x->addr.c_str());
+		info[count].processor = n->processor;
+		info[count++].live = true;
+	}
+	return count;
+}
+
+static seam_lane *fake_nodes_open(seam_nodes *base, const seam_node_info *info)
+{
+	FakeNodes *n = (FakeNodes *)base;
+
+	for (auto *x : n->world->nodes)
+		if (x->addr == info->addr)
+			return &(new FakeLane{{&fake_lane_ops},
+					      seam_lane_local_new(x->dispatch),
+					      x})
+					->base;
+	return seam_lane_local_new(n->dispatch);
+}
+
+static const seam_nodes_ops fake_nodes_ops = {fake_nodes_list, fake_nodes_open};
+
+// A node that owns the term.
+struct Owner {
+	World *world;
+	FakeNodes nodes;
+	seam_ports ports;
+	seam_lead lead;
+	seam_board *board = nullptr;
+	seam_err e = SEAM_ERR_INIT;
+	std::thread renewals;
+	bool stop = false;
+
+	Owner(World *w, const char *name, int processor = 500) : world(w)
+	{
+		seam_board_conf conf = {500 * SEAM_MSEC, 6 * SEAM_SEC, 64};
+
+		nodes = {{&fake_nodes_ops},
+			 w,
+			 &w->runners,
+			 seam_dispatch_new(w->clock, &w->runners.base),
+			 processor};
+		ports = w->ports;
+		ports.nodes = &nodes.base;
+
+		seam_lead_init(&lead, &w->store.base, w->clock, name);
+		eventually([&] { return seam_lead_try(&lead, &e); });
+		board = seam_board_open(&conf, w->clock, &ports,
+					&w->ops.catalog, &w->ops, &lead, &e);
+	}
+	// Renewals go on until the test ends the owner.
+	void renew()
+	{
+		renewals = std::thread([this] {
+			seam_err err = SEAM_ERR_INIT;
+
+			while (!__atomic_load_n(&stop, __ATOMIC_ACQUIRE)) {
+				seam_lead_renew(&lead, &err);
+				usleep(100000);
+			}
+		});
+	}
+	~Owner()
+	{
+		__atomic_store_n(&stop, true, __ATOMIC_RELEASE);
+		if (renewals.joinable())
+			renewals.join();
+		if (board)
+			seam_board_close(board);
+		seam_dispatch_free(nodes.dispatch);
+	}
+};
+
+#endif
