lead, dispatch: a term's end is read by lead.c; busy workers are counted

Two files read lead's member atomically by themselves. Each look of a node walked all of its workers to count those with runs; the count is kept now.

--- a/process/board_lanes.c
+++ b/process/board_lanes.c
@@ -169,8 +169,7 @@
 		      const struct seam_order *o, const struct seam_job *j,
 		      seam_time now)
 {
-	const struct seam_lead *lead = w->board->lead;
-	seam_time valid = __atomic_load_n(&lead->valid_until, __ATOMIC_ACQUIRE);
+	seam_time valid = seam_lead_valid_until(w->board->lead);
 	struct seam_lane_order *to = &m->order[m->orders++];
 
 	to->key = w->self.bits;
--- a/process/board_vm_orders.c
+++ b/process/board_vm_orders.c
@@ -59,8 +59,7 @@
 {
 	struct seam_inventory *vms = b->ports->vms;
 	seam_time deadline = seam_now(b->clock) + ORDER_CALL;
-	seam_time valid =
-		__atomic_load_n(&b->lead->valid_until, __ATOMIC_ACQUIRE);
+	seam_time valid = seam_lead_valid_until(b->lead);
 	int rc;
 
 	/* A later owner may send orders for the VM after it. */
--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -54,6 +54,7 @@
  * @heard_at: when its owner was heard last
  * @workers: struct seam_dispatch_worker
  * @worker_of: the owner's handle of a worker to its entry
+ * @busy: workers with runs
  * @events: struct seam_lane_event that the owner has not seen
  * @numbered: number of the latest one
  * @news: signals @events and the end of a session
@@ -69,6 +70,7 @@
 	seam_time heard_at;
 	struct seam_table *workers;
 	GHashTable *worker_of;
+	size_t busy;
 	GQueue events;
 	uint64_t numbered;
 	pthread_cond_t news;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -33,8 +33,16 @@
 SEAM_COUNT(served, "seam_dispatch_workers",
 	   "Workers that this node serves for the owner.");
 
+static void set_runs(struct seam_dispatch_worker *w, size_t runs)
+{
+	w->dispatch->busy -= w->runs > 0;
+	w->runs = runs;
+	w->dispatch->busy += w->runs > 0;
+}
+
 void dispatch_worker_drop(struct seam_dispatch_worker *w)
 {
+	set_runs(w, 0);
 	w->dead = true;
 	pthread_cond_signal(&w->wake);
 	pthread_cond_signal(&w->acks);
@@ -109,7 +117,7 @@
 		forget_life(w);
 	if (l->born_ms)
 		w->born_ms = l->born_ms;
-	w->runs = l->runs;
+	set_runs(w, l->runs);
 	if (!is_news(w, l, hash, now)) {
 		seam_listing_free(l);
 		return;
@@ -136,17 +144,6 @@
 	snprintf(v->why, sizeof(v->why), "%.60s", rc ? e->text : "");
 }
 
-static size_t count_busy(struct seam_dispatch *d)
-{
-	struct seam_handle h = SEAM_NONE;
-	struct seam_dispatch_worker *w;
-	size_t n = 0;
-
-	while ((w = seam_table_next(d->workers, &h)))
-		n += w->runs > 0;
-	return n;
-}
-
 /* One look; returns the pause before the next, microseconds. */
 static unsigned look(struct seam_dispatch_worker *w)
 {
@@ -183,7 +180,7 @@
 		return again ? HOLD_GAP_USEC : HOLD_RETRY_USEC;
 	}
 	look_answered(w, &l, now);
-	return (unsigned)seam_look_gap(count_busy(d));
+	return (unsigned)seam_look_gap(d->busy);
 }
 
 /* Waits until the ends that the worker has listed are acknowledged. */
@@ -282,7 +279,7 @@
 		return;
 	if (!rc && !o->stop && said == SEAM_ORDER_DONE) {
 		seam_count_add(&starts, 1);
-		w->runs++;
+		set_runs(w, w->runs + 1);
 	}
 	dispatch_tell_answer(w->dispatch, o, rc, said, unknown, &e);
 }
--- a/process/lead.c
+++ b/process/lead.c
@@ -19,9 +19,14 @@
 	snprintf(l->node, sizeof(l->node), "%s", node);
 }
 
+seam_time seam_lead_valid_until(const struct seam_lead *l)
+{
+	return __atomic_load_n(&l->valid_until, __ATOMIC_ACQUIRE);
+}
+
 bool seam_lead_valid(const struct seam_lead *l, seam_time now)
 {
-	return now < __atomic_load_n(&l->valid_until, __ATOMIC_ACQUIRE);
+	return now < seam_lead_valid_until(l);
 }
 
 static void set_valid(struct seam_lead *l, seam_time until)
--- a/process/lead.h
+++ b/process/lead.h
@@ -92,6 +92,9 @@
 /** seam_lead_release() - end our term so that another node need not wait */
 void seam_lead_release(struct seam_lead *l);
 
+/** seam_lead_valid_until() - we decide until then; 0 if we are not the owner */
+seam_time seam_lead_valid_until(const struct seam_lead *l);
+
 /** seam_lead_valid() - whether we may decide at @now */
 bool seam_lead_valid(const struct seam_lead *l, seam_time now);
 
