fair: a team yields no more room than others lack

Cause, from a trace of both queues each 0.5 s: a team yields while the free room is no more than the teams under their shares lack together, and its own lack was in that sum. Once it had dropped, by tasks that ended together, the sum was as large as the room, and it yielded all of it to a team that could start one task more but whose grant was with another bucket. Now only what others lack counts, and of them those that have less for their weight.

task_order_test ATeamYieldsNoMoreThanOthersLack failed before.

--- a/process/task_fair.c
+++ b/process/task_fair.c
@@ -35,9 +35,7 @@
 	GHashTable *workspace; /* TEAM/WORKSPACE to struct sharer */
 	double deficit; /* what teams with waiting tasks are under their share
 			 */
-	double least; /* the least of their shares in use for their weight, with
-		       * one more task */
-	bool changed; /* the use, since the two were computed */
+	bool changed; /* the use, since @deficit was computed */
 	struct seam_need want; /* a waiting task of the one furthest under */
 };
 
@@ -277,27 +275,36 @@
 	seam_share_demand(g->share, w->workspace, sum);
 }
 
-/* A team is under its share if one more of its tasks still fits in it. */
+/* What a team with waiting tasks is under its share; 0 unless one more of its
+ * tasks still fits in it. */
+static double deficit_of(const struct group *g, const struct sharer *t)
+{
+	double d = entitled(g, t) - used(g, t);
+
+	return t->waits && d + TINY >= part(g, &t->first) ? d : 0;
+}
+
+/* Its share in use for its weight, with one more task. */
+static double next_level(const struct group *g, const struct sharer *t)
+{
+	return (used(g, t) + part(g, &t->first)) / t->weight;
+}
+
 static void sum_deficit(struct group *g)
 {
 	GHashTableIter it;
 	double worst = 0;
-	double level;
 	gpointer v;
 
 	g->changed = false;
 	g->deficit = 0;
-	g->least = 0;
 	g_hash_table_iter_init(&it, g->team);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct sharer *t = v;
-		double d = entitled(g, t) - used(g, t);
+		double d = deficit_of(g, t);
 
-		if (!t->waits || d + TINY < part(g, &t->first))
+		if (d <= 0)
 			continue;
-		level = (used(g, t) + part(g, &t->first)) / t->weight;
-		if (!g->deficit || level < g->least)
-			g->least = level;
 		g->deficit += d;
 		if (d / t->weight <= worst)
 			continue;
@@ -355,12 +362,24 @@
 	return least;
 }
 
+/* The room is no more than others lack that have less for their weight. */
 static bool team_yields(const struct place *p)
 {
 	const struct group *g = p->group;
+	const struct sharer *own = p->team;
+	double level = used(g, own) / own->weight;
+	double room = free_part(g);
+	double lacking = 0;
+	GHashTableIter it;
+	gpointer v;
 
-	return g->deficit > 0 && free_part(g) <= g->deficit &&
-	       used(g, p->team) / p->team->weight > g->least + TINY;
+	if (g->deficit <= 0 || room > g->deficit)
+		return false;
+	g_hash_table_iter_init(&it, g->team);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (v != own && next_level(g, v) + TINY < level)
+			lacking += deficit_of(g, v);
+	return lacking > 0 && room <= lacking;
 }
 
 /*
--- a/tests/task_order_test.cc
+++ b/tests/task_order_test.cc
@@ -94,6 +94,44 @@
 	EXPECT_LE(running, 6);
 }
 
+// What a team has of a pool of 64 cores, in tasks of one core.
+static seam_task_load tasks_of(const char *team, const char *queue, int runs,
+			       int waits)
+{
+	seam_task_load l = {};
+
+	snprintf(l.team, sizeof(l.team), "%s", team);
+	snprintf(l.queue, sizeof(l.queue), "%s", queue);
+	l.runs = runs;
+	l.waits = waits;
+	l.first = {1000, 100, 0};
+	l.running = {runs * 1000, runs * 100, 0};
+	l.waiting = {waits * 1000, waits * 100, 0};
+	return l;
+}
+
+// Guards against idle room: a team that had most to start yielded all of it to
+// one that may start a single task more.
+TEST(Order, ATeamYieldsNoMoreThanOthersLack)
+{
+	sim s(1);
+	seam_task_room room = {};
+	s.change("{\"put\":[{\"kind\":\"team\",\"object\":{\"name\":\"u\","
+		 "\"share\":2,\"limit\":4}}]}");
+	s.start(0);
+	seam_task_order *o = s.node[0].c.order;
+	snprintf(room.pool, sizeof(room.pool), "p");
+	room.all = {64000, 64000, 0};
+	for (int runs : {26, 59, 60}) {
+		seam_task_load l[] = {tasks_of("t", "q", runs, 40),
+				      tasks_of("u", "v", 3, 40)};
+
+		o->ops->loads(o, &room, 1, l, 2);
+		// The last task's room is for the other team.
+		EXPECT_EQ(o->ops->yields(o, "t", "q"), runs == 60) << runs;
+	}
+}
+
 // Guards against a task that fits no worker blocking those behind it.
 TEST(Order, NeverRunsIsNamedAndBlocksNothing)
 {
