rest: a request that is given up is taken back from the network

An order that was sent into the cut was given up after 1.2 s and its connection closed, but a closed connection still delivers what it holds. The check of the term before a request is sent can't help here.

Sockets now reset the connection when they are closed, which drops what was not delivered. It holds for every client of the project: starts, stops, renewals and commits that were given up do not arrive seconds later either. Nothing is lost by it where the answer has come.

rest_test RequestThatIsGivenUpIsTakenBack failed before.

--- a/base/recv.c
+++ b/base/recv.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define FIRST_BYTES 4096
 
@@ -54,6 +55,19 @@
 	return r->once && again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+/* Closing resets the connection, so that nothing of a request that is given up
+ * stays on its way. */
+static int on_socket(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	struct linger l = {.l_onoff = 1};
+
+	(void)arg;
+	(void)purpose;
+	if (setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l)))
+		return CURL_SOCKOPT_ERROR;
+	return CURL_SOCKOPT_OK;
+}
+
 void seam_recv_set(CURL *h, struct seam_recv *r)
 {
 	curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
@@ -63,6 +77,7 @@
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, on_start);
 	curl_easy_setopt(h, CURLOPT_PREREQDATA, r);
+	curl_easy_setopt(h, CURLOPT_SOCKOPTFUNCTION, on_socket);
 }
 
 bool seam_recv_unsent(CURL *h, const struct seam_recv *r, CURLcode rc)
--- a/base/recv.h
+++ b/base/recv.h
@@ -40,7 +40,9 @@
  * before any byte of the answer. With @r->once the second start ends the
  * transfer with CURLE_ABORTED_BY_CALLBACK, and so does a start after
  * @r->send_by: curl's own timeout does not count time for which the machine was
- * suspended.
+ * suspended. A connection is reset when it is closed: a cut network delivers
+ * what it holds of a closed one when it heals, seconds after the request was
+ * given up.
  */
 void seam_recv_set(CURL *h, struct seam_recv *r);
 
--- a/tests/rest_test.cc
+++ b/tests/rest_test.cc
@@ -1,7 +1,12 @@
 // The client of HTTP services with JSON.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
 #include <atomic>
+#include <cerrno>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 #include "tests/addr.h"
 
@@ -82,3 +87,61 @@
 	}
 	EXPECT_EQ(requests, 1);
 }
+
+// A server that takes one connection and never answers.
+struct SilentServer {
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	std::string url;
+	int ended = -1; // error with which the connection ended, 0 for none
+	std::thread thread;
+
+	SilentServer()
+	{
+		sockaddr_in a = {};
+		socklen_t len = sizeof(a);
+
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(bind(fd, (sockaddr *)&a, sizeof(a)), 0);
+		EXPECT_EQ(listen(fd, 1), 0);
+		getsockname(fd, (sockaddr *)&a, &len);
+		url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+		thread = std::thread([this] {
+			char buf[1000];
+			int c = accept(fd, nullptr, nullptr);
+			ssize_t n;
+
+			while ((n = recv(c, buf, sizeof(buf), 0)) > 0)
+				;
+			ended = n ? errno : 0;
+			close(c);
+		});
+	}
+	void end()
+	{
+		thread.join();
+		close(fd);
+	}
+};
+
+// Guards against an order that arrives when its sender has given it up: a cut
+// had held it back, and a later owner had ordered by the end of the cut.
+TEST(RestCut, RequestThatIsGivenUpIsTakenBack)
+{
+	SilentServer s;
+	seam_err e = SEAM_ERR_INIT;
+	seam_rest *r = seam_rest_new(seam_clock_boot(), s.url.c_str());
+	seam_rest_call c = {};
+	seam_rest_answer a;
+
+	c.method = "POST";
+	c.path = "/order";
+	c.body = "{}";
+	c.deadline = seam_now(seam_clock_boot()) + 100 * SEAM_MSEC;
+	EXPECT_EQ(seam_rest_do(r, &c, &a, &e), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	s.end();
+	/* What the network still holds of it is dropped with a reset. */
+	EXPECT_EQ(s.ended, ECONNRESET);
+	seam_rest_free(r);
+}
