fair: a workspace over its part of its team's share gives back

Cause: running tasks were taken back from teams only; between the workspaces of one team what was lent came back when it ended, and as the freed room was mostly where the lender's tasks do not wait, seldom then.

over() now names a workspace where no team is over its share, and an owner takes back its part of that workspace's running tasks, under the same pace and bounds.

--- a/process/task.h
+++ b/process/task.h
@@ -183,13 +183,16 @@
 /**
  * struct seam_task_over - lent resources to take back
  * @team: team furthest over its share for its weight
- * @used: its dominant share of the pool
+ * @workspace: workspace furthest over its part of its team's share, in place of
+ *             a team; SEAM_NONE for @team
+ * @used: dominant share of the pool that it has
  * @amount: dominant share to take back from it, in all
- * @want: a waiting task of the team furthest under its share
+ * @want: a waiting task of the team or workspace furthest under its share
  * @want_part: dominant share of @want
  */
 struct seam_task_over {
 	char team[64];
+	struct seam_handle workspace;
 	double used;
 	double amount;
 	struct seam_need want;
@@ -206,6 +209,7 @@
  * @yields: whether the team lets others start first that are under their
  *          share and have less for their weight; NULL with @loads
  * @over: from whom to take back in a pool; false if nobody; NULL with @loads
+ * @holds: whether the tasks of a queue are among those to take back
  * @free: free it
  */
 struct seam_task_order_ops {
@@ -224,6 +228,9 @@
 		       const char *queue);
 	bool (*over)(struct seam_task_order *o, const char *pool,
 		     struct seam_task_over *out);
+	bool (*holds)(struct seam_task_order *o,
+		      const struct seam_task_over *over, const char *team,
+		      const char *queue);
 	void (*free)(struct seam_task_order *o);
 };
 
--- a/process/task_fair.c
+++ b/process/task_fair.c
@@ -400,13 +400,11 @@
 		const struct sharer *w = v;
 		double d;
 
-		if (w == own || !w->waits ||
-		    !seam_handle_eq(w->team, own->team))
+		if (w == own || !seam_handle_eq(w->team, own->team))
 			continue;
-		d = entitled(g, w) - used(g, w);
-		if (d + TINY >= part(g, &w->first) && room <= YIELD_ROOM * d &&
-		    (used(g, w) + part(g, &w->first)) / w->weight + TINY <
-			    level)
+		d = deficit_of(g, w);
+		if (d > 0 && room <= YIELD_ROOM * d &&
+		    next_level(g, w) + TINY < level)
 			return true;
 	}
 	return false;
@@ -422,20 +420,13 @@
 	return team_yields(&p) || workspace_yields(&p);
 }
 
-static bool over(struct seam_task_order *o, const char *pool,
-		 struct seam_task_over *out)
+static bool team_over(struct group *g, struct seam_task_over *out)
 {
-	struct fair *f = (struct fair *)o;
-	struct group *g = g_hash_table_lookup(f->group, pool);
 	GHashTableIter it;
 	gpointer name;
 	gpointer v;
 	double most = 0;
 
-	if (!g)
-		return false;
-	if (g->changed)
-		sum_deficit(g);
 	if (g->deficit <= 0)
 		return false;
 	g_hash_table_iter_init(&it, g->team);
@@ -450,11 +441,98 @@
 		out->used = used(g, t);
 		out->amount = by < g->deficit ? by : g->deficit;
 	}
+	out->workspace = SEAM_NONE;
 	out->want = g->want;
 	out->want_part = part(g, &g->want);
 	return most > 0 && out->amount + TINY >= out->want_part;
 }
 
+/* What the workspaces of a team lack of its share. */
+struct lack {
+	double sum;
+	double worst; /* for its weight */
+	struct seam_need want; /* a waiting task of the worst */
+};
+
+/* Lacks of teams with such workspaces, by the team's handle. */
+static GHashTable *sum_lacks(const struct group *g)
+{
+	GHashTable *lacks = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, g->workspace);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct sharer *w = v;
+		gpointer team = GUINT_TO_POINTER(w->team.bits);
+		struct lack *l = g_hash_table_lookup(lacks, team);
+		double d = deficit_of(g, w);
+
+		if (d <= 0)
+			continue;
+		if (!l) {
+			l = g_new0(struct lack, 1);
+			g_hash_table_insert(lacks, team, l);
+		}
+		l->sum += d;
+		if (d / w->weight > l->worst) {
+			l->worst = d / w->weight;
+			l->want = w->first;
+		}
+	}
+	return lacks;
+}
+
+/* A workspace over its part of its team's share, beside one that is under. */
+static bool workspace_over(struct group *g, struct seam_task_over *out)
+{
+	GHashTable *lacks = sum_lacks(g);
+	GHashTableIter it;
+	gpointer v;
+	double most = 0;
+
+	g_hash_table_iter_init(&it, g->workspace);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct sharer *w = v;
+		const struct lack *l = g_hash_table_lookup(
+			lacks, GUINT_TO_POINTER(w->team.bits));
+		double by = used(g, w) - entitled(g, w);
+
+		if (!l || by / w->weight <= most)
+			continue;
+		most = by / w->weight;
+		out->workspace = w->workspace;
+		out->used = used(g, w);
+		out->amount = by < l->sum ? by : l->sum;
+		out->want = l->want;
+		out->want_part = part(g, &l->want);
+	}
+	g_hash_table_destroy(lacks);
+	return most > 0 && out->amount + TINY >= out->want_part;
+}
+
+static bool over(struct seam_task_order *o, const char *pool,
+		 struct seam_task_over *out)
+{
+	struct fair *f = (struct fair *)o;
+	struct group *g = g_hash_table_lookup(f->group, pool);
+
+	if (!g)
+		return false;
+	if (g->changed)
+		sum_deficit(g);
+	return team_over(g, out) || workspace_over(g, out);
+}
+
+static bool holds(struct seam_task_order *o, const struct seam_task_over *over,
+		  const char *team, const char *queue)
+{
+	if (over->workspace.bits)
+		return seam_handle_eq(find(o, team, queue).workspace->workspace,
+				      over->workspace);
+	return !strcmp(team, over->team);
+}
+
 static void free_order(struct seam_task_order *o)
 {
 	struct fair *f = (struct fair *)o;
@@ -471,6 +549,7 @@
 	.loads = loads,
 	.yields = yields,
 	.over = over,
+	.holds = holds,
 	.free = free_order,
 };
 
--- a/process/task_preempt.c
+++ b/process/task_preempt.c
@@ -247,7 +247,7 @@
 	for (i = 0; i < ready->len; i++) {
 		struct seam_bucket *b = ready->pdata[i];
 
-		if (!strcmp(b->team, out.team))
+		if (o->ops->holds(o, &out, b->team, b->queue))
 			add_lent(b, pool, x);
 	}
 	qsort(x->v, x->n, sizeof(*x->v), by_lent);
