owner: a pass looks at what changed, not at every task

On the grown sites passes took 160 to 260 ms of each second in the peaks: each one surveyed every task of every open job, described each worker of a pool for each start, and sorted all jobs.

Counts are kept with each change now: idle tasks, what workspaces have reserved, starts under way by node. backlog.c has the jobs of each pool in order of urgency with the time until which a place holds, rooms.c the workers by free processors and by label. A pass ends when enough starts are under way, and leaves a pool when no worker has room for the least need of its jobs, so that small tasks still start behind large ones. The order is the same: urgency.c gives a key in place of a comparison.

--- a/process/board.c
+++ b/process/board.c
@@ -21,7 +21,7 @@
 	pthread_cond_signal(&b->commit_wake);
 }
 
-static struct seam_board *new_board(void)
+struct seam_board *board_new(void)
 {
 	struct seam_board *b = calloc(1, sizeof(*b));
 
@@ -43,6 +43,12 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->wave_done =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->backlog = seam_backlog_new();
+	b->touched = g_array_new(FALSE, FALSE, sizeof(struct seam_handle));
+	b->rooms = seam_rooms_new();
+	b->used =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_queue_init(&b->sent);
 	b->recent = g_array_new(FALSE, FALSE, sizeof(struct seam_recent_vm));
 	b->shares =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -53,7 +59,7 @@
 	return b;
 }
 
-static void free_board(struct seam_board *b)
+void board_free(struct seam_board *b)
 {
 	struct seam_handle h = SEAM_NONE;
 	struct seam_job *j;
@@ -68,6 +74,11 @@
 	g_hash_table_destroy(b->holds);
 	g_hash_table_destroy(b->shares);
 	g_array_free(b->recent, TRUE);
+	seam_backlog_free(b->backlog);
+	g_array_free(b->touched, TRUE);
+	seam_rooms_free(b->rooms);
+	g_hash_table_destroy(b->used);
+	g_queue_clear_full(&b->sent, g_free);
 	seam_table_free(b->jobs);
 	seam_table_free(b->workers);
 	pthread_mutex_destroy(&b->lock);
@@ -106,7 +117,7 @@
 				   struct seam_op_state *op_state,
 				   struct seam_lead *lead, struct seam_err *e)
 {
-	struct seam_board *b = new_board();
+	struct seam_board *b = board_new();
 	int rc;
 
 	if (!b) {
@@ -168,5 +179,5 @@
 	board_workers_close(b);
 	seam_log(SEAM_INFO, "owner", "event=term_closed term=%llu",
 		 (unsigned long long)b->term);
-	free_board(b);
+	board_free(b);
 }
--- a/process/board.h
+++ b/process/board.h
@@ -12,8 +12,10 @@
 #include "connection/lane.h"
 #include "connection/runner.h"
 #include "connection/vms.h"
+#include "process/backlog.h"
 #include "process/lead.h"
 #include "process/op_state.h"
+#include "process/rooms.h"
 #include "process/store.h"
 #include "process/upkeep.h"
 #include "request/jobrow.h"
@@ -27,6 +29,8 @@
 /* Holds without an answer from which a worker gets no tasks; one may be lost.
  */
 #define SEAM_MISSED_MAX 2
+/* A worker that stays slow for longer after its start is taken last. */
+#define SEAM_SLOW_MIN_MS 200
 /* Calls to the VM service take up to 30 ms; so many fill its rate of 64 a
  * second. */
 #define SEAM_VM_ORDER_THREADS 4
@@ -54,6 +58,7 @@
  * @stop: it is to end
  * @stop_next: when the stop is sent again unless it was answered
  * @stopped_at: when the stop was answered; SEAM_NEVER before
+ * @counted: lane among whose starts under way it counts, or -1
  */
 struct seam_run_slot {
 	int state;
@@ -66,6 +71,7 @@
 	bool stop;
 	seam_time stop_next;
 	seam_time stopped_at;
+	int counted;
 };
 
 /**
@@ -101,6 +107,11 @@
  * @self: its handle
  * @task: tasks of each step
  * @left: tasks of each step that are not done
+ * @idle: those of them without a run
+ * @first_idle: no task of the step before this one is idle
+ * @waiting: idle tasks of open steps, as of the latest look
+ * @touched: its place in the backlog has to be looked at
+ * @used: what its workspace has reserved
  * @priority: 0 comes first
  * @chain_ms: run time of its longest chain
  * @accepted_at: when it was accepted
@@ -123,6 +134,11 @@
 	struct seam_handle self;
 	struct seam_job_task **task;
 	int *left;
+	int *idle;
+	int64_t *first_idle;
+	int64_t waiting;
+	bool touched;
+	struct seam_amount *used;
 	int priority;
 	int64_t chain_ms;
 	seam_time accepted_at;
@@ -166,6 +182,13 @@
 	bool unknown;
 };
 
+/** struct seam_sent_start - a start that was sent at a time */
+struct seam_sent_start {
+	struct seam_task_ref ref;
+	int64_t run;
+	seam_time at;
+};
+
 /** struct seam_end_mark - an end that waits for the commit of its job */
 struct seam_end_mark {
 	int64_t number;
@@ -295,7 +318,7 @@
  * @drops: keys of workers that it is to serve no longer; uint32_t
  * @due: there is something to send
  * @update_at: changes of leases and ends are sent then
- * @starting: starts that wait for an answer, as of the latest pass
+ * @starting: starts that wait for an answer
  * @wake: signals @due and @opened
  * @thread: one sends, one polls
  * @threads: their number
@@ -384,8 +407,15 @@
  * @pools_logged_at: when the pools were last logged
  * @holds: pool to struct seam_pool_hold
  * @shares: workspace to struct seam_share_meter
- * @busy: workers with runs
  * @crowded: all VMs together hold less than what is asked for
+ * @backlog: jobs with tasks that may be started
+ * @backlog_crowded: @crowded, as the places in it have it
+ * @touched: jobs whose place in it has to be looked at; struct seam_handle
+ * @waiting: tasks that may be started, of all jobs
+ * @rooms: workers by their free processors
+ * @used: workspace to struct seam_amount, what its runs have reserved
+ * @starting: starts that wait for an answer
+ * @sent: latest starts, struct seam_sent_start
  * @recent: VMs that were ordered a short time ago; struct seam_recent_vm
  * @vms_read: the VM list was read in this term
  * @unlisted_until: a worker without a row may run tasks until then
@@ -454,8 +484,15 @@
 	seam_time pools_logged_at;
 	GHashTable *holds;
 	GHashTable *shares;
-	size_t busy;
 	bool crowded;
+	struct seam_backlog *backlog;
+	bool backlog_crowded;
+	GArray *touched;
+	int64_t waiting;
+	struct seam_rooms *rooms;
+	GHashTable *used;
+	int starting;
+	GQueue sent;
 	GArray *recent;
 	pthread_t thread[SEAM_BOARD_THREADS];
 	int threads;
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -4,6 +4,10 @@
 #include "process/board.h"
 #include "process/urgency.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /* Lease that is asked of a worker; longer than a takeover, so that work
  * outlives the loss of an owner. */
 #define LEASE (3200 * SEAM_MSEC)
@@ -16,15 +20,19 @@
 static inline struct seam_job *board_job(struct seam_board *b,
 					 struct seam_handle h)
 {
-	return seam_table_get(b->jobs, h);
+	return (struct seam_job *)seam_table_get(b->jobs, h);
 }
 
 static inline struct seam_worker *board_worker(struct seam_board *b,
 					       struct seam_handle h)
 {
-	return seam_table_get(b->workers, h);
+	return (struct seam_worker *)seam_table_get(b->workers, h);
 }
 
+/* A board without threads, for its own use and for benchmarks. */
+struct seam_board *board_new(void);
+void board_free(struct seam_board *b);
+
 /* All below are called with the board's lock held. */
 
 /* board_lease(): lease that is asked of workers, microseconds */
@@ -36,6 +44,8 @@
 
 /* board_jobs.c */
 int board_load_jobs(struct seam_board *b, struct seam_err *e);
+/* Adds the job of a row; a job that is over is not kept. */
+void board_job_add(struct seam_board *b, const struct seam_row *row, bool old);
 void *board_follow_jobs(void *arg);
 struct seam_job *board_find_job(struct seam_board *b, const char *id);
 void board_job_changed(struct seam_board *b, struct seam_job *j);
@@ -53,6 +63,8 @@
 
 /* board_workers.c */
 int board_load_workers(struct seam_board *b, struct seam_err *e);
+void board_worker_add(struct seam_board *b,
+		      const struct seam_worker_info *info);
 void *board_follow_workers(void *arg);
 void *board_reap_loop(void *arg);
 void board_worker_lost(struct seam_worker *w, const char *why);
@@ -61,7 +73,20 @@
 void board_workers_close(struct seam_board *b);
 bool board_worker_usable(const struct seam_worker *w, seam_time now);
 
-/* board_runs.c */
+/* board_backlog.c: what may be started, kept with each change */
+void board_job_count(struct seam_job *j);
+void board_job_touch(struct seam_board *b, struct seam_job *j);
+void board_job_forget(struct seam_board *b, struct seam_job *j);
+void board_backlog_refresh(struct seam_board *b, seam_time now);
+bool board_task_idle(const struct seam_job *j, int step, int64_t task);
+void board_worker_room(struct seam_worker *w);
+void board_start_sent(struct seam_board *b, struct seam_worker *w,
+		      const struct seam_task_ref *ref, struct seam_run_slot *r);
+void board_start_over(struct seam_board *b, struct seam_run_slot *r);
+void board_starts_expire(struct seam_board *b, seam_time now);
+
+/* board_runs.c; board_run_told() gives it another state than SENT */
+void board_run_told(struct seam_board *b, struct seam_run_slot *r, int state);
 struct seam_run_slot *board_run_add(struct seam_board *b, struct seam_job *j,
 				    int step, int task, struct seam_worker *w,
 				    int64_t number, int state);
@@ -119,6 +144,8 @@
 void board_lane_move(struct seam_worker *w);
 
 /* board_listing.c */
+void board_task_done(struct seam_board *b, struct seam_job *j, int step,
+		     int task);
 void board_take_listing(struct seam_board *b, struct seam_worker *w,
 			const struct seam_listing *l, seam_time sent_at);
 void board_settle_ends(struct seam_board *b, struct seam_worker *w);
@@ -127,7 +154,10 @@
 void board_job_held(struct seam_job *j, enum seam_held by, seam_time now);
 void board_job_log(const struct seam_board *b, const struct seam_job *j,
 		   const char *event);
-void board_load_log(struct seam_board *b, int64_t waiting, int starting);
+void board_load_log(struct seam_board *b);
+
+/* One pass: starts what can be started. */
+void board_pass(struct seam_board *b);
 
 /* board_commit.c, board_pass.c, board_vms.c */
 void *board_commit_loop(void *arg);
@@ -173,4 +203,7 @@
 /* board_leave.c */
 void board_empty_workers(struct seam_board *b);
 
+#ifdef __cplusplus
+}
+#endif
 #endif
--- a/process/board_jobs.c
+++ b/process/board_jobs.c
@@ -35,7 +35,9 @@
 	for (i = 0; j->task && i < j->row.spec.steps; i++)
 		free(j->task[i]);
 	g_free(j->task);
-	free(j->left);
+	g_free(j->left);
+	g_free(j->idle);
+	g_free(j->first_idle);
 	seam_jobrow_free(&j->row);
 }
 
@@ -45,26 +47,14 @@
 	board_wake_commit(b);
 }
 
-static void count_left(struct seam_job *j)
-{
-	int64_t t;
-	int i;
-
-	for (i = 0; i < j->row.spec.steps; i++) {
-		j->left[i] = 0;
-		for (t = 0; t < j->row.spec.step[i].tasks; t++)
-			j->left[i] += !j->row.done[i][t];
-	}
-}
-
 static int make_tasks(struct seam_job *j)
 {
 	int i;
 
 	j->task = g_new0(struct seam_job_task *, j->row.spec.steps + 1);
-	j->left = calloc((size_t)j->row.spec.steps + 1, sizeof(*j->left));
-	if (!j->left)
-		return -1;
+	j->left = g_new0(int, j->row.spec.steps + 1);
+	j->idle = g_new0(int, j->row.spec.steps + 1);
+	j->first_idle = g_new0(int64_t, j->row.spec.steps + 1);
 	for (i = 0; i < j->row.spec.steps; i++) {
 		int64_t n = j->row.spec.step[i].tasks;
 
@@ -72,7 +62,7 @@
 		if (!j->task[i])
 			return -1;
 	}
-	count_left(j);
+	board_job_count(j);
 	return 0;
 }
 
@@ -124,8 +114,19 @@
 	return false;
 }
 
-/* Adds the job of a row; a job that is over is not kept. */
-static void add_job(struct seam_board *b, const struct seam_row *row, bool old)
+/* What the runs of a workspace have reserved. */
+static struct seam_amount *used_of(struct seam_board *b, const char *workspace)
+{
+	struct seam_amount *a = g_hash_table_lookup(b->used, workspace);
+
+	if (a)
+		return a;
+	a = g_new0(struct seam_amount, 1);
+	g_hash_table_insert(b->used, g_strdup(workspace), a);
+	return a;
+}
+
+void board_job_add(struct seam_board *b, const struct seam_row *row, bool old)
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_jobrow r;
@@ -152,6 +153,7 @@
 	j->old = old;
 	j->over_share = !old && meter_share(b, r.spec.workspace);
 	j->accepted_at = seam_now(b->clock) - age;
+	j->used = used_of(b, r.spec.workspace);
 	set_objective(b, j);
 	if (make_tasks(j)) {
 		board_job_free(j);
@@ -161,6 +163,7 @@
 	g_hash_table_replace(b->job_of, g_strdup(j->row.spec.id),
 			     g_memdup2(&h, sizeof(h)));
 	seam_count_set(&open_jobs, (int64_t)seam_table_count(b->jobs));
+	board_job_touch(b, j);
 	board_wake_pass(b);
 }
 
@@ -201,7 +204,7 @@
 
 	pthread_mutex_lock(&b->lock);
 	for (i = 0; i < rows->n; i++)
-		add_job(b, &rows->row[i], true);
+		board_job_add(b, &rows->row[i], true);
 	pthread_mutex_unlock(&b->lock);
 }
 
@@ -283,6 +286,7 @@
 	struct seam_handle h = j->self;
 
 	remember_end(b, j);
+	board_job_forget(b, j);
 	g_hash_table_remove(b->job_of, j->row.spec.id);
 	board_job_free(j);
 	seam_table_del(b->jobs, h);
@@ -314,6 +318,7 @@
 	board_job_log(b, j,
 		      state == SEAM_JOB_COMPLETED ? "completed" : "failed");
 	stop_all(b, j);
+	board_job_touch(b, j);
 	board_job_changed(b, j);
 }
 
@@ -328,6 +333,7 @@
 	j->version = row->version;
 	j->committed = j->changes; /* its row is final */
 	stop_all(b, j);
+	board_job_touch(b, j);
 	if (board_job_droppable(j))
 		board_job_drop(b, j);
 }
@@ -349,7 +355,8 @@
 	} else {
 		j->version = row->version;
 		seam_jobrow_merge(&j->row, &r);
-		count_left(j);
+		board_job_count(j);
+		board_job_touch(b, j);
 	}
 	seam_jobrow_free(&r);
 }
@@ -373,7 +380,7 @@
 	if (j)
 		board_job_merge(b, j, row);
 	else if (!g_hash_table_contains(b->ended, seam_jobrow_id(row->key)))
-		add_job(b, row, false);
+		board_job_add(b, row, false);
 }
 
 static void take_rows(struct seam_board *b, const struct seam_rows *rows)
--- a/process/board_listing.c
+++ b/process/board_listing.c
@@ -40,19 +40,27 @@
 	return true;
 }
 
-static void end_done(struct seam_board *b, struct seam_worker *w,
-		     struct seam_job *j, int step, int task)
+void board_task_done(struct seam_board *b, struct seam_job *j, int step,
+		     int task)
 {
-	seam_count_add(&ends_done, 1);
-	w->failures = 0;
 	if (j->row.done[step][task] || j->row.spec.step[step].lasting)
 		return;
+	j->idle[step] -= board_task_idle(j, step, task);
 	j->row.done[step][task] = 1;
 	j->left[step]--;
+	board_job_touch(b, j);
 	board_job_changed(b, j);
 	board_wake_pass(b);
 }
 
+static void end_done(struct seam_board *b, struct seam_worker *w,
+		     struct seam_job *j, int step, int task)
+{
+	seam_count_add(&ends_done, 1);
+	w->failures = 0;
+	board_task_done(b, j, step, task);
+}
+
 static void end_failed(struct seam_board *b, struct seam_worker *w,
 		       struct seam_job *j, int step, int task, int64_t run)
 {
@@ -168,7 +176,7 @@
 	}
 	if (r->state != SEAM_RUN_LIVE)
 		r->live_at = now;
-	r->state = SEAM_RUN_LIVE;
+	board_run_told(b, r, SEAM_RUN_LIVE);
 	r->percent = l->percent;
 	r->listed_at = now;
 	if (*l->checkpoint)
--- a/process/board_load.c
+++ b/process/board_load.c
@@ -69,7 +69,7 @@
 		n[j->held_by]++;
 }
 
-void board_load_log(struct seam_board *b, int64_t waiting, int starting)
+void board_load_log(struct seam_board *b)
 {
 	struct seam_load_meter *m = &b->meter;
 	seam_time now = seam_now(b->clock);
@@ -85,8 +85,8 @@
 			 "looks=%lld passes=%lld pass_ms=%lld turn=%d room=%d "
 			 "limit=%d unheard=%d crowded=%d",
 			 (long long)(now - m->since) / SEAM_MSEC,
-			 seam_table_count(b->jobs), (long long)waiting,
-			 starting, (long long)m->starts,
+			 seam_table_count(b->jobs), (long long)b->waiting,
+			 b->starting, (long long)m->starts,
 			 m->starts ? (long long)(m->start_time / m->starts) /
 					     SEAM_MSEC :
 				     0LL,
--- a/process/board_runs.c
+++ b/process/board_runs.c
@@ -63,6 +63,19 @@
 	return NULL;
 }
 
+static void add(struct seam_amount *sum, const struct seam_amount *a, int sign)
+{
+	sum->cpu += sign * a->cpu;
+	sum->memory += sign * a->memory;
+	sum->gpu += sign * a->gpu;
+}
+
+void board_run_told(struct seam_board *b, struct seam_run_slot *r, int state)
+{
+	board_start_over(b, r);
+	r->state = state;
+}
+
 struct seam_run_slot *board_run_add(struct seam_board *b, struct seam_job *j,
 				    int step, int task, struct seam_worker *w,
 				    int64_t number, int state)
@@ -78,18 +91,23 @@
 			break;
 	if (i == SEAM_COPIES)
 		return NULL;
+	j->idle[step] -= board_task_idle(j, step, task);
 	t->run[i] = (struct seam_run_slot){.state = state,
 					   .worker = w->self,
 					   .number = number,
 					   .sent_at = now,
 					   .live_at = now,
-					   .stopped_at = SEAM_NEVER};
+					   .stopped_at = SEAM_NEVER,
+					   .counted = -1};
+	if (state == SEAM_RUN_SENT)
+		board_start_sent(b, w, &ref, &t->run[i]);
 	g_array_append_val(w->ref, ref);
-	w->used.cpu += need.cpu;
-	w->used.memory += need.memory;
-	w->used.gpu += need.gpu;
+	add(&w->used, &need, 1);
+	add(j->used, &j->row.spec.step[step].need, 1);
+	board_worker_room(w);
 	j->runs++;
 	j->begun = true;
+	board_job_touch(b, j);
 	if (!j->first_start_at)
 		j->first_start_at = now;
 	return &t->run[i];
@@ -102,14 +120,20 @@
 	struct seam_amount need = board_step_need(&j->row.spec.step[step]);
 	guint i;
 
-	r->state = SEAM_RUN_FREE;
+	board_run_told(b, r, SEAM_RUN_FREE);
 	j->runs--;
+	if (board_task_idle(j, step, task)) {
+		j->idle[step]++;
+		if (task < j->first_idle[step])
+			j->first_idle[step] = task;
+	}
+	add(j->used, &j->row.spec.step[step].need, -1);
+	board_job_touch(b, j);
 	board_wake_pass(b);
 	if (!w)
 		return;
-	w->used.cpu -= need.cpu;
-	w->used.memory -= need.memory;
-	w->used.gpu -= need.gpu;
+	add(&w->used, &need, -1);
+	board_worker_room(w);
 	for (i = 0; i < w->ref->len; i++) {
 		struct seam_task_ref *t =
 			&g_array_index(w->ref, struct seam_task_ref, i);
--- a/process/board_workers.c
+++ b/process/board_workers.c
@@ -67,6 +67,7 @@
 	lose_runs(w, SEAM_NEVER, why);
 	g_array_set_size(w->ref, 0);
 	memset(&w->used, 0, sizeof(w->used));
+	board_worker_room(w);
 	seam_log(SEAM_INFO, "worker",
 		 "event=life_over worker=%s pool=%s why=%s runs=%u", w->info.id,
 		 w->info.pool, why, runs);
@@ -105,14 +106,22 @@
 	struct seam_handle *h = g_hash_table_lookup(b->worker_of, w->info.id);
 
 	w->dead = true;
+	seam_rooms_remove(b->rooms, w->self);
 	board_lane_leave(w);
 	pthread_cond_signal(&b->reap_wake);
 	if (h && seam_handle_eq(*h, w->self))
 		g_hash_table_remove(b->worker_of, w->info.id);
 }
 
-static void add_worker(struct seam_board *b,
-		       const struct seam_worker_info *info)
+/* Its row may tell another pool, size or label. */
+static void note_info(struct seam_worker *w)
+{
+	seam_rooms_put(w->board->rooms, w->self, &w->info,
+		       w->info.capacity.cpu - w->used.cpu,
+		       w->info.slow_ms > SEAM_SLOW_MIN_MS);
+}
+
+void board_worker_add(struct seam_board *b, const struct seam_worker_info *info)
 {
 	struct seam_handle h;
 	struct seam_worker *w = seam_table_add(b->workers, &h);
@@ -137,6 +146,7 @@
 		 (long long)info->capacity.cpu, info->draining);
 	g_hash_table_replace(b->worker_of, g_strdup(w->info.id),
 			     g_memdup2(&w->self, sizeof(w->self)));
+	note_info(w);
 	seam_count_set(&known, (int64_t)seam_table_count(b->workers));
 	board_need_lane(b);
 }
@@ -174,10 +184,11 @@
 	if (strcmp(info->addr, w->info.addr)) {
 		board_worker_lost(w, "moved");
 		retire(b, w);
-		add_worker(b, info);
+		board_worker_add(b, info);
 		return;
 	}
 	w->info = *info;
+	note_info(w);
 	if (drains) {
 		w->drains_at = seam_now(b->clock);
 		seam_log(SEAM_INFO, "worker",
@@ -209,7 +220,7 @@
 	if (w)
 		update_worker(b, w, &info);
 	else
-		add_worker(b, &info);
+		board_worker_add(b, &info);
 }
 
 static void mark_missing(struct seam_board *b, const struct seam_rows *rows)
--- a/process/urgency.c
+++ b/process/urgency.c
@@ -6,57 +6,62 @@
 #define USEFUL 3
 /* The longest of some uneven tasks takes this part more than the estimate. */
 #define UNEVEN_PART 4
+#define PRIORITY_BITS 31
 
-bool seam_urgency_late(const struct seam_urgency *u, seam_time now)
+/* From the most significant on, above the priority. */
+enum { NOT_LASTING = 8, LATE = 4, USELESS = 2, OVER_SHARE = 1 };
+
+/* Last moment at which it can be started in time by its estimate. */
+static seam_time start_by(const struct seam_urgency *u)
 {
-	return !u->lasting &&
-	       now + u->left_ms * SEAM_MSEC + ORDER_DELAY > u->due_at;
+	return u->due_at - u->left_ms * SEAM_MSEC - ORDER_DELAY;
 }
 
-/* So late by its estimate that its caller has no use for it. */
-static bool is_useless(const struct seam_urgency *u, seam_time now)
+bool seam_urgency_late(const struct seam_urgency *u, seam_time now)
 {
-	seam_time objective = u->due_at - u->accepted_at;
-
-	return !u->lasting && now + u->left_ms * SEAM_MSEC >
-				      u->accepted_at + USEFUL * objective;
+	return !u->lasting && now > start_by(u);
 }
 
-/* Late by its estimate with a margin. */
-static bool is_tight(const struct seam_urgency *u, seam_time now)
+/* After it, its caller has no use for it by its estimate. */
+static seam_time useful_until(const struct seam_urgency *u)
 {
-	seam_time margin = u->left_ms * SEAM_MSEC / UNEVEN_PART;
-
-	return seam_urgency_late(u, now + margin);
+	return u->accepted_at + USEFUL * (u->due_at - u->accepted_at) -
+	       u->left_ms * SEAM_MSEC;
 }
 
-static int compare(int64_t a, int64_t b)
+struct seam_urgency_key seam_urgency_key_of(const struct seam_urgency *u,
+					    seam_time now, bool crowded)
 {
-	return (a > b) - (a < b);
+	seam_time margin = crowded ? u->left_ms * SEAM_MSEC / UNEVEN_PART : 0;
+	seam_time in_time_until = start_by(u) - margin;
+	struct seam_urgency_key k = {.holds_until = SEAM_NEVER};
+	int64_t class = 0;
+
+	if (!u->lasting) {
+		class = NOT_LASTING;
+		if (now > in_time_until)
+			class += LATE;
+		else
+			k.holds_until = in_time_until;
+		if (now > useful_until(u))
+			class += USELESS;
+		else if (useful_until(u) < k.holds_until)
+			k.holds_until = useful_until(u);
+	}
+	if (u->over_share)
+		class += OVER_SHARE;
+	k.rank = (class << PRIORITY_BITS) + u->priority;
+	/* The last bit is for begun jobs, within one priority. */
+	k.rank = 2 * k.rank + (crowded && !u->begun);
+	k.at = class & LATE ? u->accepted_at :
+			      u->due_at - u->left_ms * SEAM_MSEC;
+	return k;
 }
 
-int seam_urgency_before(const struct seam_urgency *a,
-			const struct seam_urgency *b, seam_time now,
-			bool crowded)
+int seam_urgency_compare(const struct seam_urgency_key *a,
+			 const struct seam_urgency_key *b)
 {
-	bool late_a = crowded ? is_tight(a, now) : seam_urgency_late(a, now);
-	bool late_b = crowded ? is_tight(b, now) : seam_urgency_late(b, now);
-	bool useless_a = is_useless(a, now);
-
-	if (a->lasting != b->lasting)
-		return a->lasting ? -1 : 1;
-	if (late_a != late_b)
-		return late_a ? 1 : -1;
-	if (useless_a != is_useless(b, now))
-		return useless_a ? 1 : -1;
-	if (a->over_share != b->over_share)
-		return a->over_share ? 1 : -1;
-	if (a->priority != b->priority)
-		return compare(a->priority, b->priority);
-	if (crowded && a->begun != b->begun)
-		return a->begun ? -1 : 1;
-	if (late_a)
-		return compare(a->accepted_at, b->accepted_at);
-	return compare(a->due_at - a->left_ms * SEAM_MSEC,
-		       b->due_at - b->left_ms * SEAM_MSEC);
+	if (a->rank != b->rank)
+		return a->rank < b->rank ? -1 : 1;
+	return (a->at > b->at) - (a->at < b->at);
 }
--- a/process/urgency.h
+++ b/process/urgency.h
@@ -30,13 +30,24 @@
 	seam_time accepted_at;
 };
 
+/**
+ * struct seam_urgency_key - place of a job in the order; the least comes first
+ * @rank: compared first
+ * @at: compared next
+ * @holds_until: the place changes after this time; SEAM_NEVER if it stays
+ */
+struct seam_urgency_key {
+	int64_t rank;
+	seam_time at;
+	seam_time holds_until;
+};
+
 /** seam_urgency_late() - it can't meet its objective by its estimate */
 bool seam_urgency_late(const struct seam_urgency *u, seam_time now);
 
 /**
- * seam_urgency_before() - order in which jobs of a pool get room
- * @a: a job
- * @b: another one
+ * seam_urgency_key_of() - place in the order in which jobs of a pool get room
+ * @u: a job
  * @now: time
  * @crowded: all VMs together hold less than what is asked for
  *
@@ -51,12 +62,13 @@
  * @crowded a load above the whole fleet: then the least slack would start each
  * job when it is just too late, so a job counts as late that has no margin for
  * tasks longer than their estimate, and begun jobs are finished first.
- *
- * Return: less than, equal to or greater than 0 as for qsort().
  */
-int seam_urgency_before(const struct seam_urgency *a,
-			const struct seam_urgency *b, seam_time now,
-			bool crowded);
+struct seam_urgency_key seam_urgency_key_of(const struct seam_urgency *u,
+					    seam_time now, bool crowded);
+
+/** seam_urgency_compare() - less than, equal to or greater than 0 */
+int seam_urgency_compare(const struct seam_urgency_key *a,
+			 const struct seam_urgency_key *b);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/tests/rooms_test.cc
@@ -0,0 +1,125 @@
+// The workers of a pool by their free processors.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "process/rooms.h"
+
+struct Room {
+	std::string pool;
+	std::string rack;
+	int64_t cpu;
+	bool slow;
+};
+
+struct Rooms : ::testing::Test {
+	seam_rooms *r = seam_rooms_new();
+	std::map<uint32_t, Room> rooms;
+
+	~Rooms() override
+	{
+		seam_rooms_free(r);
+	}
+	void put(uint32_t id, const Room &m)
+	{
+		seam_worker_info info = {};
+
+		snprintf(info.pool, SEAM_NAME, "%s", m.pool.c_str());
+		snprintf(info.label[0], SEAM_NAME, "%s", m.rack.c_str());
+		snprintf(info.label[1], SEAM_NAME, "%s", m.rack.c_str());
+		info.labels = 2;
+		rooms[id] = m;
+		seam_rooms_put(r, {id}, &info, m.cpu, m.slow);
+	}
+	static bool add(seam_handle h, void *arg)
+	{
+		((std::vector<uint32_t> *)arg)->push_back(h.bits);
+		return false;
+	}
+	static bool first(seam_handle h, void *arg)
+	{
+		*(uint32_t *)arg = h.bits;
+		return true;
+	}
+	void check(const std::string &pool, int64_t cpu, bool slow)
+	{
+		std::vector<uint32_t> want;
+		std::vector<uint32_t> got;
+
+		for (auto &m : rooms)
+			if (m.second.pool == pool && m.second.cpu >= cpu &&
+			    m.second.slow == slow)
+				want.push_back(m.first);
+		std::sort(want.begin(), want.end(),
+			  [&](uint32_t x, uint32_t y) {
+				  return std::make_pair(rooms[x].cpu, x) <
+					 std::make_pair(rooms[y].cpu, y);
+			  });
+		seam_rooms_fullest(r, pool.c_str(), cpu, slow, add, &got);
+		EXPECT_EQ(got, want);
+	}
+	void check_label(const std::string &pool, const std::string &label)
+	{
+		std::vector<uint32_t> want;
+		std::vector<uint32_t> got;
+
+		for (auto &m : rooms)
+			if (m.second.pool == pool &&
+			    (label.empty() || m.second.rack == label))
+				want.push_back(m.first);
+		seam_rooms_with(r, pool.c_str(), label.c_str(), add, &got);
+		std::sort(got.begin(), got.end());
+		EXPECT_EQ(got, want);
+	}
+};
+
+// Guards against workers that are lost to the placing, or offered in a pool
+// that they have left.
+TEST_F(Rooms, AfterAnyChanges)
+{
+	std::mt19937 rng(1);
+	auto pool = [&] { return "p" + std::to_string(rng() % 3); };
+	auto rack = [&] { return "r" + std::to_string(rng() % 5); };
+
+	for (int i = 0; i < 2000; i++) {
+		uint32_t id = 1 + rng() % 60;
+
+		switch (rng() % 4) {
+		case 0:
+			put(id, {pool(), rack(), (int64_t)(rng() % 20),
+				 rng() % 4 == 0});
+			break;
+		case 1:
+			seam_rooms_remove(r, {id});
+			rooms.erase(id);
+			break;
+		default:
+			if (rooms.count(id))
+				rooms[id].cpu = (int64_t)(rng() % 20);
+			seam_rooms_set(r, {id},
+				       rooms.count(id) ? rooms[id].cpu : 7);
+		}
+		check(pool(), (int64_t)(rng() % 20), rng() % 2);
+		check_label(pool(), rng() % 2 ? rack() : "");
+		ASSERT_FALSE(HasFailure()) << i;
+	}
+}
+
+// Guards the work of a walk: it ends with the first that will do.
+TEST_F(Rooms, WalkEndsWhenAsked)
+{
+	uint32_t got = 0;
+
+	put(1, {"p", "r", 9, false});
+	put(2, {"p", "r", 5, false});
+	put(3, {"p", "r", 7, false});
+	seam_rooms_fullest(r, "p", 6, false, first, &got);
+	EXPECT_EQ(got, 3u);
+	got = 0;
+	seam_rooms_fullest(r, "none", 0, false, first, &got);
+	EXPECT_EQ(got, 0u);
+}
--- a/tests/urgency_test.cc
+++ b/tests/urgency_test.cc
@@ -19,9 +19,12 @@
 }
 
 static bool before(const seam_urgency &a, const seam_urgency &b,
-		   bool crowded = false)
+		   bool crowded = false, seam_time now = 0)
 {
-	return seam_urgency_before(&a, &b, 0, crowded) < 0;
+	seam_urgency_key x = seam_urgency_key_of(&a, now, crowded);
+	seam_urgency_key y = seam_urgency_key_of(&b, now, crowded);
+
+	return seam_urgency_compare(&x, &y) < 0;
 }
 
 // Guards against room for a job that is late anyway before one in time.
@@ -125,8 +128,7 @@
 		auto best = std::min_element(
 			waiting.begin(), waiting.end(),
 			[&](const seam_urgency &a, const seam_urgency &b) {
-				return seam_urgency_before(&a, &b, now,
-							   crowded) < 0;
+				return before(a, b, crowded, now);
 			});
 		seam_time end = now + (seam_time)(uneven(rng) * SEAM_SEC);
 
