relay: calls go through the largest nodes

A relay now asks the largest node that has registered lately, of equal ones another for each asking node, and waits for changes and short calls of an owner go through different ones. One that does not pass on a call is left alone for twice as long each time, as it would be chosen again by its size.

relay_test LargeNodesPassOnCalls failed before.

--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -17,8 +17,10 @@
 #define DIRECT_MIN (250 * SEAM_MSEC)
 /* Between looks whether a store that refused us serves us again. */
 #define PROBE_GAP (400 * SEAM_MSEC)
-/* A peer that could not pass on a call is left alone for this time. */
+/* A peer that could not pass on a call is left alone for this time, each time
+ * twice as long until it passes on one. */
 #define PEER_PAUSE (700 * SEAM_MSEC)
+#define PEER_PAUSES_MAX 4 /* doublings */
 #define PEER_CALL (900 * SEAM_MSEC)
 #define PEER_TRIES 3
 /* Without an answer for so long a node is better not asked for jobs. */
@@ -31,13 +33,15 @@
 SEAM_COUNT(refusals, "seam_store_refused_total",
 	   "Calls that the store did not answer for this node.");
 
-/* @store: its store calls; @state: its /v1/state; @live: registered lately;
- * @processor: thousandths of a core, 0 if it is not known */
+/* @store: its store calls; @state: its /v1/state; @failures: calls that it did
+ * not pass on since it did; @live: registered lately; @processor: thousandths
+ * of a core, 0 if it is not known */
 struct peer {
 	char addr[64];
 	struct seam_store *store;
 	struct seam_rest *state;
 	seam_time pause_until;
+	int failures;
 	bool live;
 	int processor;
 	char dc[SEAM_NAME];
@@ -67,7 +71,7 @@
 	pthread_mutex_t lock;
 	struct peer peer[PEERS_MAX];
 	int peers;
-	int next;
+	guint offset; /* of equal peers each node asks another one */
 	GHashTable *seen; /* row of a node to struct seen */
 	bool looked; /* the nodes' rows were read */
 	bool down;
@@ -131,30 +135,53 @@
 			 served ? "" : e->text);
 }
 
-/* The next peer that may be asked, or -1. */
-static int pick_peer(struct relay *r, seam_time now)
+static bool is_better(const struct peer *a, const struct peer *b)
+{
+	if (a->live != b->live)
+		return a->live;
+	return a->processor > b->processor;
+}
+
+/*
+ * The largest peer that may be asked, or -1: all that an owner has to read and
+ * write is more than a small node can pass on. Waits for changes go through
+ * another of equal peers than short calls.
+ */
+static int pick_peer(struct relay *r, bool waits, seam_time now)
 {
 	int found = -1;
 	int i;
 
 	pthread_mutex_lock(&r->lock);
-	for (i = 0; i < r->peers && found < 0; i++) {
-		int k = (r->next + i) % r->peers;
+	for (i = 0; i < r->peers; i++) {
+		int k = (int)((r->offset + (guint)waits + (guint)i) %
+			      (guint)r->peers);
 
-		if (now >= r->peer[k].pause_until)
+		if (now >= r->peer[k].pause_until &&
+		    (found < 0 || is_better(&r->peer[k], &r->peer[found])))
 			found = k;
 	}
-	/* The peer that served a call is asked again. */
-	if (found >= 0)
-		r->next = found;
 	pthread_mutex_unlock(&r->lock);
 	return found;
 }
 
-static void pause_peer(struct relay *r, int i)
+/* Whether peer @i has passed on a call; the store's answer counts. */
+static void note_peer(struct relay *r, int i, bool served)
 {
+	seam_time now = seam_now(r->clock);
+	struct peer *p = &r->peer[i];
+	int pauses;
+
 	pthread_mutex_lock(&r->lock);
-	r->peer[i].pause_until = seam_now(r->clock) + PEER_PAUSE;
+	if (served) {
+		p->failures = 0;
+		r->ok_at = now;
+	} else {
+		pauses = p->failures < PEER_PAUSES_MAX ? p->failures :
+							 PEER_PAUSES_MAX;
+		p->failures++;
+		p->pause_until = now + (PEER_PAUSE << pauses);
+	}
 	pthread_mutex_unlock(&r->lock);
 }
 
@@ -167,7 +194,8 @@
 	for (tries = 0; tries < PEER_TRIES; tries++) {
 		seam_time now = seam_now(r->clock);
 		seam_time end = now + PEER_CALL;
-		int i = pick_peer(r, now);
+		int i = pick_peer(r, c->version, now);
+		bool served;
 		int rc;
 
 		if (i < 0 || now >= deadline)
@@ -178,14 +206,11 @@
 		seam_err_clear(e);
 		seam_count_add(&relayed, 1);
 		rc = c->run(c, r->peer[i].store, end, e);
-		if (!rc || !is_unserved(e)) {
-			pthread_mutex_lock(&r->lock);
-			r->ok_at = seam_now(r->clock);
-			pthread_mutex_unlock(&r->lock);
+		served = !rc || !is_unserved(e);
+		note_peer(r, i, served);
+		if (served)
 			return rc;
-		}
 		*unsure = *unsure || e->kind == SEAM_COMMIT_UNKNOWN;
-		pause_peer(r, i);
 	}
 	return -1;
 }
@@ -363,6 +388,7 @@
 	r->seen =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	snprintf(r->node, sizeof(r->node), "%s", c->node);
+	r->offset = g_str_hash(c->node);
 	snprintf(r->control, sizeof(r->control), "%s", c->control);
 	snprintf(r->dc, sizeof(r->dc), "%s", c->data_centre);
 	r->processor = c->processor;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -216,6 +216,41 @@
 	EXPECT_FALSE(seam_store_relay_lost(a.relay));
 }
 
+// Guards an owner that the store does not answer: all its calls went through
+// one node, which had a tenth of the processor and of the link that they need.
+TEST(RelayNodes, LargeNodesPassOnCalls)
+{
+	FeedStore near;
+	FeedStore far[3];
+	Node owner{&near, "owner", 27030, test_addr(27031), 500};
+	Node small{&far[0], "small", 27031, "", 120};
+	Node large{&far[1], "large", 27032, "", 500};
+	Node tiny{&far[2], "tiny", 27033, "", 120};
+	seam_err e = SEAM_ERR_INIT;
+
+	near.put("node/a-small", test_addr(27031) + " 120 d1");
+	near.put("node/b-large", test_addr(27032) + " 500 d1");
+	near.put("node/c-tiny", test_addr(27033) + " 120 d1");
+	seam_store_relay_refresh(owner.relay);
+	near.down = true;
+	auto put = [&](const std::string &key) {
+		seam_write w = {SEAM_PUT, key.c_str(), SEAM_ABSENT, "x", 1};
+		seam_commit c = {&w, 1, seam_store_token(), 0};
+
+		return seam_store_commit(
+			owner.relay, &c,
+			seam_now(seam_clock_boot()) + 2 * SEAM_SEC, &e);
+	};
+	for (int i = 0; i < 5; i++) {
+		EXPECT_EQ(put("t/" + std::to_string(i)), 0) << e.text;
+		EXPECT_EQ(far[1].get("t/" + std::to_string(i)), "x");
+	}
+	/* Without it the others do. */
+	far[1].down = true;
+	EXPECT_EQ(put("t/a"), 0) << e.text;
+	EXPECT_EQ(far[0].get("t/a") + far[2].get("t/a"), "x");
+}
+
 // Guards against an owner on a small VM beside larger ones.
 TEST(RelayNodes, LargerNodeIsKnown)
 {
