json: a doubled name does not hide a file's other errors

Cause: such a file was not handed on to the checks of its members. It is now, and refused by whoever reads it, as it has a problem.

site_settings_test EveryErrorIsToldAtOnce: one line before, all three now.

--- a/base/json.c
+++ b/base/json.c
@@ -65,7 +65,8 @@
 	return line;
 }
 
-struct json_object *seam_json_parse(const char *text, struct seam_problems *p)
+/* Doubled names are not looked for. */
+static struct json_object *parse(const char *text, struct seam_problems *p)
 {
 	struct json_tokener *tok = json_tokener_new();
 	struct json_object *o;
@@ -96,13 +97,23 @@
 		snprintf(where, sizeof(where), "line %d", line_of(text, end));
 		seam_problem(p, where, "text after the end of the document");
 	}
+	if (p->n == before)
+		return o;
+	json_object_put(o);
+	return NULL;
+}
+
+struct json_object *seam_json_parse(const char *text, struct seam_problems *p)
+{
+	struct json_object *o = parse(text, p);
+	size_t before = p->n;
+
 	if (o)
 		seam_json_doubled(text, p);
-	if (p->n != before) {
-		json_object_put(o);
-		return NULL;
-	}
-	return o;
+	if (p->n == before)
+		return o;
+	json_object_put(o);
+	return NULL;
 }
 
 static char *read_all(FILE *f)
@@ -148,9 +159,11 @@
 	if (f != stdin)
 		fclose(f);
 	if (text)
-		o = seam_json_parse(text, p);
+		o = parse(text, p);
 	else
 		seam_problem(p, "", "file is larger than 64 MB");
+	if (o)
+		seam_json_doubled(text, p);
 	free(text);
 	return o;
 }
--- a/base/json.h
+++ b/base/json.h
@@ -47,7 +47,16 @@
  */
 struct json_object *seam_json_parse(const char *text, struct seam_problems *p);
 
-/** seam_json_file() - read and parse a file; at most 64 MB */
+/**
+ * seam_json_file() - read and parse a file; at most 64 MB
+ * @name: its name, or "-" for standard input
+ * @p: receives what is wrong
+ *
+ * A file with doubled names is returned, so that its other problems are told as
+ * well; the caller refuses it if @p has any.
+ *
+ * Return: an object with one reference, or NULL.
+ */
 struct json_object *seam_json_file(const char *name, struct seam_problems *p);
 
 /** seam_json_doubled() - report names that occur twice in one object */
--- a/cmd/common.c
+++ b/cmd/common.c
@@ -18,7 +18,7 @@
 	struct seam_change ch = {.reason = "first configuration",
 				 .operator_name = who};
 
-	if (first) {
+	if (first && !p.n) {
 		ch.change = seam_conf_diff(empty, first);
 		done = seam_conf_commit(s, k, &ch, seam_now(k) + COMMIT_TIME,
 					e);
--- a/cmd/ctl_config.c
+++ b/cmd/ctl_config.c
@@ -26,6 +26,10 @@
 
 	for (i = 0; i < p.n; i++)
 		fprintf(stderr, "seamctl: %s\n", p.text[i]);
+	if (p.n) {
+		seam_conf_drop(c);
+		c = NULL;
+	}
 	seam_problems_free(&p);
 	json_object_put(o);
 	return c;
--- a/process/settings.c
+++ b/process/settings.c
@@ -123,12 +123,12 @@
 int seam_settings_file(const char *name, struct seam_settings *s,
 		       struct seam_problems *p)
 {
+	size_t before = p->n;
 	struct json_object *o = seam_json_file(name, p);
-	int rc;
 
 	if (!o)
 		return -1;
-	rc = seam_settings_read(o, s, p);
+	seam_settings_read(o, s, p);
 	json_object_put(o);
-	return rc;
+	return p->n == before ? 0 : -1;
 }
--- a/process/site_settings.c
+++ b/process/site_settings.c
@@ -65,6 +65,7 @@
 int seam_site_settings_file(const char *name, struct seam_site_settings *s,
 			    struct seam_problems *p)
 {
+	size_t before = p->n;
 	struct json_object *o = seam_json_file(name, p);
 	const struct {
 		const char *name;
@@ -74,7 +75,6 @@
 		{"control", s->control},       {"store", s->store},
 		{"vm_service", s->vm_service},
 	};
-	size_t before = p->n;
 	size_t i;
 
 	if (!o)
--- a/tests/site_settings_test.cc
+++ b/tests/site_settings_test.cc
@@ -6,12 +6,11 @@
 
 #include "process/site_settings.h"
 
-// Reads settings with @more members after the required ones.
-static seam_site_settings read(const std::string &more)
+static const char *const name = "/tmp/seam_site_settings_test.json";
+
+// Writes settings with @more members after the required ones.
+static void write(const std::string &more)
 {
-	const char *name = "/tmp/seam_site_settings_test.json";
-	seam_problems p = {name, nullptr, 0};
-	seam_site_settings s;
 	FILE *f = fopen(name, "w");
 
 	fprintf(f,
@@ -21,6 +20,14 @@
 		"\"store\":\"127.0.0.1:4\",\"vm_service\":\"127.0.0.1:5\"%s}",
 		more.c_str());
 	fclose(f);
+}
+
+static seam_site_settings read(const std::string &more)
+{
+	seam_problems p = {name, nullptr, 0};
+	seam_site_settings s;
+
+	write(more);
 	EXPECT_EQ(seam_site_settings_file(name, &s, &p), 0)
 		<< (p.n ? p.text[0] : "");
 	seam_problems_free(&p);
@@ -44,3 +51,34 @@
 	EXPECT_EQ(read("").threads, 512);
 	EXPECT_EQ(read(",\"threads\":40,\"cpu_share\":0.12").threads, 40);
 }
+
+// Guards the operator's time: a doubled name hid all other errors.
+TEST(SiteSettings, EveryErrorIsToldAtOnce)
+{
+	seam_problems p = {name, nullptr, 0};
+	seam_site_settings s;
+	std::string all;
+
+	write(",\"node\":\"m\",\"threads\":-4,\"unknown\":1");
+	EXPECT_EQ(seam_site_settings_file(name, &s, &p), -1);
+	for (size_t i = 0; i < p.n; i++)
+		all += std::string(p.text[i]) + "\n";
+	EXPECT_NE(all.find("\"node\" occurs twice"), std::string::npos) << all;
+	EXPECT_NE(all.find("threads"), std::string::npos) << all;
+	EXPECT_NE(all.find("unknown"), std::string::npos) << all;
+	seam_problems_free(&p);
+	remove(name);
+}
+
+// Guards the refusal of a doubled name that is the only error.
+TEST(SiteSettings, DoubledNameIsRefused)
+{
+	seam_problems p = {name, nullptr, 0};
+	seam_site_settings s;
+
+	write(",\"node\":\"m\"");
+	EXPECT_EQ(seam_site_settings_file(name, &s, &p), -1);
+	EXPECT_EQ(p.n, 1u);
+	seam_problems_free(&p);
+	remove(name);
+}
