--- a/fake/board.c
+++ b/fake/board.c
@@ -107,7 +107,7 @@
 
 	++*runs;
 	if (at->run->state == SEAM_RUN_SENT)
-		board_run_told(w->board, at->run, SEAM_RUN_LIVE);
+		board_run_set_state(w->board, at->run, SEAM_RUN_LIVE);
 }
 
 int seam_fake_board_answer(struct seam_fake_board *f)
--- a/process/board_impl.h
+++ b/process/board_impl.h
@@ -85,8 +85,9 @@
 void board_start_over(struct seam_board *b, struct seam_run_slot *r);
 void board_starts_expire(struct seam_board *b, seam_time now);
 
-/* board_runs.c; board_run_told() gives it another state than SENT */
-void board_run_told(struct seam_board *b, struct seam_run_slot *r, int state);
+/* board_runs.c */
+void board_run_set_state(struct seam_board *b, struct seam_run_slot *r,
+			 int state);
 struct seam_run_slot *board_run_add(struct seam_board *b, struct seam_job *j,
 				    int step, int task, struct seam_worker *w,
 				    int64_t number, int state);
--- a/process/board_link.c
+++ b/process/board_link.c
@@ -150,7 +150,7 @@
 	}
 	if (v->failed == SEAM_OK && v->said == SEAM_ORDER_DONE) {
 		if (r && r->state == SEAM_RUN_SENT) {
-			board_run_told(b, r, SEAM_RUN_LIVE);
+			board_run_set_state(b, r, SEAM_RUN_LIVE);
 			r->live_at = seam_now(b->clock);
 			/* The next start may be sent. */
 			board_wake_pass(b);
@@ -169,7 +169,7 @@
 		return;
 	if (v->unknown || o->unknown) {
 		seam_count_add(&unsure, 1);
-		board_run_told(b, r, SEAM_RUN_UNSURE);
+		board_run_set_state(b, r, SEAM_RUN_UNSURE);
 		return;
 	}
 	drop_start(w, j, o, r);
@@ -208,7 +208,7 @@
 	    !seam_op_state_is_out(b->op_state, w->info.dc))
 		return true;
 	if (o->unknown)
-		board_run_told(b, r, SEAM_RUN_UNSURE);
+		board_run_set_state(b, r, SEAM_RUN_UNSURE);
 	else
 		drop_start(w, *j, o, r);
 	return false;
--- a/process/board_listing.c
+++ b/process/board_listing.c
@@ -176,7 +176,7 @@
 	}
 	if (r->state != SEAM_RUN_LIVE)
 		r->live_at = now;
-	board_run_told(b, r, SEAM_RUN_LIVE);
+	board_run_set_state(b, r, SEAM_RUN_LIVE);
 	r->percent = l->percent;
 	r->listed_at = now;
 	if (*l->checkpoint)
--- a/process/board_pass.c
+++ b/process/board_pass.c
@@ -213,12 +213,12 @@
 	int slow;
 
 	if (s->per_worker || s->target_ms || s->fills || *s->label) {
-		seam_rooms_with(rooms, pool, s->label, add_each, c);
+		seam_rooms_labelled(rooms, pool, s->label, add_each, c);
 		best_of(c, &best);
 		return best;
 	}
 	if (*s->rack)
-		seam_rooms_with(rooms, pool, s->rack, add_each, c);
+		seam_rooms_labelled(rooms, pool, s->rack, add_each, c);
 	f = best_of(c, &best);
 	for (slow = 0; slow < 2 && (!f || f->avoid); slow++) {
 		seam_rooms_fullest(rooms, pool, s->need.cpu, slow, add_first,
--- a/process/board_runs.c
+++ b/process/board_runs.c
@@ -70,7 +70,8 @@
 	sum->gpu += sign * a->gpu;
 }
 
-void board_run_told(struct seam_board *b, struct seam_run_slot *r, int state)
+void board_run_set_state(struct seam_board *b, struct seam_run_slot *r,
+			 int state)
 {
 	board_start_over(b, r);
 	r->state = state;
@@ -120,7 +121,7 @@
 	struct seam_amount need = board_step_need(&j->row.spec.step[step]);
 	guint i;
 
-	board_run_told(b, r, SEAM_RUN_FREE);
+	board_run_set_state(b, r, SEAM_RUN_FREE);
 	j->runs--;
 	if (board_task_idle(j, step, task)) {
 		j->idle[step]++;
--- a/process/rooms.c
+++ b/process/rooms.c
@@ -177,8 +177,8 @@
 	return false;
 }
 
-void seam_rooms_with(struct seam_rooms *r, const char *pool, const char *label,
-		     seam_room_fn fn, void *arg)
+void seam_rooms_labelled(struct seam_rooms *r, const char *pool,
+			 const char *label, seam_room_fn fn, void *arg)
 {
 	struct pool *p = g_hash_table_lookup(r->pool, pool);
 	GHashTableIter it;
--- a/process/rooms.h
+++ b/process/rooms.h
@@ -62,10 +62,10 @@
 void seam_rooms_fullest(struct seam_rooms *r, const char *pool, int64_t cpu,
 			bool slow, seam_room_fn fn, void *arg);
 
-/** seam_rooms_with() - walk over the workers of a pool with a label, or all of
- * them if it is "" */
-void seam_rooms_with(struct seam_rooms *r, const char *pool, const char *label,
-		     seam_room_fn fn, void *arg);
+/** seam_rooms_labelled() - walk over the workers of a pool with a label, or all
+ * of them if it is "" */
+void seam_rooms_labelled(struct seam_rooms *r, const char *pool,
+			 const char *label, seam_room_fn fn, void *arg);
 
 #ifdef __cplusplus
 }
--- a/tests/rooms_test.cc
+++ b/tests/rooms_test.cc
@@ -71,7 +71,7 @@
 			if (m.second.pool == pool &&
 			    (label.empty() || m.second.rack == label))
 				want.push_back(m.first);
-		seam_rooms_with(r, pool.c_str(), label.c_str(), add, &got);
+		seam_rooms_labelled(r, pool.c_str(), label.c_str(), add, &got);
 		std::sort(got.begin(), got.end());
 		EXPECT_EQ(got, want);
 	}
