--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -9,7 +9,7 @@
 
 #define CTL_WORDS 4
 
-/** Exit codes of seamctl; docs/operating.md lists them. */
+/** Exit codes of seamctl; docs/OPERATIONS.md lists them. */
 enum { CTL_DONE, CTL_REFUSED, CTL_USAGE, CTL_FILE, CTL_UNREACHABLE };
 
 /**
