--- /dev/null
+++ b/process/store_peers.c
@@ -0,0 +1,217 @@
+/* The other nodes: which are there, and which passes on a call. */
+#include "process/store_relay_impl.h"
+#include "base/json.h"
+#include "base/log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A peer that could not pass on a call is left alone for this time, each time
+ * twice as long until it passes on one. */
+#define PEER_PAUSE (700 * SEAM_MSEC)
+#define PEER_PAUSES_MAX 4 /* doublings */
+#define GONE_LOOKS 5 /* looks without a change of a row: its node is gone */
+#define REFRESH_CALL (800 * SEAM_MSEC)
+/* A node's row: its version at the last look, and looks without a change. */
+struct seen {
+	uint64_t version;
+	int unchanged;
+};
+
+static bool is_better(const struct peer *a, const struct peer *b)
+{
+	if (a->live != b->live)
+		return a->live;
+	return a->processor > b->processor;
+}
+
+/*
+ * The largest peer that may be asked, or -1: all that an owner has to read and
+ * write is more than a small node can pass on. Waits for changes go through
+ * another of equal peers than short calls.
+ */
+int relay_pick_peer(struct relay *r, bool waits, seam_time now)
+{
+	int found = -1;
+	int i;
+
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->peers; i++) {
+		int k = (int)((r->offset + (guint)waits + (guint)i) %
+			      (guint)r->peers);
+
+		if (now >= r->peer[k].pause_until &&
+		    (found < 0 || is_better(&r->peer[k], &r->peer[found])))
+			found = k;
+	}
+	pthread_mutex_unlock(&r->lock);
+	return found;
+}
+
+/* Whether peer @i has passed on a call; the store's answer counts. */
+void relay_note_peer(struct relay *r, int i, bool served)
+{
+	seam_time now = seam_now(r->clock);
+	struct peer *p = &r->peer[i];
+	int pauses;
+
+	pthread_mutex_lock(&r->lock);
+	if (served) {
+		p->failures = 0;
+		r->ok_at = now;
+	} else {
+		pauses = p->failures < PEER_PAUSES_MAX ? p->failures :
+							 PEER_PAUSES_MAX;
+		p->failures++;
+		p->pause_until = now + (PEER_PAUSE << pauses);
+	}
+	pthread_mutex_unlock(&r->lock);
+}
+
+/* Peers are never removed: one that is gone is paused after each call. */
+void relay_add_peer(struct relay *r, const char *addr, int processor,
+		    const char *dc, bool live)
+{
+	char url[128];
+	int i;
+
+	if (!*addr || !strcmp(addr, r->control))
+		return;
+	snprintf(url, sizeof(url), "http://%s/v1/store", addr);
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->peers; i++)
+		if (!strcmp(r->peer[i].addr, addr))
+			break;
+	if (i == r->peers && r->peers < PEERS_MAX) {
+		struct peer *p = &r->peer[r->peers];
+
+		snprintf(p->addr, sizeof(p->addr), "%s", addr);
+		p->store = seam_store_http_new(r->clock, url);
+		snprintf(url, sizeof(url), "http://%s", addr);
+		p->state = seam_rest_new(r->clock, url);
+		if (p->store && p->state)
+			r->peers++;
+	}
+	if (i < r->peers) {
+		r->peer[i].live = live;
+		r->peer[i].processor = processor;
+		snprintf(r->peer[i].dc, sizeof(r->peer[i].dc), "%s", dc);
+	}
+	pthread_mutex_unlock(&r->lock);
+}
+
+/*
+ * A row is written again with each refresh of its node. One that was not for
+ * several looks is of a node that is gone and need not be waited for. Nodes
+ * refresh as often as we look, so that a single look may find a row unchanged.
+ */
+static void take_node(struct relay *r, const struct seam_row *row)
+{
+	struct seen *s = g_hash_table_lookup(r->seen, row->key);
+	char addr[64] = "";
+	char dc[SEAM_NAME] = "";
+	int processor = 0;
+
+	if (!s) {
+		s = g_new0(struct seen, 1);
+		g_hash_table_insert(r->seen, g_strdup(row->key), s);
+	}
+	s->unchanged = s->version == row->version ? s->unchanged + 1 : 0;
+	s->version = row->version;
+	sscanf(row->data, "%63s %d %63s", addr, &processor, dc);
+	relay_add_peer(r, addr, processor, dc, s->unchanged < GONE_LOOKS);
+}
+
+void seam_store_relay_refresh(struct seam_store *base)
+{
+	struct relay *r = (struct relay *)base;
+	seam_time deadline = seam_now(r->clock) + REFRESH_CALL;
+	struct seam_err e = SEAM_ERR_INIT;
+	char key[SEAM_KEY_MAX];
+	char text[160];
+	int n = snprintf(text, sizeof(text), "%s %d %s", r->control,
+			 r->processor, r->dc);
+	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
+			       (size_t)n};
+	struct seam_commit c = {&w, 1, seam_store_token(), 0};
+	struct seam_rows rows = {NULL, 0, 0};
+	size_t i;
+
+	snprintf(key, sizeof(key), SEAM_NODE_ROWS "%s", r->node);
+	if (!seam_store_scan(base, SEAM_NODE_ROWS, NULL, PEERS_MAX, &rows,
+			     deadline, &e)) {
+		for (i = 0; i < rows.n; i++)
+			take_node(r, &rows.row[i]);
+		__atomic_store_n(&r->looked, true, __ATOMIC_RELEASE);
+		seam_rows_free(&rows);
+	}
+	if (seam_store_commit(base, &c, deadline, &e))
+		seam_log(SEAM_WARN, "store",
+			 "event=node_unregistered node=%s why=\"%s\"", r->node,
+			 e.text);
+}
+
+/* Whether the peer says that the store is away for it. */
+static bool peer_lost(struct peer *p, seam_time deadline)
+{
+	struct seam_rest_call c = {
+		.method = "GET", .path = "/v1/state", .deadline = deadline};
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_rest_answer a;
+	bool lost;
+
+	if (seam_rest_do(p->state, &c, &a, &e))
+		return false;
+	lost = a.body && strstr(a.body, "\"store\":\"lost\"");
+	free(a.body);
+	return lost;
+}
+
+bool seam_store_relay_all_lost(struct seam_store *base, seam_time deadline)
+{
+	struct relay *r = (struct relay *)base;
+	int i;
+
+	if (!__atomic_load_n(&r->looked, __ATOMIC_ACQUIRE))
+		return false;
+	for (i = 0; i < r->peers; i++)
+		if (r->peer[i].live && !peer_lost(&r->peer[i], deadline))
+			return false;
+	return true;
+}
+
+bool seam_store_relay_larger(struct seam_store *base)
+{
+	struct relay *r = (struct relay *)base;
+	bool larger = false;
+	int i;
+
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->peers; i++)
+		larger = larger ||
+			 (r->peer[i].live &&
+			  2 * r->peer[i].processor >= 3 * r->processor);
+	pthread_mutex_unlock(&r->lock);
+	return larger;
+}
+
+size_t seam_store_relay_nodes(struct seam_store *base,
+			      struct seam_node_info *info, size_t max)
+{
+	struct relay *r = (struct relay *)base;
+	size_t n = 0;
+
+	pthread_mutex_lock(&r->lock);
+	for (; n < (size_t)r->peers && n < max; n++) {
+		const struct peer *p = &r->peer[n];
+
+		memset(&info[n], 0, sizeof(info[n]));
+		snprintf(info[n].addr, sizeof(info[n].addr), "%s", p->addr);
+		snprintf(info[n].dc, sizeof(info[n].dc), "%s", p->dc);
+		info[n].processor = p->processor;
+		info[n].live = p->live;
+	}
+	pthread_mutex_unlock(&r->lock);
+	return n;
+}
--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -1,99 +1,28 @@
-#include "process/store_relay.h"
+#include "process/store_relay_impl.h"
 #include "base/count.h"
-#include "base/json.h"
 #include "base/log.h"
-#include "process/rest.h"
-#include "process/store_serve.h"
 
-#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define PEERS_MAX 64
 /* The first attempt of a call leaves time for one through another node. */
 #define DIRECT_PART 2
 #define CALL_MIN (10 * SEAM_MSEC) /* less is not enough for an answer */
 #define DIRECT_MIN (250 * SEAM_MSEC)
 /* Between looks whether a store that refused us serves us again. */
 #define PROBE_GAP (400 * SEAM_MSEC)
-/* A peer that could not pass on a call is left alone for this time, each time
- * twice as long until it passes on one. */
-#define PEER_PAUSE (700 * SEAM_MSEC)
-#define PEER_PAUSES_MAX 4 /* doublings */
 #define PEER_CALL (900 * SEAM_MSEC)
 /* A peer that the store does not answer refuses at once, and most may. */
 #define PEER_TRIES 8
 /* Without an answer for so long a node is better not asked for jobs. */
 #define LOST (700 * SEAM_MSEC)
-#define GONE_LOOKS 5 /* looks without a change of a row: its node is gone */
-#define REFRESH_CALL (800 * SEAM_MSEC)
 
 SEAM_COUNT(relayed, "seam_store_relayed_total",
 	   "Calls to the store that went through another node.");
 SEAM_COUNT(refusals, "seam_store_refused_total",
 	   "Calls that the store did not answer for this node.");
 
-/* @store: its store calls; @state: its /v1/state; @failures: calls that it did
- * not pass on since it did; @live: registered lately; @processor: thousandths
- * of a core, 0 if it is not known */
-struct peer {
-	char addr[64];
-	struct seam_store *store;
-	struct seam_rest *state;
-	seam_time pause_until;
-	int failures;
-	bool live;
-	int processor;
-	char dc[SEAM_NAME];
-};
-
-/* A node's row: its version at the last look, and looks without a change. */
-struct seen {
-	uint64_t version;
-	int unchanged;
-};
-
-struct relay;
-struct call;
-
-/* The store as this node uses it, or as others do through this node. */
-struct view {
-	struct seam_store store;
-	struct relay *relay;
-	int (*carry)(struct relay *r, struct call *c, seam_time deadline,
-		     struct seam_err *e);
-};
-
-/*
- * @own: for this node
- * @lent: for the others
- * @direct: the store
- * @down: it did not serve the latest call
- * @probe_at: when the next call tries it again
- * @ok_at: when a call was answered last, directly or not
- */
-struct relay {
-	struct view own;
-	struct view lent;
-	struct seam_store *direct;
-	struct seam_store_serve served;
-	struct seam_clock *clock;
-	char node[64];
-	char control[64];
-	char dc[SEAM_NAME];
-	int processor;
-	pthread_mutex_t lock;
-	struct peer peer[PEERS_MAX];
-	int peers;
-	guint offset; /* of equal peers each node asks another one */
-	GHashTable *seen; /* row of a node to struct seen */
-	bool looked; /* the nodes' rows were read */
-	bool down;
-	seam_time probe_at;
-	seam_time ok_at;
-};
-
 /* One call to a store; returns as the call does. */
 struct call {
 	int (*run)(struct call *c, struct seam_store *s, seam_time deadline,
@@ -160,56 +89,6 @@
 			 served ? "" : e->text);
 }
 
-static bool is_better(const struct peer *a, const struct peer *b)
-{
-	if (a->live != b->live)
-		return a->live;
-	return a->processor > b->processor;
-}
-
-/*
- * The largest peer that may be asked, or -1: all that an owner has to read and
- * write is more than a small node can pass on. Waits for changes go through
- * another of equal peers than short calls.
- */
-static int pick_peer(struct relay *r, bool waits, seam_time now)
-{
-	int found = -1;
-	int i;
-
-	pthread_mutex_lock(&r->lock);
-	for (i = 0; i < r->peers; i++) {
-		int k = (int)((r->offset + (guint)waits + (guint)i) %
-			      (guint)r->peers);
-
-		if (now >= r->peer[k].pause_until &&
-		    (found < 0 || is_better(&r->peer[k], &r->peer[found])))
-			found = k;
-	}
-	pthread_mutex_unlock(&r->lock);
-	return found;
-}
-
-/* Whether peer @i has passed on a call; the store's answer counts. */
-static void note_peer(struct relay *r, int i, bool served)
-{
-	seam_time now = seam_now(r->clock);
-	struct peer *p = &r->peer[i];
-	int pauses;
-
-	pthread_mutex_lock(&r->lock);
-	if (served) {
-		p->failures = 0;
-		r->ok_at = now;
-	} else {
-		pauses = p->failures < PEER_PAUSES_MAX ? p->failures :
-							 PEER_PAUSES_MAX;
-		p->failures++;
-		p->pause_until = now + (PEER_PAUSE << pauses);
-	}
-	pthread_mutex_unlock(&r->lock);
-}
-
 /* @unsure is set when an attempt ends that may still apply. */
 static int through_peers(struct relay *r, struct call *c, seam_time deadline,
 			 bool *unsure, struct seam_err *e)
@@ -219,7 +98,7 @@
 	for (tries = 0; tries < PEER_TRIES; tries++) {
 		seam_time now = seam_now(r->clock);
 		seam_time end = now + PEER_CALL;
-		int i = pick_peer(r, c->version, now);
+		int i = relay_pick_peer(r, c->version, now);
 		bool served;
 		int rc;
 
@@ -232,7 +111,7 @@
 		seam_count_add(&relayed, 1);
 		rc = c->run(c, r->peer[i].store, end, e);
 		served = !rc || !is_unserved(e);
-		note_peer(r, i, served);
+		relay_note_peer(r, i, served);
 		if (served)
 			return rc;
 		*unsure = *unsure || e->kind == SEAM_COMMIT_UNKNOWN;
@@ -412,38 +291,6 @@
 	.watch = view_watch,
 };
 
-/* Peers are never removed: one that is gone is paused after each call. */
-static void add_peer(struct relay *r, const char *addr, int processor,
-		     const char *dc, bool live)
-{
-	char url[128];
-	int i;
-
-	if (!*addr || !strcmp(addr, r->control))
-		return;
-	snprintf(url, sizeof(url), "http://%s/v1/store", addr);
-	pthread_mutex_lock(&r->lock);
-	for (i = 0; i < r->peers; i++)
-		if (!strcmp(r->peer[i].addr, addr))
-			break;
-	if (i == r->peers && r->peers < PEERS_MAX) {
-		struct peer *p = &r->peer[r->peers];
-
-		snprintf(p->addr, sizeof(p->addr), "%s", addr);
-		p->store = seam_store_http_new(r->clock, url);
-		snprintf(url, sizeof(url), "http://%s", addr);
-		p->state = seam_rest_new(r->clock, url);
-		if (p->store && p->state)
-			r->peers++;
-	}
-	if (i < r->peers) {
-		r->peer[i].live = live;
-		r->peer[i].processor = processor;
-		snprintf(r->peer[i].dc, sizeof(r->peer[i].dc), "%s", dc);
-	}
-	pthread_mutex_unlock(&r->lock);
-}
-
 struct seam_store *seam_store_relay_new(struct seam_store *direct,
 					struct seam_clock *k,
 					const struct seam_relay_conf *c)
@@ -468,126 +315,11 @@
 	r->processor = c->processor;
 	seed = g_strsplit(c->seeds, ",", -1);
 	for (i = 0; seed[i]; i++)
-		add_peer(r, seed[i], 0, "", false);
+		relay_add_peer(r, seed[i], 0, "", false);
 	g_strfreev(seed);
 	return &r->own.store;
 }
 
-/*
- * A row is written again with each refresh of its node. One that was not for
- * several looks is of a node that is gone and need not be waited for. Nodes
- * refresh as often as we look, so that a single look may find a row unchanged.
- */
-static void take_node(struct relay *r, const struct seam_row *row)
-{
-	struct seen *s = g_hash_table_lookup(r->seen, row->key);
-	char addr[64] = "";
-	char dc[SEAM_NAME] = "";
-	int processor = 0;
-
-	if (!s) {
-		s = g_new0(struct seen, 1);
-		g_hash_table_insert(r->seen, g_strdup(row->key), s);
-	}
-	s->unchanged = s->version == row->version ? s->unchanged + 1 : 0;
-	s->version = row->version;
-	sscanf(row->data, "%63s %d %63s", addr, &processor, dc);
-	add_peer(r, addr, processor, dc, s->unchanged < GONE_LOOKS);
-}
-
-void seam_store_relay_refresh(struct seam_store *base)
-{
-	struct relay *r = (struct relay *)base;
-	seam_time deadline = seam_now(r->clock) + REFRESH_CALL;
-	struct seam_err e = SEAM_ERR_INIT;
-	char key[SEAM_KEY_MAX];
-	char text[160];
-	int n = snprintf(text, sizeof(text), "%s %d %s", r->control,
-			 r->processor, r->dc);
-	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
-			       (size_t)n};
-	struct seam_commit c = {&w, 1, seam_store_token(), 0};
-	struct seam_rows rows = {NULL, 0, 0};
-	size_t i;
-
-	snprintf(key, sizeof(key), SEAM_NODE_ROWS "%s", r->node);
-	if (!view_scan(base, SEAM_NODE_ROWS, NULL, PEERS_MAX, &rows, deadline,
-		       &e)) {
-		for (i = 0; i < rows.n; i++)
-			take_node(r, &rows.row[i]);
-		__atomic_store_n(&r->looked, true, __ATOMIC_RELEASE);
-		seam_rows_free(&rows);
-	}
-	if (view_commit(base, &c, deadline, &e))
-		seam_log(SEAM_WARN, "store",
-			 "event=node_unregistered node=%s why=\"%s\"", r->node,
-			 e.text);
-}
-
-/* Whether the peer says that the store is away for it. */
-static bool peer_lost(struct peer *p, seam_time deadline)
-{
-	struct seam_rest_call c = {
-		.method = "GET", .path = "/v1/state", .deadline = deadline};
-	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_rest_answer a;
-	bool lost;
-
-	if (seam_rest_do(p->state, &c, &a, &e))
-		return false;
-	lost = a.body && strstr(a.body, "\"store\":\"lost\"");
-	free(a.body);
-	return lost;
-}
-
-bool seam_store_relay_all_lost(struct seam_store *base, seam_time deadline)
-{
-	struct relay *r = (struct relay *)base;
-	int i;
-
-	if (!__atomic_load_n(&r->looked, __ATOMIC_ACQUIRE))
-		return false;
-	for (i = 0; i < r->peers; i++)
-		if (r->peer[i].live && !peer_lost(&r->peer[i], deadline))
-			return false;
-	return true;
-}
-
-bool seam_store_relay_larger(struct seam_store *base)
-{
-	struct relay *r = (struct relay *)base;
-	bool larger = false;
-	int i;
-
-	pthread_mutex_lock(&r->lock);
-	for (i = 0; i < r->peers; i++)
-		larger = larger ||
-			 (r->peer[i].live &&
-			  2 * r->peer[i].processor >= 3 * r->processor);
-	pthread_mutex_unlock(&r->lock);
-	return larger;
-}
-
-size_t seam_store_relay_nodes(struct seam_store *base,
-			      struct seam_node_info *info, size_t max)
-{
-	struct relay *r = (struct relay *)base;
-	size_t n = 0;
-
-	pthread_mutex_lock(&r->lock);
-	for (; n < (size_t)r->peers && n < max; n++) {
-		const struct peer *p = &r->peer[n];
-
-		memset(&info[n], 0, sizeof(info[n]));
-		snprintf(info[n].addr, sizeof(info[n].addr), "%s", p->addr);
-		snprintf(info[n].dc, sizeof(info[n].dc), "%s", p->dc);
-		info[n].processor = p->processor;
-		info[n].live = p->live;
-	}
-	pthread_mutex_unlock(&r->lock);
-	return n;
-}
-
 static void serve_state(struct seam_call *c, void *arg)
 {
 	bool lost = seam_store_relay_lost(arg);
