scheduler: log what a task waits for, also after an answered start

event=started is told with each confirmed start. event=task_waits also covers jobs of which nothing runs after a start without an answer, tells the wait for the process of now (late_start) from the one for the next process (late_wait), and has its end. event=load names the node with the most pending starts.

--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -235,6 +235,13 @@
 			scheduler_run_set_state(sched, r, SEAM_RUN_RUNNING);
 			j->started = true;
 			r->running_at = seam_now(sched->clock);
+			seam_log(SEAM_INFO, "job",
+				 "event=started task=%s run=%lld worker=%s "
+				 "lane=%d after_ms=%lld",
+				 o->name, (long long)o->run, w->info.id,
+				 w->lane,
+				 (long long)(r->running_at - r->sent_at) /
+					 SEAM_MSEC);
 			/* A pending start ended, so the next may be sent. */
 			scheduler_wake_pass(sched);
 		}
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -115,11 +115,11 @@
 	}
 	if (seam_now(sched->clock) < t->not_before)
 		return "pause";
-	if (scheduler_late_start_possible(sched, t) ||
-	    scheduler_waits_for_late_worker(sched, t)) {
-		*w = scheduler_late_worker(sched, t);
+	*w = scheduler_late_worker(sched, t);
+	if (scheduler_late_start_possible(sched, t))
 		return "late_start";
-	}
+	if (scheduler_waits_for_late_worker(sched, t))
+		return "late_wait";
 	return delay[j->delay_reason];
 }
 
@@ -134,12 +134,18 @@
 
 	seam_log(SEAM_INFO, "job",
 		 "event=task_waits job=%s step=%d task=%lld pool=%s why=%s "
-		 "waited_ms=%lld worker=%s answered=%d draining=%d listed=%d "
-		 "lease_left_ms=%lld",
+		 "waited_ms=%lld worker=%s answered=%d usable=%d draining=%d "
+		 "listed=%d lease_left_ms=%lld refused=%d late_left_ms=%lld "
+		 "late_wait_left_ms=%lld late_starts=%d",
 		 j->row.spec.id, step, (long long)task, j->row.spec.pool, why,
 		 (long long)waited / SEAM_MSEC, w ? w->info.id : "",
-		 w && w->answered, w && w->info.draining, w && w->listed,
-		 w ? (long long)(w->lease_end - now) / SEAM_MSEC : 0LL);
+		 w && w->answered, w && scheduler_worker_usable(w, now),
+		 w && w->info.draining, w && w->listed,
+		 w ? (long long)(w->lease_end - now) / SEAM_MSEC : 0LL,
+		 w && w->answered_token > t->late_token,
+		 (long long)(t->late_until - now) / SEAM_MSEC,
+		 (long long)(t->late_wait_until - now) / SEAM_MSEC,
+		 t->late_starts);
 }
 
 /* Returns for how long no run of a task was listed. */
@@ -167,7 +173,7 @@
 	for (t = 0; t < j->row.spec.step[step].tasks; t++) {
 		seam_time waited = unlisted_time(j, step, t, now);
 
-		if (waited < WAIT_LOG_MIN)
+		if (j->row.done[step][t] || waited < WAIT_LOG_MIN)
 			continue;
 		if (logged + n++ < WAIT_LINES_MAX)
 			log_waiting_task(sched, j, step, t, waited);
@@ -175,25 +181,75 @@
 	return n;
 }
 
-/* Logs lasting tasks that do not run: they never end, so no other line does. */
+/* Whether a worker has confirmed a run of @j that has not ended. */
+static bool has_confirmed_run(const struct seam_job *j)
+{
+	const struct seam_run_slot *r;
+	int i;
+	int64_t t;
+
+	for (i = 0; i < j->row.spec.steps; i++)
+		for (t = 0; t < j->row.spec.step[i].tasks; t++) {
+			r = first_run(&j->task[i][t]);
+			if (r && r->state == SEAM_RUN_RUNNING)
+				return true;
+		}
+	return false;
+}
+
+/*
+ * Whether waiting tasks of @step are logged: those that last, and those of a
+ * job of which nothing runs because starts got no answer. The load line counts
+ * jobs that wait for room, for their turn or for a limit.
+ */
+static bool logs_waiting_step(const struct seam_job *j, int step)
+{
+	if (seam_job_finished(j->row.state) ||
+	    !scheduler_step_is_ready(j, step))
+		return false;
+	if (j->row.spec.step[step].lasting)
+		return true;
+	return j->delay_reason == SEAM_DELAY_UNCONFIRMED && j->begun &&
+	       !has_confirmed_run(j);
+}
+
+/* Logs tasks that do not run although no line tells what they wait for. */
 static void log_waiting_tasks(struct seam_scheduler *sched)
 {
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	struct seam_job *j;
-	int64_t n = 0;
+	int64_t lasting = 0;
+	int64_t others = 0;
 	int i;
 
 	while ((j = seam_table_next(sched->jobs, &h)))
-		for (i = 0; i < j->row.spec.steps; i++)
-			if (j->row.spec.step[i].lasting &&
-			    !seam_job_finished(j->row.state) &&
-			    scheduler_step_is_ready(j, i))
-				n += log_waiting_step(sched, j, i, n);
-	seam_metric_set(&lasting_waiting, n);
+		for (i = 0; i < j->row.spec.steps; i++) {
+			int64_t *n = j->row.spec.step[i].lasting ? &lasting :
+								   &others;
+
+			if (logs_waiting_step(j, i))
+				*n += log_waiting_step(sched, j, i,
+						       lasting + others);
+		}
+	seam_metric_set(&lasting_waiting, lasting);
+}
+
+/* Returns the lane with the most pending starts, or NULL without any. */
+static const struct seam_scheduler_lane *
+busiest_lane(const struct seam_scheduler *sched)
+{
+	const struct seam_scheduler_lane *most = NULL;
+	int i;
+
+	for (i = 0; i < sched->lanes; i++)
+		if (sched->lane[i].starting > (most ? most->starting : 0))
+			most = &sched->lane[i];
+	return most;
 }
 
 void scheduler_log_load(struct seam_scheduler *sched)
 {
+	const struct seam_scheduler_lane *l = busiest_lane(sched);
 	struct seam_load_stats *m = &sched->load;
 	seam_time now = seam_now(sched->clock);
 	int delayed[SEAM_DELAY_REASONS];
@@ -206,7 +262,8 @@
 			 "event=load over_ms=%lld jobs=%zu "
 			 "waiting=%lld starting=%d starts=%lld start_ms=%lld "
 			 "looks=%lld passes=%lld pass_ms=%lld turn=%d room=%d "
-			 "limit=%d unheard=%d crowded=%d",
+			 "limit=%d unheard=%d crowded=%d busiest_node=%s "
+			 "node_starting=%d",
 			 (long long)(now - m->since) / SEAM_MSEC,
 			 seam_table_count(sched->jobs),
 			 (long long)sched->waiting, sched->starting,
@@ -218,7 +275,8 @@
 			 (long long)m->pass_time / SEAM_MSEC,
 			 delayed[SEAM_DELAY_TURN], delayed[SEAM_DELAY_ROOM],
 			 delayed[SEAM_DELAY_LIMIT],
-			 delayed[SEAM_DELAY_UNCONFIRMED], sched->overloaded);
+			 delayed[SEAM_DELAY_UNCONFIRMED], sched->overloaded,
+			 l ? l->info.addr : "", l ? l->starting : 0);
 		log_waiting_tasks(sched);
 	}
 	*m = (struct seam_load_stats){.since = now};
