--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -2,6 +2,7 @@
 // numbers, and how long a task waits for them.
 #include "tests/scheduler_fixture.h"
 
+#include <memory>
 #include <set>
 
 // Guards against another number after a change of the owner.
@@ -303,3 +304,84 @@
 	ASSERT_TRUE(eventually([&] { return w.running() == 1; }, 15000));
 	EXPECT_LE((seam_now(w.clock) - lost_at) / SEAM_MSEC, 6500);
 }
+
+// A lasting task on worker a, which has restarted within the last seconds and
+// then falls silent with its owner; worker b has room.
+struct LongLeaseLeft : Scheduler {
+	// The users call a task lost that does not run 7 s after the last
+	// fault.
+	static const int LOST_AFTER_MS = 7000;
+	FakeWorker *a = w.add_worker("a");
+	std::unique_ptr<Owner> o;
+
+	void take_over(const char *name)
+	{
+		o.reset(new Owner(&w, name));
+		o->start_renewals();
+	}
+	// Loses the owner; returns when.
+	seam_time lose_owner()
+	{
+		o.reset();
+		return seam_now(w.clock);
+	}
+	void SetUp() override
+	{
+		take_over("n1");
+		a->restart();
+		ASSERT_TRUE(restart_is_seen(*o, a));
+		w.job(ID, 1, "lasts");
+		ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+		w.add_worker("b");
+	}
+	void expect_run_on_b_after(seam_time lost_at)
+	{
+		seam_time now = seam_now(w.clock);
+		int left = LOST_AFTER_MS - (int)((now - lost_at) / SEAM_MSEC);
+
+		EXPECT_TRUE(eventually(
+			[&] { return w.workers["b"]->running() == 1; }, left));
+		EXPECT_EQ(w.twice, 0);
+	}
+};
+
+// Guards against a long lease that counts from the reading of the row.
+TEST_F(LongLeaseLeft, TaskDoesNotWaitForTheTakeoverAsWell)
+{
+	a->unresponsive = true;
+	seam_time lost_at = lose_owner();
+
+	take_over("n2");
+	expect_run_on_b_after(lost_at);
+}
+
+// Guards against the same by the row of an owner that was killed.
+TEST_F(LongLeaseLeft, TaskDoesNotWaitForTheAgeOfTheRow)
+{
+	const char *row = "owner/handover";
+
+	ASSERT_TRUE(eventually([&] {
+		return w.store.get(row).find("\"a\"") != std::string::npos;
+	}));
+	std::string text = w.store.get(row);
+	usleep(2000000);
+	a->unresponsive = true;
+	seam_time lost_at = lose_owner();
+
+	w.store.put(row, text);
+	take_over("n2");
+	expect_run_on_b_after(lost_at);
+}
+
+// Guards against a wait that begins again with the second owner.
+TEST_F(LongLeaseLeft, TaskDoesNotWaitAgainAfterASecondTakeover)
+{
+	a->unresponsive = true;
+	lose_owner();
+	take_over("n2");
+	usleep(1500000);
+	seam_time lost_at = lose_owner();
+
+	take_over("n3");
+	expect_run_on_b_after(lost_at);
+}
