scheduler: count what is left to the next owner by the clock of the one before

After a takeover all inherited tasks of a pool wait for a silent worker that had restarted before; they ran 7.9 s after the loss of the owner, 7.3 s after a second takeover (trials of the users), where 7 s make a task lost.

Cause: owner/handover tells what was left of a lease when the row was written, and the next owner added it to the time of its reading: the age of the row and the takeover came on top, with each owner again.

Heartbeats now tell the owner's clock, and the row counts from a time of that clock. A node that has read a heartbeat at H knows that it was sent at H or before, so a time of that clock, counted from H, is late by at most the time from the sending of the heartbeat to its reading and never early, whenever the row was written: a row that is written after the last heartbeat that the next owner has seen is covered as well. A row of an owner before the previous one, or of a version without clocks, counts from its reading as before.

--- a/process/election.c
+++ b/process/election.c
@@ -8,6 +8,7 @@
 
 #define RELEASED_DATA "released"
 #define MAX_ROWS 4 /* two rows exist */
+#define HEARTBEAT_SIZE 160
 
 void seam_election_init(struct seam_election *l, struct seam_store *s,
 			struct seam_clock *k, const char *node)
@@ -55,6 +56,49 @@
 	return 0;
 }
 
+/*
+ * Text of the heartbeat row: the node, and when the heartbeat was sent, by the
+ * owner's clock.
+ */
+static int heartbeat_text(const struct seam_election *l, seam_time now,
+			  char text[HEARTBEAT_SIZE])
+{
+	return snprintf(text, HEARTBEAT_SIZE,
+			"{\"node\":\"%s\",\"clock_us\":%lld}", l->node,
+			(long long)now);
+}
+
+/* Whether @t, as read from a row, is a time that can be counted with. */
+static bool is_clock(seam_time t)
+{
+	return t > 0 && t < SEAM_NEVER / 4;
+}
+
+/* Notes the clock of the owner that has sent a heartbeat, if it tells one. */
+static void note_clock(struct seam_election *l,
+		       const struct seam_row *heartbeat, seam_time now)
+{
+	struct json_object *o =
+		heartbeat->data ? json_tokener_parse(heartbeat->data) : NULL;
+	seam_time clock = seam_json_int(o, "clock_us", 0);
+
+	json_object_put(o);
+	if (!is_clock(clock))
+		return;
+	l->prior_term = l->term;
+	l->prior_clock = clock;
+	l->prior_seen_at = now;
+}
+
+int seam_election_from_prior_clock(const struct seam_election *l, uint64_t term,
+				   seam_time *t)
+{
+	if (!l->prior_clock || l->prior_term != term || !is_clock(*t))
+		return -1;
+	*t += l->prior_seen_at - l->prior_clock;
+	return 0;
+}
+
 /*
  * Records the rows and returns whether the term may be claimed. A node that
  * reads itself as the owner has restarted: the process that owned the term has
@@ -70,6 +114,8 @@
 
 	l->term = (uint64_t)seam_json_int(o, "term", 0);
 	json_object_put(o);
+	if (heartbeat->version != l->heartbeat_version)
+		note_clock(l, heartbeat, now);
 	if (owner->version != l->owner_version ||
 	    heartbeat->version != l->heartbeat_version ||
 	    !l->heartbeat_seen_at ||
@@ -100,13 +146,15 @@
 	uint64_t term = (l->term / SEAM_ELECTION_TERM_STEP + 1) *
 			SEAM_ELECTION_TERM_STEP;
 	char text[160];
+	char beat[HEARTBEAT_SIZE];
 	int n = snprintf(text, sizeof(text), "{\"node\":\"%s\",\"term\":%llu}",
 			 l->node, (unsigned long long)term);
+	int beat_len = heartbeat_text(l, now, beat);
 	struct seam_write w[] = {
 		{SEAM_PUT, SEAM_ELECTION_OWNER_ROW, l->owner_version, text,
 		 (size_t)n},
 		{SEAM_PUT, SEAM_ELECTION_HEARTBEAT_ROW, l->heartbeat_version,
-		 l->node, strlen(l->node)},
+		 beat, (size_t)beat_len},
 	};
 	struct seam_commit c = {w, 2, 0, 0};
 
@@ -164,11 +212,13 @@
 int seam_election_renew(struct seam_election *l, struct seam_err *e)
 {
 	seam_time now = seam_now(l->clock);
+	char beat[HEARTBEAT_SIZE];
+	int beat_len = heartbeat_text(l, now, beat);
 	struct seam_write w[] = {
 		{SEAM_CHECK, SEAM_ELECTION_OWNER_ROW, l->owner_version, NULL,
 		 0},
-		{SEAM_PUT, SEAM_ELECTION_HEARTBEAT_ROW, SEAM_ANY_VERSION,
-		 l->node, strlen(l->node)},
+		{SEAM_PUT, SEAM_ELECTION_HEARTBEAT_ROW, SEAM_ANY_VERSION, beat,
+		 (size_t)beat_len},
 	};
 	struct seam_commit c = {w, 2, seam_store_token(), 0};
 
--- a/process/election.h
+++ b/process/election.h
@@ -43,6 +43,10 @@
  * @owner_version: version of SEAM_ELECTION_OWNER_ROW
  * @heartbeat_version: version of SEAM_ELECTION_HEARTBEAT_ROW
  * @heartbeat_seen_at: when @heartbeat_version was first read
+ * @prior_term: term of the latest heartbeat of another owner that tells its
+ *     clock
+ * @prior_clock: time of that owner's clock at which it was sent
+ * @prior_seen_at: when it was first read
  * @read_at: when the rows were last read
  * @orders_until: the previous owner sends no order after this time; 0 if there
  *                was none
@@ -59,6 +63,9 @@
 	uint64_t owner_version;
 	uint64_t heartbeat_version;
 	seam_time heartbeat_seen_at;
+	uint64_t prior_term;
+	seam_time prior_clock;
+	seam_time prior_seen_at;
 	seam_time read_at;
 	seam_time orders_until;
 	seam_time started_at;
@@ -106,6 +113,21 @@
 /** seam_election_valid_until() - end of our term; 0 if we are not the owner */
 seam_time seam_election_valid_until(const struct seam_election *l);
 
+/**
+ * seam_election_from_prior_clock() - convert a time of the previous owner's
+ * clock
+ * @term: term of that owner
+ * @t: time of its clock
+ *
+ * The result is late by the time from the sending of its latest heartbeat to
+ * the first reading, never early.
+ *
+ * Return: -1 if no heartbeat of the term has told that clock, or if @t is none
+ * of its times.
+ */
+int seam_election_from_prior_clock(const struct seam_election *l, uint64_t term,
+				   seam_time *t);
+
 /** seam_election_is_owner() - whether we are the owner at @now */
 bool seam_election_is_owner(const struct seam_election *l, seam_time now);
 
--- a/process/scheduler_handover.c
+++ b/process/scheduler_handover.c
@@ -1,8 +1,9 @@
 /*
  * Row for the next owner: workers whose leases may outlast those that the owner
  * gives, and tasks with a start that may be carried out late. Times are stored
- * as what is left of them, as each node has its own clock; the reader counts
- * them from its reading, which is later.
+ * as what is left of them at a time of the owner's clock, which the heartbeats
+ * of its term tell to the next owner. They do not depend on when the row is
+ * written or read.
  */
 #include "process/scheduler_handover.h"
 #include "base/json.h"
@@ -278,6 +279,8 @@
 	struct json_object *o = json_object_new_object();
 	char *text;
 
+	seam_json_add_int(o, "term", (int64_t)h->sched->term);
+	seam_json_add_int(o, "clock_us", since);
 	json_object_object_add(o, "workers",
 			       entries_to_json(h->workers, "pool", since));
 	json_object_object_add(o, "tasks",
@@ -359,15 +362,9 @@
 }
 
 /* A row without entries stays as it is while there are none. */
-void handover_loaded(struct seam_scheduler *sched, const char *text)
+void handover_loaded(struct seam_scheduler *sched, size_t entries)
 {
-	char *content;
-
-	g_free(collect(sched, false, &content));
-	if (!text || !strcmp(text, content)) {
-		sched->handover = content;
-		content = NULL;
-	}
-	g_free(content);
+	if (!entries)
+		g_free(collect(sched, false, &sched->handover));
 	sched->handover_loaded = true;
 }
--- a/process/scheduler_handover.h
+++ b/process/scheduler_handover.h
@@ -33,8 +33,8 @@
 handover_absent_task(struct seam_scheduler *sched,
 		     const struct seam_absent_late_start *a);
 
-/* Notes the content of the row that was read, NULL without one. */
-void handover_loaded(struct seam_scheduler *sched, const char *text);
+/* Notes that the row was read and has @entries. */
+void handover_loaded(struct seam_scheduler *sched, size_t entries);
 
 #ifdef __cplusplus
 }
--- a/process/scheduler_inherit.c
+++ b/process/scheduler_inherit.c
@@ -102,7 +102,6 @@
 		      const struct handover_entry *e)
 {
 	struct seam_worker *w = scheduler_find_worker(sched, e->worker);
-	/* The row is read later than it was written, by a whole takeover. */
 	seam_time wait_max =
 		sched->election->heartbeat_seen_at + LATE_START_WAIT;
 	struct seam_job_task_state *t;
@@ -131,10 +130,30 @@
 		sched->late_starts_until = e->until;
 }
 
-/* Takes the entries of one list; returns the number of those that are odd. */
+/*
+ * Returns the time from which the times of the row count. It is not known for a
+ * row of an owner that has told no clock, as one before the previous owner; the
+ * row was written before it is read.
+ */
+static seam_time row_time(struct seam_scheduler *sched, struct json_object *o)
+{
+	seam_time now = seam_now(sched->clock);
+	seam_time at = seam_json_int(o, "clock_us", 0);
+	uint64_t term = (uint64_t)seam_json_int(o, "term", 0);
+
+	if (seam_election_from_prior_clock(sched->election, term, &at) ||
+	    at > now)
+		return now;
+	return at;
+}
+
+/*
+ * Takes the entries of one list that are not over; their times count from
+ * @since. Returns the number of those that are odd.
+ */
 static size_t take_entries(struct seam_scheduler *sched,
 			   struct json_object *list, const char *name,
-			   size_t entries_max, seam_time max,
+			   size_t entries_max, seam_time max, seam_time since,
 			   void (*take)(struct seam_scheduler *sched,
 					const struct handover_entry *e))
 {
@@ -149,17 +168,22 @@
 			odd++;
 			continue;
 		}
-		e.until += now;
-		take(sched, &e);
+		e.until += since;
+		if (e.until > now)
+			take(sched, &e);
 	}
 	return odd;
 }
 
-static void take_row(struct seam_scheduler *sched, const char *text)
+/* Takes the entries of the row; returns their number. */
+static size_t take_row(struct seam_scheduler *sched, const char *text)
 {
 	struct json_object *o = json_tokener_parse(text);
 	struct json_object *workers = seam_json_member(o, "workers");
 	struct json_object *tasks = seam_json_member(o, "tasks");
+	size_t entries =
+		seam_json_array_length(workers) + seam_json_array_length(tasks);
+	seam_time since = row_time(sched, o);
 	size_t odd = 0;
 
 	if (!json_object_is_type(workers, json_type_array) ||
@@ -168,24 +192,28 @@
 			 "event=row_unreadable row=" HANDOVER_ROW
 			 " why=\"workers and tasks must be lists\"");
 	odd += take_entries(sched, workers, "pool", HANDOVER_WORKERS_MAX,
-			    scheduler_longest_lease(sched, 0), take_worker);
+			    scheduler_longest_lease(sched, 0), since,
+			    take_worker);
 	odd += take_entries(sched, tasks, "task", HANDOVER_TASKS_MAX,
-			    START_SEND_MAX + LATE_ORDER_MAX, take_task);
+			    START_SEND_MAX + LATE_ORDER_MAX, since, take_task);
 	if (odd)
 		seam_log(SEAM_ERROR, "owner",
 			 "event=row_elements_ignored row=" HANDOVER_ROW
 			 " elements=%zu",
 			 odd);
-	seam_log(
-		SEAM_INFO, "owner", "event=handover_read workers=%zu tasks=%zu",
-		seam_json_array_length(workers), seam_json_array_length(tasks));
+	seam_log(SEAM_INFO, "owner",
+		 "event=handover_read workers=%zu tasks=%zu age_ms=%lld",
+		 seam_json_array_length(workers), seam_json_array_length(tasks),
+		 (long long)(seam_now(sched->clock) - since) / SEAM_MSEC);
 	json_object_put(o);
+	return entries;
 }
 
 /* Reads the row of the previous owner, after jobs and workers. */
 int scheduler_load_handover(struct seam_scheduler *sched, struct seam_err *e)
 {
 	struct seam_row row = {.data = NULL};
+	size_t entries = 0;
 
 	if (seam_store_get(sched->ports->store, HANDOVER_ROW, &row,
 			   seam_now(sched->clock) + STORE_TIMEOUT, e)) {
@@ -194,8 +222,8 @@
 		seam_err_clear(e);
 	}
 	if (row.data)
-		take_row(sched, row.data);
-	handover_loaded(sched, row.data);
+		entries = take_row(sched, row.data);
+	handover_loaded(sched, entries);
 	seam_row_free(&row);
 	return 0;
 }
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -123,6 +123,12 @@
 	return delay[j->delay_reason];
 }
 
+/* Milliseconds from @now to @t; 0 if it has passed. */
+static long long ms_left(seam_time t, seam_time now)
+{
+	return t > now ? (long long)(t - now) / SEAM_MSEC : 0;
+}
+
 static void log_waiting_task(struct seam_scheduler *sched,
 			     const struct seam_job *j, int step, int64_t task,
 			     seam_time waited)
@@ -143,8 +149,7 @@
 		 w && w->info.draining, w && w->listed,
 		 w ? (long long)(w->lease_end - now) / SEAM_MSEC : 0LL,
 		 w && w->answered_token > t->late_token,
-		 (long long)(t->late_until - now) / SEAM_MSEC,
-		 (long long)(t->late_wait_until - now) / SEAM_MSEC,
+		 ms_left(t->late_until, now), ms_left(t->late_wait_until, now),
 		 t->late_starts);
 }
 
--- a/tests/election_test.cc
+++ b/tests/election_test.cc
@@ -189,3 +189,53 @@
 			seam_election_release(&node[n]);
 	}
 }
+
+// Guards against a time of the owner before that the next one takes for sooner.
+TEST_F(Election, TimeOfThePriorClockIsNeverEarly)
+{
+	seam_time read_late = 200 * SEAM_MSEC;
+
+	seam_fake_clock_set(&clock[1], 900 * SEAM_SEC);
+	ASSERT_TRUE(attempt(0));
+	uint64_t term = node[0].term;
+
+	for (int i = 0; i < 5; i++) {
+		pass(300 * SEAM_MSEC);
+		ASSERT_EQ(renew(0), 0);
+		pass(read_late);
+		EXPECT_FALSE(attempt(1));
+	}
+	// The owner goes on without a heartbeat that anybody reads.
+	pass(400 * SEAM_MSEC);
+	seam_time t = clock[0].time;
+
+	ASSERT_EQ(seam_election_from_prior_clock(&node[1], term, &t), 0);
+	EXPECT_EQ(t, clock[1].time + read_late);
+	seam_election_release(&node[0]);
+	ASSERT_TRUE(attempt(1));
+	t = clock[0].time;
+	ASSERT_EQ(seam_election_from_prior_clock(&node[1], term, &t), 0);
+	EXPECT_EQ(t, clock[1].time + read_late);
+	EXPECT_EQ(seam_election_from_prior_clock(&node[1], node[1].term, &t),
+		  -1);
+}
+
+// Guards against an odd heartbeat that moves times by any amount.
+TEST_F(Election, OddHeartbeatTellsNoClock)
+{
+	for (const char *text :
+	     {"n0", "released", "7", "null", "{\"clock_us\":-7}",
+	      "{\"clock_us\":\"x\"}", "{\"clock_us\":9223372036854775807}"}) {
+		seam_time t = SEAM_SEC;
+
+		seam_election_init(&node[1], &store.base, &clock[1].clock,
+				   "n1");
+		store.put(SEAM_ELECTION_OWNER_ROW,
+			  "{\"node\":\"n0\",\"term\":1000000}");
+		store.put(SEAM_ELECTION_HEARTBEAT_ROW, text);
+		attempt(1);
+		EXPECT_EQ(seam_election_from_prior_clock(&node[1], 1000000, &t),
+			  -1)
+			<< text;
+	}
+}
