scheduler: write the row for the next owner before the first VM list

The thread that writes the row read the VM list first, which may not answer for 1.5 s: an owner that was killed within that time left the row of the one before it, whose times the next owner can only count from the reading. Found by reading. Between two reads of the list the row is as old as before.

--- a/process/scheduler_vms.c
+++ b/process/scheduler_vms.c
@@ -85,18 +85,21 @@
 
 	while (!__atomic_load_n(&sched->stop, __ATOMIC_ACQUIRE)) {
 		struct seam_err e = SEAM_ERR_INIT;
-		int rc = read_vms(sched, &e);
+		int rc;
 
+		/* The VM list may not answer for 1.5 s. */
+		if (seam_election_is_owner(sched->election,
+					   seam_now(sched->clock)))
+			scheduler_save_handover(sched, false);
+		rc = read_vms(sched, &e);
 		seam_outage_update(&outage, rc ? &e : NULL,
 				   seam_now(sched->clock));
 		if (!rc)
 			scheduler_manage_vms(sched);
 		if (seam_election_is_owner(sched->election,
-					   seam_now(sched->clock))) {
-			scheduler_save_handover(sched, false);
+					   seam_now(sched->clock)))
 			published =
 				publish(sched, published, pending_text(sched));
-		}
 		g_usleep(VM_LIST_INTERVAL_USEC);
 	}
 	free(published);
