scheduler: leave the end of a task's wait to the next owner

A lasting task whose late start is on a silent worker waited for the longest lease from the start of each term on, 7.9 s from the loss of the owner with the takeover, and for 6 s after the start that the row names, also when it had waited for earlier starts before.

The row has the end of the wait of each task, where it is not 6 s after the start. The next owner waits until then, or until the leases of the owner before are over.

--- a/process/scheduler_handover.c
+++ b/process/scheduler_handover.c
@@ -31,25 +31,41 @@
 };
 
 static void add_entry(GArray *list, const char *worker, const char *name,
-		      seam_time until, int64_t run)
+		      const struct handover_entry *with)
 {
-	struct handover_entry e = {.until = until, .run = run};
+	struct handover_entry e = *with;
 
 	g_strlcpy(e.worker, worker, sizeof(e.worker));
 	g_strlcpy(e.name, name, sizeof(e.name));
 	g_array_append_val(list, e);
 }
 
+static void add_worker(struct handover *h, const char *worker, const char *pool,
+		       seam_time until)
+{
+	const struct handover_entry e = {.until = until};
+
+	add_entry(h->workers, worker, pool, &e);
+}
+
 static void add_task(struct handover *h, const struct seam_job *j, int step,
-		     int task, const struct seam_worker *w, seam_time until,
-		     int64_t run)
+		     int task, const char *worker,
+		     const struct handover_entry *with)
 {
 	char name[SEAM_TASK_NAME_SIZE];
 
-	if (!w || until <= h->now)
+	if (with->until <= h->now)
 		return;
 	scheduler_task_name(j, step, task, name);
-	add_entry(h->tasks, w->info.id, name, until, run);
+	add_entry(h->tasks, worker, name, with);
+}
+
+/* Returns what is left of a late start that is the latest of its task. */
+static struct handover_entry late_entry(const struct seam_job_task_state *t)
+{
+	return (struct handover_entry){.until = t->late_until,
+				       .wait_until = t->late_wait_until,
+				       .run = t->late_run};
 }
 
 /*
@@ -69,6 +85,22 @@
 	return r->late_until;
 }
 
+/* Adds the start of a run on @w if it may come late. */
+static void add_late_run(struct handover *h, const struct seam_worker *w,
+			 const struct scheduler_run_ref *at)
+{
+	const struct seam_job_task_state *t =
+		&at->job->task[at->step][at->task];
+	bool lasting = at->job->row.spec.step[at->step].lasting;
+	struct seam_run_slot late = *at->run;
+	struct handover_entry e = {.run = late.spent ? 0 : late.number};
+
+	late.late_until = late_start_end(h, t, at->run);
+	e.until = late.late_until;
+	e.wait_until = scheduler_late_wait(t, &late, lasting, h->now);
+	add_task(h, at->job, at->step, at->task, w->info.id, &e);
+}
+
 /* Adds late starts of runs on @w; returns the end of the longest lease there.
  */
 static seam_time add_runs(struct handover *h, const struct seam_worker *w)
@@ -92,10 +124,7 @@
 			if (r->state == SEAM_RUN_FREE ||
 			    !seam_handle_eq(r->worker, w->self))
 				continue;
-			add_task(h, j, t->step, t->task, w,
-				 late_start_end(h, &j->task[t->step][t->task],
-						r),
-				 r->spent ? 0 : r->number);
+			add_late_run(h, w, &at);
 			if (h->closing && !r->listed_at && end > until)
 				until = end;
 		}
@@ -118,8 +147,7 @@
 		seam_time until = add_runs(h, w);
 
 		if (!w->vm_gone && !w->retired && until > usual)
-			add_entry(h->workers, w->info.id, w->info.pool, until,
-				  0);
+			add_worker(h, w->info.id, w->info.pool, until);
 	}
 }
 
@@ -136,11 +164,22 @@
 			scheduler_find_worker(h->sched, l->worker);
 
 		if (h->now <= l->until && (!w || !w->contacted))
-			add_entry(h->workers, l->worker, l->pool, l->until, 0);
+			add_worker(h, l->worker, l->pool, l->until);
 	}
 }
 
-/* Adds tasks whose earlier runs have starts that may come late. */
+/* Adds the task if a start of an earlier run of it may come late. */
+static void add_idle_task(struct handover *h, const struct seam_job *j,
+			  int step, int task)
+{
+	const struct seam_job_task_state *t = &j->task[step][task];
+	const struct seam_worker *w = scheduler_late_worker(h->sched, t);
+	const struct handover_entry e = late_entry(t);
+
+	if (w)
+		add_task(h, j, step, task, w->info.id, &e);
+}
+
 static void add_tasks(struct handover *h)
 {
 	struct seam_scheduler *sched = h->sched;
@@ -154,11 +193,7 @@
 	while ((j = seam_table_next(sched->jobs, &at)))
 		for (i = 0; i < j->row.spec.steps; i++)
 			for (t = 0; t < j->row.spec.step[i].tasks; t++)
-				add_task(h, j, i, (int)t,
-					 scheduler_late_worker(sched,
-							       &j->task[i][t]),
-					 j->task[i][t].late_until,
-					 j->task[i][t].late_run);
+				add_idle_task(h, j, i, (int)t);
 }
 
 struct seam_job_task_state *
@@ -178,7 +213,6 @@
 static void add_absent(struct handover *h)
 {
 	const GArray *list = h->sched->absent_late_starts;
-	char name[SEAM_TASK_NAME_SIZE];
 	guint i;
 
 	for (i = 0; i < list->len; i++) {
@@ -186,13 +220,13 @@
 			&g_array_index(list, struct seam_absent_late_start, i);
 		const struct seam_job_task_state *t =
 			handover_absent_task(h->sched, a);
+		struct handover_entry e;
 
-		if (!t || t->late_until <= h->now)
+		if (!t)
 			continue;
-		scheduler_task_name(scheduler_job(h->sched, a->task.job),
-				    a->task.step, a->task.task, name);
-		add_entry(h->tasks, a->worker, name, t->late_until,
-			  t->late_run);
+		e = late_entry(t);
+		add_task(h, scheduler_job(h->sched, a->task.job), a->task.step,
+			 a->task.task, a->worker, &e);
 	}
 }
 
@@ -214,6 +248,12 @@
 	seam_json_add_str(o, "worker", e->worker);
 	seam_json_add_str(o, name, e->name);
 	seam_json_add_int(o, "left_ms", (e->until - since) / SEAM_MSEC + 1);
+	/* The reader knows the end of any other wait from that of the start. */
+	if (e->wait_until && e->wait_until != scheduler_late_wait_end(e->until))
+		seam_json_add_int(o, "wait_ms",
+				  e->wait_until > since ?
+					  (e->wait_until - since) / SEAM_MSEC :
+					  0);
 	if (e->run)
 		seam_json_add_int(o, "run", e->run);
 	return o;
--- a/process/scheduler_handover.h
+++ b/process/scheduler_handover.h
@@ -17,12 +17,14 @@
  * @worker: id of the worker
  * @name: its pool, or the task
  * @until: the lease, or the time in which the start may come, is over by then
+ * @wait_until: the task waits for its worker until then
  * @run: number of the late run, 0 if it is spent
  */
 struct handover_entry {
 	char worker[SEAM_NAME_SIZE];
 	char name[SEAM_NAME_SIZE];
 	seam_time until;
+	seam_time wait_until;
 	int64_t run;
 };
 
--- a/process/scheduler_inherit.c
+++ b/process/scheduler_inherit.c
@@ -26,14 +26,17 @@
 	return false;
 }
 
-/* Reads the entry at @i; false if it is odd. */
+/*
+ * Reads the entry at @i, whose times count from @since; false if it is odd.
+ */
 static bool read_entry(struct json_object *list, size_t i, const char *name,
-		       seam_time max, struct handover_entry *e)
+		       seam_time max, seam_time since, struct handover_entry *e)
 {
 	struct json_object *o = json_object_array_get_idx(list, i);
 	const char *worker = seam_json_str(o, "worker", "");
 	const char *text = seam_json_str(o, name, "");
 	int64_t left = seam_json_int(o, "left_ms", 0);
+	int64_t wait = seam_json_int(o, "wait_ms", -1);
 
 	if (!*worker || !*text || strlen(worker) >= SEAM_NAME_SIZE ||
 	    strlen(text) >= SEAM_NAME_SIZE || left <= 0)
@@ -41,7 +44,10 @@
 	g_strlcpy(e->worker, worker, sizeof(e->worker));
 	g_strlcpy(e->name, text, sizeof(e->name));
 	e->run = seam_json_int(o, "run", 0);
-	e->until = left < max / SEAM_MSEC ? left * SEAM_MSEC : max;
+	e->until = since + (left < max / SEAM_MSEC ? left * SEAM_MSEC : max);
+	e->wait_until = scheduler_late_wait_end(e->until);
+	if (wait >= 0 && wait < LATE_START_WAIT / SEAM_MSEC)
+		e->wait_until = since + wait * SEAM_MSEC;
 	return true;
 }
 
@@ -120,7 +126,7 @@
 	else
 		add_absent_late_start(sched, e->worker, j, step, task);
 	t->late_until = e->until;
-	t->late_wait_until = scheduler_late_wait_end(e->until);
+	t->late_wait_until = e->wait_until;
 	if (t->late_wait_until > wait_max)
 		t->late_wait_until = wait_max;
 	t->late_run = e->run;
@@ -164,11 +170,10 @@
 	size_t i;
 
 	for (i = 0; i < n && i < entries_max; i++) {
-		if (!read_entry(list, i, name, max, &e)) {
+		if (!read_entry(list, i, name, max, since, &e)) {
 			odd++;
 			continue;
 		}
-		e.until += since;
 		if (e.until > now)
 			take(sched, &e);
 	}
--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -385,3 +385,45 @@
 	take_over("n3");
 	expect_run_on_b_after(lost_at);
 }
+
+// A lasting task whose start worker a keeps; a falls silent with the owner.
+struct LateStartOnASilentWorker : LongLeaseLeft {
+	void SetUp() override
+	{
+		take_over("n1");
+		ASSERT_TRUE(restart_is_seen(*o, a));
+		a->late_starts = 1000;
+		w.job(ID, 1, "lasts");
+		ASSERT_TRUE(eventually([&] {
+			return w.store.get("owner/handover").find(task(0, 0)) !=
+			       std::string::npos;
+		}));
+		w.add_worker("b");
+		a->unresponsive = true;
+	}
+};
+
+// Guards against a wait that counts from the start of the next term.
+TEST_F(LateStartOnASilentWorker, TaskDoesNotWaitForTheTakeoverAsWell)
+{
+	seam_time lost_at = lose_owner();
+
+	take_over("n2");
+	expect_run_on_b_after(lost_at);
+}
+
+// Guards against a wait that begins again with each start of an owner.
+TEST_F(LateStartOnASilentWorker, NextOwnerKnowsTheEndOfTheWait)
+{
+	std::string row = w.store.get("owner/handover");
+	size_t at = row.find(task(0, 0));
+
+	seam_time lost_at = lose_owner();
+	// The owner had sent starts for 4 s before the one that it has left.
+	row.insert(row.find("\"left_ms\"", at), "\"wait_ms\":2000,");
+	w.store.put("owner/handover", row);
+	take_over("n2");
+	EXPECT_TRUE(eventually(
+		[&] { return w.workers["b"]->running() == 1; },
+		6000 - (int)((seam_now(w.clock) - lost_at) / SEAM_MSEC)));
+}
