scheduler: leave a worker that has not confirmed a start in time

A start that is not sent, as the worker answers few polls, was queued for the same worker again and again: such starts do not count among the four after which a task leaves, and a worker that may carry out a late start comes first.

Once the wait for a late start is over, its worker comes last.

--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -169,6 +169,15 @@
 	}
 }
 
+/* Whether the task has waited long enough for a late start on @w. */
+static bool has_not_confirmed_in_time(const struct choice *c,
+				      const struct seam_worker *w)
+{
+	return seam_handle_eq(c->task->late_worker, w->self) &&
+	       c->pass->now < c->task->late_until &&
+	       c->pass->now >= c->task->late_wait_until;
+}
+
 /* Describes @w for the task; false if @w can't run it. */
 static bool describe_worker(const struct choice *c, const struct seam_worker *w,
 			    struct seam_fit_worker *f)
@@ -192,7 +201,8 @@
 	}
 	f->near = !*s->rack || has_label(w, s->rack);
 	f->avoid = seam_handle_eq(c->task->avoid, w->self) ||
-		   c->pass->now < w->shunned_until;
+		   c->pass->now < w->shunned_until ||
+		   has_not_confirmed_in_time(c, w);
 	f->slow = w->info.warmup_ms > SEAM_SLOW_MIN_MS;
 	for (i = 0; i < SEAM_TASK_RUNS_MAX; i++)
 		if (c->task->run[i].state != SEAM_RUN_FREE &&
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -112,6 +112,14 @@
 	expect_run_on_b(LOST_AT_THE_END_MS - 3500);
 }
 
+// Guards against starts that are queued for such a worker and never sent.
+TEST_F(Wait, WorkerThatAnswersFewPollsAndNoStartDoesNotKeepTheTask)
+{
+	a->late_starts = 100000;
+	a->answers_one_in = 90;
+	expect_run_on_b(LOST_AT_THE_END_MS);
+}
+
 // Guards against a task that waits for a worker that is gone.
 TEST_F(Wait, LateStartOnAGoneWorkerDoesNotKeepTheTask)
 {
