scheduler: reckon with the lease that the answer to a start shows

Cause: such a run may be on a process that started since the owner last heard of the worker, by whose clock the lease is the longest. Nothing asked the answer, which has the worker's clock.

The node reports what that clock leaves of the start's lease. If it is no more than the owner gave, all leases of the owner are times of that clock, whichever process it is, and the run is reckoned with as a listed one is: 3.4 s from the last renewal. A process that started since has an earlier clock; its run is kept for the longest lease as before. Owners and nodes of versions without the member ignore it.

--- a/connection/lane.h
+++ b/connection/lane.h
@@ -125,6 +125,8 @@
  *          also SEAM_NO_MEMORY if the node has no thread for the worker.
  * @outcome: the worker's answer
  * @unknown: ANSWERED: an attempt got no answer and may have taken effect
+ * @lease_ms: ANSWERED: what was left of the lease of a start, by the clock in
+ *     the worker's answer; 0 if unknown
  * @why: error message
  */
 struct seam_lane_event {
@@ -140,6 +142,7 @@
 	enum seam_err_kind failed;
 	enum seam_order_outcome outcome;
 	bool unknown;
+	int64_t lease_ms;
 	char why[64];
 };
 
--- a/connection/lane_json.c
+++ b/connection/lane_json.c
@@ -334,6 +334,28 @@
 	return row;
 }
 
+/*
+ * Pairs of the number of an event and its @lease_ms. Owners of versions without
+ * it ignore them.
+ */
+static struct json_object *leases_json(const struct seam_lane_events *v)
+{
+	struct json_object *list = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < v->n; i++) {
+		struct json_object *row;
+
+		if (!v->event[i].lease_ms)
+			continue;
+		row = json_object_new_array();
+		add_int(row, (int64_t)v->event[i].number);
+		add_int(row, v->event[i].lease_ms);
+		json_object_array_add(list, row);
+	}
+	return list;
+}
+
 struct json_object *seam_lane_events_to_json(const struct seam_lane_events *v,
 					     seam_time asked_at, seam_time now)
 {
@@ -345,6 +367,7 @@
 	for (i = 0; i < v->n; i++)
 		json_object_array_add(list, event_row(&v->event[i], now));
 	json_object_object_add(o, "events", list);
+	json_object_object_add(o, "leases", leases_json(v));
 	return o;
 }
 
@@ -434,6 +457,25 @@
 	return v->kind == SEAM_LANE_ANSWERED ? 0 : -1;
 }
 
+/* The leases are in the order of the events. */
+static int read_leases(struct json_object *leases, struct seam_lane_events *v)
+{
+	size_t event = 0;
+	size_t i;
+
+	for (i = 0; i < seam_json_array_length(leases); i++) {
+		struct json_object *row = json_object_array_get_idx(leases, i);
+		uint64_t number = (uint64_t)seam_json_int_at(row, 0);
+
+		while (event < v->n && v->event[event].number != number)
+			event++;
+		if (event == v->n)
+			return -1;
+		v->event[event].lease_ms = seam_json_int_at(row, 1);
+	}
+	return 0;
+}
+
 /*
  * The node wrote the response at the earliest at @asked_at plus the time for
  * which it delayed the response. The age of a listing is subtracted from that,
@@ -457,9 +499,11 @@
 		if (read_event(json_object_array_get_idx(list, i), written_at,
 			       &v->event[v->n++]))
 			break;
-	if (i == seam_json_array_length(list))
+	if (i == seam_json_array_length(list) &&
+	    !read_leases(seam_json_member(o, "leases"), v))
 		return 0;
 	seam_lane_events_free(v);
 	return seam_fail(e, SEAM_BAD_REQUEST,
-			 "response to a poll: malformed row in events");
+			 "response to a poll: malformed row in events or "
+			 "leases");
 }
--- a/process/dispatch.c
+++ b/process/dispatch.c
@@ -84,10 +84,11 @@
 	return v;
 }
 
-void dispatch_report_answer(struct seam_dispatch *d,
-			    const struct seam_lane_order *o, int rc,
-			    enum seam_order_outcome outcome, bool unknown,
-			    const struct seam_err *e)
+/* Returns the event, for further members. */
+struct seam_lane_event *
+dispatch_report_answer(struct seam_dispatch *d, const struct seam_lane_order *o,
+		       int rc, enum seam_order_outcome outcome, bool unknown,
+		       const struct seam_err *e)
 {
 	struct seam_lane_event *v =
 		dispatch_add_event(d, o->key, SEAM_LANE_ANSWERED);
@@ -99,6 +100,7 @@
 	v->outcome = outcome;
 	v->unknown = unknown;
 	snprintf(v->why, sizeof(v->why), "%.60s", rc ? e->text : "");
+	return v;
 }
 
 /* Reports the failure of an order that is not sent. */
--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -101,10 +101,10 @@
 					   uint32_t key, int kind);
 void dispatch_reject_order(struct seam_dispatch *d,
 			   const struct seam_lane_order *o, const char *why);
-void dispatch_report_answer(struct seam_dispatch *d,
-			    const struct seam_lane_order *o, int rc,
-			    enum seam_order_outcome outcome, bool unknown,
-			    const struct seam_err *e);
+struct seam_lane_event *
+dispatch_report_answer(struct seam_dispatch *d, const struct seam_lane_order *o,
+		       int rc, enum seam_order_outcome outcome, bool unknown,
+		       const struct seam_err *e);
 void dispatch_free_order(struct seam_lane_order *o);
 
 /* dispatch_worker.c */
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -253,11 +253,12 @@
 
 /* Retries a start until it is answered; releases the lock during the calls. It
  * is not sent to another process, as its lease goes by the clock of the first.
+ * @clock_ms receives the worker's clock of the answer.
  */
 static int send_start(struct seam_dispatch_worker *w,
 		      const struct seam_lane_order *o,
 		      enum seam_order_outcome *outcome, bool *unknown,
-		      struct seam_err *e)
+		      int64_t *clock_ms, struct seam_err *e)
 {
 	struct seam_dispatch *d = w->dispatch;
 	struct seam_start s = {.task = o->task,
@@ -267,7 +268,6 @@
 			       .lease_until = o->lease_until,
 			       .checkpoint = o->checkpoint};
 	int64_t process_start_ms = w->process_start_ms;
-	int64_t clock_ms = 0;
 	int attempts;
 	int rc = -1;
 
@@ -279,7 +279,7 @@
 			break;
 		seam_err_clear(e);
 		pthread_mutex_unlock(&d->lock);
-		rc = w->conn->ops->start(w->conn, &s, outcome, &clock_ms,
+		rc = w->conn->ops->start(w->conn, &s, outcome, clock_ms,
 					 now + START_TIMEOUT, e);
 		pthread_mutex_lock(&d->lock);
 		*unknown = *unknown || (rc && e->kind == SEAM_COMMIT_UNKNOWN);
@@ -353,6 +353,8 @@
 {
 	enum seam_order_outcome outcome = SEAM_ORDER_INVALID;
 	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_lane_event *v;
+	int64_t clock_ms = 0;
 	bool unknown = false;
 	int rc;
 
@@ -364,14 +366,16 @@
 	else if (o->poll_first && check_process(w, &e))
 		rc = -1;
 	else
-		rc = send_start(w, o, &outcome, &unknown, &e);
+		rc = send_start(w, o, &outcome, &unknown, &clock_ms, &e);
 	if (w->removed)
 		return;
 	if (!rc && !o->stop && outcome == SEAM_ORDER_DONE) {
 		seam_metric_add(&starts, 1);
 		set_runs(w, w->runs + 1);
 	}
-	dispatch_report_answer(w->dispatch, o, rc, outcome, unknown, &e);
+	v = dispatch_report_answer(w->dispatch, o, rc, outcome, unknown, &e);
+	if (!rc && clock_ms)
+		v->lease_ms = o->lease_until - clock_ms;
 }
 
 /*
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -67,6 +67,8 @@
  * @running_at: when it was first confirmed to run
  * @percent: progress in the latest listing
  * @listed_at: when its worker last listed it as running
+ * @clock_known: its start was answered with the clock by which the owner
+ *     reckons the leases of its worker
  * @stop: it has to be stopped
  * @stop_retry_at: when an unanswered stop is sent again
  * @stopped_at: when its stop was answered, or a start refused as stale;
@@ -91,6 +93,7 @@
 	seam_time running_at;
 	int percent;
 	seam_time listed_at;
+	bool clock_known;
 	bool stop;
 	seam_time stop_retry_at;
 	seam_time stopped_at;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -210,6 +210,20 @@
 		 w->info.id, o->name, (long long)o->run, outcome);
 }
 
+/*
+ * Whether a start was answered by a process with the clock that the owner
+ * knows. All leases that the owner gives are times of that clock, so they end
+ * when the owner expects it, whichever process has them. A process that started
+ * since has an earlier clock, which leaves more of the lease.
+ */
+static bool clock_is_known(const struct seam_worker *w,
+			   const struct seam_lane_event *v)
+{
+	seam_time lease = scheduler_lease(w->sched) + LEASE_MARGIN;
+
+	return v->lease_ms && v->lease_ms <= lease / SEAM_MSEC;
+}
+
 /*
  * Handles the answer to a start. If an earlier attempt got no answer, a refusal
  * does not apply to that attempt: it may be running, have ended, or begin
@@ -235,11 +249,12 @@
 			scheduler_run_set_state(sched, r, SEAM_RUN_RUNNING);
 			j->started = true;
 			r->running_at = seam_now(sched->clock);
+			r->clock_known = clock_is_known(w, v);
 			seam_log(SEAM_INFO, "job",
 				 "event=started task=%s run=%lld worker=%s "
-				 "lane=%d after_ms=%lld",
+				 "lane=%d lease_ms=%lld after_ms=%lld",
 				 o->name, (long long)o->run, w->info.id,
-				 w->lane,
+				 w->lane, (long long)v->lease_ms,
 				 (long long)(r->running_at - r->sent_at) /
 					 SEAM_MSEC);
 			/* A pending start ended, so the next may be sent. */
--- a/process/scheduler_restart.c
+++ b/process/scheduler_restart.c
@@ -88,6 +88,7 @@
 	scheduler_run_set_state(w->sched, r, SEAM_RUN_UNCONFIRMED);
 	r->earlier_process = true;
 	r->listed_at = 0;
+	r->clock_known = false;
 	r->stopped_at = SEAM_NEVER;
 	r->stop_retry_at = 0;
 }
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -352,7 +352,8 @@
 
 /*
  * A run that was never listed may be on a process whose start the owner has not
- * seen. An answered start began by its answer; any other is taken to have begun
+ * seen, unless its start was answered with the clock that the owner knows. An
+ * answered start began by its answer; any other is taken to have begun
  * by the time the worker was last heard, and a lasting task does not wait
  * longer for it than for a late start.
  */
@@ -365,6 +366,8 @@
 
 	if (r->listed_at)
 		return w->lease_end;
+	if (r->clock_known)
+		return w->lease_end + LEASE_MARGIN;
 	if (r->state != SEAM_RUN_UNCONFIRMED)
 		return scheduler_unheard_lease_end(w, r->running_at);
 	if (!lasting || !r->late_until)
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -406,7 +406,8 @@
 				 "{\"events\":[[1,0,7,0,0,0,[1],[]]]}",
 				 "{\"events\":[[1,0,7,0,0,0,[],[[1]]]]}",
 				 "{\"events\":[[1,2,7,0,0,\"\"]]}",
-				 "{\"events\":[[1,9,7,0,0,\"\"]]}"};
+				 "{\"events\":[[1,9,7,0,0,\"\"]]}",
+				 "{\"events\":[],\"leases\":[[1,3150]]}"};
 	seam_lane_batch b;
 	seam_lane_events v;
 
@@ -469,6 +470,7 @@
 	v[2].run = 9;
 	v[2].stop = true;
 	v[2].unknown = true;
+	v[2].lease_ms = 3150;
 	v[2].outcome = SEAM_ORDER_STALE_RUN;
 	json_object *j = seam_lane_events_to_json(&events, 0, 0);
 	ASSERT_EQ(seam_lane_events_parse(j, 0, &got, &e), 0);
@@ -485,6 +487,7 @@
 	EXPECT_EQ(got.event[0].listing.end[0].number, 8);
 	EXPECT_EQ(got.event[1].failed, SEAM_COMMIT_UNKNOWN);
 	EXPECT_EQ(got.event[1].outcome, SEAM_ORDER_WRONG_INCARNATION);
+	EXPECT_EQ(got.event[2].lease_ms, 3150);
 	EXPECT_STREQ(got.event[1].why, "timeout");
 	EXPECT_EQ(got.event[2].key, 13u);
 	EXPECT_EQ(got.event[2].run, 9);
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -146,6 +146,29 @@
 	expect_run_on_b();
 }
 
+// Guards against a run that is kept for the longest lease on a worker that is
+// gone, although the answer to its start shows its lease.
+TEST_F(Scheduler, AnsweredRunThatWasNeverListedDoesNotKeepTheTask)
+{
+	FakeWorker *a = w.add_worker("a");
+	Owner o(&w, "n1");
+
+	o.start_renewals();
+	ASSERT_TRUE(restart_is_seen(o, a));
+	usleep(4000000); // the longest lease counts from the first answer
+	a->wait_ms = 700;
+	usleep(1000000);
+	w.job(ID, 1, "lasts");
+	ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+	a->unresponsive = true;
+	int64_t gone_us = FakeWorker::us();
+	FakeWorker *b = w.add_worker("b");
+	ASSERT_TRUE(eventually([&] { return b->running() == 1; }));
+	// The users count a task as lost from 6 s after its last run.
+	EXPECT_LT(FakeWorker::us() - gone_us, 6000000);
+	EXPECT_EQ(w.twice, 0);
+}
+
 // Guards against workers that are all shunned because of one job whose tasks
 // fail everywhere.
 TEST_F(Scheduler, FailingTasksDoNotKeepOtherTasks)
