--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -232,7 +232,7 @@
 	refused = w->answered_token > t->late_token;
 	if (w->answered)
 		return !refused;
-	if (lasting || refused)
+	if (lasting)
 		return now <= scheduler_unconfirmed_end(w, refused,
 							t->late_wait_until);
 	return now <= scheduler_unheard_lease_end(w, 0);
