tests: the soak of lasting tasks loses owners in series

It drew changes of the owner one at a time and long before the calm in which it looks for tasks that wait, so that no long lease of a silent worker was left to a second owner. A worker with runs now goes when a new owner has just heard of it, and one or two owners are lost after that.

--- a/tests/scheduler_soak_test.cc
+++ b/tests/scheduler_soak_test.cc
@@ -396,6 +396,32 @@
 			step_with_jobs(10);
 		}
 	}
+	FakeWorker *busy_worker()
+	{
+		for (auto &id : fleet)
+			if (w.workers[id]->running())
+				return w.workers[id];
+		return any_worker();
+	}
+	// Loses owners in series. A worker with runs goes when the first one
+	// has just heard of it. Returns when the last owner was lost.
+	seam_time lose_owners()
+	{
+		FakeWorker *x;
+		seam_time lost_at = 0;
+
+		take_over();
+		usleep((useconds_t)between(300, 1500) * 1000);
+		x = busy_worker();
+		x->unresponsive = true;
+		fleet.erase(std::find(fleet.begin(), fleet.end(), x->id));
+		for (int n = between(1, 2); n; n--) {
+			lost_at = seam_now(w.clock);
+			take_over();
+			usleep((useconds_t)between(0, 1500) * 1000);
+		}
+		return lost_at;
+	}
 	// Ends all faults and checks that the lasting tasks run.
 	void calm()
 	{
@@ -406,7 +432,7 @@
 			x->lose_stops = 0;
 			put_row(x, x->born);
 		}
-		fault_at = seam_now(w.clock);
+		fault_at = lose_owners();
 		seam_time until = fault_at + LOST_AFTER + WINDOW;
 		while (seam_now(w.clock) < until)
 			step_with_jobs(5);
