--- a/process/scheduler_handover.c
+++ b/process/scheduler_handover.c
@@ -16,7 +16,7 @@
 #define SAVE_INTERVAL (500 * SEAM_MSEC)
 /*
  * The platform takes rows of 64 KiB, with the commit's token; the rest is for
- * the frame of the lists. This holds 448 tasks whose workers have names of 63
+ * the frame of the lists. This holds 400 tasks whose workers have names of 63
  * characters.
  */
 #define ENTRIES_BYTES_MAX (60u << 10)
