election: keep the clocks of several owners

An owner that is lost before it has written the row again leaves that of the owner before it.

A node keeps the clocks of the latest four terms.

--- a/process/election.c
+++ b/process/election.c
@@ -74,6 +74,11 @@
 	return t > 0 && t < SEAM_NEVER / 4;
 }
 
+static struct seam_election_clock *latest_prior(struct seam_election *l)
+{
+	return &l->prior[(l->priors - 1) % SEAM_ELECTION_PRIORS];
+}
+
 /* Notes the clock of the owner that has sent a heartbeat, if it tells one. */
 static void note_clock(struct seam_election *l,
 		       const struct seam_row *heartbeat, seam_time now)
@@ -85,18 +90,27 @@
 	json_object_put(o);
 	if (!is_clock(clock))
 		return;
-	l->prior_term = l->term;
-	l->prior_clock = clock;
-	l->prior_seen_at = now;
+	if (!l->priors || latest_prior(l)->term != l->term)
+		l->priors++;
+	*latest_prior(l) = (struct seam_election_clock){l->term, clock, now};
 }
 
 int seam_election_from_prior_clock(const struct seam_election *l, uint64_t term,
 				   seam_time *t)
 {
-	if (!l->prior_clock || l->prior_term != term || !is_clock(*t))
+	const struct seam_election_clock *c;
+	size_t i;
+
+	if (!is_clock(*t))
 		return -1;
-	*t += l->prior_seen_at - l->prior_clock;
-	return 0;
+	for (i = 0; i < SEAM_ELECTION_PRIORS; i++) {
+		c = &l->prior[i];
+		if (!c->seen_at || c->term != term)
+			continue;
+		*t += c->seen_at - c->sent_at;
+		return 0;
+	}
+	return -1;
 }
 
 /*
--- a/process/election.h
+++ b/process/election.h
@@ -34,6 +34,21 @@
 #define SEAM_ELECTION_CALL_TIMEOUT \
 	(600 * SEAM_MSEC) /* timeout of a store call */
 
+/* An owner may be lost before it has written again what the one before left. */
+#define SEAM_ELECTION_PRIORS 4
+
+/**
+ * struct seam_election_clock - clock of an owner
+ * @term: its term
+ * @sent_at: time of its clock at which its latest heartbeat was sent
+ * @seen_at: when that heartbeat was first read; 0 in an unused element
+ */
+struct seam_election_clock {
+	uint64_t term;
+	seam_time sent_at;
+	seam_time seen_at;
+};
+
 /**
  * struct seam_election - state of a node in the election of the owner
  * @store: table service
@@ -43,10 +58,8 @@
  * @owner_version: version of SEAM_ELECTION_OWNER_ROW
  * @heartbeat_version: version of SEAM_ELECTION_HEARTBEAT_ROW
  * @heartbeat_seen_at: when @heartbeat_version was first read
- * @prior_term: term of the latest heartbeat of another owner that tells its
- *     clock
- * @prior_clock: time of that owner's clock at which it was sent
- * @prior_seen_at: when it was first read
+ * @prior: clocks of the latest owners whose heartbeats told them
+ * @priors: number of owners that were noted there
  * @read_at: when the rows were last read
  * @orders_until: the previous owner sends no order after this time; 0 if there
  *                was none
@@ -63,9 +76,8 @@
 	uint64_t owner_version;
 	uint64_t heartbeat_version;
 	seam_time heartbeat_seen_at;
-	uint64_t prior_term;
-	seam_time prior_clock;
-	seam_time prior_seen_at;
+	struct seam_election_clock prior[SEAM_ELECTION_PRIORS];
+	size_t priors;
 	seam_time read_at;
 	seam_time orders_until;
 	seam_time started_at;
@@ -114,8 +126,7 @@
 seam_time seam_election_valid_until(const struct seam_election *l);
 
 /**
- * seam_election_from_prior_clock() - convert a time of the previous owner's
- * clock
+ * seam_election_from_prior_clock() - convert a time of an earlier owner's clock
  * @term: term of that owner
  * @t: time of its clock
  *
--- a/process/scheduler_inherit.c
+++ b/process/scheduler_inherit.c
@@ -138,8 +138,8 @@
 
 /*
  * Returns the time from which the times of the row count. It is not known for a
- * row of an owner that has told no clock, as one before the previous owner; the
- * row was written before it is read.
+ * row of an owner whose heartbeats this node has not read, or that told no
+ * clock; the row was written before it is read.
  */
 static seam_time row_time(struct seam_scheduler *sched, struct json_object *o)
 {
--- a/tests/owner.h
+++ b/tests/owner.h
@@ -128,7 +128,10 @@
 	std::thread renewals;
 	bool stop = false;
 
-	Owner(World *w, const char *name, int processor = 500) : world(w)
+	// @watched: the node's view of the election so far, or NULL
+	Owner(World *w, const char *name, int processor = 500,
+	      const seam_election *watched = nullptr)
+	    : world(w)
 	{
 		seam_scheduler_conf conf = {500 * SEAM_MSEC, 6 * SEAM_SEC, 64};
 
@@ -141,6 +144,8 @@
 		ports.nodes = &nodes.base;
 
 		seam_election_init(&election, &w->store.base, w->clock, name);
+		if (watched)
+			election = *watched;
 		eventually(
 			[&] { return seam_election_try_claim(&election, &e); });
 		sched = seam_scheduler_open(&conf, w->clock, &ports,
--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -386,6 +386,37 @@
 	expect_run_on_b_after(lost_at);
 }
 
+// Guards against a row that a second owner had no time to write again.
+TEST_F(LongLeaseLeft, TaskDoesNotWaitAgainAfterAnOwnerWithoutARow)
+{
+	seam_election second;
+	seam_election third;
+	seam_err e = SEAM_ERR_INIT;
+
+	seam_election_init(&second, &w.store.base, w.clock, "n2");
+	seam_election_init(&third, &w.store.base, w.clock, "n3");
+	for (int i = 0; i < 5; i++) {
+		seam_election_try_claim(&second, &e);
+		seam_election_try_claim(&third, &e);
+		usleep(100000);
+	}
+	a->unresponsive = true;
+	lose_owner();
+	ASSERT_TRUE(eventually([&] {
+		bool claimed = seam_election_try_claim(&second, &e);
+
+		usleep(20000);
+		if (!claimed)
+			seam_election_try_claim(&third, &e);
+		return claimed;
+	}));
+	seam_time lost_at = seam_now(w.clock);
+	EXPECT_FALSE(seam_election_try_claim(&third, &e));
+	o.reset(new Owner(&w, "n3", 500, &third));
+	o->start_renewals();
+	expect_run_on_b_after(lost_at);
+}
+
 // A lasting task whose start worker a keeps; a falls silent with the owner.
 struct LateStartOnASilentWorker : LongLeaseLeft {
 	void SetUp() override
@@ -426,4 +457,15 @@
 	EXPECT_TRUE(eventually(
 		[&] { return w.workers["b"]->running() == 1; },
 		6000 - (int)((seam_now(w.clock) - lost_at) / SEAM_MSEC)));
+	EXPECT_EQ(w.twice, 0);
+}
+
+// Guards against an end of the wait that no owner writes.
+TEST_F(LateStartOnASilentWorker, OwnerLeavesTheEndOfTheWait)
+{
+	a->unresponsive = false;
+	EXPECT_TRUE(eventually([&] {
+		return w.store.get("owner/handover").find("\"wait_ms\":") !=
+		       std::string::npos;
+	}));
 }
