scheduler: the next owner waits for a run that was confirmed since

A run that was confirmed begins a new wait when it is dropped. The row had the end of the wait before it, so the next owner let the task go up to a second too soon. Found by a review, by reading.

--- a/process/scheduler_handover.c
+++ b/process/scheduler_handover.c
@@ -96,6 +96,7 @@
 	struct handover_entry e = {.run = late.spent ? 0 : late.number};
 
 	late.late_until = late_start_end(h, t, at->run);
+	late.confirmed = late.confirmed || late.state == SEAM_RUN_RUNNING;
 	e.until = late.late_until;
 	e.wait_until = scheduler_late_wait(t, &late, lasting, h->now);
 	add_task(h, at->job, at->step, at->task, w->info.id, &e);
