scheduler: compare the answer to a start with the end of the lease

The clock in the answer was taken for the known one if it left no more than a whole lease. A process that lived for under two seconds and the one after it may pass that, as both clocks are young. What is left is compared with the end of the lease that the owner reckons with.

--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -212,16 +212,17 @@
 
 /*
  * Whether a start was answered by a process with the clock that the owner
- * knows. All leases that the owner gives are times of that clock, so they end
- * when the owner expects it, whichever process has them. A process that started
- * since has an earlier clock, which leaves more of the lease.
+ * knows: by that clock, the lease ends when the owner expects it. All leases
+ * that it gives are times of that clock, whichever process has them. A process
+ * that started since has an earlier clock, which leaves more of the lease.
  */
 static bool clock_is_known(const struct seam_worker *w,
 			   const struct seam_lane_event *v)
 {
-	seam_time lease = scheduler_lease(w->sched) + LEASE_MARGIN;
+	seam_time now = seam_now(w->sched->clock);
+	seam_time left = w->lease_end + LEASE_MARGIN - now;
 
-	return v->lease_ms && v->lease_ms <= lease / SEAM_MSEC;
+	return v->lease_ms && v->lease_ms <= left / SEAM_MSEC;
 }
 
 /*
