scheduler: wait for a start that was sent after the wait of its task

A lasting task whose wait is over goes to its worker again where no other has room.

FreshStartOfARestartedWorkerIsNotBesideAnotherRun has the sequence. The log tells a run that is given up with its lease from one whose wait is over.

--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -35,6 +35,11 @@
  * takes up to a second.
  */
 #define LATE_START_WAIT (6 * SEAM_SEC)
+/*
+ * The first poll of a process that starts while a poll without an answer is
+ * under way: that one takes 0.45 s, the next one follows 0.05 s later.
+ */
+#define FIRST_POLL_MAX (800 * SEAM_MSEC)
 /* Run numbers increase with the term. */
 #define SEAM_RUNS_PER_TERM 10000
 #define STORE_TIMEOUT (900 * SEAM_MSEC)
@@ -172,7 +177,7 @@
 			      const struct seam_run_slot *r, bool lasting,
 			      seam_time now);
 seam_time scheduler_unconfirmed_end(const struct seam_worker *w, bool refused,
-				    seam_time wait);
+				    seam_time wait, seam_time late_until);
 bool scheduler_late_start_possible(struct seam_scheduler *sched,
 				   const struct seam_job_task_state *t,
 				   bool lasting);
--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -202,15 +202,19 @@
  * worker that does not answer. Its process has the leases that the owner gave,
  * unless it has refused the start. That its next process carries the start out
  * is waited for until @wait at most, as answered polls put the end of the
- * longest lease off.
+ * longest lease off, but as long as its node may send it and the process is not
+ * polled. Such a start may come until @late_until.
  */
 seam_time scheduler_unconfirmed_end(const struct seam_worker *w, bool refused,
-				    seam_time wait)
+				    seam_time wait, seam_time late_until)
 {
 	seam_time longest = scheduler_unheard_lease_end(w, 0);
 	seam_time given = refused || !w->contacted ? 0 : w->lease_end;
+	seam_time fresh = late_until - LATE_ORDER_MAX + FIRST_POLL_MAX;
 	seam_time end = wait > given ? wait : given;
 
+	if (end < fresh)
+		end = fresh;
 	return end < longest ? end : longest;
 }
 
@@ -234,7 +238,8 @@
 		return !refused;
 	if (lasting)
 		return now <= scheduler_unconfirmed_end(w, refused,
-							t->late_wait_until);
+							t->late_wait_until,
+							t->late_until);
 	return now <= scheduler_unheard_lease_end(w, 0);
 }
 
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -375,14 +375,18 @@
 	return scheduler_unconfirmed_end(
 		w, w->answered_token > r->late_token,
 		scheduler_late_wait(&at->job->task[at->step][at->task], r, true,
-				    now));
+				    now),
+		r->late_until);
 }
 
 static void expire_run(struct seam_worker *w,
 		       const struct scheduler_run_ref *at, void *arg)
 {
-	if (seam_now(w->sched->clock) > scheduler_run_lease_end(w, at))
-		scheduler_run_lost(w, at, arg);
+	seam_time now = seam_now(w->sched->clock);
+
+	if (now > scheduler_run_lease_end(w, at))
+		scheduler_run_lost(w, at,
+				   now > w->lease_end ? arg : "wait_over");
 }
 
 /*
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -169,6 +169,45 @@
 	EXPECT_EQ(w.twice, 0);
 }
 
+// Guards against a run beside a start that was sent after the wait was over.
+TEST_F(Scheduler, FreshStartOfARestartedWorkerIsNotBesideAnotherRun)
+{
+	FakeWorker *a = w.add_worker("a");
+	FakeWorker *b = w.add_worker("b");
+	Owner o(&w, "n1");
+	auto kept = [&] {
+		std::lock_guard<std::mutex> l(a->lock);
+
+		return a->late.size();
+	};
+
+	w.row("b", "p", 500, "d1", false); // no room for the task
+	o.start_renewals();
+	ASSERT_TRUE(restart_is_seen(o, a));
+	a->late_starts = 1000000;
+	w.job(ID, 1, "lasts");
+	ASSERT_TRUE(eventually([&] { return kept() > 0; }));
+	usleep(6500000);
+	size_t before = kept();
+	ASSERT_TRUE(eventually([&] { return kept() > before; }));
+	a->late_starts = 0;
+	a->unresponsive = true;
+	a->restart();
+	w.row("a", "p", 8000, "d1", false);
+	w.row("b", "p", 8000, "d1", false);
+	usleep(1000000);
+	{
+		std::lock_guard<std::mutex> l(a->lock);
+
+		a->late.erase(a->late.begin(), a->late.begin() + (long)before);
+	}
+	w.deliver_late(a);
+	a->unresponsive = false;
+	usleep(2500000);
+	EXPECT_EQ(w.twice, 0);
+	EXPECT_EQ(a->running() + b->running(), 1u);
+}
+
 // Guards against workers that are all shunned because of one job whose tasks
 // fail everywhere.
 TEST_F(Scheduler, FailingTasksDoNotKeepOtherTasks)
