vms: return a VM whose orders are refused to service

Cause: a worker that is emptied for maintenance stays marked as leaving while the order is refused, as each survey plans the VM again and renews the mark. Where a wave may take all workers of a pool at once, as it does shortly before its deadline, none of them runs tasks for as long as the refusals last.

Change: after four refusals in a row, some 3 s, the VM gets no other order for 5 s and its worker is in use again. It does not count as one of those at once meanwhile, so that the wave goes on with other VMs.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -255,6 +255,7 @@
  * @wave: wave that maintained it, or 0
  * @refused: maintenance that was refused, which counts as one of those at once
  *     until @busy_until
+ * @refusals: orders for the VM that were refused in a row
  * @pool: pool that it was moved to, or ""
  */
 struct seam_vm_order {
@@ -262,6 +263,7 @@
 	seam_time arrival_deadline;
 	int64_t wave;
 	bool refused;
+	int refusals;
 	char pool[SEAM_NAME_SIZE];
 };
 
--- a/process/scheduler_vm_orders.c
+++ b/process/scheduler_vm_orders.c
@@ -14,6 +14,13 @@
 #define VM_LIST_DELAY_MAX (900 * SEAM_MSEC)
 /* An order without an answer may be carried out up to this much later. */
 #define UNANSWERED_ORDER_DELAY_MAX (3 * SEAM_SEC)
+/*
+ * A VM whose orders are refused this often in a row goes back into service, so
+ * that its tasks wait less than the 7 s after which the users call them lost.
+ */
+#define REFUSED_ORDERS_MAX 4
+/* It gets no other order for this long, as each empties its worker again. */
+#define REFUSED_ORDER_PAUSE (5 * SEAM_SEC)
 /*
  * Time from an order until the VM's new worker has answered: a move or
  * maintenance of about 2 s, the worker's row, and its first hold.
@@ -51,8 +58,10 @@
 					  const char *vm, int64_t wave,
 					  const char *pool, seam_time until)
 {
+	struct seam_vm_order *last = g_hash_table_lookup(sched->vm_orders, vm);
 	struct seam_vm_order *o = g_new0(struct seam_vm_order, 1);
 
+	o->refusals = last ? last->refusals : 0;
 	o->busy_until = until;
 	o->arrival_deadline = seam_now(sched->clock) + WORKER_ARRIVAL_TIME_MAX;
 	o->wave = wave;
@@ -88,6 +97,26 @@
 	return rc;
 }
 
+static void handle_refused_order(struct seam_scheduler *sched,
+				 const struct seam_planned_vm_order *t)
+{
+	seam_time now = seam_now(sched->clock);
+	struct seam_vm_order *o =
+		set_vm_order(sched, t->vm, 0, "", now + VM_LIST_DELAY_MAX);
+	struct seam_worker *w = scheduler_find_worker(sched, t->worker);
+
+	if (++o->refusals < REFUSED_ORDERS_MAX) {
+		o->refused = t->wave;
+		return;
+	}
+	o->refusals = 0;
+	o->busy_until = now + REFUSED_ORDER_PAUSE;
+	if (!w)
+		return;
+	w->leaving_until = 0;
+	scheduler_wake_pass(sched);
+}
+
 /* Carries out an order for a VM whose worker is empty. */
 static void order_vm(struct seam_scheduler *sched,
 		     const struct seam_planned_vm_order *t)
@@ -119,14 +148,13 @@
 	if (rc)
 		return;
 	if (outcome != SEAM_VM_DONE) {
-		o = set_vm_order(sched, t->vm, 0, "",
-				 seam_now(sched->clock) + VM_LIST_DELAY_MAX);
-		o->refused = t->wave;
+		handle_refused_order(sched, t);
 		return;
 	}
 	seam_metric_add(t->wave ? &maintained : &moves, 1);
-	set_vm_order(sched, t->vm, t->wave, t->pool,
-		     seam_now(sched->clock) + VM_LIST_DELAY_MAX);
+	o = set_vm_order(sched, t->vm, t->wave, t->pool,
+			 seam_now(sched->clock) + VM_LIST_DELAY_MAX);
+	o->refusals = 0;
 	if (t->wave)
 		g_hash_table_add(sched->wave_done, g_strdup(t->vm));
 	w = scheduler_find_worker(sched, t->worker);
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -87,6 +87,22 @@
 	expect_lasting_task_runs();
 }
 
+// Guards against lasting tasks that wait for good: a late wave may take all
+// workers of the pool at once, and the VM service refuses to maintain them.
+TEST_F(FailingVms, RefusedMaintenanceOfAllWorkersKeepsNoLastingTask)
+{
+	order_outcome = SEAM_VM_BUSY;
+	for (const char *id : {"a", "b"})
+		w.add_worker(id);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.store.put("op/wave/1", "1 2 vm-a,vm-b");
+	ASSERT_TRUE(eventually([&] { return refused_orders >= 4; }));
+	// 13 s before its end the wave takes both at once.
+	usleep(9000000);
+	expect_lasting_task_runs();
+}
+
 // Guards against a worker that stays out of use when its VM is no longer
 // listed.
 TEST_F(FailingVms, UnlistedVmKeepsNoLastingTask)
