--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -284,7 +284,8 @@
 {
 	for (int64_t t = 0; t < j->row.spec.step[0].tasks; t++)
 		if (scheduler_task_is_idle(j, 0, t) &&
-		    !scheduler_late_start_possible(f->sched, &j->task[0][t]))
+		    !scheduler_late_start_possible(f->sched, &j->task[0][t],
+						   j->row.spec.step[0].lasting))
 			return true;
 	return false;
 }
