--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -36,8 +36,9 @@
  */
 #define LATE_START_WAIT (6 * SEAM_SEC)
 /*
- * The first poll of a process that starts while a poll without an answer is
- * under way: that one takes 0.45 s, the next one follows 0.05 s later.
+ * A process is polled within this time of its start: a poll that is under way
+ * then takes 0.45 s, the next one follows after 0.05 s and takes 0.2 s, and its
+ * answer reaches the owner within 0.1 s.
  */
 #define FIRST_POLL_MAX (800 * SEAM_MSEC)
 /* Run numbers increase with the term. */
