--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -87,8 +87,7 @@
 	expect_lasting_task_runs();
 }
 
-// Guards against lasting tasks that wait for good: a late wave may take all
-// workers of the pool at once, and the VM service refuses to maintain them.
+// Guards against a wave that keeps all workers out of use while it is refused.
 TEST_F(FailingVms, RefusedMaintenanceOfAllWorkersKeepsNoLastingTask)
 {
 	order_outcome = SEAM_VM_BUSY;
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -2,8 +2,7 @@
 #include "tests/scheduler_fixture.h"
 
 // The users call a task lost that does not run after 4 s and 3 s of calm, and
-// at the end of a day one that does not run from 6 s after its last run for 3
-// s.
+// at the end of a day 6 s and 3 s after its last run.
 static const int LOST_AFTER_MS = 7000;
 static const int LOST_AT_THE_END_MS = 9000;
 
@@ -146,8 +145,7 @@
 	expect_run_on_b();
 }
 
-// Guards against a run that is kept for the longest lease on a worker that is
-// gone, although the answer to its start shows its lease.
+// Guards against the longest lease for a run whose answer shows its lease.
 TEST_F(Scheduler, AnsweredRunThatWasNeverListedDoesNotKeepTheTask)
 {
 	FakeWorker *a = w.add_worker("a");
