http: threads that begin and end with their connections

CivetWeb starts all threads of a server with it, 245 to 512 for callers and 24 for control on each node, and a connection holds one while it is idle.

The server is libmicrohttpd now, with a thread for each open connection. Before the limit is reached the longest idle connection is closed, one without a first request after 0.2 s; a request beyond the limit gets 503 at once, which is true: it has not run. The limit follows from the node's memory and descriptors (new settings memory_mb and descriptors, from the platform's limits) instead of its processor. A connection with its thread takes 55 KB (500 connections, 18.6 to 46.2 MB resident).

--- a/process/http.h
+++ b/process/http.h
@@ -15,11 +15,13 @@
 typedef void (*seam_handler)(struct seam_call *c, void *arg);
 
 /**
- * seam_http_new() - create an HTTP server, implemented with CivetWeb
+ * seam_http_new() - create an HTTP server, implemented with
+ * libmicrohttpd
  * @k: clock for arrival times and deadlines
  *
  * Each connection has a thread, which reads a request, runs its handler, writes
- * the response and continues with the next request.
+ * the response and continues with the next request. The thread begins and ends
+ * with its connection.
  */
 struct seam_http *seam_http_new(struct seam_clock *k);
 
@@ -40,10 +42,11 @@
  * seam_http_start() - listen and serve
  * @h: server
  * @addr: IP:PORT
- * @threads: number of connections served at the same time
+ * @max: limit of requests served at the same time, and of connections before
+ * idle ones are closed; see struct seam_conn_set. Further requests are refused.
  * @e: SEAM_UNAVAILABLE if the address cannot be used
  */
-int seam_http_start(struct seam_http *h, const char *addr, int threads,
+int seam_http_start(struct seam_http *h, const char *addr, int max,
 		    struct seam_err *e);
 
 /**
--- a/process/platform_node.c
+++ b/process/platform_node.c
@@ -8,8 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CONTROL_THREADS 24 /* each relayed wait for changes occupies one */
-#define PROBE_THREADS 2
+/* Each relayed wait for changes occupies a connection, as does each batch. */
+#define CONTROL_CONNECTIONS_MAX 256
+#define PROBE_CONNECTIONS_MAX 16
 #define CLAIM_INTERVAL_USEC 350000 /* between reads of the term */
 #define NODE_REFRESH_USEC 3000000 /* between reads of other nodes' rows */
 #define NODE_QUERY_TIMEOUT (400 * SEAM_MSEC) /* for all nodes together */
@@ -186,9 +187,10 @@
 	seam_http_route(n->control, "GET", "/metrics", serve_metrics, n);
 	seam_store_relay_serve(n->ports.store, n->control);
 	seam_dispatch_serve(n->dispatch, n->control);
-	if (seam_http_start(n->probes, n->settings.ready, PROBE_THREADS, e) ||
-	    seam_http_start(n->control, n->settings.control, CONTROL_THREADS,
-			    e))
+	if (seam_http_start(n->probes, n->settings.ready, PROBE_CONNECTIONS_MAX,
+			    e) ||
+	    seam_http_start(n->control, n->settings.control,
+			    CONTROL_CONNECTIONS_MAX, e))
 		return -1;
 	return seam_http_start(n->front, n->settings.listen,
 			       (int)n->settings.threads, e);
--- a/process/platform_settings.c
+++ b/process/platform_settings.c
@@ -32,22 +32,33 @@
 	REAL(vm_orders_per_s, 0, 100000),
 	REAL(cpu_share, 0, 1024),
 	REAL(cores, 0, 1024),
+	INT(memory_mb, 16, 1 << 20),
+	INT(descriptors, 256, 1 << 20),
 	F(log_level, SEAM_JSON_CHOICE, .choices = levels),
 };
 
-/* A quarter of a core serves this many keep-alive connections. */
-#define DEFAULT_THREADS_MAX 512
+/*
+ * A connection with its thread takes 55 KB: 24 for the head of a request, the
+ * rest for the touched part of its stack and for buffers.
+ */
+#define CONNECTION_KB 64
+#define MEMORY_DIVISOR 4 /* connections may take 1/4 of the memory */
+#define RESERVED_DESCRIPTORS 200 /* for files, as on the users' machines */
+#define DESCRIPTORS_DIVISOR 2 /* the others are for calls to other programs */
+#define DEFAULT_THREADS_MAX 1024
 #define DEFAULT_THREADS_MIN 64
-#define DEFAULT_THREADS_PER_CORE 2048
 
-/* All threads are created at start, so a small node gets fewer. */
+/* Connections that the memory and the descriptors of the node bear. */
 static int64_t default_threads(const struct seam_platform_settings *s)
 {
-	double n = DEFAULT_THREADS_PER_CORE * s->cpu_share * s->cores;
+	int64_t memory = s->memory_mb * 1024 / MEMORY_DIVISOR / CONNECTION_KB;
+	int64_t descriptors =
+		(s->descriptors - RESERVED_DESCRIPTORS) / DESCRIPTORS_DIVISOR;
+	int64_t n = memory < descriptors ? memory : descriptors;
 
 	if (n < DEFAULT_THREADS_MIN)
 		return DEFAULT_THREADS_MIN;
-	return n < DEFAULT_THREADS_MAX ? (int64_t)n : DEFAULT_THREADS_MAX;
+	return n < DEFAULT_THREADS_MAX ? n : DEFAULT_THREADS_MAX;
 }
 
 static void set_defaults(struct seam_platform_settings *s)
@@ -59,6 +70,8 @@
 	s->vm_orders_per_s = 20;
 	s->cpu_share = 1;
 	s->cores = 1;
+	s->memory_mb = 256;
+	s->descriptors = 4096;
 	s->log_level = 1;
 }
 
--- a/process/platform_settings.h
+++ b/process/platform_settings.h
@@ -20,8 +20,8 @@
  * @store: IP:PORT of the table service
  * @vm_service: IP:PORT of the VM list
  * @threads: maximum number of open caller connections; each has a thread, also
- *           while it is idle, and further callers wait; 0 derives it from
- *           @cpu_share and @cores
+ *           while it is idle; the longest idle one is closed when further
+ *           callers come; 0 derives it from @memory_mb and @descriptors
  * @grace_ms: time from SIGTERM until the process is killed
  * @lease_max_ms: maximum length of a worker's lease
  * @vm_lease_ms: time after a takeover before VMs that the previous owner may
@@ -30,6 +30,8 @@
  *                   per second
  * @cpu_share: fraction of a core that the node may use
  * @cores: speed of that core relative to a standard one
+ * @memory_mb: memory that the node may use
+ * @descriptors: descriptors that it may use
  * @log_level: index of debug, info, warning, error
  */
 struct seam_platform_settings {
@@ -48,6 +50,8 @@
 	double vm_orders_per_s;
 	double cpu_share;
 	double cores;
+	int64_t memory_mb;
+	int64_t descriptors;
 	int log_level;
 };
 
