dispatch: a thread for orders only while there are some

A node had two threads for each worker that it serves, one of which waited for orders. It is started with the first order now and ends after a second without one; a start that finds no thread is reported as not sent.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -30,6 +30,8 @@
  * @acks_changed: signalled when @acked or @removed changes
  * @orders: struct seam_lane_order, in order of sending
  * @orders_changed: signalled when @orders or @removed changes
+ * @order_thread: a thread sends orders
+ * @order_thread_until: it ends then unless an order comes
  * @removed: the worker is no longer served
  * @thread_count: running threads; the last one to exit frees the entry
  */
@@ -54,6 +56,8 @@
 	pthread_cond_t acks_changed;
 	GQueue orders;
 	pthread_cond_t orders_changed;
+	bool order_thread;
+	seam_time order_thread_until;
 	bool removed;
 	int thread_count;
 };
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -1,5 +1,5 @@
-/* The two threads of a worker that a node serves: one renews its lease and
- * polls it, the other sends it orders. */
+/* The threads of a worker that a node serves: one renews its lease and polls
+ * it; while there are orders, another sends them. */
 #include "process/dispatch_impl.h"
 #include "base/metrics.h"
 #include "base/log.h"
@@ -37,7 +37,10 @@
 #define ACK_TIMEOUT (120 * SEAM_MSEC)
 /* An unchanged listing is reported once in this interval. */
 #define REPORT_INTERVAL (300 * SEAM_MSEC)
-#define STACK_BYTES (256u << 10) /* small, as each worker has two threads */
+#define STACK_BYTES (256u << 10) /* small, as each worker has a thread */
+/* The thread for orders ends when there was none for this time. Busy workers
+ * get several starts a second, and a new thread for each would cost 50 us. */
+#define ORDER_THREAD_IDLE_MAX (1 * SEAM_SEC)
 
 SEAM_METRIC(starts, "seam_starts_total", "Starts that workers accepted.");
 SEAM_METRIC(polls, "seam_worker_holds_total", "Leases renewed and looks.");
@@ -105,17 +108,22 @@
 	       (l->ends && l->end[l->ends - 1].number > w->reported_end);
 }
 
-/* Discards the orders and the lease that were meant for the process before the
- * restart. */
-static void reset_after_restart(struct seam_dispatch_worker *w)
+/* Reports that no order which waits is sent. */
+static void reject_orders(struct seam_dispatch_worker *w, const char *why)
 {
 	struct seam_lane_order *o;
 
 	while ((o = g_queue_pop_head(&w->orders))) {
-		dispatch_reject_order(w->dispatch, o,
-				      "the worker has restarted");
+		dispatch_reject_order(w->dispatch, o, why);
 		dispatch_free_order(o);
 	}
+}
+
+/* Discards the orders and the lease that were meant for the process before the
+ * restart. */
+static void reset_after_restart(struct seam_dispatch_worker *w)
+{
+	reject_orders(w, "the worker has restarted");
 	w->lease_until = 0;
 	w->acked = 0;
 	w->reported_end = 0;
@@ -393,12 +401,19 @@
 	return g_queue_pop_head(&w->orders);
 }
 
+/* Returns when the thread for orders has something to do, or ends. */
 static seam_time next_order_deadline(const struct seam_dispatch_worker *w)
 {
 	const struct seam_lane_order *o =
 		w->orders.head ? w->orders.head->data : NULL;
 
-	return o ? o->send_by + 1 : SEAM_NEVER;
+	return o ? o->send_by + 1 : w->order_thread_until;
+}
+
+static bool may_end_order_thread(const struct seam_dispatch_worker *w)
+{
+	return g_queue_is_empty((GQueue *)&w->orders) &&
+	       seam_now(w->dispatch->clock) >= w->order_thread_until;
 }
 
 static void *order_loop(void *arg)
@@ -408,7 +423,8 @@
 	struct seam_lane_order *o;
 
 	pthread_mutex_lock(&d->lock);
-	while (!w->removed) {
+	w->order_thread_until = seam_now(d->clock) + ORDER_THREAD_IDLE_MAX;
+	while (!w->removed && !may_end_order_thread(w)) {
 		o = pop_order(w);
 		if (!o) {
 			seam_wait(d->clock, &w->orders_changed, &d->lock,
@@ -417,12 +433,32 @@
 		}
 		send_order(w, o);
 		dispatch_free_order(o);
+		w->order_thread_until =
+			seam_now(d->clock) + ORDER_THREAD_IDLE_MAX;
 	}
+	w->order_thread = false;
 	release_thread(w);
 	pthread_mutex_unlock(&d->lock);
 	return NULL;
 }
 
+static int start_thread(struct seam_dispatch_worker *w, void *(*run)(void *arg))
+{
+	pthread_attr_t a;
+	pthread_t t;
+	int rc;
+
+	pthread_attr_init(&a);
+	pthread_attr_setstacksize(&a, STACK_BYTES);
+	pthread_attr_setdetachstate(&a, PTHREAD_CREATE_DETACHED);
+	rc = pthread_create(&t, &a, run, w);
+	pthread_attr_destroy(&a);
+	if (rc)
+		return -1;
+	w->thread_count++;
+	return 0;
+}
+
 /* Reports the worker as not answering, so that the owner assigns it to another
  * node, and frees it when its threads have ended. */
 static void reject_worker(struct seam_dispatch_worker *w, const char *event,
@@ -439,25 +475,6 @@
 	release_thread(w);
 }
 
-static void start_threads(struct seam_dispatch_worker *w)
-{
-	static void *(*const thread_main[])(void *arg) = {poll_loop,
-							  order_loop};
-	pthread_attr_t a;
-	pthread_t t;
-
-	pthread_attr_init(&a);
-	pthread_attr_setstacksize(&a, STACK_BYTES);
-	pthread_attr_setdetachstate(&a, PTHREAD_CREATE_DETACHED);
-	while (w->thread_count < 2 &&
-	       !pthread_create(&t, &a, thread_main[w->thread_count], w))
-		w->thread_count++;
-	pthread_attr_destroy(&a);
-	if (w->thread_count < 2)
-		reject_worker(w, "no_thread",
-			      "cannot create a thread for the worker");
-}
-
 void dispatch_worker_add(struct seam_dispatch *d,
 			 const struct seam_lane_worker *row)
 {
@@ -480,11 +497,12 @@
 	seam_cond_init(&w->acks_changed);
 	g_hash_table_insert(d->worker_by_key, GUINT_TO_POINTER(row->key), w);
 	seam_metric_set(&served, (int64_t)seam_table_count(d->workers));
-	if (w->conn)
-		start_threads(w);
-	else
+	if (!w->conn)
 		reject_worker(w, "no_connection",
 			      "cannot open a connection to the worker");
+	else if (start_thread(w, poll_loop))
+		reject_worker(w, "no_thread",
+			      "cannot create a thread for the worker");
 }
 
 void dispatch_worker_change(struct seam_dispatch_worker *w,
@@ -522,5 +540,11 @@
 		g_queue_push_head(&w->orders, o);
 	else
 		g_queue_push_tail(&w->orders, o);
-	pthread_cond_signal(&w->orders_changed);
+	if (w->order_thread) {
+		pthread_cond_signal(&w->orders_changed);
+		return;
+	}
+	w->order_thread = !start_thread(w, order_loop);
+	if (!w->order_thread)
+		reject_orders(w, "the node has no thread for orders");
 }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -1,6 +1,9 @@
 // Dispatcher of a node: sessions, orders, events.
 #include <gtest/gtest.h>
 
+#include <dirent.h>
+#include <unistd.h>
+
 #include "tests/world.h"
 #include "tests/addr.h"
 
@@ -98,6 +101,43 @@
 	EXPECT_EQ(v->listing.runs + v->listing.ends, 1u);
 }
 
+static int threads()
+{
+	DIR *d = opendir("/proc/self/task");
+	int n = 0;
+
+	while (readdir(d))
+		n++;
+	closedir(d);
+	return n;
+}
+
+// Guards against a thread that waits for orders on each idle worker: a node of
+// 12% of a core had two threads for each worker that it served.
+TEST_F(Dispatch, ThreadForOrdersEndsWithoutOrders)
+{
+	uint64_t seen = 0;
+	int idle;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	idle = threads();
+	for (int i = 0; i < 3; i++) {
+		std::string task = "t" + std::to_string(i);
+
+		ASSERT_EQ(start(1, 1, task.c_str()), 0);
+		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+		ASSERT_NE(v, nullptr);
+		EXPECT_STREQ(v->task, task.c_str());
+		EXPECT_EQ(threads(), idle + 1);
+		for (int k = 0; k < 200 && threads() > idle; k++) {
+			next(1, 1, SEAM_LANE_LISTED, &seen);
+			usleep(10000);
+		}
+		EXPECT_EQ(threads(), idle);
+	}
+}
+
 // Guards against orders from an owner whose term has ended, after a later owner
 // has opened a session.
 TEST_F(Dispatch, LaterTermEndsTheOneBefore)
