log: lines of requests leave room for the state of the node

Lines of the parts node, config, store, owner, dispatch, vms and upkeep have a limit of their own, 200 a second. The line event=dropped counts lines by event. A line beyond the limit is counted before it is formatted, which saves the processor time of formatting it.

--- a/base/log.c
+++ b/base/log.c
@@ -9,6 +9,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -38,19 +39,89 @@
 	}
 }
 
+/*
+ * Lines of these parts tell the state of the node. They have a limit of their
+ * own: without it the lines of requests used up the second in which the owner
+ * was overloaded, and its state was lost when it was needed.
+ */
+static const char *const state_parts[] = {
+	"node", "config", "store", "owner", "dispatch", "vms", "upkeep"};
+#define STATE_LINES_PER_SEC 200
+
+enum log_class { REQUEST_LINES, STATE_LINES, LOG_CLASSES };
+
+/* Lines that were dropped since the last line that tells their number. */
+struct dropped_event {
+	char name[24];
+	int64_t lines;
+};
+#define DROPPED_EVENTS_MAX 24 /* the last one counts all further events */
+
 /* State of the log on standard output, protected by @lock. */
 static struct {
 	pthread_mutex_t lock;
-	int lines_per_second; /* limit; 0: GLib's log writer is used */
+	int limit[LOG_CLASSES]; /* lines a second; 0: GLib's writer is used */
+	int written[LOG_CLASSES];
 	time_t second;
-	int written;
 	int64_t dropped;
+	struct dropped_event event[DROPPED_EVENTS_MAX];
+	int events;
 } output = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
 #define LINE_BYTES_MAX 1024 /* less than a pipe accepts in one write */
 
 static const char *const level_names[] = {"debug", "info", "warning", "error"};
 
+static enum log_class class_of(const char *part)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(state_parts) / sizeof(*state_parts); i++)
+		if (!strcmp(part, state_parts[i]))
+			return STATE_LINES;
+	return REQUEST_LINES;
+}
+
+/*
+ * Copies the name of the event of @fmt, or the part if the name is an argument.
+ */
+static void event_name(char *name, size_t size, const char *part,
+		       const char *fmt)
+{
+	size_t n = 0;
+
+	if (!strncmp(fmt, "event=", 6))
+		n = strcspn(fmt + 6, " ");
+	if (!n || memchr(fmt + 6, '%', n))
+		snprintf(name, size, "%s", part);
+	else
+		snprintf(name, size, "%.*s", (int)n, fmt + 6);
+}
+
+static void count_dropped(const char *part, const char *fmt)
+{
+	struct dropped_event *v;
+	char name[sizeof(v->name)];
+	int i;
+
+	event_name(name, sizeof(name), part, fmt);
+	for (i = 0; i < output.events; i++)
+		if (!strcmp(output.event[i].name, name))
+			break;
+	if (i == DROPPED_EVENTS_MAX)
+		i--;
+	v = &output.event[i];
+	if (i == output.events) {
+		output.events++;
+		snprintf(v->name, sizeof(v->name), "%s",
+			 i < DROPPED_EVENTS_MAX - 1 ? name : "other");
+		v->lines = 0;
+	}
+	v->lines++;
+	output.dropped++;
+	seam_metric_add(&dropped, 1);
+}
+
 /* Writes a line; returns false if standard output would block. */
 static bool write_nonblocking(const char *line, size_t n)
 {
@@ -61,56 +132,83 @@
 	return write(STDOUT_FILENO, line, n) == (ssize_t)n;
 }
 
-/* Starts a new second and logs how many lines were dropped before. */
-static void start_second(time_t now)
+/* Logs how many lines of each event were dropped. */
+static void write_dropped(time_t now)
 {
-	char line[128];
-	int n;
+	char line[LINE_BYTES_MAX];
+	int n = snprintf(line, sizeof(line),
+			 "time=%lld.000 level=warning part=log event=dropped "
+			 "lines=%lld events=",
+			 (long long)now, (long long)output.dropped);
+	int i;
 
-	output.second = now;
-	output.written = 0;
-	if (!output.dropped)
+	for (i = 0; i < output.events; i++)
+		n += snprintf(line + n, sizeof(line) - (size_t)n, "%s%s:%lld",
+			      i ? "," : "", output.event[i].name,
+			      (long long)output.event[i].lines);
+	line[n++] = '\n';
+	if (!write_nonblocking(line, (size_t)n))
 		return;
-	n = snprintf(line, sizeof(line),
-		     "time=%lld.000 level=warning part=log event=dropped "
-		     "lines=%lld\n",
-		     (long long)now, (long long)output.dropped);
-	if (write_nonblocking(line, (size_t)n))
-		output.dropped = 0;
+	output.dropped = 0;
+	output.events = 0;
+}
+
+static void start_second(time_t now)
+{
+	output.second = now;
+	memset(output.written, 0, sizeof(output.written));
+	if (output.dropped)
+		write_dropped(now);
+}
+
+/*
+ * Whether a line may be written in this second. A line that may not is counted
+ * before it is formatted, as that takes longer than all the rest.
+ */
+static bool admit_line(const char *part, const char *fmt, time_t now)
+{
+	enum log_class class = class_of(part);
+	bool admitted;
+
+	pthread_mutex_lock(&output.lock);
+	if (now != output.second)
+		start_second(now);
+	admitted = output.written[class] < output.limit[class];
+	if (admitted)
+		output.written[class]++;
+	else
+		count_dropped(part, fmt);
+	pthread_mutex_unlock(&output.lock);
+	return admitted;
 }
 
-static void write_line(enum seam_level level, const char *part,
-		       const char *text)
+static void write_line(enum seam_level level, const char *part, const char *fmt,
+		       va_list ap)
 {
 	struct timespec ts;
 	char line[LINE_BYTES_MAX];
 	int n;
 
 	clock_gettime(CLOCK_REALTIME, &ts);
-	n = snprintf(line, sizeof(line),
-		     "time=%lld.%03ld level=%s part=%s %s\n",
+	if (!admit_line(part, fmt, ts.tv_sec))
+		return;
+	n = snprintf(line, sizeof(line), "time=%lld.%03ld level=%s part=%s ",
 		     (long long)ts.tv_sec, ts.tv_nsec / 1000000,
-		     level_names[level], part, text);
-	if (n >= (int)sizeof(line)) {
-		n = sizeof(line) - 1;
-		line[n - 1] = '\n';
-	}
+		     level_names[level], part);
+	n += vsnprintf(line + n, sizeof(line) - (size_t)n, fmt, ap);
+	if (n >= (int)sizeof(line) - 1)
+		n = sizeof(line) - 2;
+	line[n++] = '\n';
 	pthread_mutex_lock(&output.lock);
-	if (ts.tv_sec != output.second)
-		start_second(ts.tv_sec);
-	if (output.written < output.lines_per_second &&
-	    write_nonblocking(line, (size_t)n)) {
-		output.written++;
-	} else {
-		output.dropped++;
-		seam_metric_add(&dropped, 1);
-	}
+	if (!write_nonblocking(line, (size_t)n))
+		count_dropped(part, fmt);
 	pthread_mutex_unlock(&output.lock);
 }
 
 void seam_log_to_stdout(int per_second)
 {
-	output.lines_per_second = per_second;
+	output.limit[REQUEST_LINES] = per_second;
+	output.limit[STATE_LINES] = per_second ? STATE_LINES_PER_SEC : 0;
 }
 
 static void vlog(enum seam_level level, const char *part, const char *fmt,
@@ -118,11 +216,11 @@
 {
 	char text[512];
 
-	vsnprintf(text, sizeof(text), fmt, ap);
-	if (output.lines_per_second) {
-		write_line(level, part, text);
+	if (output.limit[REQUEST_LINES]) {
+		write_line(level, part, fmt, ap);
 		return;
 	}
+	vsnprintf(text, sizeof(text), fmt, ap);
 	g_log_structured(G_LOG_DOMAIN, glib_level(level), "SEAM_PART", part,
 			 "MESSAGE", "%s: %s", part, text);
 }
--- a/base/log.h
+++ b/base/log.h
@@ -24,8 +24,10 @@
  * seam_log_to_stdout() - write the log as NAME=VALUE lines to standard output
  * @per_second: lines per second; further ones are dropped and counted
  *
- * Logging never blocks: if the reader of standard output does not read, lines
- * are dropped. A later second starts with a line that gives their number.
+ * Lines of the node's own state (parts node, config, store, owner, dispatch,
+ * vms and upkeep) have a limit of 200 a second of their own. Logging never
+ * blocks: if the reader of standard output does not read, lines are dropped. A
+ * later second starts with a line that gives their number by event.
  */
 void seam_log_to_stdout(int per_second);
 
--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -84,6 +84,38 @@
 	EXPECT_NE(s.find("event=y"), std::string::npos);
 }
 
+// Guards against the loss of the owner's state while requests use up the limit.
+TEST_F(Log, RequestsLeaveRoomForState)
+{
+	seam_log_to_stdout(20);
+	next_second();
+	for (int i = 0; i < 500; i++)
+		seam_log(SEAM_INFO, "job", "event=started task=%d", i);
+	seam_log(SEAM_INFO, "owner", "event=load starts=%d", 7);
+	EXPECT_NE(read_all().find("event=load starts=7"), std::string::npos);
+	for (int i = 0; i < 1000; i++)
+		seam_log(SEAM_INFO, "owner", "event=load starts=%d", i);
+	EXPECT_LE(count(read_all(), "event=load"), 400u);
+}
+
+// Guards against dropped lines of which nobody knows what they told.
+TEST_F(Log, DroppedLinesAreCountedByEvent)
+{
+	seam_log_to_stdout(10);
+	next_second();
+	for (int i = 0; i < 30; i++) {
+		seam_log(SEAM_INFO, "job", "event=started task=%d", i);
+		seam_log(SEAM_INFO, "job", "event=%s job=%d", "completed", i);
+	}
+	read_all();
+	next_second();
+	seam_log(SEAM_INFO, "p", "event=y");
+	std::string s = read_all();
+	EXPECT_NE(s.find("lines=50 events=started:25,job:25"),
+		  std::string::npos)
+		<< s;
+}
+
 // Guards against requests that block because the log is not being read.
 TEST_F(Log, NeverBlocks)
 {
