owner: count bytes and time by call

The owner logs the sums once a second (event=traffic NAME=CALLS/SENT/RECEIVED/MS, the largest first).

--- a/process/rest.c
+++ b/process/rest.c
@@ -1,4 +1,5 @@
 #include "process/rest.h"
+#include "base/traffic.h"
 #include "base/transfer.h"
 
 #include <ctype.h>
@@ -84,6 +85,26 @@
 	curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, c->method);
 }
 
+/* Counts the bytes of a transfer that began at @begin. */
+static void count_traffic(struct seam_rest *r, CURL *h,
+			  const struct seam_rest_request *c, seam_time begin)
+{
+	curl_off_t body_sent = 0;
+	curl_off_t body = 0;
+	long head_sent = 0;
+	long head = 0;
+
+	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &head_sent);
+	curl_easy_getinfo(h, CURLINFO_SIZE_UPLOAD_T, &body_sent);
+	curl_easy_getinfo(h, CURLINFO_HEADER_SIZE, &head);
+	curl_easy_getinfo(h, CURLINFO_SIZE_DOWNLOAD_T, &body);
+	/* What libcurl sends together with the head counts as part of it. */
+	if (head_sent > body_sent)
+		body_sent = 0;
+	seam_traffic_add(c->path, head_sent + body_sent, head + body,
+			 seam_now(r->clock) - begin);
+}
+
 static int perform(struct seam_rest *r, CURL *h,
 		   const struct seam_rest_request *c,
 		   struct seam_rest_response *a, struct seam_err *e)
@@ -93,7 +114,8 @@
 				   .once = c->once,
 				   .clock = r->clock,
 				   .send_by = c->deadline};
-	seam_time timeout_ms = (c->deadline - seam_now(r->clock)) / SEAM_MSEC;
+	seam_time begin = seam_now(r->clock);
+	seam_time timeout_ms = (c->deadline - begin) / SEAM_MSEC;
 	char url[1024];
 	const char *const *line;
 	long status = 0;
@@ -111,6 +133,7 @@
 	set_options(h, c, &in, (long)timeout_ms);
 	rc = curl_easy_perform(h);
 	curl_slist_free_all(list);
+	count_traffic(r, h, c, begin);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
 	if (rc == CURLE_OK) {
 		*a = (struct seam_rest_response){(int)status, in.body, in.len};
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -2,6 +2,7 @@
 #include "process/scheduler_impl.h"
 #include "base/metrics.h"
 #include "base/log.h"
+#include "base/traffic.h"
 
 #include <string.h>
 
@@ -10,6 +11,7 @@
 #define WAIT_LOG_MIN (2 * SEAM_SEC)
 /* Lines for such tasks in one interval. */
 #define WAIT_LINES_MAX 20
+#define TRAFFIC_KINDS_MAX 32
 
 SEAM_METRIC(lasting_waiting, "seam_lasting_tasks_waiting",
 	    "Lasting tasks without a listed run for two seconds.");
@@ -253,6 +255,18 @@
 	return most;
 }
 
+/* Logs what this node sent and received in its calls since the last line. */
+static void log_traffic(seam_time over)
+{
+	struct seam_traffic t[TRAFFIC_KINDS_MAX];
+	size_t n = seam_traffic_take(t, TRAFFIC_KINDS_MAX);
+	char text[800];
+
+	seam_traffic_format(text, sizeof(text), t, n);
+	seam_log(SEAM_INFO, "owner", "event=traffic over_ms=%lld %s",
+		 (long long)over / SEAM_MSEC, text);
+}
+
 void scheduler_log_load(struct seam_scheduler *sched)
 {
 	const struct seam_scheduler_lane *l = busiest_lane(sched);
@@ -283,6 +297,7 @@
 			 delayed[SEAM_DELAY_LIMIT],
 			 delayed[SEAM_DELAY_UNCONFIRMED], sched->overloaded,
 			 l ? l->info.addr : "", l ? l->starting : 0);
+		log_traffic(now - m->since);
 		log_waiting_tasks(sched);
 	}
 	*m = (struct seam_load_stats){.since = now};
