scheduler: progress of jobs in rows of their own

Each end of a task rewrote the whole row of its job, text and steps included, and the feed brought the row back to the owner, which follows all jobs: 1,128 of 3,300 bytes that a start takes of the owner's link on the small twin of the large site.

Done tasks and failed runs are in rows done/D/ID now, which nobody follows. A job's row is written when the job is accepted, cancelled or ends; its progress is deleted in the same commit. A new owner reads the progress before the jobs' rows, so that a job whose end is committed in between is known to have ended. A commit of an owner before that is carried out late conflicts with the next one, which merges it; ends that it alone has stored were never acknowledged to their worker, which lists them again. A job whose merged progress is complete ends; it stayed open before if no further end came.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -151,6 +151,8 @@
  * struct seam_job - an open job
  * @row: persistent state
  * @version: store version of its row
+ * @progress_version: store version of the row with its progress, or SEAM_ABSENT
+ * @row_final: another writer ended it, so that its row is not written again
  * @self: its handle
  * @task: tasks of each step
  * @left: number of tasks of each step that are not done
@@ -179,6 +181,8 @@
 struct seam_job {
 	struct seam_jobrow row;
 	uint64_t version;
+	uint64_t progress_version;
+	bool row_final;
 	struct seam_handle self;
 	struct seam_job_task_state **task;
 	int *left;
--- a/process/scheduler_commit.c
+++ b/process/scheduler_commit.c
@@ -6,63 +6,106 @@
 #include <string.h>
 
 /*
- * Jobs in one commit: the store accepts 100 entries, and a put with an expected
- * version counts as two.
+ * Operations in one commit: the store accepts 100 entries, and an operation
+ * with an expected version counts as two. A job that ends takes two operations.
  */
-#define COMMIT_JOBS_MAX 45
+#define COMMIT_WRITES_MAX 48
 /* Collects ends that arrive together into one commit. */
 #define BATCH_DELAY_USEC 15000
 #define RETRY_USEC 100000
 #define COMMIT_TIMEOUT (1500 * SEAM_MSEC)
 
-SEAM_METRIC(commits, "seam_commits_total", "Commits of jobs' rows.");
+SEAM_METRIC(commits, "seam_commits_total",
+	    "Commits of jobs' rows and progress.");
 SEAM_METRIC(rows, "seam_commit_rows_total", "Rows in them.");
 SEAM_METRIC(conflicts, "seam_commit_conflicts_total",
 	    "Commits that another writer had overtaken.");
 
-/* A row of the commit in progress. */
-struct pending_row {
+/*
+ * An operation of the commit in progress: the row of a job that has ended, or
+ * the row with its progress, which is deleted with the end.
+ */
+struct pending_write {
 	struct seam_handle job;
 	uint64_t change;
+	enum seam_op op;
+	bool progress;
 	uint64_t version;
 	char key[SEAM_KEY_MAX];
 	char *text;
 };
 
-/* The row of an ended job omits its steps. */
-static char *row_text(const struct seam_job *j)
+static struct pending_write *add_write(struct pending_write *item, size_t *n,
+				       const struct seam_job *j, bool progress)
+{
+	struct pending_write *i = &item[(*n)++];
+
+	memset(i, 0, sizeof(*i));
+	i->job = j->self;
+	i->change = j->changes;
+	i->progress = progress;
+	i->version = progress ? j->progress_version : j->version;
+	if (progress)
+		seam_progress_key(j->row.spec.id, i->key);
+	else
+		seam_jobrow_key(j->row.spec.id, i->key);
+	return i;
+}
+
+/* Adds the operations for a job that has changed. */
+static void add_job(struct pending_write *item, size_t *n,
+		    const struct seam_job *j)
+{
+	struct pending_write *i;
+
+	if (!seam_job_finished(j->row.state)) {
+		i = add_write(item, n, j, true);
+		i->text = seam_progress_serialize(&j->row);
+		return;
+	}
+	if (!j->row_final) {
+		i = add_write(item, n, j, false);
+		i->text = seam_jobrow_serialize(&j->row);
+	}
+	if (j->progress_version != SEAM_ABSENT) {
+		i = add_write(item, n, j, true);
+		i->op = SEAM_DELETE;
+	}
+}
+
+static void ack_all_ends(struct seam_scheduler *sched)
+{
+	struct seam_handle h = SEAM_HANDLE_NONE;
+	struct seam_worker *w;
+
+	while ((w = seam_table_next(sched->workers, &h)))
+		scheduler_ack_ends(sched, w);
+}
+
+/* Nothing is left to be written for a job that another writer has ended. */
+static void finish_job(struct seam_scheduler *sched, struct seam_job *j)
 {
-	struct seam_jobrow r = j->row;
-
-	if (!seam_job_finished(r.state))
-		return seam_jobrow_serialize(&j->row);
-	r.spec.text = (char *)"";
-	r.spec.steps = 0;
-	r.done = NULL;
-	r.failures = 0;
-	return seam_jobrow_serialize(&r);
+	j->committed = j->changes;
+	if (scheduler_job_droppable(j))
+		scheduler_job_drop(sched, j);
+	ack_all_ends(sched);
 }
 
 static size_t collect_changed(struct seam_scheduler *sched,
-			      struct pending_row *item)
+			      struct pending_write *item)
 {
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	struct seam_job *j;
 	size_t n = 0;
 
-	while (n < COMMIT_JOBS_MAX && (j = seam_table_next(sched->jobs, &h))) {
-		struct pending_row *i = &item[n];
-
+	while (n + 2 <= COMMIT_WRITES_MAX &&
+	       (j = seam_table_next(sched->jobs, &h))) {
 		if (j->committed == j->changes)
 			continue;
-		i->text = row_text(j);
-		if (!i->text)
-			continue;
-		i->job = h;
-		i->change = j->changes;
-		i->version = j->version;
-		seam_jobrow_key(j->row.spec.id, i->key);
-		n++;
+		if (j->row_final && j->progress_version == SEAM_ABSENT)
+			finish_job(sched, j);
+		else
+			add_job(item, &n, j);
 	}
 	return n;
 }
@@ -71,18 +114,19 @@
  * The expected row versions are the only condition. An owner whose term is over
  * can only add ends reported by workers, and the next owner merges those.
  */
-static int commit(struct seam_scheduler *sched, const struct pending_row *item,
-		  size_t n, uint64_t *version, struct seam_err *e)
+static int commit(struct seam_scheduler *sched,
+		  const struct pending_write *item, size_t n, uint64_t *version,
+		  struct seam_err *e)
 {
-	struct seam_write w[COMMIT_JOBS_MAX];
+	struct seam_write w[COMMIT_WRITES_MAX];
 	struct seam_commit c = {w, n, seam_store_token(), 0};
 	size_t i;
 	int rc;
 
 	for (i = 0; i < n; i++)
-		w[i] = (struct seam_write){SEAM_PUT, item[i].key,
-					   item[i].version, item[i].text,
-					   strlen(item[i].text)};
+		w[i] = (struct seam_write){
+			item[i].op, item[i].key, item[i].version, item[i].text,
+			item[i].text ? strlen(item[i].text) : 0};
 	pthread_mutex_lock(&sched->lock);
 	sched->token[sched->tokens++ % SEAM_SCHEDULER_TOKENS] = c.token;
 	pthread_mutex_unlock(&sched->lock);
@@ -92,58 +136,86 @@
 	return rc;
 }
 
-static void ack_all_ends(struct seam_scheduler *sched)
+static void apply_write(struct seam_scheduler *sched,
+			const struct pending_write *i, uint64_t version)
 {
-	struct seam_handle h = SEAM_HANDLE_NONE;
-	struct seam_worker *w;
+	struct seam_job *j = scheduler_job(sched, i->job);
 
-	while ((w = seam_table_next(sched->workers, &h)))
-		scheduler_ack_ends(sched, w);
+	if (!j)
+		return;
+	if (i->progress)
+		j->progress_version =
+			i->op == SEAM_DELETE ? SEAM_ABSENT : version;
+	else
+		j->version = version;
+	if (i->change > j->committed)
+		j->committed = i->change;
+	/* It was ended by another writer while its progress was written. */
+	if (j->row_final && j->progress_version != SEAM_ABSENT &&
+	    j->committed == j->changes)
+		scheduler_job_changed(sched, j);
 }
 
 static void apply_commit(struct seam_scheduler *sched,
-			 const struct pending_row *item, size_t n,
+			 const struct pending_write *item, size_t n,
 			 uint64_t version)
 {
+	struct seam_job *j;
 	size_t i;
 
+	for (i = 0; i < n; i++)
+		apply_write(sched, &item[i], version);
 	for (i = 0; i < n; i++) {
-		struct seam_job *j = scheduler_job(sched, item[i].job);
-
-		if (!j)
-			continue;
-		j->version = version;
-		if (item[i].change > j->committed)
-			j->committed = item[i].change;
-		if (scheduler_job_droppable(j))
+		j = scheduler_job(sched, item[i].job);
+		if (j && scheduler_job_droppable(j))
 			scheduler_job_drop(sched, j);
 	}
 	ack_all_ends(sched);
 }
 
+/* @row is NULL if there is no progress. */
+static void merge_progress(struct seam_scheduler *sched, struct seam_job *j,
+			   const struct seam_row *row)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+
+	j->progress_version = row ? row->version : SEAM_ABSENT;
+	if (!row || seam_job_finished(j->row.state))
+		return;
+	if (seam_progress_merge(&j->row, row, &e))
+		seam_log(SEAM_ERROR, "job", "event=row_unreadable why=\"%s\"",
+			 e.text);
+	scheduler_job_progressed(sched, j);
+}
+
 /* Reads a row that another writer may have changed. Called without the lock. */
 static void read_back(struct seam_scheduler *sched,
-		      const struct pending_row *item)
+		      const struct pending_write *item)
 {
 	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_row row;
+	struct seam_row row = {.data = NULL};
 	struct seam_job *j;
+	bool absent =
+		seam_store_get(sched->ports->store, item->key, &row,
+			       seam_now(sched->clock) + STORE_TIMEOUT, &e);
 
-	if (seam_store_get(sched->ports->store, item->key, &row,
-			   seam_now(sched->clock) + STORE_TIMEOUT, &e))
+	if (absent && (e.kind != SEAM_NOT_FOUND || !item->progress))
 		return;
 	pthread_mutex_lock(&sched->lock);
 	j = scheduler_job(sched, item->job);
-	if (j)
+	if (j && item->progress)
+		merge_progress(sched, j, absent ? NULL : &row);
+	else if (j)
 		scheduler_job_merge(sched, j, &row);
 	pthread_mutex_unlock(&sched->lock);
-	seam_row_free(&row);
+	if (!absent)
+		seam_row_free(&row);
 }
 
 /* Commits changed rows; returns whether there may be more. */
 static bool commit_some(struct seam_scheduler *sched)
 {
-	struct pending_row item[COMMIT_JOBS_MAX];
+	struct pending_write item[COMMIT_WRITES_MAX];
 	struct seam_err e = SEAM_ERR_INIT;
 	uint64_t version = 0;
 	size_t n;
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -74,9 +74,12 @@
 
 /* Jobs */
 int scheduler_load_jobs(struct seam_scheduler *sched, struct seam_err *e);
-/* Adds the job of a row unless the job has ended. */
-void scheduler_job_add(struct seam_scheduler *sched, const struct seam_row *row,
-		       bool inherited);
+/*
+ * Adds the job of a row unless the job has ended; NULL then. It was accepted
+ * before this term if it is @inherited.
+ */
+struct seam_job *scheduler_job_add(struct seam_scheduler *sched,
+				   const struct seam_row *row, bool inherited);
 void *scheduler_follow_jobs(void *arg);
 struct seam_job *scheduler_find_job(struct seam_scheduler *sched,
 				    const char *id);
@@ -90,6 +93,9 @@
 void scheduler_job_merge(struct seam_scheduler *sched, struct seam_job *j,
 			 const struct seam_row *row);
 void scheduler_job_free(struct seam_job *j);
+bool scheduler_job_all_done(const struct seam_job *j);
+/* Takes into account that tasks were done which its runs do not show. */
+void scheduler_job_progressed(struct seam_scheduler *sched, struct seam_job *j);
 
 bool scheduler_step_is_ready(const struct seam_job *j, int step);
 void scheduler_job_urgency(const struct seam_job *j, struct seam_urgency *u);
--- a/process/scheduler_jobs.c
+++ b/process/scheduler_jobs.c
@@ -138,8 +138,26 @@
 	return a;
 }
 
-void scheduler_job_add(struct seam_scheduler *sched, const struct seam_row *row,
-		       bool inherited)
+bool scheduler_job_all_done(const struct seam_job *j)
+{
+	int i;
+
+	for (i = 0; i < j->row.spec.steps; i++)
+		if (j->left[i])
+			return false;
+	return true;
+}
+
+void scheduler_job_progressed(struct seam_scheduler *sched, struct seam_job *j)
+{
+	scheduler_job_count(j);
+	scheduler_job_mark_dirty(sched, j);
+	if (!seam_job_finished(j->row.state) && scheduler_job_all_done(j))
+		scheduler_job_end(sched, j, SEAM_JOB_COMPLETED);
+}
+
+struct seam_job *scheduler_job_add(struct seam_scheduler *sched,
+				   const struct seam_row *row, bool inherited)
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_jobrow r;
@@ -150,12 +168,12 @@
 	if (seam_jobrow_parse(row, &r, &e)) {
 		seam_log(SEAM_ERROR, "job", "event=row_unreadable why=\"%s\"",
 			 e.text);
-		return;
+		return NULL;
 	}
 	j = seam_job_finished(r.state) ? NULL : seam_table_add(sched->jobs, &h);
 	if (!j) {
 		seam_jobrow_free(&r);
-		return;
+		return NULL;
 	}
 	age = inherited ? (seam_wall_ms() - r.accepted_ms) * SEAM_MSEC : 0;
 	if (age < 0 || age > INHERITED_AGE_MAX)
@@ -171,83 +189,140 @@
 	if (alloc_tasks(j)) {
 		scheduler_job_free(j);
 		seam_table_del(sched->jobs, h);
-		return;
+		return NULL;
 	}
 	g_hash_table_replace(sched->job_of, g_strdup(j->row.spec.id),
 			     g_memdup2(&h, sizeof(h)));
 	seam_metric_set(&open_jobs, (int64_t)seam_table_count(sched->jobs));
 	scheduler_job_mark_dirty(sched, j);
 	scheduler_wake_pass(sched);
+	return j;
 }
 
-/* Reads the rows of one part and passes each page to @take. */
-static int read_part(struct seam_scheduler *sched, char part, uint64_t *version,
-		     void (*take)(struct seam_scheduler *sched,
-				  const struct seam_rows *rows),
-		     struct seam_err *e)
+/*
+ * One part of the jobs' rows that is read.
+ *
+ * @take: receives each page
+ * @progress: struct seam_row by the id of its job, read at the start of a term
+ */
+struct part {
+	struct seam_scheduler *sched;
+	char part;
+	void (*take)(struct part *p, struct seam_rows *rows);
+	uint64_t version;
+	GHashTable *progress;
+	int rc;
+	struct seam_err err;
+	pthread_t thread;
+};
+
+/* Reads the rows under @table, "job/" or "done/", of a part. */
+static int read_part(struct part *p, const char *table, struct seam_err *e)
 {
-	char prefix[] = SEAM_JOB_ROW_PREFIX "p/";
+	char prefix[16];
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows;
 	size_t n;
 
-	prefix[strlen(SEAM_JOB_ROW_PREFIX)] = part;
+	snprintf(prefix, sizeof(prefix), "%s%c/", table, p->part);
 	do {
-		if (seam_store_scan(sched->ports->store, prefix,
+		if (seam_store_scan(p->sched->ports->store, prefix,
 				    *after ? after : NULL, PAGE_ROWS, &rows,
-				    seam_now(sched->clock) + READ_TIMEOUT, e))
+				    seam_now(p->sched->clock) + READ_TIMEOUT,
+				    e))
 			return -1;
 		/*
 		 * The feed resumes from the version of the first page, so that
 		 * rows which change while later pages are read are delivered
 		 * again.
 		 */
-		if (!*version)
-			*version = rows.version;
-		take(sched, &rows);
+		if (!p->version)
+			p->version = rows.version;
 		n = rows.n;
 		if (n)
 			snprintf(after, sizeof(after), "%s",
 				 rows.row[n - 1].key);
+		p->take(p, &rows);
 		seam_rows_free(&rows);
 	} while (n == PAGE_ROWS);
 	return 0;
 }
 
-static void add_inherited(struct seam_scheduler *sched,
-			  const struct seam_rows *rows)
+/* Moves the content of the rows into the table of the part. */
+static void keep_progress(struct part *p, struct seam_rows *rows)
+{
+	size_t i;
+
+	for (i = 0; i < rows->n; i++) {
+		struct seam_row *r = g_memdup2(&rows->row[i], sizeof(*r));
+
+		rows->row[i].data = NULL;
+		g_hash_table_replace(p->progress,
+				     g_strdup(seam_jobrow_id(r->key)), r);
+	}
+}
+
+static void free_progress(gpointer row)
+{
+	seam_row_free(row);
+	g_free(row);
+}
+
+static void add_progress(struct seam_scheduler *sched, struct seam_job *j,
+			 const struct seam_row *row)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+
+	j->progress_version = row->version;
+	if (seam_progress_merge(&j->row, row, &e))
+		seam_log(SEAM_ERROR, "job", "event=row_unreadable why=\"%s\"",
+			 e.text);
+	scheduler_job_progressed(sched, j);
+}
+
+static void add_inherited(struct part *p, struct seam_rows *rows)
 {
+	struct seam_scheduler *sched = p->sched;
+	const struct seam_row *progress;
+	struct seam_job *j;
 	size_t i;
 
 	pthread_mutex_lock(&sched->lock);
-	for (i = 0; i < rows->n; i++)
-		scheduler_job_add(sched, &rows->row[i], true);
+	for (i = 0; i < rows->n; i++) {
+		j = scheduler_job_add(sched, &rows->row[i], true);
+		progress =
+			j ? g_hash_table_lookup(p->progress, j->row.spec.id) :
+			    NULL;
+		if (progress)
+			add_progress(sched, j, progress);
+	}
 	pthread_mutex_unlock(&sched->lock);
 }
 
-/* One part that is read at the start of a term. */
-struct load {
-	struct seam_scheduler *sched;
-	char part;
-	uint64_t version;
-	int rc;
-	struct seam_err err;
-	pthread_t thread;
-};
-
+/*
+ * Reads the progress first: a job whose end is committed between the two reads
+ * is then known to have ended, and its progress is deleted with its end.
+ */
 static void *load_part(void *arg)
 {
-	struct load *l = arg;
-
-	l->rc = read_part(l->sched, l->part, &l->version, add_inherited,
-			  &l->err);
+	struct part *p = arg;
+
+	p->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    free_progress);
+	p->take = keep_progress;
+	p->rc = read_part(p, SEAM_PROGRESS_ROW_PREFIX, &p->err);
+	p->version = 0;
+	p->take = add_inherited;
+	if (!p->rc)
+		p->rc = read_part(p, SEAM_JOB_ROW_PREFIX, &p->err);
+	g_hash_table_destroy(p->progress);
 	return NULL;
 }
 
 /* Reads the parts in parallel: a slow store takes 0.2 s for each of them. */
 int scheduler_load_jobs(struct seam_scheduler *sched, struct seam_err *e)
 {
-	struct load load[sizeof(SEAM_JOB_PARTS)] = {{0}};
+	struct part load[sizeof(SEAM_JOB_PARTS)] = {{0}};
 	size_t n;
 	size_t i;
 	int rc = 0;
@@ -357,9 +432,12 @@
 		 j->row.spec.id, state, j->runs);
 	j->row.state = state;
 	j->version = row->version;
-	j->committed = j->changes; /* the row is final */
+	j->row_final = true;
+	j->committed = j->changes;
 	stop_all_runs(sched, j);
 	scheduler_job_mark_dirty(sched, j);
+	if (j->progress_version != SEAM_ABSENT)
+		scheduler_job_changed(sched, j); /* deletes its progress */
 	if (scheduler_job_droppable(j))
 		scheduler_job_drop(sched, j);
 }
@@ -381,8 +459,7 @@
 	} else {
 		j->version = row->version;
 		seam_jobrow_merge(&j->row, &r);
-		scheduler_job_count(j);
-		scheduler_job_mark_dirty(sched, j);
+		scheduler_job_progressed(sched, j);
 	}
 	seam_jobrow_free(&r);
 }
@@ -422,16 +499,23 @@
 	pthread_mutex_unlock(&sched->lock);
 }
 
+static void apply_page(struct part *p, struct seam_rows *rows)
+{
+	apply_rows(p->sched, rows);
+}
+
 /* Reads all parts again after the feed lost its history. */
 static int read_again(struct seam_scheduler *sched, struct seam_err *e)
 {
-	uint64_t version = 0;
+	struct part p = {.sched = sched, .take = apply_page};
 	const char *part;
 
-	for (part = SEAM_JOB_PARTS; *part; part++)
-		if (read_part(sched, *part, &version, apply_rows, e))
+	for (part = SEAM_JOB_PARTS; *part; part++) {
+		p.part = *part;
+		if (read_part(&p, SEAM_JOB_ROW_PREFIX, e))
 			return -1;
-	sched->jobs_version = version;
+	}
+	sched->jobs_version = p.version;
 	return 0;
 }
 
--- a/process/scheduler_listing.c
+++ b/process/scheduler_listing.c
@@ -38,16 +38,6 @@
 	}
 }
 
-static bool all_done(const struct seam_job *j)
-{
-	int i;
-
-	for (i = 0; i < j->row.spec.steps; i++)
-		if (j->left[i])
-			return false;
-	return true;
-}
-
 void scheduler_task_done(struct seam_scheduler *sched, struct seam_job *j,
 			 int step, int task)
 {
@@ -142,7 +132,7 @@
 	if (j->row.done[step][task])
 		stop_other_runs(sched, j, step, task, NULL);
 	if (!seam_job_finished(j->row.state)) {
-		if (all_done(j))
+		if (scheduler_job_all_done(j))
 			scheduler_job_end(sched, j, SEAM_JOB_COMPLETED);
 		else if (d->reason == SEAM_END_FAILED &&
 			 !j->row.spec.step[step].lasting &&
--- a/request/jobrow.c
+++ b/request/jobrow.c
@@ -17,6 +17,12 @@
 	snprintf(key, SEAM_KEY_MAX, SEAM_JOB_ROW_PREFIX "%c/%s", id[0], id);
 }
 
+void seam_progress_key(const char *id, char key[SEAM_KEY_MAX])
+{
+	snprintf(key, SEAM_KEY_MAX, SEAM_PROGRESS_ROW_PREFIX "%c/%s", id[0],
+		 id);
+}
+
 const char *seam_jobrow_id(const char *key)
 {
 	const char *slash = strrchr(key, '/');
@@ -133,23 +139,40 @@
 	json_object_object_add(o, "failed", list);
 }
 
+/* Returns the text of @o, which is released. */
+static char *take_text(struct json_object *o)
+{
+	char *text = strdup(
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+
+	json_object_put(o);
+	return text;
+}
+
 char *seam_jobrow_serialize(const struct seam_jobrow *j)
 {
-	struct json_object *o = seam_jobspec_to_json(&j->spec);
-	char *text;
+	struct seam_jobspec ended = j->spec;
+	struct json_object *o;
 
-	if (j->done)
-		add_done(o, j);
-	if (j->failures)
-		add_failed(o, j);
+	ended.text = (char *)"";
+	ended.steps = 0;
+	o = seam_jobspec_to_json(seam_job_finished(j->state) ? &ended :
+							       &j->spec);
 	seam_json_add_str(o, "state", state_names[j->state]);
 	seam_json_add_int(o, "accepted_ms", j->accepted_ms);
 	if (j->ended_ms)
 		seam_json_add_int(o, "ended_ms", j->ended_ms);
-	text = strdup(
-		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
-	json_object_put(o);
-	return text;
+	return take_text(o);
+}
+
+char *seam_progress_serialize(const struct seam_jobrow *j)
+{
+	struct json_object *o = json_object_new_object();
+
+	add_done(o, j);
+	if (j->failures)
+		add_failed(o, j);
+	return take_text(o);
 }
 
 static int state_of(const char *name)
@@ -175,7 +198,7 @@
 			json_object_array_get_idx(list, (size_t)i));
 
 		for (t = 0; text && t < j->spec.step[i].tasks && text[t]; t++)
-			j->done[i][t] = text[t] == 'd';
+			j->done[i][t] |= text[t] == 'd';
 	}
 }
 
@@ -200,6 +223,24 @@
 	}
 }
 
+int seam_progress_merge(struct seam_jobrow *j, const struct seam_row *row,
+			struct seam_err *e)
+{
+	struct json_object *o =
+		row->data ? json_tokener_parse(row->data) : NULL;
+
+	if (!json_object_is_type(seam_json_member(o, "done"),
+				 json_type_array)) {
+		json_object_put(o);
+		return seam_fail(e, SEAM_BAD_REQUEST, "%s: damaged progress",
+				 row->key);
+	}
+	read_done(o, j);
+	read_failed(o, j);
+	json_object_put(o);
+	return 0;
+}
+
 int seam_jobrow_parse(const struct seam_row *row, struct seam_jobrow *j,
 		      struct seam_err *e)
 {
@@ -217,7 +258,7 @@
 	}
 	if (rc) {
 		seam_jobrow_free(j);
-	} else {
+	} else { /* as versions before rows of progress wrote it */
 		read_done(o, j);
 		read_failed(o, j);
 	}
--- a/request/jobrow.h
+++ b/request/jobrow.h
@@ -14,6 +14,12 @@
  * store runs the transactions of one part serially. */
 #define SEAM_JOB_PARTS "0123456789abcdef"
 #define SEAM_PENDING_ROW "board/pending"
+/*
+ * Progress of open jobs, in rows of their own. Nobody follows these, so that a
+ * job's row, which the owner follows, changes only when it is cancelled or
+ * ends.
+ */
+#define SEAM_PROGRESS_ROW_PREFIX "done/"
 
 /**
  * struct seam_failed_run - a run that ended as failed
@@ -28,8 +34,8 @@
 };
 
 /**
- * struct seam_jobrow - a job as stored in its row
- * @spec: the submitted job; without steps once the job has ended
+ * struct seam_jobrow - a job as stored in its row, with its progress
+ * @spec: the submitted job; without text and steps once the job has ended
  * @state: enum seam_job_state
  * @accepted_ms: time of acceptance, milliseconds since 1970
  * @ended_ms: time at which it ended, or 0
@@ -50,14 +56,18 @@
 /** seam_jobrow_key() - key of the row of job @id */
 void seam_jobrow_key(const char *id, char key[SEAM_KEY_MAX]);
 
-/** seam_jobrow_id() - id of the job whose row has @key */
+/** seam_progress_key() - key of the row with the progress of job @id */
+void seam_progress_key(const char *id, char key[SEAM_KEY_MAX]);
+
+/** seam_jobrow_id() - id of the job whose row, or progress, has @key */
 const char *seam_jobrow_id(const char *key);
 
 /** seam_jobrow_merge() - add the done tasks and failed runs of @from */
 void seam_jobrow_merge(struct seam_jobrow *j, const struct seam_jobrow *from);
 
 /**
- * seam_jobrow_serialize() - serialise a row as JSON; free with free()
+ * seam_jobrow_serialize() - serialise a row without its progress as JSON; free
+ * with free()
  *
  * Return: the text, or NULL if out of memory.
  */
@@ -70,6 +80,21 @@
 int seam_jobrow_parse(const struct seam_row *row, struct seam_jobrow *j,
 		      struct seam_err *e);
 
+/**
+ * seam_progress_serialize() - serialise done tasks and failed runs as JSON;
+ * free with free()
+ *
+ * Return: the text, or NULL if out of memory.
+ */
+char *seam_progress_serialize(const struct seam_jobrow *j);
+
+/**
+ * seam_progress_merge() - add the done tasks and failed runs of a progress row
+ * @e: SEAM_BAD_REQUEST if it is malformed; @j is then unchanged
+ */
+int seam_progress_merge(struct seam_jobrow *j, const struct seam_row *row,
+			struct seam_err *e);
+
 /** seam_jobrow_free() - free the members of @j */
 void seam_jobrow_free(struct seam_jobrow *j);
 
--- a/tests/jobrow_test.cc
+++ b/tests/jobrow_test.cc
@@ -46,6 +46,12 @@
 		row.len = strlen(text);
 		EXPECT_EQ(seam_jobrow_parse(&row, &r, &e), 0) << e.text;
 		free(text);
+		text = seam_progress_serialize(&j);
+		seam_progress_key(j.spec.id, row.key);
+		row.data = text;
+		row.len = strlen(text);
+		EXPECT_EQ(seam_progress_merge(&r, &row, &e), 0) << e.text;
+		free(text);
 		return r;
 	}
 };
--- /dev/null
+++ b/tests/scheduler_progress_test.cc
@@ -0,0 +1,162 @@
+// Rows with the progress of jobs: done tasks and failed runs.
+#include "tests/scheduler_fixture.h"
+
+namespace
+{
+std::string job_key()
+{
+	char key[SEAM_KEY_MAX];
+
+	seam_jobrow_key(ID, key);
+	return key;
+}
+
+std::string progress_key()
+{
+	char key[SEAM_KEY_MAX];
+
+	seam_progress_key(ID, key);
+	return key;
+}
+
+// Guards against a job's row that comes back to the owner through the feed with
+// each end: on the small twin of the large site that was a third of its link.
+TEST_F(Scheduler, EndsDoNotChangeTheRowOfTheJob)
+{
+	w.add_worker("a", "p", 1000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 4, "100", 2);
+	uint64_t version = w.store.version_of(job_key());
+	EXPECT_TRUE(eventually([&] {
+		return w.store.get(progress_key()).find("d") !=
+		       std::string::npos;
+	}));
+	EXPECT_TRUE(eventually([&] { return w.started(task(1, 1)) == 1; }));
+	EXPECT_EQ(w.store.version_of(job_key()), version);
+	EXPECT_TRUE(becomes("completed"));
+}
+
+// Guards against rows of progress that stay for ever.
+TEST_F(Scheduler, ProgressGoesWithTheEndOfTheJob)
+{
+	w.add_worker("a", "p", 1000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 4, "100");
+	EXPECT_TRUE(
+		eventually([&] { return w.store.get(progress_key()) != ""; }));
+	EXPECT_TRUE(becomes("completed"));
+	EXPECT_EQ(w.store.get(progress_key()), "");
+}
+
+// The same for a job that its caller cancels.
+TEST_F(Scheduler, ProgressGoesWithACancelledJob)
+{
+	w.add_worker("a", "p", 1000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 8, "200");
+	EXPECT_TRUE(
+		eventually([&] { return w.store.get(progress_key()) != ""; }));
+	std::string row = w.store.get(job_key());
+	size_t at = row.find("\"state\":\"queued\"");
+	ASSERT_NE(at, std::string::npos);
+	w.store.put(job_key(), row.replace(at, 16, "\"state\":\"cancelled\""));
+	EXPECT_TRUE(
+		eventually([&] { return w.store.get(progress_key()) == ""; }));
+	EXPECT_EQ(w.state(ID), "cancelled");
+	EXPECT_TRUE(eventually([&] {
+		pthread_mutex_lock(&o.sched->lock);
+		bool gone = !scheduler_find_job(o.sched, ID);
+		pthread_mutex_unlock(&o.sched->lock);
+		return gone;
+	}));
+}
+
+// Guards against done tasks that a later owner starts again.
+TEST_F(Scheduler, NextOwnerKeepsTheProgress)
+{
+	FakeWorker *a = w.add_worker("a", "p", 1000);
+
+	w.job(ID, 6, "150");
+	{
+		Owner o(&w, "n1");
+
+		o.start_renewals();
+		EXPECT_TRUE(eventually([&] {
+			return w.store.get(progress_key()).find("dd") !=
+			       std::string::npos;
+		}));
+	}
+	a->restart(); // it lists no end any more
+	Owner o(&w, "n2");
+	o.start_renewals();
+	EXPECT_TRUE(becomes("completed", 15000));
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+	EXPECT_EQ(w.started(task(0, 1)), 1);
+}
+
+// Guards against ends that are lost, and against an owner that stops
+// committing, when a commit of the owner before is carried out late.
+TEST_F(Scheduler, LateProgressOfTheOwnerBeforeIsMerged)
+{
+	w.add_worker("a", "p", 1000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 6, "300");
+	EXPECT_TRUE(eventually([&] { return w.started(task(0, 0)) == 1; }));
+	w.store.put(progress_key(), "{\"done\":[\"----d-\"]}");
+	EXPECT_TRUE(becomes("completed", 15000));
+	EXPECT_EQ(w.started(task(0, 4)), 0);
+	EXPECT_EQ(w.store.get(progress_key()), "");
+}
+
+// Guards against a job that stays open when the progress of two owners together
+// is complete: no further end is listed then.
+TEST_F(Scheduler, JobEndsWhenItsProgressIsComplete)
+{
+	w.add_worker("a", "p", 1000);
+	w.job(ID, 2, "300");
+	w.store.put(progress_key(), "{\"done\":[\"dd\"]}");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	EXPECT_TRUE(becomes("completed"));
+	EXPECT_EQ(w.started(task(0, 0)), 0);
+}
+
+// Guards against a job that a damaged row of progress keeps from running, or
+// that takes the owner down.
+TEST_F(Scheduler, DamagedProgressCountsAsNone)
+{
+	w.add_worker("a", "p", 2000);
+	w.job(ID, 2, "100");
+	w.store.put(progress_key(), "{\"done\":[7,{}],\"failed\":[[]]");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	EXPECT_TRUE(becomes("completed"));
+	EXPECT_EQ(w.store.get(progress_key()), "");
+}
+
+// Guards against an end that is committed but not answered, after which the
+// owner waits for a row that is there already.
+TEST_F(Scheduler, EndWithoutAnAnswerFromTheStore)
+{
+	w.add_worker("a", "p", 1000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 3, "150");
+	EXPECT_TRUE(
+		eventually([&] { return w.store.get(progress_key()) != ""; }));
+	w.store.lose_answers = 3;
+	EXPECT_TRUE(becomes("completed"));
+	EXPECT_TRUE(eventually([&] {
+		pthread_mutex_lock(&o.sched->lock);
+		bool gone = !scheduler_find_job(o.sched, ID);
+		pthread_mutex_unlock(&o.sched->lock);
+		return gone;
+	}));
+	EXPECT_EQ(w.store.get(progress_key()), "");
+	expect_starts(1, 3, 1);
+}
+} // namespace
