lanes: messages in MessagePack, unchanged listings without their runs

Batches and events between the owner and the nodes that serve its workers took 840 and 743 bytes a start on the small twin of the large site, most of the owner's link: each order carried the text of its job in JSON, and each worker's runs came every 0.3 s whether they had changed or not. Beyond the link, calls timed out, and the owner took sessions for lost, moved workers and started lapsed tasks again, which added to the load.

The messages are arrays in MessagePack with a format number; a node of another version refuses them with a reason. A batch has each text once. A listing that is the same as the one before is reported as unchanged, and with its runs every 1.2 s or after an order. The owner applies an unchanged listing only if it has applied the one that it refers to.

The tests of the JSON encoding are tests of this one; broken messages are now all prefixes and byte changes of real ones.

--- a/connection/lane.h
+++ b/connection/lane.h
@@ -5,8 +5,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include <json-c/json.h>
-
 #include "base/clock.h"
 #include "base/err.h"
 #include "connection/runner.h"
@@ -115,6 +113,8 @@
  * @kind: enum seam_lane_event_kind
  * @key: the owner's handle of the worker
  * @listing: LISTED: the listing; owned by the event
+ * @unchanged: LISTED: the worker runs what the latest listing has that was
+ *     reported in full, and no run has ended since; @listing has only its times
  * @sent_at: LISTED: lower bound of the time at which the poll was sent
  * @token: LISTED: fencing token of the poll; 0 for that of the session
  * @task: ANSWERED: task name
@@ -134,6 +134,7 @@
 	int kind;
 	uint32_t key;
 	struct seam_listing listing;
+	bool unchanged;
 	seam_time sent_at;
 	uint64_t token;
 	char task[SEAM_TASK_NAME_SIZE];
@@ -226,31 +227,35 @@
 };
 
 /*
- * JSON encoding, in lane_json.c. A deadline is sent as the time that is left
- * and a past time as its age, as each node has a clock of its own.
+ * Encoding in MessagePack, in lane_codec.c. A deadline is sent as the time that
+ * is left and a past time as its age, as each node has a clock of its own. The
+ * encoders return a message to be freed with free(), or NULL if out of memory;
+ * the decoders fail with SEAM_BAD_REQUEST if a message is malformed or of
+ * another version.
  */
 
-/** seam_lane_batch_to_json() - encode a batch; @now is the time of sending */
-struct json_object *seam_lane_batch_to_json(const struct seam_lane_batch *b,
-					    seam_time now);
+/** seam_lane_batch_encode() - encode a batch; @now is the time of sending */
+char *seam_lane_batch_encode(const struct seam_lane_batch *b, seam_time now,
+			     size_t *len);
 
-/**
- * seam_lane_batch_parse() - decode a batch that arrived at @now
- * @e: SEAM_BAD_REQUEST if it is malformed
- */
-int seam_lane_batch_parse(struct json_object *o, seam_time now,
-			  struct seam_lane_batch *b, struct seam_err *e);
+/** seam_lane_batch_decode() - decode a batch that arrived at @now */
+int seam_lane_batch_decode(const char *data, size_t len, seam_time now,
+			   struct seam_lane_batch *b, struct seam_err *e);
 
-/** seam_lane_events_to_json() - encode; the poll arrived at @asked_at */
-struct json_object *seam_lane_events_to_json(const struct seam_lane_events *v,
-					     seam_time asked_at, seam_time now);
+/** seam_lane_poll_encode() - encode a request for events */
+char *seam_lane_poll_encode(const struct seam_lane_poll *q, size_t *len);
 
-/**
- * seam_lane_events_parse() - decode the response to a poll sent at @asked_at
- * @e: SEAM_BAD_REQUEST if it is malformed
- */
-int seam_lane_events_parse(struct json_object *o, seam_time asked_at,
-			   struct seam_lane_events *v, struct seam_err *e);
+/** seam_lane_poll_decode() - decode a request for events */
+int seam_lane_poll_decode(const char *data, size_t len,
+			  struct seam_lane_poll *q, struct seam_err *e);
+
+/** seam_lane_events_encode() - encode; the poll arrived at @asked_at */
+char *seam_lane_events_encode(const struct seam_lane_events *v,
+			      seam_time asked_at, seam_time now, size_t *len);
+
+/** seam_lane_events_decode() - decode the response to a poll of @asked_at */
+int seam_lane_events_decode(const char *data, size_t len, seam_time asked_at,
+			    struct seam_lane_events *v, struct seam_err *e);
 
 #ifdef __cplusplus
 }
--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -26,6 +26,9 @@
  * @reported_hash: hash of the listing that was reported last
  * @reported_at: time of that report
  * @reported_token: fencing token of the poll of that report
+ * @full_report_at: when the runs were last reported, and not only that they are
+ *     unchanged
+ * @order_since: an order was carried out or given up since
  * @reported_end: number of the latest ended run that was reported
  * @acks_changed: signalled when @acked or @removed changes
  * @orders: struct seam_lane_order, in order of sending
@@ -52,6 +55,8 @@
 	uint64_t reported_hash;
 	seam_time reported_at;
 	uint64_t reported_token;
+	seam_time full_report_at;
+	bool order_since;
 	int64_t reported_end;
 	pthread_cond_t acks_changed;
 	GQueue orders;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -37,6 +37,9 @@
 #define ACK_TIMEOUT (120 * SEAM_MSEC)
 /* An unchanged listing is reported once in this interval. */
 #define REPORT_INTERVAL (300 * SEAM_MSEC)
+/* Every fourth time with its runs, for their progress and checkpoints: these
+ * are most of the bytes that the owner receives. */
+#define FULL_REPORT_INTERVAL (4 * REPORT_INTERVAL)
 #define STACK_BYTES (256u << 10) /* small, as each worker has a thread */
 /* The thread for orders ends when there was none for this time. Busy workers
  * get several starts a second, and a new thread for each would cost 50 us. */
@@ -97,17 +100,49 @@
 	return h + l->runs;
 }
 
-/* Whether @l differs from the last report or that report is too old. */
-static bool must_report(const struct seam_dispatch_worker *w,
+/* Whether @l differs from the last report. */
+static bool has_changed(const struct seam_dispatch_worker *w,
 			const struct seam_listing *l, uint64_t hash,
-			uint64_t token, seam_time now)
+			uint64_t token)
 {
 	return !w->answered || hash != w->reported_hash ||
 	       token != w->reported_token ||
-	       now >= w->reported_at + REPORT_INTERVAL ||
 	       (l->ends && l->end[l->ends - 1].number > w->reported_end);
 }
 
+/*
+ * Whether the runs need not be reported again. After an order they are: the
+ * owner repeats a stop that did not end its run.
+ */
+static bool may_omit_runs(const struct seam_dispatch_worker *w, bool changed,
+			  seam_time now)
+{
+	return !changed && !w->order_since &&
+	       now < w->full_report_at + FULL_REPORT_INTERVAL;
+}
+
+static void report_listing(struct seam_dispatch_worker *w,
+			   struct seam_listing *l, bool changed,
+			   seam_time sent_at, uint64_t token)
+{
+	seam_time now = seam_now(w->dispatch->clock);
+	struct seam_lane_event *v =
+		dispatch_add_event(w->dispatch, w->key, SEAM_LANE_LISTED);
+
+	v->sent_at = sent_at;
+	v->token = token == w->dispatch->session.token ? 0 : token;
+	v->unchanged = may_omit_runs(w, changed, now);
+	if (v->unchanged) {
+		seam_listing_free(l);
+		l->runs = 0;
+		l->ends = 0;
+	} else {
+		w->full_report_at = now;
+		w->order_since = false;
+	}
+	v->listing = *l;
+}
+
 /* Reports that no order which waits is sent. */
 static void reject_orders(struct seam_dispatch_worker *w, const char *why)
 {
@@ -136,7 +171,7 @@
 {
 	uint64_t hash = hash_listing(l);
 	seam_time now = seam_now(w->dispatch->clock);
-	struct seam_lane_event *v;
+	bool changed;
 
 	if (l->process_start_ms && w->process_start_ms &&
 	    l->process_start_ms != w->process_start_ms) {
@@ -146,7 +181,8 @@
 	if (l->process_start_ms)
 		w->process_start_ms = l->process_start_ms;
 	set_runs(w, l->runs);
-	if (!must_report(w, l, hash, token, now)) {
+	changed = has_changed(w, l, hash, token);
+	if (!changed && now < w->reported_at + REPORT_INTERVAL) {
 		seam_listing_free(l);
 		return;
 	}
@@ -158,10 +194,7 @@
 	w->reported_token = token;
 	if (l->ends)
 		w->reported_end = l->end[l->ends - 1].number;
-	v = dispatch_add_event(w->dispatch, w->key, SEAM_LANE_LISTED);
-	v->listing = *l;
-	v->sent_at = sent_at;
-	v->token = token == w->dispatch->session.token ? 0 : token;
+	report_listing(w, l, changed, sent_at, token);
 }
 
 static void report_no_answer(struct seam_dispatch_worker *w, int rc,
@@ -381,6 +414,7 @@
 		seam_metric_add(&starts, 1);
 		set_runs(w, w->runs + 1);
 	}
+	w->order_since = true;
 	v = dispatch_report_answer(w->dispatch, o, rc, outcome, unknown, &e);
 	if (!rc && clock_ms)
 		v->lease_ms = o->lease_until - clock_ms;
--- a/process/lane_http.c
+++ b/process/lane_http.c
@@ -1,6 +1,5 @@
 /* Lanes between nodes, over HTTP on their control addresses. */
 #include "process/dispatch.h"
-#include "base/json.h"
 #include "process/rest.h"
 
 #include <stdio.h>
@@ -10,6 +9,7 @@
 #define SEND_PATH "/v1/dispatch/batch"
 #define POLL_PATH "/v1/dispatch/events"
 #define POLL_WAIT_MAX_MS 2000
+#define MESSAGE_TYPE "application/msgpack"
 
 struct http_lane {
 	struct seam_lane base;
@@ -17,41 +17,45 @@
 	struct seam_rest *rest;
 };
 
-/* Posts @body and releases it; @o receives the response. */
-static int post(struct http_lane *l, const char *path, struct json_object *body,
-		struct json_object **o, seam_time deadline, struct seam_err *e)
+/*
+ * Posts @body and releases it. @a receives a response with status 200; its body
+ * is the caller's.
+ */
+static int post(struct http_lane *l, const char *path, char *body, size_t len,
+		struct seam_rest_response *a, seam_time deadline,
+		struct seam_err *e)
 {
 	struct seam_rest_request c = {.method = "POST",
 				      .path = path,
-				      .body = json_object_to_json_string_ext(
-					      body, JSON_C_TO_STRING_PLAIN),
+				      .body = body,
+				      .body_len = len,
+				      .type = MESSAGE_TYPE,
 				      .deadline = deadline};
-	struct seam_rest_response a;
-	int rc = seam_rest_do(l->rest, &c, &a, e);
+	int rc = body ? seam_rest_do(l->rest, &c, a, e) :
+			seam_fail(e, SEAM_NO_MEMORY, NULL);
 
-	json_object_put(body);
-	*o = NULL;
+	free(body);
 	if (rc)
 		return -1;
-	*o = a.status == 200 && a.body ? json_tokener_parse(a.body) : NULL;
-	free(a.body);
-	if (*o)
+	if (a->status == 200)
 		return 0;
+	free(a->body);
 	return seam_fail(e,
-			 a.status == 409 ? SEAM_CONFLICT : SEAM_COMMIT_UNKNOWN,
-			 "dispatcher answered with status %d", a.status);
+			 a->status == 409 ? SEAM_CONFLICT : SEAM_COMMIT_UNKNOWN,
+			 "dispatcher answered with status %d", a->status);
 }
 
 static int http_send(struct seam_lane *base, struct seam_lane_batch *b,
 		     seam_time deadline, struct seam_err *e)
 {
 	struct http_lane *l = (struct http_lane *)base;
-	struct json_object *o;
+	struct seam_rest_response a;
+	size_t len = 0;
+	char *body = seam_lane_batch_encode(b, seam_now(l->clock), &len);
 
-	if (post(l, SEND_PATH, seam_lane_batch_to_json(b, seam_now(l->clock)),
-		 &o, deadline, e))
+	if (post(l, SEND_PATH, body, len, &a, deadline, e))
 		return -1;
-	json_object_put(o);
+	free(a.body);
 	return 0;
 }
 
@@ -60,20 +64,17 @@
 		     struct seam_err *e)
 {
 	struct http_lane *l = (struct http_lane *)base;
-	struct json_object *body = json_object_new_object();
 	seam_time asked_at = seam_now(l->clock);
-	struct json_object *o;
+	struct seam_rest_response a;
+	size_t len = 0;
+	char *body = seam_lane_poll_encode(p, &len);
 	int rc;
 
 	memset(v, 0, sizeof(*v));
-	seam_json_add_int(body, "token", (int64_t)p->session.token);
-	seam_json_add_int(body, "session", (int64_t)p->session.number);
-	seam_json_add_int(body, "seen", (int64_t)p->seen);
-	seam_json_add_int(body, "wait_ms", p->wait_ms);
-	if (post(l, POLL_PATH, body, &o, deadline, e))
+	if (post(l, POLL_PATH, body, len, &a, deadline, e))
 		return -1;
-	rc = seam_lane_events_parse(o, asked_at, v, e);
-	json_object_put(o);
+	rc = seam_lane_events_decode(a.body, a.len, asked_at, v, e);
+	free(a.body);
 	return rc;
 }
 
@@ -108,15 +109,31 @@
 	return NULL;
 }
 
+/* Sends @message and releases it. */
+static void reply(struct seam_call *c, char *message, size_t len)
+{
+	struct seam_answer a = {.status = 200,
+				.type = MESSAGE_TYPE,
+				.body = message,
+				.len = len};
+	struct seam_err e = SEAM_ERR_INIT;
+
+	if (message) {
+		seam_reply(c, &a);
+	} else {
+		seam_fail(&e, SEAM_NO_MEMORY, NULL);
+		seam_reply_err(c, &e);
+	}
+	free(message);
+}
+
 static void serve_batch(struct seam_call *c, void *arg)
 {
 	struct seam_dispatch *d = arg;
 	struct seam_err e = SEAM_ERR_INIT;
-	struct json_object *o = json_tokener_parse(c->body);
 	struct seam_lane_batch b;
-	int rc = seam_lane_batch_parse(o, c->arrived, &b, &e);
+	int rc = seam_lane_batch_decode(c->body, c->len, c->arrived, &b, &e);
 
-	json_object_put(o);
 	if (!rc) {
 		rc = seam_dispatch_apply(d, &b, &e);
 		seam_lane_batch_free(&b);
@@ -124,32 +141,32 @@
 	if (rc)
 		seam_reply_err(c, &e);
 	else
-		seam_reply_json(c, 200, json_object_new_object(),
-				JSON_C_TO_STRING_PLAIN);
+		reply(c, strdup(""), 0);
 }
 
 static void serve_events(struct seam_call *c, void *arg)
 {
 	struct seam_dispatch *d = arg;
 	struct seam_err e = SEAM_ERR_INIT;
-	struct json_object *o = json_tokener_parse(c->body);
 	struct seam_lane_events v = {0};
-	struct seam_lane_poll p = {
-		.session = {(uint64_t)seam_json_int(o, "token", 0),
-			    (uint64_t)seam_json_int(o, "session", 0)},
-		.seen = (uint64_t)seam_json_int(o, "seen", 0),
-		.wait_ms = seam_json_int(o, "wait_ms", 0)};
+	struct seam_lane_poll p;
+	size_t len = 0;
+	char *message;
 
-	json_object_put(o);
+	if (seam_lane_poll_decode(c->body, c->len, &p, &e)) {
+		seam_reply_err(c, &e);
+		return;
+	}
 	if (p.wait_ms < 0 || p.wait_ms > POLL_WAIT_MAX_MS)
 		p.wait_ms = POLL_WAIT_MAX_MS;
 	if (seam_dispatch_poll(d, &p, &v, &e)) {
 		seam_reply_err(c, &e);
 		return;
 	}
-	o = seam_lane_events_to_json(&v, c->arrived, seam_dispatch_now(d));
-	seam_reply_json(c, 200, o, JSON_C_TO_STRING_PLAIN);
+	message = seam_lane_events_encode(&v, c->arrived, seam_dispatch_now(d),
+					  &len);
 	seam_lane_events_free(&v);
+	reply(c, message, len);
 }
 
 void seam_dispatch_serve(struct seam_dispatch *d, struct seam_http *h)
--- a/process/rest.c
+++ b/process/rest.c
@@ -80,7 +80,8 @@
 	if (c->body) {
 		curl_easy_setopt(h, CURLOPT_POSTFIELDS, c->body);
 		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
-				 (curl_off_t)strlen(c->body));
+				 (curl_off_t)(c->body_len ? c->body_len :
+							    strlen(c->body)));
 	}
 	curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, c->method);
 }
@@ -117,12 +118,15 @@
 	seam_time begin = seam_now(r->clock);
 	seam_time timeout_ms = (c->deadline - begin) / SEAM_MSEC;
 	char url[1024];
+	char type[64];
 	const char *const *line;
 	long status = 0;
 	CURLcode rc;
 
 	snprintf(url, sizeof(url), "%s%s", r->url, c->path);
-	list = curl_slist_append(list, "Content-Type: application/json");
+	snprintf(type, sizeof(type), "Content-Type: %s",
+		 c->type ? c->type : "application/json");
+	list = curl_slist_append(list, type);
 	for (line = c->header; line && *line; line++)
 		list = curl_slist_append(list, *line);
 	if (c->once)
--- a/process/rest.h
+++ b/process/rest.h
@@ -18,7 +18,9 @@
  * struct seam_rest_request - one request
  * @method: HTTP method
  * @path: path and query, percent-encoded
- * @body: JSON text, or NULL
+ * @body: body, or NULL
+ * @body_len: its length in bytes; 0 for a NUL-terminated text
+ * @type: its content type; NULL for JSON
  * @header: additional header lines, NULL-terminated; may be NULL
  * @once: the client never retries on another connection
  * @deadline: the request is not sent after it, and fails at it
@@ -27,6 +29,8 @@
 	const char *method;
 	const char *path;
 	const char *body;
+	size_t body_len;
+	const char *type;
 	const char *const *header;
 	bool once;
 	seam_time deadline;
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -336,6 +336,8 @@
  * @lease_end: its lease has certainly expired by then
  * @long_lease_until: a lease that its current process took from an order for
  *     another one may last until then
+ * @listing_known: its latest listing that was reported in full was applied
+ * @listing_at: when that listing, or an unchanged one since, was applied
  * @seen_end: number of the latest end that was processed
  * @uncommitted_ends: ends whose jobs have to be committed; struct
  *     seam_uncommitted_end
@@ -354,6 +356,9 @@
  * @draining_since: when its row was first read as draining
  * @leaving_until: until then it is being emptied for a move or for maintenance;
  *     each survey of the VMs that still plans this puts it off
+ * @reserved_at: pass that reserved it last
+ * @reserved_until: until then it gets only lasting tasks, one of which waits
+ * for room
  * @vm_gone: its VM was moved or maintained; its row disappears later
  * @retired: it has to be removed from the table
  * @process_known_at: when its current process was first seen
@@ -384,6 +389,8 @@
 	seam_time clock_at;
 	seam_time lease_end;
 	seam_time long_lease_until;
+	bool listing_known;
+	seam_time listing_at;
 	int64_t seen_end;
 	GArray *uncommitted_ends;
 	int64_t acked;
@@ -398,6 +405,8 @@
 	seam_time shunned_until;
 	seam_time draining_since;
 	seam_time leaving_until;
+	seam_time reserved_at;
+	seam_time reserved_until;
 	bool vm_gone;
 	bool retired;
 	seam_time process_known_at;
@@ -531,6 +540,7 @@
  * @unusable_rows: id of a worker whose row can't be used to the reason
  * @unusable_rows_logged: number of times that such a reason was logged
  * @vms_read: the VM list was read in this term
+ * @vms_read_at: when the list was requested that @vm holds
  * @prior_leases_until: until then workers may run tasks under leases of the
  *     previous owner
  * @long_leases: longer ones of single workers; struct seam_long_lease
@@ -584,6 +594,7 @@
 	GHashTable *unusable_rows;
 	int64_t unusable_rows_logged;
 	bool vms_read;
+	seam_time vms_read_at;
 	seam_time prior_leases_until;
 	GArray *long_leases;
 	seam_time long_leases_until;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -98,8 +98,10 @@
 	uint64_t token = v->token ? v->token : sched->term;
 	bool fenced;
 
-	if (!scheduler_accept_listing(w, l->process_start_ms, v->sent_at))
+	if (!scheduler_accept_listing(w, l->process_start_ms, v->sent_at)) {
+		w->listing_known = false;
 		return;
+	}
 	fenced = token >= w->token;
 	if (token > w->answered_token)
 		w->answered_token = token;
@@ -115,7 +117,10 @@
 	w->missed_holds = 0;
 	w->avoid_lane = -1;
 	update_clock(w, l->clock_ms, now);
-	scheduler_apply_listing(sched, w, l, v->sent_at);
+	if (!v->unchanged)
+		scheduler_apply_listing(sched, w, l, v->sent_at);
+	else if (w->listing_known)
+		scheduler_apply_unchanged(sched, w, v->sent_at);
 }
 
 void scheduler_hold_failed(struct seam_worker *w,
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -109,6 +109,7 @@
 void scheduler_worker_lost(struct seam_worker *w, const char *why);
 void scheduler_workers_close(struct seam_scheduler *sched);
 bool scheduler_worker_usable(const struct seam_worker *w, seam_time now);
+struct seam_resources scheduler_worker_free(const struct seam_worker *w);
 /* A run on a worker. */
 struct scheduler_run_ref {
 	struct seam_job *job;
@@ -132,6 +133,18 @@
 bool scheduler_accept_row(struct seam_worker *w,
 			  const struct seam_worker_info *info);
 
+/* Room for lasting tasks */
+/* Whether another worker than @except has room for a task of @step now. */
+bool scheduler_room_elsewhere(struct seam_scheduler *sched,
+			      const struct seam_job *j, int step,
+			      const struct seam_worker *except);
+/* Number of lasting runs on @w for which no other worker has room now. */
+int scheduler_pinned_runs(struct seam_worker *w);
+/* Keeps tasks that end off the worker that has room for @step the soonest. */
+void scheduler_reserve_worker(struct seam_scheduler *sched,
+			      const struct seam_job *j, int step,
+			      seam_time now);
+
 /* Backlog */
 void scheduler_job_count(struct seam_job *j);
 void scheduler_job_mark_dirty(struct seam_scheduler *sched, struct seam_job *j);
@@ -234,6 +247,9 @@
 void scheduler_apply_listing(struct seam_scheduler *sched,
 			     struct seam_worker *w,
 			     const struct seam_listing *l, seam_time sent_at);
+/* Applies a listing that is the same as the latest one that was applied. */
+void scheduler_apply_unchanged(struct seam_scheduler *sched,
+			       struct seam_worker *w, seam_time sent_at);
 void scheduler_ack_ends(struct seam_scheduler *sched, struct seam_worker *w);
 
 /* Load; scheduler_log_load() logs at most one line a second */
--- a/process/scheduler_lanes.c
+++ b/process/scheduler_lanes.c
@@ -89,6 +89,7 @@
 	}
 	w->registered = false;
 	w->answered = false;
+	w->listing_known = false;
 }
 
 /* Releases the worker from its lane. */
--- a/process/scheduler_listing.c
+++ b/process/scheduler_listing.c
@@ -223,7 +223,7 @@
 				      SEAM_RUN_RUNNING);
 	if (r) {
 		r->percent = l->percent;
-		r->listed_at = seam_now(sched->clock);
+		r->listed_at = w->listing_at;
 		/* Whether its starts were answered is not known. */
 		r->late_until = r->sent_at + LATE_ORDER_MAX;
 		/* The owner before may have stopped it. */
@@ -349,6 +349,26 @@
 		scheduler_lane_update(w);
 }
 
+static void list_again(struct seam_worker *w,
+		       const struct scheduler_run_ref *at, void *arg)
+{
+	const struct listing_state *s = arg;
+
+	if (at->run->listed_at >= w->listing_at)
+		at->run->listed_at = s->now;
+}
+
+void scheduler_apply_unchanged(struct seam_scheduler *sched,
+			       struct seam_worker *w, seam_time sent_at)
+{
+	struct listing_state s = {seam_now(sched->clock), sent_at};
+
+	scheduler_for_each_run(w, list_again, &s);
+	w->listing_at = s.now;
+	scheduler_for_each_run(w, check_listed_run, &s);
+	scheduler_ack_ends(sched, w);
+}
+
 void scheduler_apply_listing(struct seam_scheduler *sched,
 			     struct seam_worker *w,
 			     const struct seam_listing *l, seam_time sent_at)
@@ -364,6 +384,8 @@
 			apply_end(sched, w, &l->end[i]);
 			w->seen_end = l->end[i].number;
 		}
+	w->listing_known = true;
+	w->listing_at = now;
 	unknown = g_new(size_t, l->runs + 1);
 	for (i = 0; i < l->runs; i++)
 		if (!apply_known_run(sched, w, &l->run[i], now))
--- a/process/scheduler_restart.c
+++ b/process/scheduler_restart.c
@@ -115,6 +115,7 @@
 		 (unsigned long long)w->token);
 	w->info.process_start_ms = process_start_ms;
 	w->process_known_at = seam_now(w->sched->clock);
+	w->listing_known = false;
 	w->seen_end = 0;
 	w->acked = 0;
 	w->clock_at = 0;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -401,14 +401,10 @@
 	o[0] = {1,    false, "t.0.1.2", 30001, (char *)"text \"q\"",
 		"cp", 950,   5000,	6000,  true};
 	o[1] = {2, true, "u", 2, nullptr, "", 0, 7000, 8000};
-	json_object *j = seam_lane_batch_to_json(&b, 1000);
-	/* Nodes of earlier versions refuse rows of other lengths. */
-	json_object *rows = json_object_object_get(j, "workers");
-	EXPECT_EQ(json_object_array_length(json_object_array_get_idx(rows, 0)),
-		  6u);
-	EXPECT_EQ(json_object_array_length(json_object_array_get_idx(rows, 1)),
-		  4u);
-	ASSERT_EQ(seam_lane_batch_parse(j, 1000, &got, &e), 0);
+	size_t len = 0;
+	char *text = seam_lane_batch_encode(&b, 1000, &len);
+	ASSERT_NE(text, nullptr);
+	ASSERT_EQ(seam_lane_batch_decode(text, len, 1000, &got, &e), 0);
 	EXPECT_EQ(got.session.token, 9u);
 	EXPECT_EQ(got.session.number, 4u);
 	EXPECT_TRUE(got.first);
@@ -419,51 +415,114 @@
 	EXPECT_TRUE(same(got.order[1], o[1]));
 	seam_lane_batch_free(&got);
 	/* The time of the transfer counts against the deadlines. */
-	ASSERT_EQ(seam_lane_batch_parse(j, 1500, &got, &e), 0);
+	ASSERT_EQ(seam_lane_batch_decode(text, len, 1500, &got, &e), 0);
 	EXPECT_EQ(got.order[0].send_by, 5500);
 	seam_lane_batch_free(&got);
-	json_object_put(j);
-	EXPECT_EQ(seam_lane_batch_parse(nullptr, 0, &got, &e), -1);
+	free(text);
+	EXPECT_EQ(seam_lane_batch_decode(nullptr, 0, 0, &got, &e), -1);
 }
 
-// Guards against malformed messages: a row that was not a list crashed the
-// process.
-TEST_F(Dispatch, BrokenMessagesAreRefused)
+// Guards against the text of a job that passes with each of its tasks: it was a
+// third of the bytes of a start.
+TEST_F(Dispatch, TextOfAJobPassesOnceInABatch)
+{
+	std::string text(400, 'x');
+	std::string other(400, 'y');
+	seam_lane_order o[9] = {};
+	seam_lane_batch b = {{1, 1}, false, nullptr, 0, o, 9};
+	seam_lane_batch got;
+	size_t len = 0;
+
+	for (int i = 0; i < 9; i++) {
+		snprintf(o[i].task, sizeof(o[i].task), "t%d", i);
+		o[i].stop = i == 4;
+		if (i != 4)
+			o[i].text = (char *)(i % 2 ? text : other).c_str();
+	}
+	char *message = seam_lane_batch_encode(&b, 0, &len);
+	EXPECT_LT(len, 1200u);
+	ASSERT_EQ(seam_lane_batch_decode(message, len, 0, &got, &e), 0);
+	for (int i = 0; i < 9; i++)
+		EXPECT_TRUE(same(got.order[i], o[i])) << i;
+	seam_lane_batch_free(&got);
+	free(message);
+}
+
+// Checks that each decoder refuses @text, or reads it without reading past it.
+static void expect_no_crash(const std::string &text, bool refused)
 {
-	const char *batches[] = {
-		"[]",
-		"{\"workers\":[1],\"orders\":[]}",
-		"{\"workers\":[[]],\"orders\":[]}",
-		"{\"workers\":[[1,2,3]],\"orders\":[]}",
-		"{\"workers\":[],\"orders\":[{}]}",
-		"{\"workers\":[],\"orders\":[[1,\"t\",1,5,5],null]}",
-		"{\"workers\":[],\"orders\":[[1,\"t\",1,5,5,6,\"\"]]}",
-		"{\"workers\":[],\"orders\":[],\"tokens\":[[1,2]]}",
-		"{\"workers\":[[1,2,3,4]],\"orders\":[],\"tokens\":[7]}"};
-	const char *answers[] = {"{}",
-				 "{\"events\":[null]}",
-				 "{\"events\":[[1,0,7]]}",
-				 "{\"events\":[[1,0,7,0,0,0,[1],[]]]}",
-				 "{\"events\":[[1,0,7,0,0,0,[],[[1]]]]}",
-				 "{\"events\":[[1,2,7,0,0,\"\"]]}",
-				 "{\"events\":[[1,9,7,0,0,\"\"]]}",
-				 "{\"events\":[],\"leases\":[[1,3150]]}"};
+	seam_err e = SEAM_ERR_INIT;
 	seam_lane_batch b;
 	seam_lane_events v;
+	seam_lane_poll p;
+	// A copy of its own size, for the address sanitizer.
+	std::vector<char> copy(text.begin(), text.end());
+
+	int batch = seam_lane_batch_decode(copy.data(), copy.size(), 0, &b, &e);
+	if (batch)
+		EXPECT_EQ(e.kind, SEAM_BAD_REQUEST);
+	else
+		seam_lane_batch_free(&b);
+	seam_err_clear(&e);
+	int events =
+		seam_lane_events_decode(copy.data(), copy.size(), 0, &v, &e);
+	if (events)
+		EXPECT_EQ(e.kind, SEAM_BAD_REQUEST);
+	else
+		seam_lane_events_free(&v);
+	int poll = seam_lane_poll_decode(copy.data(), copy.size(), &p, &e);
+	if (refused) {
+		EXPECT_TRUE(batch && events && poll);
+	}
+}
 
-	for (const char *text : batches) {
-		json_object *o = json_tokener_parse(text);
+// Guards against malformed messages: a row that was not a list crashed the
+// process.
+TEST_F(Dispatch, BrokenMessagesAreRefused)
+{
+	seam_lane_worker x[2] = {};
+	seam_lane_order o[2] = {};
+	seam_lane_batch b = {{9, 4}, true, x, 2, o, 2};
+	seam_lane_event v[3] = {};
+	seam_lane_events events = {v, 3};
+	seam_lane_poll p = {{9, 4}, 7, 400};
+	seam_listed_run run = {"t", 4, "cp", 55, 1200};
+	seam_listed_end end = {8, "u", 5, SEAM_END_FAILED, "c2"};
+	std::vector<std::string> whole;
+	size_t len = 0;
+	auto add = [&](char *text) {
+		whole.emplace_back(text, len);
+		free(text);
+	};
 
-		EXPECT_EQ(seam_lane_batch_parse(o, 0, &b, &e), -1) << text;
-		EXPECT_EQ(e.kind, SEAM_BAD_REQUEST) << text;
-		json_object_put(o);
+	x[0] = {1, "id", "10.0.0.1:80", 900, 5, 77, false, 12};
+	x[1] = {3, "", "", 0, 0, 0, true, 0};
+	o[0] = {1, false, "t.0.1.2", 30001, (char *)"text"};
+	o[1] = {2, true, "u", 2, nullptr, "", 0, 7000, 8000};
+	v[0].listing = {123, 456, &run, 1, &end, 1};
+	v[1].kind = SEAM_LANE_SILENT;
+	v[2].kind = SEAM_LANE_ANSWERED;
+	add(seam_lane_batch_encode(&b, 0, &len));
+	add(seam_lane_events_encode(&events, 0, 0, &len));
+	add(seam_lane_poll_encode(&p, &len));
+	for (const std::string &text : whole) {
+		for (size_t n = 0; n < text.size(); n++)
+			expect_no_crash(text.substr(0, n), true);
+		expect_no_crash(text + "x", true);
+		for (size_t n = 0; n < text.size(); n++)
+			for (int byte :
+			     {0x00, 0x7f, 0x90, 0xc0, 0xcf, 0xdb, 0xdd, 0xff}) {
+				std::string odd = text;
+
+				odd[n] = (char)byte;
+				expect_no_crash(odd, false);
+			}
 	}
-	for (const char *text : answers) {
-		json_object *o = json_tokener_parse(text);
-
-		EXPECT_EQ(seam_lane_events_parse(o, 0, &v, &e), -1) << text;
-		EXPECT_EQ(e.kind, SEAM_BAD_REQUEST) << text;
-		json_object_put(o);
+	// Of the version before, in JSON, and of a later one.
+	expect_no_crash("{\"workers\":[],\"orders\":[]}", true);
+	for (std::string text : whole) {
+		text[1] = 3;
+		expect_no_crash(text, true);
 	}
 }
 
@@ -479,13 +538,14 @@
 	v.number = 3;
 	v.kind = SEAM_LANE_LISTED;
 	v.sent_at = 130;
-	json_object *j = seam_lane_events_to_json(&events, 100, 180);
+	size_t len = 0;
+	char *text = seam_lane_events_encode(&events, 100, 180, &len);
 	/* Owner's clock: asked at 9000; the transfer time is not known. */
-	ASSERT_EQ(seam_lane_events_parse(j, 9000, &got, &e), 0);
+	ASSERT_EQ(seam_lane_events_decode(text, len, 9000, &got, &e), 0);
 	ASSERT_EQ(got.n, 1u);
 	EXPECT_EQ(got.event[0].sent_at, 9030);
 	seam_lane_events_free(&got);
-	json_object_put(j);
+	free(text);
 }
 
 // Guards against a member of an event that is not encoded or decoded.
@@ -512,9 +572,12 @@
 	v[2].unknown = true;
 	v[2].lease_ms = 3150;
 	v[2].outcome = SEAM_ORDER_STALE_RUN;
-	json_object *j = seam_lane_events_to_json(&events, 0, 0);
-	ASSERT_EQ(seam_lane_events_parse(j, 0, &got, &e), 0);
-	json_object_put(j);
+	v[0].unchanged = true;
+	size_t len = 0;
+	char *text = seam_lane_events_encode(&events, 0, 0, &len);
+	ASSERT_EQ(seam_lane_events_decode(text, len, 0, &got, &e), 0);
+	free(text);
+	EXPECT_TRUE(got.event[0].unchanged);
 	ASSERT_EQ(got.n, 3u);
 	EXPECT_EQ(got.event[0].token, 14u);
 	EXPECT_EQ(got.event[0].listing.clock_ms, 123);
--- a/tests/owner.h
+++ b/tests/owner.h
@@ -27,12 +27,14 @@
 	FakeLane *l = (FakeLane *)base;
 
 	seam_time now = seam_now(seam_clock_boot());
-	json_object *o = seam_lane_batch_to_json(b, now);
+	size_t len = 0;
+	char *text = seam_lane_batch_encode(b, now, &len);
 	seam_lane_batch read = {};
-	int rc = l->fail_if_cut(e) || seam_lane_batch_parse(o, now, &read, e) ||
+	int rc = l->fail_if_cut(e) ||
+		 seam_lane_batch_decode(text, len, now, &read, e) ||
 		 l->real->ops->send(l->real, &read, deadline, e);
 
-	json_object_put(o);
+	free(text);
 	seam_lane_batch_free(&read);
 	if (rc)
 		return -1;
@@ -52,11 +54,12 @@
 	if (l->fail_if_cut(e) ||
 	    l->real->ops->poll(l->real, p, &events, deadline, e))
 		return -1;
-	json_object *o = seam_lane_events_to_json(&events, asked_at,
-						  seam_now(seam_clock_boot()));
-	int rc = seam_lane_events_parse(o, asked_at, v, e);
+	size_t len = 0;
+	char *text = seam_lane_events_encode(&events, asked_at,
+					     seam_now(seam_clock_boot()), &len);
+	int rc = seam_lane_events_decode(text, len, asked_at, v, e);
 
-	json_object_put(o);
+	free(text);
 	seam_lane_events_free(&events);
 	if (rc || !l->node->cut_answers)
 		return rc;
