vms, workers: read the VM list by need, and workers' rows together

At rest the owner of the small twin of the large site received 50 KB/s of VM lists (130 VMs, three times a second) and 17 KB/s of workers' rows, each heartbeat in a call of its own: a fifth of its link before any job.

The list is read again after 4 ms for each VM (0.3 s to 1 s) while an order has not shown in it or a wave is under way, else after 16 ms for each (up to 2 s). Surveys stay 0.3 s apart; an order counts until a list that was requested after its end, so that a list from before does not undo it. The watch of workers' rows pauses 0.5 ms for each worker, 0.1 s at most.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -75,10 +75,12 @@
 	struct seam_worker *w = scheduler_find_worker(l->sched, info->worker);
 	struct seam_plan_vm *v = &l->plan.vm[i];
 	bool out = seam_op_state_is_evacuated(l->sched->op_state, info->dc);
+	/* A list from before shows the VM as it was before the order. */
+	bool busy = o && l->sched->vms_read_at < o->busy_until;
 
 	v->pool = index_of(l->pools, info->pool);
 	v->dc = index_of(l->dcs, info->dc);
-	v->up = info->state == SEAM_PHASE_UP && !(o && l->now < o->busy_until);
+	v->up = info->state == SEAM_PHASE_UP && !busy;
 	v->due =
 		l->has_wave && scheduler_wave_due(l->sched, &l->wave, info->vm);
 	v->arriving = o && l->now < o->arrival_deadline;
@@ -104,13 +106,13 @@
 	    o->wave == l->wave.number)
 		g_hash_table_add(l->sched->wave_done, g_strdup(info->vm));
 	if (info->state == SEAM_PHASE_MAINTENANCE ||
-	    (o && (o->wave || o->refused) && l->now < o->busy_until))
+	    (busy && (o->wave || o->refused)))
 		l->plan.wave.away++;
 	/*
 	 * The platform does not report the destination of a moving VM, but the
 	 * order has it.
 	 */
-	if (o && *o->pool && l->now < o->busy_until)
+	if (busy && *o->pool)
 		v->pool = index_of(l->pools, o->pool);
 }
 
--- a/process/scheduler_vms.c
+++ b/process/scheduler_vms.c
@@ -9,11 +9,20 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define VM_LIST_INTERVAL_USEC 300000
+#define SURVEY_INTERVAL_USEC 300000
+/*
+ * Interval between reads of the list, for each VM in it: a row has some 160
+ * bytes, and all rows together may take 40 KB/s while VMs are moved, else 10.
+ */
+#define LIST_INTERVAL_BUSY(vms) ((seam_time)(vms)*4 * SEAM_MSEC)
+#define LIST_INTERVAL_BUSY_MAX (1 * SEAM_SEC)
+#define LIST_INTERVAL_IDLE(vms) ((seam_time)(vms)*16 * SEAM_MSEC)
+#define LIST_INTERVAL_IDLE_MAX (2 * SEAM_SEC)
 #define LIST_TIMEOUT (1500 * SEAM_MSEC)
 
 static int read_vms(struct seam_scheduler *sched, struct seam_err *e)
 {
+	seam_time asked_at = seam_now(sched->clock);
 	struct seam_vm_info *vm;
 	size_t n;
 
@@ -26,10 +35,46 @@
 	sched->vm = vm;
 	sched->vms = n;
 	sched->vms_read = true;
+	sched->vms_read_at = asked_at;
 	pthread_mutex_unlock(&sched->lock);
 	return 0;
 }
 
+/*
+ * Whether a VM was ordered and the list does not show the result yet, or a wave
+ * is under way.
+ */
+static bool is_list_awaited(struct seam_scheduler *sched)
+{
+	struct seam_vm_order *o;
+	GHashTableIter i;
+
+	if (sched->wave_number && sched->wave_completed < sched->wave_number)
+		return true;
+	g_hash_table_iter_init(&i, sched->vm_orders);
+	while (g_hash_table_iter_next(&i, NULL, (gpointer *)&o))
+		if (sched->vms_read_at < o->busy_until)
+			return true;
+	return false;
+}
+
+/* Whether the list is to be read again. */
+static bool is_list_due(struct seam_scheduler *sched)
+{
+	seam_time gap;
+	bool due;
+
+	pthread_mutex_lock(&sched->lock);
+	gap = is_list_awaited(sched) ? MIN(LIST_INTERVAL_BUSY(sched->vms),
+					   LIST_INTERVAL_BUSY_MAX) :
+				       MIN(LIST_INTERVAL_IDLE(sched->vms),
+					   LIST_INTERVAL_IDLE_MAX);
+	due = !sched->vms_read ||
+	      seam_now(sched->clock) >= sched->vms_read_at + gap;
+	pthread_mutex_unlock(&sched->lock);
+	return due;
+}
+
 /* Returns the number of jobs of each queue that have not started any task. */
 static char *pending_text(struct seam_scheduler *sched)
 {
@@ -85,22 +130,24 @@
 
 	while (!__atomic_load_n(&sched->stop, __ATOMIC_ACQUIRE)) {
 		struct seam_err e = SEAM_ERR_INIT;
-		int rc;
+		int rc = 0;
 
 		/* The VM list may not answer for 1.5 s. */
 		if (seam_election_is_owner(sched->election,
 					   seam_now(sched->clock)))
 			scheduler_save_handover(sched, false);
-		rc = read_vms(sched, &e);
-		seam_outage_update(&outage, rc ? &e : NULL,
-				   seam_now(sched->clock));
+		if (is_list_due(sched)) {
+			rc = read_vms(sched, &e);
+			seam_outage_update(&outage, rc ? &e : NULL,
+					   seam_now(sched->clock));
+		}
 		if (!rc)
 			scheduler_manage_vms(sched);
 		if (seam_election_is_owner(sched->election,
 					   seam_now(sched->clock)))
 			published =
 				publish(sched, published, pending_text(sched));
-		g_usleep(VM_LIST_INTERVAL_USEC);
+		g_usleep(SURVEY_INTERVAL_USEC);
 	}
 	free(published);
 	return NULL;
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -10,6 +10,12 @@
 /* Timeout of one watch for changed rows. */
 #define WATCH_TIMEOUT (1500 * SEAM_MSEC)
 #define RETRY_USEC 100000
+/*
+ * Pause after changed rows, for each worker. Each of them writes its row every
+ * 1.5 s, and without a pause each heartbeat takes a call of its own.
+ */
+#define WATCH_PAUSE(workers) ((seam_time)(workers)*SEAM_MSEC / 2)
+#define WATCH_PAUSE_MAX (100 * SEAM_MSEC)
 /*
  * A worker whose row is missing for longer is gone: rows that expired during a
  * store outage are back within two seconds.
@@ -487,6 +493,7 @@
 			set_stale(sched);
 			g_usleep(RETRY_USEC);
 		}
+	seam_time pause;
 	}
 	return NULL;
 }
@@ -494,6 +501,11 @@
 void scheduler_workers_close(struct seam_scheduler *sched)
 {
 	struct seam_handle h = SEAM_HANDLE_NONE;
+		} else {
+			pthread_mutex_lock(&sched->lock);
+			pause = WATCH_PAUSE(seam_table_count(sched->workers));
+			pthread_mutex_unlock(&sched->lock);
+			g_usleep((gulong)MIN(pause, WATCH_PAUSE_MAX));
 	struct seam_worker *w;
 
 	while ((w = seam_table_next(sched->workers, &h)))
