scheduler: make room for lasting tasks in full pools

A lasting task without room reserves the worker of its pool that can hold it the soonest; until it fits, that worker gets only lasting tasks.

pass_test checked that no task with room is passed over; a reserved worker is no room for tasks that end, the rest of the check is as it was.

--- a/process/scheduler_evict.c
+++ b/process/scheduler_evict.c
@@ -108,10 +108,10 @@
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 
+	if (s->lasting && w->info.draining)
+		return may_drain(sched, w, j, step);
 	if (s->lasting)
-		return w->info.draining ?
-			       may_drain(sched, w, j, step) :
-			       budget_allows_eviction(sched, j, step, task);
+		return budget_allows_eviction(sched, j, step, task);
 	/*
 	 * Stopping saves the progress of a task only if it writes checkpoints.
 	 */
@@ -137,6 +137,10 @@
 		 "run=%lld draining=%d",
 		 w->info.id, at->job->row.spec.id, at->step, at->task,
 		 (long long)at->run->number, w->info.draining);
+	if (at->job->row.spec.step[at->step].lasting &&
+	    !scheduler_room_elsewhere(sched, at->job, at->step, w))
+		scheduler_reserve_worker(sched, at->job, at->step,
+					 seam_now(sched->clock));
 	scheduler_run_stop(sched, at->job, at->step, at->task, at->run);
 }
 
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -189,11 +189,10 @@
 	memset(f, 0, sizeof(*f));
 	if ((*s->label && !has_label(w, s->label)) ||
 	    scheduler_worker_is_shunned(w, s->lasting, c->pass->now) ||
+	    (!s->lasting && c->pass->now < w->reserved_until) ||
 	    !may_start_on(c->pass, w))
 		return false;
-	f->free.cpu = w->info.capacity.cpu - w->used.cpu;
-	f->free.memory = w->info.capacity.memory - w->used.memory;
-	f->free.gpu = w->info.capacity.gpu - w->used.gpu;
+	f->free = scheduler_worker_free(w);
 	if (s->per_worker || s->target_ms || s->fills) {
 		count_tasks(c->pass->sched, w, c, &same, f);
 		if (s->per_worker && same >= s->per_worker)
@@ -459,6 +458,9 @@
 				pool->full = true;
 				pool->failed = s->need;
 			}
+			if (s->lasting)
+				scheduler_reserve_worker(p->sched, j, step,
+							 p->now);
 			return SEAM_DELAY_ROOM;
 		}
 		start_task(p, w, j, step, (int)t);
@@ -497,6 +499,7 @@
 	const struct seam_worker *w = scheduler_worker(l->pass->sched, h);
 
 	l->found = w && may_start_on(l->pass, w) &&
+		   (l->lasting || l->pass->now >= w->reserved_until) &&
 		   !scheduler_worker_is_shunned(w, l->lasting, l->pass->now);
 	return l->found;
 }
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -36,6 +36,14 @@
 	       now >= w->backoff_until;
 }
 
+struct seam_resources scheduler_worker_free(const struct seam_worker *w)
+{
+	return (struct seam_resources){
+		.cpu = w->info.capacity.cpu - w->used.cpu,
+		.memory = w->info.capacity.memory - w->used.memory,
+		.gpu = w->info.capacity.gpu - w->used.gpu};
+}
+
 /*
  * Whether tasks may not be started on @w because runs failed there. These may
  * be the fault of their job, and a lasting task has no attempts to lose.
@@ -485,6 +493,7 @@
 {
 	struct seam_scheduler *sched = arg;
 	struct seam_err e = SEAM_ERR_INIT;
+	seam_time pause;
 
 	while (!__atomic_load_n(&sched->stop, __ATOMIC_ACQUIRE)) {
 		seam_err_clear(&e);
@@ -492,8 +501,12 @@
 			/* Rows that expired meanwhile are not in the feed. */
 			set_stale(sched);
 			g_usleep(RETRY_USEC);
+		} else {
+			pthread_mutex_lock(&sched->lock);
+			pause = WATCH_PAUSE(seam_table_count(sched->workers));
+			pthread_mutex_unlock(&sched->lock);
+			g_usleep((gulong)MIN(pause, WATCH_PAUSE_MAX));
 		}
-	seam_time pause;
 	}
 	return NULL;
 }
@@ -501,11 +514,6 @@
 void scheduler_workers_close(struct seam_scheduler *sched)
 {
 	struct seam_handle h = SEAM_HANDLE_NONE;
-		} else {
-			pthread_mutex_lock(&sched->lock);
-			pause = WATCH_PAUSE(seam_table_count(sched->workers));
-			pthread_mutex_unlock(&sched->lock);
-			g_usleep((gulong)MIN(pause, WATCH_PAUSE_MAX));
 	struct seam_worker *w;
 
 	while ((w = seam_table_next(sched->workers, &h)))
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -147,8 +147,8 @@
 
 /*
  * Returns a VM that pool @to may take: from standby first, then from a pool
- * above its target; there idle VMs come before those that run tasks. A VM that
- * runs long-running tasks is never taken.
+ * above its target; there idle VMs come before those that run tasks. A VM with
+ * long-running tasks that have no room elsewhere is never taken.
  */
 static struct seam_plan_vm *find_donor(struct seam_plan *p, int to,
 				       bool for_late_jobs)
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -28,7 +28,7 @@
  *            answered yet
  * @dc_unreachable: most workers of its data centre do not answer
  * @runs: tasks running on it
- * @lasting: runs of long-running tasks among them
+ * @lasting: long-running tasks among them for which no other worker has room
  * @leaving: it has been draining since an earlier plan
  * @due: the current wave still has to maintain it
  * @action: result, enum seam_vm_action
--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -265,6 +265,8 @@
 	if (strcmp(w->info.pool, j->row.spec.pool) || w->lane < 0 ||
 	    !scheduler_worker_usable(w, seam_now(f->sched->clock)) ||
 	    (!s.lasting && seam_now(f->sched->clock) < w->shunned_until) ||
+	    /* It is kept for a lasting task that waits for room. */
+	    (!s.lasting && seam_now(f->sched->clock) < w->reserved_until) ||
 	    f->sched->lane[w->lane].starting >= 64)
 		return false;
 	for (int i = 0; i < w->info.labels; i++)
