scheduler: read the jobs at the start of a term in pages that fit the link

A page begins with 40 rows and follows the time that the one before has taken, up to 400 rows, and has 4 s. The watch of jobs pauses 10 ms, so that jobs which are handed in under load come in one call.

JobsAreReadOverANarrowLink reads 1,600 rows over a link of 500 rows a second.

--- a/process/scheduler_jobs.c
+++ b/process/scheduler_jobs.c
@@ -7,15 +7,24 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Rows in one read. */
-#define PAGE_ROWS 400
-#define READ_TIMEOUT (2 * SEAM_SEC)
+/*
+ * Rows in one read. All parts are read in parallel, so that on a link of 2
+ * Mbit/s pages of 400 rows of open jobs take longer than any timeout: no node
+ * could become the owner. The number follows the time of the page before.
+ */
+#define PAGE_ROWS_MIN 40
+#define PAGE_ROWS_MAX 400
+#define PAGE_TIME_SHORT (250 * SEAM_MSEC)
+#define PAGE_TIME_LONG (1 * SEAM_SEC)
+#define READ_TIMEOUT (4 * SEAM_SEC)
 /*
  * Time-out of one watch for new jobs. It is short because the connection may be
  * dead without an error.
  */
 #define WATCH_TIMEOUT (1500 * SEAM_MSEC)
 #define RETRY_USEC 100000
+/* Pause after changed rows, so that jobs come together under load. */
+#define WATCH_PAUSE_USEC 10000
 /*
  * A read of a job's row may be answered this long after the job ended: it may
  * be a read of all parts from a store that uses the full timeout for each.
@@ -216,20 +225,32 @@
 	pthread_t thread;
 };
 
+static size_t next_page_rows(size_t rows, seam_time took)
+{
+	if (took < PAGE_TIME_SHORT)
+		rows *= 2;
+	else if (took > PAGE_TIME_LONG)
+		rows /= 2;
+	return CLAMP(rows, PAGE_ROWS_MIN, PAGE_ROWS_MAX);
+}
+
 /* Reads the rows under @table, "job/" or "done/", of a part. */
 static int read_part(struct part *p, const char *table, struct seam_err *e)
 {
+	struct seam_clock *k = p->sched->clock;
 	char prefix[16];
 	char after[SEAM_KEY_MAX] = "";
+	size_t page = PAGE_ROWS_MIN;
 	struct seam_rows rows;
-	size_t n;
+	bool more;
 
 	snprintf(prefix, sizeof(prefix), "%s%c/", table, p->part);
 	do {
+		seam_time begin = seam_now(k);
+
 		if (seam_store_scan(p->sched->ports->store, prefix,
-				    *after ? after : NULL, PAGE_ROWS, &rows,
-				    seam_now(p->sched->clock) + READ_TIMEOUT,
-				    e))
+				    *after ? after : NULL, page, &rows,
+				    begin + READ_TIMEOUT, e))
 			return -1;
 		/*
 		 * The feed resumes from the version of the first page, so that
@@ -238,13 +259,14 @@
 		 */
 		if (!p->version)
 			p->version = rows.version;
-		n = rows.n;
-		if (n)
+		more = rows.n == page;
+		if (rows.n)
 			snprintf(after, sizeof(after), "%s",
-				 rows.row[n - 1].key);
+				 rows.row[rows.n - 1].key);
+		page = next_page_rows(page, seam_now(k) - begin);
 		p->take(p, &rows);
 		seam_rows_free(&rows);
-	} while (n == PAGE_ROWS);
+	} while (more);
 	return 0;
 }
 
@@ -546,6 +568,7 @@
 			g_usleep(RETRY_USEC);
 		} else {
 			stale = false;
+			g_usleep(WATCH_PAUSE_USEC);
 		}
 	}
 	return NULL;
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -49,6 +49,9 @@
 	// Old rows, one of which the next idle watch returns.
 	std::map<std::string, Entry> late;
 	std::atomic<size_t> largest{0};
+	// Time of a row of a scan on the link, which all scans share.
+	std::atomic<int> scan_row_us{0};
+	std::mutex link;
 
 	FeedStore();
 
@@ -108,6 +111,30 @@
 	return true;
 }
 
+// Waits for the rows of a scan to pass the link; false after @deadline.
+static bool feed_transfer(FeedStore *f, const char *prefix, const char *after,
+			  size_t max, seam_time deadline)
+{
+	size_t n = 0;
+
+	if (!f->scan_row_us)
+		return true;
+	{
+		std::lock_guard<std::mutex> l(f->lock);
+
+		for (auto &r : f->rows)
+			n += !r.second.gone &&
+			     !r.first.compare(0, strlen(prefix), prefix) &&
+			     (!after || r.first > after) && n < max;
+	}
+	for (; n && seam_now(seam_clock_boot()) < deadline; n--) {
+		std::lock_guard<std::mutex> l(f->link);
+
+		usleep((useconds_t)f->scan_row_us);
+	}
+	return !n;
+}
+
 static int feed_scan(seam_store *s, const char *prefix, const char *after,
 		     size_t max, seam_rows *out, seam_time deadline,
 		     seam_err *e)
@@ -115,9 +142,11 @@
 	FeedStore *f = feed_store_of(s);
 	if (feed_wait_if_unresponsive(f, deadline, e))
 		return -1;
+	memset(out, 0, sizeof(*out));
+	if (!feed_transfer(f, prefix, after, max, deadline))
+		return seam_fail(e, SEAM_UNAVAILABLE, "timeout");
 	std::lock_guard<std::mutex> l(f->lock);
 
-	memset(out, 0, sizeof(*out));
 	if (f->down)
 		return seam_fail(e, SEAM_UNAVAILABLE, "down");
 	out->row = (seam_row *)calloc(f->rows.size() + 1, sizeof(seam_row));
--- a/tests/scheduler_progress_test.cc
+++ b/tests/scheduler_progress_test.cc
@@ -125,6 +125,23 @@
 	EXPECT_EQ(w.started(task(0, 0)), 0);
 }
 
+// Guards against a node that can never become the owner: it read 400 rows of
+// each part at once, which took longer on its link than any read may take.
+TEST_F(Scheduler, JobsAreReadOverANarrowLink)
+{
+	for (int i = 0; i < 1600; i++) {
+		char id[SEAM_JOB_ID_SIZE];
+
+		snprintf(id, sizeof(id), "%x%015x", i % 16, i);
+		w.job(id, 1, "100", 1, nullptr, "elsewhere");
+	}
+	w.store.scan_row_us = 2000;
+	Owner o(&w, "n1");
+	w.store.scan_row_us = 0;
+	ASSERT_NE(o.sched, nullptr) << o.e.text;
+	EXPECT_EQ(seam_table_count(o.sched->jobs), 1600u);
+}
+
 // Guards against a job that a damaged row of progress keeps from running, or
 // that takes the owner down.
 TEST_F(Scheduler, DamagedProgressCountsAsNone)
