node: renew the term while the scheduler is opened

The term was renewed only after all jobs had been read. On a link of 2 Mbit/s that took 3 s, the next node claimed the term after 1.7 s, and so on: the owner changed every 1.8 s after all nodes had lost power.

The scheduler is opened by a thread of its own while the term is renewed, for 20 s at most; a node that has not read the jobs by then releases the term.

--- a/process/platform_node.c
+++ b/process/platform_node.c
@@ -19,6 +19,11 @@
 /* Minimum time between hand-overs to a larger node. Each one costs about a
  * second in which no task starts. */
 #define HANDOVER_INTERVAL_MIN (60 * SEAM_SEC)
+/*
+ * A node that has not read the jobs by then releases its term: another one may
+ * reach the store better.
+ */
+#define OPEN_TIMEOUT (20 * SEAM_SEC)
 /* For requests that still run after half of the grace period. */
 #define DRAIN_REQUESTS_TIMEOUT (1500 * SEAM_MSEC)
 
@@ -64,18 +69,40 @@
 }
 
 /*
- * Renews the term until it is lost or to be released; returns whether it has to
- * be released.
+ * A scheduler that is being opened: it reads all jobs, which takes seconds on a
+ * narrow link.
+ *
+ * @opened: it was opened, or has failed to; set by the thread
+ */
+struct opening {
+	struct seam_platform_node *node;
+	struct seam_scheduler_conf conf;
+	struct seam_scheduler *sched;
+	struct seam_err err;
+	bool opened;
+};
+
+static bool has_opened(struct opening *o)
+{
+	return __atomic_load_n(&o->opened, __ATOMIC_ACQUIRE);
+}
+
+/*
+ * Renews the term until it is lost or to be released, or until @o has opened if
+ * it is given; returns whether the term is still owned.
  */
-static bool renew_term(struct seam_platform_node *n)
+static bool renew_term(struct seam_platform_node *n, struct opening *o)
 {
+	seam_time begin = seam_now(n->clock);
 	struct seam_err e = SEAM_ERR_INIT;
 	seam_time asked_at;
 
-	while (!stopping(n)) {
+	while (!stopping(n) && !(o && has_opened(o))) {
 		seam_err_clear(&e);
+		if (o && seam_now(n->clock) > begin + OPEN_TIMEOUT)
+			return true;
 		if (!seam_election_renew(&n->election, &e)) {
-			if (should_hand_over(n))
+			if (!o && should_hand_over(n))
 				return true;
 			g_usleep(SEAM_ELECTION_RENEW_INTERVAL);
 			continue;
@@ -95,37 +122,80 @@
 	return true;
 }
 
+static void *open_scheduler(void *arg)
+{
+	struct opening *o = arg;
+	struct seam_platform_node *n = o->node;
+
+	o->sched = seam_scheduler_open(&o->conf, n->clock, &n->ports,
+				       &n->op_state.catalog, &n->op_state,
+				       &n->election, &o->err);
+	__atomic_store_n(&o->opened, true, __ATOMIC_RELEASE);
+	return NULL;
+}
+
+/*
+ * Opens the scheduler in a thread of its own, while this one renews the term.
+ * Returns whether the term is still owned.
+ */
+static bool open_term(struct seam_platform_node *n, struct opening *o)
+{
+	pthread_t thread;
+	bool owned;
+
+	if (pthread_create(&thread, NULL, open_scheduler, o)) {
+		seam_fail(&o->err, SEAM_NO_MEMORY, "cannot start a thread");
+		return true;
+	}
+	owned = renew_term(n, o);
+	pthread_join(thread, NULL);
+	return owned;
+}
+
+/*
+ * Ends the term. It is released before the threads end, which may wait for a
+ * slow store: the next owner's fencing token rejects their outstanding calls.
+ */
+static void end_term(struct seam_platform_node *n, struct seam_scheduler *sched,
+		     bool owned)
+{
+	if (owned) {
+		seam_scheduler_stop(sched);
+		seam_election_release(&n->election);
+	}
+	seam_scheduler_close(sched);
+}
+
 static void run_term(struct seam_platform_node *n)
 {
-	struct seam_scheduler_conf conf = {
-		.vm_lease = n->settings.vm_lease_ms * SEAM_MSEC,
-		.lease_max = n->settings.lease_max_ms * SEAM_MSEC,
-		.vm_orders_per_s = n->settings.vm_orders_per_s};
-	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_scheduler *sched;
+	struct opening o = {
+		.node = n,
+		.conf = {.vm_lease = n->settings.vm_lease_ms * SEAM_MSEC,
+			 .lease_max = n->settings.lease_max_ms * SEAM_MSEC,
+			 .vm_orders_per_s = n->settings.vm_orders_per_s},
+		.err = SEAM_ERR_INIT};
+	bool owned;
 
 	seam_metric_add(&terms, 1);
 	seam_log(SEAM_INFO, "owner", "event=term_claimed term=%llu",
 		 (unsigned long long)n->election.term);
-	sched = seam_scheduler_open(&conf, n->clock, &n->ports,
-				    &n->op_state.catalog, &n->op_state,
-				    &n->election, &e);
-	if (!sched) {
+	__atomic_store_n(&n->owns_term, true, __ATOMIC_RELAXED);
+	owned = open_term(n, &o);
+	if (!o.sched) {
 		seam_log(SEAM_ERROR, "owner",
 			 "event=term_unopened term=%llu why=\"%s\"",
-			 (unsigned long long)n->election.term, e.text);
-		seam_election_release(&n->election);
+			 (unsigned long long)n->election.term, o.err.text);
+		__atomic_store_n(&n->owns_term, false, __ATOMIC_RELAXED);
+		if (owned)
+			seam_election_release(&n->election);
 		g_usleep(CLAIM_INTERVAL_USEC);
 		return;
 	}
 	seam_metric_set(&owner, 1);
-	/* Released before the threads end, which may wait for a slow store: the
-	 * next owner's fencing token rejects their outstanding calls. */
-	if (renew_term(n)) {
-		seam_scheduler_stop(sched);
-		seam_election_release(&n->election);
-	}
-	seam_scheduler_close(sched);
+	if (owned)
+		owned = renew_term(n, NULL);
+	end_term(n, o.sched, owned);
+	__atomic_store_n(&n->owns_term, false, __ATOMIC_RELAXED);
 	seam_metric_set(&owner, 0);
 }
 
--- a/process/platform_node.h
+++ b/process/platform_node.h
@@ -26,6 +26,7 @@
  * @control: HTTP server for other nodes and operators
  * @next_handover: earliest time of the next hand-over to a larger node
  * @election: this node's claim to the owner's term
+ * @owns_term: this node claimed the term and has not ended it; atomic
  * @draining: seam_platform_node_drain() was called; atomic
  * @stop: seam_platform_node_stop() was called; atomic
  * @election_thread: claims and renews the term, and runs the scheduler
@@ -44,6 +45,7 @@
 	struct seam_http *control;
 	seam_time next_handover;
 	struct seam_election election;
+	bool owns_term;
 	bool draining;
 	bool stop;
 	pthread_t election_thread;
