relay: more than 64 nodes

A node knew at most 64 others, the first by name, and the owner listed the first 64 of these: with 147 nodes some of the larger ones never served workers. Each node read all rows every 3 s, 10 KB/s of its link with 147 nodes, and the owner asked the others one by one within 0.4 s whether they reach the store, which 146 calls exceed: its term ended in an outage that all of them saw.

A node knows 1,024 others. The owner reads their rows every 3 s, others every 15 s after their first five reads. The owner lists the largest first, and eight threads ask them.

--- a/process/platform_node.c
+++ b/process/platform_node.c
@@ -12,7 +12,12 @@
 #define CONTROL_CONNECTIONS_MAX 256
 #define PROBE_CONNECTIONS_MAX 16
 #define CLAIM_INTERVAL_USEC 350000 /* between reads of the term */
-#define NODE_REFRESH_USEC 3000000 /* between reads of other nodes' rows */
+#define NODE_REFRESH_USEC 3000000 /* between writes of this node's row */
+/*
+ * The owner reads the rows of all nodes at each of these times, others less
+ * often: with 147 nodes the reads took 10 KB/s of each node's link.
+ */
+#define NODE_READ_REFRESHES 5
 #define NODE_QUERY_TIMEOUT (400 * SEAM_MSEC) /* for all nodes together */
 #define CLAIM_JITTER_USEC 100000
 #define RETRY_USEC 100000
@@ -45,9 +50,16 @@
 static void *refresh_loop(void *arg)
 {
 	struct seam_platform_node *n = arg;
-
-	while (!stopping(n)) {
-		seam_store_relay_refresh(n->ports.store);
+	int i;
+
+	/* All nodes begin at about the same time, so the first reads matter. */
+	for (i = 0; !stopping(n); i++) {
+		seam_store_relay_refresh(
+			n->ports.store,
+			i < NODE_READ_REFRESHES ||
+				i % NODE_READ_REFRESHES == 0 ||
+				__atomic_load_n(&n->owns_term,
+						__ATOMIC_RELAXED));
 		g_usleep(NODE_REFRESH_USEC);
 	}
 	return NULL;
--- a/process/store_peers.c
+++ b/process/store_peers.c
@@ -13,12 +13,18 @@
 #define PEER_BACKOFF_DOUBLINGS_MAX 4
 #define GONE_REFRESHES 5 /* without a change of its row a node is gone */
 #define REFRESH_TIMEOUT (800 * SEAM_MSEC)
+#define PAGE_ROWS 400
+/*
+ * Threads that ask the peers whether they reach the store. One after the other,
+ * 146 of them take longer than the owner has until its term ends.
+ */
+#define QUERY_THREADS 8
 
 /*
  * Row of a node.
  *
  * @version: version at the last refresh
- * @unchanged: successive refreshes that found the same version
+ * @unchanged: refreshes since a read that found another version
  */
 struct node_row {
 	uint64_t version;
@@ -124,17 +130,39 @@
 		s = g_new0(struct node_row, 1);
 		g_hash_table_insert(r->node_rows, g_strdup(row->key), s);
 	}
-	s->unchanged = s->version == row->version ? s->unchanged + 1 : 0;
+	s->unchanged =
+		s->version == row->version ? s->unchanged + r->refreshes : 0;
 	s->version = row->version;
 	sscanf(row->data, "%63s %d %63s", addr, &processor, dc);
 	relay_add_peer(r, addr, processor, dc, s->unchanged < GONE_REFRESHES);
 }
 
-void seam_store_relay_refresh(struct seam_store *base)
+/* Reads the rows of all nodes. */
+static int read_nodes(struct relay *r, seam_time deadline, struct seam_err *e)
+{
+	char after[SEAM_KEY_MAX] = "";
+	struct seam_rows rows;
+	size_t n;
+	size_t i;
+
+	do {
+		if (seam_store_scan(&r->local.store, SEAM_NODE_ROW_PREFIX,
+				    *after ? after : NULL, PAGE_ROWS, &rows,
+				    deadline, e))
+			return -1;
+		for (i = 0; i < rows.n; i++)
+			update_node(r, &rows.row[i]);
+		n = rows.n;
+		if (n)
+			g_strlcpy(after, rows.row[n - 1].key, sizeof(after));
+		seam_rows_free(&rows);
+	} while (n == PAGE_ROWS);
+	return 0;
+}
+
+static int register_node(struct relay *r, seam_time deadline,
+			 struct seam_err *e)
 {
-	struct relay *r = (struct relay *)base;
-	seam_time deadline = seam_now(r->clock) + REFRESH_TIMEOUT;
-	struct seam_err e = SEAM_ERR_INIT;
 	char key[SEAM_KEY_MAX];
 	char text[160];
 	int n = snprintf(text, sizeof(text), "%s %d %s", r->control,
@@ -142,18 +170,24 @@
 	struct seam_write w = {SEAM_PUT, key, SEAM_ANY_VERSION, text,
 			       (size_t)n};
 	struct seam_commit c = {&w, 1, seam_store_token(), 0};
-	struct seam_rows rows = {NULL, 0, 0};
-	size_t i;
 
 	snprintf(key, sizeof(key), SEAM_NODE_ROW_PREFIX "%s", r->node);
-	if (!seam_store_scan(base, SEAM_NODE_ROW_PREFIX, NULL, PEERS_MAX, &rows,
-			     deadline, &e)) {
-		for (i = 0; i < rows.n; i++)
-			update_node(r, &rows.row[i]);
+	return seam_store_commit(&r->local.store, &c, deadline, e);
+}
+
+void seam_store_relay_refresh(struct seam_store *base, bool read)
+{
+	struct relay *r = (struct relay *)base;
+	seam_time deadline = seam_now(r->clock) + REFRESH_TIMEOUT;
+	struct seam_err e = SEAM_ERR_INIT;
+
+	r->refreshes++;
+	if (read && !read_nodes(r, deadline, &e)) {
+		r->refreshes = 0;
 		__atomic_store_n(&r->nodes_read, true, __ATOMIC_RELEASE);
-		seam_rows_free(&rows);
 	}
-	if (seam_store_commit(base, &c, deadline, &e))
+	seam_err_clear(&e);
+	if (register_node(r, deadline, &e))
 		seam_log(SEAM_WARN, "store",
 			 "event=node_unregistered node=%s why=\"%s\"", r->node,
 			 e.text);
@@ -175,18 +209,50 @@
 	return lost;
 }
 
+/*
+ * A question to all live peers, of which each thread takes the next.
+ *
+ * @next: index of the next peer
+ * @reached: a peer reaches the store, or has not answered
+ */
+struct query {
+	struct relay *relay;
+	seam_time deadline;
+	int next;
+	bool reached;
+};
+
+static void *ask_peers(void *arg)
+{
+	struct query *q = arg;
+	struct relay *r = q->relay;
+	int i;
+
+	while (!__atomic_load_n(&q->reached, __ATOMIC_RELAXED) &&
+	       (i = __atomic_fetch_add(&q->next, 1, __ATOMIC_RELAXED)) <
+		       r->peers)
+		if (r->peer[i].live &&
+		    !peer_reports_lost(&r->peer[i], q->deadline))
+			__atomic_store_n(&q->reached, true, __ATOMIC_RELAXED);
+	return NULL;
+}
+
 bool seam_store_relay_all_lost(struct seam_store *base, seam_time deadline)
 {
 	struct relay *r = (struct relay *)base;
-	int i;
+	struct query q = {.relay = r, .deadline = deadline};
+	pthread_t thread[QUERY_THREADS];
+	int n = 0;
 
 	if (!__atomic_load_n(&r->nodes_read, __ATOMIC_ACQUIRE))
 		return false;
-	for (i = 0; i < r->peers; i++)
-		if (r->peer[i].live &&
-		    !peer_reports_lost(&r->peer[i], deadline))
-			return false;
-	return true;
+	while (n < QUERY_THREADS && n < r->peers - 1 &&
+	       !pthread_create(&thread[n], NULL, ask_peers, &q))
+		n++;
+	ask_peers(&q);
+	while (n)
+		pthread_join(thread[--n], NULL);
+	return !q.reached;
 }
 
 bool seam_store_relay_has_larger(struct seam_store *base)
@@ -204,15 +270,29 @@
 	return larger;
 }
 
+static gint compare_peers(gconstpointer a, gconstpointer b)
+{
+	const struct peer *x = *(const struct peer *const *)a;
+	const struct peer *y = *(const struct peer *const *)b;
+
+	return is_preferred(y, x) - is_preferred(x, y);
+}
+
 size_t seam_store_relay_nodes(struct seam_store *base,
 			      struct seam_node_info *info, size_t max)
 {
 	struct relay *r = (struct relay *)base;
-	size_t n = 0;
+	GPtrArray *list = g_ptr_array_new();
+	size_t n;
+	int i;
 
 	pthread_mutex_lock(&r->lock);
-	for (; n < (size_t)r->peers && n < max; n++) {
-		const struct peer *p = &r->peer[n];
+	for (i = 0; i < r->peers; i++)
+		g_ptr_array_add(list, &r->peer[i]);
+	/* Those that serve most workers, if not all fit. */
+	g_ptr_array_sort(list, compare_peers);
+	for (n = 0; n < list->len && n < max; n++) {
+		const struct peer *p = g_ptr_array_index(list, n);
 
 		memset(&info[n], 0, sizeof(info[n]));
 		snprintf(info[n].addr, sizeof(info[n].addr), "%s", p->addr);
@@ -221,5 +301,6 @@
 		info[n].live = p->live;
 	}
 	pthread_mutex_unlock(&r->lock);
+	g_ptr_array_free(list, TRUE);
 	return n;
 }
--- a/process/store_relay.h
+++ b/process/store_relay.h
@@ -46,12 +46,13 @@
 void seam_store_relay_serve(struct seam_store *base, struct seam_http *h);
 
 /**
- * seam_store_relay_refresh() - register this node and read the other nodes
+ * seam_store_relay_refresh() - register this node
+ * @read: also read the rows of the other nodes
  *
  * Must be called every few seconds: a node whose row stays unchanged counts as
  * gone.
  */
-void seam_store_relay_refresh(struct seam_store *base);
+void seam_store_relay_refresh(struct seam_store *base, bool read);
 
 /**
  * seam_store_relay_all_lost() - whether no known node reaches the store
--- a/process/store_relay_impl.h
+++ b/process/store_relay_impl.h
@@ -8,7 +8,7 @@
 #include <glib.h>
 #include <pthread.h>
 
-#define PEERS_MAX 64
+#define PEERS_MAX 1024
 
 /*
  * Another node.
@@ -52,6 +52,7 @@
  *          they spread their calls over equal peers
  * @node_rows: key of a node's row to struct node_row
  * @nodes_read: the nodes' rows were read at least once
+ * @refreshes: refreshes since they were read
  * @down: @direct did not serve the latest call
  * @probe_at: time from which a call tries @direct again
  * @ok_at: time of the latest call that was served, directly or by a peer
@@ -72,6 +73,7 @@
 	guint offset;
 	GHashTable *node_rows;
 	bool nodes_read;
+	int refreshes;
 	bool down;
 	seam_time probe_at;
 	seam_time ok_at;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -182,7 +182,7 @@
 	EXPECT_FALSE(seam_store_relay_all_lost(a.relay, in(1000)));
 	store_a.down = false;
 	for (int i = 0; i < 3; i++)
-		seam_store_relay_refresh(a.relay);
+		seam_store_relay_refresh(a.relay, true);
 	store_a.down = true;
 	EXPECT_FALSE(seam_store_relay_all_lost(a.relay, in(1000)));
 }
@@ -201,11 +201,11 @@
 // for all nodes, on which callers and the owner rely.
 TEST_F(Relay, StoreLostForAllNodes)
 {
-	seam_store_relay_refresh(a.relay);
-	seam_store_relay_refresh(b.relay);
+	seam_store_relay_refresh(a.relay, true);
+	seam_store_relay_refresh(b.relay, true);
 	store_b.put("node/a", test_addr(27010));
 	store_a.put("node/b", test_addr(27011));
-	seam_store_relay_refresh(a.relay);
+	seam_store_relay_refresh(a.relay, true);
 	store_a.down = true;
 	EXPECT_EQ(put("t/x", SEAM_ABSENT), 0);
 	EXPECT_FALSE(seam_store_relay_all_lost(a.relay, in(1000)));
@@ -240,7 +240,7 @@
 	owner_store.put("node/a-small", test_addr(27031) + " 120 d1");
 	owner_store.put("node/b-large", test_addr(27032) + " 500 d1");
 	owner_store.put("node/c-tiny", test_addr(27033) + " 120 d1");
-	seam_store_relay_refresh(owner.relay);
+	seam_store_relay_refresh(owner.relay, true);
 	owner_store.down = true;
 	auto put = [&](const std::string &key) {
 		seam_write w = {SEAM_PUT, key.c_str(), SEAM_ABSENT, "x", 1};
@@ -277,7 +277,7 @@
 
 	owner_store.put("node/a-large", test_addr(27041) + " 500 d1");
 	owner_store.put("node/b-small", test_addr(27042) + " 120 d1");
-	seam_store_relay_refresh(owner.relay);
+	seam_store_relay_refresh(owner.relay, true);
 	owner_store.down = true;
 	peer_store[0].unresponsive = true;
 	seam_store_get(large.relay, "t/x", &row,
@@ -307,17 +307,17 @@
 	Node large{&store, "large", 27022, "", 500};
 
 	for (int i = 0; i < 2; i++) {
-		seam_store_relay_refresh(small.relay);
-		seam_store_relay_refresh(other.relay);
+		seam_store_relay_refresh(small.relay, true);
+		seam_store_relay_refresh(other.relay, true);
 	}
 	EXPECT_FALSE(seam_store_relay_has_larger(small.relay));
-	seam_store_relay_refresh(large.relay);
-	seam_store_relay_refresh(small.relay);
+	seam_store_relay_refresh(large.relay, true);
+	seam_store_relay_refresh(small.relay, true);
 	EXPECT_TRUE(seam_store_relay_has_larger(small.relay));
-	seam_store_relay_refresh(large.relay);
+	seam_store_relay_refresh(large.relay, true);
 	EXPECT_FALSE(seam_store_relay_has_larger(large.relay));
 	/* The large node is gone: its row no longer changes. */
 	for (int i = 0; i < 8; i++)
-		seam_store_relay_refresh(small.relay);
+		seam_store_relay_refresh(small.relay, true);
 	EXPECT_FALSE(seam_store_relay_has_larger(small.relay));
 }
