--- a/process/scheduler_vms.c
+++ b/process/scheduler_vms.c
@@ -134,8 +134,11 @@
 
 		/* The VM list may not answer for 1.5 s. */
 		if (seam_election_is_owner(sched->election,
-					   seam_now(sched->clock)))
+					   seam_now(sched->clock))) {
+			published =
+				publish(sched, published, pending_text(sched));
 			scheduler_save_handover(sched, false);
+		}
 		if (is_list_due(sched)) {
 			rc = read_vms(sched, &e);
 			seam_outage_update(&outage, rc ? &e : NULL,
@@ -143,10 +146,6 @@
 		}
 		if (!rc)
 			scheduler_manage_vms(sched);
-		if (seam_election_is_owner(sched->election,
-					   seam_now(sched->clock)))
-			published =
-				publish(sched, published, pending_text(sched));
 		g_usleep(SURVEY_INTERVAL_USEC);
 	}
 	free(published);
