scheduler: a window of starts that follows the time to the answer

256 starts, 64 of a node, could wait for their answers. On the large site that was the bound: 4,600 starts a second with jobs waiting for their turn, while the owner used 0.145 of its half core. On links of 2 Mbit/s it was too much: starts waited 0.4 s in a queue in which no renewal or more urgent start could overtake them.

Both windows grow while answers take less than 0.1 s and are cut by a fifth when they take more than 0.2 s, smoothed over a window of answers (after TCP Vegas). event=load has the window.

--- a/fake/scheduler.c
+++ b/fake/scheduler.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define LANE_STARTS 64
 #define WORKERS_PER_LANE 40
 #define WORKERS_PER_RACK 12
 #define DATA_CENTRES 3
@@ -47,6 +48,8 @@
 	f->ops.evacuated = g_hash_table_new(g_str_hash, g_str_equal);
 	for (i = 0; i < SEAM_LANES_MAX; i++) {
 		f->sched->lane[i].sched = f->sched;
+		seam_start_window_init(&f->sched->lane[i].window, LANE_STARTS,
+				       LANE_STARTS, LANE_STARTS);
 		seam_cond_init(&f->sched->lane[i].wake);
 		f->sched->lane[i].drops =
 			g_array_new(FALSE, FALSE, sizeof(uint32_t));
--- a/process/scheduler.c
+++ b/process/scheduler.c
@@ -4,6 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Pending starts of all lanes. At first what the owner can process in a tenth
+ * of a second on a quarter of a core.
+ */
+#define STARTS 256
+#define STARTS_MIN 16
+#define STARTS_MAX 1024
+
 seam_time scheduler_lease(const struct seam_scheduler *sched)
 {
 	return WORKER_LEASE < sched->conf.lease_max ? WORKER_LEASE :
@@ -52,6 +60,7 @@
 	sched->workspace_used =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&sched->recent_starts);
+	seam_start_window_init(&sched->window, STARTS, STARTS_MIN, STARTS_MAX);
 	sched->recent_vm_orders =
 		g_array_new(FALSE, FALSE, sizeof(struct seam_recent_vm_order));
 	sched->long_leases =
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -16,6 +16,7 @@
 #include "process/election.h"
 #include "process/op_state.h"
 #include "process/worker_index.h"
+#include "process/start_window.h"
 #include "process/store.h"
 #include "process/wave.h"
 #include "request/jobrow.h"
@@ -437,6 +438,7 @@
  * @due: there is something to send
  * @update_at: when changed leases and acknowledged ends are sent
  * @starting: starts that wait for an answer
+ * @window: how many may wait
  * @wake: signals @due and @opened
  * @thread: one sends, one polls
  * @threads: number of running threads
@@ -456,6 +458,7 @@
 	bool due;
 	seam_time update_at;
 	int starting;
+	struct seam_start_window window;
 	pthread_cond_t wake;
 	pthread_t thread[2];
 	int threads;
@@ -535,6 +538,7 @@
  * @worker_index: workers by free CPU
  * @workspace_used: workspace to the struct seam_resources that its runs reserve
  * @starting: starts that wait for an answer
+ * @window: how many may wait, of all lanes together
  * @recent_starts: latest starts, struct seam_sent_start
  * @recent_vm_orders: latest VM orders; struct seam_recent_vm_order
  * @unusable_rows: id of a worker whose row can't be used to the reason
@@ -640,6 +644,7 @@
 	struct seam_worker_index *worker_index;
 	GHashTable *workspace_used;
 	int starting;
+	struct seam_start_window window;
 	GQueue recent_starts;
 	GArray *recent_vm_orders;
 	pthread_t thread[SEAM_SCHEDULER_THREADS];
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -230,6 +230,21 @@
 	return v->lease_ms && v->lease_ms <= left / SEAM_MSEC;
 }
 
+/* Counts a start that was answered, and adjusts the windows. */
+static void count_answer(struct seam_worker *w, const struct seam_run_slot *r)
+{
+	struct seam_scheduler *sched = w->sched;
+	seam_time now = seam_now(sched->clock);
+	seam_time took = now - r->sent_at;
+
+	sched->load.starts++;
+	sched->load.start_time += took;
+	seam_start_window_answered(&sched->window, took, sched->starting, now);
+	if (w->lane >= 0)
+		seam_start_window_answered(&sched->lane[w->lane].window, took,
+					   sched->lane[w->lane].starting, now);
+}
+
 /*
  * Handles the answer to a start. If an earlier attempt got no answer, a refusal
  * does not apply to that attempt: it may be running, have ended, or begin
@@ -244,10 +259,8 @@
 	struct seam_job *j;
 
 	r = find_slot(w, o, &j);
-	if (r) {
-		sched->load.starts++;
-		sched->load.start_time += seam_now(sched->clock) - r->sent_at;
-	}
+	if (r)
+		count_answer(w, r);
 	if (v->unknown)
 		scheduler_order_unanswered(w, o);
 	if (v->failed == SEAM_OK && v->outcome == SEAM_ORDER_DONE) {
--- a/process/scheduler_assign.c
+++ b/process/scheduler_assign.c
@@ -9,6 +9,14 @@
 /* Interval between node listings. */
 #define NODE_LIST_INTERVAL (1 * SEAM_SEC)
 
+/*
+ * Pending starts of a lane. At first what a twelfth of a core can send in some
+ * 0.2 s.
+ */
+#define LANE_STARTS 64
+#define LANE_STARTS_MIN 8
+#define LANE_STARTS_MAX 256
+
 SEAM_METRIC(lane_count, "seam_lanes",
 	    "Nodes that serve workers for this owner.");
 
@@ -23,6 +31,8 @@
 	l->info = *info;
 	l->number = 1;
 	l->drops = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	seam_start_window_init(&l->window, LANE_STARTS, LANE_STARTS_MIN,
+			       LANE_STARTS_MAX);
 	seam_cond_init(&l->wake);
 }
 
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -280,14 +280,15 @@
 		count_delayed(sched, delayed);
 		seam_log(SEAM_INFO, "owner",
 			 "event=load over_ms=%lld jobs=%zu "
-			 "waiting=%lld starting=%d starts=%lld start_ms=%lld "
+			 "waiting=%lld starting=%d window=%d starts=%lld "
+			 "start_ms=%lld "
 			 "looks=%lld passes=%lld pass_ms=%lld turn=%d room=%d "
 			 "limit=%d unheard=%d crowded=%d busiest_node=%s "
 			 "node_starting=%d",
 			 (long long)(now - m->since) / SEAM_MSEC,
 			 seam_table_count(sched->jobs),
 			 (long long)sched->waiting, sched->starting,
-			 (long long)m->starts,
+			 (int)sched->window.size, (long long)m->starts,
 			 m->starts ? (long long)(m->start_time / m->starts) /
 					     SEAM_MSEC :
 				     0LL,
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -13,17 +13,6 @@
 #define PASS_INTERVAL (100 * SEAM_MSEC)
 /* A start that waits longer for its connection is scheduled again. */
 #define START_QUEUE_TIMEOUT (600 * SEAM_MSEC)
-/*
- * Pending starts of one node. More than its CPU can send would only queue, and
- * a more urgent start could not overtake them.
- */
-#define NODE_STARTS_MAX 64
-/*
- * Pending starts of all nodes: what the owner can process in a tenth of a
- * second.
- */
-#define TOTAL_STARTS_MAX 256
-
 SEAM_METRIC(passes, "seam_passes_total", "Passes over the waiting tasks.");
 SEAM_METRIC(waiting, "seam_tasks_waiting", "Tasks that could run but wait.");
 SEAM_METRIC(beside_late, "seam_starts_beside_late_total",
@@ -41,7 +30,7 @@
 	seam_time now;
 	GHashTable *pools;
 	bool node_limited; /* a worker was skipped as its node has
-			      NODE_STARTS_MAX pending starts */
+			      as many pending starts as its window */
 };
 
 static struct pool *find_or_add_pool(struct pass *p, const char *name)
@@ -127,7 +116,7 @@
 	    seam_op_state_is_evacuated(sched->op_state, w->info.dc) ||
 	    w->lane < 0)
 		return false;
-	if (sched->lane[w->lane].starting < NODE_STARTS_MAX)
+	if (sched->lane[w->lane].starting < sched->lane[w->lane].window.size)
 		return true;
 	p->node_limited = true;
 	return false;
@@ -432,7 +421,7 @@
 
 		if (!is_startable(j, step, t, p->now))
 			continue;
-		if (p->sched->starting >= TOTAL_STARTS_MAX)
+		if (p->sched->starting >= p->sched->window.size)
 			return SEAM_DELAY_TURN;
 		if (scheduler_late_start_possible(p->sched, state,
 						  s->lasting)) {
@@ -541,7 +530,7 @@
 	struct seam_handle h;
 
 	seam_backlog_begin(sched->backlog, &c);
-	while (sched->starting < TOTAL_STARTS_MAX &&
+	while (sched->starting < sched->window.size &&
 	       seam_backlog_next(&c, &h)) {
 		struct seam_job *j = scheduler_job(sched, h);
 		enum seam_delay delay = start_job(p, j);
--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -267,7 +267,8 @@
 	    (!s.lasting && seam_now(f->sched->clock) < w->shunned_until) ||
 	    /* It is kept for a lasting task that waits for room. */
 	    (!s.lasting && seam_now(f->sched->clock) < w->reserved_until) ||
-	    f->sched->lane[w->lane].starting >= 64)
+	    f->sched->lane[w->lane].starting >=
+		    f->sched->lane[w->lane].window.size)
 		return false;
 	for (int i = 0; i < w->info.labels; i++)
 		labelled |= !strcmp(w->info.label[i], s.label);
