--- a/connection/lane_codec.c
+++ b/connection/lane_codec.c
@@ -39,7 +39,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < v->n; i++)
+	for (i = 0; v->event && i < v->n; i++)
 		seam_listing_free(&v->event[i].listing);
 	free(v->event);
 	v->event = NULL;
--- a/process/lane_http.c
+++ b/process/lane_http.c
@@ -40,16 +40,17 @@
 	if (a->status == 200)
 		return 0;
 	free(a->body);
-	return seam_fail(e,
-			 a->status == 409 ? SEAM_CONFLICT : SEAM_COMMIT_UNKNOWN,
-			 "dispatcher answered with status %d", a->status);
+	a->body = NULL;
+	seam_fail(e, a->status == 409 ? SEAM_CONFLICT : SEAM_COMMIT_UNKNOWN,
+		  "dispatcher answered with status %d", a->status);
+	return -1;
 }
 
 static int http_send(struct seam_lane *base, struct seam_lane_batch *b,
 		     seam_time deadline, struct seam_err *e)
 {
 	struct http_lane *l = (struct http_lane *)base;
-	struct seam_rest_response a;
+	struct seam_rest_response a = {0};
 	size_t len = 0;
 	char *body = seam_lane_batch_encode(b, seam_now(l->clock), &len);
 
@@ -65,7 +66,7 @@
 {
 	struct http_lane *l = (struct http_lane *)base;
 	seam_time asked_at = seam_now(l->clock);
-	struct seam_rest_response a;
+	struct seam_rest_response a = {0};
 	size_t len = 0;
 	char *body = seam_lane_poll_encode(p, &len);
 	int rc;
