--- a/process/platform_node.c
+++ b/process/platform_node.c
@@ -8,8 +8,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Each relayed wait for changes occupies a connection, as does each batch. */
-#define CONTROL_CONNECTIONS_MAX 256
+/*
+ * Each relayed wait for changes occupies a connection, as does each batch.
+ * While the store was away for all, 146 others kept idle ones here: with a
+ * limit of 256 the nodes had more than 30,000 threads.
+ */
+#define CONTROL_CONNECTIONS_MAX 48
 #define PROBE_CONNECTIONS_MAX 16
 #define CLAIM_INTERVAL_USEC 350000 /* between reads of the term */
 #define NODE_REFRESH_USEC 3000000 /* between writes of this node's row */
--- a/process/rest.c
+++ b/process/rest.c
@@ -18,6 +18,7 @@
 	pthread_mutex_t lock;
 	CURL *idle[IDLE_HANDLES_MAX];
 	int idle_count;
+	int idle_max;
 };
 
 struct seam_rest *seam_rest_new(struct seam_clock *k, const char *url)
@@ -28,11 +29,17 @@
 		return NULL;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	r->clock = k;
+	r->idle_max = IDLE_HANDLES_MAX;
 	snprintf(r->url, sizeof(r->url), "%s", url);
 	pthread_mutex_init(&r->lock, NULL);
 	return r;
 }
 
+void seam_rest_keep_one_connection(struct seam_rest *r)
+{
+	r->idle_max = 1;
+}
+
 void seam_rest_free(struct seam_rest *r)
 {
 	if (!r)
@@ -58,7 +65,7 @@
 static void release_handle(struct seam_rest *r, CURL *c)
 {
 	pthread_mutex_lock(&r->lock);
-	if (r->idle_count < IDLE_HANDLES_MAX) {
+	if (r->idle_count < r->idle_max) {
 		r->idle[r->idle_count++] = c;
 		c = NULL;
 	}
--- a/process/rest.h
+++ b/process/rest.h
@@ -51,6 +51,14 @@
 /** seam_rest_new() - create a client of http://IP:PORT */
 struct seam_rest *seam_rest_new(struct seam_clock *k, const char *url);
 
+/**
+ * seam_rest_keep_one_connection() - keep at most one idle connection
+ *
+ * For a server that is one of many: each idle connection takes a thread there
+ * and a descriptor here.
+ */
+void seam_rest_keep_one_connection(struct seam_rest *r);
+
 /** seam_rest_free() - close the connections and free */
 void seam_rest_free(struct seam_rest *r);
 
--- a/process/store.h
+++ b/process/store.h
@@ -246,6 +246,12 @@
  */
 struct seam_store *seam_store_http_new(struct seam_clock *k, const char *url);
 
+/**
+ * seam_store_http_keep_one_connection() - see seam_rest_keep_one_connection()
+ * @s: created by seam_store_http_new()
+ */
+void seam_store_http_keep_one_connection(struct seam_store *s);
+
 /** enum seam_store_class - priority class of a call, highest first */
 enum seam_store_class {
 	SEAM_CLASS_CONFIG,
--- a/process/store_http.c
+++ b/process/store_http.c
@@ -181,6 +181,11 @@
 	.close = http_close,
 };
 
+void seam_store_http_keep_one_connection(struct seam_store *base)
+{
+	seam_rest_keep_one_connection(((struct store_http *)base)->rest);
+}
+
 struct seam_store *seam_store_http_new(struct seam_clock *k, const char *url)
 {
 	struct store_http *s = calloc(1, sizeof(*s));
--- a/process/store_peers.c
+++ b/process/store_peers.c
@@ -103,8 +103,11 @@
 		p->store = seam_store_http_new(r->clock, url);
 		snprintf(url, sizeof(url), "http://%s", addr);
 		p->state = seam_rest_new(r->clock, url);
-		if (p->store && p->state)
+		if (p->store && p->state) {
+			seam_store_http_keep_one_connection(p->store);
+			seam_rest_keep_one_connection(p->state);
 			r->peers++;
+		}
 	}
 	if (i < r->peers) {
 		r->peer[i].live = live;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -14,6 +14,7 @@
 
 #include "addr.h"
 #include "process/http.h"
+#include "process/rest.h"
 
 namespace
 {
@@ -131,6 +132,36 @@
 		3000, [](int n) { return threads() <= n; }, idle));
 }
 
+// Guards against the idle connections of 146 nodes at each of the others: in an
+// outage of the store they took more than 30,000 threads.
+TEST_F(Http, ClientOfOneOfManyKeepsOneConnection)
+{
+	seam_rest *r =
+		seam_rest_new(seam_clock_boot(), ("http://" + addr).c_str());
+	std::vector<std::thread> callers;
+	int idle = threads();
+
+	seam_rest_keep_one_connection(r);
+	delay_ms = 200;
+	for (int i = 0; i < 8; i++)
+		callers.emplace_back([r] {
+			seam_rest_request c = {};
+			seam_rest_response a;
+			seam_err e = SEAM_ERR_INIT;
+
+			c.method = "GET";
+			c.path = "/a";
+			c.deadline = seam_now(seam_clock_boot()) + 3 * SEAM_SEC;
+			EXPECT_EQ(seam_rest_do(r, &c, &a, &e), 0) << e.text;
+			free(a.body);
+		});
+	for (std::thread &t : callers)
+		t.join();
+	EXPECT_TRUE(until(
+		1000, [](int n) { return threads() <= n; }, idle + 1));
+	seam_rest_free(r);
+}
+
 // Guards against connections without a request that keep callers out.
 TEST_F(Http, SilentConnectionsDoNotKeepCallersOut)
 {
