tests: compare rows by their members, free what a node leaves to its process

Dispatch.BatchIsReadAsWritten compared rows with memcmp(), padding included, and failed under the address sanitizer, where the padding of a copied row differs. It compares each member now. platform_node_test left the relay and the catalog, which seamd leaves to the end of its process, and failed as a leak.

--- a/process/store_http.c
+++ b/process/store_http.c
@@ -181,9 +181,9 @@
 	.close = http_close,
 };
 
-void seam_store_http_keep_one_connection(struct seam_store *base)
+void seam_store_http_keep_one_connection(struct seam_store *s)
 {
-	seam_rest_keep_one_connection(((struct store_http *)base)->rest);
+	seam_rest_keep_one_connection(((struct store_http *)s)->rest);
 }
 
 struct seam_store *seam_store_http_new(struct seam_clock *k, const char *url)
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -387,6 +387,15 @@
 	       x.repeat_by == y.repeat_by && x.poll_first == y.poll_first;
 }
 
+// All members; not by memcmp(), as the bytes between them have no value.
+static bool same(const seam_lane_worker &x, const seam_lane_worker &y)
+{
+	return x.key == y.key && !strcmp(x.id, y.id) &&
+	       !strcmp(x.addr, y.addr) && x.lease_until == y.lease_until &&
+	       x.acked == y.acked && x.process_start_ms == y.process_start_ms &&
+	       x.drop == y.drop && x.token == y.token;
+}
+
 // Guards against a member of a batch that is not encoded or decoded.
 TEST_F(Dispatch, BatchIsReadAsWritten)
 {
@@ -409,7 +418,8 @@
 	EXPECT_EQ(got.session.number, 4u);
 	EXPECT_TRUE(got.first);
 	ASSERT_EQ(got.workers, 3u);
-	EXPECT_EQ(memcmp(got.worker, x, sizeof(x)), 0);
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(same(got.worker[i], x[i])) << i;
 	ASSERT_EQ(got.orders, 2u);
 	EXPECT_TRUE(same(got.order[0], o[0]));
 	EXPECT_TRUE(same(got.order[1], o[1]));
--- a/tests/platform_node_test.cc
+++ b/tests/platform_node_test.cc
@@ -68,5 +68,7 @@
 	}
 	EXPECT_LT(longest_ms, 1000);
 	seam_platform_node_stop(&n);
+	seam_store_close(n.ports.store);
+	seam_catalog_free(n.op_state.catalog.now);
 }
 } // namespace
