election: a node that claims its own term again remembers who sent orders

Cause: a node that read its own name in the row of the owner took it for a sign that its process had restarted, and all orders for older than the process. The same process reads it as well, after a release that failed, or after a claim that the store carried out when the node had given it up. The next scheduler then took the leases of the term before as over: it did not wait for workers that had not answered yet, and started their tasks elsewhere beside the runs.

Change: the election keeps until when its own latest term and the owner before it have sent orders, and uses the later one.

Evidence: the two tests of the election fail without the change (1 of 1 tries each), and so does the test with a scheduler: the task of a silent worker runs twice at the same time (2 of 2 tries). All pass with it. event=term_claimed tells how long ago the last possible order of the term before was, which distinguishes this cause in a log.

--- a/process/election.c
+++ b/process/election.c
@@ -30,11 +30,23 @@
 	return now < seam_election_valid_until(l);
 }
 
+/* Begins or extends our term. */
 static void set_valid_until(struct seam_election *l, seam_time until)
 {
+	l->own_orders_until = until;
 	__atomic_store_n(&l->valid_until, until, __ATOMIC_RELEASE);
 }
 
+/* Ends our term before its validity has run out. */
+static void end_term(struct seam_election *l)
+{
+	seam_time now = seam_now(l->clock);
+
+	if (l->own_orders_until > now)
+		l->own_orders_until = now;
+	__atomic_store_n(&l->valid_until, 0, __ATOMIC_RELEASE);
+}
+
 /* Reads both rows with one scan; a missing row has NULL data. */
 static int read_rows(struct seam_election *l, struct seam_rows *rows,
 		     struct seam_row *owner, struct seam_row *heartbeat,
@@ -114,10 +126,21 @@
 }
 
 /*
- * Records the rows and returns whether the term may be claimed. A node that
- * reads itself as the owner has restarted: the process that owned the term has
- * ended.
+ * Returns by when orders of terms that this process knows of have been sent, if
+ * the row names this node as the owner. Either the process that owned the term
+ * has ended, or this one has owned it and stopped, or it gave up the claim
+ * before the store carried it out.
  */
+static seam_time own_term_orders_until(const struct seam_election *l)
+{
+	seam_time until = l->orders_until;
+
+	if (until < l->started_at)
+		until = l->started_at;
+	return until > l->own_orders_until ? until : l->own_orders_until;
+}
+
+/* Records the rows and returns whether the term may be claimed. */
 static bool observe_term(struct seam_election *l, const struct seam_row *owner,
 			 const struct seam_row *heartbeat)
 {
@@ -139,18 +162,19 @@
 		l->heartbeat_seen_at = now;
 	}
 	l->read_at = now;
-	l->orders_until = l->heartbeat_seen_at;
 	if (!owner->data) {
 		l->orders_until = 0;
 		return true;
 	}
-	if (heartbeat->data && !strcmp(heartbeat->data, RELEASED_DATA))
+	if (heartbeat->data && !strcmp(heartbeat->data, RELEASED_DATA)) {
+		l->orders_until = l->heartbeat_seen_at;
 		return true;
+	}
 	if (ours) {
-		l->orders_until = l->started_at;
+		l->orders_until = own_term_orders_until(l);
 		return true;
 	}
-	l->orders_until += SEAM_ELECTION_TERM_VALIDITY;
+	l->orders_until = l->heartbeat_seen_at + SEAM_ELECTION_TERM_VALIDITY;
 	return now >= l->heartbeat_seen_at + SEAM_ELECTION_TIMEOUT;
 }
 
@@ -239,7 +263,7 @@
 	if (seam_store_commit(l->store, &c, now + SEAM_ELECTION_CALL_TIMEOUT,
 			      e)) {
 		if (e->kind == SEAM_CONFLICT)
-			set_valid_until(l, 0);
+			end_term(l);
 		if (e->kind != SEAM_COMMIT_UNKNOWN ||
 		    !renewal_applied(l, c.token))
 			return -1;
@@ -266,7 +290,7 @@
 	};
 	struct seam_commit c = {w, 2, seam_store_token(), 0};
 
-	set_valid_until(l, 0);
+	end_term(l);
 	if (seam_store_commit(l->store, &c,
 			      seam_now(l->clock) + SEAM_ELECTION_CALL_TIMEOUT,
 			      &e))
--- a/process/election.h
+++ b/process/election.h
@@ -63,6 +63,8 @@
  * @read_at: when the rows were last read
  * @orders_until: the previous owner sends no order after this time; 0 if there
  *                was none
+ * @own_orders_until: this node sends no order of its latest term after this
+ *     time; 0 before the first
  * @started_at: time of seam_election_init()
  * @delay_claim: delay the claim so that a node with more CPU can claim first
  * @claimable_since: since when the term has been claimable; 0 if it is not
@@ -80,6 +82,7 @@
 	size_t priors;
 	seam_time read_at;
 	seam_time orders_until;
+	seam_time own_orders_until;
 	seam_time started_at;
 	bool delay_claim;
 	seam_time claimable_since;
--- a/process/platform_node.c
+++ b/process/platform_node.c
@@ -193,8 +193,11 @@
 	bool owned;
 
 	seam_metric_add(&terms, 1);
-	seam_log(SEAM_INFO, "owner", "event=term_claimed term=%llu",
-		 (unsigned long long)n->election.term);
+	seam_log(SEAM_INFO, "owner",
+		 "event=term_claimed term=%llu since_prior_orders_ms=%lld",
+		 (unsigned long long)n->election.term,
+		 (long long)(seam_now(n->clock) - n->election.orders_until) /
+			 SEAM_MSEC);
 	__atomic_store_n(&n->owns_term, true, __ATOMIC_RELAXED);
 	owned = open_term(n, &o);
 	if (!o.sched) {
--- a/tests/election_test.cc
+++ b/tests/election_test.cc
@@ -146,6 +146,44 @@
 	EXPECT_EQ(node[0].orders_until, clock[0].time);
 }
 
+// Guards against a second run beside one under a lease of this node's last
+// term.
+TEST_F(Election, OwnerThatClaimsAgainRemembersItsOrders)
+{
+	ASSERT_TRUE(attempt(0));
+	pass(SEAM_SEC);
+	ASSERT_EQ(renew(0), 0);
+	seam_time last_order = clock[0].time;
+
+	store.down = true;
+	seam_election_release(&node[0]);
+	store.down = false;
+	ASSERT_TRUE(attempt(0));
+	EXPECT_EQ(node[0].term, 2u * SEAM_ELECTION_TERM_STEP);
+	EXPECT_GE(node[0].orders_until, last_order);
+}
+
+// Guards against a second run beside one under a lease of the owner before, if
+// the store carries out a claim after its caller has given up.
+TEST_F(Election, LateClaimRemembersTheOrdersOfTheOwnerBefore)
+{
+	ASSERT_TRUE(attempt(0));
+	EXPECT_FALSE(watch(1, 300 * SEAM_MSEC));
+	pass(SEAM_SEC);
+	ASSERT_EQ(renew(0), 0);
+	seam_time last_order = clock[0].time + SEAM_ELECTION_TERM_VALIDITY;
+
+	EXPECT_FALSE(watch(1, 1500 * SEAM_MSEC));
+	store.hold_commits = 1000;
+	pass(600 * SEAM_MSEC);
+	EXPECT_FALSE(attempt(1));
+	store.hold_commits = 0;
+	store.put(SEAM_ELECTION_OWNER_ROW,
+		  "{\"node\":\"n1\",\"term\":2000000}");
+	ASSERT_TRUE(attempt(1));
+	EXPECT_GE(node[1].orders_until, last_order);
+}
+
 // Guards against a takeover when the store recovers from an outage, during
 // which the owner could not renew.
 TEST_F(Election, OutageIsNotSilence)
--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -469,3 +469,30 @@
 		       std::string::npos;
 	}));
 }
+
+// Guards against a second run beside one under a lease of this node's last
+// term.
+TEST_F(Scheduler, OwnerThatClaimsAgainWaitsForItsLeases)
+{
+	FakeWorker *a = w.add_worker("a");
+	seam_election last;
+
+	{
+		Owner o(&w, "n1");
+
+		o.start_renewals();
+		w.job(ID, 1, "20000");
+		ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+		// Leases of the first seconds of the process are waited for.
+		usleep(4000000);
+		last = o.election;
+	}
+	a->unresponsive = true;
+	w.add_worker("b");
+	Owner o(&w, "n1", 500, &last);
+
+	o.start_renewals();
+	ASSERT_TRUE(eventually([&] { return a->running() == 0; }));
+	EXPECT_TRUE(eventually([&] { return w.running() == 1; }));
+	EXPECT_EQ(w.twice, 0);
+}
