rest: orders and commits are not repeated on another connection unseen

Cause: libcurl repeats a request by itself when a reused connection is closed before the first byte of the answer. The caller got the answer to the second attempt for both: a start that the worker refuses for want of room, a commit that the store is too busy for, an order for a VM that finds it busy. What the first attempt does, or does seconds later, was taken for not done, and the task was started elsewhere.

Change: starts, commits to the platform's store and orders for VMs are sent once for each call; an attempt without an answer is SEAM_COMMIT_UNKNOWN, and the callers repeat it knowing that. A connection of its own, which commits of the own store use, is another member. Polls and stops, whose repetition changes nothing, stay as they are.

Evidence: three tests fail without the change, 1 of 1 tries each (a worker, a store and a VM service that close the connection and refuse what comes next), and pass with it.

--- a/process/rest.c
+++ b/process/rest.c
@@ -78,12 +78,7 @@
 {
 	seam_transfer_setup(h, in);
 	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, timeout_ms);
-	/*
-	 * libcurl retries a request if the server has closed the reused
-	 * connection. A retried commit would report its own first execution as
-	 * a conflict, so it gets a new connection.
-	 */
-	curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, c->once ? 1L : 0L);
+	curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, c->fresh ? 1L : 0L);
 	if (c->body) {
 		curl_easy_setopt(h, CURLOPT_POSTFIELDS, c->body);
 		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -136,7 +131,7 @@
 	list = curl_slist_append(list, type);
 	for (line = c->header; line && *line; line++)
 		list = curl_slist_append(list, *line);
-	if (c->once)
+	if (c->fresh)
 		list = curl_slist_append(list, "Connection: close");
 	curl_easy_reset(h);
 	curl_easy_setopt(h, CURLOPT_URL, url);
--- a/process/rest.h
+++ b/process/rest.h
@@ -22,7 +22,9 @@
  * @body_len: its length in bytes; 0 for a NUL-terminated text
  * @type: its content type; NULL for JSON
  * @header: additional header lines, NULL-terminated; may be NULL
- * @once: the client never retries on another connection
+ * @once: not sent again on another connection: an attempt without an answer is
+ *     SEAM_COMMIT_UNKNOWN, whatever the next one would be answered
+ * @fresh: sent on a connection of its own
  * @deadline: the request is not sent after it, and fails at it
  */
 struct seam_rest_request {
@@ -33,6 +35,7 @@
 	const char *type;
 	const char *const *header;
 	bool once;
+	bool fresh;
 	seam_time deadline;
 };
 
--- a/process/store_http.c
+++ b/process/store_http.c
@@ -153,6 +153,7 @@
 					 .body = json_object_to_json_string_ext(
 						 o, JSON_C_TO_STRING_PLAIN),
 					 .once = true,
+					 .fresh = true,
 					 .deadline = deadline};
 	int rc;
 
--- a/tests/platform_inventory_test.cc
+++ b/tests/platform_inventory_test.cc
@@ -9,6 +9,7 @@
 
 #include "platform/inventory.h"
 #include "tests/addr.h"
+#include "tests/scripted_server.h"
 
 // Answers GET /machines with one body.
 struct VmServer {
@@ -112,3 +113,22 @@
 			  .size(),
 		  1u);
 }
+
+// Guards against a refusal that hides an order for a VM without an answer.
+TEST(InventoryConnection, OrderOnAClosedConnectionIsNotRepeatedUnseen)
+{
+	ScriptedServer server(
+		{{200, "{}"}, {0, ""}, {409, "{\"reason\":\"busy\"}"}});
+	seam_clock *k = seam_clock_boot();
+	seam_inventory *v =
+		seam_inventory_new(k, ("http://" + server.addr).c_str(), "n1");
+	enum seam_vm_order_outcome outcome = SEAM_VM_DONE;
+	seam_err e = SEAM_ERR_INIT;
+
+	for (int rc : {0, -1})
+		EXPECT_EQ(v->ops->move(v, "m-1", "p", 1, &outcome,
+				       seam_now(k) + SEAM_SEC, &e),
+			  rc);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	v->ops->close(v);
+}
--- a/tests/platform_rows_test.cc
+++ b/tests/platform_rows_test.cc
@@ -10,6 +10,7 @@
 #include "platform/rows.h"
 #include "tests/addr.h"
 #include "tests/platform_rows_server.h"
+#include "tests/scripted_server.h"
 
 struct Rows : ::testing::Test {
 	RowsServer server{test_addr(26010)};
@@ -51,6 +52,27 @@
 	}
 };
 
+// Guards against a refusal that hides a commit without an answer before it.
+TEST(RowsConnection, CommitOnAClosedConnectionIsNotRepeatedUnseen)
+{
+	ScriptedServer server({{200, "{\"ver\":1}"}, {0, ""}, {503, ""}});
+	seam_store *s = seam_rows_store_new(seam_clock_boot(),
+					    ("http://" + server.addr).c_str());
+	seam_write w = {SEAM_PUT, "job/3/30", SEAM_ANY_VERSION, "x", 1};
+	seam_err e = SEAM_ERR_INIT;
+
+	for (int rc : {0, -1}) {
+		seam_commit c = {&w, 1, seam_store_token(), 0};
+
+		EXPECT_EQ(seam_store_commit(
+				  s, &c, seam_now(seam_clock_boot()) + SEAM_SEC,
+				  &e),
+			  rc);
+	}
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	seam_store_close(s);
+}
+
 // Guards against lost bytes and versions in rows with and without a part.
 TEST_F(Rows, RoundTrip)
 {
--- a/tests/platform_runner_test.cc
+++ b/tests/platform_runner_test.cc
@@ -6,6 +6,7 @@
 #include "platform/runner.h"
 #include "process/http.h"
 #include "tests/addr.h"
+#include "tests/scripted_server.h"
 
 // A worker that gives the same answer to each request.
 struct Runner : ::testing::Test {
@@ -155,3 +156,55 @@
 	EXPECT_EQ(l.end[0].number, 4);
 	EXPECT_EQ(l.end[0].run, 6);
 }
+
+// Starts on a worker with prepared answers.
+struct RunnerStart : ::testing::Test {
+	seam_clock *clock = seam_clock_boot();
+	seam_runners *runners = seam_platform_runners_new(clock);
+	seam_order_outcome outcome = SEAM_ORDER_INVALID;
+	seam_err e = SEAM_ERR_INIT;
+
+	~RunnerStart() override
+	{
+		seam_platform_runners_free(runners);
+	}
+	static int start_once(seam_runner *r, seam_order_outcome *outcome,
+			      seam_err *e)
+	{
+		seam_start s = {};
+		int64_t clock_ms = 0;
+
+		s.task = "0123456789abcdef.0.0.0";
+		s.run = 1;
+		s.text = "x";
+		s.checkpoint = "";
+		return r->ops->start(r, &s, outcome, &clock_ms,
+				     seam_now(seam_clock_boot()) + SEAM_SEC, e);
+	}
+	// Returns the result of the last of @n starts.
+	int start(const ScriptedServer &w, int n)
+	{
+		seam_runner *r =
+			runners->ops->open(runners, "i-1", w.addr.c_str());
+		int rc = -1;
+
+		while (n-- > 0) {
+			seam_err_clear(&e);
+			rc = start_once(r, &outcome, &e);
+		}
+		r->ops->close(r);
+		return rc;
+	}
+};
+
+// Guards against a refusal that hides a start without an answer before it.
+TEST_F(RunnerStart, StartOnAClosedConnectionIsNotRepeatedUnseen)
+{
+	ScriptedServer w({{200, "{\"clockMs\":1}"},
+			  {0, ""},
+			  {409, "{\"clockMs\":1,\"reason\":\"room\"}"}});
+
+	EXPECT_EQ(start(w, 2), -1);
+	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
+	EXPECT_EQ(w.requests, 2u);
+}
