platform: an answer of no known meaning is no refusal of a start

Cause: each answer to an order but the listed ones counted as a refusal: a status 500 or 504, a 409 without a reason or with an unknown one. The owner then took the start for not carried out and started the task elsewhere. The protocol says that nothing was done only for 400, 409 with a reason, 421, 429 and 503.

--- a/tests/platform_runner_test.cc
+++ b/tests/platform_runner_test.cc
@@ -208,3 +208,43 @@
 	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
 	EXPECT_EQ(w.requests, 2u);
 }
+
+// Guards against an answer of no known meaning that counts as a refusal.
+TEST_F(RunnerStart, AnswerOfNoKnownMeaningIsNoRefusal)
+{
+	const ScriptedServer::Answer odd[] = {
+		{500, ""},
+		{502, "{}"},
+		{504, "{}"},
+		{409, ""},
+		{409, "{\"clockMs\":1,\"reason\":\"other\"}"}};
+
+	for (auto &a : odd) {
+		ScriptedServer w({a});
+
+		EXPECT_EQ(start(w, 1), -1) << a.status << a.body;
+		EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN) << a.status << a.body;
+	}
+}
+
+// Guards against refusals that are waited for as if the task could run.
+TEST_F(RunnerStart, RefusalsAreKnown)
+{
+	const std::pair<ScriptedServer::Answer, seam_order_outcome> all[] = {
+		{{409, "{\"reason\":\"fence\"}"}, SEAM_ORDER_FENCED},
+		{{409, "{\"reason\":\"old\"}"}, SEAM_ORDER_STALE_RUN},
+		{{409, "{\"reason\":\"late\"}"}, SEAM_ORDER_LEASE_EXPIRED},
+		{{409, "{\"reason\":\"room\"}"}, SEAM_ORDER_NO_ROOM},
+		{{409, "{\"reason\":\"ticket\"}"}, SEAM_ORDER_NO_TICKET},
+		{{400, ""}, SEAM_ORDER_INVALID},
+		{{421, ""}, SEAM_ORDER_WRONG_INCARNATION},
+		{{429, ""}, SEAM_ORDER_UNHEALTHY},
+		{{503, ""}, SEAM_ORDER_UNHEALTHY}};
+
+	for (auto &a : all) {
+		ScriptedServer w({a.first});
+
+		EXPECT_EQ(start(w, 1), 0) << a.first.status << a.first.body;
+		EXPECT_EQ(outcome, a.second) << a.first.status << a.first.body;
+	}
+}
