scheduler_room: pass the need to seam_fits() first

Lasting tasks nearly always counted as without room elsewhere, so that their VMs were kept from other pools, and a worker was reserved for a waiting lasting task only if all of its capacity was below the need.

check_candidate() and fits_beside_lasting() passed the free capacity as the need and the need as the free capacity. The arguments are in the order of the prototype now.

--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -44,7 +44,7 @@
 		return false;
 	free = scheduler_worker_free(w);
 	s->found = scheduler_worker_usable(w, s->now) &&
-		   s->now >= w->no_room_until && seam_fits(&free, &s->need) &&
+		   s->now >= w->no_room_until && seam_fits(&s->need, &free) &&
 		   holds_label(w, s->step->label) &&
 		   !seam_op_state_is_evacuated(s->sched->op_state, w->info.dc);
 	return s->found || --s->left <= 0;
@@ -114,7 +114,7 @@
 	left.cpu -= used.cpu;
 	left.memory -= used.memory;
 	left.gpu -= used.gpu;
-	return seam_fits(&left, need);
+	return seam_fits(need, &left);
 }
 
 /* The part of the worker that has to become free for @need. */
