--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -42,6 +42,7 @@
 	std::atomic<bool> unresponsive{false}; // calls time out
 	int lose_answers = 0; // number of commits to apply without an answer
 	int hold_commits = 0; // number of commits to drop without an answer
+	std::string held_rows; // commits of rows with this prefix are dropped
 	std::atomic<int> refuse_commits{0};
 	// Watches from earlier versions are stale.
 	std::atomic<uint64_t> forgotten{0};
@@ -81,6 +82,19 @@
 		return it == rows.end() || it->second.gone ? 0 :
 							     it->second.version;
 	}
+	void hold_rows(const std::string &prefix)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		held_rows = prefix;
+	}
+	bool is_held(const seam_commit *c) const
+	{
+		for (size_t i = 0; i < c->n && !held_rows.empty(); i++)
+			if (!strncmp(c->write[i].key, held_rows.c_str(),
+				     held_rows.size()))
+				return true;
+		return false;
+	}
 	static void fill(seam_row *r, const std::string &key, const Entry &e)
 	{
 		memset(r, 0, sizeof(*r));
@@ -225,8 +239,8 @@
 		return seam_fail(e, SEAM_BAD_REQUEST, "over 100 entries");
 	f->commits++;
 	f->largest = std::max((size_t)f->largest, entries);
-	if (f->hold_commits > 0) {
-		f->hold_commits--;
+	if (f->hold_commits > 0 || f->is_held(c)) {
+		f->hold_commits -= f->hold_commits > 0;
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	}
 	if (feed_apply(f, c, e))
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -491,3 +491,74 @@
 	EXPECT_TRUE(eventually(
 		[&] { return w.store.get("status/wave/2") == "completed"; }));
 }
+
+static int maintain_and_restart(seam_inventory *i, const char *vm, int64_t wave,
+				uint64_t token, seam_vm_order_outcome *outcome,
+				seam_time deadline, seam_err *e)
+{
+	the_world->workers[vm + strlen("vm-")]->restart();
+	return fake_maintain(i, vm, wave, token, outcome, deadline, e);
+}
+
+static const seam_inventory_ops restarting_inventory_ops = {
+	fake_list, fake_move, maintain_and_restart, fake_inventory_close};
+
+// Guards against a task that runs again as maintenance ended the worker that
+// still listed its end, and the owner was lost before the end was stored.
+TEST_F(SchedulerVms, VmWithAnEndThatIsNotStoredIsNotEmpty)
+{
+	w.vms.ops = &restarting_inventory_ops;
+	FakeWorker *a = w.add_worker("a");
+	w.add_worker("b");
+	{
+		Owner o(&w, "n1");
+
+		o.start_renewals();
+		w.job(ID, 1, "300");
+		ASSERT_TRUE(eventually([&] { return w.running() == 1; }));
+		if (!a->running())
+			a = w.workers["b"];
+		w.store.hold_rows("job/");
+		w.store.put("op/wave/1", "1 1 vm-" + a->id);
+		usleep(1500000);
+		EXPECT_EQ(a->running(), 0u);
+		std::lock_guard<std::mutex> l(w.lock);
+		EXPECT_TRUE(w.orders.empty());
+	}
+	w.store.hold_rows("");
+	Owner o(&w, "n2");
+	o.start_renewals();
+	EXPECT_TRUE(becomes("completed"));
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+	EXPECT_TRUE(eventually(
+		[&] { return w.store.get("status/wave/1") == "completed"; },
+		15000));
+}
+
+// Guards against a VM that is moved to standby with an end that is not stored.
+TEST_F(SchedulerVms, VmWithAnEndThatIsNotStoredIsNotMoved)
+{
+	auto moved = [&](FakeWorker *x) {
+		std::lock_guard<std::mutex> l(w.lock);
+		return std::count_if(w.orders.begin(), w.orders.end(),
+				     [&](const std::string &s) {
+					     return s.find(" vm-" + x->id +
+							   " ") !=
+						    std::string::npos;
+				     });
+	};
+
+	w.config(0, true);
+	eventually([&] { return w.version_in_force() == 2; });
+	FakeWorker *a = w.add_worker("a");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 1, "300");
+	ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+	w.store.hold_rows("job/");
+	ASSERT_TRUE(eventually([&] { return a->running() == 0; }));
+	for (const char *id : {"b", "c", "d", "e"})
+		w.add_worker(id);
+	usleep(1500000);
+	EXPECT_EQ(moved(a), 0);
+}
