vms: log when the VM list shows that a silent worker's VM has changed

What operators saw: a worker fell silent, and nothing told that the platform's list already showed its VM without a worker, or with another one.

Change: each list that is read is compared with the workers that do not answer. One line for each change, not for each read.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -330,6 +330,10 @@
  * @token_sent: token that was last sent to a node
  * @answered_token: highest token of a poll that its current process answered
  * @heard_at: when its current process last answered or was first seen
+ * @found_at: when its entry was added
+ * @listed_worker: worker of its VM in the latest list that was read while it
+ *     did not answer, or ""
+ * @listed_state: state of the VM in that list; NULL before the first
  * @answered: it answered the latest hold
  * @missed_holds: holds that it did not answer since
  * @clock_ms: its clock at @clock_at of the owner's clock
@@ -384,6 +388,9 @@
 	uint64_t token_sent;
 	uint64_t answered_token;
 	seam_time heard_at;
+	seam_time found_at;
+	char listed_worker[SEAM_NAME_SIZE];
+	const char *listed_state;
 	bool answered;
 	int missed_holds;
 	int64_t clock_ms;
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -269,6 +269,9 @@
 void *scheduler_pass_loop(void *arg);
 void *scheduler_vms_loop(void *arg);
 
+/* The VM list beside the workers */
+void scheduler_check_vm_workers(struct seam_scheduler *sched);
+
 /* VM management, called without the lock */
 void scheduler_manage_vms(struct seam_scheduler *sched);
 
--- /dev/null
+++ b/process/scheduler_vm_workers.c
@@ -0,0 +1,77 @@
+/*
+ * Compares the VM list with the workers that do not answer: the platform sees
+ * their VMs over another path.
+ */
+#include "process/scheduler_impl.h"
+#include "base/log.h"
+
+#include <string.h>
+
+static const char *state_name(const struct seam_vm_info *vm)
+{
+	static const char *const name[] = {
+		[SEAM_PHASE_UP] = "up",
+		[SEAM_PHASE_MOVING] = "moving",
+		[SEAM_PHASE_MAINTENANCE] = "maintenance",
+		[SEAM_PHASE_DOWN] = "down",
+	};
+
+	return vm ? name[vm->state] : "unlisted";
+}
+
+/* Returns when the process of @w was last known to run, or its row was found.
+ */
+static seam_time known_at(const struct seam_worker *w)
+{
+	return w->heard_at > w->found_at ? w->heard_at : w->found_at;
+}
+
+/* Logs what the list shows in place of @w, unless it showed that before. */
+static void log_change(struct seam_worker *w, const struct seam_vm_info *vm)
+{
+	const char *listed = vm ? vm->worker : "";
+	const char *state = state_name(vm);
+	bool same = !strcmp(listed, w->info.id);
+
+	if (state == w->listed_state && !strcmp(listed, w->listed_worker))
+		return;
+	w->listed_state = state;
+	g_strlcpy(w->listed_worker, listed, sizeof(w->listed_worker));
+	if (same && vm->state == SEAM_PHASE_UP)
+		return;
+	seam_log(SEAM_INFO, "vms",
+		 "event=vm_worker_changed vm=%s worker=%s listed_worker=%s "
+		 "state=%s silent_ms=%lld runs=%u",
+		 w->info.vm, w->info.id, listed, state,
+		 (long long)(seam_now(w->sched->clock) - known_at(w)) /
+			 SEAM_MSEC,
+		 w->task_refs->len);
+}
+
+static GHashTable *index_vms(struct seam_scheduler *sched)
+{
+	GHashTable *vm_of = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i;
+
+	for (i = 0; i < sched->vms; i++)
+		g_hash_table_insert(vm_of, sched->vm[i].vm, &sched->vm[i]);
+	return vm_of;
+}
+
+/* Handles a VM list that was just read. */
+void scheduler_check_vm_workers(struct seam_scheduler *sched)
+{
+	struct seam_handle h = SEAM_HANDLE_NONE;
+	GHashTable *vm_of = NULL;
+	struct seam_worker *w;
+
+	while ((w = seam_table_next(sched->workers, &h))) {
+		if (w->answered || w->vm_gone || w->retired || !*w->info.vm)
+			continue;
+		if (!vm_of)
+			vm_of = index_vms(sched);
+		log_change(w, g_hash_table_lookup(vm_of, w->info.vm));
+	}
+	if (vm_of)
+		g_hash_table_destroy(vm_of);
+}
--- a/process/scheduler_vms.c
+++ b/process/scheduler_vms.c
@@ -36,6 +36,7 @@
 	sched->vms = n;
 	sched->vms_read = true;
 	sched->vms_read_at = asked_at;
+	scheduler_check_vm_workers(sched);
 	pthread_mutex_unlock(&sched->lock);
 	return 0;
 }
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -128,7 +128,8 @@
 	w->info = *info;
 	w->self = h;
 	w->listed = true;
-	w->draining_since = seam_now(sched->clock);
+	w->found_at = seam_now(sched->clock);
+	w->draining_since = w->found_at;
 	/* Its earlier entry may have sent orders with the latest token. */
 	w->token = sched->threads ? scheduler_next_token(sched) :
 				    sched->worker_token;
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -562,3 +562,55 @@
 	usleep(1500000);
 	EXPECT_EQ(moved(a), 0);
 }
+
+// A worker whose VM the list shows in another state while it does not answer.
+struct ListedVm : Scheduler {
+	FakeWorker *a = w.add_worker("a");
+	Owner o{&w, "n1"};
+
+	void SetUp() override
+	{
+		o.start_renewals();
+		ASSERT_TRUE(restart_is_seen(o, a));
+	}
+	// The list shows @worker on the VM of @id from now on.
+	void list(const char *id, const char *worker, int state)
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+
+		for (auto &v : w.vm)
+			if (std::string(v.vm) == std::string("vm-") + id) {
+				v.state = state;
+				snprintf(v.worker, SEAM_NAME_SIZE, "%s",
+					 worker);
+			}
+	}
+	static size_t count(const std::string &text, const std::string &what)
+	{
+		size_t n = 0;
+
+		for (size_t at = 0;
+		     (at = text.find(what, at)) != std::string::npos; at++)
+			n++;
+		return n;
+	}
+};
+
+// Guards against a log without the change, or with a line for each read.
+TEST_F(ListedVm, ChangeOfASilentWorkersVmIsLoggedOnce)
+{
+	testing::internal::CaptureStderr();
+	a->unresponsive = true;
+	list("a", "", SEAM_PHASE_DOWN);
+	usleep(2500000);
+	list("a", "a2", SEAM_PHASE_UP);
+	usleep(2500000);
+	std::string log = testing::internal::GetCapturedStderr();
+
+	EXPECT_EQ(count(log, "event=vm_worker_changed vm=vm-a worker=a "
+			     "listed_worker= state=down"),
+		  1u);
+	EXPECT_EQ(count(log, "event=vm_worker_changed vm=vm-a worker=a "
+			     "listed_worker=a2 state=up"),
+		  1u);
+}
