vms: a worker whose VM runs another one is over

What callers saw: the runs of a worker that had died behind a cut waited for the end of its lease, and starts without an answer there for 6 s and more, though the platform's list already showed another worker on its VM. Its row, which comes back for seconds, brought it into use and polled it each 50 ms.

Cause: the owner knew the end of a life by its own calls and by time only.

Change: a worker that does not answer, and whose VM a list shows with another worker, is over as one whose VM was moved: its runs are lost, no late start of it is waited for (an order names the worker that it is meant for), and it is not served. The list must have been requested 0.9 s after the worker was last heard, or found, as the platform shows changes that late; and an earlier list must have named the worker, if it has answered. A list that names it again brings it back. Its entry stays for the 13.7 s that a late start may take, so that tasks with one do not fall back to a wait by time, and an old row is not taken for a new worker.

Why it works: ids of workers are of one life each and appear nowhere else, so no process of the old id runs once the VM has another one.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -364,7 +364,10 @@
  * @reserved_at: pass that reserved it last
  * @reserved_until: until then it gets only lasting tasks, one of which waits
  * for room
- * @vm_gone: its VM was moved or maintained; its row disappears later
+ * @vm_gone: its VM was moved or maintained, or runs another worker; its row
+ *     disappears later
+ * @named_by_list: a list of this term named it as the worker of its VM
+ * @kept_until: its entry stays until then, as no late start of it is waited for
  * @retired: it has to be removed from the table
  * @process_known_at: when its current process was first seen
  * @past_process_ms: start times of its latest processes before the current one
@@ -416,6 +419,8 @@
 	seam_time reserved_at;
 	seam_time reserved_until;
 	bool vm_gone;
+	bool named_by_list;
+	seam_time kept_until;
 	bool retired;
 	seam_time process_known_at;
 	int64_t past_process_ms[SEAM_PAST_PROCESSES];
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -41,6 +41,8 @@
  * answer reaches the owner within 0.1 s.
  */
 #define FIRST_POLL_MAX (800 * SEAM_MSEC)
+/* The VM list shows the effect of an order after this time at the latest. */
+#define VM_LIST_DELAY_MAX (900 * SEAM_MSEC)
 /* Run numbers increase with the term. */
 #define SEAM_RUNS_PER_TERM 10000
 #define STORE_TIMEOUT (900 * SEAM_MSEC)
--- a/process/scheduler_vm_orders.c
+++ b/process/scheduler_vm_orders.c
@@ -10,8 +10,6 @@
 #define ORDER_TIMEOUT (1200 * SEAM_MSEC)
 /* An order that waits longer for a thread is dropped and planned again. */
 #define ORDER_QUEUE_TIMEOUT (800 * SEAM_MSEC)
-/* The VM list shows the effect of an order after this time at the latest. */
-#define VM_LIST_DELAY_MAX (900 * SEAM_MSEC)
 /* An order without an answer may be carried out up to this much later. */
 #define UNANSWERED_ORDER_DELAY_MAX (3 * SEAM_SEC)
 /*
--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -48,6 +48,51 @@
 		 w->task_refs->len);
 }
 
+/*
+ * Whether the list tells what has become of @w, which does not answer, since it
+ * was last known to run. If it has answered, a list must have named it before.
+ */
+static bool is_list_newer(const struct seam_worker *w)
+{
+	return (w->named_by_list || !w->contacted) &&
+	       w->sched->vms_read_at >= known_at(w) + VM_LIST_DELAY_MAX;
+}
+
+/*
+ * Ends the life of a worker whose VM runs another one. A late start there is
+ * refused, as it names the worker that it is meant for.
+ */
+static void replace_worker(struct seam_worker *w)
+{
+	w->vm_gone = true;
+	w->kept_until =
+		seam_now(w->sched->clock) + START_SEND_MAX + LATE_ORDER_MAX;
+	scheduler_worker_lost(w, "vm_has_other_worker");
+	scheduler_request_assignment(w->sched);
+}
+
+static void check_worker(struct seam_worker *w, const struct seam_vm_info *vm)
+{
+	log_change(w, vm);
+	if (vm && *vm->worker && strcmp(vm->worker, w->info.id) &&
+	    is_list_newer(w))
+		replace_worker(w);
+}
+
+static void note_named_workers(struct seam_scheduler *sched)
+{
+	size_t i;
+
+	for (i = 0; i < sched->vms; i++) {
+		const struct seam_vm_info *vm = &sched->vm[i];
+		struct seam_worker *w =
+			scheduler_find_worker(sched, vm->worker);
+
+		if (w && !strcmp(w->info.vm, vm->vm))
+			w->named_by_list = true;
+	}
+}
+
 static GHashTable *index_vms(struct seam_scheduler *sched)
 {
 	GHashTable *vm_of = g_hash_table_new(g_str_hash, g_str_equal);
@@ -58,19 +103,23 @@
 	return vm_of;
 }
 
-/* Handles a VM list that was just read. */
+/*
+ * Handles a VM list that was just read. A worker that answers runs, whatever
+ * the list shows.
+ */
 void scheduler_check_vm_workers(struct seam_scheduler *sched)
 {
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	GHashTable *vm_of = NULL;
 	struct seam_worker *w;
 
+	note_named_workers(sched);
 	while ((w = seam_table_next(sched->workers, &h))) {
 		if (w->answered || w->vm_gone || w->retired || !*w->info.vm)
 			continue;
 		if (!vm_of)
 			vm_of = index_vms(sched);
-		log_change(w, g_hash_table_lookup(vm_of, w->info.vm));
+		check_worker(w, g_hash_table_lookup(vm_of, w->info.vm));
 	}
 	if (vm_of)
 		g_hash_table_destroy(vm_of);
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -435,7 +435,8 @@
 
 	if (w->listed || w->retired)
 		return w->retired;
-	return !w->task_refs->len && now > w->unlisted_at + ROW_GONE_AFTER;
+	return !w->task_refs->len && now > w->unlisted_at + ROW_GONE_AFTER &&
+	       now > w->kept_until;
 }
 
 /* Removes runs and workers that are over from the tables. */
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -30,6 +30,7 @@
 	std::atomic<int> wait_ms{0}; // duration of a hold that may wait
 	std::atomic<int> answers_one_in{1}; // the other holds get no answer
 	int holds = 0;
+	std::atomic<int> polls{0}; // holds sent, also those without an answer
 	// Number of starts that are carried out but not answered.
 	std::atomic<int> lose_starts{0};
 	// Number of starts that are kept in @late and not answered.
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -5,6 +5,8 @@
 static std::atomic<int> order_outcome{SEAM_VM_DONE};
 static std::atomic<int> refused_orders{0};
 static std::atomic<bool> list_fails{false};
+static std::atomic<int> list_ms{0}; // time from a request to its answer
+static std::atomic<int> lists_asked{0};
 
 static int maintain_with_outcome(seam_inventory *i, const char *vm,
 				 int64_t wave, uint64_t token,
@@ -23,9 +25,14 @@
 static int list_or_fail(seam_inventory *i, seam_vm_info **vm, size_t *n,
 			seam_time deadline, seam_err *e)
 {
+	int rc;
+
 	if (list_fails)
 		return seam_fail(e, SEAM_UNAVAILABLE, "down");
-	return fake_list(i, vm, n, deadline, e);
+	lists_asked++;
+	rc = fake_list(i, vm, n, deadline, e);
+	usleep((useconds_t)list_ms * 1000);
+	return rc;
 }
 
 static const seam_inventory_ops failing_inventory_ops = {
@@ -570,8 +577,46 @@
 
 	void SetUp() override
 	{
+		list_fails = false;
+		list_ms = 0;
+		w.vms.ops = &failing_inventory_ops;
 		o.start_renewals();
 		ASSERT_TRUE(restart_is_seen(o, a));
+		ASSERT_TRUE(worker_becomes(o, "a", [](seam_worker *x) {
+			return x->named_by_list;
+		}));
+	}
+	// A task runs on worker a, and b has room for it.
+	FakeWorker *run_on_a(const char *text)
+	{
+		w.job(ID, 1, text);
+		EXPECT_TRUE(eventually([&] { return a->running() == 1; }));
+		EXPECT_TRUE(worker_becomes(o, "a", [](seam_worker *x) {
+			return x->listing_at > 0;
+		}));
+		usleep(500000); // a listing shows it
+		return add_usable(o, "b");
+	}
+	// Worker a keeps each copy of a start, and b has room for its task.
+	FakeWorker *keep_starts_on_a(const char *text)
+	{
+		a->late_starts = START_ATTEMPTS;
+		w.job(ID, 1, text);
+		EXPECT_TRUE(eventually([&] {
+			std::lock_guard<std::mutex> l(a->lock);
+			return a->late.size() == (size_t)START_ATTEMPTS;
+		}));
+		return add_usable(o, "b");
+	}
+	// The process of worker a ends, and another worker runs on its VM.
+	void replace_a()
+	{
+		a->unresponsive = true;
+		{
+			std::lock_guard<std::mutex> l(a->lock);
+			a->runs.clear();
+		}
+		list("a", "a2", SEAM_PHASE_UP);
 	}
 	// The list shows @worker on the VM of @id from now on.
 	void list(const char *id, const char *worker, int state)
@@ -614,3 +659,76 @@
 			     "listed_worker=a2 state=up"),
 		  1u);
 }
+
+// Guards against runs that are waited for although their worker is replaced.
+TEST_F(ListedVm, RunsOfAReplacedWorkerStartElsewhereBeforeItsLeaseIsOver)
+{
+	FakeWorker *b = run_on_a("lasts");
+
+	replace_a();
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2500));
+	EXPECT_EQ(w.twice, 0);
+}
+
+// Guards against a wait for a late start that its worker can't carry out.
+TEST_F(ListedVm, LateStartOnAReplacedWorkerIsNotWaitedFor)
+{
+	FakeWorker *b = keep_starts_on_a("20000");
+
+	replace_a();
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2500));
+}
+
+// Guards against a second run beside a worker that answers.
+TEST_F(ListedVm, WorkerThatAnswersKeepsItsRuns)
+{
+	run_on_a("lasts");
+	list("a", "a2", SEAM_PHASE_UP);
+	usleep(3000000);
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+	EXPECT_EQ(a->running(), 1u);
+}
+
+// Guards against a second run for a list that was asked for before the silence.
+TEST_F(ListedVm, ListFromBeforeTheSilenceLosesNoRun)
+{
+	run_on_a("lasts");
+	list("a", "a2", SEAM_PHASE_UP);
+	list_ms = 1300;
+	int asked = lists_asked;
+	ASSERT_TRUE(eventually([&] { return lists_asked > asked; }));
+	a->unresponsive = true;
+	list("a", "a", SEAM_PHASE_UP);
+	usleep(2300000);
+	a->unresponsive = false;
+	usleep(500000);
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+	EXPECT_EQ(a->running(), 1u);
+}
+
+// Guards against polls of a worker that is over, when its old row comes back.
+TEST_F(ListedVm, RowOfAReplacedWorkerIsNotUsed)
+{
+	replace_a();
+	ASSERT_TRUE(worker_becomes(o, "a",
+				   [](seam_worker *x) { return x->vm_gone; }));
+	w.store.del("workers/a");
+	usleep(3500000);
+	w.row("a", "p", 8000, "d1", false);
+	usleep(500000);
+	int polls = a->polls;
+	usleep(1500000);
+	EXPECT_EQ(a->polls, polls);
+}
+
+// Guards against a worker that stays out of use after a list that was wrong.
+TEST_F(ListedVm, WorkerThatIsListedAgainIsUsedAgain)
+{
+	replace_a();
+	ASSERT_TRUE(worker_becomes(o, "a",
+				   [](seam_worker *x) { return x->vm_gone; }));
+	a->unresponsive = false;
+	list("a", "a", SEAM_PHASE_UP);
+	w.job(ID, 1, "lasts");
+	EXPECT_TRUE(eventually([&] { return a->running() == 1; }));
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -383,6 +383,7 @@
 	FakeWorker *w = ((FakeRunner *)r)->w;
 
 	((FakeRunner *)r)->node->use(((FakeRunner *)r)->node->poll_us);
+	w->polls++;
 	if (h->wait_ms)
 		usleep((useconds_t)w->wait_ms * 1000);
 	memset(out, 0, sizeof(*out));
