handover: leave no late start of a worker that is over to the next owner

What callers saw: after a takeover a task could wait up to 6 s for a late start on a worker whose VM was moved, maintained or given to another worker before.

Cause: the row for the next owner named each task with a late start, whatever has become of its worker.

Change: workers that have left with their VM are left out, as among those with long leases.

Evidence: ListedVm.LateStartOnAReplacedWorkerIsNotLeftToTheNextOwner failed 2 of 2 times without the change.

Why it works: the next owner waits for the tasks that the row names.

--- a/process/scheduler_handover.c
+++ b/process/scheduler_handover.c
@@ -177,7 +177,7 @@
 	const struct seam_worker *w = scheduler_late_worker(h->sched, t);
 	const struct handover_entry e = late_entry(t);
 
-	if (w)
+	if (w && !w->vm_gone)
 		add_task(h, j, step, task, w->info.id, &e);
 }
 
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -679,6 +679,25 @@
 	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2500));
 }
 
+// Guards against the same wait at the next owner.
+TEST_F(ListedVm, LateStartOnAReplacedWorkerIsNotLeftToTheNextOwner)
+{
+	FakeWorker *b = keep_starts_on_a("20000");
+
+	ASSERT_TRUE(eventually([&] {
+		return w.store.get("owner/handover").find(task(0, 0)) !=
+		       std::string::npos;
+	}));
+	replace_a();
+	ASSERT_TRUE(eventually([&] { return b->running() == 1; }));
+	EXPECT_TRUE(eventually(
+		[&] {
+			return w.store.get("owner/handover").find(task(0, 0)) ==
+			       std::string::npos;
+		},
+		2000));
+}
+
 // Guards against a second run beside a worker that answers.
 TEST_F(ListedVm, WorkerThatAnswersKeepsItsRuns)
 {
