inventory: a state of another name is unknown, not down

What could be seen: a VM whose state has no name here, or none, counted as down. Nothing went by that yet; a VM that is down will be taken for empty.

--- a/connection/vms.h
+++ b/connection/vms.h
@@ -51,7 +51,8 @@
 	SEAM_PHASE_UP,
 	SEAM_PHASE_MOVING,
 	SEAM_PHASE_MAINTENANCE,
-	SEAM_PHASE_DOWN
+	SEAM_PHASE_DOWN,
+	SEAM_PHASE_UNKNOWN /* a state of another name */
 };
 
 /**
--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -14,6 +14,7 @@
 		[SEAM_PHASE_MOVING] = "moving",
 		[SEAM_PHASE_MAINTENANCE] = "maintenance",
 		[SEAM_PHASE_DOWN] = "down",
+		[SEAM_PHASE_UNKNOWN] = "unknown",
 	};
 
 	return vm ? name[vm->state] : "unlisted";
--- a/tests/platform_inventory_test.cc
+++ b/tests/platform_inventory_test.cc
@@ -87,6 +87,22 @@
 	       "\"}";
 }
 
+// Guards against a VM in a state of a later version that counts as empty.
+TEST_F(Inventory, OnlyNamedStatesAreKnown)
+{
+	auto state = [&](const std::string &text) {
+		return list("{\"machine\":\"m-1\"" + text + "}")["m-1"].state;
+	};
+
+	EXPECT_EQ(state(",\"state\":\"up\""), SEAM_PHASE_UP);
+	EXPECT_EQ(state(",\"state\":\"moving\""), SEAM_PHASE_MOVING);
+	EXPECT_EQ(state(",\"state\":\"upkeep\""), SEAM_PHASE_MAINTENANCE);
+	EXPECT_EQ(state(",\"state\":\"down\""), SEAM_PHASE_DOWN);
+	EXPECT_EQ(state(",\"state\":\"paused\""), SEAM_PHASE_UNKNOWN);
+	EXPECT_EQ(state(",\"state\":7"), SEAM_PHASE_UNKNOWN);
+	EXPECT_EQ(state(""), SEAM_PHASE_UNKNOWN);
+}
+
 // Guards against an order for another VM, whose name equals one that was cut.
 TEST_F(Inventory, OddElementsAreLeftOut)
 {
