vms: runs on a VM that the list shows as empty are over

Evidence: ListedVm.RunsOnAVmThatIsDownStartElsewhereBeforeTheLeaseIsOver failed 2 of 2 times before. LateStartOnAVmThatIsDownIsWaitedFor fails 2 of 2 times if late starts do not count, RunsOnAVmOfUnknownStateAreKept 2 of 2 if any state counts, RunThatBeganAfterTheListIsKept 2 of 2 without both bounds on the request; it does not fail with the one on the run alone left out.

Why it works: the process that ran them has ended, whatever runs there next.

--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -72,12 +72,34 @@
 	scheduler_request_assignment(w->sched);
 }
 
+/* Whether no process runs on a VM until its next worker begins. */
+static bool is_empty(const struct seam_vm_info *vm)
+{
+	return !*vm->worker && vm->state != SEAM_PHASE_UP &&
+	       vm->state != SEAM_PHASE_UNKNOWN;
+}
+
+/* Loses a run that was confirmed before the list showed that its VM is empty.
+ */
+static void lose_confirmed_run(struct seam_worker *w,
+			       const struct scheduler_run_ref *at, void *arg)
+{
+	(void)arg;
+	if (at->run->state == SEAM_RUN_RUNNING &&
+	    w->sched->vms_read_at >= at->run->running_at + VM_LIST_DELAY_MAX)
+		scheduler_run_lost(w, at, "vm_empty");
+}
+
 static void check_worker(struct seam_worker *w, const struct seam_vm_info *vm)
 {
 	log_change(w, vm);
-	if (vm && *vm->worker && strcmp(vm->worker, w->info.id) &&
-	    is_list_newer(w))
+	if (!vm || !is_list_newer(w))
+		return;
+	if (*vm->worker && strcmp(vm->worker, w->info.id))
 		replace_worker(w);
+	/* It may start again under its id, and carry out late starts then. */
+	if (is_empty(vm))
+		scheduler_for_each_run(w, lose_confirmed_run, NULL);
 }
 
 static void note_named_workers(struct seam_scheduler *sched)
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -751,3 +751,66 @@
 	w.job(ID, 1, "lasts");
 	EXPECT_TRUE(eventually([&] { return a->running() == 1; }));
 }
+
+// Guards against runs that are waited for although their VM is down.
+TEST_F(ListedVm, RunsOnAVmThatIsDownStartElsewhereBeforeTheLeaseIsOver)
+{
+	FakeWorker *b = run_on_a("lasts");
+
+	replace_a();
+	list("a", "", SEAM_PHASE_DOWN);
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2500));
+	EXPECT_EQ(w.twice, 0);
+}
+
+// Guards against a second run by a worker that starts again under its id.
+TEST_F(ListedVm, LateStartOnAVmThatIsDownIsWaitedFor)
+{
+	keep_starts_on_a("lasts");
+	a->unresponsive = true;
+	list("a", "", SEAM_PHASE_DOWN);
+	usleep(2500000);
+	EXPECT_EQ(w.running(), 0u);
+	a->restart();
+	w.deliver_late(a);
+	list("a", "a", SEAM_PHASE_UP);
+	a->unresponsive = false;
+	usleep(2500000);
+	EXPECT_EQ(w.twice, 0);
+	EXPECT_EQ(w.running(), 1u);
+}
+
+// Guards against lost runs on a VM whose state has a name of a later version.
+TEST_F(ListedVm, RunsOnAVmOfUnknownStateAreKept)
+{
+	run_on_a("lasts");
+	a->unresponsive = true;
+	list("a", "", SEAM_PHASE_UNKNOWN);
+	usleep(2300000);
+	a->unresponsive = false;
+	usleep(500000);
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+	EXPECT_EQ(a->running(), 1u);
+}
+
+// Guards against a lost run that began after the list was asked for.
+TEST_F(ListedVm, RunThatBeganAfterTheListIsKept)
+{
+	list_ms = 1300;
+	a->unresponsive = true;
+	list("a", "", SEAM_PHASE_DOWN);
+	usleep(2000000);
+	int asked = lists_asked;
+	ASSERT_TRUE(eventually([&] { return lists_asked > asked; }));
+	a->restart();
+	list("a", "a", SEAM_PHASE_UP);
+	a->unresponsive = false;
+	FakeWorker *b = nullptr;
+	w.job(ID, 1, "lasts");
+	ASSERT_TRUE(eventually([&] { return a->running() == 1; }, 1000));
+	a->unresponsive = true;
+	b = add_usable(o, "b");
+	usleep(1800000);
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+	EXPECT_EQ(b->running(), 0u);
+}
