pass: after a takeover, do not wait for workers that the VM list shows as over

What callers saw: after a change of the owner, tasks of jobs from before started in no worker of a pool for 4.7 s, or 6.2 s with a long lease, because a worker of it did not answer: its row was still there, though its VM was down or had another worker.

Cause: any worker with a row that has not answered counted as one that may run tasks of the term before. A row stays for 4.5 s after the end of its worker, and came back for as long after cuts.

Change: a worker that is over, or whose VM a list shows as empty (requested 0.9 s after the worker was found), holds no pool up, and its long lease is not left to the next owner.

Evidence: SchedulerVms.ReplacedWorkerKeepsNoPoolFromStartingAfterATakeover, EmptyVmKeepsNoPoolFromStartingAfterATakeover and LongLeaseLeft.TaskDoesNotWaitForAWorkerThatIsReplaced failed 2 of 2 times before.

Why it works: what ran there for the owner before has ended with the process. Late starts of that owner are in its row, task by task, and are waited for as before.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -367,6 +367,8 @@
  * @vm_gone: its VM was moved or maintained, or runs another worker; its row
  *     disappears later
  * @named_by_list: a list of this term named it as the worker of its VM
+ * @vm_was_empty: the list showed that the process which it had, when it was
+ *     found or last heard, has ended
  * @kept_until: its entry stays until then, as no late start of it is waited for
  * @retired: it has to be removed from the table
  * @process_known_at: when its current process was first seen
@@ -420,6 +422,7 @@
 	seam_time reserved_until;
 	bool vm_gone;
 	bool named_by_list;
+	bool vm_was_empty;
 	seam_time kept_until;
 	bool retired;
 	seam_time process_known_at;
--- a/process/scheduler_handover.c
+++ b/process/scheduler_handover.c
@@ -164,7 +164,8 @@
 		const struct seam_worker *w =
 			scheduler_find_worker(h->sched, l->worker);
 
-		if (h->now <= l->until && (!w || !w->contacted))
+		if (h->now <= l->until &&
+		    (!w || scheduler_may_run_prior_tasks(w)))
 			add_worker(h, l->worker, l->pool, l->until);
 	}
 }
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -60,7 +60,8 @@
 		const struct seam_worker *w =
 			scheduler_find_worker(p->sched, l->worker);
 
-		if (p->now <= l->until && (!w || !w->contacted))
+		if (p->now <= l->until &&
+		    (!w || scheduler_may_run_prior_tasks(w)))
 			find_or_add_pool(p, l->pool)->settled = false;
 	}
 }
@@ -86,7 +87,7 @@
 					   sched->vm[i].worker))
 			find_or_add_pool(p, sched->vm[i].pool)->settled = false;
 	while ((w = seam_table_next(sched->workers, &h)))
-		if (!w->contacted)
+		if (scheduler_may_run_prior_tasks(w))
 			find_or_add_pool(p, w->info.pool)->settled = false;
 }
 
--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -98,8 +98,20 @@
 	if (*vm->worker && strcmp(vm->worker, w->info.id))
 		replace_worker(w);
 	/* It may start again under its id, and carry out late starts then. */
-	if (is_empty(vm))
+	if (is_empty(vm)) {
+		w->vm_was_empty = true;
 		scheduler_for_each_run(w, lose_confirmed_run, NULL);
+	}
+}
+
+/*
+ * Whether a worker may run tasks of the previous term that the owner does not
+ * know: it has not answered, and the list does not show that its process is
+ * over.
+ */
+bool scheduler_may_run_prior_tasks(const struct seam_worker *w)
+{
+	return !w->contacted && !w->vm_gone && !w->vm_was_empty;
 }
 
 static void note_named_workers(struct seam_scheduler *sched)
--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -355,6 +355,25 @@
 	expect_run_on_b_after(lost_at);
 }
 
+// Guards against a wait for the lease of a worker that is over.
+TEST_F(LongLeaseLeft, TaskDoesNotWaitForAWorkerThatIsReplaced)
+{
+	a->unresponsive = true;
+	{
+		std::lock_guard<std::mutex> l(a->lock);
+		a->runs.clear();
+	}
+	lose_owner();
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+		snprintf(w.vm[0].worker, SEAM_NAME_SIZE, "b");
+	}
+	take_over("n2");
+	ASSERT_GT(o->sched->long_leases_until,
+		  seam_now(w.clock) + 2500 * SEAM_MSEC);
+	EXPECT_TRUE(eventually([&] { return w.running() == 1; }, 2000));
+}
+
 // Guards against the same by the row of an owner that was killed.
 TEST_F(LongLeaseLeft, TaskDoesNotWaitForTheAgeOfTheRow)
 {
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -39,6 +39,41 @@
 	list_or_fail, fake_move, maintain_with_outcome, fake_inventory_close};
 
 struct SchedulerVms : Scheduler {
+	// The list shows @worker on the VM of @id from now on.
+	void list(const char *id, const char *worker, int state)
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+
+		for (auto &v : w.vm)
+			if (std::string(v.vm) == std::string("vm-") + id) {
+				v.state = state;
+				snprintf(v.worker, SEAM_NAME_SIZE, "%s",
+					 worker);
+			}
+	}
+	// Worker a is dead at a takeover, but its row is not removed yet.
+	// Expects that a job from before starts before all leases of the owner
+	// before are over.
+	void expect_start_after_takeover(const char *worker, int state)
+	{
+		FakeWorker *a = w.add_worker("a");
+
+		w.add_worker("b");
+		{
+			Owner o(&w, "n1");
+
+			o.start_renewals();
+			ASSERT_TRUE(restart_is_seen(o, a));
+		}
+		a->unresponsive = true;
+		list("a", worker, state);
+		w.job(ID, 1, "lasts");
+		Owner o(&w, "n2");
+		o.start_renewals();
+		ASSERT_GT(o.sched->prior_leases_until,
+			  seam_now(w.clock) + 2500 * SEAM_MSEC);
+		EXPECT_TRUE(eventually([&] { return w.running() == 1; }, 2000));
+	}
 };
 
 // A VM service that refuses or loses orders, or does not list the VMs.
@@ -571,7 +606,7 @@
 }
 
 // A worker whose VM the list shows in another state while it does not answer.
-struct ListedVm : Scheduler {
+struct ListedVm : SchedulerVms {
 	FakeWorker *a = w.add_worker("a");
 	Owner o{&w, "n1"};
 
@@ -618,18 +653,6 @@
 		}
 		list("a", "a2", SEAM_PHASE_UP);
 	}
-	// The list shows @worker on the VM of @id from now on.
-	void list(const char *id, const char *worker, int state)
-	{
-		std::lock_guard<std::mutex> l(w.lock);
-
-		for (auto &v : w.vm)
-			if (std::string(v.vm) == std::string("vm-") + id) {
-				v.state = state;
-				snprintf(v.worker, SEAM_NAME_SIZE, "%s",
-					 worker);
-			}
-	}
 	static size_t count(const std::string &text, const std::string &what)
 	{
 		size_t n = 0;
@@ -814,3 +837,15 @@
 	EXPECT_EQ(w.started(task(0, 0)), 1);
 	EXPECT_EQ(b->running(), 0u);
 }
+
+// Guards against a pool that waits after a takeover for a worker that is over.
+TEST_F(SchedulerVms, ReplacedWorkerKeepsNoPoolFromStartingAfterATakeover)
+{
+	expect_start_after_takeover("b", SEAM_PHASE_UP);
+}
+
+// Guards against the same wait for a worker whose VM is down.
+TEST_F(SchedulerVms, EmptyVmKeepsNoPoolFromStartingAfterATakeover)
+{
+	expect_start_after_takeover("", SEAM_PHASE_DOWN);
+}
