dispatch: send deadlines of orders as times of the node's clock

A node could send an order of an owner whose term was over, while the next owner started the task elsewhere.

Cause: a batch told send_by and repeat_by as the time that was left, and the node added it to the time of arrival. So the way of the batch, or a pause of the owner between encoding and sending, was added to the deadline.

Change: a node tells its clock in the answers to batches and polls, and the owner sends deadlines as times of that clock. A node clock N in an answer that is received at R gives N + (D - R) for the owner's time D. The node read N before R, so this is early by the way of the answer and never late. Clocks may differ in rate by 0.1%, of which NTP's slewing is the most. The first batch of a session carries no orders, as the node's clock is not known before its answer. The format number is 3.

Cost: none before the first start of a term, as a worker gets starts only after a listing, which comes after the first answer. When a session opens again, orders leave the owner one round trip later; the node holds starts back until the worker has answered a poll in any case.

--- a/connection/lane.h
+++ b/connection/lane.h
@@ -61,8 +61,8 @@
  *        order
  * @checkpoint: checkpoint to resume from, or ""
  * @lease_until: end of the lease, milliseconds of the worker's clock
- * @send_by: not sent after this time
- * @repeat_by: not retried after this time
+ * @send_by: not sent after this time of the node's clock
+ * @repeat_by: not retried after this time of the node's clock
  * @poll_first: the worker is polled right before the start: a process that has
  *     started since the latest poll may run a late start of the task
  */
@@ -147,10 +147,16 @@
 	char why[64];
 };
 
-/** struct seam_lane_events - events in ascending order of their numbers */
+/**
+ * struct seam_lane_events - events in ascending order of their numbers
+ * @event: the events
+ * @n: their number
+ * @node_now: the node's clock when it answered
+ */
 struct seam_lane_events {
 	struct seam_lane_event *event;
 	size_t n;
+	seam_time node_now;
 };
 
 /** seam_lane_events_free() - free the events and their listings */
@@ -168,11 +174,42 @@
 	int64_t wait_ms;
 };
 
+/**
+ * struct seam_lane_clock - what an owner knows of a node's clock
+ * @known: the node has told its clock in this session
+ * @ahead: the node's clock was at least this far ahead of the owner's at @at
+ * @at: time of that answer, by the owner's clock
+ */
+struct seam_lane_clock {
+	bool known;
+	seam_time ahead;
+	seam_time at;
+};
+
+/**
+ * seam_lane_clock_note() - note an answer of the node
+ * @c: what is known
+ * @node_now: the node's clock when it answered
+ * @now: the owner's clock after the answer has arrived
+ */
+void seam_lane_clock_note(struct seam_lane_clock *c, seam_time node_now,
+			  seam_time now);
+
+/**
+ * seam_lane_clock_deadline() - convert a deadline to the node's clock
+ *
+ * Return: a time that the node's clock shows at @deadline of the owner's clock
+ * at the latest; @c must be known.
+ */
+seam_time seam_lane_clock_deadline(const struct seam_lane_clock *c,
+				   seam_time deadline);
+
 struct seam_lane;
 
 /**
  * struct seam_lane_ops - connection from an owner to the dispatcher of a node
- * @send: send a batch; may take over the texts of its orders
+ * @send: send a batch; may take over the texts of its orders; @node_now
+ *        receives the node's clock when it answered
  * @poll: request events
  * @close: close the lane; its session cannot be continued
  *
@@ -181,7 +218,8 @@
  */
 struct seam_lane_ops {
 	int (*send)(struct seam_lane *l, struct seam_lane_batch *b,
-		    seam_time deadline, struct seam_err *e);
+		    seam_time *node_now, seam_time deadline,
+		    struct seam_err *e);
 	int (*poll)(struct seam_lane *l, const struct seam_lane_poll *p,
 		    struct seam_lane_events *v, seam_time deadline,
 		    struct seam_err *e);
@@ -227,21 +265,28 @@
 };
 
 /*
- * Encoding in MessagePack, in lane_codec.c. A deadline is sent as the time that
- * is left and a past time as its age, as each node has a clock of its own. The
- * encoders return a message to be freed with free(), or NULL if out of memory;
- * the decoders fail with SEAM_BAD_REQUEST if a message is malformed or of
- * another version.
+ * Encoding in MessagePack, in lane_codec.c. Each node has a clock of its own,
+ * so a deadline is sent as a time of the node's clock and a past time as its
+ * age: a message that is late neither extends a deadline nor makes an event
+ * newer. The encoders return a message to be freed with free(), or NULL if out
+ * of memory; the decoders fail with SEAM_BAD_REQUEST if a message is malformed
+ * or of another version.
  */
 
-/** seam_lane_batch_encode() - encode a batch; @now is the time of sending */
-char *seam_lane_batch_encode(const struct seam_lane_batch *b, seam_time now,
-			     size_t *len);
+/** seam_lane_batch_encode() - encode a batch */
+char *seam_lane_batch_encode(const struct seam_lane_batch *b, size_t *len);
 
-/** seam_lane_batch_decode() - decode a batch that arrived at @now */
-int seam_lane_batch_decode(const char *data, size_t len, seam_time now,
+/** seam_lane_batch_decode() - decode a batch */
+int seam_lane_batch_decode(const char *data, size_t len,
 			   struct seam_lane_batch *b, struct seam_err *e);
 
+/** seam_lane_answer_encode() - encode the answer to a batch */
+char *seam_lane_answer_encode(seam_time node_now, size_t *len);
+
+/** seam_lane_answer_decode() - decode the answer to a batch */
+int seam_lane_answer_decode(const char *data, size_t len, seam_time *node_now,
+			    struct seam_err *e);
+
 /** seam_lane_poll_encode() - encode a request for events */
 char *seam_lane_poll_encode(const struct seam_lane_poll *q, size_t *len);
 
@@ -249,7 +294,8 @@
 int seam_lane_poll_decode(const char *data, size_t len,
 			  struct seam_lane_poll *q, struct seam_err *e);
 
-/** seam_lane_events_encode() - encode; the poll arrived at @asked_at */
+/** seam_lane_events_encode() - encode; the poll arrived at @asked_at, and @now
+ * is the time of the answer */
 char *seam_lane_events_encode(const struct seam_lane_events *v,
 			      seam_time asked_at, seam_time now, size_t *len);
 
--- a/connection/lane_codec.c
+++ b/connection/lane_codec.c
@@ -9,7 +9,7 @@
  * First element of each message. A node of another version refuses the message,
  * so that the owner serves its workers from elsewhere.
  */
-#define LANE_FORMAT 2
+#define LANE_FORMAT 3
 
 /* Lengths of the rows. */
 #define DROP_LEN 1
@@ -107,14 +107,14 @@
 }
 
 static void pack_order(struct seam_packer *p, const struct seam_lane_order *o,
-		       size_t text, seam_time now)
+		       size_t text)
 {
 	seam_pack_array(p, o->stop ? STOP_LEN : START_LEN);
 	seam_pack_uint(p, o->key);
 	seam_pack_str(p, o->task);
 	seam_pack_int(p, o->run);
-	seam_pack_int(p, o->send_by - now);
-	seam_pack_int(p, o->repeat_by - now);
+	seam_pack_int(p, o->send_by);
+	seam_pack_int(p, o->repeat_by);
 	if (o->stop)
 		return;
 	seam_pack_int(p, o->lease_until);
@@ -131,8 +131,7 @@
 	seam_pack_uint(p, s->number);
 }
 
-char *seam_lane_batch_encode(const struct seam_lane_batch *b, seam_time now,
-			     size_t *len)
+char *seam_lane_batch_encode(const struct seam_lane_batch *b, size_t *len)
 {
 	size_t *text = calloc(b->orders + 1, sizeof(*text));
 	struct seam_packer p;
@@ -150,11 +149,21 @@
 	p.failed = p.failed || !text;
 	seam_pack_array(&p, b->orders);
 	for (i = 0; text && i < b->orders; i++)
-		pack_order(&p, &b->order[i], text[i], now);
+		pack_order(&p, &b->order[i], text[i]);
 	free(text);
 	return seam_pack_finish(&p, len);
 }
 
+/* Reads the clock of a node; owners add to it and subtract from it. */
+static seam_time unpack_clock(struct seam_unpacker *u)
+{
+	seam_time t = seam_unpack_int(u);
+
+	if (t < 0 || t > SEAM_NEVER / 4)
+		u->malformed = true;
+	return t;
+}
+
 /* Reads the format and the session; the message has @n elements. */
 static void unpack_session(struct seam_unpacker *u, size_t n,
 			   struct seam_lane_session *s)
@@ -188,7 +197,7 @@
 }
 
 static void unpack_order(struct seam_unpacker *u, char *const *text,
-			 size_t texts, seam_time now, struct seam_lane_order *o)
+			 size_t texts, struct seam_lane_order *o)
 {
 	size_t n = seam_unpack_array(u);
 	size_t i;
@@ -200,8 +209,8 @@
 	o->key = (uint32_t)seam_unpack_uint(u);
 	seam_unpack_str(u, o->task, sizeof(o->task));
 	o->run = seam_unpack_int(u);
-	o->send_by = now + seam_unpack_int(u);
-	o->repeat_by = now + seam_unpack_int(u);
+	o->send_by = seam_unpack_int(u);
+	o->repeat_by = seam_unpack_int(u);
 	o->stop = n == STOP_LEN;
 	if (o->stop)
 		return;
@@ -225,19 +234,18 @@
 }
 
 static void unpack_orders(struct seam_unpacker *u, char *const *text,
-			  size_t texts, seam_time now,
-			  struct seam_lane_batch *b)
+			  size_t texts, struct seam_lane_batch *b)
 {
 	size_t n = seam_unpack_array(u);
 
 	b->order = calloc(n + 1, sizeof(*b->order));
 	u->malformed = u->malformed || !b->order;
 	while (!u->malformed && b->orders < n)
-		unpack_order(u, text, texts, now, &b->order[b->orders++]);
+		unpack_order(u, text, texts, &b->order[b->orders++]);
 }
 
 /* Reads the texts and the orders, which refer to them. */
-static void unpack_texts_and_orders(struct seam_unpacker *u, seam_time now,
+static void unpack_texts_and_orders(struct seam_unpacker *u,
 				    struct seam_lane_batch *b)
 {
 	size_t n = seam_unpack_array(u);
@@ -248,13 +256,13 @@
 	for (i = 0; !u->malformed && i < n; i++)
 		text[i] = seam_unpack_strdup(u);
 	if (!u->malformed)
-		unpack_orders(u, text, n, now, b);
+		unpack_orders(u, text, n, b);
 	for (i = 0; text && i < n; i++)
 		free(text[i]);
 	free(text);
 }
 
-int seam_lane_batch_decode(const char *data, size_t len, seam_time now,
+int seam_lane_batch_decode(const char *data, size_t len,
 			   struct seam_lane_batch *b, struct seam_err *e)
 {
 	struct seam_unpacker u;
@@ -264,7 +272,7 @@
 	unpack_session(&u, 7, &b->session);
 	b->first = seam_unpack_uint(&u);
 	unpack_workers(&u, b);
-	unpack_texts_and_orders(&u, now, b);
+	unpack_texts_and_orders(&u, b);
 	if (seam_unpack_done(&u))
 		return 0;
 	seam_lane_batch_free(b);
@@ -273,6 +281,33 @@
 			 LANE_FORMAT);
 }
 
+char *seam_lane_answer_encode(seam_time node_now, size_t *len)
+{
+	struct seam_packer p;
+
+	seam_pack_init(&p);
+	seam_pack_array(&p, 2);
+	seam_pack_uint(&p, LANE_FORMAT);
+	seam_pack_int(&p, node_now);
+	return seam_pack_finish(&p, len);
+}
+
+int seam_lane_answer_decode(const char *data, size_t len, seam_time *node_now,
+			    struct seam_err *e)
+{
+	struct seam_unpacker u;
+
+	seam_unpack_init(&u, data, len);
+	if (seam_unpack_array(&u) != 2 || seam_unpack_uint(&u) != LANE_FORMAT)
+		u.malformed = true;
+	*node_now = unpack_clock(&u);
+	if (seam_unpack_done(&u))
+		return 0;
+	return seam_fail(e, SEAM_BAD_REQUEST,
+			 "answer: malformed or of another format than %d",
+			 LANE_FORMAT);
+}
+
 char *seam_lane_poll_encode(const struct seam_lane_poll *q, size_t *len)
 {
 	struct seam_packer p;
@@ -369,8 +404,9 @@
 	size_t i;
 
 	seam_pack_init(&p);
-	seam_pack_array(&p, 3);
+	seam_pack_array(&p, 4);
 	seam_pack_uint(&p, LANE_FORMAT);
+	seam_pack_int(&p, now);
 	seam_pack_int(&p, now - asked_at);
 	seam_pack_array(&p, v->n);
 	for (i = 0; i < v->n; i++)
@@ -471,8 +507,9 @@
 
 	memset(v, 0, sizeof(*v));
 	seam_unpack_init(&u, data, len);
-	if (seam_unpack_array(&u) != 3 || seam_unpack_uint(&u) != LANE_FORMAT)
+	if (seam_unpack_array(&u) != 4 || seam_unpack_uint(&u) != LANE_FORMAT)
 		u.malformed = true;
+	v->node_now = unpack_clock(&u);
 	written_at = asked_at + seam_unpack_int(&u);
 	n = seam_unpack_array(&u);
 	v->event = calloc(n + 1, sizeof(*v->event));
--- a/process/dispatch.c
+++ b/process/dispatch.c
@@ -238,6 +238,7 @@
 	}
 	if (!rc)
 		copy_events(d, p->seen, v);
+	v->node_now = seam_now(d->clock);
 	pthread_mutex_unlock(&d->lock);
 	return rc;
 }
--- a/process/lane_http.c
+++ b/process/lane_http.c
@@ -47,17 +47,20 @@
 }
 
 static int http_send(struct seam_lane *base, struct seam_lane_batch *b,
-		     seam_time deadline, struct seam_err *e)
+		     seam_time *node_now, seam_time deadline,
+		     struct seam_err *e)
 {
 	struct http_lane *l = (struct http_lane *)base;
 	struct seam_rest_response a = {0};
 	size_t len = 0;
-	char *body = seam_lane_batch_encode(b, seam_now(l->clock), &len);
+	char *body = seam_lane_batch_encode(b, &len);
+	int rc;
 
 	if (post(l, SEND_PATH, body, len, &a, deadline, e))
 		return -1;
+	rc = seam_lane_answer_decode(a.body, a.len, node_now, e);
 	free(a.body);
-	return 0;
+	return rc;
 }
 
 static int http_poll(struct seam_lane *base, const struct seam_lane_poll *p,
@@ -133,16 +136,20 @@
 	struct seam_dispatch *d = arg;
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_lane_batch b;
-	int rc = seam_lane_batch_decode(c->body, c->len, c->arrived, &b, &e);
+	size_t len = 0;
+	char *message;
+	int rc = seam_lane_batch_decode(c->body, c->len, &b, &e);
 
 	if (!rc) {
 		rc = seam_dispatch_apply(d, &b, &e);
 		seam_lane_batch_free(&b);
 	}
-	if (rc)
+	if (rc) {
 		seam_reply_err(c, &e);
-	else
-		reply(c, strdup(""), 0);
+		return;
+	}
+	message = seam_lane_answer_encode(seam_dispatch_now(d), &len);
+	reply(c, message, len);
 }
 
 static void serve_events(struct seam_call *c, void *arg)
--- a/process/lane_local.c
+++ b/process/lane_local.c
@@ -10,12 +10,14 @@
 };
 
 static int local_send(struct seam_lane *base, struct seam_lane_batch *b,
-		      seam_time deadline, struct seam_err *e)
+		      seam_time *node_now, seam_time deadline,
+		      struct seam_err *e)
 {
 	struct local_lane *l = (struct local_lane *)base;
 
 	(void)deadline;
 	l->session = b->session;
+	*node_now = seam_dispatch_now(l->dispatch);
 	return seam_dispatch_apply(l->dispatch, b, e);
 }
 
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -446,6 +446,7 @@
  * @workers: number of assigned workers
  * @number: number of the session
  * @opened: the node has accepted a batch of this session
+ * @clock: the node's clock; known while @opened
  * @last_event: number of the latest event of this session
  * @failures: failed sessions since the last event
  * @retry_at: the node is not used before
@@ -466,6 +467,7 @@
 	int workers;
 	uint64_t number;
 	bool opened;
+	struct seam_lane_clock clock;
 	uint64_t last_event;
 	int failures;
 	seam_time retry_at;
--- a/process/scheduler_lanes.c
+++ b/process/scheduler_lanes.c
@@ -126,6 +126,7 @@
 {
 	l->number++;
 	l->opened = false;
+	l->clock = (struct seam_lane_clock){0};
 	l->last_event = 0;
 	g_array_set_size(l->drops, 0);
 }
@@ -192,6 +193,7 @@
 		      const struct seam_order *o, struct seam_job *j,
 		      seam_time now)
 {
+	const struct seam_lane_clock *node = &lane_of(w)->clock;
 	seam_time valid = seam_election_valid_until(w->sched->election);
 	struct seam_lane_order *to = &m->order[m->orders++];
 	const struct seam_job_task_state *t;
@@ -201,8 +203,9 @@
 	to->stop = o->kind == SEAM_ORDER_STOP;
 	g_strlcpy(to->task, o->name, sizeof(to->task));
 	to->run = o->run;
-	to->send_by = o->deadline < valid ? o->deadline : valid;
-	to->repeat_by = valid;
+	to->send_by = seam_lane_clock_deadline(
+		node, o->deadline < valid ? o->deadline : valid);
+	to->repeat_by = seam_lane_clock_deadline(node, valid);
 	if (to->stop)
 		return;
 	r = scheduler_run_find(j, o->ref.step, o->ref.task, w->self, o->run);
@@ -233,7 +236,11 @@
 	}
 }
 
-/* Builds the next batch for the node of a lane. */
+/*
+ * Builds the next batch for the node of a lane. The first one of a session has
+ * no orders: their deadlines are times of the node's clock, which the answer to
+ * it tells.
+ */
 static void build_batch(struct seam_scheduler_lane *l,
 			struct seam_lane_batch *m)
 {
@@ -259,7 +266,8 @@
 		    w->token != w->token_sent ||
 		    now >= w->lease_sent_at + LEASE_SEND_INTERVAL)
 			add_worker(m, w, now);
-		add_orders(m, w, now);
+		if (l->opened)
+			add_orders(m, w, now);
 	}
 	l->due = false;
 	l->update_at = now + LEASE_SEND_INTERVAL;
@@ -272,6 +280,7 @@
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_lane_batch m;
 	uint64_t number = l->number;
+	seam_time node_now = 0;
 	bool nonempty;
 	int rc = 0;
 
@@ -279,8 +288,9 @@
 	nonempty = m.workers || m.orders;
 	if (nonempty) {
 		pthread_mutex_unlock(&sched->lock);
-		rc = l->conn->ops->send(
-			l->conn, &m, seam_now(sched->clock) + SEND_TIMEOUT, &e);
+		rc = l->conn->ops->send(l->conn, &m, &node_now,
+					seam_now(sched->clock) + SEND_TIMEOUT,
+					&e);
 		pthread_mutex_lock(&sched->lock);
 	}
 	seam_lane_batch_free(&m);
@@ -288,8 +298,14 @@
 		return;
 	if (rc) {
 		reset_failed_lane(l, "send", &e);
-	} else if (!l->opened && nonempty) {
+		return;
+	}
+	if (nonempty)
+		seam_lane_clock_note(&l->clock, node_now,
+				     seam_now(sched->clock));
+	if (!l->opened && nonempty) {
 		l->opened = true;
+		l->due = true; /* for the orders that wait */
 		pthread_cond_broadcast(&l->wake);
 	}
 }
@@ -370,6 +386,7 @@
 	size_t i;
 
 	l->failures = 0;
+	seam_lane_clock_note(&l->clock, v->node_now, seam_now(l->sched->clock));
 	for (i = 0; i < v->n; i++) {
 		if (v->event[i].number <= l->last_event)
 			continue;
--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -264,3 +264,47 @@
 		},
 		1000));
 }
+
+// Guards against orders that leave a node after the term of their owner.
+TEST_F(Lanes, DelayedBatchLeavesNothingAfterTheTerm)
+{
+	Owner o(&w, "n1", create_fleet(2, 10, 4));
+	FakeRunners *n = w.nodes[0];
+
+	o.start_renewals();
+	w.job(ID, 80, "300");
+	ASSERT_TRUE(job_completes());
+	ASSERT_GT(n->start_sent_at, 0);
+	n->orders_delay_ms = 2000;
+	o.stop_renewals();
+	w.job("00000000000000f2", 80, "lasts");
+	ASSERT_TRUE(eventually([&] { return n->delayed_orders > 0; }));
+	usleep(500000);
+	EXPECT_LE(n->start_sent_at, seam_election_valid_until(&o.election));
+}
+
+// Guards against orders of the previous owner from a node that the next one
+// does not use, to workers that it does not reach.
+TEST_F(Lanes, DelayedBatchLeavesNothingAfterATakeover)
+{
+	Owner o(&w, "n1", create_fleet(2, 10, 4));
+	FakeRunners *n = w.nodes[0];
+
+	o.start_renewals();
+	w.job(ID, 80, "300");
+	ASSERT_TRUE(job_completes());
+	ASSERT_GT(n->start_sent_at, 0);
+	n->orders_delay_ms = 2500;
+	o.stop_renewals();
+	w.job("00000000000000f2", 80, "lasts");
+	{
+		std::lock_guard<std::mutex> l(w.runners.processor);
+		for (auto &x : w.workers)
+			w.runners.unreachable_workers.insert(x.first);
+	}
+	Owner next(&w, "n2", 500, nullptr, true);
+	next.start_renewals();
+	ASSERT_TRUE(eventually([&] { return n->delayed_orders > 0; }));
+	usleep(500000);
+	EXPECT_LE(n->start_sent_at, seam_election_valid_until(&o.election));
+}
