dispatch: check the deadline again after the poll before a start

A node could send a start 0.35 s after its deadline, or after the session of the next owner had begun there.

Cause: where a late start may still come, the node polls the worker before a start. The poll takes up to 0.35 s, or longer if the node is frozen meanwhile. The deadline and the session were checked before it only.

Change: both are checked again after the poll. No other call lies between a check and its order: send_stop() and the repeats of send_start() check after each call, and the transfer itself does not begin after the deadline of its call, 0.15 s later. Unless the term is released, the next owner opens its own 0.4 s after the end of the one before at the earliest.

--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -330,6 +330,18 @@
 	return rc;
 }
 
+/* Fails if the order may not be sent any more. */
+static int check_deadline(const struct seam_dispatch_worker *w,
+			  const struct seam_lane_order *o, struct seam_err *e)
+{
+	if (w->removed)
+		return seam_fail(e, SEAM_UNAVAILABLE, "the session has ended");
+	if (seam_now(w->dispatch->clock) > o->send_by)
+		return seam_fail(e, SEAM_UNAVAILABLE,
+				 "the deadline for sending has passed");
+	return 0;
+}
+
 /*
  * Polls the worker and fails if another process answers than the one that the
  * order is meant for. Releases the lock during the call.
@@ -399,14 +411,15 @@
 	bool unknown = false;
 	int rc;
 
-	if (seam_now(w->dispatch->clock) > o->send_by)
-		rc = seam_fail(&e, SEAM_UNAVAILABLE,
-			       "the deadline for sending has passed");
-	else if (o->stop)
+	rc = check_deadline(w, o, &e);
+	if (!rc && o->poll_first) {
+		rc = check_process(w, &e);
+		/* The poll may have taken long. */
+		rc = rc ? rc : check_deadline(w, o, &e);
+	}
+	if (!rc && o->stop)
 		rc = send_stop(w, o, &outcome, &e);
-	else if (o->poll_first && check_process(w, &e))
-		rc = -1;
-	else
+	else if (!rc)
 		rc = send_start(w, o, &outcome, &unknown, &clock_ms, &e);
 	if (w->removed)
 		return;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -31,7 +31,7 @@
 		return seam_dispatch_apply(d, &b, &e);
 	}
 	int start(uint64_t token, uint64_t number, const char *task,
-		  seam_time left = SEAM_SEC)
+		  seam_time left = SEAM_SEC, bool poll_first = false)
 	{
 		seam_lane_order o = {};
 		seam_lane_batch b = {{token, number}, false, nullptr, 0, &o, 1};
@@ -47,6 +47,7 @@
 		}
 		o.send_by = seam_dispatch_now(d) + left;
 		o.repeat_by = o.send_by;
+		o.poll_first = poll_first;
 		seam_err_clear(&e);
 		rc = seam_dispatch_apply(d, &b, &e);
 		free(o.text);
@@ -188,6 +189,37 @@
 	EXPECT_EQ(w.started("t"), 0);
 }
 
+// Guards against a start whose deadline passes while its worker is polled.
+TEST_F(Dispatch, StartIsNotSentAfterALongPoll)
+{
+	uint64_t seen = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	node->poll_us = 300000;
+	ASSERT_EQ(start(1, 1, "t", 200 * SEAM_MSEC, true), 0);
+	seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+	ASSERT_NE(v, nullptr);
+	EXPECT_EQ(v->failed, SEAM_UNAVAILABLE);
+	EXPECT_FALSE(v->unknown);
+	EXPECT_EQ(node->start_sent_at, 0);
+}
+
+// Guards against a start of a session that ends while its worker is polled.
+TEST_F(Dispatch, StartIsNotSentAfterItsSession)
+{
+	uint64_t seen = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	node->poll_us = 300000;
+	ASSERT_EQ(start(1, 1, "t", 2 * SEAM_SEC, true), 0);
+	usleep(50000);
+	ASSERT_EQ(open(2, 1), 0);
+	usleep(1500000);
+	EXPECT_EQ(node->start_sent_at, 0);
+}
+
 // Guards against a task that waits forever: an order for a worker that the node
 // does not serve was dropped without an answer.
 TEST_F(Dispatch, OrderForUnknownWorkerIsAnswered)
