scheduler: match answers to orders by a number of their own

An owner could give up a run whose start was under way (run_lost why=not_started) and start the task again.

Cause: answers were matched to orders by task and run. When a worker leaves a lane and is given back to it within a session, its unanswered orders are sent again under the same run, and the answer to the first one, which the owner had not read yet, counted for the second. Refused as that was, the run seemed not to exist once the worker had listed. The wait for late starts kept the task from other workers in the test.

Change: each order that is sent to a node has the next number of the term, and the event with its answer has it in place of task, run and kind. The format number is 4.

--- a/connection/lane.h
+++ b/connection/lane.h
@@ -53,6 +53,8 @@
 
 /**
  * struct seam_lane_order - an order to start or stop a run
+ * @number: number of the order in the owner's term; an order that is sent again
+ *          gets another one
  * @key: the owner's handle of the worker
  * @stop: true for a stop, false for a start
  * @task: task name
@@ -67,6 +69,7 @@
  *     started since the latest poll may run a late start of the task
  */
 struct seam_lane_order {
+	uint64_t number;
 	uint32_t key;
 	bool stop;
 	char task[SEAM_TASK_NAME_SIZE];
@@ -117,9 +120,7 @@
  *     reported in full, and no run has ended since; @listing has only its times
  * @sent_at: LISTED: lower bound of the time at which the poll was sent
  * @token: LISTED: fencing token of the poll; 0 for that of the session
- * @task: ANSWERED: task name
- * @run: ANSWERED: run number
- * @stop: ANSWERED: the order was a stop
+ * @order: ANSWERED: number of the order
  * @failed: SEAM_OK if the worker answered, with @outcome; SEAM_UNAVAILABLE if
  *          the order cannot have arrived, else SEAM_COMMIT_UNKNOWN. SILENT:
  *          also SEAM_NO_MEMORY if the node has no thread for the worker.
@@ -137,9 +138,7 @@
 	bool unchanged;
 	seam_time sent_at;
 	uint64_t token;
-	char task[SEAM_TASK_NAME_SIZE];
-	int64_t run;
-	bool stop;
+	uint64_t order;
 	enum seam_err_kind failed;
 	enum seam_order_outcome outcome;
 	bool unknown;
--- a/connection/lane_codec.c
+++ b/connection/lane_codec.c
@@ -9,17 +9,17 @@
  * First element of each message. A node of another version refuses the message,
  * so that the owner serves its workers from elsewhere.
  */
-#define LANE_FORMAT 3
+#define LANE_FORMAT 4
 
 /* Lengths of the rows. */
 #define DROP_LEN 1
 #define CHANGE_LEN 5
 #define WORKER_LEN 7
-#define STOP_LEN 5
-#define START_LEN 9
+#define STOP_LEN 6
+#define START_LEN 10
 #define LISTED_LEN 10
 #define SILENT_LEN 6
-#define ANSWERED_LEN 11
+#define ANSWERED_LEN 9
 
 void seam_lane_batch_free(struct seam_lane_batch *b)
 {
@@ -110,6 +110,7 @@
 		       size_t text)
 {
 	seam_pack_array(p, o->stop ? STOP_LEN : START_LEN);
+	seam_pack_uint(p, o->number);
 	seam_pack_uint(p, o->key);
 	seam_pack_str(p, o->task);
 	seam_pack_int(p, o->run);
@@ -206,6 +207,7 @@
 		u->malformed = true;
 		return;
 	}
+	o->number = seam_unpack_uint(u);
 	o->key = (uint32_t)seam_unpack_uint(u);
 	seam_unpack_str(u, o->task, sizeof(o->task));
 	o->run = seam_unpack_int(u);
@@ -390,9 +392,7 @@
 	seam_pack_str(p, v->why);
 	if (v->kind == SEAM_LANE_SILENT)
 		return;
-	seam_pack_str(p, v->task);
-	seam_pack_int(p, v->run);
-	seam_pack_uint(p, v->stop);
+	seam_pack_uint(p, v->order);
 	seam_pack_uint(p, v->unknown);
 	seam_pack_int(p, v->lease_ms);
 }
@@ -486,9 +486,7 @@
 	seam_unpack_str(u, v->why, sizeof(v->why));
 	if (v->kind == SEAM_LANE_SILENT)
 		return;
-	seam_unpack_str(u, v->task, sizeof(v->task));
-	v->run = seam_unpack_int(u);
-	v->stop = seam_unpack_uint(u);
+	v->order = seam_unpack_uint(u);
 	v->unknown = seam_unpack_uint(u);
 	v->lease_ms = seam_unpack_int(u);
 }
--- a/process/dispatch.c
+++ b/process/dispatch.c
@@ -93,9 +93,7 @@
 	struct seam_lane_event *v =
 		dispatch_add_event(d, o->key, SEAM_LANE_ANSWERED);
 
-	snprintf(v->task, sizeof(v->task), "%s", o->task);
-	v->run = o->run;
-	v->stop = o->stop;
+	v->order = o->number;
 	v->failed = rc ? e->kind : SEAM_OK;
 	v->outcome = outcome;
 	v->unknown = unknown;
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -220,6 +220,7 @@
 
 /**
  * struct seam_order - an order that waits for its worker's connection
+ * @number: number under which it was last sent to a node; 0 before
  * @kind: enum seam_order_kind
  * @ref: task
  * @name: task name
@@ -228,6 +229,7 @@
  * @maybe_sent: a node that had the order may have sent it to the worker
  */
 struct seam_order {
+	uint64_t number;
 	int kind;
 	struct seam_task_ref ref;
 	char name[SEAM_TASK_NAME_SIZE];
@@ -523,6 +525,7 @@
  * @election: state of this node as the owner; holds the end of the term
  * @term: fencing token of this term
  * @worker_token: highest fencing token of a worker
+ * @orders_sent: orders sent to nodes in this term; the number of the latest
  * @opened_at: start of the term
  * @jobs: struct seam_job
  * @job_of: job id to its handle
@@ -605,6 +608,7 @@
 	struct seam_election *election;
 	uint64_t term;
 	uint64_t worker_token;
+	uint64_t orders_sent;
 	seam_time opened_at;
 	struct seam_table *jobs;
 	GHashTable *job_of;
--- a/process/scheduler_lanes.c
+++ b/process/scheduler_lanes.c
@@ -190,8 +190,7 @@
 }
 
 static void add_order(struct seam_lane_batch *m, struct seam_worker *w,
-		      const struct seam_order *o, struct seam_job *j,
-		      seam_time now)
+		      struct seam_order *o, struct seam_job *j, seam_time now)
 {
 	const struct seam_lane_clock *node = &lane_of(w)->clock;
 	seam_time valid = seam_election_valid_until(w->sched->election);
@@ -199,6 +198,8 @@
 	const struct seam_job_task_state *t;
 	const struct seam_run_slot *r;
 
+	o->number = ++w->sched->orders_sent;
+	to->number = o->number;
 	to->key = w->self.bits;
 	to->stop = o->kind == SEAM_ORDER_STOP;
 	g_strlcpy(to->task, o->name, sizeof(to->task));
@@ -347,8 +348,7 @@
 	for (at = w->sent.head; at; at = at->next) {
 		struct seam_order *o = at->data;
 
-		if (o->run == v->run && !strcmp(o->name, v->task) &&
-		    (o->kind == SEAM_ORDER_STOP) == v->stop) {
+		if (o->number == v->order) {
 			g_queue_delete_link(&w->sent, at);
 			return o;
 		}
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -15,6 +15,7 @@
 	FakeRunners *node = w.add_node();
 	seam_dispatch *d = node->dispatch;
 	seam_err e = SEAM_ERR_INIT;
+	uint64_t orders = 0; // number of the latest
 
 	// Sends a batch that assigns worker "a" under key 7.
 	int open(uint64_t token, uint64_t number, bool first = true,
@@ -37,6 +38,7 @@
 		seam_lane_batch b = {{token, number}, false, nullptr, 0, &o, 1};
 		int rc;
 
+		o.number = ++orders;
 		o.key = 7;
 		snprintf(o.task, sizeof(o.task), "%s", task);
 		o.run = 1;
@@ -96,7 +98,7 @@
 	EXPECT_EQ(v->failed, SEAM_OK);
 	EXPECT_EQ(v->outcome, SEAM_ORDER_DONE);
 	EXPECT_EQ(v->key, 7u);
-	EXPECT_STREQ(v->task, "t");
+	EXPECT_EQ(v->order, orders);
 	v = next(1, 1, SEAM_LANE_LISTED, &seen);
 	ASSERT_NE(v, nullptr);
 	EXPECT_EQ(v->listing.runs + v->listing.ends, 1u);
@@ -129,7 +131,7 @@
 		ASSERT_EQ(start(1, 1, task.c_str()), 0);
 		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
 		ASSERT_NE(v, nullptr);
-		EXPECT_STREQ(v->task, task.c_str());
+		EXPECT_EQ(v->order, orders);
 		EXPECT_EQ(threads(), idle + 1);
 		for (int k = 0; k < 200 && threads() > idle; k++) {
 			next(1, 1, SEAM_LANE_LISTED, &seen);
@@ -418,8 +420,8 @@
 
 static bool same(const seam_lane_order &x, const seam_lane_order &y)
 {
-	return x.key == y.key && x.stop == y.stop && !strcmp(x.task, y.task) &&
-	       x.run == y.run &&
+	return x.number == y.number && x.key == y.key && x.stop == y.stop &&
+	       !strcmp(x.task, y.task) && x.run == y.run &&
 	       !strcmp(x.text ? x.text : "", y.text ? y.text : "") &&
 	       !strcmp(x.checkpoint, y.checkpoint) &&
 	       x.lease_until == y.lease_until && x.send_by == y.send_by &&
@@ -446,9 +448,9 @@
 	x[0] = {1, "id", "10.0.0.1:80", 900, 5, 77, false, 12};
 	x[1] = {2, "", "", 901, 6, 78, false, 13};
 	x[2] = {3, "", "", 0, 0, 0, true, 0};
-	o[0] = {1,    false, "t.0.1.2", 30001, (char *)"text \"q\"",
-		"cp", 950,   5000,	6000,  true};
-	o[1] = {2, true, "u", 2, nullptr, "", 0, 7000, 8000};
+	o[0] = {21,   1,   false, "t.0.1.2", 30001, (char *)"text \"q\"",
+		"cp", 950, 5000,  6000,	     true};
+	o[1] = {22, 2, true, "u", 2, nullptr, "", 0, 7000, 8000};
 	size_t len = 0;
 	char *text = seam_lane_batch_encode(&b, &len);
 	ASSERT_NE(text, nullptr);
@@ -545,8 +547,8 @@
 
 	x[0] = {1, "id", "10.0.0.1:80", 900, 5, 77, false, 12};
 	x[1] = {3, "", "", 0, 0, 0, true, 0};
-	o[0] = {1, false, "t.0.1.2", 30001, (char *)"text"};
-	o[1] = {2, true, "u", 2, nullptr, "", 0, 7000, 8000};
+	o[0] = {21, 1, false, "t.0.1.2", 30001, (char *)"text"};
+	o[1] = {22, 2, true, "u", 2, nullptr, "", 0, 7000, 8000};
 	v[0].listing = {123, 456, &run, 1, &end, 1};
 	v[1].kind = SEAM_LANE_SILENT;
 	v[2].kind = SEAM_LANE_ANSWERED;
@@ -570,7 +572,7 @@
 	// Of earlier versions, one of them in JSON, and of a later one.
 	expect_no_crash("{\"workers\":[],\"orders\":[]}", true);
 	for (std::string text : whole)
-		for (char format : {2, 100}) {
+		for (char format : {2, 3, 100}) {
 			text[1] = format;
 			expect_no_crash(text, true);
 		}
@@ -646,9 +648,7 @@
 	v[1].outcome = SEAM_ORDER_WRONG_INCARNATION;
 	snprintf(v[1].why, sizeof(v[1].why), "timeout");
 	v[2] = {3, SEAM_LANE_ANSWERED, 13};
-	snprintf(v[2].task, sizeof(v[2].task), "x");
-	v[2].run = 9;
-	v[2].stop = true;
+	v[2].order = 9;
 	v[2].unknown = true;
 	v[2].lease_ms = 3150;
 	v[2].outcome = SEAM_ORDER_STALE_RUN;
@@ -673,8 +673,7 @@
 	EXPECT_EQ(got.event[2].lease_ms, 3150);
 	EXPECT_STREQ(got.event[1].why, "timeout");
 	EXPECT_EQ(got.event[2].key, 13u);
-	EXPECT_EQ(got.event[2].run, 9);
-	EXPECT_TRUE(got.event[2].stop);
+	EXPECT_EQ(got.event[2].order, 9u);
 	EXPECT_TRUE(got.event[2].unknown);
 	EXPECT_EQ(got.event[2].outcome, SEAM_ORDER_STALE_RUN);
 	seam_lane_events_free(&got);
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -56,6 +56,8 @@
 	static constexpr int64_t LEASE_MAX_MS = 6000;
 	std::atomic<bool> fail_all{false};
 	std::atomic<int> start_ms{0}; // duration of a start
+	std::atomic<bool> no_room{false}; // starts are refused
+	std::atomic<int> refusals{0}; // of those
 	std::atomic<int> stop_ms{0}; // duration of a stop
 	// Time from the answer to a stop until its run ends.
 	std::atomic<int> stopping_ms{0};
--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <random>
 
+#include "process/scheduler_impl.h"
 #include "tests/owner.h"
 
 struct Lanes : ::testing::Test {
@@ -308,3 +309,77 @@
 	usleep(500000);
 	EXPECT_LE(n->start_sent_at, seam_election_valid_until(&o.election));
 }
+
+// Guards against a run given up while its start is under way: the answer to an
+// order was taken for that to a later one.
+TEST_F(Lanes, AnswerCountsForItsOwnOrderOnly)
+{
+	FakeRunners *n = w.add_node();
+	FakeWorker *both[] = {w.add_worker("a"), w.add_worker("b")};
+
+	w.runners.unreachable_workers = {"a", "b"};
+	Owner o(&w, "n1");
+	o.start_renewals();
+	// Returns the worker that awaits an answer, with the lock held.
+	auto waiting = [&] {
+		seam_handle h = SEAM_HANDLE_NONE;
+		seam_worker *x;
+
+		while ((x = (seam_worker *)seam_table_next(o.sched->workers,
+							   &h)))
+			if (x->sent.length)
+				break;
+		return x;
+	};
+	// Returns when the start of the run was queued, with the lock held.
+	auto queued_at = [&] {
+		return scheduler_find_job(o.sched, ID)
+			->task[0][0]
+			.run[0]
+			.sent_at;
+	};
+	ASSERT_TRUE(eventually([&] {
+		pthread_mutex_lock(&o.sched->lock);
+		int served = 0;
+		seam_handle h = SEAM_HANDLE_NONE;
+		while (auto *x = (seam_worker *)seam_table_next(
+			       o.sched->workers, &h))
+			served += x->lane == 1 && x->answered;
+		pthread_mutex_unlock(&o.sched->lock);
+		return served == 2;
+	}));
+	n->hold_events = true;
+	for (auto *x : both)
+		x->no_room = true;
+	w.job(ID, 1, "lasts");
+	ASSERT_TRUE(eventually(
+		[&] { return both[0]->refusals + both[1]->refusals > 0; }));
+	for (auto *x : both) {
+		x->no_room = false;
+		x->start_ms = 600;
+	}
+	usleep(50000);
+	pthread_mutex_lock(&o.sched->lock);
+	seam_worker *x = waiting();
+	seam_time first = queued_at();
+	if (x) {
+		/* It leaves the lane and is given back to it. */
+		int lane = x->lane;
+
+		scheduler_lane_release(x);
+		x->lane = lane;
+		scheduler_lane_wake(x);
+	}
+	pthread_mutex_unlock(&o.sched->lock);
+	ASSERT_NE(x, nullptr);
+	ASSERT_TRUE(eventually([&] { return w.starting > 0; }));
+	usleep(200000);
+	n->hold_events = false;
+	usleep(2000000);
+	EXPECT_EQ(w.running(), 1u);
+	EXPECT_EQ(max_starts(), 1);
+	EXPECT_EQ(w.twice, 0);
+	pthread_mutex_lock(&o.sched->lock);
+	EXPECT_EQ(queued_at(), first);
+	pthread_mutex_unlock(&o.sched->lock);
+}
--- a/tests/owner.h
+++ b/tests/owner.h
@@ -58,6 +58,8 @@
 	if (l->fail_if_cut(e) ||
 	    l->real->ops->poll(l->real, p, &events, deadline, e))
 		return -1;
+	while (l->node->hold_events)
+		usleep(1000);
 	size_t len = 0;
 	char *text = seam_lane_events_encode(
 		&events, arrived, seam_dispatch_now(l->node->dispatch), &len);
--- a/tests/world.h
+++ b/tests/world.h
@@ -56,6 +56,7 @@
 	// Time for which batches with orders are on their way.
 	std::atomic<int> orders_delay_ms{0};
 	std::atomic<int> delayed_orders{0}; // that have arrived
+	std::atomic<bool> hold_events{false}; // they do not reach the owner yet
 	std::atomic<seam_time> start_sent_at{0}; // latest, by World::clock
 	std::atomic<bool> cut{false}; // owners cannot reach the node
 	std::atomic<bool> cut_answers{false}; // answers to owners are lost
@@ -357,6 +358,11 @@
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	}
 	*clock_ms = w->clock_ms();
+	if (w->no_room) {
+		w->refusals++;
+		*outcome = SEAM_ORDER_NO_ROOM;
+		return 0;
+	}
 	*outcome = ((FakeRunner *)r)->world->begin(w, l, start, &began);
 	if (w->lose_new && began)
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
