scheduler: take no proof from a listing that was not read

An owner could take an unchanged listing whose runs it did not know for an answer of the worker with a later token. A next owner then started inherited tasks elsewhere before it had read what the worker runs, and an owner gave up a run without an answer before its lease had expired.

Cause: scheduler_hold_answered() set answered_token and contacted before it looked whether the listing can be applied. By reading, such a listing comes from the earlier entry of a worker that has left a lane and is given back to it within a session: the full one before it arrived while the worker was on another lane.

Change: both are set only with a listing in full, or with an unchanged one whose runs are known.

--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -96,14 +96,16 @@
 	const struct seam_listing *l = &v->listing;
 	seam_time now = seam_now(sched->clock);
 	uint64_t token = v->token ? v->token : sched->term;
+	bool read = !v->unchanged || w->listing_known;
 	bool fenced;
 
 	if (!scheduler_accept_listing(w, l->process_start_ms, v->sent_at)) {
 		w->listing_known = false;
 		return;
 	}
-	fenced = token >= w->token;
-	if (token > w->answered_token)
+	/* What a listing proves holds only with the runs that it has. */
+	fenced = read && token >= w->token;
+	if (read && token > w->answered_token)
 		w->answered_token = token;
 	w->heard_at = now;
 	if ((fenced && !w->contacted) || !w->answered)
@@ -119,7 +121,7 @@
 	update_clock(w, l->clock_ms, now);
 	if (!v->unchanged)
 		scheduler_apply_listing(sched, w, l, v->sent_at);
-	else if (w->listing_known)
+	else if (read)
 		scheduler_apply_unchanged(sched, w, v->sent_at);
 }
 
--- a/tests/scheduler_restart_test.cc
+++ b/tests/scheduler_restart_test.cc
@@ -282,6 +282,79 @@
 	});
 }
 
+// Guards against a second run: an unchanged listing that the next owner cannot
+// read was taken for one without the run.
+TEST_F(Restart, UnreadListingSettlesNoWorker)
+{
+	FakeWorker *a = w.add_worker("a");
+	{
+		Owner o(&w, "n1");
+
+		o.start_renewals();
+		w.job(ID, 1, "lasts");
+		ASSERT_TRUE(eventually([&] { return w.running() == 1; }));
+	}
+	a->unresponsive = true;
+	w.row("a", "p", 8000, "d1", true);
+	w.add_worker("b");
+	Owner o(&w, "n2");
+	o.start_renewals();
+	ASSERT_TRUE(worker_becomes(o, "b", [&](seam_worker *x) {
+		return scheduler_worker_usable(x, seam_now(w.clock));
+	}));
+	with_worker(o, "a", [&](seam_worker *x) {
+		seam_lane_event v = {};
+
+		v.unchanged = true;
+		v.sent_at = seam_now(w.clock);
+		v.listing.process_start_ms = a->born;
+		v.listing.clock_ms = a->clock_ms();
+		scheduler_hold_answered(x, &v);
+		EXPECT_FALSE(x->contacted);
+	});
+	usleep(500000);
+	EXPECT_EQ(w.twice, 0);
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+}
+
+// Guards against a run that is given up before its lease has expired: an
+// unchanged listing that was not read was taken for a refusal of its start.
+TEST_F(Restart, UnreadListingRefusesNoStart)
+{
+	FakeWorker *a = w.add_worker("a");
+	Owner o(&w, "n1");
+
+	o.start_renewals();
+	w.job(ID, 1, "lasts");
+	ASSERT_TRUE(worker_becomes(o, "a", [&](seam_worker *x) {
+		return x->task_refs->len && w.running() == 1;
+	}));
+	with_worker(o, "a", [&](seam_worker *x) {
+		seam_time now = seam_now(w.clock);
+		seam_job *j = scheduler_find_job(o.sched, ID);
+		seam_run_slot *r = &j->task[0][0].run[0];
+		const scheduler_run_ref at = {j, 0, 0, r};
+		seam_lane_event v = {};
+
+		/* Its start got no answer, and it was not listed. */
+		scheduler_run_set_state(o.sched, r, SEAM_RUN_UNCONFIRMED);
+		r->listed_at = 0;
+		r->clock_known = false;
+		r->late_until = now + LATE_ORDER_MAX - 4 * SEAM_SEC;
+		r->late_token = x->token;
+		/* The worker has changed its lane. */
+		x->listing_known = false;
+		v.unchanged = true;
+		v.sent_at = now;
+		v.token = x->token + 1;
+		v.listing.process_start_ms = a->born;
+		v.listing.clock_ms = a->clock_ms();
+		scheduler_hold_answered(x, &v);
+		EXPECT_GT(x->lease_end, now);
+		EXPECT_GE(scheduler_run_lease_end(x, &at), x->lease_end);
+	});
+}
+
 // Guards against a lease by the clock of the earlier process.
 TEST_F(Restart, LeaseFromAHoldForAnEarlierProcessIsWaitedOut)
 {
