workers: one whose address another worker has is over

What callers saw: a task with a start without an answer waited 6 s and more for a worker whose address already belonged to another id, and the owner polled that address each 50 ms for as long as the old row was there.

Cause: a poll that is answered by another incarnation (421) lost the runs of the worker, and nothing else.

Change: it ends the life of the worker as a VM list with another worker does. A list brings it back only if it was requested later.

Why it works: late starts go to that address and name the old id, so they are refused; the old id appears nowhere else. A row that gives it another address makes another entry, as before.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -371,7 +371,7 @@
  * @named_by_list: a list of this term named it as the worker of its VM
  * @vm_was_empty: the list showed that the process which it had, when it was
  *     found or last heard, has ended
- * @kept_until: its entry stays until then, as no late start of it is waited for
+ * @gone_at: when another worker was found on its VM or at its address, or 0
  * @retired: it has to be removed from the table
  * @process_known_at: when its current process was first seen
  * @past_process_ms: start times of its latest processes before the current one
@@ -425,7 +425,7 @@
 	bool vm_gone;
 	bool named_by_list;
 	bool vm_was_empty;
-	seam_time kept_until;
+	seam_time gone_at;
 	bool retired;
 	seam_time process_known_at;
 	int64_t past_process_ms[SEAM_PAST_PROCESSES];
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -81,8 +81,8 @@
 
 	w->answered = false;
 	w->missed_holds = SEAM_MISSED_HOLDS_MAX;
-	if (outcome == SEAM_ORDER_WRONG_INCARNATION && w->task_refs->len)
-		scheduler_worker_lost(w, "replaced");
+	if (outcome == SEAM_ORDER_WRONG_INCARNATION)
+		scheduler_worker_replaced(w, "replaced");
 	if (outcome == SEAM_ORDER_FENCED)
 		seam_log(SEAM_WARN, "worker",
 			 "event=hold_fenced worker=%s term=%llu", w->info.id,
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -89,7 +89,7 @@
 	if (w && scheduler_worker_has_late_run(w))
 		v->up = false;
 	/* The worker still runs, or runs again under the same id. */
-	if (w && w->vm_gone && v->up) {
+	if (w && w->vm_gone && v->up && l->sched->vms_read_at >= w->gone_at) {
 		w->vm_gone = false;
 		scheduler_request_assignment(l->sched);
 	}
--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -60,15 +60,14 @@
 }
 
 /*
- * Ends the life of a worker whose VM runs another one. A late start there is
- * refused, as it names the worker that it is meant for.
+ * Ends the life of a worker in whose place another one runs. A late start there
+ * is refused, as it names the worker that it is meant for.
  */
-static void replace_worker(struct seam_worker *w)
+void scheduler_worker_replaced(struct seam_worker *w, const char *why)
 {
 	w->vm_gone = true;
-	w->kept_until =
-		seam_now(w->sched->clock) + START_SEND_MAX + LATE_ORDER_MAX;
-	scheduler_worker_lost(w, "vm_has_other_worker");
+	w->gone_at = seam_now(w->sched->clock);
+	scheduler_worker_lost(w, why);
 	scheduler_request_assignment(w->sched);
 }
 
@@ -96,7 +95,7 @@
 	if (!vm || !is_list_newer(w))
 		return;
 	if (*vm->worker && strcmp(vm->worker, w->info.id))
-		replace_worker(w);
+		scheduler_worker_replaced(w, "vm_has_other_worker");
 	/* It may start again under its id, and carry out late starts then. */
 	if (is_empty(vm)) {
 		w->vm_was_empty = true;
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -435,8 +435,10 @@
 
 	if (w->listed || w->retired)
 		return w->retired;
-	return !w->task_refs->len && now > w->unlisted_at + ROW_GONE_AFTER &&
-	       now > w->kept_until;
+	/* Late starts of one that is over are not waited for. */
+	if (w->gone_at && now <= w->gone_at + START_SEND_MAX + LATE_ORDER_MAX)
+		return false;
+	return !w->task_refs->len && now > w->unlisted_at + ROW_GONE_AFTER;
 }
 
 /* Removes runs and workers that are over from the tables. */
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -838,6 +838,29 @@
 	EXPECT_EQ(b->running(), 0u);
 }
 
+// Guards against a wait for a late start to an address of another worker.
+TEST_F(ListedVm, LateStartToAnAddressOfAnotherWorkerIsNotWaitedFor)
+{
+	FakeWorker *b = keep_starts_on_a("20000");
+
+	list_fails = true;
+	a->replaced = true;
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2500));
+}
+
+// Guards against polls of an address that another worker has.
+TEST_F(ListedVm, AddressOfAnotherWorkerIsNotPolled)
+{
+	a->replaced = true;
+	ASSERT_TRUE(worker_becomes(o, "a",
+				   [](seam_worker *x) { return x->vm_gone; }));
+	list("a", "a2", SEAM_PHASE_UP);
+	usleep(1500000);
+	int polls = a->polls;
+	usleep(1500000);
+	EXPECT_EQ(a->polls, polls);
+}
+
 // Guards against a pool that waits after a takeover for a worker that is over.
 TEST_F(SchedulerVms, ReplacedWorkerKeepsNoPoolFromStartingAfterATakeover)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -436,6 +436,10 @@
 	}
 	if (!w->is_up())
 		return seam_fail(e, SEAM_UNAVAILABLE, "connection refused");
+	if (w->replaced) {
+		*outcome = SEAM_ORDER_WRONG_INCARNATION;
+		return 0;
+	}
 	if (w->holds++ % w->answers_one_in)
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	if (w->is_kept()) {
