vms: read the VM list more often while a silent worker is waited for

What callers saw: the list was read every 0.8 s on 49 VMs, and every 2 s on 125 and more, so that tasks waited that much longer for a worker that was over.

Change: while a worker that does not answer has runs or late starts, or may run tasks of the term before, the list is awaited as after an order: every 4 ms for each VM, 1 s at most.

Evidence: ListedVm.ListIsReadOftenWhileRunsOfASilentWorkerAreWaitedFor failed 2 of 2 times before.

--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -274,6 +274,7 @@
 /* The VM list beside the workers */
 void scheduler_check_vm_workers(struct seam_scheduler *sched);
 void scheduler_worker_replaced(struct seam_worker *w, const char *why);
+bool scheduler_waits_for_silent_worker(struct seam_scheduler *sched);
 bool scheduler_may_run_prior_tasks(const struct seam_worker *w);
 
 /* VM management, called without the lock */
--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -113,6 +113,27 @@
 	return !w->contacted && !w->vm_gone && !w->vm_was_empty;
 }
 
+/*
+ * Whether tasks wait for a worker that does not answer: for its runs, its late
+ * starts, or what it may run of the previous term.
+ */
+bool scheduler_waits_for_silent_worker(struct seam_scheduler *sched)
+{
+	seam_time now = seam_now(sched->clock);
+	struct seam_handle h = SEAM_HANDLE_NONE;
+	const struct seam_worker *w;
+
+	while ((w = seam_table_next(sched->workers, &h))) {
+		if (w->answered || w->vm_gone || w->retired)
+			continue;
+		if (w->task_refs->len || now < w->late_until ||
+		    (now <= sched->prior_leases_until &&
+		     scheduler_may_run_prior_tasks(w)))
+			return true;
+	}
+	return false;
+}
+
 static void note_named_workers(struct seam_scheduler *sched)
 {
 	size_t i;
--- a/process/scheduler_vms.c
+++ b/process/scheduler_vms.c
@@ -42,8 +42,8 @@
 }
 
 /*
- * Whether a VM was ordered and the list does not show the result yet, or a wave
- * is under way.
+ * Whether a VM was ordered and the list does not show the result yet, a wave is
+ * under way, or the list may show that a worker is over which is waited for.
  */
 static bool is_list_awaited(struct seam_scheduler *sched)
 {
@@ -56,7 +56,7 @@
 	while (g_hash_table_iter_next(&i, NULL, (gpointer *)&o))
 		if (sched->vms_read_at < o->busy_until)
 			return true;
-	return false;
+	return scheduler_waits_for_silent_worker(sched);
 }
 
 /* Whether the list is to be read again. */
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -872,3 +872,27 @@
 {
 	expect_start_after_takeover("", SEAM_PHASE_DOWN);
 }
+
+// Guards against a list that is read too seldom to spare a wait.
+TEST_F(ListedVm, ListIsReadOftenWhileRunsOfASilentWorkerAreWaitedFor)
+{
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+		for (int i = 0; i < 200; i++)
+			w.vm.push_back(w.vm[0]);
+		for (size_t i = 1; i < w.vm.size(); i++) {
+			snprintf(w.vm[i].vm, SEAM_NAME_SIZE, "vm-%zu", i);
+			w.vm[i].worker[0] = '\0';
+			w.vm[i].state = SEAM_PHASE_DOWN;
+		}
+	}
+	run_on_a("lasts");
+	usleep(2000000);
+	int before = lists_asked;
+	usleep(3000000);
+	EXPECT_LE(lists_asked - before, 2);
+	before = lists_asked;
+	a->unresponsive = true;
+	usleep(2600000);
+	EXPECT_GE(lists_asked - before, 3);
+}
