pass: a start beside a worker that is over is no risk

Change: they are neither counted nor logged.

Evidence: ListedVm.StartBesideAReplacedWorkerIsNotCounted failed 2 of 2 times before.

--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -355,16 +355,16 @@
 {
 	const struct seam_worker *late = scheduler_late_worker(p->sched, t);
 
-	if (!late || late == w)
+	if (!late || late == w || late->vm_gone)
 		return;
 	seam_metric_add(&beside_late, 1);
 	seam_log(SEAM_WARN, "job",
 		 "event=start_beside_late task=%s run=%lld worker=%s "
-		 "late_worker=%s answered=%d draining=%d listed=%d gone=%d "
+		 "late_worker=%s answered=%d draining=%d listed=%d "
 		 "process=%lld late_left_ms=%lld",
 		 o->name, (long long)o->run, w->info.id, late->info.id,
 		 late->answered, late->info.draining, late->listed,
-		 late->vm_gone, (long long)late->info.process_start_ms,
+		 (long long)late->info.process_start_ms,
 		 (long long)(t->late_until - p->now) / SEAM_MSEC);
 }
 
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -702,6 +702,20 @@
 	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2500));
 }
 
+// Guards against a count of second runs that can't come.
+TEST_F(ListedVm, StartBesideAReplacedWorkerIsNotCounted)
+{
+	FakeWorker *b = keep_starts_on_a("20000");
+
+	testing::internal::CaptureStderr();
+	replace_a();
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }));
+	std::string log = testing::internal::GetCapturedStderr();
+
+	EXPECT_EQ(count(log, "event=life_over worker=a"), 1u);
+	EXPECT_EQ(count(log, "event=start_beside_late"), 0u);
+}
+
 // Guards against the same wait at the next owner.
 TEST_F(ListedVm, LateStartOnAReplacedWorkerIsNotLeftToTheNextOwner)
 {
