scheduler: keep the entry of a worker while a start may come late there

Callers saw a task run twice: after a cut of more than 4.5 s the row of a worker is gone, and its entry was removed 2.5 s later, as soon as no run was left. Its next process was then not polled before its row had come back and been read, up to 2 s, where a known worker is polled within 0.5 s; the task had lost the worker of its late start, so that it came back under another run number, and the process ran both.

An entry stays, is served by a lane and is polled until no start without an answer can come any more (w->late_until), unless its VM was moved or maintained. Late starts that the owner before has left count as well.

A row with another address ended all runs at once, without a look at leases, and made a new entry. The entry is kept now and polled at the address of the row. A row with a later process counts as a restart as before; one that does not tell its process does so, too.

--- a/process/scheduler_assign.c
+++ b/process/scheduler_assign.c
@@ -125,12 +125,16 @@
 		 (unsigned long long)sched->term);
 }
 
-/* Whether the worker left with its VM and no run is recorded there. */
+/*
+ * Whether the worker left with its VM, and no run is recorded there or may
+ * begin.
+ */
 static bool needs_no_lane(const struct seam_worker *w)
 {
 	return w->vm_gone ||
 	       (!w->listed && !w->answered && !w->task_refs->len &&
-		!scheduler_pending_orders(w));
+		!scheduler_pending_orders(w) &&
+		!scheduler_worker_may_start_late(w));
 }
 
 static void assign_workers(struct seam_scheduler *sched)
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -194,6 +194,7 @@
 void scheduler_queue_order(struct seam_worker *w, const struct seam_order *o);
 size_t scheduler_pending_orders(const struct seam_worker *w);
 void scheduler_drop_orders(struct seam_worker *w);
+bool scheduler_worker_may_start_late(const struct seam_worker *w);
 bool scheduler_worker_has_late_run(const struct seam_worker *w);
 seam_time scheduler_late_wait(const struct seam_job_task_state *t,
 			      const struct seam_run_slot *r, bool lasting,
--- a/process/scheduler_inherit.c
+++ b/process/scheduler_inherit.c
@@ -67,9 +67,11 @@
 }
 
 static void bind_late_start(struct seam_job_task_state *t,
-			    struct seam_worker *w)
+			    struct seam_worker *w, seam_time late_until)
 {
 	t->late_worker = w->self;
+	if (late_until > w->late_until)
+		w->late_until = late_until;
 	/* A worker that can't be asked has its longest lease from then on. */
 	w->heard_at = w->sched->opened_at;
 }
@@ -89,7 +91,7 @@
 		if (strcmp(a->worker, w->info.id))
 			continue;
 		if (t && seam_now(w->sched->clock) < t->late_until)
-			bind_late_start(t, w);
+			bind_late_start(t, w, t->late_until);
 		g_array_remove_index_fast(list, i);
 	}
 }
@@ -122,7 +124,7 @@
 	if (t->late_until >= e->until)
 		return;
 	if (w)
-		bind_late_start(t, w);
+		bind_late_start(t, w, e->until);
 	else
 		add_absent_late_start(sched, e->worker, j, step, task);
 	t->late_until = e->until;
--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -336,6 +336,15 @@
 	return w->orders.length + w->sent.length;
 }
 
+/*
+ * Whether a process of the worker may carry out a late start. Nothing runs on a
+ * worker whose VM was moved or maintained.
+ */
+bool scheduler_worker_may_start_late(const struct seam_worker *w)
+{
+	return !w->vm_gone && seam_now(w->sched->clock) < w->late_until;
+}
+
 /*
  * Whether the worker may run a late start that the owner has not seen: its
  * process has not answered yet, and does not refuse starts for earlier ones.
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -174,6 +174,22 @@
 		 w->info.draining, w->answered);
 }
 
+/*
+ * Serves the worker at the address of its latest row. A row that does not tell
+ * its process may be of another one.
+ */
+static void change_address(struct seam_worker *w,
+			   const struct seam_worker_info *info)
+{
+	seam_log(SEAM_INFO, "worker",
+		 "event=address_changed worker=%s from=%s to=%s runs=%u",
+		 w->info.id, w->info.addr, info->addr, w->task_refs->len);
+	if (!info->process_start_ms)
+		scheduler_worker_restarted(w, 0, "address");
+	scheduler_lane_release(w);
+	scheduler_request_assignment(w->sched);
+}
+
 static void update_worker(struct seam_scheduler *sched, struct seam_worker *w,
 			  const struct seam_worker_info *info)
 {
@@ -185,12 +201,8 @@
 	w->listed = true;
 	if (!scheduler_accept_row(w, info))
 		return;
-	if (strcmp(info->addr, w->info.addr)) {
-		scheduler_worker_lost(w, "moved");
-		retire(sched, w);
-		scheduler_worker_add(sched, info);
-		return;
-	}
+	if (strcmp(info->addr, w->info.addr))
+		change_address(w, info);
 	process_start_ms = w->info.process_start_ms;
 	w->info = *info;
 	w->info.process_start_ms = process_start_ms;
@@ -427,7 +439,8 @@
 
 /*
  * Whether the worker is gone. A row also expires while the worker still runs,
- * so its leases have to expire first.
+ * so its leases have to expire first, and its next process has to be polled
+ * while it may carry out a late start.
  */
 static bool is_finished(struct seam_scheduler *sched, struct seam_worker *w)
 {
@@ -438,7 +451,8 @@
 	/* Late starts of one that is over are not waited for. */
 	if (w->gone_at && now <= w->gone_at + START_SEND_MAX + LATE_ORDER_MAX)
 		return false;
-	return !w->task_refs->len && now > w->unlisted_at + ROW_GONE_AFTER;
+	return !w->task_refs->len && now > w->unlisted_at + ROW_GONE_AFTER &&
+	       !scheduler_worker_may_start_late(w);
 }
 
 /* Removes runs and workers that are over from the tables. */
--- a/tests/scheduler_late_start_test.cc
+++ b/tests/scheduler_late_start_test.cc
@@ -358,3 +358,102 @@
 	EXPECT_TRUE(becomes("failed", 20000));
 	EXPECT_EQ(w.started(task(0, 0)), 3);
 }
+
+// A silent worker without a row that may carry out a start of a task; the task
+// has no run any more.
+struct RowGone : LateStart {
+	int64_t number = 0;
+	int64_t sent_us = 0;
+
+	void SetUp() override
+	{
+		keep_starts(100000, "lasts");
+		a->unresponsive = true;
+		w.store.del("workers/a");
+		{
+			std::lock_guard<std::mutex> l(a->lock);
+
+			number = a->late.back().run;
+			sent_us = a->late.back().sent_us;
+		}
+		usleep(7000000);
+		a->late_starts = 0;
+		bool entry = false;
+
+		with_worker(o, "a", [&](seam_worker *x) {
+			entry = x && !x->task_refs->len;
+		});
+		EXPECT_TRUE(entry);
+	}
+};
+
+// Guards against a new process that is not polled before its row is read.
+TEST_F(RowGone, NextProcessIsPolledWhileAStartMayComeLate)
+{
+	int64_t since = FakeWorker::us();
+
+	a->restart();
+	a->unresponsive = false;
+	EXPECT_TRUE(restart_is_seen(o, a));
+	EXPECT_LT(FakeWorker::us() - since, 1000000);
+}
+
+// Guards against a second number on a worker whose row has come back.
+TEST_F(RowGone, TaskGoesBackUnderItsNumber)
+{
+	a->restart();
+	w.row("a", "p", 8000, "d1", false);
+	a->unresponsive = false;
+	ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+	std::lock_guard<std::mutex> l(a->lock);
+	EXPECT_EQ(a->runs[0].run, number);
+}
+
+// Guards against an entry that stays for good.
+TEST_F(RowGone, EntryIsRemovedWhenNoStartCanComeAnyMore)
+{
+	EXPECT_TRUE(eventually(
+		[&] {
+			bool entry = true;
+
+			with_worker(o, "a", [&](seam_worker *x) { entry = x; });
+			return !entry;
+		},
+		(int)((sent_us - FakeWorker::us()) / 1000) + 16000));
+	EXPECT_GT(FakeWorker::us() - sent_us, 12000000);
+}
+
+// Guards against a second run at once as a worker tells another address.
+TEST_F(LateStart, RunOfAWorkerWithAnotherAddressIsKept)
+{
+	o.start_renewals();
+	ASSERT_TRUE(restart_is_seen(o, a));
+	w.job(ID, 1, "lasts");
+	ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+	add_usable(o, "b");
+	a->unresponsive = true;
+	w.row("a", "p", 8000, "d1", false, "elsewhere");
+	usleep(1000000);
+	EXPECT_EQ(w.twice, 0);
+	a->unresponsive = false;
+	ASSERT_TRUE(worker_becomes(o, "a", [](seam_worker *x) {
+		return !strcmp(x->info.addr, "elsewhere") && x->answered;
+	}));
+	expect_no_second_run();
+	EXPECT_EQ(a->running(), 1u);
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+}
+
+// Guards against two numbers for one task on a worker that restarts at another
+// address.
+TEST_F(LateStart, RestartAtAnotherAddressKeepsTheNumber)
+{
+	keep_starts(START_ATTEMPTS, "lasts");
+	int64_t run = latest_kept_run();
+
+	a->restart();
+	w.row("a", "p", 8000, "d1", false, "elsewhere");
+	ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+	std::lock_guard<std::mutex> l(a->lock);
+	EXPECT_EQ(a->runs[0].run, run);
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -136,14 +136,16 @@
 		vm.push_back(v);
 		return w;
 	}
-	// Puts the row of a worker in the format of read_worker().
+	// Puts the row of a worker in the format of read_worker(). Its address
+	// is its id unless @addr is given.
 	void row(const std::string &id, const std::string &pool, int64_t cpu,
-		 const std::string &dc, bool draining)
+		 const std::string &dc, bool draining,
+		 const std::string &addr = "")
 	{
 		store.put("workers/" + id,
 			  pool + " " + std::to_string(cpu) + " " + dc + " " +
 				  std::to_string(workers[id]->born) + " " +
-				  (draining ? "1" : "0"));
+				  (draining ? "1" : "0") + " " + addr);
 	}
 	void config(int64_t limit_cpu = 0, bool second_pool = false)
 	{
@@ -551,8 +553,8 @@
 	snprintf(w->id, SEAM_NAME_SIZE, "%s", strrchr(key, '/') + 1);
 	snprintf(w->addr, SEAM_NAME_SIZE, "%s", w->id);
 	snprintf(w->vm, SEAM_NAME_SIZE, "vm-%.50s", w->id);
-	if (sscanf(text, "%63s %lld %63s %lld %d", w->pool, &cpu, w->dc, &born,
-		   &draining) != 5)
+	if (sscanf(text, "%63s %lld %63s %lld %d %63s", w->pool, &cpu, w->dc,
+		   &born, &draining, w->addr) < 5)
 		return seam_fail(e, SEAM_BAD_REQUEST, "broken row");
 	w->capacity = {cpu, 100000, 0};
 	w->process_start_ms = born;
