scheduler: an answer that shows a restart is read as of the new process

An unchanged listing could count as read for the process before: whether the owner has the full one was looked up before a restart that the same answer shows was handled. Found by reading; nodes report the first listing of a process in full, so no run is known to have been lost by it. The order is the one in which the state changes now.

--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -96,13 +96,14 @@
 	const struct seam_listing *l = &v->listing;
 	seam_time now = seam_now(sched->clock);
 	uint64_t token = v->token ? v->token : sched->term;
-	bool read = !v->unchanged || w->listing_known;
 	bool fenced;
+	bool read;
 
 	if (!scheduler_accept_listing(w, l->process_start_ms, v->sent_at)) {
 		w->listing_known = false;
 		return;
 	}
+	read = !v->unchanged || w->listing_known;
 	/* What a listing proves holds only with the runs that it has. */
 	fenced = read && token >= w->token;
 	if (read && token > w->answered_token)
