tests: batches that are under way when a term is released

The next owner opens its term at once then, while a node may still send the starts of such a batch. No second run shows: the owner's last row has these starts, and a worker that the next owner has polled refuses them.

--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -383,3 +383,70 @@
 	EXPECT_EQ(queued_at(), first);
 	pthread_mutex_unlock(&o.sched->lock);
 }
+
+// Guards against a second run of a task whose start is under way when its owner
+// releases the term.
+TEST_F(Lanes, DelayedBatchOfAReleasedTermStartsNothingTwice)
+{
+	Owner o(&w, "n1", create_fleet(2, 10, 4));
+	FakeRunners *n = w.nodes[0];
+
+	o.start_renewals();
+	w.job(ID, 80, "300");
+	ASSERT_TRUE(job_completes());
+	ASSERT_GT(n->start_sent_at, 0);
+	n->orders_delay_ms = 500;
+	w.job("00000000000000f2", 80, "lasts");
+	usleep(200000);
+	o.stop_renewals();
+	seam_scheduler_stop(o.sched);
+	seam_election_release(&o.election);
+	Owner next(&w, "n2", 500, nullptr, true);
+	next.start_renewals();
+	ASSERT_TRUE(eventually([&] { return n->delayed_orders > 0; }));
+	ASSERT_TRUE(eventually([&] { return w.running() == 80; }));
+	usleep(500000);
+	EXPECT_EQ(w.running(), 80u);
+	EXPECT_EQ(w.twice, 0);
+}
+
+// Guards against the same on workers that the next owner does not reach.
+TEST_F(Lanes, DelayedBatchOfAReleasedTermToUnreachedWorkers)
+{
+	Owner o(&w, "n1", create_fleet(2, 10, 4));
+	FakeRunners *n = w.nodes[0];
+
+	o.start_renewals();
+	w.job(ID, 80, "300");
+	ASSERT_TRUE(job_completes());
+	ASSERT_GT(n->start_sent_at, 0);
+	n->orders_delay_ms = 500;
+	w.job("00000000000000f2", 80, "lasts");
+	usleep(200000);
+	pthread_mutex_lock(&o.sched->lock);
+	{
+		std::lock_guard<std::mutex> l(w.runners.processor);
+		seam_handle h = SEAM_HANDLE_NONE;
+
+		while (auto *x = (seam_worker *)seam_table_next(
+			       o.sched->workers, &h))
+			if (x->lane == 1)
+				w.runners.unreachable_workers.insert(
+					x->info.id);
+	}
+	pthread_mutex_unlock(&o.sched->lock);
+	ASSERT_GT(w.runners.unreachable_workers.size(), 0u);
+	o.stop_renewals();
+	seam_scheduler_stop(o.sched);
+	seam_election_release(&o.election);
+	for (int i = 0; i < 6; i++)
+		w.add_worker("x" + std::to_string(i));
+	Owner next(&w, "n2", 500, nullptr, true);
+	next.start_renewals();
+	ASSERT_TRUE(eventually([&] { return n->delayed_orders > 0; }));
+	usleep(200000);
+	EXPECT_EQ(w.running(), 80u);
+	usleep(8000000);
+	EXPECT_EQ(w.running(), 80u);
+	EXPECT_EQ(w.twice, 0);
+}
