vm_plan: VMs with lasting tasks stay in their pools during a wave

Nearly all VMs with lasting tasks had counted as without room elsewhere, so that moves passed them over.

A VM with lasting tasks is not taken for another pool while a wave has VMs left. struct seam_plan_vm tells them from those without room elsewhere (pinned).

--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -140,7 +140,9 @@
 bool scheduler_room_elsewhere(struct seam_scheduler *sched,
 			      const struct seam_job *j, int step,
 			      const struct seam_worker *except);
-/* Number of lasting runs on @w for which no other worker has room now. */
+/* Number of lasting runs on @w. */
+int scheduler_lasting_runs(struct seam_worker *w);
+/* Number of those for which no other worker has room now. */
 int scheduler_pinned_runs(struct seam_worker *w);
 /* Keeps tasks that end off the worker that has room for @step the soonest. */
 void scheduler_reserve_worker(struct seam_scheduler *sched,
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -97,7 +97,8 @@
 		v->runs =
 			(int)(w->task_refs->len + scheduler_pending_orders(w) +
 			      scheduler_open_ends(w));
-		v->lasting = v->up ? scheduler_pinned_runs(w) : 0;
+		v->lasting = scheduler_lasting_runs(w);
+		v->pinned = v->up ? scheduler_pinned_runs(w) : 0;
 		v->leaving = l->now < w->leaving_until || w->info.draining;
 		v->usable = w->listed && w->contacted && !w->info.draining &&
 			    !w->vm_gone && !out;
--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -70,6 +70,24 @@
 	return s.found;
 }
 
+static void count_lasting(struct seam_worker *w,
+			  const struct scheduler_run_ref *at, void *arg)
+{
+	int *n = arg;
+
+	(void)w;
+	*n += at->job->row.spec.step[at->step].lasting &&
+	      !seam_job_finished(at->job->row.state);
+}
+
+int scheduler_lasting_runs(struct seam_worker *w)
+{
+	int n = 0;
+
+	scheduler_for_each_run(w, count_lasting, &n);
+	return n;
+}
+
 static void count_pinned(struct seam_worker *w,
 			 const struct scheduler_run_ref *at, void *arg)
 {
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -57,7 +57,7 @@
 	if (v->leaving || !v->usable)
 		shortage = 0;
 	return (shortage > 0 ? 100 * shortage / pool->have : 0) +
-	       10 * v->lasting + v->runs;
+	       10 * v->pinned + v->runs;
 }
 
 static struct seam_plan_vm *next_for_maintenance(struct seam_plan *p)
@@ -145,14 +145,27 @@
 	return n;
 }
 
+static bool wave_has_vms_left(const struct seam_plan *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->vms; i++)
+		if (p->vm[i].due)
+			return true;
+	return false;
+}
+
 /*
  * Returns a VM that pool @to may take: from standby first, then from a pool
  * above its target; there idle VMs come before those that run tasks. A VM with
- * long-running tasks that have no room elsewhere is never taken.
+ * long-running tasks that have no room elsewhere is never taken, and none with
+ * long-running tasks during a wave: their availability budgets allow few
+ * evictions at a time, and the wave has a deadline.
  */
 static struct seam_plan_vm *find_donor(struct seam_plan *p, int to,
 				       bool for_late_jobs)
 {
+	bool wave = wave_has_vms_left(p);
 	struct seam_plan_vm *best = NULL;
 	int least = 0;
 	size_t i;
@@ -169,7 +182,8 @@
 			if (!v->leaving &&
 			    pool->have <= target_size(pool, for_late_jobs))
 				continue;
-			if (v->lasting || (for_late_jobs && v->runs))
+			if (v->pinned || (wave && v->lasting) ||
+			    (for_late_jobs && v->runs))
 				continue;
 			cost += pool->have > pool->all ? 1000 : 2000;
 			cost += v->leaving ? 0 : 10000 * v->runs;
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -28,7 +28,8 @@
  *            answered yet
  * @dc_unreachable: most workers of its data centre do not answer
  * @runs: tasks running on it
- * @lasting: long-running tasks among them for which no other worker has room
+ * @lasting: long-running tasks among them
+ * @pinned: those for which no other worker has room
  * @leaving: it has been draining since an earlier plan
  * @due: the current wave still has to maintain it
  * @action: result, enum seam_vm_action
@@ -43,6 +44,7 @@
 	bool dc_unreachable;
 	int runs;
 	int lasting;
+	int pinned;
 	bool leaving;
 	bool due;
 	int action;
@@ -95,7 +97,8 @@
  * standby pool, then from pools that have more than such jobs need there. The
  * rest goes to late jobs, and VMs that no pool needs go to the standby pool. A
  * wave takes the VMs with the least impact on their pools first, as many at
- * once as needed to end by its deadline.
+ * once as needed to end by its deadline. While it has VMs left, only it takes
+ * those with long-running tasks.
  */
 void seam_vm_plan(struct seam_plan *p);
 
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -184,7 +184,7 @@
 TEST_F(Plan, RunningTasksAreNotInterrupted)
 {
 	add(4, A, 2);
-	vm[0].lasting = 1;
+	vm[0].lasting = vm[0].pinned = 1;
 	want(A, 0);
 	want(B, 4);
 	plan();
@@ -193,6 +193,25 @@
 	EXPECT_EQ(vm[0].action, SEAM_VM_KEEP);
 }
 
+// Guards against a wave that ends late as moves use up the availability budgets
+// of the tasks on its VMs.
+TEST_F(Plan, MovesLeaveLastingTasksToAWave)
+{
+	add(4, A, 2);
+	vm[0].lasting = vm[1].lasting = 1;
+	vm[0].due = true;
+	want(A, 0);
+	want(B, 4);
+	p.wave = {0, 0, 60};
+	plan();
+	EXPECT_EQ(vm[0].action, SEAM_VM_KEEP);
+	EXPECT_EQ(vm[1].action, SEAM_VM_KEEP);
+	EXPECT_EQ(count(SEAM_VM_DRAIN), 2);
+	vm[0].due = false;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_DRAIN), 4);
+}
+
 // Guards against draining VMs in turn without ever completing one: a drain that
 // was started continues.
 TEST_F(Plan, StartedDrainContinues)
@@ -271,6 +290,7 @@
 			v.usable = v.pool != STANDBY && pick(5) > 0;
 			v.runs = v.pool == STANDBY ? 0 : pick(3);
 			v.lasting = v.runs ? pick(2) : 0;
+			v.pinned = v.lasting ? pick(2) : 0;
 			v.leaving = pick(6) == 0;
 			v.due = pick(3) == 0;
 			vm.push_back(v);
