scheduler_room: a worker with all it may have of a step is no room

A lasting task of a step with maxPerServer waited for ever in a pool full of short tasks: the worker that was reserved for it already had as many tasks of the step as it may have, and the one that could run it got short tasks. A VM also counted as free to leave with a task that no other worker may run.

scheduler_room_elsewhere() and scheduler_reserve_worker() went by room and label alone. They count the tasks of the step on the worker now, as a pass does.

--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -27,6 +27,8 @@
 struct search {
 	struct seam_scheduler *sched;
 	const struct seam_worker *except;
+	struct seam_handle job;
+	int step_index;
 	const struct seam_step *step;
 	struct seam_resources need;
 	seam_time now;
@@ -34,6 +36,22 @@
 	bool found;
 };
 
+/* Whether @w has as many tasks of the step as it may have. */
+static bool has_all_of_step(const struct search *s, const struct seam_worker *w)
+{
+	int64_t same = 0;
+	guint i;
+
+	for (i = 0; i < w->task_refs->len && s->step->per_worker; i++) {
+		const struct seam_task_ref *r =
+			&g_array_index(w->task_refs, struct seam_task_ref, i);
+
+		same += seam_handle_eq(r->job, s->job) &&
+			r->step == s->step_index;
+	}
+	return s->step->per_worker && same >= s->step->per_worker;
+}
+
 static bool check_candidate(struct seam_handle h, void *arg)
 {
 	struct search *s = arg;
@@ -45,7 +63,7 @@
 	free = scheduler_worker_free(w);
 	s->found = scheduler_worker_usable(w, s->now) &&
 		   s->now >= w->no_room_until && seam_fits(&s->need, &free) &&
-		   holds_label(w, s->step->label) &&
+		   holds_label(w, s->step->label) && !has_all_of_step(s, w) &&
 		   !seam_op_state_is_evacuated(s->sched->op_state, w->info.dc);
 	return s->found || --s->left <= 0;
 }
@@ -57,6 +75,8 @@
 	const struct seam_step *t = &j->row.spec.step[step];
 	struct search s = {.sched = sched,
 			   .except = except,
+			   .job = j->self,
+			   .step_index = step,
 			   .step = t,
 			   .need = scheduler_step_need(t),
 			   .now = seam_now(sched->clock),
@@ -167,7 +187,7 @@
 	if (!w || !scheduler_worker_usable(w, s->now) || !w->listed ||
 	    seam_op_state_is_evacuated(s->sched->op_state, w->info.dc) ||
 	    !holds_label(w, s->step->label) || w->reserved_at == s->now ||
-	    !fits_beside_lasting(w, &s->need))
+	    has_all_of_step(s, w) || !fits_beside_lasting(w, &s->need))
 		return false;
 	missing = missing_share(w, &s->need);
 	/* The one that was reserved before has become emptier since. */
@@ -185,6 +205,8 @@
 {
 	const struct seam_step *t = &j->row.spec.step[step];
 	struct reservation r = {.search = {.sched = sched,
+					   .job = j->self,
+					   .step_index = step,
 					   .step = t,
 					   .need = scheduler_step_need(t),
 					   .now = now}};
--- a/tests/scheduler_room_test.cc
+++ b/tests/scheduler_room_test.cc
@@ -71,4 +71,58 @@
 	add_usable(o, "c");
 	EXPECT_TRUE(eventually([&] { return pinned(o, "a") == 0; }));
 }
+
+// Guards against a worker that is reserved in vain, as it has as many tasks of
+// the step as it may have, while short tasks keep the other one full.
+TEST_F(Scheduler, ReservedWorkerMayRunTheTask)
+{
+	w.add_worker("b", "p", 16000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	ASSERT_TRUE(worker_becomes(o, "b", [](seam_worker *x) {
+		x->shunned_until = SEAM_NEVER; // only lasting tasks
+		return true;
+	}));
+	FakeWorker *a = add_usable(o, "a");
+	for (int i = 0; i < 8; i++)
+		w.job("00000000000000b" + std::to_string(i), 1,
+		      std::to_string(300 + 150 * i));
+	w.job(SHORT_ID, 200, "700");
+	ASSERT_TRUE(eventually([&] { return a->running() == 8; }));
+	w.job(ID, 2, "lasts", 1, [](seam_step *s) {
+		s->need.cpu = 8000;
+		s->per_worker = 1;
+	});
+	EXPECT_TRUE(eventually(
+		[&] {
+			return w.started(task(0, 0)) + w.started(task(0, 1)) ==
+			       2;
+		},
+		4000));
+}
+
+// Guards against a VM that is taken for another pool with a task that no other
+// worker may run, as each has one of its step.
+TEST_F(Scheduler, TasksOfAStepWithoutAnotherWorkerAreCounted)
+{
+	auto pinned = [&](Owner &o, const char *id) {
+		int n = -1;
+
+		with_worker(o, id, [&](seam_worker *x) {
+			n = scheduler_pinned_runs(x);
+		});
+		return n;
+	};
+
+	w.add_worker("a");
+	w.add_worker("b");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 2, "lasts", 1, [](seam_step *s) { s->per_worker = 1; });
+	EXPECT_TRUE(eventually([&] { return w.running() == 2; }));
+	EXPECT_EQ(pinned(o, "a"), 1);
+	EXPECT_EQ(pinned(o, "b"), 1);
+	add_usable(o, "c");
+	EXPECT_TRUE(eventually([&] { return pinned(o, "a") == 0; }));
+}
 } // namespace
