VM orders: only the order itself waits for ends that are not stored

Moves were put off by a survey each: an end that is not stored, or whose acknowledgement has not been sent, counted as a run in the plan as well. The acknowledgement need not be waited for: the next owner reads an end that is stored, so the task does not start again, whatever becomes of its worker.

The check is made once, when the order is sent; an order that is not sent is planned again, and the worker gets no new tasks meanwhile.

--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -256,8 +256,6 @@
 void scheduler_apply_unchanged(struct seam_scheduler *sched,
 			       struct seam_worker *w, seam_time sent_at);
 void scheduler_ack_ends(struct seam_scheduler *sched, struct seam_worker *w);
-/* Ends of which the worker may have the only copy, so that it has to stay. */
-size_t scheduler_open_ends(const struct seam_worker *w);
 
 /* Load; scheduler_log_load() logs at most one line a second */
 void scheduler_job_delayed(struct seam_job *j, enum seam_delay reason,
--- a/process/scheduler_listing.c
+++ b/process/scheduler_listing.c
@@ -349,13 +349,6 @@
 		scheduler_lane_update(w);
 }
 
-/* Ends that are not stored yet; one if only their acknowledgement waits. */
-size_t scheduler_open_ends(const struct seam_worker *w)
-{
-	return w->uncommitted_ends->len ? w->uncommitted_ends->len :
-					  w->acked != w->acked_sent;
-}
-
 static void list_again(struct seam_worker *w,
 		       const struct scheduler_run_ref *at, void *arg)
 {
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -95,8 +95,7 @@
 	}
 	if (w) {
 		v->runs =
-			(int)(w->task_refs->len + scheduler_pending_orders(w) +
-			      scheduler_open_ends(w));
+			(int)(w->task_refs->len + scheduler_pending_orders(w));
 		v->lasting = scheduler_lasting_runs(w);
 		v->pinned = v->up ? scheduler_pinned_runs(w) : 0;
 		v->leaving = l->now < w->leaving_until || w->info.draining;
--- a/process/scheduler_vm_orders.c
+++ b/process/scheduler_vm_orders.c
@@ -126,9 +126,10 @@
 	seam_time until;
 	int rc;
 
-	if ((w &&
-	     (w->task_refs->len || scheduler_pending_orders(w) ||
-	      scheduler_open_ends(w) || scheduler_worker_has_late_run(w))) ||
+	/* Ends that are not stored are only on the worker. */
+	if ((w && (w->task_refs->len || w->uncommitted_ends->len ||
+		   scheduler_pending_orders(w) ||
+		   scheduler_worker_has_late_run(w))) ||
 	    !seam_election_is_owner(sched->election, seam_now(sched->clock))) {
 		set_vm_order(sched, t->vm, 0, "", seam_now(sched->clock));
 		return;
