dispatch: apply a batch that is repeated once

A batch from the owner to a node that serves workers is sent with libcurl as well, which sends it again on another connection when the one that it reused breaks before the answer.

Cause: the node applied the batch a second time and queued its orders twice. The owner takes one answer to each number, the first. What became of the second start was lost: without an answer it may be carried out up to 12 s later, and the owner did not count with it.

Change: a batch whose orders the node has in this session is answered and not applied. Orders of a session have rising numbers.

Why it works: batches of a session are sent one after the other by one thread, so a batch with a number that is not later is the one before. The batch may not be sent once, as a connection that was closed while idle would then end the session.

--- a/process/dispatch.c
+++ b/process/dispatch.c
@@ -167,6 +167,7 @@
 		d->session = *s;
 		d->session_ended = false;
 		d->last_event = 0;
+		d->last_order = 0;
 		seam_metric_add(&sessions, 1);
 		seam_log(SEAM_INFO, "dispatch",
 			 "event=session term=%llu number=%llu",
@@ -177,6 +178,16 @@
 	return 0;
 }
 
+/*
+ * Whether the batch has been applied: libcurl sends it again if the connection
+ * breaks before the answer. The owner takes one answer to each order.
+ */
+static bool is_repeated(const struct seam_dispatch *d,
+			const struct seam_lane_batch *b)
+{
+	return b->orders && b->order[b->orders - 1].number <= d->last_order;
+}
+
 int seam_dispatch_apply(struct seam_dispatch *d, struct seam_lane_batch *b,
 			struct seam_err *e)
 {
@@ -185,10 +196,16 @@
 
 	pthread_mutex_lock(&d->lock);
 	rc = accept_session(d, &b->session, b->first, e);
+	if (!rc && is_repeated(d, b)) {
+		pthread_mutex_unlock(&d->lock);
+		return 0;
+	}
 	for (i = 0; !rc && i < b->workers; i++)
 		apply_worker(d, &b->worker[i]);
 	for (i = 0; !rc && i < b->orders; i++)
 		apply_order(d, &b->order[i]);
+	if (!rc && b->orders)
+		d->last_order = b->order[b->orders - 1].number;
 	pthread_mutex_unlock(&d->lock);
 	return rc;
 }
--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -74,6 +74,7 @@
  * @lock: guards all members below
  * @session: the latest session; its token is 0 before the first
  * @session_ended: @session has ended
+ * @last_order: number of the latest order of the session
  * @owner_seen_at: time of the latest message from the owner
  * @workers: struct seam_dispatch_worker
  * @worker_by_key: the owner's handle of a worker to its entry
@@ -90,6 +91,7 @@
 	pthread_mutex_t lock;
 	struct seam_lane_session session;
 	bool session_ended;
+	uint64_t last_order;
 	seam_time owner_seen_at;
 	struct seam_table *workers;
 	GHashTable *worker_by_key;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -104,6 +104,28 @@
 	EXPECT_EQ(v->listing.runs + v->listing.ends, 1u);
 }
 
+// Guards against orders of a batch that libcurl repeats on another connection.
+TEST_F(Dispatch, RepeatedBatchSendsItsOrdersOnce)
+{
+	uint64_t seen = 0;
+	int answers = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	ASSERT_EQ(start(1, 1, "t"), 0);
+	orders--;
+	ASSERT_EQ(start(1, 1, "t"), 0);
+	ASSERT_EQ(start(1, 1, "u"), 0);
+	for (int i = 0; i < 2; i++) {
+		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+
+		ASSERT_NE(v, nullptr);
+		answers += v->order == 1;
+	}
+	EXPECT_EQ(answers, 1);
+	EXPECT_EQ(w.started("u"), 1);
+}
+
 static int threads()
 {
 	DIR *d = opendir("/proc/self/task");
