election: a node that told an owner that it is lost waits for that term

What callers saw: nothing yet; found by reading. While the store is away for all, an owner asks all nodes, and its term is valid for 1.3 s from the question if each says that it does not reach the store. A node says so 0.7 s after the last call that the store served, but observes the term anew only after a gap of 1 s between two reads. After an outage of 0.7 to 1 s it counted the heartbeat as silent from before the outage, and claimed the term at once while the owner, which the store still turned away, had been told to go on. The same after a claim that the store carried out late: the node read its own name, and claimed. In both cases two owners decided for up to 1.3 s, and the second one waited for leases as of the time before the extension, so that it started inherited tasks beside runs on workers that it did not reach.

Cause: the node did not remember its own word.

Change: it notes when it has told another that it is lost, does not claim a term with an owner before 1.7 s after that, and counts orders of the owner until 1.3 s after it.

Evidence: with the note ignored, the two new tests of election_test fail, 1 of 1: the claim succeeds while the owner's term is valid; with it they pass, 1 of 1. election_test and relay_test pass.

Why it works: the owner extends its term from the time of its question, which is before the answer. An outage of more than 1 s costs nothing more, as the node observes the term for 1.7 s from its return anyway.

--- a/process/election.c
+++ b/process/election.c
@@ -140,6 +140,19 @@
 	return until > l->own_orders_until ? until : l->own_orders_until;
 }
 
+void seam_election_note_told_lost(struct seam_election *l, seam_time at)
+{
+	l->told_lost_at = at;
+	if (at && l->orders_until < at + SEAM_ELECTION_TERM_VALIDITY)
+		l->orders_until = at + SEAM_ELECTION_TERM_VALIDITY;
+}
+
+/* Whether an owner may have extended its term by the word of this node. */
+static bool may_be_extended(const struct seam_election *l, seam_time now)
+{
+	return l->told_lost_at && now < l->told_lost_at + SEAM_ELECTION_TIMEOUT;
+}
+
 /* Records the rows and returns whether the term may be claimed. */
 static bool observe_term(struct seam_election *l, const struct seam_row *owner,
 			 const struct seam_row *heartbeat)
@@ -170,12 +183,12 @@
 		l->orders_until = l->heartbeat_seen_at;
 		return true;
 	}
-	if (ours) {
-		l->orders_until = own_term_orders_until(l);
-		return true;
-	}
-	l->orders_until = l->heartbeat_seen_at + SEAM_ELECTION_TERM_VALIDITY;
-	return now >= l->heartbeat_seen_at + SEAM_ELECTION_TIMEOUT;
+	l->orders_until =
+		ours ? own_term_orders_until(l) :
+		       l->heartbeat_seen_at + SEAM_ELECTION_TERM_VALIDITY;
+	seam_election_note_told_lost(l, l->told_lost_at);
+	return !may_be_extended(l, now) &&
+	       (ours || now >= l->heartbeat_seen_at + SEAM_ELECTION_TIMEOUT);
 }
 
 static int claim(struct seam_election *l, struct seam_err *e)
--- a/process/election.h
+++ b/process/election.h
@@ -65,6 +65,8 @@
  *                was none
  * @own_orders_until: this node sends no order of its latest term after this
  *     time; 0 before the first
+ * @told_lost_at: when this node last told an owner that it does not reach the
+ *     store; 0 before the first time
  * @started_at: time of seam_election_init()
  * @delay_claim: delay the claim so that a node with more CPU can claim first
  * @claimable_since: since when the term has been claimable; 0 if it is not
@@ -83,6 +85,7 @@
 	seam_time read_at;
 	seam_time orders_until;
 	seam_time own_orders_until;
+	seam_time told_lost_at;
 	seam_time started_at;
 	bool delay_claim;
 	seam_time claimable_since;
@@ -93,6 +96,16 @@
 void seam_election_init(struct seam_election *l, struct seam_store *s,
 			struct seam_clock *k, const char *node);
 
+/**
+ * seam_election_note_told_lost() - note when this node last told an owner that
+ * it does not reach the store
+ * @at: that time; 0 before the first
+ *
+ * The owner may extend its term by SEAM_ELECTION_TERM_VALIDITY then. Call it
+ * before and after a claim.
+ */
+void seam_election_note_told_lost(struct seam_election *l, seam_time at);
+
 /**
  * seam_election_try_claim() - read the rows and claim the term if it has
  * expired
--- a/process/platform_node.c
+++ b/process/platform_node.c
@@ -182,6 +182,12 @@
 	seam_scheduler_close(sched);
 }
 
+static void note_told_lost(struct seam_platform_node *n)
+{
+	seam_election_note_told_lost(
+		&n->election, seam_store_relay_told_lost_at(n->ports.store));
+}
+
 static void run_term(struct seam_platform_node *n)
 {
 	struct opening o = {
@@ -192,6 +198,7 @@
 		.err = SEAM_ERR_INIT};
 	bool owned;
 
+	note_told_lost(n);
 	seam_metric_add(&terms, 1);
 	seam_log(SEAM_INFO, "owner",
 		 "event=term_claimed term=%llu since_prior_orders_ms=%lld",
@@ -227,6 +234,7 @@
 		seam_err_clear(&e);
 		n->election.delay_claim =
 			seam_store_relay_has_larger(n->ports.store);
+		note_told_lost(n);
 		if (seam_op_state_ready(&n->op_state) &&
 		    seam_election_try_claim(&n->election, &e))
 			run_term(n);
--- a/process/store_relay.c
+++ b/process/store_relay.c
@@ -327,24 +327,45 @@
 	return &r->local.store;
 }
 
-static void serve_state(struct seam_call *c, void *arg)
+bool seam_store_relay_is_unreachable(struct seam_store *base)
+{
+	struct relay *r = (struct relay *)base;
+	bool lost;
+
+	pthread_mutex_lock(&r->lock);
+	lost = r->down && seam_now(r->clock) > r->ok_at + LOST_AFTER;
+	pthread_mutex_unlock(&r->lock);
+	return lost;
+}
+
+/* Whether the store is lost, for an owner that asks: it may keep its term. */
+static bool tell_state(struct relay *r)
 {
-	bool lost = seam_store_relay_is_unreachable(arg);
+	bool lost = seam_store_relay_is_unreachable(&r->local.store);
 
+	pthread_mutex_lock(&r->lock);
+	if (lost)
+		r->told_lost_at = seam_now(r->clock);
+	pthread_mutex_unlock(&r->lock);
+	return lost;
+}
+
+static void serve_state(struct seam_call *c, void *arg)
+{
 	seam_reply_text(c, 200, "application/json",
-			lost ? "{\"store\":\"lost\"}" :
-			       "{\"store\":\"reached\"}");
+			tell_state(arg) ? "{\"store\":\"lost\"}" :
+					  "{\"store\":\"reached\"}");
 }
 
-bool seam_store_relay_is_unreachable(struct seam_store *base)
+seam_time seam_store_relay_told_lost_at(struct seam_store *base)
 {
 	struct relay *r = (struct relay *)base;
-	bool lost;
+	seam_time at;
 
 	pthread_mutex_lock(&r->lock);
-	lost = r->down && seam_now(r->clock) > r->ok_at + LOST_AFTER;
+	at = r->told_lost_at;
 	pthread_mutex_unlock(&r->lock);
-	return lost;
+	return at;
 }
 
 void seam_store_relay_serve(struct seam_store *base, struct seam_http *h)
--- a/process/store_relay.h
+++ b/process/store_relay.h
@@ -79,6 +79,12 @@
  */
 bool seam_store_relay_is_unreachable(struct seam_store *base);
 
+/**
+ * seam_store_relay_told_lost_at() - when this node last told another one that
+ * it does not reach the store; 0 before the first time
+ */
+seam_time seam_store_relay_told_lost_at(struct seam_store *base);
+
 #ifdef __cplusplus
 }
 #endif
--- a/process/store_relay_impl.h
+++ b/process/store_relay_impl.h
@@ -55,6 +55,8 @@
  * @refreshes: refreshes since they were read
  * @down: @direct did not serve the latest call
  * @probe_at: time from which a call tries @direct again
+ * @told_lost_at: when another node was last told that this one does not reach
+ *     the store
  * @ok_at: time of the latest call that was served, directly or by a peer
  */
 struct relay {
@@ -76,6 +78,7 @@
 	int refreshes;
 	bool down;
 	seam_time probe_at;
+	seam_time told_lost_at;
 	seam_time ok_at;
 };
 
--- a/tests/election_test.cc
+++ b/tests/election_test.cc
@@ -199,6 +199,54 @@
 	EXPECT_FALSE(watch(1, SEAM_SEC));
 }
 
+// Guards against two owners: the term was extended by the word of the node that
+// claims it.
+TEST_F(Election, NodeThatToldThatItIsLostWatchesTheTermAnew)
+{
+	ASSERT_TRUE(attempt(0));
+	EXPECT_FALSE(watch(1, 1500 * SEAM_MSEC));
+	store.down = true;
+	pass(800 * SEAM_MSEC);
+	seam_election_note_told_lost(&node[1], clock[1].time);
+	seam_election_extend(&node[0], clock[0].time);
+	seam_time last_order = clock[0].time + SEAM_ELECTION_TERM_VALIDITY;
+
+	store.down = false;
+	pass(100 * SEAM_MSEC);
+	EXPECT_FALSE(attempt(1) && valid(0));
+	while (!attempt(1)) {
+		pass(300 * SEAM_MSEC);
+		ASSERT_LT(clock[0].time, 110 * SEAM_SEC);
+	}
+	EXPECT_FALSE(valid(0));
+	EXPECT_GE(node[1].orders_until, last_order);
+}
+
+// Guards against the same with a claim that the store carries out late.
+TEST_F(Election, LateClaimOfANodeThatToldThatItIsLostIsNotTakenUpAtOnce)
+{
+	ASSERT_TRUE(attempt(0));
+	EXPECT_FALSE(watch(1, 1500 * SEAM_MSEC));
+	store.hold_commits = 1000;
+	pass(600 * SEAM_MSEC);
+	EXPECT_FALSE(attempt(1));
+	store.hold_commits = 0;
+	pass(2 * SEAM_SEC);
+	seam_election_note_told_lost(&node[1], clock[1].time);
+	seam_election_extend(&node[0], clock[0].time);
+	seam_time last_order = clock[0].time + SEAM_ELECTION_TERM_VALIDITY;
+
+	store.put(SEAM_ELECTION_OWNER_ROW,
+		  "{\"node\":\"n1\",\"term\":2000000}");
+	EXPECT_FALSE(attempt(1) && valid(0));
+	while (!attempt(1)) {
+		pass(300 * SEAM_MSEC);
+		ASSERT_LT(clock[0].time, 110 * SEAM_SEC);
+	}
+	EXPECT_FALSE(valid(0));
+	EXPECT_GE(node[1].orders_until, last_order);
+}
+
 // Guards against the loss of a term when only the answer to a renewal is lost.
 TEST_F(Election, RenewalWithoutAnswer)
 {
