restart: the next process of a worker is not over with the one before

What callers could see: a worker whose VM was listed as empty starts again under its id after a takeover, and its pool did not wait for its first answer.

Cause: the note that its process has ended was kept over the restart.

--- a/process/scheduler_restart.c
+++ b/process/scheduler_restart.c
@@ -131,6 +131,7 @@
 	if (w->vm_gone)
 		scheduler_request_assignment(w->sched);
 	w->vm_gone = false;
+	w->vm_was_empty = false;
 	w->lease_sent_at = 0;
 	scheduler_lane_wake(w);
 	scheduler_wake_pass(w->sched);
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -817,6 +817,21 @@
 	EXPECT_EQ(w.running(), 1u);
 }
 
+// Guards against a process that counts as over as the one before it is.
+TEST_F(ListedVm, NextProcessOnAVmThatWasDownIsNotOver)
+{
+	a->unresponsive = true;
+	list("a", "", SEAM_PHASE_DOWN);
+	ASSERT_TRUE(worker_becomes(
+		o, "a", [](seam_worker *x) { return x->vm_was_empty; }));
+	list("a", "a", SEAM_PHASE_UP);
+	a->restart();
+	w.row("a", "p", 8000, "d1", false);
+	EXPECT_TRUE(worker_becomes(o, "a", [](seam_worker *x) {
+		return !x->contacted && scheduler_may_run_prior_tasks(x);
+	}));
+}
+
 // Guards against lost runs on a VM whose state has a name of a later version.
 TEST_F(ListedVm, RunsOnAVmOfUnknownStateAreKept)
 {
