--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -32,13 +32,12 @@
 {
 	const char *listed = vm ? vm->worker : "";
 	const char *state = state_name(vm);
-	bool same = !strcmp(listed, w->info.id);
 
 	if (state == w->listed_state && !strcmp(listed, w->listed_worker))
 		return;
 	w->listed_state = state;
 	g_strlcpy(w->listed_worker, listed, sizeof(w->listed_worker));
-	if (same && vm->state == SEAM_PHASE_UP)
+	if (vm && vm->state == SEAM_PHASE_UP && !strcmp(listed, w->info.id))
 		return;
 	seam_log(SEAM_INFO, "vms",
 		 "event=vm_worker_changed vm=%s worker=%s listed_worker=%s "
