lane: refuse deadlines that cannot be counted with

A node that read a deadline at the end of the range of its type computed an overflow, and its thread for orders could spin: next_order_deadline() adds to it. Since deadlines are times of the node's clock, the decoder takes them as they are.

Change: the decoder refuses times beyond a quarter of the range, as the election does with clocks of rows. A clock or a deadline before the node's epoch is allowed, as an owner without a term sends it.

--- a/connection/lane_codec.c
+++ b/connection/lane_codec.c
@@ -155,12 +155,12 @@
 	return seam_pack_finish(&p, len);
 }
 
-/* Reads the clock of a node; owners add to it and subtract from it. */
+/* Reads a time of a node's clock, which can be added to and subtracted from. */
 static seam_time unpack_clock(struct seam_unpacker *u)
 {
 	seam_time t = seam_unpack_int(u);
 
-	if (t < 0 || t > SEAM_NEVER / 4)
+	if (t < -SEAM_NEVER / 4 || t > SEAM_NEVER / 4)
 		u->malformed = true;
 	return t;
 }
@@ -211,8 +211,8 @@
 	o->key = (uint32_t)seam_unpack_uint(u);
 	seam_unpack_str(u, o->task, sizeof(o->task));
 	o->run = seam_unpack_int(u);
-	o->send_by = seam_unpack_int(u);
-	o->repeat_by = seam_unpack_int(u);
+	o->send_by = unpack_clock(u);
+	o->repeat_by = unpack_clock(u);
 	o->stop = n == STOP_LEN;
 	if (o->stop)
 		return;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -491,6 +491,26 @@
 	EXPECT_EQ(seam_lane_batch_decode(nullptr, 0, &got, &e), -1);
 }
 
+// Guards against overflows: deadlines are counted with as they are read.
+TEST_F(Dispatch, DeadlineOutOfRangeIsRefused)
+{
+	for (seam_time t : {INT64_MAX, INT64_MIN})
+		for (bool repeat : {false, true}) {
+			seam_lane_order o = {};
+			seam_lane_batch b = {{1, 1}, false, nullptr, 0, &o, 1};
+			seam_lane_batch got;
+			size_t len = 0;
+
+			o.stop = true;
+			(repeat ? o.repeat_by : o.send_by) = t;
+			char *message = seam_lane_batch_encode(&b, &len);
+			EXPECT_EQ(
+				seam_lane_batch_decode(message, len, &got, &e),
+				-1);
+			free(message);
+		}
+}
+
 // Guards against the text of a job that passes with each of its tasks: it was a
 // third of the bytes of a start.
 TEST_F(Dispatch, TextOfAJobPassesOnceInABatch)
