scheduler_room: read the runs of fewer workers

A pass in which lasting tasks wait read all runs of each worker of their pool to see what would fit beside its lasting tasks, though most of these workers need more room than one that was found before. The choice is the same. listed is part of scheduler_worker_usable().

--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -184,19 +184,20 @@
 	struct seam_worker *w = scheduler_worker(s->sched, h);
 	double missing;
 
-	if (!w || !scheduler_worker_usable(w, s->now) || !w->listed ||
+	if (!w || !scheduler_worker_usable(w, s->now) ||
 	    seam_op_state_is_evacuated(s->sched->op_state, w->info.dc) ||
-	    !holds_label(w, s->step->label) || w->reserved_at == s->now ||
-	    has_all_of_step(s, w) || !fits_beside_lasting(w, &s->need))
+	    !holds_label(w, s->step->label) || w->reserved_at == s->now)
 		return false;
 	missing = missing_share(w, &s->need);
 	/* The one that was reserved before has become emptier since. */
 	if (s->now < w->reserved_until)
 		missing -= 1;
-	if (!r->best || missing < r->missing) {
-		r->best = w;
-		r->missing = missing;
-	}
+	/* The runs of a worker are read only if it is better than the best. */
+	if ((r->best && missing >= r->missing) || has_all_of_step(s, w) ||
+	    !fits_beside_lasting(w, &s->need))
+		return false;
+	r->best = w;
+	r->missing = missing;
 	return false;
 }
 
