tests: a soak of late starts with the platform's bounds

The soak of late starts drew no start later than 5.8 s, the wait that the code covers, while users saw TWICE and the platform carries an order out 2 to 12 s late. It drew one state of a worker after another and no answered copies.

Each copy of a start without an answer now has a lateness of its own, 2 to 12 s, and goes to whichever process of its worker is up then (World::deliver_due). 24 workers keep 30, 60 or all of their starts for a while, and are cut off for 1 to 10 s, restart behind cuts and in touch, once or twice, drain, are full, in another pool, silent, unreachable from a node, without a row, or gone; owners are lost in series, half of them without the closing row. Jobs end after 0.05 to 12 s, or last with runs that end now and then.

It counts second runs beside another (of lasting and of ending tasks, of workers that were in touch but for restarts, and without a start to an earlier process), starts after an end, and lasting tasks that the users call lost (no run for 3 s after 4 s of calm beside a worker with room), with the lengths of waits, the time to the first run and the copies without an answer at that time. What both soaks share is in tests/soak.h.

--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -15,7 +15,7 @@
 #include "connection/runner.h"
 
 // A worker with its runs. The text of a run is its duration in milliseconds; a
-// run with the text "lasts" does not end.
+// run with the text "lasts" does not end, one with "fails MS" ends as failed.
 struct FakeWorker {
 	std::mutex lock;
 	std::string id;
@@ -44,8 +44,15 @@
 		uint64_t token;
 		int64_t lease_until;
 		int64_t sent_us;
+		int64_t process; // start time of the one that it was sent to
+		int64_t due_us = 0; // carried out then by World::deliver_due()
 	};
 	std::vector<LateStart> late;
+	// The users' platform carries out a late order within these times.
+	static constexpr int LATE_MIN_MS = 2000;
+	static constexpr int LATE_MAX_MS = 12000;
+	std::atomic<int> late_start_percent{0}; // part of the starts
+	std::minstd_rand late_rng; // how late each one is
 	std::vector<seam_renewal> late_holds; // kept in the same way
 	std::atomic<int> late_percent{0}; // part of the calls that are kept
 	std::minstd_rand rng;
@@ -54,6 +61,25 @@
 	{
 		return late_percent && (int)(rng() % 100) < late_percent;
 	}
+	// Keeps a start that gets no answer.
+	void keep(LateStart s)
+	{
+		int ms = LATE_MIN_MS +
+			 (int)(late_rng() % (LATE_MAX_MS - LATE_MIN_MS + 1));
+
+		s.due_us = s.sent_us + ms * 1000;
+		late.push_back(s);
+	}
+	bool is_start_kept()
+	{
+		if (late_starts > 0) {
+			late_starts--;
+			return true;
+		}
+		return is_kept() ||
+		       (late_start_percent &&
+			(int)(late_rng() % 100) < late_start_percent);
+	}
 	static constexpr int64_t LEASE_MAX_MS = 6000;
 	std::atomic<bool> fail_all{false};
 	std::atomic<int> start_ms{0}; // duration of a start
@@ -75,6 +101,9 @@
 		bool lasts;
 		int64_t began_us;
 		int64_t stopped_us = 0; // it ends then; 0 without a stop
+		// Begun by a start that was sent to an earlier process.
+		bool of_earlier = false;
+		bool fails = false;
 	};
 	struct End {
 		int64_t n;
@@ -129,8 +158,9 @@
 				 us() > runs[i].stopped_us)
 				end(i, SEAM_END_STOPPED);
 			else if (!runs[i].lasts && us() > runs[i].until_us)
-				end(i,
-				    fail_all ? SEAM_END_FAILED : SEAM_END_DONE);
+				end(i, fail_all || runs[i].fails ?
+					       SEAM_END_FAILED :
+					       SEAM_END_DONE);
 		}
 	}
 	void extend_lease(int64_t until)
@@ -169,8 +199,12 @@
 				return SEAM_ORDER_DONE;
 		if (refused.count(task) && refused[task] >= run)
 			return SEAM_ORDER_STALE_RUN;
-		runs.push_back({task, run, us() + atoll(text.c_str()) * 1000,
-				text == "lasts", us()});
+		bool fails = !text.compare(0, 6, "fails ");
+		int64_t ms = atoll(text.c_str() + (fails ? 6 : 0));
+
+		runs.push_back(
+			{task, run, us() + ms * 1000, text == "lasts", us()});
+		runs.back().fails = fails;
 		began = true;
 		return SEAM_ORDER_DONE;
 	}
--- a/tests/scheduler_soak_test.cc
+++ b/tests/scheduler_soak_test.cc
@@ -1,31 +1,15 @@
 // Random restarts of workers under the same id, beside late orders, lost nodes,
 // late rows and takeovers; with lasting tasks also workers that drain, move or
-// are gone. SEAM_SEED is the first seed, SEAM_SEEDS the number of seeds,
-// SEAM_SOAK_MS the time with faults of each.
-#include "tests/scheduler_fixture.h"
+// are gone.
+#include "tests/soak.h"
 
 #include <algorithm>
-#include <memory>
-#include <random>
 
-static long setting(const char *name, long value)
-{
-	const char *s = getenv(name);
-
-	return s ? atol(s) : value;
-}
-
-struct Soak {
+struct Soak : SoakBase {
 	static constexpr int RESTART_MS = 200;
-	World w;
-	std::mt19937 rng;
-	std::vector<std::pair<seam_time, std::function<void()>>> later;
-	std::vector<std::string> jobs;
 	std::vector<std::string> fleet; // ids of the workers with faults
-	int owners = 0;
-	std::unique_ptr<Owner> owner;
 
-	explicit Soak(unsigned seed) : rng(seed)
+	explicit Soak(unsigned seed) : SoakBase(seed)
 	{
 		for (int i = 0; i < 3; i++)
 			w.add_node();
@@ -38,14 +22,6 @@
 		}
 		take_over();
 	}
-	int between(int low, int high)
-	{
-		return low + (int)(rng() % (unsigned)(high - low + 1));
-	}
-	void after(int ms, std::function<void()> fn)
-	{
-		later.push_back({seam_now(w.clock) + ms * SEAM_MSEC, fn});
-	}
 	FakeWorker *any_worker()
 	{
 		return w.workers[fleet[(size_t)between(0,
@@ -55,13 +31,6 @@
 	{
 		return w.nodes[(size_t)between(0, 2)];
 	}
-	void take_over()
-	{
-		owner.reset();
-		std::string name = "n" + std::to_string(++owners);
-		owner.reset(new Owner(&w, name.c_str(), 24));
-		owner->start_renewals();
-	}
 	void put_row(FakeWorker *x, int64_t born)
 	{
 		if (std::find(fleet.begin(), fleet.end(), x->id) != fleet.end())
@@ -90,11 +59,9 @@
 	}
 	void submit()
 	{
-		char id[20];
+		std::string text = std::to_string(between(100, 1500));
 
-		snprintf(id, sizeof(id), "%016zx", jobs.size() + 1);
-		jobs.push_back(id);
-		w.job(id, between(1, 4), std::to_string(between(100, 1500)));
+		submit_job(between(1, 4), text);
 	}
 	void fault()
 	{
@@ -131,21 +98,6 @@
 			x->late_percent = between(0, 40);
 		}
 	}
-	void run_later()
-	{
-		seam_time now = seam_now(w.clock);
-
-		for (size_t i = 0; i < later.size();) {
-			if (now < later[i].first) {
-				i++;
-				continue;
-			}
-			auto fn = later[i].second;
-
-			later.erase(later.begin() + (long)i);
-			fn();
-		}
-	}
 	void step()
 	{
 		run_later();
@@ -153,13 +105,6 @@
 			w.deliver_late(any_worker());
 		usleep(20000);
 	}
-	bool all_completed()
-	{
-		for (auto &id : jobs)
-			if (w.state(id) != "completed")
-				return false;
-		return true;
-	}
 	void run(int ms)
 	{
 		seam_time until = seam_now(w.clock) + ms * SEAM_MSEC;
--- a/tests/world.h
+++ b/tests/world.h
@@ -4,6 +4,7 @@
 // In-memory platform behind the interfaces of the owner: a store with a change
 // feed, workers with leases and fencing tokens, and the list of VMs. Uses the
 // real clock.
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <cstring>
@@ -99,6 +100,15 @@
 	std::atomic<int> most_starting{0};
 	// Starts of a task beside another run of it, or after its end.
 	std::atomic<int> twice{0};
+	std::atomic<int> after_end{0}; // of these, those after its end
+	// Called after each start that a node has sent, each that began a run,
+	// and each that did so beside another run. @later: the worker where a
+	// process began one of the two by a start to an earlier process, or
+	// NULL.
+	std::function<void(const char *, FakeWorker *, bool answered)> on_sent;
+	std::function<void(const std::string &)> on_began;
+	std::function<void(const FakeWorker::Run &, FakeWorker *later)>
+		on_beside;
 	std::map<std::string, int64_t> latest_start_us; // by task
 	std::map<std::string, int64_t> done_us; // first noted end, by task
 	FakeRunners runners; // of the node of the owner
@@ -234,6 +244,7 @@
 	void count_start_after_end(const std::string &task)
 	{
 		twice++;
+		after_end++;
 		fprintf(stderr, "twice: task=%s was started after its end\n",
 			task.c_str());
 	}
@@ -247,9 +258,14 @@
 			count_start_after_end(task);
 	}
 	void count_twice(const FakeWorker::LateStart &s, FakeWorker *w,
-			 const FakeWorker::Run &r, FakeWorker *other)
+			 bool of_earlier, const FakeWorker::Run &r,
+			 FakeWorker *other)
 	{
 		twice++;
+		if (on_beside)
+			on_beside(r, of_earlier	  ? w :
+				     r.of_earlier ? other :
+						    nullptr);
 		fprintf(stderr,
 			"twice: task=%s run=%lld worker=%s process=%lld beside "
 			"run=%lld worker=%s process=%lld\n",
@@ -263,18 +279,23 @@
 				 const FakeWorker::LateStart &s, bool *began)
 	{
 		int64_t now = FakeWorker::us();
+		bool of_earlier = s.process != w->born;
 
 		w->began = false;
 		seam_order_outcome outcome =
 			w->begin(s.task, s.run, s.text, s.token, s.lease_until);
 		*began = w->began;
+		if (*began)
+			w->runs.back().of_earlier = of_earlier;
 		for (auto &r : w->runs)
 			if (*began && r.task == s.task && r.run != s.run)
-				count_twice(s, w, r, w);
+				count_twice(s, w, of_earlier, r, w);
 		l.unlock();
 		if (!*began)
 			return outcome;
 		count_start(s.task, now);
+		if (on_began)
+			on_began(s.task);
 		for (FakeWorker *other : all_workers()) {
 			std::lock_guard<std::mutex> guard(other->lock);
 
@@ -282,29 +303,48 @@
 			for (auto &r : other->runs)
 				if (other != w && r.task == s.task &&
 				    r.began_us <= now)
-					count_twice(s, w, r, other);
+					count_twice(s, w, of_earlier, r, other);
 		}
 		return outcome;
 	}
-	// Carries out the kept calls of @w, of the starts those that were sent
-	// by @until_us.
-	void deliver_late(FakeWorker *w, int64_t until_us = INT64_MAX)
+	// Carries out the kept calls of @w.
+	void deliver_late(FakeWorker *w)
 	{
 		std::unique_lock<std::mutex> l(w->lock);
-		std::vector<FakeWorker::LateStart> late;
-		bool began;
 
 		if (!w->is_up())
 			return;
 		for (auto &h : w->late_holds)
 			w->hold(h);
 		w->late_holds.clear();
-		late.swap(w->late);
-		for (auto &s : late) {
-			if (s.sent_us > until_us) {
-				w->late.push_back(s);
-				continue;
-			}
+		std::vector<FakeWorker::LateStart> all;
+		all.swap(w->late);
+		carry_out(w, l, all);
+	}
+	// Carries out the kept starts of @w that are due. Those that are due
+	// while no process is up are lost.
+	void deliver_due(FakeWorker *w)
+	{
+		std::unique_lock<std::mutex> l(w->lock);
+		std::vector<FakeWorker::LateStart> due;
+		int64_t now = FakeWorker::us();
+		auto first =
+			std::partition(w->late.begin(), w->late.end(),
+				       [=](auto &s) { return s.due_us > now; });
+
+		due.assign(first, w->late.end());
+		w->late.erase(first, w->late.end());
+		std::sort(due.begin(), due.end(),
+			  [](auto &s, auto &t) { return s.due_us < t.due_us; });
+		if (w->is_up())
+			carry_out(w, l, due);
+	}
+	void carry_out(FakeWorker *w, std::unique_lock<std::mutex> &l,
+		       const std::vector<FakeWorker::LateStart> &due)
+	{
+		bool began;
+
+		for (auto &s : due) {
 			begin(w, l, s, &began);
 			l.lock();
 		}
@@ -324,9 +364,9 @@
 	}
 };
 
-static int fake_start(seam_runner *r, const seam_start *s,
-		      seam_order_outcome *outcome, int64_t *clock_ms, seam_time,
-		      seam_err *e)
+static int fake_call_start(seam_runner *r, const seam_start *s,
+			   seam_order_outcome *outcome, int64_t *clock_ms,
+			   seam_err *e)
 {
 	FakeWorker *w = ((FakeRunner *)r)->w;
 
@@ -344,19 +384,18 @@
 		usleep((useconds_t)w->start_ms * 1000);
 		world->starting--;
 	}
-	FakeWorker::LateStart start = {s->task,	       s->run,
-				       s->text,	       s->token,
-				       s->lease_until, FakeWorker::us()};
 	std::unique_lock<std::mutex> l(w->lock);
+	FakeWorker::LateStart start = {
+		s->task,	s->run,		  s->text, s->token,
+		s->lease_until, FakeWorker::us(), w->born};
 	bool began;
 
 	if (w->unresponsive)
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "silent");
 	if (!w->is_up())
 		return seam_fail(e, SEAM_UNAVAILABLE, "connection refused");
-	if (w->late_starts > 0 || w->is_kept()) {
-		w->late_starts -= w->late_starts > 0;
-		w->late.push_back(start);
+	if (w->is_start_kept()) {
+		w->keep(start);
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	}
 	*clock_ms = w->clock_ms();
@@ -375,6 +414,18 @@
 	return 0;
 }
 
+static int fake_start(seam_runner *r, const seam_start *s,
+		      seam_order_outcome *outcome, int64_t *clock_ms, seam_time,
+		      seam_err *e)
+{
+	FakeRunner *f = (FakeRunner *)r;
+	int rc = fake_call_start(r, s, outcome, clock_ms, e);
+
+	if (f->world->on_sent)
+		f->world->on_sent(s->task, f->w, !rc);
+	return rc;
+}
+
 static int fake_stop(seam_runner *r, const char *task, int64_t run,
 		     uint64_t token, seam_order_outcome *outcome,
 		     seam_time deadline, seam_err *e)
