listing: a worker that may have further ends proves no run as over

What callers saw: tasks that had ended as done were started again on another place, without a fault of a worker. A worker lists 500 ends at a time and the others once these are acknowledged, and an end is acknowledged after its commit. With 600 ends on one worker while the store took no progress, each of the 100 runs whose ends were not listed was in neither list: the owner logged run_vanished and started its task again. The next owner took the first listing for all that the worker knew, and started the tasks of such ends as idle ones.

Cause: a full list of ends was read as all of them.

Change: a listing says whether there may be further ends. Then its runs and ends are applied, but a run that it lacks is kept, the poll does not count as answered with its token, and a worker found by this owner does not count as contacted. The format of messages between nodes gets a number of its own, as a node of the format before does not tell it.

Why it works: the ends that are listed are committed and acknowledged, so the others are listed within the next polls; until then the run counts as running, which also keeps its place reserved.

Open: a pool of the next owner waits for workers that were not contacted until the leases of the owner before are over, so that a store that takes no progress for 4.7 s after a takeover still leaves such starts.

--- a/connection/lane_codec.c
+++ b/connection/lane_codec.c
@@ -9,7 +9,7 @@
  * First element of each message. A node of another version refuses the message,
  * so that the owner serves its workers from elsewhere.
  */
-#define LANE_FORMAT 4
+#define LANE_FORMAT 5
 
 /* Lengths of the rows. */
 #define DROP_LEN 1
@@ -17,7 +17,7 @@
 #define WORKER_LEN 7
 #define STOP_LEN 6
 #define START_LEN 10
-#define LISTED_LEN 10
+#define LISTED_LEN 11
 #define SILENT_LEN 6
 #define ANSWERED_LEN 9
 
@@ -371,6 +371,7 @@
 	seam_pack_int(p, v->listing.process_start_ms);
 	seam_pack_uint(p, v->token);
 	seam_pack_uint(p, v->unchanged);
+	seam_pack_uint(p, v->listing.more_ends);
 	pack_listing(p, &v->listing);
 }
 
@@ -461,6 +462,7 @@
 	v->listing.process_start_ms = seam_unpack_int(u);
 	v->token = seam_unpack_uint(u);
 	v->unchanged = seam_unpack_uint(u);
+	v->listing.more_ends = seam_unpack_uint(u);
 	unpack_listing(u, &v->listing);
 }
 
--- a/connection/runner.h
+++ b/connection/runner.h
@@ -115,6 +115,8 @@
  * @runs: length of @run
  * @end: ended runs that were not acknowledged, in ascending order
  * @ends: length of @end
+ * @more_ends: there may be further ended runs, which are listed once these are
+ *     acknowledged
  */
 struct seam_listing {
 	int64_t clock_ms;
@@ -123,6 +125,7 @@
 	size_t runs;
 	struct seam_listed_end *end;
 	size_t ends;
+	bool more_ends;
 };
 
 static inline void seam_listing_free(struct seam_listing *l)
--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -29,6 +29,7 @@
  * @full_report_at: when the runs were last reported, and not only that they are
  *     unchanged
  * @order_since: an order was carried out or given up since
+ * @reported_more: that report had not all ends
  * @reported_end: number of the latest ended run that was reported
  * @acks_changed: signalled when @acked or @removed changes
  * @orders: struct seam_lane_order, in order of sending
@@ -57,6 +58,7 @@
 	uint64_t reported_token;
 	seam_time full_report_at;
 	bool order_since;
+	bool reported_more;
 	int64_t reported_end;
 	pthread_cond_t acks_changed;
 	GQueue orders;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -106,7 +106,7 @@
 			uint64_t token)
 {
 	return !w->answered || hash != w->reported_hash ||
-	       token != w->reported_token ||
+	       token != w->reported_token || l->more_ends != w->reported_more ||
 	       (l->ends && l->end[l->ends - 1].number > w->reported_end);
 }
 
@@ -192,6 +192,7 @@
 	w->reported_hash = hash;
 	w->reported_at = now;
 	w->reported_token = token;
+	w->reported_more = l->more_ends;
 	if (l->ends)
 		w->reported_end = l->end[l->ends - 1].number;
 	report_listing(w, l, changed, sent_at, token);
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -103,7 +103,8 @@
 		w->listing_known = false;
 		return;
 	}
-	read = !v->unchanged || w->listing_known;
+	/* An end that is not listed yet leaves its run out of the listing. */
+	read = (!v->unchanged || w->listing_known) && !l->more_ends;
 	/* What a listing proves holds only with the runs that it has. */
 	fenced = read && token >= w->token;
 	if (read && token > w->answered_token)
--- a/process/scheduler_listing.c
+++ b/process/scheduler_listing.c
@@ -270,11 +270,13 @@
 }
 
 /*
- * When a listing arrived, and the earliest time at which it was requested.
+ * When a listing arrived, the earliest time at which it was requested, and
+ * whether it may lack ends.
  */
 struct listing_state {
 	seam_time now;
 	seam_time sent_at;
+	bool more_ends;
 };
 
 /* Handles a run that a listing does not contain. */
@@ -318,7 +320,7 @@
 
 	if (at->run->stop && at->run->stopped_at == SEAM_NEVER)
 		scheduler_repeat_stop(w, at);
-	if (at->run->listed_at != s->now)
+	if (at->run->listed_at != s->now && !s->more_ends)
 		handle_missing_run(w, at, s);
 }
 
@@ -361,7 +363,7 @@
 void scheduler_apply_unchanged(struct seam_scheduler *sched,
 			       struct seam_worker *w, seam_time sent_at)
 {
-	struct listing_state s = {seam_now(sched->clock), sent_at};
+	struct listing_state s = {seam_now(sched->clock), sent_at, false};
 
 	scheduler_for_each_run(w, list_again, &s);
 	w->listing_at = s.now;
@@ -374,7 +376,7 @@
 			     const struct seam_listing *l, seam_time sent_at)
 {
 	seam_time now = seam_now(sched->clock);
-	struct listing_state s = {now, sent_at};
+	struct listing_state s = {now, sent_at, l->more_ends};
 	size_t *unknown;
 	size_t n = 0;
 	size_t i;
@@ -384,7 +386,7 @@
 			apply_end(sched, w, &l->end[i]);
 			w->seen_end = l->end[i].number;
 		}
-	w->listing_known = true;
+	w->listing_known = !l->more_ends;
 	w->listing_at = now;
 	unknown = g_new(size_t, l->runs + 1);
 	for (i = 0; i < l->runs; i++)
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -684,7 +684,7 @@
 	v[0].number = 1;
 	v[0].key = 11;
 	v[0].token = 14;
-	v[0].listing = {123, 456, &run, 1, &end, 1};
+	v[0].listing = {123, 456, &run, 1, &end, 1, true};
 	v[1] = {2, SEAM_LANE_SILENT, 12};
 	v[1].failed = SEAM_COMMIT_UNKNOWN;
 	v[1].outcome = SEAM_ORDER_WRONG_INCARNATION;
@@ -710,6 +710,7 @@
 	ASSERT_EQ(got.event[0].listing.ends, 1u);
 	EXPECT_EQ(got.event[0].listing.end[0].reason, SEAM_END_FAILED);
 	EXPECT_EQ(got.event[0].listing.end[0].number, 8);
+	EXPECT_TRUE(got.event[0].listing.more_ends);
 	EXPECT_EQ(got.event[1].failed, SEAM_COMMIT_UNKNOWN);
 	EXPECT_EQ(got.event[1].outcome, SEAM_ORDER_WRONG_INCARNATION);
 	EXPECT_EQ(got.event[2].lease_ms, 3150);
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -81,6 +81,7 @@
 			(int)(late_rng() % 100) < late_start_percent);
 	}
 	static constexpr int64_t LEASE_MAX_MS = 6000;
+	static constexpr size_t LISTED_ENDS_MAX = 500; // the others come later
 	std::atomic<bool> fail_all{false};
 	std::atomic<int> start_ms{0}; // duration of a start
 	std::atomic<bool> no_room{false}; // starts are refused
--- a/tests/platform_runner_test.cc
+++ b/tests/platform_runner_test.cc
@@ -83,6 +83,22 @@
 	EXPECT_STREQ(l.end[1].checkpoint, "c");
 }
 
+// Guards against a full list of ends that is taken for all ends.
+TEST_F(Runner, FullListOfEndsMayLackSome)
+{
+	std::string ends = "[1,\"j.0.1.1\",1,\"done\",\"\"]";
+
+	for (int i = 2; i < 500; i++)
+		ends += ",[" + std::to_string(i) +
+			",\"j.0.1.1\",1,\"done\",\"\"]";
+	ASSERT_EQ(list("[]", "[" + ends + "]"), 0) << e.text;
+	EXPECT_FALSE(l.more_ends);
+	ends += ",[500,\"j.0.1.1\",1,\"done\",\"\"]";
+	ASSERT_EQ(list("[]", "[" + ends + "]"), 0) << e.text;
+	EXPECT_EQ(l.ends, 500u);
+	EXPECT_TRUE(l.more_ends);
+}
+
 // Guards against a second run of a task whose run could not be read.
 TEST_F(Runner, UnreadableRunsAreNotAnEmptyListing)
 {
--- a/tests/scheduler_progress_test.cc
+++ b/tests/scheduler_progress_test.cc
@@ -176,4 +176,51 @@
 	EXPECT_EQ(w.store.get(progress_key()), "");
 	expect_starts(1, 3, 1);
 }
+
+// Runs 600 tasks to their ends on @a while no end can be stored.
+void end_more_than_are_listed(World *w, FakeWorker *a)
+{
+	w->store.hold_rows(SEAM_PROGRESS_ROW_PREFIX);
+	w->job(ID, 600, "100");
+	EXPECT_TRUE(eventually(
+		[&] {
+			std::lock_guard<std::mutex> l(a->lock);
+			a->tick();
+			return a->ends.size() >= 600;
+		},
+		20000));
+}
+
+// Guards against second starts of tasks whose ends do not fit into a listing.
+TEST_F(Scheduler, EndsThatAreNotListedYetStartNothingAgain)
+{
+	FakeWorker *a = w.add_worker("a", "p", 600000);
+	Owner o(&w, "n1");
+
+	o.start_renewals();
+	end_more_than_are_listed(&w, a);
+	usleep(1000000);
+	w.store.hold_rows("");
+	EXPECT_TRUE(becomes("completed", 20000));
+	expect_starts(1, 600, 1);
+}
+
+// Guards against the same starts by the next owner, which has no runs of them.
+TEST_F(Scheduler, NextOwnerWaitsForEndsThatAreNotListedYet)
+{
+	FakeWorker *a = w.add_worker("a", "p", 600000);
+	{
+		Owner o(&w, "n1");
+
+		o.start_renewals();
+		end_more_than_are_listed(&w, a);
+	}
+	Owner next(&w, "n2");
+
+	next.start_renewals();
+	usleep(1000000);
+	w.store.hold_rows("");
+	EXPECT_TRUE(becomes("completed", 20000));
+	expect_starts(1, 600, 1);
+}
 } // namespace
--- a/tests/world.h
+++ b/tests/world.h
@@ -516,6 +516,10 @@
 	out->end = (seam_listed_end *)calloc(w->ends.size() + 1,
 					     sizeof(seam_listed_end));
 	for (auto &x : w->ends) {
+		if (out->ends == FakeWorker::LISTED_ENDS_MAX) {
+			out->more_ends = true;
+			break;
+		}
 		seam_listed_end *o = &out->end[out->ends++];
 
 		o->number = x.n;
