inventory: an answer of no known meaning is no refusal of a VM order

What callers saw: nothing yet; found beside, which does the same for starts. An order for a VM that was answered with 500, 502 or 504, or with 409 and another reason than the platform names, counted as refused: after four of them the VM's worker got tasks again, although one of the orders may be carried out and would end them.

Cause: each status that was not known counted as an invalid order, and each reason that was not known as a VM that is busy.

--- a/tests/platform_inventory_test.cc
+++ b/tests/platform_inventory_test.cc
@@ -148,3 +148,39 @@
 	EXPECT_EQ(e.kind, SEAM_COMMIT_UNKNOWN);
 	v->ops->close(v);
 }
+
+// Guards against an answer of no known meaning that counts as a refusal of an
+// order for a VM.
+TEST(InventoryConnection, AnswerOfNoKnownMeaningIsNoRefusal)
+{
+	const std::pair<ScriptedServer::Answer, int> all[] = {
+		{{500, ""}, -1},
+		{{502, "{}"}, -1},
+		{{504, "{}"}, -1},
+		{{409, ""}, -1},
+		{{409, "{\"reason\":\"other\"}"}, -1},
+		{{409, "{\"reason\":\"busy\"}"}, SEAM_VM_BUSY},
+		{{409, "{\"reason\":\"wave\"}"}, SEAM_VM_WRONG_WAVE},
+		{{409, "{\"reason\":\"fence\"}"}, SEAM_VM_FENCED},
+		{{400, ""}, SEAM_VM_INVALID},
+		{{429, ""}, SEAM_VM_THROTTLED},
+		{{503, ""}, SEAM_VM_THROTTLED}};
+	seam_clock *k = seam_clock_boot();
+
+	for (auto &a : all) {
+		ScriptedServer server({a.first});
+		seam_inventory *v = seam_inventory_new(
+			k, ("http://" + server.addr).c_str(), "n1");
+		enum seam_vm_order_outcome outcome = SEAM_VM_DONE;
+		seam_err e = SEAM_ERR_INIT;
+		int rc = v->ops->move(v, "m-1", "p", 1, &outcome,
+				      seam_now(k) + SEAM_SEC, &e);
+
+		EXPECT_EQ(rc, a.second < 0 ? -1 : 0) << a.first.status;
+		EXPECT_EQ(e.kind, rc ? SEAM_COMMIT_UNKNOWN : SEAM_OK);
+		if (!rc) {
+			EXPECT_EQ((int)outcome, a.second) << a.first.status;
+		}
+		v->ops->close(v);
+	}
+}
