tests: a late start after a run elsewhere that is not waited for

scheduler_late_wait() gives the wait of the first late start as long as that one may come (13.7 s), also when the task was confirmed to run elsewhere since; only the confirmation of the run that got the late start itself counts.

--- a/tests/scheduler_late_start_test.cc
+++ b/tests/scheduler_late_start_test.cc
@@ -305,6 +305,31 @@
 	expect_run_on_b_is_kept();
 }
 
+// Guards against no wait for a late start where an earlier one had its wait.
+TEST_F(SecondRun, LateStartAfterARunElsewhereIsWaitedFor)
+{
+	move_to_b("lasts");
+	FakeWorker *c = add_usable(o, "c");
+
+	c->late_starts = START_ATTEMPTS;
+	usleep(500000);
+	b->restart();
+	w.row("b", "p", 500, "d1", false);
+	ASSERT_TRUE(eventually([&] {
+		std::lock_guard<std::mutex> l(c->lock);
+
+		return c->late.size() == (size_t)START_ATTEMPTS;
+	}));
+	w.row("c", "p", 500, "d1", false);
+	add_usable(o, "d");
+	usleep(2000000);
+	c->unresponsive = true;
+	c->restart();
+	w.deliver_late(c);
+	c->unresponsive = false;
+	expect_no_second_run();
+}
+
 // Guards against two failed runs that count once as their numbers are equal.
 TEST_F(LateStart, FailedRunsUnderOneNumberAreAllCounted)
 {
