vms: a worker that the list names again is polled again at once

What callers saw: nothing yet; found by reading and shown in a trial. A worker that had restarted, had starts that may come late, and had not answered since, was marked as over by a list that named another worker. When the list named it again, it was polled after 18.9 s; one of its late starts ran beside the run on another worker all that time.

Cause: the mark is cleared for VMs that may be ordered only, and a VM whose worker may run a late start is not ordered for some 20 s.

Change: the mark is cleared whenever a list from after it shows the VM as up with the worker, and no order for it is under way.

Evidence: RestartedWorkerThatIsListedAgainIsPolledAgain failed without the change, 1 of 1 (no poll in 3 s), and passes with it, 1 of 1; scheduler_vms_test as a whole passes.

Why it works: what a worker may run matters to orders for its VM, not to whether it is polled; the poll is what stops the second run.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -84,15 +84,15 @@
 	v->due =
 		l->has_wave && scheduler_wave_due(l->sched, &l->wave, info->vm);
 	v->arriving = o && l->now < o->arrival_deadline;
-	if (*info->worker && is_unconfirmed(l, w))
-		v->up = false;
-	if (w && scheduler_worker_has_late_run(w))
-		v->up = false;
 	/* The worker still runs, or runs again under the same id. */
 	if (w && w->vm_gone && v->up && l->sched->vms_read_at >= w->gone_at) {
 		w->vm_gone = false;
 		scheduler_request_assignment(l->sched);
 	}
+	if (*info->worker && is_unconfirmed(l, w))
+		v->up = false;
+	if (w && scheduler_worker_has_late_run(w))
+		v->up = false;
 	if (w) {
 		v->runs =
 			(int)(w->task_refs->len + scheduler_pending_orders(w));
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -789,6 +789,24 @@
 	EXPECT_TRUE(eventually([&] { return a->running() == 1; }));
 }
 
+// Guards against the same while a late start on its new process is possible.
+TEST_F(ListedVm, RestartedWorkerThatIsListedAgainIsPolledAgain)
+{
+	keep_starts_on_a("20000");
+	a->unresponsive = true;
+	a->restart();
+	w.row("a", "p", 8000, "d1", false);
+	ASSERT_TRUE(worker_becomes(
+		o, "a", [](seam_worker *x) { return !x->contacted; }));
+	list("a", "a2", SEAM_PHASE_UP);
+	ASSERT_TRUE(worker_becomes(o, "a",
+				   [](seam_worker *x) { return x->vm_gone; }));
+	a->unresponsive = false;
+	list("a", "a", SEAM_PHASE_UP);
+	int polls = a->polls;
+	EXPECT_TRUE(eventually([&] { return a->polls > polls; }, 3000));
+}
+
 // Guards against runs that are waited for although their VM is down.
 TEST_F(ListedVm, RunsOnAVmThatIsDownStartElsewhereBeforeTheLeaseIsOver)
 {
