pass: a VM of unknown state may run tasks of the term before

Cause: a VM in the list whose worker has no row keeps its pool from starting inherited tasks only if its state was up.

Change: what counts is that the list names a worker.

--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -81,8 +81,7 @@
 		return;
 	/* A worker whose row expired may still be running. */
 	for (i = 0; i < sched->vms; i++)
-		if (sched->vm[i].state == SEAM_PHASE_UP &&
-		    *sched->vm[i].worker &&
+		if (*sched->vm[i].worker &&
 		    !g_hash_table_contains(sched->worker_of,
 					   sched->vm[i].worker))
 			find_or_add_pool(p, sched->vm[i].pool)->settled = false;
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -943,3 +943,34 @@
 	usleep(2600000);
 	EXPECT_GE(lists_asked - before, 3);
 }
+
+// Guards against a second run at a takeover, beside one on a worker without a
+// row whose VM is in a state of a name that the owner does not know.
+TEST_F(Scheduler, VmOfUnknownStateKeepsItsPoolFromStartingAfterATakeover)
+{
+	FakeWorker *a = w.add_worker("a");
+	{
+		Owner o(&w, "n1");
+
+		o.start_renewals();
+		w.job(ID, 1, "lasts");
+		ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+		// Longer than the leases that the owner leaves to the next one.
+		usleep(7000000);
+	}
+	w.add_worker("b");
+	w.store.del("workers/a");
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+
+		for (auto &v : w.vm)
+			if (v.worker == a->id)
+				v.state = SEAM_PHASE_UNKNOWN;
+	}
+	Owner o(&w, "n2");
+
+	o.start_renewals();
+	EXPECT_TRUE(eventually([&] { return a->running() == 0; }));
+	EXPECT_TRUE(eventually([&] { return w.running() == 1; }));
+	EXPECT_EQ(w.twice, 0);
+}
