scheduler: wait for a late start as long as LOST leaves

Callers saw two runs of a task at a time: a copy of its start that got no answer was carried out up to 12 s later by a process of its worker that nobody had polled, and the task had left that worker after 6 s.

The 6 s were one price for all tasks. So process/late_wait.c decides by these:

- A task that ends waits until no start can come any more while another task of its job runs on a worker that answers, or a job was accepted within the last 2 s; else 6 s from its start as before.
When neither holds any more, it starts at once.
A worker that had answered for less than 2 s does not fall silent again.

The row owner/handover has the end of a lasting task's wait as before; the next owner applies the rule of the others itself. Rows without the member are read as before.

--- a/process/scheduler.c
+++ b/process/scheduler.c
@@ -160,6 +160,7 @@
 	sched->term = election->term;
 	sched->worker_token = sched->term;
 	sched->opened_at = seam_now(k);
+	sched->job_accepted_at = sched->opened_at;
 	sched->vm_budget_at = sched->opened_at;
 	/* Leases that the previous owner granted last have expired by then. */
 	sched->prior_leases_until =
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -80,7 +80,6 @@
  *     answer, and the worker may carry it out until then; 0 if all were
  *     answered
  * @late_token: highest fencing token of such a start
- * @confirmed: it was confirmed to run when it was dropped
  * @spent: a process of its worker has ended or refused this number, so that
  *     another start there needs a higher one
  * @earlier_process: it was started on an earlier process of its worker
@@ -101,7 +100,6 @@
 	seam_time late_stop_until;
 	seam_time late_until;
 	uint64_t late_token;
-	bool confirmed;
 	bool spent;
 	bool earlier_process;
 	int start_lane;
@@ -115,9 +113,11 @@
  * @avoid: worker on which it failed last, or that answered none of its starts
  * @not_before: earliest time of the next start
  * @listed_at: when an earlier run of it was last listed as running
+ * @ran_at: when it was last known to run, but for its runs of now
  * @late_worker: worker that may carry out a start of an earlier run
  * @late_until: until then
- * @late_wait_until: until then the task starts only as that run, on that worker
+ * @late_since: from then on it waits for that worker, on which it starts only
+ *     as that run
  * @late_token: highest fencing token of such a start
  * @late_starts: starts there without an answer
  * @late_run: number of that run, for further starts there; 0 if it is spent
@@ -129,9 +129,10 @@
 	struct seam_handle avoid;
 	seam_time not_before;
 	seam_time listed_at;
+	seam_time ran_at;
 	struct seam_handle late_worker;
 	seam_time late_until;
-	seam_time late_wait_until;
+	seam_time late_since;
 	uint64_t late_token;
 	int late_starts;
 	int64_t late_run;
@@ -338,6 +339,9 @@
  * @listed_state: state of the VM in that list; NULL before the first
  * @answered: it answered the latest hold
  * @missed_holds: holds that it did not answer since
+ * @steady_since: it has answered holds since then, without falling silent
+ * @disturbed_at: when it last fell silent after it had answered for a while, or
+ *     restarted; 0 before
  * @clock_ms: its clock at @clock_at of the owner's clock
  * @clock_at: when that answer arrived
  * @lease_end: its lease has certainly expired by then
@@ -400,6 +404,8 @@
 	const char *listed_state;
 	bool answered;
 	int missed_holds;
+	seam_time steady_since;
+	seam_time disturbed_at;
 	int64_t clock_ms;
 	seam_time clock_at;
 	seam_time lease_end;
@@ -531,6 +537,8 @@
  * @job_of: job id to its handle
  * @ended_jobs: id of a job removed from @jobs to the time of its removal,
  *     seam_time
+ * @job_accepted_at: when the latest job was accepted; before the first of this
+ *     term, its start, as jobs may have arrived until then
  * @ended_jobs_swept_at: when old entries were last removed from @ended_jobs
  * @workers: struct seam_worker
  * @worker_of: worker id to its handle
@@ -613,6 +621,7 @@
 	struct seam_table *jobs;
 	GHashTable *job_of;
 	GHashTable *ended_jobs;
+	seam_time job_accepted_at;
 	seam_time ended_jobs_swept_at;
 	struct seam_table *workers;
 	GHashTable *worker_of;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -10,6 +10,11 @@
 
 #define UNHEALTHY_BACKOFF (1 * SEAM_SEC)
 #define NO_ROOM_BACKOFF (150 * SEAM_MSEC)
+/*
+ * A worker that has answered for less than this does not fall silent again: one
+ * that answers few polls would put the end of a wait off each time.
+ */
+#define STEADY_MIN (2 * SEAM_SEC)
 
 SEAM_METRIC(no_room, "seam_starts_no_room_total",
 	    "Starts that workers refused for want of room.");
@@ -110,6 +115,8 @@
 	if (read && token > w->answered_token)
 		w->answered_token = token;
 	w->heard_at = now;
+	if (!w->contacted || w->missed_holds >= SEAM_MISSED_HOLDS_MAX)
+		w->steady_since = now;
 	if ((fenced && !w->contacted) || !w->answered)
 		scheduler_wake_pass(sched);
 	if (fenced && !w->contacted) {
@@ -127,6 +134,14 @@
 		scheduler_apply_unchanged(sched, w, v->sent_at);
 }
 
+/* What silenced the worker began after its latest answer. */
+static void note_silence(struct seam_worker *w)
+{
+	if (w->contacted && w->missed_holds == SEAM_MISSED_HOLDS_MAX &&
+	    w->heard_at >= w->steady_since + STEADY_MIN)
+		w->disturbed_at = w->heard_at;
+}
+
 void scheduler_hold_failed(struct seam_worker *w,
 			   const struct seam_lane_event *v)
 {
@@ -142,6 +157,8 @@
 	w->missed_holds = v->failed == SEAM_NO_MEMORY ? SEAM_MISSED_HOLDS_MAX :
 							w->missed_holds + 1;
 	w->answered = false;
+	if (v->failed != SEAM_NO_MEMORY)
+		note_silence(w);
 	/* Another node may reach it. */
 	if (w->missed_holds >= SEAM_MISSED_HOLDS_MAX && w->listed)
 		scheduler_lane_move(w);
--- a/process/scheduler_handover.c
+++ b/process/scheduler_handover.c
@@ -60,12 +60,22 @@
 	add_entry(h->tasks, worker, name, with);
 }
 
-/* Returns what is left of a late start that is the latest of its task. */
-static struct handover_entry late_entry(const struct seam_job_task_state *t)
+/*
+ * Returns what is left of a late start that is the latest of its task. The next
+ * owner sees for itself whether the job is at work.
+ */
+static struct handover_entry late_entry(const struct handover *h,
+					const struct seam_job *j, int step,
+					const struct seam_job_task_state *t)
 {
-	return (struct handover_entry){.until = t->late_until,
-				       .wait_until = t->late_wait_until,
-				       .run = t->late_run};
+	struct handover_entry e = {.until = t->late_until,
+				   .wait_until =
+					   t->late_since + LATE_START_WAIT,
+				   .run = t->late_run};
+
+	if (j->row.spec.step[step].lasting)
+		e.wait_until = scheduler_late_wait_end(h->sched, j, step, t);
+	return e;
 }
 
 /*
@@ -91,14 +101,12 @@
 {
 	const struct seam_job_task_state *t =
 		&at->job->task[at->step][at->task];
-	bool lasting = at->job->row.spec.step[at->step].lasting;
 	struct seam_run_slot late = *at->run;
 	struct handover_entry e = {.run = late.spent ? 0 : late.number};
 
 	late.late_until = late_start_end(h, t, at->run);
-	late.confirmed = late.confirmed || late.state == SEAM_RUN_RUNNING;
 	e.until = late.late_until;
-	e.wait_until = scheduler_late_wait(t, &late, lasting, h->now);
+	e.wait_until = scheduler_run_wait_end(w, at, &late);
 	add_task(h, at->job, at->step, at->task, w->info.id, &e);
 }
 
@@ -176,7 +184,7 @@
 {
 	const struct seam_job_task_state *t = &j->task[step][task];
 	const struct seam_worker *w = scheduler_late_worker(h->sched, t);
-	const struct handover_entry e = late_entry(t);
+	const struct handover_entry e = late_entry(h, j, step, t);
 
 	if (w && !w->vm_gone)
 		add_task(h, j, step, task, w->info.id, &e);
@@ -222,13 +230,13 @@
 			&g_array_index(list, struct seam_absent_late_start, i);
 		const struct seam_job_task_state *t =
 			handover_absent_task(h->sched, a);
+		const struct seam_job *j = scheduler_job(h->sched, a->task.job);
 		struct handover_entry e;
 
 		if (!t)
 			continue;
-		e = late_entry(t);
-		add_task(h, scheduler_job(h->sched, a->task.job), a->task.step,
-			 a->task.task, a->worker, &e);
+		e = late_entry(h, j, a->task.step, t);
+		add_task(h, j, a->task.step, a->task.task, a->worker, &e);
 	}
 }
 
@@ -251,7 +259,8 @@
 	seam_json_add_str(o, name, e->name);
 	seam_json_add_int(o, "left_ms", (e->until - since) / SEAM_MSEC + 1);
 	/* The reader knows the end of any other wait from that of the start. */
-	if (e->wait_until && e->wait_until != scheduler_late_wait_end(e->until))
+	if (e->wait_until &&
+	    e->wait_until != scheduler_late_sent_at(e->until) + LATE_START_WAIT)
 		seam_json_add_int(o, "wait_ms",
 				  e->wait_until > since ?
 					  (e->wait_until - since) / SEAM_MSEC :
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -1,6 +1,7 @@
 #ifndef SEAM_SCHEDULER_IMPL_H
 #define SEAM_SCHEDULER_IMPL_H
 
+#include "process/late_wait.h"
 #include "process/scheduler.h"
 #include "process/urgency.h"
 
@@ -26,15 +27,6 @@
 #define START_SEND_MAX (1700 * SEAM_MSEC)
 /* An order without an answer may be carried out up to this much later. */
 #define LATE_ORDER_MAX (12 * SEAM_SEC)
-/*
- * A task may run twice if it is started elsewhere while its worker may start it
- * late, so it waits for that worker until this long after the start was queued;
- * a lasting task, after the first of several.
- * The users call a lasting task lost that does not run in the last 3 of 7 calm
- * seconds; calm ends with the order that got no answer, and the next start
- * takes up to a second.
- */
-#define LATE_START_WAIT (6 * SEAM_SEC)
 /*
  * A process is polled within this time of its start: a poll that is under way
  * then takes 0.45 s, the next one follows after 0.05 s and takes 0.2 s, and its
@@ -198,18 +190,24 @@
 void scheduler_drop_orders(struct seam_worker *w);
 bool scheduler_worker_may_start_late(const struct seam_worker *w);
 bool scheduler_worker_has_late_run(const struct seam_worker *w);
-seam_time scheduler_late_wait(const struct seam_job_task_state *t,
-			      const struct seam_run_slot *r, bool lasting,
-			      seam_time now);
+seam_time scheduler_late_wait_end(struct seam_scheduler *sched,
+				  const struct seam_job *j, int step,
+				  const struct seam_job_task_state *t);
+seam_time scheduler_run_wait_end(const struct seam_worker *w,
+				 const struct scheduler_run_ref *at,
+				 const struct seam_run_slot *r);
+seam_time scheduler_late_sent_at(seam_time late_until);
+void scheduler_note_ran(struct seam_job_task_state *t,
+			const struct seam_run_slot *r);
 seam_time scheduler_unconfirmed_end(const struct seam_worker *w, bool refused,
 				    seam_time wait, seam_time late_until);
 bool scheduler_late_start_possible(struct seam_scheduler *sched,
-				   const struct seam_job_task_state *t,
-				   bool lasting);
-seam_time scheduler_late_wait_end(seam_time late_until);
+				   const struct seam_job *j, int step,
+				   const struct seam_job_task_state *t);
 struct seam_worker *scheduler_late_worker(struct seam_scheduler *sched,
 					  const struct seam_job_task_state *t);
 bool scheduler_waits_for_late_worker(struct seam_scheduler *sched,
+				     const struct seam_job *j, int step,
 				     const struct seam_job_task_state *t);
 int scheduler_task_runs(const struct seam_job_task_state *t);
 struct seam_resources scheduler_step_need(const struct seam_step *s);
--- a/process/scheduler_inherit.c
+++ b/process/scheduler_inherit.c
@@ -45,7 +45,7 @@
 	g_strlcpy(e->name, text, sizeof(e->name));
 	e->run = seam_json_int(o, "run", 0);
 	e->until = since + (left < max / SEAM_MSEC ? left * SEAM_MSEC : max);
-	e->wait_until = scheduler_late_wait_end(e->until);
+	e->wait_until = scheduler_late_sent_at(e->until) + LATE_START_WAIT;
 	if (wait >= 0 && wait < LATE_START_WAIT / SEAM_MSEC)
 		e->wait_until = since + wait * SEAM_MSEC;
 	return true;
@@ -128,9 +128,8 @@
 	else
 		add_absent_late_start(sched, e->worker, j, step, task);
 	t->late_until = e->until;
-	t->late_wait_until = e->wait_until;
-	if (t->late_wait_until > wait_max)
-		t->late_wait_until = wait_max;
+	t->late_since = (e->wait_until < wait_max ? e->wait_until : wait_max) -
+			LATE_START_WAIT;
 	t->late_run = e->run;
 	/* Every token of this term is later. */
 	t->late_token = sched->term - 1;
--- a/process/scheduler_jobs.c
+++ b/process/scheduler_jobs.c
@@ -193,6 +193,8 @@
 	j->inherited = inherited;
 	j->over_share = !inherited && exceeds_share(sched, r.spec.workspace);
 	j->accepted_at = seam_now(sched->clock) - age;
+	if (!inherited)
+		sched->job_accepted_at = j->accepted_at;
 	j->used = workspace_usage(sched, r.spec.workspace);
 	set_objective(sched, j);
 	if (alloc_tasks(j)) {
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -118,10 +118,9 @@
 	if (seam_now(sched->clock) < t->not_before)
 		return "pause";
 	*w = scheduler_late_worker(sched, t);
-	if (scheduler_late_start_possible(sched, t,
-					  j->row.spec.step[step].lasting))
+	if (scheduler_late_start_possible(sched, j, step, t))
 		return "late_start";
-	if (scheduler_waits_for_late_worker(sched, t))
+	if (scheduler_waits_for_late_worker(sched, j, step, t))
 		return "late_wait";
 	return delay[j->delay_reason];
 }
@@ -152,7 +151,8 @@
 		 w && w->info.draining, w && w->listed,
 		 w ? (long long)(w->lease_end - now) / SEAM_MSEC : 0LL,
 		 w && w->answered_token > t->late_token,
-		 ms_left(t->late_until, now), ms_left(t->late_wait_until, now),
+		 ms_left(t->late_until, now),
+		 ms_left(scheduler_late_wait_end(sched, j, step, t), now),
 		 t->late_starts);
 }
 
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -164,7 +164,8 @@
 {
 	return seam_handle_eq(c->task->late_worker, w->self) &&
 	       c->pass->now < c->task->late_until &&
-	       c->pass->now >= c->task->late_wait_until;
+	       c->pass->now >= scheduler_late_wait_end(c->pass->sched, c->job,
+						       c->step, c->task);
 }
 
 /* Describes @w for the task; false if @w can't run it. */
@@ -423,15 +424,15 @@
 			continue;
 		if (p->sched->starting >= p->sched->window.size)
 			return SEAM_DELAY_TURN;
-		if (scheduler_late_start_possible(p->sched, state,
-						  s->lasting)) {
+		if (scheduler_late_start_possible(p->sched, j, step, state)) {
 			delay = SEAM_DELAY_UNCONFIRMED;
 			continue;
 		}
 		if (!within_limit(j->used, &s->need, &limit))
 			return SEAM_DELAY_LIMIT;
 		w = choose_late_worker(p, j, step, state);
-		if (!w && scheduler_waits_for_late_worker(p->sched, state)) {
+		if (!w &&
+		    scheduler_waits_for_late_worker(p->sched, j, step, state)) {
 			delay = SEAM_DELAY_UNCONFIRMED;
 			continue;
 		}
--- a/process/scheduler_restart.c
+++ b/process/scheduler_restart.c
@@ -85,6 +85,7 @@
 		scheduler_run_lost(w, at, "restarted");
 		return;
 	}
+	scheduler_note_ran(&at->job->task[at->step][at->task], r);
 	scheduler_run_set_state(w->sched, r, SEAM_RUN_UNCONFIRMED);
 	r->earlier_process = true;
 	r->listed_at = 0;
@@ -115,6 +116,7 @@
 		 (unsigned long long)w->token);
 	w->info.process_start_ms = process_start_ms;
 	w->process_known_at = seam_now(w->sched->clock);
+	w->disturbed_at = w->answered ? w->heard_at : w->process_known_at;
 	w->listing_known = false;
 	w->seen_end = 0;
 	w->acked = 0;
--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -125,26 +125,110 @@
 	return &t->run[i];
 }
 
-/* Returns the end of the wait for a start that may come until @late_until. */
-seam_time scheduler_late_wait_end(seam_time late_until)
+/* Returns when a start was queued that may come until @late_until. */
+seam_time scheduler_late_sent_at(seam_time late_until)
 {
-	return late_until - START_SEND_MAX - LATE_ORDER_MAX + LATE_START_WAIT;
+	return late_until - START_SEND_MAX - LATE_ORDER_MAX;
+}
+
+/* Returns when the task was last known to run as @r or before. */
+static seam_time ran_at(const struct seam_job_task_state *t,
+			const struct seam_run_slot *r)
+{
+	seam_time at =
+		r->listed_at > r->running_at ? r->listed_at : r->running_at;
+
+	return r->state == SEAM_RUN_RUNNING && at > t->ran_at ? at : t->ran_at;
+}
+
+/* Notes until when the task was known to run as @r. */
+void scheduler_note_ran(struct seam_job_task_state *t,
+			const struct seam_run_slot *r)
+{
+	t->ran_at = ran_at(t, r);
 }
 
 /*
- * Returns until when the task waits for its worker after a start without an
- * answer. A lasting task may not run for 7 s in all, so it counts from the
- * first such start since it was last confirmed to run, or since the latest one
- * can't come any more; any other counts from each.
+ * Returns from when the task waits for its worker after a start of @r without
+ * an answer. A lasting task may not run for 7 s in all, so it counts from the
+ * first such start since it last ran, or since the latest one can't come any
+ * more; any other counts from each.
  */
-seam_time scheduler_late_wait(const struct seam_job_task_state *t,
-			      const struct seam_run_slot *r, bool lasting,
-			      seam_time now)
+static seam_time late_since(const struct seam_job_task_state *t,
+			    const struct seam_run_slot *r, bool lasting,
+			    seam_time now)
 {
+	bool ran = ran_at(t, r) > t->late_since;
+
 	if (t->late_until == r->late_until ||
-	    (lasting && !r->confirmed && now < t->late_until))
-		return t->late_wait_until;
-	return scheduler_late_wait_end(r->late_until);
+	    (lasting && !ran && now < t->late_until))
+		return t->late_since;
+	return scheduler_late_sent_at(r->late_until);
+}
+
+/* Whether a task of @j runs on a worker that answers. */
+static bool job_runs(struct seam_scheduler *sched, const struct seam_job *j)
+{
+	int i;
+	int k;
+	int64_t t;
+
+	for (i = 0; i < j->row.spec.steps && j->runs; i++)
+		for (t = 0; t < j->row.spec.step[i].tasks; t++)
+			for (k = 0; k < SEAM_TASK_RUNS_MAX; k++) {
+				const struct seam_run_slot *r =
+					&j->task[i][t].run[k];
+				const struct seam_worker *w =
+					scheduler_worker(sched, r->worker);
+
+				if (r->state == SEAM_RUN_RUNNING && !r->stop &&
+				    w && w->answered)
+					return true;
+			}
+	return false;
+}
+
+static bool job_at_work(struct seam_scheduler *sched, const struct seam_job *j)
+{
+	return seam_now(sched->clock) <
+		       sched->job_accepted_at + ARRIVAL_PAUSE_MAX ||
+	       job_runs(sched, j);
+}
+
+/* Returns the end of the wait for the late worker of a task without a run. */
+seam_time scheduler_late_wait_end(struct seam_scheduler *sched,
+				  const struct seam_job *j, int step,
+				  const struct seam_job_task_state *t)
+{
+	const struct seam_worker *w = scheduler_worker(sched, t->late_worker);
+	bool lasting = j->row.spec.step[step].lasting;
+	struct seam_late_wait wait = {.lasting = lasting,
+				      .since = t->late_since,
+				      .late_until = t->late_until,
+				      .disturbed_at = w ? w->disturbed_at : 0,
+				      .ran_at = t->ran_at};
+
+	if (!lasting && seam_now(sched->clock) < t->late_until)
+		wait.job_at_work = job_at_work(sched, j);
+	return seam_late_wait_end(&wait);
+}
+
+/* Returns the end of the wait for @w if the task loses its run @r there now. */
+seam_time scheduler_run_wait_end(const struct seam_worker *w,
+				 const struct scheduler_run_ref *at,
+				 const struct seam_run_slot *r)
+{
+	const struct seam_job_task_state *t =
+		&at->job->task[at->step][at->task];
+	bool lasting = at->job->row.spec.step[at->step].lasting;
+	struct seam_late_wait wait = {
+		.lasting = lasting,
+		.since = late_since(t, r, lasting, seam_now(w->sched->clock)),
+		.late_until = r->late_until,
+		.disturbed_at = w->disturbed_at,
+		.ran_at = ran_at(t, r)};
+
+	return seam_late_wait_end(&wait);
 }
 
 /*
@@ -167,7 +251,7 @@
 		t->late_starts = 0;
 	if (!answered && ++t->late_starts >= LATE_STARTS_MAX)
 		t->avoid = w->self;
-	t->late_wait_until = scheduler_late_wait(t, r, lasting, now);
+	t->late_since = late_since(t, r, lasting, now);
 	t->late_worker = w->self;
 	t->late_until = r->late_until;
 	t->late_token = r->late_token;
@@ -189,12 +273,14 @@
  * worker whose VM was moved or maintained.
  */
 bool scheduler_waits_for_late_worker(struct seam_scheduler *sched,
+				     const struct seam_job *j, int step,
 				     const struct seam_job_task_state *t)
 {
 	const struct seam_worker *w = scheduler_worker(sched, t->late_worker);
 
-	return seam_now(sched->clock) < t->late_wait_until &&
-	       !(w && w->vm_gone);
+	return !(w && w->vm_gone) &&
+	       seam_now(sched->clock) <
+		       scheduler_late_wait_end(sched, j, step, t);
 }
 
 /*
@@ -224,8 +310,8 @@
  * a later token, refuses it. One that does not may be another one by now.
  */
 bool scheduler_late_start_possible(struct seam_scheduler *sched,
-				   const struct seam_job_task_state *t,
-				   bool lasting)
+				   const struct seam_job *j, int step,
+				   const struct seam_job_task_state *t)
 {
 	const struct seam_worker *w = scheduler_late_worker(sched, t);
 	seam_time now = seam_now(sched->clock);
@@ -236,10 +322,12 @@
 	refused = w->answered_token > t->late_token;
 	if (w->answered)
 		return !refused;
-	if (lasting)
-		return now <= scheduler_unconfirmed_end(w, refused,
-							t->late_wait_until,
-							t->late_until);
+	if (j->row.spec.step[step].lasting)
+		return now <=
+		       scheduler_unconfirmed_end(
+			       w, refused,
+			       scheduler_late_wait_end(sched, j, step, t),
+			       t->late_until);
 	return now <= scheduler_unheard_lease_end(w, 0);
 }
 
@@ -253,8 +341,8 @@
 	guint i;
 
 	/* It has ended there, or its end is not known yet. */
-	r->confirmed = r->state == SEAM_RUN_RUNNING;
-	r->spent = r->spent || r->confirmed;
+	r->spent = r->spent || r->state == SEAM_RUN_RUNNING;
+	scheduler_note_ran(&j->task[step][task], r);
 	scheduler_run_set_state(sched, r, SEAM_RUN_FREE);
 	if (r->listed_at)
 		j->task[step][task].listed_at = r->listed_at;
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -389,7 +389,6 @@
 {
 	const struct seam_run_slot *r = at->run;
 	bool lasting = at->job->row.spec.step[at->step].lasting;
-	seam_time now = seam_now(w->sched->clock);
 
 	if (r->listed_at)
 		return w->lease_end;
@@ -399,11 +398,9 @@
 		return scheduler_unheard_lease_end(w, r->running_at);
 	if (!lasting || !r->late_until)
 		return scheduler_unheard_lease_end(w, 0);
-	return scheduler_unconfirmed_end(
-		w, w->answered_token > r->late_token,
-		scheduler_late_wait(&at->job->task[at->step][at->task], r, true,
-				    now),
-		r->late_until);
+	return scheduler_unconfirmed_end(w, w->answered_token > r->late_token,
+					 scheduler_run_wait_end(w, at, r),
+					 r->late_until);
 }
 
 static void expire_run(struct seam_worker *w,
--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -223,6 +223,43 @@
 	EXPECT_TRUE(eventually([&] { return w.running() > 0; }, 2000));
 }
 
+// Guards against a wait beyond 6 s that the next owner ends at once.
+TEST_F(Scheduler, NextOwnerWaitsOnWhileJobsArrive)
+{
+	FakeWorker *a = w.add_worker("a", "p", 1000);
+	std::unique_ptr<Owner> o(new Owner(&w, "n1"));
+
+	o->start_renewals();
+	ASSERT_TRUE(restart_is_seen(*o, a));
+	a->late_starts = 1;
+	w.job(ID, 1, "40000");
+	ASSERT_TRUE(eventually([&] { return w.running() == 1; }));
+	FakeWorker *b = w.add_worker("b");
+	int64_t since = FakeWorker::us();
+
+	w.row("a", "p", 500, "d1", false);
+	a->restart();
+	for (int i = 0; FakeWorker::us() < since + 10500000; i++) {
+		char id[17];
+
+		if (i == 20) {
+			EXPECT_EQ(b->running(), 0u);
+			o.reset();
+			o.reset(new Owner(&w, "n2"));
+			o->start_renewals();
+			usleep(1200000);
+		}
+		snprintf(id, sizeof(id), "%016x", (unsigned)i);
+		w.job(id, 1, "1", 1, nullptr, "other");
+		usleep(400000);
+	}
+	a->unresponsive = true;
+	a->restart();
+	w.deliver_late(a);
+	EXPECT_EQ(a->running(), 1u);
+	EXPECT_EQ(w.twice, 0);
+}
+
 // Guards against an earlier owner's run that is started late but not left.
 TEST_F(Scheduler, HandoverHasARepeatedStartOfTheOwnerBefore)
 {
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -145,6 +145,86 @@
 	expect_run_on_b();
 }
 
+// A task whose worker a has kept a copy of its start and runs it; b has room.
+struct WaitAfterARun : Scheduler {
+	static const int RUN_MS = 4000;
+	// A job of which nothing runs is lost after this time at the end.
+	static const int LOST_WITHOUT_A_RUN_MS = 3000;
+	FakeWorker *a = w.add_worker("a", "p", 1000);
+	FakeWorker *b = nullptr;
+	Owner o{&w, "n1"};
+
+	void begin(const char *text, int tasks = 1)
+	{
+		o.start_renewals();
+		if (tasks > 1) {
+			w.add_worker("c", "p", 1000);
+			ASSERT_TRUE(worker_becomes(o, "c", [](seam_worker *x) {
+				return x->contacted;
+			}));
+		}
+		ASSERT_TRUE(restart_is_seen(o, a));
+		a->late_starts = 1;
+		w.job(ID, tasks, text);
+		ASSERT_TRUE(eventually(
+			[&] { return w.running() == (size_t)tasks; }));
+		b = add_usable(o, "b");
+	}
+	// Expects that the task runs in time on a worker with room.
+	void expect_run(int ms)
+	{
+		EXPECT_TRUE(eventually(
+			[&] { return w.running() == 1 && !a->running(); }, ms));
+		EXPECT_EQ(w.twice, 0);
+	}
+};
+
+// Guards against a lasting task that waits too long for a silent worker.
+TEST_F(WaitAfterARun, SilenceDoesNotKeepALastingTask)
+{
+	begin("lasts");
+	usleep(RUN_MS * 1000);
+	a->unresponsive = true;
+	expect_run(LOST_AFTER_MS);
+}
+
+// Guards against one that waits too long for a worker that has restarted.
+TEST_F(WaitAfterARun, RestartDoesNotKeepALastingTask)
+{
+	begin("lasts");
+	usleep(RUN_MS * 1000);
+	w.row("a", "p", 1000, "d1", true);
+	a->restart();
+	expect_run(LOST_AFTER_MS);
+}
+
+// Guards against a wait that goes on when there is no more traffic.
+TEST_F(WaitAfterARun, EndOfTheTrafficEndsTheWaitOfATaskThatEnds)
+{
+	begin("40000");
+	a->unresponsive = true;
+	for (int i = 0; i < 20; i++) {
+		char id[17];
+
+		snprintf(id, sizeof(id), "00000000000000%02x", i);
+		w.job(id, 1, "1", 1, nullptr, "other");
+		usleep(500000);
+		EXPECT_EQ(b->running(), 0u);
+	}
+	expect_run(LOST_WITHOUT_A_RUN_MS);
+}
+
+// Guards against a wait that goes on when nothing else of the job runs.
+TEST_F(WaitAfterARun, EndOfTheOtherTaskEndsTheWaitOfATaskThatEnds)
+{
+	begin("9000", 2);
+	a->unresponsive = true;
+	usleep(7500000);
+	EXPECT_EQ(b->running(), 0u);
+	ASSERT_TRUE(eventually([&] { return w.running() == 0; }));
+	expect_run(LOST_WITHOUT_A_RUN_MS);
+}
+
 // Guards against the longest lease for a run whose answer shows its lease.
 TEST_F(Scheduler, AnsweredRunThatWasNeverListedDoesNotKeepTheTask)
 {
