--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -287,10 +287,10 @@
 {
 	for (int64_t t = 0; t < j->row.spec.step[0].tasks; t++)
 		if (scheduler_task_is_idle(j, 0, t) &&
-		    !scheduler_late_start_possible(
-			    f->sched, &j->task[0][t],
-			    j->row.spec.step[0].lasting) &&
-		    !scheduler_waits_for_late_worker(f->sched, &j->task[0][t]))
+		    !scheduler_late_start_possible(f->sched, j, 0,
+						   &j->task[0][t]) &&
+		    !scheduler_waits_for_late_worker(f->sched, j, 0,
+						     &j->task[0][t]))
 			return true;
 	return false;
 }
