scheduler: a worker that has left is waited for by time alone, as before

Cause: the entry of a worker without a row stays while a start may come late. Before, the entry was gone 2.5 s after the row.

Change: once the row is gone for 2.5 s, the wait of the task counts alone. The entry is polled and keeps the run number as before.

--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -103,6 +103,7 @@
 void scheduler_worker_lost(struct seam_worker *w, const char *why);
 void scheduler_workers_close(struct seam_scheduler *sched);
 bool scheduler_worker_usable(const struct seam_worker *w, seam_time now);
+bool scheduler_worker_row_is_gone(const struct seam_worker *w, seam_time now);
 struct seam_resources scheduler_worker_free(const struct seam_worker *w);
 /* A run on a worker. */
 struct scheduler_run_ref {
--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -307,7 +307,8 @@
 /*
  * Whether a start of an earlier run of the task may still be carried out by the
  * process that its worker has now. A process that answers, and has done so with
- * a later token, refuses it. One that does not may be another one by now.
+ * a later token, refuses it. One that does not may be another one by now, but a
+ * worker whose row is gone has left, or is waited for by time alone.
  */
 bool scheduler_late_start_possible(struct seam_scheduler *sched,
 				   const struct seam_job *j, int step,
@@ -322,6 +323,8 @@
 	refused = w->answered_token > t->late_token;
 	if (w->answered)
 		return !refused;
+	if (scheduler_worker_row_is_gone(w, now))
+		return false;
 	if (j->row.spec.step[step].lasting)
 		return now <=
 		       scheduler_unconfirmed_end(
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -28,6 +28,12 @@
 SEAM_METRIC(known, "seam_workers", "Workers that the owner knows.");
 SEAM_METRIC(lost, "seam_workers_lost_total", "Lives of workers that ended.");
 
+/* Whether the row of the worker is gone for good, unless it comes back. */
+bool scheduler_worker_row_is_gone(const struct seam_worker *w, seam_time now)
+{
+	return !w->listed && now > w->unlisted_at + ROW_GONE_AFTER;
+}
+
 bool scheduler_worker_usable(const struct seam_worker *w, seam_time now)
 {
 	return w->listed && w->contacted &&
@@ -448,7 +454,7 @@
 	/* Late starts of one that is over are not waited for. */
 	if (w->gone_at && now <= w->gone_at + START_SEND_MAX + LATE_ORDER_MAX)
 		return false;
-	return !w->task_refs->len && now > w->unlisted_at + ROW_GONE_AFTER &&
+	return !w->task_refs->len && scheduler_worker_row_is_gone(w, now) &&
 	       !scheduler_worker_may_start_late(w);
 }
 
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -198,6 +198,26 @@
 	expect_run(LOST_AFTER_MS);
 }
 
+// Guards against the longest lease for a worker that has drained and left.
+TEST_F(WaitAfterARun, WorkerThatHasLeftDoesNotKeepATaskThatEnds)
+{
+	o.start_renewals();
+	ASSERT_TRUE(restart_is_seen(o, a));
+	a->late_starts = START_ATTEMPTS;
+	w.job(ID, 1, "20000");
+	ASSERT_TRUE(eventually([&] {
+		std::lock_guard<std::mutex> l(a->lock);
+
+		return a->late.size() == (size_t)START_ATTEMPTS;
+	}));
+	b = add_usable(o, "b");
+	w.row("a", "p", 1000, "d1", true);
+	usleep(3000000);
+	a->unresponsive = true;
+	w.store.del("workers/a");
+	expect_run(LOST_AFTER_MS - 3000);
+}
+
 // Guards against a wait that goes on when there is no more traffic.
 TEST_F(WaitAfterARun, EndOfTheTrafficEndsTheWaitOfATaskThatEnds)
 {
