tests: starts in the soak of late starts time out, and its calm is the users'

A start without an answer failed at once on the stand-in, so that a node sent all seven copies within a millisecond, and up to 47 copies of a task were out.

--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -52,6 +52,7 @@
 	static constexpr int LATE_MIN_MS = 2000;
 	static constexpr int LATE_MAX_MS = 12000;
 	std::atomic<int> late_start_percent{0}; // part of the starts
+	std::atomic<bool> lost_starts_time_out{false}; // at their deadline
 	std::minstd_rand late_rng; // how late each one is
 	std::vector<seam_renewal> late_holds; // kept in the same way
 	std::atomic<int> late_percent{0}; // part of the calls that are kept
