soak: lanes that fail and change, beside short tasks

The test draws lane moves (also there and back at once, and with a restart of the worker), cuts, lost answers of nodes and workers, nodes without their session, workers that one node does not reach, takeovers and starts close to each other. Nothing is carried out late, so that a second run would be of a listing or an answer.

A poll of a process that is down is refused now, and one whose process ends gets no answer.

--- a/tests/scheduler_soak_test.cc
+++ b/tests/scheduler_soak_test.cc
@@ -1,6 +1,7 @@
 // Random restarts of workers under the same id, beside late orders, lost nodes,
 // late rows and takeovers; with lasting tasks also workers that drain, move or
 // are gone.
+#include "process/dispatch_impl.h"
 #include "tests/soak.h"
 
 #include <algorithm>
@@ -57,9 +58,10 @@
 		n->cut = true;
 		after(ms, [=] { n->cut = false; });
 	}
-	void submit()
+	void submit(int shortest_ms = 100, int longest_ms = 1500)
 	{
-		std::string text = std::to_string(between(100, 1500));
+		std::string text =
+			std::to_string(between(shortest_ms, longest_ms));
 
 		submit_job(between(1, 4), text);
 	}
@@ -411,3 +413,135 @@
 		EXPECT_TRUE(s.all_completed()) << "SEAM_SEED=" << seed;
 	}
 }
+
+// The soak with lanes that fail and change, lost polls and lost answers beside
+// short tasks. Nothing is carried out late, so no task may run twice.
+struct LaneSoak : Soak {
+	explicit LaneSoak(unsigned seed) : Soak(seed)
+	{
+		for (auto &x : w.workers)
+			x.second->wait_ms = between(0, 300);
+	}
+	size_t started()
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+		size_t n = 0;
+
+		for (auto &s : w.starts)
+			n += (size_t)s.second;
+		return n;
+	}
+	void move_lane(FakeWorker *x)
+	{
+		pthread_mutex_lock(&owner->sched->lock);
+		seam_worker *y =
+			scheduler_find_worker(owner->sched, x->id.c_str());
+		if (y) {
+			y->move_at = 0;
+			scheduler_lane_move(y);
+		}
+		pthread_mutex_unlock(&owner->sched->lock);
+	}
+	// The process of the node starts again: it has no session.
+	void restart_node(FakeRunners *n)
+	{
+		pthread_mutex_lock(&n->dispatch->lock);
+		seam_lane_session session = n->dispatch->session;
+		pthread_mutex_unlock(&n->dispatch->lock);
+		seam_dispatch_end_session(n->dispatch, &session);
+	}
+	void separate(FakeRunners *n, FakeWorker *x, int ms)
+	{
+		auto set = [=](bool reached) {
+			std::lock_guard<std::mutex> l(n->processor);
+
+			if (reached)
+				n->unreachable_workers.erase(x->id);
+			else
+				n->unreachable_workers.insert(x->id);
+		};
+
+		set(false);
+		after(ms, [=] { set(true); });
+	}
+	void lane_fault()
+	{
+		FakeWorker *x = any_worker();
+		FakeRunners *n = any_node();
+
+		switch (between(0, 11)) {
+		case 0:
+			restart(x);
+			break;
+		case 1:
+			silence(x, between(100, 4500));
+			break;
+		case 2:
+			cut(n, between(50, 2500));
+			break;
+		case 3:
+			n->cut_answers = true;
+			after(between(50, 1500),
+			      [=] { n->cut_answers = false; });
+			break;
+		case 4:
+			restart_node(n);
+			break;
+		case 5:
+			separate(n, x, between(100, 3000));
+			break;
+		case 6:
+			x->lose_starts = between(1, 10);
+			break;
+		case 7:
+			x->answers_one_in = between(1, 4);
+			after(between(100, 2000),
+			      [=] { x->answers_one_in = 1; });
+			break;
+		case 8: // it restarts while its lane changes
+			move_lane(x);
+			after(between(0, 200), [=] { restart(x); });
+			break;
+		case 9:
+			if (between(0, 3) == 0)
+				take_over();
+			break;
+		default: // it is given back at once, or soon
+			move_lane(x);
+			after(between(0, 300), [=] { move_lane(x); });
+		}
+	}
+	void run(int ms)
+	{
+		seam_time until = seam_now(w.clock) + ms * SEAM_MSEC;
+
+		while (seam_now(w.clock) < until) {
+			if (between(0, 1) == 0)
+				submit(50, 400);
+			if (between(0, 3) == 0)
+				lane_fault();
+			step();
+		}
+		until = seam_now(w.clock) + 60 * SEAM_SEC;
+		while (!all_completed() && seam_now(w.clock) < until)
+			step();
+	}
+};
+
+// Guards against a run that is given up as a listing was lost, or was applied
+// after a lane, a node or the worker had changed.
+TEST(SchedulerSoak, LaneChangesRunNothingTwice)
+{
+	unsigned first = (unsigned)setting("SEAM_SEED", 1);
+	unsigned seeds = (unsigned)setting("SEAM_SEEDS", 1);
+	int ms = (int)setting("SEAM_SOAK_MS", 6000);
+
+	for (unsigned seed = first; seed < first + seeds; seed++) {
+		LaneSoak s(seed);
+
+		s.run(ms);
+		EXPECT_EQ(s.w.twice, 0) << "SEAM_SEED=" << seed;
+		EXPECT_TRUE(s.all_completed()) << "SEAM_SEED=" << seed;
+		printf("seed %u: %zu starts\n", seed, s.started());
+	}
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -475,10 +475,16 @@
 	FakeWorker *w = ((FakeRunner *)r)->w;
 
 	((FakeRunner *)r)->node->use(((FakeRunner *)r)->node->poll_us);
+	int64_t process = w->born;
+
 	w->polls++;
+	if (!w->is_up())
+		return seam_fail(e, SEAM_UNAVAILABLE, "connection refused");
 	if (h->wait_ms)
 		usleep((useconds_t)w->wait_ms * 1000);
 	memset(out, 0, sizeof(*out));
+	if (w->born != process)
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "connection reset");
 	if (((FakeRunner *)r)->node->is_disconnected(w->id)) {
 		usleep(50000);
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "cut");
