scheduler: count jobs and workers under the lock as a term opens

The line event=term_opened read the tables while the threads of the new term added to them: a data race that the thread sanitizer reported once, in the soak of late starts. The line is written with the lock held.

--- a/process/scheduler.c
+++ b/process/scheduler.c
@@ -180,6 +180,7 @@
 	if (!rc)
 		rc = start_threads(sched, e);
 	if (!rc) {
+		pthread_mutex_lock(&sched->lock);
 		seam_log(SEAM_INFO, "owner",
 			 "event=term_opened term=%llu jobs=%zu workers=%zu "
 			 "after_ms=%lld",
@@ -188,6 +189,7 @@
 			 seam_table_count(sched->workers),
 			 (long long)(seam_now(k) - sched->opened_at) /
 				 SEAM_MSEC);
+		pthread_mutex_unlock(&sched->lock);
 		return sched;
 	}
 	seam_scheduler_close(sched);
