--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -607,14 +607,19 @@
 
 // A worker whose VM the list shows in another state while it does not answer.
 struct ListedVm : SchedulerVms {
-	FakeWorker *a = w.add_worker("a");
+	FakeWorker *a = add_worker_to_list();
 	Owner o{&w, "n1"};
 
-	void SetUp() override
+	// Before there is an owner, whose threads read the list.
+	FakeWorker *add_worker_to_list()
 	{
 		list_fails = false;
 		list_ms = 0;
 		w.vms.ops = &failing_inventory_ops;
+		return w.add_worker("a");
+	}
+	void SetUp() override
+	{
 		o.start_renewals();
 		ASSERT_TRUE(restart_is_seen(o, a));
 		ASSERT_TRUE(worker_becomes(o, "a", [](seam_worker *x) {
