--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -28,7 +28,7 @@
 SEAM_METRIC(known, "seam_workers", "Workers that the owner knows.");
 SEAM_METRIC(lost, "seam_workers_lost_total", "Lives of workers that ended.");
 
-/* Whether the row of the worker is gone for good, unless it comes back. */
+/* Whether the row has been missing for longer than rows expire in an outage. */
 bool scheduler_worker_row_is_gone(const struct seam_worker *w, seam_time now)
 {
 	return !w->listed && now > w->unlisted_at + ROW_GONE_AFTER;
