vms: a worker whose VM was removed is over

Cause: a worker that is gone for good is not in the VM list any more, and what the list does not have told nothing.

Change: two successive lists without the VM of a worker that a list of this term has named, both requested 0.9 s after it was last heard, end its life as a list with another worker does. A list tells whether it is complete: elements that can't be read, a token of another type and more pages than are read leave VMs out. A worker that answers is not over, whatever the lists have.

--- a/connection/vms.h
+++ b/connection/vms.h
@@ -85,7 +85,8 @@
 
 /**
  * struct seam_inventory_ops - the platform's VM list and orders for VMs
- * @list: list all VMs; the caller frees @vm
+ * @list: list all VMs; the caller frees @vm; @complete receives whether none of
+ *     them was left out
  * @move: move a VM to a pool; all that runs on it ends immediately
  * @maintain: maintain a VM for a wave; all that runs on it ends immediately
  * @close: close the connection and free it
@@ -94,7 +95,8 @@
  */
 struct seam_inventory_ops {
 	int (*list)(struct seam_inventory *v, struct seam_vm_info **vm,
-		    size_t *n, seam_time deadline, struct seam_err *e);
+		    size_t *n, bool *complete, seam_time deadline,
+		    struct seam_err *e);
 	int (*move)(struct seam_inventory *v, const char *vm, const char *pool,
 		    uint64_t token, enum seam_vm_order_outcome *outcome,
 		    seam_time deadline, struct seam_err *e);
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -373,6 +373,7 @@
  * @vm_gone: its VM was moved or maintained, or runs another worker; its row
  *     disappears later
  * @named_by_list: a list of this term named it as the worker of its VM
+ * @unlisted: successive complete lists without its VM, while it did not answer
  * @vm_was_empty: the list showed that the process which it had, when it was
  *     found or last heard, has ended
  * @gone_at: when another worker was found on its VM or at its address, or 0
@@ -430,6 +431,7 @@
 	seam_time reserved_until;
 	bool vm_gone;
 	bool named_by_list;
+	int unlisted;
 	bool vm_was_empty;
 	seam_time gone_at;
 	bool retired;
@@ -572,6 +574,7 @@
  * @unusable_rows: id of a worker whose row can't be used to the reason
  * @unusable_rows_logged: number of times that such a reason was logged
  * @vms_read: the VM list was read in this term
+ * @vms_complete: no VM was left out of @vm
  * @vms_read_at: when the list was requested that @vm holds
  * @prior_leases_until: until then workers may run tasks under leases of the
  *     previous owner
@@ -628,6 +631,7 @@
 	GHashTable *unusable_rows;
 	int64_t unusable_rows_logged;
 	bool vms_read;
+	bool vms_complete;
 	seam_time vms_read_at;
 	seam_time prior_leases_until;
 	GArray *long_leases;
--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* A VM that as many complete lists do not have any more has been removed. */
+#define UNLISTED_MIN 2
+
 static const char *state_name(const struct seam_vm_info *vm)
 {
 	static const char *const name[] = {
@@ -59,8 +62,9 @@
 }
 
 /*
- * Ends the life of a worker in whose place another one runs. A late start there
- * is refused, as it names the worker that it is meant for.
+ * Ends the life of a worker in whose place another one runs, or whose VM was
+ * removed. A late start there is refused, as it names the worker that it is
+ * meant for.
  */
 void scheduler_worker_replaced(struct seam_worker *w, const char *why)
 {
@@ -88,9 +92,21 @@
 		scheduler_run_lost(w, at, "vm_empty");
 }
 
+/* Counts a list that does not have the VM of a worker that it named before. */
+static void count_unlisted(struct seam_worker *w)
+{
+	if (w->named_by_list && w->sched->vms_complete && is_list_newer(w) &&
+	    ++w->unlisted >= UNLISTED_MIN)
+		scheduler_worker_replaced(w, "vm_removed");
+}
+
 static void check_worker(struct seam_worker *w, const struct seam_vm_info *vm)
 {
 	log_change(w, vm);
+	if (!vm)
+		count_unlisted(w);
+	else
+		w->unlisted = 0;
 	if (!vm || !is_list_newer(w))
 		return;
 	if (*vm->worker && strcmp(vm->worker, w->info.id))
@@ -169,6 +185,8 @@
 
 	note_named_workers(sched);
 	while ((w = seam_table_next(sched->workers, &h))) {
+		if (w->answered)
+			w->unlisted = 0;
 		if (w->answered || w->vm_gone || w->retired || !*w->info.vm)
 			continue;
 		if (!vm_of)
--- a/process/scheduler_vms.c
+++ b/process/scheduler_vms.c
@@ -24,9 +24,10 @@
 {
 	seam_time asked_at = seam_now(sched->clock);
 	struct seam_vm_info *vm;
+	bool complete;
 	size_t n;
 
-	if (sched->ports->vms->ops->list(sched->ports->vms, &vm, &n,
+	if (sched->ports->vms->ops->list(sched->ports->vms, &vm, &n, &complete,
 					 seam_now(sched->clock) + LIST_TIMEOUT,
 					 e))
 		return -1;
@@ -35,6 +36,7 @@
 	sched->vm = vm;
 	sched->vms = n;
 	sched->vms_read = true;
+	sched->vms_complete = complete;
 	sched->vms_read_at = asked_at;
 	scheduler_check_vm_workers(sched);
 	pthread_mutex_unlock(&sched->lock);
--- a/tests/failing_inventory.h
+++ b/tests/failing_inventory.h
@@ -9,6 +9,7 @@
 static std::atomic<int> refused_orders{0};
 static std::atomic<bool> list_fails{false};
 static std::atomic<int> list_ms{0}; // time from a request to its answer
+static std::atomic<bool> list_lacks_vms{false}; // and tells so
 static std::atomic<int> lists_asked{0};
 
 static int maintain_with_outcome(seam_inventory *i, const char *vm,
@@ -26,14 +27,15 @@
 }
 
 static int list_or_fail(seam_inventory *i, seam_vm_info **vm, size_t *n,
-			seam_time deadline, seam_err *e)
+			bool *complete, seam_time deadline, seam_err *e)
 {
 	int rc;
 
 	if (list_fails)
 		return seam_fail(e, SEAM_UNAVAILABLE, "down");
 	lists_asked++;
-	rc = fake_list(i, vm, n, deadline, e);
+	rc = fake_list(i, vm, n, complete, deadline, e);
+	*complete = !list_lacks_vms;
 	usleep((useconds_t)list_ms * 1000);
 	return rc;
 }
--- a/tests/platform_inventory_test.cc
+++ b/tests/platform_inventory_test.cc
@@ -50,6 +50,7 @@
 	seam_inventory *v =
 		seam_inventory_new(k, test_url(26020).c_str(), "n1");
 	seam_err e = SEAM_ERR_INIT;
+	bool complete = false; // the latest list
 
 	~Inventory() override
 	{
@@ -62,12 +63,13 @@
 		seam_vm_info *vm = nullptr;
 		size_t n = 0;
 
+		complete = false;
 		{
 			std::lock_guard<std::mutex> l(server.lock);
 			server.body = "{\"machines\":[" + elements + "]}";
 		}
-		EXPECT_EQ(v->ops->list(v, &vm, &n, seam_now(k) + 2 * SEAM_SEC,
-				       &e),
+		EXPECT_EQ(v->ops->list(v, &vm, &n, &complete,
+				       seam_now(k) + 2 * SEAM_SEC, &e),
 			  0)
 			<< e.text;
 		for (size_t i = 0; i < n; i++)
@@ -95,6 +97,7 @@
 	};
 
 	EXPECT_EQ(state(",\"state\":\"up\""), SEAM_PHASE_UP);
+	EXPECT_TRUE(complete);
 	EXPECT_EQ(state(",\"state\":\"moving\""), SEAM_PHASE_MOVING);
 	EXPECT_EQ(state(",\"state\":\"upkeep\""), SEAM_PHASE_MAINTENANCE);
 	EXPECT_EQ(state(",\"state\":\"down\""), SEAM_PHASE_DOWN);
@@ -117,6 +120,7 @@
 	      std::string("{}"), std::string("{\"machine\":7}"),
 	      std::string("{\"machine\":\"m-9\",\"pool\":[]}")}) {
 		auto all = list(vm("m-1") + "," + odd + "," + vm(longest));
+		EXPECT_FALSE(complete) << odd;
 
 		EXPECT_EQ(all.size(), 2u) << odd;
 		EXPECT_EQ(all.count("m-1"), 1u);
--- a/tests/scheduler_vm_workers_test.cc
+++ b/tests/scheduler_vm_workers_test.cc
@@ -50,6 +50,7 @@
 	FakeWorker *add_worker_to_list()
 	{
 		list_fails = false;
+		list_lacks_vms = false;
 		list_ms = 0;
 		w.vms.ops = &failing_inventory_ops;
 		return w.add_worker("a");
@@ -94,6 +95,17 @@
 		}
 		list("a", "a2", SEAM_PHASE_UP);
 	}
+	// The process of worker a ends with its VM.
+	void remove_a()
+	{
+		a->unresponsive = true;
+		{
+			std::lock_guard<std::mutex> l(a->lock);
+			a->runs.clear();
+		}
+		std::lock_guard<std::mutex> l(w.lock);
+		w.vm.erase(w.vm.begin());
+	}
 	static size_t count(const std::string &text, const std::string &what)
 	{
 		size_t n = 0;
@@ -326,6 +338,27 @@
 	EXPECT_EQ(b->running(), 0u);
 }
 
+// Guards against runs that are waited for although their VM was removed.
+TEST_F(ListedVm, RunsOnARemovedVmStartElsewhereBeforeTheLeaseIsOver)
+{
+	FakeWorker *b = run_on_a("20000");
+
+	remove_a();
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2500));
+}
+
+// Guards against lost runs on a VM that was left out of a list.
+TEST_F(ListedVm, IncompleteListLosesNoRun)
+{
+	FakeWorker *b = run_on_a("20000");
+
+	list_lacks_vms = true;
+	remove_a();
+	usleep(2500000);
+	EXPECT_EQ(b->running(), 0u);
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }));
+}
+
 // Guards against a wait for a late start to an address of another worker.
 TEST_F(ListedVm, LateStartToAnAddressOfAnotherWorkerIsNotWaitedFor)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -566,13 +566,14 @@
 
 static const seam_runners_ops fake_runners_ops = {fake_open};
 
-static int fake_list(seam_inventory *, seam_vm_info **vm, size_t *n, seam_time,
-		     seam_err *)
+static int fake_list(seam_inventory *, seam_vm_info **vm, size_t *n,
+		     bool *complete, seam_time, seam_err *)
 {
 	std::lock_guard<std::mutex> l(the_world->lock);
 	size_t size = the_world->vm.size() * sizeof(seam_vm_info);
 
 	*n = the_world->vm.size();
+	*complete = true;
 	*vm = (seam_vm_info *)malloc(size + 1);
 	if (size)
 		memcpy(*vm, the_world->vm.data(), size);
