scheduler: count jobs and workers before the threads of a term begin

The line event=term_opened took the lock of the new term for its counts. They are read before there is a second thread, so that the line needs no lock and has no data race.

--- a/process/scheduler.c
+++ b/process/scheduler.c
@@ -145,6 +145,8 @@
 		    struct seam_election *election, struct seam_err *e)
 {
 	struct seam_scheduler *sched = scheduler_new();
+	size_t workers;
+	size_t jobs;
 	int rc;
 
 	if (!sched) {
@@ -177,19 +179,17 @@
 		rc = scheduler_load_handover(sched, e);
 	if (!rc)
 		rc = scheduler_lanes_open(sched, e);
+	jobs = seam_table_count(sched->jobs);
+	workers = seam_table_count(sched->workers);
 	if (!rc)
 		rc = start_threads(sched, e);
 	if (!rc) {
-		pthread_mutex_lock(&sched->lock);
 		seam_log(SEAM_INFO, "owner",
 			 "event=term_opened term=%llu jobs=%zu workers=%zu "
 			 "after_ms=%lld",
-			 (unsigned long long)sched->term,
-			 seam_table_count(sched->jobs),
-			 seam_table_count(sched->workers),
+			 (unsigned long long)sched->term, jobs, workers,
 			 (long long)(seam_now(k) - sched->opened_at) /
 				 SEAM_MSEC);
-		pthread_mutex_unlock(&sched->lock);
 		return sched;
 	}
 	seam_scheduler_close(sched);
