--- a/tests/world.h
+++ b/tests/world.h
@@ -425,7 +425,7 @@
 		f->world->on_sent(s->task, f->w, !rc);
 	while (rc && e->kind == SEAM_COMMIT_UNKNOWN &&
 	       f->w->lost_starts_time_out &&
-	       seam_now(f->world->clock) < deadline)
+	       seam_now(&f->node->clock.base) < deadline)
 		usleep(1000);
 	return rc;
 }
