--- a/tests/election_test.cc
+++ b/tests/election_test.cc
@@ -146,8 +146,7 @@
 	EXPECT_EQ(node[0].orders_until, clock[0].time);
 }
 
-// Guards against a second run beside one under a lease of this node's last
-// term.
+// Guards against a second run beside one of this node's last term.
 TEST_F(Election, OwnerThatClaimsAgainRemembersItsOrders)
 {
 	ASSERT_TRUE(attempt(0));
@@ -163,8 +162,7 @@
 	EXPECT_GE(node[0].orders_until, last_order);
 }
 
-// Guards against a second run beside one under a lease of the owner before, if
-// the store carries out a claim after its caller has given up.
+// Guards against a second run beside one of the owner before a late claim.
 TEST_F(Election, LateClaimRemembersTheOrdersOfTheOwnerBefore)
 {
 	ASSERT_TRUE(attempt(0));
@@ -199,8 +197,7 @@
 	EXPECT_FALSE(watch(1, SEAM_SEC));
 }
 
-// Guards against two owners: the term was extended by the word of the node that
-// claims it.
+// Guards against two owners after an outage of less than a second.
 TEST_F(Election, NodeThatToldThatItIsLostWatchesTheTermAnew)
 {
 	ASSERT_TRUE(attempt(0));
--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -284,8 +284,7 @@
 	EXPECT_LE(n->start_sent_at, seam_election_valid_until(&o.election));
 }
 
-// Guards against orders of the previous owner from a node that the next one
-// does not use, to workers that it does not reach.
+// Guards against late orders from a node that the next owner does not use.
 TEST_F(Lanes, DelayedBatchLeavesNothingAfterATakeover)
 {
 	Owner o(&w, "n1", create_fleet(2, 10, 4));
@@ -310,8 +309,7 @@
 	EXPECT_LE(n->start_sent_at, seam_election_valid_until(&o.election));
 }
 
-// Guards against a run given up while its start is under way: the answer to an
-// order was taken for that to a later one.
+// Guards against a run that is given up while its start is under way.
 TEST_F(Lanes, AnswerCountsForItsOwnOrderOnly)
 {
 	FakeRunners *n = w.add_node();
@@ -384,8 +382,7 @@
 	pthread_mutex_unlock(&o.sched->lock);
 }
 
-// Guards against a second run of a task whose start is under way when its owner
-// releases the term.
+// Guards against a second run by a start under way as a term is released.
 TEST_F(Lanes, DelayedBatchOfAReleasedTermStartsNothingTwice)
 {
 	Owner o(&w, "n1", create_fleet(2, 10, 4));
--- a/tests/late_wait_test.cc
+++ b/tests/late_wait_test.cc
@@ -39,8 +39,7 @@
 	return (seam_time)(s * 1000) * SEAM_MSEC;
 }
 
-// Guards against a wait that is paid in lost tasks, or is too short for no
-// reason.
+// Guards against a wait that loses tasks, or that is needlessly short.
 TEST(LateWait, EndsByCase)
 {
 	for (const Row &r : ROWS) {
--- a/tests/platform_inventory_test.cc
+++ b/tests/platform_inventory_test.cc
@@ -153,8 +153,7 @@
 	v->ops->close(v);
 }
 
-// Guards against an answer of no known meaning that counts as a refusal of an
-// order for a VM.
+// Guards against an odd answer that counts as a refusal of an order.
 TEST(InventoryConnection, AnswerOfNoKnownMeaningIsNoRefusal)
 {
 	const std::pair<ScriptedServer::Answer, int> all[] = {
--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -526,8 +526,7 @@
 	}));
 }
 
-// Guards against a second run beside one under a lease of this node's last
-// term.
+// Guards against a second run beside one of this node's last term.
 TEST_F(Scheduler, OwnerThatClaimsAgainWaitsForItsLeases)
 {
 	FakeWorker *a = w.add_worker("a");
--- a/tests/scheduler_late_start_test.cc
+++ b/tests/scheduler_late_start_test.cc
@@ -469,8 +469,7 @@
 	EXPECT_EQ(w.started(task(0, 0)), 1);
 }
 
-// Guards against two numbers for one task on a worker that restarts at another
-// address.
+// Guards against a second number after a restart at another address.
 TEST_F(LateStart, RestartAtAnotherAddressKeepsTheNumber)
 {
 	keep_starts(START_ATTEMPTS, "lasts");
--- a/tests/scheduler_restart_test.cc
+++ b/tests/scheduler_restart_test.cc
@@ -282,8 +282,7 @@
 	});
 }
 
-// Guards against a second run: an unchanged listing that the next owner cannot
-// read was taken for one without the run.
+// Guards against a second run after an unchanged listing that was not read.
 TEST_F(Restart, UnreadListingSettlesNoWorker)
 {
 	FakeWorker *a = w.add_worker("a");
@@ -317,8 +316,7 @@
 	EXPECT_EQ(w.started(task(0, 0)), 1);
 }
 
-// Guards against a run that is given up before its lease has expired: an
-// unchanged listing that was not read was taken for a refusal of its start.
+// Guards against a run that is given up for a listing that was not read.
 TEST_F(Restart, UnreadListingRefusesNoStart)
 {
 	FakeWorker *a = w.add_worker("a");
--- a/tests/scheduler_room_test.cc
+++ b/tests/scheduler_room_test.cc
@@ -72,8 +72,7 @@
 	EXPECT_TRUE(eventually([&] { return pinned(o, "a") == 0; }));
 }
 
-// Guards against a worker that is reserved in vain, as it has as many tasks of
-// the step as it may have, while short tasks keep the other one full.
+// Guards against a reserved worker that may have no more tasks of the step.
 TEST_F(Scheduler, ReservedWorkerMayRunTheTask)
 {
 	w.add_worker("b", "p", 16000);
@@ -101,8 +100,7 @@
 		4000));
 }
 
-// Guards against a VM that is taken for another pool with a task that no other
-// worker may run, as each has one of its step.
+// Guards against a move of a VM with a task that no other worker may run.
 TEST_F(Scheduler, TasksOfAStepWithoutAnotherWorkerAreCounted)
 {
 	auto pinned = [&](Owner &o, const char *id) {
--- a/tests/scheduler_soak_test.cc
+++ b/tests/scheduler_soak_test.cc
@@ -528,8 +528,7 @@
 	}
 };
 
-// Guards against a run that is given up as a listing was lost, or was applied
-// after a lane, a node or the worker had changed.
+// Guards against a second run as lanes, nodes or workers change.
 TEST(SchedulerSoak, LaneChangesRunNothingTwice)
 {
 	unsigned first = (unsigned)setting("SEAM_SEED", 1);
--- a/tests/scheduler_vm_workers_test.cc
+++ b/tests/scheduler_vm_workers_test.cc
@@ -418,8 +418,7 @@
 	EXPECT_GE(lists_asked - before, 3);
 }
 
-// Guards against a second run at a takeover, beside one on a worker without a
-// row whose VM is in a state of a name that the owner does not know.
+// Guards against a second run beside one on a VM in a state of unknown name.
 TEST_F(VmList, VmOfUnknownStateKeepsItsPoolFromStartingAfterATakeover)
 {
 	FakeWorker *a = w.add_worker("a");
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -473,8 +473,7 @@
 static const seam_inventory_ops restarting_inventory_ops = {
 	fake_list, fake_move, maintain_and_restart, fake_inventory_close};
 
-// Guards against a task that runs again as maintenance ended the worker that
-// still listed its end, and the owner was lost before the end was stored.
+// Guards against a task that runs again as its end was lost with its VM.
 TEST_F(SchedulerVms, VmWithAnEndThatIsNotStoredIsNotEmpty)
 {
 	w.vms.ops = &restarting_inventory_ops;
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -193,8 +193,7 @@
 	EXPECT_EQ(vm[0].action, SEAM_VM_KEEP);
 }
 
-// Guards against a wave that ends late as moves use up the availability budgets
-// of the tasks on its VMs.
+// Guards against a wave that ends late for want of availability budget.
 TEST_F(Plan, MovesLeaveLastingTasksToAWave)
 {
 	add(4, A, 2);
