--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -1,6 +1,7 @@
 /* The platform's store: rows, transactions and the feed. */
 #include "standin.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,6 +23,17 @@
 	bool gone;
 };
 
+/*
+ * Rows of submissions that ended before the run began: @per_part rows in each
+ * of 16 parts, with keys at equal distances and the same value. They are
+ * computed, not kept.
+ */
+struct old_rows {
+	uint64_t per_part;
+	uint64_t step;
+	char *value;
+};
+
 /* Transactions on a table that get no answer and are performed later. */
 struct late {
 	char table[64];
@@ -36,6 +48,7 @@
 static int64_t version; /* of the latest transaction */
 static int64_t writes;
 static struct late late;
+static struct old_rows old;
 static GHashTable *part_free_at; /* part to the time when it is free, us */
 
 static char *name_of(const char *table, const char *part, const char *key)
@@ -131,45 +144,112 @@
 	return o;
 }
 
-static enum MHD_Result on_get(struct request *r)
+static void old_key(const char *part, uint64_t i, char key[32])
 {
-	const char *table = param(r, "table");
-	const char *part = param(r, "part");
-	size_t limit = strtoul(param(r, "limit"), NULL, 10);
-	struct json_object *list = json_object_new_array();
-	struct json_object *o;
-	char *name = name_of(table, part, param(r, "from"));
-	size_t bytes = 0;
-	bool more = false;
-	GTreeNode *n;
+	snprintf(key, 32, "%c%015llx", part[0],
+		 (unsigned long long)(i * old.step));
+}
 
-	if (!limit || limit > ROWS_MAX)
-		limit = ROWS_MAX;
-	g_mutex_lock(&lock);
-	for (n = g_tree_lower_bound(rows, name); n; n = g_tree_node_next(n)) {
-		struct row *row = g_tree_node_value(n);
-		size_t size = strlen(row->value) / 4 * 3;
+/* The first old row of a part from a key on. */
+static uint64_t first_old(const char *table, const char *part, const char *from)
+{
+	uint64_t at;
+
+	if (strcmp(table, "job") || !*part || !old.per_part)
+		return old.per_part;
+	if (!*from)
+		return 0;
+	at = strtoull(from + 1, NULL, 16);
+	return at / old.step + (at % old.step != 0);
+}
 
-		if (strcmp(row->table, table) || strcmp(row->part, part))
-			break;
-		if (row->gone)
+static struct json_object *old_row_json(const char *part, const char *key)
+{
+	struct row r = {"job", (char *)part, (char *)key, old.value, 1, 0,
+			false};
+
+	return row_json(&r);
+}
+
+/* One response with rows of a part. */
+struct page {
+	const char *table;
+	const char *part;
+	size_t limit;
+	size_t bytes;
+	bool more;
+	struct json_object *list;
+};
+
+/* Whether a row with this value has a place in the page. */
+static bool has_place(struct page *p, const char *value)
+{
+	size_t size = strlen(value) / 4 * 3;
+
+	p->more = json_object_array_length(p->list) == p->limit ||
+		  p->bytes + size > BYTES_MAX;
+	if (!p->more)
+		p->bytes += size;
+	return !p->more;
+}
+
+static void fill_page(struct page *p, const char *from)
+{
+	char *name = name_of(p->table, p->part, from);
+	GTreeNode *n = g_tree_lower_bound(rows, name);
+	uint64_t i = first_old(p->table, p->part, from);
+	char key[32];
+
+	g_free(name);
+	for (;;) {
+		struct row *row = n ? g_tree_node_value(n) : NULL;
+
+		if (row && (strcmp(row->table, p->table) ||
+			    strcmp(row->part, p->part)))
+			row = NULL;
+		if (row && row->gone) {
+			n = g_tree_node_next(n);
 			continue;
-		more = json_object_array_length(list) == limit ||
-		       bytes + size > BYTES_MAX;
-		if (more)
-			break;
-		bytes += size;
-		json_object_array_add(list, row_json(row));
+		}
+		if (i < old.per_part)
+			old_key(p->part, i, key);
+		if (i < old.per_part && (!row || strcmp(key, row->key) < 0)) {
+			if (!has_place(p, old.value))
+				return;
+			json_object_array_add(p->list,
+					      old_row_json(p->part, key));
+			i++;
+		} else if (row) {
+			if (!has_place(p, row->value))
+				return;
+			json_object_array_add(p->list, row_json(row));
+			n = g_tree_node_next(n);
+		} else {
+			return;
+		}
 	}
-	if (more && json_object_array_length(list) < limit)
+}
+
+static enum MHD_Result on_get(struct request *r)
+{
+	struct page p = {.table = param(r, "table"),
+			 .part = param(r, "part"),
+			 .limit = strtoul(param(r, "limit"), NULL, 10),
+			 .list = json_object_new_array()};
+	struct json_object *o;
+
+	if (!p.limit || p.limit > ROWS_MAX)
+		p.limit = ROWS_MAX;
+	g_mutex_lock(&lock);
+	fill_page(&p, param(r, "from"));
+	o = answer(p.list);
+	g_mutex_unlock(&lock);
+	if (p.more && json_object_array_length(p.list) < p.limit)
 		record("page table=%s part=%s rows=%zu of=%zu bytes=%zu "
 		       "hasMore=true",
-		       table, part, json_object_array_length(list), limit,
-		       bytes);
-	o = answer(list);
-	json_object_object_add(o, "hasMore", json_object_new_boolean(more));
-	g_mutex_unlock(&lock);
-	g_free(name);
+		       p.table, p.part, json_object_array_length(p.list),
+		       p.limit, p.bytes);
+	json_object_object_add(o, "hasMore", json_object_new_boolean(p.more));
 	sleep_ms(READ_MS);
 	return reply_json(r, 200, o);
 }
@@ -433,13 +513,12 @@
 	return reply_json(r, status, a);
 }
 
-/* The text of a row without the token of the project's own tables. */
-static enum MHD_Result on_text(struct request *r)
+/* Returns the decoded value of the row that is asked for, or "". */
+static char *row_text(struct request *r)
 {
 	char *text = NULL;
 	gsize n = 0;
 	struct row *row;
-	enum MHD_Result rc;
 
 	g_mutex_lock(&lock);
 	row = find(param(r, "table"), param(r, "part"), param(r, "key"));
@@ -448,7 +527,25 @@
 	g_mutex_unlock(&lock);
 	text = g_realloc(text, n + 1);
 	text[n] = '\0';
-	rc = reply(r, 200, strchr(text, '{') ? strchr(text, '{') : text);
+	return text;
+}
+
+static enum MHD_Result on_raw(struct request *r)
+{
+	char *text = row_text(r);
+	enum MHD_Result rc = reply(r, 200, text);
+
+	g_free(text);
+	return rc;
+}
+
+/* The text of a row without the token of the project's own tables. */
+static enum MHD_Result on_text(struct request *r)
+{
+	char *text = row_text(r);
+	char *json = strchr(text, '{');
+	enum MHD_Result rc = reply(r, 200, json ? json : text);
+
 	g_free(text);
 	return rc;
 }
@@ -464,6 +561,8 @@
 		return on_feed(r);
 	if (!strcmp(r->path, "/ctl/text"))
 		return on_text(r);
+	if (!strcmp(r->path, "/ctl/raw"))
+		return on_raw(r);
 	if (!strcmp(r->path, "/ctl/late")) {
 		g_mutex_lock(&lock);
 		g_strlcpy(late.table, param(r, "table"), sizeof(late.table));
@@ -472,6 +571,16 @@
 		g_mutex_unlock(&lock);
 		return reply(r, 200, "{}");
 	}
+	if (!strcmp(r->path, "/ctl/old")) {
+		/* The body is the text of each row. */
+		g_mutex_lock(&lock);
+		old.value = g_base64_encode((guchar *)r->body->str,
+					    r->body->len);
+		old.per_part = strtoull(param(r, "rows"), NULL, 10) / 16;
+		old.step = (1ull << 60) / (old.per_part + 1);
+		g_mutex_unlock(&lock);
+		return reply(r, 200, "{}");
+	}
 	return reply(r, 404, "{}");
 }
 
