--- a/review/standin/minion.c
+++ b/review/standin/minion.c
@@ -44,11 +44,17 @@
 				has ended */
 	int64_t number;
 	int64_t sequence;
+	int silent; /* intervals without a status report */
+	bool dark; /* it has crashed, and answers nothing */
+	struct json_object *kept; /* a start without an answer */
 	GMutex lock;
 	GCond ended;
 };
 
 static GPtrArray *minions;
+/* The minion that gets the next start crashes for so long, and keeps it. */
+static int64_t crash_ms;
+static bool crashed;
 
 static int64_t clock_of(const struct minion *m)
 {
@@ -80,6 +86,74 @@
 	g_cond_broadcast(&m->ended);
 }
 
+static int64_t figure(const char *text, const char *name);
+
+/* Carries out a start, without its checks. */
+static void begin_run(struct minion *m, struct json_object *o)
+{
+	const char *spec = str_of(o, "spec");
+	int64_t work = figure(spec, "work_ms=");
+	struct run *n = g_new0(struct run, 1);
+
+	n->task = g_strdup(str_of(o, "task"));
+	n->run = int_of(o, "run");
+	n->cpu = figure(spec, "cpu=");
+	n->end_at = work ? now_ms() + work : 0;
+	m->used += n->cpu;
+	g_ptr_array_add(m->runs, n);
+	record("start minion=%s task=%s run=%lld token=%lld spec_bytes=%zu",
+	       m->id, n->task, (long long)n->run,
+	       (long long)int_of(o, W_FENCE), strlen(spec));
+}
+
+static void take_lease(struct minion *m, int64_t expires);
+
+/*
+ * A minion starts again under its id. It knows nothing of before, and carries
+ * the kept start out first.
+ */
+static void *restart(void *arg)
+{
+	struct minion *m = arg;
+
+	sleep_ms(crash_ms);
+	g_mutex_lock(&m->lock);
+	m->begun = now_ms();
+	m->born = g_get_real_time() / 1000;
+	m->fence = int_of(m->kept, W_FENCE);
+	m->lease = 0;
+	m->number = 0;
+	m->sequence = 0;
+	take_lease(m, int_of(m->kept, W_EXPIRES));
+	record("minion=%s restarts", m->id);
+	if (int_of(m->kept, W_EXPIRES) > clock_of(m))
+		begin_run(m, m->kept);
+	json_object_put(m->kept);
+	m->kept = NULL;
+	m->dark = false;
+	g_mutex_unlock(&m->lock);
+	return NULL;
+}
+
+/* Called with the lock. */
+static void crash(struct minion *m, struct json_object *start)
+{
+	m->dark = true;
+	m->kept = json_object_get(start);
+	m->used = 0;
+	g_ptr_array_set_size(m->runs, 0);
+	g_array_set_size(m->ends, 0);
+	g_hash_table_remove_all(m->highest);
+	record("minion=%s crashes task=%s run=%lld", m->id,
+	       str_of(start, "task"), (long long)int_of(start, "run"));
+	g_thread_unref(g_thread_new("restart", restart, m));
+}
+
+void minions_crash(int64_t ms)
+{
+	crash_ms = ms;
+}
+
 static void *tick_loop(void *arg)
 {
 	struct minion *m = arg;
@@ -130,6 +204,15 @@
 		struct json_object *o = json_object_new_object();
 		char address[32];
 
+		if (m->dark) {
+			/* Its entry goes after three intervals. */
+			if (++m->silent == 3)
+				store_remove("servers", m->id);
+			json_object_put(o);
+			sleep_ms(BEAT_MS);
+			continue;
+		}
+		m->silent = 0;
 		snprintf(address, sizeof(address), "127.0.0.1:%d", m->port);
 		add_str(o, "service", m->service);
 		add_str(o, "address", address);
@@ -163,11 +246,11 @@
 
 		add_str(o, "machine", m->machine);
 		add_str(o, "pool", m->service);
-		add_str(o, "state", "up");
+		add_str(o, "state", m->dark ? "down" : "up");
 		add_str(o, "zone", m->zone);
 		json_object_object_add(o, "labels", labels());
 		json_object_object_add(o, "capacity", capacity(m));
-		add_str(o, "id", m->id);
+		add_str(o, "id", m->dark ? "" : m->id);
 		json_object_array_add(list, o);
 	}
 }
@@ -225,9 +308,7 @@
 	int64_t run = int_of(o, "run");
 	int64_t *seen;
 	int64_t cpu = figure(spec, "cpu=");
-	int64_t work = figure(spec, "work_ms=");
 	struct json_object *a;
-	struct run *n;
 	guint at;
 
 	seen = g_hash_table_lookup(m->highest, task);
@@ -239,17 +320,7 @@
 			return refuse(m, r, "late");
 		if (m->used + cpu > m->cpu)
 			return refuse(m, r, "room");
-		n = g_new0(struct run, 1);
-		n->task = g_strdup(task);
-		n->run = run;
-		n->cpu = cpu;
-		n->end_at = work ? now_ms() + work : 0;
-		m->used += cpu;
-		g_ptr_array_add(m->runs, n);
-		record("start minion=%s task=%s run=%lld token=%lld "
-		       "spec_bytes=%zu",
-		       m->id, task, (long long)run,
-		       (long long)int_of(o, W_FENCE), strlen(spec));
+		begin_run(m, o);
 	}
 	a = json_object_new_object();
 	add_int(a, "clockMs", clock_of(m));
@@ -321,9 +392,14 @@
 		       g_array_index(m->ends, struct end, 0).how);
 		g_array_remove_index(m->ends, 0);
 	}
-	while (!m->ends->len && int_of(o, W_WAIT) &&
+	while (!m->ends->len && int_of(o, W_WAIT) && !m->dark &&
 	       g_cond_wait_until(&m->ended, &m->lock, end))
 		;
+	if (m->dark) {
+		g_mutex_unlock(&m->lock);
+		sleep_ms(60000);
+		return MHD_NO;
+	}
 	a = json_object_new_object();
 	running = json_object_new_array();
 	finished = json_object_new_array();
@@ -351,6 +427,15 @@
 	if (expect && strcmp(expect, m->id))
 		return reply(r, 421, "{}");
 	g_mutex_lock(&m->lock);
+	if (!strcmp(r->path, W_START) && crash_ms && !crashed) {
+		crashed = true;
+		crash(m, o);
+	}
+	if (m->dark) {
+		g_mutex_unlock(&m->lock);
+		sleep_ms(60000);
+		return MHD_NO;
+	}
 	if (fence < m->fence)
 		return refuse(m, r, "fence");
 	m->fence = fence;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -42,10 +42,13 @@
 /* The store. */
 void store_init(int port);
 void store_put(const char *table, const char *key, const char *text);
+void store_remove(const char *table, const char *key);
 
 /* A minion; @spec is "ID:PORT:SERVICE:ZONE:CPU". */
 void minion_add(const char *spec);
 void minions_list(struct json_object *list);
+/* The minion that gets the next start crashes for @ms and keeps the start. */
+void minions_crash(int64_t ms);
 
 int client_main(int argc, char **argv);
 
--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -117,6 +117,16 @@
 	g_free(value);
 }
 
+void store_remove(const char *table, const char *key)
+{
+	g_mutex_lock(&lock);
+	version++;
+	if (find(table, "", key))
+		write_row(table, "", key, NULL);
+	g_cond_broadcast(&changed);
+	g_mutex_unlock(&lock);
+}
+
 static struct json_object *row_json(const struct row *r)
 {
 	struct json_object *o = json_object_new_object();
@@ -571,6 +581,10 @@
 		g_mutex_unlock(&lock);
 		return reply(r, 200, "{}");
 	}
+	if (!strcmp(r->path, "/ctl/crash")) {
+		minions_crash(atoi(param(r, "ms")));
+		return reply(r, 200, "{}");
+	}
 	if (!strcmp(r->path, "/ctl/old")) {
 		/* The body is the text of each row. */
 		g_mutex_lock(&lock);
