log: count the workers that searches for room look at

Searches for a worker, those that found none, and the workers that they looked at are counted now, in event=load and as metrics, so that a pass that is slow because it starts much can be told from one that searches much.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -513,6 +513,9 @@
  * @starts: starts that were answered
  * @start_time: sum of the times from a start to its answer
  * @listings: listings received
+ * @searches: searches for a worker that can run a task
+ * @failed_searches: those that found none
+ * @compared: workers that these searches looked at
  */
 struct seam_load_stats {
 	seam_time since;
@@ -525,6 +528,9 @@
 	int64_t starts;
 	seam_time start_time;
 	int64_t listings;
+	int64_t searches;
+	int64_t failed_searches;
+	int64_t compared;
 };
 
 /**
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -355,7 +355,8 @@
 			 "event=load over_ms=%lld jobs=%zu "
 			 "waiting=%lld starting=%d window=%d starts=%lld "
 			 "start_ms=%lld "
-			 "looks=%lld passes=%lld pass_ms=%lld surveys=%lld "
+			 "looks=%lld passes=%lld pass_ms=%lld searches=%lld "
+			 "failed_searches=%lld compared=%lld surveys=%lld "
 			 "survey_ms=%lld arrivals=%lld arrival_ms=%lld "
 			 "turn=%d room=%d "
 			 "limit=%d unheard=%d crowded=%d busiest_node=%s "
@@ -369,7 +370,8 @@
 				     0LL,
 			 (long long)m->listings, (long long)m->passes,
 			 (long long)m->pass_time / SEAM_MSEC,
-			 (long long)m->surveys,
+			 (long long)m->searches, (long long)m->failed_searches,
+			 (long long)m->compared, (long long)m->surveys,
 			 (long long)m->survey_time / SEAM_MSEC,
 			 (long long)m->arrivals,
 			 m->arrivals ?
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -15,6 +15,10 @@
 #define START_QUEUE_TIMEOUT (600 * SEAM_MSEC)
 SEAM_METRIC(passes, "seam_passes_total", "Passes over the waiting tasks.");
 SEAM_METRIC(waiting, "seam_tasks_waiting", "Tasks that could run but wait.");
+SEAM_METRIC(searches, "seam_worker_searches_total",
+	    "Searches for a worker that can run a task.");
+SEAM_METRIC(compared, "seam_workers_compared_total",
+	    "Workers that these searches looked at.");
 SEAM_METRIC(beside_late, "seam_starts_beside_late_total",
 	    "Starts on a worker while another may start the task late.");
 
@@ -31,6 +35,9 @@
 	GHashTable *pools;
 	bool node_limited; /* a worker was skipped as its node has
 			      as many pending starts as its window */
+	int64_t searches; /* searches for a worker */
+	int64_t failed_searches;
+	int64_t compared; /* workers that they looked at */
 };
 
 static struct pool *find_or_add_pool(struct pass *p, const char *name)
@@ -209,6 +216,7 @@
 	const struct seam_worker *w = scheduler_worker(c->pass->sched, h);
 	struct seam_fit_worker f;
 
+	c->pass->compared++;
 	if (!w || !describe_worker(c, w, &f))
 		return false;
 	g_array_append_val(c->workers, f);
@@ -287,7 +295,9 @@
 	int best;
 
 	p->node_limited = false;
+	p->searches++;
 	best = compare_workers(&c);
+	p->failed_searches += best < 0;
 	if (best >= 0)
 		w = scheduler_worker(
 			p->sched,
@@ -544,6 +554,21 @@
 	seam_backlog_end(&c);
 }
 
+static void count_pass(const struct pass *p)
+{
+	struct seam_load_stats *m = &p->sched->load;
+
+	m->passes++;
+	m->pass_time += seam_now(p->sched->clock) - p->now;
+	m->searches += p->searches;
+	m->failed_searches += p->failed_searches;
+	m->compared += p->compared;
+	seam_metric_add(&passes, 1);
+	seam_metric_add(&searches, p->searches);
+	seam_metric_add(&compared, p->compared);
+	seam_metric_set(&waiting, p->sched->waiting);
+}
+
 void scheduler_pass(struct seam_scheduler *sched)
 {
 	struct pass p = {.sched = sched, .now = seam_now(sched->clock)};
@@ -555,10 +580,7 @@
 	find_unsettled_pools(&p);
 	find_pools_of_long_leases(&p);
 	start_jobs(&p);
-	seam_metric_add(&passes, 1);
-	seam_metric_set(&waiting, sched->waiting);
-	sched->load.passes++;
-	sched->load.pass_time += seam_now(sched->clock) - p.now;
+	count_pass(&p);
 	scheduler_log_load(sched);
 	g_hash_table_destroy(p.pools);
 }
