scheduler: a bound of tasks on a worker needs no look at the whole pool

Cause: a task of a step with a bound of tasks on a worker (perNode) was compared with all workers of its pool, as if its place depended on other tasks. The bound only leaves workers out; the best of the others is the first that fits in the order of free CPU, which the index has.

Why this works: seam_fit() prefers the least free CPU; it adds a cost only for data elsewhere, for a failure of the task there, for slow workers and for serving or filling steps. The first three are handled by the ordered search, the last two keep the comparison with all.

The test failed before: 1,600 looks for 8 tasks in a pool of 200 workers, where 36 are the bound.

--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -245,9 +245,11 @@
 }
 
 /*
- * A task whose placement depends on other tasks is compared with all workers.
- * Any other goes near its data, or else to the fullest worker with enough room;
- * slow workers come last.
+ * A task that other tasks on a worker slow down is compared with all workers,
+ * one with a label with those that have it. Any other goes near its data, or
+ * else to the fullest worker with enough room; slow workers come last. A bound
+ * of the tasks on a worker leaves workers out, but does not change the order of
+ * the others.
  */
 static int compare_workers(struct choice *c)
 {
@@ -258,7 +260,7 @@
 	int best;
 	int slow;
 
-	if (s->per_worker || s->target_ms || s->fills || *s->label) {
+	if (s->target_ms || s->fills || *s->label) {
 		seam_worker_index_each_labelled(worker_index, pool, s->label,
 						add_each, c);
 		best_of(c, &best);
--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -198,6 +198,25 @@
 		EXPECT_EQ(runs_on(("w" + std::to_string(i)).c_str()), 1);
 }
 
+// Guards against a pass whose cost for each start grows with the pool: steps
+// with few tasks on a worker were compared with all workers.
+TEST_F(Pass, BoundOfTasksOnAWorkerNeedsNoLookAtTheWholePool)
+{
+	seam_log_set_level(SEAM_ERROR);
+	seam_fake_scheduler_init(&f, 200 * SEAM_FAKE_POOLS);
+	scheduler_pass(f.sched); /* the first one clears the counts */
+	seam_fake_scheduler_add_job(&f, 8, 1000, 1000, -1);
+	seam_job *j = scheduler_find_job(f.sched, "0000000000000001");
+	j->row.spec.step[0].per_worker = 1;
+	scheduler_pass(f.sched);
+	EXPECT_EQ(j->idle[0], 0);
+	/* Each task passes over the workers that have one. */
+	EXPECT_GE(f.sched->load.compared, 8);
+	EXPECT_LE(f.sched->load.compared, 8 * (8 + 1) / 2);
+	for (int i = 0; i < f.workers; i++)
+		EXPECT_LE(runs_on(("w" + std::to_string(i)).c_str()), 1);
+}
+
 // Guards against starts on an unusable worker, though it has the most room.
 TEST_F(Pass, UnusableWorkersArePassedOver)
 {
