scheduler: remember each need that found no worker during a pass

Cause: a pass remembered one need that had found no worker in a pool, the latest. The next job with a little less CPU and more memory was searched for again, through all workers with enough free CPU, and replaced it. The check whether a pool is done goes by the least CPU of its jobs alone, so the pass tried each of them.

Why this works: room only shrinks during a pass, so a need that is as large as one that has failed fails as well. All smallest ones are kept, up to 16 of CPU, memory and GPU; a place beyond them costs a search, not a start. What a failure that is due to the window of a node holds up still counts as waiting for its turn.

--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -22,11 +22,27 @@
 SEAM_METRIC(beside_late, "seam_starts_beside_late_total",
 	    "Starts on a worker while another may start the task late.");
 
-/* A pool during one pass. */
+/* Needs that are kept of those that found no worker in a pool. */
+#define FAILED_NEEDS_MAX 16
+
+/* A need that found no worker, and what holds its task up. */
+struct failed_need {
+	struct seam_resources need;
+	enum seam_delay delay;
+};
+
+/*
+ * A pool during one pass.
+ *
+ * @settled: no worker may still run tasks that the owner does not know
+ * @failed: needs that found no worker, none of them as large as another. Room
+ *     only shrinks during a pass, so that no larger need finds any either.
+ * @failed_count: number of them
+ */
 struct pool {
 	bool settled;
-	bool full;
-	struct seam_resources failed; /* a task of this size found no room */
+	struct failed_need failed[FAILED_NEEDS_MAX];
+	int failed_count;
 };
 
 struct pass {
@@ -53,6 +69,35 @@
 	return found;
 }
 
+/* Returns a need that found no worker and is not larger than @need, or NULL. */
+static const struct failed_need *
+find_failed_need(const struct pool *pool, const struct seam_resources *need)
+{
+	int i;
+
+	for (i = 0; i < pool->failed_count; i++)
+		if (seam_fits(&pool->failed[i].need, need))
+			return &pool->failed[i];
+	return NULL;
+}
+
+/* Notes that @need found no worker. Larger ones that did not are covered. */
+static void add_failed_need(struct pool *pool,
+			    const struct seam_resources *need,
+			    enum seam_delay delay)
+{
+	int kept = 0;
+	int i;
+
+	for (i = 0; i < pool->failed_count; i++)
+		if (!seam_fits(need, &pool->failed[i].need))
+			pool->failed[kept++] = pool->failed[i];
+	if (kept == FAILED_NEEDS_MAX)
+		kept--;
+	pool->failed[kept++] = (struct failed_need){*need, delay};
+	pool->failed_count = kept;
+}
+
 /* Pools of workers that may still run tasks under a longer lease. */
 static void find_pools_of_long_leases(struct pass *p)
 {
@@ -422,6 +467,8 @@
 	const struct seam_step *s = &j->row.spec.step[step];
 	struct seam_resources limit = workspace_limit(p, j->row.spec.workspace);
 	bool plain = !s->per_worker && !*s->label && !s->fills && !s->lasting;
+	struct seam_resources need = scheduler_step_need(s);
+	const struct failed_need *failed;
 	enum seam_delay delay = SEAM_DELAY_NONE;
 	int64_t t;
 
@@ -448,22 +495,21 @@
 			delay = SEAM_DELAY_UNCONFIRMED;
 			continue;
 		}
-		if (!w && pool->full && plain &&
-		    seam_fits(&pool->failed, &s->need))
-			return SEAM_DELAY_ROOM;
+		/* Lasting tasks may also use workers that are kept for them. */
+		failed = w || s->lasting ? NULL : find_failed_need(pool, &need);
+		if (failed)
+			return failed->delay;
 		if (!w)
 			w = choose_worker(p, j, step, state);
-		if (!w && p->node_limited)
-			return SEAM_DELAY_TURN;
 		if (!w) {
-			if (plain) {
-				pool->full = true;
-				pool->failed = s->need;
-			}
-			if (s->lasting)
+			delay = p->node_limited ? SEAM_DELAY_TURN :
+						  SEAM_DELAY_ROOM;
+			if (plain)
+				add_failed_need(pool, &need, delay);
+			if (s->lasting && delay == SEAM_DELAY_ROOM)
 				scheduler_reserve_worker(p->sched, j, step,
 							 p->now);
-			return SEAM_DELAY_ROOM;
+			return delay;
 		}
 		start_task(p, w, j, step, (int)t);
 	}
--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -217,6 +217,33 @@
 		EXPECT_LE(runs_on(("w" + std::to_string(i)).c_str()), 1);
 }
 
+// Guards against a pass whose cost goes by the tasks that wait: each need that
+// differs was searched for again, though a smaller one had found no room.
+TEST_F(Pass, NeedLargerThanOneWithoutRoomIsNotSearchedFor)
+{
+	seam_log_set_level(SEAM_ERROR);
+	seam_fake_scheduler_init(&f, SEAM_FAKE_POOLS);
+	scheduler_pass(f.sched); /* the first one clears the counts */
+	for (int i = 0; i < 201 * SEAM_FAKE_POOLS; i++) {
+		bool first = i < SEAM_FAKE_POOLS;
+		char id[SEAM_JOB_ID_SIZE];
+
+		/* The first ones have room by their CPU alone. */
+		seam_fake_scheduler_add_job(&f, 1, first ? 1 : 33000 + i % 7,
+					    1000, -1);
+		snprintf(id, sizeof(id), "%016llx", (unsigned long long)f.jobs);
+		scheduler_find_job(f.sched, id)->row.spec.step[0].need.memory =
+			first ? INT64_MAX : 1000 + i % 11;
+	}
+	scheduler_pass(f.sched);
+	for (int i = 0; i < SEAM_FAKE_POOLS; i++)
+		EXPECT_EQ(runs_on(("w" + std::to_string(i)).c_str()), 1);
+	/* At most one for each of the seven needs of CPU and of memory. */
+	EXPECT_GE(f.sched->load.failed_searches, 2 * SEAM_FAKE_POOLS);
+	EXPECT_LE(f.sched->load.failed_searches,
+		  SEAM_FAKE_POOLS * (1 + 7 + 11));
+}
+
 // Guards against starts on an unusable worker, though it has the most room.
 TEST_F(Pass, UnusableWorkersArePassedOver)
 {
