scheduler: searches pass over workers that are out of service

Cause: a worker whose VM was moved, maintained or replaced stays in the table for up to 13.7 s, as its row may come back, and stayed in the index of workers with all of its CPU free; so did workers that have not answered yet, drain, or have no row. A search that finds no room looks at each of them. The most VMs move just as a queue rises. A worker with the CPU but without the memory was described in full, with a lock for the state of its data centre, before the memory was compared.

Why this works: such a worker leaves the index with the change that takes it out of service and comes back with its first answer or its row; the check of all workers, each 0.2 s, corrects what a change has missed. States that end with time alone (back-offs, VMs that are to leave) are compared as before, in each search.

The test failed before: 1,000 looks for 10 tasks among 5 workers that can run them and 995 whose VMs have left.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -388,6 +388,7 @@
  *     found or last heard, has ended
  * @gone_at: when another worker was found on its VM or at its address, or 0
  * @retired: it has to be removed from the table
+ * @indexed: it has an entry in the index of workers
  * @process_known_at: when its current process was first seen
  * @past_process_ms: start times of its latest processes before the current one
  * @restarts: restarts that were seen in this term
@@ -445,6 +446,7 @@
 	bool vm_was_empty;
 	seam_time gone_at;
 	bool retired;
+	bool indexed;
 	seam_time process_known_at;
 	int64_t past_process_ms[SEAM_PAST_PROCESSES];
 	unsigned restarts;
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -259,14 +259,18 @@
 static bool add_worker(struct seam_handle h, struct choice *c)
 {
 	const struct seam_worker *w = scheduler_worker(c->pass->sched, h);
+	struct seam_resources free;
 	struct seam_fit_worker f;
 
 	c->pass->compared++;
-	if (!w || !describe_worker(c, w, &f))
+	if (!w)
+		return false;
+	free = scheduler_worker_free(w);
+	if (!seam_fits(&c->fit.need, &free) || !describe_worker(c, w, &f))
 		return false;
 	g_array_append_val(c->workers, f);
 	g_array_append_val(c->handles, h);
-	return !f.avoid && !f.copy && seam_fits(&c->fit.need, &f.free);
+	return !f.avoid && !f.copy;
 }
 
 static bool add_first(struct seam_handle h, void *arg)
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -114,10 +114,24 @@
 		g_hash_table_remove(sched->worker_of, w->info.id);
 }
 
-/* The row may have changed the pool, the size or the labels. */
-static void update_index_entry(struct seam_worker *w)
+/* Whether @w can't run tasks until something else than the time changes. */
+static bool is_out_of_service(const struct seam_worker *w)
 {
-	seam_worker_index_put(w->sched->worker_index, w->self, &w->info,
+	return !w->listed || !w->contacted || w->info.draining || w->vm_gone ||
+	       w->retired;
+}
+
+/* Indexes @w by its latest row if it is in service. */
+void scheduler_worker_index(struct seam_worker *w)
+{
+	struct seam_worker_index *idx = w->sched->worker_index;
+
+	w->indexed = !is_out_of_service(w);
+	if (!w->indexed) {
+		seam_worker_index_remove(idx, w->self);
+		return;
+	}
+	seam_worker_index_put(idx, w->self, &w->info,
 			      w->info.capacity.cpu - w->used.cpu,
 			      w->info.warmup_ms > SEAM_SLOW_MIN_MS);
 }
@@ -154,7 +168,7 @@
 	g_hash_table_replace(sched->worker_of, g_strdup(w->info.id),
 			     g_memdup2(&w->self, sizeof(w->self)));
 	scheduler_take_late_starts(w);
-	update_index_entry(w);
+	scheduler_worker_index(w);
 	seam_metric_set(&known, (int64_t)seam_table_count(sched->workers));
 	scheduler_request_assignment(sched);
 }
@@ -174,6 +188,7 @@
 		return;
 	w->listed = false;
 	w->unlisted_at = seam_now(sched->clock);
+	scheduler_worker_index(w);
 	scheduler_request_assignment(sched);
 	seam_log(SEAM_INFO, "worker",
 		 "event=row_gone worker=%s draining=%d answered=%d", w->info.id,
@@ -212,7 +227,7 @@
 	process_start_ms = w->info.process_start_ms;
 	w->info = *info;
 	w->info.process_start_ms = process_start_ms;
-	update_index_entry(w);
+	scheduler_worker_index(w);
 	if (drains) {
 		w->draining_since = seam_now(sched->clock);
 		seam_log(SEAM_INFO, "worker",
@@ -466,6 +481,8 @@
 
 	while ((w = seam_table_next(sched->workers, &h))) {
 		expire_runs(w);
+		if (w->indexed == is_out_of_service(w))
+			scheduler_worker_index(w);
 		if (!w->retired && is_finished(sched, w))
 			retire(sched, w);
 		if (!w->retired)
--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -244,6 +244,24 @@
 		  SEAM_FAKE_POOLS * (1 + 7 + 11));
 }
 
+// Guards against a pass whose cost goes by the VMs that have left a pool: the
+// entries of their workers stay for seconds and have all their CPU free.
+TEST_F(Pass, WorkersOfVmsThatLeftAreNotLookedAt)
+{
+	seam_log_set_level(SEAM_ERROR);
+	seam_fake_scheduler_init(&f, 200 * SEAM_FAKE_POOLS);
+	scheduler_pass(f.sched); /* the first one clears the counts */
+	for (int i = SEAM_FAKE_POOLS; i < f.workers; i++)
+		scheduler_worker_replaced(
+			worker(("w" + std::to_string(i)).c_str()), "moved");
+	for (int i = 0; i < 2 * SEAM_FAKE_POOLS; i++)
+		seam_fake_scheduler_add_job(&f, 1, 40000, 1000, -1);
+	scheduler_pass(f.sched);
+	for (int i = 0; i < SEAM_FAKE_POOLS; i++)
+		EXPECT_EQ(runs_on(("w" + std::to_string(i)).c_str()), 1);
+	EXPECT_EQ(f.sched->load.compared, SEAM_FAKE_POOLS);
+}
+
 // Guards against starts on an unusable worker, though it has the most room.
 TEST_F(Pass, UnusableWorkersArePassedOver)
 {
