scheduler: check all workers at most once in 20 ms

Cause: each VM that was ordered to move, and each worker that was found, woke the thread that looks at all workers for expired leases and divides them over the lanes, under the scheduler's lock. A rising queue does that hundreds of times a second, for 1,100 workers each.

Why this works: what arrives within 20 ms is handled by one check, as passes do with changes within 8 ms. A found worker gets its lane up to 20 ms later, of some 1.6 s that a move takes; leases outlast that by far. seam_worker_checks_total and checks of event=load count them.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -515,6 +515,7 @@
  * @starts: starts that were answered
  * @start_time: sum of the times from a start to its answer
  * @listings: listings received
+ * @checks: checks of all workers, with their division over the lanes
  * @searches: searches for a worker that can run a task
  * @failed_searches: those that found none
  * @compared: workers that these searches looked at
@@ -530,6 +531,7 @@
 	int64_t starts;
 	seam_time start_time;
 	int64_t listings;
+	int64_t checks;
 	int64_t searches;
 	int64_t failed_searches;
 	int64_t compared;
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -340,6 +340,11 @@
 		 (long long)over / SEAM_MSEC, text);
 }
 
+static long long mean_ms(seam_time sum, int64_t n)
+{
+	return n ? (long long)(sum / n) / SEAM_MSEC : 0;
+}
+
 void scheduler_log_load(struct seam_scheduler *sched)
 {
 	const struct seam_scheduler_lane *l = busiest_lane(sched);
@@ -356,7 +361,8 @@
 			 "waiting=%lld starting=%d window=%d starts=%lld "
 			 "start_ms=%lld "
 			 "looks=%lld passes=%lld pass_ms=%lld searches=%lld "
-			 "failed_searches=%lld compared=%lld surveys=%lld "
+			 "failed_searches=%lld compared=%lld checks=%lld "
+			 "surveys=%lld "
 			 "survey_ms=%lld arrivals=%lld arrival_ms=%lld "
 			 "turn=%d room=%d "
 			 "limit=%d unheard=%d crowded=%d busiest_node=%s "
@@ -365,19 +371,15 @@
 			 seam_table_count(sched->jobs),
 			 (long long)sched->waiting, sched->starting,
 			 (int)sched->window.size, (long long)m->starts,
-			 m->starts ? (long long)(m->start_time / m->starts) /
-					     SEAM_MSEC :
-				     0LL,
+			 mean_ms(m->start_time, m->starts),
 			 (long long)m->listings, (long long)m->passes,
 			 (long long)m->pass_time / SEAM_MSEC,
 			 (long long)m->searches, (long long)m->failed_searches,
-			 (long long)m->compared, (long long)m->surveys,
+			 (long long)m->compared, (long long)m->checks,
+			 (long long)m->surveys,
 			 (long long)m->survey_time / SEAM_MSEC,
 			 (long long)m->arrivals,
-			 m->arrivals ?
-				 (long long)(m->arrival_time / m->arrivals) /
-					 SEAM_MSEC :
-				 0LL,
+			 mean_ms(m->arrival_time, m->arrivals),
 			 delayed[SEAM_DELAY_TURN], delayed[SEAM_DELAY_ROOM],
 			 delayed[SEAM_DELAY_LIMIT],
 			 delayed[SEAM_DELAY_UNCONFIRMED], sched->overloaded,
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -24,7 +24,15 @@
 
 /* Interval between checks for expired leases and finished workers. */
 #define REAP_INTERVAL (200 * SEAM_MSEC)
+/*
+ * Delay before a check, to handle changes that arrive together at once: each
+ * check looks at all workers, and a rising queue moves hundreds of VMs a
+ * second.
+ */
+#define REAP_DELAY_USEC 20000
 
+SEAM_METRIC(checks, "seam_worker_checks_total",
+	    "Checks of all workers for expired leases and lanes.");
 SEAM_METRIC(known, "seam_workers", "Workers that the owner knows.");
 SEAM_METRIC(lost, "seam_workers_lost_total", "Lives of workers that ended.");
 
@@ -502,8 +510,13 @@
 	while (!sched->stop) {
 		reap(sched);
 		scheduler_update_lanes(sched);
+		sched->load.checks++;
+		seam_metric_add(&checks, 1);
 		seam_wait(sched->clock, &sched->reap_wake, &sched->lock,
 			  seam_now(sched->clock) + REAP_INTERVAL);
+		pthread_mutex_unlock(&sched->lock);
+		g_usleep(REAP_DELAY_USEC);
+		pthread_mutex_lock(&sched->lock);
 	}
 	pthread_mutex_unlock(&sched->lock);
 	return NULL;
--- a/tests/scheduler_load_test.cc
+++ b/tests/scheduler_load_test.cc
@@ -48,3 +48,30 @@
 	usleep(3500000);
 	EXPECT_EQ(metric(BESIDE_ROOM), 0);
 }
+
+// Guards against a check of all workers for each VM that moves, which takes the
+// owner's processor while a queue rises.
+TEST_F(SchedulerLoad, ChangesThatArriveTogetherAreCheckedTogether)
+{
+	w.add_worker("a");
+	Owner o(&w, "n1");
+	int64_t before = metric("seam_worker_checks_total");
+	seam_time begin = seam_now(w.clock);
+
+	for (int i = 0; i < 200; i++) {
+		pthread_mutex_lock(&o.sched->lock);
+		scheduler_request_assignment(o.sched);
+		pthread_mutex_unlock(&o.sched->lock);
+		usleep(1000);
+	}
+	int64_t passed_ms = (seam_now(w.clock) - begin) / SEAM_MSEC;
+	/* At most one in 20 ms. */
+	EXPECT_LE(metric("seam_worker_checks_total") - before,
+		  passed_ms / 20 + 1);
+	EXPECT_TRUE(eventually([&] {
+		pthread_mutex_lock(&o.sched->lock);
+		bool due = o.sched->assign_due;
+		pthread_mutex_unlock(&o.sched->lock);
+		return !due;
+	}));
+}
