vm_plan: surplus VMs go straight to the pool that needs them soon

Cause: demand that is expected got VMs of the standby pool only. VMs that another pool released in the same plan went to standby, for 1.5 s, and from there with a second move to the pool that was short, so that they arrived after twice the time.

Why this works: what is taken is only what would leave its pool by the same plan: idle, and above the peak of the pool's demand that is kept for a second. Such VMs are taken before those in standby, which saves a move. No pool gets fewer VMs than before.

The test failed before: two VMs went to the pool that needed five soon, while six went to standby.

--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -187,13 +187,23 @@
 	return false;
 }
 
+/* Whether @v goes to standby unless a pool takes it before. */
+static bool is_surplus(const struct seam_plan *p, const struct seam_plan_vm *v)
+{
+	const struct seam_plan_pool *pool = &p->pool[v->pool];
+
+	return !pool->standby && pool->have > pool->hold && v->up &&
+	       v->usable && !v->runs && v->action == SEAM_VM_KEEP;
+}
+
 /*
- * Returns a VM that pool @to may take: from standby first, then, unless it is
- * only for demand to come, from a pool above its target; there idle VMs come
- * before those that run tasks. A VM with long-running tasks that have no room
- * elsewhere is never taken, and none with long-running tasks during a wave:
- * their availability budgets allow few evictions at a time, and the wave has a
- * deadline.
+ * Returns a VM that pool @to may take: from standby first, then from a pool
+ * above its target; there idle VMs come before those that run tasks. For demand
+ * to come only surplus VMs and those from standby are taken, the former first:
+ * they would need one move to standby and another one from there. A VM with
+ * long-running tasks that have no room elsewhere is never taken, and none with
+ * long-running tasks during a wave: their availability budgets allow few
+ * evictions at a time, and the wave has a deadline.
  */
 static struct seam_plan_vm *find_donor(struct planner *r, int to,
 				       enum need need)
@@ -210,8 +220,10 @@
 		int cost = *count_of(r, to, v->dc);
 
 		if (!v->up || v->pool == to || v->action != SEAM_VM_KEEP ||
-		    (need == NEED_SOON && !pool->standby))
+		    (need == NEED_SOON && !pool->standby && !is_surplus(p, v)))
 			continue;
+		if (need == NEED_SOON && pool->standby)
+			cost += 2000;
 		if (!pool->standby) {
 			/* A draining VM is not counted in its pool any more. */
 			if (!v->leaving &&
@@ -284,8 +296,7 @@
 		struct seam_plan_vm *v = &p->vm[i];
 		int n;
 
-		if (v->pool != pool || !v->up || !v->usable || v->runs ||
-		    v->action != SEAM_VM_KEEP)
+		if (v->pool != pool || !is_surplus(p, v))
 			continue;
 		n = 2 * *count_of(r, pool, v->dc) + v->due;
 		if (!best || n > most) {
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -332,6 +332,23 @@
 	EXPECT_EQ(count(SEAM_VM_DRAIN), 0);
 }
 
+// Guards against a VM that one pool releases and another one needs soon, and
+// that goes to standby first: it arrives by a second move, after twice the
+// time.
+TEST_F(Plan, SurplusGoesToThePoolThatNeedsItSoon)
+{
+	add(2, STANDBY);
+	add(10, A);
+	add(2, B);
+	want(A, 4);
+	want(B, 2);
+	pool[B].soon = pool[B].hold = 7;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, B), 5);
+	EXPECT_EQ(count(SEAM_VM_MOVE, STANDBY), 1);
+	EXPECT_EQ(count(SEAM_VM_KEEP), 2 + 4 + 2);
+}
+
 // Guards against expected demand of one pool before late jobs of another.
 TEST_F(Plan, ExpectedDemandComesAfterLateJobs)
 {
