--- a/fake/scheduler.c
+++ b/fake/scheduler.c
@@ -27,7 +27,7 @@
 	scheduler_worker_add(f->sched, &info);
 	w = scheduler_find_worker(f->sched, info.id);
 	w->contacted = true;
-	scheduler_worker_index(w);
+	scheduler_worker_update_index(w);
 	w->answered = true;
 	scheduler_lane_add(w, i / WORKERS_PER_LANE % SEAM_LANES_MAX);
 }
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -121,7 +121,7 @@
 		scheduler_wake_pass(sched);
 	if (fenced && !w->contacted) {
 		w->contacted = true;
-		scheduler_worker_index(w);
+		scheduler_worker_update_index(w);
 		scheduler_vm_arrived(w);
 		w->lease_end = scheduler_longest_lease(sched, now);
 		w->long_lease_until = w->lease_end;
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -87,7 +87,7 @@
 	/* The worker still runs, or runs again under the same id. */
 	if (w && w->vm_gone && v->up && l->sched->vms_read_at >= w->gone_at) {
 		w->vm_gone = false;
-		scheduler_worker_index(w);
+		scheduler_worker_update_index(w);
 		scheduler_request_assignment(l->sched);
 	}
 	if (*info->worker && is_unconfirmed(l, w))
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -2,6 +2,7 @@
 #include "process/scheduler_impl.h"
 #include "base/metrics.h"
 #include "base/log.h"
+#include "process/failed_needs.h"
 #include "process/fit.h"
 #include "process/urgency.h"
 
@@ -22,27 +23,15 @@
 SEAM_METRIC(beside_late, "seam_starts_beside_late_total",
 	    "Starts on a worker while another may start the task late.");
 
-/* Needs that are kept of those that found no worker in a pool. */
-#define FAILED_NEEDS_MAX 16
-
-/* A need that found no worker, and what holds its task up. */
-struct failed_need {
-	struct seam_resources need;
-	enum seam_delay delay;
-};
-
 /*
  * A pool during one pass.
  *
  * @settled: no worker may still run tasks that the owner does not know
- * @failed: needs that found no worker, none of them as large as another. Room
- *     only shrinks during a pass, so that no larger need finds any either.
- * @failed_count: number of them
+ * @failed: needs of plain tasks that found no worker; @why is a seam_delay
  */
 struct pool {
 	bool settled;
-	struct failed_need failed[FAILED_NEEDS_MAX];
-	int failed_count;
+	struct seam_failed_needs failed;
 };
 
 struct pass {
@@ -69,35 +58,6 @@
 	return found;
 }
 
-/* Returns a need that found no worker and is not larger than @need, or NULL. */
-static const struct failed_need *
-find_failed_need(const struct pool *pool, const struct seam_resources *need)
-{
-	int i;
-
-	for (i = 0; i < pool->failed_count; i++)
-		if (seam_fits(&pool->failed[i].need, need))
-			return &pool->failed[i];
-	return NULL;
-}
-
-/* Notes that @need found no worker. Larger ones that did not are covered. */
-static void add_failed_need(struct pool *pool,
-			    const struct seam_resources *need,
-			    enum seam_delay delay)
-{
-	int kept = 0;
-	int i;
-
-	for (i = 0; i < pool->failed_count; i++)
-		if (!seam_fits(need, &pool->failed[i].need))
-			pool->failed[kept++] = pool->failed[i];
-	if (kept == FAILED_NEEDS_MAX)
-		kept--;
-	pool->failed[kept++] = (struct failed_need){*need, delay};
-	pool->failed_count = kept;
-}
-
 /* Pools of workers that may still run tasks under a longer lease. */
 static void find_pools_of_long_leases(struct pass *p)
 {
@@ -464,15 +424,45 @@
 	scheduler_queue_order(w, &o);
 }
 
+/*
+ * Finds a worker for a task, unless a need that is not larger found none in
+ * this pass. Without one, @delay receives what the task waits for.
+ */
+static struct seam_worker *find_worker(struct pass *p, struct pool *pool,
+				       const struct seam_job *j, int step,
+				       const struct seam_job_task_state *t,
+				       enum seam_delay *delay)
+{
+	const struct seam_step *s = &j->row.spec.step[step];
+	bool plain = !s->per_worker && !*s->label && !s->fills && !s->lasting;
+	struct seam_resources need = scheduler_step_need(s);
+	const struct seam_failed_need *failed = NULL;
+	struct seam_worker *w;
+
+	/* Lasting tasks may also use workers that are kept for them. */
+	if (!s->lasting)
+		failed = seam_failed_needs_find(&pool->failed, &need);
+	if (failed) {
+		*delay = (enum seam_delay)failed->why;
+		return NULL;
+	}
+	w = choose_worker(p, j, step, t);
+	if (w)
+		return w;
+	*delay = p->node_limited ? SEAM_DELAY_TURN : SEAM_DELAY_ROOM;
+	if (plain)
+		seam_failed_needs_add(&pool->failed, &need, *delay);
+	if (s->lasting && *delay == SEAM_DELAY_ROOM)
+		scheduler_reserve_worker(p->sched, j, step, p->now);
+	return NULL;
+}
+
 /* Starts tasks of one step; returns what delays the first that waits. */
 static enum seam_delay start_step(struct pass *p, struct pool *pool,
 				  struct seam_job *j, int step)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 	struct seam_resources limit = workspace_limit(p, j->row.spec.workspace);
-	bool plain = !s->per_worker && !*s->label && !s->fills && !s->lasting;
-	struct seam_resources need = scheduler_step_need(s);
-	const struct failed_need *failed;
 	enum seam_delay delay = SEAM_DELAY_NONE;
 	int64_t t;
 
@@ -499,22 +489,10 @@
 			delay = SEAM_DELAY_UNCONFIRMED;
 			continue;
 		}
-		/* Lasting tasks may also use workers that are kept for them. */
-		failed = w || s->lasting ? NULL : find_failed_need(pool, &need);
-		if (failed)
-			return failed->delay;
 		if (!w)
-			w = choose_worker(p, j, step, state);
-		if (!w) {
-			delay = p->node_limited ? SEAM_DELAY_TURN :
-						  SEAM_DELAY_ROOM;
-			if (plain)
-				add_failed_need(pool, &need, delay);
-			if (s->lasting && delay == SEAM_DELAY_ROOM)
-				scheduler_reserve_worker(p->sched, j, step,
-							 p->now);
+			w = find_worker(p, pool, j, step, state, &delay);
+		if (!w)
 			return delay;
-		}
 		start_task(p, w, j, step, (int)t);
 	}
 	return delay;
--- a/process/scheduler_vm_orders.c
+++ b/process/scheduler_vm_orders.c
@@ -167,7 +167,7 @@
 	w = scheduler_find_worker(sched, t->worker);
 	if (w) {
 		w->vm_gone = true;
-		scheduler_worker_index(w);
+		scheduler_worker_update_index(w);
 		w->answered = false;
 		scheduler_worker_lost(w, t->wave ? "maintained" : "moved");
 		scheduler_request_assignment(sched);
--- a/process/scheduler_vm_workers.c
+++ b/process/scheduler_vm_workers.c
@@ -70,7 +70,7 @@
 {
 	w->vm_gone = true;
 	w->gone_at = seam_now(w->sched->clock);
-	scheduler_worker_index(w);
+	scheduler_worker_update_index(w);
 	scheduler_worker_lost(w, why);
 	scheduler_request_assignment(w->sched);
 }
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -130,7 +130,7 @@
 }
 
 /* Indexes @w by its latest row if it is in service. */
-void scheduler_worker_index(struct seam_worker *w)
+void scheduler_worker_update_index(struct seam_worker *w)
 {
 	struct seam_worker_index *idx = w->sched->worker_index;
 
@@ -176,7 +176,7 @@
 	g_hash_table_replace(sched->worker_of, g_strdup(w->info.id),
 			     g_memdup2(&w->self, sizeof(w->self)));
 	scheduler_take_late_starts(w);
-	scheduler_worker_index(w);
+	scheduler_worker_update_index(w);
 	seam_metric_set(&known, (int64_t)seam_table_count(sched->workers));
 	scheduler_request_assignment(sched);
 }
@@ -196,7 +196,7 @@
 		return;
 	w->listed = false;
 	w->unlisted_at = seam_now(sched->clock);
-	scheduler_worker_index(w);
+	scheduler_worker_update_index(w);
 	scheduler_request_assignment(sched);
 	seam_log(SEAM_INFO, "worker",
 		 "event=row_gone worker=%s draining=%d answered=%d", w->info.id,
@@ -235,7 +235,7 @@
 	process_start_ms = w->info.process_start_ms;
 	w->info = *info;
 	w->info.process_start_ms = process_start_ms;
-	scheduler_worker_index(w);
+	scheduler_worker_update_index(w);
 	if (drains) {
 		w->draining_since = seam_now(sched->clock);
 		seam_log(SEAM_INFO, "worker",
@@ -490,7 +490,7 @@
 	while ((w = seam_table_next(sched->workers, &h))) {
 		expire_runs(w);
 		if (w->indexed == is_out_of_service(w))
-			scheduler_worker_index(w);
+			scheduler_worker_update_index(w);
 		if (!w->retired && is_finished(sched, w))
 			retire(sched, w);
 		if (!w->retired)
