tests: what must not happen for some seconds is waited for by the clock

It expects that the next owner starts nothing elsewhere for 5.5 s, and that it does within 1.5 s after that.

Trace: the owner opened at 44.598 s and started the task at 50.880 s, after 6.28 s, which is what the test asks for. eventually() counts 1,100 sleeps of 5 ms, and with the time that each took longer they lasted until then.

never() goes by the clock. It asks for the same 5.5 s (5 and 6 s in the three tests of the hand-over that had the same form): nothing may hold at any look before their end.

--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -4,6 +4,7 @@
 // In-memory store with a change feed, lost answers, late commits and outages.
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstring>
 #include <functional>
@@ -27,6 +28,21 @@
 	return done();
 }
 
+// Whether @done never holds for @ms by the clock. eventually() counts its
+// sleeps, which take longer on a busy machine.
+static inline bool never(std::function<bool()> done, int ms)
+{
+	auto end = std::chrono::steady_clock::now() +
+		   std::chrono::milliseconds(ms);
+
+	while (std::chrono::steady_clock::now() < end) {
+		if (done())
+			return false;
+		usleep(5000);
+	}
+	return true;
+}
+
 // Store with a change feed and injected faults.
 struct FeedStore {
 	seam_store base;
--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -154,7 +154,7 @@
 	Owner o(&w, "n1");
 
 	o.start_renewals();
-	EXPECT_FALSE(eventually([&] { return w.running() > 0; }, 5000));
+	EXPECT_TRUE(never([&] { return w.running() > 0; }, 5000));
 	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 2000));
 }
 
@@ -185,7 +185,7 @@
 	w.deliver_late(a);
 	a->unresponsive = false;
 	ASSERT_EQ(a->running(), 1);
-	EXPECT_FALSE(eventually([&] { return b->running() > 0; }, 6000));
+	EXPECT_TRUE(never([&] { return b->running() > 0; }, 6000));
 	EXPECT_EQ(w.twice, 0);
 }
 
@@ -219,7 +219,7 @@
 	Owner o(&w, "n1");
 
 	o.start_renewals();
-	EXPECT_FALSE(eventually([&] { return w.running() > 0; }, 5000));
+	EXPECT_TRUE(never([&] { return w.running() > 0; }, 5000));
 	EXPECT_TRUE(eventually([&] { return w.running() > 0; }, 2000));
 }
 
--- a/tests/scheduler_restart_test.cc
+++ b/tests/scheduler_restart_test.cc
@@ -527,7 +527,7 @@
 	Owner o(&w, "n2");
 
 	o.start_renewals();
-	EXPECT_FALSE(eventually([&] { return w.running() == 1; }, 5500));
+	EXPECT_TRUE(never([&] { return w.running() == 1; }, 5500));
 	EXPECT_TRUE(eventually([&] { return w.running() == 1; }, 1500));
 }
 
