--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -206,8 +206,7 @@
 	EXPECT_EQ(max_starts(), 1);
 }
 
-// Guards against a worker that no batch names after its lane has changed, and
-// against one that two lanes serve.
+// Guards against a worker that no lane serves, or two, after a change.
 TEST_F(Lanes, WorkersAreListedByTheirLaneOnly)
 {
 	Owner o(&w, "n1", create_fleet(4, 12, 4));
--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -208,8 +208,7 @@
 		EXPECT_EQ(runs_on(("w" + std::to_string(i)).c_str()), 1);
 }
 
-// Guards against a pass whose cost for each start grows with the pool: steps
-// with few tasks on a worker were compared with all workers.
+// Guards against a pass whose cost for each start grows with the pool.
 TEST_F(Pass, BoundOfTasksOnAWorkerNeedsNoLookAtTheWholePool)
 {
 	seam_log_set_level(SEAM_ERROR);
@@ -227,8 +226,7 @@
 		EXPECT_LE(runs_on(("w" + std::to_string(i)).c_str()), 1);
 }
 
-// Guards against a pass whose cost goes by the tasks that wait: each need that
-// differs was searched for again, though a smaller one had found no room.
+// Guards against a search for each need of the jobs that wait in a full pool.
 TEST_F(Pass, NeedLargerThanOneWithoutRoomIsNotSearchedFor)
 {
 	seam_log_set_level(SEAM_ERROR);
@@ -254,8 +252,7 @@
 		  SEAM_FAKE_POOLS * (1 + 7 + 11));
 }
 
-// Guards against a pass whose cost goes by the VMs that have left a pool: the
-// entries of their workers stay for seconds and have all their CPU free.
+// Guards against a pass whose cost goes by the VMs that have left a pool.
 TEST_F(Pass, WorkersOfVmsThatLeftAreNotLookedAt)
 {
 	seam_log_set_level(SEAM_ERROR);
--- a/tests/scheduler_load_test.cc
+++ b/tests/scheduler_load_test.cc
@@ -49,8 +49,7 @@
 	EXPECT_EQ(metric(BESIDE_ROOM), 0);
 }
 
-// Guards against a check of all workers for each VM that moves, which takes the
-// owner's processor while a queue rises.
+// Guards against a check of all workers for each VM that moves.
 TEST_F(SchedulerLoad, ChangesThatArriveTogetherAreCheckedTogether)
 {
 	w.add_worker("a");
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -332,9 +332,7 @@
 	EXPECT_EQ(count(SEAM_VM_DRAIN), 0);
 }
 
-// Guards against a VM that one pool releases and another one needs soon, and
-// that goes to standby first: it arrives by a second move, after twice the
-// time.
+// Guards against a VM that reaches the pool that needs it by way of standby.
 TEST_F(Plan, SurplusGoesToThePoolThatNeedsItSoon)
 {
 	add(2, STANDBY);
