tests: a node that only watches an election does not claim the term

The test lets n2 claim the term while n3 keeps an eye on it by the same call. n3 reads the rows 20 ms after n2, so that on a busy machine it can see the term as over first. It then claims, again at each further read, and n2 never does.

Evidence: with 64 processes and 24 busy loops on 8 processors the test failed on 2 of 400 runs, each after 45 s in this loop. With n3 as a node that delays its claim, as nodes with less processor time do, none of 400 failed under the same load. What the test checks is the same.

--- a/tests/scheduler_handover_test.cc
+++ b/tests/scheduler_handover_test.cc
@@ -458,6 +458,8 @@
 	}
 	a->unresponsive = true;
 	lose_owner();
+	/* n3 watches the election, but leaves the claim to n2. */
+	third.delay_claim = true;
 	ASSERT_TRUE(eventually([&] {
 		bool claimed = seam_election_try_claim(&second, &e);
 
@@ -466,6 +468,7 @@
 			seam_election_try_claim(&third, &e);
 		return claimed;
 	}));
+	third.delay_claim = false;
 	seam_time lost_at = seam_now(w.clock);
 	EXPECT_FALSE(seam_election_try_claim(&third, &e));
 	o.reset(new Owner(&w, "n3", 500, &third));
