start_window: grow only after an answer was quick

On a slow path callers with urgent tasks wait behind the excess.

Cause: the smoothed time to an answer began at 0. So the window took a path for quick before any answer, and grew with the first 50 to 70 answers of 150 ms each, which are neither quick (0.1 s) nor late (0.2 s). Whether more starts were sent in that time depended on how the answers were spread, so a busy machine showed it.

The smoothed time now begins at the limit of a quick answer: one quick answer lets the window grow, a slower one does not.

Evidence: DoesNotGrowBeforeAnAnswerWasQuick failed before (64 answers of 150 ms).

--- a/process/start_window.c
+++ b/process/start_window.c
@@ -19,7 +19,8 @@
 	w->size = size;
 	w->min = min;
 	w->max = max;
-	w->smoothed = 0;
+	/* Neither quick nor late: an answer has to show which. */
+	w->smoothed = TIME_SHORT;
 	w->cut_at = 0;
 }
 
--- a/process/start_window.h
+++ b/process/start_window.h
@@ -12,7 +12,8 @@
  * @size: the number
  * @min: its lower bound
  * @max: its upper bound
- * @smoothed: smoothed time from a start to its answer
+ * @smoothed: smoothed time from a start to its answer; neither quick nor late
+ *     before the first answer
  * @cut_at: no further cut before, as answers of starts that were sent before
  * the last one still come
  *
--- a/tests/start_window_test.cc
+++ b/tests/start_window_test.cc
@@ -132,4 +132,26 @@
 	l.run(fast, 24 * SEAM_SEC, 45 * SEAM_SEC, 100, 0);
 	EXPECT_LE(l.w.size, size + 2);
 }
+
+// Guards against a window that grows before an answer has shown a quick path:
+// 64 starts of 150 ms each were 68 under way at once.
+TEST(StartWindow, DoesNotGrowBeforeAnAnswerWasQuick)
+{
+	seam_start_window w;
+
+	seam_start_window_init(&w, 64, 8, 256);
+	for (int i = 0; i < 64; i++)
+		seam_start_window_answered(&w, 150 * SEAM_MSEC, 64, SEAM_SEC);
+	EXPECT_EQ(w.size, 64);
+}
+
+// Guards against a window that opens late on a quick path.
+TEST(StartWindow, GrowsFromTheFirstQuickAnswer)
+{
+	seam_start_window w;
+
+	seam_start_window_init(&w, 64, 8, 256);
+	seam_start_window_answered(&w, 5 * SEAM_MSEC, 64, SEAM_SEC);
+	EXPECT_GT(w.size, 64);
+}
 } // namespace
