dispatch: a raised token does not end the repeats of a start

Cause: a start without an answer is repeated up to seven times, but not to the next process of its worker. A change of the worker's token was taken for such a restart. Since each start without an answer raises the token of its worker, one lost answer ended the next start in the queue after its first call: it got one try in place of seven, counted as a start that may come late, and raised the token for the start behind it. Stops were broken off in the same way.

A restart is now told by the process that the owner or a listing names, and counted, as a listing of the earlier process may arrive after it. Only where no process is known a later token still ends the repeats. Each try carries the token of its time, which is what the owner reckons with: it notes the latest token that was sent when it hears that a start had no answer.

Dispatch.StartIsRepeatedWithALaterToken failed before.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -19,6 +19,7 @@
  * @acked: number of the latest ended run that the owner has acknowledged
  * @process_start_ms: start time of the worker's process; 0 if it is not known
  * @process_is_new: the owner has not named @process_start_ms yet
+ * @restarts: restarts that the owner or a listing has shown
  * @token: fencing token of polls and orders
  * @answered: the worker answered the latest poll
  * @failed_polls: number of polls without an answer since the last one with it
@@ -49,6 +50,7 @@
 	int64_t acked;
 	int64_t process_start_ms;
 	bool process_is_new;
+	unsigned restarts;
 	uint64_t token;
 	bool answered;
 	unsigned failed_polls;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -159,6 +159,7 @@
 static void reset_after_restart(struct seam_dispatch_worker *w)
 {
 	reject_orders(w, "the worker has restarted");
+	w->restarts++;
 	w->lease_until = 0;
 	w->acked = 0;
 	w->reported_end = 0;
@@ -293,6 +294,31 @@
 	return NULL;
 }
 
+/* The process that a call is made to, as far as it is known. */
+struct call_target {
+	int64_t process_start_ms;
+	unsigned restarts;
+	uint64_t token;
+};
+
+static struct call_target target_of(const struct seam_dispatch_worker *w)
+{
+	return (struct call_target){w->process_start_ms, w->restarts, w->token};
+}
+
+/*
+ * Whether the worker may have restarted since. A later token alone does not
+ * show it: an earlier order without an answer raises the token as well. It does
+ * where no process was known.
+ */
+static bool may_have_restarted(const struct seam_dispatch_worker *w,
+			       const struct call_target *t)
+{
+	return w->restarts != t->restarts ||
+	       w->process_start_ms != t->process_start_ms ||
+	       (!t->process_start_ms && w->token != t->token);
+}
+
 /* Retries a start until it is answered; releases the lock during the calls. It
  * is not sent to another process, as its lease goes by the clock of the first.
  * @clock_ms receives the worker's clock of the answer.
@@ -309,16 +335,17 @@
 			       .token = w->token,
 			       .lease_until = o->lease_until,
 			       .checkpoint = o->checkpoint};
-	int64_t process_start_ms = w->process_start_ms;
+	struct call_target target = target_of(w);
 	int attempts;
 	int rc = -1;
 
 	for (attempts = 0; attempts < START_ATTEMPTS_MAX; attempts++) {
 		seam_time now = seam_now(d->clock);
 
-		if (attempts && (now > o->repeat_by || w->token != s.token ||
-				 w->process_start_ms != process_start_ms))
+		if (attempts &&
+		    (now > o->repeat_by || may_have_restarted(w, &target)))
 			break;
+		s.token = w->token;
 		seam_err_clear(e);
 		pthread_mutex_unlock(&d->lock);
 		rc = w->conn->ops->start(w->conn, &s, outcome, clock_ms,
@@ -380,17 +407,18 @@
 		     enum seam_order_outcome *outcome, struct seam_err *e)
 {
 	struct seam_dispatch *d = w->dispatch;
-	int64_t process_start_ms = w->process_start_ms;
-	uint64_t token = w->token;
+	struct call_target target = target_of(w);
+	uint64_t token;
 	int attempts;
 	int rc = -1;
 
 	for (attempts = 0; attempts < STOP_ATTEMPTS_MAX; attempts++) {
 		seam_time now = seam_now(d->clock);
 
-		if (attempts && (now > o->send_by || w->token != token ||
-				 w->process_start_ms != process_start_ms))
+		if (attempts &&
+		    (now > o->send_by || may_have_restarted(w, &target)))
 			break;
+		token = w->token;
 		seam_err_clear(e);
 		pthread_mutex_unlock(&d->lock);
 		rc = w->conn->ops->stop(w->conn, o->task, o->run, token,
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -369,6 +369,56 @@
 	EXPECT_EQ(a->lease, 0);
 }
 
+// Guards against a start that is given up after one call, as the token that an
+// earlier start without an answer raised was taken for a restart.
+TEST_F(Dispatch, StartIsRepeatedWithALaterToken)
+{
+	uint64_t seen = 0;
+	seam_lane_worker x = {};
+	seam_lane_batch b = {{1, 1}, false, &x, 1, nullptr, 0};
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_starts_time_out = true;
+	a->late_starts = 3;
+	ASSERT_EQ(start(1, 1, "t", 2 * SEAM_SEC), 0);
+	ASSERT_TRUE(eventually([&] { return a->late_starts == 2; }));
+	x.key = 7;
+	x.process_start_ms = a->born;
+	x.token = 2;
+	ASSERT_EQ(seam_dispatch_apply(d, &b, &e), 0);
+	seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+	ASSERT_NE(v, nullptr);
+	EXPECT_EQ(v->failed, SEAM_OK);
+	EXPECT_EQ(v->outcome, SEAM_ORDER_DONE);
+	EXPECT_TRUE(v->unknown);
+	EXPECT_EQ(a->late_starts, 0);
+	EXPECT_EQ(a->token, 2u);
+}
+
+// Guards against a start that is repeated to the next process of its worker.
+TEST_F(Dispatch, StartIsNotRepeatedAfterARestart)
+{
+	uint64_t seen = 0;
+	seam_lane_worker x = {};
+	seam_lane_batch b = {{1, 1}, false, &x, 1, nullptr, 0};
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_starts_time_out = true;
+	a->late_starts = 3;
+	ASSERT_EQ(start(1, 1, "t", 2 * SEAM_SEC), 0);
+	ASSERT_TRUE(eventually([&] { return a->late_starts == 2; }));
+	x.key = 7;
+	x.process_start_ms = a->born + 1;
+	x.token = 2;
+	ASSERT_EQ(seam_dispatch_apply(d, &b, &e), 0);
+	seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+	ASSERT_NE(v, nullptr);
+	EXPECT_EQ(v->failed, SEAM_COMMIT_UNKNOWN);
+	EXPECT_EQ(a->late_starts, 2);
+}
+
 // Guards against a worker taken for silent as its token changed during a poll.
 TEST_F(Dispatch, PollThatALaterTokenOvertakesIsNoSilence)
 {
