scheduler: a worker that answers again gets the task back

Cause: a task stays with the worker of an unanswered start, where a further start under the same number is harmless. After four starts without an answer it stayed off that worker for good and waited until no late start was likely any more, 6 s from the latest one. That the worker answered starts again in the meantime changed nothing.

A worker that has answered a start since gets the task again; one that answers polls for 2 s, once more. Both go under the number of the late start, which a process takes only once, so that no wait is needed and none is given up. One that answers polls but no start keeps its tasks 2 s longer than before.

The three tests of UnansweredStarts failed before; the third one guards the bound of that fifth start.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -112,7 +112,7 @@
  * @run: its runs
  * @checkpoint: latest checkpoint, or ""
  * @starts: number of starts in this term
- * @avoid: worker on which it failed last, or that answered none of its starts
+ * @avoid: worker on which it failed last
  * @not_before: earliest time of the next start
  * @listed_at: when an earlier run of it was last listed as running
  * @ran_at: when it was last known to run, but for its runs of now
@@ -122,6 +122,7 @@
  *     as that run
  * @late_token: highest fencing token of such a start
  * @late_starts: starts there without an answer
+ * @late_at: when the latest of them was given up
  * @late_run: number of that run, for further starts there; 0 if it is spent
  */
 struct seam_job_task_state {
@@ -137,6 +138,7 @@
 	seam_time late_since;
 	uint64_t late_token;
 	int late_starts;
+	seam_time late_at;
 	int64_t late_run;
 };
 
@@ -350,6 +352,7 @@
  * @answered: it answered the latest hold
  * @missed_holds: holds that it did not answer since
  * @steady_since: it has answered holds since then, without falling silent
+ * @start_answered_at: when it last answered a start
  * @disturbed_at: when it last fell silent after it had answered for a while, or
  *     restarted; 0 before
  * @clock_ms: its clock at @clock_at of the owner's clock
@@ -417,6 +420,7 @@
 	bool answered;
 	int missed_holds;
 	seam_time steady_since;
+	seam_time start_answered_at;
 	seam_time disturbed_at;
 	int64_t clock_ms;
 	seam_time clock_at;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -10,11 +10,6 @@
 
 #define UNHEALTHY_BACKOFF (1 * SEAM_SEC)
 #define NO_ROOM_BACKOFF (150 * SEAM_MSEC)
-/*
- * A worker that has answered for less than this does not fall silent again: one
- * that answers few polls would put the end of a wait off each time.
- */
-#define STEADY_MIN (2 * SEAM_SEC)
 
 SEAM_METRIC(no_room, "seam_starts_no_room_total",
 	    "Starts that workers refused for want of room.");
@@ -286,6 +281,8 @@
 		count_answer(w, r);
 	if (v->unknown)
 		scheduler_order_unanswered(w, o);
+	if (v->failed == SEAM_OK)
+		w->start_answered_at = seam_now(sched->clock);
 	if (v->failed == SEAM_OK && v->outcome == SEAM_ORDER_DONE) {
 		if (r && r->state == SEAM_RUN_SENT) {
 			scheduler_run_set_state(sched, r, SEAM_RUN_RUNNING);
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -33,6 +33,11 @@
  * answer reaches the owner within 0.1 s.
  */
 #define FIRST_POLL_MAX (800 * SEAM_MSEC)
+/*
+ * A worker that has answered for less than this does not fall silent again: one
+ * that answers few polls would put the end of a wait off each time.
+ */
+#define STEADY_MIN (2 * SEAM_SEC)
 /* The VM list shows the effect of an order after this time at the latest. */
 #define VM_LIST_DELAY_MAX (900 * SEAM_MSEC)
 /* Run numbers increase with the term. */
@@ -210,6 +215,9 @@
 bool scheduler_late_start_possible(struct seam_scheduler *sched,
 				   const struct seam_job *j, int step,
 				   const struct seam_job_task_state *t);
+/* Whether the task stays off a worker that answers none of its starts. */
+bool scheduler_late_worker_is_avoided(const struct seam_worker *w,
+				      const struct seam_job_task_state *t);
 struct seam_worker *scheduler_late_worker(struct seam_scheduler *sched,
 					  const struct seam_job_task_state *t);
 bool scheduler_waits_for_late_worker(struct seam_scheduler *sched,
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -202,6 +202,7 @@
 	}
 	f->near = !*s->rack || has_label(w, s->rack);
 	f->avoid = seam_handle_eq(c->task->avoid, w->self) ||
+		   scheduler_late_worker_is_avoided(w, c->task) ||
 		   c->pass->now < w->shunned_until ||
 		   has_not_confirmed_in_time(c, w);
 	f->slow = w->info.warmup_ms > SEAM_SLOW_MIN_MS;
--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -249,8 +249,10 @@
 		return;
 	if (now >= t->late_until || !seam_handle_eq(t->late_worker, w->self))
 		t->late_starts = 0;
-	if (!answered && ++t->late_starts >= LATE_STARTS_MAX)
-		t->avoid = w->self;
+	if (!answered) {
+		t->late_starts++;
+		t->late_at = now;
+	}
 	t->late_since = late_since(t, r, lasting, now);
 	t->late_worker = w->self;
 	t->late_until = r->late_until;
@@ -258,6 +260,25 @@
 	t->late_run = r->spent ? 0 : r->number;
 }
 
+/*
+ * Whether the task stays off the worker that gave no answer to several of its
+ * starts. It gets the task again once it has answered any start since, and once
+ * more if it has answered holds for some time.
+ */
+bool scheduler_late_worker_is_avoided(const struct seam_worker *w,
+				      const struct seam_job_task_state *t)
+{
+	seam_time since = t->late_at;
+
+	if (!seam_handle_eq(t->late_worker, w->self) ||
+	    t->late_starts < LATE_STARTS_MAX || w->start_answered_at > since)
+		return false;
+	if (since < w->steady_since)
+		since = w->steady_since;
+	return t->late_starts > LATE_STARTS_MAX || !w->answered ||
+	       seam_now(w->sched->clock) < since + STEADY_MIN;
+}
+
 /* Returns the worker that may get a start of an earlier run late, or NULL. */
 struct seam_worker *scheduler_late_worker(struct seam_scheduler *sched,
 					  const struct seam_job_task_state *t)
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -65,6 +65,58 @@
 	expect_run_on_b();
 }
 
+// Four starts of a task that ends had no answer of worker a, the only one.
+struct UnansweredStarts : Scheduler {
+	FakeWorker *a = w.add_worker("a");
+	Owner o{&w, "n1"};
+
+	void SetUp() override
+	{
+		o.start_renewals();
+		ASSERT_TRUE(restart_is_seen(o, a));
+		a->late_starts = 100000;
+		w.job(ID, 1, "20000");
+		ASSERT_TRUE(eventually([&] {
+			std::lock_guard<std::mutex> l(a->lock);
+			return a->late.size() == 4 * (size_t)START_ATTEMPTS;
+		}));
+		ASSERT_TRUE(worker_becomes(o, "a", [&](seam_worker *x) {
+			return !x->task_refs->len;
+		}));
+	}
+};
+
+// Guards against a task that waits beside room on a worker that answers starts
+// again.
+TEST_F(UnansweredStarts, DoNotKeepTheTaskOnceItsWorkerAnswersStarts)
+{
+	a->late_starts = 0;
+	w.job("fedcba9876543210", 1, "20000");
+	EXPECT_TRUE(eventually([&] { return a->running() == 2; }, 1000));
+	w.deliver_late(a);
+	EXPECT_EQ(w.twice, 0);
+}
+
+// Guards against the same where no other task is started on that worker.
+TEST_F(UnansweredStarts, DoNotKeepTheTaskOnceItsWorkerAnswersPolls)
+{
+	a->late_starts = 0;
+	EXPECT_TRUE(eventually([&] { return a->running() == 1; }, 3000));
+	w.deliver_late(a);
+	EXPECT_EQ(w.twice, 0);
+}
+
+// Guards against a task that goes back to a worker that answers polls only,
+// again and again.
+TEST_F(UnansweredStarts, DoNotKeepTheTaskForAWorkerThatAnswersPollsOnly)
+{
+	FakeWorker *b = add_usable(o, "b");
+
+	EXPECT_TRUE(eventually([&] { return b->running() == 1; }, 9500));
+	std::lock_guard<std::mutex> l(a->lock);
+	EXPECT_EQ(a->late.size(), 5 * (size_t)START_ATTEMPTS);
+}
+
 struct IdleWait : Wait {
 	IdleWait()
 	{
