dispatch: repeat calls soon to a worker that answers quickly

Cause: a call without an answer was given up after 150 ms (starts) or 200 and 450 ms (polls) where workers answer within 5 ms. With nine in ten calls lost, a start had seven tries in its second, and a poll was answered each 3.8 s. Starts wait for an answered poll, so most of them were never sent.

How long a call waits now follows the answers of its worker, 50 ms at least; each fourth one waits as long as before. A slow answer raises the time at once, so that a worker that only answers slowly does not get each call several times. A start is repeated for about a second, as before.

answer_time_test guards the number of tries and the bound for slow workers. Tests that keep all tries of a start expect 14 where it was 7, as the fake workers refuse at once and the node sends that many.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/table.h"
+#include "process/answer_time.h"
 #include "process/dispatch.h"
 
 /**
@@ -21,6 +22,7 @@
  * @process_is_new: the owner has not named @process_start_ms yet
  * @restarts: restarts that the owner or a listing has shown
  * @token: fencing token of polls and orders
+ * @answer_time: of its answers to starts, and to polls that do not wait
  * @answered: the worker answered the latest poll
  * @failed_polls: number of polls without an answer since the last one with it
  * @runs: number of runs in the latest listing, plus starts since
@@ -52,6 +54,7 @@
 	bool process_is_new;
 	unsigned restarts;
 	uint64_t token;
+	struct seam_answer_time answer_time;
 	bool answered;
 	unsigned failed_polls;
 	size_t runs;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -14,9 +14,11 @@
  * is not answered wait for the timeout. */
 #define ORDER_TIMEOUT (350 * SEAM_MSEC)
 /* A repeated start has no effect on a worker, so a start without an answer is
- * repeated soon. */
+ * repeated soon, within this time of its first call. */
 #define START_TIMEOUT (150 * SEAM_MSEC)
-#define START_ATTEMPTS_MAX 7
+#define START_REPEAT_MAX (950 * SEAM_MSEC)
+/* Bounds the calls to a worker that refuses connections at once. */
+#define START_ATTEMPTS_MAX 14
 /* A repeated stop has no effect either. The orders behind it wait, so it is
  * given up sooner; the owner orders it again. */
 #define STOP_TIMEOUT (150 * SEAM_MSEC)
@@ -28,9 +30,6 @@
 #define POLL_WAIT_IDLE_MS 1800
 #define POLL_FIRST_RETRY_USEC 30000 /* after the first failed poll */
 #define POLL_RETRY_USEC 50000
-/* Every other repeated poll gives up early: one that is lost is repeated
- * sooner, and slow workers have time to answer the others. */
-#define POLL_SHORT_TIMEOUT (200 * SEAM_MSEC)
 /* A worker answers a poll immediately while it has unacknowledged ended runs,
  * so the next poll waits for the acknowledgement, at most as long as a
  * commit takes. */
@@ -214,9 +213,12 @@
 }
 
 /* Returns the timeout of a poll beyond its wait. */
-static seam_time poll_margin(struct seam_dispatch_worker *w)
+static seam_time poll_margin(const struct seam_dispatch_worker *w)
 {
-	return w->failed_polls % 2 ? POLL_SHORT_TIMEOUT : POLL_TIMEOUT_MARGIN;
+	if (!w->failed_polls)
+		return POLL_TIMEOUT_MARGIN;
+	return seam_answer_timeout(&w->answer_time, w->failed_polls - 1,
+				   POLL_TIMEOUT_MARGIN);
 }
 
 /* Polls once; returns the delay before the next poll, microseconds. */
@@ -260,6 +262,9 @@
 		report_no_answer(w, rc, outcome, &e);
 		return first_failure ? POLL_FIRST_RETRY_USEC : POLL_RETRY_USEC;
 	}
+	if (!h.wait_ms)
+		seam_answer_time_note(&w->answer_time,
+				      seam_now(d->clock) - now);
 	handle_listing(w, &l, now, h.token);
 	return (unsigned)seam_poll_interval(d->busy_workers);
 }
@@ -336,22 +341,30 @@
 			       .lease_until = o->lease_until,
 			       .checkpoint = o->checkpoint};
 	struct call_target target = target_of(w);
-	int attempts;
+	seam_time repeat_by = seam_now(d->clock) + START_REPEAT_MAX;
+	unsigned attempts;
 	int rc = -1;
 
+	if (repeat_by > o->repeat_by)
+		repeat_by = o->repeat_by;
 	for (attempts = 0; attempts < START_ATTEMPTS_MAX; attempts++) {
 		seam_time now = seam_now(d->clock);
+		seam_time timeout = seam_answer_timeout(
+			&w->answer_time, attempts, START_TIMEOUT);
 
 		if (attempts &&
-		    (now > o->repeat_by || may_have_restarted(w, &target)))
+		    (now > repeat_by || may_have_restarted(w, &target)))
 			break;
 		s.token = w->token;
 		seam_err_clear(e);
 		pthread_mutex_unlock(&d->lock);
 		rc = w->conn->ops->start(w->conn, &s, outcome, clock_ms,
-					 now + START_TIMEOUT, e);
+					 now + timeout, e);
 		pthread_mutex_lock(&d->lock);
 		*unknown = *unknown || (rc && e->kind == SEAM_COMMIT_UNKNOWN);
+		if (!rc)
+			seam_answer_time_note(&w->answer_time,
+					      seam_now(d->clock) - now);
 		if (!rc || w->removed)
 			break;
 	}
