scheduler: a task whose run lapsed goes back to its worker

Cause: a start that had tries without an answer binds the task to its worker until none of them can come any more. Where the run had ended there, as its lease ran out, its number was spent, and the task was not started on that worker either: it waited 6 to 13.7 s for nothing.

The task is now started there under a later number. The process of that worker refuses the late start. A restart ends the run, so that a late start which the next process carries out is not beside it; the node polls the worker right before the start, which finds a process that has begun since.

LateStart.TaskGoesBackToItsWorkerAfterALapse failed before; it also lets the worker restart and carry out what it kept.

--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -321,8 +321,10 @@
 
 /*
  * Returns the worker that may get a start of an earlier run late, if it can run
- * the task now under the same number, or NULL. A worker on which the task has
- * failed does not get it again.
+ * the task now, or NULL. It does so under the same number or, if that is spent
+ * there, under a later one: its process refuses the late start, and the run
+ * ends with the process. A worker on which the task has failed does not get it
+ * again.
  */
 static struct seam_worker *
 choose_late_worker(struct pass *p, const struct seam_job *j, int step,
@@ -334,7 +336,7 @@
 		scheduler_step_need(&j->row.spec.step[step]);
 	struct seam_fit_worker f;
 
-	if (!w || !t->late_run || strcmp(w->info.pool, j->row.spec.pool) ||
+	if (!w || strcmp(w->info.pool, j->row.spec.pool) ||
 	    !describe_worker(&c, w, &f) || f.avoid || f.copy ||
 	    !seam_fits(&need, &f.free))
 		return NULL;
--- a/tests/scheduler_late_start_test.cc
+++ b/tests/scheduler_late_start_test.cc
@@ -87,6 +87,23 @@
 	EXPECT_TRUE(eventually([&] { return a->running() == 1; }, 3000));
 }
 
+// Guards against a task that waits though its worker answers again and no start
+// of it can come late while it runs there.
+TEST_F(LateStart, TaskGoesBackToItsWorkerAfterALapse)
+{
+	keep_starts(1, "20000");
+	ASSERT_TRUE(eventually([&] { return a->running() == 1; }));
+	a->unresponsive = true;
+	usleep(4000000); // the lease of the run is over
+	a->unresponsive = false;
+	w.job("fedcba9876543210", 1, "20000");
+	EXPECT_TRUE(eventually([&] { return a->running() == 2; }, 1500));
+	EXPECT_EQ(w.started(task(0, 0)), 2);
+	restart_after(0);
+	usleep(300000);
+	EXPECT_EQ(w.twice, 0);
+}
+
 // Guards against a full worker that is left while it may run a start late.
 TEST_F(LateStart, FullWorkerRestartsAndRunsIt)
 {
