--- a/process/answer_time.h
+++ b/process/answer_time.h
@@ -15,8 +15,8 @@
  * A call without an answer is repeated, so how soon it is given up decides how
  * often it is sent in the time that it has, and how long the calls behind it
  * wait. A worker that only answers slowly must not get each call several times,
- * so the time follows its answers, as the retransmission timer of RFC 6298 does,
- * and every fourth try has the longest time.
+ * so the time follows its answers, as the retransmission timer of RFC 6298
+ * does, and every fourth try has the longest time.
  */
 struct seam_answer_time {
 	seam_time estimate;
