tests, vm_plan: one line of comment for each regression test, and a name

The comment of seam_vm_plan() told that demand that is only expected gets VMs of the standby pool only; since surplus VMs come before those.

--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -97,11 +97,11 @@
  * Pools that are short of VMs for jobs that can still meet their objective are
  * served first, in order of their relative shortage; they get VMs from the
  * standby pool, then from pools that have more than such jobs need there. The
- * rest goes to late jobs. Demand that is expected gets VMs of the standby pool
- * only. VMs that no pool needs go to the standby pool. A
- * wave takes the VMs with the least impact on their pools first, as many at
- * once as needed to end by its deadline. While it has VMs left, only it takes
- * those with long-running tasks.
+ * rest goes to late jobs. Demand that is only expected gets VMs that their pool
+ * does not hold, then VMs of the standby pool. VMs that no pool needs go to the
+ * standby pool. A wave takes the VMs with the least impact on their pools
+ * first, as many at once as needed to end by its deadline. While it has VMs
+ * left, only it takes those with long-running tasks.
  */
 void seam_vm_plan(struct seam_plan *p);
 
--- a/tests/demand_trend_test.cc
+++ b/tests/demand_trend_test.cc
@@ -61,8 +61,7 @@
 }
 } // namespace
 
-// Guards against tasks that wait for VMs on the way for as long as a rise
-// lasts.
+// Guards against tasks that wait for VMs on the way during a whole rise.
 TEST(DemandTrend, RiseIsMetInTime)
 {
 	Pool behind(rises_for_4_s, 12, false);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -394,9 +394,8 @@
 	}
 };
 
-// Guards against a start that is given up after one call, as the token that an
-// earlier start without an answer raised was taken for a restart.
-TEST_F(TokenDuringAStart, StartIsRepeatedWithIt)
+// Guards against one try of a start, as a later token counted as a restart.
+TEST_F(TokenDuringAStart, StartIsRepeatedWithALaterToken)
 {
 	seam_lane_event *v = answer_after(a->born);
 
@@ -408,8 +407,7 @@
 	EXPECT_EQ(a->token, 2u);
 }
 
-// Guards against a start that is repeated to the next process of its worker,
-// also if an answer of the earlier one comes after that was named.
+// Guards against a start that is repeated to the next process of its worker.
 TEST_F(TokenDuringAStart, StartIsNotRepeatedAfterARestart)
 {
 	seam_lane_event *v = answer_after(a->born + 1);
--- a/tests/failed_needs_test.cc
+++ b/tests/failed_needs_test.cc
@@ -51,8 +51,7 @@
 	}
 }
 
-// Guards against a task that waits beside room, as more needs have failed than
-// are kept.
+// Guards against a wait beside room where more needs failed than are kept.
 TEST_F(FailedNeeds, NoneIsMadeUpBeyondTheBound)
 {
 	for (int i = 0; i < 2000; i++) {
--- a/tests/scheduler_late_start_test.cc
+++ b/tests/scheduler_late_start_test.cc
@@ -87,8 +87,7 @@
 	EXPECT_TRUE(eventually([&] { return a->running() == 1; }, 3000));
 }
 
-// Guards against a task that waits though its worker answers again and no start
-// of it can come late while it runs there.
+// Guards against a wait for a late start that its worker refuses.
 TEST_F(LateStart, TaskGoesBackToItsWorkerAfterALapse)
 {
 	keep_starts(1, "20000");
--- a/tests/scheduler_load_test.cc
+++ b/tests/scheduler_load_test.cc
@@ -24,8 +24,7 @@
 
 static const char *const BESIDE_ROOM = "seam_tasks_waiting_beside_room";
 
-// Guards against a lost task that no line explains, in a pool that is mostly
-// free.
+// Guards against a lost task in a free pool that no line explains.
 TEST_F(SchedulerLoad, TaskThatFitsNowhereIsTold)
 {
 	w.add_worker("a");
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -532,8 +532,7 @@
 	EXPECT_EQ(moved(a), 0);
 }
 
-// Guards against an order that the next owner repeats, as its row came late
-// (ONE).
+// Guards against an order that the next owner repeats, as its row came late.
 TEST_F(SchedulerVms, VmOfASlowWriteIsKeptForTheLeaseOfItsOrder)
 {
 	seam_time ordered_at;
@@ -625,8 +624,7 @@
 	}
 };
 
-// Guards against a wrong count of waiting jobs for as long as it does not
-// change.
+// Guards against a wrong count of waiting jobs that stays while none comes.
 TEST_F(WaitingJobs, LateWriteDoesNotSetTheCountBack)
 {
 	fill();
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -86,8 +86,7 @@
 	}
 };
 
-// Guards against a task that waits beside room on a worker that answers starts
-// again.
+// Guards against a task that waits for a worker that answers starts again.
 TEST_F(UnansweredStarts, DoNotKeepTheTaskOnceItsWorkerAnswersStarts)
 {
 	a->late_starts = 0;
@@ -106,8 +105,7 @@
 	EXPECT_EQ(w.twice, 0);
 }
 
-// Guards against a task that goes back to a worker that answers polls only,
-// again and again.
+// Guards against further starts on a worker that answers polls only.
 TEST_F(UnansweredStarts, DoNotKeepTheTaskForAWorkerThatAnswersPollsOnly)
 {
 	FakeWorker *b = add_usable(o, "b");
--- a/tests/start_window_test.cc
+++ b/tests/start_window_test.cc
@@ -133,8 +133,7 @@
 	EXPECT_LE(l.w.size, size + 2);
 }
 
-// Guards against a window that grows before an answer has shown a quick path:
-// 64 starts of 150 ms each were 68 under way at once.
+// Guards against a window that grows before an answer has shown a quick path.
 TEST(StartWindow, DoesNotGrowBeforeAnAnswerWasQuick)
 {
 	seam_start_window w;
