scheduler_load: a line for a large task that smaller ones overtake

No line of the owner told it: event=task_waits covers tasks that end only in a pool that is mostly free, and event=load counts the job under room or, if the pass did not reach it, not at all.

Once a second, each pool that started a smaller task since the last lines gives one task_waits line for the largest need that has waited for two seconds, of a job of which nothing runs. The lines have pool_starts, and seam_pools_overtaking counts such pools.

--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -18,6 +18,9 @@
 	    "while half of their pool is free.");
 SEAM_METRIC(lasting_waiting, "seam_lasting_tasks_waiting",
 	    "Lasting tasks without a listed run for two seconds.");
+SEAM_METRIC(pools_overtaking, "seam_pools_overtaking",
+	    "Pools that start tasks while one with a larger need, of a job of "
+	    "which nothing runs, has waited for room for two seconds.");
 
 void scheduler_job_delayed(struct seam_job *j, enum seam_delay reason,
 			   seam_time now)
@@ -138,16 +141,44 @@
  * CPU of a pool's usable workers, in thousandths of a core.
  *
  * @largest_free: of the worker with most left
+ * @recent_starts: starts of its runs since the last lines
+ * @least_started: least need of those
+ * @large_job: job of which nothing runs, with the task of the largest need that
+ *     waits for room, or NULL; @large_step and @large_task say which
  */
 struct pool_room {
 	int64_t used;
 	int64_t all;
 	int64_t largest_free;
+	int recent_starts;
+	int64_t least_started;
+	const struct seam_job *large_job;
+	int large_step;
+	int64_t large_task;
 };
 
+struct start_count {
+	struct pool_room *room;
+	seam_time since;
+};
+
+static void count_start(struct seam_worker *w,
+			const struct scheduler_run_ref *at, void *arg)
+{
+	const struct start_count *c = arg;
+	int64_t cpu = at->job->row.spec.step[at->step].need.cpu;
+
+	(void)w;
+	if (at->run->sent_at < c->since)
+		return;
+	if (!c->room->recent_starts++ || cpu < c->room->least_started)
+		c->room->least_started = cpu;
+}
+
 /* Returns pool to struct pool_room. */
 static GHashTable *pool_rooms(struct seam_scheduler *sched)
 {
+	struct start_count starts = {.since = sched->load.since};
 	GHashTable *rooms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	struct seam_handle h = SEAM_HANDLE_NONE;
@@ -164,6 +195,8 @@
 			room = g_new0(struct pool_room, 1);
 			g_hash_table_insert(rooms, w->info.pool, room);
 		}
+		starts.room = room;
+		scheduler_for_each_run(w, count_start, &starts);
 		left = scheduler_worker_free(w).cpu;
 		room->used += w->used.cpu;
 		room->all += w->info.capacity.cpu;
@@ -189,28 +222,29 @@
 	const char *why = wait_reason(sched, j, step, task, &w);
 	seam_time now = seam_now(sched->clock);
 
-	seam_log(SEAM_INFO, "waits",
-		 "event=task_waits job=%s step=%d task=%lld pool=%s why=%s "
-		 "waited_ms=%lld lasting=%d room=%d need_cpu=%lld "
-		 "need_memory=%lld per_worker=%lld largest_free_cpu=%lld "
-		 "pool_used_pct=%d worker=%s answered=%d usable=%d draining=%d "
-		 "listed=%d lease_left_ms=%lld refused=%d late_left_ms=%lld "
-		 "late_wait_left_ms=%lld late_starts=%d",
-		 j->row.spec.id, step, (long long)task, j->row.spec.pool, why,
-		 (long long)waited / SEAM_MSEC, s->lasting,
-		 scheduler_room_elsewhere(sched, j, step, NULL),
-		 (long long)s->need.cpu, (long long)s->need.memory,
-		 (long long)s->per_worker,
-		 room ? (long long)room->largest_free : 0LL,
-		 room && room->all ? (int)(100 * room->used / room->all) : 100,
-		 w ? w->info.id : "", w && w->answered,
-		 w && scheduler_worker_usable(w, now), w && w->info.draining,
-		 w && w->listed,
-		 w ? (long long)(w->lease_end - now) / SEAM_MSEC : 0LL,
-		 w && w->answered_token > t->late_token,
-		 ms_left(t->late_until, now),
-		 ms_left(scheduler_late_wait_end(sched, j, step, t), now),
-		 t->late_starts);
+	seam_log(
+		SEAM_INFO, "waits",
+		"event=task_waits job=%s step=%d task=%lld pool=%s why=%s "
+		"waited_ms=%lld lasting=%d room=%d need_cpu=%lld "
+		"need_memory=%lld per_worker=%lld largest_free_cpu=%lld "
+		"pool_used_pct=%d pool_starts=%d worker=%s answered=%d usable=%d "
+		"draining=%d listed=%d lease_left_ms=%lld refused=%d "
+		"late_left_ms=%lld late_wait_left_ms=%lld late_starts=%d",
+		j->row.spec.id, step, (long long)task, j->row.spec.pool, why,
+		(long long)waited / SEAM_MSEC, s->lasting,
+		scheduler_room_elsewhere(sched, j, step, NULL),
+		(long long)s->need.cpu, (long long)s->need.memory,
+		(long long)s->per_worker,
+		room ? (long long)room->largest_free : 0LL,
+		room && room->all ? (int)(100 * room->used / room->all) : 100,
+		room ? room->recent_starts : 0, w ? w->info.id : "",
+		w && w->answered, w && scheduler_worker_usable(w, now),
+		w && w->info.draining, w && w->listed,
+		w ? (long long)(w->lease_end - now) / SEAM_MSEC : 0LL,
+		w && w->answered_token > t->late_token,
+		ms_left(t->late_until, now),
+		ms_left(scheduler_late_wait_end(sched, j, step, t), now),
+		t->late_starts);
 }
 
 /* Returns for how long no run of a task was listed. */
@@ -281,12 +315,78 @@
 	       !has_confirmed_run(j);
 }
 
+/*
+ * Notes the first task of @step that has waited for room, if its need is the
+ * largest of its pool.
+ */
+static void note_large_task(struct pool_room *room, const struct seam_job *j,
+			    int step, seam_time now)
+{
+	const struct seam_step *s = &j->row.spec.step[step];
+	int64_t t;
+
+	/* A pass that found no room for others may not have reached the job. */
+	if (s->lasting ||
+	    (j->delay_reason != SEAM_DELAY_ROOM &&
+	     j->delay_reason != SEAM_DELAY_NONE) ||
+	    (room->large_job &&
+	     s->need.cpu <= room->large_job->row.spec.step[room->large_step]
+				    .need.cpu) ||
+	    seam_job_finished(j->row.state) ||
+	    !scheduler_step_is_ready(j, step) || has_confirmed_run(j))
+		return;
+	for (t = j->first_idle[step]; t < s->tasks; t++) {
+		if (!scheduler_task_is_idle(j, step, t) ||
+		    unlisted_time(j, step, t, now) < WAIT_LOG_MIN)
+			continue;
+		room->large_job = j;
+		room->large_step = step;
+		room->large_task = t;
+		return;
+	}
+}
+
+/*
+ * Logs, for each pool that goes on starting smaller tasks, the one with the
+ * largest need that waits for room; at most a line a pool. Returns how many
+ * such pools there are.
+ */
+static int64_t log_overtaken_tasks(struct seam_scheduler *sched,
+				   GHashTable *rooms)
+{
+	seam_time now = seam_now(sched->clock);
+	GHashTableIter it;
+	gpointer value;
+	int64_t pools = 0;
+
+	g_hash_table_iter_init(&it, rooms);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct pool_room *room = value;
+		const struct seam_job *j = room->large_job;
+
+		if (!j || !room->recent_starts ||
+		    room->least_started >=
+			    j->row.spec.step[room->large_step].need.cpu)
+			continue;
+		pools++;
+		/* Otherwise it has a line already. */
+		if (!is_half_free(room))
+			log_waiting_task(sched, j, room->large_step,
+					 room->large_task,
+					 unlisted_time(j, room->large_step,
+						       room->large_task, now),
+					 room);
+	}
+	return pools;
+}
+
 /* Logs tasks that do not run and what they wait for. */
 static void log_waiting_tasks(struct seam_scheduler *sched)
 {
 	GHashTable *rooms = pool_rooms(sched);
 	struct seam_handle h = SEAM_HANDLE_NONE;
-	const struct pool_room *room;
+	seam_time now = seam_now(sched->clock);
+	struct pool_room *room;
 	struct seam_job *j;
 	int64_t lasting = 0;
 	int64_t others = 0;
@@ -297,6 +397,8 @@
 	while ((j = seam_table_next(sched->jobs, &h))) {
 		room = g_hash_table_lookup(rooms, j->row.spec.pool);
 		for (i = 0; i < j->row.spec.steps; i++) {
+			if (room)
+				note_large_task(room, j, i, now);
 			if (!logs_waiting_step(j, i, room))
 				continue;
 			waiting = log_waiting_step(sched, j, i,
@@ -310,6 +412,7 @@
 				beside_room += waiting;
 		}
 	}
+	seam_metric_set(&pools_overtaking, log_overtaken_tasks(sched, rooms));
 	g_hash_table_destroy(rooms);
 	seam_metric_set(&lasting_waiting, lasting);
 	seam_metric_set(&waiting_beside_room, beside_room);
--- a/tests/scheduler_load_test.cc
+++ b/tests/scheduler_load_test.cc
@@ -48,6 +48,32 @@
 	EXPECT_EQ(metric(BESIDE_ROOM), 0);
 }
 
+// Guards against a large task that waits without a line while smaller ones of
+// its full pool go on starting.
+TEST_F(SchedulerLoad, PoolThatStartsSmallerTasksIsTold)
+{
+	auto small_jobs = [&](int from, int n) {
+		for (int i = from; i < from + n; i++) {
+			char id[17];
+
+			snprintf(id, sizeof(id), "00000000000a%04x", i);
+			w.job(id, 1, "300", 1,
+			      [](seam_step *s) { s->need.cpu = 2000; });
+			usleep(38000);
+		}
+	};
+
+	w.add_worker("a", "p", 8000);
+	w.add_worker("b", "p", 8000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	small_jobs(0, 80);
+	EXPECT_EQ(metric("seam_pools_overtaking"), 0);
+	w.job(ID, 1, "300", 1, [](seam_step *s) { s->need.cpu = 9000; });
+	small_jobs(80, 120);
+	EXPECT_EQ(metric("seam_pools_overtaking"), 1);
+}
+
 // Guards against a check of all workers for each VM that moves.
 TEST_F(SchedulerLoad, ChangesThatArriveTogetherAreCheckedTogether)
 {
