dispatch: the thread for orders has a file of its own

dispatch_worker.c had 635 lines, with the thread that polls a worker and the one that sends its orders. The latter moves to dispatch_orders.c, unchanged. dispatch_test passes.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -130,8 +130,16 @@
 			 const struct seam_lane_worker *row);
 void dispatch_worker_change(struct seam_dispatch_worker *w,
 			    const struct seam_lane_worker *row);
+void dispatch_worker_drop(struct seam_dispatch_worker *w);
+void dispatch_worker_set_runs(struct seam_dispatch_worker *w, size_t runs);
+int dispatch_worker_start_thread(struct seam_dispatch_worker *w,
+				 void *(*run)(void *arg));
+void dispatch_worker_release_thread(struct seam_dispatch_worker *w);
+
+/* dispatch_orders.c */
 void dispatch_worker_queue_order(struct seam_dispatch_worker *w,
 				 struct seam_lane_order *o);
-void dispatch_worker_drop(struct seam_dispatch_worker *w);
+void dispatch_worker_reject_orders(struct seam_dispatch_worker *w,
+				   const char *why);
 
 #endif
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -1,5 +1,4 @@
-/* The threads of a worker that a node serves: one renews its lease and polls
- * it; while there are orders, another sends them. */
+/* A worker that a node serves: its entry, and the thread that polls it. */
 #include "process/dispatch_impl.h"
 #include "base/metrics.h"
 #include "base/log.h"
@@ -10,18 +9,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Workers answer within a few milliseconds; the orders queued behind one that
- * is not answered wait for the timeout. */
-#define ORDER_TIMEOUT (350 * SEAM_MSEC)
-/* A repeated start has no effect on a worker, so a start without an answer is
- * repeated soon. Each try without an answer may come late to a later process,
- * which runs the task once more, so there are no more of them. */
-#define START_TIMEOUT (150 * SEAM_MSEC)
-#define START_ATTEMPTS_MAX 7
-/* A repeated stop has no effect either. The orders behind it wait, so it is
- * given up sooner; the owner orders it again. */
-#define STOP_TIMEOUT (150 * SEAM_MSEC)
-#define STOP_ATTEMPTS_MAX 3
 #define POLL_TIMEOUT_MARGIN (450 * SEAM_MSEC) /* beyond the poll's wait */
 /* Bounds the time between lease renewals of a worker with runs: the rest of its
  * lease has to outlast the takeover by another owner. */
@@ -39,16 +26,12 @@
  * are most of the bytes that the owner receives. */
 #define FULL_REPORT_INTERVAL (4 * REPORT_INTERVAL)
 #define STACK_BYTES (256u << 10) /* small, as each worker has a thread */
-/* The thread for orders ends when there was none for this time. Busy workers
- * get several starts a second, and a new thread for each would cost 50 us. */
-#define ORDER_THREAD_IDLE_MAX (1 * SEAM_SEC)
 
-SEAM_METRIC(starts, "seam_starts_total", "Starts that workers accepted.");
 SEAM_METRIC(polls, "seam_worker_holds_total", "Leases renewed and looks.");
 SEAM_METRIC(served, "seam_dispatch_workers",
 	    "Workers that this node serves for the owner.");
 
-static void set_runs(struct seam_dispatch_worker *w, size_t runs)
+void dispatch_worker_set_runs(struct seam_dispatch_worker *w, size_t runs)
 {
 	w->dispatch->busy_workers -= w->runs > 0;
 	w->runs = runs;
@@ -57,7 +40,7 @@
 
 void dispatch_worker_drop(struct seam_dispatch_worker *w)
 {
-	set_runs(w, 0);
+	dispatch_worker_set_runs(w, 0);
 	w->removed = true;
 	pthread_cond_signal(&w->orders_changed);
 	pthread_cond_signal(&w->acks_changed);
@@ -65,7 +48,7 @@
 			    GUINT_TO_POINTER(w->key));
 }
 
-static void release_thread(struct seam_dispatch_worker *w)
+void dispatch_worker_release_thread(struct seam_dispatch_worker *w)
 {
 	struct seam_dispatch *d = w->dispatch;
 	struct seam_lane_order *o;
@@ -141,22 +124,11 @@
 	v->listing = *l;
 }
 
-/* Reports that no order which waits is sent. */
-static void reject_orders(struct seam_dispatch_worker *w, const char *why)
-{
-	struct seam_lane_order *o;
-
-	while ((o = g_queue_pop_head(&w->orders))) {
-		dispatch_reject_order(w->dispatch, o, why);
-		dispatch_free_order(o);
-	}
-}
-
 /* Discards the orders and the lease that were meant for the process before the
  * restart. */
 static void reset_after_restart(struct seam_dispatch_worker *w)
 {
-	reject_orders(w, "the worker has restarted");
+	dispatch_worker_reject_orders(w, "the worker has restarted");
 	w->restarts++;
 	w->lease_until = 0;
 	w->acked = 0;
@@ -179,7 +151,7 @@
 	}
 	if (l->process_start_ms)
 		w->process_start_ms = l->process_start_ms;
-	set_runs(w, l->runs);
+	dispatch_worker_set_runs(w, l->runs);
 	changed = has_changed(w, l, hash, token);
 	if (!changed && now < w->reported_at + REPORT_INTERVAL) {
 		seam_listing_free(l);
@@ -293,241 +265,13 @@
 		pthread_mutex_lock(&d->lock);
 		wait_for_acks(w);
 	}
-	release_thread(w);
+	dispatch_worker_release_thread(w);
 	pthread_mutex_unlock(&d->lock);
 	return NULL;
 }
 
-/* The process that a call is made to, as far as it is known. */
-struct call_target {
-	int64_t process_start_ms;
-	unsigned restarts;
-	uint64_t token;
-};
-
-static struct call_target target_of(const struct seam_dispatch_worker *w)
-{
-	return (struct call_target){w->process_start_ms, w->restarts, w->token};
-}
-
-/*
- * Whether the worker may have restarted since. A later token alone does not
- * show it: an earlier order without an answer raises the token as well. It does
- * where no process was known.
- */
-static bool may_have_restarted(const struct seam_dispatch_worker *w,
-			       const struct call_target *t)
-{
-	return w->restarts != t->restarts ||
-	       w->process_start_ms != t->process_start_ms ||
-	       (!t->process_start_ms && w->token != t->token);
-}
-
-/* Retries a start until it is answered; releases the lock during the calls. It
- * is not sent to another process, as its lease goes by the clock of the first.
- * @clock_ms receives the worker's clock of the answer.
- */
-static int send_start(struct seam_dispatch_worker *w,
-		      const struct seam_lane_order *o,
-		      enum seam_order_outcome *outcome, bool *unknown,
-		      int64_t *clock_ms, struct seam_err *e)
-{
-	struct seam_dispatch *d = w->dispatch;
-	struct seam_start s = {.task = o->task,
-			       .run = o->run,
-			       .text = o->text,
-			       .token = w->token,
-			       .lease_until = o->lease_until,
-			       .checkpoint = o->checkpoint};
-	struct call_target target = target_of(w);
-	unsigned attempts;
-	int rc = -1;
-
-	for (attempts = 0; attempts < START_ATTEMPTS_MAX; attempts++) {
-		seam_time now = seam_now(d->clock);
-		seam_time timeout = seam_answer_timeout(
-			&w->answer_time, attempts, START_TIMEOUT);
-
-		if (attempts &&
-		    (now > o->repeat_by || may_have_restarted(w, &target)))
-			break;
-		s.token = w->token;
-		seam_err_clear(e);
-		pthread_mutex_unlock(&d->lock);
-		rc = w->conn->ops->start(w->conn, &s, outcome, clock_ms,
-					 now + timeout, e);
-		pthread_mutex_lock(&d->lock);
-		*unknown = *unknown || (rc && e->kind == SEAM_COMMIT_UNKNOWN);
-		if (!rc)
-			seam_answer_time_note(&w->answer_time,
-					      seam_now(d->clock) - now);
-		if (!rc || w->removed)
-			break;
-	}
-	return rc;
-}
-
-/* Fails if the order may not be sent any more. */
-static int check_deadline(const struct seam_dispatch_worker *w,
-			  const struct seam_lane_order *o, struct seam_err *e)
-{
-	if (w->removed)
-		return seam_fail(e, SEAM_UNAVAILABLE, "the session has ended");
-	if (seam_now(w->dispatch->clock) > o->send_by)
-		return seam_fail(e, SEAM_UNAVAILABLE,
-				 "the deadline for sending has passed");
-	return 0;
-}
-
-/*
- * Polls the worker and fails if another process answers than the one that the
- * order is meant for. Releases the lock during the call.
- */
-static int check_process(struct seam_dispatch_worker *w, struct seam_err *e)
-{
-	struct seam_dispatch *d = w->dispatch;
-	struct seam_renewal h = {.token = w->token};
-	int64_t process_start_ms = w->process_start_ms;
-	enum seam_order_outcome outcome = SEAM_ORDER_INVALID;
-	struct seam_err why = SEAM_ERR_INIT;
-	struct seam_listing l = {0};
-	int rc;
-
-	pthread_mutex_unlock(&d->lock);
-	rc = w->conn->ops->renew_and_list(w->conn, &h, &outcome, &l,
-					  seam_now(d->clock) + ORDER_TIMEOUT,
-					  &why);
-	pthread_mutex_lock(&d->lock);
-	if (!rc && outcome == SEAM_ORDER_DONE) {
-		seam_listing_free(&l);
-		if (l.process_start_ms == process_start_ms &&
-		    w->process_start_ms == process_start_ms)
-			return 0;
-	}
-	/* Further starts wait for the answer to the next poll. */
-	w->answered = false;
-	return seam_fail(e, SEAM_UNAVAILABLE, "no answer of the process: %.30s",
-			 why.text);
-}
-
-/* Retries a stop until it is answered; releases the lock during the calls. */
-static int send_stop(struct seam_dispatch_worker *w,
-		     const struct seam_lane_order *o,
-		     enum seam_order_outcome *outcome, struct seam_err *e)
-{
-	struct seam_dispatch *d = w->dispatch;
-	struct call_target target = target_of(w);
-	uint64_t token;
-	int attempts;
-	int rc = -1;
-
-	for (attempts = 0; attempts < STOP_ATTEMPTS_MAX; attempts++) {
-		seam_time now = seam_now(d->clock);
-
-		if (attempts &&
-		    (now > o->send_by || may_have_restarted(w, &target)))
-			break;
-		token = w->token;
-		seam_err_clear(e);
-		pthread_mutex_unlock(&d->lock);
-		rc = w->conn->ops->stop(w->conn, o->task, o->run, token,
-					outcome, now + STOP_TIMEOUT, e);
-		pthread_mutex_lock(&d->lock);
-		if (!rc || w->removed)
-			break;
-	}
-	return rc;
-}
-
-static void send_order(struct seam_dispatch_worker *w,
-		       const struct seam_lane_order *o)
-{
-	enum seam_order_outcome outcome = SEAM_ORDER_INVALID;
-	struct seam_err e = SEAM_ERR_INIT;
-	struct seam_lane_event *v;
-	int64_t clock_ms = 0;
-	bool unknown = false;
-	int rc;
-
-	rc = check_deadline(w, o, &e);
-	if (!rc && o->poll_first) {
-		rc = check_process(w, &e);
-		/* The poll may have taken long. */
-		rc = rc ? rc : check_deadline(w, o, &e);
-	}
-	if (!rc && o->stop)
-		rc = send_stop(w, o, &outcome, &e);
-	else if (!rc)
-		rc = send_start(w, o, &outcome, &unknown, &clock_ms, &e);
-	if (w->removed)
-		return;
-	if (!rc && !o->stop && outcome == SEAM_ORDER_DONE) {
-		seam_metric_add(&starts, 1);
-		set_runs(w, w->runs + 1);
-	}
-	w->order_since = true;
-	v = dispatch_report_answer(w->dispatch, o, rc, outcome, unknown, &e);
-	if (!rc && clock_ms)
-		v->lease_ms = o->lease_until - clock_ms;
-}
-
-/*
- * Returns the next order that may be sent, or NULL. A start waits while the
- * latest poll has no answer: the worker may have restarted, and the answer to
- * the next poll tells.
- */
-static struct seam_lane_order *pop_order(struct seam_dispatch_worker *w)
-{
-	const struct seam_lane_order *o = g_queue_peek_head(&w->orders);
-
-	if (!o || (!o->stop && !w->answered &&
-		   seam_now(w->dispatch->clock) <= o->send_by))
-		return NULL;
-	return g_queue_pop_head(&w->orders);
-}
-
-/* Returns when the thread for orders has something to do, or ends. */
-static seam_time next_order_deadline(const struct seam_dispatch_worker *w)
-{
-	const struct seam_lane_order *o =
-		w->orders.head ? w->orders.head->data : NULL;
-
-	return o ? o->send_by + 1 : w->order_thread_until;
-}
-
-static bool may_end_order_thread(const struct seam_dispatch_worker *w)
-{
-	return g_queue_is_empty((GQueue *)&w->orders) &&
-	       seam_now(w->dispatch->clock) >= w->order_thread_until;
-}
-
-static void *order_loop(void *arg)
-{
-	struct seam_dispatch_worker *w = arg;
-	struct seam_dispatch *d = w->dispatch;
-	struct seam_lane_order *o;
-
-	pthread_mutex_lock(&d->lock);
-	w->order_thread_until = seam_now(d->clock) + ORDER_THREAD_IDLE_MAX;
-	while (!w->removed && !may_end_order_thread(w)) {
-		o = pop_order(w);
-		if (!o) {
-			seam_wait(d->clock, &w->orders_changed, &d->lock,
-				  next_order_deadline(w));
-			continue;
-		}
-		send_order(w, o);
-		dispatch_free_order(o);
-		w->order_thread_until =
-			seam_now(d->clock) + ORDER_THREAD_IDLE_MAX;
-	}
-	w->order_thread = false;
-	release_thread(w);
-	pthread_mutex_unlock(&d->lock);
-	return NULL;
-}
-
-static int start_thread(struct seam_dispatch_worker *w, void *(*run)(void *arg))
+int dispatch_worker_start_thread(struct seam_dispatch_worker *w,
+				 void *(*run)(void *arg))
 {
 	pthread_attr_t a;
 	pthread_t t;
@@ -557,7 +301,7 @@
 	report_no_answer(w, -1, SEAM_ORDER_INVALID, &e);
 	dispatch_worker_drop(w);
 	w->thread_count++;
-	release_thread(w);
+	dispatch_worker_release_thread(w);
 }
 
 void dispatch_worker_add(struct seam_dispatch *d,
@@ -585,7 +329,7 @@
 	if (!w->conn)
 		reject_worker(w, "no_connection",
 			      "cannot open a connection to the worker");
-	else if (start_thread(w, poll_loop))
+	else if (dispatch_worker_start_thread(w, poll_loop))
 		reject_worker(w, "no_thread",
 			      "cannot create a thread for the worker");
 }
@@ -616,20 +360,3 @@
 		pthread_cond_signal(&w->acks_changed);
 	}
 }
-
-void dispatch_worker_queue_order(struct seam_dispatch_worker *w,
-				 struct seam_lane_order *o)
-{
-	/* A stop goes first: it frees resources that a start may need. */
-	if (o->stop)
-		g_queue_push_head(&w->orders, o);
-	else
-		g_queue_push_tail(&w->orders, o);
-	if (w->order_thread) {
-		pthread_cond_signal(&w->orders_changed);
-		return;
-	}
-	w->order_thread = !start_thread(w, order_loop);
-	if (!w->order_thread)
-		reject_orders(w, "the node has no thread for orders");
-}
