scheduler_choice: the choice of a worker leaves scheduler_pass.c

The state of a pass is in scheduler_pass.h now, the choice of a worker for a task in scheduler_choice.c. No change of behaviour; pass_test passes, 10 tests.

--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -1,12 +1,7 @@
 /* Scheduling pass: starts runnable tasks in order of urgency. */
-#include "process/scheduler_impl.h"
+#include "process/scheduler_pass.h"
 #include "base/metrics.h"
 #include "base/log.h"
-#include "process/failed_needs.h"
-#include "process/fit.h"
-#include "process/urgency.h"
-
-#include <string.h>
 
 /* Delay before a pass, to handle changes that arrive together at once. */
 #define BATCH_DELAY_USEC 8000
@@ -23,35 +18,14 @@
 SEAM_METRIC(beside_late, "seam_starts_beside_late_total",
 	    "Starts on a worker while another may start the task late.");
 
-/*
- * A pool during one pass.
- *
- * @settled: no worker may still run tasks that the owner does not know
- * @failed: needs of plain tasks that found no worker; @why is a seam_delay
- */
-struct pool {
-	bool settled;
-	struct seam_failed_needs failed;
-};
-
-struct pass {
-	struct seam_scheduler *sched;
-	seam_time now;
-	GHashTable *pools;
-	bool node_limited; /* a worker was skipped as its node has
-			      as many pending starts as its window */
-	int64_t searches; /* searches for a worker */
-	int64_t failed_searches;
-	int64_t compared; /* workers that they looked at */
-};
-
-static struct pool *find_or_add_pool(struct pass *p, const char *name)
+static struct seam_pass_pool *find_or_add_pool(struct seam_pass *p,
+					       const char *name)
 {
-	struct pool *found = g_hash_table_lookup(p->pools, name);
+	struct seam_pass_pool *found = g_hash_table_lookup(p->pools, name);
 
 	if (found)
 		return found;
-	found = g_new0(struct pool, 1);
+	found = g_new0(struct seam_pass_pool, 1);
 	found->settled =
 		p->now > p->sched->prior_leases_until || p->sched->vms_read;
 	g_hash_table_insert(p->pools, g_strdup(name), found);
@@ -59,7 +33,7 @@
 }
 
 /* Pools of workers that may still run tasks under a longer lease. */
-static void find_pools_of_long_leases(struct pass *p)
+static void find_pools_of_long_leases(struct seam_pass *p)
 {
 	const GArray *list = p->sched->long_leases;
 	guint i;
@@ -82,7 +56,7 @@
  * A task of an inherited job may run on a worker that has not answered yet,
  * until the lease granted by the previous owner has expired.
  */
-static void find_unsettled_pools(struct pass *p)
+static void find_unsettled_pools(struct seam_pass *p)
 {
 	struct seam_scheduler *sched = p->sched;
 	struct seam_handle h = SEAM_HANDLE_NONE;
@@ -109,240 +83,6 @@
 	       now >= j->task[step][t].not_before;
 }
 
-static bool has_label(const struct seam_worker *w, const char *label)
-{
-	int i;
-
-	for (i = 0; i < w->info.labels; i++)
-		if (!strcmp(w->info.label[i], label))
-			return true;
-	return false;
-}
-
-/* Whether a start may be sent to @w now. */
-static bool may_start_on(struct pass *p, const struct seam_worker *w)
-{
-	struct seam_scheduler *sched = p->sched;
-
-	if (!scheduler_worker_usable(w, p->now) || p->now < w->no_room_until ||
-	    seam_op_state_is_evacuated(sched->op_state, w->info.dc) ||
-	    w->lane < 0)
-		return false;
-	if (sched->lane[w->lane].starting < sched->lane[w->lane].window.size)
-		return true;
-	p->node_limited = true;
-	return false;
-}
-
-/* Selection of a worker for a task. */
-struct choice {
-	struct pass *pass;
-	const struct seam_job *job;
-	int step;
-	const struct seam_job_task_state *task;
-	struct seam_fit_task fit;
-	GArray *workers; /* struct seam_fit_worker */
-	GArray *handles; /* of the same workers, struct seam_handle */
-};
-
-/*
- * Counts the tasks on @w that are of the step, of serving steps, and of filling
- * steps.
- */
-static void count_tasks(struct seam_scheduler *sched,
-			const struct seam_worker *w, const struct choice *c,
-			int *same, struct seam_fit_worker *f)
-{
-	guint i;
-
-	*same = 0;
-	for (i = 0; i < w->task_refs->len; i++) {
-		const struct seam_task_ref *r =
-			&g_array_index(w->task_refs, struct seam_task_ref, i);
-		const struct seam_job *other = scheduler_job(sched, r->job);
-
-		if (!other)
-			continue;
-		*same += seam_handle_eq(r->job, c->job->self) &&
-			 r->step == c->step;
-		f->serving += other->row.spec.step[r->step].target_ms > 0;
-		f->filling += other->row.spec.step[r->step].fills;
-	}
-}
-
-/* Whether the task has waited long enough for a late start on @w. */
-static bool has_not_confirmed_in_time(const struct choice *c,
-				      const struct seam_worker *w)
-{
-	return seam_handle_eq(c->task->late_worker, w->self) &&
-	       c->pass->now < c->task->late_until &&
-	       c->pass->now >= scheduler_late_wait_end(c->pass->sched, c->job,
-						       c->step, c->task);
-}
-
-/* Describes @w for the task; false if @w can't run it. */
-static bool describe_worker(const struct choice *c, const struct seam_worker *w,
-			    struct seam_fit_worker *f)
-{
-	const struct seam_step *s = &c->job->row.spec.step[c->step];
-	int same;
-	int i;
-
-	memset(f, 0, sizeof(*f));
-	if ((*s->label && !has_label(w, s->label)) ||
-	    scheduler_worker_is_shunned(w, s->lasting, c->pass->now) ||
-	    (!s->lasting && c->pass->now < w->reserved_until) ||
-	    !may_start_on(c->pass, w))
-		return false;
-	f->free = scheduler_worker_free(w);
-	if (s->per_worker || s->target_ms || s->fills) {
-		count_tasks(c->pass->sched, w, c, &same, f);
-		if (s->per_worker && same >= s->per_worker)
-			return false;
-	}
-	f->near = !*s->rack || has_label(w, s->rack);
-	f->avoid = seam_handle_eq(c->task->avoid, w->self) ||
-		   scheduler_late_worker_is_avoided(w, c->task) ||
-		   c->pass->now < w->shunned_until ||
-		   has_not_confirmed_in_time(c, w);
-	f->slow = w->info.warmup_ms > SEAM_SLOW_MIN_MS;
-	for (i = 0; i < SEAM_TASK_RUNS_MAX; i++)
-		if (c->task->run[i].state != SEAM_RUN_FREE &&
-		    seam_handle_eq(c->task->run[i].worker, w->self))
-			f->copy = true;
-	return true;
-}
-
-/*
- * Adds a worker to the candidates; returns whether it is good enough to end the
- * search.
- */
-static bool add_worker(struct seam_handle h, struct choice *c)
-{
-	const struct seam_worker *w = scheduler_worker(c->pass->sched, h);
-	struct seam_resources free;
-	struct seam_fit_worker f;
-
-	c->pass->compared++;
-	if (!w)
-		return false;
-	free = scheduler_worker_free(w);
-	if (!seam_fits(&c->fit.need, &free) || !describe_worker(c, w, &f))
-		return false;
-	g_array_append_val(c->workers, f);
-	g_array_append_val(c->handles, h);
-	return !f.avoid && !f.copy;
-}
-
-static bool add_first(struct seam_handle h, void *arg)
-{
-	return add_worker(h, arg);
-}
-
-static bool add_each(struct seam_handle h, void *arg)
-{
-	add_worker(h, arg);
-	return false;
-}
-
-static const struct seam_fit_worker *best_of(const struct choice *c, int *i)
-{
-	const struct seam_fit_worker *f =
-		(const struct seam_fit_worker *)(void *)c->workers->data;
-
-	*i = seam_fit(&c->fit, f, c->workers->len);
-	return *i < 0 ? NULL : &f[*i];
-}
-
-/*
- * A task that other tasks on a worker slow down is compared with all workers,
- * one with a label with those that have it. Any other goes near its data, or
- * else to the fullest worker with enough room; slow workers come last. A bound
- * of the tasks on a worker leaves workers out, but does not change the order of
- * the others.
- */
-static int compare_workers(struct choice *c)
-{
-	const struct seam_step *s = &c->job->row.spec.step[c->step];
-	struct seam_worker_index *worker_index = c->pass->sched->worker_index;
-	const char *pool = c->job->row.spec.pool;
-	const struct seam_fit_worker *f;
-	int best;
-	int slow;
-
-	if (s->target_ms || s->fills || *s->label) {
-		seam_worker_index_each_labelled(worker_index, pool, s->label,
-						add_each, c);
-		best_of(c, &best);
-		return best;
-	}
-	if (*s->rack)
-		seam_worker_index_each_labelled(worker_index, pool, s->rack,
-						add_each, c);
-	f = best_of(c, &best);
-	for (slow = 0; slow < 2 && (!f || f->avoid); slow++) {
-		seam_worker_index_each_fitting(worker_index, pool, s->need.cpu,
-					       slow, add_first, c);
-		f = best_of(c, &best);
-	}
-	return best;
-}
-
-static struct seam_worker *choose_worker(struct pass *p,
-					 const struct seam_job *j, int step,
-					 const struct seam_job_task_state *t)
-{
-	const struct seam_step *s = &j->row.spec.step[step];
-	struct choice c = {
-		.pass = p,
-		.job = j,
-		.step = step,
-		.task = t,
-		.fit = {scheduler_step_need(s), s->target_ms > 0, s->fills},
-		.workers = g_array_new(FALSE, FALSE,
-				       sizeof(struct seam_fit_worker)),
-		.handles =
-			g_array_new(FALSE, FALSE, sizeof(struct seam_handle))};
-	struct seam_worker *w = NULL;
-	int best;
-
-	p->node_limited = false;
-	p->searches++;
-	best = compare_workers(&c);
-	p->failed_searches += best < 0;
-	if (best >= 0)
-		w = scheduler_worker(
-			p->sched,
-			g_array_index(c.handles, struct seam_handle, best));
-	g_array_free(c.workers, TRUE);
-	g_array_free(c.handles, TRUE);
-	return w;
-}
-
-/*
- * Returns the worker that may get a start of an earlier run late, if it can run
- * the task now, or NULL. It does so under the same number or, if that is spent
- * there, under a later one: its process refuses the late start, and the run
- * ends with the process. A worker on which the task has failed does not get it
- * again.
- */
-static struct seam_worker *
-choose_late_worker(struct pass *p, const struct seam_job *j, int step,
-		   const struct seam_job_task_state *t)
-{
-	struct seam_worker *w = scheduler_late_worker(p->sched, t);
-	struct choice c = {.pass = p, .job = j, .step = step, .task = t};
-	struct seam_resources need =
-		scheduler_step_need(&j->row.spec.step[step]);
-	struct seam_fit_worker f;
-
-	if (!w || strcmp(w->info.pool, j->row.spec.pool) ||
-	    !describe_worker(&c, w, &f) || f.avoid || f.copy ||
-	    !seam_fits(&need, &f.free))
-		return NULL;
-	return w;
-}
-
 static bool within_limit(const struct seam_resources *used,
 			 const struct seam_resources *need,
 			 const struct seam_resources *limit)
@@ -353,7 +93,7 @@
 	       (!limit->gpu || used->gpu + need->gpu <= limit->gpu);
 }
 
-static struct seam_resources workspace_limit(struct pass *p,
+static struct seam_resources workspace_limit(struct seam_pass *p,
 					     const char *workspace)
 {
 	const struct seam_catalog *c =
@@ -372,7 +112,7 @@
  * A start beside a late one: if the other worker restarts before its next poll,
  * the task runs twice.
  */
-static void log_start_beside_late(const struct pass *p,
+static void log_start_beside_late(const struct seam_pass *p,
 				  const struct seam_job_task_state *t,
 				  const struct seam_order *o,
 				  const struct seam_worker *w)
@@ -397,7 +137,8 @@
  * keep theirs: each process carries out a number once, so that the next one
  * does not run the task twice.
  */
-static int64_t run_number(const struct pass *p, struct seam_job_task_state *t,
+static int64_t run_number(const struct seam_pass *p,
+			  struct seam_job_task_state *t,
 			  const struct seam_worker *w)
 {
 	if (t->late_run && scheduler_late_worker(p->sched, t) == w)
@@ -405,7 +146,7 @@
 	return (int64_t)p->sched->term * SEAM_RUNS_PER_TERM + ++t->starts;
 }
 
-static void start_task(struct pass *p, struct seam_worker *w,
+static void start_task(struct seam_pass *p, struct seam_worker *w,
 		       struct seam_job *j, int step, int task)
 {
 	struct seam_job_task_state *t = &j->task[step][task];
@@ -431,7 +172,8 @@
  * Finds a worker for a task, unless a need that is not larger found none in
  * this pass. Without one, @delay receives what the task waits for.
  */
-static struct seam_worker *find_worker(struct pass *p, struct pool *pool,
+static struct seam_worker *find_worker(struct seam_pass *p,
+				       struct seam_pass_pool *pool,
 				       const struct seam_job *j, int step,
 				       const struct seam_job_task_state *t,
 				       enum seam_delay *delay)
@@ -449,7 +191,7 @@
 		*delay = (enum seam_delay)failed->why;
 		return NULL;
 	}
-	w = choose_worker(p, j, step, t);
+	w = scheduler_choose_worker(p, j, step, t);
 	if (w)
 		return w;
 	*delay = p->node_limited ? SEAM_DELAY_TURN : SEAM_DELAY_ROOM;
@@ -461,7 +203,8 @@
 }
 
 /* Starts tasks of one step; returns what delays the first that waits. */
-static enum seam_delay start_step(struct pass *p, struct pool *pool,
+static enum seam_delay start_step(struct seam_pass *p,
+				  struct seam_pass_pool *pool,
 				  struct seam_job *j, int step)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
@@ -486,7 +229,7 @@
 		}
 		if (!within_limit(j->used, &s->need, &limit))
 			return SEAM_DELAY_LIMIT;
-		w = choose_late_worker(p, j, step, state);
+		w = scheduler_choose_late_worker(p, j, step, state);
 		if (!w &&
 		    scheduler_waits_for_late_worker(p->sched, j, step, state)) {
 			delay = SEAM_DELAY_UNCONFIRMED;
@@ -501,9 +244,9 @@
 	return delay;
 }
 
-static enum seam_delay start_job(struct pass *p, struct seam_job *j)
+static enum seam_delay start_job(struct seam_pass *p, struct seam_job *j)
 {
-	struct pool *pool = find_or_add_pool(p, j->row.spec.pool);
+	struct seam_pass_pool *pool = find_or_add_pool(p, j->row.spec.pool);
 	enum seam_delay delay = SEAM_DELAY_NONE;
 	int i;
 
@@ -521,7 +264,7 @@
 }
 
 struct room_search {
-	struct pass *pass;
+	struct seam_pass *pass;
 	bool lasting;
 	bool found;
 };
@@ -531,7 +274,7 @@
 	struct room_search *l = arg;
 	const struct seam_worker *w = scheduler_worker(l->pass->sched, h);
 
-	l->found = w && may_start_on(l->pass, w) &&
+	l->found = w && scheduler_may_start_on(l->pass, w) &&
 		   (l->lasting || l->pass->now >= w->reserved_until) &&
 		   !scheduler_worker_is_shunned(w, l->lasting, l->pass->now);
 	return l->found;
@@ -551,7 +294,7 @@
  * Whether any worker of the pool of @j has @cpu free for it or for less urgent
  * jobs. Few of those are lasting if @j is not.
  */
-static bool has_room(struct pass *p, const struct seam_job *j, int64_t cpu)
+static bool has_room(struct seam_pass *p, const struct seam_job *j, int64_t cpu)
 {
 	struct room_search l = {.pass = p, .lasting = is_lasting(j)};
 	int slow;
@@ -567,7 +310,7 @@
  * Starts tasks in order of urgency. Skips the rest of a pool when no more of
  * its tasks can be started.
  */
-static void start_jobs(struct pass *p)
+static void start_jobs(struct seam_pass *p)
 {
 	struct seam_scheduler *sched = p->sched;
 	struct seam_backlog_cursor c;
@@ -587,7 +330,7 @@
 	seam_backlog_end(&c);
 }
 
-static void count_pass(const struct pass *p)
+static void count_pass(const struct seam_pass *p)
 {
 	struct seam_load_stats *m = &p->sched->load;
 
@@ -604,7 +347,7 @@
 
 void scheduler_pass(struct seam_scheduler *sched)
 {
-	struct pass p = {.sched = sched, .now = seam_now(sched->clock)};
+	struct seam_pass p = {.sched = sched, .now = seam_now(sched->clock)};
 
 	p.pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
