scheduler_reservation: a late large task gets a worker that small ones leave to it

Cause: a small task takes each part of a worker as it becomes free, so that none gets room for the large one. Once that is late, jobs in time come before it, too. Reservations were for lasting tasks only.

Each pool may now reserve one worker for the most urgent late job that no worker has room for, if the pool starts tasks but none as large. It does not depend on how far a pass gets: it is made from the late jobs of the backlog after the pass, and its task starts before all others but lasting ones. Jobs in time lose at most that worker until it has room; tasks that end before or fit beside start there (EASY backfilling, Lifka 1995).

NoTaskWithRoomIsPassedOver knows the reserved worker as it does those of lasting tasks: others may stay off it, the task itself may not.

--- a/process/backlog.c
+++ b/process/backlog.c
@@ -166,6 +166,23 @@
 	return now > w->key.valid_until;
 }
 
+void seam_backlog_each_from(struct seam_backlog *b, const char *pool,
+			    const struct seam_urgency_key *key,
+			    bool (*fn)(struct seam_handle job, void *arg),
+			    void *arg)
+{
+	const struct pool *p = g_hash_table_lookup(b->pools, pool);
+	struct waiting_job least = {.key = *key};
+	GSequenceIter *at;
+
+	if (!p)
+		return;
+	at = g_sequence_search(p->by_urgency, &least, compare_urgency, NULL);
+	for (; !g_sequence_iter_is_end(at); at = g_sequence_iter_next(at))
+		if (fn(((struct waiting_job *)g_sequence_get(at))->job, arg))
+			return;
+}
+
 void seam_backlog_begin(struct seam_backlog *b, struct seam_backlog_cursor *c)
 {
 	GHashTableIter it;
--- a/process/backlog.h
+++ b/process/backlog.h
@@ -64,6 +64,19 @@
 bool seam_backlog_expired(struct seam_backlog *b, seam_time now,
 			  struct seam_handle *job);
 
+/**
+ * seam_backlog_each_from() - iterate over a part of the jobs of a pool
+ * @b: backlog, which must not change during the iteration
+ * @pool: pool
+ * @key: jobs that come after it in order of urgency
+ * @fn: called for each, in that order; returns true to end the iteration
+ * @arg: passed to @fn
+ */
+void seam_backlog_each_from(struct seam_backlog *b, const char *pool,
+			    const struct seam_urgency_key *key,
+			    bool (*fn)(struct seam_handle job, void *arg),
+			    void *arg);
+
 /** seam_backlog_begin() - start an iteration; ended with seam_backlog_end() */
 void seam_backlog_begin(struct seam_backlog *b, struct seam_backlog_cursor *c);
 
--- a/process/scheduler.c
+++ b/process/scheduler.c
@@ -59,6 +59,8 @@
 	sched->dirty_jobs =
 		g_array_new(FALSE, FALSE, sizeof(struct seam_handle));
 	sched->worker_index = seam_worker_index_new();
+	sched->pool_rooms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sched->workspace_used =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&sched->recent_starts);
@@ -104,6 +106,7 @@
 	seam_backlog_free(sched->backlog);
 	g_array_free(sched->dirty_jobs, TRUE);
 	seam_worker_index_free(sched->worker_index);
+	g_hash_table_destroy(sched->pool_rooms);
 	g_hash_table_destroy(sched->workspace_used);
 	g_queue_clear_full(&sched->recent_starts, g_free);
 	seam_table_free(sched->jobs);
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -12,12 +12,14 @@
 #include "connection/lane.h"
 #include "connection/runner.h"
 #include "connection/vms.h"
+#include "process/backfill.h"
 #include "process/backlog.h"
 #include "process/demand_trend.h"
 #include "process/election.h"
 #include "process/op_state.h"
 #include "process/row_writer.h"
 #include "process/worker_index.h"
+#include "process/start_sizes.h"
 #include "process/start_window.h"
 #include "process/store.h"
 #include "process/wave.h"
@@ -332,6 +334,38 @@
 	struct seam_demand_trend trend;
 };
 
+/**
+ * struct seam_reservation - a worker that is kept for a task that ends
+ * @job: its job; SEAM_HANDLE_NONE without a reservation
+ * @step: step of the task; any task of it may use the worker
+ * @worker: worker
+ * @made_at: when it was made
+ * @until: it ends then, as runs on the worker exceed their estimates
+ * @plan: what other tasks may start there; its time of room is not put off
+ */
+struct seam_reservation {
+	struct seam_handle job;
+	int step;
+	struct seam_handle worker;
+	seam_time made_at;
+	seam_time until;
+	struct seam_backfill plan;
+};
+
+/**
+ * struct seam_pool_room - room in a pool for tasks that end
+ * @reservation: its reservation, one at a time
+ * @cpu: starts by the CPU that they need
+ * @memory: starts by memory
+ * @gpu: starts by GPUs
+ */
+struct seam_pool_room {
+	struct seam_reservation reservation;
+	struct seam_start_sizes cpu;
+	struct seam_start_sizes memory;
+	struct seam_start_sizes gpu;
+};
+
 struct seam_scheduler;
 
 /**
@@ -602,6 +636,7 @@
  * @dirty_jobs: jobs whose backlog entry has to be updated; struct seam_handle
  * @waiting: tasks that may be started, of all jobs
  * @worker_index: workers by free CPU
+ * @pool_rooms: pool to struct seam_pool_room
  * @workspace_used: workspace to the struct seam_resources that its runs reserve
  * @starting: starts that wait for an answer
  * @window: how many may wait, of all lanes together
@@ -721,6 +756,7 @@
 	GArray *dirty_jobs;
 	int64_t waiting;
 	struct seam_worker_index *worker_index;
+	GHashTable *pool_rooms;
 	GHashTable *workspace_used;
 	int starting;
 	struct seam_start_window window;
--- a/process/scheduler_choice.c
+++ b/process/scheduler_choice.c
@@ -3,16 +3,6 @@
 
 #include <string.h>
 
-static bool has_label(const struct seam_worker *w, const char *label)
-{
-	int i;
-
-	for (i = 0; i < w->info.labels; i++)
-		if (!strcmp(w->info.label[i], label))
-			return true;
-	return false;
-}
-
 /* Whether a start may be sent to @w now. */
 bool scheduler_may_start_on(struct seam_pass *p, const struct seam_worker *w)
 {
@@ -31,6 +21,7 @@
 /* Selection of a worker for a task. */
 struct choice {
 	struct seam_pass *pass;
+	const struct seam_pass_pool *pool;
 	const struct seam_job *job;
 	int step;
 	const struct seam_job_task_state *task;
@@ -83,7 +74,7 @@
 	int i;
 
 	memset(f, 0, sizeof(*f));
-	if ((*s->label && !has_label(w, s->label)) ||
+	if (!scheduler_worker_has_label(w, s->label) ||
 	    scheduler_worker_is_shunned(w, s->lasting, c->pass->now) ||
 	    (!s->lasting && c->pass->now < w->reserved_until) ||
 	    !scheduler_may_start_on(c->pass, w))
@@ -94,7 +85,7 @@
 		if (s->per_worker && same >= s->per_worker)
 			return false;
 	}
-	f->near = !*s->rack || has_label(w, s->rack);
+	f->near = scheduler_worker_has_label(w, s->rack);
 	f->avoid = seam_handle_eq(c->task->avoid, w->self) ||
 		   scheduler_late_worker_is_avoided(w, c->task) ||
 		   c->pass->now < w->shunned_until ||
@@ -118,7 +109,8 @@
 	struct seam_fit_worker f;
 
 	c->pass->compared++;
-	if (!w)
+	if (!w || (!c->job->row.spec.step[c->step].lasting &&
+		   scheduler_is_reserved(c->pool, h)))
 		return false;
 	free = scheduler_worker_free(w);
 	if (!seam_fits(&c->fit.need, &free) || !describe_worker(c, w, &f))
@@ -183,12 +175,14 @@
 }
 
 struct seam_worker *scheduler_choose_worker(struct seam_pass *p,
+					    const struct seam_pass_pool *pool,
 					    const struct seam_job *j, int step,
 					    const struct seam_job_task_state *t)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 	struct choice c = {
 		.pass = p,
+		.pool = pool,
 		.job = j,
 		.step = step,
 		.task = t,
@@ -236,3 +230,36 @@
 		return NULL;
 	return w;
 }
+
+struct seam_worker *scheduler_choose_reserved_worker(
+	struct seam_pass *p, struct seam_pass_pool *pool,
+	const struct seam_job *j, int step, const struct seam_job_task_state *t)
+{
+	const struct seam_step *s = &j->row.spec.step[step];
+	struct seam_reservation *r = &pool->room->reservation;
+	struct seam_worker *w = scheduler_worker(p->sched, r->worker);
+	struct choice c = {.pass = p, .job = j, .step = step, .task = t};
+	struct seam_resources need = scheduler_step_need(s);
+	struct seam_fit_worker f;
+	seam_time end = p->now + s->estimate_ms * SEAM_MSEC +
+			SEAM_START_AND_REPORT_DELAY;
+
+	if (!w || !pool->backfills_left)
+		return NULL;
+	if (seam_handle_eq(r->job, j->self) && r->step == step)
+		return describe_worker(&c, w, &f) && !f.copy &&
+				       seam_fits(&need, &f.free) ?
+			       w :
+			       NULL;
+	pool->backfills_left--;
+	if (!describe_worker(&c, w, &f) || f.copy || f.avoid ||
+	    !seam_fits(&need, &f.free) ||
+	    !seam_backfill_fits(&r->plan, &need, end))
+		return NULL;
+	if (end > r->plan.room_at) {
+		r->plan.beside.cpu -= need.cpu;
+		r->plan.beside.memory -= need.memory;
+		r->plan.beside.gpu -= need.gpu;
+	}
+	return w;
+}
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -143,6 +143,15 @@
 bool scheduler_room_elsewhere(struct seam_scheduler *sched,
 			      const struct seam_job *j, int step,
 			      const struct seam_worker *except);
+/* Whether @w has @label; each has "". */
+bool scheduler_worker_has_label(const struct seam_worker *w, const char *label);
+/*
+ * Whether @w has as many tasks of a step as it may have; any number if
+ * @per_worker is 0.
+ */
+bool scheduler_worker_has_all_of_step(const struct seam_worker *w,
+				      struct seam_handle job, int step,
+				      int64_t per_worker);
 /* Number of lasting runs on @w. */
 int scheduler_lasting_runs(struct seam_worker *w);
 /* Number of those for which no other worker has room now. */
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -9,6 +9,11 @@
 #define PASS_INTERVAL (100 * SEAM_MSEC)
 /* A start that waits longer for its connection is scheduled again. */
 #define START_QUEUE_TIMEOUT (600 * SEAM_MSEC)
+/*
+ * Looks at a reserved worker for other tasks in one pass, so that the cost of a
+ * pass stays bounded.
+ */
+#define BACKFILLS_MAX 64
 SEAM_METRIC(passes, "seam_passes_total", "Passes over the waiting tasks.");
 SEAM_METRIC(waiting, "seam_tasks_waiting", "Tasks that could run but wait.");
 SEAM_METRIC(searches, "seam_worker_searches_total",
@@ -26,6 +31,8 @@
 	if (found)
 		return found;
 	found = g_new0(struct seam_pass_pool, 1);
+	found->room = scheduler_pool_room(p->sched, name);
+	found->backfills_left = BACKFILLS_MAX;
 	found->settled =
 		p->now > p->sched->prior_leases_until || p->sched->vms_read;
 	g_hash_table_insert(p->pools, g_strdup(name), found);
@@ -108,6 +115,14 @@
 	return limit;
 }
 
+bool scheduler_within_limit(struct seam_pass *p, const struct seam_job *j,
+			    int step)
+{
+	struct seam_resources limit = workspace_limit(p, j->row.spec.workspace);
+
+	return within_limit(j->used, &j->row.spec.step[step].need, &limit);
+}
+
 /*
  * A start beside a late one: if the other worker restarts before its next poll,
  * the task runs twice.
@@ -169,14 +184,14 @@
 }
 
 /*
- * Finds a worker for a task, unless a need that is not larger found none in
- * this pass. Without one, @delay receives what the task waits for.
+ * Finds a worker that is not reserved, unless a need that is not larger found
+ * none in this pass. Without one, @delay receives what the task waits for.
  */
-static struct seam_worker *find_worker(struct seam_pass *p,
-				       struct seam_pass_pool *pool,
-				       const struct seam_job *j, int step,
-				       const struct seam_job_task_state *t,
-				       enum seam_delay *delay)
+static struct seam_worker *find_unreserved(struct seam_pass *p,
+					   struct seam_pass_pool *pool,
+					   const struct seam_job *j, int step,
+					   const struct seam_job_task_state *t,
+					   enum seam_delay *delay)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 	bool plain = !s->per_worker && !*s->label && !s->fills && !s->lasting;
@@ -191,21 +206,39 @@
 		*delay = (enum seam_delay)failed->why;
 		return NULL;
 	}
-	w = scheduler_choose_worker(p, j, step, t);
+	w = scheduler_choose_worker(p, pool, j, step, t);
 	if (w)
 		return w;
 	*delay = p->node_limited ? SEAM_DELAY_TURN : SEAM_DELAY_ROOM;
 	if (plain)
 		seam_failed_needs_add(&pool->failed, &need, *delay);
-	if (s->lasting && *delay == SEAM_DELAY_ROOM)
-		scheduler_reserve_worker(p->sched, j, step, p->now);
 	return NULL;
 }
 
-/* Starts tasks of one step; returns what delays the first that waits. */
+/* Finds a worker for a task; without one, @delay receives what it waits for. */
+static struct seam_worker *find_worker(struct seam_pass *p,
+				       struct seam_pass_pool *pool,
+				       const struct seam_job *j, int step,
+				       const struct seam_job_task_state *t,
+				       enum seam_delay *delay)
+{
+	bool lasting = j->row.spec.step[step].lasting;
+	struct seam_worker *w = find_unreserved(p, pool, j, step, t, delay);
+
+	if (!w && !lasting)
+		w = scheduler_choose_reserved_worker(p, pool, j, step, t);
+	if (!w && lasting && *delay == SEAM_DELAY_ROOM)
+		scheduler_reserve_worker(p->sched, j, step, p->now);
+	return w;
+}
+
+/*
+ * Starts tasks of one step, at most one if a worker is @reserved for it;
+ * returns what delays the first that waits.
+ */
 static enum seam_delay start_step(struct seam_pass *p,
 				  struct seam_pass_pool *pool,
-				  struct seam_job *j, int step)
+				  struct seam_job *j, int step, bool reserved)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 	struct seam_resources limit = workspace_limit(p, j->row.spec.workspace);
@@ -240,6 +273,9 @@
 		if (!w)
 			return delay;
 		start_task(p, w, j, step, (int)t);
+		if (reserved)
+			return delay;
+		scheduler_note_start(pool, j, step, p->now);
 	}
 	return delay;
 }
@@ -256,7 +292,7 @@
 		enum seam_delay step = SEAM_DELAY_NONE;
 
 		if (j->idle[i] && scheduler_step_is_ready(j, i))
-			step = start_step(p, pool, j, i);
+			step = start_step(p, pool, j, i, false);
 		if (!delay)
 			delay = step;
 	}
@@ -265,6 +301,7 @@
 
 struct room_search {
 	struct seam_pass *pass;
+	const struct seam_pass_pool *pool;
 	bool lasting;
 	bool found;
 };
@@ -275,7 +312,9 @@
 	const struct seam_worker *w = scheduler_worker(l->pass->sched, h);
 
 	l->found = w && scheduler_may_start_on(l->pass, w) &&
-		   (l->lasting || l->pass->now >= w->reserved_until) &&
+		   (l->lasting || (l->pass->now >= w->reserved_until &&
+				   (l->pool->backfills_left ||
+				    !scheduler_is_reserved(l->pool, h)))) &&
 		   !scheduler_worker_is_shunned(w, l->lasting, l->pass->now);
 	return l->found;
 }
@@ -296,7 +335,9 @@
  */
 static bool has_room(struct seam_pass *p, const struct seam_job *j, int64_t cpu)
 {
-	struct room_search l = {.pass = p, .lasting = is_lasting(j)};
+	struct room_search l = {.pass = p,
+				.pool = find_or_add_pool(p, j->row.spec.pool),
+				.lasting = is_lasting(j)};
 	int slow;
 
 	for (slow = 0; slow < 2 && !l.found; slow++)
@@ -306,28 +347,86 @@
 	return l.found;
 }
 
+/* Starts a task for which a worker of @pool is reserved, if there is room. */
+static void start_reserved_task(struct seam_pass *p,
+				struct seam_pass_pool *pool)
+{
+	struct seam_job *j = scheduler_renew_reservation(p, pool);
+	static const char *const why[] = {[SEAM_DELAY_NONE] = "paused",
+					  [SEAM_DELAY_LIMIT] = "limit",
+					  [SEAM_DELAY_UNCONFIRMED] =
+						  "unconfirmed"};
+	int step = pool->room->reservation.step;
+	enum seam_delay delay;
+	int idle;
+
+	if (!j)
+		return;
+	idle = j->idle[step];
+	delay = start_step(p, pool, j, step, true);
+	if (j->idle[step] < idle)
+		scheduler_end_reservation(p, pool, "started");
+	else if (delay == SEAM_DELAY_ROOM || delay == SEAM_DELAY_TURN)
+		scheduler_job_delayed(j, delay, p->now);
+	else
+		scheduler_end_reservation(p, pool, why[delay]);
+}
+
+/* Starts the tasks of reservations. */
+static void start_reserved(struct seam_pass *p)
+{
+	GHashTableIter it;
+	gpointer name;
+
+	g_hash_table_iter_init(&it, p->sched->pool_rooms);
+	while (g_hash_table_iter_next(&it, &name, NULL))
+		start_reserved_task(p, find_or_add_pool(p, name));
+}
+
+/* Makes reservations in pools that have none. */
+static void make_reservations(struct seam_pass *p)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer pool;
+
+	g_hash_table_iter_init(&it, p->pools);
+	while (g_hash_table_iter_next(&it, &name, &pool))
+		scheduler_make_reservation(p, pool, name);
+}
+
 /*
- * Starts tasks in order of urgency. Skips the rest of a pool when no more of
+ * Starts tasks in order of urgency; those of reservations come after lasting
+ * ones. Skips the rest of a pool when no more of
  * its tasks can be started.
  */
 static void start_jobs(struct seam_pass *p)
 {
 	struct seam_scheduler *sched = p->sched;
 	struct seam_backlog_cursor c;
+	bool reserved = false;
 	struct seam_handle h;
 
 	seam_backlog_begin(sched->backlog, &c);
 	while (sched->starting < sched->window.size &&
 	       seam_backlog_next(&c, &h)) {
 		struct seam_job *j = scheduler_job(sched, h);
-		enum seam_delay delay = start_job(p, j);
+		enum seam_delay delay;
 
+		if (!reserved && !is_lasting(j)) {
+			start_reserved(p);
+			reserved = true;
+		}
+		delay = start_job(p, j);
 		scheduler_job_delayed(j, delay, p->now);
 		if ((delay == SEAM_DELAY_ROOM || delay == SEAM_DELAY_TURN) &&
 		    !has_room(p, j, seam_backlog_min_cpu(&c)))
 			seam_backlog_skip_pool(&c);
 	}
 	seam_backlog_end(&c);
+	if (!reserved)
+		start_reserved(p);
+	make_reservations(p);
 }
 
 static void count_pass(const struct seam_pass *p)
--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -14,7 +14,7 @@
 /* Workers that are looked at for one task, so that the cost stays bounded. */
 #define CANDIDATES_MAX 64
 
-static bool holds_label(const struct seam_worker *w, const char *label)
+bool scheduler_worker_has_label(const struct seam_worker *w, const char *label)
 {
 	int i;
 
@@ -36,20 +36,26 @@
 	bool found;
 };
 
-/* Whether @w has as many tasks of the step as it may have. */
-static bool has_all_of_step(const struct search *s, const struct seam_worker *w)
+bool scheduler_worker_has_all_of_step(const struct seam_worker *w,
+				      struct seam_handle job, int step,
+				      int64_t per_worker)
 {
 	int64_t same = 0;
 	guint i;
 
-	for (i = 0; i < w->task_refs->len && s->step->per_worker; i++) {
+	for (i = 0; i < w->task_refs->len && per_worker; i++) {
 		const struct seam_task_ref *r =
 			&g_array_index(w->task_refs, struct seam_task_ref, i);
 
-		same += seam_handle_eq(r->job, s->job) &&
-			r->step == s->step_index;
+		same += seam_handle_eq(r->job, job) && r->step == step;
 	}
-	return s->step->per_worker && same >= s->step->per_worker;
+	return per_worker && same >= per_worker;
+}
+
+static bool has_all_of_step(const struct search *s, const struct seam_worker *w)
+{
+	return scheduler_worker_has_all_of_step(w, s->job, s->step_index,
+						s->step->per_worker);
 }
 
 static bool check_candidate(struct seam_handle h, void *arg)
@@ -63,7 +69,8 @@
 	free = scheduler_worker_free(w);
 	s->found = scheduler_worker_usable(w, s->now) &&
 		   s->now >= w->no_room_until && seam_fits(&s->need, &free) &&
-		   holds_label(w, s->step->label) && !has_all_of_step(s, w) &&
+		   scheduler_worker_has_label(w, s->step->label) &&
+		   !has_all_of_step(s, w) &&
 		   !seam_op_state_is_evacuated(s->sched->op_state, w->info.dc);
 	return s->found || --s->left <= 0;
 }
@@ -186,7 +193,8 @@
 
 	if (!w || !scheduler_worker_usable(w, s->now) ||
 	    seam_op_state_is_evacuated(s->sched->op_state, w->info.dc) ||
-	    !holds_label(w, s->step->label) || w->reserved_at == s->now)
+	    !scheduler_worker_has_label(w, s->step->label) ||
+	    w->reserved_at == s->now)
 		return false;
 	missing = missing_share(w, &s->need);
 	/* The one that was reserved before has become emptier since. */
--- a/process/urgency.c
+++ b/process/urgency.c
@@ -1,8 +1,5 @@
 #include "process/urgency.h"
 
-/* Delay from a decision to the start of a task, plus that from its end to the
- * report of it. */
-#define START_AND_REPORT_DELAY (100 * SEAM_MSEC)
 /* The result of a late job is of use to its caller up to this multiple of its
  * latency objective. */
 #define USEFUL_OBJECTIVES 3
@@ -16,7 +13,7 @@
 /* Latest start that meets the objective by the estimate. */
 static seam_time start_by(const struct seam_urgency *u)
 {
-	return u->due_at - u->left_ms * SEAM_MSEC - START_AND_REPORT_DELAY;
+	return u->due_at - u->left_ms * SEAM_MSEC - SEAM_START_AND_REPORT_DELAY;
 }
 
 bool seam_urgency_late(const struct seam_urgency *u, seam_time now)
@@ -63,6 +60,14 @@
 	return k;
 }
 
+struct seam_urgency_key seam_urgency_first_late(void)
+{
+	return (struct seam_urgency_key){
+		.rank = 2 * ((int64_t)(NOT_LASTING + LATE) << PRIORITY_BITS),
+		.at = INT64_MIN,
+		.valid_until = SEAM_NEVER};
+}
+
 int seam_urgency_compare(const struct seam_urgency_key *a,
 			 const struct seam_urgency_key *b)
 {
--- a/process/urgency.h
+++ b/process/urgency.h
@@ -42,6 +42,12 @@
 	seam_time valid_until;
 };
 
+/*
+ * Delay from a decision to the start of a task, plus that from its end to the
+ * report of it.
+ */
+#define SEAM_START_AND_REPORT_DELAY (100 * SEAM_MSEC)
+
 /** seam_urgency_late() - whether the job is late by its estimate */
 bool seam_urgency_late(const struct seam_urgency *u, seam_time now);
 
@@ -66,6 +72,9 @@
 struct seam_urgency_key seam_urgency_key_of(const struct seam_urgency *u,
 					    seam_time now, bool overloaded);
 
+/** seam_urgency_first_late() - a key that comes just before all late jobs */
+struct seam_urgency_key seam_urgency_first_late(void);
+
 /** seam_urgency_compare() - as strcmp(): negative, 0 or positive */
 int seam_urgency_compare(const struct seam_urgency_key *a,
 			 const struct seam_urgency_key *b);
--- a/tests/backlog_test.cc
+++ b/tests/backlog_test.cc
@@ -139,3 +139,39 @@
 	EXPECT_EQ(seen[1], 2);
 	EXPECT_EQ(seen[2], 10);
 }
+
+// Guards against late jobs that are passed over, or come in another order, as
+// the search begins behind them.
+TEST_F(Backlog, JobsFromAKeyOnComeInOrder)
+{
+	std::mt19937 rng(1);
+	seam_urgency_key late = seam_urgency_first_late();
+
+	for (uint32_t id = 1; id < 500; id++) {
+		Waiting w = {(int)(rng() % 3), {}, 1};
+
+		w.u.left_ms = rng() % 2000;
+		w.u.due_at = (seam_time)(rng() % 4000) * SEAM_MSEC;
+		w.u.lasting = rng() % 8 == 0;
+		put(id, w, SEAM_SEC);
+	}
+	for (int pool = 0; pool < 3; pool++) {
+		std::vector<uint32_t> found;
+		std::vector<uint32_t> expected;
+
+		seam_backlog_each_from(
+			b, POOLS[pool], &late,
+			[](seam_handle h, void *arg) {
+				((std::vector<uint32_t> *)arg)
+					->push_back(h.bits);
+				return false;
+			},
+			&found);
+		for (uint32_t id : sorted(SEAM_SEC))
+			if (jobs[id].pool == pool &&
+			    seam_urgency_late(&jobs[id].u, SEAM_SEC))
+				expected.push_back(id);
+		EXPECT_GT(expected.size(), 10u);
+		EXPECT_EQ(found, expected);
+	}
+}
--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -324,6 +324,18 @@
 	check();
 }
 
+// Whether @w is reserved for a task that ends, of another step than this one.
+static bool is_kept_for_another(seam_fake_scheduler *f, const seam_worker *w,
+				const seam_job *j, int step)
+{
+	auto *room = (const seam_pool_room *)g_hash_table_lookup(
+		f->sched->pool_rooms, w->info.pool);
+
+	return room && seam_handle_eq(room->reservation.worker, w->self) &&
+	       (!seam_handle_eq(room->reservation.job, j->self) ||
+		room->reservation.step != step);
+}
+
 // Whether a start of the task may be sent to @w, by its row and its runs alone.
 static bool has_place(seam_fake_scheduler *f, const seam_worker *w,
 		      const seam_job *j, int step)
@@ -338,6 +350,7 @@
 	    (!s.lasting && seam_now(f->sched->clock) < w->shunned_until) ||
 	    /* It is kept for a lasting task that waits for room. */
 	    (!s.lasting && seam_now(f->sched->clock) < w->reserved_until) ||
+	    (!s.lasting && is_kept_for_another(f, w, j, step)) ||
 	    f->sched->lane[w->lane].starting >=
 		    f->sched->lane[w->lane].window.size)
 		return false;
--- a/tests/scheduler_room_test.cc
+++ b/tests/scheduler_room_test.cc
@@ -123,4 +123,31 @@
 	add_usable(o, "c");
 	EXPECT_TRUE(eventually([&] { return pinned(o, "a") == 0; }));
 }
+
+// Submits jobs of one task of 2,000 and 0.3 s, one each 38 ms.
+static void small_jobs(World &w, int from, int n)
+{
+	for (int i = from; i < from + n; i++) {
+		char id[17];
+
+		snprintf(id, sizeof(id), "00000000000a%04x", i);
+		w.job(id, 1, "300", 1, cpu(2000));
+		usleep(38000);
+	}
+}
+
+// Guards against a large task that ends and never finds room, as small tasks
+// take each part of a worker that becomes free.
+TEST_F(Scheduler, LateLargeTaskGetsAWorkerFromSmallOnes)
+{
+	w.add_worker("a", "p", 8000);
+	w.add_worker("b", "p", 8000);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	small_jobs(w, 0, 30);
+	w.job(ID, 1, "300", 1, cpu(6000));
+	small_jobs(w, 30, 160);
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+	EXPECT_TRUE(becomes("completed", 1000));
+}
 } // namespace
--- a/tests/urgency_test.cc
+++ b/tests/urgency_test.cc
@@ -148,3 +148,22 @@
 	for (uint32_t seed = 1; seed <= 10; seed++)
 		EXPECT_GT(served(true, seed), served(false, seed)) << seed;
 }
+
+// Guards against a search for late jobs that begins among those in time.
+TEST(Urgency, FirstLateKeyIsBetweenJobsInTimeAndLateOnes)
+{
+	std::mt19937 rng(1);
+	seam_urgency_key late = seam_urgency_first_late();
+
+	for (int i = 0; i < 2000; i++) {
+		seam_urgency u = job(rng() % 2000, rng() % 4000, -1);
+
+		u.over_share = rng() % 2;
+		u.lasting = rng() % 4 == 0;
+		u.priority = (int)(rng() % 3);
+		seam_urgency_key k = seam_urgency_key_of(&u, SEAM_SEC, false);
+
+		EXPECT_EQ(seam_urgency_compare(&late, &k) < 0,
+			  seam_urgency_late(&u, SEAM_SEC));
+	}
+}
