scheduler_reservation: room beside a started task is used in the same pass

The task of a reservation is tried before those that end, and its need is noted as one that found no worker. When it starts on the reserved worker, the rest of that worker is open to others, but a need as large isn't searched for until the next pass, up to 100 ms later. A reservation that ends now drops the failed needs of its pool.

--- a/process/scheduler_reservation.c
+++ b/process/scheduler_reservation.c
@@ -331,6 +331,8 @@
 			 0LL);
 	*r = (struct seam_reservation){.job = SEAM_HANDLE_NONE,
 				       .worker = SEAM_HANDLE_NONE};
+	/* The worker may have room for needs that found none without it. */
+	pool->failed.count = 0;
 }
 
 /* Returns why the reservation ends, or NULL; updates its plan. */
--- a/tests/scheduler_reservation_test.cc
+++ b/tests/scheduler_reservation_test.cc
@@ -298,3 +298,28 @@
 	EXPECT_EQ(l->idle[0], 0);
 	EXPECT_EQ(j->idle[0], 1);
 }
+
+// Guards against room beside a task that a reservation started, which waits for
+// the next pass as the need of that task found no other worker.
+TEST_F(Reservation, RoomBesideAStartedTaskIsUsedInTheSamePass)
+{
+	begin(2);
+	job(ALL / 8, 1000, 16);
+	pass();
+	seam_job *first = job(ALL / 2, 1000);
+
+	seam_fake_clock_set(&clock, clock.time + SEAM_SEC);
+	job(ALL / 8, 1000, 1, 60000);
+	end_run(1);
+	pass();
+	int kept = reserved();
+
+	ASSERT_GE(kept, 0);
+	while (runs_on(kept) > 0)
+		end_run(kept);
+	seam_job *second = job(ALL / 2, 1000);
+
+	pass();
+	EXPECT_EQ(first->idle[0], 0);
+	EXPECT_EQ(second->idle[0], 0);
+}
