scheduler_reservation: no reservation of a worker that gets no starts

A worker without a lane, or one that has refused a start for lack of room, looked like the one with room the soonest, was reserved, and kept the task waiting until the reservation was overdue; then it was reserved again. Such workers are left out, and a reservation of one ends.

--- a/process/scheduler_reservation.c
+++ b/process/scheduler_reservation.c
@@ -96,7 +96,8 @@
 {
 	const struct seam_step *s = &j->row.spec.step[step];
 
-	return scheduler_worker_usable(w, p->now) &&
+	return scheduler_worker_usable(w, p->now) && w->lane >= 0 &&
+	       p->now >= w->no_room_until &&
 	       !strcmp(w->info.pool, j->row.spec.pool) &&
 	       !seam_op_state_is_evacuated(p->sched->op_state, w->info.dc) &&
 	       p->now >= w->reserved_until &&
@@ -160,7 +161,6 @@
 		return false;
 	free = scheduler_worker_free(w);
 	c->found = seam_fits(&c->need, &free) &&
-		   c->pass->now >= w->no_room_until &&
 		   may_keep(c->pass, w, c->job, c->step);
 	return c->found || --c->left <= 0;
 }
--- a/tests/scheduler_reservation_test.cc
+++ b/tests/scheduler_reservation_test.cc
@@ -323,3 +323,23 @@
 	EXPECT_EQ(first->idle[0], 0);
 	EXPECT_EQ(second->idle[0], 0);
 }
+
+// Guards against a reservation of a worker that gets no starts, for room that
+// its task can't use.
+TEST_F(Reservation, WorkerThatGetsNoStartsIsNotKept)
+{
+	large_beside_small();
+	int kept = reserved();
+
+	while (runs_on(kept) > 0)
+		end_run(kept);
+	worker(kept)->no_room_until = SEAM_NEVER;
+	job(ALL / 4, 1000, 8, 60000);
+	end_run(1 - kept);
+	pass();
+	EXPECT_EQ(reserved(), 1 - kept);
+	worker(kept)->no_room_until = 0;
+	worker(1 - kept)->lane = -1;
+	pass();
+	EXPECT_NE(reserved(), 1 - kept);
+}
