scheduler_room: a lasting task reserves no worker that gets no starts

A worker that refuses starts for lack of room, or that has no lane, is the emptiest by the owner's count, so a waiting lasting task reserved it again and again, while tasks that end took all room of the other workers: the task doesn't run for as long as the worker refuses. Such workers are left out, as they are for starts.

LastingTaskReservesAWorkerThatGetsStarts failed before, 3 of 3.

--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -191,7 +191,8 @@
 	struct seam_worker *w = scheduler_worker(s->sched, h);
 	double missing;
 
-	if (!w || !scheduler_worker_usable(w, s->now) ||
+	if (!w || !scheduler_worker_usable(w, s->now) || w->lane < 0 ||
+	    s->now < w->no_room_until ||
 	    seam_op_state_is_evacuated(s->sched->op_state, w->info.dc) ||
 	    !scheduler_worker_has_label(w, s->step->label) ||
 	    w->reserved_at == s->now)
--- a/tests/scheduler_reservation_test.cc
+++ b/tests/scheduler_reservation_test.cc
@@ -343,3 +343,22 @@
 	pass();
 	EXPECT_NE(reserved(), 1 - kept);
 }
+
+// Guards against a lasting task that never runs, as it reserves a worker that
+// refuses it while tasks that end fill the others.
+TEST_F(Reservation, LastingTaskReservesAWorkerThatGetsStarts)
+{
+	begin(2);
+	worker(0)->no_room_until = SEAM_NEVER;
+	job(ALL / 4, 1000, 4);
+	pass();
+	ASSERT_EQ(runs_on(1), 4);
+	seam_job *l = lasting(ALL / 2);
+
+	job(ALL / 4, 1000, 20, 60000);
+	for (int i = 0; i < 3; i++) {
+		pass();
+		end_run(1);
+	}
+	EXPECT_EQ(l->idle[0], 0);
+}
