scheduler_room: a lasting task reserves the worker with room the soonest

The worker of a lasting task without room was the one with the least part missing, whatever ran there, and stayed so for as long as the task waited. On one with a run of a minute the task waited for that minute, while tasks of 0.3 s went on starting on another worker: lost after 3 s by the users' rule.

The worker is chosen by the estimates of its runs now, like that of a task that ends. It keeps its reservation from pass to pass, as it has become emptier; but if its runs exceed twice the time that was expected and 0.5 s, the worker is chosen anew. A pass reads the runs of reserved workers only, unless none of these suits.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -417,6 +417,8 @@
  * @reserved_at: pass that reserved it last
  * @reserved_until: until then it gets only lasting tasks, one of which waits
  * for room
+ * @reserved_due: from then on another worker may be reserved instead, as its
+ *     runs exceed their estimates
  * @vm_gone: its VM was moved or maintained, or runs another worker; its row
  *     disappears later
  * @named_by_list: a list of this term named it as the worker of its VM
@@ -478,6 +480,7 @@
 	seam_time leaving_until;
 	seam_time reserved_at;
 	seam_time reserved_until;
+	seam_time reserved_due;
 	bool vm_gone;
 	bool named_by_list;
 	int unlisted;
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -156,6 +156,12 @@
 int scheduler_lasting_runs(struct seam_worker *w);
 /* Number of those for which no other worker has room now. */
 int scheduler_pinned_runs(struct seam_worker *w);
+/* When @w has room for @need, by the estimates of its runs. */
+struct seam_backfill scheduler_plan_room(struct seam_worker *w,
+					 const struct seam_resources *need,
+					 seam_time now);
+/* When a reservation that is made now for room at @room_at is overdue. */
+seam_time scheduler_reservation_due(seam_time room_at, seam_time now);
 /* Keeps tasks that end off the worker that has room for @step the soonest. */
 void scheduler_reserve_worker(struct seam_scheduler *sched,
 			      const struct seam_job *j, int step,
--- a/process/scheduler_reservation.c
+++ b/process/scheduler_reservation.c
@@ -19,12 +19,6 @@
  * users call a job lost of which nothing runs for 3 s.
  */
 #define RECENT_START_MAX (3 * SEAM_SEC)
-/*
- * A reservation ends this much later than twice the time until its worker was
- * expected to have room; then another worker may have it sooner.
- */
-#define OVERDUE_MIN (500 * SEAM_MSEC)
-
 SEAM_METRIC(reservations, "seam_reservations_total",
 	    "Workers reserved for a late task that ends and found no room.");
 
@@ -52,44 +46,6 @@
 	seam_start_sizes_add(&pool->room->gpu, need.gpu, now);
 }
 
-struct runs {
-	GArray *run; /* struct seam_backfill_run */
-	seam_time now;
-};
-
-static void add_run(struct seam_worker *w, const struct scheduler_run_ref *at,
-		    void *arg)
-{
-	const struct seam_step *s = &at->job->row.spec.step[at->step];
-	struct runs *r = arg;
-	struct seam_backfill_run run = {
-		.need = scheduler_step_need(s),
-		.end = s->lasting ? SEAM_NEVER :
-				    seam_backfill_end(at->run->running_at,
-						      s->estimate_ms, r->now)};
-
-	(void)w;
-	g_array_append_val(r->run, run);
-}
-
-static struct seam_backfill plan_for(struct seam_worker *w,
-				     const struct seam_resources *need,
-				     seam_time now)
-{
-	struct runs r = {
-		g_array_new(FALSE, FALSE, sizeof(struct seam_backfill_run)),
-		now};
-	struct seam_resources free = scheduler_worker_free(w);
-	struct seam_backfill b;
-
-	scheduler_for_each_run(w, add_run, &r);
-	b = seam_backfill_plan(need, &free,
-			       (struct seam_backfill_run *)(void *)r.run->data,
-			       r.run->len, now);
-	g_array_free(r.run, TRUE);
-	return b;
-}
-
 /* Whether @w may be kept for a task of @step. */
 static bool may_keep(const struct seam_pass *p, const struct seam_worker *w,
 		     const struct seam_job *j, int step)
@@ -129,7 +85,7 @@
 	if (!w || !seam_fits(&s->need, &w->info.capacity) ||
 	    !may_keep(s->pass, w, s->job, s->step))
 		return false;
-	plan = plan_for(w, &s->need, s->pass->now);
+	plan = scheduler_plan_room(w, &s->need, s->pass->now);
 	avoided = seam_handle_eq(s->task->avoid, w->self);
 	if (plan.room_at == SEAM_NEVER ||
 	    (s->best &&
@@ -265,14 +221,13 @@
 			seam_failed_needs_add(&l->too_large, &s.need, 0);
 		return false;
 	}
-	*r = (struct seam_reservation){.job = j->self,
-				       .step = step,
-				       .worker = s.best->self,
-				       .made_at = p->now,
-				       .until = s.plan.room_at +
-						(s.plan.room_at - p->now) +
-						OVERDUE_MIN,
-				       .plan = s.plan};
+	*r = (struct seam_reservation){
+		.job = j->self,
+		.step = step,
+		.worker = s.best->self,
+		.made_at = p->now,
+		.until = scheduler_reservation_due(s.plan.room_at, p->now),
+		.plan = s.plan};
 	seam_metric_add(&reservations, 1);
 	seam_log(SEAM_INFO, "waits",
 		 "event=reservation_made pool=%s job=%s step=%d worker=%s "
@@ -352,7 +307,7 @@
 	if (p->now >= r->until)
 		return "overdue";
 	need = scheduler_step_need(&j->row.spec.step[r->step]);
-	plan = plan_for(w, &need, p->now);
+	plan = scheduler_plan_room(w, &need, p->now);
 	if (plan.room_at == SEAM_NEVER)
 		return "lasting";
 	r->plan.beside = plan.beside;
--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -1,16 +1,20 @@
 /*
- * Room for lasting tasks. The users call a lasting task lost that does not run
- * for 3 s although a worker of its pool could hold it, however full the pool is
- * with tasks that end.
+ * Room for lasting tasks, and when a worker has room. The users call a lasting
+ * task lost that does not run for 3 s although a worker of its pool could hold
+ * it, however full the pool is with tasks that end.
  */
 #include "process/fit.h"
 #include "process/scheduler_impl.h"
 
-#include <math.h>
 #include <string.h>
 
 /* A reservation ends when no pass has renewed it for this time. */
 #define RESERVATION_TIME (500 * SEAM_MSEC)
+/*
+ * A reservation is overdue this much later than twice the time until its worker
+ * was expected to have room; then another worker may have it sooner.
+ */
+#define OVERDUE_MIN (500 * SEAM_MSEC)
 /* Workers that are looked at for one task, so that the cost stays bounded. */
 #define CANDIDATES_MAX 64
 
@@ -133,55 +137,58 @@
 	return n;
 }
 
-static void add_lasting(struct seam_worker *w,
-			const struct scheduler_run_ref *at, void *arg)
+struct runs {
+	GArray *run; /* struct seam_backfill_run */
+	seam_time now;
+};
+
+static void add_run(struct seam_worker *w, const struct scheduler_run_ref *at,
+		    void *arg)
 {
 	const struct seam_step *s = &at->job->row.spec.step[at->step];
-	struct seam_resources need = scheduler_step_need(s);
-	struct seam_resources *sum = arg;
+	struct runs *r = arg;
+	struct seam_backfill_run run = {
+		.need = scheduler_step_need(s),
+		.end = s->lasting ? SEAM_NEVER :
+				    seam_backfill_end(at->run->running_at,
+						      s->estimate_ms, r->now)};
 
 	(void)w;
-	if (!s->lasting)
-		return;
-	sum->cpu += need.cpu;
-	sum->memory += need.memory;
-	sum->gpu += need.gpu;
+	g_array_append_val(r->run, run);
 }
 
-/* Whether @need would fit @w if all tasks that end were over. */
-static bool fits_beside_lasting(struct seam_worker *w,
-				const struct seam_resources *need)
+struct seam_backfill scheduler_plan_room(struct seam_worker *w,
+					 const struct seam_resources *need,
+					 seam_time now)
 {
-	struct seam_resources used = {0, 0, 0};
-	struct seam_resources left = w->info.capacity;
-
-	scheduler_for_each_run(w, add_lasting, &used);
-	left.cpu -= used.cpu;
-	left.memory -= used.memory;
-	left.gpu -= used.gpu;
-	return seam_fits(need, &left);
+	struct runs r = {
+		g_array_new(FALSE, FALSE, sizeof(struct seam_backfill_run)),
+		now};
+	struct seam_resources free = scheduler_worker_free(w);
+	struct seam_backfill b;
+
+	scheduler_for_each_run(w, add_run, &r);
+	b = seam_backfill_plan(need, &free,
+			       (struct seam_backfill_run *)(void *)r.run->data,
+			       r.run->len, now);
+	g_array_free(r.run, TRUE);
+	return b;
 }
 
-/* The part of the worker that has to become free for @need. */
-static double missing_share(const struct seam_worker *w,
-			    const struct seam_resources *need)
+seam_time scheduler_reservation_due(seam_time room_at, seam_time now)
 {
-	const struct seam_resources *all = &w->info.capacity;
-	struct seam_resources free = scheduler_worker_free(w);
-	double cpu = all->cpu ?
-			     (double)(need->cpu - free.cpu) / (double)all->cpu :
-			     0;
-	double memory = all->memory ? (double)(need->memory - free.memory) /
-					      (double)all->memory :
-				      0;
-
-	return fmax(cpu, memory);
+	return room_at + (room_at - now) + OVERDUE_MIN;
 }
 
+/*
+ * Search for the worker that has room for a lasting task the soonest. With
+ * @reserved, among those that are reserved and not overdue.
+ */
 struct reservation {
 	struct search search;
+	bool reserved;
 	struct seam_worker *best;
-	double missing;
+	seam_time room_at;
 };
 
 static bool compare_for_reservation(struct seam_handle h, void *arg)
@@ -189,24 +196,22 @@
 	struct reservation *r = arg;
 	const struct search *s = &r->search;
 	struct seam_worker *w = scheduler_worker(s->sched, h);
-	double missing;
+	seam_time room_at;
 
 	if (!w || !scheduler_worker_usable(w, s->now) || w->lane < 0 ||
 	    s->now < w->no_room_until ||
 	    seam_op_state_is_evacuated(s->sched->op_state, w->info.dc) ||
 	    !scheduler_worker_has_label(w, s->step->label) ||
-	    w->reserved_at == s->now)
+	    w->reserved_at == s->now ||
+	    (r->reserved &&
+	     (s->now >= w->reserved_until || s->now >= w->reserved_due)) ||
+	    !seam_fits(&s->need, &w->info.capacity) || has_all_of_step(s, w))
 		return false;
-	missing = missing_share(w, &s->need);
-	/* The one that was reserved before has become emptier since. */
-	if (s->now < w->reserved_until)
-		missing -= 1;
-	/* The runs of a worker are read only if it is better than the best. */
-	if ((r->best && missing >= r->missing) || has_all_of_step(s, w) ||
-	    !fits_beside_lasting(w, &s->need))
+	room_at = scheduler_plan_room(w, &s->need, s->now).room_at;
+	if (room_at == SEAM_NEVER || (r->best && room_at >= r->room_at))
 		return false;
 	r->best = w;
-	r->missing = missing;
+	r->room_at = room_at;
 	return false;
 }
 
@@ -221,10 +226,21 @@
 					   .need = scheduler_step_need(t),
 					   .now = now}};
 
+	/* One that was reserved before has become emptier since. */
+	r.reserved = true;
 	seam_worker_index_each_labelled(sched->worker_index, j->row.spec.pool,
 					"", compare_for_reservation, &r);
+	if (!r.best) {
+		r.reserved = false;
+		seam_worker_index_each_labelled(sched->worker_index,
+						j->row.spec.pool, "",
+						compare_for_reservation, &r);
+	}
 	if (!r.best)
 		return;
+	if (!r.reserved)
+		r.best->reserved_due =
+			scheduler_reservation_due(r.room_at, now);
 	r.best->reserved_at = now;
 	r.best->reserved_until = now + RESERVATION_TIME;
 }
--- a/tests/scheduler_reservation_test.cc
+++ b/tests/scheduler_reservation_test.cc
@@ -362,3 +362,47 @@
 	}
 	EXPECT_EQ(l->idle[0], 0);
 }
+
+// Guards against a lasting task that reserves the emptiest worker and waits for
+// a long run there, while tasks that end soon go on starting on another.
+TEST_F(Reservation, LastingTaskReservesTheWorkerWithRoomTheSoonest)
+{
+	begin(2);
+	job(ALL * 5 / 8, 60000);
+	pass();
+	int slow = runs_on(0) ? 0 : 1;
+
+	job(ALL / 4, 300, 5);
+	pass();
+	ASSERT_EQ(runs_on(1 - slow), 4);
+	seam_job *l = lasting(ALL / 2);
+
+	for (int i = 0; i < 3; i++) {
+		job(ALL / 4, 300, 1, 60000);
+		pass();
+		end_run(1 - slow);
+	}
+	EXPECT_EQ(l->idle[0], 0);
+}
+
+// Guards against a lasting task that waits for a worker whose runs exceed their
+// estimates, while tasks that end go on starting on another.
+TEST_F(Reservation, LastingTaskLeavesAWorkerThatGetsNoRoomInTime)
+{
+	begin(2);
+	job(ALL * 5 / 8, 100);
+	pass();
+	int slow = runs_on(0) ? 0 : 1;
+
+	job(ALL / 4, 300, 5);
+	pass();
+	ASSERT_EQ(runs_on(1 - slow), 4);
+	seam_job *l = lasting(ALL / 2);
+
+	for (int i = 0; i < 50 && l->idle[0]; i++) {
+		job(ALL / 4, 300, 1, 60000);
+		pass(100);
+		end_run(1 - slow);
+	}
+	EXPECT_EQ(l->idle[0], 0);
+}
