scheduler_load: task_waits names the worker that is reserved for a task

A late large task that waits for its reserved worker had why=room, as one for which nothing is done. Log only, no test: scheduler_load_test (4) passes.

--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -101,6 +101,19 @@
 	return NULL;
 }
 
+/* Returns the worker that is reserved for a step, or NULL. */
+static struct seam_worker *reserved_worker(struct seam_scheduler *sched,
+					   const struct seam_job *j, int step)
+{
+	const struct seam_pool_room *room =
+		g_hash_table_lookup(sched->pool_rooms, j->row.spec.pool);
+
+	if (!room || !seam_handle_eq(room->reservation.job, j->self) ||
+	    room->reservation.step != step)
+		return NULL;
+	return scheduler_worker(sched, room->reservation.worker);
+}
+
 /*
  * Returns what a task without a listed run waits for; @w receives the worker
  * that keeps it waiting, or NULL.
@@ -115,6 +128,7 @@
 	static const char *const run[] = {"free", "start", "listing",
 					  "unconfirmed"};
 	const struct seam_run_slot *r = first_run(t);
+	struct seam_worker *reserved;
 
 	*w = NULL;
 	if (r) {
@@ -128,6 +142,11 @@
 		return "late_start";
 	if (scheduler_waits_for_late_worker(sched, j, step, t))
 		return "late_wait";
+	reserved = reserved_worker(sched, j, step);
+	if (reserved) {
+		*w = reserved;
+		return "reserved";
+	}
 	return delay[j->delay_reason];
 }
 
