vm_pieces: size a pool by the pieces that its tasks need

The demand of a pool was the sum of its reservations, divided by 0.92 of a VM. Four VMs of 8,000 with a lasting task of 3,500 each and a task of 4,800 make 18,800, which is less than four VMs, yet the largest free piece is 4,500. Seen in the log: task_waits why=room need_cpu=4800 largest_free_cpu=4500 pool_used_pct=43, event=pool have=4 want=4, the other pool vms=4 want=2.

vm_pieces packs the tasks that wait and those that end, largest first, into what lasting tasks leave on the pool's VMs, then into its empty VMs, then into new ones. If a task needs an empty or a new VM, the pool wants its VMs with lasting tasks and each other VM that got a task; the sum stays the lower bound. As empty VMs that are used count, a VM on its way is not ordered again, nor is it given back before the task has started. A task that no VM holds counts for none. At most 128 sizes of tasks are packed. event=pool has the result as pieces= and missing=.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -38,6 +38,7 @@
 	struct seam_plan plan;
 	GPtrArray *pools; /* names */
 	GPtrArray *dcs; /* names */
+	struct seam_vm_pieces *pieces; /* of all jobs of each pool */
 	struct seam_wave wave;
 	bool has_wave;
 };
@@ -153,10 +154,25 @@
 	return (int)ceil(n);
 }
 
-static void set_targets(struct seam_plan_pool *p,
-			const struct seam_pool_demand *d,
-			const struct seam_resources *unit)
+static struct seam_vm_pieces pieces_of(const struct seam_pool_demand *d,
+				       const GArray *needs,
+				       const struct seam_resources *unit)
 {
+	return seam_vm_pieces_count(
+		(const struct seam_vm_need *)needs->data, needs->len,
+		(const struct seam_vm_space *)d->vms->data, d->vms->len, unit);
+}
+
+/*
+ * Sets the targets of a pool from the sum of its demand, and from the VMs that
+ * hold each of its tasks in one piece. Returns the latter of all jobs.
+ */
+static struct seam_vm_pieces set_targets(struct seam_plan_pool *p,
+					 const struct seam_pool_demand *d,
+					 const struct seam_resources *unit)
+{
+	struct seam_vm_pieces due = pieces_of(d, d->due_needs, unit);
+	struct seam_vm_pieces pieces = pieces_of(d, d->all_needs, unit);
 	struct seam_resources all = {d->due.cpu + d->late.cpu,
 				     d->due.memory + d->late.memory,
 				     d->due.gpu + d->late.gpu};
@@ -164,10 +180,13 @@
 	p->want =
 		(int)fmax(vms_for(&d->due, unit) + HEADROOM_WORKERS, d->spread);
 	p->all = (int)fmax(vms_for(&all, unit) + HEADROOM_WORKERS, d->spread);
+	p->want = MAX(p->want, due.needed);
+	p->all = MAX(p->all, MAX(p->want, pieces.needed));
 	if (p->want < POOL_WORKERS_MIN)
 		p->want = POOL_WORKERS_MIN;
 	if (p->all < POOL_WORKERS_MIN)
 		p->all = POOL_WORKERS_MIN;
+	return pieces;
 }
 
 static struct seam_pool_history *history_of(struct seam_scheduler *sched,
@@ -210,11 +229,33 @@
 	return h->peak;
 }
 
+/* Adds the VMs that the plan counts, each with the room that it has. */
+static void add_vms_to_demand(struct vm_survey *l, GArray *demand,
+			      const struct seam_resources *unit)
+{
+	size_t i;
+
+	for (i = 0; i < l->plan.vms; i++) {
+		const struct seam_plan_vm *v = &l->plan.vm[i];
+		struct seam_worker *w =
+			scheduler_find_worker(l->sched, l->sched->vm[i].worker);
+
+		/* A VM on its way counts, so that its order is not repeated. */
+		if (!v->leaving && (v->usable || !v->up || v->arriving))
+			scheduler_demand_add_vm(
+				demand, g_ptr_array_index(l->pools, v->pool),
+				w ? &w->info.capacity : &unit[v->pool], w);
+		else if (w)
+			scheduler_demand_add_leaving(demand, w);
+	}
+}
+
 static void describe_pools(struct vm_survey *l)
 {
 	const struct seam_catalog *c =
 		seam_catalog_read_lock(l->sched->catalog);
 	GArray *demand = scheduler_demands(l->sched);
+	struct seam_resources *unit;
 	guint i;
 	guint k;
 
@@ -223,12 +264,17 @@
 		index_of(l->pools, c->pool[i].name);
 	l->plan.pools = l->pools->len;
 	l->plan.pool = g_new0(struct seam_plan_pool, l->pools->len + 1);
+	l->pieces = g_new0(struct seam_vm_pieces, l->pools->len + 1);
+	unit = g_new(struct seam_resources, l->pools->len + 1);
+	for (i = 0; i < l->pools->len; i++)
+		unit[i] = worker_capacity(l->sched,
+					  g_ptr_array_index(l->pools, i));
+	add_vms_to_demand(l, demand, unit);
 	for (i = 0; i < l->pools->len; i++) {
 		const char *name = g_ptr_array_index(l->pools, i);
 		const struct seam_pool_info *info =
 			c ? seam_catalog_pool(c, name) : NULL;
 		struct seam_plan_pool *p = &l->plan.pool[i];
-		struct seam_resources unit = worker_capacity(l->sched, name);
 
 		p->standby = info && info->standby;
 		p->want = p->standby ? 0 : POOL_WORKERS_MIN;
@@ -238,13 +284,14 @@
 				demand, struct seam_pool_demand, k);
 
 			if (!strcmp(d->pool, name))
-				set_targets(p, d, &unit);
+				l->pieces[i] = set_targets(p, d, &unit[i]);
 		}
 		p->soon = needed_soon(l->sched, name, p->all, l->now);
 		p->hold = recent_peak(l->sched, name, p->soon, l->now);
 	}
 	seam_catalog_read_unlock();
-	g_array_free(demand, TRUE);
+	scheduler_demands_free(demand);
+	g_free(unit);
 }
 
 /*
@@ -375,6 +422,7 @@
 {
 	g_free(l->plan.vm);
 	g_free(l->plan.pool);
+	g_free(l->pieces);
 	g_ptr_array_free(l->pools, TRUE);
 	g_ptr_array_free(l->dcs, TRUE);
 	if (l->has_wave)
@@ -428,9 +476,11 @@
 		}
 		seam_log(SEAM_INFO, "vms",
 			 "event=pool pool=%s vms=%d empty=%d due=%d have=%d "
-			 "want=%d all=%d soon=%d hold=%d used_pct=%d",
+			 "want=%d all=%d soon=%d hold=%d used_pct=%d pieces=%d "
+			 "missing=%d",
 			 name, vms, empty, due, p->have, p->want, p->all,
-			 p->soon, p->hold, used_pct(sched, name));
+			 p->soon, p->hold, used_pct(sched, name),
+			 l->pieces[i].needed, l->pieces[i].missing);
 	}
 }
 
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -2,7 +2,45 @@
 #include "tests/failing_inventory.h"
 #include "tests/scheduler_fixture.h"
 
-using SchedulerVms = Scheduler;
+// Carries out a move at once: another VM with an empty worker replaces the VM.
+static int move_vm(seam_inventory *i, const char *vm, const char *pool,
+		   uint64_t token, seam_vm_order_outcome *outcome,
+		   seam_time deadline, seam_err *e)
+{
+	std::string worker = vm + strlen("vm-");
+
+	fake_move(i, vm, pool, token, outcome, deadline, e);
+	{
+		std::lock_guard<std::mutex> l(the_world->lock);
+		auto &all = the_world->vm;
+
+		all.erase(std::remove_if(
+				  all.begin(), all.end(),
+				  [&](auto &x) { return worker == x.worker; }),
+			  all.end());
+	}
+	the_world->store.del("workers/" + worker);
+	the_world->add_worker(worker + "-moved", pool);
+	return 0;
+}
+
+static const seam_inventory_ops moving_inventory_ops = {
+	fake_list, move_vm, fake_maintain, fake_inventory_close};
+
+struct SchedulerVms : Scheduler {
+	// Moves into @pool that were ordered.
+	int orders_into(const char *pool)
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+
+		return (int)std::count_if(
+			w.orders.begin(), w.orders.end(),
+			[&](const std::string &x) {
+				return x.rfind("move ", 0) == 0 &&
+				       x.substr(x.rfind(' ') + 1) == pool;
+			});
+	}
+};
 
 // A VM service that refuses or loses orders, or does not list the VMs.
 struct FailingVms : Scheduler {
@@ -371,6 +409,33 @@
 	}));
 }
 
+// Guards against a large task that waits for as long as lasting tasks leave no
+// piece of a VM that holds it, while the pool is less than half full.
+TEST_F(SchedulerVms, TaskThatFitsBesideNoLastingTaskGetsAVm)
+{
+	w.config(0, true);
+	eventually([&] { return w.version_in_force() == 2; });
+	for (const char *id : {"a", "b", "c", "d"})
+		w.add_worker(id);
+	for (const char *id : {"e", "f", "g", "h"})
+		w.add_worker(id, "other");
+	// Before the owner, as a rise of the demand would order VMs as well.
+	w.job("00000000000000aa", 4, "lasts", 1, [](seam_step *s) {
+		s->need.cpu = 3500;
+		s->per_worker = 1;
+	});
+	w.vms.ops = &moving_inventory_ops;
+	Owner o(&w, "n1");
+	o.start_renewals();
+	ASSERT_TRUE(eventually([&] { return w.running() == 4; }));
+	usleep(2000000);
+	EXPECT_EQ(orders_into("p"), 0);
+	w.job(ID, 1, "100", 1, [](seam_step *s) { s->need.cpu = 4800; });
+	EXPECT_TRUE(becomes("completed", 3000));
+	// One VM, and one for a demand that is rising.
+	EXPECT_LE(orders_into("p"), 2);
+}
+
 // Guards against lost tasks after a takeover: a worker that has not answered
 // the new owner yet counts as not empty, so its VM is neither maintained nor
 // moved.
