vm_pieces: keep to the tasks of a step that a VM may have

Callers wait for a lasting task whose step allows one task a VM, while the VMs with its other tasks have room and the rest of the pool has none.

Only the widest step of a pool counted, as the least number of VMs. A step of four tasks with one a VM in a pool of four VMs, of which a lasting task of 7,500 fills one, wants four; its fourth task needs a fifth VM. Seen in the log: task_waits lasting=1 why=room need_cpu=1000 largest_free_cpu=6600 pool_used_pct=37, event=pool have=4 want=4 pieces=0.

The packing gets the limit of each step and the tasks of it that VMs have already. Steps that end count the same way, and several steps add up.

TaskOfALimitedStepBesideAFullVmGetsAVm failed 3 of 3 runs before (the task did not run within 3 s) and passes 3 of 3. The tests of the packing itself use the new input, so they were not run on the old code.

--- a/process/scheduler_demand.c
+++ b/process/scheduler_demand.c
@@ -19,14 +19,24 @@
 	d->due_needs = g_array_new(FALSE, FALSE, sizeof(struct seam_vm_need));
 	d->all_needs = g_array_new(FALSE, FALSE, sizeof(struct seam_vm_need));
 	d->vms = g_array_new(FALSE, FALSE, sizeof(struct seam_vm_space));
+	d->held = g_array_new(FALSE, FALSE, sizeof(struct seam_vm_held));
 	return d;
 }
 
-static void add_need(struct seam_pool_demand *d, const struct seam_step *s,
-		     int64_t count, bool due)
+/* Identifies a step among all jobs. */
+static uint64_t step_key(const struct seam_job *j, int step)
 {
+	return (uint64_t)j->self.bits * SEAM_STEPS_MAX + (uint64_t)step;
+}
+
+static void add_need(struct seam_pool_demand *d, const struct seam_job *j,
+		     int step, int64_t count, bool due)
+{
+	const struct seam_step *s = &j->row.spec.step[step];
 	struct seam_vm_need n = {.need = scheduler_step_need(s),
-				 .count = count};
+				 .count = count,
+				 .per_vm = s->per_worker,
+				 .step = s->per_worker ? step_key(j, step) : 0};
 
 	if (!count)
 		return;
@@ -53,7 +63,7 @@
 		waiting += !runs && !j->row.done[step][t];
 	}
 	/* Tasks that end soon leave their VM; lasting ones stay on it. */
-	add_need(d, s, s->lasting ? waiting : n, due);
+	add_need(d, j, step, s->lasting ? waiting : n, due);
 	load->cpu += n * need.cpu;
 	load->memory += n * need.memory;
 	load->gpu += n * need.gpu;
@@ -102,6 +112,7 @@
 		g_array_free(d->due_needs, TRUE);
 		g_array_free(d->all_needs, TRUE);
 		g_array_free(d->vms, TRUE);
+		g_array_free(d->held, TRUE);
 	}
 	g_array_free(demands, TRUE);
 }
@@ -112,43 +123,72 @@
 	       !seam_job_finished(at->job->row.state);
 }
 
+/* A VM that is added to the demand of its pool. */
+struct added_vm {
+	struct seam_pool_demand *demand;
+	struct seam_vm_space space;
+};
+
+/* Counts a task of a step that limits how many share a VM. */
+static void add_held(struct seam_pool_demand *d, uint64_t step)
+{
+	struct seam_vm_held new = {.vm = d->vms->len, .step = step, .count = 1};
+	guint i;
+
+	for (i = d->held->len; i; i--) {
+		struct seam_vm_held *h =
+			&g_array_index(d->held, struct seam_vm_held, i - 1);
+
+		if (h->vm != new.vm)
+			break;
+		if (h->step == step) {
+			h->count++;
+			return;
+		}
+	}
+	g_array_append_val(d->held, new);
+}
+
 static void take_lasting(struct seam_worker *w,
 			 const struct scheduler_run_ref *at, void *arg)
 {
-	struct seam_resources need =
-		scheduler_step_need(&at->job->row.spec.step[at->step]);
-	struct seam_vm_space *v = arg;
+	const struct seam_step *s = &at->job->row.spec.step[at->step];
+	struct seam_resources need = scheduler_step_need(s);
+	struct added_vm *a = arg;
 
 	(void)w;
 	if (!stays(at))
 		return;
-	v->free.cpu -= need.cpu;
-	v->free.memory -= need.memory;
-	v->free.gpu -= need.gpu;
-	v->fixed = true;
+	a->space.free.cpu -= need.cpu;
+	a->space.free.memory -= need.memory;
+	a->space.free.gpu -= need.gpu;
+	a->space.fixed = true;
+	if (s->per_worker)
+		add_held(a->demand, step_key(at->job, at->step));
 }
 
 void scheduler_demand_add_vm(GArray *demands, const char *pool,
 			     const struct seam_resources *capacity,
 			     struct seam_worker *w)
 {
-	struct seam_vm_space v = {.free = *capacity};
+	struct added_vm a = {.demand = scheduler_demand_of(demands, pool),
+			     .space = {.free = *capacity}};
 
 	if (w)
-		scheduler_for_each_run(w, take_lasting, &v);
-	g_array_append_val(scheduler_demand_of(demands, pool)->vms, v);
+		scheduler_for_each_run(w, take_lasting, &a);
+	g_array_append_val(a.demand->vms, a.space);
 }
 
 static void add_leaving(struct seam_worker *w,
 			const struct scheduler_run_ref *at, void *arg)
 {
 	GArray *demands = arg;
-	const struct seam_jobspec *spec = &at->job->row.spec;
+	const char *pool = at->job->row.spec.pool;
 
 	(void)w;
 	if (stays(at))
-		add_need(scheduler_demand_of(demands, spec->pool),
-			 &spec->step[at->step], 1, true);
+		add_need(scheduler_demand_of(demands, pool), at->job, at->step,
+			 1, true);
 }
 
 void scheduler_demand_add_leaving(GArray *demands, struct seam_worker *w)
--- a/process/scheduler_demand.h
+++ b/process/scheduler_demand.h
@@ -16,6 +16,8 @@
  *     still meet their objective
  * @all_needs: the same of all jobs
  * @vms: available VMs, struct seam_vm_space
+ * @held: lasting tasks there of steps that limit how many share one, struct
+ *     seam_vm_held
  */
 struct seam_pool_demand {
 	char pool[SEAM_NAME_SIZE];
@@ -25,6 +27,7 @@
 	GArray *due_needs;
 	GArray *all_needs;
 	GArray *vms;
+	GArray *held;
 };
 
 /**
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -158,9 +158,16 @@
 				       const GArray *needs,
 				       const struct seam_resources *unit)
 {
-	return seam_vm_pieces_count(
-		(const struct seam_vm_need *)needs->data, needs->len,
-		(const struct seam_vm_space *)d->vms->data, d->vms->len, unit);
+	struct seam_vm_pool pool = {
+		.need = (const struct seam_vm_need *)needs->data,
+		.needs = needs->len,
+		.vm = (const struct seam_vm_space *)d->vms->data,
+		.vms = d->vms->len,
+		.held = (const struct seam_vm_held *)d->held->data,
+		.helds = d->held->len,
+		.unit = *unit};
+
+	return seam_vm_pieces_count(&pool);
 }
 
 /*
--- a/process/vm_pieces.c
+++ b/process/vm_pieces.c
@@ -12,18 +12,23 @@
  *
  * @free: of each
  * @vms: number of them
+ * @held: index of the first entry of a VM with fixed tasks of limited steps
+ * @helds: number of entries; 0 if there are several VMs
  * @fixed: they have fixed tasks
  * @used: they got a task
  */
 struct space {
 	struct seam_resources free;
 	int64_t vms;
+	size_t held;
+	size_t helds;
 	bool fixed;
 	bool used;
 };
 
 /* A packing in progress; @space is in the order of the first fit. */
 struct packing {
+	const struct seam_vm_pool *pool;
 	struct space *space;
 	size_t spaces;
 	int64_t missing;
@@ -70,10 +75,25 @@
 {
 	const struct sized_need *x = a;
 	const struct sized_need *y = b;
+	int c;
 
 	if (x->size != y->size)
 		return x->size < y->size ? 1 : -1;
-	return compare_needs(&x->need.need, &y->need.need);
+	c = compare_needs(&x->need.need, &y->need.need);
+	if (!c)
+		c = compare(x->need.per_vm, y->need.per_vm);
+	if (!c)
+		c = (x->need.step > y->need.step) -
+		    (x->need.step < y->need.step);
+	return c;
+}
+
+/* Whether tasks of @a and @b can be packed as those of one need. */
+static bool same_size(const struct seam_vm_need *a,
+		      const struct seam_vm_need *b)
+{
+	return !compare_needs(&a->need, &b->need) && a->per_vm == b->per_vm &&
+	       a->step == b->step;
 }
 
 /* Returns the number of needs that @free holds; @need is not 0. */
@@ -93,6 +113,29 @@
 	return n;
 }
 
+/* Returns the number of fixed tasks of @step on the VM of @s. */
+static int64_t held_of(const struct packing *p, const struct space *s,
+		       uint64_t step)
+{
+	size_t i;
+
+	for (i = s->held; i < s->held + s->helds; i++)
+		if (p->pool->held[i].step == step)
+			return p->pool->held[i].count;
+	return 0;
+}
+
+/* Returns the number of tasks of @g that each VM of @s can take. */
+static int64_t room_for(const struct packing *p, const struct space *s,
+			const struct seam_vm_need *g)
+{
+	int64_t n = fitting(&g->need, &s->free);
+
+	if (n && g->per_vm)
+		n = MIN(n, g->per_vm - held_of(p, s, g->step));
+	return MAX(n, 0);
+}
+
 static void take(struct space *s, const struct seam_resources *need, int64_t n)
 {
 	s->free.cpu -= n * need->cpu;
@@ -115,7 +158,7 @@
 static int64_t fill(struct packing *p, size_t i, const struct seam_vm_need *g,
 		    int64_t left)
 {
-	int64_t each = fitting(&g->need, &p->space[i].free);
+	int64_t each = room_for(p, &p->space[i], g);
 	int64_t full;
 
 	if (!each)
@@ -135,65 +178,71 @@
 	return 0;
 }
 
-static void pack(struct packing *p, const struct seam_vm_need *g,
-		 const struct seam_resources *unit)
+static void pack(struct packing *p, const struct seam_vm_need *g)
 {
-	int64_t each = fitting(&g->need, unit);
+	struct space added = {.free = p->pool->unit};
+	int64_t each = room_for(p, &added, g);
 	int64_t left = g->count;
-	int64_t vms;
 	size_t i;
 
 	for (i = 0; i < p->spaces && left; i++)
 		left = fill(p, i, g, left);
 	if (!left || !each)
 		return;
-	vms = (left + each - 1) / each;
-	p->missing += vms;
-	p->space[p->spaces++] = (struct space){.free = *unit, .vms = vms};
+	added.vms = (left + each - 1) / each;
+	p->missing += added.vms;
+	p->space[p->spaces++] = added;
 	for (; i < p->spaces && left; i++)
 		left = fill(p, i, g, left);
 }
 
-static bool same_room(const struct space *s, const struct seam_vm_space *v)
+static bool same_room(const struct space *s, const struct space *t)
 {
-	return s->fixed == v->fixed && !compare_needs(&s->free, &v->free);
+	return s->fixed == t->fixed && !s->helds && !t->helds &&
+	       !compare_needs(&s->free, &t->free);
 }
 
-static void add_spaces(struct packing *p, const struct seam_vm_space *vm,
-		       size_t vms, bool fixed)
+static void add_spaces(struct packing *p, bool fixed)
 {
+	const struct seam_vm_pool *pool = p->pool;
+	size_t held = 0;
 	size_t i;
 
-	for (i = 0; i < vms; i++) {
-		if (vm[i].fixed != fixed)
+	for (i = 0; i < pool->vms; i++) {
+		struct space s = {.free = pool->vm[i].free,
+				  .vms = 1,
+				  .held = held,
+				  .fixed = pool->vm[i].fixed};
+
+		while (held < pool->helds && pool->held[held].vm == i)
+			held++;
+		s.helds = held - s.held;
+		if (s.fixed != fixed)
 			continue;
-		if (p->spaces && same_room(&p->space[p->spaces - 1], &vm[i]))
+		if (p->spaces && same_room(&p->space[p->spaces - 1], &s))
 			p->space[p->spaces - 1].vms++;
 		else
-			p->space[p->spaces++] = (struct space){
-				.free = vm[i].free, .vms = 1, .fixed = fixed};
+			p->space[p->spaces++] = s;
 	}
 }
 
 /* Returns needs in decreasing order, one for each size. */
-static struct sized_need *sort_needs(const struct seam_vm_need *need,
-				     size_t needs, size_t *sizes,
-				     const struct seam_resources *unit)
+static struct sized_need *sort_needs(const struct seam_vm_pool *pool,
+				     size_t *sizes)
 {
-	struct sized_need *s = g_new(struct sized_need, needs + 1);
+	struct sized_need *s = g_new(struct sized_need, pool->needs + 1);
 	size_t n = 0;
 	size_t i;
 
-	for (i = 0; i < needs; i++) {
-		s[n].need = need[i];
-		s[n].size = size_of(&need[i].need, unit);
-		n += need[i].count > 0 && s[n].size > 0;
+	for (i = 0; i < pool->needs; i++) {
+		s[n].need = pool->need[i];
+		s[n].size = size_of(&s[n].need.need, &pool->unit);
+		n += s[n].need.count > 0 && s[n].size > 0;
 	}
 	qsort(s, n, sizeof(*s), compare_sizes);
 	*sizes = 0;
 	for (i = 0; i < n; i++)
-		if (*sizes &&
-		    !compare_needs(&s[*sizes - 1].need.need, &s[i].need.need))
+		if (*sizes && same_size(&s[*sizes - 1].need, &s[i].need))
 			s[*sizes - 1].need.count += s[i].need.count;
 		else
 			s[(*sizes)++] = s[i];
@@ -215,26 +264,22 @@
 	return (int)(empty ? fixed + empty : 0);
 }
 
-struct seam_vm_pieces seam_vm_pieces_count(const struct seam_vm_need *need,
-					   size_t needs,
-					   const struct seam_vm_space *vm,
-					   size_t vms,
-					   const struct seam_resources *unit)
+struct seam_vm_pieces seam_vm_pieces_count(const struct seam_vm_pool *pool)
 {
-	struct packing p = {.spaces = 0};
+	struct packing p = {.pool = pool};
 	struct seam_vm_pieces result;
 	struct sized_need *s;
 	size_t sizes;
 	size_t i;
 
-	s = sort_needs(need, needs, &sizes, unit);
+	s = sort_needs(pool, &sizes);
 	sizes = MIN(sizes, SEAM_NEED_SIZES_MAX);
 	/* Each size adds one space and splits one twice at most. */
-	p.space = g_new(struct space, vms + 3 * sizes + 1);
-	add_spaces(&p, vm, vms, true);
-	add_spaces(&p, vm, vms, false);
+	p.space = g_new(struct space, pool->vms + 3 * sizes + 1);
+	add_spaces(&p, true);
+	add_spaces(&p, false);
 	for (i = 0; i < sizes; i++)
-		pack(&p, &s[i].need, unit);
+		pack(&p, &s[i].need);
 	result.needed = count_needed(&p);
 	result.missing = (int)p.missing;
 	g_free(p.space);
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -436,6 +436,33 @@
 	EXPECT_LE(orders_into("p"), 2);
 }
 
+// Guards against a lasting task that waits for ever, as its VMs have all tasks
+// of its step that they may have and another one is full.
+TEST_F(SchedulerVms, TaskOfALimitedStepBesideAFullVmGetsAVm)
+{
+	w.config(0, true);
+	eventually([&] { return w.version_in_force() == 2; });
+	for (const char *id : {"a", "b", "c", "d"})
+		w.add_worker(id);
+	for (const char *id : {"e", "f", "g", "h"})
+		w.add_worker(id, "other");
+	// Before the owner, as a rise of the demand would order VMs as well.
+	w.job("00000000000000aa", 4, "lasts", 1, [](seam_step *s) {
+		s->need.cpu = 400;
+		s->per_worker = 1;
+	});
+	w.job("00000000000000ab", 1, "lasts", 1,
+	      [](seam_step *s) { s->need.cpu = 7500; });
+	w.vms.ops = &moving_inventory_ops;
+	Owner o(&w, "n1");
+	o.start_renewals();
+	ASSERT_TRUE(eventually([&] { return w.running() == 5; }));
+	usleep(2000000);
+	EXPECT_EQ(orders_into("p"), 0);
+	w.job(ID, 4, "lasts", 1, [](seam_step *s) { s->per_worker = 1; });
+	EXPECT_TRUE(eventually([&] { return w.running() == 9; }, 3000));
+}
+
 // Guards against lost tasks after a takeover: a worker that has not answered
 // the new owner yet counts as not empty, so its VM is neither maintained nor
 // moved.
--- a/tests/vm_pieces_test.cc
+++ b/tests/vm_pieces_test.cc
@@ -12,11 +12,16 @@
 struct Pieces : ::testing::Test {
 	std::vector<seam_vm_need> need;
 	std::vector<seam_vm_space> vm;
+	std::vector<seam_vm_held> held;
 	seam_resources unit = {8000, 16000, 0};
 
 	void add(int64_t count, seam_resources one)
 	{
-		need.push_back({one, count});
+		need.push_back({one, count, 0, 0});
+	}
+	void add_limited(int64_t count, seam_resources one, uint64_t step)
+	{
+		need.push_back({one, count, 1, step});
 	}
 	void add_vms(int n, int64_t cpu, bool fixed)
 	{
@@ -25,8 +30,11 @@
 	}
 	seam_vm_pieces pieces()
 	{
-		return seam_vm_pieces_count(need.data(), need.size(), vm.data(),
-					    vm.size(), &unit);
+		seam_vm_pool p = {need.data(), need.size(), vm.data(),
+				  vm.size(),   held.data(), held.size(),
+				  unit};
+
+		return seam_vm_pieces_count(&p);
 	}
 	void expect(int needed, int missing)
 	{
@@ -93,6 +101,33 @@
 	expect(3, 3);
 }
 
+// Guards against steps with a limit for each VM of which only the widest
+// counts.
+TEST_F(Pieces, LimitedStepsBesideLargeTasksAddUp)
+{
+	add(3, {7500, 0, 0});
+	add_limited(3, {1000, 0, 0}, 1);
+	expect(6, 6);
+	add_limited(2, {1000, 0, 0}, 2);
+	expect(6, 6);
+}
+
+// Guards against a task that counts as held by VMs with all tasks of its step
+// that they may have.
+TEST_F(Pieces, VmsWithTheStepTakeNoMoreOfIt)
+{
+	add_vms(3, 7000, true);
+	add_vms(1, 500, true);
+	held = {{0, 1, 1}, {0, 2, 1}, {1, 1, 1}, {2, 1, 1}};
+	add_limited(1, {1000, 0, 0}, 1);
+	expect(5, 1);
+	need.clear();
+	add_limited(2, {1000, 0, 0}, 2);
+	expect(0, 0);
+	add_limited(1, {1000, 0, 0}, 3);
+	expect(0, 0);
+}
+
 // Guards against negative room and needs of nothing.
 TEST_F(Pieces, OddInputIsHarmless)
 {
