scheduler_manage_vms: size a pool by all its VMs

Where the VMs of a pool differ, it got far more VMs than it needs, or too few.

The demand was divided by the capacity of one worker, the last one of the table. It is now divided by the mean of the pool's workers. A VM that would be added counts with the most of each resource that one of them has: a task that only the larger VMs hold still gets one, and if a smaller one comes no further one is ordered, as it counts as a VM of the pool.

OneSmallVmOfAPoolOrdersNoOthers has three VMs of 8,000, two of 1,000 and 12 lasting tasks of 1,000.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -123,20 +123,58 @@
 }
 
 /*
- * Returns the capacity of a worker of the pool, or of any worker if the pool
- * has none.
+ * Capacity of the VMs of a pool.
+ *
+ * @mean: of all its VMs
+ * @most: most of each resource, as a larger VM may come where VMs differ
  */
-static struct seam_resources worker_capacity(struct seam_scheduler *sched,
-					     const char *pool)
+struct pool_unit {
+	struct seam_resources mean;
+	struct seam_resources most;
+};
+
+/* Adds the capacities of the workers of @pool, or of all for NULL. */
+static int64_t add_capacities(struct seam_scheduler *sched, const char *pool,
+			      struct pool_unit *u)
 {
-	struct seam_resources unit = {0, 0, 0};
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	struct seam_worker *w;
+	int64_t n = 0;
 
-	while ((w = seam_table_next(sched->workers, &h)))
-		if (!unit.cpu || !strcmp(w->info.pool, pool))
-			unit = w->info.capacity;
-	return unit;
+	while ((w = seam_table_next(sched->workers, &h))) {
+		const struct seam_resources *c = &w->info.capacity;
+
+		if (pool && strcmp(w->info.pool, pool) != 0)
+			continue;
+		n++;
+		u->mean.cpu += c->cpu;
+		u->mean.memory += c->memory;
+		u->mean.gpu += c->gpu;
+		u->most.cpu = MAX(u->most.cpu, c->cpu);
+		u->most.memory = MAX(u->most.memory, c->memory);
+		u->most.gpu = MAX(u->most.gpu, c->gpu);
+	}
+	return n;
+}
+
+/*
+ * Returns the capacity of the workers of the pool, or of all workers if the
+ * pool has none.
+ */
+static struct pool_unit pool_unit(struct seam_scheduler *sched,
+				  const char *pool)
+{
+	struct pool_unit u = {.mean = {0, 0, 0}};
+	int64_t n = add_capacities(sched, pool, &u);
+
+	if (!n)
+		n = add_capacities(sched, NULL, &u);
+	if (n) {
+		u.mean.cpu /= n;
+		u.mean.memory /= n;
+		u.mean.gpu /= n;
+	}
+	return u;
 }
 
 /*
@@ -178,17 +216,18 @@
  */
 static struct seam_vm_pieces set_targets(struct seam_plan_pool *p,
 					 const struct seam_pool_demand *d,
-					 const struct seam_resources *unit)
+					 const struct pool_unit *unit)
 {
-	struct seam_vm_pieces due = pieces_of(d, d->due_needs, unit);
-	struct seam_vm_pieces pieces = pieces_of(d, d->all_needs, unit);
+	struct seam_vm_pieces due = pieces_of(d, d->due_needs, &unit->most);
+	struct seam_vm_pieces pieces = pieces_of(d, d->all_needs, &unit->most);
 	struct seam_resources all = {d->due.cpu + d->late.cpu,
 				     d->due.memory + d->late.memory,
 				     d->due.gpu + d->late.gpu};
 
-	p->want =
-		(int)fmax(vms_for(&d->due, unit) + HEADROOM_WORKERS, d->spread);
-	p->all = (int)fmax(vms_for(&all, unit) + HEADROOM_WORKERS, d->spread);
+	p->want = (int)fmax(vms_for(&d->due, &unit->mean) + HEADROOM_WORKERS,
+			    d->spread);
+	p->all = (int)fmax(vms_for(&all, &unit->mean) + HEADROOM_WORKERS,
+			   d->spread);
 	p->want = MAX(p->want, due.needed);
 	p->all = MAX(p->all, MAX(p->want, pieces.needed));
 	if (p->want < POOL_WORKERS_MIN)
@@ -240,7 +279,7 @@
 
 /* Adds the VMs that the plan counts, each with the room that it has. */
 static void add_vms_to_demand(struct vm_survey *l, GArray *demand,
-			      const struct seam_resources *unit)
+			      const struct pool_unit *unit)
 {
 	size_t i;
 
@@ -253,7 +292,7 @@
 		if (!v->leaving && (v->usable || !v->up || v->arriving))
 			scheduler_demand_add_vm(
 				demand, g_ptr_array_index(l->pools, v->pool),
-				w ? &w->info.capacity : &unit[v->pool], w);
+				w ? &w->info.capacity : &unit[v->pool].most, w);
 		else if (w)
 			scheduler_demand_add_leaving(demand, w);
 	}
@@ -264,7 +303,7 @@
 	const struct seam_catalog *c =
 		seam_catalog_read_lock(l->sched->catalog);
 	GArray *demand = scheduler_demands(l->sched);
-	struct seam_resources *unit;
+	struct pool_unit *unit;
 	guint i;
 	guint k;
 
@@ -274,10 +313,9 @@
 	l->plan.pools = l->pools->len;
 	l->plan.pool = g_new0(struct seam_plan_pool, l->pools->len + 1);
 	l->pieces = g_new0(struct seam_vm_pieces, l->pools->len + 1);
-	unit = g_new(struct seam_resources, l->pools->len + 1);
+	unit = g_new(struct pool_unit, l->pools->len + 1);
 	for (i = 0; i < l->pools->len; i++)
-		unit[i] = worker_capacity(l->sched,
-					  g_ptr_array_index(l->pools, i));
+		unit[i] = pool_unit(l->sched, g_ptr_array_index(l->pools, i));
 	add_vms_to_demand(l, demand, unit);
 	for (i = 0; i < l->pools->len; i++) {
 		const char *name = g_ptr_array_index(l->pools, i);
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -463,6 +463,26 @@
 	EXPECT_TRUE(eventually([&] { return w.running() == 9; }, 3000));
 }
 
+// Guards against a pool that is sized by one of its VMs where they differ.
+TEST_F(SchedulerVms, OneSmallVmOfAPoolOrdersNoOthers)
+{
+	w.config(0, true);
+	eventually([&] { return w.version_in_force() == 2; });
+	for (const char *id : {"a", "c", "d"})
+		w.add_worker(id);
+	for (const char *id : {"b", "e"})
+		w.add_worker(id, "p", 1000);
+	for (int i = 0; i < 10; i++)
+		w.add_worker("o" + std::to_string(i), "other");
+	// Before the owner, as a rise of the demand would order VMs as well.
+	w.job(ID, 12, "lasts");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	EXPECT_TRUE(eventually([&] { return w.running() == 12; }));
+	usleep(2000000);
+	EXPECT_EQ(orders_into("p"), 0);
+}
+
 // Guards against orders that are repeated until the list shows their VMs in the
 // pool that they move to.
 TEST_F(SchedulerVms, VmOnItsWayIsNotOrderedAgain)
