scheduler_manage_vms: keep headroom for accelerators

Callers wait for a job that needs an accelerator until a VM has come, where a job that needs processors finds the VM that the pool has beyond its demand.

The demand of a pool adds up accelerators, but only processors and memory were divided by those of a VM. Two VMs with four each, all in use, counted as a pool that wants two.

PoolWithoutFreeAcceleratorsGetsVms failed 3 of 3 runs before (want=2 have=2, no order within 3 s) and passes 3 of 3.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -191,6 +191,9 @@
 	if (unit->memory)
 		n = fmax(n, (double)a->memory /
 				    (FILLABLE_SHARE * (double)unit->memory));
+	if (unit->gpu)
+		n = fmax(n,
+			 (double)a->gpu / (FILLABLE_SHARE * (double)unit->gpu));
 	return (int)ceil(n);
 }
 
--- a/tests/scheduler_vms_test.cc
+++ b/tests/scheduler_vms_test.cc
@@ -483,6 +483,28 @@
 	EXPECT_EQ(orders_into("p"), 0);
 }
 
+// Guards against a pool without headroom whose accelerators are all in use.
+TEST_F(SchedulerVms, PoolWithoutFreeAcceleratorsGetsVms)
+{
+	w.config(0, true);
+	eventually([&] { return w.version_in_force() == 2; });
+	for (const char *id : {"e", "f", "g", "h", "i", "j"})
+		w.add_worker(id, "other");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	for (const char *id : {"a", "b"}) {
+		add_usable(o, id);
+		with_worker(o, id,
+			    [](seam_worker *x) { x->info.capacity.gpu = 4; });
+	}
+	w.job(ID, 8, "lasts", 1, [](seam_step *s) {
+		s->need.cpu = 100;
+		s->need.gpu = 1;
+	});
+	EXPECT_TRUE(eventually([&] { return w.running() == 8; }));
+	EXPECT_TRUE(eventually([&] { return orders_into("p") >= 2; }, 3000));
+}
+
 // Guards against orders that are repeated until the list shows their VMs in the
 // pool that they move to.
 TEST_F(SchedulerVms, VmOnItsWayIsNotOrderedAgain)
