scheduler_vm_room: VMs that take no tasks are no room of their pool

What callers would see: a task waits beside VMs that can't run it, and its pool gets no other one, although other pools or standby have VMs.

Cause: the plan of VMs compares what a pool wants with a count of the VMs whose workers are listed and have answered once in their lives. It counted VMs that are shunned after failed runs (6 s, and again after each further failure), that refuse each start, and whose workers write their rows but answer nothing. The pool had as many as it wanted.

The plan now leaves out a VM that takes no tasks for longer than an ordered one needs to arrive: a shunned one while that is so, one whose worker has refused each start for 1.5 s (until 6 s after its last refusal), and a silent one once its lease has run out, as its runs are then lost. Backoffs (0.15 and 1 s) are shorter than an arrival (1.6 s), so that they don't change the count, and neither does a silence within the lease.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -374,6 +374,9 @@
  * @no_room_until: it gets no tasks until then, as it refused one for lack of
  *     room
  * @backoff_until: it gets no tasks until then, as it failed or did not answer
+ * @refusal_limit: refusals after that time show that it takes no tasks; 0 if it
+ *     has not refused a start since the latest one that it accepted
+ * @refusing_until: it counts as full until then, as it refuses each start
  * @failures: failed runs there since the last successful one
  * @shunned_until: until then it gets only lasting tasks, and these only if no
  *     other worker has room, as runs failed there
@@ -438,6 +441,8 @@
 	seam_time late_until;
 	seam_time no_room_until;
 	seam_time backoff_until;
+	seam_time refusal_limit;
+	seam_time refusing_until;
 	int failures;
 	seam_time shunned_until;
 	seam_time draining_since;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -220,6 +220,8 @@
 {
 	seam_time now = seam_now(w->sched->clock);
 
+	if (outcome == SEAM_ORDER_NO_ROOM || outcome == SEAM_ORDER_UNHEALTHY)
+		scheduler_start_refused(w, now);
 	if (outcome == SEAM_ORDER_NO_ROOM) {
 		seam_metric_add(&no_room, 1);
 		w->no_room_until = now + NO_ROOM_BACKOFF;
@@ -284,6 +286,7 @@
 	if (v->failed == SEAM_OK)
 		w->start_answered_at = seam_now(sched->clock);
 	if (v->failed == SEAM_OK && v->outcome == SEAM_ORDER_DONE) {
+		scheduler_start_accepted(w);
 		if (r && r->state == SEAM_RUN_SENT) {
 			scheduler_run_set_state(sched, r, SEAM_RUN_RUNNING);
 			j->started = true;
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -138,6 +138,15 @@
 bool scheduler_accept_row(struct seam_worker *w,
 			  const struct seam_worker_info *info);
 
+/* Workers that take no tasks */
+void scheduler_start_refused(struct seam_worker *w, seam_time now);
+void scheduler_start_accepted(struct seam_worker *w);
+/*
+ * Whether the VM of @w counts as room of its pool: it takes tasks that end, or
+ * will before a VM that is ordered now could.
+ */
+bool scheduler_worker_is_room(const struct seam_worker *w, seam_time now);
+
 /* Room for lasting tasks */
 /* Whether another worker than @except has room for a task of @step now. */
 bool scheduler_room_elsewhere(struct seam_scheduler *sched,
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -100,8 +100,7 @@
 		v->lasting = scheduler_lasting_runs(w);
 		v->pinned = v->up ? scheduler_pinned_runs(w) : 0;
 		v->leaving = l->now < w->leaving_until || w->info.draining;
-		v->usable = w->listed && w->contacted && !w->info.draining &&
-			    !w->vm_gone && !out;
+		v->usable = scheduler_worker_is_room(w, l->now) && !out;
 		if (w->info.draining)
 			v->up = false;
 	}
--- /dev/null
+++ b/tests/scheduler_vm_room_test.cc
@@ -0,0 +1,112 @@
+// VMs that can't take the tasks of their pool, and orders for others.
+#include "tests/failing_inventory.h"
+#include "tests/scheduler_fixture.h"
+
+// Two workers of the pool of the jobs, and more than another pool needs.
+struct VmRoom : Scheduler {
+	FakeWorker *a = nullptr;
+	FakeWorker *b = nullptr;
+
+	void SetUp() override
+	{
+		w.config(0, true);
+		eventually([&] { return w.version_in_force() == 2; });
+		a = w.add_worker("a");
+		b = w.add_worker("b");
+		for (const char *id : {"c", "d", "e", "f", "g"})
+			w.add_worker(id, "other", 8000, "d2");
+	}
+	int moves_to(const std::string &pool)
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+
+		return (int)std::count_if(w.orders.begin(), w.orders.end(),
+					  [&](const std::string &s) {
+						  return s.find(" " + pool) !=
+							 std::string::npos;
+					  });
+	}
+	void wait_until_usable(Owner &o)
+	{
+		for (const char *id : {"a", "b", "c", "d", "e", "f", "g"})
+			ASSERT_TRUE(worker_becomes(o, id, [&](seam_worker *x) {
+				return scheduler_worker_usable(
+					x, seam_now(w.clock));
+			}));
+	}
+};
+
+// Guards against a task that waits beside VMs that are shunned for failed runs.
+TEST_F(VmRoom, ShunnedVmsAreReplaced)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	a->fail_all = true;
+	b->fail_all = true;
+	w.job("1123456789abcdef", 4, "10");
+	for (const char *id : {"a", "b"})
+		ASSERT_TRUE(worker_becomes(o, id, [&](seam_worker *x) {
+			return seam_now(w.clock) < x->shunned_until;
+		}));
+	w.job(ID, 1, "50");
+	EXPECT_TRUE(eventually([&] { return moves_to("p") > 0; }, 3000));
+}
+
+// Guards against a task that waits beside VMs that refuse each start.
+TEST_F(VmRoom, VmsThatRefuseEachStartAreReplaced)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	a->no_room = true;
+	b->no_room = true;
+	w.job(ID, 1, "50");
+	EXPECT_TRUE(eventually([&] { return moves_to("p") > 0; }, 5000));
+}
+
+// Guards against orders of VMs in place of those that refused a single start.
+TEST_F(VmRoom, VmsThatRefuseAStartForAMomentAreKept)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	a->no_room = true;
+	b->no_room = true;
+	w.job(ID, 1, "50");
+	ASSERT_TRUE(eventually([&] { return a->refusals + b->refusals > 0; }));
+	usleep(300000);
+	a->no_room = false;
+	b->no_room = false;
+	EXPECT_TRUE(becomes("completed"));
+	usleep(1500000);
+	EXPECT_EQ(moves_to("p"), 0);
+}
+
+// Guards against a task that waits beside VMs whose workers write their rows
+// and answer nothing.
+TEST_F(VmRoom, SilentVmsAreReplaced)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	a->unresponsive = true;
+	b->unresponsive = true;
+	w.job(ID, 1, "50");
+	EXPECT_TRUE(eventually([&] { return moves_to("p") > 0; }, 9000));
+}
+
+// Guards against orders of VMs in place of those that are silent for a moment.
+TEST_F(VmRoom, VmsThatAreSilentForAMomentAreKept)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	a->unresponsive = true;
+	b->unresponsive = true;
+	usleep(2000000);
+	a->unresponsive = false;
+	b->unresponsive = false;
+	usleep(1000000);
+	EXPECT_EQ(moves_to("p"), 0);
+}
