vm_plan: a VM that stays down is no room of its pool

What callers would see: a task waits beside VMs that the platform lists as down, and its pool gets no other one as long as they are.

Cause: the plan counted each VM that is not up, as one that is moved or maintained comes back; it took one that is down for such a VM. A VM whose row is gone while it is listed as up was left out, one that is listed as down was not.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -67,6 +67,28 @@
 		(w && scheduler_has_long_lease(sched, w->info.id, l->now)));
 }
 
+/*
+ * Whether a VM that is not up will be: it is moved or maintained, or it had a
+ * worker until a moment ago.
+ */
+static bool is_restarting(const struct vm_survey *l,
+			  const struct seam_vm_info *info)
+{
+	struct seam_handle h = SEAM_HANDLE_NONE;
+	const struct seam_worker *w;
+
+	if (info->state == SEAM_PHASE_UP)
+		return false;
+	if (info->state == SEAM_PHASE_MOVING ||
+	    info->state == SEAM_PHASE_MAINTENANCE)
+		return true;
+	while ((w = seam_table_next(l->sched->workers, &h)))
+		if (!strcmp(w->info.vm, info->vm) &&
+		    !scheduler_worker_row_is_gone(w, l->now))
+			return true;
+	return false;
+}
+
 static void describe_vm(struct vm_survey *l, size_t i)
 {
 	const struct seam_vm_info *info = &l->sched->vm[i];
@@ -90,8 +112,11 @@
 		scheduler_worker_update_index(w);
 		scheduler_request_assignment(l->sched);
 	}
-	if (*info->worker && is_unconfirmed(l, w))
+	v->returning = busy || is_restarting(l, info);
+	if (*info->worker && is_unconfirmed(l, w)) {
 		v->up = false;
+		v->returning = true;
+	}
 	if (w && scheduler_worker_has_late_run(w))
 		v->up = false;
 	if (w) {
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -39,7 +39,7 @@
 
 		v->action = SEAM_VM_KEEP;
 		/* A VM that is moving counts in the pool it moves to. */
-		if (!v->leaving && (v->usable || !v->up || v->arriving))
+		if (!v->leaving && (v->usable || v->returning || v->arriving))
 			p->pool[v->pool].have++;
 	}
 }
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -23,9 +23,11 @@
  * @pool: index of its pool
  * @dc: index of its data centre
  * @up: it is up and no order for it is in progress
- * @usable: its worker accepts tasks
+ * @usable: its worker accepts tasks, or soon will
  * @arriving: it was moved or maintained recently, and its worker has not
  *            answered yet
+ * @returning: it is not up, and an order for it is in progress, its worker may
+ *     still answer after a takeover, or it went down a moment ago
  * @dc_unreachable: most workers of its data centre do not answer
  * @runs: tasks running on it
  * @lasting: long-running tasks among them
@@ -41,6 +43,7 @@
 	bool up;
 	bool usable;
 	bool arriving;
+	bool returning;
 	bool dc_unreachable;
 	int runs;
 	int lasting;
--- a/tests/scheduler_vm_room_test.cc
+++ b/tests/scheduler_vm_room_test.cc
@@ -110,3 +110,57 @@
 	usleep(1000000);
 	EXPECT_EQ(moves_to("p"), 0);
 }
+
+// A VM list that shows the VMs of the jobs as down, or as up again.
+struct VmsDown : VmRoom {
+	void set_down(bool down)
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+
+		for (auto &v : w.vm) {
+			if (strcmp(v.pool, "p") != 0)
+				continue;
+			v.state = down ? SEAM_PHASE_DOWN : SEAM_PHASE_UP;
+			snprintf(v.worker, SEAM_NAME_SIZE, "%s",
+				 down ? "" : v.vm + strlen("vm-"));
+		}
+	}
+	void go_down()
+	{
+		set_down(true);
+		a->unresponsive = true;
+		b->unresponsive = true;
+		w.store.del("workers/a");
+		w.store.del("workers/b");
+	}
+};
+
+// Guards against a task that waits beside VMs that are down and that no order
+// brings back.
+TEST_F(VmsDown, TheyAreReplaced)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	go_down();
+	w.job(ID, 1, "50");
+	EXPECT_TRUE(eventually([&] { return moves_to("p") > 0; }, 9000));
+}
+
+// Guards against orders of VMs in place of those that restart.
+TEST_F(VmsDown, TheyAreKeptWhileTheyRestart)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	go_down();
+	usleep(2000000);
+	set_down(false);
+	for (FakeWorker *x : {a, b}) {
+		x->unresponsive = false;
+		x->restart();
+		w.row(x->id, "p", 8000, "d1", false);
+	}
+	usleep(1500000);
+	EXPECT_EQ(moves_to("p"), 0);
+}
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -136,6 +136,22 @@
 	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
 }
 
+// Guards against a pool that stays short because VMs are down and no order
+// brings them back.
+TEST_F(Plan, VMsThatAreDownAreReplaced)
+{
+	add(5, A);
+	add(5, STANDBY);
+	want(A, 5);
+	for (int i = 2; i < 5; i++) {
+		vm[i].up = false;
+		vm[i].usable = false;
+	}
+	vm[4].returning = true;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
+}
+
 // Guards against churn: VMs are kept while demand may return.
 TEST_F(Plan, HeldVMsStay)
 {
