vm_plan: order no VM of a data centre that is out of service

What callers would see: while a data centre is out of service, a pool that lacks VMs is given VMs there, on which no task starts. For 4 s after the move they count as VMs that arrive, so that a task waits beside VMs of data centres in service; then the next ones are ordered. As the plan prefers the data centre where the pool has the fewest VMs, these were chosen first.

Cause: the plan knew which workers are in a data centre that is out, so that they didn't count, but not which VMs are: one that moves or is in standby has no worker.

VMs there are now neither counted nor given to a pool, and may still be maintained.

Evidence: VmRoom.NoVmOfADataCentreThatIsOutIsOrdered failed in 3 of 3 tries on (a move of a VM there), and passes in 3 of 3 tries; Plan.VMsOfADataCentreThatIsOutAreNoRoom failed with the vm_plan.c before.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -96,7 +96,6 @@
 		g_hash_table_lookup(l->sched->vm_orders, info->vm);
 	struct seam_worker *w = scheduler_find_worker(l->sched, info->worker);
 	struct seam_plan_vm *v = &l->plan.vm[i];
-	bool out = seam_op_state_is_evacuated(l->sched->op_state, info->dc);
 	/* A list from before shows the VM as it was before the order. */
 	bool busy = o && l->sched->vms_read_at < o->busy_until;
 
@@ -105,6 +104,7 @@
 	v->up = info->state == SEAM_PHASE_UP && !busy;
 	v->due =
 		l->has_wave && scheduler_wave_due(l->sched, &l->wave, info->vm);
+	v->dc_out = seam_op_state_is_evacuated(l->sched->op_state, info->dc);
 	v->arriving = o && l->now < o->arrival_deadline;
 	/* The worker still runs, or runs again under the same id. */
 	if (w && w->vm_gone && v->up && l->sched->vms_read_at >= w->gone_at) {
@@ -125,7 +125,7 @@
 		v->lasting = scheduler_lasting_runs(w);
 		v->pinned = v->up ? scheduler_pinned_runs(w) : 0;
 		v->leaving = l->now < w->leaving_until || w->info.draining;
-		v->usable = scheduler_worker_is_room(w, l->now) && !out;
+		v->usable = scheduler_worker_is_room(w, l->now) && !v->dc_out;
 		if (w->info.draining)
 			v->up = false;
 	}
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -39,7 +39,8 @@
 
 		v->action = SEAM_VM_KEEP;
 		/* A VM that is moving counts in the pool it moves to. */
-		if (!v->leaving && (v->usable || v->returning || v->arriving))
+		if (!v->leaving && !v->dc_out &&
+		    (v->usable || v->returning || v->arriving))
 			p->pool[v->pool].have++;
 	}
 }
@@ -219,7 +220,8 @@
 		const struct seam_plan_pool *pool = &p->pool[v->pool];
 		int cost = *count_of(r, to, v->dc);
 
-		if (!v->up || v->pool == to || v->action != SEAM_VM_KEEP ||
+		if (!v->up || v->dc_out || v->pool == to ||
+		    v->action != SEAM_VM_KEEP ||
 		    (need == NEED_SOON && !pool->standby && !is_surplus(p, v)))
 			continue;
 		if (need == NEED_SOON && pool->standby)
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -29,6 +29,7 @@
  * @returning: it is not up, and an order for it is in progress, its worker may
  *     still answer after a takeover, or it went down a moment ago
  * @dc_unreachable: most workers of its data centre do not answer
+ * @dc_out: its data centre is out of service, so that it runs no tasks
  * @runs: tasks running on it
  * @lasting: long-running tasks among them
  * @pinned: those for which no other worker has room
@@ -45,6 +46,7 @@
 	bool arriving;
 	bool returning;
 	bool dc_unreachable;
+	bool dc_out;
 	int runs;
 	int lasting;
 	int pinned;
--- a/tests/scheduler_vm_room_test.cc
+++ b/tests/scheduler_vm_room_test.cc
@@ -164,3 +164,23 @@
 	usleep(1500000);
 	EXPECT_EQ(moves_to("p"), 0);
 }
+
+// Guards against moves of VMs that can't run the tasks that wait, as their data
+// centre is out of service.
+TEST_F(VmRoom, NoVmOfADataCentreThatIsOutIsOrdered)
+{
+	for (const char *id : {"h", "i", "j"})
+		w.add_worker(id, "other", 8000, "d3");
+	w.store.put("op/out/d2", "x");
+	eventually([&] { return seam_op_state_is_evacuated(&w.ops, "d2"); });
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	w.job(ID, 4, "lasts", 1, [](seam_step *s) { s->per_worker = 1; });
+	EXPECT_TRUE(eventually([&] { return moves_to("p") > 0; }, 3000));
+	std::lock_guard<std::mutex> l(w.lock);
+	for (auto &s : w.orders)
+		EXPECT_NE(std::string("hij").find(s[strlen("move vm-")]),
+			  std::string::npos)
+			<< s;
+}
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -152,6 +152,24 @@
 	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
 }
 
+// Guards against a pool that gets VMs of a data centre that is out of service,
+// or counts those that arrive there.
+TEST_F(Plan, VMsOfADataCentreThatIsOutAreNoRoom)
+{
+	add(4, A);
+	add(9, STANDBY);
+	want(A, 4);
+	for (auto &v : vm)
+		v.dc_out = v.dc == 1;
+	vm[1].usable = false;
+	vm[1].arriving = true;
+	want(A, 5);
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
+	for (const auto &v : vm)
+		EXPECT_FALSE(v.action == SEAM_VM_MOVE && v.dc_out);
+}
+
 // Guards against churn: VMs are kept while demand may return.
 TEST_F(Plan, HeldVMsStay)
 {
