vm_plan: a pool gets a VM with a label that its tasks wait for

What callers would see: a task that requires a label which no VM of its pool has waits for ever, while VMs with it are idle in another pool or in standby.

Cause: the demand of a pool counts VMs whatever their labels, and the labels that the platform's VM list tells were not read, so that nothing ordered the VM that the task needs, and the last one could be moved away.

The list's labels are now read, and the plan is given the labels that runnable tasks wait for, 64 at most. A pool without a VM that has one takes it from standby or from a pool above its target, before other shortages. The last VM with such a label stays. One VM is enough for the plan: a pool whose VMs with the label are all full gets no further one.

Evidence: VmRoom.VmWithTheLabelOfAWaitingTaskIsOrdered failed in 3 of 3 tries without the call of scheduler_describe_labels(), and passes with it (2 of 2). The two tests of the plan and the one of the list need the new members, so that they weren't run before.

--- a/connection/vms.h
+++ b/connection/vms.h
@@ -60,6 +60,8 @@
  * @vm: id of the VM, which never changes
  * @pool: pool of the VM
  * @state: enum seam_vm_phase
+ * @label: its kind and its rack
+ * @labels: length of @label
  * @dc: data centre
  * @worker: id of the worker that runs on it, or ""
  */
@@ -67,6 +69,8 @@
 	char vm[SEAM_NAME_SIZE];
 	char pool[SEAM_NAME_SIZE];
 	int state;
+	char label[SEAM_LABELS_MAX][SEAM_NAME_SIZE];
+	int labels;
 	char dc[SEAM_NAME_SIZE];
 	char worker[SEAM_NAME_SIZE];
 };
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -147,6 +147,14 @@
  */
 bool scheduler_worker_is_room(const struct seam_worker *w, seam_time now);
 
+struct seam_plan;
+/*
+ * Adds the labels that tasks wait for to the plan, and the VMs that have them.
+ * @pools: names of the pools of the plan
+ */
+void scheduler_describe_labels(struct seam_scheduler *sched,
+			       struct seam_plan *plan, GPtrArray *pools);
+
 /* Room for lasting tasks */
 /* Whether another worker than @except has room for a task of @step now. */
 bool scheduler_room_elsewhere(struct seam_scheduler *sched,
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -328,6 +328,7 @@
 		describe_vm(l, i);
 	mark_silent_dcs(l);
 	describe_pools(l);
+	scheduler_describe_labels(l->sched, &l->plan, l->pools);
 	l->sched->overloaded = is_overloaded(l);
 	seam_vm_plan(&l->plan);
 	seam_vm_plan_trim(&l->plan, scheduler_vm_budget(l->sched, l->now));
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -28,20 +28,35 @@
 	return p->pool[v->pool].standby;
 }
 
+/* Adds @n to the VMs of pool @pool that have the labels of @v. */
+static void count_labels(struct seam_plan *p, const struct seam_plan_vm *v,
+			 int pool, int n)
+{
+	size_t i;
+
+	for (i = 0; i < p->labels; i++)
+		if (p->label[i].pool == pool && (v->labels & p->label[i].bit))
+			p->label[i].have += n;
+}
+
 static void count_available(struct seam_plan *p)
 {
 	size_t i;
 
 	for (i = 0; i < p->pools; i++)
 		p->pool[i].have = 0;
+	for (i = 0; i < p->labels; i++)
+		p->label[i].have = 0;
 	for (i = 0; i < p->vms; i++) {
 		struct seam_plan_vm *v = &p->vm[i];
 
 		v->action = SEAM_VM_KEEP;
 		/* A VM that is moving counts in the pool it moves to. */
 		if (!v->leaving && !v->dc_out &&
-		    (v->usable || v->returning || v->arriving))
+		    (v->usable || v->returning || v->arriving)) {
 			p->pool[v->pool].have++;
+			count_labels(p, v, v->pool, 1);
+		}
 	}
 }
 
@@ -188,26 +203,41 @@
 	return false;
 }
 
+/* Whether no other VM of its pool has a label that tasks there wait for. */
+static bool is_last_with_label(const struct seam_plan *p,
+			       const struct seam_plan_vm *v)
+{
+	size_t i;
+
+	for (i = 0; i < p->labels; i++)
+		if (p->label[i].pool == v->pool && p->label[i].have <= 1 &&
+		    (v->labels & p->label[i].bit))
+			return true;
+	return false;
+}
+
 /* Whether @v goes to standby unless a pool takes it before. */
 static bool is_surplus(const struct seam_plan *p, const struct seam_plan_vm *v)
 {
 	const struct seam_plan_pool *pool = &p->pool[v->pool];
 
 	return !pool->standby && pool->have > pool->hold && v->up &&
-	       v->usable && !v->runs && v->action == SEAM_VM_KEEP;
+	       v->usable && !v->runs && v->action == SEAM_VM_KEEP &&
+	       !is_last_with_label(p, v);
 }
 
 /*
- * Returns a VM that pool @to may take: from standby first, then from a pool
- * above its target; there idle VMs come before those that run tasks. For demand
- * to come only surplus VMs and those from standby are taken, the former first:
- * they would need one move to standby and another one from there. A VM with
- * long-running tasks that have no room elsewhere is never taken, and none with
- * long-running tasks during a wave: their availability budgets allow few
- * evictions at a time, and the wave has a deadline.
+ * Returns a VM with the labels @labels that pool @to may take: from standby
+ * first, then from a pool above its target; there idle VMs come before those
+ * that run tasks. For demand to come only surplus VMs and those from standby
+ * are taken, the former first: they would need one move to standby and another
+ * one from there. A VM with long-running tasks that have no room elsewhere is
+ * never taken, and none with long-running tasks during a wave: their
+ * availability budgets allow few evictions at a time, and the wave has a
+ * deadline.
  */
 static struct seam_plan_vm *find_donor(struct planner *r, int to,
-				       enum need need)
+				       enum need need, uint64_t labels)
 {
 	struct seam_plan *p = r->plan;
 	bool wave = wave_has_vms_left(p);
@@ -222,6 +252,8 @@
 
 		if (!v->up || v->dc_out || v->pool == to ||
 		    v->action != SEAM_VM_KEEP ||
+		    (v->labels & labels) != labels ||
+		    is_last_with_label(p, v) ||
 		    (need == NEED_SOON && !pool->standby && !is_surplus(p, v)))
 			continue;
 		if (need == NEED_SOON && pool->standby)
@@ -251,6 +283,41 @@
 	return best;
 }
 
+static void take_vm(struct planner *r, struct seam_plan_vm *v, int to)
+{
+	struct seam_plan *p = r->plan;
+
+	if (!p->pool[v->pool].standby && v->usable && !v->leaving) {
+		p->pool[v->pool].have--;
+		count_labels(p, v, v->pool, -1);
+	}
+	if (v->runs) {
+		v->action = SEAM_VM_DRAIN;
+		v->to = to;
+	} else {
+		move_vm(r, v, to);
+	}
+	p->pool[to].have++;
+	count_labels(p, v, to, 1);
+}
+
+/* Gives each pool a VM with each label that its tasks wait for. */
+static void fill_labels(struct planner *r)
+{
+	struct seam_plan *p = r->plan;
+	struct seam_plan_vm *v;
+	size_t i;
+
+	for (i = 0; i < p->labels; i++) {
+		struct seam_plan_label *need = &p->label[i];
+
+		v = need->have ? NULL :
+				 find_donor(r, need->pool, NEED_DUE, need->bit);
+		if (v)
+			take_vm(r, v, need->pool);
+	}
+}
+
 static void fill_shortages(struct planner *r, enum need need)
 {
 	struct seam_plan *p = r->plan;
@@ -259,20 +326,11 @@
 	int to;
 
 	while ((to = pool_most_short(p, need, skip)) >= 0) {
-		v = find_donor(r, to, need);
-		if (!v) {
+		v = find_donor(r, to, need, 0);
+		if (v)
+			take_vm(r, v, to);
+		else
 			skip[to] = true;
-			continue;
-		}
-		if (!p->pool[v->pool].standby && v->usable && !v->leaving)
-			p->pool[v->pool].have--;
-		if (v->runs) {
-			v->action = SEAM_VM_DRAIN;
-			v->to = to;
-		} else {
-			move_vm(r, v, to);
-		}
-		p->pool[to].have++;
 	}
 }
 
@@ -325,6 +383,7 @@
 		       (v = find_surplus(r, (int)i))) {
 			move_vm(r, v, to);
 			pool->have--;
+			count_labels(p, v, (int)i, -1);
 		}
 	}
 }
@@ -336,6 +395,7 @@
 	count_available(p);
 	plan_wave(p);
 	count_vms(&r);
+	fill_labels(&r);
 	fill_shortages(&r, NEED_DUE);
 	fill_shortages(&r, NEED_LATE);
 	fill_shortages(&r, NEED_SOON);
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -3,12 +3,14 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 #define SEAM_PLAN_POOLS_MAX 1024 /* pools in one plan */
+#define SEAM_PLAN_LABELS_MAX 64 /* labels that tasks wait for */
 
 /** enum seam_vm_action - next action for a VM */
 enum seam_vm_action {
@@ -35,6 +37,7 @@
  * @pinned: those for which no other worker has room
  * @leaving: it has been draining since an earlier plan
  * @due: the current wave still has to maintain it
+ * @labels: bits of the labels of struct seam_plan_label that it has
  * @action: result, enum seam_vm_action
  * @to: result, index of the pool that it moves to
  */
@@ -52,6 +55,7 @@
 	int pinned;
 	bool leaving;
 	bool due;
+	uint64_t labels;
 	int action;
 	int to;
 };
@@ -86,12 +90,26 @@
 	double remaining_s;
 };
 
+/**
+ * struct seam_plan_label - a label that waiting tasks of a pool need
+ * @pool: index of the pool
+ * @bit: bit of the label in struct seam_plan_vm
+ * @have: result, VMs of the pool that have it
+ */
+struct seam_plan_label {
+	int pool;
+	uint64_t bit;
+	int have;
+};
+
 /** struct seam_plan - input and result of seam_vm_plan() */
 struct seam_plan {
 	struct seam_plan_vm *vm;
 	size_t vms;
 	struct seam_plan_pool *pool;
 	size_t pools;
+	struct seam_plan_label label[SEAM_PLAN_LABELS_MAX];
+	size_t labels;
 	struct seam_plan_wave wave;
 };
 
@@ -99,6 +117,7 @@
  * seam_vm_plan() - choose the next action for each VM
  *
  * Handles demand that shifts between pools, and maintenance at the same time.
+ * A pool without a VM that has a label which its tasks wait for gets one first.
  * Pools that are short of VMs for jobs that can still meet their objective are
  * served first, in order of their relative shortage; they get VMs from the
  * standby pool, then from pools that have more than such jobs need there. The
--- a/tests/platform_inventory_test.cc
+++ b/tests/platform_inventory_test.cc
@@ -106,6 +106,20 @@
 	EXPECT_EQ(state(""), SEAM_PHASE_UNKNOWN);
 }
 
+// Guards against a VM whose labels are not known, so that no pool gets it.
+TEST_F(Inventory, LabelsAreRead)
+{
+	auto m = list(
+		"{\"machine\":\"m-1\",\"labels\":[\"big\",\"r1\"]}")["m-1"];
+
+	ASSERT_EQ(m.labels, 2);
+	EXPECT_STREQ(m.label[0], "big");
+	EXPECT_STREQ(m.label[1], "r1");
+	EXPECT_TRUE(complete);
+	EXPECT_TRUE(list("{\"machine\":\"m-1\",\"labels\":7}").empty());
+	EXPECT_FALSE(complete);
+}
+
 // Guards against an order for another VM, whose name equals one that was cut.
 TEST_F(Inventory, OddElementsAreLeftOut)
 {
--- a/tests/scheduler_vm_room_test.cc
+++ b/tests/scheduler_vm_room_test.cc
@@ -184,3 +184,23 @@
 			  std::string::npos)
 			<< s;
 }
+
+// Guards against a task that waits for a label which no VM of its pool has,
+// while a VM with it is idle in another pool.
+TEST_F(VmRoom, VmWithTheLabelOfAWaitingTaskIsOrdered)
+{
+	Owner o(&w, "n1");
+	o.start_renewals();
+	wait_until_usable(o);
+	{
+		std::lock_guard<std::mutex> l(w.lock);
+		snprintf(w.vm.back().label[0], SEAM_NAME_SIZE, "big");
+		w.vm.back().labels = 1;
+	}
+	w.job(ID, 1, "50", 1,
+	      [](seam_step *s) { snprintf(s->label, SEAM_NAME_SIZE, "big"); });
+	EXPECT_TRUE(eventually([&] { return moves_to("p") > 0; }, 4000));
+	std::lock_guard<std::mutex> l(w.lock);
+	EXPECT_EQ(std::count(w.orders.begin(), w.orders.end(), "move vm-g p"),
+		  1);
+}
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -170,6 +170,44 @@
 		EXPECT_FALSE(v.action == SEAM_VM_MOVE && v.dc_out);
 }
 
+// Guards against a task that waits for a label which only VMs elsewhere have.
+TEST_F(Plan, LabelThatAPoolLacksComesFromAnother)
+{
+	add(4, A);
+	add(3, STANDBY);
+	add(4, B);
+	want(A, 4);
+	want(B, 2);
+	vm[6].labels = vm[9].labels = 2;
+	p.label[0].pool = A;
+	p.label[0].bit = 2;
+	p.labels = 1;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 1);
+	EXPECT_EQ(vm[6].action, SEAM_VM_MOVE);
+	EXPECT_EQ(vm[9].to, STANDBY);
+}
+
+// Guards against the move of the only VM with a label that tasks wait for.
+TEST_F(Plan, LastVmWithALabelThatIsNeededStays)
+{
+	add(5, A);
+	add(2, B);
+	want(A, 1);
+	want(B, 3);
+	vm[1].labels = 1;
+	p.label[0].pool = A;
+	p.label[0].bit = 1;
+	p.labels = 1;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, B), 1);
+	EXPECT_EQ(count(SEAM_VM_MOVE, STANDBY), 3);
+	EXPECT_EQ(vm[1].action, SEAM_VM_KEEP);
+	p.label[0].pool = B;
+	plan();
+	EXPECT_EQ(vm[1].to, B);
+}
+
 // Guards against churn: VMs are kept while demand may return.
 TEST_F(Plan, HeldVMsStay)
 {
