--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -68,6 +68,28 @@
 		(w && scheduler_has_long_lease(sched, w->info.id, l->now)));
 }
 
+/*
+ * Whether a VM that is not up will be: it is moved or maintained, or it had a
+ * worker until a moment ago.
+ */
+static bool is_restarting(const struct vm_survey *l,
+			  const struct seam_vm_info *info)
+{
+	struct seam_handle h = SEAM_HANDLE_NONE;
+	const struct seam_worker *w;
+
+	if (info->state == SEAM_PHASE_UP)
+		return false;
+	if (info->state == SEAM_PHASE_MOVING ||
+	    info->state == SEAM_PHASE_MAINTENANCE)
+		return true;
+	while ((w = seam_table_next(l->sched->workers, &h)))
+		if (!strcmp(w->info.vm, info->vm) &&
+		    !scheduler_worker_row_is_gone(w, l->now))
+			return true;
+	return false;
+}
+
 static void describe_vm(struct vm_survey *l, size_t i)
 {
 	const struct seam_vm_info *info = &l->sched->vm[i];
@@ -75,7 +97,6 @@
 		g_hash_table_lookup(l->sched->vm_orders, info->vm);
 	struct seam_worker *w = scheduler_find_worker(l->sched, info->worker);
 	struct seam_plan_vm *v = &l->plan.vm[i];
-	bool out = seam_op_state_is_evacuated(l->sched->op_state, info->dc);
 	/* A list from before shows the VM as it was before the order. */
 	bool busy = o && l->sched->vms_read_at < o->busy_until;
 
@@ -84,6 +105,7 @@
 	v->up = info->state == SEAM_PHASE_UP && !busy;
 	v->due =
 		l->has_wave && scheduler_wave_due(l->sched, &l->wave, info->vm);
+	v->dc_out = seam_op_state_is_evacuated(l->sched->op_state, info->dc);
 	v->arriving = o && l->now < o->arrival_deadline;
 	/* The worker still runs, or runs again under the same id. */
 	if (w && w->vm_gone && v->up && l->sched->vms_read_at >= w->gone_at) {
@@ -91,8 +113,11 @@
 		scheduler_worker_update_index(w);
 		scheduler_request_assignment(l->sched);
 	}
-	if (*info->worker && is_unconfirmed(l, w))
+	v->returning = busy || is_restarting(l, info);
+	if (*info->worker && is_unconfirmed(l, w)) {
 		v->up = false;
+		v->returning = true;
+	}
 	if (w && scheduler_worker_has_late_run(w))
 		v->up = false;
 	if (w) {
@@ -101,8 +126,7 @@
 		v->lasting = scheduler_lasting_runs(w);
 		v->pinned = v->up ? scheduler_pinned_runs(w) : 0;
 		v->leaving = l->now < w->leaving_until || w->info.draining;
-		v->usable = w->listed && w->contacted && !w->info.draining &&
-			    !w->vm_gone && !out;
+		v->usable = scheduler_worker_is_room(w, l->now) && !v->dc_out;
 		if (w->info.draining)
 			v->up = false;
 	}
@@ -401,6 +425,7 @@
 		describe_vm(l, i);
 	mark_silent_dcs(l);
 	describe_pools(l);
+	scheduler_describe_labels(l->sched, &l->plan, l->pools);
 	l->sched->overloaded = is_overloaded(l);
 	seam_vm_plan(&l->plan);
 	seam_vm_plan_trim(&l->plan, scheduler_vm_budget(l->sched, l->now));
