scheduler_manage_vms: the pieces of a pool are those of the VMs that the plan counts

A shunned or silent VM would have counted in the VMs that a pool wants, not in those that it has, or the other way round. Both ask seam_plan_vm_is_available() now. Lasting tasks on a VM that only takes no more tasks stay there and need no room elsewhere; those on one that leaves do.

--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -316,11 +316,12 @@
 			scheduler_find_worker(l->sched, l->sched->vm[i].worker);
 
 		/* A VM on its way counts, so that its order is not repeated. */
-		if (!v->leaving && (v->usable || !v->up || v->arriving))
+		if (seam_plan_vm_is_available(v))
 			scheduler_demand_add_vm(
 				demand, g_ptr_array_index(l->pools, v->pool),
 				w ? &w->info.capacity : &unit[v->pool].most, w);
-		else if (w)
+		/* On VMs that only take no more tasks, lasting ones stay. */
+		else if (w && (v->leaving || v->dc_out || w->vm_gone))
 			scheduler_demand_add_leaving(demand, w);
 	}
 }
--- a/process/vm_plan.c
+++ b/process/vm_plan.c
@@ -39,6 +39,12 @@
 			p->label[i].have += n;
 }
 
+bool seam_plan_vm_is_available(const struct seam_plan_vm *v)
+{
+	return !v->leaving && !v->dc_out &&
+	       (v->usable || v->returning || v->arriving);
+}
+
 static void count_available(struct seam_plan *p)
 {
 	size_t i;
@@ -52,8 +58,7 @@
 
 		v->action = SEAM_VM_KEEP;
 		/* A VM that is moving counts in the pool it moves to. */
-		if (!v->leaving && !v->dc_out &&
-		    (v->usable || v->returning || v->arriving)) {
+		if (seam_plan_vm_is_available(v)) {
 			p->pool[v->pool].have++;
 			count_labels(p, v, v->pool, 1);
 		}
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -113,6 +113,12 @@
 	struct seam_plan_wave wave;
 };
 
+/**
+ * seam_plan_vm_is_available() - whether a VM counts as room of its pool: it
+ * takes tasks, or will soon
+ */
+bool seam_plan_vm_is_available(const struct seam_plan_vm *v);
+
 /**
  * seam_vm_plan() - choose the next action for each VM
  *
