scheduler_reservation: an inherited job of an unsettled pool is not started

What callers would see: a task runs twice after a takeover, once under the previous owner's start and once under a reservation.

Cause: start_job() lets an inherited job wait until no worker of its pool may still carry out starts of the previous owner. A reservation was made under the same condition, but its task is started by start_reserved_task(), and a worker that restarts after the reservation was made unsettles the pool again.

A reservation ends now when the pool of an inherited job is unsettled.

InheritedJobOfAnUnsettledPoolIsNotStarted failed before, 3 of 3, and passes with the other 15 tests of the program.

--- a/process/scheduler_reservation.c
+++ b/process/scheduler_reservation.c
@@ -292,6 +292,7 @@
 
 /* Returns why the reservation ends, or NULL; updates its plan. */
 static const char *check_reservation(struct seam_pass *p,
+				     const struct seam_pass_pool *pool,
 				     struct seam_reservation *r,
 				     const struct seam_job *j)
 {
@@ -302,6 +303,8 @@
 	if (!j || seam_job_finished(j->row.state) || !j->idle[r->step] ||
 	    !scheduler_step_is_ready(j, r->step))
 		return "not_waiting";
+	if (j->inherited && !pool->settled)
+		return "unconfirmed";
 	if (!w || !may_keep(p, w, j, r->step))
 		return "worker";
 	if (p->now >= r->until)
@@ -325,7 +328,7 @@
 
 	if (seam_handle_eq(r->job, SEAM_HANDLE_NONE))
 		return NULL;
-	why = check_reservation(p, r, j);
+	why = check_reservation(p, pool, r, j);
 	if (!why)
 		return j;
 	scheduler_end_reservation(p, pool, why);
--- a/tests/scheduler_reservation_test.cc
+++ b/tests/scheduler_reservation_test.cc
@@ -406,3 +406,27 @@
 	}
 	EXPECT_EQ(l->idle[0], 0);
 }
+
+// Guards against a second run of an inherited task that may run elsewhere.
+TEST_F(Reservation, InheritedJobOfAnUnsettledPoolIsNotStarted)
+{
+	seam_job *j = large_beside_small();
+	int kept = reserved();
+
+	ASSERT_GE(kept, 0);
+	f.sched->prior_leases_until = clock.time + 5 * SEAM_SEC;
+	f.sched->vms_read = true;
+	j->inherited = true;
+	pass();
+	EXPECT_EQ(j->idle[0], 1);
+	/* The other worker of the pool restarts. */
+	scheduler_worker_restarted(worker(1 - kept), 5, "row");
+	EXPECT_TRUE(scheduler_may_run_prior_tasks(worker(1 - kept)));
+	seam_job *plain = job(ALL / 8, 1000);
+	plain->inherited = true;
+	while (runs_on(kept) > 0)
+		end_run(kept);
+	pass();
+	EXPECT_EQ(plain->idle[0], 1) << "ordinary path";
+	EXPECT_EQ(j->idle[0], 1) << "reservation";
+}
