scheduler_reservation: bound the workers that a pass reads

A pass holds the lock of the scheduler.

A pass reads the runs of 4,096 workers at most in search of those that it can keep, for lasting tasks as well, and a job for which no worker can be kept is looked at again after 0.5 s.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -182,6 +182,8 @@
  * @committed: value of @changes that the store has
  * @runs: runs whose end is not confirmed
  * @first_start_at: when the first task was started; 0 before
+ * @reserve_after: no worker of its pool could be kept for its tasks, and none
+ *     is looked for before
  * @delay_reason: enum seam_delay of the latest pass
  * @delayed_since: start of that delay
  * @delay: time spent in each enum seam_delay before that
@@ -211,6 +213,7 @@
 	uint64_t committed;
 	int runs;
 	seam_time first_start_at;
+	seam_time reserve_after;
 	enum seam_delay delay_reason;
 	seam_time delayed_since;
 	seam_time delay[SEAM_DELAY_REASONS];
@@ -652,6 +655,8 @@
  * @waiting: tasks that may be started, of all jobs
  * @worker_index: workers by free CPU
  * @pool_rooms: pool to struct seam_pool_room
+ * @plans_left: workers whose runs the pass may still read in search of one that
+ *     can be kept for a task
  * @workspace_used: workspace to the struct seam_resources that its runs reserve
  * @starting: starts that wait for an answer
  * @window: how many may wait, of all lanes together
@@ -772,6 +777,7 @@
 	int64_t waiting;
 	struct seam_worker_index *worker_index;
 	GHashTable *pool_rooms;
+	int plans_left;
 	GHashTable *workspace_used;
 	int starting;
 	struct seam_start_window window;
--- a/process/scheduler_evict.c
+++ b/process/scheduler_evict.c
@@ -184,6 +184,7 @@
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	struct seam_worker *w;
 
+	sched->plans_left = SCHEDULER_PLANS_MAX;
 	/*
 	 * Draining workers come first, as the tasks they lose use up the budget
 	 * of the others.
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -179,10 +179,16 @@
 					 seam_time now);
 /* When a reservation that is made now for room at @room_at is overdue. */
 seam_time scheduler_reservation_due(seam_time room_at, seam_time now);
+/*
+ * Workers whose runs one pass reads in search of those that it can keep for
+ * tasks; reading them takes about a microsecond a worker.
+ */
+#define SCHEDULER_PLANS_MAX 4096
+/* A job for which no worker can be kept is looked at again after this time. */
+#define SCHEDULER_RESERVE_RETRY (500 * SEAM_MSEC)
 /* Keeps tasks that end off the worker that has room for @step the soonest. */
-void scheduler_reserve_worker(struct seam_scheduler *sched,
-			      const struct seam_job *j, int step,
-			      seam_time now);
+void scheduler_reserve_worker(struct seam_scheduler *sched, struct seam_job *j,
+			      int step, seam_time now);
 
 /* Backlog */
 void scheduler_job_count(struct seam_job *j);
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -218,7 +218,7 @@
 /* Finds a worker for a task; without one, @delay receives what it waits for. */
 static struct seam_worker *find_worker(struct seam_pass *p,
 				       struct seam_pass_pool *pool,
-				       const struct seam_job *j, int step,
+				       struct seam_job *j, int step,
 				       const struct seam_job_task_state *t,
 				       enum seam_delay *delay)
 {
@@ -448,6 +448,7 @@
 {
 	struct seam_pass p = {.sched = sched, .now = seam_now(sched->clock)};
 
+	sched->plans_left = SCHEDULER_PLANS_MAX;
 	p.pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	scheduler_starts_expire(sched, p.now);
--- a/process/scheduler_reservation.c
+++ b/process/scheduler_reservation.c
@@ -85,6 +85,8 @@
 	if (!w || !seam_fits(&s->need, &w->info.capacity) ||
 	    !may_keep(s->pass, w, s->job, s->step))
 		return false;
+	if (--s->pass->sched->plans_left < 0)
+		return true;
 	plan = scheduler_plan_room(w, &s->need, s->pass->now);
 	avoided = seam_handle_eq(s->task->avoid, w->self);
 	if (plan.room_at == SEAM_NEVER ||
@@ -197,7 +199,7 @@
 	int left;
 };
 
-static bool reserve_for_step(struct late_search *l, const struct seam_job *j,
+static bool reserve_for_step(struct late_search *l, struct seam_job *j,
 			     int step)
 {
 	struct seam_pass *p = l->pass;
@@ -217,6 +219,9 @@
 					j->row.spec.pool, t->label,
 					compare_keep, &s);
 	if (!s.best) {
+		if (p->sched->plans_left <= 0)
+			return false;
+		j->reserve_after = p->now + SCHEDULER_RESERVE_RETRY;
 		if (!*t->label && !t->per_worker)
 			seam_failed_needs_add(&l->too_large, &s.need, 0);
 		return false;
@@ -242,12 +247,13 @@
 static bool reserve_for_job(struct seam_handle h, void *arg)
 {
 	struct late_search *l = arg;
-	const struct seam_job *j = scheduler_job(l->pass->sched, h);
+	struct seam_job *j = scheduler_job(l->pass->sched, h);
 	int i;
 
 	if (--l->left < 0)
 		return true;
-	if (!j || seam_job_finished(j->row.state) ||
+	if (!j || l->pass->now < j->reserve_after ||
+	    seam_job_finished(j->row.state) ||
 	    (j->inherited && !l->pool->settled) || !is_late(j, l->pass->now))
 		return false;
 	for (i = 0; i < j->row.spec.steps; i++)
--- a/process/scheduler_room.c
+++ b/process/scheduler_room.c
@@ -207,6 +207,8 @@
 	     (s->now >= w->reserved_until || s->now >= w->reserved_due)) ||
 	    !seam_fits(&s->need, &w->info.capacity) || has_all_of_step(s, w))
 		return false;
+	if (--s->sched->plans_left < 0)
+		return true;
 	room_at = scheduler_plan_room(w, &s->need, s->now).room_at;
 	if (room_at == SEAM_NEVER || (r->best && room_at >= r->room_at))
 		return false;
@@ -215,8 +217,8 @@
 	return false;
 }
 
-void scheduler_reserve_worker(struct seam_scheduler *sched,
-			      const struct seam_job *j, int step, seam_time now)
+void scheduler_reserve_worker(struct seam_scheduler *sched, struct seam_job *j,
+			      int step, seam_time now)
 {
 	const struct seam_step *t = &j->row.spec.step[step];
 	struct reservation r = {.search = {.sched = sched,
@@ -226,6 +228,8 @@
 					   .need = scheduler_step_need(t),
 					   .now = now}};
 
+	if (now < j->reserve_after)
+		return;
 	/* One that was reserved before has become emptier since. */
 	r.reserved = true;
 	seam_worker_index_each_labelled(sched->worker_index, j->row.spec.pool,
@@ -236,8 +240,11 @@
 						j->row.spec.pool, "",
 						compare_for_reservation, &r);
 	}
-	if (!r.best)
+	if (!r.best) {
+		if (sched->plans_left > 0)
+			j->reserve_after = now + SCHEDULER_RESERVE_RETRY;
 		return;
+	}
 	if (!r.reserved)
 		r.best->reserved_due =
 			scheduler_reservation_due(r.room_at, now);
--- a/tests/scheduler_reservation_test.cc
+++ b/tests/scheduler_reservation_test.cc
@@ -430,3 +430,24 @@
 	EXPECT_EQ(plain->idle[0], 1) << "ordinary path";
 	EXPECT_EQ(j->idle[0], 1) << "reservation";
 }
+
+// Guards against passes that read the runs of each worker for each late job.
+TEST_F(Reservation, LateJobsWithoutAWorkerAreNotSearchedForInEachPass)
+{
+	begin(220);
+	lasting(ALL / 2, 220)->row.spec.step[0].per_worker = 1;
+	job(ALL / 32, 5000, 440);
+	for (int i = 0; i < 10; i++)
+		pass();
+	for (int i = 0; i < 100; i++)
+		job(ALL * 3 / 4, 1000)->row.spec.step[0].per_worker = 1;
+	seam_fake_clock_set(&clock, clock.time + 4 * SEAM_SEC);
+	job(ALL / 32, 5000, 1, 60000);
+	end_run(0);
+	pass();
+	EXPECT_LT(f.sched->plans_left, SCHEDULER_PLANS_MAX);
+	for (int i = 0; i < 8; i++)
+		pass(1);
+	pass();
+	EXPECT_EQ(f.sched->plans_left, SCHEDULER_PLANS_MAX);
+}
