start_window: lost answers are told from a queue on long paths, too

With 70% of the calls lost, 100 ms each, it fell from 256 to its floor on paths of 26 to 40 ms (found by the review).

The time of answered calls is compared with the least that was seen, as with the base time of Vegas, which counts up to 50 ms, so that a window that has only seen a queue does not take it for the path. The first call sets the mean also when it took less than a millisecond.

LostAnswersOnALongPathDoNotCutIt failed with the former bound, 3 of 3 (paths of 26 ms and more), and passes; the tests in which calls time out in a queue pass as before.

--- a/process/start_window.c
+++ b/process/start_window.c
@@ -14,9 +14,14 @@
 #define SMOOTHED_MIN 32
 /*
  * A queue that makes calls time out, after 50 ms or more, delays those that are
- * answered by more than this.
+ * answered by more than this beyond the time of the path.
  */
-#define CALL_QUICK (25 * SEAM_MSEC)
+#define CALL_QUEUED (25 * SEAM_MSEC)
+/*
+ * Longest time that counts as that of the path. A window that has only seen a
+ * queue must not take that for the path.
+ */
+#define CALL_LEAST_MAX (50 * SEAM_MSEC)
 /* Number of calls that their time is smoothed over. */
 #define SMOOTHED_CALLS 16
 
@@ -28,7 +33,8 @@
 	w->max = max;
 	/* Neither quick nor late: an answer has to show which. */
 	w->smoothed = TIME_SHORT;
-	w->call_time = 0;
+	w->call_time = -1;
+	w->call_least = CALL_LEAST_MAX;
 	w->answered_sent_at = 0;
 	w->cut_at = 0;
 }
@@ -40,7 +46,9 @@
 
 	if (s->sent_at > w->answered_sent_at)
 		w->answered_sent_at = s->sent_at;
-	if (!w->call_time)
+	if (s->call_time < w->call_least)
+		w->call_least = s->call_time;
+	if (w->call_time < 0)
 		w->call_time = took;
 	else
 		w->call_time += (took - w->call_time) / SMOOTHED_CALLS;
@@ -50,7 +58,8 @@
 static bool lost_answers(const struct seam_start_window *w,
 			 const struct seam_start_end *s)
 {
-	return w->answered_sent_at >= s->sent_at && w->call_time < CALL_QUICK;
+	return w->answered_sent_at >= s->sent_at &&
+	       w->call_time < (double)(w->call_least + CALL_QUEUED);
 }
 
 void seam_start_window_ended(struct seam_start_window *w,
@@ -64,7 +73,7 @@
 	if (lost_answers(w, s)) {
 		if (!s->answered)
 			return;
-		took -= s->lost;
+		took -= s->lost < took ? s->lost : took;
 	}
 	seam_start_window_answered(w, took, pending, now);
 }
--- a/process/start_window.h
+++ b/process/start_window.h
@@ -16,8 +16,9 @@
  * @max: its upper bound
  * @smoothed: smoothed time from a start to its answer; neither quick nor late
  *     before the first answer
- * @call_time: smoothed time of single calls that workers answered; 0 before the
- *     first
+ * @call_time: smoothed time of single calls that workers answered; negative
+ *     before the first
+ * @call_least: least time of such a call, at most 50 ms: that of the path
  * @answered_sent_at: when the start was sent that is the latest of those that
  *     were answered
  * @cut_at: no further cut before, as answers of starts that were sent before
@@ -34,9 +35,9 @@
  * The time that a start waits for calls without an answer says nothing of the
  * queue if those answers were lost (Karn, Partridge, "Improving round-trip time
  * estimates in reliable transport protocols", 1987). They were if other calls
- * are answered at once, and some start that was sent later was answered (after
- * RACK, RFC 8985). A queue delays the calls that are answered as well, or lets
- * none through.
+ * are answered in about the least time that one took (the base time of Vegas),
+ * and some start that was sent later was answered (after RACK, RFC 8985). A
+ * queue delays the calls that are answered as well, or lets none through.
  */
 struct seam_start_window {
 	double size;
@@ -44,6 +45,7 @@
 	double max;
 	double smoothed;
 	double call_time;
+	seam_time call_least;
 	seam_time answered_sent_at;
 	seam_time cut_at;
 };
--- a/tests/start_window_test.cc
+++ b/tests/start_window_test.cc
@@ -269,6 +269,27 @@
 	}
 }
 
+// Guards against a window that lost answers make small on a long path.
+TEST(StartWindow, LostAnswersOnALongPathDoNotCutIt)
+{
+	for (int path_ms : {0, 1, 26, 40, 60}) {
+		std::mt19937 rng(1);
+		seam_start_window w;
+
+		seam_start_window_init(&w, 256, 16, 1024);
+		for (int i = 1; i <= 4000; i++) {
+			seam_time now = i * SEAM_MSEC;
+			seam_start_end s = {0, true, path_ms * SEAM_MSEC, 0};
+
+			while (rng() % 10 < 7 && s.lost < 600 * SEAM_MSEC)
+				s.lost += 100 * SEAM_MSEC;
+			s.sent_at = now - s.lost - s.call_time;
+			seam_start_window_ended(&w, &s, 256, now);
+		}
+		EXPECT_GE(w.size, 256) << path_ms;
+	}
+}
+
 // Guards against a queue that is taken for lost answers as calls time out.
 TEST(StartWindow, CallsThatTimeOutInAQueueCutIt)
 {
