lane_codec: times of calls are bounded

A lane event of a faulty node could keep the owner's windows of starts from being cut for the rest of its term: its call_ms and lost_ms were taken as they came, and were multiplied without a check (found by the review, which saw it with one event given to the window).

Times below 0 or above a minute make the message malformed, as odd members do; a node sends no larger ones.

--- a/connection/lane.h
+++ b/connection/lane.h
@@ -104,6 +104,9 @@
 /** seam_lane_batch_free() - free the arrays and the texts of the orders */
 void seam_lane_batch_free(struct seam_lane_batch *b);
 
+/* Longest time of the calls of an order, which are given up before. */
+#define SEAM_LANE_CALLS_MS_MAX INT64_C(60000)
+
 enum seam_lane_event_kind {
 	SEAM_LANE_LISTED, /* a worker has listed its runs */
 	SEAM_LANE_SILENT, /* a worker did not answer a poll, or refused it */
@@ -129,9 +132,11 @@
  * @lease_ms: ANSWERED: what was left of the lease of a start, by the clock in
  *     the worker's answer; 0 if unknown
  * @calls: ANSWERED: calls that were made for a start
- * @call_ms: ANSWERED: time of the call that was answered
+ * @call_ms: ANSWERED: time of the call that was answered; at most
+ *     SEAM_LANE_CALLS_MS_MAX
  * @lost_ms: ANSWERED: time for which a start waited on the node for calls to
- *     its worker without an answer, its own and those before it
+ *     its worker without an answer, its own and those before it; at most
+ *     SEAM_LANE_CALLS_MS_MAX
  * @why: error message
  */
 struct seam_lane_event {
--- a/connection/lane_codec.c
+++ b/connection/lane_codec.c
@@ -469,6 +469,17 @@
 	unpack_listing(u, &v->listing);
 }
 
+/* Returns a time in milliseconds of calls that a node made for an order. */
+static int64_t unpack_time(struct seam_unpacker *u)
+{
+	int64_t ms = seam_unpack_int(u);
+
+	if (ms >= 0 && ms <= SEAM_LANE_CALLS_MS_MAX)
+		return ms;
+	u->malformed = true;
+	return 0;
+}
+
 static void unpack_event(struct seam_unpacker *u, seam_time written_at,
 			 struct seam_lane_event *v)
 {
@@ -495,8 +506,8 @@
 	v->unknown = seam_unpack_uint(u);
 	v->lease_ms = seam_unpack_int(u);
 	v->calls = (unsigned)seam_unpack_uint(u);
-	v->call_ms = seam_unpack_int(u);
-	v->lost_ms = seam_unpack_int(u);
+	v->call_ms = unpack_time(u);
+	v->lost_ms = unpack_time(u);
 }
 
 /*
--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -230,8 +230,9 @@
 	if (!rc && clock_ms)
 		v->lease_ms = o->lease_until - clock_ms;
 	v->calls = to_send->calls;
-	v->call_ms = to_send->call_time / SEAM_MSEC;
-	v->lost_ms = to_send->lost / SEAM_MSEC;
+	v->call_ms =
+		MIN(to_send->call_time / SEAM_MSEC, SEAM_LANE_CALLS_MS_MAX);
+	v->lost_ms = MIN(to_send->lost / SEAM_MSEC, SEAM_LANE_CALLS_MS_MAX);
 }
 
 /*
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -840,6 +840,30 @@
 	seam_lane_events_free(&got);
 }
 
+// Guards against times of calls that make the owner's arithmetic overflow, or
+// its windows of starts stay as they are for hours.
+TEST_F(Dispatch, OddTimesOfCallsAreRefused)
+{
+	for (int64_t ms :
+	     {INT64_C(-1), SEAM_LANE_CALLS_MS_MAX + 1, INT64_MAX, INT64_MIN})
+		for (bool lost : {false, true}) {
+			seam_lane_event v = {1, SEAM_LANE_ANSWERED, 13};
+			seam_lane_events events = {&v, 1};
+			seam_lane_events got;
+			size_t len = 0;
+
+			(lost ? v.lost_ms : v.call_ms) = ms;
+			char *text =
+				seam_lane_events_encode(&events, 0, 0, &len);
+			EXPECT_NE(
+				seam_lane_events_decode(text, len, 0, &got, &e),
+				0)
+				<< ms;
+			free(text);
+			seam_lane_events_free(&got);
+		}
+}
+
 // Guards against a crash without memory for a connection.
 TEST_F(Dispatch, WorkerWithoutAConnectionIsReported)
 {
