pass_test: a task that may start beside a reservation is not passed over

The check that no task with room is passed over left out each worker that is reserved for another task. It counts such a worker now if the task ends before the reserved one is expected to start, or fits beside it.

--- a/tests/pass_test.cc
+++ b/tests/pass_test.cc
@@ -331,9 +331,15 @@
 	auto *room = (const seam_pool_room *)g_hash_table_lookup(
 		f->sched->pool_rooms, w->info.pool);
 
+	seam_resources need = scheduler_step_need(&j->row.spec.step[step]);
+	seam_time end = seam_now(f->sched->clock) +
+			j->row.spec.step[step].estimate_ms * SEAM_MSEC +
+			SEAM_START_AND_REPORT_DELAY;
+
 	return room && seam_handle_eq(room->reservation.worker, w->self) &&
 	       (!seam_handle_eq(room->reservation.job, j->self) ||
-		room->reservation.step != step);
+		room->reservation.step != step) &&
+	       !seam_backfill_fits(&room->reservation.plan, &need, end);
 }
 
 // Whether a start of the task may be sent to @w, by its row and its runs alone.
