--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -12,12 +12,14 @@
 #include "connection/lane.h"
 #include "connection/runner.h"
 #include "connection/vms.h"
+#include "process/backfill.h"
 #include "process/backlog.h"
 #include "process/demand_trend.h"
 #include "process/election.h"
 #include "process/op_state.h"
 #include "process/row_writer.h"
 #include "process/worker_index.h"
+#include "process/start_sizes.h"
 #include "process/start_window.h"
 #include "process/store.h"
 #include "process/wave.h"
@@ -332,6 +334,38 @@
 	struct seam_demand_trend trend;
 };
 
+/**
+ * struct seam_reservation - a worker that is kept for a task that ends
+ * @job: its job; SEAM_HANDLE_NONE without a reservation
+ * @step: step of the task; any task of it may use the worker
+ * @worker: worker
+ * @made_at: when it was made
+ * @until: it ends then, as runs on the worker exceed their estimates
+ * @plan: what other tasks may start there; its time of room is not put off
+ */
+struct seam_reservation {
+	struct seam_handle job;
+	int step;
+	struct seam_handle worker;
+	seam_time made_at;
+	seam_time until;
+	struct seam_backfill plan;
+};
+
+/**
+ * struct seam_pool_room - room in a pool for tasks that end
+ * @reservation: its reservation, one at a time
+ * @cpu: starts by the CPU that they need
+ * @memory: starts by memory
+ * @gpu: starts by GPUs
+ */
+struct seam_pool_room {
+	struct seam_reservation reservation;
+	struct seam_start_sizes cpu;
+	struct seam_start_sizes memory;
+	struct seam_start_sizes gpu;
+};
+
 struct seam_scheduler;
 
 /**
@@ -374,6 +408,9 @@
  * @no_room_until: it gets no tasks until then, as it refused one for lack of
  *     room
  * @backoff_until: it gets no tasks until then, as it failed or did not answer
+ * @refusal_limit: refusals after that time show that it takes no tasks; 0 if it
+ *     has not refused a start since the latest one that it accepted
+ * @refusing_until: it counts as full until then, as it refuses each start
  * @failures: failed runs there since the last successful one
  * @shunned_until: until then it gets only lasting tasks, and these only if no
  *     other worker has room, as runs failed there
@@ -383,6 +420,8 @@
  * @reserved_at: pass that reserved it last
  * @reserved_until: until then it gets only lasting tasks, one of which waits
  * for room
+ * @reserved_due: from then on another worker may be reserved instead, as its
+ *     runs exceed their estimates
  * @vm_gone: its VM was moved or maintained, or runs another worker; its row
  *     disappears later
  * @named_by_list: a list of this term named it as the worker of its VM
@@ -438,12 +477,15 @@
 	seam_time late_until;
 	seam_time no_room_until;
 	seam_time backoff_until;
+	seam_time refusal_limit;
+	seam_time refusing_until;
 	int failures;
 	seam_time shunned_until;
 	seam_time draining_since;
 	seam_time leaving_until;
 	seam_time reserved_at;
 	seam_time reserved_until;
+	seam_time reserved_due;
 	bool vm_gone;
 	bool named_by_list;
 	int unlisted;
@@ -518,8 +560,12 @@
  * @survey_time: time of those plans, with the lock held
  * @arrivals: VMs whose worker has answered after a move
  * @arrival_time: sum of the times from the plans of these moves
- * @starts: starts that were answered
- * @start_time: sum of the times from a start to its answer
+ * @starts: starts that were answered or given up
+ * @start_time: sum of the times that they took
+ * @retried: of those, answered after more than one call
+ * @unanswered: of those, without an answer
+ * @lost_time: sum of the times for which they waited for calls to workers
+ *     without an answer
  * @listings: listings received
  * @checks: checks of all workers, with their division over the lanes
  * @searches: searches for a worker that can run a task
@@ -536,6 +582,9 @@
 	seam_time arrival_time;
 	int64_t starts;
 	seam_time start_time;
+	int64_t retried;
+	int64_t unanswered;
+	seam_time lost_time;
 	int64_t listings;
 	int64_t checks;
 	int64_t searches;
@@ -602,6 +651,7 @@
  * @dirty_jobs: jobs whose backlog entry has to be updated; struct seam_handle
  * @waiting: tasks that may be started, of all jobs
  * @worker_index: workers by free CPU
+ * @pool_rooms: pool to struct seam_pool_room
  * @workspace_used: workspace to the struct seam_resources that its runs reserve
  * @starting: starts that wait for an answer
  * @window: how many may wait, of all lanes together
@@ -721,6 +771,7 @@
 	GArray *dirty_jobs;
 	int64_t waiting;
 	struct seam_worker_index *worker_index;
+	GHashTable *pool_rooms;
 	GHashTable *workspace_used;
 	int starting;
 	struct seam_start_window window;
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -138,15 +138,47 @@
 bool scheduler_accept_row(struct seam_worker *w,
 			  const struct seam_worker_info *info);
 
+/* Workers that take no tasks */
+void scheduler_start_refused(struct seam_worker *w, seam_time now);
+void scheduler_start_accepted(struct seam_worker *w);
+/*
+ * Whether the VM of @w counts as room of its pool: it takes tasks that end, or
+ * will before a VM that is ordered now could.
+ */
+bool scheduler_worker_is_room(const struct seam_worker *w, seam_time now);
+
+struct seam_plan;
+/*
+ * Adds the labels that tasks wait for to the plan, and the VMs that have them.
+ * @pools: names of the pools of the plan
+ */
+void scheduler_describe_labels(struct seam_scheduler *sched,
+			       struct seam_plan *plan, GPtrArray *pools);
+
 /* Room for lasting tasks */
 /* Whether another worker than @except has room for a task of @step now. */
 bool scheduler_room_elsewhere(struct seam_scheduler *sched,
 			      const struct seam_job *j, int step,
 			      const struct seam_worker *except);
+/* Whether @w has @label; each has "". */
+bool scheduler_worker_has_label(const struct seam_worker *w, const char *label);
+/*
+ * Whether @w has as many tasks of a step as it may have; any number if
+ * @per_worker is 0.
+ */
+bool scheduler_worker_has_all_of_step(const struct seam_worker *w,
+				      struct seam_handle job, int step,
+				      int64_t per_worker);
 /* Number of lasting runs on @w. */
 int scheduler_lasting_runs(struct seam_worker *w);
 /* Number of those for which no other worker has room now. */
 int scheduler_pinned_runs(struct seam_worker *w);
+/* When @w has room for @need, by the estimates of its runs. */
+struct seam_backfill scheduler_plan_room(struct seam_worker *w,
+					 const struct seam_resources *need,
+					 seam_time now);
+/* When a reservation that is made now for room at @room_at is overdue. */
+seam_time scheduler_reservation_due(seam_time room_at, seam_time now);
 /* Keeps tasks that end off the worker that has room for @step the soonest. */
 void scheduler_reserve_worker(struct seam_scheduler *sched,
 			      const struct seam_job *j, int step,
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -38,6 +38,7 @@
 	struct seam_plan plan;
 	GPtrArray *pools; /* names */
 	GPtrArray *dcs; /* names */
+	struct seam_vm_pieces *pieces; /* of all jobs of each pool */
 	struct seam_wave wave;
 	bool has_wave;
 };
@@ -67,6 +68,28 @@
 		(w && scheduler_has_long_lease(sched, w->info.id, l->now)));
 }
 
+/*
+ * Whether a VM that is not up will be: it is moved or maintained, or it had a
+ * worker until a moment ago.
+ */
+static bool is_restarting(const struct vm_survey *l,
+			  const struct seam_vm_info *info)
+{
+	struct seam_handle h = SEAM_HANDLE_NONE;
+	const struct seam_worker *w;
+
+	if (info->state == SEAM_PHASE_UP)
+		return false;
+	if (info->state == SEAM_PHASE_MOVING ||
+	    info->state == SEAM_PHASE_MAINTENANCE)
+		return true;
+	while ((w = seam_table_next(l->sched->workers, &h)))
+		if (!strcmp(w->info.vm, info->vm) &&
+		    !scheduler_worker_row_is_gone(w, l->now))
+			return true;
+	return false;
+}
+
 static void describe_vm(struct vm_survey *l, size_t i)
 {
 	const struct seam_vm_info *info = &l->sched->vm[i];
@@ -74,7 +97,6 @@
 		g_hash_table_lookup(l->sched->vm_orders, info->vm);
 	struct seam_worker *w = scheduler_find_worker(l->sched, info->worker);
 	struct seam_plan_vm *v = &l->plan.vm[i];
-	bool out = seam_op_state_is_evacuated(l->sched->op_state, info->dc);
 	/* A list from before shows the VM as it was before the order. */
 	bool busy = o && l->sched->vms_read_at < o->busy_until;
 
@@ -83,6 +105,7 @@
 	v->up = info->state == SEAM_PHASE_UP && !busy;
 	v->due =
 		l->has_wave && scheduler_wave_due(l->sched, &l->wave, info->vm);
+	v->dc_out = seam_op_state_is_evacuated(l->sched->op_state, info->dc);
 	v->arriving = o && l->now < o->arrival_deadline;
 	/* The worker still runs, or runs again under the same id. */
 	if (w && w->vm_gone && v->up && l->sched->vms_read_at >= w->gone_at) {
@@ -90,8 +113,11 @@
 		scheduler_worker_update_index(w);
 		scheduler_request_assignment(l->sched);
 	}
-	if (*info->worker && is_unconfirmed(l, w))
+	v->returning = busy || is_restarting(l, info);
+	if (*info->worker && is_unconfirmed(l, w)) {
 		v->up = false;
+		v->returning = true;
+	}
 	if (w && scheduler_worker_has_late_run(w))
 		v->up = false;
 	if (w) {
@@ -100,8 +126,7 @@
 		v->lasting = scheduler_lasting_runs(w);
 		v->pinned = v->up ? scheduler_pinned_runs(w) : 0;
 		v->leaving = l->now < w->leaving_until || w->info.draining;
-		v->usable = w->listed && w->contacted && !w->info.draining &&
-			    !w->vm_gone && !out;
+		v->usable = scheduler_worker_is_room(w, l->now) && !v->dc_out;
 		if (w->info.draining)
 			v->up = false;
 	}
@@ -113,27 +138,67 @@
 		l->plan.wave.away++;
 	/*
 	 * The platform does not report the destination of a moving VM, but the
-	 * order has it.
+	 * order has it. Only its former pool is left by its worker.
 	 */
-	if (busy && *o->pool)
+	if (busy && *o->pool) {
 		v->pool = index_of(l->pools, o->pool);
+		v->leaving = false;
+	}
 }
 
 /*
- * Returns the capacity of a worker of the pool, or of any worker if the pool
- * has none.
+ * Capacity of the VMs of a pool.
+ *
+ * @mean: of all its VMs
+ * @most: most of each resource, as a larger VM may come where VMs differ
  */
-static struct seam_resources worker_capacity(struct seam_scheduler *sched,
-					     const char *pool)
+struct pool_unit {
+	struct seam_resources mean;
+	struct seam_resources most;
+};
+
+/* Adds the capacities of the workers of @pool, or of all for NULL. */
+static int64_t add_capacities(struct seam_scheduler *sched, const char *pool,
+			      struct pool_unit *u)
 {
-	struct seam_resources unit = {0, 0, 0};
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	struct seam_worker *w;
+	int64_t n = 0;
 
-	while ((w = seam_table_next(sched->workers, &h)))
-		if (!unit.cpu || !strcmp(w->info.pool, pool))
-			unit = w->info.capacity;
-	return unit;
+	while ((w = seam_table_next(sched->workers, &h))) {
+		const struct seam_resources *c = &w->info.capacity;
+
+		if (pool && strcmp(w->info.pool, pool) != 0)
+			continue;
+		n++;
+		u->mean.cpu += c->cpu;
+		u->mean.memory += c->memory;
+		u->mean.gpu += c->gpu;
+		u->most.cpu = MAX(u->most.cpu, c->cpu);
+		u->most.memory = MAX(u->most.memory, c->memory);
+		u->most.gpu = MAX(u->most.gpu, c->gpu);
+	}
+	return n;
+}
+
+/*
+ * Returns the capacity of the workers of the pool, or of all workers if the
+ * pool has none.
+ */
+static struct pool_unit pool_unit(struct seam_scheduler *sched,
+				  const char *pool)
+{
+	struct pool_unit u = {.mean = {0, 0, 0}};
+	int64_t n = add_capacities(sched, pool, &u);
+
+	if (!n)
+		n = add_capacities(sched, NULL, &u);
+	if (n) {
+		u.mean.cpu /= n;
+		u.mean.memory /= n;
+		u.mean.gpu /= n;
+	}
+	return u;
 }
 
 /*
@@ -150,24 +215,53 @@
 	if (unit->memory)
 		n = fmax(n, (double)a->memory /
 				    (FILLABLE_SHARE * (double)unit->memory));
+	if (unit->gpu)
+		n = fmax(n,
+			 (double)a->gpu / (FILLABLE_SHARE * (double)unit->gpu));
 	return (int)ceil(n);
 }
 
-static void set_targets(struct seam_plan_pool *p,
-			const struct seam_pool_demand *d,
-			const struct seam_resources *unit)
+static struct seam_vm_pieces pieces_of(const struct seam_pool_demand *d,
+				       const GArray *needs,
+				       const struct seam_resources *unit)
+{
+	struct seam_vm_pool pool = {
+		.need = (const struct seam_vm_need *)needs->data,
+		.needs = needs->len,
+		.vm = (const struct seam_vm_space *)d->vms->data,
+		.vms = d->vms->len,
+		.held = (const struct seam_vm_held *)d->held->data,
+		.helds = d->held->len,
+		.unit = *unit};
+
+	return seam_vm_pieces_count(&pool);
+}
+
+/*
+ * Sets the targets of a pool from the sum of its demand, and from the VMs that
+ * hold each of its tasks in one piece. Returns the latter of all jobs.
+ */
+static struct seam_vm_pieces set_targets(struct seam_plan_pool *p,
+					 const struct seam_pool_demand *d,
+					 const struct pool_unit *unit)
 {
+	struct seam_vm_pieces due = pieces_of(d, d->due_needs, &unit->most);
+	struct seam_vm_pieces pieces = pieces_of(d, d->all_needs, &unit->most);
 	struct seam_resources all = {d->due.cpu + d->late.cpu,
 				     d->due.memory + d->late.memory,
 				     d->due.gpu + d->late.gpu};
 
-	p->want =
-		(int)fmax(vms_for(&d->due, unit) + HEADROOM_WORKERS, d->spread);
-	p->all = (int)fmax(vms_for(&all, unit) + HEADROOM_WORKERS, d->spread);
+	p->want = (int)fmax(vms_for(&d->due, &unit->mean) + HEADROOM_WORKERS,
+			    d->spread);
+	p->all = (int)fmax(vms_for(&all, &unit->mean) + HEADROOM_WORKERS,
+			   d->spread);
+	p->want = MAX(p->want, due.needed);
+	p->all = MAX(p->all, MAX(p->want, pieces.needed));
 	if (p->want < POOL_WORKERS_MIN)
 		p->want = POOL_WORKERS_MIN;
 	if (p->all < POOL_WORKERS_MIN)
 		p->all = POOL_WORKERS_MIN;
+	return pieces;
 }
 
 static struct seam_pool_history *history_of(struct seam_scheduler *sched,
@@ -210,11 +304,34 @@
 	return h->peak;
 }
 
+/* Adds the VMs that the plan counts, each with the room that it has. */
+static void add_vms_to_demand(struct vm_survey *l, GArray *demand,
+			      const struct pool_unit *unit)
+{
+	size_t i;
+
+	for (i = 0; i < l->plan.vms; i++) {
+		const struct seam_plan_vm *v = &l->plan.vm[i];
+		struct seam_worker *w =
+			scheduler_find_worker(l->sched, l->sched->vm[i].worker);
+
+		/* A VM on its way counts, so that its order is not repeated. */
+		if (seam_plan_vm_is_available(v))
+			scheduler_demand_add_vm(
+				demand, g_ptr_array_index(l->pools, v->pool),
+				w ? &w->info.capacity : &unit[v->pool].most, w);
+		/* On VMs that only take no more tasks, lasting ones stay. */
+		else if (w && (v->leaving || v->dc_out || w->vm_gone))
+			scheduler_demand_add_leaving(demand, w);
+	}
+}
+
 static void describe_pools(struct vm_survey *l)
 {
 	const struct seam_catalog *c =
 		seam_catalog_read_lock(l->sched->catalog);
 	GArray *demand = scheduler_demands(l->sched);
+	struct pool_unit *unit;
 	guint i;
 	guint k;
 
@@ -223,12 +340,16 @@
 		index_of(l->pools, c->pool[i].name);
 	l->plan.pools = l->pools->len;
 	l->plan.pool = g_new0(struct seam_plan_pool, l->pools->len + 1);
+	l->pieces = g_new0(struct seam_vm_pieces, l->pools->len + 1);
+	unit = g_new(struct pool_unit, l->pools->len + 1);
+	for (i = 0; i < l->pools->len; i++)
+		unit[i] = pool_unit(l->sched, g_ptr_array_index(l->pools, i));
+	add_vms_to_demand(l, demand, unit);
 	for (i = 0; i < l->pools->len; i++) {
 		const char *name = g_ptr_array_index(l->pools, i);
 		const struct seam_pool_info *info =
 			c ? seam_catalog_pool(c, name) : NULL;
 		struct seam_plan_pool *p = &l->plan.pool[i];
-		struct seam_resources unit = worker_capacity(l->sched, name);
 
 		p->standby = info && info->standby;
 		p->want = p->standby ? 0 : POOL_WORKERS_MIN;
@@ -238,13 +359,14 @@
 				demand, struct seam_pool_demand, k);
 
 			if (!strcmp(d->pool, name))
-				set_targets(p, d, &unit);
+				l->pieces[i] = set_targets(p, d, &unit[i]);
 		}
 		p->soon = needed_soon(l->sched, name, p->all, l->now);
 		p->hold = recent_peak(l->sched, name, p->soon, l->now);
 	}
 	seam_catalog_read_unlock();
-	g_array_free(demand, TRUE);
+	scheduler_demands_free(demand);
+	g_free(unit);
 }
 
 /*
@@ -304,6 +426,7 @@
 		describe_vm(l, i);
 	mark_silent_dcs(l);
 	describe_pools(l);
+	scheduler_describe_labels(l->sched, &l->plan, l->pools);
 	l->sched->overloaded = is_overloaded(l);
 	seam_vm_plan(&l->plan);
 	seam_vm_plan_trim(&l->plan, scheduler_vm_budget(l->sched, l->now));
@@ -375,6 +498,7 @@
 {
 	g_free(l->plan.vm);
 	g_free(l->plan.pool);
+	g_free(l->pieces);
 	g_ptr_array_free(l->pools, TRUE);
 	g_ptr_array_free(l->dcs, TRUE);
 	if (l->has_wave)
@@ -428,9 +552,11 @@
 		}
 		seam_log(SEAM_INFO, "vms",
 			 "event=pool pool=%s vms=%d empty=%d due=%d have=%d "
-			 "want=%d all=%d soon=%d hold=%d used_pct=%d",
+			 "want=%d all=%d soon=%d hold=%d used_pct=%d pieces=%d "
+			 "missing=%d",
 			 name, vms, empty, due, p->have, p->want, p->all,
-			 p->soon, p->hold, used_pct(sched, name));
+			 p->soon, p->hold, used_pct(sched, name),
+			 l->pieces[i].needed, l->pieces[i].missing);
 	}
 }
 
--- a/process/vm_plan.h
+++ b/process/vm_plan.h
@@ -3,12 +3,14 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 #define SEAM_PLAN_POOLS_MAX 1024 /* pools in one plan */
+#define SEAM_PLAN_LABELS_MAX 64 /* labels that tasks wait for */
 
 /** enum seam_vm_action - next action for a VM */
 enum seam_vm_action {
@@ -23,15 +25,19 @@
  * @pool: index of its pool
  * @dc: index of its data centre
  * @up: it is up and no order for it is in progress
- * @usable: its worker accepts tasks
+ * @usable: its worker accepts tasks, or soon will
  * @arriving: it was moved or maintained recently, and its worker has not
  *            answered yet
+ * @returning: it is not up, and an order for it is in progress, its worker may
+ *     still answer after a takeover, or it went down a moment ago
  * @dc_unreachable: most workers of its data centre do not answer
+ * @dc_out: its data centre is out of service, so that it runs no tasks
  * @runs: tasks running on it
  * @lasting: long-running tasks among them
  * @pinned: those for which no other worker has room
  * @leaving: it has been draining since an earlier plan
  * @due: the current wave still has to maintain it
+ * @labels: bits of the labels of struct seam_plan_label that it has
  * @action: result, enum seam_vm_action
  * @to: result, index of the pool that it moves to
  */
@@ -41,12 +47,15 @@
 	bool up;
 	bool usable;
 	bool arriving;
+	bool returning;
 	bool dc_unreachable;
+	bool dc_out;
 	int runs;
 	int lasting;
 	int pinned;
 	bool leaving;
 	bool due;
+	uint64_t labels;
 	int action;
 	int to;
 };
@@ -81,19 +90,40 @@
 	double remaining_s;
 };
 
+/**
+ * struct seam_plan_label - a label that waiting tasks of a pool need
+ * @pool: index of the pool
+ * @bit: bit of the label in struct seam_plan_vm
+ * @have: result, VMs of the pool that have it
+ */
+struct seam_plan_label {
+	int pool;
+	uint64_t bit;
+	int have;
+};
+
 /** struct seam_plan - input and result of seam_vm_plan() */
 struct seam_plan {
 	struct seam_plan_vm *vm;
 	size_t vms;
 	struct seam_plan_pool *pool;
 	size_t pools;
+	struct seam_plan_label label[SEAM_PLAN_LABELS_MAX];
+	size_t labels;
 	struct seam_plan_wave wave;
 };
 
+/**
+ * seam_plan_vm_is_available() - whether a VM counts as room of its pool: it
+ * takes tasks, or will soon
+ */
+bool seam_plan_vm_is_available(const struct seam_plan_vm *v);
+
 /**
  * seam_vm_plan() - choose the next action for each VM
  *
  * Handles demand that shifts between pools, and maintenance at the same time.
+ * A pool without a VM that has a label which its tasks wait for gets one first.
  * Pools that are short of VMs for jobs that can still meet their objective are
  * served first, in order of their relative shortage; they get VMs from the
  * standby pool, then from pools that have more than such jobs need there. The
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -136,6 +136,78 @@
 	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
 }
 
+// Guards against a pool that stays short because VMs are down and no order
+// brings them back.
+TEST_F(Plan, VMsThatAreDownAreReplaced)
+{
+	add(5, A);
+	add(5, STANDBY);
+	want(A, 5);
+	for (int i = 2; i < 5; i++) {
+		vm[i].up = false;
+		vm[i].usable = false;
+	}
+	vm[4].returning = true;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
+}
+
+// Guards against a pool that gets VMs of a data centre that is out of service,
+// or counts those that arrive there.
+TEST_F(Plan, VMsOfADataCentreThatIsOutAreNoRoom)
+{
+	add(4, A);
+	add(9, STANDBY);
+	want(A, 4);
+	for (auto &v : vm)
+		v.dc_out = v.dc == 1;
+	vm[1].usable = false;
+	vm[1].arriving = true;
+	want(A, 5);
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
+	for (const auto &v : vm)
+		EXPECT_FALSE(v.action == SEAM_VM_MOVE && v.dc_out);
+}
+
+// Guards against a task that waits for a label which only VMs elsewhere have.
+TEST_F(Plan, LabelThatAPoolLacksComesFromAnother)
+{
+	add(4, A);
+	add(3, STANDBY);
+	add(4, B);
+	want(A, 4);
+	want(B, 2);
+	vm[6].labels = vm[9].labels = 2;
+	p.label[0].pool = A;
+	p.label[0].bit = 2;
+	p.labels = 1;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, A), 1);
+	EXPECT_EQ(vm[6].action, SEAM_VM_MOVE);
+	EXPECT_EQ(vm[9].to, STANDBY);
+}
+
+// Guards against the move of the only VM with a label that tasks wait for.
+TEST_F(Plan, LastVmWithALabelThatIsNeededStays)
+{
+	add(5, A);
+	add(2, B);
+	want(A, 1);
+	want(B, 3);
+	vm[1].labels = 1;
+	p.label[0].pool = A;
+	p.label[0].bit = 1;
+	p.labels = 1;
+	plan();
+	EXPECT_EQ(count(SEAM_VM_MOVE, B), 1);
+	EXPECT_EQ(count(SEAM_VM_MOVE, STANDBY), 3);
+	EXPECT_EQ(vm[1].action, SEAM_VM_KEEP);
+	p.label[0].pool = B;
+	plan();
+	EXPECT_EQ(vm[1].to, B);
+}
+
 // Guards against churn: VMs are kept while demand may return.
 TEST_F(Plan, HeldVMsStay)
 {
