scheduler_backlog: one start at a time on a worker that answers none

Callers saw tasks wait beside workers that were free. Where some workers of a node answer polls but no start, nothing started at all: four such workers beside four that answer, 64 cores each, 0 starts within 5 s, as all places of the node's window were held (100% of the samples) and those that were given up went to the same workers again.

Cause: a start holds a place until it is answered or 0.3 s have passed. A node sends a worker its orders one after another, so behind one start without an answer all others on that worker wait, and are given up after 0.6 s; each time the room that they leave makes their worker the first choice once more.

A worker whose start was given up as calls got no answer, and which has answered none since that start was sent, gets one at a time until it answers one. Tries of a start, and the waits for late ones, are as before.

scheduler_answers_test UnansweredStartsLeavePlacesToOtherWorkers: 0 starts before, in 3 of 3 tries; 1,000 starts after 2.2 to 2.7 s, in 3 of 3.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -353,6 +353,8 @@
  * @missed_holds: holds that it did not answer since
  * @steady_since: it has answered holds since then, without falling silent
  * @start_answered_at: when it last answered a start
+ * @start_unanswered: calls for a start got no answer and it was given up; no
+ *     start has been answered since that one was sent
  * @disturbed_at: when it last fell silent after it had answered for a while, or
  *     restarted; 0 before
  * @clock_ms: its clock at @clock_at of the owner's clock
@@ -421,6 +423,7 @@
 	int missed_holds;
 	seam_time steady_since;
 	seam_time start_answered_at;
+	bool start_unanswered;
 	seam_time disturbed_at;
 	int64_t clock_ms;
 	seam_time clock_at;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -271,6 +271,18 @@
 					sched->lane[w->lane].starting, now);
 }
 
+static void note_start_answer(struct seam_worker *w,
+			      const struct seam_run_slot *r,
+			      const struct seam_lane_event *v)
+{
+	if (v->failed == SEAM_OK) {
+		w->start_answered_at = seam_now(w->sched->clock);
+		w->start_unanswered = false;
+	} else if (r && v->lost_ms && w->start_answered_at < r->sent_at) {
+		w->start_unanswered = true;
+	}
+}
+
 /*
  * Handles the answer to a start. If an earlier attempt got no answer, a refusal
  * does not apply to that attempt: it may be running, have ended, or begin
@@ -289,8 +301,7 @@
 		count_answer(w, r, v);
 	if (v->unknown)
 		scheduler_order_unanswered(w, o);
-	if (v->failed == SEAM_OK)
-		w->start_answered_at = seam_now(sched->clock);
+	note_start_answer(w, r, v);
 	if (v->failed == SEAM_OK && v->outcome == SEAM_ORDER_DONE) {
 		if (r && r->state == SEAM_RUN_SENT) {
 			scheduler_run_set_state(sched, r, SEAM_RUN_RUNNING);
--- a/process/scheduler_backlog.c
+++ b/process/scheduler_backlog.c
@@ -164,6 +164,16 @@
 	r->start_lane = -1;
 }
 
+/*
+ * Whether a start may be sent to @w besides those under way. Its node sends one
+ * after another, so those behind one that is not answered only take places from
+ * other workers.
+ */
+bool scheduler_worker_takes_start(const struct seam_worker *w)
+{
+	return !w->start_unanswered || (!w->orders.length && !w->sent.length);
+}
+
 static void expire_start(struct seam_scheduler *sched,
 			 const struct seam_sent_start *s)
 {
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -165,6 +165,7 @@
 void scheduler_start_finished(struct seam_scheduler *sched,
 			      struct seam_run_slot *r);
 void scheduler_starts_expire(struct seam_scheduler *sched, seam_time now);
+bool scheduler_worker_takes_start(const struct seam_worker *w);
 
 /* Runs */
 void scheduler_run_set_state(struct seam_scheduler *sched,
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -126,7 +126,7 @@
 
 	if (!scheduler_worker_usable(w, p->now) || p->now < w->no_room_until ||
 	    seam_op_state_is_evacuated(sched->op_state, w->info.dc) ||
-	    w->lane < 0)
+	    w->lane < 0 || !scheduler_worker_takes_start(w))
 		return false;
 	if (sched->lane[w->lane].starting < sched->lane[w->lane].window.size)
 		return true;
--- a/process/scheduler_restart.c
+++ b/process/scheduler_restart.c
@@ -129,6 +129,7 @@
 	w->answered = false;
 	w->missed_holds = 0;
 	w->failures = 0;
+	w->start_unanswered = false;
 	g_array_set_size(w->uncommitted_ends, 0);
 	if (w->vm_gone)
 		scheduler_request_assignment(w->sched);
