--- a/tests/scheduler_answers_test.cc
+++ b/tests/scheduler_answers_test.cc
@@ -75,3 +75,32 @@
 	EXPECT_GE(least.all, 200);
 	EXPECT_GE(least.lane, 50);
 }
+
+// Guards against unanswered starts that hold all places of a node.
+TEST_F(Scheduler, UnansweredStartsLeavePlacesToOtherWorkers)
+{
+	std::vector<FakeWorker *> workers;
+
+	for (const char *id : {"a0", "a1", "a2", "a3", "b0", "b1", "b2", "b3"})
+		workers.push_back(w.add_worker(id, "p", 64000));
+	Owner o(&w, "n1");
+	o.start_renewals();
+	for (auto *x : workers)
+		ASSERT_TRUE(
+			worker_becomes(o, x->id.c_str(), [&](seam_worker *y) {
+				return scheduler_worker_usable(
+					y, seam_now(w.clock));
+			}));
+	for (auto *x : workers)
+		if (x->id[0] == 'a') {
+			x->lost_starts_time_out = true;
+			x->late_starts = 1000000;
+		}
+	w.job(ID, 10000, "100");
+	EXPECT_TRUE(eventually(
+		[&] {
+			std::lock_guard<std::mutex> l(w.lock);
+			return w.starts.size() >= 1000;
+		},
+		5000));
+}
