--- a/tests/backfill_test.cc
+++ b/tests/backfill_test.cc
@@ -33,8 +33,7 @@
 	}
 };
 
-// Guards against a time of room that is not the first with enough of each
-// resource.
+// Guards against a time of room that is not the first with enough of all.
 TEST_F(Backfill, RoomComesWithTheFirstEndThatSuffices)
 {
 	for (int i = 0; i < 2000; i++) {
@@ -73,8 +72,7 @@
 	}
 }
 
-// Guards against a reservation on a worker that has no room beside lasting
-// tasks.
+// Guards against a reservation of a worker without room beside lasting tasks.
 TEST_F(Backfill, RunsThatLastGiveNoRoom)
 {
 	run = {{{4000, 0, 0}, SEAM_NEVER}, {{4000, 0, 0}, 1500}};
@@ -82,8 +80,7 @@
 	EXPECT_EQ(plan({4001, 0, 0}, {0, 0, 0}).room_at, SEAM_NEVER);
 }
 
-// Guards against small tasks that put the start of the large one off, and
-// against a worker that is left idle though they would not.
+// Guards against small tasks that put off the start of the large one.
 TEST_F(Backfill, OthersStartIfTheyEndBeforeOrFitBeside)
 {
 	run = {{{4000, 0, 0}, 2000}};
@@ -97,8 +94,7 @@
 	EXPECT_TRUE(seam_backfill_fits(&b, &beside, 9000));
 }
 
-// Guards against a run beyond its estimate that is expected to end at once, for
-// ever.
+// Guards against a run beyond its estimate that is always about to end.
 TEST_F(Backfill, RunBeyondItsEstimateGoesOn)
 {
 	EXPECT_EQ(seam_backfill_end(1000000, 500, 1200000), 1500000);
--- a/tests/backlog_test.cc
+++ b/tests/backlog_test.cc
@@ -140,8 +140,7 @@
 	EXPECT_EQ(seen[2], 10);
 }
 
-// Guards against late jobs that are passed over, or come in another order, as
-// the search begins behind them.
+// Guards against late jobs that are passed over or come in another order.
 TEST_F(Backlog, JobsFromAKeyOnComeInOrder)
 {
 	std::mt19937 rng(1);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -840,8 +840,7 @@
 	seam_lane_events_free(&got);
 }
 
-// Guards against times of calls that make the owner's arithmetic overflow, or
-// its windows of starts stay as they are for hours.
+// Guards against times of calls that overflow the owner's arithmetic.
 TEST_F(Dispatch, OddTimesOfCallsAreRefused)
 {
 	for (int64_t ms :
--- a/tests/scheduler_demand_test.cc
+++ b/tests/scheduler_demand_test.cc
@@ -41,8 +41,7 @@
 	}
 };
 
-// Guards against a large task that waits for as long as lasting tasks leave no
-// piece of a VM that holds it, while the pool is less than half full.
+// Guards against a large task without a piece of a VM beside lasting tasks.
 TEST_F(SchedulerDemand, TaskThatFitsBesideNoLastingTaskGetsAVm)
 {
 	w.config(0, true);
@@ -68,8 +67,7 @@
 	EXPECT_LE(orders_into("p"), 2);
 }
 
-// Guards against a lasting task that waits for ever, as its VMs have all tasks
-// of its step that they may have and another one is full.
+// Guards against a lasting task that has no VM left which may run it.
 TEST_F(SchedulerDemand, TaskOfALimitedStepBesideAFullVmGetsAVm)
 {
 	w.config(0, true);
@@ -137,8 +135,7 @@
 	EXPECT_TRUE(eventually([&] { return orders_into("p") >= 2; }, 3000));
 }
 
-// Guards against orders that are repeated until the list shows their VMs in the
-// pool that they move to.
+// Guards against orders that are repeated until the list shows the move.
 TEST_F(SchedulerDemand, VmOnItsWayIsNotOrderedAgain)
 {
 	w.config(0, true);
--- a/tests/scheduler_load_test.cc
+++ b/tests/scheduler_load_test.cc
@@ -48,8 +48,7 @@
 	EXPECT_EQ(metric(BESIDE_ROOM), 0);
 }
 
-// Guards against a large task that waits without a line while smaller ones of
-// its full pool go on starting.
+// Guards against a large task in a full pool that no line explains.
 TEST_F(SchedulerLoad, PoolThatStartsSmallerTasksIsTold)
 {
 	auto small_jobs = [&](int from, int n) {
--- a/tests/scheduler_reservation_test.cc
+++ b/tests/scheduler_reservation_test.cc
@@ -119,8 +119,7 @@
 	}
 };
 
-// Guards against a large task that waits while small ones go on starting, and
-// against a reservation that keeps more than a worker from jobs in time.
+// Guards against a large task that waits while small ones go on starting.
 TEST_F(Reservation, LateLargeTaskGetsOneWorker)
 {
 	seam_job *j = large_beside_small();
@@ -140,8 +139,7 @@
 	EXPECT_GE(reserved(), 0) << "now for the second large job";
 }
 
-// Guards against a late job that takes a worker though tasks as large are
-// started: it is behind them by its urgency, not by its size.
+// Guards against a reservation for a job that is late by its urgency alone.
 TEST_F(Reservation, LateTaskOfTheUsualSizeGetsNone)
 {
 	begin(2);
@@ -157,8 +155,7 @@
 	}
 }
 
-// Guards against a worker that is kept idle for a task that can still meet its
-// objective.
+// Guards against a worker that is idle for a task which is still in time.
 TEST_F(Reservation, TaskInTimeGetsNone)
 {
 	begin(2);
@@ -178,8 +175,7 @@
 	EXPECT_GE(reserved(), 0);
 }
 
-// Guards against a worker that is kept for a task which no worker can hold
-// beside its lasting tasks, and against one that keeps others from theirs.
+// Guards against a reservation for a task that no worker can ever hold.
 TEST_F(Reservation, TaskThatNoWorkerCanHoldKeepsNone)
 {
 	begin(2);
@@ -208,8 +204,7 @@
 				   j->self));
 }
 
-// Guards against a reserved worker that is idle though other tasks would not
-// delay its task, and against one that they fill.
+// Guards against a reserved worker that other tasks leave idle, or fill.
 TEST_F(Reservation, TasksThatEndBeforeOrFitBesideGoOn)
 {
 	seam_job *j = large_beside_small(10000);
@@ -253,8 +248,7 @@
 	EXPECT_EQ(reserved(), 1 - kept);
 }
 
-// Guards against a worker that is kept for as long as its runs exceed their
-// estimates.
+// Guards against a reservation for as long as runs exceed their estimates.
 TEST_F(Reservation, EndsIfTheWorkerGetsNoRoomInTime)
 {
 	large_beside_small();
@@ -271,8 +265,7 @@
 	EXPECT_LT(ms, 5000);
 }
 
-// Guards against a worker that is kept while its task pauses after a failed
-// run.
+// Guards against a reservation for a task that pauses after a failed run.
 TEST_F(Reservation, EndsWhileTheTaskMayNotStart)
 {
 	seam_job *j = large_beside_small();
@@ -282,8 +275,7 @@
 	EXPECT_EQ(reserved(), -1);
 }
 
-// Guards against a lasting task that waits for a worker which is kept for one
-// that ends.
+// Guards against a lasting task that waits for a worker of one that ends.
 TEST_F(Reservation, LastingTasksComeFirst)
 {
 	seam_job *j = large_beside_small();
@@ -299,8 +291,7 @@
 	EXPECT_EQ(j->idle[0], 1);
 }
 
-// Guards against room beside a task that a reservation started, which waits for
-// the next pass as the need of that task found no other worker.
+// Guards against room beside a started task that waits for the next pass.
 TEST_F(Reservation, RoomBesideAStartedTaskIsUsedInTheSamePass)
 {
 	begin(2);
@@ -324,8 +315,7 @@
 	EXPECT_EQ(second->idle[0], 0);
 }
 
-// Guards against a reservation of a worker that gets no starts, for room that
-// its task can't use.
+// Guards against a reservation of a worker that gets no starts.
 TEST_F(Reservation, WorkerThatGetsNoStartsIsNotKept)
 {
 	large_beside_small();
@@ -344,8 +334,7 @@
 	EXPECT_NE(reserved(), 1 - kept);
 }
 
-// Guards against a lasting task that never runs, as it reserves a worker that
-// refuses it while tasks that end fill the others.
+// Guards against a lasting task that reserves a worker which refuses it.
 TEST_F(Reservation, LastingTaskReservesAWorkerThatGetsStarts)
 {
 	begin(2);
@@ -363,8 +352,7 @@
 	EXPECT_EQ(l->idle[0], 0);
 }
 
-// Guards against a lasting task that reserves the emptiest worker and waits for
-// a long run there, while tasks that end soon go on starting on another.
+// Guards against a lasting task that waits for a long run of its worker.
 TEST_F(Reservation, LastingTaskReservesTheWorkerWithRoomTheSoonest)
 {
 	begin(2);
@@ -385,8 +373,7 @@
 	EXPECT_EQ(l->idle[0], 0);
 }
 
-// Guards against a lasting task that waits for a worker whose runs exceed their
-// estimates, while tasks that end go on starting on another.
+// Guards against a lasting task that waits for runs beyond their estimates.
 TEST_F(Reservation, LastingTaskLeavesAWorkerThatGetsNoRoomInTime)
 {
 	begin(2);
--- a/tests/scheduler_room_test.cc
+++ b/tests/scheduler_room_test.cc
@@ -136,8 +136,7 @@
 	}
 }
 
-// Guards against a large task that ends and never finds room, as small tasks
-// take each part of a worker that becomes free.
+// Guards against small tasks that take each piece that a large one needs.
 TEST_F(Scheduler, LateLargeTaskGetsAWorkerFromSmallOnes)
 {
 	w.add_worker("a", "p", 8000);
--- a/tests/scheduler_vm_room_test.cc
+++ b/tests/scheduler_vm_room_test.cc
@@ -83,8 +83,7 @@
 	EXPECT_EQ(moves_to("p"), 0);
 }
 
-// Guards against a task that waits beside VMs whose workers write their rows
-// and answer nothing.
+// Guards against a task that waits beside VMs whose workers answer nothing.
 TEST_F(VmRoom, SilentVmsAreReplaced)
 {
 	Owner o(&w, "n1");
@@ -135,8 +134,7 @@
 	}
 };
 
-// Guards against a task that waits beside VMs that are down and that no order
-// brings back.
+// Guards against a task that waits beside VMs that are down.
 TEST_F(VmsDown, TheyAreReplaced)
 {
 	Owner o(&w, "n1");
@@ -165,8 +163,7 @@
 	EXPECT_EQ(moves_to("p"), 0);
 }
 
-// Guards against moves of VMs that can't run the tasks that wait, as their data
-// centre is out of service.
+// Guards against moves of VMs of a data centre that is out of service.
 TEST_F(VmRoom, NoVmOfADataCentreThatIsOutIsOrdered)
 {
 	for (const char *id : {"h", "i", "j"})
@@ -185,8 +182,7 @@
 			<< s;
 }
 
-// Guards against a task that waits for a label which no VM of its pool has,
-// while a VM with it is idle in another pool.
+// Guards against a task that waits for a label which only other pools have.
 TEST_F(VmRoom, VmWithTheLabelOfAWaitingTaskIsOrdered)
 {
 	Owner o(&w, "n1");
--- a/tests/start_sizes_test.cc
+++ b/tests/start_sizes_test.cc
@@ -40,8 +40,7 @@
 	}
 }
 
-// Guards against a write beyond the bound, and against a late start of a small
-// task that is taken for one of a large task.
+// Guards against a write beyond the bound.
 TEST_F(StartSizes, OnlyTheLargestAreDropped)
 {
 	const int n = 3 * SEAM_START_SIZES_MAX;
--- a/tests/start_window_test.cc
+++ b/tests/start_window_test.cc
@@ -309,8 +309,7 @@
 			}
 }
 
-// Guards against a queue before the first call, or in front of the owner, that
-// is taken for a quick path as the calls are quick.
+// Guards against a queue in front of the calls that is taken for lost ones.
 TEST(StartWindow, LateAnswersToSingleCallsCutIt)
 {
 	seam_start_window w;
@@ -326,8 +325,7 @@
 	EXPECT_LE(w.size, 100);
 }
 
-// Guards against starts without an answer that count for nothing when none is
-// answered.
+// Guards against a path without any answer that leaves the window open.
 TEST(StartWindow, StartsWithoutAnyAnswerCutIt)
 {
 	seam_start_window w;
--- a/tests/vm_pieces_test.cc
+++ b/tests/vm_pieces_test.cc
@@ -45,8 +45,7 @@
 	}
 };
 
-// Guards against a pool whose free pieces are each too small for a task, though
-// their sum is larger.
+// Guards against free pieces that are too small but are added up.
 TEST_F(Pieces, FreePiecesDoNotAddUp)
 {
 	add_vms(4, 4500, true);
@@ -62,8 +61,7 @@
 	expect(0, 0);
 }
 
-// Guards against a second order while the VM of the first one is on its way,
-// and against the loss of that VM before its task has started.
+// Guards against a second order, and the loss, of a VM on its way.
 TEST_F(Pieces, EmptyVmIsUsedAndNeeded)
 {
 	add_vms(4, 4500, true);
@@ -101,8 +99,7 @@
 	expect(3, 3);
 }
 
-// Guards against steps with a limit for each VM of which only the widest
-// counts.
+// Guards against limited steps of which only the widest counts.
 TEST_F(Pieces, LimitedStepsBesideLargeTasksAddUp)
 {
 	add(3, {7500, 0, 0});
@@ -112,8 +109,7 @@
 	expect(6, 6);
 }
 
-// Guards against a task that counts as held by VMs with all tasks of its step
-// that they may have.
+// Guards against a limited task that counts as held by a VM of its step.
 TEST_F(Pieces, VmsWithTheStepTakeNoMoreOfIt)
 {
 	add_vms(3, 7000, true);
--- a/tests/vm_plan_test.cc
+++ b/tests/vm_plan_test.cc
@@ -136,8 +136,7 @@
 	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
 }
 
-// Guards against a pool that stays short because VMs are down and no order
-// brings them back.
+// Guards against a pool that stays short because VMs are down.
 TEST_F(Plan, VMsThatAreDownAreReplaced)
 {
 	add(5, A);
@@ -152,8 +151,7 @@
 	EXPECT_EQ(count(SEAM_VM_MOVE, A), 2);
 }
 
-// Guards against a pool that gets VMs of a data centre that is out of service,
-// or counts those that arrive there.
+// Guards against a pool that gets, or counts, VMs out of service.
 TEST_F(Plan, VMsOfADataCentreThatIsOutAreNoRoom)
 {
 	add(4, A);
