scheduler_manage_vms: look up the workers of VMs that are off in a table

The walk is made once. No change of behaviour; scheduler_vm_room_test, scheduler_vms_test, scheduler_demand_test and vm_plan_test pass. The cost was not measured alone.

Also the order of two includes, a blank line and the wrapping of a comment.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -18,11 +18,11 @@
 #include "process/election.h"
 #include "process/op_state.h"
 #include "process/row_writer.h"
-#include "process/worker_index.h"
 #include "process/start_sizes.h"
 #include "process/start_window.h"
 #include "process/store.h"
 #include "process/wave.h"
+#include "process/worker_index.h"
 #include "request/jobrow.h"
 #include "version/catalog.h"
 
--- a/process/scheduler_manage_vms.c
+++ b/process/scheduler_manage_vms.c
@@ -38,6 +38,7 @@
 	struct seam_plan plan;
 	GPtrArray *pools; /* names */
 	GPtrArray *dcs; /* names */
+	GHashTable *with_row; /* VMs of workers that have a row */
 	struct seam_vm_pieces *pieces; /* of all jobs of each pool */
 	struct seam_wave wave;
 	bool has_wave;
@@ -75,19 +76,22 @@
 static bool is_restarting(const struct vm_survey *l,
 			  const struct seam_vm_info *info)
 {
-	struct seam_handle h = SEAM_HANDLE_NONE;
-	const struct seam_worker *w;
-
 	if (info->state == SEAM_PHASE_UP)
 		return false;
-	if (info->state == SEAM_PHASE_MOVING ||
-	    info->state == SEAM_PHASE_MAINTENANCE)
-		return true;
+	return info->state == SEAM_PHASE_MOVING ||
+	       info->state == SEAM_PHASE_MAINTENANCE ||
+	       g_hash_table_contains(l->with_row, info->vm);
+}
+
+/* Notes the VMs of workers whose rows are there, or were a moment ago. */
+static void find_rows(struct vm_survey *l)
+{
+	struct seam_handle h = SEAM_HANDLE_NONE;
+	struct seam_worker *w;
+
 	while ((w = seam_table_next(l->sched->workers, &h)))
-		if (!strcmp(w->info.vm, info->vm) &&
-		    !scheduler_worker_row_is_gone(w, l->now))
-			return true;
-	return false;
+		if (!scheduler_worker_row_is_gone(w, l->now))
+			g_hash_table_add(l->with_row, w->info.vm);
 }
 
 static void describe_vm(struct vm_survey *l, size_t i)
@@ -422,6 +426,7 @@
 	}
 	l->plan.vms = l->sched->vms;
 	l->plan.vm = g_new0(struct seam_plan_vm, l->sched->vms + 1);
+	find_rows(l);
 	for (i = 0; i < l->sched->vms; i++)
 		describe_vm(l, i);
 	mark_silent_dcs(l);
@@ -501,6 +506,7 @@
 	g_free(l->pieces);
 	g_ptr_array_free(l->pools, TRUE);
 	g_ptr_array_free(l->dcs, TRUE);
+	g_hash_table_destroy(l->with_row);
 	if (l->has_wave)
 		free(l->wave.vm);
 }
@@ -570,6 +576,7 @@
 		return;
 	l.pools = g_ptr_array_new_with_free_func(g_free);
 	l.dcs = g_ptr_array_new_with_free_func(g_free);
+	l.with_row = g_hash_table_new(g_str_hash, g_str_equal);
 	pthread_mutex_lock(&sched->lock);
 	locked_at = seam_now(sched->clock);
 	plan_vms(&l);
--- a/process/scheduler_pass.c
+++ b/process/scheduler_pass.c
@@ -397,8 +397,7 @@
 
 /*
  * Starts tasks in order of urgency; those of reservations come after lasting
- * ones. Skips the rest of a pool when no more of
- * its tasks can be started.
+ * ones. Skips the rest of a pool when no more of its tasks can be started.
  */
 static void start_jobs(struct seam_pass *p)
 {
--- a/process/scheduler_reservation.c
+++ b/process/scheduler_reservation.c
@@ -19,6 +19,7 @@
  * users call a job lost of which nothing runs for 3 s.
  */
 #define RECENT_START_MAX (3 * SEAM_SEC)
+
 SEAM_METRIC(reservations, "seam_reservations_total",
 	    "Workers reserved for a late task that ends and found no room.");
 
