--- a/process/backfill.c
+++ b/process/backfill.c
@@ -25,7 +25,8 @@
 	struct seam_backfill b = {now, *free};
 	size_t i;
 
-	qsort(run, n, sizeof(*run), compare_ends);
+	if (n)
+		qsort(run, n, sizeof(*run), compare_ends);
 	for (i = 0;
 	     i < n && (!seam_fits(need, &b.beside) || run[i].end <= b.room_at);
 	     i++) {
