scheduler_load: tell runs on workers that do not answer, and why runs are lost

A confirmed run now counts only on a worker that has answered a poll within two seconds; task_waits and run_lost have unheard_ms; event=load counts runs that were lost, those among them whose worker had answered within the time of a lease, and starts that no call was made for.

SchedulerLoad.RunOnAWorkerThatDoesNotAnswerIsTold failed before.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -569,6 +569,10 @@
  * @unanswered: of those, without an answer
  * @lost_time: sum of the times for which they waited for calls to workers
  *     without an answer
+ * @unsent: starts that no call was made for
+ * @lost_runs: runs that were given up
+ * @lost_heard: of those, runs that their leases ended though their worker had
+ *     answered a poll within the time of a lease
  * @listings: listings received
  * @checks: checks of all workers, with their division over the lanes
  * @searches: searches for a worker that can run a task
@@ -588,6 +592,9 @@
 	int64_t retried;
 	int64_t unanswered;
 	seam_time lost_time;
+	int64_t unsent;
+	int64_t lost_runs;
+	int64_t lost_heard;
 	int64_t listings;
 	int64_t checks;
 	int64_t searches;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -267,6 +267,7 @@
 	m->retried += s.answered && v->calls > 1;
 	m->unanswered += !s.answered;
 	m->lost_time += s.lost;
+	m->unsent += !s.answered && !v->calls;
 	seam_start_window_ended(&sched->window, &s, sched->starting, now);
 	if (w->lane >= 0)
 		seam_start_window_ended(&sched->lane[w->lane].window, &s,
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -113,6 +113,7 @@
  * it comes into service or goes out of it.
  */
 void scheduler_worker_update_index(struct seam_worker *w);
+seam_time scheduler_worker_unheard_time(const struct seam_worker *w);
 bool scheduler_worker_row_is_gone(const struct seam_worker *w, seam_time now);
 struct seam_resources scheduler_worker_free(const struct seam_worker *w);
 /* A run on a worker. */
--- a/process/scheduler_load.c
+++ b/process/scheduler_load.c
@@ -247,7 +247,7 @@
 		"waited_ms=%lld lasting=%d room=%d need_cpu=%lld "
 		"need_memory=%lld per_worker=%lld largest_free_cpu=%lld "
 		"pool_used_pct=%d pool_starts=%d worker=%s answered=%d usable=%d "
-		"draining=%d listed=%d lease_left_ms=%lld refused=%d "
+		"draining=%d listed=%d unheard_ms=%lld lease_left_ms=%lld refused=%d "
 		"late_left_ms=%lld late_wait_left_ms=%lld late_starts=%d",
 		j->row.spec.id, step, (long long)task, j->row.spec.pool, why,
 		(long long)waited / SEAM_MSEC, s->lasting,
@@ -259,6 +259,8 @@
 		room ? room->recent_starts : 0, w ? w->info.id : "",
 		w && w->answered, w && scheduler_worker_usable(w, now),
 		w && w->info.draining, w && w->listed,
+		w ? (long long)scheduler_worker_unheard_time(w) / SEAM_MSEC :
+		    0LL,
 		w ? (long long)(w->lease_end - now) / SEAM_MSEC : 0LL,
 		w && w->answered_token > t->late_token,
 		ms_left(t->late_until, now),
@@ -299,17 +301,26 @@
 	return n;
 }
 
-/* Whether a worker has confirmed a run of @j that has not ended. */
-static bool has_confirmed_run(const struct seam_job *j)
+/*
+ * Whether a worker has confirmed a run of @j that has not ended, and still
+ * answers: a run on any other worker may have ended.
+ */
+static bool has_confirmed_run(struct seam_scheduler *sched,
+			      const struct seam_job *j)
 {
 	const struct seam_run_slot *r;
+	const struct seam_worker *w;
 	int i;
 	int64_t t;
 
 	for (i = 0; i < j->row.spec.steps; i++)
 		for (t = 0; t < j->row.spec.step[i].tasks; t++) {
 			r = first_run(&j->task[i][t]);
-			if (r && r->state == SEAM_RUN_RUNNING)
+			if (!r || r->state != SEAM_RUN_RUNNING)
+				continue;
+			w = scheduler_worker(sched, r->worker);
+			if (w &&
+			    scheduler_worker_unheard_time(w) < WAIT_LOG_MIN)
 				return true;
 		}
 	return false;
@@ -321,7 +332,8 @@
  * pool is free. The load line counts other jobs that wait for room, for their
  * turn or for a limit.
  */
-static bool logs_waiting_step(const struct seam_job *j, int step,
+static bool logs_waiting_step(struct seam_scheduler *sched,
+			      const struct seam_job *j, int step,
 			      const struct pool_room *room)
 {
 	if (seam_job_finished(j->row.state) ||
@@ -331,17 +343,19 @@
 		return true;
 	return ((j->delay_reason == SEAM_DELAY_UNCONFIRMED && j->begun) ||
 		is_half_free(room)) &&
-	       !has_confirmed_run(j);
+	       !has_confirmed_run(sched, j);
 }
 
 /*
  * Notes the first task of @step that has waited for room, if its need is the
  * largest of its pool.
  */
-static void note_large_task(struct pool_room *room, const struct seam_job *j,
-			    int step, seam_time now)
+static void note_large_task(struct seam_scheduler *sched,
+			    struct pool_room *room, const struct seam_job *j,
+			    int step)
 {
 	const struct seam_step *s = &j->row.spec.step[step];
+	seam_time now = seam_now(sched->clock);
 	int64_t t;
 
 	/* A pass that found no room for others may not have reached the job. */
@@ -352,7 +366,7 @@
 	     s->need.cpu <= room->large_job->row.spec.step[room->large_step]
 				    .need.cpu) ||
 	    seam_job_finished(j->row.state) ||
-	    !scheduler_step_is_ready(j, step) || has_confirmed_run(j))
+	    !scheduler_step_is_ready(j, step) || has_confirmed_run(sched, j))
 		return;
 	for (t = j->first_idle[step]; t < s->tasks; t++) {
 		if (!scheduler_task_is_idle(j, step, t) ||
@@ -404,7 +418,6 @@
 {
 	GHashTable *rooms = pool_rooms(sched);
 	struct seam_handle h = SEAM_HANDLE_NONE;
-	seam_time now = seam_now(sched->clock);
 	struct pool_room *room;
 	struct seam_job *j;
 	int64_t lasting = 0;
@@ -417,8 +430,8 @@
 		room = g_hash_table_lookup(rooms, j->row.spec.pool);
 		for (i = 0; i < j->row.spec.steps; i++) {
 			if (room)
-				note_large_task(room, j, i, now);
-			if (!logs_waiting_step(j, i, room))
+				note_large_task(sched, room, j, i);
+			if (!logs_waiting_step(sched, j, i, room))
 				continue;
 			waiting = log_waiting_step(sched, j, i,
 						   lasting + others, room);
@@ -483,7 +496,8 @@
 			"event=load over_ms=%lld jobs=%zu "
 			"waiting=%lld starting=%d window=%d starts=%lld "
 			"start_ms=%lld lost_ms=%lld retried=%lld "
-			"unanswered=%lld looks=%lld passes=%lld pass_ms=%lld searches=%lld "
+			"unanswered=%lld unsent=%lld lost_runs=%lld lost_heard=%lld "
+			"looks=%lld passes=%lld pass_ms=%lld searches=%lld "
 			"failed_searches=%lld compared=%lld checks=%lld "
 			"surveys=%lld "
 			"survey_ms=%lld arrivals=%lld arrival_ms=%lld "
@@ -496,8 +510,9 @@
 			(int)sched->window.size, (long long)m->starts,
 			mean_ms(m->start_time, m->starts),
 			mean_ms(m->lost_time, m->starts), (long long)m->retried,
-			(long long)m->unanswered, (long long)m->listings,
-			(long long)m->passes,
+			(long long)m->unanswered, (long long)m->unsent,
+			(long long)m->lost_runs, (long long)m->lost_heard,
+			(long long)m->listings, (long long)m->passes,
 			(long long)m->pass_time / SEAM_MSEC,
 			(long long)m->searches, (long long)m->failed_searches,
 			(long long)m->compared, (long long)m->checks,
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -68,14 +68,33 @@
 	return !lasting && now < w->shunned_until;
 }
 
+/* Returns for how long the worker has not answered a poll. */
+seam_time scheduler_worker_unheard_time(const struct seam_worker *w)
+{
+	return seam_now(w->sched->clock) - w->heard_at;
+}
+
+static void count_lost_run(const struct seam_worker *w)
+{
+	struct seam_load_stats *m = &w->sched->load;
+	seam_time now = seam_now(w->sched->clock);
+
+	m->lost_runs++;
+	m->lost_heard +=
+		w->listed && now > w->lease_end &&
+		scheduler_worker_unheard_time(w) < scheduler_lease(w->sched);
+}
+
 void scheduler_run_lost(struct seam_worker *w,
 			const struct scheduler_run_ref *at, const char *why)
 {
 	seam_log(SEAM_INFO, "worker",
 		 "event=run_lost worker=%s job=%s step=%d task=%d run=%lld "
-		 "why=%s",
+		 "why=%s state=%d unheard_ms=%lld",
 		 w->info.id, at->job->row.spec.id, at->step, at->task,
-		 (long long)at->run->number, why);
+		 (long long)at->run->number, why, at->run->state,
+		 (long long)scheduler_worker_unheard_time(w) / SEAM_MSEC);
+	count_lost_run(w);
 	scheduler_run_drop(w->sched, at->job, at->step, at->task, at->run);
 }
 
--- a/tests/scheduler_load_test.cc
+++ b/tests/scheduler_load_test.cc
@@ -35,6 +35,20 @@
 	EXPECT_TRUE(eventually([&] { return metric(BESIDE_ROOM) == 2; }));
 }
 
+// Guards against a task whose end is not heard and that no line explains.
+TEST_F(SchedulerLoad, RunOnAWorkerThatDoesNotAnswerIsTold)
+{
+	FakeWorker *a = w.add_worker("a");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 1, "20000");
+	ASSERT_TRUE(eventually([&] { return w.running() == 1; }));
+	w.add_worker("b", "p", 32000);
+	a->unresponsive = true;
+	EXPECT_TRUE(eventually([&] { return metric(BESIDE_ROOM) == 1; }, 3200));
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+}
+
 // Guards against lines for each job that waits for its turn in a full pool.
 TEST_F(SchedulerLoad, TaskThatWaitsInAFullPoolIsNotTold)
 {
