dispatch: a single lost answer is not a silent worker

A node took a worker for silent whenever its latest poll had no answer. It then renewed no lease, sent no start, and told the owner, which gave no later limit of the lease. So a lease was renewed only if two polls in a row were answered, and the second one, which waits up to 0.7 s, cost 1.15 s when it was lost.

A worker is now silent when it has not answered for 1.15 s, the time that a waiting poll takes to fail, or when a call fails otherwise than by its time-out. So a worker that is cut off or gone is told as soon as before. While two of the latest eight polls were lost, polls do not wait.

Scheduler.RunOutlivesLostAnswersToPolls, in which three in four polls are lost, failed before: the lease of the run ran out again and again.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -40,7 +40,11 @@
  * @restarts: restarts that the owner or a listing has shown
  * @token: fencing token of polls and orders
  * @answer_time: of its answers to starts, and to polls that do not wait
- * @answered: the worker answered the latest poll
+ * @answered: the worker is in touch: it has answered a poll lately, and no call
+ *     has failed since in another way than without an answer in time
+ * @heard_at: when it last answered a poll
+ * @lost_polls: which of the latest polls got no answer, a bit for each; the
+ *     lowest is that of the latest one
  * @failed_polls: number of polls without an answer since the last one with it
  * @runs: number of runs in the latest listing, plus starts since
  * @reported_hash: hash of the listing that was reported last
@@ -73,6 +77,8 @@
 	uint64_t token;
 	struct seam_answer_time answer_time;
 	bool answered;
+	seam_time heard_at;
+	uint8_t lost_polls;
 	unsigned failed_polls;
 	size_t runs;
 	uint64_t reported_hash;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -14,6 +14,19 @@
  * lease has to outlast the takeover by another owner. */
 #define POLL_WAIT_MS 700
 #define POLL_WAIT_IDLE_MS 1800
+/*
+ * A worker is silent once it has not answered for as long as a poll that waits
+ * takes to fail. A single lost answer is none: its lease would run out, and its
+ * starts would wait, each time that an answer is lost.
+ */
+#define SILENT_AFTER (POLL_WAIT_MS * SEAM_MSEC + POLL_TIMEOUT_MARGIN)
+/*
+ * Polls do not wait while so many of the latest eight got no answer: one that
+ * waits is noticed as lost only after its wait.
+ */
+#define LOST_POLLS_MAX 2
+#define TIMEOUT_ROUNDING (2 * SEAM_MSEC) /* libcurl takes whole milliseconds \
+					  */
 #define POLL_FIRST_RETRY_USEC 30000 /* after the first failed poll */
 #define POLL_RETRY_USEC 50000
 /* A worker answers a poll immediately while it has unacknowledged ended runs,
@@ -158,7 +171,6 @@
 		return;
 	}
 	w->answered = true;
-	w->failed_polls = 0;
 	pthread_cond_signal(&w->orders_changed);
 	w->reported_hash = hash;
 	w->reported_at = now;
@@ -177,19 +189,45 @@
 		dispatch_add_event(w->dispatch, w->key, SEAM_LANE_SILENT);
 
 	w->answered = false;
-	w->failed_polls++;
 	v->failed = rc ? e->kind : SEAM_OK;
 	v->outcome = outcome;
 	snprintf(v->why, sizeof(v->why), "%.60s", rc ? e->text : "");
 }
 
+static bool loses_polls(const struct seam_dispatch_worker *w)
+{
+	return __builtin_popcount(w->lost_polls) >= LOST_POLLS_MAX;
+}
+
+static void note_poll(struct seam_dispatch_worker *w, bool lost)
+{
+	w->lost_polls = (uint8_t)(w->lost_polls << 1 | lost);
+	w->failed_polls = lost ? w->failed_polls + 1 : 0;
+	if (!lost)
+		w->heard_at = seam_now(w->dispatch->clock);
+}
+
 /* Returns the timeout of a poll beyond its wait. */
 static seam_time poll_margin(const struct seam_dispatch_worker *w)
 {
-	if (!w->failed_polls)
+	unsigned tries = 0;
+
+	if (!w->failed_polls && !loses_polls(w))
 		return POLL_TIMEOUT_MARGIN;
-	return seam_answer_timeout(&w->answer_time, w->failed_polls - 1,
-				   POLL_TIMEOUT_MARGIN);
+	if (!w->answered && w->failed_polls)
+		tries = w->failed_polls - 1;
+	return seam_answer_timeout(&w->answer_time, tries, POLL_TIMEOUT_MARGIN);
+}
+
+/*
+ * Whether a poll that failed at @now shows no more than a lost answer: it was
+ * not answered by its @deadline, and the worker was heard shortly before.
+ */
+static bool is_lost_answer(const struct seam_dispatch_worker *w,
+			   seam_time deadline, seam_time now)
+{
+	return w->answered && now >= deadline - TIMEOUT_ROUNDING &&
+	       now < w->heard_at + SILENT_AFTER;
 }
 
 /* Polls once; returns the delay before the next poll, microseconds. */
@@ -197,13 +235,14 @@
 {
 	struct seam_dispatch *d = w->dispatch;
 	seam_time now = seam_now(d->clock);
-	/* After an unanswered poll the lease is not renewed: if only answers
-	 * are lost, the lease still has to expire. The worker may also have
-	 * restarted, which resets the numbers of its ended runs. */
-	struct seam_renewal h = {.token = w->token,
-				 .acked = w->answered ? w->acked : 0,
-				 .lease_until =
-					 w->answered ? w->lease_until : 0};
+	/* The lease of a silent worker is not renewed: if only answers are
+	 * lost, the lease still has to expire. After an unanswered poll the
+	 * worker may have restarted, which resets the numbers of its ended
+	 * runs. */
+	struct seam_renewal h = {
+		.token = w->token,
+		.acked = w->answered && !w->failed_polls ? w->acked : 0,
+		.lease_until = w->answered ? w->lease_until : 0};
 	enum seam_order_outcome outcome = SEAM_ORDER_INVALID;
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_listing l = {0};
@@ -211,7 +250,7 @@
 	int rc;
 
 	/* The answer to the first poll with a token is waited for. */
-	if (h.lease_until && h.token == w->reported_token)
+	if (h.lease_until && h.token == w->reported_token && !loses_polls(w))
 		h.wait_ms = w->runs ? POLL_WAIT_MS : POLL_WAIT_IDLE_MS;
 	deadline = now + h.wait_ms * SEAM_MSEC + poll_margin(w);
 	pthread_mutex_unlock(&d->lock);
@@ -227,6 +266,9 @@
 	/* An order with a later token came first. */
 	if (!rc && outcome == SEAM_ORDER_FENCED && h.token != w->token)
 		return POLL_FIRST_RETRY_USEC;
+	note_poll(w, rc || outcome != SEAM_ORDER_DONE);
+	if (rc && is_lost_answer(w, deadline, seam_now(d->clock)))
+		return (unsigned)seam_poll_interval(d->busy_workers);
 	if (rc || outcome != SEAM_ORDER_DONE) {
 		bool first_failure = rc && w->answered;
 
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -53,6 +53,7 @@
 	static constexpr int LATE_MAX_MS = 12000;
 	std::atomic<int> late_start_percent{0}; // part of the starts
 	std::atomic<bool> lost_starts_time_out{false}; // at their deadline
+	std::atomic<bool> lost_holds_time_out{false}; // at their deadline
 	std::minstd_rand late_rng; // how late each one is
 	std::vector<seam_renewal> late_holds; // kept in the same way
 	std::atomic<int> late_percent{0}; // part of the calls that are kept
--- a/tests/scheduler_answers_test.cc
+++ b/tests/scheduler_answers_test.cc
@@ -76,6 +76,21 @@
 	EXPECT_GE(least.lane, 50);
 }
 
+// Guards against leases that run out though the worker answers other polls.
+TEST_F(Scheduler, RunOutlivesLostAnswersToPolls)
+{
+	FakeWorker *x = w.add_worker("a");
+	Owner o(&w, "n1");
+
+	o.start_renewals();
+	w.job(ID, 1, "8000");
+	ASSERT_TRUE(eventually([&] { return w.running() == 1; }));
+	x->lost_holds_time_out = true;
+	x->answers_one_in = 4;
+	EXPECT_TRUE(becomes("completed", 12000));
+	EXPECT_EQ(w.started(task(0, 0)), 1);
+}
+
 // Guards against unanswered starts that hold all places of a node.
 TEST_F(Scheduler, UnansweredStartsLeavePlacesToOtherWorkers)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -468,9 +468,9 @@
 	return 0;
 }
 
-static int fake_hold(seam_runner *r, const seam_renewal *h,
-		     seam_order_outcome *outcome, seam_listing *out, seam_time,
-		     seam_err *e)
+static int fake_call_hold(seam_runner *r, const seam_renewal *h,
+			  seam_order_outcome *outcome, seam_listing *out,
+			  seam_err *e)
 {
 	FakeWorker *w = ((FakeRunner *)r)->w;
 
@@ -540,6 +540,20 @@
 	return 0;
 }
 
+static int fake_hold(seam_runner *r, const seam_renewal *h,
+		     seam_order_outcome *outcome, seam_listing *out,
+		     seam_time deadline, seam_err *e)
+{
+	FakeRunner *f = (FakeRunner *)r;
+	int rc = fake_call_hold(r, h, outcome, out, e);
+
+	while (rc && e->kind == SEAM_COMMIT_UNKNOWN &&
+	       f->w->lost_holds_time_out &&
+	       seam_now(&f->node->clock.base) < deadline)
+		usleep(1000);
+	return rc;
+}
+
 static void fake_close(seam_runner *r)
 {
 	delete (FakeRunner *)r;
