dispatch: poll a worker several times at once while its answers are lost

With one poll at a time, each of which takes 50 ms to be given up, a worker that answers one in ten is not heard within 1.15 s a quarter of the time; it then counts as silent, gets no starts and no later lease, and the ends of its runs are not heard, so that steps after them wait.

While two of the latest eight polls were lost, two more threads poll a worker that has runs or orders. They stop when the worker is silent, so that a node that is cut off sends no more than before, and do not begin when answers take more than 25 ms, which shows a queue on the path. Those of a node make 800 polls a second at most. The answer to a poll that was sent before one that was handled is left out, as its runs may have ended since. A poll that does not wait needs no acknowledged ends, so none are waited for before it.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -55,6 +55,8 @@
  * @order_since: an order was carried out or given up since
  * @reported_more: that report had not all ends
  * @reported_end: number of the latest ended run that was reported
+ * @listed_at: when the poll was sent whose listing was handled last
+ * @repeat_threads: threads that poll beside the first one
  * @acks_changed: signalled when @acked or @removed changes
  * @orders: struct seam_dispatch_order, in order of sending
  * @orders_changed: signalled when @orders or @removed changes
@@ -88,6 +90,8 @@
 	bool order_since;
 	bool reported_more;
 	int64_t reported_end;
+	seam_time listed_at;
+	int repeat_threads;
 	pthread_cond_t acks_changed;
 	GQueue orders;
 	pthread_cond_t orders_changed;
@@ -109,6 +113,7 @@
  * @workers: struct seam_dispatch_worker
  * @worker_by_key: the owner's handle of a worker to its entry
  * @busy_workers: number of workers with runs
+ * @repeat_threads: threads that poll a worker beside its first one
  * @events: struct seam_lane_event that the owner has not acknowledged
  * @last_event: number of the latest event
  * @events_changed: signalled for a new event and at the end of a session
@@ -126,6 +131,7 @@
 	struct seam_table *workers;
 	GHashTable *worker_by_key;
 	size_t busy_workers;
+	int repeat_threads;
 	GQueue events;
 	uint64_t last_event;
 	pthread_cond_t events_changed;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -25,8 +25,20 @@
  * waits is noticed as lost only after its wait.
  */
 #define LOST_POLLS_MAX 2
-#define TIMEOUT_ROUNDING (2 * SEAM_MSEC) /* libcurl takes whole milliseconds \
-					  */
+/*
+ * While polls are lost, further threads poll the worker: with nine in ten lost,
+ * one poll at a time is not answered within SILENT_AFTER a quarter of the time,
+ * three are within it 49 of 50 times.
+ */
+#define REPEAT_THREADS_MAX 2
+/* Of all such threads of a node: an eighth of a core at 150 us for each poll.
+ */
+#define REPEATS_PER_S 800
+/* Answers that take longer wait in a queue, which more polls would lengthen. */
+#define QUICK_ANSWER_MAX (25 * SEAM_MSEC)
+#define TIMEOUT_ROUNDING                                    \
+	(2 * SEAM_MSEC) /* libcurl takes whole milliseconds \
+			 */
 #define POLL_FIRST_RETRY_USEC 30000 /* after the first failed poll */
 #define POLL_RETRY_USEC 50000
 /* A worker answers a poll immediately while it has unacknowledged ended runs,
@@ -157,6 +169,12 @@
 	seam_time now = seam_now(w->dispatch->clock);
 	bool changed;
 
+	/* The answer to a later poll has come first. */
+	if (sent_at < w->listed_at) {
+		seam_listing_free(l);
+		return;
+	}
+	w->listed_at = sent_at;
 	if (l->process_start_ms && w->process_start_ms &&
 	    l->process_start_ms != w->process_start_ms) {
 		reset_after_restart(w);
@@ -288,11 +306,52 @@
 	struct seam_clock *k = w->dispatch->clock;
 	seam_time until = seam_now(k) + ACK_TIMEOUT;
 
-	while (!w->removed && w->answered && w->acked < w->reported_end &&
-	       seam_now(k) < until)
+	while (!w->removed && w->answered && !loses_polls(w) &&
+	       w->acked < w->reported_end && seam_now(k) < until)
 		seam_wait(k, &w->acks_changed, &w->dispatch->lock, until);
 }
 
+/* Whether more polls at a time help to hear the worker. */
+static bool may_repeat_polls(const struct seam_dispatch_worker *w)
+{
+	return w->answered && loses_polls(w) && (w->runs || w->orders.length) &&
+	       w->answer_time.estimate <= QUICK_ANSWER_MAX;
+}
+
+/* Polls beside the first thread of the worker while polls are lost. */
+static void *repeat_loop(void *arg)
+{
+	struct seam_dispatch_worker *w = arg;
+	struct seam_dispatch *d = w->dispatch;
+	unsigned pause;
+	unsigned share;
+
+	pthread_mutex_lock(&d->lock);
+	while (dispatch_check_session(w) && may_repeat_polls(w)) {
+		pause = poll_worker(w);
+		share = (unsigned)d->repeat_threads * (unsigned)SEAM_SEC /
+			REPEATS_PER_S;
+		pthread_mutex_unlock(&d->lock);
+		g_usleep(MAX(pause, share));
+		pthread_mutex_lock(&d->lock);
+	}
+	w->repeat_threads--;
+	d->repeat_threads--;
+	dispatch_worker_release_thread(w);
+	pthread_mutex_unlock(&d->lock);
+	return NULL;
+}
+
+static void repeat_polls(struct seam_dispatch_worker *w)
+{
+	if (w->removed || w->repeat_threads >= REPEAT_THREADS_MAX ||
+	    !may_repeat_polls(w) ||
+	    dispatch_worker_start_thread(w, repeat_loop))
+		return;
+	w->repeat_threads++;
+	w->dispatch->repeat_threads++;
+}
+
 static void *poll_loop(void *arg)
 {
 	struct seam_dispatch_worker *w = arg;
@@ -302,6 +361,7 @@
 	pthread_mutex_lock(&d->lock);
 	while (dispatch_check_session(w)) {
 		pause = poll_worker(w);
+		repeat_polls(w);
 		pthread_mutex_unlock(&d->lock);
 		g_usleep(pause);
 		pthread_mutex_lock(&d->lock);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -32,7 +32,8 @@
 		return seam_dispatch_apply(d, &b, &e);
 	}
 	int start(uint64_t token, uint64_t number, const char *task,
-		  seam_time left = SEAM_SEC, bool poll_first = false)
+		  seam_time left = SEAM_SEC, bool poll_first = false,
+		  const char *text = "200")
 	{
 		seam_lane_order o = {};
 		seam_lane_batch b = {{token, number}, false, nullptr, 0, &o, 1};
@@ -42,7 +43,7 @@
 		o.key = 7;
 		snprintf(o.task, sizeof(o.task), "%s", task);
 		o.run = 1;
-		o.text = strdup("200");
+		o.text = strdup(text);
 		{
 			std::lock_guard<std::mutex> l(a->lock);
 			o.lease_until = a->clock_ms() + 3000;
@@ -348,6 +349,36 @@
 	EXPECT_EQ(w.started("t"), 0);
 }
 
+// Guards against a worker that is silent because one poll at a time is lost.
+TEST_F(Dispatch, WorkerThatAnswersFewPollsStaysInTouch)
+{
+	uint64_t seen = 0;
+	int silent = 0;
+
+	ASSERT_EQ(open(1, 1, true, 9000000), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	ASSERT_EQ(start(1, 1, "t", SEAM_SEC, false, "60000"), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_ANSWERED, &seen), nullptr);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_holds_time_out = true;
+	a->answers_one_in = 16;
+	ASSERT_NE(next(1, 1, SEAM_LANE_SILENT, &seen), nullptr);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	seam_time until = seam_now(w.clock) + 4 * SEAM_SEC;
+	while (seam_now(w.clock) < until) {
+		seam_lane_poll p = {{1, 1}, seen, 100};
+
+		seam_lane_events_free(&last);
+		ASSERT_EQ(seam_dispatch_poll(d, &p, &last, &e), 0);
+		for (size_t k = 0; k < last.n; k++) {
+			silent += last.event[k].number > seen &&
+				  last.event[k].kind == SEAM_LANE_SILENT;
+			seen = std::max(seen, last.event[k].number);
+		}
+	}
+	EXPECT_EQ(silent, 0);
+}
+
 // Guards against service to a process that the owner knows to be over.
 TEST_F(Dispatch, LaterTokenEndsServiceToTheEarlierProcess)
 {
