dispatch: send the orders behind a lost call beside it

A worker got one order at a time. The tasks of a step are placed on few workers, the fullest ones with room, and each start takes some ten calls of 50 ms; those behind it passed the deadline for sending, 0.6 s, and were placed anew.

When a call of a start is lost, up to three more threads send the orders that wait behind it, as long as the answers that come are quick: behind a queue more calls at a time would lengthen it. A worker accepts orders in any order, as run numbers and stops decide there. The time for which orders have waited for lost calls, which the window of starts leaves out, counts calls that were lost at the same time once.

Dispatch.LostCallsOfAStartDoNotDelayTheStartsBehindIt failed before: two of four starts were answered. TimeOfLostCallsIsReported states what the orders of a worker with slow answers wait for, which are sent one after another as before; TimeOfCallsLostTogetherIsReportedOnce has the others.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -17,6 +17,7 @@
  * @call_time: time of the call that was answered; 0 before
  * @lost: time for which it waited for calls to the worker without an answer,
  *     its own and those before it
+ * @lost_until: end of the last of these times
  */
 struct seam_dispatch_order {
 	struct seam_lane_order order;
@@ -24,6 +25,7 @@
 	unsigned calls;
 	seam_time call_time;
 	seam_time lost;
+	seam_time lost_until;
 };
 
 /**
@@ -62,6 +64,7 @@
  * @orders_changed: signalled when @orders or @removed changes
  * @order_thread: a thread sends orders
  * @order_thread_until: it ends then unless an order comes
+ * @more_order_threads: threads that send orders beside it
  * @removed: the worker is no longer served
  * @thread_count: running threads; the last one to exit frees the entry
  */
@@ -97,6 +100,7 @@
 	pthread_cond_t orders_changed;
 	bool order_thread;
 	seam_time order_thread_until;
+	int more_order_threads;
 	bool removed;
 	int thread_count;
 };
@@ -161,6 +165,7 @@
 			    const struct seam_lane_worker *row);
 void dispatch_worker_drop(struct seam_dispatch_worker *w);
 void dispatch_worker_set_runs(struct seam_dispatch_worker *w, size_t runs);
+bool dispatch_worker_answers_quickly(const struct seam_dispatch_worker *w);
 int dispatch_worker_start_thread(struct seam_dispatch_worker *w,
 				 void *(*run)(void *arg));
 void dispatch_worker_release_thread(struct seam_dispatch_worker *w);
--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -17,6 +17,10 @@
 /* The thread for orders ends when there was none for this time. Busy workers
  * get several starts a second, and a new thread for each would cost 50 us. */
 #define ORDER_THREAD_IDLE_MAX (1 * SEAM_SEC)
+/* While calls are lost, so many more threads send the orders behind them. The
+ * tasks of a step are often placed on one worker, and one start after another
+ * takes half a second each with nine in ten calls lost. */
+#define MORE_ORDER_THREADS_MAX 3
 
 SEAM_METRIC(starts, "seam_starts_total", "Starts that workers accepted.");
 
@@ -32,6 +36,16 @@
 	}
 }
 
+/* Notes that @o has waited since @began for a call without an answer. Calls
+ * that were lost at the same time count once. */
+static void note_lost_time(struct seam_dispatch_order *o, seam_time began,
+			   seam_time now)
+{
+	began = MAX(began, o->queued_at);
+	o->lost += now - MAX(began, o->lost_until);
+	o->lost_until = now;
+}
+
 /* Notes that the orders which wait have waited since @began, or since they
  * came, for a call without an answer. */
 static void note_lost_call(struct seam_dispatch_worker *w, seam_time began)
@@ -39,11 +53,8 @@
 	seam_time now = seam_now(w->dispatch->clock);
 	GList *at;
 
-	for (at = w->orders.head; at; at = at->next) {
-		struct seam_dispatch_order *o = at->data;
-
-		o->lost += now - MAX(began, o->queued_at);
-	}
+	for (at = w->orders.head; at; at = at->next)
+		note_lost_time(at->data, began, now);
 }
 
 /* The process that a call is made to, as far as it is known. */
@@ -78,6 +89,8 @@
 	seam_answer_time_note(&w->answer_time, o->call_time);
 }
 
+static void send_more_orders(struct seam_dispatch_worker *w);
+
 /* Retries a start until it is answered; releases the lock during the calls. It
  * is not sent to another process, as its lease goes by the clock of the first.
  * @clock_ms receives the worker's clock of the answer.
@@ -118,8 +131,9 @@
 			note_answer(w, to_send, now);
 		if (!rc || w->removed)
 			break;
-		to_send->lost += seam_now(d->clock) - now;
+		note_lost_time(to_send, now, seam_now(d->clock));
 		note_lost_call(w, now);
+		send_more_orders(w);
 	}
 	return rc;
 }
@@ -265,6 +279,35 @@
 	       seam_now(w->dispatch->clock) >= w->order_thread_until;
 }
 
+/* Sends orders beside the first thread until none waits. */
+static void *more_orders_loop(void *arg)
+{
+	struct seam_dispatch_worker *w = arg;
+	struct seam_dispatch *d = w->dispatch;
+	struct seam_dispatch_order *o;
+
+	pthread_mutex_lock(&d->lock);
+	while (!w->removed && (o = pop_order(w))) {
+		send_order(w, o);
+		dispatch_free_order(o);
+	}
+	w->more_order_threads--;
+	dispatch_worker_release_thread(w);
+	pthread_mutex_unlock(&d->lock);
+	return NULL;
+}
+
+/* Starts another thread for the orders behind one whose call was lost. */
+static void send_more_orders(struct seam_dispatch_worker *w)
+{
+	if (g_queue_is_empty(&w->orders) ||
+	    w->more_order_threads >= MORE_ORDER_THREADS_MAX ||
+	    !dispatch_worker_answers_quickly(w) ||
+	    dispatch_worker_start_thread(w, more_orders_loop))
+		return;
+	w->more_order_threads++;
+}
+
 static void *order_loop(void *arg)
 {
 	struct seam_dispatch_worker *w = arg;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -311,11 +311,20 @@
 		seam_wait(k, &w->acks_changed, &w->dispatch->lock, until);
 }
 
+/*
+ * Whether calls that get no answer are lost rather than delayed in a queue, so
+ * that more of them at a time help.
+ */
+bool dispatch_worker_answers_quickly(const struct seam_dispatch_worker *w)
+{
+	return w->answered && w->answer_time.estimate <= QUICK_ANSWER_MAX;
+}
+
 /* Whether more polls at a time help to hear the worker. */
 static bool may_repeat_polls(const struct seam_dispatch_worker *w)
 {
-	return w->answered && loses_polls(w) && (w->runs || w->orders.length) &&
-	       w->answer_time.estimate <= QUICK_ANSWER_MAX;
+	return loses_polls(w) && dispatch_worker_answers_quickly(w) &&
+	       (w->runs || w->orders.length);
 }
 
 /* Polls beside the first thread of the worker while polls are lost. */
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -379,6 +379,27 @@
 	EXPECT_EQ(silent, 0);
 }
 
+// Guards against starts that wait one after another while calls are lost.
+TEST_F(Dispatch, LostCallsOfAStartDoNotDelayTheStartsBehindIt)
+{
+	uint64_t seen = 0;
+	int answered = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_starts_time_out = true;
+	a->late_starts = 14;
+	for (const char *t : {"t", "u", "v", "x"})
+		ASSERT_EQ(start(1, 1, t), 0);
+	for (int i = 0; i < 4; i++) {
+		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+
+		ASSERT_NE(v, nullptr);
+		answered += v->failed == SEAM_OK;
+	}
+	EXPECT_EQ(answered, 4);
+}
+
 // Guards against service to a process that the owner knows to be over.
 TEST_F(Dispatch, LaterTokenEndsServiceToTheEarlierProcess)
 {
@@ -453,6 +474,7 @@
 {
 	uint64_t seen = 0;
 
+	node->poll_us = 60000; /* its orders are sent one after another */
 	ASSERT_EQ(open(1, 1), 0);
 	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
 	a->lost_starts_time_out = true;
@@ -474,6 +496,31 @@
 	EXPECT_LE(behind->lost_ms, 3 * 150 + 50);
 }
 
+// Guards against calls that are lost at the same time and count twice.
+TEST_F(Dispatch, TimeOfCallsLostTogetherIsReportedOnce)
+{
+	uint64_t seen = 0;
+	unsigned calls = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_starts_time_out = true;
+	a->late_starts = 3;
+	seam_time begin = seam_now(w.clock);
+	ASSERT_EQ(start(1, 1, "t", 2 * SEAM_SEC), 0);
+	ASSERT_EQ(start(1, 1, "u", 2 * SEAM_SEC), 0);
+	for (int i = 0; i < 2; i++) {
+		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+
+		ASSERT_NE(v, nullptr);
+		EXPECT_EQ(v->failed, SEAM_OK);
+		EXPECT_GE(v->lost_ms, 2 * 50);
+		EXPECT_LE(v->lost_ms, (seam_now(w.clock) - begin) / SEAM_MSEC);
+		calls += v->calls;
+	}
+	EXPECT_EQ(calls, 5u);
+}
+
 // Guards against a wait for an answered poll that is taken for time in a queue.
 TEST_F(Dispatch, TimeOfLostPollsIsReported)
 {
