dispatch: repeat the poll before a start while its answers are lost

A start of a task whose earlier start may come late is sent only after a poll that shows the process of now. One poll was made, with 0.35 s; when its answer was lost the start was given up and all other starts of the worker waited for the next answered poll.

The poll is repeated within the same 0.35 s while the worker answers others quickly, an answer to any poll that was sent since counts, and a poll that times out leaves it to the worker's own polls whether it is silent.

Dispatch.LostPollBeforeAStartIsRepeated failed before: four of six starts were given up with three in four polls lost.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -165,6 +165,8 @@
 			    const struct seam_lane_worker *row);
 void dispatch_worker_drop(struct seam_dispatch_worker *w);
 void dispatch_worker_set_runs(struct seam_dispatch_worker *w, size_t runs);
+bool dispatch_timed_out(const struct seam_dispatch_worker *w,
+			seam_time deadline);
 bool dispatch_worker_answers_quickly(const struct seam_dispatch_worker *w);
 int dispatch_worker_start_thread(struct seam_dispatch_worker *w,
 				 void *(*run)(void *arg));
--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -151,33 +151,67 @@
 }
 
 /*
- * Polls the worker and fails if another process answers than the one that the
- * order is meant for. Releases the lock during the call.
+ * Polls the worker until it has answered this or another poll that was sent
+ * meanwhile. Returns whether a process has, and notes in @process_start_ms
+ * which one. Releases the lock during the calls.
  */
-static int check_process(struct seam_dispatch_worker *w, struct seam_err *e)
+static bool ask_process(struct seam_dispatch_worker *w,
+			int64_t *process_start_ms, struct seam_err *e)
 {
 	struct seam_dispatch *d = w->dispatch;
-	struct seam_renewal h = {.token = w->token};
-	int64_t process_start_ms = w->process_start_ms;
 	enum seam_order_outcome outcome = SEAM_ORDER_INVALID;
-	struct seam_err why = SEAM_ERR_INIT;
-	struct seam_listing l = {0};
 	seam_time began = seam_now(d->clock);
+	seam_time until = began + ORDER_TIMEOUT;
+	seam_time deadline;
 	int rc;
 
-	pthread_mutex_unlock(&d->lock);
-	rc = w->conn->ops->renew_and_list(w->conn, &h, &outcome, &l,
-					  began + ORDER_TIMEOUT, &why);
-	pthread_mutex_lock(&d->lock);
-	if (!rc && outcome == SEAM_ORDER_DONE) {
-		seam_listing_free(&l);
-		if (l.process_start_ms == process_start_ms &&
-		    w->process_start_ms == process_start_ms)
+	do {
+		struct seam_renewal h = {.token = w->token};
+		struct seam_listing l = {0};
+
+		deadline = until;
+		if (dispatch_worker_answers_quickly(w))
+			deadline = MIN(
+				until,
+				seam_now(d->clock) +
+					seam_answer_timeout(&w->answer_time, 0,
+							    ORDER_TIMEOUT));
+		seam_err_clear(e);
+		pthread_mutex_unlock(&d->lock);
+		rc = w->conn->ops->renew_and_list(w->conn, &h, &outcome, &l,
+						  deadline, e);
+		pthread_mutex_lock(&d->lock);
+		if (!rc && outcome == SEAM_ORDER_DONE) {
+			*process_start_ms = l.process_start_ms;
+			seam_listing_free(&l);
+			return true;
+		}
+		*process_start_ms = w->process_start_ms;
+		if (w->listed_at >= began)
+			return true;
+	} while (rc && !w->removed && dispatch_timed_out(w, deadline) &&
+		 deadline < until);
+	/* Further starts wait for the answer to the next poll. */
+	if (!rc || !dispatch_timed_out(w, deadline))
+		w->answered = false;
+	return false;
+}
+
+/* Fails if another process answers a poll than the one that the order is meant
+ * for. Releases the lock during the calls. */
+static int check_process(struct seam_dispatch_worker *w, struct seam_err *e)
+{
+	int64_t expected = w->process_start_ms;
+	struct seam_err why = SEAM_ERR_INIT;
+	seam_time began = seam_now(w->dispatch->clock);
+	int64_t answered = 0;
+
+	if (ask_process(w, &answered, &why)) {
+		if (answered == expected && w->process_start_ms == expected)
 			return 0;
+		w->answered = false;
 	}
 	note_lost_call(w, began);
-	/* Further starts wait for the answer to the next poll. */
-	w->answered = false;
 	return seam_fail(e, SEAM_UNAVAILABLE, "no answer of the process: %.30s",
 			 why.text);
 }
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -237,15 +237,22 @@
 	return seam_answer_timeout(&w->answer_time, tries, POLL_TIMEOUT_MARGIN);
 }
 
+/* Whether a call that has just failed did so by its deadline. */
+bool dispatch_timed_out(const struct seam_dispatch_worker *w,
+			seam_time deadline)
+{
+	return seam_now(w->dispatch->clock) >= deadline - TIMEOUT_ROUNDING;
+}
+
 /*
- * Whether a poll that failed at @now shows no more than a lost answer: it was
- * not answered by its @deadline, and the worker was heard shortly before.
+ * Whether a poll that has just failed shows no more than a lost answer: it
+ * timed out, and the worker was heard shortly before.
  */
 static bool is_lost_answer(const struct seam_dispatch_worker *w,
-			   seam_time deadline, seam_time now)
+			   seam_time deadline)
 {
-	return w->answered && now >= deadline - TIMEOUT_ROUNDING &&
-	       now < w->heard_at + SILENT_AFTER;
+	return w->answered && dispatch_timed_out(w, deadline) &&
+	       seam_now(w->dispatch->clock) < w->heard_at + SILENT_AFTER;
 }
 
 /* Polls once; returns the delay before the next poll, microseconds. */
@@ -285,7 +292,7 @@
 	if (!rc && outcome == SEAM_ORDER_FENCED && h.token != w->token)
 		return POLL_FIRST_RETRY_USEC;
 	note_poll(w, rc || outcome != SEAM_ORDER_DONE);
-	if (rc && is_lost_answer(w, deadline, seam_now(d->clock)))
+	if (rc && is_lost_answer(w, deadline))
 		return (unsigned)seam_poll_interval(d->busy_workers);
 	if (rc || outcome != SEAM_ORDER_DONE) {
 		bool first_failure = rc && w->answered;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -379,6 +379,23 @@
 	EXPECT_EQ(silent, 0);
 }
 
+// Guards against a start that is given up as one poll before it is lost.
+TEST_F(Dispatch, LostPollBeforeAStartIsRepeated)
+{
+	uint64_t seen = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_holds_time_out = true;
+	a->answers_one_in = 4;
+	for (const char *t : {"r", "s", "t", "u", "v", "x"}) {
+		ASSERT_EQ(start(1, 1, t, 2 * SEAM_SEC, true), 0);
+		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+		ASSERT_NE(v, nullptr);
+		EXPECT_EQ(v->failed, SEAM_OK) << t << " " << v->why;
+	}
+}
+
 // Guards against starts that wait one after another while calls are lost.
 TEST_F(Dispatch, LostCallsOfAStartDoNotDelayTheStartsBehindIt)
 {
