dispatch: repeat a start for longer while polls are lost as well

A start was sent seven times within some 0.4 s, which gets an answer half of the time; then its worker had to answer a poll with a later token that shows that the start was not carried out, before seven more calls.

While polls of the worker are lost as well, and it is heard, the start goes on being sent to the same process until the time by which seven calls of the longest duration end today, so that the time until which it may come late is as before. A worker that answers its polls but no start gets seven calls as before: more of them would not help it. More starts at a time are sent to a worker whose calls are lost, seven beside the first, as each takes longer.

Dispatch.StartIsRepeatedWhilePollsAreLostAsWell failed before: given up after seven calls. StartIsGivenUpAfterSevenCallsIfPollsAreAnswered states the rest.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -167,6 +167,7 @@
 void dispatch_worker_set_runs(struct seam_dispatch_worker *w, size_t runs);
 bool dispatch_timed_out(const struct seam_dispatch_worker *w,
 			seam_time deadline);
+bool dispatch_worker_loses_calls(const struct seam_dispatch_worker *w);
 bool dispatch_worker_answers_quickly(const struct seam_dispatch_worker *w);
 int dispatch_worker_start_thread(struct seam_dispatch_worker *w,
 				 void *(*run)(void *arg));
--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -10,6 +10,10 @@
  * which runs the task once more, so there are no more of them. */
 #define START_TIMEOUT (150 * SEAM_MSEC)
 #define START_ATTEMPTS_MAX 7
+/* While polls are lost as well, a start is repeated for as long as the slowest
+ * of these tries take: with nine in ten calls lost, seven quick ones get an
+ * answer half of the time. */
+#define START_REPEAT_MAX (START_ATTEMPTS_MAX * START_TIMEOUT)
 /* A repeated stop has no effect either. The orders behind it wait, so it is
  * given up sooner; the owner orders it again. */
 #define STOP_TIMEOUT (150 * SEAM_MSEC)
@@ -20,7 +24,7 @@
 /* While calls are lost, so many more threads send the orders behind them. The
  * tasks of a step are often placed on one worker, and one start after another
  * takes half a second each with nine in ten calls lost. */
-#define MORE_ORDER_THREADS_MAX 3
+#define MORE_ORDER_THREADS_MAX 7
 
 SEAM_METRIC(starts, "seam_starts_total", "Starts that workers accepted.");
 
@@ -91,6 +95,19 @@
 
 static void send_more_orders(struct seam_dispatch_worker *w);
 
+/* Whether a start that has timed out is sent again to the same process. */
+static bool may_repeat_start(const struct seam_dispatch_worker *w,
+			     const struct seam_dispatch_order *o,
+			     seam_time deadline)
+{
+	if (o->calls < START_ATTEMPTS_MAX)
+		return true;
+	return dispatch_worker_loses_calls(w) &&
+	       dispatch_timed_out(w, deadline) &&
+	       seam_now(w->dispatch->clock) + START_TIMEOUT <
+		       o->order.send_by + START_REPEAT_MAX;
+}
+
 /* Retries a start until it is answered; releases the lock during the calls. It
  * is not sent to another process, as its lease goes by the clock of the first.
  * @clock_ms receives the worker's clock of the answer.
@@ -109,12 +126,15 @@
 			       .lease_until = o->lease_until,
 			       .checkpoint = o->checkpoint};
 	struct call_target target = target_of(w);
+	seam_time deadline = 0;
 	int rc = -1;
 
-	while (to_send->calls < START_ATTEMPTS_MAX) {
+	while (may_repeat_start(w, to_send, deadline)) {
 		seam_time now = seam_now(d->clock);
-		seam_time timeout = seam_answer_timeout(
-			&w->answer_time, to_send->calls, START_TIMEOUT);
+
+		deadline = now + seam_answer_timeout(&w->answer_time,
+						     to_send->calls,
+						     START_TIMEOUT);
 
 		if (to_send->calls &&
 		    (now > o->repeat_by || may_have_restarted(w, &target)))
@@ -124,7 +144,7 @@
 		seam_err_clear(e);
 		pthread_mutex_unlock(&d->lock);
 		rc = w->conn->ops->start(w->conn, &s, outcome, clock_ms,
-					 now + timeout, e);
+					 deadline, e);
 		pthread_mutex_lock(&d->lock);
 		*unknown = *unknown || (rc && e->kind == SEAM_COMMIT_UNKNOWN);
 		if (!rc)
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -327,11 +327,16 @@
 	return w->answered && w->answer_time.estimate <= QUICK_ANSWER_MAX;
 }
 
+/* Whether the path to the worker loses answers, and has no queue. */
+bool dispatch_worker_loses_calls(const struct seam_dispatch_worker *w)
+{
+	return loses_polls(w) && dispatch_worker_answers_quickly(w);
+}
+
 /* Whether more polls at a time help to hear the worker. */
 static bool may_repeat_polls(const struct seam_dispatch_worker *w)
 {
-	return loses_polls(w) && dispatch_worker_answers_quickly(w) &&
-	       (w->runs || w->orders.length);
+	return dispatch_worker_loses_calls(w) && (w->runs || w->orders.length);
 }
 
 /* Polls beside the first thread of the worker while polls are lost. */
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -396,6 +396,41 @@
 	}
 }
 
+// Guards against starts that are given up after seven calls of a lossy path.
+TEST_F(Dispatch, StartIsRepeatedWhilePollsAreLostAsWell)
+{
+	uint64_t seen = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_holds_time_out = true;
+	a->answers_one_in = 4;
+	usleep(600000);
+	a->lost_starts_time_out = true;
+	a->late_starts = 12;
+	ASSERT_EQ(start(1, 1, "t"), 0);
+	seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+	ASSERT_NE(v, nullptr);
+	EXPECT_EQ(v->failed, SEAM_OK);
+	EXPECT_EQ(v->calls, 13u);
+}
+
+// Guards against more calls of a start to a worker that answers its polls.
+TEST_F(Dispatch, StartIsGivenUpAfterSevenCallsIfPollsAreAnswered)
+{
+	uint64_t seen = 0;
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_starts_time_out = true;
+	a->late_starts = 12;
+	ASSERT_EQ(start(1, 1, "t"), 0);
+	seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+	ASSERT_NE(v, nullptr);
+	EXPECT_EQ(v->failed, SEAM_COMMIT_UNKNOWN);
+	EXPECT_EQ(v->calls, 7u);
+}
+
 // Guards against starts that wait one after another while calls are lost.
 TEST_F(Dispatch, LostCallsOfAStartDoNotDelayTheStartsBehindIt)
 {
