http_test: hold requests instead of racing them against two times

The server was right: it counts a request when the thread of its connection has read its head. The test took it that all 64 heads are read 200 ms after the last was sent. When the thread of connection 3 begins later, the first request beyond the limit is the 64th and runs, and that of connection 3 is the 65th and is refused.

Requests now wait in the handler until the test releases them. The test waits until all 64 have begun, and releases them when the others are refused. The bound of 300 ms for a refusal and of 4 s for a response stay. New is the check that no request beyond the limit has begun.

A refusal that is 400 ms late fails the test, as do a limit of one more or one less, a connection closed without a response, and another status.

--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -8,6 +8,8 @@
 
 #include <cstring>
 #include <chrono>
+#include <condition_variable>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -47,6 +49,50 @@
 	seam_reply_text(c, 200, "text/plain", c->path);
 }
 
+// Requests that run until the test releases them.
+struct Gate {
+	std::mutex lock;
+	std::condition_variable changed;
+	int begun = 0;
+	bool open = false;
+
+	// Whether @n requests have begun within @ms.
+	bool wait_begun(int n, int ms)
+	{
+		std::unique_lock<std::mutex> l(lock);
+
+		return changed.wait_for(l, std::chrono::milliseconds(ms),
+					[this, n] { return begun >= n; });
+	}
+
+	int count()
+	{
+		std::lock_guard<std::mutex> l(lock);
+
+		return begun;
+	}
+
+	void release()
+	{
+		std::lock_guard<std::mutex> l(lock);
+
+		open = true;
+		changed.notify_all();
+	}
+};
+
+void serve_held(seam_call *c, void *arg)
+{
+	Gate *g = (Gate *)arg;
+	std::unique_lock<std::mutex> l(g->lock);
+
+	g->begun++;
+	g->changed.notify_all();
+	g->changed.wait(l, [g] { return g->open; });
+	l.unlock();
+	seam_reply_text(c, 200, "text/plain", c->path);
+}
+
 class Http : public testing::Test
 {
       protected:
@@ -54,18 +100,21 @@
 	seam_http *h = seam_http_new(seam_clock_boot());
 	std::vector<int> sockets;
 	int delay_ms = 0;
+	Gate gate;
 
 	void SetUp() override
 	{
 		seam_err e = SEAM_ERR_INIT;
 
 		seam_http_route(h, "*", "/", serve, &delay_ms);
+		seam_http_route(h, "*", "/held", serve_held, &gate);
 		ASSERT_EQ(seam_http_start(h, addr.c_str(), MAX, &e), 0)
 			<< e.text;
 	}
 
 	void TearDown() override
 	{
+		gate.release();
 		for (int s : sockets)
 			close(s);
 		seam_http_free(h);
@@ -85,9 +134,10 @@
 		return s;
 	}
 
-	static void request(int s)
+	static void request(int s, const std::string &path = "/a")
 	{
-		std::string text = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+		std::string text =
+			"GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
 
 		EXPECT_EQ(send(s, text.data(), text.size(), MSG_NOSIGNAL),
 			  (ssize_t)text.size());
@@ -198,14 +248,15 @@
 {
 	int i;
 
-	delay_ms = 1000;
 	for (i = 0; i < MAX; i++)
-		request(open_connection());
-	std::this_thread::sleep_for(std::chrono::milliseconds(200));
+		request(open_connection(), "/held");
+	ASSERT_TRUE(gate.wait_begun(MAX, 2000)) << gate.count();
 	for (i = 0; i < MAX / 2; i++) {
-		request(open_connection());
+		request(open_connection(), "/held");
 		EXPECT_EQ(status(sockets.back(), 300), 503) << i;
 	}
+	EXPECT_EQ(gate.count(), MAX);
+	gate.release();
 	for (i = 0; i < MAX; i++)
 		EXPECT_EQ(status(sockets[(size_t)i], 4000), 200) << i;
 }
