dispatch: go on polling a lossy worker often while its leases last

The threads that poll a worker beside its first one ended as soon as it counted as silent, so that it was asked five times a second in place of some 25 and often was not heard before its leases were over: 280 runs of late-ends were lost so (run_lost why=lease_over state=2 with unheard_ms from 4,243 on), most of them on workers that were up.

The threads go on for 4 s after the last answer, which is when a run is given up. They still begin only while some polls are answered quickly, so that a worker behind a cut or a queue gets no more polls than before.

Dispatch.SilentWorkerOfALossyPathIsPolledOftenForSomeTime failed before: 4 polls in a second, with 10 wanted.

--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -34,6 +34,11 @@
 /* Of all such threads of a node: an eighth of a core at 150 us for each poll.
  */
 #define REPEATS_PER_S 800
+/*
+ * They go on for so long after the last answer, while the worker may still have
+ * a lease: hearing it later saves no run.
+ */
+#define REPEAT_UNHEARD_MAX (4 * SEAM_SEC)
 /* Answers that take longer wait in a queue, which more polls would lengthen. */
 #define QUICK_ANSWER_MAX (25 * SEAM_MSEC)
 #define TIMEOUT_ROUNDING                                    \
@@ -333,10 +338,15 @@
 	return loses_polls(w) && dispatch_worker_answers_quickly(w);
 }
 
-/* Whether more polls at a time help to hear the worker. */
-static bool may_repeat_polls(const struct seam_dispatch_worker *w)
+/*
+ * Whether threads that repeat polls go on. They do not begin while the worker
+ * is silent: only a path that loses some answers is known to have no queue.
+ */
+static bool goes_on_repeating(const struct seam_dispatch_worker *w)
 {
-	return dispatch_worker_loses_calls(w) && (w->runs || w->orders.length);
+	return loses_polls(w) && (w->runs || w->orders.length) &&
+	       w->answer_time.estimate <= QUICK_ANSWER_MAX &&
+	       seam_now(w->dispatch->clock) < w->heard_at + REPEAT_UNHEARD_MAX;
 }
 
 /* Polls beside the first thread of the worker while polls are lost. */
@@ -348,7 +358,7 @@
 	unsigned share;
 
 	pthread_mutex_lock(&d->lock);
-	while (dispatch_check_session(w) && may_repeat_polls(w)) {
+	while (dispatch_check_session(w) && goes_on_repeating(w)) {
 		pause = poll_worker(w);
 		share = (unsigned)d->repeat_threads * (unsigned)SEAM_SEC /
 			REPEATS_PER_S;
@@ -366,7 +376,7 @@
 static void repeat_polls(struct seam_dispatch_worker *w)
 {
 	if (w->removed || w->repeat_threads >= REPEAT_THREADS_MAX ||
-	    !may_repeat_polls(w) ||
+	    !w->answered || !goes_on_repeating(w) ||
 	    dispatch_worker_start_thread(w, repeat_loop))
 		return;
 	w->repeat_threads++;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -56,6 +56,19 @@
 		free(o.text);
 		return rc;
 	}
+	// Requests events, as an owner does all the time.
+	bool ask(uint64_t token, uint64_t number, uint64_t *seen)
+	{
+		seam_lane_poll p = {{token, number}, *seen, 100};
+
+		seam_lane_events_free(&last);
+		seam_err_clear(&e);
+		if (seam_dispatch_poll(d, &p, &last, &e))
+			return false;
+		if (last.n)
+			*seen = last.event[last.n - 1].number;
+		return true;
+	}
 	// Returns the next event of a kind, or NULL after 40 polls.
 	seam_lane_event *next(uint64_t token, uint64_t number, int kind,
 			      uint64_t *seen)
@@ -379,6 +392,33 @@
 	EXPECT_EQ(silent, 0);
 }
 
+// Guards against a lossy path that is polled slowly once it lost more answers.
+TEST_F(Dispatch, SilentWorkerOfALossyPathIsPolledOftenForSomeTime)
+{
+	uint64_t seen = 0;
+	auto polls_in = [&](int ms) {
+		seam_time until = seam_now(w.clock) + ms * SEAM_MSEC;
+		int before = a->polls;
+
+		while (seam_now(w.clock) < until)
+			EXPECT_TRUE(ask(1, 1, &seen));
+		return a->polls - before;
+	};
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	ASSERT_EQ(start(1, 1, "t", SEAM_SEC, false, "60000"), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_ANSWERED, &seen), nullptr);
+	a->lost_holds_time_out = true;
+	a->answers_one_in = 4;
+	polls_in(1000);
+	a->unresponsive = true;
+	polls_in(1500);
+	EXPECT_GE(polls_in(1000), 10);
+	polls_in(2500);
+	EXPECT_LE(polls_in(1000), 8);
+}
+
 // Guards against a start that is given up as one poll before it is lost.
 TEST_F(Dispatch, LostPollBeforeAStartIsRepeated)
 {
