--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,7 +56,11 @@
 	std::atomic<bool> lost_starts_time_out{false}; // at their deadline
 	std::atomic<bool> lost_holds_time_out{false}; // at their deadline
 	std::minstd_rand late_rng; // how late each one is
-	std::vector<seam_renewal> late_holds; // kept in the same way
+	struct LateHold {
+		seam_renewal hold;
+		int64_t due_us;
+	};
+	std::vector<LateHold> late_holds; // kept in the same way
 	std::atomic<int> late_percent{0}; // part of the calls that are kept
 	std::minstd_rand rng;
 
@@ -63,15 +68,22 @@
 	{
 		return late_percent && (int)(rng() % 100) < late_percent;
 	}
+	int64_t draw_late_us()
+	{
+		return (LATE_MIN_MS +
+			(int)(late_rng() % (LATE_MAX_MS - LATE_MIN_MS + 1))) *
+		       INT64_C(1000);
+	}
 	// Keeps a start that gets no answer.
 	void keep(LateStart s)
 	{
-		int ms = LATE_MIN_MS +
-			 (int)(late_rng() % (LATE_MAX_MS - LATE_MIN_MS + 1));
-
-		s.due_us = s.sent_us + ms * 1000;
+		s.due_us = s.sent_us + draw_late_us();
 		late.push_back(s);
 	}
+	void keep(const seam_renewal &h)
+	{
+		late_holds.push_back({h, us() + draw_late_us()});
+	}
 	bool is_start_kept()
 	{
 		if (late_starts > 0) {
@@ -115,6 +127,7 @@
 		int reason;
 		int64_t at_us;
 		bool lapsed; // the lease has run out since
+		bool told = false; // a poll with it was answered
 	};
 	// Called with the lock when an end is acknowledged that the users count
 	// as noted.
@@ -124,6 +137,10 @@
 	std::vector<Run> runs;
 	std::vector<End> ends;
 	std::map<std::string, int64_t> refused; // highest run stopped or ended
+	// Tasks that truly ended as done; not those whose end was told to
+	// nobody before a restart.
+	std::set<std::string> done;
+	std::vector<int> told_ms; // from each end until a poll told it
 
 	static int64_t us()
 	{
@@ -146,6 +163,8 @@
 			 false});
 		refused[runs[i].task] =
 			std::max(refused[runs[i].task], runs[i].run);
+		if (reason == SEAM_END_DONE)
+			done.insert(runs[i].task);
 		runs.erase(runs.begin() + (long)i);
 	}
 	void tick()
@@ -222,6 +241,9 @@
 		up_at_us = us() + restart_ms * 1000;
 
 		runs.clear();
+		for (auto &e : ends)
+			if (e.reason == SEAM_END_DONE && !e.told)
+				done.erase(e.task);
 		ends.clear();
 		refused.clear();
 		token = 0;
--- a/tests/world.h
+++ b/tests/world.h
@@ -315,13 +315,13 @@
 		if (!w->is_up())
 			return;
 		for (auto &h : w->late_holds)
-			w->hold(h);
+			w->hold(h.hold);
 		w->late_holds.clear();
 		std::vector<FakeWorker::LateStart> all;
 		all.swap(w->late);
 		carry_out(w, l, all);
 	}
-	// Carries out the kept starts of @w that are due. Those that are due
+	// Carries out the kept calls of @w that are due. Those that are due
 	// while no process is up are lost.
 	void deliver_due(FakeWorker *w)
 	{
@@ -336,6 +336,13 @@
 		w->late.erase(first, w->late.end());
 		std::sort(due.begin(), due.end(),
 			  [](auto &s, auto &t) { return s.due_us < t.due_us; });
+		for (size_t i = w->late_holds.size(); i-- > 0;) {
+			if (w->late_holds[i].due_us > now)
+				continue;
+			if (w->is_up())
+				w->hold(w->late_holds[i].hold);
+			w->late_holds.erase(w->late_holds.begin() + (long)i);
+		}
 		if (w->is_up())
 			carry_out(w, l, due);
 	}
@@ -506,7 +513,7 @@
 	if (w->holds++ % w->answers_one_in)
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	if (w->is_kept()) {
-		w->late_holds.push_back(*h);
+		w->keep(*h);
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "no answer");
 	}
 	*outcome = w->hold(*h);
@@ -532,6 +539,10 @@
 		}
 		seam_listed_end *o = &out->end[out->ends++];
 
+		if (!x.told)
+			w->told_ms.push_back(
+				(int)((FakeWorker::us() - x.at_us) / 1000));
+		x.told = true;
 		o->number = x.n;
 		snprintf(o->task, sizeof(o->task), "%s", x.task.c_str());
 		o->run = x.run;
