dispatch: poll a worker often while a start of it is unconfirmed

Its other threads poll a worker only if it lists runs or has orders, and for 4 s; a worker whose only start got no answer has neither, and the task waits for it for up to 13.7 s.

A start without an answer now counts until a poll with a later token is answered, and keeps the threads for 14 s.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -13,7 +13,7 @@
  * struct seam_dispatch_order - an order that waits to be sent, or is sent
  * @order: as received
  * @queued_at: when it was received
- * @calls: calls that were made for it
+ * @calls: calls to the worker that were made for it
  * @call_time: time of the call that was answered; 0 before
  * @lost: time for which it waited for calls to the worker without an answer,
  *     its own and those before it
@@ -45,8 +45,8 @@
  * @answered: the worker is in touch: it has answered a poll lately, and no call
  *     has failed since in another way than without an answer in time
  * @heard_at: when it last answered a poll
- * @lost_polls: which of the latest polls got no answer, a bit for each; the
- *     lowest is that of the latest one
+ * @lost_polls: which of the latest polls had no answer in time, a bit for each;
+ *     the lowest is that of the latest one
  * @failed_polls: number of polls without an answer since the last one with it
  * @runs: number of runs in the latest listing, plus starts since
  * @reported_hash: hash of the listing that was reported last
@@ -57,11 +57,15 @@
  * @order_since: an order was carried out or given up since
  * @reported_more: that report had not all ends
  * @reported_end: number of the latest ended run that was reported
- * @listed_at: when the poll was sent whose listing was handled last
+ * @listed_at: when the poll was sent whose answer, or failure, was handled
+ * last; an answer to an earlier one is left out
  * @repeat_threads: threads that poll beside the first one
+ * @unconfirmed_token: token of the latest start without an answer, until a poll
+ *     with a later one is answered; 0 without one
  * @acks_changed: signalled when @acked or @removed changes
  * @orders: struct seam_dispatch_order, in order of sending
- * @orders_changed: signalled when @orders or @removed changes
+ * @sending: struct seam_dispatch_order that are being sent
+ * @orders_changed: signalled when @orders, @sending or @removed changes
  * @order_thread: a thread sends orders
  * @order_thread_until: it ends then unless an order comes
  * @more_order_threads: threads that send orders beside it
@@ -95,8 +99,10 @@
 	int64_t reported_end;
 	seam_time listed_at;
 	int repeat_threads;
+	uint64_t unconfirmed_token;
 	pthread_cond_t acks_changed;
 	GQueue orders;
+	GQueue sending;
 	pthread_cond_t orders_changed;
 	bool order_thread;
 	seam_time order_thread_until;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -16,8 +16,9 @@
 #define POLL_WAIT_IDLE_MS 1800
 /*
  * A worker is silent once it has not answered for as long as a poll that waits
- * takes to fail. A single lost answer is none: its lease would run out, and its
- * starts would wait, each time that an answer is lost.
+ * takes to fail. The lost answer to a poll that does not wait shows nothing:
+ * its lease would run out, and its starts would wait, each time that one is
+ * lost.
  */
 #define SILENT_AFTER (POLL_WAIT_MS * SEAM_MSEC + POLL_TIMEOUT_MARGIN)
 /*
@@ -35,15 +36,16 @@
  */
 #define REPEATS_PER_S 800
 /*
- * They go on for so long after the last answer, while the worker may still have
- * a lease: hearing it later saves no run.
+ * They go on for so long after the last answer. Runs are given up with their
+ * leases, while a start without an answer keeps its task waiting until it can
+ * come no more.
  */
-#define REPEAT_UNHEARD_MAX (4 * SEAM_SEC)
+#define REPEAT_FOR_RUNS_MAX (4 * SEAM_SEC)
+#define REPEAT_FOR_STARTS_MAX (14 * SEAM_SEC)
 /* Answers that take longer wait in a queue, which more polls would lengthen. */
 #define QUICK_ANSWER_MAX (25 * SEAM_MSEC)
-#define TIMEOUT_ROUNDING                                    \
-	(2 * SEAM_MSEC) /* libcurl takes whole milliseconds \
-			 */
+/* libcurl takes whole milliseconds. */
+#define TIMEOUT_ROUNDING (2 * SEAM_MSEC)
 #define POLL_FIRST_RETRY_USEC 30000 /* after the first failed poll */
 #define POLL_RETRY_USEC 50000
 /* A worker answers a poll immediately while it has unacknowledged ended runs,
@@ -163,6 +165,7 @@
 	w->lease_until = 0;
 	w->acked = 0;
 	w->reported_end = 0;
+	w->unconfirmed_token = 0;
 	w->answered = false;
 }
 
@@ -174,12 +177,9 @@
 	seam_time now = seam_now(w->dispatch->clock);
 	bool changed;
 
-	/* The answer to a later poll has come first. */
-	if (sent_at < w->listed_at) {
-		seam_listing_free(l);
-		return;
-	}
 	w->listed_at = sent_at;
+	if (token > w->unconfirmed_token)
+		w->unconfirmed_token = 0;
 	if (l->process_start_ms && w->process_start_ms &&
 	    l->process_start_ms != w->process_start_ms) {
 		reset_after_restart(w);
@@ -222,31 +222,46 @@
 	return __builtin_popcount(w->lost_polls) >= LOST_POLLS_MAX;
 }
 
-static void note_poll(struct seam_dispatch_worker *w, bool lost)
+/* Whether a call that has just failed did so by its deadline. */
+bool dispatch_timed_out(const struct seam_dispatch_worker *w,
+			seam_time deadline)
 {
+	return seam_now(w->dispatch->clock) >= deadline - TIMEOUT_ROUNDING;
+}
+
+/* Notes whether a poll was answered, or had no answer until its @deadline. A
+ * call that fails at once is not lost on the path. */
+static void note_poll(struct seam_dispatch_worker *w, bool answered,
+		      seam_time deadline)
+{
+	bool lost = !answered && dispatch_timed_out(w, deadline);
+
 	w->lost_polls = (uint8_t)(w->lost_polls << 1 | lost);
-	w->failed_polls = lost ? w->failed_polls + 1 : 0;
-	if (!lost)
+	if (!answered && !lost)
+		w->lost_polls = 0;
+	w->failed_polls = answered ? 0 : w->failed_polls + 1;
+	if (answered)
 		w->heard_at = seam_now(w->dispatch->clock);
 }
 
-/* Returns the timeout of a poll beyond its wait. */
-static seam_time poll_margin(const struct seam_dispatch_worker *w)
+/* Whether the worker has to be heard soon though polls are lost. */
+static bool polls_quickly(const struct seam_dispatch_worker *w)
 {
-	unsigned tries = 0;
-
-	if (!w->failed_polls && !loses_polls(w))
-		return POLL_TIMEOUT_MARGIN;
-	if (!w->answered && w->failed_polls)
-		tries = w->failed_polls - 1;
-	return seam_answer_timeout(&w->answer_time, tries, POLL_TIMEOUT_MARGIN);
+	return loses_polls(w) &&
+	       (w->runs || w->orders.length || w->unconfirmed_token);
 }
 
-/* Whether a call that has just failed did so by its deadline. */
-bool dispatch_timed_out(const struct seam_dispatch_worker *w,
-			seam_time deadline)
+/*
+ * Returns the timeout of a poll beyond its wait. The first thread has a long
+ * try now and then, for a worker that has become slow.
+ */
+static seam_time poll_margin(const struct seam_dispatch_worker *w, bool first)
 {
-	return seam_now(w->dispatch->clock) >= deadline - TIMEOUT_ROUNDING;
+	unsigned tries = first && w->failed_polls ? w->failed_polls - 1 : 0;
+
+	if (!w->failed_polls && !polls_quickly(w))
+		return POLL_TIMEOUT_MARGIN;
+	return seam_answer_timeout(&w->answer_time, tries, POLL_TIMEOUT_MARGIN);
 }
 
 /*
@@ -260,8 +275,11 @@
 	       seam_now(w->dispatch->clock) < w->heard_at + SILENT_AFTER;
 }
 
-/* Polls once; returns the delay before the next poll, microseconds. */
-static unsigned poll_worker(struct seam_dispatch_worker *w)
+/*
+ * Polls once, as the first thread of the worker or as a further one; returns
+ * the delay before the next poll, microseconds.
+ */
+static unsigned poll_worker(struct seam_dispatch_worker *w, bool first)
 {
 	struct seam_dispatch *d = w->dispatch;
 	seam_time now = seam_now(d->clock);
@@ -280,9 +298,9 @@
 	int rc;
 
 	/* The answer to the first poll with a token is waited for. */
-	if (h.lease_until && h.token == w->reported_token && !loses_polls(w))
+	if (h.lease_until && h.token == w->reported_token && !polls_quickly(w))
 		h.wait_ms = w->runs ? POLL_WAIT_MS : POLL_WAIT_IDLE_MS;
-	deadline = now + h.wait_ms * SEAM_MSEC + poll_margin(w);
+	deadline = now + h.wait_ms * SEAM_MSEC + poll_margin(w, first);
 	pthread_mutex_unlock(&d->lock);
 	seam_metric_add(&polls, 1);
 	rc = w->conn->ops->renew_and_list(w->conn, &h, &outcome, &l, deadline,
@@ -293,15 +311,22 @@
 			seam_listing_free(&l);
 		return 0;
 	}
+	/* A later poll was answered or refused first. */
+	if (!rc && now < w->listed_at) {
+		if (outcome == SEAM_ORDER_DONE)
+			seam_listing_free(&l);
+		return (unsigned)seam_poll_interval(d->busy_workers);
+	}
 	/* An order with a later token came first. */
 	if (!rc && outcome == SEAM_ORDER_FENCED && h.token != w->token)
 		return POLL_FIRST_RETRY_USEC;
-	note_poll(w, rc || outcome != SEAM_ORDER_DONE);
+	note_poll(w, !rc && outcome == SEAM_ORDER_DONE, deadline);
 	if (rc && is_lost_answer(w, deadline))
 		return (unsigned)seam_poll_interval(d->busy_workers);
 	if (rc || outcome != SEAM_ORDER_DONE) {
 		bool first_failure = rc && w->answered;
 
+		w->listed_at = MAX(w->listed_at, now);
 		report_no_answer(w, rc, outcome, &e);
 		return first_failure ? POLL_FIRST_RETRY_USEC : POLL_RETRY_USEC;
 	}
@@ -344,9 +369,12 @@
  */
 static bool goes_on_repeating(const struct seam_dispatch_worker *w)
 {
-	return loses_polls(w) && (w->runs || w->orders.length) &&
+	seam_time unheard_max = w->unconfirmed_token ? REPEAT_FOR_STARTS_MAX :
+						       REPEAT_FOR_RUNS_MAX;
+
+	return polls_quickly(w) &&
 	       w->answer_time.estimate <= QUICK_ANSWER_MAX &&
-	       seam_now(w->dispatch->clock) < w->heard_at + REPEAT_UNHEARD_MAX;
+	       seam_now(w->dispatch->clock) < w->heard_at + unheard_max;
 }
 
 /* Polls beside the first thread of the worker while polls are lost. */
@@ -355,15 +383,15 @@
 	struct seam_dispatch_worker *w = arg;
 	struct seam_dispatch *d = w->dispatch;
 	unsigned pause;
-	unsigned share;
+	unsigned least;
 
 	pthread_mutex_lock(&d->lock);
 	while (dispatch_check_session(w) && goes_on_repeating(w)) {
-		pause = poll_worker(w);
-		share = (unsigned)d->repeat_threads * (unsigned)SEAM_SEC /
+		pause = poll_worker(w, false);
+		least = (unsigned)d->repeat_threads * (unsigned)SEAM_SEC /
 			REPEATS_PER_S;
 		pthread_mutex_unlock(&d->lock);
-		g_usleep(MAX(pause, share));
+		g_usleep(MAX(pause, least));
 		pthread_mutex_lock(&d->lock);
 	}
 	w->repeat_threads--;
@@ -391,7 +419,7 @@
 
 	pthread_mutex_lock(&d->lock);
 	while (dispatch_check_session(w)) {
-		pause = poll_worker(w);
+		pause = poll_worker(w, true);
 		repeat_polls(w);
 		pthread_mutex_unlock(&d->lock);
 		g_usleep(pause);
@@ -455,6 +483,7 @@
 	w->token = row->token ? row->token : d->session.token;
 	w->conn = d->runners->ops->open(d->runners, row->id, row->addr);
 	g_queue_init(&w->orders);
+	g_queue_init(&w->sending);
 	seam_cond_init(&w->orders_changed);
 	seam_cond_init(&w->acks_changed);
 	g_hash_table_insert(d->worker_by_key, GUINT_TO_POINTER(row->key), w);
