dispatch: hold a stop back while a start of its run is sent

A draining worker that restarts then runs the task beside another run (TWICE).

A stop waits until the start of its run has been sent; other orders go on. The orders behind a lost stop are sent beside it, as for a start.

Dispatch.StopWaitsForTheStartOfItsRun fails without the check, and TimeOfCallsLostTogetherIsReportedOnce in one of two runs without the end of the latest time.

--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -1,4 +1,4 @@
-/* The thread that sends a worker its orders, while there are any. */
+/* The threads that send a worker its orders, while there are any. */
 #include "process/dispatch_impl.h"
 #include "base/metrics.h"
 
@@ -7,7 +7,8 @@
 #define ORDER_TIMEOUT (350 * SEAM_MSEC)
 /* A repeated start has no effect on a worker, so a start without an answer is
  * repeated soon. Each try without an answer may come late to a later process,
- * which runs the task once more, so there are no more of them. */
+ * which runs the task once more, so a worker that answers polls and no start
+ * gets no more of them. */
 #define START_TIMEOUT (150 * SEAM_MSEC)
 #define START_ATTEMPTS_MAX 7
 /* While polls are lost as well, a start is repeated for as long as the slowest
@@ -262,10 +263,57 @@
 		if (!rc || w->removed)
 			break;
 		note_lost_call(w, now);
+		send_more_orders(w);
 	}
 	return rc;
 }
 
+/* Whether a start of the run that @o stops is being sent. */
+static bool is_being_started(const struct seam_dispatch_worker *w,
+			     const struct seam_lane_order *o)
+{
+	const GList *at;
+
+	for (at = w->sending.head; at; at = at->next) {
+		const struct seam_dispatch_order *s = at->data;
+
+		if (!s->order.stop && s->order.run == o->run &&
+		    !strcmp(s->order.task, o->task))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether an order that waits may be sent. A start waits while the worker is
+ * silent: it may have restarted, and the answer to the next poll tells. A stop
+ * waits for the start of its run: the owner takes a run that was stopped for
+ * over, and would not know that the start may come late.
+ */
+static bool may_send(const struct seam_dispatch_worker *w,
+		     const struct seam_lane_order *o)
+{
+	if (o->stop)
+		return !is_being_started(w, o);
+	return w->answered || seam_now(w->dispatch->clock) > o->send_by;
+}
+
+/* Removes and returns the next order that may be sent, or NULL. */
+static struct seam_dispatch_order *pop_order(struct seam_dispatch_worker *w)
+{
+	GList *at;
+
+	for (at = w->orders.head; at; at = at->next) {
+		struct seam_dispatch_order *o = at->data;
+
+		if (!may_send(w, &o->order))
+			continue;
+		g_queue_delete_link(&w->orders, at);
+		return o;
+	}
+	return NULL;
+}
+
 static void send_order(struct seam_dispatch_worker *w,
 		       struct seam_dispatch_order *to_send)
 {
@@ -293,6 +341,8 @@
 		seam_metric_add(&starts, 1);
 		dispatch_worker_set_runs(w, w->runs + 1);
 	}
+	if (unknown && rc)
+		w->unconfirmed_token = MAX(w->unconfirmed_token, w->token);
 	w->order_since = true;
 	v = dispatch_report_answer(w->dispatch, o, rc, outcome, unknown, &e);
 	if (!rc && clock_ms)
@@ -303,28 +353,36 @@
 	v->lost_ms = MIN(to_send->lost / SEAM_MSEC, SEAM_LANE_CALLS_MS_MAX);
 }
 
-/*
- * Returns the next order that may be sent, or NULL. A start waits while the
- * latest poll has no answer: the worker may have restarted, and the answer to
- * the next poll tells.
- */
-static struct seam_dispatch_order *pop_order(struct seam_dispatch_worker *w)
+/* Sends an order that was taken from the queue, and frees it. */
+static void carry_out(struct seam_dispatch_worker *w,
+		      struct seam_dispatch_order *o)
 {
-	const struct seam_dispatch_order *o = g_queue_peek_head(&w->orders);
-
-	if (!o || (!o->order.stop && !w->answered &&
-		   seam_now(w->dispatch->clock) <= o->order.send_by))
-		return NULL;
-	return g_queue_pop_head(&w->orders);
+	g_queue_push_tail(&w->sending, o);
+	send_order(w, o);
+	g_queue_remove(&w->sending, o);
+	dispatch_free_order(o);
+	/* A stop may have waited for it. */
+	pthread_cond_signal(&w->orders_changed);
 }
 
-/* Returns when the thread for orders has something to do, or ends. */
+/*
+ * Returns when the thread for orders has something to do, or ends. A stop that
+ * waits for a start is sent when that one has been.
+ */
 static seam_time next_order_deadline(const struct seam_dispatch_worker *w)
 {
-	const struct seam_dispatch_order *o =
-		w->orders.head ? w->orders.head->data : NULL;
+	seam_time at = SEAM_NEVER;
+	const GList *l;
+
+	if (g_queue_is_empty((GQueue *)&w->orders))
+		return w->order_thread_until;
+	for (l = w->orders.head; l; l = l->next) {
+		const struct seam_dispatch_order *o = l->data;
 
-	return o ? o->order.send_by + 1 : w->order_thread_until;
+		if (!o->order.stop && o->order.send_by < at)
+			at = o->order.send_by + 1;
+	}
+	return at;
 }
 
 static bool may_end_order_thread(const struct seam_dispatch_worker *w)
@@ -341,10 +399,8 @@
 	struct seam_dispatch_order *o;
 
 	pthread_mutex_lock(&d->lock);
-	while (!w->removed && (o = pop_order(w))) {
-		send_order(w, o);
-		dispatch_free_order(o);
-	}
+	while (!w->removed && (o = pop_order(w)))
+		carry_out(w, o);
 	w->more_order_threads--;
 	dispatch_worker_release_thread(w);
 	pthread_mutex_unlock(&d->lock);
@@ -381,8 +437,7 @@
 			note_lost_call(w, began);
 			continue;
 		}
-		send_order(w, o);
-		dispatch_free_order(o);
+		carry_out(w, o);
 		w->order_thread_until =
 			seam_now(d->clock) + ORDER_THREAD_IDLE_MAX;
 	}
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -471,6 +471,40 @@
 	EXPECT_EQ(v->calls, 7u);
 }
 
+// Guards against a stop that the owner takes for the end of a start under way.
+TEST_F(Dispatch, StopWaitsForTheStartOfItsRun)
+{
+	uint64_t seen = 0;
+	seam_lane_order o = {};
+	seam_lane_batch b = {{1, 1}, false, nullptr, 0, &o, 1};
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->lost_starts_time_out = true;
+	a->late_starts = 6;
+	ASSERT_EQ(start(1, 1, "t", 2 * SEAM_SEC), 0);
+	ASSERT_EQ(start(1, 1, "u", 2 * SEAM_SEC), 0);
+	usleep(70000);
+	o.number = ++orders;
+	o.key = 7;
+	o.stop = true;
+	snprintf(o.task, sizeof(o.task), "t");
+	o.run = 1;
+	o.send_by = seam_dispatch_now(d) + 2 * SEAM_SEC;
+	o.repeat_by = o.send_by;
+	ASSERT_EQ(seam_dispatch_apply(d, &b, &e), 0);
+	uint64_t first[2] = {0, 0}; /* orders of "t", as they were answered */
+	for (int i = 0; i < 3; i++) {
+		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+
+		ASSERT_NE(v, nullptr);
+		if (v->order != orders - 1)
+			first[first[0] != 0] = v->order;
+	}
+	EXPECT_EQ(first[0], orders - 2);
+	EXPECT_EQ(first[1], orders);
+}
+
 // Guards against starts that wait one after another while calls are lost.
 TEST_F(Dispatch, LostCallsOfAStartDoNotDelayTheStartsBehindIt)
 {
@@ -577,14 +611,14 @@
 	ASSERT_NE(v, nullptr);
 	EXPECT_EQ(v->failed, SEAM_OK);
 	EXPECT_EQ(v->calls, 4u);
-	EXPECT_GE(v->lost_ms, 3 * 50);
+	EXPECT_GE(v->lost_ms, 3 * 110);
 	EXPECT_LE(v->lost_ms, 3 * 150 + 50);
 	EXPECT_LT(v->call_ms, 50);
 	/* The start behind it has waited for the same calls. */
 	seam_lane_event *behind = next(1, 1, SEAM_LANE_ANSWERED, &seen);
 	ASSERT_NE(behind, nullptr);
 	EXPECT_EQ(behind->calls, 1u);
-	EXPECT_GE(behind->lost_ms, 3 * 50);
+	EXPECT_GE(behind->lost_ms, 3 * 110);
 	EXPECT_LE(behind->lost_ms, 3 * 150 + 50);
 }
 
@@ -599,9 +633,9 @@
 	a->lost_starts_time_out = true;
 	a->late_starts = 3;
 	seam_time begin = seam_now(w.clock);
-	ASSERT_EQ(start(1, 1, "t", 2 * SEAM_SEC), 0);
-	ASSERT_EQ(start(1, 1, "u", 2 * SEAM_SEC), 0);
-	for (int i = 0; i < 2; i++) {
+	for (const char *t : {"t", "u", "v"})
+		ASSERT_EQ(start(1, 1, t, 2 * SEAM_SEC), 0);
+	for (int i = 0; i < 3; i++) {
 		seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
 
 		ASSERT_NE(v, nullptr);
@@ -610,7 +644,7 @@
 		EXPECT_LE(v->lost_ms, (seam_now(w.clock) - begin) / SEAM_MSEC);
 		calls += v->calls;
 	}
-	EXPECT_EQ(calls, 5u);
+	EXPECT_EQ(calls, 6u);
 }
 
 // Guards against a wait for an answered poll that is taken for time in a queue.
