store: the store tells which page of rows is the last

Callers saw submissions that were accepted and never ran, after the node that leads was restarted while many long ones were open.

The platform's store cuts a page of rows at 1 MB and says so. The adapter dropped that, and every reader took a page with fewer rows than it had asked for as the last one. So the next owner did not read the rows behind the cut, and as its feed goes on from the version of the first page, it never saw them.

A result of a scan now has "more", which each store fills: the adapter from the response, as long as no row beyond the prefix was seen, and a node that reads for another one passes it on. All loops of readers go by it. Workers' and operators' rows are read by one function; the latter had no loop, so that evacuations behind a cut page were dropped. A page without rows that is not the last is an error of the store: the read fails with event=page_empty, and a reader does not ask for it for ever. A node of an earlier release does not tell; a full page of it counts as before.

--- a/process/op_state.c
+++ b/process/op_state.c
@@ -11,7 +11,7 @@
 #define WATCH_TIMEOUT (2 * SEAM_SEC)
 #define READ_TIMEOUT (1 * SEAM_SEC)
 #define RETRY_DELAY (200 * SEAM_MSEC) /* after a failed read */
-#define SCAN_LIMIT 100
+#define PAGE_ROWS 100
 
 SEAM_METRIC(version, "seam_config_version", "Version of the configuration.");
 
@@ -130,9 +130,8 @@
 	struct seam_rows rows;
 	size_t i;
 
-	if (seam_store_scan(s->ports->store, s->ports->op_rows, NULL,
-			    SCAN_LIMIT, &rows,
-			    seam_now(s->clock) + READ_TIMEOUT, e))
+	if (seam_store_scan_all(s->ports->store, s->clock, s->ports->op_rows,
+				PAGE_ROWS, READ_TIMEOUT, &rows, e))
 		return -1;
 	for (i = 0; i < rows.n; i++)
 		apply_row(s, &rows.row[i]);
--- a/process/pool_forecast.c
+++ b/process/pool_forecast.c
@@ -84,19 +84,19 @@
 	struct seam_err e = SEAM_ERR_INIT;
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows = {.row = NULL};
-	size_t n;
+	bool more;
 
 	do {
 		if (seam_store_scan(ps->env.store, FORECAST_PREFIX, after,
 				    SCAN_PAGE, &rows, now + SEAM_POOL_TIMEOUT,
 				    &e))
 			return -1;
-		n = rows.n;
-		if (n)
-			memcpy(after, rows.row[n - 1].key, sizeof(after));
+		more = rows.more;
+		if (more)
+			memcpy(after, rows.row[rows.n - 1].key, sizeof(after));
 		merge_page(ps, &rows);
 		seam_rows_free(&rows);
-	} while (n == SCAN_PAGE);
+	} while (more);
 	return 0;
 }
 
--- a/process/pool_poll.c
+++ b/process/pool_poll.c
@@ -68,7 +68,7 @@
 {
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows = {.row = NULL};
-	size_t n;
+	bool more;
 	int rc;
 
 	seam_metric_add(&index_reads, 1);
@@ -78,12 +78,12 @@
 				    SCAN_PAGE, &rows, now + SEAM_POOL_TIMEOUT,
 				    e))
 			return -1;
-		n = rows.n;
-		if (n)
-			memcpy(after, rows.row[n - 1].key, sizeof(after));
+		more = rows.more;
+		if (more)
+			memcpy(after, rows.row[rows.n - 1].key, sizeof(after));
 		rc = poll_page(ps, &rows, remaining, now, e);
 		seam_rows_free(&rows);
-	} while (!rc && n == SCAN_PAGE && *remaining);
+	} while (!rc && more && *remaining);
 	return rc;
 }
 
--- a/process/scheduler_jobs.c
+++ b/process/scheduler_jobs.c
@@ -261,7 +261,7 @@
 		 */
 		if (!p->version)
 			p->version = rows.version;
-		more = rows.n == page;
+		more = rows.more;
 		if (rows.n)
 			snprintf(after, sizeof(after), "%s",
 				 rows.row[rows.n - 1].key);
--- a/process/scheduler_workers.c
+++ b/process/scheduler_workers.c
@@ -346,34 +346,12 @@
 }
 
 /* Reads all rows. Called without the lock. */
-static int scan(struct seam_scheduler *sched, struct seam_rows *all,
-		uint64_t *version, struct seam_err *e)
-{
-	struct seam_rows page;
-	size_t n;
-
-	memset(all, 0, sizeof(*all));
-	*version = 0;
-	do {
-		const char *after = all->n ? all->row[all->n - 1].key : NULL;
-
-		if (seam_store_scan(sched->ports->store,
-				    sched->ports->worker_rows, after, PAGE_ROWS,
-				    &page,
-				    seam_now(sched->clock) + READ_TIMEOUT, e)) {
-			seam_rows_free(all);
-			return -1;
-		}
-		if (!*version)
-			*version = page.version;
-		n = page.n;
-		all->row = g_realloc(all->row,
-				     (all->n + n + 1) * sizeof(*all->row));
-		memcpy(all->row + all->n, page.row, n * sizeof(*page.row));
-		all->n += n;
-		free(page.row);
-	} while (n == PAGE_ROWS);
-	return 0;
+static int scan(struct seam_scheduler *sched, struct seam_rows *rows,
+		struct seam_err *e)
+{
+	return seam_store_scan_all(sched->ports->store, sched->clock,
+				   sched->ports->worker_rows, PAGE_ROWS,
+				   READ_TIMEOUT, rows, e);
 }
 
 int scheduler_load_workers(struct seam_scheduler *sched, struct seam_err *e)
@@ -381,8 +359,9 @@
 	struct seam_rows rows;
 	size_t i;
 
-	if (scan(sched, &rows, &sched->workers_version, e))
+	if (scan(sched, &rows, e))
 		return -1;
+	sched->workers_version = rows.version;
 	for (i = 0; i < rows.n; i++)
 		apply_row(sched, &rows.row[i]);
 	mark_missing(sched, &rows);
@@ -393,17 +372,16 @@
 static int rescan(struct seam_scheduler *sched, struct seam_err *e)
 {
 	struct seam_rows rows;
-	uint64_t version;
 	size_t i;
 
-	if (scan(sched, &rows, &version, e))
+	if (scan(sched, &rows, e))
 		return -1;
 	pthread_mutex_lock(&sched->lock);
 	for (i = 0; i < rows.n; i++)
 		apply_row(sched, &rows.row[i]);
 	mark_missing(sched, &rows);
 	pthread_mutex_unlock(&sched->lock);
-	sched->workers_version = version;
+	sched->workers_version = rows.version;
 	seam_rows_free(&rows);
 	return 0;
 }
--- a/process/store.c
+++ b/process/store.c
@@ -1,4 +1,5 @@
 #include "process/store.h"
+#include "base/log.h"
 
 #include <sodium.h>
 #include <stdlib.h>
@@ -29,6 +30,65 @@
 	rows->n = 0;
 }
 
+int seam_store_scan(struct seam_store *s, const char *prefix, const char *after,
+		    size_t max, struct seam_rows *rows, seam_time deadline,
+		    struct seam_err *e)
+{
+	if (s->ops->scan(s, prefix, after, max, rows, deadline, e))
+		return -1;
+	if (rows->n || !rows->more)
+		return 0;
+	seam_rows_free(rows);
+	seam_log(SEAM_ERROR, "store", "event=page_empty prefix=%s after=%s",
+		 prefix, after ? after : "");
+	return seam_fail(e, SEAM_UNAVAILABLE,
+			 "store: a page without rows is not the last of %s",
+			 prefix);
+}
+
+/* Moves the rows of @page to the end of @all. */
+static int move_rows(struct seam_rows *all, struct seam_rows *page,
+		     struct seam_err *e)
+{
+	struct seam_row *grown =
+		realloc(all->row, (all->n + page->n + 1) * sizeof(*grown));
+
+	if (!grown)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	all->row = grown;
+	if (page->n)
+		memcpy(all->row + all->n, page->row,
+		       page->n * sizeof(*page->row));
+	all->n += page->n;
+	page->n = 0;
+	return 0;
+}
+
+int seam_store_scan_all(struct seam_store *s, struct seam_clock *k,
+			const char *prefix, size_t page, seam_time timeout,
+			struct seam_rows *rows, struct seam_err *e)
+{
+	struct seam_rows next;
+	int rc;
+
+	memset(rows, 0, sizeof(*rows));
+	do {
+		const char *after = rows->n ? rows->row[rows->n - 1].key : NULL;
+
+		rc = seam_store_scan(s, prefix, after, page, &next,
+				     seam_now(k) + timeout, e);
+		if (rc)
+			break;
+		if (!rows->version)
+			rows->version = next.version;
+		rc = move_rows(rows, &next, e);
+		seam_rows_free(&next);
+	} while (!rc && next.more);
+	if (rc)
+		seam_rows_free(rows);
+	return rc;
+}
+
 uint64_t seam_store_token(void)
 {
 	uint64_t t;
--- a/process/store.h
+++ b/process/store.h
@@ -45,11 +45,14 @@
  * @n: number of rows
  * @version: version of the store that the scan reflects, from which a watch can
  *           start; 0 if the store has no such version
+ * @more: further rows follow the last one. A store may return fewer rows than
+ *        asked for although there are more, as a response has a largest size
  */
 struct seam_rows {
 	struct seam_row *row;
 	size_t n;
 	uint64_t version;
+	bool more;
 };
 
 enum seam_op { SEAM_PUT, SEAM_DELETE, SEAM_CHECK };
@@ -89,8 +92,8 @@
 /**
  * struct seam_store_ops - behaviour of a store
  * @get: read a row; SEAM_NOT_FOUND if it does not exist
- * @scan: read at most @max rows whose key starts with @prefix and is greater
- *        than @after, ordered by key
+ * @scan: read at most @max rows, at least one, whose key starts with @prefix
+ *        and is greater than @after, ordered by key; sets @more of @rows
  * @commit: apply @c; SEAM_CONFLICT if an expected version differs,
  *          SEAM_UNAVAILABLE if nothing was applied, SEAM_COMMIT_UNKNOWN if it
  *          may have been applied
@@ -130,14 +133,6 @@
 	return s->ops->get(s, key, row, deadline, e);
 }
 
-static inline int seam_store_scan(struct seam_store *s, const char *prefix,
-				  const char *after, size_t max,
-				  struct seam_rows *rows, seam_time deadline,
-				  struct seam_err *e)
-{
-	return s->ops->scan(s, prefix, after, max, rows, deadline, e);
-}
-
 static inline int seam_store_commit(struct seam_store *s, struct seam_commit *c,
 				    seam_time deadline, struct seam_err *e)
 {
@@ -156,6 +151,30 @@
 	s->ops->close(s);
 }
 
+/**
+ * seam_store_scan() - read a page of rows; see struct seam_store_ops
+ *
+ * A page without rows that has further ones fails as SEAM_UNAVAILABLE: a reader
+ * could not go on from it.
+ */
+int seam_store_scan(struct seam_store *s, const char *prefix, const char *after,
+		    size_t max, struct seam_rows *rows, seam_time deadline,
+		    struct seam_err *e);
+
+/**
+ * seam_store_scan_all() - read all rows under @prefix
+ * @s: store
+ * @k: clock of the deadlines
+ * @prefix: beginning of the keys
+ * @page: rows that are read at once
+ * @timeout: of each page
+ * @rows: receives the rows, with the version of the first page
+ * @e: as for scan
+ */
+int seam_store_scan_all(struct seam_store *s, struct seam_clock *k,
+			const char *prefix, size_t page, seam_time timeout,
+			struct seam_rows *rows, struct seam_err *e);
+
 /** seam_row_free() - free the content of a row */
 void seam_row_free(struct seam_row *row);
 
--- a/process/store_http.c
+++ b/process/store_http.c
@@ -82,6 +82,9 @@
 	if (!o)
 		return -1;
 	rc = seam_store_rows_parse(o, rows, e);
+	/* A node of an earlier release does not tell. */
+	if (!rc && !json_object_object_get_ex(o, "more", NULL))
+		rows->more = rows->n >= max;
 	json_object_put(o);
 	return rc;
 }
--- a/process/store_json.c
+++ b/process/store_json.c
@@ -81,6 +81,7 @@
 	json_object_object_add(o, "rows", list);
 	json_object_object_add(o, "version",
 			       json_object_new_uint64(rows->version));
+	json_object_object_add(o, "more", json_object_new_boolean(rows->more));
 	return o;
 }
 
@@ -97,6 +98,7 @@
 			e, SEAM_UNAVAILABLE,
 			"store: broken scan result: rows is not a list");
 	rows->version = get_uint64(o, "version");
+	rows->more = seam_json_bool(o, "more");
 	n = json_object_array_length(list);
 	rows->row = calloc(n + 1, sizeof(*rows->row));
 	if (!rows->row)
--- a/process/store_mem.c
+++ b/process/store_mem.c
@@ -178,11 +178,14 @@
 	pthread_mutex_lock(&m->table->lock);
 	node = after && *after ? g_tree_upper_bound(m->table->rows, after) :
 				 g_tree_lower_bound(m->table->rows, prefix);
-	for (; node && rows->n < max && !rc; node = g_tree_node_next(node)) {
+	for (; node && !rc; node = g_tree_node_next(node)) {
 		struct seam_row *r = g_tree_node_value(node);
 
 		if (strncmp(r->key, prefix, strlen(prefix)))
 			break;
+		rows->more = rows->n == max;
+		if (rows->more)
+			break;
 		rc = append_row(rows, r, e);
 	}
 	pthread_mutex_unlock(&m->table->lock);
--- a/process/store_peers.c
+++ b/process/store_peers.c
@@ -145,8 +145,8 @@
 {
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows;
-	size_t n;
 	size_t i;
+	bool more;
 
 	do {
 		if (seam_store_scan(&r->local.store, SEAM_NODE_ROW_PREFIX,
@@ -155,11 +155,12 @@
 			return -1;
 		for (i = 0; i < rows.n; i++)
 			update_node(r, &rows.row[i]);
-		n = rows.n;
-		if (n)
-			g_strlcpy(after, rows.row[n - 1].key, sizeof(after));
+		more = rows.more;
+		if (more)
+			g_strlcpy(after, rows.row[rows.n - 1].key,
+				  sizeof(after));
 		seam_rows_free(&rows);
-	} while (n == PAGE_ROWS);
+	} while (more);
 	return 0;
 }
 
--- a/process/task_find.c
+++ b/process/task_find.c
@@ -100,8 +100,8 @@
 	struct seam_err e = SEAM_ERR_INIT;
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows;
-	size_t n;
 	size_t i;
+	bool more;
 
 	do {
 		if (seam_store_scan(ts->c.store, prefix, after, page, &rows,
@@ -109,11 +109,12 @@
 			return -1;
 		for (i = 0; i < rows.n; i++)
 			visit(ts, &rows.row[i], now);
-		n = rows.n;
-		if (n)
-			g_strlcpy(after, rows.row[n - 1].key, sizeof(after));
+		more = rows.more;
+		if (more)
+			g_strlcpy(after, rows.row[rows.n - 1].key,
+				  sizeof(after));
 		seam_rows_free(&rows);
-	} while (n == page);
+	} while (more);
 	return 0;
 }
 
--- a/process/task_loads.c
+++ b/process/task_loads.c
@@ -96,8 +96,8 @@
 		read_remote_row(ts, &rows.row[i]);
 		bytes += (int64_t)rows.row[i].len;
 	}
-	if (rows.n == PAGE_ROWS) {
-		g_strlcpy(ts->load_cursor, rows.row[PAGE_ROWS - 1].key,
+	if (rows.more) {
+		g_strlcpy(ts->load_cursor, rows.row[rows.n - 1].key,
 			  sizeof(ts->load_cursor));
 	} else {
 		*ts->load_cursor = '\0';
--- a/process/task_worker.c
+++ b/process/task_worker.c
@@ -315,7 +315,7 @@
 		return false;
 	for (i = 0; i < rows.n; i++)
 		update_row(ts, &rows.row[i]);
-	if (rows.n == SCAN_PAGE) {
+	if (rows.more) {
 		g_strlcpy(ts->row_cursor, rows.row[rows.n - 1].key,
 			  sizeof(ts->row_cursor));
 	} else {
--- a/process/team_read.c
+++ b/process/team_read.c
@@ -229,20 +229,19 @@
 	struct seam_rows rows = {.row = NULL};
 	struct seam_err e = SEAM_ERR_INIT;
 	size_t max_rows = sweep_rows(t);
-	bool end;
+	const char *last;
 
 	if (seam_store_scan(t->self.store, "team/", t->sweep_cursor, max_rows,
 			    &rows, now + READ_TIMEOUT, &e)) {
 		seam_metric_add(&reads_failed, 1);
 		return;
 	}
-	end = rows.n < max_rows;
-	apply_absent(t, &rows, end ? NULL : rows.row[rows.n - 1].key, now);
-	if (end || !rows.row)
-		*t->sweep_cursor = '\0';
+	last = rows.more ? rows.row[rows.n - 1].key : NULL;
+	apply_absent(t, &rows, last, now);
+	if (last)
+		memcpy(t->sweep_cursor, last, sizeof(t->sweep_cursor));
 	else
-		memcpy(t->sweep_cursor, rows.row[rows.n - 1].key,
-		       sizeof(t->sweep_cursor));
+		*t->sweep_cursor = '\0';
 	apply_rows(t, &rows, now);
 	seam_rows_free(&rows);
 }
--- a/request/once_sweep.c
+++ b/request/once_sweep.c
@@ -55,7 +55,7 @@
 	 * found again by the next sweep. */
 	if (c.n && !seam_store_commit(o->store, &c, now + STORE_TIMEOUT, &e))
 		seam_metric_add(&deleted, (int64_t)c.n);
-	more = rows.n == SWEEP_ROWS;
+	more = rows.more;
 	if (more)
 		memcpy(o->sweep_cursor, rows.row[rows.n - 1].key,
 		       sizeof(o->sweep_cursor));
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -87,6 +87,8 @@
 	// Old rows, one of which the next idle watch returns.
 	std::map<std::string, Entry> late;
 	std::atomic<size_t> largest{0};
+	// Bytes of rows after which a page of a scan is cut, at least one row.
+	std::atomic<size_t> page_bytes{SIZE_MAX};
 	// Time of a row of a scan on the link, which all scans share.
 	std::atomic<int> scan_row_us{0};
 	std::mutex link;
@@ -221,11 +223,19 @@
 	f->perform_due(seam_now(seam_clock_boot()));
 	out->row = (seam_row *)calloc(f->rows.size() + 1, sizeof(seam_row));
 	out->version = f->version;
-	for (auto &r : f->rows)
-		if (!r.second.gone &&
-		    !r.first.compare(0, strlen(prefix), prefix) &&
-		    (!after || r.first > after) && out->n < max)
-			FeedStore::fill(&out->row[out->n++], r.first, r.second);
+	size_t bytes = 0;
+
+	for (auto &r : f->rows) {
+		if (r.second.gone ||
+		    r.first.compare(0, strlen(prefix), prefix) ||
+		    (after && r.first <= after))
+			continue;
+		bytes += r.second.data.size();
+		out->more = out->n == max || (out->n && bytes > f->page_bytes);
+		if (out->more)
+			break;
+		FeedStore::fill(&out->row[out->n++], r.first, r.second);
+	}
 	return 0;
 }
 
--- a/tests/platform_rows_server.h
+++ b/tests/platform_rows_server.h
@@ -5,6 +5,7 @@
 #include <civetweb.h>
 #include <json-c/json.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <map>
 #include <cstring>
@@ -31,6 +32,9 @@
 	int lost_before = 0; // this many are lost before they apply
 	int tx_calls = 0;
 	bool across_missing = false;
+	// Limits of a page of rows.
+	size_t page_rows = 500;
+	size_t page_bytes = 1000000;
 	mg_context *ctx = nullptr;
 
 	explicit RowsServer(const std::string &addr)
@@ -90,13 +94,14 @@
 		json_object_object_add(o, "ver", json_object_new_int64(e.ver));
 		return o;
 	}
-	std::string rows_text(json_object *list, int64_t version)
+	std::string rows_text(json_object *list, int64_t version,
+			      bool more = false)
 	{
 		json_object *o = json_object_new_object();
 
 		json_object_object_add(o, "rows", list);
 		json_object_object_add(o, "hasMore",
-				       json_object_new_boolean(false));
+				       json_object_new_boolean(more));
 		json_object_object_add(o, "ver",
 				       json_object_new_int64(version));
 		std::string s = json_object_to_json_string(o);
@@ -118,16 +123,24 @@
 		std::string part = param(ri, "part");
 		std::string from = param(ri, "from");
 		size_t limit = strtoul(param(ri, "limit").c_str(), nullptr, 10);
+		size_t bytes = 0;
+		bool more = false;
 
 		std::unique_lock<std::mutex> l(lock);
-		for (auto &r : rows)
-			if (std::get<0>(r.first) == table &&
-			    std::get<1>(r.first) == part &&
-			    std::get<2>(r.first) >= from && !r.second.gone &&
-			    json_object_array_length(list) < limit)
-				json_object_array_add(list,
-						      row(r.first, r.second));
-		return answer(c, 200, rows_text(list, ver));
+		limit = std::min(limit, page_rows);
+		for (auto &r : rows) {
+			if (std::get<0>(r.first) != table ||
+			    std::get<1>(r.first) != part ||
+			    std::get<2>(r.first) < from || r.second.gone)
+				continue;
+			bytes += r.second.value.size();
+			more = json_object_array_length(list) == limit ||
+			       bytes > page_bytes;
+			if (more)
+				break;
+			json_object_array_add(list, row(r.first, r.second));
+		}
+		return answer(c, 200, rows_text(list, ver, more));
 	}
 	int feed(mg_connection *c, const mg_request_info *ri)
 	{
--- a/tests/platform_rows_test.cc
+++ b/tests/platform_rows_test.cc
@@ -204,6 +204,69 @@
 	seam_rows_free(&rows);
 }
 
+// Guards against a page that the service cut at its size, taken for the last.
+TEST_F(Rows, PageCutBySizeIsNotTheLast)
+{
+	std::string value(64, 'x');
+	seam_rows rows;
+
+	for (int i = 0; i < 20; i++)
+		ASSERT_EQ(put(("job/1/" + std::to_string(10 + i)).c_str(),
+			      value, SEAM_ABSENT),
+			  0);
+	server.page_bytes = 700;
+	ASSERT_EQ(
+		seam_store_scan(s, "job/1/", nullptr, 15, &rows, in(2000), &e),
+		0);
+	EXPECT_LT(rows.n, 15u);
+	EXPECT_TRUE(rows.more);
+	seam_rows_free(&rows);
+	ASSERT_EQ(seam_store_scan_all(s, k, "job/1/", 15, 2 * SEAM_SEC, &rows,
+				      &e),
+		  0)
+		<< e.text;
+	ASSERT_EQ(rows.n, 20u);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(rows.row[i].key, "job/1/" + std::to_string(10 + i));
+	seam_rows_free(&rows);
+}
+
+// Guards against readers that go on after the last row of a prefix.
+TEST_F(Rows, RowsBeyondThePrefixAreNotMoreOfIt)
+{
+	for (const char *key : {"job/1/a0", "job/1/a1", "job/1/b0", "job/1/b1"})
+		ASSERT_EQ(put(key, "x", SEAM_ABSENT), 0);
+	for (size_t max : {1, 2, 3}) {
+		seam_rows rows;
+
+		server.page_rows = 3;
+		ASSERT_EQ(seam_store_scan(s, "job/1/a", nullptr, max, &rows,
+					  in(2000), &e),
+			  0);
+		EXPECT_EQ(rows.n, std::min(max, (size_t)2));
+		EXPECT_EQ(rows.more, max == 1);
+		seam_rows_free(&rows);
+	}
+}
+
+// Guards against a reader that asks for ever for a page that has no rows.
+TEST_F(Rows, EmptyPageThatIsNotTheLastFails)
+{
+	seam_rows rows;
+
+	ASSERT_EQ(put("job/1/a", "x", SEAM_ABSENT), 0);
+	server.page_bytes = 0;
+	EXPECT_EQ(seam_store_scan(s, "job/1/", nullptr, 3, &rows, in(2000), &e),
+		  -1);
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+	EXPECT_EQ(
+		seam_store_scan_all(s, k, "job/1/", 3, 2 * SEAM_SEC, &rows, &e),
+		-1);
+	EXPECT_EQ(rows.n, 0u);
+	EXPECT_EQ(get("job/1/a"), "");
+	EXPECT_EQ(e.kind, SEAM_UNAVAILABLE);
+}
+
 // Guards against a feed that loses changes or deletions, and against one that
 // hides that the history no longer has the requested version.
 TEST_F(Rows, Watch)
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -96,6 +96,30 @@
 	EXPECT_FALSE(seam_store_relay_is_unreachable(a.relay));
 }
 
+// Guards against a page that is taken for the last on the way through a node.
+TEST_F(Relay, CutPageThroughAnotherNodeIsNotTheLast)
+{
+	seam_rows rows;
+
+	store_a.down = true;
+	for (char c = '0'; c < '6'; c++)
+		store_b.put(std::string("t/") + c, "1234");
+	store_b.page_bytes = 10;
+	ASSERT_EQ(
+		seam_store_scan(a.relay, "t/", nullptr, 4, &rows, in(2000), &e),
+		0)
+		<< e.text;
+	EXPECT_EQ(rows.n, 2u);
+	EXPECT_TRUE(rows.more);
+	seam_rows_free(&rows);
+	ASSERT_EQ(seam_store_scan(a.relay, "t/", "t/3", 4, &rows, in(2000), &e),
+		  0)
+		<< e.text;
+	EXPECT_EQ(rows.n, 2u);
+	EXPECT_FALSE(rows.more);
+	seam_rows_free(&rows);
+}
+
 // Guards against watches that spend their whole time on a store that does not
 // respond. Tasks started 4 s after their job was cancelled because of that.
 TEST_F(Relay, WatchDoesNotProbeUnresponsiveStore)
--- a/tests/scheduler_progress_test.cc
+++ b/tests/scheduler_progress_test.cc
@@ -142,6 +142,21 @@
 	EXPECT_EQ(seam_table_count(o.sched->jobs), 1600u);
 }
 
+// Guards against jobs that an owner never knows as the store cut their page.
+TEST_F(Scheduler, JobsBehindAPageThatTheStoreCutAreKnown)
+{
+	for (int i = 0; i < 300; i++) {
+		char id[SEAM_JOB_ID_SIZE];
+
+		snprintf(id, sizeof(id), "1%015x", i);
+		w.job(id, 1, "100", 1, nullptr, "elsewhere");
+	}
+	w.store.page_bytes = 4000;
+	Owner o(&w, "n1");
+	ASSERT_NE(o.sched, nullptr) << o.e.text;
+	EXPECT_EQ(seam_table_count(o.sched->jobs), 300u);
+}
+
 // Guards against a job that a damaged row of progress keeps from running, or
 // that takes the owner down.
 TEST_F(Scheduler, DamagedProgressCountsAsNone)
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -391,6 +391,43 @@
 	EXPECT_TRUE(becomes("completed"));
 }
 
+// Guards against rows that are forgotten as they are behind a cut page.
+TEST_F(Scheduler, ForgottenHistoryBehindPagesThatTheStoreCut)
+{
+	auto evacuated = [&](const char *dc) {
+		return seam_op_state_is_evacuated(&w.ops, dc);
+	};
+
+	for (const char *id : {"a", "b", "c"})
+		w.add_worker(id);
+	w.store.put("op/out/d1", "x");
+	w.store.put("op/out/d2", "x");
+	Owner o(&w, "n1");
+	o.start_renewals();
+	EXPECT_TRUE(eventually([&] { return evacuated("d2"); }));
+	w.store.down = true;
+	usleep(300000);
+	w.add_worker("d");
+	w.store.put("op/out/d3", "x");
+	for (int i = 10; i < 70; i++)
+		w.job("00000000000000" + std::to_string(i), 1, "100", 1,
+		      nullptr, "elsewhere");
+	w.store.page_bytes = 1;
+	w.store.forgotten = w.store.version + 1;
+	w.store.put("other/row", "");
+	w.store.down = false;
+	EXPECT_TRUE(eventually([&] { return evacuated("d3"); }));
+	EXPECT_TRUE(evacuated("d1"));
+	EXPECT_TRUE(evacuated("d2"));
+	EXPECT_TRUE(eventually([&] {
+		pthread_mutex_lock(&o.sched->lock);
+		bool all = seam_table_count(o.sched->jobs) == 60 &&
+			   seam_table_count(o.sched->workers) == 4;
+		pthread_mutex_unlock(&o.sched->lock);
+		return all;
+	}));
+}
+
 // Guards against lost or duplicated ends when the answer to a commit is lost.
 TEST_F(Scheduler, CommitWithoutAnswer)
 {
--- a/tests/store_http_test.cc
+++ b/tests/store_http_test.cc
@@ -12,6 +12,7 @@
 #include "tests/addr.h"
 #include "fake/fake.h"
 #include "process/store.h"
+#include "tests/scripted_server.h"
 
 static const std::string addr = test_addr(24010);
 
@@ -83,13 +84,41 @@
 			  0);
 	ASSERT_EQ(seam_store_scan(s, "m/", nullptr, 3, &rows, in(2000), &e), 0);
 	ASSERT_EQ(rows.n, 3u);
+	EXPECT_TRUE(rows.more);
 	seam_rows_free(&rows);
 	ASSERT_EQ(seam_store_scan(s, "m/", "m/2", 9, &rows, in(2000), &e), 0);
 	ASSERT_EQ(rows.n, 2u);
 	EXPECT_STREQ(rows.row[0].key, "m/3");
+	EXPECT_FALSE(rows.more);
 	seam_rows_free(&rows);
 }
 
+// Guards against rows that are lost behind a page of a node of an old release.
+TEST(StoreHttpRelease, FullPageOfAnEarlierOneIsNotTheLast)
+{
+	std::string page =
+		"{\"version\":3,\"rows\":["
+		"{\"key\":\"m/0\",\"writer\":\"1\",\"data\":\"x\"},"
+		"{\"key\":\"m/1\",\"writer\":\"1\",\"data\":\"x\"}]}";
+	ScriptedServer server({{200, page}, {200, page}});
+	seam_clock *k = seam_clock_real();
+	seam_store *s =
+		seam_store_http_new(k, ("http://" + server.addr).c_str());
+	seam_err e = SEAM_ERR_INIT;
+
+	for (size_t max : {2, 3}) {
+		seam_rows rows;
+
+		ASSERT_EQ(seam_store_scan(s, "m/", nullptr, max, &rows,
+					  seam_now(k) + 2 * SEAM_SEC, &e),
+			  0)
+			<< e.text;
+		EXPECT_EQ(rows.more, max == 2);
+		seam_rows_free(&rows);
+	}
+	seam_store_close(s);
+}
+
 // Guards against a commit that applied but is reported as not applied.
 TEST_F(StoreHttp, LostResponseIsUnknownThenResolved)
 {
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -128,6 +128,7 @@
 	ASSERT_EQ(put("l", SEAM_ABSENT, "v"), 0);
 	ASSERT_EQ(seam_store_scan(s, "k/", nullptr, 4, &rows, soon(), &e), 0);
 	ASSERT_EQ(rows.n, 4u);
+	EXPECT_TRUE(rows.more);
 	std::string after = rows.row[3].key;
 	seam_rows_free(&rows);
 	ASSERT_EQ(
@@ -135,6 +136,11 @@
 		0);
 	EXPECT_EQ(rows.n, 6u);
 	EXPECT_STREQ(rows.row[5].key, "k/9");
+	EXPECT_FALSE(rows.more);
+	seam_rows_free(&rows);
+	ASSERT_EQ(seam_store_scan(s, "k/", nullptr, 10, &rows, soon(), &e), 0);
+	EXPECT_EQ(rows.n, 10u);
+	EXPECT_FALSE(rows.more);
 	seam_rows_free(&rows);
 }
 
--- a/version/conf_rows.c
+++ b/version/conf_rows.c
@@ -84,7 +84,7 @@
 {
 	char after[SEAM_KEY_MAX] = "";
 	struct seam_rows rows;
-	size_t n;
+	bool more;
 	int rc = 0;
 
 	do {
@@ -93,13 +93,13 @@
 		if (seam_store_scan(s, "config/obj/", after, SCAN_ROWS_MAX,
 				    &rows, deadline, e))
 			return -1;
-		n = rows.n;
-		for (i = 0; i < n && !rc; i++)
+		for (i = 0; i < rows.n && !rc; i++)
 			rc = add_object(c, &rows.row[i], e);
-		if (n)
-			memcpy(after, rows.row[n - 1].key, sizeof(after));
+		more = rows.more;
+		if (more)
+			memcpy(after, rows.row[rows.n - 1].key, sizeof(after));
 		seam_rows_free(&rows);
-	} while (n == SCAN_ROWS_MAX && !rc);
+	} while (more && !rc);
 	return rc;
 }
 
