dispatch: search for a silent worker often on a path that loses answers

A worker is silent when the first poll that waits is lost, as at the beginning of such a time, or a poll of an idle worker to which a start has just been sent. The threads that poll it often began only while it answered, and ended after 4 s.

The threads also begin for a silent worker while another one of the node loses polls and answers quickly: then the path loses answers, and there is no queue. They go on for 14 s, as an end that is heard late still counts.

Alone the worker gets as few as before.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -124,6 +124,7 @@
  * @worker_by_key: the owner's handle of a worker to its entry
  * @busy_workers: number of workers with runs
  * @repeat_threads: threads that poll a worker beside its first one
+ * @loss_seen_at: when a worker that loses polls last answered one quickly
  * @events: struct seam_lane_event that the owner has not acknowledged
  * @last_event: number of the latest event
  * @events_changed: signalled for a new event and at the end of a session
@@ -142,6 +143,7 @@
 	GHashTable *worker_by_key;
 	size_t busy_workers;
 	int repeat_threads;
+	seam_time loss_seen_at;
 	GQueue events;
 	uint64_t last_event;
 	pthread_cond_t events_changed;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -36,12 +36,11 @@
  */
 #define REPEATS_PER_S 800
 /*
- * They go on for so long after the last answer. Runs are given up with their
- * leases, while a start without an answer keeps its task waiting until it can
- * come no more.
+ * They go on for so long after the last answer: a start without one keeps its
+ * task waiting until it can come no more, and an end that is heard late still
+ * counts.
  */
-#define REPEAT_FOR_RUNS_MAX (4 * SEAM_SEC)
-#define REPEAT_FOR_STARTS_MAX (14 * SEAM_SEC)
+#define REPEAT_UNHEARD_MAX (14 * SEAM_SEC)
 /* Answers that take longer wait in a queue, which more polls would lengthen. */
 #define QUICK_ANSWER_MAX (25 * SEAM_MSEC)
 /* libcurl takes whole milliseconds. */
@@ -240,8 +239,11 @@
 	if (!answered && !lost)
 		w->lost_polls = 0;
 	w->failed_polls = answered ? 0 : w->failed_polls + 1;
-	if (answered)
-		w->heard_at = seam_now(w->dispatch->clock);
+	if (!answered)
+		return;
+	w->heard_at = seam_now(w->dispatch->clock);
+	if (loses_polls(w) && w->answer_time.estimate <= QUICK_ANSWER_MAX)
+		w->dispatch->loss_seen_at = w->heard_at;
 }
 
 /* Whether the worker has to be heard soon though polls are lost. */
@@ -363,18 +365,25 @@
 	return loses_polls(w) && dispatch_worker_answers_quickly(w);
 }
 
-/*
- * Whether threads that repeat polls go on. They do not begin while the worker
- * is silent: only a path that loses some answers is known to have no queue.
- */
+/* Whether threads that repeat polls go on. */
 static bool goes_on_repeating(const struct seam_dispatch_worker *w)
 {
-	seam_time unheard_max = w->unconfirmed_token ? REPEAT_FOR_STARTS_MAX :
-						       REPEAT_FOR_RUNS_MAX;
-
 	return polls_quickly(w) &&
 	       w->answer_time.estimate <= QUICK_ANSWER_MAX &&
-	       seam_now(w->dispatch->clock) < w->heard_at + unheard_max;
+	       seam_now(w->dispatch->clock) < w->heard_at + REPEAT_UNHEARD_MAX;
+}
+
+/*
+ * Whether they may begin. A worker that falls silent may be cut off or behind a
+ * queue, unless other workers of the node lose polls and answer quickly.
+ */
+static bool may_begin_repeating(const struct seam_dispatch_worker *w)
+{
+	const struct seam_dispatch *d = w->dispatch;
+
+	return goes_on_repeating(w) &&
+	       (w->answered ||
+		seam_now(d->clock) < d->loss_seen_at + SILENT_AFTER);
 }
 
 /* Polls beside the first thread of the worker while polls are lost. */
@@ -404,7 +413,7 @@
 static void repeat_polls(struct seam_dispatch_worker *w)
 {
 	if (w->removed || w->repeat_threads >= REPEAT_THREADS_MAX ||
-	    !w->answered || !goes_on_repeating(w) ||
+	    !may_begin_repeating(w) ||
 	    dispatch_worker_start_thread(w, repeat_loop))
 		return;
 	w->repeat_threads++;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -415,8 +415,45 @@
 	a->unresponsive = true;
 	polls_in(1500);
 	EXPECT_GE(polls_in(1000), 10);
+	polls_in(12500);
+	EXPECT_LE(polls_in(1000), 8);
+}
+
+// Guards against a slow search for a worker whose first lost poll silenced it.
+TEST_F(Dispatch, SilentWorkerBesideLossyOnesIsPolledOften)
+{
+	FakeWorker *b = w.add_worker("b");
+	seam_lane_worker x[2] = {};
+	seam_lane_batch batch = {{1, 1}, true, x, 2, nullptr, 0};
+	uint64_t seen = 0;
+	auto polls_in = [&](int ms) {
+		seam_time until = seam_now(w.clock) + ms * SEAM_MSEC;
+		int before = a->polls;
+
+		while (seam_now(w.clock) < until)
+			EXPECT_TRUE(ask(1, 1, &seen));
+		return a->polls - before;
+	};
+
+	for (int i = 0; i < 2; i++) {
+		x[i].key = 7 + (uint32_t)i;
+		x[i].lease_until = 9000000;
+		snprintf(x[i].id, sizeof(x[i].id), "%c", 'a' + i);
+		snprintf(x[i].addr, sizeof(x[i].addr), "%c", 'a' + i);
+	}
+	ASSERT_EQ(seam_dispatch_apply(d, &batch, &e), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	ASSERT_EQ(start(1, 1, "t", SEAM_SEC, false, "60000"), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_ANSWERED, &seen), nullptr);
+	a->lost_holds_time_out = true;
+	a->unresponsive = true;
 	polls_in(2500);
 	EXPECT_LE(polls_in(1000), 8);
+	b->lost_holds_time_out = true;
+	b->answers_one_in = 4;
+	start(1, 1, "u", 3 * SEAM_SEC, false, "60000");
+	polls_in(2500);
+	EXPECT_GE(polls_in(1000), 10);
 }
 
 // Guards against a start that is given up as one poll before it is lost.
