scheduler_answers: leave a silent worker to a node that loses answers

A worker that two polls did not reach goes to another node, as that one may reach it. Where answers are lost on the paths of all nodes, the next node does no better, and knows neither that answers are lost nor how long they take: it polls the worker one call at a time, with 0.2 s each, until the worker moves on.

A silent worker stays on its lane for 4 s after its last answer if the lane has had a start answered quickly after lost calls within two seconds. A node counts the time in which it searches for a worker often from the assignment.

Lanes.SilentWorkerStaysOnALaneThatLosesAnswers fails without the check: three moves in 2.5 s.

--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -44,7 +44,7 @@
  * @answer_time: of its answers to starts, and to polls that do not wait
  * @answered: the worker is in touch: it has answered a poll lately, and no call
  *     has failed since in another way than without an answer in time
- * @heard_at: when it last answered a poll
+ * @heard_at: when it last answered a poll, or was assigned to this node
  * @lost_polls: which of the latest polls had no answer in time, a bit for each;
  *     the lowest is that of the latest one
  * @failed_polls: number of polls without an answer since the last one with it
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -488,6 +488,7 @@
 	snprintf(w->id, sizeof(w->id), "%s", row->id);
 	w->lease_until = row->lease_until;
 	w->acked = row->acked;
+	w->heard_at = seam_now(d->clock);
 	w->process_start_ms = row->process_start_ms;
 	w->token = row->token ? row->token : d->session.token;
 	w->conn = d->runners->ops->open(d->runners, row->id, row->addr);
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -527,6 +527,7 @@
  * @update_at: when changed leases and acknowledged ends are sent
  * @starting: starts that wait for an answer
  * @window: how many may wait
+ * @loss_seen_at: when a start was last answered quickly after lost calls
  * @wake: signals @due and @opened
  * @thread: one sends, one polls
  * @threads: number of running threads
@@ -549,6 +550,7 @@
 	seam_time update_at;
 	int starting;
 	struct seam_start_window window;
+	seam_time loss_seen_at;
 	pthread_cond_t wake;
 	pthread_t thread[2];
 	int threads;
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -10,6 +10,12 @@
 
 #define UNHEALTHY_BACKOFF (1 * SEAM_SEC)
 #define NO_ROOM_BACKOFF (150 * SEAM_MSEC)
+/* A lane loses answers if it had this evidence within this time. */
+#define LOSS_SEEN_MAX (2 * SEAM_SEC)
+/* Answers that take longer wait in a queue. */
+#define QUICK_ANSWER_MS 25
+/* A silent worker stays for so long on a lane that loses answers. */
+#define LOSSY_UNHEARD_MAX (4 * SEAM_SEC)
 
 SEAM_METRIC(no_room, "seam_starts_no_room_total",
 	    "Starts that workers refused for want of room.");
@@ -139,6 +145,20 @@
 		w->disturbed_at = w->heard_at;
 }
 
+/*
+ * Whether a silent worker is left to its node. Where answers are lost, another
+ * node is as likely to lose them, and does not know yet that it does: it polls
+ * the worker less often than the node that has noticed.
+ */
+static bool stays_on_lane(const struct seam_worker *w)
+{
+	seam_time now = seam_now(w->sched->clock);
+
+	return w->lane >= 0 &&
+	       now < w->sched->lane[w->lane].loss_seen_at + LOSS_SEEN_MAX &&
+	       now < w->heard_at + LOSSY_UNHEARD_MAX;
+}
+
 void scheduler_hold_failed(struct seam_worker *w,
 			   const struct seam_lane_event *v)
 {
@@ -157,7 +177,8 @@
 	if (v->failed != SEAM_NO_MEMORY)
 		note_silence(w);
 	/* Another node may reach it. */
-	if (w->missed_holds >= SEAM_MISSED_HOLDS_MAX && w->listed)
+	if (w->missed_holds >= SEAM_MISSED_HOLDS_MAX && w->listed &&
+	    (v->failed == SEAM_NO_MEMORY || !stays_on_lane(w)))
 		scheduler_lane_move(w);
 }
 
@@ -269,6 +290,9 @@
 	m->lost_time += s.lost;
 	m->unsent += !s.answered && !v->calls;
 	seam_start_window_ended(&sched->window, &s, sched->starting, now);
+	if (w->lane >= 0 && s.answered && v->calls > 1 &&
+	    v->call_ms <= QUICK_ANSWER_MS)
+		sched->lane[w->lane].loss_seen_at = now;
 	if (w->lane >= 0)
 		seam_start_window_ended(&sched->lane[w->lane].window, &s,
 					sched->lane[w->lane].starting, now);
--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -491,3 +491,45 @@
 	EXPECT_EQ(w.running(), 80u);
 	EXPECT_EQ(w.twice, 0);
 }
+
+// Guards against a worker that goes from node to node as answers are lost.
+TEST_F(Lanes, SilentWorkerStaysOnALaneThatLosesAnswers)
+{
+	int moves[2];
+
+	for (int lossy = 0; lossy < 2; lossy++) {
+		create_fleet(lossy ? 1 : 3, 0, 0);
+		std::string silent = lossy ? "s1" : "s0";
+		FakeWorker *a = w.add_worker(lossy ? "a1" : "a0");
+		FakeWorker *s = w.add_worker(silent);
+		Owner o(&w, lossy ? "n2" : "n1", 500);
+		auto lane = [&] {
+			pthread_mutex_lock(&o.sched->lock);
+			seam_worker *x =
+				scheduler_find_worker(o.sched, silent.c_str());
+			int l = x && x->contacted ? x->lane : -1;
+			pthread_mutex_unlock(&o.sched->lock);
+			return l;
+		};
+
+		o.start_renewals();
+		ASSERT_TRUE(eventually([&] { return lane() >= 0; }));
+		a->lost_starts_time_out = true;
+		a->late_start_percent = lossy ? 70 : 0;
+		s->no_room = true;
+		w.job(lossy ? ID : "00000000000000f2", 400, "300");
+		usleep(1000000);
+		int before = lane();
+		s->unresponsive = true;
+		moves[lossy] = 0;
+		for (int i = 0; i < 250; i++) {
+			int now = lane();
+
+			moves[lossy] += now >= 0 && now != before;
+			before = now >= 0 ? now : before;
+			usleep(10000);
+		}
+	}
+	EXPECT_GT(moves[0], 0);
+	EXPECT_EQ(moves[1], 0);
+}
