--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -22,7 +22,7 @@
 #define LEASE_MARGIN (100 * SEAM_MSEC)
 /*
  * A start reaches its worker within this time: it may wait 0.6 s for its lane
- * and is sent seven times, 0.15 s apart at most.
+ * and is sent for the time of seven calls of 0.15 s.
  */
 #define START_SEND_MAX (1700 * SEAM_MSEC)
 /* An order without an answer may be carried out up to this much later. */
--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -8,8 +8,8 @@
 #define STOP_RETRY_INTERVAL (400 * SEAM_MSEC)
 /*
  * A task leaves a worker after this many starts without an answer while one of
- * them may still come late. Each is sent seven times, so that 95% of the tasks
- * get an answer with nine in ten orders lost.
+ * them may still come late. Each is sent seven times or more, so that 95% of
+ * the tasks get an answer with nine in ten orders lost.
  */
 #define LATE_STARTS_MAX 4
 /* A stop that waits longer for its connection is queued again. */
