scheduler: count the late wait of a task that ends from its first start

A task that ends, whose job has nothing else running, waited for the worker of a late start until 6 s after its latest start without an answer.

Count from the first start without an answer since the task last ran, as lasting tasks do, so that late_since() has one rule for all. The wait is 6 s in all then, however often the task is started. While its job is at work or jobs arrive it still waits until no start can come any more, and for a silent worker until 6.2 s after that one's last answer.

SlowUnansweredStarts.DoNotBeginTheWaitAgain failed before (no run on the other worker 7 s after the first start) and passes: it runs there between 5.5 and 7 s.

The code of lasting tasks is the same as before.

--- a/process/late_wait.h
+++ b/process/late_wait.h
@@ -10,11 +10,11 @@
 #endif
 
 /*
- * A task waits for the worker of a late start for this long from a start
- * without an answer. The users call a lasting task lost that does not run in
- * the last 3 of 7 calm seconds, and a job of which nothing runs for 3 s at the
- * end; calm ends with the order that got no answer, and the next start takes up
- * to a second.
+ * A task waits for the worker of a late start for this long from the first
+ * start without an answer since it last ran. The users call a lasting task lost
+ * that does not run in the last 3 of 7 calm seconds, and a job of which nothing
+ * runs for 3 s at the end; calm ends with the order that got no answer, and the
+ * next start takes up to a second.
  */
 #define LATE_START_WAIT (6 * SEAM_SEC)
 /*
@@ -28,8 +28,8 @@
 /**
  * struct seam_late_wait - what the wait for a late start of a task depends on
  * @lasting: the task does not end by itself
- * @since: when the start without an answer was queued; for a lasting task, the
- *     first of several since it last ran
+ * @since: when the start without an answer was queued, the first of several
+ *     since the task last ran
  * @late_until: no such start can come after this time
  * @disturbed_at: when its worker last fell silent or was seen to have
  *     restarted; 0 if never
--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -150,18 +150,15 @@
 
 /*
  * Returns from when the task waits for its worker after a start of @r without
- * an answer. A lasting task may not run for 7 s in all, so it counts from the
- * first such start since it last ran, or since the latest one can't come any
- * more; any other counts from each.
+ * an answer: from the first such start since it last ran, or since the latest
+ * one can't come any more, as it may not run for 7 s in all.
  */
 static seam_time late_since(const struct seam_job_task_state *t,
-			    const struct seam_run_slot *r, bool lasting,
-			    seam_time now)
+			    const struct seam_run_slot *r, seam_time now)
 {
 	bool ran = ran_at(t, r) > t->late_since;
 
-	if (t->late_until == r->late_until ||
-	    (lasting && !ran && now < t->late_until))
+	if (t->late_until == r->late_until || (!ran && now < t->late_until))
 		return t->late_since;
 	return scheduler_late_sent_at(r->late_until);
 }
@@ -223,7 +220,7 @@
 	bool lasting = at->job->row.spec.step[at->step].lasting;
 	struct seam_late_wait wait = {
 		.lasting = lasting,
-		.since = late_since(t, r, lasting, seam_now(w->sched->clock)),
+		.since = late_since(t, r, seam_now(w->sched->clock)),
 		.late_until = r->late_until,
 		.disturbed_at = w->disturbed_at,
 		.ran_at = ran_at(t, r)};
@@ -238,8 +235,7 @@
  */
 static void note_late_start(struct seam_job_task_state *t,
 			    const struct seam_worker *w,
-			    const struct seam_run_slot *r, bool answered,
-			    bool lasting)
+			    const struct seam_run_slot *r, bool answered)
 {
 	seam_time now = seam_now(w->sched->clock);
 
@@ -253,7 +249,7 @@
 		t->late_starts++;
 		t->late_at = now;
 	}
-	t->late_since = late_since(t, r, lasting, now);
+	t->late_since = late_since(t, r, now);
 	t->late_worker = w->self;
 	t->late_until = r->late_until;
 	t->late_token = r->late_token;
@@ -381,8 +377,7 @@
 	scheduler_wake_pass(sched);
 	if (!w)
 		return;
-	note_late_start(&j->task[step][task], w, r, answered,
-			j->row.spec.step[step].lasting);
+	note_late_start(&j->task[step][task], w, r, answered);
 	add(&w->used, &need, -1);
 	scheduler_worker_update_free_cpu(w);
 	for (i = 0; i < w->task_refs->len; i++) {
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -115,6 +115,31 @@
 	EXPECT_EQ(a->late.size(), 5 * (size_t)START_ATTEMPTS);
 }
 
+// The same with starts that time out, as those of the users' platform.
+struct SlowUnansweredStarts : UnansweredStarts {
+	SlowUnansweredStarts()
+	{
+		a->lost_starts_time_out = true;
+	}
+};
+
+// Guards against a wait that begins again with each start of a task that ends.
+TEST_F(SlowUnansweredStarts, DoNotBeginTheWaitAgain)
+{
+	int64_t first_us;
+	{
+		std::lock_guard<std::mutex> l(a->lock);
+
+		first_us = a->late.front().sent_us;
+	}
+	w.row("a", "p", 8000, "d1", true);
+	FakeWorker *b = w.add_worker("b");
+	int64_t left_ms = LOST_AFTER_MS - (FakeWorker::us() - first_us) / 1000;
+	EXPECT_TRUE(
+		eventually([&] { return b->running() == 1; }, (int)left_ms));
+	EXPECT_GT(FakeWorker::us() - first_us, 5500000);
+}
+
 struct IdleWait : Wait {
 	IdleWait()
 	{
