scheduler_wait_test: wait for the end of the other task's run

It waited for a moment at which nothing runs; by the log the waiting task was started within 25 ms of the end of the other one, on the same worker, and ran to its end, while the test looked every 5 ms by its own sleeps and missed that moment. The product did what the test wants. It now waits until the other task's run has ended, which does not come back; the bound for the next run stays.

--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -313,10 +313,11 @@
 TEST_F(WaitAfterARun, EndOfTheOtherTaskEndsTheWaitOfATaskThatEnds)
 {
 	begin("9000", 2);
+	std::string other = task(0, !w.workers["c"]->running(task(0, 0)));
 	a->unresponsive = true;
 	usleep(7500000);
 	EXPECT_EQ(b->running(), 0u);
-	ASSERT_TRUE(eventually([&] { return w.running() == 0; }));
+	ASSERT_TRUE(eventually([&] { return !w.running(other); }));
 	expect_run(LOST_WITHOUT_A_RUN_MS);
 }
 
