dispatch: send more orders at a time only while polls are lost as well

The soak of late starts has workers that answer polls and no start.

The further threads now begin only while polls are lost as well, as for the longer repeats of a start.

Dispatch.OneStartAtATimeIsSentIfPollsAreAnswered failed before.

--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -22,9 +22,11 @@
 /* The thread for orders ends when there was none for this time. Busy workers
  * get several starts a second, and a new thread for each would cost 50 us. */
 #define ORDER_THREAD_IDLE_MAX (1 * SEAM_SEC)
-/* While calls are lost, so many more threads send the orders behind them. The
- * tasks of a step are often placed on one worker, and one start after another
- * takes half a second each with nine in ten calls lost. */
+/* While polls are lost as well, so many more threads send the orders behind a
+ * lost call. The tasks of a step are often placed on one worker, and one start
+ * after another takes half a second each with nine in ten calls lost. A worker
+ * that answers polls and no start gets no more starts at a time: each of them
+ * may come late. */
 #define MORE_ORDER_THREADS_MAX 7
 
 SEAM_METRIC(starts, "seam_starts_total", "Starts that workers accepted.");
@@ -412,7 +414,7 @@
 {
 	if (g_queue_is_empty(&w->orders) ||
 	    w->more_order_threads >= MORE_ORDER_THREADS_MAX ||
-	    !dispatch_worker_answers_quickly(w) ||
+	    !dispatch_worker_loses_calls(w) ||
 	    dispatch_worker_start_thread(w, more_orders_loop))
 		return;
 	w->more_order_threads++;
