--- a/process/dispatch_impl.h
+++ b/process/dispatch_impl.h
@@ -57,8 +57,9 @@
  * @order_since: an order was carried out or given up since
  * @reported_more: that report had not all ends
  * @reported_end: number of the latest ended run that was reported
- * @listed_at: when the poll was sent whose answer, or failure, was handled
- * last; an answer to an earlier one is left out
+ * @listed_at: when the poll was sent whose listing was handled last
+ * @valid_since: answers to polls that were sent before are not used, as a later
+ *     one was answered or refused
  * @repeat_threads: threads that poll beside the first one
  * @unconfirmed_token: token of the latest start without an answer, until a poll
  *     with a later one is answered; 0 without one
@@ -98,6 +99,7 @@
 	bool reported_more;
 	int64_t reported_end;
 	seam_time listed_at;
+	seam_time valid_since;
 	int repeat_threads;
 	uint64_t unconfirmed_token;
 	pthread_cond_t acks_changed;
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -177,6 +177,7 @@
 	bool changed;
 
 	w->listed_at = sent_at;
+	w->valid_since = MAX(w->valid_since, sent_at);
 	if (token > w->unconfirmed_token)
 		w->unconfirmed_token = 0;
 	if (l->process_start_ms && w->process_start_ms &&
@@ -314,7 +315,7 @@
 		return 0;
 	}
 	/* A later poll was answered or refused first. */
-	if (!rc && now < w->listed_at) {
+	if (!rc && now < w->valid_since) {
 		if (outcome == SEAM_ORDER_DONE)
 			seam_listing_free(&l);
 		return (unsigned)seam_poll_interval(d->busy_workers);
@@ -328,7 +329,7 @@
 	if (rc || outcome != SEAM_ORDER_DONE) {
 		bool first_failure = rc && w->answered;
 
-		w->listed_at = MAX(w->listed_at, now);
+		w->valid_since = MAX(w->valid_since, now);
 		report_no_answer(w, rc, outcome, &e);
 		return first_failure ? POLL_FIRST_RETRY_USEC : POLL_RETRY_USEC;
 	}
