dispatch: withdraw the start that waits when its run is stopped

The stop was answered, so that the owner took the run for over, and the start was sent after it; its process refuses it, but a copy may come late to the next one (TWICE).

A stop rejects the start of its run that waits. The owner learns that this start cannot have arrived.

Dispatch.StopWithdrawsTheStartThatWaits failed before.

--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -270,6 +270,12 @@
 	return rc;
 }
 
+static bool is_start_of(const struct seam_lane_order *o,
+			const struct seam_lane_order *stop)
+{
+	return !o->stop && o->run == stop->run && !strcmp(o->task, stop->task);
+}
+
 /* Whether a start of the run that @o stops is being sent. */
 static bool is_being_started(const struct seam_dispatch_worker *w,
 			     const struct seam_lane_order *o)
@@ -279,8 +285,7 @@
 	for (at = w->sending.head; at; at = at->next) {
 		const struct seam_dispatch_order *s = at->data;
 
-		if (!s->order.stop && s->order.run == o->run &&
-		    !strcmp(s->order.task, o->task))
+		if (is_start_of(&s->order, o))
 			return true;
 	}
 	return false;
@@ -449,9 +454,30 @@
 	return NULL;
 }
 
+/* Rejects the start of the run that @stop stops, if it waits to be sent. */
+static void withdraw_start(struct seam_dispatch_worker *w,
+			   const struct seam_lane_order *stop)
+{
+	GList *at;
+
+	for (at = w->orders.head; at; at = at->next) {
+		struct seam_dispatch_order *o = at->data;
+
+		if (!is_start_of(&o->order, stop))
+			continue;
+		dispatch_reject_order(w->dispatch, &o->order,
+				      "the run is to be stopped");
+		g_queue_delete_link(&w->orders, at);
+		dispatch_free_order(o);
+		return;
+	}
+}
+
 void dispatch_worker_queue_order(struct seam_dispatch_worker *w,
 				 struct seam_dispatch_order *o)
 {
+	if (o->order.stop)
+		withdraw_start(w, &o->order);
 	/* A stop goes first: it frees resources that a start may need. */
 	if (o->order.stop)
 		g_queue_push_head(&w->orders, o);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -561,6 +561,35 @@
 	EXPECT_EQ(node->start_sent_at, 0);
 }
 
+// Guards against a start that is sent after the stop of its run.
+TEST_F(Dispatch, StopWithdrawsTheStartThatWaits)
+{
+	uint64_t seen = 0;
+	seam_lane_order o = {};
+	seam_lane_batch b = {{1, 1}, false, nullptr, 0, &o, 1};
+
+	ASSERT_EQ(open(1, 1), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	a->unresponsive = true;
+	ASSERT_NE(next(1, 1, SEAM_LANE_SILENT, &seen), nullptr);
+	ASSERT_EQ(start(1, 1, "t", 2 * SEAM_SEC), 0);
+	o.number = ++orders;
+	o.key = 7;
+	o.stop = true;
+	snprintf(o.task, sizeof(o.task), "t");
+	o.run = 1;
+	o.send_by = seam_dispatch_now(d) + 2 * SEAM_SEC;
+	o.repeat_by = o.send_by;
+	ASSERT_EQ(seam_dispatch_apply(d, &b, &e), 0);
+	a->unresponsive = false;
+	seam_lane_event *v = next(1, 1, SEAM_LANE_ANSWERED, &seen);
+	ASSERT_NE(v, nullptr);
+	EXPECT_EQ(v->order, orders - 1);
+	EXPECT_EQ(v->failed, SEAM_UNAVAILABLE);
+	usleep(300000);
+	EXPECT_EQ(node->start_sent_at, 0);
+}
+
 // Guards against a stop that the owner takes for the end of a start under way.
 TEST_F(Dispatch, StopWaitsForTheStartOfItsRun)
 {
