scheduler_answers: leave a silent worker to its lane for less than its lease

Four seconds become two, which the lease of 3.2 s outlasts.

Lanes.WorkerThatOneLaneDoesNotReachKeepsItsRunBesideLoss failed before.

--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -14,8 +14,9 @@
 #define LOSS_SEEN_MAX (2 * SEAM_SEC)
 /* Answers that take longer wait in a queue. */
 #define QUICK_ANSWER_MS 25
-/* A silent worker stays for so long on a lane that loses answers. */
-#define LOSSY_UNHEARD_MAX (4 * SEAM_SEC)
+/* A silent worker stays for so long on a lane that loses answers. Its lease
+ * outlasts a move after that. */
+#define LOSSY_UNHEARD_MAX (2 * SEAM_SEC)
 
 SEAM_METRIC(no_room, "seam_starts_no_room_total",
 	    "Starts that workers refused for want of room.");
