scheduler: count the late wait of a task that ends anew on another worker

The rule that a task leaves a worker after four such starts did not hold for the second one.

The first start without an answer on that worker counts. A lasting task, which may not run for 7 s in all, counts those on other workers as before.

SlowUnansweredStarts.ChangeOfTheWorkerBeginsTheWaitAgain failed before: the third worker got a start within 3 s of the second.

--- a/process/scheduler_runs.c
+++ b/process/scheduler_runs.c
@@ -149,16 +149,21 @@
 }
 
 /*
- * Returns from when the task waits for its worker after a start of @r without
- * an answer: from the first such start since it last ran, or since the latest
- * one can't come any more, as it may not run for 7 s in all.
+ * Returns from when the task waits for @w after a start of @r without an
+ * answer: from the first such start since it last ran, or since the latest one
+ * can't come any more. A lasting task may not run for 7 s in all, so that it
+ * counts those on other workers as well.
  */
 static seam_time late_since(const struct seam_job_task_state *t,
-			    const struct seam_run_slot *r, seam_time now)
+			    const struct seam_worker *w,
+			    const struct seam_run_slot *r, bool lasting,
+			    seam_time now)
 {
 	bool ran = ran_at(t, r) > t->late_since;
+	bool counts = lasting || seam_handle_eq(t->late_worker, w->self);
 
-	if (t->late_until == r->late_until || (!ran && now < t->late_until))
+	if (t->late_until == r->late_until ||
+	    (counts && !ran && now < t->late_until))
 		return t->late_since;
 	return scheduler_late_sent_at(r->late_until);
 }
@@ -220,7 +225,8 @@
 	bool lasting = at->job->row.spec.step[at->step].lasting;
 	struct seam_late_wait wait = {
 		.lasting = lasting,
-		.since = late_since(t, r, seam_now(w->sched->clock)),
+		.since =
+			late_since(t, w, r, lasting, seam_now(w->sched->clock)),
 		.late_until = r->late_until,
 		.disturbed_at = w->disturbed_at,
 		.ran_at = ran_at(t, r)};
@@ -235,7 +241,8 @@
  */
 static void note_late_start(struct seam_job_task_state *t,
 			    const struct seam_worker *w,
-			    const struct seam_run_slot *r, bool answered)
+			    const struct seam_run_slot *r, bool answered,
+			    bool lasting)
 {
 	seam_time now = seam_now(w->sched->clock);
 
@@ -249,7 +256,7 @@
 		t->late_starts++;
 		t->late_at = now;
 	}
-	t->late_since = late_since(t, r, now);
+	t->late_since = late_since(t, w, r, lasting, now);
 	t->late_worker = w->self;
 	t->late_until = r->late_until;
 	t->late_token = r->late_token;
@@ -377,7 +384,8 @@
 	scheduler_wake_pass(sched);
 	if (!w)
 		return;
-	note_late_start(&j->task[step][task], w, r, answered);
+	note_late_start(&j->task[step][task], w, r, answered,
+			j->row.spec.step[step].lasting);
 	add(&w->used, &need, -1);
 	scheduler_worker_update_free_cpu(w);
 	for (i = 0; i < w->task_refs->len; i++) {
--- a/tests/scheduler_wait_test.cc
+++ b/tests/scheduler_wait_test.cc
@@ -140,6 +140,27 @@
 	EXPECT_GT(FakeWorker::us() - first_us, 5500000);
 }
 
+// Guards against a wait on one worker that counts as one on the next.
+TEST_F(SlowUnansweredStarts, ChangeOfTheWorkerBeginsTheWaitAgain)
+{
+	auto late = [](FakeWorker *x) {
+		std::lock_guard<std::mutex> l(x->lock);
+
+		return x->late.size();
+	};
+
+	w.row("a", "p", 8000, "d1", true);
+	FakeWorker *other[2] = {w.add_worker("b"), w.add_worker("c")};
+	for (auto *x : other) {
+		x->lost_starts_time_out = true;
+		x->late_starts = 1000;
+	}
+	ASSERT_TRUE(eventually(
+		[&] { return late(other[0]) + late(other[1]) > 0; }, 12000));
+	usleep(3000000);
+	EXPECT_TRUE(!late(other[0]) || !late(other[1]));
+}
+
 struct IdleWait : Wait {
 	IdleWait()
 	{
