--- a/tests/world.h
+++ b/tests/world.h
@@ -421,6 +421,15 @@
 	return 0;
 }
 
+// Waits for a time of the node's clock.
+static void wait_until(const FakeRunner *f, seam_time deadline)
+{
+	seam_time left = deadline - seam_now(&f->node->clock.base);
+
+	if (left > 0)
+		usleep((useconds_t)(left / SEAM_USEC) + 1);
+}
+
 static int fake_start(seam_runner *r, const seam_start *s,
 		      seam_order_outcome *outcome, int64_t *clock_ms,
 		      seam_time deadline, seam_err *e)
@@ -430,10 +439,8 @@
 
 	if (f->world->on_sent)
 		f->world->on_sent(s->task, f->w, !rc);
-	while (rc && e->kind == SEAM_COMMIT_UNKNOWN &&
-	       f->w->lost_starts_time_out &&
-	       seam_now(&f->node->clock.base) < deadline)
-		usleep(1000);
+	if (rc && e->kind == SEAM_COMMIT_UNKNOWN && f->w->lost_starts_time_out)
+		wait_until(f, deadline);
 	return rc;
 }
 
@@ -558,10 +565,8 @@
 	FakeRunner *f = (FakeRunner *)r;
 	int rc = fake_call_hold(r, h, outcome, out, e);
 
-	while (rc && e->kind == SEAM_COMMIT_UNKNOWN &&
-	       f->w->lost_holds_time_out &&
-	       seam_now(&f->node->clock.base) < deadline)
-		usleep(1000);
+	if (rc && e->kind == SEAM_COMMIT_UNKNOWN && f->w->lost_holds_time_out)
+		wait_until(f, deadline);
 	return rc;
 }
 
