dispatch: go on waiting in polls of a worker that answers slowly

By reading: on a node without processor time polls time out as well; two of eight made all polls of the worker go without waiting, up to ten times as many, and the limit of 25 ms for quick answers held for the further threads only.

--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -247,10 +247,14 @@
 		w->dispatch->loss_seen_at = w->heard_at;
 }
 
-/* Whether the worker has to be heard soon though polls are lost. */
+/*
+ * Whether the worker has to be heard soon though polls are lost. Slow answers
+ * show a queue, or a node without processor time, which more polls would
+ * lengthen.
+ */
 static bool polls_quickly(const struct seam_dispatch_worker *w)
 {
-	return loses_polls(w) &&
+	return loses_polls(w) && w->answer_time.estimate <= QUICK_ANSWER_MAX &&
 	       (w->runs || w->orders.length || w->unconfirmed_token);
 }
 
@@ -370,7 +374,6 @@
 static bool goes_on_repeating(const struct seam_dispatch_worker *w)
 {
 	return polls_quickly(w) &&
-	       w->answer_time.estimate <= QUICK_ANSWER_MAX &&
 	       seam_now(w->dispatch->clock) < w->heard_at + REPEAT_UNHEARD_MAX;
 }
 
