dispatch_test: guard the polls of a worker that answers slowly

The fake worker gets a duration of each poll for this; polls_in() moves into the fixture, as three tests need it.

--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -69,6 +69,19 @@
 			*seen = last.event[last.n - 1].number;
 		return true;
 	}
+	// Returns how often worker "a" is polled in @ms while its owner asks.
+	int polls_in(int ms, uint64_t *seen)
+	{
+		seam_time until = seam_now(w.clock) + ms * SEAM_MSEC;
+		int before = a->polls;
+
+		while (seam_now(w.clock) < until)
+			if (!ask(1, 1, seen)) {
+				ADD_FAILURE() << e.text;
+				return -1;
+			}
+		return a->polls - before;
+	}
 	// Returns the next event of a kind, or NULL after 40 polls.
 	seam_lane_event *next(uint64_t token, uint64_t number, int kind,
 			      uint64_t *seen)
@@ -403,14 +416,6 @@
 TEST_F(Dispatch, SilentWorkerOfALossyPathIsPolledOftenForSomeTime)
 {
 	uint64_t seen = 0;
-	auto polls_in = [&](int ms) {
-		seam_time until = seam_now(w.clock) + ms * SEAM_MSEC;
-		int before = a->polls;
-
-		while (seam_now(w.clock) < until)
-			EXPECT_TRUE(ask(1, 1, &seen));
-		return a->polls - before;
-	};
 
 	ASSERT_EQ(open(1, 1), 0);
 	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
@@ -418,12 +423,12 @@
 	ASSERT_NE(next(1, 1, SEAM_LANE_ANSWERED, &seen), nullptr);
 	a->lost_holds_time_out = true;
 	a->answers_one_in = 4;
-	polls_in(1000);
+	polls_in(1000, &seen);
 	a->unresponsive = true;
-	polls_in(1500);
-	EXPECT_GE(polls_in(1000), 10);
-	polls_in(12500);
-	EXPECT_LE(polls_in(1000), 8);
+	polls_in(1500, &seen);
+	EXPECT_GE(polls_in(1000, &seen), 10);
+	polls_in(12500, &seen);
+	EXPECT_LE(polls_in(1000, &seen), 8);
 }
 
 // Guards against a slow search for a worker whose first lost poll silenced it.
@@ -433,14 +438,6 @@
 	seam_lane_worker x[2] = {};
 	seam_lane_batch batch = {{1, 1}, true, x, 2, nullptr, 0};
 	uint64_t seen = 0;
-	auto polls_in = [&](int ms) {
-		seam_time until = seam_now(w.clock) + ms * SEAM_MSEC;
-		int before = a->polls;
-
-		while (seam_now(w.clock) < until)
-			EXPECT_TRUE(ask(1, 1, &seen));
-		return a->polls - before;
-	};
 
 	for (int i = 0; i < 2; i++) {
 		x[i].key = 7 + (uint32_t)i;
@@ -454,13 +451,33 @@
 	ASSERT_NE(next(1, 1, SEAM_LANE_ANSWERED, &seen), nullptr);
 	a->lost_holds_time_out = true;
 	a->unresponsive = true;
-	polls_in(2500);
-	EXPECT_LE(polls_in(1000), 8);
+	polls_in(2500, &seen);
+	EXPECT_LE(polls_in(1000, &seen), 8);
 	b->lost_holds_time_out = true;
 	b->answers_one_in = 4;
 	start(1, 1, "u", 3 * SEAM_SEC, false, "60000");
-	polls_in(2500);
-	EXPECT_GE(polls_in(1000), 10);
+	polls_in(2500, &seen);
+	EXPECT_GE(polls_in(1000, &seen), 10);
+}
+
+// Guards against more polls of a worker, or by a node, that is slow already.
+TEST_F(Dispatch, SlowWorkerThatLosesPollsIsPolledNoMoreOften)
+{
+	uint64_t seen = 0;
+
+	a->hold_ms = 60;
+	a->wait_ms = 300;
+	ASSERT_EQ(open(1, 1, true, 9000000), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_LISTED, &seen), nullptr);
+	ASSERT_EQ(start(1, 1, "t", SEAM_SEC, false, "60000"), 0);
+	ASSERT_NE(next(1, 1, SEAM_LANE_ANSWERED, &seen), nullptr);
+	a->lost_holds_time_out = true;
+	a->answers_one_in = 2;
+	polls_in(2500, &seen);
+	int polls = polls_in(4000, &seen);
+	EXPECT_GT(polls, 0);
+	// Of two polls that wait, one is lost after 1.15 s.
+	EXPECT_LE(polls, 12);
 }
 
 // Guards against a start that is given up as one poll before it is lost.
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -29,6 +29,7 @@
 	std::atomic<int> restart_ms{0};
 	std::atomic<int> unresponsive_ms{50}; // time until a hold fails
 	std::atomic<int> wait_ms{0}; // duration of a hold that may wait
+	std::atomic<int> hold_ms{0}; // further duration of each hold
 	std::atomic<int> answers_one_in{1}; // the other holds get no answer
 	std::atomic<bool> replaced{false}; // another id has its address
 	int holds = 0;
--- a/tests/world.h
+++ b/tests/world.h
@@ -494,8 +494,8 @@
 	w->polls++;
 	if (!w->is_up())
 		return seam_fail(e, SEAM_UNAVAILABLE, "connection refused");
-	if (h->wait_ms)
-		usleep((useconds_t)w->wait_ms * 1000);
+	usleep((useconds_t)(w->hold_ms + (h->wait_ms ? (int)w->wait_ms : 0)) *
+	       1000);
 	memset(out, 0, sizeof(*out));
 	if (w->born != process)
 		return seam_fail(e, SEAM_COMMIT_UNKNOWN, "connection reset");
