answer_time: one limit of quick answers for node and owner

The node decides by it whether more polls help, and the owner whether a lane loses answers; both named the same 25 ms.

--- a/process/answer_time.h
+++ b/process/answer_time.h
@@ -7,6 +7,9 @@
 extern "C" {
 #endif
 
+/* Answers that take longer wait in a queue, which more calls would lengthen. */
+#define SEAM_QUICK_ANSWER_MAX (25 * SEAM_MSEC)
+
 /**
  * struct seam_answer_time - how long a worker takes to answer a call
  * @estimate: rises at once with a slower answer and falls with quicker ones; 0
--- a/process/dispatch_worker.c
+++ b/process/dispatch_worker.c
@@ -41,8 +41,6 @@
  * counts.
  */
 #define REPEAT_UNHEARD_MAX (14 * SEAM_SEC)
-/* Answers that take longer wait in a queue, which more polls would lengthen. */
-#define QUICK_ANSWER_MAX (25 * SEAM_MSEC)
 /* libcurl takes whole milliseconds. */
 #define TIMEOUT_ROUNDING (2 * SEAM_MSEC)
 #define POLL_FIRST_RETRY_USEC 30000 /* after the first failed poll */
@@ -243,7 +241,7 @@
 	if (!answered)
 		return;
 	w->heard_at = seam_now(w->dispatch->clock);
-	if (loses_polls(w) && w->answer_time.estimate <= QUICK_ANSWER_MAX)
+	if (loses_polls(w) && w->answer_time.estimate <= SEAM_QUICK_ANSWER_MAX)
 		w->dispatch->loss_seen_at = w->heard_at;
 }
 
@@ -254,7 +252,8 @@
  */
 static bool polls_quickly(const struct seam_dispatch_worker *w)
 {
-	return loses_polls(w) && w->answer_time.estimate <= QUICK_ANSWER_MAX &&
+	return loses_polls(w) &&
+	       w->answer_time.estimate <= SEAM_QUICK_ANSWER_MAX &&
 	       (w->runs || w->orders.length || w->unconfirmed_token);
 }
 
@@ -361,7 +360,7 @@
  */
 bool dispatch_worker_answers_quickly(const struct seam_dispatch_worker *w)
 {
-	return w->answered && w->answer_time.estimate <= QUICK_ANSWER_MAX;
+	return w->answered && w->answer_time.estimate <= SEAM_QUICK_ANSWER_MAX;
 }
 
 /* Whether the path to the worker loses answers, and has no queue. */
--- a/process/scheduler_answers.c
+++ b/process/scheduler_answers.c
@@ -2,6 +2,7 @@
  * Handles the answers of workers to holds and orders, as reported by the nodes
  * that serve them.
  */
+#include "process/answer_time.h"
 #include "process/scheduler_impl.h"
 #include "base/metrics.h"
 #include "base/log.h"
@@ -12,8 +13,6 @@
 #define NO_ROOM_BACKOFF (150 * SEAM_MSEC)
 /* A lane loses answers if it had this evidence within this time. */
 #define LOSS_SEEN_MAX (2 * SEAM_SEC)
-/* Answers that take longer wait in a queue. */
-#define QUICK_ANSWER_MS 25
 /* A silent worker stays for so long on a lane that loses answers. Its lease
  * outlasts a move after that. */
 #define LOSSY_UNHEARD_MAX (2 * SEAM_SEC)
@@ -292,7 +291,7 @@
 	m->unsent += !s.answered && !v->calls;
 	seam_start_window_ended(&sched->window, &s, sched->starting, now);
 	if (w->lane >= 0 && s.answered && v->calls > 1 &&
-	    v->call_ms <= QUICK_ANSWER_MS)
+	    s.call_time <= SEAM_QUICK_ANSWER_MAX)
 		sched->lane[w->lane].loss_seen_at = now;
 	if (w->lane >= 0)
 		seam_start_window_ended(&sched->lane[w->lane].window, &s,
