--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -23,7 +23,6 @@
 #define PAGE_BYTES_MAX (1 << 20)
 #define FEED_MAX_MS 30000
 #define LISTED_ENDS_MAX 500
-#define STOP_MS 100
 
 static FILE *record;
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -682,6 +681,7 @@
 int minions;
 void (*on_task)(struct minion *m, const char *name, int64_t run,
 		const char *what);
+void (*on_spec)(struct minion *m, const char *task, struct json_object *spec);
 
 struct end {
 	int64_t number;
@@ -809,6 +809,12 @@
 		*n = run;
 		g_hash_table_replace(m->highest, g_strdup(name), n);
 		m->starts++;
+		if (on_spec) {
+			struct json_object *given = NULL;
+
+			json_object_object_get_ex(o, "spec", &given);
+			on_spec(m, name, given);
+		}
 		if (on_task)
 			on_task(m, name, run, "start");
 	}
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -93,10 +93,11 @@
 /* Called with the lock held for each start and each end. */
 extern void (*on_task)(struct minion *m, const char *name, int64_t run,
 		       const char *what);
+/* Called with the lock held, with the spec of each start. */
+extern void (*on_spec)(struct minion *m, const char *task,
+		       struct json_object *spec);
 /* CPU of a task and how long it works, by the job's id. */
 void job_describe(const char *id, int64_t cpu, int64_t work_ms);
-/* CPU of the tasks that run for a job. */
-int64_t job_cpu_running(const char *id);
 
 /* The daemon */
 struct node {
