--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -648,6 +648,40 @@
 	json_object_put(o);
 }
 
+const char *store_lose_table;
+int store_lose;
+
+static void *perform_late(void *arg)
+{
+	struct reply r = {200, g_string_new(NULL)};
+
+	usleep((useconds_t)g_random_int_range(1000, 6000) * 1000);
+	rows_tx(arg, &r);
+	note("a transaction without an answer is performed late: %d", r.status);
+	g_string_free(r.body, TRUE);
+	g_free(arg);
+	return NULL;
+}
+
+/* Whether the answer to a transaction is to be lost. */
+static bool lose_answer(const char *body)
+{
+	struct json_object *o = json_tokener_parse(body);
+	struct json_object *puts = list(o, "puts");
+	bool lose = false;
+
+	pthread_mutex_lock(&store_lock);
+	if (store_lose && length(puts) &&
+	    !strcmp(str(json_object_array_get_idx(puts, 0), "table"),
+		    store_lose_table)) {
+		store_lose--;
+		lose = true;
+	}
+	pthread_mutex_unlock(&store_lock);
+	json_object_put(o);
+	return lose;
+}
+
 void store_handler(void *arg, const char *method, const char *path,
 		   const char *head, const char *body, struct reply *r)
 {
@@ -659,6 +693,10 @@
 		rows_get(path, r);
 	} else if (g_str_has_prefix(path, "/rows-feed?")) {
 		rows_feed(path, r);
+	} else if (!strcmp(path, "/rows-tx") && lose_answer(body)) {
+		note("the store gives no answer to a transaction");
+		start_thread(perform_late, g_strdup(body));
+		r->status = 0;
 	} else if (!strcmp(path, "/rows-tx")) {
 		rows_tx(body, r);
 	} else {
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -47,6 +47,10 @@
 /* Adds a row that lies outside the history of changes. */
 void store_put_old(const char *table, const char *part, const char *key,
 		   const char *base64);
+/* The next transactions with a new row of this table get no answer; they are
+ * performed 1 to 6 s later if their condition still holds. */
+extern const char *store_lose_table;
+extern int store_lose;
 extern int64_t store_largest_value;
 extern int64_t store_refused;
 extern int64_t store_rows_read;
