--- a/review/8/case.c
+++ b/review/8/case.c
@@ -42,7 +42,7 @@
 	snprintf(path, sizeof(path), "/q1/%s", id);
 	status = http_call(n->front, method, path,
 			   "Host: h1.example\r\nAuthorization: Token k1\r\n"
-			   "Monsoonseam-Deadline-Ms: 3000\r\n",
+			   WIRE_DEADLINE "3000\r\n",
 			   text, LEAVE_MS, &answer);
 	note("%s %s at %s: %d %s", method, id, n->name, status,
 	     status ? answer : "no answer, the caller leaves");
--- a/review/9/case.c
+++ b/review/9/case.c
@@ -36,7 +36,7 @@
 
 	snprintf(head, sizeof(head),
 		 "Host: h1.example\r\nAuthorization: Token %s\r\n"
-		 "Monsoonseam-Deadline-Ms: 3000\r\n",
+		 WIRE_DEADLINE "3000\r\n",
 		 key);
 	snprintf(path, sizeof(path), "/%s/%s", queue, id);
 	status = http_call(node[0].front, method, path, head, text, 4000,
--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -689,15 +689,15 @@
 	(void)method;
 	(void)head;
 	usleep(STORE_ANSWER_US);
-	if (g_str_has_prefix(path, "/rows-get?")) {
+	if (g_str_has_prefix(path, WIRE_GET "?")) {
 		rows_get(path, r);
-	} else if (g_str_has_prefix(path, "/rows-feed?")) {
+	} else if (g_str_has_prefix(path, WIRE_FEED "?")) {
 		rows_feed(path, r);
-	} else if (!strcmp(path, "/rows-tx") && lose_answer(body)) {
+	} else if (!strcmp(path, WIRE_TX) && lose_answer(body)) {
 		note("the store gives no answer to a transaction");
 		start_thread(perform_late, g_strdup(body));
 		r->status = 0;
-	} else if (!strcmp(path, "/rows-tx")) {
+	} else if (!strcmp(path, WIRE_TX)) {
 		rows_tx(body, r);
 	} else {
 		r->status = 404;
@@ -818,12 +818,12 @@
 	const char *name = str(o, "task");
 	const struct job *j = job_of(name);
 	int64_t run = num(o, "run");
-	int64_t expires = num(o, "expiresMs");
+	int64_t expires = num(o, WIRE_EXPIRES);
 	struct task *t = g_hash_table_lookup(m->tasks, name);
 	const char *refused = NULL;
 	int64_t now = clock_ms(m);
 
-	if (num(o, "fencingToken") < m->fence)
+	if (num(o, WIRE_FENCE) < m->fence)
 		refused = "fence";
 	else if (t && t->run == run)
 		;
@@ -834,7 +834,7 @@
 	else if (cpu_used(m) + j->cpu > m->cpu)
 		refused = "room";
 	if (!refused || strcmp(refused, "fence"))
-		m->fence = MAX(m->fence, num(o, "fencingToken"));
+		m->fence = MAX(m->fence, num(o, WIRE_FENCE));
 	if (!refused || !strcmp(refused, "old") || !strcmp(refused, "room"))
 		m->lease = MAX(m->lease, MIN(expires, now + MAX_HOLD_MS));
 	if (!refused && !t) {
@@ -873,7 +873,7 @@
 	struct task *t = g_hash_table_lookup(m->tasks, name);
 	int64_t *n;
 
-	if (num(o, "fencingToken") < m->fence) {
+	if (num(o, WIRE_FENCE) < m->fence) {
 		r->status = 409;
 		g_string_append_printf(r->body,
 				       "{\"clockMs\":%" PRId64
@@ -881,7 +881,7 @@
 				       clock_ms(m));
 		return;
 	}
-	m->fence = num(o, "fencingToken");
+	m->fence = num(o, WIRE_FENCE);
 	if (run > highest_run(m, name)) {
 		n = g_new(int64_t, 1);
 		*n = run;
@@ -930,11 +930,11 @@
 {
 	int64_t until = now_ms() + MIN(num(o, "waitMs"), 2000);
 	int64_t born = m->born;
-	int64_t expires = num(o, "expiresMs");
-	int64_t acked = num(o, "ackCursor");
+	int64_t expires = num(o, WIRE_EXPIRES);
+	int64_t acked = num(o, WIRE_ACKED);
 	guint drop = 0;
 
-	if (num(o, "fencingToken") < m->fence) {
+	if (num(o, WIRE_FENCE) < m->fence) {
 		r->status = 409;
 		g_string_append_printf(r->body,
 				       "{\"clockMs\":%" PRId64
@@ -942,7 +942,7 @@
 				       clock_ms(m));
 		return;
 	}
-	m->fence = num(o, "fencingToken");
+	m->fence = num(o, WIRE_FENCE);
 	if (expires)
 		m->lease = MAX(m->lease,
 			       MIN(expires, clock_ms(m) + MAX_HOLD_MS));
@@ -1003,7 +1003,7 @@
 {
 	struct late_order *l = g_new0(struct late_order, 1);
 
-	*l = (struct late_order){m, !strcmp(path, "/run-start"),
+	*l = (struct late_order){m, !strcmp(path, WIRE_START),
 				 g_strdup(body)};
 	late_orders++;
 	start_thread(carry_out_late, l);
@@ -1051,7 +1051,7 @@
 	struct minion *m = arg;
 	struct json_object *o = json_tokener_parse(body);
 	int64_t born;
-	const char *expect = strcasestr(head, "\r\nMonsoonseam-Expect-Instance:");
+	const char *expect = strcasestr(head, "\r\n" WIRE_EXPECT);
 
 	(void)method;
 	pthread_mutex_lock(&minion_lock);
@@ -1068,9 +1068,9 @@
 	} else if (strcmp(path, "/hold") && g_random_double() < late_share) {
 		keep_order(m, path, body);
 		r->status = 0;
-	} else if (!strcmp(path, "/run-start")) {
+	} else if (!strcmp(path, WIRE_START)) {
 		run_start(m, o, r);
-	} else if (!strcmp(path, "/run-stop")) {
+	} else if (!strcmp(path, WIRE_STOP)) {
 		run_stop(m, o, r);
 	} else if (!strcmp(path, "/hold")) {
 		hold(m, o, r);
@@ -1334,7 +1334,7 @@
 {
 	return g_strdup_printf("Host: h1.example\r\nAuthorization: Token %s\r\n"
 			       "Content-Type: application/json\r\n"
-			       "Monsoonseam-Deadline-Ms: 3000\r\n",
+			       WIRE_DEADLINE "3000\r\n",
 			       key);
 }
 
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -12,6 +12,8 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#include "wire.inc"
+
 #define NODES_MAX 8
 #define MINIONS_MAX 32
 
