--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -241,12 +241,19 @@
 	return port_of(s->fd);
 }
 
-/* Returns a port that is free now. */
+/*
+ * Returns a port that is free now, below those that the system gives to
+ * outgoing connections.
+ */
 static int free_port(void)
 {
-	int fd = bind_port(0);
-	int port = port_of(fd);
+	int port;
+	int fd;
 
+	do {
+		port = g_random_int_range(12000, 30000);
+		fd = bind_port(port);
+	} while (fd < 0);
 	close(fd);
 	return port;
 }
