request, connection, platform: text of a job is passed with its length

The submission was answered 200.

Cause: the decoder of submissions, the job's row, the batches between nodes and the order to the worker all take the text as a C string, which ends at its first NUL.

Change: struct seam_jobspec, struct seam_lane_order and struct seam_start have the length beside the text. base/json and base/pack read and write a text with its length; names keep the check that rejects a NUL. Texts of a batch are compared by length and content, so that two jobs whose texts differ only after a NUL do not share one. A row without a text is damaged, not a job with an empty one.

A text of 4,000 bytes is allowed by the protocol with any character, so it has to arrive whole. Rejecting it was ruled out for that reason.

The other tests follow the text along the row, the batch, the lane and the order; they use the new length and do not compile without it.

--- a/base/json.c
+++ b/base/json.c
@@ -363,6 +363,16 @@
 	return json_object_get_string(v);
 }
 
+const char *seam_json_text(struct json_object *o, const char *name, size_t *len)
+{
+	struct json_object *v = seam_json_member(o, name);
+
+	if (!json_object_is_type(v, json_type_string))
+		return NULL;
+	*len = (size_t)json_object_get_string_len(v);
+	return json_object_get_string(v);
+}
+
 int64_t seam_json_int(struct json_object *o, const char *name, int64_t def)
 {
 	struct json_object *v;
@@ -419,6 +429,13 @@
 	json_object_object_add(o, name, json_object_new_string(v));
 }
 
+void seam_json_add_text(struct json_object *o, const char *name, const char *v,
+			size_t len)
+{
+	json_object_object_add(o, name,
+			       json_object_new_string_len(v, (int)len));
+}
+
 void seam_json_add_int(struct json_object *o, const char *name, int64_t v)
 {
 	json_object_object_add(o, name, json_object_new_int64(v));
--- a/base/json.h
+++ b/base/json.h
@@ -119,6 +119,10 @@
 const char *seam_json_str(struct json_object *o, const char *name,
 			  const char *def);
 
+/** seam_json_text() - string member @name of @o with any characters, or NULL */
+const char *seam_json_text(struct json_object *o, const char *name,
+			   size_t *len);
+
 /** seam_json_int() - integer member @name of @o, or @def */
 int64_t seam_json_int(struct json_object *o, const char *name, int64_t def);
 
@@ -141,6 +145,10 @@
 /** seam_json_add_str() - add or replace a string member */
 void seam_json_add_str(struct json_object *o, const char *name, const char *v);
 
+/** seam_json_add_text() - add or replace a string of @len bytes */
+void seam_json_add_text(struct json_object *o, const char *name, const char *v,
+			size_t len);
+
 /** seam_json_add_int() - add or replace an integer member */
 void seam_json_add_int(struct json_object *o, const char *name, int64_t v);
 
--- a/base/pack.c
+++ b/base/pack.c
@@ -70,8 +70,11 @@
 
 void seam_pack_str(struct seam_packer *p, const char *s)
 {
-	size_t n = strlen(s);
+	seam_pack_text(p, s, strlen(s));
+}
 
+void seam_pack_text(struct seam_packer *p, const char *s, size_t n)
+{
 	put(p, mpack_pack_str((mpack_uint32_t)n), TOKEN_BYTES_MAX);
 	if (n)
 		put(p, mpack_pack_chunk(s, (mpack_uint32_t)n), n);
@@ -162,7 +165,7 @@
 }
 
 /* Returns a string inside the message; it is not NUL-terminated. */
-static const char *get_str(struct seam_unpacker *u, size_t *len)
+static const char *get_text(struct seam_unpacker *u, size_t *len)
 {
 	mpack_token_t t = get_type(u, MPACK_TOKEN_STR);
 	mpack_token_t chunk;
@@ -171,12 +174,21 @@
 	if (u->malformed || !t.length)
 		return "";
 	chunk = get_type(u, MPACK_TOKEN_CHUNK);
-	if (!u->malformed && (chunk.length != t.length ||
-			      memchr(chunk.data.chunk_ptr, 0, t.length)))
+	if (!u->malformed && chunk.length != t.length)
 		u->malformed = true;
 	return u->malformed ? "" : chunk.data.chunk_ptr;
 }
 
+/* Returns a string without NUL bytes inside the message. */
+static const char *get_str(struct seam_unpacker *u, size_t *len)
+{
+	const char *s = get_text(u, len);
+
+	if (!u->malformed && memchr(s, 0, *len))
+		u->malformed = true;
+	return u->malformed ? "" : s;
+}
+
 void seam_unpack_str(struct seam_unpacker *u, char *out, size_t size)
 {
 	size_t n;
@@ -202,6 +214,20 @@
 	return copy;
 }
 
+char *seam_unpack_text(struct seam_unpacker *u, size_t *len)
+{
+	const char *s = get_text(u, len);
+	char *copy = u->malformed ? NULL : malloc(*len + 1);
+
+	if (!copy) {
+		u->malformed = true;
+		return NULL;
+	}
+	memcpy(copy, s, *len);
+	copy[*len] = '\0';
+	return copy;
+}
+
 bool seam_unpack_done(const struct seam_unpacker *u)
 {
 	return !u->malformed && !u->left;
--- a/base/pack.h
+++ b/base/pack.h
@@ -41,6 +41,9 @@
 /** seam_pack_str() - a string without its NUL */
 void seam_pack_str(struct seam_packer *p, const char *s);
 
+/** seam_pack_text() - a string of @n bytes, which may contain NUL bytes */
+void seam_pack_text(struct seam_packer *p, const char *s, size_t n);
+
 /**
  * seam_pack_finish() - end the message
  * @len: receives its length in bytes
@@ -93,6 +96,14 @@
 /** seam_unpack_strdup() - copy of a string, to be freed with free(), or NULL */
 char *seam_unpack_strdup(struct seam_unpacker *u);
 
+/**
+ * seam_unpack_text() - copy of a string that may contain NUL bytes
+ * @len: receives its length in bytes; a NUL follows them
+ *
+ * Return: the copy, to be freed with free(), or NULL.
+ */
+char *seam_unpack_text(struct seam_unpacker *u, size_t *len);
+
 /** seam_unpack_done() - whether the whole message was read without an error */
 bool seam_unpack_done(const struct seam_unpacker *u);
 
--- a/connection/lane.h
+++ b/connection/lane.h
@@ -59,8 +59,9 @@
  * @stop: true for a stop, false for a start
  * @task: task name
  * @run: run number
- * @text: job text as submitted by the caller; NULL in a stop; owned by the
- *        order
+ * @text: job text as submitted by the caller, which may contain NUL bytes;
+ *        NULL in a stop; owned by the order
+ * @text_len: its length in bytes
  * @checkpoint: checkpoint to resume from, or ""
  * @lease_until: end of the lease, milliseconds of the worker's clock
  * @send_by: not sent after this time of the node's clock
@@ -75,6 +76,7 @@
 	char task[SEAM_TASK_NAME_SIZE];
 	int64_t run;
 	char *text;
+	size_t text_len;
 	char checkpoint[SEAM_CHECKPOINT_SIZE];
 	int64_t lease_until;
 	seam_time send_by;
--- a/connection/lane_codec.c
+++ b/connection/lane_codec.c
@@ -68,6 +68,19 @@
 	seam_pack_str(p, w->addr);
 }
 
+/* A text of a received batch, shared by the orders that refer to it. */
+struct text {
+	char *data;
+	size_t len;
+};
+
+static bool same_text(const struct seam_lane_order *a,
+		      const struct seam_lane_order *b)
+{
+	return a->text_len == b->text_len &&
+	       !memcmp(a->text, b->text, a->text_len);
+}
+
 /* Returns the index of the text of order @i among the texts of the batch. */
 static size_t text_index(const struct seam_lane_batch *b, const size_t *index,
 			 size_t i, size_t texts)
@@ -75,8 +88,7 @@
 	size_t k;
 
 	for (k = 0; k < i; k++)
-		if (!b->order[k].stop &&
-		    !strcmp(b->order[k].text, b->order[i].text))
+		if (!b->order[k].stop && same_text(&b->order[k], &b->order[i]))
 			return index[k];
 	return texts;
 }
@@ -102,7 +114,8 @@
 	p->failed = p->failed || !first;
 	seam_pack_array(p, texts);
 	for (i = 0; i < texts; i++)
-		seam_pack_str(p, b->order[first[i]].text);
+		seam_pack_text(p, b->order[first[i]].text,
+			       b->order[first[i]].text_len);
 	free(first);
 }
 
@@ -197,7 +210,19 @@
 	seam_unpack_str(u, w->addr, sizeof(w->addr));
 }
 
-static void unpack_order(struct seam_unpacker *u, char *const *text,
+static void copy_text(struct seam_unpacker *u, const struct text *from,
+		      struct seam_lane_order *o)
+{
+	o->text = malloc(from->len + 1);
+	if (!o->text) {
+		u->malformed = true;
+		return;
+	}
+	memcpy(o->text, from->data, from->len + 1);
+	o->text_len = from->len;
+}
+
+static void unpack_order(struct seam_unpacker *u, const struct text *text,
 			 size_t texts, struct seam_lane_order *o)
 {
 	size_t n = seam_unpack_array(u);
@@ -220,9 +245,10 @@
 	seam_unpack_str(u, o->checkpoint, sizeof(o->checkpoint));
 	i = seam_unpack_uint(u);
 	o->poll_first = seam_unpack_uint(u);
-	if (i < texts && text[i])
-		o->text = strdup(text[i]);
-	u->malformed = u->malformed || !o->text;
+	if (!u->malformed && i < texts)
+		copy_text(u, &text[i], o);
+	else
+		u->malformed = true;
 }
 
 static void unpack_workers(struct seam_unpacker *u, struct seam_lane_batch *b)
@@ -235,7 +261,7 @@
 		unpack_worker(u, &b->worker[b->workers++]);
 }
 
-static void unpack_orders(struct seam_unpacker *u, char *const *text,
+static void unpack_orders(struct seam_unpacker *u, const struct text *text,
 			  size_t texts, struct seam_lane_batch *b)
 {
 	size_t n = seam_unpack_array(u);
@@ -251,16 +277,16 @@
 				    struct seam_lane_batch *b)
 {
 	size_t n = seam_unpack_array(u);
-	char **text = calloc(n + 1, sizeof(*text));
+	struct text *text = calloc(n + 1, sizeof(*text));
 	size_t i;
 
 	u->malformed = u->malformed || !text;
 	for (i = 0; !u->malformed && i < n; i++)
-		text[i] = seam_unpack_strdup(u);
+		text[i].data = seam_unpack_text(u, &text[i].len);
 	if (!u->malformed)
 		unpack_orders(u, text, n, b);
 	for (i = 0; text && i < n; i++)
-		free(text[i]);
+		free(text[i].data);
 	free(text);
 }
 
--- a/connection/runner.h
+++ b/connection/runner.h
@@ -44,7 +44,8 @@
  * struct seam_start - order to run a task
  * @task: task name
  * @run: run number; higher than those of earlier starts of the task
- * @text: job text as submitted by the caller
+ * @text: job text as submitted by the caller, which may contain NUL bytes
+ * @text_len: its length in bytes
  * @token: fencing token
  * @lease_until: end of the worker's lease, milliseconds of its own clock
  * @checkpoint: checkpoint to resume from, or ""
@@ -53,6 +54,7 @@
 	const char *task;
 	int64_t run;
 	const char *text;
+	size_t text_len;
 	uint64_t token;
 	int64_t lease_until;
 	const char *checkpoint;
--- a/process/dispatch_orders.c
+++ b/process/dispatch_orders.c
@@ -125,6 +125,7 @@
 	struct seam_start s = {.task = o->task,
 			       .run = o->run,
 			       .text = o->text,
+			       .text_len = o->text_len,
 			       .token = w->token,
 			       .lease_until = o->lease_until,
 			       .checkpoint = o->checkpoint};
--- a/process/scheduler_lanes.c
+++ b/process/scheduler_lanes.c
@@ -241,7 +241,8 @@
 	/* A process that runs the late start takes its number only once. */
 	to->poll_first = r && now < r->late_until && o->run != t->late_run;
 	to->lease_until = scheduler_new_lease(w, now);
-	to->text = strdup(j->row.spec.text);
+	to->text = g_memdup2(j->row.spec.text, j->row.spec.text_len + 1);
+	to->text_len = j->row.spec.text_len;
 	g_strlcpy(to->checkpoint, t->checkpoint, sizeof(to->checkpoint));
 }
 
--- a/request/jobrow.c
+++ b/request/jobrow.c
@@ -155,6 +155,7 @@
 	struct json_object *o;
 
 	ended.text = (char *)"";
+	ended.text_len = 0;
 	ended.steps = 0;
 	o = seam_jobspec_to_json(seam_job_finished(j->state) ? &ended :
 							       &j->spec);
--- a/request/jobspec.c
+++ b/request/jobspec.c
@@ -1,6 +1,7 @@
 #include "request/jobspec.h"
 #include "base/json.h"
 
+#include <glib.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -47,6 +48,7 @@
 	free(j->text);
 	free(j->step);
 	j->text = NULL;
+	j->text_len = 0;
 	j->step = NULL;
 	j->steps = 0;
 }
@@ -76,7 +78,7 @@
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "id: must be %d lower-case hex digits",
 				 SEAM_JOB_ID_DIGITS);
-	if (!j->text || strlen(j->text) > SEAM_JOB_TEXT_MAX)
+	if (!j->text || j->text_len > SEAM_JOB_TEXT_MAX)
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "text: missing or over %d bytes",
 				 SEAM_JOB_TEXT_MAX);
@@ -156,7 +158,7 @@
 	seam_json_add_str(o, "pool", j->pool);
 	seam_json_add_int(o, "attempts", j->attempts);
 	seam_json_add_str(o, "workspace", j->workspace);
-	seam_json_add_str(o, "text", j->text);
+	seam_json_add_text(o, "text", j->text, j->text_len);
 	for (i = 0; i < j->steps; i++)
 		json_object_array_add(list, step_json(&j->step[i]));
 	json_object_object_add(o, "steps", list);
@@ -184,6 +186,7 @@
 int seam_jobspec_parse(struct json_object *o, struct seam_jobspec *j,
 		       struct seam_err *e)
 {
+	const char *text = seam_json_text(o, "text", &j->text_len);
 	struct json_object *list = NULL;
 	int i;
 
@@ -198,7 +201,9 @@
 	    json_object_array_length(list) > SEAM_STEPS_MAX)
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "job row: no steps or too many");
-	j->text = strdup(seam_json_str(o, "text", ""));
+	if (!text)
+		return seam_fail(e, SEAM_BAD_REQUEST, "job row: no text");
+	j->text = g_memdup2(text, j->text_len + 1);
 	j->steps = (int)json_object_array_length(list);
 	j->step = calloc((size_t)j->steps + 1, sizeof(*j->step));
 	for (i = 0; j->step && i < j->steps; i++)
--- a/request/jobspec.h
+++ b/request/jobspec.h
@@ -64,7 +64,9 @@
  * @pool: pool of the queue when the job was accepted
  * @attempts: failed runs of a task that the queue allowed at that time
  * @workspace: workspace of the caller's key, or "" for an open queue
- * @text: text passed to the tasks, owned
+ * @text: text passed to the tasks, owned; it may contain NUL bytes, and one
+ *        follows it
+ * @text_len: its length in bytes
  * @step: steps, owned
  * @steps: number of @step
  * @repeats: number of scheduled repetitions; 0 runs the steps once, now
@@ -76,6 +78,7 @@
 	int64_t attempts;
 	char workspace[SEAM_NAME_SIZE];
 	char *text;
+	size_t text_len;
 	struct seam_step *step;
 	int steps;
 	int64_t repeats;
--- a/request/submit.c
+++ b/request/submit.c
@@ -101,7 +101,7 @@
 		     struct seam_err *e)
 {
 	memset(j, 0, sizeof(*j));
-	if (r->front->front->spec(r->call->body, j, e))
+	if (r->front->front->spec(r->call->body, r->call->len, j, e))
 		return -1;
 	snprintf(j->id, sizeof(j->id), "%s", r->id);
 	snprintf(j->queue, sizeof(j->queue), "%s", r->queue.name);
--- a/request/submit.h
+++ b/request/submit.h
@@ -24,7 +24,8 @@
  * @key: API key of a call, or NULL
  * @host: host name to which a call is addressed
  * @deadline: time at which the caller stops waiting
- * @spec: decode a request body into the text and steps of a job
+ * @spec: decode a request body into the text and steps of a job;
+ *        SEAM_BAD_REQUEST if a member cannot be taken as it is
  * @state: respond with the state of a job
  * @pending: respond with the number of jobs waiting in a queue
  * @refuse: respond with an error; @retry_ms: delay before a retry, 0 if
@@ -34,7 +35,7 @@
 	const char *(*key)(struct seam_call *c);
 	const char *(*host)(struct seam_call *c);
 	seam_time (*deadline)(struct seam_call *c);
-	int (*spec)(const char *body, struct seam_jobspec *j,
+	int (*spec)(const char *body, size_t len, struct seam_jobspec *j,
 		    struct seam_err *e);
 	void (*state)(struct seam_call *c, enum seam_job_state s);
 	void (*pending)(struct seam_call *c, int64_t n);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -44,6 +44,7 @@
 		snprintf(o.task, sizeof(o.task), "%s", task);
 		o.run = 1;
 		o.text = strdup(text);
+		o.text_len = strlen(text);
 		{
 			std::lock_guard<std::mutex> l(a->lock);
 			o.lease_until = a->clock_ms() + 3000;
@@ -898,7 +899,9 @@
 {
 	return x.number == y.number && x.key == y.key && x.stop == y.stop &&
 	       !strcmp(x.task, y.task) && x.run == y.run &&
-	       !strcmp(x.text ? x.text : "", y.text ? y.text : "") &&
+	       x.text_len == y.text_len &&
+	       !memcmp(x.text ? x.text : "", y.text ? y.text : "",
+		       x.text_len) &&
 	       !strcmp(x.checkpoint, y.checkpoint) &&
 	       x.lease_until == y.lease_until && x.send_by == y.send_by &&
 	       x.repeat_by == y.repeat_by && x.poll_first == y.poll_first;
@@ -924,9 +927,9 @@
 	x[0] = {1, "id", "10.0.0.1:80", 900, 5, 77, false, 12};
 	x[1] = {2, "", "", 901, 6, 78, false, 13};
 	x[2] = {3, "", "", 0, 0, 0, true, 0};
-	o[0] = {21,   1,   false, "t.0.1.2", 30001, (char *)"text \"q\"",
-		"cp", 950, 5000,  6000,	     true};
-	o[1] = {22, 2, true, "u", 2, nullptr, "", 0, 7000, 8000};
+	o[0] = {21, 1,	  false, "t.0.1.2", 30001, (char *)"text \"q\"",
+		8,  "cp", 950,	 5000,	    6000,  true};
+	o[1] = {22, 2, true, "u", 2, nullptr, 0, "", 0, 7000, 8000};
 	size_t len = 0;
 	char *text = seam_lane_batch_encode(&b, &len);
 	ASSERT_NE(text, nullptr);
@@ -981,6 +984,7 @@
 		o[i].stop = i == 4;
 		if (i != 4)
 			o[i].text = (char *)(i % 2 ? text : other).c_str();
+		o[i].text_len = i != 4 ? text.size() : 0;
 	}
 	char *message = seam_lane_batch_encode(&b, &len);
 	EXPECT_LT(len, 1200u);
@@ -991,6 +995,29 @@
 	free(message);
 }
 
+// Guards against two jobs whose texts differ only after U+0000 that run the
+// same.
+TEST_F(Dispatch, TextsThatDifferAfterANulStayApart)
+{
+	std::string text[2] = {std::string("run\0one", 7),
+			       std::string("run\0two", 7)};
+	seam_lane_order o[2] = {};
+	seam_lane_batch b = {{1, 1}, false, nullptr, 0, o, 2};
+	seam_lane_batch got;
+	size_t len = 0;
+
+	for (int i = 0; i < 2; i++) {
+		o[i].text = &text[i][0];
+		o[i].text_len = text[i].size();
+	}
+	char *message = seam_lane_batch_encode(&b, &len);
+	ASSERT_EQ(seam_lane_batch_decode(message, len, &got, &e), 0);
+	for (int i = 0; i < 2; i++)
+		EXPECT_TRUE(same(got.order[i], o[i])) << i;
+	seam_lane_batch_free(&got);
+	free(message);
+}
+
 // Checks that each decoder refuses @text, or reads it without reading past it.
 static void expect_no_crash(const std::string &text, bool refused)
 {
@@ -1044,7 +1071,7 @@
 	x[0] = {1, "id", "10.0.0.1:80", 900, 5, 77, false, 12};
 	x[1] = {3, "", "", 0, 0, 0, true, 0};
 	o[0] = {21, 1, false, "t.0.1.2", 30001, (char *)"text"};
-	o[1] = {22, 2, true, "u", 2, nullptr, "", 0, 7000, 8000};
+	o[1] = {22, 2, true, "u", 2, nullptr, 0, "", 0, 7000, 8000};
 	v[0].listing = {123, 456, &run, 1, &end, 1};
 	v[1].kind = SEAM_LANE_SILENT;
 	v[2].kind = SEAM_LANE_ANSWERED;
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -50,6 +50,7 @@
 		int64_t due_us = 0; // carried out then by World::deliver_due()
 	};
 	std::vector<LateStart> late;
+	std::string latest_text; // of the latest run
 	// The users' platform carries out a late order within these times.
 	static constexpr int LATE_MIN_MS = 2000;
 	static constexpr int LATE_MAX_MS = 12000;
@@ -228,6 +229,7 @@
 		runs.push_back(
 			{task, run, us() + ms * 1000, text == "lasts", us()});
 		runs.back().fails = fails;
+		latest_text = text;
 		began = true;
 		return SEAM_ORDER_DONE;
 	}
--- a/tests/jobrow_test.cc
+++ b/tests/jobrow_test.cc
@@ -18,6 +18,7 @@
 		snprintf(j.spec.pool, SEAM_NAME_SIZE, "p");
 		snprintf(j.spec.workspace, SEAM_NAME_SIZE, "w");
 		j.spec.text = strdup("text \"quoted\" \xc3\xa9");
+		j.spec.text_len = strlen(j.spec.text);
 		j.spec.step = (seam_step *)calloc(3, sizeof(seam_step));
 		j.spec.steps = 2;
 		j.spec.attempts = 3;
@@ -82,6 +83,18 @@
 	seam_jobrow_free(&r);
 }
 
+// Guards against a text that is cut at U+0000 when it is stored or read.
+TEST_F(Row, TextWithNulIsStoredWhole)
+{
+	memcpy(j.spec.text, "a\0b", 4);
+	j.spec.text_len = 3;
+
+	seam_jobrow r = read_back();
+	EXPECT_EQ(std::string(r.spec.text, r.spec.text_len),
+		  std::string("a\0b", 3));
+	seam_jobrow_free(&r);
+}
+
 // Guards against counting a failed run twice, when a worker reports it again
 // after a takeover: the job then failed before its attempts were used up.
 TEST_F(Row, FailedRunCountsOnce)
--- a/tests/lanes_test.cc
+++ b/tests/lanes_test.cc
@@ -160,6 +160,21 @@
 	EXPECT_EQ(all, 1.0);
 }
 
+// Guards against a text that is cut at U+0000 on its way to the worker.
+TEST_F(Lanes, TextWithNulReachesTheWorkerWhole)
+{
+	FakeWorker *a = w.add_worker("a");
+	const std::string text("50\0--dry-run", 12);
+
+	w.add_node();
+	Owner o(&w, "n1");
+	o.start_renewals();
+	w.job(ID, 1, text);
+	EXPECT_TRUE(eventually([&] { return w.state(ID) == "completed"; }));
+	std::lock_guard<std::mutex> l(a->lock);
+	EXPECT_EQ(a->latest_text, text);
+}
+
 // Guards against lost runs on workers whose node is lost: another node renews
 // their leases before they expire, and no task starts again.
 TEST_F(Lanes, LostNodeLosesNoRun)
--- a/tests/platform_runner_test.cc
+++ b/tests/platform_runner_test.cc
@@ -192,7 +192,8 @@
 
 		s.task = "0123456789abcdef.0.0.0";
 		s.run = 1;
-		s.text = "x";
+		s.text = "x\0y";
+		s.text_len = 3;
 		s.checkpoint = "";
 		return r->ops->start(r, &s, outcome, &clock_ms,
 				     seam_now(seam_clock_boot()) + SEAM_SEC, e);
@@ -243,6 +244,15 @@
 	}
 }
 
+// Guards against a text that is cut at U+0000 in the order to the worker.
+TEST_F(RunnerStart, TextWithNulIsSentWhole)
+{
+	ScriptedServer w({{200, "{\"clockMs\":1}"}});
+
+	EXPECT_EQ(start(w, 1), 0);
+	EXPECT_NE(w.latest.find("\"spec\":\"x\\u0000y\""), std::string::npos);
+}
+
 // Guards against refusals that are waited for as if the task could run.
 TEST_F(RunnerStart, RefusalsAreKnown)
 {
--- a/tests/platform_submit_test.cc
+++ b/tests/platform_submit_test.cc
@@ -94,6 +94,19 @@
 	EXPECT_EQ(w.state(ID), "cancelled");
 }
 
+// Guards against a text that is cut at U+0000, so that workers run another one.
+TEST_F(Front, SpecWithNulIsStoredWhole)
+{
+	EXPECT_EQ(call("POST", ID,
+		       "{\"spec\":\"a\\u0000--dry-run\",\"steps\":[{\"count\":"
+		       "1}]}")
+			  .status,
+		  200);
+	EXPECT_NE(w.store.get(std::string("job/0/") + ID)
+			  .find("\"a\\u0000--dry-run\""),
+		  std::string::npos);
+}
+
 // Guards against accepting an unknown key or an unknown route.
 TEST_F(Front, KeysAndRoutes)
 {
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -356,14 +356,19 @@
 		expect_rejected(nested(depth), "nesting too deep");
 }
 
+static int read_spec(const std::string &body, seam_jobspec *j, seam_err *e)
+{
+	return seam_platform_front.spec(body.data(), body.size(), j, e);
+}
+
 // Guards against wrong member names in the decoding of a job, and against wrong
 // defaults of omitted members.
 TEST(Wire, Job)
 {
 	seam_jobspec j = {};
 
-	ASSERT_EQ(seam_platform_front.spec(
-			  "{\"spec\":\"t\",\"steps\":[{\"count\":4,\"cpu\":500,"
+	ASSERT_EQ(
+		read_spec("{\"spec\":\"t\",\"steps\":[{\"count\":4,\"cpu\":500,"
 			  "\"memMb\":256,\"estimateMs\":900,"
 			  "\"affinity\":\"r1\"},{\"count\":2,\"after\":[0],"
 			  "\"checkpointing\":true,\"maxPerServer\":3,"
@@ -372,7 +377,7 @@
 			  "\"requirements\":\"big\",\"image\":\"i\"}],"
 			  "\"unknown\":1}",
 			  &j, &e),
-		  0);
+		0);
 	ASSERT_EQ(j.steps, 2);
 	EXPECT_EQ(j.step[0].tasks, 4);
 	EXPECT_EQ(j.step[0].need.memory, 256);
@@ -389,7 +394,7 @@
 	     {"", "{}", "{\"spec\":1,\"steps\":[]}", "{\"spec\":\"t\"}"}) {
 		seam_jobspec none = {};
 
-		EXPECT_EQ(seam_platform_front.spec(bad, &none, &e), -1) << bad;
+		EXPECT_EQ(read_spec(bad, &none, &e), -1) << bad;
 		seam_jobspec_free(&none);
 	}
 }
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -19,6 +19,7 @@
 	};
 	std::vector<Answer> answers;
 	std::atomic<size_t> requests{0};
+	std::string latest; // request
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	std::string addr;
 	std::thread thread;
@@ -53,7 +54,7 @@
 		}
 	}
 	// Reads one request, whose body is small and has a length.
-	static bool read_request(int c)
+	bool read_request(int c)
 	{
 		std::string in;
 		char buf[1000];
@@ -68,8 +69,11 @@
 			if (head == std::string::npos)
 				continue;
 			if (at == std::string::npos ||
-			    in.size() >= head + 4 + (size_t)atol(&in[at + 16]))
+			    in.size() >=
+				    head + 4 + (size_t)atol(&in[at + 16])) {
+				latest = in;
 				return true;
+			}
 		}
 		return false;
 	}
--- a/tests/world.h
+++ b/tests/world.h
@@ -186,7 +186,8 @@
 		snprintf(j.spec.pool, SEAM_NAME_SIZE, "%s", pool);
 		snprintf(j.spec.workspace, SEAM_NAME_SIZE, "w");
 		j.spec.attempts = 3;
-		j.spec.text = strdup(text.c_str());
+		j.spec.text = (char *)g_memdup2(text.c_str(), text.size() + 1);
+		j.spec.text_len = text.size();
 		j.spec.step = (seam_step *)calloc((size_t)steps + 1,
 						  sizeof(seam_step));
 		j.spec.steps = steps;
@@ -393,8 +394,9 @@
 	}
 	std::unique_lock<std::mutex> l(w->lock);
 	FakeWorker::LateStart start = {
-		s->task,	s->run,		  s->text, s->token,
-		s->lease_until, FakeWorker::us(), w->born};
+		s->task,  s->run,	  {s->text, s->text_len},
+		s->token, s->lease_until, FakeWorker::us(),
+		w->born};
 	bool began;
 
 	if (w->unresponsive)
