platform, request: members of a job that cannot be kept are rejected

Callers saw a submission answered 200 whose job then ran with other members than they had sent: a label, rack or image cut at 63 bytes or at U+0000, so that it names other workers; a count of "1", 1.5 or 2^64 + 1 taken for another number; two counts of 2^63 - 1 whose sum wraps past the limit of 20,000 tasks; half of a surrogate pair replaced by U+FFFD.

The decoder takes what json-c makes of a member without checking that it is the whole of what was sent. The row of a job is read back in the same way.

The work of a job saturates. A row with a name that does not fit is damaged.

--- a/request/jobspec.c
+++ b/request/jobspec.c
@@ -53,14 +53,27 @@
 	j->steps = 0;
 }
 
+static bool in_range(int64_t n, int64_t max)
+{
+	return n >= 0 && n <= max;
+}
+
 static int check_step(const struct seam_jobspec *j, int i, struct seam_err *e)
 {
 	const struct seam_step *s = &j->step[i];
 
-	if (s->tasks < 1 || s->need.cpu < 0 || s->need.memory < 0 ||
-	    s->need.gpu < 0 || s->per_worker < 0)
+	if (s->tasks < 1 || s->tasks > SEAM_JOB_TASKS_MAX ||
+	    !in_range(s->need.cpu, SEAM_JOB_RESOURCE_MAX) ||
+	    !in_range(s->need.memory, SEAM_JOB_RESOURCE_MAX) ||
+	    !in_range(s->need.gpu, SEAM_JOB_RESOURCE_MAX) ||
+	    !in_range(s->per_worker, SEAM_JOB_RESOURCE_MAX) ||
+	    !in_range(s->may_miss, SEAM_JOB_RESOURCE_MAX))
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "steps[%d]: a count is out of range", i);
+	if (!in_range(s->estimate_ms, SEAM_JOB_TIME_MAX_MS) ||
+	    !in_range(s->target_ms, SEAM_JOB_TIME_MAX_MS))
+		return seam_fail(e, SEAM_BAD_REQUEST,
+				 "steps[%d]: a time is out of range", i);
 	if (s->after >> i)
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "steps[%d]: depends on itself or a later step",
@@ -123,9 +136,15 @@
 	int64_t core_ms = 0;
 	int i;
 
-	for (i = 0; i < j->steps; i++)
-		core_ms += j->step[i].tasks * j->step[i].need.cpu *
-			   j->step[i].estimate_ms / 1000;
+	for (i = 0; i < j->steps; i++) {
+		const struct seam_step *s = &j->step[i];
+		int64_t work;
+
+		if (__builtin_mul_overflow(s->tasks * s->need.cpu,
+					   s->estimate_ms, &work) ||
+		    __builtin_add_overflow(core_ms, work / 1000, &core_ms))
+			return INT64_MAX;
+	}
 	return core_ms;
 }
 
@@ -165,7 +184,22 @@
 	return o;
 }
 
-static void read_step(struct json_object *o, struct seam_step *s)
+/* A text that does not fit is not cut: it would name something else. */
+static bool read_text(struct json_object *o, const char *name, char *to)
+{
+	size_t len = 0;
+	const char *text = seam_json_text(o, name, &len);
+
+	*to = '\0';
+	if (!text)
+		return !seam_json_member(o, name);
+	if (len >= SEAM_NAME_SIZE || strlen(text) != len)
+		return false;
+	memcpy(to, text, len + 1);
+	return true;
+}
+
+static bool read_step(struct json_object *o, struct seam_step *s)
 {
 	size_t i;
 
@@ -177,40 +211,47 @@
 			*(int64_t *)at = seam_json_int(o, name, 0);
 		else if (fields[i].type == BOOL)
 			*(bool *)at = seam_json_int(o, name, 0) != 0;
-		else
-			snprintf(at, SEAM_NAME_SIZE, "%s",
-				 seam_json_str(o, name, ""));
+		else if (!read_text(o, name, at))
+			return false;
 	}
+	return in_range(s->tasks, SEAM_JOB_TASKS_MAX);
 }
 
-int seam_jobspec_parse(struct json_object *o, struct seam_jobspec *j,
-		       struct seam_err *e)
+static int read_steps(struct json_object *list, struct seam_jobspec *j,
+		      struct seam_err *e)
 {
-	const char *text = seam_json_text(o, "text", &j->text_len);
-	struct json_object *list = NULL;
 	int i;
 
-	snprintf(j->queue, sizeof(j->queue), "%s",
-		 seam_json_str(o, "queue", ""));
-	snprintf(j->pool, sizeof(j->pool), "%s", seam_json_str(o, "pool", ""));
-	j->attempts = seam_json_int(o, "attempts", 1);
-	snprintf(j->workspace, sizeof(j->workspace), "%s",
-		 seam_json_str(o, "workspace", ""));
-	json_object_object_get_ex(o, "steps", &list);
 	if (!json_object_is_type(list, json_type_array) ||
 	    json_object_array_length(list) > SEAM_STEPS_MAX)
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "job row: no steps or too many");
-	if (!text)
-		return seam_fail(e, SEAM_BAD_REQUEST, "job row: no text");
-	j->text = g_memdup2(text, j->text_len + 1);
 	j->steps = (int)json_object_array_length(list);
 	j->step = calloc((size_t)j->steps + 1, sizeof(*j->step));
-	for (i = 0; j->step && i < j->steps; i++)
-		read_step(json_object_array_get_idx(list, (size_t)i),
-			  &j->step[i]);
-	if (j->text && j->step)
+	if (!j->step)
+		return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	for (i = 0; i < j->steps; i++)
+		if (!read_step(json_object_array_get_idx(list, (size_t)i),
+			       &j->step[i]))
+			return seam_fail(e, SEAM_BAD_REQUEST,
+					 "job row: step %d is damaged", i);
+	return 0;
+}
+
+int seam_jobspec_parse(struct json_object *o, struct seam_jobspec *j,
+		       struct seam_err *e)
+{
+	const char *text = seam_json_text(o, "text", &j->text_len);
+
+	if (!text || !read_text(o, "queue", j->queue) ||
+	    !read_text(o, "pool", j->pool) ||
+	    !read_text(o, "workspace", j->workspace))
+		return seam_fail(e, SEAM_BAD_REQUEST,
+				 "job row: a text is missing or damaged");
+	j->attempts = seam_json_int(o, "attempts", 1);
+	j->text = g_memdup2(text, j->text_len + 1);
+	if (!read_steps(seam_json_member(o, "steps"), j, e))
 		return 0;
 	seam_jobspec_free(j);
-	return seam_fail(e, SEAM_NO_MEMORY, NULL);
+	return -1;
 }
--- a/request/jobspec.h
+++ b/request/jobspec.h
@@ -18,6 +18,12 @@
 #define SEAM_JOB_TEXT_MAX 4000 /* bytes */
 #define SEAM_STEPS_MAX 64
 #define SEAM_JOB_TASKS_MAX 20000
+/*
+ * Bounds of the other counts and times of a step. Sums and products over a job
+ * of that size fit into int64_t, but for its work, which saturates.
+ */
+#define SEAM_JOB_RESOURCE_MAX 1000000000
+#define SEAM_JOB_TIME_MAX_MS INT64_C(31536000000) /* 365 days */
 
 /**
  * struct seam_step - tasks of a job with the same requirements
--- a/tests/jobrow_test.cc
+++ b/tests/jobrow_test.cc
@@ -179,3 +179,44 @@
 	EXPECT_EQ(seam_jobspec_check(&j.spec, &e), -1);
 	EXPECT_EQ(e.kind, SEAM_BAD_REQUEST);
 }
+
+// Guards against counts whose sum wraps, so that the job seems to be small.
+TEST_F(Row, SumOfCountsDoesNotWrap)
+{
+	j.spec.step[0].tasks = INT64_MAX;
+	j.spec.step[1].tasks = INT64_MAX;
+	EXPECT_EQ(seam_jobspec_check(&j.spec, &e), -1);
+}
+
+// Guards against an estimate of the work that wraps.
+TEST_F(Row, WorkDoesNotWrap)
+{
+	for (int i = 0; i < 2; i++) {
+		j.spec.step[i].tasks = SEAM_JOB_TASKS_MAX / 2;
+		j.spec.step[i].need.cpu = SEAM_JOB_RESOURCE_MAX;
+		j.spec.step[i].estimate_ms = SEAM_JOB_TIME_MAX_MS;
+	}
+	EXPECT_EQ(seam_jobspec_check(&j.spec, &e), 0);
+	EXPECT_EQ(seam_jobspec_core_ms(&j.spec), INT64_MAX);
+}
+
+// Guards against a job whose row is read back as another one.
+TEST_F(Row, NamesAndCountsThatDoNotFitAreDamage)
+{
+	const std::string name(64, 'r');
+	const std::string steps[] = {
+		"{\"tasks\":20001}",
+		"{\"tasks\":1,\"label\":\"" + name + "\"}",
+		"{\"tasks\":1,\"rack\":\"a\\u0000b\"}",
+		"{\"tasks\":1,\"image\":7}",
+	};
+
+	for (auto &s : steps) {
+		std::string text = "{\"text\":\"\",\"steps\":[" + s + "]}";
+		json_object *o = json_tokener_parse(text.c_str());
+		seam_jobspec spec = {};
+
+		EXPECT_EQ(seam_jobspec_parse(o, &spec, &e), -1) << s;
+		json_object_put(o);
+	}
+}
--- a/tests/platform_submit_test.cc
+++ b/tests/platform_submit_test.cc
@@ -107,6 +107,69 @@
 		  std::string::npos);
 }
 
+// Guards against jobs that run with other counts, names or texts than sent.
+TEST_F(Front, MembersThatCannotBeKeptAreRejected)
+{
+	const std::string name(64, 'r');
+	const std::string steps[] = {
+		"{\"count\":1.5}",
+		"{\"count\":\"1\"}",
+		"{\"count\":-1}",
+		"{\"count\":18446744073709551617}",
+		"{\"count\":9223372036854775807},{\"count\":9223372036854775807}",
+		"{\"count\":9223372036854775806},{\"count\":3}",
+		"{\"count\":1,\"count\":2}",
+		"{\"count\":1,\"cpu\":\"500\"}",
+		"{\"count\":1,\"memMb\":9223372036854775807}",
+		"{\"count\":1,\"estimateMs\":31536000001}",
+		"{\"count\":1,\"mayMiss\":-1}",
+		"{\"count\":1,\"gang\":1}",
+		"{\"count\":1,\"requirements\":7}",
+		"{\"count\":1,\"requirements\":\"" + name + "\"}",
+		"{\"count\":1,\"affinity\":\"r1\\u0000-3\"}",
+		"{\"count\":1,\"image\":\"" + name + "\"}",
+		"{\"count\":1},{\"count\":1,\"after\":0}",
+		"{\"count\":1},{\"count\":1,\"after\":[\"0\"]}",
+		"{\"count\":1},{\"count\":1,\"after\":[0.5]}",
+		"{\"count\":1},{\"count\":1,\"after\":[64]}",
+		"1",
+	};
+	const std::string texts[] = {"\\ud800", "\\udc00\\ud800", "\\ud83dx",
+				     "\xff", "\xed\xa0\x80"};
+
+	for (auto &s : steps) {
+		EXPECT_EQ(call("POST", ID,
+			       "{\"spec\":\"t\",\"steps\":[" + s + "]}")
+				  .status,
+			  400)
+			<< s;
+		EXPECT_EQ(w.state(ID), "") << s;
+	}
+	for (auto &s : texts)
+		EXPECT_EQ(call("POST", ID,
+			       "{\"spec\":\"" + s +
+				       "\",\"steps\":[{\"count\":1}]}")
+				  .status,
+			  400)
+			<< s;
+	EXPECT_EQ(call("POST", ID, std::string(body) + "{}").status, 400);
+	EXPECT_EQ(w.state(ID), "");
+}
+
+// Guards against rejecting texts and names that can be kept whole.
+TEST_F(Front, EscapesOfASpecAreRead)
+{
+	EXPECT_EQ(call("POST", ID,
+		       "{\"spec\":\"\\ud83d\\ude00\\\\ud800\",\"steps\":[{"
+		       "\"count\":1,\"image\":null,\"affinity\":\"" +
+			       std::string(63, 'r') + "\"}]}")
+			  .status,
+		  200);
+	EXPECT_NE(w.store.get(std::string("job/0/") + ID)
+			  .find("\xf0\x9f\x98\x80\\\\ud800"),
+		  std::string::npos);
+}
+
 // Guards against accepting an unknown key or an unknown route.
 TEST_F(Front, KeysAndRoutes)
 {
