base/json, platform: a string with U+0000 is not its first part

Callers could see a task run twice, or a row of another program taken for one of ours: a worker's refusal with the reason "room\u0000s", which no protocol names, counted as "room", and a row whose part is "0\u0000x" had the key of a row in part "0". A nextToken that did not fit was cut and the same page of VMs was read until the limit of pages.

Change: seam_json_str(), seam_json_str_at() and the decoder of tables take a string with U+0000 as one of a wrong type. A row with such a part is skipped like other rows of other programs. A token that does not fit ends the list, which then counts as incomplete.

--- a/base/json.c
+++ b/base/json.c
@@ -204,14 +204,28 @@
 	return 0;
 }
 
-static int read_text(struct json_object *v, const struct seam_json_field *f,
-		     char *out, const char *path, struct seam_problems *p)
+/*
+ * Returns the text of a string, or NULL if @v is no string or contains U+0000:
+ * the part in front of it is another text.
+ */
+static const char *c_string(struct json_object *v)
 {
 	const char *s;
 
 	if (!json_object_is_type(v, json_type_string))
-		return seam_problems_add(p, path, "must be a string");
+		return NULL;
 	s = json_object_get_string(v);
+	return strlen(s) == (size_t)json_object_get_string_len(v) ? s : NULL;
+}
+
+static int read_text(struct json_object *v, const struct seam_json_field *f,
+		     char *out, const char *path, struct seam_problems *p)
+{
+	const char *s = c_string(v);
+
+	if (!s)
+		return seam_problems_add(p, path,
+					 "must be a string without U+0000");
 	if (strlen(s) >= f->size)
 		return seam_problems_add(
 			p, path, "must be shorter than %zu bytes", f->size);
@@ -241,16 +255,13 @@
 		       int *out, const char *path, struct seam_problems *p)
 {
 	char list[160] = "";
-	const char *s;
+	const char *s = c_string(v);
 	int i;
 
-	s = json_object_is_type(v, json_type_string) ?
-		    json_object_get_string(v) :
-		    "";
 	for (i = 0; f->choices[i]; i++) {
 		size_t n = strlen(list);
 
-		if (!strcmp(f->choices[i], s)) {
+		if (s && !strcmp(f->choices[i], s)) {
 			*out = i;
 			return 0;
 		}
@@ -271,10 +282,9 @@
 		return seam_problems_add(p, path, "must be an array of names");
 	n = json_object_array_length(v);
 	for (i = 0; i < n; i++) {
-		struct json_object *s = json_object_array_get_idx(v, i);
+		const char *s = c_string(json_object_array_get_idx(v, i));
 
-		if (!json_object_is_type(s, json_type_string) ||
-		    !is_valid_name(json_object_get_string(s)))
+		if (!s || !is_valid_name(s))
 			return seam_problems_add(p, path,
 						 "entry %zu is not a name", i);
 	}
@@ -355,12 +365,9 @@
 const char *seam_json_str(struct json_object *o, const char *name,
 			  const char *def)
 {
-	struct json_object *v;
+	const char *s = c_string(seam_json_member(o, name));
 
-	if (!json_object_object_get_ex(o, name, &v) ||
-	    !json_object_is_type(v, json_type_string))
-		return def;
-	return json_object_get_string(v);
+	return s ? s : def;
 }
 
 const char *seam_json_text(struct json_object *o, const char *name, size_t *len)
@@ -413,7 +420,10 @@
 
 const char *seam_json_str_at(struct json_object *list, size_t i)
 {
-	const char *s = json_object_get_string(element(list, i));
+	struct json_object *v = element(list, i);
+	const char *s = json_object_is_type(v, json_type_string) ?
+				c_string(v) :
+				json_object_get_string(v);
 
 	return s ? s : "";
 }
--- a/base/json.h
+++ b/base/json.h
@@ -115,7 +115,7 @@
 /** seam_json_bool() - boolean member @name of @o; false if absent */
 bool seam_json_bool(struct json_object *o, const char *name);
 
-/** seam_json_str() - string member @name of @o, or @def */
+/** seam_json_str() - string member @name of @o without U+0000, or @def */
 const char *seam_json_str(struct json_object *o, const char *name,
 			  const char *def);
 
@@ -135,7 +135,10 @@
 /** seam_json_int_at() - integer at @i; 0 if there is no such element */
 int64_t seam_json_int_at(struct json_object *list, size_t i);
 
-/** seam_json_str_at() - string at @i; "" if there is no such element */
+/**
+ * seam_json_str_at() - string at @i without U+0000, or the JSON text of another
+ * element; "" if there is no such element
+ */
 const char *seam_json_str_at(struct json_object *list, size_t i);
 
 /** seam_json_copy_at() - copy the string at @i, truncated to @size bytes */
--- a/tests/json_test.cc
+++ b/tests/json_test.cc
@@ -133,3 +133,38 @@
 	EXPECT_STREQ(text, "7");
 	json_object_put(o);
 }
+
+// Guards against a string with U+0000 that is taken for the part in front.
+TEST(Json, StringWithNulIsNotItsFirstPart)
+{
+	static const char *const choices[] = {"a", nullptr};
+	static const seam_json_field f[] = {
+		{"t", SEAM_JSON_TEXT, 0, 8, 0, 0, nullptr, false},
+		{"n", SEAM_JSON_NAME, 0, 8, 0, 0, nullptr, false},
+		{"c", SEAM_JSON_CHOICE, 0, 0, 0, 0, choices, false},
+		{"l", SEAM_JSON_NAMES, 0, 0, 0, 0, nullptr, false},
+	};
+	const char *texts[] = {
+		"{\"t\":\"a\\u0000b\"}",
+		"{\"n\":\"a\\u0000b\"}",
+		"{\"c\":\"a\\u0000b\"}",
+		"{\"l\":[\"a\\u0000b\"]}",
+	};
+
+	for (const char *text : texts) {
+		seam_problems p = {"f", nullptr, 0};
+		json_object *o = seam_json_parse(text, &p);
+		char out[16] = "";
+
+		EXPECT_EQ(seam_json_decode(o, f, 4, out, "top", &p), -1)
+			<< text;
+		json_object_put(o);
+		seam_problems_free(&p);
+	}
+	json_object *o = json_tokener_parse(texts[0]);
+	json_object *list = json_tokener_parse("[\"a\\u0000b\"]");
+	EXPECT_STREQ(seam_json_str(o, "t", "none"), "none");
+	EXPECT_STREQ(seam_json_str_at(list, 0), "");
+	json_object_put(o);
+	json_object_put(list);
+}
--- a/tests/platform_inventory_test.cc
+++ b/tests/platform_inventory_test.cc
@@ -51,6 +51,7 @@
 		seam_inventory_new(k, test_url(26020).c_str(), "n1");
 	seam_err e = SEAM_ERR_INIT;
 	bool complete = false; // the latest list
+	std::string token; // member of the next list that refers to a page
 
 	~Inventory() override
 	{
@@ -66,7 +67,8 @@
 		complete = false;
 		{
 			std::lock_guard<std::mutex> l(server.lock);
-			server.body = "{\"machines\":[" + elements + "]}";
+			server.body = "{\"machines\":[" + elements + "]" +
+				      token + "}";
 		}
 		EXPECT_EQ(v->ops->list(v, &vm, &n, &complete,
 				       seam_now(k) + 2 * SEAM_SEC, &e),
@@ -120,6 +122,17 @@
 	EXPECT_FALSE(complete);
 }
 
+// Guards against a page that is asked for again and again with a cut token.
+TEST_F(Inventory, TokenThatDoesNotFitEndsAnIncompleteList)
+{
+	for (const std::string &odd :
+	     {std::string("a\\u0000b"), std::string(300, 't')}) {
+		token = ",\"nextToken\":\"" + odd + "\"";
+		EXPECT_EQ(list(vm("m-1")).size(), 1u) << odd;
+		EXPECT_FALSE(complete) << odd;
+	}
+}
+
 // Guards against an order for another VM, whose name equals one that was cut.
 TEST_F(Inventory, OddElementsAreLeftOut)
 {
--- a/tests/platform_rows_test.cc
+++ b/tests/platform_rows_test.cc
@@ -136,6 +136,29 @@
 	EXPECT_EQ(after, 5u);
 }
 
+// Guards against a row of another program that has the key of one of ours.
+TEST_F(Rows, PartWithNulIsNoPartOfOurs)
+{
+	std::string part("0\0x", 3);
+	std::string empty("\0x", 2);
+
+	server.rows[RowsServer::Name("job", part, "1")] = {"eA==", ++server.ver,
+							   false};
+	server.rows[RowsServer::Name("servers", empty, "a")] = {
+		"eA==", ++server.ver, false};
+	for (const char *prefix : {"job/", "servers/"}) {
+		seam_rows rows = {};
+		uint64_t after = 0;
+
+		ASSERT_EQ(seam_store_watch(s, prefix, &after, &rows, in(2000),
+					   &e),
+			  0)
+			<< e.text;
+		EXPECT_EQ(rows.n, 0u) << prefix;
+		seam_rows_free(&rows);
+	}
+}
+
 // Guards against reporting a conflict for a commit that was applied, whose
 // answer was lost, and that was then sent again.
 TEST_F(Rows, LostAnswerIsNotAConflict)
--- a/tests/platform_runner_test.cc
+++ b/tests/platform_runner_test.cc
@@ -234,7 +234,8 @@
 		{502, "{}"},
 		{504, "{}"},
 		{409, ""},
-		{409, "{\"clockMs\":1,\"reason\":\"other\"}"}};
+		{409, "{\"clockMs\":1,\"reason\":\"other\"}"},
+		{409, "{\"clockMs\":1,\"reason\":\"room\\u0000s\"}"}};
 
 	for (auto &a : odd) {
 		ScriptedServer w({a});
