request, process: progress of a job takes as many rows as it needs

Over 65,536 bytes the platform refuses the row with 400, for good. The in-memory store of the tests took it, so no test could see that.

Change: a row of progress has at most 1,400 failed runs. Further ones go into rows of their own, done/D/ID.N, which are only appended to, so that a full row is not written again. The rows are written from the last one to the first: a run that was merged from another writer is stored at its new place before the row that had it is replaced. Changes count as stored with the last of the rows. All rows are deleted with the end of the job; a commit that has no place for them is followed by another.

Weighed: a count and the highest run for each task is bounded too, at 280 KB, so it needs several rows as well; and it counts a failure of an earlier run that is reported late as a repetition.

Evidence: FeedStore and RowsServer refuse what the platform refuses. ProgressOfTheLargestJobFitsIntoItsRows bounds each row at 65,000 bytes for 20,000 tasks with run numbers of 19 digits.

--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -155,12 +155,22 @@
 	SEAM_DELAY_REASONS
 };
 
+/**
+ * struct seam_progress_row - a stored row with progress of a job
+ * @version: store version, or SEAM_ABSENT
+ * @failures: failed runs in it; 0 if its content is not known
+ */
+struct seam_progress_row {
+	uint64_t version;
+	size_t failures;
+};
+
 /**
  * struct seam_job - an open job
  * @row: persistent state
  * @version: store version of its row
- * @progress_version: store version of the row with its progress, or SEAM_ABSENT
- * @row_final: another writer ended it, so that its row is not written again
+ * @progress: struct seam_progress_row, stored rows with its progress
+ * @row_final: its end is stored, so that its row is not written again
  * @self: its handle
  * @task: tasks of each step
  * @left: number of tasks of each step that are not done
@@ -191,7 +201,7 @@
 struct seam_job {
 	struct seam_jobrow row;
 	uint64_t version;
-	uint64_t progress_version;
+	GArray *progress;
 	bool row_final;
 	struct seam_handle self;
 	struct seam_job_task_state **task;
--- a/process/scheduler_commit.c
+++ b/process/scheduler_commit.c
@@ -22,55 +22,118 @@
 	    "Commits that another writer had overtaken.");
 
 /*
- * An operation of the commit in progress: the row of a job that has ended, or
- * the row with its progress, which is deleted with the end.
+ * An operation of the commit in progress: the row of a job that has ended, or a
+ * row with its progress, which is deleted with the end.
+ *
+ * @change: changes of the job that are stored with this operation; 0 if others
+ *          are needed
+ * @row: number of the row of progress
+ * @failures: failed runs in it
  */
 struct pending_write {
 	struct seam_handle job;
 	uint64_t change;
 	enum seam_op op;
 	bool progress;
+	size_t row;
+	size_t failures;
 	uint64_t version;
 	char key[SEAM_KEY_MAX];
 	char *text;
 };
 
-static struct pending_write *add_write(struct pending_write *item, size_t *n,
-				       const struct seam_job *j, bool progress)
+/* The operations of a commit. */
+struct batch {
+	struct pending_write item[COMMIT_WRITES_MAX];
+	size_t n;
+};
+
+static struct pending_write *add_write(struct batch *b,
+				       const struct seam_job *j)
 {
-	struct pending_write *i = &item[(*n)++];
+	struct pending_write *i = &b->item[b->n++];
 
 	memset(i, 0, sizeof(*i));
 	i->job = j->self;
-	i->change = j->changes;
-	i->progress = progress;
-	i->version = progress ? j->progress_version : j->version;
-	if (progress)
-		seam_progress_key(j->row.spec.id, i->key);
-	else
-		seam_jobrow_key(j->row.spec.id, i->key);
 	return i;
 }
 
-/* Adds the operations for a job that has changed. */
-static void add_job(struct pending_write *item, size_t *n,
-		    const struct seam_job *j)
+static struct pending_write *add_job_row(struct batch *b,
+					 const struct seam_job *j)
 {
-	struct pending_write *i;
+	struct pending_write *i = add_write(b, j);
 
-	if (!seam_job_finished(j->row.state)) {
-		i = add_write(item, n, j, true);
-		i->text = seam_progress_serialize(&j->row);
-		return;
-	}
-	if (!j->row_final) {
-		i = add_write(item, n, j, false);
-		i->text = seam_jobrow_serialize(&j->row);
+	i->text = seam_jobrow_serialize(&j->row);
+	i->version = j->version;
+	seam_jobrow_key(j->row.spec.id, i->key);
+	return i;
+}
+
+static struct pending_write *add_progress_row(struct batch *b,
+					      struct seam_job *j, size_t row)
+{
+	struct pending_write *i = add_write(b, j);
+
+	i->progress = true;
+	i->row = row;
+	i->failures = seam_progress_failures(&j->row, row);
+	i->version = scheduler_progress_row(j, row)->version;
+	seam_progress_key(j->row.spec.id, row, i->key);
+	return i;
+}
+
+/*
+ * Adds the rows of progress that have changed; returns the last one, or NULL if
+ * there is no place for all of them. Failed runs that were merged are appended,
+ * so the rows are written from the last one: a run is stored at its new place
+ * before the row that had it is replaced. The row with the done tasks is the
+ * last to be written.
+ */
+static struct pending_write *add_progress(struct batch *b, struct seam_job *j)
+{
+	struct pending_write *i = NULL;
+	size_t row = seam_progress_rows(&j->row);
+
+	while (row--) {
+		if (row && scheduler_progress_row(j, row)->failures ==
+				   seam_progress_failures(&j->row, row))
+			continue;
+		if (b->n == COMMIT_WRITES_MAX)
+			return NULL;
+		i = add_progress_row(b, j, row);
+		i->text = seam_progress_serialize(&j->row, row);
 	}
-	if (j->progress_version != SEAM_ABSENT) {
-		i = add_write(item, n, j, true);
+	return i;
+}
+
+/* Adds the row of a job that has ended and the deletion of its progress. */
+static struct pending_write *add_end(struct batch *b, struct seam_job *j)
+{
+	struct pending_write *i = NULL;
+	size_t row;
+
+	if (!j->row_final)
+		i = add_job_row(b, j);
+	for (row = 0; row < j->progress->len; row++) {
+		if (scheduler_progress_row(j, row)->version == SEAM_ABSENT)
+			continue;
+		if (b->n == COMMIT_WRITES_MAX)
+			return NULL;
+		i = add_progress_row(b, j, row);
 		i->op = SEAM_DELETE;
 	}
+	return i;
+}
+
+/* Adds the operations for a job that has changed, as far as there is place. */
+static void add_job(struct batch *b, struct seam_job *j)
+{
+	struct pending_write *last = seam_job_finished(j->row.state) ?
+					     add_end(b, j) :
+					     add_progress(b, j);
+
+	if (last)
+		last->change = j->changes;
 }
 
 static void ack_all_ends(struct seam_scheduler *sched)
@@ -91,42 +154,41 @@
 	ack_all_ends(sched);
 }
 
-static size_t collect_changed(struct seam_scheduler *sched,
-			      struct pending_write *item)
+static void collect_changed(struct seam_scheduler *sched, struct batch *b)
 {
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	struct seam_job *j;
-	size_t n = 0;
 
-	while (n + 2 <= COMMIT_WRITES_MAX &&
+	b->n = 0;
+	while (b->n < COMMIT_WRITES_MAX &&
 	       (j = seam_table_next(sched->jobs, &h))) {
 		if (j->committed == j->changes)
 			continue;
-		if (j->row_final && j->progress_version == SEAM_ABSENT)
+		if (j->row_final && !scheduler_has_progress(j))
 			finish_job(sched, j);
 		else
-			add_job(item, &n, j);
+			add_job(b, j);
 	}
-	return n;
 }
 
 /*
  * The expected row versions are the only condition. An owner whose term is over
  * can only add ends reported by workers, and the next owner merges those.
  */
-static int commit(struct seam_scheduler *sched,
-		  const struct pending_write *item, size_t n, uint64_t *version,
-		  struct seam_err *e)
+static int commit(struct seam_scheduler *sched, const struct batch *b,
+		  uint64_t *version, struct seam_err *e)
 {
 	struct seam_write w[COMMIT_WRITES_MAX];
-	struct seam_commit c = {w, n, seam_store_token(), 0};
+	struct seam_commit c = {w, b->n, seam_store_token(), 0};
 	size_t i;
 	int rc;
 
-	for (i = 0; i < n; i++)
-		w[i] = (struct seam_write){
-			item[i].op, item[i].key, item[i].version, item[i].text,
-			item[i].text ? strlen(item[i].text) : 0};
+	for (i = 0; i < b->n; i++) {
+		const struct pending_write *p = &b->item[i];
+
+		w[i] = (struct seam_write){p->op, p->key, p->version, p->text,
+					   p->text ? strlen(p->text) : 0};
+	}
 	pthread_mutex_lock(&sched->lock);
 	sched->token[sched->tokens++ % SEAM_SCHEDULER_TOKENS] = c.token;
 	pthread_mutex_unlock(&sched->lock);
@@ -143,51 +205,40 @@
 
 	if (!j)
 		return;
-	if (i->progress)
-		j->progress_version =
-			i->op == SEAM_DELETE ? SEAM_ABSENT : version;
-	else
+	if (i->op == SEAM_DELETE) {
+		*scheduler_progress_row(j, i->row) =
+			(struct seam_progress_row){.version = SEAM_ABSENT};
+	} else if (i->progress) {
+		*scheduler_progress_row(j, i->row) =
+			(struct seam_progress_row){version, i->failures};
+	} else {
 		j->version = version;
+		j->row_final = true;
+	}
 	if (i->change > j->committed)
 		j->committed = i->change;
 	/* It was ended by another writer while its progress was written. */
-	if (j->row_final && j->progress_version != SEAM_ABSENT &&
-	    j->committed == j->changes)
+	if (j->row_final && j->committed == j->changes &&
+	    scheduler_has_progress(j))
 		scheduler_job_changed(sched, j);
 }
 
-static void apply_commit(struct seam_scheduler *sched,
-			 const struct pending_write *item, size_t n,
+static void apply_commit(struct seam_scheduler *sched, const struct batch *b,
 			 uint64_t version)
 {
 	struct seam_job *j;
 	size_t i;
 
-	for (i = 0; i < n; i++)
-		apply_write(sched, &item[i], version);
-	for (i = 0; i < n; i++) {
-		j = scheduler_job(sched, item[i].job);
+	for (i = 0; i < b->n; i++)
+		apply_write(sched, &b->item[i], version);
+	for (i = 0; i < b->n; i++) {
+		j = scheduler_job(sched, b->item[i].job);
 		if (j && scheduler_job_droppable(j))
 			scheduler_job_drop(sched, j);
 	}
 	ack_all_ends(sched);
 }
 
-/* @row is NULL if there is no progress. */
-static void merge_progress(struct seam_scheduler *sched, struct seam_job *j,
-			   const struct seam_row *row)
-{
-	struct seam_err e = SEAM_ERR_INIT;
-
-	j->progress_version = row ? row->version : SEAM_ABSENT;
-	if (!row || seam_job_finished(j->row.state))
-		return;
-	if (seam_progress_merge(&j->row, row, &e))
-		seam_log(SEAM_ERROR, "job", "event=row_unreadable why=\"%s\"",
-			 e.text);
-	scheduler_job_progressed(sched, j);
-}
-
 /* Reads a row that another writer may have changed. Called without the lock. */
 static void read_back(struct seam_scheduler *sched,
 		      const struct pending_write *item)
@@ -203,10 +254,15 @@
 		return;
 	pthread_mutex_lock(&sched->lock);
 	j = scheduler_job(sched, item->job);
-	if (j && item->progress)
-		merge_progress(sched, j, absent ? NULL : &row);
-	else if (j)
+	if (j && absent) {
+		*scheduler_progress_row(j, item->row) =
+			(struct seam_progress_row){.version = SEAM_ABSENT};
+	} else if (j && item->progress) {
+		scheduler_merge_progress(j, &row);
+		scheduler_job_progressed(sched, j);
+	} else if (j) {
 		scheduler_job_merge(sched, j, &row);
+	}
 	pthread_mutex_unlock(&sched->lock);
 	if (!absent)
 		seam_row_free(&row);
@@ -215,25 +271,24 @@
 /* Commits changed rows; returns whether there may be more. */
 static bool commit_some(struct seam_scheduler *sched)
 {
-	struct pending_write item[COMMIT_WRITES_MAX];
 	struct seam_err e = SEAM_ERR_INIT;
 	uint64_t version = 0;
-	size_t n;
+	struct batch b;
 	size_t i;
 	int rc;
 
 	pthread_mutex_lock(&sched->lock);
 	sched->commit_due = false;
-	n = collect_changed(sched, item);
+	collect_changed(sched, &b);
 	pthread_mutex_unlock(&sched->lock);
-	if (!n)
+	if (!b.n)
 		return false;
-	rc = commit(sched, item, n, &version, &e);
+	rc = commit(sched, &b, &version, &e);
 	seam_metric_add(&commits, 1);
-	seam_metric_add(&rows, (int64_t)n);
+	seam_metric_add(&rows, (int64_t)b.n);
 	if (!rc) {
 		pthread_mutex_lock(&sched->lock);
-		apply_commit(sched, item, n, version);
+		apply_commit(sched, &b, version);
 		pthread_mutex_unlock(&sched->lock);
 	} else if (e.kind == SEAM_CONFLICT || e.kind == SEAM_COMMIT_UNKNOWN) {
 		/*
@@ -241,15 +296,15 @@
 		 * at all.
 		 */
 		seam_metric_add(&conflicts, 1);
-		for (i = 0; i < n; i++)
-			read_back(sched, &item[i]);
+		for (i = 0; i < b.n; i++)
+			read_back(sched, &b.item[i]);
 	} else {
 		seam_log(SEAM_WARN, "owner",
-			 "event=commit_failed rows=%zu term=%llu why=\"%s\"", n,
-			 (unsigned long long)sched->term, e.text);
+			 "event=commit_failed rows=%zu term=%llu why=\"%s\"",
+			 b.n, (unsigned long long)sched->term, e.text);
 	}
-	for (i = 0; i < n; i++)
-		free(item[i].text);
+	for (i = 0; i < b.n; i++)
+		free(b.item[i].text);
 	if (rc)
 		g_usleep(RETRY_USEC);
 	return true;
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -96,6 +96,18 @@
 /* Takes into account that tasks were done which its runs do not show. */
 void scheduler_job_progressed(struct seam_scheduler *sched, struct seam_job *j);
 
+/* scheduler_progress.c */
+
+/** scheduler_progress_row() - row of progress @row of @j, added if missing */
+struct seam_progress_row *scheduler_progress_row(struct seam_job *j,
+						 size_t row);
+
+/** scheduler_has_progress() - whether the store has progress of @j */
+bool scheduler_has_progress(const struct seam_job *j);
+
+/** scheduler_merge_progress() - add what a row of progress in the store has */
+void scheduler_merge_progress(struct seam_job *j, const struct seam_row *row);
+
 bool scheduler_step_is_ready(const struct seam_job *j, int step);
 void scheduler_job_urgency(const struct seam_job *j, struct seam_urgency *u);
 
--- a/process/scheduler_jobs.c
+++ b/process/scheduler_jobs.c
@@ -55,6 +55,7 @@
 	g_free(j->left);
 	g_free(j->idle);
 	g_free(j->first_idle);
+	g_array_free(j->progress, TRUE);
 	seam_jobrow_free(&j->row);
 }
 
@@ -68,6 +69,8 @@
 {
 	int i;
 
+	j->progress =
+		g_array_new(FALSE, TRUE, sizeof(struct seam_progress_row));
 	j->task = g_new0(struct seam_job_task_state *, j->row.spec.steps + 1);
 	j->left = g_new0(int, j->row.spec.steps + 1);
 	j->idle = g_new0(int, j->row.spec.steps + 1);
@@ -214,7 +217,8 @@
  * One part of the jobs' rows that is read.
  *
  * @take: receives each page
- * @progress: struct seam_row by the id of its job, read at the start of a term
+ * @progress: rows of progress by the id of their job, GPtrArray of struct
+ *            seam_row, read at the start of a term
  */
 struct part {
 	struct seam_scheduler *sched;
@@ -272,42 +276,53 @@
 	return 0;
 }
 
+static void free_row(gpointer row)
+{
+	seam_row_free(row);
+	g_free(row);
+}
+
+static void free_rows(gpointer rows)
+{
+	g_ptr_array_free(rows, TRUE);
+}
+
 /* Moves the content of the rows into the table of the part. */
 static void keep_progress(struct part *p, struct seam_rows *rows)
 {
+	char id[SEAM_JOB_ID_SIZE];
+	GPtrArray *of_job;
+	size_t number;
 	size_t i;
 
 	for (i = 0; i < rows->n; i++) {
-		struct seam_row *r = g_memdup2(&rows->row[i], sizeof(*r));
-
+		if (!seam_progress_parse_key(rows->row[i].key, id, &number))
+			continue;
+		of_job = g_hash_table_lookup(p->progress, id);
+		if (!of_job) {
+			of_job = g_ptr_array_new_with_free_func(free_row);
+			g_hash_table_replace(p->progress, g_strdup(id), of_job);
+		}
+		g_ptr_array_add(of_job,
+				g_memdup2(&rows->row[i], sizeof(rows->row[i])));
 		rows->row[i].data = NULL;
-		g_hash_table_replace(p->progress,
-				     g_strdup(seam_jobrow_id(r->key)), r);
 	}
 }
 
-static void free_progress(gpointer row)
-{
-	seam_row_free(row);
-	g_free(row);
-}
-
 static void add_progress(struct seam_scheduler *sched, struct seam_job *j,
-			 const struct seam_row *row)
+			 const GPtrArray *rows)
 {
-	struct seam_err e = SEAM_ERR_INIT;
+	guint i;
 
-	j->progress_version = row->version;
-	if (seam_progress_merge(&j->row, row, &e))
-		seam_log(SEAM_ERROR, "job", "event=row_unreadable why=\"%s\"",
-			 e.text);
+	for (i = 0; i < rows->len; i++)
+		scheduler_merge_progress(j, g_ptr_array_index(rows, i));
 	scheduler_job_progressed(sched, j);
 }
 
 static void add_inherited(struct part *p, struct seam_rows *rows)
 {
 	struct seam_scheduler *sched = p->sched;
-	const struct seam_row *progress;
+	const GPtrArray *progress;
 	struct seam_job *j;
 	size_t i;
 
@@ -332,7 +347,7 @@
 	struct part *p = arg;
 
 	p->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    free_progress);
+					    free_rows);
 	p->take = keep_progress;
 	p->rc = read_part(p, SEAM_PROGRESS_ROW_PREFIX, &p->err);
 	p->version = 0;
@@ -460,7 +475,7 @@
 	j->committed = j->changes;
 	stop_all_runs(sched, j);
 	scheduler_job_mark_dirty(sched, j);
-	if (j->progress_version != SEAM_ABSENT)
+	if (scheduler_has_progress(j))
 		scheduler_job_changed(sched, j); /* deletes its progress */
 	if (scheduler_job_droppable(j))
 		scheduler_job_drop(sched, j);
--- a/process/store.h
+++ b/process/store.h
@@ -20,6 +20,10 @@
 #define SEAM_ABSENT 0 /* expected version of a row that must not exist */
 #define SEAM_ANY_VERSION UINT64_MAX /* the version is not checked */
 #define SEAM_COMMIT_MAX 512 /* operations in one commit */
+/*
+ * Of the table service of this product. The users' platform takes rows of
+ * 65,536 bytes, of which the token of the commit takes 17, and calls of 1 MB.
+ */
 #define SEAM_ROW_BYTES_MAX (512u << 10)
 
 /**
--- a/request/jobrow.c
+++ b/request/jobrow.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Rejects the number of a row that cannot be ours. */
+#define PROGRESS_ROWS_MAX 100000
+
 static const char *const state_names[] = {
 	[SEAM_JOB_QUEUED] = "queued",	    [SEAM_JOB_RUNNING] = "running",
 	[SEAM_JOB_COMPLETED] = "completed", [SEAM_JOB_FAILED] = "failed",
@@ -17,12 +20,6 @@
 	snprintf(key, SEAM_KEY_MAX, SEAM_JOB_ROW_PREFIX "%c/%s", id[0], id);
 }
 
-void seam_progress_key(const char *id, char key[SEAM_KEY_MAX])
-{
-	snprintf(key, SEAM_KEY_MAX, SEAM_PROGRESS_ROW_PREFIX "%c/%s", id[0],
-		 id);
-}
-
 const char *seam_jobrow_id(const char *key)
 {
 	const char *slash = strrchr(key, '/');
@@ -30,6 +27,52 @@
 	return slash ? slash + 1 : key;
 }
 
+void seam_progress_key(const char *id, size_t row, char key[SEAM_KEY_MAX])
+{
+	int n = snprintf(key, SEAM_KEY_MAX, SEAM_PROGRESS_ROW_PREFIX "%c/%s",
+			 id[0], id);
+
+	if (row)
+		snprintf(key + n, SEAM_KEY_MAX - (size_t)n, ".%zu", row);
+}
+
+bool seam_progress_parse_key(const char *key, char id[SEAM_JOB_ID_SIZE],
+			     size_t *row)
+{
+	const char *name = seam_jobrow_id(key);
+	guint64 number;
+
+	if (strlen(name) < SEAM_JOB_ID_DIGITS)
+		return false;
+	g_strlcpy(id, name, SEAM_JOB_ID_DIGITS + 1);
+	name += SEAM_JOB_ID_DIGITS;
+	*row = 0;
+	if (!*name)
+		return true;
+	if (*name != '.' ||
+	    !g_ascii_string_to_unsigned(name + 1, 10, 1, PROGRESS_ROWS_MAX,
+					&number, NULL))
+		return false;
+	*row = (size_t)number;
+	return true;
+}
+
+size_t seam_progress_rows(const struct seam_jobrow *j)
+{
+	return j->failures ?
+		       (j->failures - 1) / SEAM_PROGRESS_FAILURES_MAX + 1 :
+		       1;
+}
+
+size_t seam_progress_failures(const struct seam_jobrow *j, size_t row)
+{
+	size_t first = row * SEAM_PROGRESS_FAILURES_MAX;
+
+	return j->failures > first ?
+		       MIN(j->failures - first, SEAM_PROGRESS_FAILURES_MAX) :
+		       0;
+}
+
 void seam_jobrow_merge(struct seam_jobrow *j, const struct seam_jobrow *from)
 {
 	int64_t t;
@@ -124,14 +167,15 @@
 	json_object_object_add(o, "done", list);
 }
 
-static void add_failed(struct json_object *o, const struct seam_jobrow *j)
+static void add_failed(struct json_object *o, const struct seam_jobrow *j,
+		       size_t row)
 {
+	const struct seam_failed_run *f =
+		j->failed + row * SEAM_PROGRESS_FAILURES_MAX;
+	const struct seam_failed_run *end = f + seam_progress_failures(j, row);
 	struct json_object *list = json_object_new_array();
-	size_t i;
-
-	for (i = 0; i < j->failures; i++) {
-		const struct seam_failed_run *f = &j->failed[i];
 
+	for (; f < end; f++) {
 		json_object_array_add(list, json_object_new_int(f->step));
 		json_object_array_add(list, json_object_new_int(f->task));
 		json_object_array_add(list, json_object_new_int64(f->run));
@@ -166,13 +210,14 @@
 	return take_text(o);
 }
 
-char *seam_progress_serialize(const struct seam_jobrow *j)
+char *seam_progress_serialize(const struct seam_jobrow *j, size_t row)
 {
 	struct json_object *o = json_object_new_object();
 
-	add_done(o, j);
-	if (j->failures)
-		add_failed(o, j);
+	if (!row)
+		add_done(o, j);
+	if (seam_progress_failures(j, row))
+		add_failed(o, j, row);
 	return take_text(o);
 }
 
@@ -188,37 +233,27 @@
 
 static void read_done(struct json_object *o, struct seam_jobrow *j)
 {
-	struct json_object *list = NULL;
+	struct json_object *list = seam_json_member(o, "done");
 	int64_t t;
 	int i;
 
-	if (!json_object_object_get_ex(o, "done", &list))
-		return;
 	for (i = 0; i < j->spec.steps; i++) {
-		const char *text = json_object_get_string(
-			json_object_array_get_idx(list, (size_t)i));
+		const char *text = seam_json_str_at(list, (size_t)i);
 
-		for (t = 0; text && t < j->spec.step[i].tasks && text[t]; t++)
+		for (t = 0; t < j->spec.step[i].tasks && text[t]; t++)
 			j->done[i][t] |= text[t] == 'd';
 	}
 }
 
-static int64_t int_at(struct json_object *list, size_t i)
-{
-	return json_object_get_int64(json_object_array_get_idx(list, i));
-}
-
 static void read_failed(struct json_object *o, struct seam_jobrow *j)
 {
-	struct json_object *list = NULL;
+	struct json_object *list = seam_json_member(o, "failed");
 	size_t i;
 
-	if (!json_object_object_get_ex(o, "failed", &list))
-		return;
-	for (i = 0; i + 2 < json_object_array_length(list); i += 3) {
-		struct seam_failed_run f = {(int)int_at(list, i),
-					    (int)int_at(list, i + 1),
-					    int_at(list, i + 2)};
+	for (i = 0; i + 2 < seam_json_array_length(list); i += 3) {
+		struct seam_failed_run f = {(int)seam_json_int_at(list, i),
+					    (int)seam_json_int_at(list, i + 1),
+					    seam_json_int_at(list, i + 2)};
 
 		seam_jobrow_add_failed(j, &f);
 	}
@@ -231,6 +266,8 @@
 		row->data ? json_tokener_parse(row->data) : NULL;
 
 	if (!json_object_is_type(seam_json_member(o, "done"),
+				 json_type_array) &&
+	    !json_object_is_type(seam_json_member(o, "failed"),
 				 json_type_array)) {
 		json_object_put(o);
 		return seam_fail(e, SEAM_BAD_REQUEST, "%s: damaged progress",
--- a/request/jobrow.h
+++ b/request/jobrow.h
@@ -20,6 +20,11 @@
  * ends.
  */
 #define SEAM_PROGRESS_ROW_PREFIX "done/"
+/*
+ * Failed runs in one row of progress. With 29 bytes for each and the done tasks
+ * of the largest job, a row has at most 61,000 bytes.
+ */
+#define SEAM_PROGRESS_FAILURES_MAX 1400
 
 /**
  * struct seam_failed_run - a run that ended as failed
@@ -56,12 +61,36 @@
 /** seam_jobrow_key() - key of the row of job @id */
 void seam_jobrow_key(const char *id, char key[SEAM_KEY_MAX]);
 
-/** seam_progress_key() - key of the row with the progress of job @id */
-void seam_progress_key(const char *id, char key[SEAM_KEY_MAX]);
-
-/** seam_jobrow_id() - id of the job whose row, or progress, has @key */
+/** seam_jobrow_id() - id of the job whose row has @key */
 const char *seam_jobrow_id(const char *key);
 
+/**
+ * seam_progress_key() - key of a row with progress of job @id
+ * @row: number of the row; 0 has the done tasks
+ */
+void seam_progress_key(const char *id, size_t row, char key[SEAM_KEY_MAX]);
+
+/**
+ * seam_progress_parse_key() - job and number of a row with progress
+ * @id: receives the id of the job
+ * @row: receives the number of the row
+ *
+ * Return: false if @key is not of such a row.
+ */
+bool seam_progress_parse_key(const char *key, char id[SEAM_JOB_ID_SIZE],
+			     size_t *row);
+
+/**
+ * seam_progress_rows() - number of rows that the progress of a job takes
+ *
+ * A job may have more failed runs than fit into a row of the platform's table
+ * service. They are appended only, so that a full row does not change.
+ */
+size_t seam_progress_rows(const struct seam_jobrow *j);
+
+/** seam_progress_failures() - number of failed runs in a row of progress */
+size_t seam_progress_failures(const struct seam_jobrow *j, size_t row);
+
 /** seam_jobrow_merge() - add the done tasks and failed runs of @from */
 void seam_jobrow_merge(struct seam_jobrow *j, const struct seam_jobrow *from);
 
@@ -81,15 +110,17 @@
 		      struct seam_err *e);
 
 /**
- * seam_progress_serialize() - serialise done tasks and failed runs as JSON;
- * free with free()
+ * seam_progress_serialize() - serialise a row of progress as JSON; free with
+ * free()
+ * @row: number of the row
  *
  * Return: the text, or NULL if out of memory.
  */
-char *seam_progress_serialize(const struct seam_jobrow *j);
+char *seam_progress_serialize(const struct seam_jobrow *j, size_t row);
 
 /**
- * seam_progress_merge() - add the done tasks and failed runs of a progress row
+ * seam_progress_merge() - add the done tasks and failed runs of a row of
+ * progress
  * @e: SEAM_BAD_REQUEST if it is malformed; @j is then unchanged
  */
 int seam_progress_merge(struct seam_jobrow *j, const struct seam_row *row,
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -99,6 +99,7 @@
 	static constexpr int64_t LEASE_MAX_MS = 6000;
 	static constexpr size_t LISTED_ENDS_MAX = 500; // the others come later
 	std::atomic<bool> fail_all{false};
+	std::atomic<int> failed{0}; // runs that ended as failed
 	std::atomic<int> start_ms{0}; // duration of a start
 	std::atomic<bool> no_room{false}; // starts are refused
 	std::atomic<int> refusals{0}; // of those
@@ -163,6 +164,7 @@
 			{next_end++, runs[i].task, runs[i].run, reason,
 			 reason == SEAM_END_DONE ? runs[i].until_us : us(),
 			 false});
+		failed += reason == SEAM_END_FAILED;
 		refused[runs[i].task] =
 			std::max(refused[runs[i].task], runs[i].run);
 		if (reason == SEAM_END_DONE)
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -121,6 +121,16 @@
 		return it == rows.end() || it->second.gone ? 0 :
 							     it->second.version;
 	}
+	size_t rows_under(const std::string &prefix)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		size_t n = 0;
+
+		for (auto &r : rows)
+			n += !r.second.gone &&
+			     !r.first.compare(0, prefix.size(), prefix);
+		return n;
+	}
 	void hold_rows(const std::string &prefix)
 	{
 		std::lock_guard<std::mutex> l(lock);
@@ -328,6 +338,22 @@
 	}
 }
 
+// The platform's table service takes 65,536 bytes a row, of which the token of
+// the commit takes 17.
+static const size_t FEED_ROW_BYTES_MAX = 65536 - 17;
+
+static bool feed_exceeds_size(const seam_commit *c, seam_err *e)
+{
+	for (size_t i = 0; i < c->n; i++)
+		if (c->write[i].op == SEAM_PUT &&
+		    c->write[i].len > FEED_ROW_BYTES_MAX) {
+			seam_fail(e, SEAM_BAD_REQUEST, "%s: too large",
+				  c->write[i].key);
+			return true;
+		}
+	return false;
+}
+
 static int feed_commit(seam_store *s, seam_commit *c, seam_time deadline,
 		       seam_err *e)
 {
@@ -350,6 +376,8 @@
 			   (c->write[i].op != SEAM_CHECK);
 	if (entries > 100)
 		return seam_fail(e, SEAM_BAD_REQUEST, "over 100 entries");
+	if (feed_exceeds_size(c, e))
+		return -1;
 	f->commits++;
 	f->commits_sent++;
 	f->largest = std::max((size_t)f->largest, entries);
--- a/tests/jobrow_test.cc
+++ b/tests/jobrow_test.cc
@@ -47,8 +47,8 @@
 		row.len = strlen(text);
 		EXPECT_EQ(seam_jobrow_parse(&row, &r, &e), 0) << e.text;
 		free(text);
-		text = seam_progress_serialize(&j);
-		seam_progress_key(j.spec.id, row.key);
+		text = seam_progress_serialize(&j, 0);
+		seam_progress_key(j.spec.id, 0, row.key);
 		row.data = text;
 		row.len = strlen(text);
 		EXPECT_EQ(seam_progress_merge(&r, &row, &e), 0) << e.text;
@@ -109,6 +109,62 @@
 	EXPECT_EQ(seam_jobrow_failures(&j, 0, 0), 0);
 }
 
+// Guards against a row of progress that is larger than a store takes.
+TEST_F(Row, ProgressOfTheLargestJobFitsIntoItsRows)
+{
+	const int tasks = SEAM_JOB_TASKS_MAX / 2;
+	seam_jobrow read = {};
+
+	for (int s = 0; s < 2; s++) {
+		free(j.done[s]);
+		j.spec.step[s].tasks = tasks;
+	}
+	free(j.done);
+	ASSERT_EQ(seam_jobrow_alloc_done(&j), 0);
+	for (int n = 0; n < 2 * tasks; n++) {
+		seam_failed_run f = {n % 2, n / 2, INT64_MAX - n};
+		ASSERT_TRUE(seam_jobrow_add_failed(&j, &f));
+	}
+	read.spec = j.spec;
+	ASSERT_EQ(seam_jobrow_alloc_done(&read), 0);
+	for (size_t n = 0; n < seam_progress_rows(&j); n++) {
+		char *text = seam_progress_serialize(&j, n);
+		seam_row row = {};
+
+		seam_progress_key(j.spec.id, n, row.key);
+		row.data = text;
+		row.len = strlen(text);
+		EXPECT_LT(row.len, 65000u) << n;
+		EXPECT_EQ(seam_progress_merge(&read, &row, &e), 0) << n;
+		free(text);
+	}
+	EXPECT_EQ(read.failures, j.failures);
+	read.spec.text = nullptr;
+	read.spec.step = nullptr;
+	seam_jobrow_free(&read);
+}
+
+// Guards against a row of another job that is taken for progress.
+TEST_F(Row, ProgressKeyNamesJobAndRow)
+{
+	char id[SEAM_JOB_ID_SIZE];
+	char key[SEAM_KEY_MAX];
+	size_t row;
+
+	seam_progress_key("f123456789abcdef", 0, key);
+	EXPECT_STREQ(key, "done/f/f123456789abcdef");
+	seam_progress_key("f123456789abcdef", 12, key);
+	EXPECT_STREQ(key, "done/f/f123456789abcdef.12");
+	ASSERT_TRUE(seam_progress_parse_key(key, id, &row));
+	EXPECT_STREQ(id, "f123456789abcdef");
+	EXPECT_EQ(row, 12u);
+	for (const char *odd :
+	     {"done/f/f12", "done/f/f123456789abcdef0",
+	      "done/f/f123456789abcdef.", "done/f/f123456789abcdef.0",
+	      "done/f/f123456789abcdef.x", "done/f/f123456789abcdef.1000000"})
+		EXPECT_FALSE(seam_progress_parse_key(odd, id, &row)) << odd;
+}
+
 // Guards against losing results that the previous owner committed late.
 TEST_F(Row, MergeKeepsBoth)
 {
--- a/tests/platform_rows_server.h
+++ b/tests/platform_rows_server.h
@@ -21,6 +21,8 @@
 		int64_t ver = 0;
 		bool gone = false;
 	};
+	// Base64 of a value of 65,536 bytes.
+	static const size_t VALUE_CHARS_MAX = 65536 / 3 * 4 + 4;
 	typedef std::tuple<std::string, std::string, std::string> Name;
 	std::mutex lock;
 	std::condition_variable changed;
@@ -200,6 +202,10 @@
 					     "part"));
 		if (parts.size() > 1 && !json_object_get_boolean(across))
 			return answer(c, 400, "{}");
+		for (i = 0; i < json_object_array_length(puts); i++)
+			if (text(json_object_array_get_idx(puts, i), "value")
+				    .size() > VALUE_CHARS_MAX)
+				return answer(c, 400, "{}");
 		if (lost_before > 0) {
 			lost_before--;
 			mg_printf(c, "HTTP/1.1 200 OK\r\n"
--- a/tests/scheduler_progress_test.cc
+++ b/tests/scheduler_progress_test.cc
@@ -15,7 +15,7 @@
 {
 	char key[SEAM_KEY_MAX];
 
-	seam_progress_key(ID, key);
+	seam_progress_key(ID, 0, key);
 	return key;
 }
 
@@ -112,6 +112,42 @@
 	EXPECT_EQ(w.store.get(progress_key()), "");
 }
 
+// Guards against a row of progress that outgrows the store, after which no end
+// of any job is stored.
+TEST_F(Scheduler, FailedRunsOutgrowNoRow)
+{
+	FakeWorker *a = w.add_worker("a", "p", 64000);
+	Owner o(&w, "n1");
+
+	w.add_worker("b", "p", 64000);
+	o.start_renewals();
+	a->fail_all = true;
+	w.job(ID, 7200, "2000", 1, [](seam_step *s) { s->need.cpu = 10; });
+	EXPECT_TRUE(becomes("completed", 30000));
+	EXPECT_GT(a->failed, 3500);
+	EXPECT_EQ(w.store.rows_under(SEAM_PROGRESS_ROW_PREFIX), 0u);
+}
+
+// Guards against a further row of failed runs that the next owner does not
+// count, so that a task runs more often than it may.
+TEST_F(Scheduler, NextOwnerCountsFailedRunsOfAllRows)
+{
+	char key[SEAM_KEY_MAX];
+	FakeWorker *a = w.add_worker("a");
+
+	seam_progress_key(ID, 1, key);
+	w.job(ID, 1, "100");
+	w.store.put(progress_key(), "{\"done\":[\"-\"],\"failed\":[0,0,5]}");
+	w.store.put(key, "{\"failed\":[0,0,6]}");
+	a->fail_all = true;
+	Owner o(&w, "n1");
+	o.start_renewals();
+	EXPECT_TRUE(becomes("failed"));
+	EXPECT_EQ(a->failed, 1);
+	EXPECT_TRUE(eventually(
+		[&] { return !w.store.rows_under(SEAM_PROGRESS_ROW_PREFIX); }));
+}
+
 // Guards against a job that stays open when the progress of two owners together
 // is complete: no further end is listed then.
 TEST_F(Scheduler, JobEndsWhenItsProgressIsComplete)
