process: a commit of the owner stays below the largest call

Cause: a commit takes up to 48 rows whatever their size. Rows of 64 KiB in base64 are 4 MB, where the platform takes calls of 1 MB and refuses larger ones for good.

Change: no row is added to a commit that has 600 KiB. With one more row of the largest size the call has 0.93 MB.

Evidence: FeedStore refuses calls over 1 MB.

--- a/process/scheduler_commit.c
+++ b/process/scheduler_commit.c
@@ -10,6 +10,12 @@
  * with an expected version counts as two. A job that ends takes two operations.
  */
 #define COMMIT_WRITES_MAX 48
+/*
+ * A commit has place for another row below this size. The platform accepts
+ * calls of 1 MB: with that row of 64 KiB, in base64 and with the keys, a call
+ * has 0.93 MB.
+ */
+#define COMMIT_BYTES_MAX (600u << 10)
 /* Collects ends that arrive together into one commit. */
 #define BATCH_DELAY_USEC 15000
 #define RETRY_USEC 100000
@@ -46,8 +52,14 @@
 struct batch {
 	struct pending_write item[COMMIT_WRITES_MAX];
 	size_t n;
+	size_t bytes; /* of the rows */
 };
 
+static bool is_full(const struct batch *b)
+{
+	return b->n == COMMIT_WRITES_MAX || b->bytes >= COMMIT_BYTES_MAX;
+}
+
 static struct pending_write *add_write(struct batch *b,
 				       const struct seam_job *j)
 {
@@ -58,12 +70,18 @@
 	return i;
 }
 
+static void set_text(struct batch *b, struct pending_write *i, char *text)
+{
+	i->text = text;
+	b->bytes += text ? strlen(text) : 0;
+}
+
 static struct pending_write *add_job_row(struct batch *b,
 					 const struct seam_job *j)
 {
 	struct pending_write *i = add_write(b, j);
 
-	i->text = seam_jobrow_serialize(&j->row);
+	set_text(b, i, seam_jobrow_serialize(&j->row));
 	i->version = j->version;
 	seam_jobrow_key(j->row.spec.id, i->key);
 	return i;
@@ -98,10 +116,10 @@
 		if (row && scheduler_progress_row(j, row)->failures ==
 				   seam_progress_failures(&j->row, row))
 			continue;
-		if (b->n == COMMIT_WRITES_MAX)
+		if (is_full(b))
 			return NULL;
 		i = add_progress_row(b, j, row);
-		i->text = seam_progress_serialize(&j->row, row);
+		set_text(b, i, seam_progress_serialize(&j->row, row));
 	}
 	return i;
 }
@@ -117,7 +135,7 @@
 	for (row = 0; row < j->progress->len; row++) {
 		if (scheduler_progress_row(j, row)->version == SEAM_ABSENT)
 			continue;
-		if (b->n == COMMIT_WRITES_MAX)
+		if (is_full(b))
 			return NULL;
 		i = add_progress_row(b, j, row);
 		i->op = SEAM_DELETE;
@@ -160,8 +178,8 @@
 	struct seam_job *j;
 
 	b->n = 0;
-	while (b->n < COMMIT_WRITES_MAX &&
-	       (j = seam_table_next(sched->jobs, &h))) {
+	b->bytes = 0;
+	while (!is_full(b) && (j = seam_table_next(sched->jobs, &h))) {
 		if (j->committed == j->changes)
 			continue;
 		if (j->row_final && !scheduler_has_progress(j))
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -339,19 +339,26 @@
 }
 
 // The platform's table service takes 65,536 bytes a row, of which the token of
-// the commit takes 17.
+// the commit takes 17, and calls of 1 MB, in which rows are base64.
 static const size_t FEED_ROW_BYTES_MAX = 65536 - 17;
+static const size_t FEED_CALL_BYTES_MAX = 1000000;
 
 static bool feed_exceeds_size(const seam_commit *c, seam_err *e)
 {
-	for (size_t i = 0; i < c->n; i++)
-		if (c->write[i].op == SEAM_PUT &&
-		    c->write[i].len > FEED_ROW_BYTES_MAX) {
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < c->n; i++) {
+		bytes += 2 * strlen(c->write[i].key) +
+			 (c->write[i].len + 17) * 4 / 3;
+		if (c->write[i].len > FEED_ROW_BYTES_MAX) {
 			seam_fail(e, SEAM_BAD_REQUEST, "%s: too large",
 				  c->write[i].key);
 			return true;
 		}
-	return false;
+	}
+	if (bytes > FEED_CALL_BYTES_MAX)
+		seam_fail(e, SEAM_BAD_REQUEST, "%zu bytes", bytes);
+	return bytes > FEED_CALL_BYTES_MAX;
 }
 
 static int feed_commit(seam_store *s, seam_commit *c, seam_time deadline,
--- a/tests/platform_rows_server.h
+++ b/tests/platform_rows_server.h
@@ -21,6 +21,7 @@
 		int64_t ver = 0;
 		bool gone = false;
 	};
+	static const size_t CALL_BYTES_MAX = 1000000;
 	// Base64 of a value of 65,536 bytes.
 	static const size_t VALUE_CHARS_MAX = 65536 / 3 * 4 + 4;
 	typedef std::tuple<std::string, std::string, std::string> Name;
@@ -267,8 +268,11 @@
 		if (path == "/rows-feed")
 			return s->feed(c, ri);
 		json_object *o = json_tokener_parse(body.c_str());
-		n = path == "/rows-tx" && o ? s->transact(c, o) :
-					      answer(c, 404, "{}");
+		if (body.size() > CALL_BYTES_MAX)
+			n = answer(c, 413, "{}");
+		else
+			n = path == "/rows-tx" && o ? s->transact(c, o) :
+						      answer(c, 404, "{}");
 		json_object_put(o);
 		return n;
 	}
--- a/tests/scheduler_progress_test.cc
+++ b/tests/scheduler_progress_test.cc
@@ -128,6 +128,48 @@
 	EXPECT_EQ(w.store.rows_under(SEAM_PROGRESS_ROW_PREFIX), 0u);
 }
 
+// Guards against a commit that is larger than the store takes, after which no
+// end of any job is stored.
+TEST_F(Scheduler, RowsTogetherOutgrowNoCommit)
+{
+	std::vector<std::string> keys;
+	std::string failed;
+
+	w.add_worker("a", "p", 64000);
+	for (int i = 0; i < SEAM_PROGRESS_FAILURES_MAX; i++)
+		failed += (i ? ",0," : "0,") + std::to_string(i) + "," +
+			  std::to_string(INT64_MAX);
+	for (int i = 0; i < 30; i++) {
+		char id[SEAM_JOB_ID_SIZE];
+		char key[SEAM_KEY_MAX];
+		int step = 0;
+
+		snprintf(id, sizeof(id), "1%015x", i);
+		seam_progress_key(id, 0, key);
+		w.job(id, 2000, "2000", 2, [&](seam_step *s) {
+			s->need.cpu = 1;
+			if (step++)
+				s->tasks = 1;
+		});
+		w.store.put(key, "{\"done\":[\"-" + std::string(1999, 'd') +
+					 "\"],\"failed\":[" + failed + "]}");
+		keys.push_back(key);
+	}
+	w.store.hold_rows(SEAM_PROGRESS_ROW_PREFIX);
+	Owner o(&w, "n1");
+	o.start_renewals();
+	usleep(2500000); // the first steps have ended, the others run
+	w.store.hold_rows("");
+	for (auto &key : keys)
+		EXPECT_TRUE(eventually(
+			[&] {
+				return !w.store.get(key).compare(
+					0, 11, "{\"done\":[\"d");
+			},
+			1000))
+			<< key;
+}
+
 // Guards against a further row of failed runs that the next owner does not
 // count, so that a task runs more often than it may.
 TEST_F(Scheduler, NextOwnerCountsFailedRunsOfAllRows)
