process: a job whose rows the store refuses holds up no other job

Cause: the rows of up to 48 jobs share a commit. A commit that the store refuses for its content was sent again as it was, each 0.1 s, for ever. Nothing of the other jobs was stored, so no end was acknowledged.

Change: a refused commit is divided by jobs until the refused job is alone: at most twelve further commits for one job of 48. That job is left out for 2 s and tried again; the log names its row (rows_refused).

Evidence: RefusedRowHoldsUpNoOtherJob fails without the change: none of 20 jobs is completed within 80 s while the row of another is refused. RefusedRowIsWrittenAgain keeps the row from being forgotten. With the size of rows bounded, no row of ours is known to be refused; this is the fault that made one such row stop all jobs.

--- a/process/scheduler.c
+++ b/process/scheduler.c
@@ -41,6 +41,7 @@
 	pthread_mutex_init(&sched->lock, NULL);
 	pthread_mutex_init(&sched->handover_lock, NULL);
 	seam_cond_init(&sched->commit_wake);
+	sched->commit_again_at = SEAM_NEVER;
 	seam_cond_init(&sched->pass_wake);
 	seam_cond_init(&sched->reap_wake);
 	seam_cond_init(&sched->vm_wake);
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -190,6 +190,7 @@
  * @started: a worker has confirmed a start of a task
  * @changes: number of changes to @row
  * @committed: value of @changes that the store has
+ * @commit_after: the store refused its rows; they are not written before
  * @runs: runs whose end is not confirmed
  * @first_start_at: when the first task was started; 0 before
  * @reserve_after: no worker of its pool could be kept for its tasks, and none
@@ -221,6 +222,7 @@
 	bool started;
 	uint64_t changes;
 	uint64_t committed;
+	seam_time commit_after;
 	int runs;
 	seam_time first_start_at;
 	seam_time reserve_after;
@@ -712,6 +714,7 @@
  * @tokens: number of commits
  * @pass_due: something may be started
  * @commit_due: a row changed
+ * @commit_again_at: a row that the store refused is written again
  * @jobs_version: store version up to which jobs were read
  * @workers_version: the same for workers
  * @workers_stale: worker rows have to be read again
@@ -767,6 +770,7 @@
 	size_t tokens;
 	bool pass_due;
 	bool commit_due;
+	seam_time commit_again_at;
 	bool stop;
 	uint64_t jobs_version;
 	uint64_t workers_version;
--- a/process/scheduler_commit.c
+++ b/process/scheduler_commit.c
@@ -20,6 +20,8 @@
 #define BATCH_DELAY_USEC 15000
 #define RETRY_USEC 100000
 #define COMMIT_TIMEOUT (1500 * SEAM_MSEC)
+/* A row that the store refuses is not taken before its job changes. */
+#define REFUSED_ROW_DELAY (2 * SEAM_SEC)
 
 SEAM_METRIC(commits, "seam_commits_total",
 	    "Commits of jobs' rows and progress.");
@@ -177,11 +179,19 @@
 	struct seam_handle h = SEAM_HANDLE_NONE;
 	struct seam_job *j;
 
+	seam_time now = seam_now(sched->clock);
+
 	b->n = 0;
 	b->bytes = 0;
+	sched->commit_again_at = SEAM_NEVER;
 	while (!is_full(b) && (j = seam_table_next(sched->jobs, &h))) {
 		if (j->committed == j->changes)
 			continue;
+		if (j->commit_after > now) {
+			sched->commit_again_at =
+				MIN(sched->commit_again_at, j->commit_after);
+			continue;
+		}
 		if (j->row_final && !scheduler_has_progress(j))
 			finish_job(sched, j);
 		else
@@ -193,20 +203,19 @@
  * The expected row versions are the only condition. An owner whose term is over
  * can only add ends reported by workers, and the next owner merges those.
  */
-static int commit(struct seam_scheduler *sched, const struct batch *b,
-		  uint64_t *version, struct seam_err *e)
+static int commit(struct seam_scheduler *sched,
+		  const struct pending_write *item, size_t n, uint64_t *version,
+		  struct seam_err *e)
 {
 	struct seam_write w[COMMIT_WRITES_MAX];
-	struct seam_commit c = {w, b->n, seam_store_token(), 0};
+	struct seam_commit c = {w, n, seam_store_token(), 0};
 	size_t i;
 	int rc;
 
-	for (i = 0; i < b->n; i++) {
-		const struct pending_write *p = &b->item[i];
-
-		w[i] = (struct seam_write){p->op, p->key, p->version, p->text,
-					   p->text ? strlen(p->text) : 0};
-	}
+	for (i = 0; i < n; i++)
+		w[i] = (struct seam_write){
+			item[i].op, item[i].key, item[i].version, item[i].text,
+			item[i].text ? strlen(item[i].text) : 0};
 	pthread_mutex_lock(&sched->lock);
 	sched->token[sched->tokens++ % SEAM_SCHEDULER_TOKENS] = c.token;
 	pthread_mutex_unlock(&sched->lock);
@@ -241,16 +250,17 @@
 		scheduler_job_changed(sched, j);
 }
 
-static void apply_commit(struct seam_scheduler *sched, const struct batch *b,
+static void apply_commit(struct seam_scheduler *sched,
+			 const struct pending_write *item, size_t n,
 			 uint64_t version)
 {
 	struct seam_job *j;
 	size_t i;
 
-	for (i = 0; i < b->n; i++)
-		apply_write(sched, &b->item[i], version);
-	for (i = 0; i < b->n; i++) {
-		j = scheduler_job(sched, b->item[i].job);
+	for (i = 0; i < n; i++)
+		apply_write(sched, &item[i], version);
+	for (i = 0; i < n; i++) {
+		j = scheduler_job(sched, item[i].job);
 		if (j && scheduler_job_droppable(j))
 			scheduler_job_drop(sched, j);
 	}
@@ -286,45 +296,111 @@
 		seam_row_free(&row);
 }
 
-/* Commits changed rows; returns whether there may be more. */
-static bool commit_some(struct seam_scheduler *sched)
+/* Whether the store refuses the content, so that it refuses it again. */
+static bool is_refusal(const struct seam_err *e)
+{
+	return e->kind == SEAM_BAD_REQUEST || e->kind == SEAM_TOO_LARGE;
+}
+
+/*
+ * Returns the number of operations in the first half of the jobs; 0 if all are
+ * of one job.
+ */
+static size_t half_of_jobs(const struct pending_write *item, size_t n)
+{
+	size_t half = n / 2;
+
+	while (half < n && half &&
+	       seam_handle_eq(item[half].job, item[half - 1].job))
+		half++;
+	if (half < n)
+		return half;
+	for (half = n / 2; half; half--)
+		if (!seam_handle_eq(item[half].job, item[half - 1].job))
+			break;
+	return half;
+}
+
+/* Leaves the job of a refused commit out of the next ones. */
+static void defer_job(struct seam_scheduler *sched,
+		      const struct pending_write *item, size_t n,
+		      const struct seam_err *e)
+{
+	struct seam_job *j;
+
+	seam_log(SEAM_ERROR, "owner",
+		 "event=rows_refused row=%s rows=%zu term=%llu why=\"%s\"",
+		 item->key, n, (unsigned long long)sched->term, e->text);
+	pthread_mutex_lock(&sched->lock);
+	j = scheduler_job(sched, item->job);
+	if (j)
+		j->commit_after = seam_now(sched->clock) + REFUSED_ROW_DELAY;
+	pthread_mutex_unlock(&sched->lock);
+}
+
+/*
+ * Commits the operations. If the store refuses them, those of one half of the
+ * jobs and then of the other: a job whose rows are refused delays no other.
+ * Returns false if the next commit has to wait.
+ */
+static bool commit_items(struct seam_scheduler *sched,
+			 const struct pending_write *item, size_t n)
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	uint64_t version = 0;
-	struct batch b;
+	size_t half;
 	size_t i;
-	int rc;
+	int rc = commit(sched, item, n, &version, &e);
 
-	pthread_mutex_lock(&sched->lock);
-	sched->commit_due = false;
-	collect_changed(sched, &b);
-	pthread_mutex_unlock(&sched->lock);
-	if (!b.n)
-		return false;
-	rc = commit(sched, &b, &version, &e);
 	seam_metric_add(&commits, 1);
-	seam_metric_add(&rows, (int64_t)b.n);
+	seam_metric_add(&rows, (int64_t)n);
 	if (!rc) {
 		pthread_mutex_lock(&sched->lock);
-		apply_commit(sched, &b, version);
+		apply_commit(sched, item, n, version);
 		pthread_mutex_unlock(&sched->lock);
-	} else if (e.kind == SEAM_CONFLICT || e.kind == SEAM_COMMIT_UNKNOWN) {
+		return true;
+	}
+	if (is_refusal(&e)) {
+		half = half_of_jobs(item, n);
+		if (!half) {
+			defer_job(sched, item, n, &e);
+			return true;
+		}
+		return commit_items(sched, item, half) &&
+		       commit_items(sched, item + half, n - half);
+	}
+	if (e.kind == SEAM_CONFLICT || e.kind == SEAM_COMMIT_UNKNOWN) {
 		/*
 		 * Without an answer the commit was applied either wholly or not
 		 * at all.
 		 */
 		seam_metric_add(&conflicts, 1);
-		for (i = 0; i < b.n; i++)
-			read_back(sched, &b.item[i]);
+		for (i = 0; i < n; i++)
+			read_back(sched, &item[i]);
 	} else {
 		seam_log(SEAM_WARN, "owner",
-			 "event=commit_failed rows=%zu term=%llu why=\"%s\"",
-			 b.n, (unsigned long long)sched->term, e.text);
+			 "event=commit_failed rows=%zu term=%llu why=\"%s\"", n,
+			 (unsigned long long)sched->term, e.text);
 	}
+	return false;
+}
+
+/* Commits changed rows; returns whether there may be more. */
+static bool commit_some(struct seam_scheduler *sched)
+{
+	struct batch b;
+	size_t i;
+
+	pthread_mutex_lock(&sched->lock);
+	sched->commit_due = false;
+	collect_changed(sched, &b);
+	pthread_mutex_unlock(&sched->lock);
+	if (!b.n)
+		return false;
+	if (!commit_items(sched, b.item, b.n))
+		g_usleep(RETRY_USEC);
 	for (i = 0; i < b.n; i++)
 		free(b.item[i].text);
-	if (rc)
-		g_usleep(RETRY_USEC);
 	return true;
 }
 
@@ -334,9 +410,10 @@
 
 	pthread_mutex_lock(&sched->lock);
 	while (!sched->stop) {
-		if (!sched->commit_due) {
+		if (!sched->commit_due &&
+		    seam_now(sched->clock) < sched->commit_again_at) {
 			seam_wait(sched->clock, &sched->commit_wake,
-				  &sched->lock, SEAM_NEVER);
+				  &sched->lock, sched->commit_again_at);
 			continue;
 		}
 		pthread_mutex_unlock(&sched->lock);
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -62,6 +62,7 @@
 	int lose_answers = 0; // number of commits to apply without an answer
 	int hold_commits = 0; // number of commits to drop without an answer
 	std::string held_rows; // commits of rows with this prefix are dropped
+	std::string refused_row; // commits of this row are refused for good
 	std::atomic<int> refuse_commits{0};
 	// Watches from earlier versions are stale.
 	std::atomic<uint64_t> forgotten{0};
@@ -157,6 +158,11 @@
 		std::lock_guard<std::mutex> l(lock);
 		return late_commits.size();
 	}
+	void refuse_row(const std::string &key)
+	{
+		std::lock_guard<std::mutex> l(lock);
+		refused_row = key;
+	}
 	void set_lateness(std::function<seam_time(const seam_commit *)> fn)
 	{
 		std::lock_guard<std::mutex> l(lock);
@@ -385,6 +391,9 @@
 		return seam_fail(e, SEAM_BAD_REQUEST, "over 100 entries");
 	if (feed_exceeds_size(c, e))
 		return -1;
+	for (size_t i = 0; i < c->n; i++)
+		if (f->refused_row == c->write[i].key)
+			return seam_fail(e, SEAM_BAD_REQUEST, "refused");
 	f->commits++;
 	f->commits_sent++;
 	f->largest = std::max((size_t)f->largest, entries);
--- a/tests/scheduler_progress_test.cc
+++ b/tests/scheduler_progress_test.cc
@@ -128,6 +128,56 @@
 	EXPECT_EQ(w.store.rows_under(SEAM_PROGRESS_ROW_PREFIX), 0u);
 }
 
+// Lets the first step of a job run to its end, while the second has no worker.
+void run_first_step(World *w, const char *id)
+{
+	int step = 0;
+
+	w->job(id, 2, "100", 2, [&](seam_step *s) {
+		if (step++)
+			snprintf(s->label, sizeof(s->label), "none");
+	});
+	EXPECT_TRUE(
+		eventually([&] { return w->started(task(0, 1, id)) == 1; }));
+	usleep(300000);
+}
+
+// Guards against one row that the store refuses, after which no end of any
+// other job is stored.
+TEST_F(Scheduler, RefusedRowHoldsUpNoOtherJob)
+{
+	std::vector<std::string> ids;
+
+	w.add_worker("a", "p", 64000);
+	w.store.refuse_row(progress_key());
+	Owner o(&w, "n1");
+	o.start_renewals();
+	run_first_step(&w, ID);
+	for (int i = 0; i < 20; i++) {
+		char id[SEAM_JOB_ID_SIZE];
+
+		snprintf(id, sizeof(id), "1%015x", i);
+		w.job(id, 2, "300", 2);
+		ids.push_back(id);
+	}
+	for (auto &id : ids)
+		EXPECT_TRUE(becomes("completed", 4000, id.c_str())) << id;
+}
+
+// Guards against a refused row that is not written once the store takes it.
+TEST_F(Scheduler, RefusedRowIsWrittenAgain)
+{
+	w.add_worker("a", "p", 64000);
+	w.store.refuse_row(progress_key());
+	Owner o(&w, "n1");
+	o.start_renewals();
+	run_first_step(&w, ID);
+	EXPECT_EQ(w.store.get(progress_key()), "");
+	w.store.refuse_row("");
+	EXPECT_TRUE(
+		eventually([&] { return w.store.get(progress_key()) != ""; }));
+}
+
 // Guards against a commit that is larger than the store takes, after which no
 // end of any job is stored.
 TEST_F(Scheduler, RowsTogetherOutgrowNoCommit)
