request: a job whose row no store takes is rejected before it is stored

Callers got a 400 with the name of a row and a Retry-After for a job of 64 steps with long names, which no later call can have accepted.

Cause: the job's own row has no bound.

Change: a job whose row has over 65,519 bytes is rejected with its size, without a call to the store and without a time to try again.

Evidence: JobWhoseRowIsTooLargeIsRejected fails without the change, as the answer is the store's.

--- a/request/jobrow.h
+++ b/request/jobrow.h
@@ -14,6 +14,8 @@
  * store runs the transactions of one part serially. */
 #define SEAM_JOB_PARTS "0123456789abcdef"
 #define SEAM_PENDING_ROW "board/pending"
+/* The users' platform takes 65,536 bytes, with the token of the commit. */
+#define SEAM_JOB_ROW_BYTES_MAX 65519
 /*
  * Progress of open jobs, in rows of their own. Nobody follows these, so that a
  * job's row, which the owner follows, changes only when it is cancelled or
--- a/request/submit.c
+++ b/request/submit.c
@@ -129,8 +129,13 @@
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
 	w.len = strlen(text);
 	seam_jobrow_key(spec->id, key);
-	rc = seam_store_commit_retry(r->front->store, r->front->clock, &c,
-				     r->deadline, e);
+	if (w.len > SEAM_JOB_ROW_BYTES_MAX)
+		rc = seam_fail(e, SEAM_BAD_REQUEST,
+			       "job: takes %zu bytes in the store, over %d",
+			       w.len, SEAM_JOB_ROW_BYTES_MAX);
+	else
+		rc = seam_store_commit_retry(r->front->store, r->front->clock,
+					     &c, r->deadline, e);
 	free(text);
 	return rc;
 }
@@ -158,7 +163,8 @@
 		seam_metric_add(&repeated, 1);
 		r->front->front->state(r->call, SEAM_JOB_QUEUED);
 	} else {
-		refuse(r, &e, STORE_OUTAGE_RETRY_MS);
+		refuse(r, &e,
+		       e.kind == SEAM_BAD_REQUEST ? 0 : STORE_OUTAGE_RETRY_MS);
 	}
 	seam_jobspec_free(&j);
 }
--- a/tests/owner.h
+++ b/tests/owner.h
@@ -2,6 +2,7 @@
 #define OWNER_H
 
 // An owner on the in-memory platform, and the nodes that serve its workers.
+#include "request/call.h"
 #include "tests/world.h"
 
 // A lane that encodes and decodes messages as between nodes, with fault
@@ -31,6 +32,8 @@
 	seam_lane_batch read = {};
 	int rc = l->fail_if_cut(e);
 
+	if (len > SEAM_BODY_MAX)
+		rc = seam_fail(e, SEAM_TOO_LARGE, "batch: %zu bytes", len);
 	if (b->orders)
 		usleep((useconds_t)l->node->orders_delay_ms * 1000);
 	rc = rc || seam_lane_batch_decode(text, len, &read, e) ||
--- a/tests/platform_submit_test.cc
+++ b/tests/platform_submit_test.cc
@@ -156,6 +156,28 @@
 	EXPECT_EQ(w.state(ID), "");
 }
 
+// Guards against a job that no store takes and whose caller is told to try
+// again.
+TEST_F(Front, JobWhoseRowIsTooLargeIsRejected)
+{
+	std::string name;
+	std::string steps;
+
+	for (int i = 0; i < 63; i++)
+		name += "\\u0001";
+	for (int i = 0; i < SEAM_STEPS_MAX; i++)
+		steps += std::string(i ? "," : "") +
+			 "{\"count\":1,\"requirements\":\"" + name +
+			 "\",\"affinity\":\"" + name + "\",\"image\":\"" +
+			 name + "\"}";
+	reply r =
+		call("POST", ID, "{\"spec\":\"t\",\"steps\":[" + steps + "]}");
+	EXPECT_EQ(r.status, 400);
+	EXPECT_TRUE(r.has("65519")) << r.body;
+	EXPECT_EQ(w.store.commits, 0);
+	EXPECT_EQ(w.state(ID), "");
+}
+
 // Guards against rejecting texts and names that can be kept whole.
 TEST_F(Front, EscapesOfASpecAreRead)
 {
