request, process: a cancel before its job is stored keeps it from running

Cause: a DELETE for an id without a row left no trace. The POST was under way: its node sent the write again, and the store may perform a write without an answer up to 6 s later.

Change: such a DELETE writes a row cancelled/D/ID.HASH on condition that the job has no row, and is answered 410 only then. A job is stored on condition that there is no such row, in the same part, so that the store refuses the later of the two, however late it performs it. The key has a hash of queue and workspace: a cancel affects no other caller's ids. A POST that meets the row is answered 503 without a Retry-After, as the protocol has it for what is not accepted and never runs. A node takes 100 such cancels at once and 10 a second of a queue and workspace; the owner removes the rows 320 to 640 s later.

Front.AcceptShowCancel had cancelled an unknown id and then required that the same id be accepted, which is this fault. It cancels another id now; SubmissionAfterItsCancelIsRefused has the call that it made.

--- a/base/err.c
+++ b/base/err.c
@@ -54,6 +54,8 @@
 			      409, SEAM_NOT_RUN, true},
 	[SEAM_NEVER_RUNS] = {"never_runs", "no worker can ever run this task",
 			     422, SEAM_NOT_RUN, false},
+	[SEAM_CANCELLED] = {"cancelled", "cancelled before it was stored", 503,
+			    SEAM_NOT_RUN, false},
 	[SEAM_NO_MEMORY] = {"no_memory", "out of memory", 503, SEAM_NOT_RUN,
 			    true},
 	[SEAM_INTERNAL] = {"internal", "internal error", 500, SEAM_RUN_UNKNOWN,
--- a/process/scheduler.c
+++ b/process/scheduler.c
@@ -163,6 +163,7 @@
 	}
 	sched->conf = *conf;
 	sched->clock = k;
+	sched->cancels_sweep_at = seam_now(k) + CANCEL_SWEEP_INTERVAL;
 	sched->ports = ports;
 	sched->catalog = catalog;
 	sched->op_state = op_state;
--- a/process/scheduler.h
+++ b/process/scheduler.h
@@ -713,6 +713,9 @@
  * @token: tokens of the latest commits, to recognise own rows in the feed
  * @tokens: number of commits
  * @pass_due: something may be started
+ * @cancels_part: index of the part whose early cancels are swept next
+ * @cancels_sweep_at: when that is due
+ * @cancels_swept: store version at the latest sweep of each part; 0 for none
  * @commit_due: a row changed
  * @commit_again_at: a row that the store refused is written again
  * @jobs_version: store version up to which jobs were read
@@ -769,6 +772,9 @@
 	uint64_t token[SEAM_SCHEDULER_TOKENS];
 	size_t tokens;
 	bool pass_due;
+	size_t cancels_part;
+	seam_time cancels_sweep_at;
+	uint64_t cancels_swept[sizeof(SEAM_JOB_PARTS) - 1];
 	bool commit_due;
 	seam_time commit_again_at;
 	bool stop;
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -96,6 +96,18 @@
 /* Takes into account that tasks were done which its runs do not show. */
 void scheduler_job_progressed(struct seam_scheduler *sched, struct seam_job *j);
 
+/* scheduler_cancels.c */
+
+/*
+ * One part is swept at a time. A row goes with the second sweep of its part
+ * after it was written, 320 to 640 s later. That has to be longer than a
+ * submission may be under way: 60 s, the longest deadline of a caller, and the
+ * 6 s by which the store may perform a write late.
+ */
+#define CANCEL_SWEEP_INTERVAL (20 * SEAM_SEC)
+
+void scheduler_sweep_cancels(struct seam_scheduler *sched);
+
 /* scheduler_progress.c */
 
 /** scheduler_progress_row() - row of progress @row of @j, added if missing */
--- a/process/scheduler_vms.c
+++ b/process/scheduler_vms.c
@@ -131,6 +131,7 @@
 					   seam_now(sched->clock))) {
 			publish_pending(sched);
 			scheduler_save_handover(sched, false);
+			scheduler_sweep_cancels(sched);
 		}
 		if (is_list_due(sched)) {
 			rc = read_vms(sched, &e);
--- a/request/jobspec.c
+++ b/request/jobspec.c
@@ -53,6 +53,12 @@
 	j->steps = 0;
 }
 
+bool seam_job_id_is_valid(const char *id)
+{
+	return strlen(id) == SEAM_JOB_ID_DIGITS &&
+	       strspn(id, "0123456789abcdef") == SEAM_JOB_ID_DIGITS;
+}
+
 static bool in_range(int64_t n, int64_t max)
 {
 	return n >= 0 && n <= max;
@@ -86,8 +92,7 @@
 	int64_t tasks = 0;
 	int i;
 
-	if (strlen(j->id) != SEAM_JOB_ID_DIGITS ||
-	    strspn(j->id, "0123456789abcdef") != SEAM_JOB_ID_DIGITS)
+	if (!seam_job_id_is_valid(j->id))
 		return seam_fail(e, SEAM_BAD_REQUEST,
 				 "id: must be %d lower-case hex digits",
 				 SEAM_JOB_ID_DIGITS);
--- a/request/jobspec.h
+++ b/request/jobspec.h
@@ -93,6 +93,9 @@
 /** seam_jobspec_free() - free the members of @j */
 void seam_jobspec_free(struct seam_jobspec *j);
 
+/** seam_job_id_is_valid() - whether a job may have this id */
+bool seam_job_id_is_valid(const char *id);
+
 /** seam_jobspec_check() - validate; SEAM_BAD_REQUEST if a limit is exceeded */
 int seam_jobspec_check(const struct seam_jobspec *j, struct seam_err *e);
 
--- a/request/submit.c
+++ b/request/submit.c
@@ -13,12 +13,16 @@
 /* Retry delay for callers while the store does not respond. */
 #define STORE_OUTAGE_RETRY_MS 1000
 #define CANCEL_ATTEMPTS_MAX 8 /* repeated only after a conflict */
+/* Retry delay for callers that cancel many jobs that are not stored. */
+#define EARLY_CANCEL_RETRY_MS 1000
 
 SEAM_METRIC(accepted, "seam_jobs_accepted_total", "Jobs accepted and stored.");
 SEAM_METRIC(repeated, "seam_jobs_repeated_total",
 	    "Jobs handed in again after they were accepted.");
 SEAM_METRIC(refused, "seam_jobs_refused_total", "Calls answered by an error.");
 SEAM_METRIC(cancelled, "seam_jobs_cancelled_total", "Jobs cancelled.");
+SEAM_METRIC(early_cancels, "seam_early_cancels_total",
+	    "Cancels of jobs that were not stored.");
 
 /*
  * struct request - a call being served
@@ -113,6 +117,7 @@
 	return check_supported(r, j, e);
 }
 
+/* Requires that the job was not cancelled before, also if it is stored late. */
 static int store_job(struct request *r, const struct seam_jobspec *spec,
 		     struct seam_err *e)
 {
@@ -121,18 +126,21 @@
 				  .accepted_ms = seam_wall_ms()};
 	char *text = seam_jobrow_serialize(&row);
 	char key[SEAM_KEY_MAX];
-	struct seam_write w = {SEAM_PUT, key, SEAM_ABSENT, text, 0};
-	struct seam_commit c = {&w, 1, 0, 0};
+	char cancel[SEAM_KEY_MAX];
+	struct seam_write w[2] = {{SEAM_PUT, key, SEAM_ABSENT, text, 0},
+				  {SEAM_CHECK, cancel, SEAM_ABSENT, NULL, 0}};
+	struct seam_commit c = {w, 2, 0, 0};
 	int rc;
 
 	if (!text)
 		return seam_fail(e, SEAM_NO_MEMORY, NULL);
-	w.len = strlen(text);
+	w[0].len = strlen(text);
 	seam_jobrow_key(spec->id, key);
-	if (w.len > SEAM_JOB_ROW_BYTES_MAX)
+	seam_early_cancel_key(spec->id, spec->queue, spec->workspace, cancel);
+	if (w[0].len > SEAM_JOB_ROW_BYTES_MAX)
 		rc = seam_fail(e, SEAM_BAD_REQUEST,
 			       "job: takes %zu bytes in the store, over %d",
-			       w.len, SEAM_JOB_ROW_BYTES_MAX);
+			       w[0].len, SEAM_JOB_ROW_BYTES_MAX);
 	else
 		rc = seam_store_commit_retry(r->front->store, r->front->clock,
 					     &c, r->deadline, e);
@@ -140,6 +148,53 @@
 	return rc;
 }
 
+/*
+ * Reads the row of the job: SEAM_NOT_FOUND if there is none, SEAM_GONE if it is
+ * a job of another workspace.
+ */
+static int read_job(struct request *r, struct seam_row *row,
+		    struct seam_jobrow *j, struct seam_err *e)
+{
+	char key[SEAM_KEY_MAX];
+
+	memset(row, 0, sizeof(*row));
+	seam_jobrow_key(r->id, key);
+	if (seam_store_get(r->front->store, key, row, r->deadline, e))
+		return -1;
+	if (seam_jobrow_parse(row, j, e)) {
+		seam_row_free(row);
+		return -1;
+	}
+	if (!strcmp(j->spec.workspace, r->workspace) || r->queue.open)
+		return 0;
+	seam_jobrow_free(j);
+	seam_row_free(row);
+	return seam_fail(e, SEAM_GONE, "the job belongs to another workspace");
+}
+
+/*
+ * Answers a submission whose row, or the cancel of which, was there already. A
+ * repeated submission is one job with the first; one that was cancelled before
+ * it was stored never runs.
+ */
+static void answer_repeated(struct request *r)
+{
+	struct seam_err e = SEAM_ERR_INIT;
+	struct seam_jobrow j;
+	struct seam_row row;
+
+	if (!read_job(r, &row, &j, &e)) {
+		seam_jobrow_free(&j);
+		seam_row_free(&row);
+	} else if (e.kind == SEAM_NOT_FOUND) {
+		seam_fail(&e, SEAM_CANCELLED, NULL);
+		refuse(r, &e, 0);
+		return;
+	}
+	seam_metric_add(&repeated, 1);
+	r->front->front->state(r->call, SEAM_JOB_QUEUED);
+}
+
 static void submit(struct request *r)
 {
 	struct seam_err e = SEAM_ERR_INIT;
@@ -160,8 +215,7 @@
 			 (unsigned long long)r->version, j.steps);
 		r->front->front->state(r->call, SEAM_JOB_QUEUED);
 	} else if (e.kind == SEAM_CONFLICT) {
-		seam_metric_add(&repeated, 1);
-		r->front->front->state(r->call, SEAM_JOB_QUEUED);
+		answer_repeated(r);
 	} else {
 		refuse(r, &e,
 		       e.kind == SEAM_BAD_REQUEST ? 0 : STORE_OUTAGE_RETRY_MS);
@@ -169,30 +223,6 @@
 	seam_jobspec_free(&j);
 }
 
-/* Reads the row of the job; jobs of other workspaces are reported as gone. */
-static int read_job(struct request *r, struct seam_row *row,
-		    struct seam_jobrow *j, struct seam_err *e)
-{
-	char key[SEAM_KEY_MAX];
-
-	memset(row, 0, sizeof(*row));
-	seam_jobrow_key(r->id, key);
-	if (seam_store_get(r->front->store, key, row, r->deadline, e)) {
-		if (e->kind == SEAM_NOT_FOUND)
-			e->kind = SEAM_GONE;
-		return -1;
-	}
-	if (seam_jobrow_parse(row, j, e)) {
-		seam_row_free(row);
-		return -1;
-	}
-	if (!strcmp(j->spec.workspace, r->workspace) || r->queue.open)
-		return 0;
-	seam_jobrow_free(j);
-	seam_row_free(row);
-	return seam_fail(e, SEAM_GONE, "the job belongs to another workspace");
-}
-
 static void show_job(struct request *r)
 {
 	struct seam_err e = SEAM_ERR_INIT;
@@ -200,6 +230,8 @@
 	struct seam_row row;
 
 	if (read_job(r, &row, &j, &e)) {
+		if (e.kind == SEAM_NOT_FOUND)
+			seam_fail(&e, SEAM_GONE, NULL);
 		refuse(r, &e, 0);
 		return;
 	}
@@ -230,6 +262,34 @@
 	return rc;
 }
 
+/*
+ * Cancels a job that is not stored: its submission may be under way. Fails with
+ * SEAM_GONE once no such submission can be stored any more.
+ */
+static int cancel_early(struct request *r, struct seam_err *e)
+{
+	char key[SEAM_KEY_MAX];
+	char job[SEAM_KEY_MAX];
+	const struct seam_write w[2] = {
+		{SEAM_PUT, key, SEAM_ANY_VERSION, "", 0},
+		{SEAM_CHECK, job, SEAM_ABSENT, NULL, 0}};
+	struct seam_commit c = {w, 2, 0, 0};
+
+	if (!seam_job_id_is_valid(r->id))
+		return seam_fail(e, SEAM_GONE, NULL);
+	if (!seam_early_cancel_admit(&r->front->early_cancels, r->queue.name,
+				     r->workspace, seam_now(r->front->clock)))
+		return seam_fail(e, SEAM_OVER_LIMIT,
+				 "too many cancels of unknown jobs");
+	seam_early_cancel_key(r->id, r->queue.name, r->workspace, key);
+	seam_jobrow_key(r->id, job);
+	if (seam_store_commit_retry(r->front->store, r->front->clock, &c,
+				    r->deadline, e))
+		return -1;
+	seam_metric_add(&early_cancels, 1);
+	return seam_fail(e, SEAM_GONE, NULL);
+}
+
 /* Returns 0 if the job's state is final, -1 with SEAM_CONFLICT to retry. */
 static int try_cancel(struct request *r, enum seam_job_state *state,
 		      struct seam_err *e)
@@ -239,7 +299,7 @@
 	int rc = 0;
 
 	if (read_job(r, &row, &j, e))
-		return -1;
+		return e->kind == SEAM_NOT_FOUND ? cancel_early(r, e) : -1;
 	if (!seam_job_finished(j.state)) {
 		rc = write_cancelled(r, &row, &j, e);
 		if (!rc)
@@ -265,7 +325,8 @@
 			break;
 	}
 	if (rc) {
-		refuse(r, &e, 0);
+		refuse(r, &e,
+		       e.kind == SEAM_OVER_LIMIT ? EARLY_CANCEL_RETRY_MS : 0);
 		return;
 	}
 	seam_log(SEAM_INFO, "submit", "event=cancelled job=%s queue=%s", r->id,
--- a/request/submit.h
+++ b/request/submit.h
@@ -3,6 +3,7 @@
 
 #include "process/store.h"
 #include "request/call.h"
+#include "request/early_cancel.h"
 #include "request/jobspec.h"
 #include "version/catalog.h"
 
@@ -53,6 +54,7 @@
  * @check_capacity: fails with SEAM_BUSY and a retry delay if the queue cannot
  *                  serve another job in time; NULL admits everything
  * @check_capacity_arg: passed to @check_capacity
+ * @early_cancels: limits the cancels of jobs that are not stored
  */
 struct seam_submit {
 	const struct seam_front_ops *front;
@@ -64,6 +66,7 @@
 			      const struct seam_jobspec *j, int64_t *retry_ms,
 			      struct seam_err *e);
 	void *check_capacity_arg;
+	struct seam_early_cancel_rate early_cancels;
 };
 
 /** seam_submit_serve() - serve a call; @arg is a struct seam_submit */
--- a/tests/platform_submit_test.cc
+++ b/tests/platform_submit_test.cc
@@ -76,7 +76,7 @@
 TEST_F(Front, AcceptShowCancel)
 {
 	EXPECT_EQ(call("GET", ID).status, 410);
-	EXPECT_EQ(call("DELETE", ID).status, 410);
+	EXPECT_EQ(call("DELETE", "1123456789abcdef").status, 410);
 	EXPECT_EQ(call("POST", ID, body).status, 200);
 	EXPECT_NE(w.state(ID), "");
 	EXPECT_TRUE(call("GET", ID).has("\"queued\""));
@@ -94,6 +94,72 @@
 	EXPECT_EQ(w.state(ID), "cancelled");
 }
 
+// Guards against a job whose write the store performs after its cancel was
+// acknowledged.
+TEST_F(Front, LateJobDoesNotRunAfterItsCancel)
+{
+	std::atomic<bool> late{true};
+	w.store.set_lateness([&](const seam_commit *c) -> seam_time {
+		return late && !strncmp(c->write[0].key, "job/", 4) ?
+			       SEAM_NEVER :
+			       0;
+	});
+	EXPECT_EQ(call("POST", ID, body).status, 504);
+	EXPECT_GE(w.store.kept_late(), 1u);
+	late = false;
+	EXPECT_EQ(call("DELETE", ID).status, 410);
+	w.store.perform_late();
+	EXPECT_EQ(w.state(ID), "");
+	EXPECT_EQ(call("GET", ID).status, 410);
+}
+
+// Guards against a job that runs as its caller's request comes again after the
+// cancel, or overtakes it.
+TEST_F(Front, SubmissionAfterItsCancelIsRefused)
+{
+	EXPECT_EQ(call("DELETE", ID).status, 410);
+	for (int i = 0; i < 2; i++) {
+		reply r = call("POST", ID, body);
+		EXPECT_EQ(r.status, 503);
+		EXPECT_TRUE(r.has("cancelled")) << r.body;
+		EXPECT_EQ(w.state(ID), "");
+	}
+	EXPECT_EQ(call("DELETE", ID).status, 410);
+	EXPECT_EQ(call("POST", "1123456789abcdef", body).status, 200);
+}
+
+// Guards against a cancel that is answered before its row is stored.
+TEST_F(Front, EarlyCancelWithoutAnAnswerIsNotAcknowledged)
+{
+	w.store.hold_rows("cancelled/");
+	EXPECT_EQ(call("DELETE", ID).status, 504);
+	w.store.hold_rows("");
+	EXPECT_EQ(call("DELETE", ID).status, 410);
+	EXPECT_EQ(call("POST", ID, body).status, 503);
+}
+
+// Guards against callers that fill the store with cancels of unknown jobs.
+TEST_F(Front, CancelsOfUnknownJobsAreLimited)
+{
+	int acknowledged = 0;
+	int limited = 0;
+	char id[32];
+
+	EXPECT_EQ(call("DELETE", "nothex").status, 410);
+	EXPECT_EQ(call("DELETE", "0123456789ABCDEF").status, 410);
+	EXPECT_EQ(w.store.rows_under("cancelled/"), 0u);
+	for (int i = 0; i < 200; i++) {
+		snprintf(id, sizeof(id), "%016x", i);
+		long status = call("DELETE", id).status;
+		acknowledged += status == 410;
+		limited += status == 429;
+	}
+	EXPECT_EQ(acknowledged + limited, 200);
+	EXPECT_GE(acknowledged, 100);
+	EXPECT_GT(limited, 0);
+	EXPECT_EQ(w.store.rows_under("cancelled/"), (size_t)acknowledged);
+}
+
 // Guards against a text that is cut at U+0000, so that workers run another one.
 TEST_F(Front, SpecWithNulIsStoredWhole)
 {
