request: a job is read and cancelled by its own queue and workspace only

A caller with a key found it through each queue of its workspace, and was told when an id belonged to another workspace.

Cause: the row of a job has its id alone as the key. A call compared the workspace only, and not even that on a public queue.

Change: reads and cancels compare queue and workspace of the row with those of the call. A job of others is answered as an id that does not exist: same status, same text, same limit on the cancels of unknown ids, and no row of an early cancel. On a public queue callers without a key are one workspace.

Evidence: FrontOwners.JobBelongsToItsQueueAndWorkspace, each of seven callers with the jobs of the others, fails without the change: GET and DELETE get 200 and the job is cancelled.

--- a/request/submit.c
+++ b/request/submit.c
@@ -149,8 +149,9 @@
 }
 
 /*
- * Reads the row of the job: SEAM_NOT_FOUND if there is none, SEAM_GONE if it is
- * a job of another workspace.
+ * Reads the row of the job: SEAM_NOT_FOUND if there is none, SEAM_GONE if it
+ * belongs to another queue or workspace. Callers get the same answer for both,
+ * so that they do not learn what others have.
  */
 static int read_job(struct request *r, struct seam_row *row,
 		    struct seam_jobrow *j, struct seam_err *e)
@@ -165,11 +166,12 @@
 		seam_row_free(row);
 		return -1;
 	}
-	if (!strcmp(j->spec.workspace, r->workspace) || r->queue.open)
+	if (!strcmp(j->spec.queue, r->queue.name) &&
+	    !strcmp(j->spec.workspace, r->workspace))
 		return 0;
 	seam_jobrow_free(j);
 	seam_row_free(row);
-	return seam_fail(e, SEAM_GONE, "the job belongs to another workspace");
+	return seam_fail(e, SEAM_GONE, NULL);
 }
 
 /*
@@ -264,9 +266,10 @@
 
 /*
  * Cancels a job that is not stored: its submission may be under way. Fails with
- * SEAM_GONE once no such submission can be stored any more.
+ * SEAM_GONE once no such submission can be stored any more, as if the id is
+ * @taken by a job of another queue or workspace.
  */
-static int cancel_early(struct request *r, struct seam_err *e)
+static int cancel_early(struct request *r, bool taken, struct seam_err *e)
 {
 	char key[SEAM_KEY_MAX];
 	char job[SEAM_KEY_MAX];
@@ -281,6 +284,8 @@
 				     r->workspace, seam_now(r->front->clock)))
 		return seam_fail(e, SEAM_OVER_LIMIT,
 				 "too many cancels of unknown jobs");
+	if (taken)
+		return seam_fail(e, SEAM_GONE, NULL);
 	seam_early_cancel_key(r->id, r->queue.name, r->workspace, key);
 	seam_jobrow_key(r->id, job);
 	if (seam_store_commit_retry(r->front->store, r->front->clock, &c,
@@ -298,8 +303,11 @@
 	struct seam_row row;
 	int rc = 0;
 
-	if (read_job(r, &row, &j, e))
-		return e->kind == SEAM_NOT_FOUND ? cancel_early(r, e) : -1;
+	if (read_job(r, &row, &j, e)) {
+		if (e->kind != SEAM_NOT_FOUND && e->kind != SEAM_GONE)
+			return -1;
+		return cancel_early(r, e->kind == SEAM_GONE, e);
+	}
 	if (!seam_job_finished(j.state)) {
 		rc = write_cancelled(r, &row, &j, e);
 		if (!rc)
--- a/tests/platform_submit_test.cc
+++ b/tests/platform_submit_test.cc
@@ -160,6 +160,105 @@
 	EXPECT_EQ(w.store.rows_under("cancelled/"), (size_t)acknowledged);
 }
 
+// Queues "q" and "r" need a key, "o" is open; workspaces "w" and "v".
+static seam_catalog_cell several_queues()
+{
+	seam_catalog *c = (seam_catalog *)calloc(1, sizeof(*c));
+	const char *const queues[] = {"q", "r", "o"};
+	const char *const keys[] = {"key", "other"};
+
+	c->version = 1;
+	c->queue = (seam_job_queue *)calloc(3, sizeof(*c->queue));
+	for (const char *name : queues) {
+		seam_job_queue *q = &c->queue[c->queues++];
+
+		snprintf(q->name, SEAM_NAME_SIZE, "%s", name);
+		snprintf(q->pool, SEAM_NAME_SIZE, "p");
+		snprintf(q->prefix, sizeof(q->prefix), "/%s/", name);
+		snprintf(q->host, sizeof(q->host), "host");
+		q->attempts = 3;
+		q->open = *name == 'o';
+	}
+	c->workspace = (seam_job_workspace *)calloc(2, sizeof(*c->workspace));
+	for (const char *key : keys) {
+		seam_job_workspace *w = &c->workspace[c->workspaces++];
+
+		snprintf(w->name, SEAM_NAME_SIZE, "%s-workspace", key);
+		w->key = (char(*)[SEAM_NAME_SIZE])calloc(1, SEAM_NAME_SIZE);
+		w->keys = 1;
+		snprintf(w->key[0], SEAM_NAME_SIZE, "%s", key);
+	}
+	return {c};
+}
+
+struct Caller {
+	const char *queue;
+	const char *key;
+};
+
+struct FrontOwners : Front {
+	seam_catalog_cell catalog = several_queues();
+	const std::vector<Caller> callers = {
+		{"q", "key"}, {"q", "other"}, {"r", "key"}, {"r", "other"},
+		{"o", "key"}, {"o", "other"}, {"o", "none"}};
+
+	FrontOwners()
+	{
+		submit.catalog = &catalog;
+	}
+	~FrontOwners() override
+	{
+		seam_http_free(h);
+		h = seam_http_new(w.clock);
+		seam_catalog_free(catalog.now);
+	}
+	long status(const Caller &c, const char *method,
+		    const std::string &id = ID)
+	{
+		return http(method, test_url(28010) + "/" + c.queue + "/" + id,
+			    {"Host: host",
+			     std::string("Authorization: Token ") + c.key,
+			     "Monsoonseam-Deadline-Ms: 1500"},
+			    strcmp(method, "POST") ? "" : body)
+			.status;
+	}
+};
+
+// Guards against a call that reads or cancels a job of another queue
+// or workspace, or that learns of it.
+TEST_F(FrontOwners, JobBelongsToItsQueueAndWorkspace)
+{
+	for (size_t owner = 0; owner < callers.size(); owner++) {
+		char id[SEAM_JOB_ID_SIZE];
+
+		snprintf(id, sizeof(id), "0%015zx", owner);
+		ASSERT_EQ(status(callers[owner], "POST", id), 200);
+		for (size_t i = 0; i < callers.size(); i++) {
+			if (i == owner)
+				continue;
+			SCOPED_TRACE(std::string(callers[i].queue) + " " +
+				     callers[i].key);
+			EXPECT_EQ(status(callers[i], "GET", id), 410);
+			EXPECT_EQ(status(callers[i], "DELETE", id), 410);
+			EXPECT_EQ(w.state(id), "queued");
+		}
+		EXPECT_EQ(status(callers[owner], "GET", id), 200);
+		EXPECT_EQ(status(callers[owner], "POST", id), 200);
+		EXPECT_EQ(status(callers[owner], "DELETE", id), 200);
+		EXPECT_EQ(w.state(id), "cancelled");
+	}
+	EXPECT_EQ(w.store.rows_under("cancelled/"), 0u);
+}
+
+// Guards against a cancel that keeps others from using the id.
+TEST_F(FrontOwners, EarlyCancelConcernsItsQueueAndWorkspace)
+{
+	for (size_t i = 1; i < callers.size(); i++)
+		EXPECT_EQ(status(callers[i], "DELETE"), 410);
+	EXPECT_EQ(status(callers[0], "POST"), 200);
+	EXPECT_EQ(w.state(ID), "queued");
+}
+
 // Guards against a text that is cut at U+0000, so that workers run another one.
 TEST_F(Front, SpecWithNulIsStoredWhole)
 {
