request: a submission under an id in use is refused, unless it is a repetition

Two workspaces had numbered their jobs from the same number.

Cause: the row of a job has its id alone as the key, and any conflict on it was taken for a repeated request, without reading the row.

Change: after a conflict the row is read. A submission by the queue and workspace of the row is a repetition and gets the state of the job. Another one is refused with 409 "id: in use": workers know a task by the id without queue or workspace, so both jobs cannot run, and no later try can succeed. A row that cannot be read leaves the outcome unknown (504), as the first submission may have been the caller's own.

--- a/request/submit.c
+++ b/request/submit.c
@@ -175,30 +175,38 @@
 }
 
 /*
- * Answers a submission whose row, or the cancel of which, was there already. A
- * repeated submission is one job with the first; one that was cancelled before
- * it was stored never runs.
+ * Returns 0 and the state of the job if a submission that met a row is a
+ * repetition of the one that stored it. Otherwise it is not stored, unless the
+ * row cannot be read now.
  */
-static void answer_repeated(struct request *r)
+static int find_repeated(struct request *r, enum seam_job_state *state,
+			 struct seam_err *e)
 {
-	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_jobrow j;
 	struct seam_row row;
 
-	if (!read_job(r, &row, &j, &e)) {
+	seam_err_clear(e);
+	if (!read_job(r, &row, &j, e)) {
+		*state = (enum seam_job_state)j.state;
 		seam_jobrow_free(&j);
 		seam_row_free(&row);
-	} else if (e.kind == SEAM_NOT_FOUND) {
-		seam_fail(&e, SEAM_CANCELLED, NULL);
-		refuse(r, &e, 0);
-		return;
+		return 0;
+	}
+	switch (e->kind) {
+	case SEAM_NOT_FOUND:
+		return seam_fail(e, SEAM_CANCELLED, NULL);
+	case SEAM_GONE:
+	case SEAM_BAD_REQUEST: /* the row is damaged */
+		return seam_fail(e, SEAM_CONFLICT, "id: in use");
+	default:
+		return seam_fail(e, SEAM_COMMIT_UNKNOWN,
+				 "the job cannot be read");
 	}
-	seam_metric_add(&repeated, 1);
-	r->front->front->state(r->call, SEAM_JOB_QUEUED);
 }
 
 static void submit(struct request *r)
 {
+	enum seam_job_state state = SEAM_JOB_QUEUED;
 	struct seam_err e = SEAM_ERR_INIT;
 	struct seam_jobspec j;
 	int64_t retry_ms = 0;
@@ -216,11 +224,14 @@
 			 r->id, r->queue.name, r->workspace,
 			 (unsigned long long)r->version, j.steps);
 		r->front->front->state(r->call, SEAM_JOB_QUEUED);
-	} else if (e.kind == SEAM_CONFLICT) {
-		answer_repeated(r);
-	} else {
+	} else if (e.kind != SEAM_CONFLICT) {
 		refuse(r, &e,
 		       e.kind == SEAM_BAD_REQUEST ? 0 : STORE_OUTAGE_RETRY_MS);
+	} else if (!find_repeated(r, &state, &e)) {
+		seam_metric_add(&repeated, 1);
+		r->front->front->state(r->call, state);
+	} else {
+		refuse(r, &e, 0);
 	}
 	seam_jobspec_free(&j);
 }
--- a/tests/feed_store.h
+++ b/tests/feed_store.h
@@ -64,6 +64,7 @@
 	std::string held_rows; // commits of rows with this prefix are dropped
 	std::string refused_row; // commits of this row are refused for good
 	std::atomic<int> refuse_commits{0};
+	std::atomic<int> fail_gets{0};
 	// Watches from earlier versions are stale.
 	std::atomic<uint64_t> forgotten{0};
 	int commits = 0;
@@ -265,6 +266,10 @@
 
 	if (f->down)
 		return seam_fail(e, SEAM_UNAVAILABLE, "down");
+	if (f->fail_gets > 0) {
+		f->fail_gets--;
+		return seam_fail(e, SEAM_UNAVAILABLE, "refused");
+	}
 	f->perform_due(seam_now(seam_clock_boot()));
 	auto it = f->rows.find(key);
 	if (it == f->rows.end() || it->second.gone)
--- a/tests/platform_submit_test.cc
+++ b/tests/platform_submit_test.cc
@@ -224,7 +224,7 @@
 	}
 };
 
-// Guards against a call that reads or cancels a job of another queue
+// Guards against a call that reads, cancels or repeats a job of another queue
 // or workspace, or that learns of it.
 TEST_F(FrontOwners, JobBelongsToItsQueueAndWorkspace)
 {
@@ -240,6 +240,7 @@
 				     callers[i].key);
 			EXPECT_EQ(status(callers[i], "GET", id), 410);
 			EXPECT_EQ(status(callers[i], "DELETE", id), 410);
+			EXPECT_EQ(status(callers[i], "POST", id), 409);
 			EXPECT_EQ(w.state(id), "queued");
 		}
 		EXPECT_EQ(status(callers[owner], "GET", id), 200);
@@ -259,6 +260,16 @@
 	EXPECT_EQ(w.state(ID), "queued");
 }
 
+// Guards against a repeated submission that is said to be accepted, or not,
+// while the row cannot be read.
+TEST_F(Front, RepetitionThatCannotBeReadIsUnknown)
+{
+	EXPECT_EQ(call("POST", ID, body).status, 200);
+	w.store.fail_gets = 1;
+	EXPECT_EQ(call("POST", ID, body).status, 504);
+	EXPECT_EQ(call("POST", ID, body).status, 200);
+}
+
 // Guards against a text that is cut at U+0000, so that workers run another one.
 TEST_F(Front, SpecWithNulIsStoredWhole)
 {
