process: the rows of progress are read and merged in a file of their own

The functions on rows of progress are named scheduler_progress_*; the delay of refused rows says its reason.

--- a/process/scheduler_commit.c
+++ b/process/scheduler_commit.c
@@ -7,7 +7,8 @@
 
 /*
  * Operations in one commit: the store accepts 100 entries, and an operation
- * with an expected version counts as two. A job that ends takes two operations.
+ * with an expected version counts as two. A job that ends takes two operations,
+ * and one for each further row of progress.
  */
 #define COMMIT_WRITES_MAX 48
 /*
@@ -20,7 +21,10 @@
 #define BATCH_DELAY_USEC 15000
 #define RETRY_USEC 100000
 #define COMMIT_TIMEOUT (1500 * SEAM_MSEC)
-/* A row that the store refuses is not taken before its job changes. */
+/*
+ * Delay before the rows of a job that the store refused are written again. They
+ * may have become smaller, or the job may have ended.
+ */
 #define REFUSED_ROW_DELAY (2 * SEAM_SEC)
 
 SEAM_METRIC(commits, "seam_commits_total",
@@ -177,9 +181,8 @@
 static void collect_changed(struct seam_scheduler *sched, struct batch *b)
 {
 	struct seam_handle h = SEAM_HANDLE_NONE;
-	struct seam_job *j;
-
 	seam_time now = seam_now(sched->clock);
+	struct seam_job *j;
 
 	b->n = 0;
 	b->bytes = 0;
@@ -286,7 +289,7 @@
 		*scheduler_progress_row(j, item->row) =
 			(struct seam_progress_row){.version = SEAM_ABSENT};
 	} else if (j && item->progress) {
-		scheduler_merge_progress(j, &row);
+		scheduler_progress_merge(j, &row);
 		scheduler_job_progressed(sched, j);
 	} else if (j) {
 		scheduler_job_merge(sched, j, &row);
--- a/process/scheduler_impl.h
+++ b/process/scheduler_impl.h
@@ -117,8 +117,22 @@
 /** scheduler_has_progress() - whether the store has progress of @j */
 bool scheduler_has_progress(const struct seam_job *j);
 
-/** scheduler_merge_progress() - add what a row of progress in the store has */
-void scheduler_merge_progress(struct seam_job *j, const struct seam_row *row);
+/** scheduler_progress_merge() - add what a row of progress in the store has */
+void scheduler_progress_merge(struct seam_job *j, const struct seam_row *row);
+
+/**
+ * scheduler_progress_table_new() - rows of progress by the id of their job
+ *
+ * Return: GPtrArray of struct seam_row by id; free with g_hash_table_destroy().
+ */
+GHashTable *scheduler_progress_table_new(void);
+
+/** scheduler_progress_take() - move the content of the rows into the table */
+void scheduler_progress_take(GHashTable *table, struct seam_rows *rows);
+
+/** scheduler_progress_add() - add the progress of @j that the table has */
+void scheduler_progress_add(struct seam_scheduler *sched, struct seam_job *j,
+			    GHashTable *table);
 
 bool scheduler_step_is_ready(const struct seam_job *j, int step);
 void scheduler_job_urgency(const struct seam_job *j, struct seam_urgency *u);
--- a/process/scheduler_jobs.c
+++ b/process/scheduler_jobs.c
@@ -217,8 +217,7 @@
  * One part of the jobs' rows that is read.
  *
  * @take: receives each page
- * @progress: rows of progress by the id of their job, GPtrArray of struct
- *            seam_row, read at the start of a term
+ * @progress: rows of progress, read at the start of a term
  */
 struct part {
 	struct seam_scheduler *sched;
@@ -276,64 +275,22 @@
 	return 0;
 }
 
-static void free_row(gpointer row)
+static void take_progress(struct part *p, struct seam_rows *rows)
 {
-	seam_row_free(row);
-	g_free(row);
-}
-
-static void free_rows(gpointer rows)
-{
-	g_ptr_array_free(rows, TRUE);
-}
-
-/* Moves the content of the rows into the table of the part. */
-static void keep_progress(struct part *p, struct seam_rows *rows)
-{
-	char id[SEAM_JOB_ID_SIZE];
-	GPtrArray *of_job;
-	size_t number;
-	size_t i;
-
-	for (i = 0; i < rows->n; i++) {
-		if (!seam_progress_parse_key(rows->row[i].key, id, &number))
-			continue;
-		of_job = g_hash_table_lookup(p->progress, id);
-		if (!of_job) {
-			of_job = g_ptr_array_new_with_free_func(free_row);
-			g_hash_table_replace(p->progress, g_strdup(id), of_job);
-		}
-		g_ptr_array_add(of_job,
-				g_memdup2(&rows->row[i], sizeof(rows->row[i])));
-		rows->row[i].data = NULL;
-	}
-}
-
-static void add_progress(struct seam_scheduler *sched, struct seam_job *j,
-			 const GPtrArray *rows)
-{
-	guint i;
-
-	for (i = 0; i < rows->len; i++)
-		scheduler_merge_progress(j, g_ptr_array_index(rows, i));
-	scheduler_job_progressed(sched, j);
+	scheduler_progress_take(p->progress, rows);
 }
 
 static void add_inherited(struct part *p, struct seam_rows *rows)
 {
 	struct seam_scheduler *sched = p->sched;
-	const GPtrArray *progress;
 	struct seam_job *j;
 	size_t i;
 
 	pthread_mutex_lock(&sched->lock);
 	for (i = 0; i < rows->n; i++) {
 		j = scheduler_job_add(sched, &rows->row[i], true);
-		progress =
-			j ? g_hash_table_lookup(p->progress, j->row.spec.id) :
-			    NULL;
-		if (progress)
-			add_progress(sched, j, progress);
+		if (j)
+			scheduler_progress_add(sched, j, p->progress);
 	}
 	pthread_mutex_unlock(&sched->lock);
 }
@@ -346,9 +303,8 @@
 {
 	struct part *p = arg;
 
-	p->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    free_rows);
-	p->take = keep_progress;
+	p->progress = scheduler_progress_table_new();
+	p->take = take_progress;
 	p->rc = read_part(p, SEAM_PROGRESS_ROW_PREFIX, &p->err);
 	p->version = 0;
 	p->take = add_inherited;
--- a/process/scheduler_progress.c
+++ b/process/scheduler_progress.c
@@ -21,7 +21,7 @@
 }
 
 /* Adds what a row of another writer has; it is written again as a whole. */
-void scheduler_merge_progress(struct seam_job *j, const struct seam_row *row)
+void scheduler_progress_merge(struct seam_job *j, const struct seam_row *row)
 {
 	struct seam_err e = SEAM_ERR_INIT;
 	char id[SEAM_JOB_ID_SIZE];
@@ -36,3 +36,54 @@
 		seam_log(SEAM_ERROR, "job", "event=row_unreadable why=\"%s\"",
 			 e.text);
 }
+
+static void free_row(gpointer row)
+{
+	seam_row_free(row);
+	g_free(row);
+}
+
+static void free_rows(gpointer rows)
+{
+	g_ptr_array_free(rows, TRUE);
+}
+
+GHashTable *scheduler_progress_table_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     free_rows);
+}
+
+void scheduler_progress_take(GHashTable *table, struct seam_rows *rows)
+{
+	char id[SEAM_JOB_ID_SIZE];
+	GPtrArray *of_job;
+	size_t number;
+	size_t i;
+
+	for (i = 0; i < rows->n; i++) {
+		if (!seam_progress_parse_key(rows->row[i].key, id, &number))
+			continue;
+		of_job = g_hash_table_lookup(table, id);
+		if (!of_job) {
+			of_job = g_ptr_array_new_with_free_func(free_row);
+			g_hash_table_replace(table, g_strdup(id), of_job);
+		}
+		g_ptr_array_add(of_job,
+				g_memdup2(&rows->row[i], sizeof(rows->row[i])));
+		rows->row[i].data = NULL;
+	}
+}
+
+void scheduler_progress_add(struct seam_scheduler *sched, struct seam_job *j,
+			    GHashTable *table)
+{
+	const GPtrArray *rows = g_hash_table_lookup(table, j->row.spec.id);
+	guint i;
+
+	if (!rows)
+		return;
+	for (i = 0; i < rows->len; i++)
+		scheduler_progress_merge(j, g_ptr_array_index(rows, i));
+	scheduler_job_progressed(sched, j);
+}
