--- a/request/submit.c
+++ b/request/submit.c
@@ -277,8 +277,8 @@
 
 /*
  * Cancels a job that is not stored: its submission may be under way. Fails with
- * SEAM_GONE once no such submission can be stored any more, as if the id is
- * @taken by a job of another queue or workspace.
+ * SEAM_GONE once no such submission can be stored any more. Nothing is written
+ * if a job of another queue or workspace has @taken the id.
  */
 static int cancel_early(struct request *r, bool taken, struct seam_err *e)
 {
