--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -995,8 +995,7 @@
 	free(message);
 }
 
-// Guards against two jobs whose texts differ only after U+0000 that run the
-// same.
+// Guards against jobs that run the same text, as theirs differ after U+0000.
 TEST_F(Dispatch, TextsThatDifferAfterANulStayApart)
 {
 	std::string text[2] = {std::string("run\0one", 7),
--- a/tests/platform_submit_soak_test.cc
+++ b/tests/platform_submit_soak_test.cc
@@ -135,8 +135,7 @@
 	}
 };
 
-// Guards against a job that runs after its cancel was acknowledged, and against
-// one that was accepted and is not stored, or refused and stored.
+// Guards against jobs that are not as submissions and cancels were answered.
 TEST_F(SubmitSoak, JobsAreAsTheirCallersWereTold)
 {
 	unsigned first = (unsigned)setting("SEAM_SEED", 1);
--- a/tests/platform_submit_test.cc
+++ b/tests/platform_submit_test.cc
@@ -94,8 +94,7 @@
 	EXPECT_EQ(w.state(ID), "cancelled");
 }
 
-// Guards against a job whose write the store performs after its cancel was
-// acknowledged.
+// Guards against a job that is stored late, after its cancel was acknowledged.
 TEST_F(Front, LateJobDoesNotRunAfterItsCancel)
 {
 	std::atomic<bool> late{true};
@@ -113,8 +112,7 @@
 	EXPECT_EQ(call("GET", ID).status, 410);
 }
 
-// Guards against a job that runs as its caller's request comes again after the
-// cancel, or overtakes it.
+// Guards against a job that runs as its POST comes again after its DELETE.
 TEST_F(Front, SubmissionAfterItsCancelIsRefused)
 {
 	EXPECT_EQ(call("DELETE", ID).status, 410);
@@ -224,8 +222,7 @@
 	}
 };
 
-// Guards against a call that reads, cancels or repeats a job of another queue
-// or workspace, or that learns of it.
+// Guards against calls that reach a job of another queue or workspace.
 TEST_F(FrontOwners, JobBelongsToItsQueueAndWorkspace)
 {
 	for (size_t owner = 0; owner < callers.size(); owner++) {
@@ -260,8 +257,7 @@
 	EXPECT_EQ(w.state(ID), "queued");
 }
 
-// Guards against a repeated submission that is said to be accepted, or not,
-// while the row cannot be read.
+// Guards against an answer to a repetition that was not compared with the row.
 TEST_F(Front, RepetitionThatCannotBeReadIsUnknown)
 {
 	EXPECT_EQ(call("POST", ID, body).status, 200);
@@ -332,8 +328,7 @@
 	EXPECT_EQ(w.state(ID), "");
 }
 
-// Guards against a job that no store takes and whose caller is told to try
-// again.
+// Guards against a job that no store takes and whose caller tries again.
 TEST_F(Front, JobWhoseRowIsTooLargeIsRejected)
 {
 	std::string name;
--- a/tests/scheduler_cancels_test.cc
+++ b/tests/scheduler_cancels_test.cc
@@ -21,8 +21,7 @@
 	}
 }
 
-// Guards against rows of cancels that stay for ever, and against those that go
-// while a submission may be under way.
+// Guards against cancels that stay for ever, or that go before a late POST.
 TEST_F(Scheduler, EarlyCancelsGoWithTheSecondSweep)
 {
 	put_cancel(&w, "0000000000000001");
--- a/tests/scheduler_progress_test.cc
+++ b/tests/scheduler_progress_test.cc
@@ -112,8 +112,7 @@
 	EXPECT_EQ(w.store.get(progress_key()), "");
 }
 
-// Guards against a row of progress that outgrows the store, after which no end
-// of any job is stored.
+// Guards against a row of progress that is too large, so that no end is stored.
 TEST_F(Scheduler, FailedRunsOutgrowNoRow)
 {
 	const int stored = 3100; // 62,600 bytes with the done tasks
@@ -151,8 +150,7 @@
 	usleep(300000);
 }
 
-// Guards against one row that the store refuses, after which no end of any
-// other job is stored.
+// Guards against one refused row, with which no end of other jobs is stored.
 TEST_F(Scheduler, RefusedRowHoldsUpNoOtherJob)
 {
 	std::vector<std::string> ids;
@@ -187,8 +185,7 @@
 		eventually([&] { return w.store.get(progress_key()) != ""; }));
 }
 
-// Guards against a commit that is larger than the store takes, after which no
-// end of any job is stored.
+// Guards against a commit that is too large, so that no end is stored.
 TEST_F(Scheduler, RowsTogetherOutgrowNoCommit)
 {
 	std::vector<std::string> keys;
@@ -233,8 +230,7 @@
 			<< key;
 }
 
-// Guards against a further row of failed runs that the next owner does not
-// count, so that a task runs more often than it may.
+// Guards against failed runs in further rows that a next owner does not count.
 TEST_F(Scheduler, NextOwnerCountsFailedRunsOfAllRows)
 {
 	char key[SEAM_KEY_MAX];
